--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Commands of the workspace; `make demo` and `make test` work on a fresh machine.
+PYTHON ?= python3.11
+VENV ?= .venv
+PACKAGES := decisions common node ctl standins bench
+BIN := $(VENV)/bin
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)
+export PYTHONHASHSEED := 0
+
+.PHONY: install format lint types docs unit test demo measure matrix
+
+install: $(VENV)/installed
+
+$(VENV)/installed: constraints.txt requirements-dev.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt \
+		-r requirements-dev.txt $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+format: install
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
+
+lint: install
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+
+types: install
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p))
+
+unit: install
+	$(BIN)/python -m tests.run
+
+test: lint types unit
+
+demo: install
+	$(BIN)/python -m cicadapass_bench.demo
+
+measure: install
+	$(BIN)/python -m cicadapass_bench.measure
+
+matrix: install
+	$(BIN)/python -m cicadapass_bench.matrix
--- /dev/null
+++ b/packages/bench/cicadapass_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Run the demo, the measurements and the fault matrix."""
--- /dev/null
+++ b/packages/common/cicadapass_common/exceptions.py
@@ -0,0 +1,22 @@
+"""Typed errors whose messages name the remedy."""
+
+
+class CicadapassError(Exception):
+    """Base of all errors of the system: a problem and what to do about it."""
+
+    def __init__(self, problem: str, remedy: str) -> None:
+        super().__init__(f"{problem}; {remedy}")
+        self.problem = problem
+        self.remedy = remedy
+
+
+class SettingsError(CicadapassError):
+    """The settings file cannot be used."""
+
+
+class FrameError(CicadapassError):
+    """A frame from a peer cannot be used."""
+
+
+class RecordError(CicadapassError):
+    """A record of the log cannot be used."""
--- /dev/null
+++ b/packages/ctl/cicadapassctl/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/packages/node/cicadapass/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers from an entry VM."""
--- /dev/null
+++ b/packages/node/cicadapass/supervisor.py
@@ -0,0 +1,150 @@
+"""The supervisor tree: restarts failed parts at a bounded rate."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any
+
+import pykka
+
+from cicadapass_common.events import EventLog
+
+# More restarts than this in the window mean that a restart does not help.
+MAX_RESTARTS = 5
+RESTART_WINDOW_S = 60.0
+
+
+class Part(pykka.ThreadingActor):
+    """Base of all supervised actors: reports its failure to the supervisor."""
+
+    use_daemon_thread = True
+
+    def __init__(self, supervisor: pykka.ActorRef["Supervisor"], name: str) -> None:
+        super().__init__()
+        self._supervisor = supervisor
+        self._name = name
+
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Tell the supervisor, which decides whether to restart."""
+        self._supervisor.tell(PartFailed(self._name, repr(exception_value)))
+
+
+@dataclass(frozen=True, slots=True)
+class PartFailed:
+    """Report that a part died of an exception."""
+
+    name: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StartPart:
+    """Ask the supervisor to start a part and to keep it running."""
+
+    name: str
+    start: Callable[[], pykka.ActorRef[Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class StopParts:
+    """Ask the supervisor to stop all its parts, last started first."""
+
+
+class PartRef:
+    """Refer to a part by name, so that callers survive its restart."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._ref: pykka.ActorRef[Any] | None = None
+        self._set = threading.Event()
+
+    @property
+    def name(self) -> str:
+        """Return the name of the part."""
+        return self._name
+
+    def bind(self, ref: pykka.ActorRef[Any]) -> None:
+        """Point to the part's current actor."""
+        self._ref = ref
+        self._set.set()
+
+    def tell(self, message: object) -> None:
+        """Send the message; drop it if the part is being restarted."""
+        try:
+            self._current().tell(message)
+        except pykka.ActorDeadError:
+            # The owner of lost state rebuilds it, so a dropped message is safe.
+            return
+
+    def ask(self, message: object, timeout_s: float) -> Any:
+        """Return the part's answer; raise pykka.Timeout or ActorDeadError."""
+        return self._current().ask(message, timeout=timeout_s)
+
+    def _current(self) -> pykka.ActorRef[Any]:
+        if self._ref is None:
+            raise pykka.ActorDeadError(f"part {self._name} has not been started")
+        return self._ref
+
+
+class Supervisor(pykka.ThreadingActor):
+    """Own the parts of the node and restart those that fail."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        events: EventLog,
+        on_give_up: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__()
+        self._events = events
+        self._on_give_up = on_give_up
+        self._clock = clock
+        self._starts: dict[str, Callable[[], pykka.ActorRef[Any]]] = {}
+        self._refs: dict[str, pykka.ActorRef[Any]] = {}
+        self._restarts: dict[str, deque[float]] = {}
+
+    def on_receive(self, message: object) -> object:
+        """Start parts, restart failed ones, or stop all."""
+        match message:
+            case StartPart(name, start):
+                self._starts[name] = start
+                self._refs[name] = start()
+            case PartFailed(name, reason):
+                self._restart(name, reason)
+            case StopParts():
+                self._stop_parts()
+        return None
+
+    def _restart(self, name: str, reason: str) -> None:
+        if name not in self._starts:
+            return
+        if self._too_often(name):
+            self._events.emit(111, part=name, reason=reason)
+            self._on_give_up()
+            return
+        self._events.emit(110, part=name, reason=reason)
+        self._refs[name] = self._starts[name]()
+
+    def _too_often(self, name: str) -> bool:
+        now_s = self._clock()
+        times = self._restarts.setdefault(name, deque())
+        while times and now_s - times[0] > RESTART_WINDOW_S:
+            times.popleft()
+        times.append(now_s)
+        return len(times) > MAX_RESTARTS
+
+    def _stop_parts(self) -> None:
+        self._starts.clear()
+        for ref in reversed(list(self._refs.values())):
+            ref.stop(block=False)
+        self._refs.clear()
--- /dev/null
+++ b/packages/node/cicadapass/timers.py
@@ -0,0 +1,114 @@
+"""The timer service that parts of the node subscribe to."""
+
+import heapq
+import itertools
+import logging
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(order=True, slots=True)
+class _Entry:
+    due_s: float
+    order: int
+    action: Callable[[], object] = field(compare=False)
+    interval_s: float | None = field(compare=False)
+    cancelled: bool = field(compare=False, default=False)
+
+
+class Subscription:
+    """Cancel one subscription of the timer service."""
+
+    def __init__(self, entry: _Entry) -> None:
+        self._entry = entry
+
+    def cancel(self) -> None:
+        """Stop further calls; a call that has begun still ends."""
+        self._entry.cancelled = True
+
+
+class TimerService:
+    """Call subscribers at their times from one thread.
+
+    Actions must not block: a part subscribes with a `tell` to its own actor.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._heap: list[_Entry] = []
+        self._order = itertools.count()
+        self._changed = threading.Condition()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread that calls the subscribers."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; subscribers are not called any more."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify()
+
+    def subscribe(
+        self, action: Callable[[], object], interval_s: float, first_s: float = 0.0
+    ) -> Subscription:
+        """Call the action every interval, the first time after `first_s`."""
+        return self._add(action, first_s or interval_s, interval_s)
+
+    def call_later(self, action: Callable[[], object], delay_s: float) -> Subscription:
+        """Call the action once after the delay."""
+        return self._add(action, delay_s, None)
+
+    def run_due(self) -> float | None:
+        """Call what is due and return the seconds until the next call, if any."""
+        while True:
+            with self._changed:
+                entry = self._pop_due()
+                if entry is None:
+                    return self._heap[0].due_s - self._clock() if self._heap else None
+            self._call(entry)
+
+    def _add(
+        self, action: Callable[[], object], delay_s: float, interval_s: float | None
+    ) -> Subscription:
+        due_s = self._clock() + delay_s
+        entry = _Entry(due_s, next(self._order), action, interval_s)
+        with self._changed:
+            heapq.heappush(self._heap, entry)
+            self._changed.notify()
+        return Subscription(entry)
+
+    def _pop_due(self) -> _Entry | None:
+        while self._heap and self._heap[0].cancelled:
+            heapq.heappop(self._heap)
+        if not self._heap or self._heap[0].due_s > self._clock():
+            return None
+        entry = heapq.heappop(self._heap)
+        if entry.interval_s is not None:
+            # Missed calls after a pause are dropped rather than made up for.
+            entry.due_s = max(entry.due_s, self._clock()) + entry.interval_s
+            heapq.heappush(self._heap, entry)
+        return entry
+
+    def _call(self, entry: _Entry) -> None:
+        if entry.cancelled:
+            return
+        try:
+            entry.action()
+        except Exception:
+            # One subscriber's fault must not stop the others' timers.
+            logger.exception("timer subscriber failed")
+
+    def _run(self) -> None:
+        while not self._stopped:
+            wait_s = self.run_due()
+            with self._changed:
+                if self._stopped:
+                    return
+                self._changed.wait(wait_s)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Test the bench package."""
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Test the common package."""
--- /dev/null
+++ b/tests/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Test the ctl package."""
--- /dev/null
+++ b/tests/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Test the decisions package."""
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Test the node package."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Test the standins package."""
