Add the settings reader, credentials, timeline and event catalogue

Cause: node and command line share settings, credentials and events, and the catalogue had no page and no check against the code that emits.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 types: install
 	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p))
 
+docs: install
+	$(BIN)/python -m cicadapassctl.pages docs
+
 unit: install
 	$(BIN)/python -m tests.run
 
--- /dev/null
+++ b/packages/common/cicadapass_common/config.py
@@ -0,0 +1,69 @@
+"""Read settings: JSON documents that fill a frozen dataclass."""
+
+import dataclasses
+import typing
+from dataclasses import MISSING
+from pathlib import Path
+from typing import Any, TypeVar
+
+from expression import Error, Ok, Result
+from jsonschema import Draft202012Validator
+
+from cicadapass_decisions.options import (
+    build,
+    default_of,
+    option_of,
+    schema_of,
+    to_document,
+)
+from cicadapass_decisions.problems import Problem, parse_json, schema_problems
+
+T = TypeVar("T")
+SettingProblem = Problem
+_REQUIRED = "REQUIRED"
+
+
+def read_settings(
+    path: str | Path, spec: type[T]
+) -> Result[T, tuple[SettingProblem, ...]]:
+    """Return the settings of a file, or every mistake at once."""
+    try:
+        text = Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        # Path names with a null character give a ValueError.
+        reason = getattr(error, "strerror", None) or str(error)
+        remedy = "name a file that this user can read"
+        return Error((Problem(str(path), reason, "a readable file", remedy),))
+    return parse_settings(text, spec)
+
+
+def parse_settings(
+    text: str | bytes, spec: type[T]
+) -> Result[T, tuple[SettingProblem, ...]]:
+    """Return the settings of a JSON text, or every mistake at once."""
+    return parse_json(text).bind(lambda document: settings_from(document, spec))
+
+
+def settings_from(
+    document: Any, spec: type[T]
+) -> Result[T, tuple[SettingProblem, ...]]:
+    """Return the settings of a parsed document, or every mistake at once."""
+    checker = Draft202012Validator(schema_of(spec)).iter_errors
+    problems = schema_problems(checker, document)
+    return Error(problems) if problems else Ok(build(spec, document))
+
+
+def defaults_document(spec: type[Any]) -> dict[str, Any]:
+    """Return all settings at their defaults; required ones hold their meaning."""
+    hints = typing.get_type_hints(spec)
+    document = {}
+    for field in dataclasses.fields(spec):
+        default = default_of(field)
+        if default is not MISSING:
+            document[field.name] = to_document(default)
+        elif dataclasses.is_dataclass(hints[field.name]):
+            inner = typing.cast("type[Any]", hints[field.name])
+            document[field.name] = defaults_document(inner)
+        else:
+            document[field.name] = f"{_REQUIRED}: {option_of(field).meaning}"
+    return document
--- a/packages/common/cicadapass_common/events.py
+++ b/packages/common/cicadapass_common/events.py
@@ -4,83 +4,73 @@
 import logging
 import threading
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from typing import Any
+
+from cicadapass_common.event_catalogue import EVENTS, EventKind
+
+__all__ = ["EVENTS", "Event", "EventKind", "EventLog"]
 
 LOGGER_NAME = "cicadapass.events"
 # At about 300 bytes an event, the ring stays under 1 MB.
 RING_EVENTS = 2048
-
-
-@dataclass(frozen=True, slots=True)
-class EventKind:
-    """Describe one numbered event of the catalogue."""
-
-    number: int
-    name: str
-    level: int
-    fields: tuple[str, ...]
-    meaning: str
-
-
-def _kind(
-    number: int, name: str, level: int, fields: str, meaning: str
-) -> tuple[int, EventKind]:
-    return number, EventKind(number, name, level, tuple(fields.split()), meaning)
-
-
-# The hundreds group the events: 1xx process, 2xx configuration, 3xx members and
-# peers, 4xx requests, 5xx upstreams, 6xx claims and leases, 7xx command line.
-EVENTS: dict[int, EventKind] = dict(
-    [
-        _kind(100, "node_started", logging.INFO, "node version", "The node started."),
-        _kind(101, "node_ready", logging.INFO, "version", "The node takes requests."),
-        _kind(
-            102,
-            "drain_started",
-            logging.INFO,
-            "reason",
-            "The node takes no new requests.",
-        ),
-        _kind(103, "node_stopped", logging.INFO, "unfinished", "The node stopped."),
-        _kind(
-            110,
-            "part_restarted",
-            logging.WARNING,
-            "part reason",
-            "The supervisor restarted a failed part.",
-        ),
-        _kind(
-            111,
-            "part_given_up",
-            logging.ERROR,
-            "part reason",
-            "A part failed too often; the node stops.",
-        ),
-    ]
-)
+_UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """Hold one event as it was emitted."""
+    """Hold one event as it was emitted.
+
+    The number may be missing from the catalogue when a newer process emitted it.
+    """
 
     number: int
     node: str
     stamp: tuple[int, int]
-    fields: dict[str, object]
-
-    def to_json(self) -> str:
-        """Return the event as one JSON line."""
-        kind = EVENTS[self.number]
+    fields: Mapping[str, object]
+
+    @property
+    def name(self) -> str:
+        """Return the name that the catalogue gives to the event."""
+        kind = EVENTS.get(self.number)
+        return kind.name if kind else _UNKNOWN
+
+    @property
+    def level(self) -> str:
+        """Return the level in lower case, such as `warning`."""
+        kind = EVENTS.get(self.number)
+        return logging.getLevelName(kind.level if kind else logging.INFO).lower()
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the event as a JSON object."""
         head = {
             "event": self.number,
-            "name": kind.name,
-            "level": logging.getLevelName(kind.level).lower(),
+            "name": self.name,
+            "level": self.level,
             "node": self.node,
             "stamp": list(self.stamp),
         }
-        return json.dumps(head | self.fields, default=str, separators=(",", ":"))
+        return {**self.fields, **head}
+
+    def to_json(self) -> str:
+        """Return the event as one JSON line."""
+        return json.dumps(self.to_document(), default=str, separators=(",", ":"))
+
+    @classmethod
+    def from_document(cls, document: Mapping[str, Any]) -> "Event":
+        """Return the event that `to_document` gave; ValueError if it is none."""
+        try:
+            wall, count = document["stamp"]
+            number, stamp = int(document["event"]), (int(wall), int(count))
+            node = str(document["node"])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise ValueError(f"no event: {error!r}") from error
+        fields = {key: document[key] for key in document if key not in RESERVED_KEYS}
+        return cls(number, node, stamp, fields)
+
+
+RESERVED_KEYS = frozenset({"event", "name", "level", "node", "stamp"})
 
 
 class EventLog:
@@ -99,7 +89,8 @@
         event = Event(number, self._node, self._stamp(), fields)
         with self._lock:
             self._ring.append(event)
-        self._logger.log(kind.level, event.to_json())
+        if self._logger.isEnabledFor(kind.level):
+            self._logger.log(kind.level, "%s", event.to_json())
         return event
 
     def recent(self, request_id: str | None = None) -> tuple[Event, ...]:
--- /dev/null
+++ b/packages/common/cicadapass_common/timeline.py
@@ -0,0 +1,25 @@
+"""Merge the events of many processes into one timeline."""
+
+from collections.abc import Iterable
+
+from cicadapass_common.events import Event
+
+
+def merge_events(
+    sources: Iterable[Iterable[Event]], request_id: str | None = None
+) -> tuple[Event, ...]:
+    """Return the events by hybrid clock stamp, of one request or of all.
+
+    An event that several sources hold, such as a node and its peer, occurs once.
+    """
+    unique = {event.to_json(): event for source in sources for event in source}
+    wanted = (
+        event
+        for event in unique.values()
+        if request_id is None or event.fields.get("request_id") == request_id
+    )
+    return tuple(sorted(wanted, key=_order))
+
+
+def _order(event: Event) -> tuple[tuple[int, int], str, int]:
+    return event.stamp, event.node, event.number
--- /dev/null
+++ b/packages/ctl/cicadapassctl/pages.py
@@ -0,0 +1,103 @@
+"""Write the pages of docs/ that are made from the code.
+
+Run as `python -m cicadapassctl.pages DIRECTORY`, or by `make docs`.
+"""
+
+import json
+import logging
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+from cicadapass_common.event_catalogue import EVENTS, GROUPS
+from cicadapass_common.reference import reference_rows, to_markdown
+from cicadapass_decisions.schema import INVENTORY_SCHEMA
+
+_EVENTS_HEAD = """# Events
+
+Processes write numbered events as JSON lines. Each line holds `event` (the number),
+`name`, `level`, `node` (the process that emitted it), `stamp` (hybrid logical clock:
+wall time in ms and a counter) and the fields below. `cicadapassctl timeline` merges
+the events of all nodes.
+
+This page is made from `cicadapass_common/event_catalogue.py` by `make docs`.
+"""
+
+_INVENTORY_HEAD = """# Inventory
+
+The inventory is the one JSON document by which operators control the system.
+`cicadapassctl validate FILE` checks it, `cicadapassctl publish FILE` puts it in force.
+`examples/` holds complete documents.
+
+- A short name is unique within its fleet; the same short name in another fleet is
+  another thing. Messages show names qualified by the fleet, as in `grabhandle/parts`.
+- `NAME` below stands for a name that the operator chooses, `[]` for an entry of a list.
+- An upstream names a service and a data centre of its own fleet.
+- A credential belongs to one workspace, an upstream has a URL of its own, and a
+  service has one entry for each method and path of `calls`.
+- Of the `calls` that match a request, those with the fewest `*` decide; where they
+  disagree, the call is not repeatable. A path with `.`, `..` or an empty segment before
+  the last is never repeatable.
+- Unknown and repeated keys are mistakes; every mistake is reported at once.
+
+The same is stated for machines in [inventory.schema.json](inventory.schema.json). Both
+are made from `cicadapass_decisions/schema.py` and the rule classes by `make docs`.
+"""
+
+
+def pages() -> dict[str, str]:
+    """Return the text of each generated page by its name."""
+    makers: dict[str, Callable[[], str]] = {
+        "events.md": _events_page,
+        "inventory.md": _inventory_page,
+        "inventory.schema.json": _schema_page,
+    }
+    return {name: maker() for name, maker in makers.items()}
+
+
+def main() -> int:
+    """Write all pages into the directory of the first argument."""
+    directory = Path(sys.argv[1])
+    for name, text in pages().items():
+        (directory / name).write_text(text, encoding="utf-8")
+    return 0
+
+
+def _schema_page() -> str:
+    return json.dumps(INVENTORY_SCHEMA, indent=2) + "\n"
+
+
+def _events_page() -> str:
+    return "\n".join([_EVENTS_HEAD, *_event_tables()]).rstrip() + "\n"
+
+
+def _event_tables() -> Iterator[str]:
+    for hundred, title in GROUPS.items():
+        kinds = [kind for kind in EVENTS.values() if kind.number // 100 == hundred]
+        if not kinds:
+            continue
+        yield f"## {hundred}xx: {title}\n"
+        yield "| number | name | level | fields | meaning |"
+        yield "| --- | --- | --- | --- | --- |"
+        for kind in sorted(kinds, key=lambda each: each.number):
+            level = logging.getLevelName(kind.level).lower()
+            fields = ", ".join(f"`{field}`" for field in kind.fields)
+            cells = (str(kind.number), f"`{kind.name}`", level, fields, kind.meaning)
+            yield "| " + " | ".join(cells) + " |"
+        yield ""
+
+
+def _inventory_page() -> str:
+    properties = INVENTORY_SCHEMA["properties"]
+    document = {**INVENTORY_SCHEMA, "properties": {**properties}}
+    del document["properties"]["rules"]
+    parts = [_INVENTORY_HEAD, "## Document\n", to_markdown(reference_rows(document))]
+    parts += ["\n## Rules\n", "Every rule has a default; a document names the others."]
+    for name, section in properties["rules"]["properties"].items():
+        parts += [f"\n### rules.{name}\n", section["description"], ""]
+        parts.append(to_markdown(reference_rows(section)))
+    return "\n".join(parts) + "\n"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/decisions/cicadapass_decisions/schema.py
+++ b/packages/decisions/cicadapass_decisions/schema.py
@@ -32,17 +32,17 @@
     }
 
 
-def _number(description: str, low: float, high: float, unit: str) -> Schema:
-    return {
+def _number(description: str, low: float, high: float, unit: str = "") -> Schema:
+    schema: Schema = {
         "type": "number",
         "description": description,
         "minimum": low,
         "maximum": high,
-        "x-unit": unit,
     }
+    return schema | {"x-unit": unit} if unit else schema
 
 
-def _whole(description: str, low: int, high: int, unit: str) -> Schema:
+def _whole(description: str, low: int, high: int, unit: str = "") -> Schema:
     return _number(description, low, high, unit) | {"type": "integer"}
 
 
@@ -172,12 +172,8 @@
 _WORKSPACE = _object(
     "A group of callers that shares a fair share of the fleet.",
     {
-        "weight": _number(
-            "Its share relative to the other workspaces.", 0.01, 1000, "shares"
-        ),
-        "max_priority": _whole(
-            "The highest priority its callers may ask for.", 0, 9, "priority"
-        ),
+        "weight": _number("Its share relative to the other workspaces.", 0.01, 1000),
+        "max_priority": _whole("The highest priority its callers may ask for.", 0, 9),
         "credentials": {
             "type": "array",
             "description": "The credentials that belong to it.",
--- /dev/null
+++ b/tests/common/test_config.py
@@ -0,0 +1,98 @@
+"""Test the settings reader."""
+
+import json
+from dataclasses import dataclass
+from enum import StrEnum
+from pathlib import Path
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_common.config import (
+    defaults_document,
+    parse_settings,
+    read_settings,
+    settings_from,
+)
+from cicadapass_decisions.options import option
+
+
+class Mode(StrEnum):
+    FAST = "fast"
+    SAFE = "safe"
+
+
+@dataclass(frozen=True)
+class Limits:
+    body_bytes: int = option(1024, "The largest body.", low=1, high=2048)
+    wait_s: float = 1.5
+
+
+@dataclass(frozen=True)
+class Spec:
+    name: str = option(meaning="The name.", pattern="^[a-z]+$", remedy="use letters")
+    limits: Limits = Limits()
+    mode: Mode = Mode.SAFE
+    peers: tuple[str, ...] = ()
+    comment: str | None = None
+    on: bool = False
+
+
+KEYS = st.sampled_from(["name", "limits", "mode", "peers", "body_bytes"]) | st.text()
+ANY_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner, max_size=4)
+    ),
+    max_leaves=10,
+)
+
+
+class ConfigTest(testtools.TestCase):
+    def test_values_take_their_types(self):
+        """A part must not meet a list or a text where it expects its own type."""
+        text = '{"name": "a", "peers": ["b"], "mode": "fast", "limits": {"wait_s": 2}}'
+        found = parse_settings(text, Spec).ok
+        expected = Spec("a", Limits(wait_s=2.0), Mode.FAST, ("b",))
+        self.assertEqual(expected, found)
+        self.assertIsInstance(found.limits.wait_s, float)
+
+    def test_every_mistake_at_once(self):
+        """An unknown key must not be ignored, as it may be a misspelt limit."""
+        document = {
+            "limits": {"body_bytes": 0, "wait": 1},
+            "mode": "quick",
+            "peers": [1],
+            "on": 1,
+        }
+        problems = settings_from(document, Spec).error
+        paths = [problem.path for problem in problems]
+        expected = ["/limits/body_bytes", "/limits/wait", "/mode", "/name", "/on"]
+        self.assertEqual([*expected, "/peers/0"], paths)
+        self.assertIn("from 1 to 2048 bytes", problems[0].allowed)
+        self.assertEqual("did you mean wait_s?", problems[1].remedy)
+
+    def test_remedy_of_the_setting(self):
+        """A mistake must lead to what the setting's author advises."""
+        (problem,) = settings_from({"name": "A"}, Spec).error
+        self.assertEqual("use letters", problem.remedy)
+
+    def test_unreadable_file(self):
+        """A wrong path must be reported like any other mistake."""
+        self.assertTrue(read_settings("/nonexistent/\0", Spec).is_error())
+        self.assertTrue(read_settings(Path("/nonexistent"), Spec).is_error())
+
+    def test_defaults_lack_only_what_is_required(self):
+        """The printed defaults must be a usable start for a settings file."""
+        document = defaults_document(Spec)
+        self.assertEqual("REQUIRED: The name.", document["name"])
+        document["name"] = "a"
+        text = json.dumps(document)
+        self.assertEqual(Spec("a"), parse_settings(text, Spec).ok)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(ANY_JSON)
+    def test_any_json_gives_a_result(self, document):
+        """A broken settings file must be explained, never raise."""
+        settings_from(document, Spec)
--- /dev/null
+++ b/tests/common/test_credentials.py
@@ -0,0 +1,26 @@
+"""Test the bearer credentials."""
+
+import testtools
+
+from cicadapass_common.credentials import (
+    bearer_credential,
+    hash_credential,
+    matches,
+    new_credential,
+)
+
+
+class CredentialsTest(testtools.TestCase):
+    def test_matches_only_its_hash(self):
+        """Another credential must not open the door."""
+        first, second = new_credential(), new_credential()
+        self.assertTrue(matches(first, hash_credential(first)))
+        self.assertFalse(matches(second, hash_credential(first)))
+        self.assertFalse(matches("", hash_credential(first)))
+
+    def test_header(self):
+        """A malformed header must count as no credential, never raise."""
+        self.assertEqual("abc", bearer_credential("bearer  abc "))
+        for header in (None, "", "Bearer", "Bearer ", "Basic abc", "abc"):
+            self.assertIsNone(bearer_credential(header), header)
+        self.assertEqual(64, len(hash_credential("\ud800")))
--- /dev/null
+++ b/tests/ctl/test_pages.py
@@ -0,0 +1,14 @@
+"""Test the generated pages against the code that they describe."""
+
+import testtools
+
+from cicadapassctl.pages import pages
+from tests.run import ROOT
+
+
+class PagesTest(testtools.TestCase):
+    def test_committed_pages_are_current(self):
+        """A page that differs from the code misleads operators; run `make docs`."""
+        for name, text in pages().items():
+            committed = (ROOT / "docs" / name).read_text(encoding="utf-8")
+            self.assertEqual(text, committed, f"docs/{name} is old; run `make docs`")
