Add the decisions on configuration, claims and leases, the record codec and the log client

Leases are judged by the offset that their writer had read, so that no reader depends on the log's clock.

--- /dev/null
+++ b/packages/common/cicadapass_common/logclient.py
@@ -0,0 +1,212 @@
+"""Append to and read from one stream of the platform's log service."""
+
+import base64
+import json
+from dataclasses import dataclass
+from typing import Any, Protocol
+from urllib.parse import quote
+
+import urllib3
+from expression import Error, Ok, Result
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from cicadapass_common.exceptions import CicadapassError
+
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+DEFAULT_ANSWER_TIMEOUT_S = 5.0
+# One connection for the reader's long poll and some for appends.
+MAX_IDLE_CONNECTIONS = 4
+# Statuses after which the log service promises that nothing was appended.
+_THROTTLED = 429
+_OUTAGE = 503
+
+
+class LogError(CicadapassError):
+    """The log did not confirm a call.
+
+    `may_have_taken_effect` is true when an append may still be in the log.
+    """
+
+    def __init__(
+        self,
+        problem: str,
+        remedy: str,
+        may_have_taken_effect: bool,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.may_have_taken_effect = may_have_taken_effect
+        self.retry_after_s = retry_after_s
+
+
+class LogUnreachable(LogError):
+    """No connection to the log could be made."""
+
+
+class LogUnavailable(LogError):
+    """The log is in an outage or throttles appends."""
+
+
+class LogRefused(LogError):
+    """The log refused the call as wrong."""
+
+
+class LogAnswerLost(LogError):
+    """The call was sent, but no usable answer came back."""
+
+
+@dataclass(frozen=True, slots=True)
+class RawRecord:
+    """Hold one record as the log returned it."""
+
+    offset: int
+    time_s: float
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold consecutive records; earlier ones than `first_offset` have expired."""
+
+    first_offset: int
+    next_offset: int
+    records: tuple[RawRecord, ...]
+
+
+class Log(Protocol):
+    """Append to and read from one stream."""
+
+    def append(self, payload: bytes) -> Result[int, LogError]:
+        """Return the offset of the appended record."""
+
+    def read(
+        self, from_offset: int, limit: int, wait_s: float
+    ) -> Result[Page, LogError]:
+        """Return records from the offset on; wait if there are none yet."""
+
+
+class LogClient:
+    """Call the log service over kept connections; safe to share between threads."""
+
+    def __init__(
+        self,
+        base_url: str,
+        stream: str,
+        connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
+        answer_timeout_s: float = DEFAULT_ANSWER_TIMEOUT_S,
+    ) -> None:
+        self._url = f"{base_url.rstrip('/')}/streams/{quote(stream, safe='')}/records"
+        self._connect_timeout_s = connect_timeout_s
+        self._answer_timeout_s = answer_timeout_s
+        # A retry inside urllib3 would append twice without the caller's knowledge.
+        self._pool = urllib3.PoolManager(maxsize=MAX_IDLE_CONNECTIONS, retries=False)
+
+    def append(self, payload: bytes) -> Result[int, LogError]:
+        """Return the offset of the appended record."""
+        answer = self._call("POST", 0.0, body=payload)
+        return answer.bind(lambda body: _parse(_to_offset, body))
+
+    def read(
+        self, from_offset: int, limit: int, wait_s: float
+    ) -> Result[Page, LogError]:
+        """Return records from the offset on; wait up to `wait_s` for the first."""
+        fields = {"from": str(from_offset), "limit": str(limit), "wait_s": str(wait_s)}
+        answer = self._call("GET", wait_s, fields=fields)
+        return answer.bind(lambda body: _parse(_to_page, body))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pool.clear()
+
+    def _call(
+        self, method: str, wait_s: float, **options: Any
+    ) -> Result[Any, LogError]:
+        timeout = urllib3.Timeout(
+            connect=self._connect_timeout_s, read=self._answer_timeout_s + wait_s
+        )
+        try:
+            answer = self._pool.request(
+                method, self._url, timeout=timeout, redirect=False, **options
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Error(_unreachable(error))
+        except HTTPError as error:
+            return Error(_answer_lost(repr(error)))
+        return _judge_status(answer)
+
+
+def _unreachable(error: Exception) -> LogError:
+    return LogUnreachable(
+        f"no connection to the log: {error}",
+        "check the log's address and the network",
+        may_have_taken_effect=False,
+    )
+
+
+def _answer_lost(reason: str) -> LogError:
+    return LogAnswerLost(
+        f"the log's answer was lost: {reason}",
+        "read back to see whether the append took effect",
+        may_have_taken_effect=True,
+    )
+
+
+def _judge_status(answer: urllib3.BaseHTTPResponse) -> Result[Any, LogError]:
+    status = answer.status
+    if status in (_THROTTLED, _OUTAGE):
+        problem = "the log throttles appends" if status == _THROTTLED else "outage"
+        wait_s = _retry_after_s(answer)
+        return Error(
+            LogUnavailable(f"{problem} ({status})", "retry later", False, wait_s)
+        )
+    if 400 <= status < 500:
+        remedy = "check the stream's name and the record's size"
+        return Error(LogRefused(f"the log refused the call ({status})", remedy, False))
+    if not 200 <= status < 300:
+        return Error(_answer_lost(f"status {status}"))
+    try:
+        return Ok(json.loads(answer.data))
+    except ValueError as error:
+        return Error(_answer_lost(repr(error)))
+
+
+def _retry_after_s(answer: urllib3.BaseHTTPResponse) -> float | None:
+    try:
+        return max(0.0, float(answer.headers.get("Retry-After", "")))
+    except ValueError:
+        return None
+
+
+def _parse(read: Any, body: object) -> Result[Any, LogError]:
+    try:
+        return Ok(read(body))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        return Error(_answer_lost(f"unexpected answer: {error!r}"))
+
+
+def _to_offset(body: dict[str, Any]) -> int:
+    return _to_position(body["offset"])
+
+
+def _to_page(body: dict[str, Any]) -> Page:
+    records = tuple(_to_record(record) for record in body["records"])
+    first, next_offset = body["first_offset"], body["next_offset"]
+    offsets = [record.offset for record in records]
+    if offsets != sorted(set(offsets)) or any(o >= next_offset for o in offsets):
+        raise ValueError("offsets out of order")
+    return Page(_to_position(first), _to_position(next_offset), records)
+
+
+def _to_record(body: dict[str, Any]) -> RawRecord:
+    data = base64.b64decode(body["data"], validate=True)
+    return RawRecord(_to_position(body["offset"]), float(body["time_s"]), data)
+
+
+def _to_position(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{value!r} is no offset")
+    return value
--- /dev/null
+++ b/packages/common/cicadapass_common/publish.py
@@ -0,0 +1,185 @@
+"""Publish a document: append, read back, judge; safe to retry."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from cicadapass_common.exceptions import CicadapassError
+from cicadapass_common.logclient import Log, LogError
+from cicadapass_common.records import decode_log_record, encode_record
+from cicadapass_decisions.fold import (
+    FoldState,
+    Validate,
+    first_verdict,
+    fold,
+    skip_to,
+)
+from cicadapass_decisions.logrecords import Publish, PublishOutcome, PublishVerdict
+
+PAGE_RECORDS = 100
+MAX_ATTEMPTS = 5
+RETRY_WAIT_S = 0.5
+
+DescribeChange = Callable[[Mapping[str, Any] | None, Mapping[str, Any] | None], Any]
+
+
+@dataclass(frozen=True, slots=True)
+class PublishAccepted:
+    """The document is in force as this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class PublishRejected:
+    """The document is not valid; nothing changed."""
+
+    problems: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PublishConflict:
+    """Another publish won; `change` leads from the base to the current version."""
+
+    winner_version: int
+    winner_author: str
+    current_version: int
+    change: Any
+
+
+@dataclass(frozen=True, slots=True)
+class PublishUnknown:
+    """No verdict could be read; the same publish id may be retried."""
+
+    reason: str
+    may_have_taken_effect: bool
+
+
+PublishResult = PublishAccepted | PublishRejected | PublishConflict | PublishUnknown
+
+
+@dataclass(frozen=True, slots=True)
+class PublishTools:
+    """Hold what a publish needs from outside; `describe_change(base, winner)`."""
+
+    log: Log
+    validate: Validate
+    describe_change: DescribeChange
+    sleep: Callable[[float], None] = time.sleep
+
+
+def read_to_end(
+    log: Log, state: FoldState, validate: Validate
+) -> Result[FoldState, LogError]:
+    """Return the state after the last record that the log holds now."""
+    while True:
+        answer = log.read(state.next_offset, PAGE_RECORDS, 0.0)
+        if answer.is_error():
+            return Error(answer.error)
+        state = skip_to(state, answer.ok.first_offset)
+        for raw in answer.ok.records:
+            record = decode_log_record(raw.offset, raw.time_s, raw.data)
+            state, _ = fold(state, record, validate)
+        if not answer.ok.records:
+            return Ok(state)
+
+
+def publish(
+    tools: PublishTools,
+    request: Publish,
+    state: FoldState,
+    base_document: Mapping[str, Any] | None,
+) -> PublishResult:
+    """Publish and return the verdict that all readers of the log agree on.
+
+    `state` may be empty or any earlier state; `base_document` is the document in
+    force at the publish's base.
+    """
+    checked = tools.validate(request.document)
+    if checked.is_error():
+        return PublishRejected(tuple(checked.error))
+    payload = encode_record(request)
+    if payload.is_error():
+        return PublishRejected((payload.error,))
+    progress = _Progress(state)
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            tools.sleep(_wait_s(progress.error, attempt))
+        progress = _attempt(tools, request, payload.ok, progress)
+        verdict = _verdict(progress, request)
+        if verdict is not None:
+            return _to_result(tools, verdict, progress.state, base_document)
+    return PublishUnknown(str(progress.error), progress.sent)
+
+
+@dataclass(frozen=True, slots=True)
+class _Progress:
+    """Hold what the attempts so far found out; `sent` says whether one may count."""
+
+    state: FoldState
+    sent: bool = False
+    error: CicadapassError | None = None
+
+
+def _attempt(
+    tools: PublishTools, request: Publish, payload: bytes, progress: _Progress
+) -> _Progress:
+    # Reading first finds the verdict on an earlier attempt, and a conflict that
+    # makes the append pointless.
+    progress = _read(tools, progress)
+    if progress.error or _verdict(progress, request):
+        return progress
+    appended = tools.log.append(payload)
+    if appended.is_error():
+        sent = progress.sent or appended.error.may_have_taken_effect
+        progress = replace(progress, sent=sent, error=appended.error)
+        return progress if not sent else replace(_read(tools, progress), sent=True)
+    return _read(tools, replace(progress, sent=True))
+
+
+def _read(tools: PublishTools, progress: _Progress) -> _Progress:
+    answer = read_to_end(tools.log, progress.state, tools.validate)
+    if answer.is_error():
+        return replace(progress, error=answer.error)
+    progress = replace(progress, state=answer.ok, error=None)
+    if progress.state.complete:
+        return progress
+    error = CicadapassError(
+        "the log holds no usable snapshot", "wait until a node has appended one"
+    )
+    return replace(progress, error=error)
+
+
+def _wait_s(error: CicadapassError | None, attempt: int) -> float:
+    asked_s = getattr(error, "retry_after_s", None)
+    return max(asked_s or 0.0, RETRY_WAIT_S * 2 ** (attempt - 1))
+
+
+def _verdict(progress: _Progress, request: Publish) -> PublishVerdict | None:
+    state = progress.state
+    if not state.complete:
+        return None
+    known = first_verdict(state, request.publish_id)
+    if known is not None or progress.sent or state.version == request.base_offset:
+        return known
+    # Versions only grow, so the base cannot come into force again.
+    return PublishVerdict(
+        PublishOutcome.CONFLICT, state.next_offset, state.version, state.author
+    )
+
+
+def _to_result(
+    tools: PublishTools,
+    verdict: PublishVerdict,
+    state: FoldState,
+    base_document: Mapping[str, Any] | None,
+) -> PublishResult:
+    if verdict.outcome is PublishOutcome.ACCEPTED:
+        return PublishAccepted(verdict.version)
+    if verdict.outcome is PublishOutcome.REJECTED:
+        return PublishRejected(("the readers of the log rejected the document",))
+    change = tools.describe_change(base_document, state.document)
+    return PublishConflict(verdict.version, verdict.author, state.version, change)
--- /dev/null
+++ b/packages/common/cicadapass_common/records.py
@@ -0,0 +1,252 @@
+"""Encode and decode the log's records: a versioned CBOR map with writer and kind."""
+
+import json
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import cbor2
+from expression import Error, Ok, Result
+
+from cicadapass_common.exceptions import RecordError
+from cicadapass_decisions.claims import (
+    CLAIM_ID_BYTES,
+    FINGERPRINT_BYTES,
+    KEY_HASH_BYTES,
+)
+from cicadapass_decisions.logrecords import (
+    Claim,
+    ClaimBatch,
+    LeaseRequest,
+    LogRecord,
+    Publish,
+    PublishOutcome,
+    PublishVerdict,
+    RecordBody,
+    Snapshot,
+    Unreadable,
+)
+
+WRITER = "cicadapass"
+# Readers skip records of a newer major version and ignore the fields that a newer
+# minor version added.
+MAJOR_VERSION = 1
+MINOR_VERSION = 0
+# An inventory of 1,400 upstreams takes about 0.4 MB.
+MAX_RECORD_BYTES = 4 * 1024 * 1024
+
+
+class MalformedRecord(RecordError):
+    """The record is no record of this system's form."""
+
+
+class ForeignRecord(RecordError):
+    """Another program wrote the record."""
+
+
+class NewerRecord(RecordError):
+    """A newer version of this system wrote the record."""
+
+
+def encode_record(body: RecordBody) -> Result[bytes, RecordError]:
+    """Return the bytes to append; an error if they exceed the limit."""
+    kind, fields = _to_fields(body)
+    envelope = {"w": WRITER, "v": [MAJOR_VERSION, MINOR_VERSION], "k": kind}
+    data = cbor2.dumps(envelope | {"b": fields})
+    if len(data) > MAX_RECORD_BYTES:
+        problem = f"the {kind} record has {len(data)} bytes"
+        return Error(RecordError(problem, f"keep it under {MAX_RECORD_BYTES} bytes"))
+    return Ok(data)
+
+
+def decode_record(data: bytes) -> Result[RecordBody, RecordError]:
+    """Return the body of a record, whatever bytes the log holds."""
+    if len(data) > MAX_RECORD_BYTES:
+        return Error(_malformed(f"{len(data)} bytes exceed {MAX_RECORD_BYTES}"))
+    try:
+        envelope = cbor2.loads(data)
+        return _from_envelope(envelope)
+    except Exception as error:
+        # Anything may be in the log, and no record may stop its readers.
+        return Error(_malformed(repr(error)))
+
+
+def decode_log_record(
+    offset: int, time_s: float, data: bytes
+) -> LogRecord[RecordBody | Unreadable]:
+    """Return the record; an unusable one holds the reason instead of a body."""
+    answer = decode_record(data)
+    body = answer.ok if answer.is_ok() else Unreadable(str(answer.error))
+    return LogRecord(offset, time_s, body)
+
+
+def _malformed(problem: str) -> RecordError:
+    return MalformedRecord(
+        f"malformed record: {problem[:200]}", "find out what else writes to the log"
+    )
+
+
+def _from_envelope(envelope: object) -> Result[RecordBody, RecordError]:
+    if not isinstance(envelope, dict) or "w" not in envelope:
+        return Error(_malformed("no envelope"))
+    if envelope["w"] != WRITER:
+        problem = f"record written by {str(envelope['w'])[:80]!r}"
+        return Error(ForeignRecord(problem, "use a stream of its own for it"))
+    major, minor = _int(envelope["v"][0]), _int(envelope["v"][1])
+    reader = _READERS.get(_str(envelope["k"]))
+    newer_kind = reader is None and minor > MINOR_VERSION
+    if major > MAJOR_VERSION or newer_kind:
+        problem = f"record of version {major}.{minor}"
+        return Error(NewerRecord(problem, "update this program"))
+    if reader is None or major != MAJOR_VERSION:
+        return Error(_malformed(f"kind {envelope['k']!r} of version {major}.{minor}"))
+    return Ok(reader(envelope["b"]))
+
+
+def _to_fields(body: RecordBody) -> tuple[str, Mapping[str, Any]]:
+    match body:
+        case Publish():
+            return "publish", {
+                "id": body.publish_id,
+                "base": body.base_offset,
+                "author": body.author,
+                "document": _dump_document(body.document),
+            }
+        case Snapshot():
+            return "snapshot", _from_snapshot(body)
+        case ClaimBatch():
+            return "claims", {"claims": [_from_claim(c) for c in body.claims]}
+        case _:
+            return "lease", _from_lease(body)
+
+
+def _from_snapshot(body: Snapshot) -> Mapping[str, Any]:
+    document = None if body.document is None else _dump_document(body.document)
+    verdicts = [
+        [key, v.outcome.value, v.offset, v.version, v.author]
+        for key, v in body.verdicts.items()
+    ]
+    return {
+        "version": body.version,
+        "id": body.publish_id,
+        "author": body.author,
+        "document": document,
+        "through": body.folded_through,
+        "verdicts": verdicts,
+    }
+
+
+def _from_lease(body: LeaseRequest) -> Mapping[str, Any]:
+    return {
+        "name": body.name,
+        "holder": body.holder,
+        "incarnation": body.incarnation,
+        "duration_s": body.duration_s,
+        "seen": body.seen_through,
+    }
+
+
+def _from_claim(claim: Claim) -> list[bytes | str]:
+    return [
+        claim.key_hash,
+        claim.fingerprint,
+        claim.claim_id,
+        claim.request_id,
+        claim.incarnation,
+    ]
+
+
+def _to_publish(fields: Mapping[str, Any]) -> Publish:
+    return Publish(
+        _str(fields["id"]),
+        _int(fields["base"]),
+        _str(fields["author"]),
+        _load_document(fields["document"]),
+    )
+
+
+def _to_snapshot(fields: Mapping[str, Any]) -> Snapshot:
+    text = fields["document"]
+    verdicts = {_str(v[0]): _to_verdict(v) for v in fields["verdicts"]}
+    return Snapshot(
+        _int(fields["version"]),
+        _str(fields["id"]),
+        _str(fields["author"]),
+        None if text is None else _load_document(text),
+        _int(fields["through"]),
+        verdicts,
+    )
+
+
+def _to_verdict(values: list[Any]) -> PublishVerdict:
+    outcome = PublishOutcome(_str(values[1]))
+    return PublishVerdict(outcome, _int(values[2]), _int(values[3]), _str(values[4]))
+
+
+def _to_claims(fields: Mapping[str, Any]) -> ClaimBatch:
+    return ClaimBatch(tuple(_to_claim(values) for values in fields["claims"]))
+
+
+def _to_claim(values: list[Any]) -> Claim:
+    return Claim(
+        _bytes(values[0], KEY_HASH_BYTES),
+        _bytes(values[1], FINGERPRINT_BYTES),
+        _bytes(values[2], CLAIM_ID_BYTES),
+        _str(values[3]),
+        _str(values[4]),
+    )
+
+
+def _to_lease(fields: Mapping[str, Any]) -> LeaseRequest:
+    duration_s = fields["duration_s"]
+    if not isinstance(duration_s, float | int) or not math.isfinite(duration_s):
+        raise TypeError(f"duration_s is {duration_s!r}")
+    return LeaseRequest(
+        _str(fields["name"]),
+        _str(fields["holder"]),
+        _str(fields["incarnation"]),
+        float(duration_s),
+        _int(fields["seen"]),
+    )
+
+
+_READERS: dict[str, Callable[[Mapping[str, Any]], RecordBody]] = {
+    "publish": _to_publish,
+    "snapshot": _to_snapshot,
+    "claims": _to_claims,
+    "lease": _to_lease,
+}
+
+
+def _dump_document(document: Mapping[str, Any]) -> str:
+    # JSON text keeps types out of the document that only CBOR has.
+    return json.dumps(document, ensure_ascii=False, allow_nan=False)
+
+
+def _load_document(text: object) -> Mapping[str, Any]:
+    document = json.loads(_str(text), parse_constant=_refuse_constant)
+    if not isinstance(document, dict):
+        raise TypeError("the document is no object")
+    return document
+
+
+def _refuse_constant(name: str) -> None:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _str(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{type(value).__name__} in place of str")
+    return value
+
+
+def _int(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(f"{type(value).__name__} in place of int")
+    return value
+
+
+def _bytes(value: object, size: int) -> bytes:
+    if not isinstance(value, bytes) or len(value) != size:
+        raise TypeError(f"no bytes of length {size}")
+    return value
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/claims.py
@@ -0,0 +1,182 @@
+"""Judge claims of idempotency keys: the first claim in log order wins."""
+
+import hashlib
+import struct
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from cicadapass_decisions.logrecords import Claim, ClaimBatch, LogRecord
+
+# A winner that has not sent by then never sends.
+CLAIM_VALIDITY_S = 5.0
+# A bytes object of 15 fills its allocation of 48; a collision in a million keys
+# has a probability below 1e-24.
+KEY_HASH_BYTES = 15
+FINGERPRINT_BYTES = 8
+CLAIM_ID_BYTES = 8
+# The log's clock may step by up to a window before readers that start at
+# different records disagree.
+LOADED_WINDOWS = 2.0
+
+# Offset of the latest claim of the key, claim id and fingerprint of the first.
+_ENTRY = struct.Struct(f">Q{CLAIM_ID_BYTES}s{FINGERPRINT_BYTES}s")
+
+
+class ClaimOutcome(StrEnum):
+    """Say what a claimant may do."""
+
+    WON = "won"
+    LOST = "lost"
+    # The claim was not judged; the claimant must not send.
+    NOT_RUN = "not-run"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVerdict:
+    """Answer one claim; a loser learns the winner's request."""
+
+    claim_id: bytes
+    outcome: ClaimOutcome
+    winner_request_id: str = ""
+    same_payload: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """Hold a claim with its validity on the claimant's monotonic clock."""
+
+    claim: Claim
+    valid_until_s: float
+
+
+class ClaimIndex:
+    """Remember the keys claimed in the window.
+
+    This is a class because copying the index for each batch would cost more than
+    judging the batch. Entries are packed to save memory.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._next_offset = 0
+        self._log_time_s = 0.0
+        self._entries: dict[bytes, bytes] = {}
+        self._batches: deque[tuple[float, int, tuple[bytes, ...]]] = deque()
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the first record that has not been judged."""
+        return self._next_offset
+
+    @property
+    def log_time_s(self) -> float:
+        """Return the latest of the log's times in the records judged so far."""
+        return self._log_time_s
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def skip_to(self, first_offset: int) -> None:
+        """Pass records that cannot be read any more."""
+        self._next_offset = max(self._next_offset, first_offset)
+
+    def find(self, claim: Claim) -> ClaimVerdict | None:
+        """Return the verdict if the key is taken, None if it is free.
+
+        The answer may be late to see that a key expired, which is safe.
+        """
+        entry = self._entries.get(claim.key_hash)
+        return None if entry is None else _compare(entry, claim)
+
+    def judge(self, record: LogRecord[object]) -> tuple[ClaimVerdict, ...]:
+        """Return the verdicts on the claims of the next record in log order."""
+        if record.offset < self._next_offset:
+            return ()
+        self._next_offset = record.offset + 1
+        # A log clock that steps back must not bring expired claims back for the
+        # readers that have not dropped them yet.
+        self._log_time_s = max(self._log_time_s, record.time_s)
+        self._expire()
+        if not isinstance(record.body, ClaimBatch):
+            return ()
+        claims = record.body.claims
+        keys = tuple(claim.key_hash for claim in claims)
+        verdicts = tuple(self._judge_one(claim, record.offset) for claim in claims)
+        self._batches.append((self._log_time_s, record.offset, keys))
+        return verdicts
+
+    def _judge_one(self, claim: Claim, offset: int) -> ClaimVerdict:
+        entry = self._entries.get(claim.key_hash)
+        if entry is None:
+            entry = _pack(claim, offset)
+        # A lost claim extends the memory of its key. Whether a key is taken then
+        # depends only on records of one window, so that readers that start at
+        # different records agree.
+        self._entries[claim.key_hash] = offset.to_bytes(8, "big") + entry[8:]
+        return _compare(entry, claim)
+
+    def _expire(self) -> None:
+        limit_s = self._log_time_s - self._window_s
+        while self._batches and self._batches[0][0] <= limit_s:
+            _, offset, keys = self._batches.popleft()
+            for key in keys:
+                self._expire_key(key, offset)
+
+    def _expire_key(self, key: bytes, offset: int) -> None:
+        entry = self._entries.get(key)
+        if entry is not None and int.from_bytes(entry[:8], "big") == offset:
+            del self._entries[key]
+
+
+def judge_claims(
+    index: ClaimIndex, records: Iterable[LogRecord[object]]
+) -> tuple[ClaimVerdict, ...]:
+    """Return the verdicts on all claims of the records, in log order."""
+    return tuple(verdict for record in records for verdict in index.judge(record))
+
+
+def hold_claim(claim: Claim, before_append_s: float) -> HeldClaim:
+    """Return the claimant's view of a claim, valid from before the append."""
+    return HeldClaim(claim, before_append_s + CLAIM_VALIDITY_S)
+
+
+def may_send(claim: HeldClaim, now_s: float) -> bool:
+    """Return whether a winner may still send its call."""
+    return now_s < claim.valid_until_s
+
+
+def hash_key(fleet: str, workspace: str, service: str, key: str) -> bytes:
+    """Return the hash of an idempotency key within its scope."""
+    parts = (fleet, workspace, service, key)
+    return _digest([part.encode() for part in parts], KEY_HASH_BYTES)
+
+
+def hash_payload(method: str, path: str, body: bytes) -> bytes:
+    """Return the fingerprint that tells another payload under the same key."""
+    return _digest([method.encode(), path.encode(), body], FINGERPRINT_BYTES)
+
+
+def _digest(parts: Iterable[bytes], size: int) -> bytes:
+    digest = hashlib.blake2b(digest_size=size)
+    for part in parts:
+        # The length keeps ("ab", "c") apart from ("a", "bc").
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def _pack(claim: Claim, offset: int) -> bytes:
+    head = _ENTRY.pack(offset, claim.claim_id, claim.fingerprint)
+    return head + claim.request_id.encode()
+
+
+def _compare(entry: bytes, claim: Claim) -> ClaimVerdict:
+    _, claim_id, fingerprint = _ENTRY.unpack_from(entry)
+    request_id = entry[_ENTRY.size :].decode()
+    # The same claim read twice belongs to one append whose answer was lost.
+    won = claim_id == claim.claim_id
+    outcome = ClaimOutcome.WON if won else ClaimOutcome.LOST
+    same_payload = fingerprint == claim.fingerprint
+    return ClaimVerdict(claim.claim_id, outcome, request_id, same_payload)
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/fold.py
@@ -0,0 +1,239 @@
+"""Fold the log's records into the configuration that is in force."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from expression import Result
+
+from cicadapass_decisions.logrecords import (
+    NO_VERSION,
+    LogRecord,
+    Publish,
+    PublishOutcome,
+    PublishVerdict,
+    Snapshot,
+)
+
+# At 3,800 publishes a day this covers retries for about three hours. A forgotten
+# publish id cannot be accepted again, because its base is not in force any more.
+MAX_PUBLISH_IDS = 512
+# A snapshot is appended within seconds of the record it was folded through, so a
+# reader without state needs only the latest records before it.
+MAX_BUFFERED = 64
+# Two more snapshots fit into the retention before the first one expires.
+REAPPEND_SHARE_OF_RETENTION = 1 / 3
+
+Validate = Callable[[Mapping[str, Any]], Result[Any, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class FoldState:
+    """Hold the configuration in force and the position in the log.
+
+    While `complete` is false, records are missing before `buffer_start` and what
+    follows cannot be judged until a snapshot covers the gap.
+    """
+
+    complete: bool = False
+    version: int = NO_VERSION
+    publish_id: str = ""
+    author: str = ""
+    document: Mapping[str, Any] | None = None
+    verdicts: Mapping[str, PublishVerdict] = field(default_factory=dict)
+    next_offset: int = 0
+    snapshot_time_s: float | None = None
+    buffer_start: int = 0
+    buffer: tuple[LogRecord[Publish], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Judged:
+    """Report the verdict on a publish; a duplicate gets the first one."""
+
+    publish_id: str
+    verdict: PublishVerdict
+    duplicate: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """Report that a snapshot became the state, and the verdicts on what follows."""
+
+    judged: tuple[Judged, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Buffered:
+    """Report that a record waits for a snapshot."""
+
+
+@dataclass(frozen=True, slots=True)
+class Skipped:
+    """Report that a record does not change the configuration."""
+
+    reason: str
+
+
+RecordVerdict = Judged | Adopted | Buffered | Skipped
+
+
+def fold(
+    state: FoldState, record: LogRecord[object], validate: Validate
+) -> tuple[FoldState, RecordVerdict]:
+    """Return the state after the record and what became of the record."""
+    if record.offset < state.next_offset:
+        return _note_snapshot(state, record), Skipped("read before")
+    state = _note_snapshot(skip_to(state, record.offset), record)
+    state = replace(state, next_offset=record.offset + 1)
+    match record.body:
+        case Publish() as publish if state.complete:
+            return _judge(state, record.offset, publish, validate)
+        case Publish():
+            return _buffer(state, record), Buffered()
+        case Snapshot() as snapshot if not state.complete:
+            return adopt(state, snapshot, validate)
+        case Snapshot():
+            return state, Skipped("snapshot of a state that this reader has")
+        case _:
+            return state, Skipped("no configuration record")
+
+
+def skip_to(state: FoldState, first_offset: int) -> FoldState:
+    """Return the state of a reader that cannot read records before the offset."""
+    if first_offset > state.next_offset:
+        return replace(
+            state,
+            complete=False,
+            next_offset=first_offset,
+            buffer_start=first_offset,
+            buffer=(),
+        )
+    if first_offset == 0 and state.next_offset == 0:
+        # The log is read from its origin, so nothing is missing.
+        return replace(state, complete=True)
+    return state
+
+
+def adopt(
+    state: FoldState, snapshot: Snapshot, validate: Validate
+) -> tuple[FoldState, RecordVerdict]:
+    """Make the snapshot the state if it is not older and leaves no gap."""
+    if snapshot.version < state.version:
+        return state, Skipped("snapshot is older than the configuration in force")
+    if state.complete and snapshot.folded_through < state.next_offset:
+        return state, Skipped("snapshot of a state that this reader has")
+    if snapshot.folded_through + 1 < state.buffer_start:
+        return state, Skipped("records between the snapshot and this reader expired")
+    seeded = FoldState(
+        complete=True,
+        version=snapshot.version,
+        publish_id=snapshot.publish_id,
+        author=snapshot.author,
+        document=snapshot.document,
+        verdicts=snapshot.verdicts,
+        next_offset=max(snapshot.folded_through + 1, state.next_offset),
+        snapshot_time_s=state.snapshot_time_s,
+    )
+    judged = []
+    for record in state.buffer:
+        if record.offset > snapshot.folded_through:
+            seeded, verdict = _judge(seeded, record.offset, record.body, validate)
+            judged.append(verdict)
+    return seeded, Adopted(tuple(judged))
+
+
+def to_snapshot(state: FoldState) -> Snapshot:
+    """Return the snapshot of a complete state."""
+    return Snapshot(
+        version=state.version,
+        publish_id=state.publish_id,
+        author=state.author,
+        document=state.document,
+        folded_through=state.next_offset - 1,
+        verdicts=state.verdicts,
+    )
+
+
+def needs_reappend(state: FoldState, now_s: float, retention_s: float) -> bool:
+    """Return whether the newest snapshot has used up a third of the retention.
+
+    Publishes do not count, because a reader without state cannot judge them.
+    """
+    if not state.complete or state.next_offset == 0:
+        return False
+    if state.snapshot_time_s is None:
+        # The state came from a peer, and no record has been read yet.
+        return True
+    age_s = now_s - state.snapshot_time_s
+    return age_s >= retention_s * REAPPEND_SHARE_OF_RETENTION
+
+
+def _note_snapshot(state: FoldState, record: LogRecord[object]) -> FoldState:
+    newest_s = state.snapshot_time_s
+    # Before the first snapshot, the age counts from the first record read.
+    if newest_s is None:
+        return replace(state, snapshot_time_s=record.time_s)
+    if isinstance(record.body, Snapshot) and record.time_s > newest_s:
+        return replace(state, snapshot_time_s=record.time_s)
+    return state
+
+
+def _judge(
+    state: FoldState, offset: int, publish: Publish, validate: Validate
+) -> tuple[FoldState, Judged]:
+    known = first_verdict(state, publish.publish_id)
+    if known is not None:
+        return state, Judged(publish.publish_id, known, duplicate=True)
+    outcome = _outcome(state, publish, validate)
+    if outcome is PublishOutcome.ACCEPTED:
+        state = replace(
+            state,
+            version=offset,
+            publish_id=publish.publish_id,
+            author=publish.author,
+            document=publish.document,
+        )
+    verdict = PublishVerdict(outcome, offset, state.version, state.author)
+    verdicts = _remember(state.verdicts, publish.publish_id, verdict)
+    judged = Judged(publish.publish_id, verdict, duplicate=False)
+    return replace(state, verdicts=verdicts), judged
+
+
+def first_verdict(state: FoldState, publish_id: str) -> PublishVerdict | None:
+    """Return the verdict on an earlier publish of this id, if it is remembered."""
+    if publish_id in state.verdicts:
+        return state.verdicts[publish_id]
+    if state.version == NO_VERSION or publish_id != state.publish_id:
+        return None
+    return PublishVerdict(
+        PublishOutcome.ACCEPTED, state.version, state.version, state.author
+    )
+
+
+def _outcome(state: FoldState, publish: Publish, validate: Validate) -> PublishOutcome:
+    if publish.base_offset != state.version:
+        return PublishOutcome.CONFLICT
+    try:
+        valid = validate(publish.document).is_ok()
+    except Exception:
+        # A document that breaks the check would otherwise stop every reader.
+        valid = False
+    return PublishOutcome.ACCEPTED if valid else PublishOutcome.REJECTED
+
+
+def _remember(
+    verdicts: Mapping[str, PublishVerdict], publish_id: str, verdict: PublishVerdict
+) -> Mapping[str, PublishVerdict]:
+    kept = dict(verdicts)
+    kept[publish_id] = verdict
+    if len(kept) > MAX_PUBLISH_IDS:
+        del kept[next(iter(kept))]
+    return kept
+
+
+def _buffer(state: FoldState, record: LogRecord[Any]) -> FoldState:
+    buffer = (*state.buffer, record)
+    if len(buffer) <= MAX_BUFFERED:
+        return replace(state, buffer=buffer)
+    return replace(state, buffer=buffer[1:], buffer_start=buffer[0].offset + 1)
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/issuedkeys.py
@@ -0,0 +1,83 @@
+"""Judge idempotency keys that a node issued and that need no log."""
+
+import hashlib
+import hmac
+from collections import OrderedDict
+
+from cicadapass_decisions.claims import ClaimOutcome, ClaimVerdict
+from cicadapass_decisions.logrecords import Claim
+
+ISSUED_PREFIX = "cp1"
+_TAG_BYTES = 16
+
+
+class IssuedKeys:
+    """Issue keys and remember the used ones for the claim window.
+
+    This is a class because the used keys are state of one node's incarnation. Its
+    secret is never stored, so that a key is good only in that incarnation.
+    """
+
+    def __init__(
+        self, node: str, incarnation: str, secret: bytes, window_s: float, limit: int
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._secret = secret
+        self._window_s = window_s
+        self._limit = limit
+        self._used: OrderedDict[bytes, tuple[float, Claim]] = OrderedDict()
+
+    def issue(self, scope: str, nonce: bytes, now_s: float) -> str:
+        """Return a new key for the scope, such as fleet/workspace."""
+        parts = (self._node, self._incarnation, f"{now_s:.3f}", nonce.hex())
+        return "~".join((ISSUED_PREFIX, *parts, self._tag(scope, parts)))
+
+    def claim(self, scope: str, key: str, claim: Claim, now_s: float) -> ClaimVerdict:
+        """Return the verdict; NOT_RUN for a key that is foreign, old or forged."""
+        self._expire(now_s)
+        if not self._is_good(scope, key, now_s):
+            return ClaimVerdict(claim.claim_id, ClaimOutcome.NOT_RUN)
+        known = self._used.get(claim.key_hash)
+        if known is None and len(self._used) >= self._limit:
+            return ClaimVerdict(claim.claim_id, ClaimOutcome.NOT_RUN)
+        _, first = self._used.setdefault(claim.key_hash, (now_s, claim))
+        won = first.claim_id == claim.claim_id
+        return ClaimVerdict(
+            claim.claim_id,
+            ClaimOutcome.WON if won else ClaimOutcome.LOST,
+            first.request_id,
+            first.fingerprint == claim.fingerprint,
+        )
+
+    def _is_good(self, scope: str, key: str, now_s: float) -> bool:
+        prefix, *parts = key.split("~")
+        if prefix != ISSUED_PREFIX or len(parts) != 5:
+            return False
+        if not hmac.compare_digest(
+            parts[-1].encode(), self._tag(scope, parts[:-1]).encode()
+        ):
+            return False
+        # The tag vouches for the form of the time.
+        return now_s - float(parts[2]) < self._window_s
+
+    def _tag(self, scope: str, parts: tuple[str, ...] | list[str]) -> str:
+        text = "~".join((scope, *parts)).encode()
+        return hmac.new(self._secret, text, hashlib.sha256).hexdigest()[
+            : 2 * _TAG_BYTES
+        ]
+
+    def _expire(self, now_s: float) -> None:
+        while self._used:
+            key_hash, (used_s, _) = next(iter(self._used.items()))
+            if now_s - used_s < self._window_s:
+                return
+            del self._used[key_hash]
+
+
+def issuing_node(key: str) -> tuple[str, str] | None:
+    """Return name and incarnation of the node that issued the key, if one did."""
+    prefix, *parts = key.split("~")
+    if prefix != ISSUED_PREFIX or len(parts) != 5:
+        return None
+    return parts[0], parts[1]
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/lease.py
@@ -0,0 +1,165 @@
+"""Judge leases in log order; the offset of a lease is its fencing number."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from enum import StrEnum
+
+from cicadapass_decisions.logrecords import LeaseRequest, LogRecord
+
+# Bounds how much faster one VM's monotonic clock may run than another's.
+CLOCK_RATE_MARGIN = 0.01
+# Longer requests are not granted, so that a reader that missed records knows how
+# long to wait.
+MAX_LEASE_S = 15.0
+# Covers the granularity of timers and the time between a check and its order.
+EXPIRY_MARGIN_S = 0.5
+
+
+class LeaseVerdict(StrEnum):
+    """Say what became of a lease request."""
+
+    GRANTED = "granted"
+    LOST = "lost"
+    # The reader started too late in the log to know; it counts as granted when
+    # the reader waits for the lease to expire.
+    UNJUDGED = "unjudged"
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Hold a granted lease; its offset is the fencing number."""
+
+    fencing_number: int
+    holder: str
+    incarnation: str
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseState:
+    """Hold the newest granted lease per name and how long others must wait.
+
+    Before `known_from`, and up to a name's offset in `unjudged`, grants may be
+    missing.
+    """
+
+    next_offset: int = 0
+    known_from: int = 0
+    gap_wait_s: float = 0.0
+    leases: Mapping[str, Lease] = field(default_factory=dict)
+    unjudged: Mapping[str, int] = field(default_factory=dict)
+    waits_s: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class HeldLease:
+    """Hold a granted lease as its holder sees it, on the holder's clock."""
+
+    name: str
+    fencing_number: int
+    valid_until_s: float
+
+
+def skip_leases_to(state: LeaseState, first_offset: int, read_s: float) -> LeaseState:
+    """Return the state of a reader that cannot read records before the offset."""
+    if first_offset <= state.next_offset:
+        return state
+    return replace(
+        state,
+        next_offset=first_offset,
+        known_from=first_offset,
+        gap_wait_s=read_s + _wait_s(MAX_LEASE_S),
+    )
+
+
+def judge_lease(
+    state: LeaseState, record: LogRecord[object], read_s: float
+) -> tuple[LeaseState, LeaseVerdict | None]:
+    """Grant the lease unless another was granted that its writer had not seen.
+
+    The verdict is None for records of other kinds and for those read before.
+    """
+    if record.offset < state.next_offset:
+        return state, None
+    state = skip_leases_to(state, record.offset, read_s)
+    state = replace(state, next_offset=record.offset + 1)
+    if not isinstance(record.body, LeaseRequest):
+        return state, None
+    verdict = _verdict(state, record.body)
+    return _note_verdict(state, record.offset, record.body, verdict, read_s), verdict
+
+
+def request_lease(
+    state: LeaseState, name: str, holder: str, incarnation: str, duration_s: float
+) -> LeaseRequest:
+    """Return the request to append once `may_take` allows it or to renew."""
+    return LeaseRequest(name, holder, incarnation, duration_s, state.next_offset - 1)
+
+
+def may_take(
+    state: LeaseState, name: str, holder: str, incarnation: str, now_s: float
+) -> bool:
+    """Return whether no other holder's lease can be valid any more."""
+    lease = state.leases.get(name)
+    certain = lease is not None and lease.fencing_number >= _unjudged(state, name)
+    if lease and certain and (lease.holder, lease.incarnation) == (holder, incarnation):
+        return True
+    return now_s >= max(state.gap_wait_s, state.waits_s.get(name, 0.0))
+
+
+def hold(
+    request: LeaseRequest, fencing_number: int, before_append_s: float
+) -> HeldLease:
+    """Return the holder's view of a granted lease, valid from before the append."""
+    return HeldLease(request.name, fencing_number, before_append_s + request.duration_s)
+
+
+def may_act(lease: HeldLease, now_s: float) -> bool:
+    """Return whether the holder may still give an order under the lease."""
+    return now_s < lease.valid_until_s
+
+
+def _verdict(state: LeaseState, request: LeaseRequest) -> LeaseVerdict:
+    lease = state.leases.get(request.name)
+    if not 0 <= request.duration_s <= MAX_LEASE_S:
+        return LeaseVerdict.LOST
+    if lease is not None and request.seen_through < lease.fencing_number:
+        return LeaseVerdict.LOST
+    if request.seen_through < _unjudged(state, request.name):
+        return LeaseVerdict.UNJUDGED
+    return LeaseVerdict.GRANTED
+
+
+def _unjudged(state: LeaseState, name: str) -> int:
+    return max(state.known_from - 1, state.unjudged.get(name, -1))
+
+
+def _note_verdict(
+    state: LeaseState,
+    offset: int,
+    request: LeaseRequest,
+    verdict: LeaseVerdict,
+    read_s: float,
+) -> LeaseState:
+    if verdict is LeaseVerdict.LOST:
+        return state
+    name = request.name
+    until_s = read_s + _wait_s(request.duration_s)
+    if verdict is LeaseVerdict.UNJUDGED:
+        # A lease that may have been refused must not shorten the wait.
+        until_s = max(until_s, state.waits_s.get(name, 0.0))
+        unjudged = {**state.unjudged, name: offset}
+        waits_s = {**state.waits_s, name: until_s}
+        return replace(state, unjudged=unjudged, waits_s=waits_s)
+    lease = Lease(offset, request.holder, request.incarnation, request.duration_s)
+    return replace(
+        state,
+        leases={**state.leases, name: lease},
+        waits_s={**state.waits_s, name: until_s},
+    )
+
+
+def _wait_s(duration_s: float) -> float:
+    if duration_s == 0:
+        return 0.0
+    return duration_s * (1 + CLOCK_RATE_MARGIN) + EXPIRY_MARGIN_S
