--- /dev/null
+++ b/packages/standins/cicadapass_standins/cloud.py
@@ -0,0 +1,210 @@
+"""The cloud interface: offers, VMs and notices of reclaims."""
+
+import json
+import threading
+import time
+import uuid
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+from cicadapass_standins import cmdline
+from cicadapass_standins.exceptions import BadRequest, DropConnection
+from cicadapass_standins.faults import FaultControl
+from cicadapass_standins.server import (
+    Answer,
+    Request,
+    error_answer,
+    json_answer,
+    not_found,
+    request_text,
+    retry_later,
+)
+
+MAX_WAIT_S = 30.0
+DEFAULT_OFFERS = [
+    {
+        "zone": zone,
+        "class": vm_class,
+        "reclaimable": reclaimable,
+        "price_per_hour": price,
+    }
+    for zone, factor in (("zone-a", 1.0), ("zone-b", 1.2))
+    for vm_class, base in (("l4", 1.0), ("a100", 4.0))
+    for reclaimable, price in (
+        (True, round(base * factor * 0.35, 3)),
+        (False, round(base * factor, 3)),
+    )
+]
+
+
+@dataclass(frozen=True)
+class CloudFaults:
+    """Faults of the cloud.
+
+    `refuse` lists pairs of zone and class whose starts are refused; "*" stands
+    for any. `start_s` is the time until a bought VM is live.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    refuse: tuple[tuple[str, str], ...] = ()
+    start_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class CloudOptions:
+    """The offers as a JSON list."""
+
+    offers: str = json.dumps(DEFAULT_OFFERS)
+
+
+@dataclass
+class _Vm:
+    name: str
+    purchase_id: str
+    zone: str
+    vm_class: str
+    reclaimable: bool
+    live_at_s: float
+    incarnation: str
+    stopped: bool = False
+
+    def show(self, now_s: float) -> dict[str, Any]:
+        state = "live" if now_s >= self.live_at_s else "starting"
+        return {
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "purchase_id": self.purchase_id,
+            "zone": self.zone,
+            "class": self.vm_class,
+            "reclaimable": self.reclaimable,
+            "state": "stopped" if self.stopped else state,
+        }
+
+
+class Cloud:
+    """The VMs that were bought and the cloud's HTTP interface.
+
+    The control address takes `notice` (an object, for example
+    `{"zone": "zone-a", "seconds": 30}`) and `offers` (all offers).
+    """
+
+    def __init__(self, options: CloudOptions | None = None) -> None:
+        commands = {"notice": self.notify, "offers": self._set_offers}
+        self.faults = FaultControl(CloudFaults(), commands)
+        self._changed = threading.Condition()
+        self._closing = threading.Event()
+        self._offers: list[dict[str, Any]] = []
+        self._set_offers(json.loads((options or CloudOptions()).offers))
+        self._vms: dict[str, _Vm] = {}
+        self._by_purchase: dict[str, _Vm] = {}
+        self._notices: list[dict[str, Any]] = []
+
+    def notify(self, notice: dict[str, Any]) -> None:
+        """Issue a notice; its deadline is Unix time, `seconds` from now."""
+        if not isinstance(notice, dict) or not notice.get("zone", notice.get("vm")):
+            raise BadRequest("a notice needs a zone or a vm")
+        issued = {"kind": "reclaim", "zone": None, "vm": None, **notice}
+        issued["deadline_s"] = time.time() + float(issued.pop("seconds", 30.0))
+        with self._changed:
+            issued["sequence"] = len(self._notices) + 1
+            self._notices.append(issued)
+            self._changed.notify_all()
+
+    def answer(self, request: Request) -> Answer:
+        """Serve offers, purchases and notices."""
+        self._closing.wait(self.faults.current.delay_s)
+        if self.faults.current.down:
+            return retry_later(HTTPStatus.SERVICE_UNAVAILABLE, "the cloud is down")
+        match (request.method, request.parts):
+            case ("GET", ("offers",)):
+                return json_answer({"offers": self._offers})
+            case ("GET", ("vms",)):
+                return self._list()
+            case ("POST", ("vms",)):
+                return self._buy(request)
+            case ("DELETE", ("vms", name)):
+                return self._stop(name)
+            case ("GET", ("notices",)):
+                return self._read_notices(request)
+        return not_found(request)
+
+    def close(self) -> None:
+        """End all long polls."""
+        self._closing.set()
+        with self._changed:
+            self._changed.notify_all()
+
+    def _set_offers(self, offers: list[dict[str, Any]]) -> None:
+        if not isinstance(offers, list):
+            raise BadRequest("offers must be a list")
+        self._offers = offers
+
+    def _list(self) -> Answer:
+        now_s = time.monotonic()
+        with self._changed:
+            return json_answer({"vms": [vm.show(now_s) for vm in self._vms.values()]})
+
+    def _buy(self, request: Request) -> Answer:
+        purchase_id = request_text(request.fields, "purchase_id")
+        zone = request_text(request.fields, "zone")
+        vm_class = request_text(request.fields, "class")
+        reclaimable = bool(request.fields.get("reclaimable", True))
+        with self._changed:
+            vm = self._by_purchase.get(purchase_id)
+            created = vm is None
+            if vm is None:
+                if self._is_refused(zone, vm_class):
+                    refusal = f"no capacity for {vm_class} in {zone}"
+                    return error_answer(HTTPStatus.CONFLICT, refusal)
+                vm = self._create(purchase_id, zone, vm_class, reclaimable)
+        if self.faults.take("lose_answers"):
+            raise DropConnection
+        status = HTTPStatus.CREATED if created else HTTPStatus.OK
+        return json_answer(vm.show(time.monotonic()), status)
+
+    def _create(
+        self, purchase_id: str, zone: str, vm_class: str, reclaimable: bool
+    ) -> _Vm:
+        live_at_s = time.monotonic() + self.faults.current.start_s
+        name = f"vm-{len(self._vms) + 1}"
+        incarnation = uuid.uuid4().hex
+        vm = _Vm(name, purchase_id, zone, vm_class, reclaimable, live_at_s, incarnation)
+        self._vms[name] = vm
+        self._by_purchase[purchase_id] = vm
+        return vm
+
+    def _is_refused(self, zone: str, vm_class: str) -> bool:
+        offered = any(
+            (offer["zone"], offer["class"]) == (zone, vm_class)
+            for offer in self._offers
+        )
+        refused = any(
+            pair[0] in (zone, "*") and pair[1] in (vm_class, "*")
+            for pair in self.faults.current.refuse
+        )
+        return refused or not offered
+
+    def _stop(self, name: str) -> Answer:
+        with self._changed:
+            vm = self._vms.get(name)
+            if vm is None:
+                return error_answer(HTTPStatus.NOT_FOUND, f"no VM {name}")
+            vm.stopped = True
+            return json_answer(vm.show(time.monotonic()))
+
+    def _read_notices(self, request: Request) -> Answer:
+        after = max(0, int(request.number("after", 0)))
+        wait_s = min(request.number("wait_s", 0.0), MAX_WAIT_S)
+        with self._changed:
+            self._changed.wait_for(
+                lambda: len(self._notices) > after or self._closing.is_set(), wait_s
+            )
+            notices = self._notices[after:]
+        return json_answer({"notices": notices, "next": after + len(notices)})
+
+
+if __name__ == "__main__":
+    raise SystemExit(cmdline.run("cloud", CloudOptions, Cloud))
--- /dev/null
+++ b/packages/standins/cicadapass_standins/faults.py
@@ -0,0 +1,97 @@
+"""Fault settings that can be changed at run time on the control address."""
+
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, fields, replace
+from typing import Any, Generic, TypeVar
+
+from cicadapass_standins.exceptions import BadRequest
+
+F = TypeVar("F")
+Command = Callable[[Any], object]
+
+
+class FaultControl(Generic[F]):
+    """Hold the fault settings of one stand-in, a frozen dataclass.
+
+    Commands act once, with the value given for their name. `on_change` is
+    called after each change.
+    """
+
+    def __init__(
+        self,
+        initial: F,
+        commands: Mapping[str, Command] | None = None,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._lock = threading.Lock()
+        self._initial = initial
+        self._current = initial
+        self._commands = dict(commands or {})
+        self._on_change = on_change
+
+    @property
+    def current(self) -> F:
+        """The settings now in force."""
+        return self._current
+
+    def show(self) -> dict[str, Any]:
+        """Return the settings as a JSON object."""
+        return asdict(self._current)  # type: ignore[call-overload]
+
+    def merge(self, changes: Mapping[str, Any]) -> None:
+        """Change settings and run commands, all or (if one is wrong) none.
+
+        `{"reset": true}` restores the settings of the start.
+        """
+        settings = dict(changes)
+        commands = {
+            name: settings.pop(name) for name in changes if self._is_command(name)
+        }
+        reset = settings.pop("reset", False)
+        for name, value in settings.items():
+            self._check(name, value)
+        with self._lock:
+            base = self._initial if reset else self._current
+            self._current = replace(base, **settings)  # type: ignore[type-var]
+        for name, value in commands.items():
+            self._commands[name](value)
+        self._on_change()
+
+    def take(self, name: str) -> bool:
+        """Use up one of a counted fault, and tell whether one was left."""
+        with self._lock:
+            left = getattr(self._current, name)
+            if left <= 0:
+                return False
+            self._current = replace(self._current, **{name: left - 1})  # type: ignore[type-var]
+            return True
+
+    def _is_command(self, name: str) -> bool:
+        return name in self._commands
+
+    def _check(self, name: str, value: object) -> None:
+        known = [field.name for field in fields(self._initial)]  # type: ignore[arg-type]
+        if name not in known:
+            allowed = ", ".join(sorted([*known, *self._commands, "reset"]))
+            raise BadRequest(f"unknown fault {name}; use one of {allowed}")
+        default = getattr(self._initial, name)
+        if not _fits(value, default):
+            kind = "number or null" if default is None else type(default).__name__
+            raise BadRequest(f"{name} must be of type {kind}")
+
+
+def _fits(value: object, default: object) -> bool:
+    if default is None:
+        return value is None or _is_number(value)
+    if isinstance(default, bool) or not isinstance(default, int | float):
+        return isinstance(
+            value, type(default) if not isinstance(default, tuple) else list
+        )
+    if isinstance(default, int):
+        return _is_number(value) and not isinstance(value, float)
+    return _is_number(value)
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
--- /dev/null
+++ b/packages/standins/cicadapass_standins/orders.py
@@ -0,0 +1,121 @@
+"""Orders to an engine: load models and adapters, change role; with fencing."""
+
+import threading
+import urllib.error
+import urllib.request
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+from cicadapass_standins.exceptions import BadRequest
+from cicadapass_standins.server import (
+    NOT_RUN,
+    Answer,
+    json_answer,
+    request_int,
+    request_text,
+)
+
+MAX_ORDERS = 1000
+RETRY_FETCH_S = 0.2
+FETCH_TIMEOUT_S = 30.0
+KINDS = ("load_model", "unload_model", "load_adapter", "set_role")
+
+
+class Orders:
+    """Carry out orders, each in a thread, and hold what they changed."""
+
+    def __init__(self, model: str, version: str, weights_url: str) -> None:
+        self._weights_url = weights_url
+        self._lock = threading.Lock()
+        self._closing = threading.Event()
+        self._fencing_number = -1
+        self._models = {model: version} if model else {}
+        self._adapters: dict[str, str] = {}
+        self._role = "serve"
+        self._orders: list[dict[str, Any]] = []
+
+    def serves(self, model: str) -> bool:
+        """Tell whether the model is loaded; an engine without models serves any."""
+        return not self._models or not model or model in self._models
+
+    def accept(
+        self, fields: Mapping[str, Any], checks_fencing: bool, order_s: float
+    ) -> Answer:
+        """Start an order, unless a newer fencing number was seen and is checked."""
+        number = request_int(fields, "fencing_number")
+        order = fields.get("order")
+        if not isinstance(order, dict) or order.get("kind") not in KINDS:
+            raise BadRequest(f"order must have a kind out of {', '.join(KINDS)}")
+        _check_order(order)
+        with self._lock:
+            if checks_fencing and number < self._fencing_number:
+                refusal = {"error": "old fencing number"}
+                refusal["fencing_number"] = str(self._fencing_number)
+                return json_answer(refusal, HTTPStatus.CONFLICT, NOT_RUN)
+            self._fencing_number = max(number, self._fencing_number)
+            entry = {"fencing_number": number, "order": order, "state": "running"}
+            self._orders.append(entry)
+            del self._orders[:-MAX_ORDERS]
+        args = (entry, order_s)
+        threading.Thread(target=self._carry_out, args=args, daemon=True).start()
+        return json_answer(entry, HTTPStatus.ACCEPTED)
+
+    def show(self) -> dict[str, Any]:
+        """Return what is loaded, the role and the orders."""
+        with self._lock:
+            return {
+                "fencing_number": self._fencing_number,
+                "models": dict(self._models),
+                "adapters": dict(self._adapters),
+                "role": self._role,
+                "orders": [dict(entry) for entry in self._orders],
+            }
+
+    def close(self) -> None:
+        """Give up the orders that are not carried out yet."""
+        self._closing.set()
+
+    def _carry_out(self, entry: dict[str, Any], order_s: float) -> None:
+        order = entry["order"]
+        self._closing.wait(order_s)
+        if self._weights_url and order["kind"] == "load_model":
+            self._fetch(order)
+        with self._lock:
+            if self._closing.is_set():
+                return
+            self._apply(order)
+            entry["state"] = "done"
+
+    def _apply(self, order: dict[str, Any]) -> None:
+        match order["kind"]:
+            case "load_model":
+                self._models[order["model"]] = order["version"]
+            case "unload_model":
+                self._models.pop(order["model"], None)
+            case "load_adapter":
+                self._adapters[order["adapter"]] = order["version"]
+            case "set_role":
+                self._role = order["role"]
+
+    def _fetch(self, order: dict[str, Any]) -> None:
+        url = f"{self._weights_url}/weights/{order['model']}/{order['version']}"
+        while not self._closing.is_set():
+            try:
+                with urllib.request.urlopen(url, timeout=FETCH_TIMEOUT_S) as answer:
+                    answer.read()
+                return
+            except (urllib.error.URLError, OSError):
+                # The store refuses over its rate; the engine keeps asking.
+                self._closing.wait(RETRY_FETCH_S)
+
+
+def _check_order(order: dict[str, Any]) -> None:
+    required = {
+        "load_model": ("model", "version"),
+        "unload_model": ("model",),
+        "load_adapter": ("adapter", "version"),
+        "set_role": ("role",),
+    }
+    for name in required[order["kind"]]:
+        request_text(order, name)
--- /dev/null
+++ b/packages/standins/cicadapass_standins/server.py
@@ -0,0 +1,274 @@
+"""Serve a stand-in and its control address over HTTP with cheroot."""
+
+import errno
+import json
+import logging
+import select
+import threading
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from functools import cached_property
+from http import HTTPStatus
+from typing import Any, Generic, Protocol, TypeVar
+from urllib.parse import parse_qsl, unquote
+
+from cheroot.server import Gateway, HTTPRequest, HTTPServer
+
+from cicadapass_standins.exceptions import BadRequest, DropConnection
+from cicadapass_standins.faults import FaultControl
+
+logger = logging.getLogger(__name__)
+
+# Tells the caller that nothing ran, so that it may send the request elsewhere.
+NOT_RUN = ("Cicadapass-Not-Run", "1")
+# Longer than any pause of a measurement: a connection that the server closes
+# just as the client uses it again looks like a fault of the upstream.
+IDLE_CONNECTION_S = 600
+LISTEN_BACKLOG = 1024
+CONTROL_THREADS = 4
+# The accept loop notices a stop within this time.
+STOP_POLL_S = 0.1
+
+
+@dataclass(frozen=True)
+class ServerOptions:
+    """Where to listen; port 0 takes a free port from the kernel."""
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    control_port: int = 0
+    threads: int = 64
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An HTTP answer; an iterator as body is sent in chunks as it yields."""
+
+    status: int
+    body: bytes | Iterator[bytes] = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    content_type: str = "application/json"
+
+
+def json_answer(
+    value: object, status: int = HTTPStatus.OK, *headers: tuple[str, str]
+) -> Answer:
+    """Build an answer with a JSON body."""
+    return Answer(status, json.dumps(value).encode(), headers)
+
+
+def error_answer(status: int, error: str, *headers: tuple[str, str]) -> Answer:
+    """Build an error answer with a JSON body."""
+    return json_answer({"error": error}, status, *headers)
+
+
+class Request:
+    """One HTTP request, read completely."""
+
+    def __init__(self, raw: HTTPRequest) -> None:
+        self._raw = raw
+        self.method: str = raw.method.decode("ascii")
+        self.target: str = raw.uri.decode("ascii")
+        path, _, query = self.target.partition("?")
+        self.path = path
+        self.parts = tuple(unquote(part) for part in path.split("/")[1:])
+        self.query = dict(parse_qsl(query))
+        self.body: bytes = raw.rfile.read()
+
+    @cached_property
+    def fields(self) -> dict[str, Any]:
+        """The body as a JSON object."""
+        try:
+            value = json.loads(self.body or b"{}")
+        except ValueError as error:
+            raise BadRequest(f"the body is not JSON: {error}") from error
+        if not isinstance(value, dict):
+            raise BadRequest("the body is not a JSON object")
+        return value
+
+    def header(self, name: str) -> str | None:
+        """Return a request header, or None."""
+        value = self._raw.inheaders.get(name.title().encode("ascii"))
+        return None if value is None else value.decode("latin-1")
+
+    def number(self, name: str, default: float) -> float:
+        """Return a number of the query."""
+        try:
+            return float(self.query.get(name, default))
+        except ValueError as error:
+            raise BadRequest(f"{name} must be a number") from error
+
+    def send_headers(self) -> None:
+        """Send the status and headers before the first part of the body."""
+        self._raw.ensure_headers_sent()
+
+    def caller_gone(self) -> bool:
+        """Tell whether the caller has closed its side of the connection."""
+        readable = select.poll()
+        readable.register(self._raw.conn.socket, select.POLLRDHUP)
+        return bool(readable.poll(0))
+
+
+class App(Protocol):
+    """What a stand-in implements."""
+
+    faults: FaultControl[Any]
+
+    def answer(self, request: Request) -> Answer:
+        """Answer a request."""
+
+    def close(self) -> None:
+        """End long polls and streams."""
+
+
+class _Gateway(Gateway):
+    # Not the WSGI gateway: that one sends the headers of an answer even when
+    # the handler fails, so it cannot close a connection without any answer.
+    def respond(self) -> None:
+        raw = self.req
+        try:
+            answer = _answer_or_error(raw.server.app_answer, Request(raw))
+            self._send(answer)
+        except DropConnection as drop:
+            # cheroot closes the connection silently on this error.
+            raise ConnectionResetError(errno.ECONNRESET, "dropped") from drop
+
+    def _send(self, answer: Answer) -> None:
+        raw = self.req
+        reason = HTTPStatus(answer.status).phrase
+        raw.status = f"{int(answer.status)} {reason}".encode("ascii")
+        headers = [("Content-Type", answer.content_type), *answer.headers]
+        if isinstance(answer.body, bytes):
+            headers.append(("Content-Length", str(len(answer.body))))
+        for name, value in headers:
+            raw.outheaders.append((name.encode("ascii"), value.encode("latin-1")))
+        if isinstance(answer.body, bytes):
+            raw.ensure_headers_sent()
+            if raw.method != b"HEAD":
+                raw.write(answer.body)
+            return
+        try:
+            for chunk in answer.body:
+                raw.ensure_headers_sent()
+                raw.write(chunk)
+        finally:
+            # Ends the generator now, not when it is garbage-collected.
+            answer.body.close()  # type: ignore[attr-defined]
+
+
+def _answer_or_error(answer: Callable[[Request], Answer], request: Request) -> Answer:
+    try:
+        return answer(request)
+    except BadRequest as error:
+        return error_answer(HTTPStatus.BAD_REQUEST, str(error))
+    except DropConnection:
+        raise
+    except Exception:
+        logger.exception("handler failed: %s %s", request.method, request.target)
+        return error_answer(HTTPStatus.INTERNAL_SERVER_ERROR, "handler failed")
+
+
+class _Server(HTTPServer):
+    def __init__(
+        self,
+        app_answer: Callable[[Request], Answer],
+        address: tuple[str, int],
+        threads: int,
+    ) -> None:
+        super().__init__(address, _Gateway, minthreads=threads, maxthreads=threads)
+        self.app_answer = app_answer
+        self.request_queue_size = LISTEN_BACKLOG
+        self.timeout = IDLE_CONNECTION_S
+        # No limit; the type that cheroot declares does not know it.
+        self.keep_alive_conn_limit = None  # type: ignore[assignment]
+        self.expiration_interval = STOP_POLL_S
+        self.shutdown_timeout = 1
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Pass messages of cheroot to logging, which hides them by default."""
+        logger.log(min(level, logging.INFO), "%s", msg, exc_info=traceback)
+
+
+A = TypeVar("A", bound=App)
+
+
+class Standin(Generic[A]):
+    """A running stand-in: its application, its address and its control address."""
+
+    def __init__(self, app: A, options: ServerOptions | None = None) -> None:
+        options = options or ServerOptions()
+        self.app = app
+        self._servers = (
+            _Server(self._answer, (options.host, options.port), options.threads),
+            _Server(
+                self._answer_control,
+                (options.host, options.control_port),
+                CONTROL_THREADS,
+            ),
+        )
+        self.url, self.control_url = (_start(server) for server in self._servers)
+
+    def stop(self) -> None:
+        """End streams and long polls and close all connections."""
+        self.app.close()
+        for server in self._servers:
+            server.stop()
+
+    def _answer(self, request: Request) -> Answer:
+        if request.path == "/healthz":
+            return json_answer({"status": "ok"})
+        return self.app.answer(request)
+
+    def _answer_control(self, request: Request) -> Answer:
+        match (request.method, request.path):
+            case ("GET", "/healthz"):
+                return json_answer({"status": "ok"})
+            case ("GET", "/control"):
+                return json_answer(self.app.faults.show())
+            case ("POST", "/control"):
+                self.app.faults.merge(request.fields)
+                return json_answer(self.app.faults.show())
+        return not_found(request)
+
+
+def not_found(request: Request) -> Answer:
+    """Answer a request that the stand-in does not serve."""
+    return error_answer(
+        HTTPStatus.NOT_FOUND, f"no such resource: {request.method} {request.path}"
+    )
+
+
+def retry_later(status: int, error: str, wait_s: float = 1.0) -> Answer:
+    """Refuse a request that had no effect, with the time to try again."""
+    # Retry-After has whole seconds.
+    seconds = max(1, -int(-wait_s // 1))
+    return error_answer(status, error, ("Retry-After", str(seconds)), NOT_RUN)
+
+
+def _start(server: HTTPServer) -> str:
+    server.prepare()
+    threading.Thread(target=server.serve, name="accept", daemon=True).start()
+    host, port = server.socket.getsockname()[:2]
+    return f"http://{host}:{port}"
+
+
+def request_text(
+    fields: Mapping[str, Any], name: str, default: str | None = None
+) -> str:
+    """Return a text member of a request; it is required without a default."""
+    value = fields.get(name, default)
+    if not isinstance(value, str):
+        raise BadRequest(f"{name} must be a string")
+    return value
+
+
+def request_int(
+    fields: Mapping[str, Any], name: str, default: int | None = None
+) -> int:
+    """Return a whole number of a request; it is required without a default."""
+    value = fields.get(name, default)
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise BadRequest(f"{name} must be an integer")
+    return value
--- /dev/null
+++ b/packages/standins/cicadapass_standins/service.py
@@ -0,0 +1,174 @@
+"""A plain service: repeatable reads and writes whose effects are counted."""
+
+import hashlib
+import threading
+import time
+import uuid
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from cicadapass_standins import cmdline
+from cicadapass_standins.answers import service_answer
+from cicadapass_standins.exceptions import DropConnection
+from cicadapass_standins.faults import FaultControl
+from cicadapass_standins.lag import Lagged
+from cicadapass_standins.server import (
+    NOT_RUN,
+    Answer,
+    Request,
+    error_answer,
+    json_answer,
+    retry_later,
+)
+
+# Methods without an effect.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+REPLAYED = ("Idempotency-Replayed", "true")
+THREADS = 256
+
+
+@dataclass(frozen=True)
+class ServiceFaults:
+    """Faults of the service.
+
+    `close_before`, `close_after` and `refuse_next` count the calls that they
+    still hit: the connection is closed before or after the effect, or the call
+    is refused without an effect. `refuse` refuses all calls.
+    """
+
+    deduplicate: bool = True
+    slowdown: float = 1.0
+    delay_s: float = 0.0
+    answer_delay_s: float = 0.0
+    close_before: int = 0
+    close_after: int = 0
+    refuse: bool = False
+    refuse_next: int = 0
+    leaving: bool = False
+    report_lag_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class ServiceOptions:
+    """The calls that run at once and the seconds that each takes."""
+
+    slots: int = 32
+    service_s: float = 0.0
+    incarnation: str = field(default_factory=lambda: uuid.uuid4().hex)
+
+
+class Service:
+    """The effects of a plain service and its HTTP interface."""
+
+    def __init__(self, options: ServiceOptions | None = None) -> None:
+        self.faults = FaultControl(ServiceFaults(), on_change=self._report)
+        self._options = options or ServiceOptions()
+        self._changed = threading.Condition()
+        self._closing = threading.Event()
+        self._running = 0
+        self._waiting = 0
+        self._sequence = 0
+        self._ledger: list[dict[str, Any]] = []
+        self._keys: dict[str, bytes] = {}
+        self._loads: Lagged[dict[str, Any]] = Lagged(self._load())
+
+    def answer(self, request: Request) -> Answer:
+        """Serve any call, the ledger and the load."""
+        match (request.method, request.path):
+            case ("GET", "/ledger"):
+                with self._changed:
+                    return json_answer({"effects": self._ledger})
+            case ("GET", "/load"):
+                lag_s = self.faults.current.report_lag_s
+                return json_answer(self._loads.read(time.monotonic(), lag_s))
+        if self.faults.current.refuse or self.faults.take("refuse_next"):
+            return retry_later(HTTPStatus.SERVICE_UNAVAILABLE, "refused, nothing ran")
+        self._enter()
+        try:
+            return self._call(request)
+        finally:
+            self._leave()
+
+    def close(self) -> None:
+        """End delayed and waiting calls."""
+        self._closing.set()
+        with self._changed:
+            self._changed.notify_all()
+
+    def _call(self, request: Request) -> Answer:
+        faults = self.faults.current
+        self._closing.wait(faults.delay_s + self._options.service_s * faults.slowdown)
+        if self._closing.is_set() or self.faults.take("close_before"):
+            raise DropConnection
+        answer = self._take_effect(request)
+        self._closing.wait(faults.answer_delay_s)
+        if self.faults.take("close_after"):
+            raise DropConnection
+        return answer
+
+    def _take_effect(self, request: Request) -> Answer:
+        body = service_answer(request.method, request.target, request.body)
+        if request.method in SAFE_METHODS:
+            return Answer(HTTPStatus.OK, body)
+        key = request.header("Idempotency-Key")
+        with self._changed:
+            if key is not None and self.faults.current.deduplicate:
+                earlier = self._keys.get(key)
+                if earlier is not None:
+                    return _replay(earlier, body)
+                self._keys[key] = body
+            self._ledger.append(
+                {
+                    "method": request.method,
+                    "path": request.target,
+                    "key": key,
+                    "body_sha256": hashlib.sha256(request.body).hexdigest(),
+                    "time_s": time.time(),
+                }
+            )
+        return Answer(HTTPStatus.OK, body)
+
+    def _enter(self) -> None:
+        with self._changed:
+            self._waiting += 1
+            self._report()
+            self._changed.wait_for(
+                lambda: self._running < self._options.slots or self._closing.is_set()
+            )
+            self._waiting -= 1
+            self._running += 1
+            self._report()
+
+    def _leave(self) -> None:
+        with self._changed:
+            self._running -= 1
+            self._report()
+            self._changed.notify()
+
+    def _report(self) -> None:
+        with self._changed:
+            self._sequence += 1
+            self._loads.record(self._load(), time.monotonic())
+
+    def _load(self) -> dict[str, Any]:
+        return {
+            "sequence": self._sequence,
+            "running": self._running,
+            "waiting": self._waiting,
+            "slots": self._options.slots,
+            "leaving": self.faults.current.leaving,
+            "incarnation": self._options.incarnation,
+        }
+
+
+def _replay(earlier: bytes, body: bytes) -> Answer:
+    # The answer is a function of the call, so another answer is another call.
+    if earlier != body:
+        error = "the key was used for another call"
+        return error_answer(HTTPStatus.UNPROCESSABLE_ENTITY, error, NOT_RUN)
+    return Answer(HTTPStatus.OK, earlier, (REPLAYED,))
+
+
+if __name__ == "__main__":
+    raise SystemExit(cmdline.run("service", ServiceOptions, Service, THREADS))
--- /dev/null
+++ b/packages/standins/cicadapass_standins/stats.py
@@ -0,0 +1,119 @@
+"""Counters of the engine: what it computed, and for which attempts."""
+
+import threading
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+# The per-request counters of older requests are dropped.
+MAX_REQUESTS = 50_000
+
+
+@dataclass(slots=True)
+class RequestStats:
+    """The attempts of one request and the index after its newest token."""
+
+    computed: int = 0
+    attempts: list["AttemptStats"] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class AttemptStats:
+    """One attempt: it computed the tokens from `first` to before `computed`."""
+
+    request: RequestStats
+    attempt: int
+    first: int
+    computed: int
+
+
+class Stats:
+    """Count tokens and events since the start of the engine."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: Counter[str] = Counter()
+        self._requests: OrderedDict[str, RequestStats] = OrderedDict()
+
+    def count(self, **amounts: int) -> None:
+        """Add to counters."""
+        with self._lock:
+            self._counters.update(amounts)
+
+    def start(self, request_id: str, attempt: int, first: int) -> AttemptStats:
+        """Count an attempt that starts to run."""
+        with self._lock:
+            request = self._requests.setdefault(request_id, RequestStats())
+            started = AttemptStats(request, attempt, first, first)
+            request.attempts.append(started)
+            if len(self._requests) > MAX_REQUESTS:
+                self._requests.popitem(last=False)
+            return started
+
+    def compute(self, attempt: AttemptStats, computed: int) -> None:
+        """Count the tokens up to before `computed`, and those done before."""
+        request = attempt.request
+        again = max(0, min(computed, request.computed) - attempt.computed)
+        with self._lock:
+            self._counters["tokens_computed"] += computed - attempt.computed
+            self._counters["tokens_recomputed"] += again
+        attempt.computed = computed
+        request.computed = max(request.computed, computed)
+
+    def show(self, with_requests: bool) -> dict[str, Any]:
+        """Return the counters and, if wanted, the attempts of each request."""
+        with self._lock:
+            page: dict[str, Any] = {**COUNTERS, **self._counters}
+            if with_requests:
+                page["requests"] = {
+                    request_id: [_show(attempt) for attempt in request.attempts]
+                    for request_id, request in self._requests.items()
+                }
+            return page
+
+
+COUNTERS = dict.fromkeys(
+    (
+        "tokens_computed",
+        "tokens_recomputed",
+        "prefill_tokens",
+        "cache_hit_tokens",
+        "completed",
+        "cancelled",
+        "dropped",
+        "refused",
+    ),
+    0,
+)
+
+
+def _show(attempt: AttemptStats) -> dict[str, int]:
+    return {
+        "attempt": attempt.attempt,
+        "resume_from": attempt.first,
+        "computed": attempt.computed,
+    }
+
+
+def recomputed_tokens(pages: Iterable[Mapping[str, Any]]) -> int:
+    """Return how many tokens several engines computed more than once.
+
+    Each page is an engine's `GET /stats`; the engines' attempts are combined.
+    """
+    spans: dict[str, list[tuple[int, int]]] = {}
+    for page in pages:
+        for request_id, attempts in page["requests"].items():
+            spans.setdefault(request_id, []).extend(
+                (attempt["resume_from"], attempt["computed"]) for attempt in attempts
+            )
+    return sum(_overlap(request_spans) for request_spans in spans.values())
+
+
+def _overlap(spans: list[tuple[int, int]]) -> int:
+    total = 0
+    end = 0
+    for first, last in sorted(spans):
+        total += max(0, min(last, end) - first)
+        end = max(end, last)
+    return total
--- /dev/null
+++ b/packages/standins/cicadapass_standins/vmlist.py
@@ -0,0 +1,112 @@
+"""The platform's list of live and leaving VMs, which shows changes late."""
+
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from cicadapass_standins import cmdline
+from cicadapass_standins.exceptions import BadRequest
+from cicadapass_standins.faults import FaultControl
+from cicadapass_standins.lag import Lagged
+from cicadapass_standins.server import (
+    Answer,
+    Request,
+    json_answer,
+    not_found,
+    retry_later,
+)
+
+VM_MEMBERS = ("name", "incarnation", "data_centre", "fleet", "address")
+STATES = ("live", "leaving")
+
+
+@dataclass(frozen=True)
+class VmListFaults:
+    """Faults of the VM list; a frozen list shows no change any more."""
+
+    lag_s: float = 0.0
+    freeze: bool = False
+    down: bool = False
+
+
+@dataclass(frozen=True)
+class VmListOptions:
+    """The VM list has no options of its own."""
+
+
+class VmList:
+    """The VMs and the list's HTTP interface.
+
+    The control address takes `vms` (all VMs), `put` (one VM, added or
+    replaced by name) and `remove` (a name).
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        commands = {"vms": self._replace, "put": self.put, "remove": self.remove}
+        self.faults = FaultControl(VmListFaults(), commands, self._on_fault)
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._vms: dict[str, dict[str, Any]] = {}
+        self._shown: Lagged[tuple[dict[str, Any], ...]] = Lagged(())
+        self._frozen: tuple[dict[str, Any], ...] | None = None
+
+    def put(self, vm: dict[str, Any]) -> None:
+        """Add a VM, or replace the one of the same name."""
+        checked = _check(vm)
+        with self._lock:
+            self._vms[checked["name"]] = checked
+            self._record()
+
+    def remove(self, name: str) -> None:
+        """Remove a VM."""
+        with self._lock:
+            self._vms.pop(name, None)
+            self._record()
+
+    def shown(self) -> tuple[dict[str, Any], ...]:
+        """Return the VMs as the list shows them now."""
+        frozen = self._frozen
+        if frozen is not None:
+            return frozen
+        return self._shown.read(self._clock(), self.faults.current.lag_s)
+
+    def answer(self, request: Request) -> Answer:
+        """Serve the list."""
+        if (request.method, request.path) != ("GET", "/vms"):
+            return not_found(request)
+        if self.faults.current.down:
+            return retry_later(503, "the VM list is down")
+        return json_answer({"vms": self.shown()})
+
+    def close(self) -> None:
+        """Do nothing: no answer waits."""
+
+    def _replace(self, vms: list[dict[str, Any]]) -> None:
+        checked = [_check(vm) for vm in vms]
+        with self._lock:
+            self._vms = {vm["name"]: vm for vm in checked}
+            self._record()
+
+    def _record(self) -> None:
+        self._shown.record(tuple(self._vms.values()), self._clock())
+
+    def _on_fault(self) -> None:
+        if not self.faults.current.freeze:
+            self._frozen = None
+        elif self._frozen is None:
+            self._frozen = self.shown()
+
+
+def _check(vm: dict[str, Any]) -> dict[str, Any]:
+    missing = [name for name in VM_MEMBERS if not isinstance(vm.get(name), str)]
+    if missing:
+        raise BadRequest(f"a VM needs the strings {', '.join(missing)}")
+    if vm.get("state", "live") not in STATES:
+        raise BadRequest(f"state must be one of {', '.join(STATES)}")
+    return {"state": "live", "deadline_s": None, **vm}
+
+
+if __name__ == "__main__":
+    raise SystemExit(cmdline.run("vmlist", VmListOptions, lambda _: VmList()))
