--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/admission.py
@@ -0,0 +1,96 @@
+"""Decide whether a request may wait, must be refused, or displaces another."""
+
+import math
+from dataclasses import dataclass
+from enum import StrEnum
+
+from expression import Error, Ok, Result
+
+from cicadapass_decisions.policy import AdmissionRules, QueueRules
+from cicadapass_decisions.types import Verdict
+from cicadapass_decisions.work import WorkKind
+
+
+class RefusalReason(StrEnum):
+    """Say why a request was not run."""
+
+    OVERLOAD = "overload"
+    DEADLINE = "deadline"
+    QUEUE_FULL = "queue-full"
+    NO_UPSTREAM = "no-upstream"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Tell the caller that nothing was run and when to try again."""
+
+    reason: RefusalReason
+    retry_after_s: int
+    verdict: Verdict = Verdict.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """Hold what admission needs to know; an accepted request is not shed."""
+
+    kind: WorkKind
+    priority: int
+    deadline_s: float
+    accepted: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLoad:
+    """Hold the load of a service's queue as one request sees it.
+
+    `wait_s` is the expected wait behind the work that is served before it. `queued`
+    counts all waiting requests and `lowest_priority` is the lowest that can be shed.
+    """
+
+    wait_s: float
+    queued: int
+    lowest_priority: int | None = None
+    has_room: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """Let the request wait; `displaces` says that the lowest is shed for it."""
+
+    displaces: bool = False
+
+
+def admit(
+    request: AdmissionRequest,
+    load: QueueLoad,
+    rules: AdmissionRules,
+    queue_rules: QueueRules,
+    now_s: float,
+) -> Result[Admitted, Refusal]:
+    """Admit the request unless it would wait too long or the queue is full."""
+    if request.deadline_s <= now_s:
+        return Error(refusal(RefusalReason.DEADLINE, 0.0, rules))
+    if request.accepted or load.has_room:
+        return Ok(Admitted())
+    if rules.shed and now_s + load.wait_s > request.deadline_s:
+        return Error(refusal(RefusalReason.DEADLINE, load.wait_s, rules))
+    if rules.shed and load.wait_s > _max_wait_s(request.kind, rules):
+        return Error(refusal(RefusalReason.OVERLOAD, load.wait_s, rules))
+    if load.queued < queue_rules.max_queued:
+        return Ok(Admitted())
+    lowest = load.lowest_priority
+    if rules.shed and lowest is not None and lowest < request.priority:
+        return Ok(Admitted(displaces=True))
+    return Error(refusal(RefusalReason.QUEUE_FULL, load.wait_s, rules))
+
+
+def refusal(reason: RefusalReason, wait_s: float, rules: AdmissionRules) -> Refusal:
+    """Return the refusal with a Retry-After in whole seconds within the rules."""
+    low, high = rules.min_retry_after_s, rules.max_retry_after_s
+    after_s = high if math.isinf(wait_s) else min(max(math.ceil(wait_s), low), high)
+    return Refusal(reason, after_s)
+
+
+def _max_wait_s(kind: WorkKind, rules: AdmissionRules) -> float:
+    return rules.max_wait_s if kind is WorkKind.SHORT else rules.max_long_wait_s
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/fairness.py
@@ -0,0 +1,228 @@
+"""Weighted fair queue of the requests that wait for one service."""
+
+import heapq
+import itertools
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from cicadapass_decisions.policy import QueueRules
+from cicadapass_decisions.work import WorkKind
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting(Generic[T]):
+    """Hold one waiting request; `cost` is in generated tokens.
+
+    A request that is not `sheddable` was accepted and stays until its deadline.
+    """
+
+    request_id: str
+    workspace: str
+    priority: int
+    kind: WorkKind
+    cost: float
+    deadline_s: float
+    item: T
+    sheddable: bool = True
+
+
+@dataclass(slots=True)
+class _Flow(Generic[T]):
+    weight: float
+    finish: float = 0.0
+    queues: dict[int, deque[Waiting[T]]] = field(default_factory=dict)
+
+
+class _Lane(Generic[T]):
+    """Share one kind of work by start-time fair queueing (Goyal et al., 1996)."""
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow[T]] = {}
+        self._virtual = 0.0
+
+    def add(self, entry: Waiting[T], weight: float, first: bool) -> None:
+        """Add the entry; a workspace that was idle gets no credit for it."""
+        flow = self._flows.get(entry.workspace)
+        if flow is None:
+            flow = self._flows[entry.workspace] = _Flow(weight)
+        flow.weight = weight
+        if not flow.queues:
+            flow.finish = max(flow.finish, self._virtual)
+        queue = flow.queues.setdefault(entry.priority, deque())
+        if first:
+            queue.appendleft(entry)
+        else:
+            queue.append(entry)
+
+    def head(self) -> Waiting[T] | None:
+        """Return the next entry: the workspace most behind, its highest priority."""
+        busy = [
+            (flow.finish, name) for name, flow in self._flows.items() if flow.queues
+        ]
+        if not busy:
+            return None
+        flow = self._flows[min(busy)[1]]
+        return flow.queues[max(flow.queues)][0]
+
+    def remove(self, entry: Waiting[T], *, served: bool) -> None:
+        """Take the entry out and charge its workspace if it was served."""
+        flow = self._flows[entry.workspace]
+        queue = flow.queues[entry.priority]
+        queue.remove(entry)
+        if not queue:
+            del flow.queues[entry.priority]
+        if served:
+            self._virtual = max(self._virtual, flow.finish)
+            flow.finish += entry.cost / flow.weight
+        if not flow.queues and flow.finish <= self._virtual:
+            # An idle workspace without a debt is forgotten; callers choose no names,
+            # but workspaces come and go with the inventory.
+            del self._flows[entry.workspace]
+
+
+class FairQueue(Generic[T]):
+    """Hold waiting requests in a lane for each kind of work; belongs to one owner."""
+
+    def __init__(self, rules: QueueRules, weights: Mapping[str, float]) -> None:
+        self.rules = rules
+        self.weights = weights
+        self._lanes: dict[WorkKind, _Lane[T]] = {kind: _Lane() for kind in WorkKind}
+        self._entries: dict[str, Waiting[T]] = {}
+        self._deadlines: list[tuple[float, int, str]] = []
+        self._order = itertools.count()
+        self._arrivals: dict[str, int] = {}
+        self._cost: dict[tuple[WorkKind, str, int], float] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, request_id: object) -> bool:
+        return request_id in self._entries
+
+    def enqueue(self, entry: Waiting[T], *, first: bool = False) -> None:
+        """Add a request; `first` puts it before others of its priority."""
+        order = next(self._order)
+        self._entries[entry.request_id] = entry
+        self._arrivals[entry.request_id] = order
+        heapq.heappush(self._deadlines, (entry.deadline_s, order, entry.request_id))
+        self._lanes[entry.kind].add(entry, self._weight(entry.workspace), first)
+        key = (entry.kind, entry.workspace, entry.priority)
+        self._cost[key] = self._cost.get(key, 0.0) + entry.cost
+
+    def head(self, kind: WorkKind) -> Waiting[T] | None:
+        """Return the request of this kind that is served next."""
+        return self._lanes[kind].head()
+
+    def take(self, entry: Waiting[T]) -> None:
+        """Take out a request that was served and charge its workspace."""
+        self._drop(entry, served=True)
+
+    def cancel(self, request_id: str) -> Waiting[T] | None:
+        """Take out a request that was not served, if it waits."""
+        entry = self._entries.get(request_id)
+        if entry is not None:
+            self._drop(entry, served=False)
+        return entry
+
+    def expire(self, now_s: float) -> tuple[Waiting[T], ...]:
+        """Take out and return the requests whose deadline has passed."""
+        expired: list[Waiting[T]] = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, order, request_id = heapq.heappop(self._deadlines)
+            # A request that came back under the same id has another order.
+            if self._arrivals.get(request_id) == order:
+                expired.append(self._entries[request_id])
+                self._drop(expired[-1], served=False)
+        return tuple(expired)
+
+    def next_deadline_s(self) -> float | None:
+        """Return a time at or before the earliest deadline."""
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def cost_ahead(self, kind: WorkKind, workspace: str, priority: int) -> float:
+        """Return the waiting cost that is served before a new request.
+
+        Other workspaces count at most in the proportion of their weights.
+        """
+        own = 0.0
+        others: dict[str, float] = {}
+        for (kept, name, level), cost in self._cost.items():
+            if kept is not kind:
+                continue
+            if name != workspace:
+                others[name] = others.get(name, 0.0) + cost
+            elif level >= priority:
+                own += cost
+        weight = self._weight(workspace)
+        return own + sum(
+            min(cost, (own + 1.0) * self._weight(name) / weight)
+            for name, cost in others.items()
+        )
+
+    def lowest_sheddable(self) -> Waiting[T] | None:
+        """Return the request to shed first.
+
+        It has the lowest priority; among equals it is the newest of the workspace
+        that waits with the most cost for its weight.
+        """
+        candidates = [entry for entry in self._entries.values() if entry.sheddable]
+        if not candidates:
+            return None
+        lowest = min(entry.priority for entry in candidates)
+        load: dict[str, float] = {}
+        for entry in self._entries.values():
+            share = entry.cost / self._weight(entry.workspace)
+            load[entry.workspace] = load.get(entry.workspace, 0.0) + share
+        return max(
+            (entry for entry in candidates if entry.priority == lowest),
+            key=lambda e: (load[e.workspace], self._arrivals[e.request_id]),
+        )
+
+    def _weight(self, workspace: str) -> float:
+        return self.weights.get(workspace, 1.0)
+
+    def _drop(self, entry: Waiting[T], *, served: bool) -> None:
+        del self._entries[entry.request_id]
+        del self._arrivals[entry.request_id]
+        self._lanes[entry.kind].remove(entry, served=served)
+        key = (entry.kind, entry.workspace, entry.priority)
+        left = self._cost[key] - entry.cost
+        if left > 1e-9:
+            self._cost[key] = left
+        else:
+            del self._cost[key]
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Say how many requests of each kind an upstream may run beside each other."""
+
+    limit: int
+    reserved_short: int
+    guaranteed_long: int
+
+    def fits(self, kind: WorkKind, short: int, long: int, long_waits: bool) -> bool:
+        """Return whether one more request of this kind fits."""
+        if short + long >= self.limit:
+            return False
+        if kind is WorkKind.LONG:
+            return long < self.limit - self.reserved_short
+        # Without waiting long work its guaranteed share is free for short work.
+        kept = max(0, self.guaranteed_long - long) if long_waits else 0
+        return short + long < self.limit - kept
+
+
+def room_of(limit: int, rules: QueueRules) -> Room:
+    """Return how the limit of an upstream is shared.
+
+    Both kinds get at least one slot when there are two; one slot serves both.
+    """
+    if not rules.reserve_short or limit < 2:
+        return Room(limit, 0, 0)
+    reserved = min(max(1, round(limit * rules.reserved_short_ratio)), limit - 1)
+    guaranteed = min(int(limit * rules.guaranteed_long_ratio), limit - reserved)
+    return Room(limit, reserved, guaranteed)
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/fleet.py
@@ -0,0 +1,233 @@
+"""Plan which VMs, models and roles a data centre should have."""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+
+from cicadapass_decisions.policy import CostRules
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Market:
+    """Identify where a VM can be bought: a zone and a machine class."""
+
+    zone: str
+    machine_class: str
+    reclaimable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Hold what one market sells; `reclaim_risk` is the chance in an hour."""
+
+    market: Market
+    slots: int
+    price_per_hour: float
+    reclaim_risk: float = 0.0
+    available: int = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class RunningVm:
+    """Hold one running upstream VM; `unneeded_since_s` is None while needed."""
+
+    name: str
+    market: Market
+    slots: int
+    price_per_hour: float
+    service: str
+    leaving: bool = False
+    busy: int = 0
+    unneeded_since_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Hold the requests in progress that one service needs to hold."""
+
+    service: str
+    concurrency: float
+
+
+@dataclass(frozen=True, slots=True)
+class Backoff:
+    """Hold the refused starts in a row of one market."""
+
+    refusals: int
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Purchase:
+    """Ask for VMs of one market to serve one service."""
+
+    market: Market
+    service: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoleChange:
+    """Ask a running engine to load another service's model."""
+
+    vm: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """Hold the orders, the VMs to mark as unneeded and the slots still missing."""
+
+    purchases: tuple[Purchase, ...] = ()
+    role_changes: tuple[RoleChange, ...] = ()
+    returns: tuple[str, ...] = ()
+    unneeded: frozenset[str] = frozenset()
+    missing_slots: Mapping[str, int] | None = None
+
+
+def on_start_refused(
+    backoff: Backoff | None, now_s: float, rules: CostRules
+) -> Backoff:
+    """Return the pause of a market after another refused start."""
+    refusals = backoff.refusals + 1 if backoff else 1
+    pause_s = rules.refused_backoff_s * 2.0 ** min(refusals - 1, 30)
+    return Backoff(refusals, now_s + min(pause_s, rules.refused_backoff_max_s))
+
+
+def plan_fleet(
+    demands: Sequence[Demand],
+    vms: Sequence[RunningVm],
+    offers: Sequence[Offer],
+    backoffs: Mapping[Market, Backoff],
+    now_s: float,
+    rules: CostRules,
+) -> FleetPlan:
+    """Return the cheapest orders that meet the demand with its spare.
+
+    Unneeded engines change their role before VMs are bought; VMs are returned only
+    when they are idle and have been unneeded for `shrink_after_s`.
+    """
+    wanted = {d.service: wanted_slots(d.concurrency, rules) for d in demands}
+    live = [vm for vm in vms if not vm.leaving]
+    surplus = _surplus(wanted, live, rules)
+    changes, short = _change_roles(wanted, live, surplus)
+    moved = {change.vm for change in changes}
+    usable = [o for o in offers if _usable(o, backoffs, now_s)]
+    purchases: list[Purchase] = []
+    missing: dict[str, int] = {}
+    for service in sorted(short):
+        on_demand = _on_demand_missing(service, wanted, live, rules)
+        bought, left, usable = _buy(service, short[service], on_demand, usable)
+        purchases += bought
+        if left > 0:
+            missing[service] = left
+    unneeded = frozenset(vm.name for vm in surplus if vm.name not in moved)
+    returns = tuple(
+        vm.name for vm in surplus if vm.name in unneeded and _expired(vm, now_s, rules)
+    )
+    return FleetPlan(tuple(purchases), changes, returns, unneeded, missing)
+
+
+def wanted_slots(concurrency: float, rules: CostRules) -> int:
+    """Return the slots for the concurrency, with the spare for reclaims."""
+    if concurrency <= 0:
+        return 0
+    slots = concurrency / rules.target_utilisation
+    return math.ceil(slots * (1.0 + rules.reclaim_spare_ratio) - 1e-9)
+
+
+def _surplus(
+    wanted: Mapping[str, int], live: Sequence[RunningVm], rules: CostRules
+) -> list[RunningVm]:
+    """Return the VMs that can go without falling below the demand, dearest first."""
+    have: dict[str, int] = {}
+    on_demand: dict[str, int] = {}
+    for vm in live:
+        have[vm.service] = have.get(vm.service, 0) + vm.slots
+        if not vm.market.reclaimable:
+            on_demand[vm.service] = on_demand.get(vm.service, 0) + vm.slots
+    surplus = []
+    for vm in sorted(live, key=lambda vm: (-vm.price_per_hour / vm.slots, vm.name)):
+        need = wanted.get(vm.service, 0)
+        keep = math.ceil(need * rules.min_on_demand_ratio)
+        if have[vm.service] - vm.slots < need:
+            continue
+        if not vm.market.reclaimable:
+            if on_demand[vm.service] - vm.slots < keep:
+                continue
+            on_demand[vm.service] -= vm.slots
+        have[vm.service] -= vm.slots
+        surplus.append(vm)
+    return surplus
+
+
+def _change_roles(
+    wanted: Mapping[str, int], live: Sequence[RunningVm], surplus: Sequence[RunningVm]
+) -> tuple[tuple[RoleChange, ...], dict[str, int]]:
+    """Return role changes of idle surplus VMs and the slots still short."""
+    short = {
+        service: need - sum(vm.slots for vm in live if vm.service == service)
+        for service, need in wanted.items()
+    }
+    changes = []
+    # The cheapest surplus VMs are kept in another role; the dearest are returned.
+    for vm in reversed(surplus):
+        target = max(sorted(short), key=lambda service: short[service], default=None)
+        if target is None or short[target] <= 0:
+            break
+        if vm.busy or target == vm.service:
+            continue
+        changes.append(RoleChange(vm.name, target))
+        short[target] -= vm.slots
+    return tuple(changes), {s: n for s, n in short.items() if n > 0}
+
+
+def _on_demand_missing(
+    service: str, wanted: Mapping[str, int], live: Sequence[RunningVm], rules: CostRules
+) -> int:
+    keep = math.ceil(wanted[service] * rules.min_on_demand_ratio)
+    have = sum(
+        vm.slots for vm in live if vm.service == service and not vm.market.reclaimable
+    )
+    return max(0, keep - have)
+
+
+def _usable(offer: Offer, backoffs: Mapping[Market, Backoff], now_s: float) -> bool:
+    backoff = backoffs.get(offer.market)
+    return offer.available > 0 and (backoff is None or backoff.until_s <= now_s)
+
+
+def _price(offer: Offer) -> float:
+    # A reclaimed VM is paid for but the part of the hour after the reclaim is lost.
+    return offer.price_per_hour / offer.slots / max(0.01, 1.0 - offer.reclaim_risk / 2)
+
+
+def _buy(
+    service: str, slots: int, on_demand: int, offers: Sequence[Offer]
+) -> tuple[list[Purchase], int, list[Offer]]:
+    """Buy the cheapest slots; the first `on_demand` slots are not reclaimable."""
+    purchases: list[Purchase] = []
+    left = slots
+    rest: list[Offer] = []
+    for offer in sorted(offers, key=lambda o: (o.market.reclaimable, _price(o))):
+        part = min(on_demand, left) if not offer.market.reclaimable else 0
+        count = min(offer.available, math.ceil(part / offer.slots))
+        if count:
+            purchases.append(Purchase(offer.market, service, count))
+            left -= count * offer.slots
+            on_demand -= count * offer.slots
+        rest.append(replace(offer, available=offer.available - count))
+    final: list[Offer] = []
+    for offer in sorted(rest, key=lambda o: (_price(o), o.market)):
+        count = min(offer.available, math.ceil(max(0, left) / offer.slots))
+        if count:
+            purchases.append(Purchase(offer.market, service, count))
+            left -= count * offer.slots
+        final.append(replace(offer, available=offer.available - count))
+    return purchases, max(0, left), final
+
+
+def _expired(vm: RunningVm, now_s: float, rules: CostRules) -> bool:
+    if vm.busy or vm.unneeded_since_s is None:
+        return False
+    return now_s - vm.unneeded_since_s >= rules.shrink_after_s
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/limits.py
@@ -0,0 +1,65 @@
+"""Adapt the number of requests that an upstream may run at a time."""
+
+from dataclasses import dataclass, replace
+
+from cicadapass_decisions.policy import LimitRules
+
+
+@dataclass(frozen=True, slots=True)
+class ConcurrencyLimit:
+    """Hold the limit of one upstream; `slots` is its upper bound."""
+
+    slots: int
+    value: float
+    decreased_at_s: float = float("-inf")
+
+    @property
+    def whole(self) -> int:
+        """Return the limit as a number of requests."""
+        return max(1, int(self.value))
+
+
+def new_limit(slots: int) -> ConcurrencyLimit:
+    """Return the limit of an upstream without results: all its slots."""
+    # Requests beyond the slots would wait in the upstream, where neither fairness
+    # nor priorities apply, so the limit never exceeds the slots.
+    slots = max(1, slots)
+    return ConcurrencyLimit(slots, float(slots))
+
+
+def with_slots(limit: ConcurrencyLimit, slots: int) -> ConcurrencyLimit:
+    """Return the limit after the upstream reported another number of slots."""
+    if slots == limit.slots or slots < 1:
+        return limit
+    if limit.value >= limit.slots:
+        return replace(limit, slots=slots, value=float(slots))
+    return replace(limit, slots=slots, value=min(limit.value, float(slots)))
+
+
+def on_result(
+    limit: ConcurrencyLimit,
+    latency_s: float,
+    baseline_s: float,
+    failed: bool,
+    now_s: float,
+    rules: LimitRules,
+) -> ConcurrencyLimit:
+    """Return the limit after one result: slow or failed lowers it, others raise it."""
+    if not rules.adapt:
+        return replace(limit, value=float(limit.slots))
+    if failed or latency_s > baseline_s * rules.tolerated_ratio:
+        return _decrease(limit, now_s, rules)
+    value = limit.value + 1.0 / limit.value
+    return replace(limit, value=min(value, float(limit.slots)))
+
+
+def _decrease(
+    limit: ConcurrencyLimit, now_s: float, rules: LimitRules
+) -> ConcurrencyLimit:
+    # Requests that ran at the same time report the same congestion, which must
+    # lower the limit only once.
+    if now_s - limit.decreased_at_s < rules.cooldown_s:
+        return limit
+    floor = float(min(rules.min_limit, limit.slots))
+    value = max(limit.value * rules.decrease_ratio, floor)
+    return replace(limit, value=value, decreased_at_s=now_s)
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/prefix.py
@@ -0,0 +1,106 @@
+"""Remember which prompt prefixes an engine's cache holds."""
+
+import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from cicadapass_decisions.policy import PrefixRules
+
+# With 64 bits, a false match among a million blocks has a chance of 1 in 10**7; it
+# costs only a worse choice.
+_HASH_BYTES = 8
+
+
+class CacheEventKind(StrEnum):
+    """Say what happened to blocks of an engine's prefix cache."""
+
+    STORED = "stored"
+    REMOVED = "removed"
+    CLEARED = "cleared"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Hold one numbered event of an engine's prefix cache."""
+
+    sequence: int
+    kind: CacheEventKind
+    blocks: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class CacheHints:
+    """Hold the blocks of one engine's cache, oldest first, up to an event."""
+
+    sequence: int = 0
+    blocks: dict[str, None] | None = None
+    needs_resync: bool = False
+
+    def holds(self, block: str) -> bool:
+        """Return whether the engine is believed to hold the block."""
+        return self.blocks is not None and block in self.blocks
+
+
+def prefix_blocks(prompt: str, rules: PrefixRules) -> tuple[str, ...]:
+    """Return the chained hashes of the prompt's whole blocks."""
+    blocks: list[str] = []
+    previous = b""
+    end = min(len(prompt), rules.block_chars * rules.max_blocks)
+    for start in range(0, end - rules.block_chars + 1, rules.block_chars):
+        text = prompt[start : start + rules.block_chars].encode()
+        previous = hashlib.blake2b(previous + text, digest_size=_HASH_BYTES).digest()
+        blocks.append(previous.hex())
+    return tuple(blocks)
+
+
+def matched_tokens(hints: CacheHints, blocks: Sequence[str], rules: PrefixRules) -> int:
+    """Return the prompt tokens that the engine need not compute."""
+    matched = 0
+    for block in blocks:
+        if not hints.holds(block):
+            break
+        matched += 1
+    return int(matched * rules.block_chars / rules.chars_per_token)
+
+
+def apply_events(
+    hints: CacheHints, events: Sequence[CacheEvent], rules: PrefixRules
+) -> CacheHints:
+    """Return the hints after the events; a gap discards them and asks for a resync."""
+    blocks = dict(hints.blocks or {})
+    sequence = hints.sequence
+    for event in sorted(events, key=lambda event: event.sequence):
+        if event.sequence <= sequence:
+            continue
+        if event.sequence > sequence + 1:
+            return CacheHints(event.sequence, None, needs_resync=True)
+        _apply(blocks, event)
+        sequence = event.sequence
+    _trim(blocks, rules)
+    return replace(hints, sequence=sequence, blocks=blocks)
+
+
+def resynced(sequence: int, blocks: Sequence[str], rules: PrefixRules) -> CacheHints:
+    """Return the hints of a complete listing that was taken at the sequence."""
+    known = dict.fromkeys(blocks)
+    _trim(known, rules)
+    return CacheHints(sequence, known)
+
+
+def _apply(blocks: dict[str, None], event: CacheEvent) -> None:
+    match event.kind:
+        case CacheEventKind.STORED:
+            for block in event.blocks:
+                blocks.pop(block, None)
+                blocks[block] = None
+        case CacheEventKind.REMOVED:
+            for block in event.blocks:
+                blocks.pop(block, None)
+        case CacheEventKind.CLEARED:
+            blocks.clear()
+
+
+def _trim(blocks: dict[str, None], rules: PrefixRules) -> None:
+    for block in list(blocks)[: max(0, len(blocks) - rules.max_hints)]:
+        del blocks[block]
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/retry.py
@@ -0,0 +1,264 @@
+"""Decide what follows a failed or late attempt."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from cicadapass_decisions.policy import RetryRules
+from cicadapass_decisions.types import Verdict
+
+# Time after which an accepted request asks again for budget.
+BUDGET_WAIT_S = 0.1
+
+
+class FailureKind(StrEnum):
+    """Say how an attempt failed."""
+
+    # No connection was made, so no byte was sent.
+    REFUSED = "refused"
+    # The upstream answered that it did not run the request.
+    REJECTED = "rejected"
+    # The upstream answered with an error after it may have run the request.
+    ANSWERED = "answered"
+    # The connection broke or the answer ended early.
+    BROKEN = "broken"
+    # No answer in time.
+    TIMEOUT = "timeout"
+    # The first token is late; the attempt still runs.
+    LATE = "late"
+    # The upstream is leaving, or is known to be gone.
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Hold how the last attempt failed; `sent` is false only if no byte was sent."""
+
+    kind: FailureKind
+    sent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Hold one attempt: what was sent and what came of it so far."""
+
+    upstream: str
+    sent: bool
+    failure: FailureKind | None = None
+    running: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RetryRequest:
+    """Hold what the decision needs to know about the request.
+
+    `accepted` says that the caller was promised an answer.
+    """
+
+    repeatable: bool
+    deadline_s: float
+    accepted: bool = False
+    tokens: int = 0
+    streams: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RetryBudget:
+    """Hold the extra attempts that may be made now."""
+
+    tokens: float = 1.0
+    updated_at_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Run the request again from its start after a pause."""
+
+    delay_s: float
+    avoid: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Run the request again from a token offset after a pause."""
+
+    delay_s: float
+    from_token: int
+    avoid: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Hedge:
+    """Run a second attempt beside the late one; the loser is cancelled."""
+
+    avoid: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Ask again after a pause: the budget is spent, or an attempt still runs."""
+
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Tell the caller what is known about the effect."""
+
+    verdict: Verdict
+    reason: str
+
+
+Step = Retry | Resume | Hedge | Wait | GiveUp
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold the next step and the budget that is left."""
+
+    step: Step
+    budget: RetryBudget
+
+
+def on_request(budget: RetryBudget, now_s: float, rules: RetryRules) -> RetryBudget:
+    """Return the budget after the first attempt of a request."""
+    # The larger of the two, not their sum: with many requests the budget is exactly
+    # its ratio of them.
+    credit = max(rules.budget_ratio, _elapsed_credit(budget, now_s, rules))
+    return _credited(budget, credit, now_s, rules)
+
+
+def next_step(
+    attempts: Sequence[Attempt],
+    failure: Failure,
+    request: RetryRequest,
+    budget: RetryBudget,
+    now_s: float,
+    rng: random.Random,
+    rules: RetryRules,
+) -> Decision:
+    """Return what follows the failure of the last of the attempts."""
+    if failure.kind is FailureKind.LATE:
+        return _hedge(attempts, request, budget, now_s, rules)
+    if any(attempt.running for attempt in attempts):
+        # The other attempt of a hedge may still answer.
+        return Decision(Wait(BUDGET_WAIT_S), budget)
+    reason = _reason_to_stop(attempts, failure, request, now_s, rules)
+    if reason is not None:
+        return Decision(GiveUp(verdict_of(attempts), reason), budget)
+    if failure.kind is FailureKind.LEAVING:
+        # It replaces an attempt that cannot run any more and adds no load.
+        return Decision(_again(attempts, request, 0.0), budget)
+    paid = _withdraw(budget, now_s, rules)
+    if paid is not None:
+        delay_s = _backoff_s(len(attempts), rng, rules)
+        delay_s = min(delay_s, max(0.0, request.deadline_s - now_s))
+        return Decision(_again(attempts, request, delay_s), paid)
+    if request.accepted:
+        return Decision(Wait(BUDGET_WAIT_S), budget)
+    return Decision(GiveUp(verdict_of(attempts), "retry budget is spent"), budget)
+
+
+def verdict_of(attempts: Sequence[Attempt]) -> Verdict:
+    """Return what all attempts together say about the effect of the request."""
+    verdicts = {_attempt_verdict(attempt) for attempt in attempts}
+    for verdict in (Verdict.RUN, Verdict.UNKNOWN):
+        if verdict in verdicts:
+            return verdict
+    return Verdict.NOT_RUN
+
+
+def hedge_after_s(first_token_s: float | None, rules: RetryRules) -> float | None:
+    """Return the wait before a hedge, or None if hedges are off or times unknown."""
+    if not rules.hedge or first_token_s is None:
+        return None
+    return max(rules.hedge_min_s, first_token_s * rules.hedge_ratio)
+
+
+def _attempt_verdict(attempt: Attempt) -> Verdict:
+    if attempt.failure is FailureKind.ANSWERED:
+        return Verdict.RUN
+    if not attempt.sent or attempt.failure is FailureKind.REJECTED:
+        return Verdict.NOT_RUN
+    return Verdict.UNKNOWN
+
+
+def _reason_to_stop(
+    attempts: Sequence[Attempt],
+    failure: Failure,
+    request: RetryRequest,
+    now_s: float,
+    rules: RetryRules,
+) -> str | None:
+    if failure.kind is FailureKind.ANSWERED:
+        return "the upstream answered with an error"
+    if not request.repeatable and any(attempt.sent for attempt in attempts):
+        return "the call must not be repeated"
+    if not rules.retry:
+        return "retries are switched off"
+    if len(attempts) >= rules.max_attempts:
+        return "too many attempts"
+    return "the deadline has passed" if now_s >= request.deadline_s else None
+
+
+def _hedge(
+    attempts: Sequence[Attempt],
+    request: RetryRequest,
+    budget: RetryBudget,
+    now_s: float,
+    rules: RetryRules,
+) -> Decision:
+    running = sum(attempt.running for attempt in attempts)
+    allowed = rules.hedge and request.repeatable and running < 2
+    if not allowed or request.tokens or len(attempts) >= rules.max_attempts:
+        return Decision(Wait(max(0.0, request.deadline_s - now_s)), budget)
+    paid = _withdraw(budget, now_s, rules)
+    if paid is None:
+        return Decision(Wait(BUDGET_WAIT_S), budget)
+    return Decision(Hedge(_used(attempts)), paid)
+
+
+def _again(
+    attempts: Sequence[Attempt], request: RetryRequest, delay_s: float
+) -> Retry | Resume:
+    if request.streams and request.tokens:
+        return Resume(delay_s, request.tokens, _used(attempts))
+    return Retry(delay_s, _used(attempts))
+
+
+def _used(attempts: Sequence[Attempt]) -> frozenset[str]:
+    return frozenset(attempt.upstream for attempt in attempts)
+
+
+def _elapsed_credit(budget: RetryBudget, now_s: float, rules: RetryRules) -> float:
+    if budget.updated_at_s is None:
+        return 0.0
+    return max(0.0, now_s - budget.updated_at_s) * rules.budget_min_per_s
+
+
+def _credited(
+    budget: RetryBudget, credit: float, now_s: float, rules: RetryRules
+) -> RetryBudget:
+    tokens = min(budget.tokens + credit, rules.budget_burst)
+    return replace(budget, tokens=tokens, updated_at_s=now_s)
+
+
+def _withdraw(
+    budget: RetryBudget, now_s: float, rules: RetryRules
+) -> RetryBudget | None:
+    if not rules.limit_budget:
+        return budget
+    # Time that a request's ratio has already paid for is not credited again.
+    elapsed = _elapsed_credit(budget, now_s, rules) - rules.budget_ratio
+    if elapsed > 0:
+        budget = _credited(budget, elapsed, now_s, rules)
+    if budget.tokens < 1.0:
+        return None
+    return replace(budget, tokens=budget.tokens - 1.0)
+
+
+def _backoff_s(attempts: int, rng: random.Random, rules: RetryRules) -> float:
+    # Full jitter spreads the retries of requests that failed together.
+    ceiling_s = rules.backoff_s * 2 ** (attempts - 1)
+    return rng.uniform(0.0, min(ceiling_s, rules.backoff_max_s))
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/work.py
@@ -0,0 +1,105 @@
+"""Predict whether a request is short or long work."""
+
+import math
+from collections import OrderedDict, deque
+from dataclasses import dataclass
+from enum import StrEnum
+
+from cicadapass_decisions.policy import WorkRules
+
+# Bounds the memory of the history: keys are few in practice, but callers choose
+# the size limits that are part of them.
+MAX_HISTORY_KEYS = 1024
+MIN_HISTORY_ANSWERS = 4
+
+
+class WorkKind(StrEnum):
+    """Tell work that must return quickly from work that may take long."""
+
+    SHORT = "short"
+    LONG = "long"
+
+
+@dataclass(frozen=True, slots=True)
+class WorkRequest:
+    """Hold what is known about a request's size before it runs.
+
+    `max_tokens` is None for a call to a plain service, which counts one token.
+    """
+
+    service: str
+    workspace: str
+    prompt_tokens: int = 0
+    max_tokens: int | None = None
+    plain: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WorkClass:
+    """Hold the predicted kind, generated tokens and cost in generated tokens."""
+
+    kind: WorkKind
+    expected_tokens: int
+    cost: float
+
+
+class WorkHistory:
+    """Remember the tokens of recent answers; belongs to one owner."""
+
+    def __init__(self, rules: WorkRules) -> None:
+        self._rules = rules
+        self._answers: OrderedDict[tuple[str, str, int], deque[int]] = OrderedDict()
+
+    def observe(self, request: WorkRequest, tokens: int) -> None:
+        """Record the tokens of a complete answer."""
+        key = _key(request)
+        answers = self._answers.get(key)
+        if answers is None:
+            answers = deque(maxlen=self._rules.history_answers)
+            self._answers[key] = answers
+        answers.append(tokens)
+        self._answers.move_to_end(key)
+        if len(self._answers) > MAX_HISTORY_KEYS:
+            self._answers.popitem(last=False)
+
+    def expected(self, request: WorkRequest) -> int | None:
+        """Return the quantile of similar answers, or None if there are too few."""
+        answers = self._answers.get(_key(request))
+        if answers is None or len(answers) < MIN_HISTORY_ANSWERS:
+            return None
+        rank = math.ceil(len(answers) * self._rules.history_quantile) - 1
+        return sorted(answers)[rank]
+
+
+def predict(request: WorkRequest, history: WorkHistory, rules: WorkRules) -> WorkClass:
+    """Return the class of the request; unknown sizes count as the caller's limit."""
+    if request.plain:
+        return WorkClass(WorkKind.SHORT, 1, 1.0)
+    # Without history the limit is taken at its word: long work that was predicted
+    # to be short would hold a reserved slot.
+    expected = request.max_tokens or rules.default_tokens
+    seen = history.expected(request) if rules.use_history else None
+    if seen is not None:
+        expected = min(seen, request.max_tokens or seen)
+    return _classify(expected, request.prompt_tokens, rules)
+
+
+def reclassify(
+    current: WorkClass, generated_tokens: int, prompt_tokens: int, rules: WorkRules
+) -> WorkClass:
+    """Return the class after some tokens; an answer that outgrew its class is long."""
+    if generated_tokens <= current.expected_tokens:
+        return current
+    return _classify(generated_tokens, prompt_tokens, rules)
+
+
+def _classify(expected: int, prompt_tokens: int, rules: WorkRules) -> WorkClass:
+    cost = expected + prompt_tokens * rules.prompt_token_cost
+    kind = WorkKind.SHORT if cost <= rules.short_tokens else WorkKind.LONG
+    return WorkClass(kind, expected, max(cost, 1.0))
+
+
+def _key(request: WorkRequest) -> tuple[str, str, int]:
+    # Limits are grouped by powers of two, so that similar requests share history.
+    size = (request.max_tokens or 0).bit_length()
+    return request.service, request.workspace, size
