Annotate the commands of the VM list and cloud stand-ins

Cause: mypy, now that it follows imports between packages, infers a too narrow type for the two tables of commands. Change: state the type of the tables. Measured: mypy reports no error.

--- a/packages/standins/cicadapass_standins/cloud.py
+++ b/packages/standins/cicadapass_standins/cloud.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -92,6 +93,7 @@
     """
 
     def __init__(self, options: CloudOptions | None = None) -> None:
+        commands: dict[str, Callable[[Any], object]]
         commands = {"notice": self.notify, "offers": self._set_offers}
         self.faults = FaultControl(CloudFaults(), commands)
         self._changed = threading.Condition()
--- a/packages/standins/cicadapass_standins/vmlist.py
+++ b/packages/standins/cicadapass_standins/vmlist.py
@@ -44,6 +44,7 @@
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        commands: dict[str, Callable[[Any], object]]
         commands = {"vms": self._replace, "put": self.put, "remove": self.remove}
         self.faults = FaultControl(VmListFaults(), commands, self._on_fault)
         self._clock = clock
