Read all rule sections from the document

Cause: the policy's dataclasses exist now, and rules can contradict each other. Change: each section of the policy is in RULE_SECTIONS, Rules.policy returns them as one object, and rules that contradict another one are mistakes.

--- a/packages/decisions/cicadapass_decisions/references.py
+++ b/packages/decisions/cicadapass_decisions/references.py
@@ -6,6 +6,7 @@
 from urllib.parse import urlsplit
 
 from cicadapass_decisions.problems import Problem, pointer, show
+from cicadapass_decisions.rule_sections import rule_order_problems
 
 # URLs of this form need no further check; parsing each takes 15 ms for 1,400.
 _SIMPLE_URL = re.compile(r"https?://[A-Za-z0-9.-]+(:[1-9][0-9]{0,3})?/?")
@@ -29,6 +30,8 @@
     remedy = "give the credential to one workspace; create another for the second"
     found.extend(_repeats(_all_hashes(document), remedy))
     found.extend(_repeats(_urls(document), "give each upstream its own URL"))
+    if isinstance(document, dict):
+        found.extend(rule_order_problems(document.get("rules")))
     return tuple(found)
 
 
--- a/packages/decisions/cicadapass_decisions/rule_sections.py
+++ b/packages/decisions/cicadapass_decisions/rule_sections.py
@@ -1,10 +1,23 @@
 """Map the sections of the document's rules to frozen dataclasses of defaults."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, fields
 from typing import Any, TypeVar
 
-from cicadapass_decisions.options import build, option, schema_of
+from cicadapass_decisions.options import build, default_of, option, schema_of
+from cicadapass_decisions.policy import (
+    AdmissionRules,
+    CostRules,
+    LimitRules,
+    Policy,
+    PrefixRules,
+    QueueRules,
+    RetryRules,
+    RoutingRules,
+    SlownessRules,
+    WorkRules,
+)
+from cicadapass_decisions.problems import Problem, pointer
 
 R = TypeVar("R")
 
@@ -54,10 +67,29 @@
 
 # A section is added by one line here; its class states the defaults and ranges.
 RULE_SECTIONS: dict[str, type[Any]] = {
+    "work": WorkRules,
+    "queue": QueueRules,
+    "admission": AdmissionRules,
+    "routing": RoutingRules,
+    "cost": CostRules,
+    "limits": LimitRules,
+    "slowness": SlownessRules,
+    "retry": RetryRules,
+    "prefix": PrefixRules,
     "durability": DurabilityRules,
     "claims": ClaimRules,
 }
 
+# Within a section, the first rule must not exceed the second.
+RULE_ORDER: tuple[tuple[str, str, str], ...] = (
+    ("admission", "min_retry_after_s", "max_retry_after_s"),
+    ("admission", "max_wait_s", "max_long_wait_s"),
+    ("cost", "refused_backoff_s", "refused_backoff_max_s"),
+    ("slowness", "recovered_ratio", "slow_ratio"),
+    ("retry", "backoff_s", "backoff_max_s"),
+    ("claims", "valid_s", "window_s"),
+)
+
 
 @dataclass(frozen=True, slots=True)
 class Rules:
@@ -72,6 +104,13 @@
                 return section
         raise KeyError(f"{kind.__name__} is not in RULE_SECTIONS")
 
+    @property
+    def policy(self) -> Policy:
+        """Return the rules of the routing, queueing and retry decisions."""
+        return Policy(
+            **{each.name: self.sections[each.name] for each in fields(Policy)}
+        )
+
 
 def read_rules(document: Mapping[str, Any]) -> Rules:
     """Fill every section from a document that `rules_schema` accepts."""
@@ -91,3 +130,22 @@
         "additionalProperties": False,
         "properties": properties,
     }
+
+
+def rule_order_problems(rules: Any) -> Iterator[Problem]:
+    """Find rules that contradict another one; malformed ones are passed over."""
+    for name, lower, upper in RULE_ORDER:
+        section = rules.get(name) if isinstance(rules, dict) else None
+        if not isinstance(section, dict):
+            continue
+        low, high = (_effective(name, section, key) for key in (lower, upper))
+        if low is not None and high is not None and low > high:
+            place = pointer("rules", name, lower)
+            allowed = f"at most {upper}, which is {high}"
+            yield Problem(place, str(low), allowed, f"lower {lower} or raise {upper}")
+
+
+def _effective(name: str, section: dict[str, Any], key: str) -> float | None:
+    (field,) = (each for each in fields(RULE_SECTIONS[name]) if each.name == key)
+    value = section.get(key, default_of(field))
+    return value if type(value) in (int, float) else None
--- a/tests/decisions/test_inventory.py
+++ b/tests/decisions/test_inventory.py
@@ -12,8 +12,13 @@
     parse_inventory,
     parse_inventory_text,
 )
+from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.problems import schema_problems
-from cicadapass_decisions.rule_sections import ClaimRules, DurabilityRules
+from cicadapass_decisions.rule_sections import (
+    RULE_SECTIONS,
+    ClaimRules,
+    DurabilityRules,
+)
 from cicadapass_decisions.schema import accepts_inventory, inventory_validator
 from tests.decisions.documents import changed, inventory_document, sha256_of
 
@@ -81,6 +86,7 @@
         self.assertEqual(ClaimRules(window_s=600.0), rules.of(ClaimRules))
         self.assertEqual(DurabilityRules(), rules.of(DurabilityRules))
         self.assertRaises(KeyError, rules.of, int)
+        self.assertEqual(Policy(), rules.policy)
 
 
 class ProblemsTest(testtools.TestCase):
@@ -105,6 +111,7 @@
             ("rules/claims/window", 1, "/rules/claims/window"),
             ("rules/claims/window_s", 1, "/rules/claims/window_s"),
             ("rules/colour", {}, "/rules/colour"),
+            ("rules/retry", {"backoff_s": 2}, "/rules/retry/backoff_s"),
             (
                 "fleets/grabhandle/workspaces/counter/credentials",
                 twice,
@@ -168,6 +175,12 @@
         found = schema_problems(inventory_validator.iter_errors, document)
         self.assertFalse(found and accepts_inventory(document), found)
 
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(st.sampled_from(sorted(RULE_SECTIONS)), ANY_JSON)
+    def test_any_rules_give_a_result(self, section, value):
+        """A rule of an unexpected type must be a mistake, never an exception."""
+        parse_inventory(changed(f"rules/{section}", value))
+
     def test_valid_document_takes_the_fast_path(self):
         """Valid documents must not pay for the slow check."""
         self.assertTrue(accepts_inventory(inventory_document()))
