--- a/packages/common/cicadapass_common/config.py
+++ b/packages/common/cicadapass_common/config.py
@@ -45,10 +45,13 @@
 
 
 def settings_from(
-    document: Any, spec: type[T]
+    document: Any, spec: type[T], *, strict: bool = True
 ) -> Result[T, tuple[SettingProblem, ...]]:
-    """Return the settings of a parsed document, or every mistake at once."""
-    checker = Draft202012Validator(schema_of(spec)).iter_errors
+    """Return the settings of a parsed document, or every mistake at once.
+
+    Without `strict`, unknown keys are passed over.
+    """
+    checker = Draft202012Validator(schema_of(spec, strict=strict)).iter_errors
     problems = schema_problems(checker, document)
     return Error(problems) if problems else Ok(build(spec, document))
 
--- /dev/null
+++ b/packages/ctl/cicadapassctl/config.py
@@ -0,0 +1,53 @@
+"""Settings of the command line."""
+
+from dataclasses import dataclass
+
+from cicadapass_decisions.options import option
+from cicadapass_decisions.schema import URL_PATTERN
+
+_URL = "an http or https URL without user, query or fragment"
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Say where the log and the nodes are and how long to wait for them."""
+
+    log_url: str = option(
+        meaning="URL of the platform's log service.",
+        pattern=URL_PATTERN,
+        allowed=_URL,
+        remedy="copy it from the settings of a node",
+    )
+    nodes: tuple[str, ...] = option(
+        meaning="URLs of the nodes' operator addresses, at least one per data centre.",
+        pattern=URL_PATTERN,
+        allowed=_URL,
+        remedy="copy the operator addresses from the settings of the nodes",
+    )
+    operator_credential: str = option(
+        meaning="The operators' bearer credential.",
+        pattern=r"^[!-~]{16,}$(?!\n)",
+        allowed="at least 16 printable characters without blanks",
+        remedy="create one with `cicadapassctl credential new`",
+    )
+    log_stream: str = option(
+        "cicadapass",
+        "Name of the stream that carries the configuration.",
+        pattern=r"^[A-Za-z0-9._-]{1,100}$(?!\n)",
+        allowed="1 to 100 letters, digits, dots, underscores or hyphens",
+    )
+    author: str = option(
+        "", "Name given with each publish; empty for the login name of the user."
+    )
+    publish_wait_s: float = option(
+        16.0,
+        "How long a publish may take until it is in force everywhere.",
+        low=0,
+        high=3600,
+    )
+    poll_interval_s: float = option(
+        0.2, "Time between two questions whether it is in force.", low=0.01, high=60
+    )
+    node_timeout_s: float = option(
+        3.0, "How long a node may take to answer.", low=0.05, high=60
+    )
--- /dev/null
+++ b/packages/ctl/cicadapassctl/documents.py
@@ -0,0 +1,125 @@
+"""Read inventory documents from files, nodes and the log."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from cicadapass_common.logclient import Log
+from cicadapass_common.operator_api import INVENTORY_PATH, InventoryAnswer
+from cicadapass_common.records import decode_log_record
+from cicadapass_decisions.diff import diff_inventories
+from cicadapass_decisions.fold import FoldState
+from cicadapass_decisions.inventory import EMPTY_INVENTORY, Inventory, parse_inventory
+from cicadapass_decisions.logrecords import NO_VERSION, Publish, PublishVerdict
+from cicadapass_decisions.problems import Problem, parse_json
+from cicadapassctl.context import Context
+from cicadapassctl.exceptions import CommandError, LogReadError, NotFoundError
+from cicadapassctl.nodes import ask_all
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """Pair a valid document with its inventory."""
+
+    raw: dict[str, Any]
+    inventory: Inventory
+
+
+def read_document(path: str) -> Result[Document, tuple[Problem, ...]]:
+    """Return the document of a file, or every mistake of it."""
+    try:
+        text = Path(path).read_bytes()
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        remedy = "name a file that this user can read"
+        return Error((Problem(path, reason, "a readable file", remedy),))
+    return parse_json(text).bind(as_document)
+
+
+def as_document(raw: Any) -> Result[Document, tuple[Problem, ...]]:
+    """Return a parsed document with its inventory, or every mistake of it."""
+    return parse_inventory(raw).map(lambda inventory: Document(raw, inventory))
+
+
+def newest_inventory(context: Context) -> Result[InventoryAnswer, CommandError]:
+    """Return the newest state that any node has."""
+    answers = ask_all(
+        context.fetch, context.settings.nodes, INVENTORY_PATH, InventoryAnswer, {}
+    )
+    if answers.each:
+        return Ok(max(answers.each, key=lambda each: (each.version, each.next_offset)))
+    if answers.failed:
+        return Error(answers.failed[0])
+    return Error(CommandError("no node is known", "list the nodes in the settings"))
+
+
+def document_in_force(context: Context) -> Result[Document, CommandError]:
+    """Return the document that is in force."""
+    return newest_inventory(context).bind(_document_of)
+
+
+def _document_of(answer: InventoryAnswer) -> Result[Document, CommandError]:
+    if answer.document is None:
+        return Error(NotFoundError("no inventory is in force", "publish one"))
+    return as_document(answer.document).map_error(_unknown_format)
+
+
+def _unknown_format(problems: tuple[Problem, ...]) -> CommandError:
+    problem = f"the inventory in force has a mistake at {problems[0].path}"
+    return CommandError(problem, "use the cicadapassctl of the nodes' version")
+
+
+def fold_state(answer: InventoryAnswer) -> FoldState:
+    """Return the state to read the log on from, as a node has folded it."""
+    verdicts = {
+        each.publish_id: PublishVerdict(
+            each.outcome, each.offset, each.version, each.author
+        )
+        for each in answer.verdicts
+    }
+    return FoldState(
+        complete=True,
+        version=answer.version,
+        publish_id=answer.publish_id,
+        author=answer.author,
+        document=answer.document,
+        verdicts=verdicts,
+        next_offset=answer.next_offset,
+    )
+
+
+def document_at(log: Log, version: int) -> Result[dict[str, Any], CommandError]:
+    """Return the document that was published at an offset of the log."""
+    answer = log.read(max(version, 0), 1, 0.0)
+    if answer.is_error():
+        return Error(LogReadError(answer.error.problem, answer.error.remedy))
+    for raw in answer.ok.records:
+        body = decode_log_record(raw.offset, raw.time_s, raw.data).body
+        if raw.offset == version and isinstance(body, Publish):
+            return Ok(dict(body.document))
+    problem = f"the log holds no publish at offset {version}"
+    return Error(NotFoundError(problem, "publish the document from a file instead"))
+
+
+def change_lines(
+    old: Mapping[str, Any] | None, new: Mapping[str, Any] | None
+) -> tuple[str, ...]:
+    """Return the difference of two documents, or of none, in lines for people."""
+    before, after = _inventory_of(old), _inventory_of(new)
+    if before is None or after is None:
+        return ("the difference is not known",)
+    return tuple(str(change) for change in diff_inventories(before, after))
+
+
+def _inventory_of(document: Mapping[str, Any] | None) -> Inventory | None:
+    if document is None:
+        return EMPTY_INVENTORY
+    return parse_inventory(document).default_value(None)
+
+
+def version_name(version: int) -> str:
+    """Return a version for people."""
+    return "none" if version == NO_VERSION else str(version)
--- /dev/null
+++ b/packages/ctl/cicadapassctl/parser.py
@@ -0,0 +1,185 @@
+"""The arguments of the command line."""
+
+import argparse
+from collections.abc import Callable
+from typing import Any
+
+from cicadapassctl.env import DEFAULT_SETTINGS_FILE, SETTINGS_VARIABLE
+from cicadapassctl.exitcodes import MEANINGS
+
+Subparsers = Any
+_DESCRIPTION = """\
+Control a cicadapass system: check and publish its inventory, see what the nodes do.
+
+A first session:
+  cicadapassctl settings > cicadapassctl.json    then fill in what is REQUIRED
+  cicadapassctl validate inventory.json
+  cicadapassctl diff inventory.json              against what is in force
+  cicadapassctl publish inventory.json
+  cicadapassctl status
+"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the parser of all commands."""
+    parser = argparse.ArgumentParser(
+        prog="cicadapassctl",
+        description=_DESCRIPTION,
+        epilog=_exit_codes(),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    _general_options(parser, None, False)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for add in _COMMANDS:
+        add(commands)
+    return parser
+
+
+def _general_options(
+    parser: argparse.ArgumentParser, no_file: object, off: object
+) -> None:
+    parser.add_argument(
+        "--settings",
+        metavar="FILE",
+        default=no_file,
+        help=f"settings file; default: the variable {SETTINGS_VARIABLE}, "
+        f"else {DEFAULT_SETTINGS_FILE} in the working directory",
+    )
+    parser.add_argument(
+        "--json", action="store_true", default=off, help="print JSON for programs"
+    )
+    parser.add_argument(
+        "--verbose",
+        action="store_true",
+        default=off,
+        help="also print the command's own events to stderr",
+    )
+
+
+def _exit_codes() -> str:
+    lines = [f"  {int(code)}  {text}" for code, text in MEANINGS.items()]
+    return "exit codes:\n" + "\n".join(lines)
+
+
+def _command(commands: Subparsers, name: str, text: str) -> argparse.ArgumentParser:
+    # The first sentence alone appears in the list of commands.
+    short = text.split(". ")[0].rstrip(".")
+    parser = commands.add_parser(name, help=short, description=text)
+    assert isinstance(parser, argparse.ArgumentParser)
+    # Without the suppressed defaults, a command would reset options before its name.
+    _general_options(parser, argparse.SUPPRESS, argparse.SUPPRESS)
+    return parser
+
+
+def _validate(commands: Subparsers) -> None:
+    text = "Check a document and list every mistake with its remedy. Nothing is sent."
+    parser = _command(commands, "validate", text)
+    parser.add_argument("file", metavar="FILE", help="inventory document")
+
+
+def _diff(commands: Subparsers) -> None:
+    text = "Compare two documents. With one file, compare what is in force with it."
+    parser = _command(commands, "diff", text)
+    parser.add_argument("old", metavar="OLD", help="older document, or the only file")
+    parser.add_argument("new", metavar="NEW", nargs="?", help="newer document")
+
+
+def _publish(commands: Subparsers) -> None:
+    text = (
+        "Publish a document and wait until it is in force. Names the data centres in "
+        "which it is not in force when the time limit is over."
+    )
+    parser = _command(commands, "publish", text)
+    parser.add_argument("file", metavar="FILE", help="inventory document")
+    _publish_options(parser)
+
+
+def _rollback(commands: Subparsers) -> None:
+    text = "Publish the document of an older version anew. It gets a new version."
+    parser = _command(commands, "rollback", text)
+    parser.add_argument(
+        "version", metavar="VERSION", type=_version, help="version to go back to"
+    )
+    _publish_options(parser)
+
+
+def _publish_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--base",
+        metavar="VERSION",
+        type=_version,
+        help="version that the document was made from; a newer one in force is then "
+        "a conflict; default: the version in force now",
+    )
+    parser.add_argument(
+        "--publish-id",
+        metavar="ID",
+        help="id of an earlier try whose outcome is unknown; it is not applied twice",
+    )
+    parser.add_argument(
+        "--wait-s",
+        metavar="SECONDS",
+        type=_seconds,
+        help="how long to wait until it is in force; default: publish_wait_s",
+    )
+
+
+def _show(commands: Subparsers) -> None:
+    _command(commands, "show", "Show the document that is in force and its version.")
+
+
+def _status(commands: Subparsers) -> None:
+    _command(commands, "status", "Show each node with its version and its requests.")
+
+
+def _upstreams(commands: Subparsers) -> None:
+    _command(commands, "upstreams", "Show each upstream as the nodes see it.")
+
+
+def _timeline(commands: Subparsers) -> None:
+    text = "Merge the recent events of all nodes, oldest first."
+    parser = _command(commands, "timeline", text)
+    parser.add_argument("--request-id", metavar="ID", help="events of one request only")
+    parser.add_argument("--svg", metavar="FILE", help="also draw them into this file")
+
+
+def _explain(commands: Subparsers) -> None:
+    text = "Say which upstream a request would get now, and why."
+    parser = _command(commands, "explain", text)
+    for name in ("fleet", "service", "workspace"):
+        parser.add_argument(f"--{name}", metavar="NAME", required=True, help=name)
+
+
+def _settings(commands: Subparsers) -> None:
+    text = "Print the settings of this command line with their defaults."
+    parser = _command(commands, "settings", text)
+    parser.add_argument(
+        "--explain", action="store_true", help="print meanings and ranges instead"
+    )
+
+
+def _credential(commands: Subparsers) -> None:
+    parser = _command(commands, "credential", "Create a credential.")
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    text = "Print a new random credential and the hash that the inventory lists."
+    _command(actions, "new", text)
+
+
+_COMMANDS: tuple[Callable[[Subparsers], None], ...] = (
+    *(_validate, _diff, _publish, _rollback, _show, _status, _upstreams),
+    *(_timeline, _explain, _settings, _credential),
+)
+
+
+def _version(text: str) -> int:
+    value = int(text)
+    if value < 0:
+        raise argparse.ArgumentTypeError("a version is 0 or more")
+    return value
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value <= 3600:
+        raise argparse.ArgumentTypeError("allowed: 0 to 3600 seconds")
+    return value
--- a/packages/decisions/cicadapass_decisions/inventory.py
+++ b/packages/decisions/cicadapass_decisions/inventory.py
@@ -144,6 +144,10 @@
         return tuple(each for fleet in fleets for each in fleet.data_centres.values())
 
 
+# What is in force before the first publish.
+EMPTY_INVENTORY = Inventory({}, read_rules({}), {}, {})
+
+
 def parse_inventory(document: Any) -> Result[Inventory, tuple[Problem, ...]]:
     """Return the inventory, or every mistake of the document at once."""
     problems = inventory_problems(document)
--- a/packages/decisions/cicadapass_decisions/options.py
+++ b/packages/decisions/cicadapass_decisions/options.py
@@ -75,18 +75,18 @@
     return field.default
 
 
-def schema_of(spec: type[Any]) -> dict[str, Any]:
-    """Return the JSON Schema of a dataclass; unknown keys are mistakes."""
+def schema_of(spec: type[Any], *, strict: bool = True) -> dict[str, Any]:
+    """Return the JSON Schema of a dataclass; if strict, unknown keys are mistakes."""
     hints = typing.get_type_hints(spec)
     properties = {}
     required = []
     for field in dataclasses.fields(spec):
-        properties[field.name] = _field_schema(field, hints[field.name])
+        properties[field.name] = _field_schema(field, hints[field.name], strict)
         if default_of(field) is MISSING:
             required.append(field.name)
     schema: dict[str, Any] = {
         "type": "object",
-        "additionalProperties": False,
+        "additionalProperties": not strict,
         "properties": properties,
     }
     if required:
@@ -97,7 +97,8 @@
 def build(spec: type[T], document: dict[str, Any]) -> T:
     """Return the dataclass filled from a document that its schema accepts."""
     hints = typing.get_type_hints(spec)
-    return spec(**{key: _convert(hints[key], document[key]) for key in document})
+    known = [key for key in document if key in hints]
+    return spec(**{key: _convert(hints[key], document[key]) for key in known})
 
 
 def to_document(value: Any) -> Any:
@@ -112,9 +113,11 @@
     return str(value) if isinstance(value, StrEnum) else value
 
 
-def _field_schema(field: "dataclasses.Field[Any]", hint: Any) -> dict[str, Any]:
+def _field_schema(
+    field: "dataclasses.Field[Any]", hint: Any, strict: bool
+) -> dict[str, Any]:
     spec = option_of(field)
-    schema = _type_schema(hint)
+    schema = _type_schema(hint, strict)
     _narrow(schema, spec)
     if spec.meaning:
         schema["description"] = spec.meaning
@@ -142,16 +145,19 @@
         schema["pattern"] = spec.pattern
 
 
-def _type_schema(hint: Any) -> dict[str, Any]:
+def _type_schema(hint: Any, strict: bool) -> dict[str, Any]:
     inner = _without_none(hint)
     if inner is not None:
-        schema = _type_schema(inner)
+        schema = _type_schema(inner, strict)
         schema["type"] = [schema["type"], "null"]
         return schema
     if typing.get_origin(hint) is tuple:
-        return {"type": "array", "items": _type_schema(typing.get_args(hint)[0])}
+        item = typing.get_args(hint)[0]
+        return {"type": "array", "items": _type_schema(item, strict)}
+    if typing.get_origin(hint) is dict:
+        return {"type": "object"}
     if dataclasses.is_dataclass(hint):
-        return schema_of(typing.cast("type[Any]", hint))
+        return schema_of(typing.cast("type[Any]", hint), strict=strict)
     return _scalar_schema(hint)
 
 
@@ -185,6 +191,8 @@
     if typing.get_origin(hint) is tuple:
         item = typing.get_args(hint)[0]
         return tuple(_convert(item, each) for each in value)
+    if typing.get_origin(hint) is dict:
+        return dict(value)
     if dataclasses.is_dataclass(hint):
         return build(typing.cast("type[Any]", hint), value)
     return hint(value)
