--- a/packages/ctl/cicadapassctl/command_publish.py
+++ b/packages/ctl/cicadapassctl/command_publish.py
@@ -19,9 +19,9 @@
 from cicadapass_common.publish import (
     publish as append_and_judge,
 )
-from cicadapass_decisions.fold import FoldState
+from cicadapass_decisions.fold import FoldState, first_verdict
 from cicadapass_decisions.inventory import parse_inventory
-from cicadapass_decisions.logrecords import Publish, PublishOutcome
+from cicadapass_decisions.logrecords import Publish, PublishOutcome, PublishVerdict
 from cicadapass_decisions.options import to_document
 from cicadapassctl.command_documents import invalid
 from cicadapassctl.context import Context, Outcome
@@ -29,9 +29,9 @@
     Document,
     as_document,
     change_lines,
-    document_at,
     fold_state,
     newest_inventory,
+    publish_at,
     read_document,
     version_name,
 )
@@ -70,20 +70,24 @@
     state = _state(context)
     if state.is_error():
         return Error(state.error)
-    accepted = _was_accepted(state.ok, args.version)
-    if accepted is False:
-        problem = f"the publish at offset {args.version} was not accepted"
-        return Error(NotFoundError(problem, "name a version that was in force"))
-    note = () if accepted else ("note: the log does not tell if it was in force",)
-    found = document_at(context.log, args.version)
+    found = publish_at(context.log, args.version)
     if found.is_error():
         return Error(found.error)
-    document = as_document(found.ok)
+    verdict = first_verdict(state.ok, found.ok.publish_id)
+    if verdict is not None and not _accepted_as(verdict, args.version):
+        problem = f"the publish at offset {args.version} was not accepted"
+        return Error(NotFoundError(problem, "name a version that was in force"))
+    note = () if verdict else ("note: the log does not tell if it was in force",)
+    document = as_document(found.ok.document)
     if document.is_error():
         return Ok(invalid(f"version {args.version}", document.error))
     return _publish(context, args, document.ok, state.ok, note)
 
 
+def _accepted_as(verdict: PublishVerdict, version: int) -> bool:
+    return verdict.outcome is PublishOutcome.ACCEPTED and verdict.offset == version
+
+
 def _state(context: Context) -> Result[FoldState, CommandError]:
     """Return the state at the end of the log, read on from the newest node's."""
     start = newest_inventory(context).map(fold_state).default_value(FoldState())
@@ -96,16 +100,6 @@
     return Ok(found.ok)
 
 
-def _was_accepted(state: FoldState, version: int) -> bool | None:
-    """Say whether a publish was accepted; None when it is too old to tell."""
-    if version == state.version:
-        return True
-    for verdict in state.verdicts.values():
-        if verdict.offset == version:
-            return verdict.outcome is PublishOutcome.ACCEPTED
-    return None
-
-
 def _publish(
     context: Context,
     args: argparse.Namespace,
@@ -117,7 +111,8 @@
     base = state.version if args.base is None else args.base
     base_document = state.document
     if base != state.version:
-        base_document = document_at(context.log, base).default_value({})
+        earlier = publish_at(context.log, base).map(lambda each: each.document)
+        base_document = earlier.default_value({})
     publish_id = args.publish_id or uuid.uuid4().hex
     order = _Order(document, publish_id, base, base_document, limit_s)
     changes = change_lines(base_document, document.raw)
--- a/packages/ctl/cicadapassctl/documents.py
+++ b/packages/ctl/cicadapassctl/documents.py
@@ -91,15 +91,15 @@
     )
 
 
-def document_at(log: Log, version: int) -> Result[dict[str, Any], CommandError]:
-    """Return the document that was published at an offset of the log."""
+def publish_at(log: Log, version: int) -> Result[Publish, CommandError]:
+    """Return what was published at an offset of the log, accepted or not."""
     answer = log.read(max(version, 0), 1, 0.0)
     if answer.is_error():
         return Error(LogReadError(answer.error.problem, answer.error.remedy))
     for raw in answer.ok.records:
         body = decode_log_record(raw.offset, raw.time_s, raw.data).body
         if raw.offset == version and isinstance(body, Publish):
-            return Ok(dict(body.document))
+            return Ok(body)
     problem = f"the log holds no publish at offset {version}"
     return Error(NotFoundError(problem, "publish the document from a file instead"))
 
--- a/packages/ctl/cicadapassctl/exitcodes.py
+++ b/packages/ctl/cicadapassctl/exitcodes.py
@@ -7,6 +7,7 @@
     """Say how a command ended."""
 
     DONE = 0
+    FAULT = 1
     USAGE = 2
     INVALID = 3
     CONFLICT = 4
@@ -18,6 +19,7 @@
 
 MEANINGS: dict[ExitCode, str] = {
     ExitCode.DONE: "The command did what it was asked to do.",
+    ExitCode.FAULT: "A fault of cicadapassctl itself; report what it printed.",
     ExitCode.USAGE: "The arguments or the settings have mistakes.",
     ExitCode.INVALID: "The document cannot be read or has mistakes; nothing changed.",
     ExitCode.CONFLICT: "Another publish won; nothing of this one is in force.",
--- a/packages/ctl/cicadapassctl/pages.py
+++ b/packages/ctl/cicadapassctl/pages.py
@@ -11,7 +11,11 @@
 
 from cicadapass_common.event_catalogue import EVENTS, GROUPS
 from cicadapass_common.reference import reference_rows, to_markdown
+from cicadapass_decisions.options import schema_of
 from cicadapass_decisions.schema import INVENTORY_SCHEMA
+from cicadapassctl.config import Settings
+from cicadapassctl.exitcodes import MEANINGS
+from cicadapassctl.parser import help_texts
 
 _EVENTS_HEAD = """# Events
 
@@ -45,9 +49,37 @@
 """
 
 
+_CTL_HEAD = """# cicadapassctl
+
+`cicadapassctl` is the operators' command line. It publishes through the platform's log
+and asks the nodes through their operator addresses.
+
+To begin, write a settings file: `cicadapassctl settings` prints one in which only the
+values marked `REQUIRED` have to be filled in. The file is the one that `--settings`
+names, else the one that the variable `CICADAPASSCTL_SETTINGS` names, else
+`cicadapassctl.json` in the working directory.
+
+What to do after a `publish`:
+
+- Exit code 0: the document is in force in every data centre.
+- Exit code 4: somebody else published first. Look at the change that is printed, take
+  it over into your document and publish that.
+- Exit code 5: run the same command again with the `--publish-id` that is printed.
+  The document is not applied twice.
+- Exit code 6: the document is accepted and stays so. The data centres named do not have
+  it yet or could not be asked; `cicadapassctl status` shows when they do.
+
+`cicadapassctl rollback VERSION` publishes the document of an older version under a new
+version, as versions never decrease. It works for as long as the log keeps that version.
+
+The parts below are made from the code by `make docs`.
+"""
+
+
 def pages() -> dict[str, str]:
     """Return the text of each generated page by its name."""
     makers: dict[str, Callable[[], str]] = {
+        "cicadapassctl.md": _ctl_page,
         "events.md": _events_page,
         "inventory.md": _inventory_page,
         "inventory.schema.json": _schema_page,
@@ -63,6 +95,20 @@
     return 0
 
 
+def _ctl_page() -> str:
+    codes = [f"| {int(code)} | {text} |" for code, text in MEANINGS.items()]
+    parts = [
+        _CTL_HEAD,
+        "## Settings\n",
+        to_markdown(reference_rows(schema_of(Settings))),
+    ]
+    parts += ["\n## Exit codes\n", "| code | meaning |", "| --- | --- |", *codes]
+    parts.append("\n## Commands")
+    for name, text in help_texts().items():
+        parts.append(f"\n### {name}\n\n```\n{text.rstrip()}\n```")
+    return "\n".join(parts) + "\n"
+
+
 def _schema_page() -> str:
     return json.dumps(INVENTORY_SCHEMA, indent=2) + "\n"
 
--- a/packages/ctl/cicadapassctl/parser.py
+++ b/packages/ctl/cicadapassctl/parser.py
@@ -1,13 +1,23 @@
 """The arguments of the command line."""
 
 import argparse
+import textwrap
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from cicadapassctl.env import DEFAULT_SETTINGS_FILE, SETTINGS_VARIABLE
 from cicadapassctl.exitcodes import MEANINGS
 
-Subparsers = Any
+
+@dataclass(frozen=True, slots=True)
+class _Commands:
+    """Collect the parsers of the commands by their full name."""
+
+    subparsers: Any
+    parsers: dict[str, argparse.ArgumentParser]
+
+
 _DESCRIPTION = """\
 Control a cicadapass system: check and publish its inventory, see what the nodes do.
 
@@ -20,19 +30,38 @@
 """
 
 
+# The help has the same form on every terminal and on the page made from it.
+_HELP_COLUMNS = 88
+
+
+class _HelpFormatter(argparse.RawDescriptionHelpFormatter):
+    def __init__(self, prog: str) -> None:
+        super().__init__(prog, width=_HELP_COLUMNS)
+
+
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of all commands."""
+    return _make_parsers()["cicadapassctl"]
+
+
+def help_texts() -> dict[str, str]:
+    """Return the help of the command line and of each command by its name."""
+    return {name: each.format_help() for name, each in _make_parsers().items()}
+
+
+def _make_parsers() -> dict[str, argparse.ArgumentParser]:
     parser = argparse.ArgumentParser(
         prog="cicadapassctl",
         description=_DESCRIPTION,
         epilog=_exit_codes(),
-        formatter_class=argparse.RawDescriptionHelpFormatter,
+        formatter_class=_HelpFormatter,
     )
     _general_options(parser, None, False)
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    parsers = {parser.prog: parser}
     for add in _COMMANDS:
-        add(commands)
-    return parser
+        add(_Commands(commands, parsers))
+    return parsers
 
 
 def _general_options(
@@ -57,34 +86,45 @@
 
 
 def _exit_codes() -> str:
-    lines = [f"  {int(code)}  {text}" for code, text in MEANINGS.items()]
+    lines = [
+        textwrap.fill(
+            f"  {int(code)}  {text}", _HELP_COLUMNS, subsequent_indent=" " * 5
+        )
+        for code, text in MEANINGS.items()
+    ]
     return "exit codes:\n" + "\n".join(lines)
 
 
-def _command(commands: Subparsers, name: str, text: str) -> argparse.ArgumentParser:
+def _command(commands: _Commands, name: str, text: str) -> argparse.ArgumentParser:
     # The first sentence alone appears in the list of commands.
     short = text.split(". ")[0].rstrip(".")
-    parser = commands.add_parser(name, help=short, description=text)
+    parser = commands.subparsers.add_parser(
+        name,
+        help=short,
+        description=textwrap.fill(text, _HELP_COLUMNS),
+        formatter_class=_HelpFormatter,
+    )
     assert isinstance(parser, argparse.ArgumentParser)
     # Without the suppressed defaults, a command would reset options before its name.
     _general_options(parser, argparse.SUPPRESS, argparse.SUPPRESS)
+    commands.parsers[parser.prog] = parser
     return parser
 
 
-def _validate(commands: Subparsers) -> None:
+def _validate(commands: _Commands) -> None:
     text = "Check a document and list every mistake with its remedy. Nothing is sent."
     parser = _command(commands, "validate", text)
     parser.add_argument("file", metavar="FILE", help="inventory document")
 
 
-def _diff(commands: Subparsers) -> None:
+def _diff(commands: _Commands) -> None:
     text = "Compare two documents. With one file, compare what is in force with it."
     parser = _command(commands, "diff", text)
     parser.add_argument("old", metavar="OLD", help="older document, or the only file")
     parser.add_argument("new", metavar="NEW", nargs="?", help="newer document")
 
 
-def _publish(commands: Subparsers) -> None:
+def _publish(commands: _Commands) -> None:
     text = (
         "Publish a document and wait until it is in force. Names the data centres in "
         "which it is not in force when the time limit is over."
@@ -94,7 +134,7 @@
     _publish_options(parser)
 
 
-def _rollback(commands: Subparsers) -> None:
+def _rollback(commands: _Commands) -> None:
     text = "Publish the document of an older version anew. It gets a new version."
     parser = _command(commands, "rollback", text)
     parser.add_argument(
@@ -124,33 +164,33 @@
     )
 
 
-def _show(commands: Subparsers) -> None:
+def _show(commands: _Commands) -> None:
     _command(commands, "show", "Show the document that is in force and its version.")
 
 
-def _status(commands: Subparsers) -> None:
+def _status(commands: _Commands) -> None:
     _command(commands, "status", "Show each node with its version and its requests.")
 
 
-def _upstreams(commands: Subparsers) -> None:
+def _upstreams(commands: _Commands) -> None:
     _command(commands, "upstreams", "Show each upstream as the nodes see it.")
 
 
-def _timeline(commands: Subparsers) -> None:
+def _timeline(commands: _Commands) -> None:
     text = "Merge the recent events of all nodes, oldest first."
     parser = _command(commands, "timeline", text)
     parser.add_argument("--request-id", metavar="ID", help="events of one request only")
     parser.add_argument("--svg", metavar="FILE", help="also draw them into this file")
 
 
-def _explain(commands: Subparsers) -> None:
+def _explain(commands: _Commands) -> None:
     text = "Say which upstream a request would get now, and why."
     parser = _command(commands, "explain", text)
     for name in ("fleet", "service", "workspace"):
         parser.add_argument(f"--{name}", metavar="NAME", required=True, help=name)
 
 
-def _settings(commands: Subparsers) -> None:
+def _settings(commands: _Commands) -> None:
     text = "Print the settings of this command line with their defaults."
     parser = _command(commands, "settings", text)
     parser.add_argument(
@@ -158,14 +198,14 @@
     )
 
 
-def _credential(commands: Subparsers) -> None:
+def _credential(commands: _Commands) -> None:
     parser = _command(commands, "credential", "Create a credential.")
     actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
     text = "Print a new random credential and the hash that the inventory lists."
-    _command(actions, "new", text)
+    _command(_Commands(actions, commands.parsers), "new", text)
 
 
-_COMMANDS: tuple[Callable[[Subparsers], None], ...] = (
+_COMMANDS: tuple[Callable[[_Commands], None], ...] = (
     *(_validate, _diff, _publish, _rollback, _show, _status, _upstreams),
     *(_timeline, _explain, _settings, _credential),
 )
--- a/packages/decisions/cicadapass_decisions/options.py
+++ b/packages/decisions/cicadapass_decisions/options.py
@@ -123,10 +123,6 @@
         schema["description"] = spec.meaning
     if spec.unit:
         schema["x-unit"] = spec.unit
-    if spec.allowed:
-        schema["x-allowed"] = spec.allowed
-    if spec.remedy:
-        schema["x-remedy"] = spec.remedy
     default = default_of(field)
     if default is not MISSING:
         schema["default"] = to_document(default)
@@ -143,6 +139,10 @@
         schema["maximum"] = spec.high
     if spec.pattern is not None:
         schema["pattern"] = spec.pattern
+    if spec.allowed:
+        schema["x-allowed"] = spec.allowed
+    if spec.remedy:
+        schema["x-remedy"] = spec.remedy
 
 
 def _type_schema(hint: Any, strict: bool) -> dict[str, Any]:
--- a/packages/decisions/cicadapass_decisions/problems.py
+++ b/packages/decisions/cicadapass_decisions/problems.py
@@ -116,6 +116,8 @@
         return show(schema["const"])
     if "enum" in schema:
         return "one of " + ", ".join(show(value) for value in schema["enum"])
+    if "items" in schema and "x-allowed" in schema["items"]:
+        return "a list, each " + describe(schema["items"])
     kinds = schema.get("type", "any value")
     names = [kinds] if isinstance(kinds, str) else kinds
     text = " or ".join(_TYPE_NAMES.get(name, name) for name in names)
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -7,7 +7,8 @@
 
 import testtools
 
-from cicadapass_decisions.logrecords import NO_VERSION
+from cicadapass_common.records import encode_record
+from cicadapass_decisions.logrecords import NO_VERSION, Publish
 from cicadapassctl.cmdline import run
 from cicadapassctl.exitcodes import ExitCode
 from cicadapassctl.parser import make_parser
@@ -131,27 +132,17 @@
 
     def test_only_to_versions_that_were_in_force(self):
         """A publish that lost a race must not come into force by a rollback."""
-        self.publish(inventory_document())
-        self.world.log.payloads.append(
-            self.world.log.payloads[0].replace(b"ann", b"bob")
-        )
-        payload = self.world.log.payloads[0]
-        self.world.log.payloads.append(_with_other_id(payload))
-        for version in ("2", "9"):
+        self.publish(inventory_document(), "--publish-id", "p1")
+        self.publish(changed(SLOTS, 3))
+        # A copy of the first publish, a loser of a race, and an offset never used.
+        payloads = self.world.log.payloads
+        loser = Publish("p2", NO_VERSION, "bob", inventory_document())
+        payloads += [payloads[0], encode_record(loser).ok]
+        for version in ("2", "3", "9"):
             outcome = self.run_command("rollback", version)
             self.assertIs(ExitCode.NOT_FOUND, outcome.exit_code, outcome.lines)
 
 
-def _with_other_id(payload):
-    """Return the record of a publish under an id that has not been judged."""
-    from cicadapass_common.records import decode_log_record, encode_record
-    from cicadapass_decisions.logrecords import Publish
-
-    body = decode_log_record(0, 0.0, payload).body
-    other = Publish("other", body.base_offset, body.author, body.document)
-    return encode_record(other).ok
-
-
 class ReadingTest(CommandCase):
     def test_diff_and_show(self):
         """The difference must be taken against what is in force."""
--- a/tests/ctl/test_nodes.py
+++ b/tests/ctl/test_nodes.py
@@ -24,7 +24,7 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def log_message(self, format, *args):  # noqa: A002
+    def log_message(self, *args):
         pass
 
 
