--- /dev/null
+++ b/packages/node/cicadapass/answers.py
@@ -0,0 +1,169 @@
+"""The answer of one model request: tokens, bytes and what may be delivered."""
+
+import threading
+from array import array
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from cicadapass.problems import Problem
+from cicadapass.render import AnswerHead, renderer_for
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """Hold bytes of an answer from one offset, and whether these are the last."""
+
+    data: bytes
+    ended: bool
+
+
+class Answer:
+    """Collect the tokens of an answer from one writer for many readers.
+
+    Readers get only tokens that are committed, which means that the holder of the
+    copy has them: a token that a caller has seen is never computed anew.
+    """
+
+    def __init__(self, head: AnswerHead, texts: Sequence[str] = ()) -> None:
+        self._head = head
+        self._renderer = renderer_for(head)
+        self._texts: list[str] = []
+        self._data = bytearray()
+        self._ends = array("Q")
+        self._committed_tokens = 0
+        self._finished = False
+        self._ended = False
+        self._abandoned = False
+        self._problem: Problem | None = None
+        self._changed = threading.Condition()
+        self._waiting_readers = 0
+        self.add_tokens(0, texts)
+        self.commit(len(texts))
+
+    @property
+    def head(self) -> AnswerHead:
+        """Return what the bytes depend on besides the tokens."""
+        return self._head
+
+    @property
+    def token_count(self) -> int:
+        """Return the number of tokens, committed or not."""
+        return len(self._texts)
+
+    @property
+    def texts(self) -> tuple[str, ...]:
+        """Return the texts of all tokens."""
+        return tuple(self._texts)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the number of rendered bytes."""
+        return len(self._data)
+
+    @property
+    def ended(self) -> bool:
+        """Return whether no bytes will follow."""
+        return self._ended
+
+    @property
+    def problem(self) -> Problem | None:
+        """Return why the answer is incomplete, if it failed."""
+        return self._problem
+
+    def add_tokens(self, first_index: int, texts: Sequence[str]) -> int:
+        """Add the tokens that are new and return how many were.
+
+        Tokens that the answer has are dropped, so that late and repeated pieces
+        change nothing; a gap raises ValueError.
+        """
+        known = len(self._texts) - first_index
+        if known < 0:
+            raise ValueError(f"token {first_index} does not follow {len(self._texts)}")
+        if self._finished:
+            return 0
+        fresh = texts[known:]
+        for text in fresh:
+            self._texts.append(text)
+            self._data += self._renderer.token(text)
+            self._ends.append(len(self._data))
+        return len(fresh)
+
+    def commit(self, token_count: int) -> None:
+        """Let readers have the tokens before this index."""
+        with self._changed:
+            if token_count <= self._committed_tokens:
+                return
+            self._committed_tokens = min(token_count, len(self._texts))
+            self._notify()
+
+    def finish(self) -> None:
+        """Mark the tokens as complete; readers see the end once all are committed."""
+        with self._changed:
+            if not self._finished:
+                self._finished = True
+                self._data += self._renderer.end(self._texts)
+
+    def end(self) -> None:
+        """Let readers have all bytes of the finished answer."""
+        with self._changed:
+            self._committed_tokens = len(self._texts)
+            self._ended = True
+            self._notify()
+
+    def fail(self, problem: Problem) -> None:
+        """End the answer as visibly incomplete."""
+        with self._changed:
+            if self._ended:
+                return
+            self._problem = problem
+            self._committed_tokens = len(self._texts)
+            self._data += self._renderer.failure(problem.members())
+            self._finished = True
+            self._ended = True
+            self._notify()
+
+    def abandon(self) -> None:
+        """Wake the readers because another node continues the answer."""
+        with self._changed:
+            self._abandoned = True
+            self._notify()
+
+    @property
+    def abandoned(self) -> bool:
+        """Return whether another node continues the answer."""
+        return self._abandoned
+
+    def read(self, from_byte: int, wait_s: float) -> AnswerPart:
+        """Return the bytes from the offset, after waiting for some if needed."""
+        with self._changed:
+            self._wait_for_news(from_byte, wait_s)
+            limit = self._readable_bytes()
+            data = bytes(self._data[from_byte:limit])
+            return AnswerPart(data, self._ended)
+
+    def wait_for_start(self, wait_s: float) -> bool:
+        """Return whether there is a byte to read or the answer has ended."""
+        with self._changed:
+            self._wait_for_news(0, wait_s)
+            return self._has_news(0)
+
+    def _wait_for_news(self, from_byte: int, wait_s: float) -> None:
+        if self._has_news(from_byte):
+            return
+        self._waiting_readers += 1
+        self._changed.wait_for(lambda: self._has_news(from_byte), wait_s)
+        self._waiting_readers -= 1
+
+    def _has_news(self, from_byte: int) -> bool:
+        return self._ended or self._abandoned or self._readable_bytes() > from_byte
+
+    def _readable_bytes(self) -> int:
+        if self._ended:
+            return len(self._data)
+        if not self._committed_tokens:
+            return 0
+        return self._ends[self._committed_tokens - 1]
+
+    def _notify(self) -> None:
+        if self._waiting_readers:
+            self._changed.notify_all()
--- /dev/null
+++ b/packages/node/cicadapass/config.py
@@ -0,0 +1,139 @@
+"""The settings of a node."""
+
+from dataclasses import dataclass
+
+from cicadapass_decisions.options import option
+
+PORT_MAX = 65_535
+
+
+@dataclass(frozen=True, slots=True)
+class AddressSettings:
+    """Name one address that the node listens on."""
+
+    host: str = option("127.0.0.1", "The IP address to listen on.")
+    port: int = option(0, "The port; 0 takes a free one.", minimum=0, maximum=PORT_MAX)
+    certificate: str | None = option(None, "Path of the TLS certificate chain.")
+    private_key: str | None = option(None, "Path of the TLS private key.")
+
+
+@dataclass(frozen=True, slots=True)
+class SeedSettings:
+    """Name one node that is asked for members at the start."""
+
+    host: str = option(meaning="The IP address of the node.")
+    peer_port: int = option(
+        meaning="The node's port for peers.", minimum=1, maximum=PORT_MAX
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class HttpSettings:
+    """Bound what callers can make the node spend."""
+
+    min_threads: int = option(
+        24, "Threads that always wait for callers.", minimum=2, maximum=1024
+    )
+    max_threads: int = option(
+        1024, "The most threads that serve callers.", minimum=2, maximum=8192
+    )
+    idle_reserve: int = option(
+        8, "Idle threads kept beside long streams.", minimum=1, maximum=256
+    )
+    max_header_bytes: int = option(
+        16_384, "Largest request head.", unit="bytes", minimum=1024, maximum=2**20
+    )
+    max_body_bytes: int = option(
+        8 * 2**20, "Largest request body.", unit="bytes", minimum=1024, maximum=2**30
+    )
+    receive_timeout_s: float = option(
+        10.0,
+        "How long a request may take to arrive.",
+        unit="s",
+        minimum=0.1,
+        maximum=600,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class StatsdSettings:
+    """Say where metrics go; without a host none are sent."""
+
+    host: str | None = option(None, "The IP address of the statsd server.")
+    port: int = option(8125, "Its UDP port.", minimum=1, maximum=PORT_MAX)
+    prefix: str = option("cicadapass", "The first part of each metric's name.")
+
+
+@dataclass(frozen=True, slots=True)
+class DrainSettings:
+    """Bound a planned stop."""
+
+    grace_s: float = option(
+        600.0,
+        "How long a planned stop waits for requests in progress.",
+        unit="s",
+        minimum=0,
+        maximum=86_400,
+    )
+    announce_s: float = option(
+        0.5,
+        "How long the node still accepts after readiness went false.",
+        unit="s",
+        minimum=0,
+        maximum=60,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Hold the settings of a node."""
+
+    name: str = option(meaning="The VM's name.", pattern="^[A-Za-z0-9-]+$")
+    fleet: str = option(meaning="The fleet that the node belongs to.")
+    data_centre: str = option(meaning="The data centre that the VM stands in.")
+    log_url: str = option(meaning="The base URL of the log service.")
+    shared_secret: str = option(
+        meaning="The secret that all nodes share, of at least 16 characters.",
+        pattern="^.{16,}$",
+    )
+    operator_sha256: str = option(
+        meaning="The SHA-256 of the operators' credential, in hexadecimal.",
+        pattern="^[0-9a-f]{64}$",
+    )
+    vm_list_url: str | None = option(None, "The base URL of the VM list.")
+    notices_url: str | None = option(None, "The base URL of the cloud's notices.")
+    callers: AddressSettings = option(AddressSettings(), "The callers' address.")
+    operators: AddressSettings = option(AddressSettings(), "The operators' address.")
+    peers: AddressSettings = option(AddressSettings(), "The address for other nodes.")
+    seeds: tuple[SeedSettings, ...] = option((), "Nodes to ask for members.")
+    http: HttpSettings = option(HttpSettings(), "Limits towards callers.")
+    statsd: StatsdSettings = option(StatsdSettings(), "Where metrics go.")
+    drain: DrainSettings = option(DrainSettings(), "Bounds of a planned stop.")
+    log_retention_s: float = option(
+        86_400.0,
+        "How long the log keeps records.",
+        unit="s",
+        minimum=1,
+        maximum=10**8,
+    )
+    answers_keep_s: float = option(
+        120.0,
+        "How long a finished answer is kept for a caller who returns.",
+        unit="s",
+        minimum=1,
+        maximum=86_400,
+    )
+    answers_max_bytes: int = option(
+        64 * 2**20,
+        "The most bytes of finished answers that are kept.",
+        unit="bytes",
+        minimum=2**16,
+        maximum=2**34,
+    )
+    upstream_read_timeout_s: float = option(
+        30.0,
+        "The longest silence of an upstream.",
+        unit="s",
+        minimum=0.1,
+        maximum=3600,
+    )
--- /dev/null
+++ b/packages/node/cicadapass/ownership.py
@@ -0,0 +1,147 @@
+"""The requests that this node owns, with their answers."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+
+from cicadapass.answers import Answer
+from cicadapass.requests import AcceptedRequest
+from cicadapass.supervisor import Part, Supervisor
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedRequest:
+    """Join a request with its answer and the means to stop its execution."""
+
+    request: AcceptedRequest
+    answer: Answer
+    stop: Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AddRequest:
+    """Ask to own a request; the answer is False if one with a later epoch is owned."""
+
+    owned: OwnedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class FindRequest:
+    """Ask for an owned request by id."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded:
+    """Tell that the answer of a request has ended."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class DropRequest:
+    """Tell that another node owns the request now, with the epoch given."""
+
+    request_id: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListUnfinished:
+    """Ask for the owned requests whose answers have not ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExpireAnswers:
+    """Tell to forget answers that were kept long enough."""
+
+
+class Ownership(Part):
+    """Own the table of requests that this node answers."""
+
+    def __init__(
+        self,
+        supervisor: pykka.ActorRef[Supervisor],
+        keep_s: float,
+        max_kept_bytes: int,
+        on_count: Callable[[int], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__(supervisor, "ownership")
+        self._keep_s = keep_s
+        self._max_kept_bytes = max_kept_bytes
+        self._on_count = on_count
+        self._clock = clock
+        self._owned: dict[str, OwnedRequest] = {}
+        # Ended requests in the order of their end, with the time and their size.
+        self._ended: dict[str, tuple[float, int]] = {}
+        self._kept_bytes = 0
+
+    def on_receive(self, message: object) -> Any:
+        """Change the table or answer from it."""
+        match message:
+            case AddRequest(owned):
+                return self._add(owned)
+            case FindRequest(request_id):
+                return self._owned.get(request_id)
+            case RequestEnded(request_id):
+                self._end(request_id)
+            case DropRequest(request_id, epoch):
+                self._drop(request_id, epoch)
+            case ListUnfinished():
+                return self._unfinished()
+            case ExpireAnswers():
+                self._expire()
+        return None
+
+    def _add(self, owned: OwnedRequest) -> bool:
+        request = owned.request
+        current = self._owned.get(request.request_id)
+        if current is not None and current.request.epoch >= request.epoch:
+            return False
+        if current is not None:
+            current.stop()
+        self._owned[request.request_id] = owned
+        self._report()
+        return True
+
+    def _end(self, request_id: str) -> None:
+        owned = self._owned.get(request_id)
+        if owned is None or request_id in self._ended:
+            return
+        size_bytes = owned.answer.size_bytes
+        self._ended[request_id] = (self._clock(), size_bytes)
+        self._kept_bytes += size_bytes
+        self._report()
+
+    def _drop(self, request_id: str, epoch: int) -> None:
+        owned = self._owned.get(request_id)
+        if owned is None or owned.request.epoch >= epoch:
+            return
+        self._forget(request_id)
+        owned.stop()
+        owned.answer.abandon()
+        self._report()
+
+    def _unfinished(self) -> tuple[OwnedRequest, ...]:
+        return tuple(o for i, o in self._owned.items() if i not in self._ended)
+
+    def _expire(self) -> None:
+        limit_s = self._clock() - self._keep_s
+        while self._ended:
+            request_id, (ended_s, _) = next(iter(self._ended.items()))
+            if ended_s > limit_s and self._kept_bytes <= self._max_kept_bytes:
+                return
+            self._forget(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        self._owned.pop(request_id, None)
+        _, size_bytes = self._ended.pop(request_id, (0.0, 0))
+        self._kept_bytes -= size_bytes
+
+    def _report(self) -> None:
+        self._on_count(len(self._owned) - len(self._ended))
--- /dev/null
+++ b/packages/node/cicadapass/problems.py
@@ -0,0 +1,121 @@
+"""Problem details (RFC 9457) for callers, with the verdict on the request."""
+
+import json
+import math
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from cicadapass_decisions.types import Verdict
+
+VERDICT_HEADER = "Cicadapass-Verdict"
+PROBLEM_TYPE_BASE = "https://cicadapass.invalid/problems/"
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Describe why a request got no whole answer and what the caller can do."""
+
+    name: str
+    status: HTTPStatus
+    detail: str
+    remedy: str
+    verdict: Verdict
+    retry_after_s: float | None = None
+
+    def to_json(self) -> bytes:
+        """Return the body as `application/problem+json`."""
+        return json.dumps(self.members()).encode()
+
+    def members(self) -> dict[str, object]:
+        """Return the members of the problem document."""
+        return {
+            "type": PROBLEM_TYPE_BASE + self.name,
+            "title": self.name.replace("-", " "),
+            "status": int(self.status),
+            "detail": self.detail,
+            "remedy": self.remedy,
+            "verdict": str(self.verdict),
+        }
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the response headers that belong to the body."""
+        headers = [
+            ("Content-Type", "application/problem+json"),
+            (VERDICT_HEADER, str(self.verdict)),
+        ]
+        if self.retry_after_s is not None:
+            # The header has whole seconds; rounding down would invite early retries.
+            headers.append(("Retry-After", str(math.ceil(self.retry_after_s))))
+        return headers
+
+
+def _not_run(name: str, status: HTTPStatus, detail: str, remedy: str) -> Problem:
+    return Problem(name, status, detail, remedy, Verdict.NOT_RUN)
+
+
+def unauthorized() -> Problem:
+    """Refuse a request without a valid credential."""
+    return _not_run(
+        "unauthorized",
+        HTTPStatus.UNAUTHORIZED,
+        "the bearer credential is missing or unknown",
+        "send the Authorization header with a credential of the workspace",
+    )
+
+
+def malformed(detail: str, remedy: str) -> Problem:
+    """Refuse a request that cannot be understood."""
+    return _not_run("malformed", HTTPStatus.BAD_REQUEST, detail, remedy)
+
+
+def too_large(limit_bytes: int) -> Problem:
+    """Refuse a body over the limit."""
+    return _not_run(
+        "body-too-large",
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        f"the body is larger than {limit_bytes} bytes",
+        "send a smaller body",
+    )
+
+
+def slow_body() -> Problem:
+    """Refuse a body that did not arrive in time."""
+    return _not_run(
+        "request-timeout",
+        HTTPStatus.REQUEST_TIMEOUT,
+        "the body did not arrive within the time limit",
+        "send the request again over a faster connection",
+    )
+
+
+def not_found(what: str) -> Problem:
+    """Refuse a request for something that the caller cannot see."""
+    return _not_run(
+        "not-found",
+        HTTPStatus.NOT_FOUND,
+        f"{what} does not exist for this credential",
+        "check the name against the inventory and the credential's workspace",
+    )
+
+
+def not_ready(detail: str) -> Problem:
+    """Refuse a request that this node cannot take now."""
+    return Problem(
+        "not-ready",
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        detail,
+        "send the request again; the balancer chooses a ready node",
+        Verdict.NOT_RUN,
+        retry_after_s=1.0,
+    )
+
+
+def internal() -> Problem:
+    """Report a fault of the node itself, whose effect is not known."""
+    return Problem(
+        "internal-error",
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        "the node failed while it handled the request",
+        "read the event log; repeat the call only if it is idempotent",
+        Verdict.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/node/cicadapass/render.py
@@ -0,0 +1,101 @@
+"""Render the tokens of a model answer as bytes.
+
+The bytes depend only on the request id, the creation time, the model and the
+tokens, so that any node renders the same answer and can continue it.
+"""
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class AnswerFormat(StrEnum):
+    """Say how the caller wants the answer."""
+
+    EVENT_STREAM = "event-stream"
+    JSON = "json"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Hold what the bytes of an answer depend on besides its tokens."""
+
+    request_id: str
+    created_s: int
+    model: str
+    format: AnswerFormat
+
+
+@dataclass(frozen=True, slots=True)
+class Renderer:
+    """Render the parts of one answer."""
+
+    token: Callable[[str], bytes]
+    end: Callable[[Sequence[str]], bytes]
+    failure: Callable[[dict[str, object]], bytes]
+
+
+def renderer_for(head: AnswerHead) -> Renderer:
+    """Return the renderer of the format that the caller asked for."""
+    if head.format is AnswerFormat.EVENT_STREAM:
+        return _event_stream(head)
+    return _json(head)
+
+
+def _event_stream(head: AnswerHead) -> Renderer:
+    marker = "\x00"
+    chunk = _event(_chunk(head, {"content": marker}, None))
+    # The fixed parts are rendered once, since each token of a stream repeats them.
+    before, after = chunk.decode().split(json.dumps(marker))
+    before_bytes = before.encode()
+    after_bytes = after.encode()
+
+    def token(text: str) -> bytes:
+        return before_bytes + json.dumps(text).encode() + after_bytes
+
+    def end(texts: Sequence[str]) -> bytes:
+        return _event(_chunk(head, {}, "stop")) + b"data: [DONE]\n\n"
+
+    def failure(problem: dict[str, object]) -> bytes:
+        return _event({"error": problem})
+
+    return Renderer(token, end, failure)
+
+
+def _json(head: AnswerHead) -> Renderer:
+    def token(text: str) -> bytes:
+        return b""
+
+    def end(texts: Sequence[str]) -> bytes:
+        message = {"role": "assistant", "content": "".join(texts)}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        usage = {"completion_tokens": len(texts)}
+        document = _envelope(head, "chat.completion", choice) | {"usage": usage}
+        return json.dumps(document).encode()
+
+    def failure(problem: dict[str, object]) -> bytes:
+        return json.dumps({"error": problem}).encode()
+
+    return Renderer(token, end, failure)
+
+
+def _chunk(
+    head: AnswerHead, delta: dict[str, str], finish_reason: str | None
+) -> dict[str, object]:
+    choice = {"index": 0, "delta": delta, "finish_reason": finish_reason}
+    return _envelope(head, "chat.completion.chunk", choice)
+
+
+def _envelope(head: AnswerHead, kind: str, choice: object) -> dict[str, object]:
+    return {
+        "id": head.request_id,
+        "object": kind,
+        "created": head.created_s,
+        "model": head.model,
+        "choices": [choice],
+    }
+
+
+def _event(document: object) -> bytes:
+    return b"data: " + json.dumps(document, separators=(",", ":")).encode() + b"\n\n"
--- /dev/null
+++ b/packages/node/cicadapass/requests.py
@@ -0,0 +1,163 @@
+"""Requests for models: parsing, identity and the form in which copies carry them."""
+
+import hashlib
+import json
+import secrets
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from cicadapass.problems import Problem, malformed
+from cicadapass.render import AnswerFormat, AnswerHead
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 65_536
+REQUEST_ID_RANDOM_BYTES = 12
+BINDING_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class ChatRequest:
+    """Hold what a caller asks of a model."""
+
+    model: str
+    prompt: str
+    max_tokens: int
+    seed: int
+    format: AnswerFormat
+
+
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Identify who sent a request, by the credential that was used."""
+
+    fleet: str
+    workspace: str
+    credential_sha256: str
+
+    @property
+    def binding(self) -> str:
+        """Return the value that ties a request to its caller."""
+        text = f"{self.fleet}\n{self.workspace}\n{self.credential_sha256}"
+        return hashlib.blake2b(text.encode(), digest_size=BINDING_BYTES).hexdigest()
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedRequest:
+    """Hold an accepted request: all that another node needs to answer it."""
+
+    request_id: str
+    epoch: int
+    binding: str
+    fleet: str
+    workspace: str
+    service: str
+    engine_model: str
+    priority: int
+    created_s: int
+    # Wall time, since a copy may be used on another VM; None means no deadline.
+    deadline_at_s: float | None
+    chat: ChatRequest
+
+    @property
+    def head(self) -> AnswerHead:
+        """Return what the bytes of the answer depend on besides its tokens."""
+        return AnswerHead(
+            self.request_id, self.created_s, self.chat.model, self.chat.format
+        )
+
+    def to_document(self) -> bytes:
+        """Return the request in the form that a copy carries."""
+        return json.dumps(asdict(self), separators=(",", ":")).encode()
+
+
+def from_document(document: bytes, epoch: int) -> AcceptedRequest:
+    """Return the request of a copy under a new epoch; raise ValueError if bad."""
+    try:
+        fields = json.loads(document)
+        chat = fields.pop("chat")
+        chat["format"] = AnswerFormat(chat["format"])
+        fields["epoch"] = epoch
+        return AcceptedRequest(**fields, chat=ChatRequest(**chat))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"copy of a request is malformed: {error!r}") from error
+
+
+def new_request_id(owner: str, holder: str) -> str:
+    """Return an id that names the nodes to ask for the answer."""
+    # The random part keeps other callers from guessing ids.
+    return f"{owner}.{holder}.{secrets.token_hex(REQUEST_ID_RANDOM_BYTES)}"
+
+
+def parse_chat(body: bytes) -> Result[ChatRequest, Problem]:
+    """Return the request in the body of a chat completion call."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Error(malformed(f"the body is not JSON: {error}", "send a JSON object"))
+    if not isinstance(document, dict):
+        return Error(malformed("the body is not an object", "send a JSON object"))
+    for check in (_check_model, _check_messages, _check_numbers, _check_stream):
+        problem = check(document)
+        if problem is not None:
+            return Error(problem)
+    stream = document.get("stream", False)
+    return Ok(
+        ChatRequest(
+            model=document["model"],
+            prompt=_prompt(document["messages"]),
+            max_tokens=document.get("max_tokens", DEFAULT_MAX_TOKENS),
+            seed=document.get("seed", 0),
+            format=AnswerFormat.EVENT_STREAM if stream else AnswerFormat.JSON,
+        )
+    )
+
+
+def _check_model(document: dict[str, Any]) -> Problem | None:
+    model = document.get("model")
+    if isinstance(model, str) and model:
+        return None
+    return malformed("model is missing or not a string", "name a service of the fleet")
+
+
+def _check_messages(document: dict[str, Any]) -> Problem | None:
+    messages = document.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return malformed("messages is missing or empty", "send at least one message")
+    for index, message in enumerate(messages):
+        if not _is_message(message):
+            return malformed(
+                f"messages[{index}] has no string role and content",
+                "send each message as an object with role and content",
+            )
+    return None
+
+
+def _is_message(message: object) -> bool:
+    if not isinstance(message, dict):
+        return False
+    role = message.get("role")
+    return isinstance(role, str) and isinstance(message.get("content"), str)
+
+
+def _check_numbers(document: dict[str, Any]) -> Problem | None:
+    ranges = {"max_tokens": (1, MAX_TOKENS_LIMIT), "seed": (0, 2**63 - 1)}
+    for name, (low, high) in ranges.items():
+        value = document.get(name, low)
+        if type(value) is not int or not low <= value <= high:
+            return malformed(
+                f"{name} is not a whole number from {low} to {high}",
+                f"send {name} within its range or leave it out",
+            )
+    return None
+
+
+def _check_stream(document: dict[str, Any]) -> Problem | None:
+    if isinstance(document.get("stream", False), bool):
+        return None
+    return malformed("stream is not true or false", "send a boolean or leave it out")
+
+
+def _prompt(messages: list[dict[str, str]]) -> str:
+    return "\n".join(f"{message['role']}: {message['content']}" for message in messages)
--- /dev/null
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -0,0 +1,45 @@
+"""What the clients of engines and plain services share."""
+
+from dataclasses import dataclass
+
+import urllib3
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """Say why a call failed and whether a byte may have reached the upstream."""
+
+    reason: str
+    sent: bool
+    refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Timeouts:
+    """Bound the waits for an upstream."""
+
+    connect_s: float = 1.0
+    read_s: float = 30.0
+
+
+# Errors that urllib3 raises only before it has written the request.
+_UNSENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+    urllib3.exceptions.LocationValueError,
+)
+
+
+def classify(error: Exception) -> CallFailure:
+    """Return the failure with the knowledge whether the request was sent."""
+    return CallFailure(str(error), sent=not isinstance(error, _UNSENT))
+
+
+def timeout_of(timeouts: Timeouts) -> urllib3.Timeout:
+    """Return the timeouts in the form of the HTTP library."""
+    return urllib3.Timeout(connect=timeouts.connect_s, read=timeouts.read_s)
+
+
+def new_pool(max_connections: int) -> urllib3.PoolManager:
+    """Return a connection pool for upstreams that never retries by itself."""
+    return urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
