Add peer frames, hybrid clock, membership, leaving marks and recovery decisions

Cause: nodes need a wire format, agreement on who is alive and leaving, and rules for copies and owners of accepted requests. Change: messages are frozen dataclasses; a typed codec refuses anything that does not fit, and ignores unknown optional fields of a newer minor version only. Nested data goes by position, because field names would double it. Member entries merge by (refutation, state) and (beat, hints), so order and repetition do not matter. Epochs rise by 1 at a take-over and by 2 when the owner changes its holder, so a former holder stays below the present one.

--- /dev/null
+++ b/packages/common/cicadapass_common/messages.py
@@ -0,0 +1,205 @@
+"""The messages between nodes, but for those about accepted requests."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from cicadapass_decisions.leaving import LeavingEntry
+from cicadapass_decisions.membership import GossipEntry
+from cicadapass_decisions.types import NodeAddress
+
+# The kinds that can be sent, filled by the subclasses below. Nested data is sent as
+# arrays by position, so new fields go last and have a default.
+MESSAGE_KINDS: dict[str, type["Message"]] = {}
+
+
+class Message:
+    """Base of all messages; a subclass is registered under its KIND."""
+
+    __slots__ = ()
+    KIND: ClassVar[str]
+
+    def __init_subclass__(cls) -> None:
+        """Register the subclass; the slotted copy of a dataclass replaces it."""
+        super().__init_subclass__()
+        MESSAGE_KINDS[cls.KIND] = cls
+
+
+@dataclass(frozen=True, slots=True)
+class Hello(Message):
+    """Open a connection: the client's versions, address and nonce."""
+
+    KIND: ClassVar[str] = "hello"
+    min_version: int
+    max_version: int
+    address: NodeAddress
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HelloReply(Message):
+    """Answer a Hello: the version in use, the server's address and its proof."""
+
+    KIND: ClassVar[str] = "hello_reply"
+    version: int
+    address: NodeAddress
+    nonce: bytes
+    proof: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class HelloProof(Message):
+    """Prove that the client knows the shared secret."""
+
+    KIND: ClassVar[str] = "hello_proof"
+    proof: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Failure(Message):
+    """Answer a request that the peer could not handle."""
+
+    KIND: ClassVar[str] = "failure"
+    fault: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probe(Message):
+    """Check a member and exchange gossip; answered by ProbeReply.
+
+    `known` is the number of members the sender knows, so that one that has just
+    joined gets more entries.
+    """
+
+    KIND: ClassVar[str] = "probe"
+    entries: tuple[GossipEntry, ...]
+    marks: tuple[LeavingEntry, ...]
+    config_offset: int
+    known: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeVia(Message):
+    """Ask another member to probe the target; answered by ProbeReply."""
+
+    KIND: ClassVar[str] = "probe_via"
+    target: NodeAddress
+    entries: tuple[GossipEntry, ...]
+    marks: tuple[LeavingEntry, ...]
+    config_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeReply(Message):
+    """Answer a probe; `reached` tells of an indirect probe's target."""
+
+    KIND: ClassVar[str] = "probe_reply"
+    entries: tuple[GossipEntry, ...]
+    marks: tuple[LeavingEntry, ...]
+    config_offset: int
+    reached: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingNotice(Message):
+    """Tell of VMs that leave, without waiting for gossip; not answered."""
+
+    KIND: ClassVar[str] = "leaving_notice"
+    marks: tuple[LeavingEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigFetch(Message):
+    """Ask for log records of the configuration; answered by ConfigRecords."""
+
+    KIND: ClassVar[str] = "config_fetch"
+    from_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """Hold one record of the log as it was read."""
+
+    offset: int
+    time_s: float
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRecords(Message):
+    """Answer a ConfigFetch with records, or a snapshot if they have expired."""
+
+    KIND: ClassVar[str] = "config_records"
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    snapshot: LogRecord | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimItem:
+    """Hold the claim of one idempotency key."""
+
+    key_hash: bytes
+    fingerprint: bytes
+    request_id: str
+    claimant: str
+
+
+@dataclass(frozen=True, slots=True)
+class Claim(Message):
+    """Ask the batcher to claim keys; answered by ClaimVerdicts."""
+
+    KIND: ClassVar[str] = "claim"
+    claims: tuple[ClaimItem, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVerdict:
+    """Say which request holds a key; `offset` is that of the winning record."""
+
+    key_hash: bytes
+    outcome: str
+    request_id: str
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVerdicts(Message):
+    """Answer a Claim."""
+
+    KIND: ClassVar[str] = "claim_verdicts"
+    verdicts: tuple[ClaimVerdict, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class InFlightCount:
+    """Say how many requests the sender has in flight at an upstream."""
+
+    upstream: str
+    requests: int
+    work: float
+
+
+@dataclass(frozen=True, slots=True)
+class InFlight(Message):
+    """Tell the nodes of the data centre of the sender's load; not answered."""
+
+    KIND: ClassVar[str] = "in_flight"
+    counts: tuple[InFlightCount, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EventsRead(Message):
+    """Ask for events; answered by EventLines."""
+
+    KIND: ClassVar[str] = "events_read"
+    request_id: str | None
+    since_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class EventLines(Message):
+    """Answer an EventsRead with events as JSON lines."""
+
+    KIND: ClassVar[str] = "event_lines"
+    lines: tuple[str, ...]
--- /dev/null
+++ b/packages/common/cicadapass_common/wire.py
@@ -0,0 +1,197 @@
+"""Frames between nodes: one CBOR map per frame."""
+
+import io
+from dataclasses import dataclass
+from typing import Any
+
+import cbor2
+from expression import Error, Ok, Result
+
+from cicadapass_common import copymessages
+from cicadapass_common.exceptions import FrameError
+from cicadapass_common.messages import MESSAGE_KINDS, Message
+from cicadapass_common.wirefields import (
+    FieldCodec,
+    FieldFault,
+    field_codecs,
+    required_fields,
+)
+
+# Frames of another major version are refused. A higher minor version only adds
+# optional fields, which older readers ignore.
+MAJOR_VERSION = 1
+MINOR_VERSION = 0
+# A copied request with a long document and its tokens must fit; a frame is held in
+# memory twice while it is decoded.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+# The deepest message nests a member's address in an entry in a list in the body.
+MAX_DEPTH = 12
+
+
+class OversizedFrame(FrameError):
+    """The frame is over the size limit."""
+
+
+class GarbageFrame(FrameError):
+    """The frame is not a CBOR map of the expected form."""
+
+
+class WrongVersion(FrameError):
+    """The frame is of a major version that this node does not speak."""
+
+
+class UnknownKind(FrameError):
+    """The frame has a kind that this node does not know."""
+
+    def __init__(self, problem: str, remedy: str, *, newer: bool) -> None:
+        super().__init__(problem, remedy)
+        self.newer = newer
+
+
+class WrongField(FrameError):
+    """A field of the message is missing, unknown or of the wrong type."""
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """Hold a message with its correlation number and hybrid clock stamp."""
+
+    message: Message
+    correlation: int | None = None
+    stamp: tuple[int, int] = (0, 0)
+    minor_version: int = MINOR_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class _BodyCodec:
+    fields: dict[str, FieldCodec]
+    required: frozenset[str]
+
+
+_BODIES = {
+    kind: _BodyCodec(field_codecs(message), required_fields(message))
+    for kind, message in MESSAGE_KINDS.items()
+}
+# Importing the module registers its kinds.
+assert copymessages.CopyRequest.KIND in _BODIES
+_SPEAK_SAME = "run nodes of compatible versions"
+_CHECK_PEER = "check that the peer is a cicadapass node"
+
+
+def encode(
+    message: Message,
+    correlation: int | None = None,
+    stamp: tuple[int, int] = (0, 0),
+) -> bytes:
+    """Return the frame of a message; raise OversizedFrame over MAX_FRAME_BYTES."""
+    body = {
+        name: codec.pack(getattr(message, name))
+        for name, codec in _BODIES[message.KIND].fields.items()
+    }
+    frame: dict[str, Any] = {
+        "v": MAJOR_VERSION,
+        "k": message.KIND,
+        "id": correlation,
+        "b": body,
+        "t": stamp,
+    }
+    if MINOR_VERSION:
+        frame["m"] = MINOR_VERSION
+    data = cbor2.dumps(frame)
+    if len(data) > MAX_FRAME_BYTES:
+        raise _oversized(len(data))
+    return data
+
+
+def decode(data: bytes) -> Result[Frame, FrameError]:
+    """Return the frame, or say which rule the data breaks."""
+    try:
+        return Ok(_decode(data))
+    except FrameError as error:
+        return Error(error)
+    except FieldFault as fault:
+        return Error(WrongField(str(fault), _SPEAK_SAME))
+
+
+def _decode(data: bytes) -> Frame:
+    if len(data) > MAX_FRAME_BYTES:
+        raise _oversized(len(data))
+    head = _load(data)
+    newer = _check_version(head)
+    kind = head.get("k")
+    if type(kind) is not str:
+        raise GarbageFrame("the frame has no kind", _CHECK_PEER)
+    if kind not in _BODIES:
+        raise UnknownKind(f"unknown kind {kind[:40]!r}", _SPEAK_SAME, newer=newer)
+    message = _message(kind, head.get("b"), newer)
+    return Frame(message, _correlation(head), _stamp(head), head.get("m", 0))
+
+
+def _load(data: bytes) -> dict[str, Any]:
+    stream = io.BytesIO(data)
+    try:
+        head = cbor2.load(
+            stream,
+            max_depth=MAX_DEPTH,
+            allow_indefinite=False,
+            allow_duplicate_keys=False,
+            strict_hashable_types=True,
+        )
+    except cbor2.CBORError as error:
+        raise GarbageFrame(f"no CBOR ({type(error).__name__})", _CHECK_PEER) from None
+    if type(head) is not dict:
+        raise GarbageFrame("the frame is no map", _CHECK_PEER)
+    if stream.tell() != len(data):
+        raise GarbageFrame("bytes follow the frame", _CHECK_PEER)
+    return head
+
+
+def _check_version(head: dict[str, Any]) -> bool:
+    """Return whether the writer is of a higher minor version."""
+    major, minor = head.get("v"), head.get("m", 0)
+    if type(major) is not int or type(minor) is not int:
+        raise GarbageFrame("the frame has no version", _CHECK_PEER)
+    if major != MAJOR_VERSION:
+        raise WrongVersion(f"version {str(major)[:20]}", _SPEAK_SAME)
+    if not (head.keys() <= {"v", "k", "id", "b", "t", "m"} or minor > MINOR_VERSION):
+        raise GarbageFrame("the frame has unknown parts", _CHECK_PEER)
+    return minor > MINOR_VERSION
+
+
+def _message(kind: str, body: Any, newer: bool) -> Message:
+    if type(body) is not dict:
+        raise GarbageFrame("the frame has no body", _CHECK_PEER)
+    codec = _BODIES[kind]
+    missing = codec.required - body.keys()
+    unknown = body.keys() - codec.fields.keys()
+    if missing:
+        raise FieldFault(f"{kind} lacks {', '.join(sorted(missing))}")
+    if unknown and not newer:
+        raise FieldFault(f"{kind} has {len(unknown)} unknown fields")
+    values = {
+        name: field.unpack(body[name], newer)
+        for name, field in codec.fields.items()
+        if name in body
+    }
+    return MESSAGE_KINDS[kind](**values)
+
+
+def _correlation(head: dict[str, Any]) -> int | None:
+    value = head.get("id")
+    if value is not None and (type(value) is not int or not 0 <= value < 2**63):
+        raise GarbageFrame("the correlation is no number", _CHECK_PEER)
+    return value
+
+
+def _stamp(head: dict[str, Any]) -> tuple[int, int]:
+    value = head.get("t")
+    if type(value) is not list or len(value) != 2:
+        raise GarbageFrame("the frame has no clock stamp", _CHECK_PEER)
+    if not all(type(n) is int and 0 <= n < 2**63 for n in value):
+        raise GarbageFrame("the clock stamp is out of range", _CHECK_PEER)
+    return value[0], value[1]
+
+
+def _oversized(size: int) -> OversizedFrame:
+    remedy = "send smaller documents or raise the limit on all nodes"
+    return OversizedFrame(f"frame of {size} bytes, limit {MAX_FRAME_BYTES}", remedy)
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/recovery.py
@@ -0,0 +1,223 @@
+"""Decide who holds the copy of a request, and who becomes its owner.
+
+Epochs order the owners of a request. An owner that sends its copy to another holder
+raises the epoch by COPY_STEP, a holder that takes over by TAKE_OVER_STEP. A holder
+with an old copy that takes over by mistake thus stays below the present holder.
+"""
+
+import hashlib
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from cicadapass_decisions.membership import GossipEntry, MemberState
+from cicadapass_decisions.types import NodeAddress, VmId
+
+FIRST_EPOCH = 1
+TAKE_OVER_STEP = 1
+COPY_STEP = 2
+# 40 bits: with 380 nodes, two share a key with a chance of 1 in 15 million.
+NODE_KEY_DIGITS = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """Hold the members as one node sees them."""
+
+    own: NodeAddress
+    entries: tuple[GossipEntry, ...]
+    leaving: frozenset[VmId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestId:
+    """Hold the parts of a request id: who owned and held it first."""
+
+    owner_key: str
+    holder_key: str
+    random: str
+
+    def __str__(self) -> str:
+        """Return the id as callers see it."""
+        return f"{self.owner_key}.{self.holder_key}.{self.random}"
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedRequest:
+    """Summarise a request of the owner for the plan to hand over.
+
+    `expected_s` is the time the request still needs, `tokens` how many its holder
+    has acknowledged.
+    """
+
+    request_id: str
+    epoch: int
+    holder: VmId | None
+    expected_s: float
+    tokens: int
+
+
+class HandOverStep(Enum):
+    """Say what an owner that stops does with a request."""
+
+    FINISH = auto()
+    HAND_OVER = auto()
+    COPY_FIRST = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverPlan:
+    """Hold the step for one request and the node that takes part in it."""
+
+    request: OwnedRequest
+    step: HandOverStep
+    holder: NodeAddress | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """Allow a holder to become the owner, with the epoch to use."""
+
+    epoch: int
+
+
+class NoTakeOver(Enum):
+    """Say why a holder does not become the owner."""
+
+    OWNER_ALIVE = auto()
+    ALREADY_OWNED = auto()
+    DOUBTFUL_COPY = auto()
+
+
+def node_key(vm: VmId) -> str:
+    """Return the short name of a VM incarnation within request ids."""
+    digest = hashlib.sha256(f"{vm.name}\0{vm.incarnation}".encode())
+    return digest.hexdigest()[:NODE_KEY_DIGITS]
+
+
+def make_request_id(owner: VmId, holder: VmId | None, random_hex: str) -> RequestId:
+    """Return a new request id; without a holder, the owner stands in its place."""
+    return RequestId(node_key(owner), node_key(holder or owner), random_hex)
+
+
+def parse_request_id(text: str) -> RequestId | None:
+    """Return the parts of a request id, or nothing if it has another form."""
+    parts = text.split(".")
+    if len(parts) != 3 or not all(parts):
+        return None
+    return RequestId(*parts)
+
+
+def choose_holder(
+    members: Members, rng: random.Random, exclude: Iterable[VmId] = ()
+) -> NodeAddress | None:
+    """Return a holder in another data centre of the fleet, if there is one.
+
+    Of two random candidates, the one with less load spreads the copies.
+    """
+    own = members.own
+    excluded = {*exclude, *members.leaving, own.vm}
+    candidates = [
+        e
+        for e in members.entries
+        if e.state is MemberState.ALIVE
+        and e.address.fleet == own.fleet
+        and e.address.data_centre != own.data_centre
+        and e.vm not in excluded
+    ]
+    if not candidates:
+        return None
+    pair = rng.sample(candidates, min(2, len(candidates)))
+    return min(pair, key=lambda e: e.load).address
+
+
+def plan_hand_over(
+    requests: Iterable[OwnedRequest],
+    members: Members,
+    left_s: float,
+    rng: random.Random,
+) -> tuple[HandOverPlan, ...]:
+    """Return a step for each request; the longest ones are handed over first.
+
+    A request whose holder cannot become its owner needs a copy elsewhere first;
+    without any other node, the owner can only try to finish it.
+    """
+    by_vm = {e.vm: e for e in members.entries}
+    plans = []
+    for request in sorted(requests, key=lambda r: -r.expected_s):
+        plans.append(_plan_one(request, members, by_vm, left_s, rng))
+    return tuple(plans)
+
+
+def plan_take_over(
+    epoch: int,
+    *,
+    owned_here: bool,
+    doubtful: bool,
+    owner_gone: bool,
+    owner_denies: bool,
+    caller_waits: bool,
+) -> TakeOver | NoTakeOver:
+    """Decide whether the holder of a copy of this epoch becomes the owner.
+
+    A copy is doubtful if the holder itself had been declared gone: the owner may
+    have chosen another holder. Only a waiting caller, which has been told by
+    the other nodes that they know nothing, justifies its use.
+    """
+    if owned_here:
+        return NoTakeOver.ALREADY_OWNED
+    if not (owner_gone or owner_denies or caller_waits):
+        return NoTakeOver.OWNER_ALIVE
+    if doubtful and not caller_waits:
+        return NoTakeOver.DOUBTFUL_COPY
+    return TakeOver(epoch + TAKE_OVER_STEP)
+
+
+def epoch_of_new_copy(epoch: int) -> int:
+    """Return the owner's epoch once it sends its copy to another holder."""
+    return epoch + COPY_STEP
+
+
+def must_stop(own_epoch: int, seen_epoch: int) -> bool:
+    """Return whether an owner must stop, because somebody took its request over."""
+    return seen_epoch > own_epoch
+
+
+def locate_candidates(
+    request_id: RequestId, members: Members
+) -> tuple[NodeAddress, ...]:
+    """Return the nodes to ask for an answer: owner, holder, then the fleet.
+
+    Members that are gone are left out; suspected ones are asked last.
+    """
+    first = {request_id.owner_key: 0, request_id.holder_key: 1}
+    ranked = []
+    for entry in members.entries:
+        if entry.state is MemberState.GONE:
+            continue
+        if entry.address.fleet != members.own.fleet:
+            continue
+        rank = first.get(node_key(entry.vm), 2)
+        ranked.append((entry.state, rank, entry.vm, entry.address))
+    ranked.sort(key=lambda r: r[:3])
+    return tuple(address for *_, address in ranked)
+
+
+def _plan_one(
+    request: OwnedRequest,
+    members: Members,
+    by_vm: dict[VmId, GossipEntry],
+    left_s: float,
+    rng: random.Random,
+) -> HandOverPlan:
+    if request.expected_s < left_s:
+        return HandOverPlan(request, HandOverStep.FINISH)
+    entry = by_vm.get(request.holder) if request.holder else None
+    usable = entry is not None and entry.state is MemberState.ALIVE
+    if entry and usable and entry.vm not in members.leaving:
+        return HandOverPlan(request, HandOverStep.HAND_OVER, entry.address)
+    holder = choose_holder(members, rng)
+    if holder is None:
+        return HandOverPlan(request, HandOverStep.FINISH)
+    return HandOverPlan(request, HandOverStep.COPY_FIRST, holder)
--- /dev/null
+++ b/tests/decisions/test_membership.py
@@ -0,0 +1,168 @@
+"""Test the membership decisions."""
+
+import random
+from dataclasses import replace
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions import membership
+from cicadapass_decisions.membership import (
+    GossipEntry,
+    MemberState,
+    add_listed,
+    apply_gossip,
+    choose_probe,
+    entry_bytes,
+    expire_members,
+    gossip_entries,
+    new_table,
+    on_indirect_result,
+    on_probe_failed,
+    on_replaced,
+    set_own,
+)
+from cicadapass_decisions.types import NodeAddress
+
+
+def _address(name, incarnation="1", data_centre="dc-a"):
+    return NodeAddress(name, incarnation, "grabhandle", data_centre, "127.0.0.1", 9000)
+
+
+def _entry(name, state=MemberState.ALIVE, refutation=0, beat=0, offset=0, load=0):
+    return GossipEntry(_address(name), state, refutation, beat, offset, load)
+
+
+def _table_of(own="own", others=("a", "b", "c", "d", "e")):
+    table = new_table(_address(own))
+    add_listed(table, [_address(n) for n in others], 0.0)
+    return table
+
+
+ENTRIES = st.builds(
+    _entry,
+    st.sampled_from(["own", "a", "b"]),
+    st.sampled_from(list(MemberState)),
+    *[st.integers(0, 3)] * 4,
+)
+
+
+class MembershipTest(testtools.TestCase):
+    def test_unreachable_member_is_gone_after_suspicion(self):
+        """A dead owner that is never declared gone leaves its requests unanswered."""
+        table = _table_of()
+        on_indirect_result(table, _address("a").vm, False, 10.0)
+        self.assertEqual(table.entry(_address("a").vm).state, MemberState.SUSPECT)
+        self.assertEqual(expire_members(table, 10.5).changes, ())
+        (change,) = expire_members(table, 10.0 + membership.suspicion_s(table)).changes
+        self.assertEqual(change.entry.state, MemberState.GONE)
+
+    def test_one_way_partition_is_no_suspicion(self):
+        """A broken path from one node must not take a live member down."""
+        table = _table_of()
+        via = on_probe_failed(table, _address("a").vm, random.Random(1))
+        self.assertEqual(len(via), 3)
+        self.assertNotIn(_address("a"), via)
+        effect = on_indirect_result(table, _address("a").vm, True, 1.0)
+        self.assertEqual(effect.changes, ())
+        self.assertEqual(table.entry(_address("a").vm).state, MemberState.ALIVE)
+
+    def test_member_refutes_suspicion(self):
+        """A slow but live member must be able to clear itself before it is gone."""
+        table, suspect = _table_of(), _table_of(own="a", others=("own",))
+        on_indirect_result(table, _address("a").vm, False, 1.0)
+        apply_gossip(suspect, gossip_entries(table, 600, _address("a").vm), 1.0)
+        self.assertEqual(suspect.own.refutation, 1)
+        apply_gossip(table, gossip_entries(suspect, 600), 1.5)
+        self.assertEqual(table.entry(_address("a").vm).state, MemberState.ALIVE)
+        self.assertEqual(expire_members(table, 100.0).changes, ())
+
+    def test_paused_member_learns_it_was_declared_gone(self):
+        """A resumed node must know that its requests may have other owners."""
+        table = _table_of(own="a")
+        effect = apply_gossip(table, [_entry("a", MemberState.GONE)], 1.0)
+        self.assertTrue(effect.declared_gone)
+        again = apply_gossip(table, [_entry("a", MemberState.GONE)], 1.0)
+        self.assertFalse(again.declared_gone)
+
+    def test_restarted_process_outdoes_its_old_hints(self):
+        """A restarted node must not be judged by the load of its former life."""
+        table, peer = _table_of(own="a"), _table_of()
+        apply_gossip(peer, [_entry("a", beat=9, offset=4, load=200)], 1.0)
+        set_own(table, 4, 3)
+        apply_gossip(table, [peer.entry(_address("a").vm)], 1.0)
+        apply_gossip(peer, [table.own], 1.0)
+        self.assertEqual(peer.entry(_address("a").vm).load, 3)
+
+    def test_reused_address_is_another_member(self):
+        """The successor of a VM must neither revive it nor inherit its state."""
+        table = _table_of()
+        add_listed(table, [_address("a", "2")], 1.0)
+        on_replaced(table, _address("a", "1").vm, 2.0)
+        self.assertEqual(table.entry(_address("a", "1").vm).state, MemberState.GONE)
+        self.assertEqual(table.entry(_address("a", "2").vm).state, MemberState.ALIVE)
+
+    def test_stale_list_does_not_revive(self):
+        """A lagging VM list must not bring a gone member back."""
+        table = _table_of()
+        on_replaced(table, _address("a").vm, 1.0)
+        add_listed(table, [_address("a")], 2.0)
+        self.assertEqual(table.entry(_address("a").vm).state, MemberState.GONE)
+
+    def test_gone_members_are_probed(self):
+        """After an hour of partition, both sides must find each other again."""
+        table = _table_of(others=("a",))
+        on_replaced(table, _address("a").vm, 1.0)
+        rng = random.Random(1)
+        targets = [choose_probe(table, rng) for _ in range(10)]
+        self.assertIn(_address("a"), targets)
+
+    def test_round_probes_all_members(self):
+        """A member that random choice leaves out would die unnoticed."""
+        table = _table_of()
+        rng = random.Random(1)
+        targets = {choose_probe(table, rng).name for _ in range(5)}
+        self.assertEqual(targets, {"a", "b", "c", "d", "e"})
+
+    def test_entries_stay_in_budget_and_rotate(self):
+        """With 380 members, a probe must stay small and still spread all of them."""
+        table = _table_of(others=[f"vm-{n}" for n in range(380)])
+        seen = set()
+        for _ in range(600):
+            entries = gossip_entries(table, 1000)
+            self.assertLessEqual(sum(map(entry_bytes, entries)), 1000)
+            seen.update(e.vm for e in entries)
+        self.assertEqual(len(seen), 381)
+
+    def test_news_go_before_old_entries(self):
+        """A new suspicion must not wait behind members that all know."""
+        table = _table_of(others=[f"vm-{n}" for n in range(380)])
+        for _ in range(600):
+            gossip_entries(table, 1000)
+        on_indirect_result(table, _address("vm-7").vm, False, 1.0)
+        states = {e.address.name: e.state for e in gossip_entries(table, 400)}
+        self.assertEqual(states["vm-7"], MemberState.SUSPECT)
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.lists(ENTRIES, max_size=8), st.randoms(use_true_random=False))
+    def test_any_order_and_repetition_gives_same_table(self, entries, rng):
+        """Nodes that hear the same news in another order must agree."""
+        ordered, shuffled = _table_of(others=()), _table_of(others=())
+        apply_gossip(ordered, entries, 1.0)
+        again = entries * 2
+        rng.shuffle(again)
+        for one in again:
+            apply_gossip(shuffled, [one], 1.0)
+        apply_gossip(shuffled, again, 2.0)
+        self.assertEqual(set(ordered.entries()), set(shuffled.entries()))
+        self.assertEqual(ordered.own.refutation, shuffled.own.refutation)
+
+    def test_clashing_address_converges(self):
+        """Two reports of different ports for one member must not flap."""
+        first, second = _table_of(others=()), _table_of(others=())
+        old, new = _entry("a"), _entry("a")
+        new = replace(new, address=replace(new.address, peer_port=9001))
+        apply_gossip(first, [old, new], 1.0)
+        apply_gossip(second, [new, old], 1.0)
+        self.assertEqual(first.entries(), second.entries())
--- /dev/null
+++ b/tests/decisions/test_recovery.py
@@ -0,0 +1,150 @@
+"""Test who holds copies and who becomes owner."""
+
+import random
+from collections import Counter
+
+import testtools
+
+from cicadapass_decisions.membership import GossipEntry, MemberState
+from cicadapass_decisions.recovery import (
+    FIRST_EPOCH,
+    HandOverStep,
+    Members,
+    NoTakeOver,
+    OwnedRequest,
+    TakeOver,
+    choose_holder,
+    epoch_of_new_copy,
+    locate_candidates,
+    make_request_id,
+    must_stop,
+    parse_request_id,
+    plan_hand_over,
+    plan_take_over,
+)
+from cicadapass_decisions.types import NodeAddress
+
+
+def _member(name, data_centre, fleet="grabhandle", load=0, state=MemberState.ALIVE):
+    place = NodeAddress(name, "1", fleet, data_centre, "127.0.0.1", 9000)
+    return GossipEntry(place, state, 0, 0, 0, load)
+
+
+OWN = _member("own", "dc-a")
+B1, B2, C1 = _member("b1", "dc-b"), _member("b2", "dc-b"), _member("c1", "dc-c")
+NEAR, FOREIGN = _member("a2", "dc-a"), _member("k1", "dc-b", "klasite")
+
+
+def _members(*entries, leaving=()):
+    return Members(OWN.address, entries, frozenset(leaving))
+
+
+def _take_over(epoch=FIRST_EPOCH, **changes):
+    facts = dict.fromkeys(
+        ("owned_here", "doubtful", "owner_gone", "owner_denies", "caller_waits"), False
+    )
+    return plan_take_over(epoch, **(facts | changes))
+
+
+class HolderTest(testtools.TestCase):
+    def test_holder_is_in_another_data_centre_of_the_fleet(self):
+        """A copy in the same data centre is lost with it; fleets share no data."""
+        rng = random.Random(1)
+        self.assertIsNone(choose_holder(_members(NEAR, FOREIGN), rng))
+        chosen = {
+            choose_holder(_members(NEAR, FOREIGN, B1, C1), rng) for _ in range(50)
+        }
+        self.assertEqual(chosen, {B1.address, C1.address})
+
+    def test_leaving_gone_and_excluded_hold_nothing(self):
+        """A copy on a VM that leaves is lost within seconds."""
+        gone = _member("c2", "dc-c", state=MemberState.GONE)
+        state = _members(B1, B2, gone, leaving=[B1.vm])
+        self.assertIsNone(choose_holder(state, random.Random(1), exclude=[B2.vm]))
+
+    def test_load_spreads(self):
+        """All copies on one holder would fill it."""
+        busy = _member("c3", "dc-c", load=200)
+        rng = random.Random(1)
+        state = _members(B1, B2, C1, busy)
+        counts = Counter(choose_holder(state, rng).name for _ in range(300))
+        self.assertNotIn("c3", counts)
+        self.assertLess(max(counts.values()), 200)
+
+
+class EpochTest(testtools.TestCase):
+    def test_take_over_stops_old_owner(self):
+        """Two owners would deliver two different answers."""
+        taken = _take_over(owner_gone=True)
+        self.assertEqual(taken, TakeOver(FIRST_EPOCH + 1))
+        self.assertTrue(must_stop(FIRST_EPOCH, taken.epoch))
+
+    def test_former_holder_stays_below_present_holder(self):
+        """A former holder has fewer tokens than the caller has seen."""
+        present = epoch_of_new_copy(FIRST_EPOCH)
+        former = _take_over(FIRST_EPOCH, owner_gone=True)
+        self.assertGreater(_take_over(present, owner_gone=True).epoch, former.epoch)
+        self.assertFalse(must_stop(present, former.epoch))
+        self.assertTrue(must_stop(former.epoch, present))
+
+    def test_live_owner_keeps_request(self):
+        """A take-over without cause runs the request twice."""
+        self.assertEqual(_take_over(), NoTakeOver.OWNER_ALIVE)
+        twice = _take_over(owned_here=True, owner_gone=True)
+        self.assertEqual(twice, NoTakeOver.ALREADY_OWNED)
+
+    def test_doubtful_copy_waits_for_caller(self):
+        """A holder that was paused may hold fewer tokens than the caller has seen."""
+        doubtful = _take_over(doubtful=True, owner_gone=True)
+        self.assertEqual(doubtful, NoTakeOver.DOUBTFUL_COPY)
+        waited = _take_over(doubtful=True, caller_waits=True)
+        self.assertEqual(waited, TakeOver(FIRST_EPOCH + 1))
+
+
+class HandOverTest(testtools.TestCase):
+    def test_steps(self):
+        """Work that cannot end before the deadline must move to its holder."""
+        requests = [
+            OwnedRequest("quick", 1, B1.vm, 1.0, 0),
+            OwnedRequest("long", 1, B1.vm, 60.0, 5),
+            OwnedRequest("holder leaves", 1, B2.vm, 30.0, 5),
+            OwnedRequest("no holder", 1, None, 40.0, 5),
+        ]
+        state = _members(B1, B2, C1, leaving=[B2.vm])
+        plans = plan_hand_over(requests, state, 10.0, random.Random(1))
+        steps = {p.request.request_id: p.step for p in plans}
+        self.assertEqual(plans[0].request.request_id, "long")
+        self.assertEqual(plans[0].holder, B1.address)
+        self.assertEqual(
+            steps,
+            {
+                "quick": HandOverStep.FINISH,
+                "long": HandOverStep.HAND_OVER,
+                "holder leaves": HandOverStep.COPY_FIRST,
+                "no holder": HandOverStep.COPY_FIRST,
+            },
+        )
+
+    def test_alone(self):
+        """Without any other node, the owner must not drop the request."""
+        request = OwnedRequest("long", 1, None, 60.0, 5)
+        (plan,) = plan_hand_over([request], _members(NEAR), 1.0, random.Random(1))
+        self.assertEqual(plan.step, HandOverStep.FINISH)
+
+
+class LocateTest(testtools.TestCase):
+    def test_order(self):
+        """A read that asks the whole fleet first would not return in time."""
+        request_id = make_request_id(C1.vm, B2.vm, "ab")
+        suspect = _member("b0", "dc-b", state=MemberState.SUSPECT)
+        gone = _member("b9", "dc-b", state=MemberState.GONE)
+        state = _members(suspect, gone, FOREIGN, NEAR, B1, B2, C1)
+        names = [a.name for a in locate_candidates(request_id, state)]
+        self.assertEqual(names, ["c1", "b2", "a2", "b1", "b0"])
+
+    def test_id_round_trip(self):
+        """An id that cannot be parsed cannot be located."""
+        request_id = make_request_id(C1.vm, None, "ab")
+        self.assertEqual(parse_request_id(str(request_id)), request_id)
+        for text in ("", "a.b", "a..c", "a.b.c.d"):
+            self.assertIsNone(parse_request_id(text))
