--- a/packages/standins/cicadapass_standins/engine.py
+++ b/packages/standins/cicadapass_standins/engine.py
@@ -98,7 +98,7 @@
         self._closing = threading.Event()
         self._stats = Stats()
         self._cache = PrefixCache(options.cache_blocks, random.Random(0))
-        self._orders = Orders(options.model, options.version, options.weights_url)
+        self.orders = Orders(options.model, options.version, options.weights_url)
         speed = Speed(options.tokens_per_s, options.batch_cost, options.prefill_cost)
         self._scheduler = Scheduler(
             options.slots, speed, self._slowdown, self._prefill, self._stats
@@ -132,7 +132,7 @@
     def close(self) -> None:
         """End all streams without completing their answers."""
         self._closing.set()
-        self._orders.close()
+        self.orders.close()
         self._scheduler.stop()
 
     def _answer_cache(self, request: Request) -> Answer:
@@ -168,11 +168,11 @@
         match (request.method, request.path):
             case ("POST", "/v1/orders"):
                 faults = self.faults.current
-                return self._orders.accept(
+                return self.orders.accept(
                     request.fields, faults.checks_fencing, faults.order_s
                 )
             case ("GET", "/v1/state"):
-                return json_answer(self._orders.show())
+                return json_answer(self.orders.show())
         return not_found(request)
 
     def _generate(self, request: Request) -> Answer:
@@ -181,7 +181,7 @@
         if self._scheduler.counts[1] >= self._options.max_waiting:
             return self._refuse("too many streams wait")
         model = request_text(request.fields, "model", "")
-        if not self._orders.serves(model):
+        if not self.orders.serves(model):
             error = f"model {model} is not loaded"
             return error_answer(HTTPStatus.NOT_FOUND, error, NOT_RUN)
         generation = _parse(request.fields)
--- a/packages/standins/cicadapass_standins/orders.py
+++ b/packages/standins/cicadapass_standins/orders.py
@@ -27,7 +27,7 @@
 
     def __init__(self, model: str, version: str, weights_url: str) -> None:
         self._weights_url = weights_url
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
         self._closing = threading.Event()
         self._fencing_number = -1
         self._models = {model: version} if model else {}
@@ -48,7 +48,7 @@
         if not isinstance(order, dict) or order.get("kind") not in KINDS:
             raise BadRequest(f"order must have a kind out of {', '.join(KINDS)}")
         _check_order(order)
-        with self._lock:
+        with self._changed:
             if checks_fencing and number < self._fencing_number:
                 refusal = {"error": "old fencing number"}
                 refusal["fencing_number"] = str(self._fencing_number)
@@ -63,7 +63,7 @@
 
     def show(self) -> dict[str, Any]:
         """Return what is loaded, the role and the orders."""
-        with self._lock:
+        with self._changed:
             return {
                 "fencing_number": self._fencing_number,
                 "models": dict(self._models),
@@ -72,6 +72,14 @@
                 "orders": [dict(entry) for entry in self._orders],
             }
 
+    def wait_done(self, timeout_s: float) -> bool:
+        """Wait until no order runs; tell whether that came in time."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: all(entry["state"] == "done" for entry in self._orders),
+                timeout_s,
+            )
+
     def close(self) -> None:
         """Give up the orders that are not carried out yet."""
         self._closing.set()
@@ -81,11 +89,12 @@
         self._closing.wait(order_s)
         if self._weights_url and order["kind"] == "load_model":
             self._fetch(order)
-        with self._lock:
+        with self._changed:
             if self._closing.is_set():
                 return
             self._apply(order)
             entry["state"] = "done"
+            self._changed.notify_all()
 
     def _apply(self, order: dict[str, Any]) -> None:
         match order["kind"]:
--- /dev/null
+++ b/tests/standins/test_platform.py
@@ -0,0 +1,102 @@
+"""Test the stand-ins for the VM list, the cloud and the weight store."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import testtools
+import urllib3
+
+from cicadapass_standins.answers import weights_part
+from cicadapass_standins.cloud import Cloud
+from cicadapass_standins.exceptions import BadRequest
+from cicadapass_standins.vmlist import VmList
+from cicadapass_standins.weights import WeightOptions, WeightStore
+from tests.standins.support import TIMEOUT_S, StandinTest
+
+VM = {
+    "name": "vm-1",
+    "incarnation": "a",
+    "data_centre": "dc-a",
+    "fleet": "grabhandle",
+    "address": "127.0.0.1",
+}
+
+
+class VmListTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_s = 100.0
+        self.vms = VmList(clock=lambda: self.now_s)
+
+    def test_changes_show_late(self):
+        """The list must show a change only after its lag."""
+        self.vms.faults.merge({"lag_s": 5})
+        self.vms.put(VM)
+        self.assertEqual((), self.vms.shown())
+        self.now_s += 5
+        self.assertEqual("live", self.vms.shown()[0]["state"])
+
+    def test_frozen_list_does_not_change(self):
+        """A frozen list must show what it showed when it was frozen."""
+        self.vms.faults.merge({"put": VM, "freeze": True})
+        self.vms.put({**VM, "state": "leaving", "deadline_s": 160.0})
+        self.assertEqual("live", self.vms.shown()[0]["state"])
+        self.vms.faults.merge({"freeze": False})
+        self.assertEqual("leaving", self.vms.shown()[0]["state"])
+
+    def test_incomplete_vm_is_refused(self):
+        """A VM without an incarnation must not reach the list."""
+        self.assertRaises(BadRequest, self.vms.put, {"name": "vm-1"})
+
+
+class CloudTest(StandinTest):
+    def setUp(self):
+        super().setUp()
+        self.cloud = self.serve(Cloud())
+
+    def buy(self, purchase_id: str, zone: str = "zone-a"):
+        body = {"purchase_id": purchase_id, "zone": zone, "class": "l4"}
+        return self.call("POST", self.cloud.url + "/vms", body)
+
+    def test_repeated_purchase_buys_one_vm(self):
+        """A purchase that is repeated after a lost answer must not buy twice."""
+        self.control(self.cloud, lose_answers=1)
+        self.assertRaises(urllib3.exceptions.ProtocolError, self.buy, "p1")
+        self.assertEqual(200, self.buy("p1").status)
+        self.assertEqual(1, len(self.get(self.cloud.url + "/vms")["vms"]))
+
+    def test_refusal_is_for_its_zone_and_class(self):
+        """A refused zone must not refuse the starts of another."""
+        self.control(self.cloud, refuse=[["zone-a", "*"]])
+        statuses = [self.buy("p1").status, self.buy("p2", "zone-b").status]
+        self.assertEqual([409, 201], statuses)
+
+    def test_stopped_vm_stays_known(self):
+        """A repeated stop must succeed, and one of an unknown VM must not."""
+        url = f"{self.cloud.url}/vms/{self.buy('p1').json()['name']}"
+        statuses = [self.call("DELETE", url).status for _ in range(2)]
+        self.assertEqual([200, 200], statuses)
+        self.assertEqual(404, self.call("DELETE", url + "0").status)
+
+    def test_notice_reaches_a_waiting_reader(self):
+        """A reader that waits must get a notice once, after the last it knows."""
+        url = f"{self.cloud.url}/notices?wait_s={TIMEOUT_S / 2}&after="
+        with ThreadPoolExecutor() as pool:
+            waiting = pool.submit(self.get, url + "0")
+            self.control(self.cloud, notice={"zone": "zone-a", "seconds": 9})
+            page = waiting.result()
+        self.assertEqual("zone-a", page["notices"][0]["zone"])
+        self.control(self.cloud, notice={"vm": "vm-1"})
+        later = self.get(url + str(page["next"]))["notices"]
+        self.assertEqual(["vm-1"], [notice["vm"] for notice in later])
+
+
+class WeightStoreTest(StandinTest):
+    def test_fetch_over_the_rate_is_refused(self):
+        """A fetch over the rate must be refused, and the others complete."""
+        store = self.serve(WeightStore(WeightOptions(size_bytes=1000)))
+        self.control(store, fetches_per_s=0.001)
+        first, second = (
+            self.call("GET", store.url + "/weights/parts-1/2") for _ in range(2)
+        )
+        self.assertEqual(weights_part("parts-1", "2", 1000), first.data)
+        self.assertEqual(429, second.status)
--- /dev/null
+++ b/tests/standins/test_service.py
@@ -0,0 +1,63 @@
+"""Test the plain service stand-in."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+
+from cicadapass_standins.answers import service_answer
+from cicadapass_standins.service import Service
+from tests.standins.support import StandinTest
+
+
+class ServiceTest(StandinTest):
+    def setUp(self):
+        super().setUp()
+        self.service = self.serve(Service())
+        self.url = self.service.url + "/payments?order=7"
+
+    def pay(self, amount: int = 1, **headers: str):
+        return self.call("POST", self.url, b"%d" % amount, **headers)
+
+    def effects(self) -> int:
+        return len(self.get(self.service.url + "/ledger")["effects"])
+
+    def test_answer_is_a_function_of_the_call(self):
+        """An answer must be recognisable as that of its own call."""
+        expected = service_answer("POST", "/payments?order=7", b"1")
+        self.assertEqual(expected, self.pay(1).data)
+        self.assertNotEqual(expected, self.pay(2).data)
+
+    def test_reads_have_no_effect(self):
+        """A repeatable call must not count as an effect."""
+        self.assertEqual(200, self.call("GET", self.url).status)
+        self.assertEqual(0, self.effects())
+
+    def test_key_takes_effect_once(self):
+        """A repeated key must replay, also if calls with it race."""
+        with ThreadPoolExecutor() as pool:
+            calls = [pool.submit(self.pay, Idempotency_Key="k") for _ in range(8)]
+            answers = {call.result().data for call in calls}
+        self.assertEqual((1, 1), (len(answers), self.effects()))
+        self.assertEqual(422, self.pay(2, Idempotency_Key="k").status)
+
+    def test_key_without_deduplication_takes_effect_again(self):
+        """A service that ignores keys must show the double effect."""
+        self.control(self.service, deduplicate=False)
+        for _ in range(2):
+            self.pay(Idempotency_Key="k")
+        self.assertEqual(2, self.effects())
+
+    def test_connection_closes_before_or_after_the_effect(self):
+        """The same failure seen by the caller must cover both outcomes."""
+        for fault, effects in (("close_before", 0), ("close_after", 1)):
+            self.control(self.service, **{fault: 1})
+            self.assertRaises(urllib3.exceptions.ProtocolError, self.pay)
+            self.assertEqual(effects, self.effects())
+
+    def test_refusal_proves_that_nothing_ran(self):
+        """A refused call must carry the proof, and have no effect."""
+        self.control(self.service, refuse_next=1)
+        answer = self.pay()
+        self.assertEqual(503, answer.status)
+        self.assertEqual("1", answer.headers["Cicadapass-Not-Run"])
+        self.assertEqual((200, 1), (self.pay().status, self.effects()))
