--- a/packages/node/cicadapass/config.py
+++ b/packages/node/cicadapass/config.py
@@ -12,7 +12,7 @@
     """Name one address that the node listens on."""
 
     host: str = option("127.0.0.1", "The IP address to listen on.")
-    port: int = option(0, "The port; 0 takes a free one.", minimum=0, maximum=PORT_MAX)
+    port: int = option(0, "The port; 0 takes a free one.", low=0, high=PORT_MAX)
     certificate: str | None = option(None, "Path of the TLS certificate chain.")
     private_key: str | None = option(None, "Path of the TLS private key.")
 
@@ -22,9 +22,7 @@
     """Name one node that is asked for members at the start."""
 
     host: str = option(meaning="The IP address of the node.")
-    peer_port: int = option(
-        meaning="The node's port for peers.", minimum=1, maximum=PORT_MAX
-    )
+    peer_port: int = option(meaning="The node's port for peers.", low=1, high=PORT_MAX)
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,26 +30,25 @@
     """Bound what callers can make the node spend."""
 
     min_threads: int = option(
-        24, "Threads that always wait for callers.", minimum=2, maximum=1024
+        24, "Threads that always wait for callers.", low=2, high=1024
     )
     max_threads: int = option(
-        1024, "The most threads that serve callers.", minimum=2, maximum=8192
+        1024, "The most threads that serve callers.", low=2, high=8192
     )
     idle_reserve: int = option(
-        8, "Idle threads kept beside long streams.", minimum=1, maximum=256
+        8, "Idle threads kept beside long streams.", low=1, high=256
     )
     max_header_bytes: int = option(
-        16_384, "Largest request head.", unit="bytes", minimum=1024, maximum=2**20
+        16_384, "Largest request head.", low=1024, high=2**20
     )
     max_body_bytes: int = option(
-        8 * 2**20, "Largest request body.", unit="bytes", minimum=1024, maximum=2**30
+        8 * 2**20, "Largest request body.", low=1024, high=2**30
     )
     receive_timeout_s: float = option(
         10.0,
         "How long a request may take to arrive.",
-        unit="s",
-        minimum=0.1,
-        maximum=600,
+        low=0.1,
+        high=600,
     )
 
 
@@ -60,7 +57,7 @@
     """Say where metrics go; without a host none are sent."""
 
     host: str | None = option(None, "The IP address of the statsd server.")
-    port: int = option(8125, "Its UDP port.", minimum=1, maximum=PORT_MAX)
+    port: int = option(8125, "Its UDP port.", low=1, high=PORT_MAX)
     prefix: str = option("cicadapass", "The first part of each metric's name.")
 
 
@@ -71,16 +68,14 @@
     grace_s: float = option(
         600.0,
         "How long a planned stop waits for requests in progress.",
-        unit="s",
-        minimum=0,
-        maximum=86_400,
+        low=0,
+        high=86_400,
     )
     announce_s: float = option(
         0.5,
         "How long the node still accepts after readiness went false.",
-        unit="s",
-        minimum=0,
-        maximum=60,
+        low=0,
+        high=60,
     )
 
 
@@ -112,28 +107,24 @@
     log_retention_s: float = option(
         86_400.0,
         "How long the log keeps records.",
-        unit="s",
-        minimum=1,
-        maximum=10**8,
+        low=1,
+        high=10**8,
     )
     answers_keep_s: float = option(
         120.0,
         "How long a finished answer is kept for a caller who returns.",
-        unit="s",
-        minimum=1,
-        maximum=86_400,
+        low=1,
+        high=86_400,
     )
     answers_max_bytes: int = option(
         64 * 2**20,
         "The most bytes of finished answers that are kept.",
-        unit="bytes",
-        minimum=2**16,
-        maximum=2**34,
+        low=2**16,
+        high=2**34,
     )
     upstream_read_timeout_s: float = option(
         30.0,
         "The longest silence of an upstream.",
-        unit="s",
-        minimum=0.1,
-        maximum=3600,
+        low=0.1,
+        high=3600,
     )
--- a/packages/standins/cicadapass_standins/cloud.py
+++ b/packages/standins/cicadapass_standins/cloud.py
@@ -10,7 +10,7 @@
 
 from cicadapass_standins import cmdline
 from cicadapass_standins.exceptions import BadRequest, DropConnection
-from cicadapass_standins.faults import FaultControl
+from cicadapass_standins.faults import Command, FaultControl
 from cicadapass_standins.server import (
     Answer,
     Request,
@@ -92,7 +92,10 @@
     """
 
     def __init__(self, options: CloudOptions | None = None) -> None:
-        commands = {"notice": self.notify, "offers": self._set_offers}
+        commands: dict[str, Command] = {
+            "notice": self.notify,
+            "offers": self._set_offers,
+        }
         self.faults = FaultControl(CloudFaults(), commands)
         self._changed = threading.Condition()
         self._closing = threading.Event()
--- a/packages/standins/cicadapass_standins/vmlist.py
+++ b/packages/standins/cicadapass_standins/vmlist.py
@@ -8,7 +8,7 @@
 
 from cicadapass_standins import cmdline
 from cicadapass_standins.exceptions import BadRequest
-from cicadapass_standins.faults import FaultControl
+from cicadapass_standins.faults import Command, FaultControl
 from cicadapass_standins.lag import Lagged
 from cicadapass_standins.server import (
     Answer,
@@ -44,7 +44,11 @@
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        commands = {"vms": self._replace, "put": self.put, "remove": self.remove}
+        commands: dict[str, Command] = {
+            "vms": self._replace,
+            "put": self.put,
+            "remove": self.remove,
+        }
         self.faults = FaultControl(VmListFaults(), commands, self._on_fault)
         self._clock = clock
         self._lock = threading.Lock()
