--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -33,6 +33,25 @@
 111 error part_given_up(part, reason)
     A part failed too often; the node stops.
 
+500 warning upstream_health(upstream, health, first_token_s, inter_token_s, failures)
+    An upstream became slow, failing or good.
+501 info upstream_leaving(upstream, incarnation, source)
+    An upstream gets no new work any more.
+502 error panic_started(service)
+    Most upstreams of a service are bad; the verdicts are ignored.
+503 info panic_ended(service)
+    The health verdicts of a service count again.
+504 warning report_failed(upstream, reason)
+    A load report could not be read for the first time in a row.
+505 info cache_hints_discarded(upstream)
+    Cache events have a gap; the hints are read anew.
+510 debug request_granted(request_id, service, upstream, attempt, work, waited_s, probe)
+    An attempt may be sent to an upstream.
+511 debug request_queued(request_id, service, workspace, priority, work)
+    A request waits for an upstream.
+512 info request_refused(request_id, service, workspace, priority, reason, retry_after_s)
+    A request was refused or shed and was not run.
+
 700 info publish_appended(publish_id, base_offset)
     The command line appended a publish to the log.
 701 info publish_judged(publish_id, verdict, version)
@@ -45,7 +64,7 @@
     The operator address of a node did not answer.
 """
 
-_HEAD_LINE = re.compile(r"(\d{3}) (info|warning|error) ([a-z_]+)\(([a-z_, ]*)\)")
+_HEAD_LINE = re.compile(r"(\d{3}) (debug|info|warning|error) ([a-z_]+)\(([a-z_, ]*)\)")
 
 
 @dataclass(frozen=True, slots=True)
