--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -33,6 +33,17 @@
 111 error part_given_up(part, reason)
     A part failed too often; the node stops.
 
+450 info request_accepted(request_id, service, workspace, durability)
+    A request was accepted; its answer is owed from now on.
+451 info request_finished(request_id, tokens, attempts)
+    The whole answer of a request is there.
+452 warning request_failed(request_id, tokens, attempts, reason, verdict)
+    A request got no whole answer; the verdict says what is known of its effect.
+453 warning attempt_failed(request_id, upstream, failure, tokens)
+    An attempt failed; the tokens are those that the answer has so far.
+454 error execution_fault(request_id, reason)
+    The execution of a request failed by a fault of the node.
+
 500 warning upstream_health(upstream, health, first_token_s, inter_token_s, failures)
     An upstream became slow, failing or good.
 501 info upstream_leaving(upstream, incarnation, source)
@@ -49,7 +60,7 @@
     An attempt may be sent to an upstream.
 511 debug request_queued(request_id, service, workspace, priority, work)
     A request waits for an upstream.
-512 info request_refused(request_id, service, workspace, priority, reason, retry_after_s)
+512 info request_shed(request_id, service, workspace, priority, reason, retry_after_s)
     A request was refused or shed and was not run.
 
 700 info publish_appended(publish_id, base_offset)
--- /dev/null
+++ b/packages/node/cicadapass/delivery.py
@@ -0,0 +1,48 @@
+"""Deliver the bytes of an answer from whichever node has it."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from cicadapass.problems import Problem
+
+# One read waits this long for new bytes, so that an abandoned answer or a caller
+# that has gone is noticed.
+READ_WAIT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """Hold bytes of an answer, whether they are the last, and why it failed."""
+
+    data: bytes
+    ended: bool
+    problem: Problem | None = None
+
+
+# Reads from a byte offset, waiting up to a number of seconds.
+ReadPiece = Callable[[int, float], Result[Piece, Problem]]
+
+
+def pieces(read: ReadPiece, from_byte: int) -> Iterator[Result[Piece, Problem]]:
+    """Yield the pieces of an answer from the byte on until its end or a failure."""
+    offset = from_byte
+    while True:
+        result = read(offset, READ_WAIT_S)
+        yield result
+        if result.is_error() or result.ok.ended:
+            return
+        offset += len(result.ok.data)
+
+
+def read_whole(read: ReadPiece, from_byte: int) -> Result[Piece, Problem]:
+    """Return the answer from the byte on once it has ended."""
+    data = bytearray()
+    last = Piece(b"", ended=False)
+    for result in pieces(read, from_byte):
+        if result.is_error():
+            return Error(result.error)
+        last = result.ok
+        data += last.data
+    return Ok(Piece(bytes(data), last.ended, last.problem))
--- a/packages/node/cicadapass/dispatcher.py
+++ b/packages/node/cicadapass/dispatcher.py
@@ -107,7 +107,7 @@
         if result is None:
             self._emit_queued(request)
             result = self._wait(request, future)
-        self._emit(request, result)
+        self._report(request, result)
         return result
 
     def release(self, grant: Grant, outcome: Outcome) -> None:
@@ -135,7 +135,7 @@
             work=str(request.work.kind),
         )
 
-    def _emit(self, request: AcquireRequest, result: Grant | Refusal) -> None:
+    def _report(self, request: AcquireRequest, result: Grant | Refusal) -> None:
         if isinstance(result, Grant):
             self._events.emit(
                 510,
--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import urllib3
@@ -70,7 +70,7 @@
                     if batch.done:
                         return
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            yield Error(CallFailure(f"stream broke: {error}", sent=True))
+            yield Error(replace(classify(error), sent=True))
             return
         except (ValueError, KeyError, TypeError) as error:
             yield Error(CallFailure(f"stream is malformed: {error!r}", sent=True))
@@ -121,7 +121,8 @@
             return Error(classify(error))
         if response.status != 200:
             # An engine that answers with an error status has not started the work.
-            failure = CallFailure(f"engine answered {response.status}", sent=False)
+            reason = f"engine answered {response.status}"
+            failure = CallFailure(reason, sent=True, refused=True)
             response.drain_conn()
             response.release_conn()
             return Error(failure)
--- /dev/null
+++ b/packages/node/cicadapass/failures.py
@@ -0,0 +1,63 @@
+"""Turn failures of upstreams and refusals into problems for callers."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+
+from cicadapass.problems import Problem
+from cicadapass.upstreamhttp import CallFailure
+from cicadapass_decisions.admission import Refusal, RefusalReason
+from cicadapass_decisions.retry import (
+    Attempt,
+    Failure,
+    FailureKind,
+    GiveUp,
+    verdict_of,
+)
+from cicadapass_decisions.types import Verdict
+
+_STATUS_OF_REASON = {
+    RefusalReason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
+    RefusalReason.OVERLOAD: HTTPStatus.SERVICE_UNAVAILABLE,
+}
+
+
+def failure_of(failure: CallFailure) -> Failure:
+    """Return the failure in the form that the retry decision takes."""
+    if failure.refused:
+        return Failure(FailureKind.REJECTED, sent=True)
+    if not failure.sent:
+        return Failure(FailureKind.REFUSED, sent=False)
+    kind = FailureKind.TIMEOUT if failure.timed_out else FailureKind.BROKEN
+    return Failure(kind, sent=True)
+
+
+def refused(refusal: Refusal, attempts: Sequence[Attempt] = ()) -> Problem:
+    """Tell the caller why no upstream was granted and whether anything ran."""
+    status = _STATUS_OF_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    verdict = verdict_of(attempts) if attempts else refusal.verdict
+    return Problem(
+        f"refused-{refusal.reason}",
+        status,
+        f"no upstream could be granted: {refusal.reason}",
+        "send the request again after the time in Retry-After",
+        verdict,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def gave_up(step: GiveUp) -> Problem:
+    """Tell the caller that no further attempt is made."""
+    return Problem(
+        "upstream-failed",
+        HTTPStatus.BAD_GATEWAY,
+        f"the upstreams failed: {step.reason}",
+        _REMEDY[step.verdict],
+        step.verdict,
+    )
+
+
+_REMEDY = {
+    Verdict.NOT_RUN: "send the request again",
+    Verdict.RUN: "read the upstream's state before you send the request again",
+    Verdict.UNKNOWN: "find out whether it took effect before you send it again",
+}
--- a/packages/node/cicadapass/render.py
+++ b/packages/node/cicadapass/render.py
@@ -16,6 +16,11 @@
     EVENT_STREAM = "event-stream"
     JSON = "json"
 
+    @property
+    def streams(self) -> bool:
+        """Return whether the bytes are delivered as they are made."""
+        return self is AnswerFormat.EVENT_STREAM
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
--- a/packages/node/cicadapass/requests.py
+++ b/packages/node/cicadapass/requests.py
@@ -1,8 +1,6 @@
 """Requests for models: parsing, identity and the form in which copies carry them."""
 
-import hashlib
 import json
-import secrets
 from dataclasses import asdict, dataclass
 from typing import Any
 
@@ -10,11 +8,11 @@
 
 from cicadapass.problems import Problem, malformed
 from cicadapass.render import AnswerFormat, AnswerHead
+from cicadapass_common.copymessages import Binding, CopiedRequest
+from cicadapass_decisions.types import qualify
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 65_536
-REQUEST_ID_RANDOM_BYTES = 12
-BINDING_BYTES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,36 +26,21 @@
     format: AnswerFormat
 
 
-@dataclass(frozen=True, slots=True)
-class Caller:
-    """Identify who sent a request, by the credential that was used."""
-
-    fleet: str
-    workspace: str
-    credential_sha256: str
-
-    @property
-    def binding(self) -> str:
-        """Return the value that ties a request to its caller."""
-        text = f"{self.fleet}\n{self.workspace}\n{self.credential_sha256}"
-        return hashlib.blake2b(text.encode(), digest_size=BINDING_BYTES).hexdigest()
-
-
 @dataclass(frozen=True, slots=True)
 class AcceptedRequest:
-    """Hold an accepted request: all that another node needs to answer it."""
+    """Hold an accepted request: all that another node needs to answer it.
+
+    The deadline is wall time, since a copy may be used on another VM.
+    """
 
     request_id: str
     epoch: int
-    binding: str
-    fleet: str
-    workspace: str
+    binding: Binding
     service: str
     engine_model: str
     priority: int
     created_s: int
-    # Wall time, since a copy may be used on another VM; None means no deadline.
-    deadline_at_s: float | None
+    deadline_at_s: float
     chat: ChatRequest
 
     @property
@@ -67,29 +50,53 @@
             self.request_id, self.created_s, self.chat.model, self.chat.format
         )
 
-    def to_document(self) -> bytes:
-        """Return the request in the form that a copy carries."""
-        return json.dumps(asdict(self), separators=(",", ":")).encode()
+    @property
+    def qualified_service(self) -> str:
+        """Return the name of the service, qualified by its fleet."""
+        return qualify(self.binding.fleet, self.service)
+
+    def to_copy(
+        self, texts: tuple[str, ...] = (), *, finished: bool = False
+    ) -> CopiedRequest:
+        """Return the request in the form that another node holds."""
+        document = {
+            "engine_model": self.engine_model,
+            "priority": self.priority,
+            "deadline_at_s": self.deadline_at_s,
+            "chat": asdict(self.chat),
+        }
+        return CopiedRequest(
+            self.request_id,
+            self.epoch,
+            self.binding,
+            self.created_s,
+            self.service,
+            json.dumps(document, separators=(",", ":")).encode(),
+            texts,
+            finished,
+        )
 
 
-def from_document(document: bytes, epoch: int) -> AcceptedRequest:
+def from_copy(copy: CopiedRequest, epoch: int) -> AcceptedRequest:
     """Return the request of a copy under a new epoch; raise ValueError if bad."""
     try:
-        fields = json.loads(document)
-        chat = fields.pop("chat")
-        chat["format"] = AnswerFormat(chat["format"])
-        fields["epoch"] = epoch
-        return AcceptedRequest(**fields, chat=ChatRequest(**chat))
+        document = json.loads(copy.document)
+        chat = document["chat"] | {"format": AnswerFormat(document["chat"]["format"])}
+        return AcceptedRequest(
+            request_id=copy.request_id,
+            epoch=epoch,
+            binding=copy.binding,
+            service=copy.service,
+            engine_model=document["engine_model"],
+            priority=document["priority"],
+            created_s=int(copy.created_s),
+            deadline_at_s=document["deadline_at_s"],
+            chat=ChatRequest(**chat),
+        )
     except (KeyError, TypeError) as error:
         raise ValueError(f"copy of a request is malformed: {error!r}") from error
 
 
-def new_request_id(owner: str, holder: str) -> str:
-    """Return an id that names the nodes to ask for the answer."""
-    # The random part keeps other callers from guessing ids.
-    return f"{owner}.{holder}.{secrets.token_hex(REQUEST_ID_RANDOM_BYTES)}"
-
-
 def parse_chat(body: bytes) -> Result[ChatRequest, Problem]:
     """Return the request in the body of a chat completion call."""
     try:
--- a/packages/node/cicadapass/services.py
+++ b/packages/node/cicadapass/services.py
@@ -52,12 +52,23 @@
         """Return whether the upstream says that it ran nothing."""
         return self._response.headers.get(NOT_RUN_HEADER) == "1"
 
-    def body(self) -> Iterator[bytes]:
-        """Yield the body; raise urllib3's HTTPError if it is cut short."""
-        try:
-            yield from self._response.stream(BODY_CHUNK_BYTES, decode_content=False)
-        finally:
-            self._response.release_conn()
+    def read_up_to(self, limit_bytes: int) -> tuple[bytes, bool]:
+        """Return the start of the body and whether it is all of it.
+
+        Raises urllib3's HTTPError if the body is cut short.
+        """
+        data = bytearray()
+        while len(data) < limit_bytes:
+            chunk = self._response.read(limit_bytes - len(data), decode_content=False)
+            if not chunk:
+                self._response.release_conn()
+                return bytes(data), True
+            data += chunk
+        return bytes(data), False
+
+    def rest(self) -> Iterator[bytes]:
+        """Yield what follows the start; raise urllib3's HTTPError if it is cut."""
+        yield from self._response.stream(BODY_CHUNK_BYTES, decode_content=False)
 
     def close(self) -> None:
         """Drop the connection."""
--- a/packages/node/cicadapass/upstreamhttp.py
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -12,6 +12,7 @@
     reason: str
     sent: bool
     refused: bool = False
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +33,11 @@
 
 def classify(error: Exception) -> CallFailure:
     """Return the failure with the knowledge whether the request was sent."""
-    return CallFailure(str(error), sent=not isinstance(error, _UNSENT))
+    return CallFailure(
+        str(error),
+        sent=not isinstance(error, _UNSENT),
+        timed_out=isinstance(error, urllib3.exceptions.ReadTimeoutError),
+    )
 
 
 def timeout_of(timeouts: Timeouts) -> urllib3.Timeout:
--- a/packages/node/cicadapass/upstreams.py
+++ b/packages/node/cicadapass/upstreams.py
@@ -177,7 +177,7 @@
             self._probe_all(now_s)
         for change in self._book.judge():
             self._changed = True
-            self._emit(change)
+            self._report(change)
         if self._changed:
             self._publish_now()
 
@@ -263,7 +263,7 @@
         )
         self._publish_now()
 
-    def _emit(self, change: HealthChange | PanicChange) -> None:
+    def _report(self, change: HealthChange | PanicChange) -> None:
         if isinstance(change, PanicChange):
             self._events.emit(502 if change.panic else 503, service=change.service)
             return
