Send the tokens of all streams from one thread

One sender thread writes without blocking, and the request's thread sends only the rest for a slow reader.

The test of a stopping engine found that an empty chunk marked the answer as complete; a stopping engine now sends nothing more.

--- a/packages/standins/cicadapass_standins/engine.py
+++ b/packages/standins/cicadapass_standins/engine.py
@@ -1,18 +1,17 @@
 """A model engine: continuous batching, prefix cache, resume, cancel, orders."""
 
-import json
 import random
 import threading
 import time
 import uuid
-from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
 from cicadapass_standins import cmdline
 from cicadapass_standins.answers import answer_key, keyed_text
-from cicadapass_standins.exceptions import BadRequest, DropConnection
+from cicadapass_standins.exceptions import BadRequest
 from cicadapass_standins.faults import FaultControl
 from cicadapass_standins.lag import Lagged
 from cicadapass_standins.orders import Orders
@@ -30,17 +29,12 @@
     retry_later,
 )
 from cicadapass_standins.stats import Stats
+from cicadapass_standins.streaming import StreamSender, Transmission
 
 # One thread a stream, and some for reports while many streams run or wait.
 THREADS = 600
-# A stream that waits looks this often whether its caller has gone.
-CALLER_POLL_S = 1.0
-# Generated words are added to the prefix cache in groups of this size.
-CACHE_GROUP_WORDS = 4 * BLOCK_WORDS
 DEFAULT_MAX_TOKENS = 16
 
-encode_text = json.JSONEncoder(ensure_ascii=False).encode
-
 
 @dataclass(frozen=True)
 class EngineFaults:
@@ -80,14 +74,6 @@
     incarnation: str = field(default_factory=lambda: uuid.uuid4().hex)
 
 
-@dataclass(frozen=True)
-class _Generation:
-    """A request to generate, checked."""
-
-    key: bytes
-    stream: Stream
-
-
 class Engine:
     """The engine's streams, cache and orders, and its HTTP interface."""
 
@@ -103,6 +89,7 @@
         self._scheduler = Scheduler(
             options.slots, speed, self._slowdown, self._prefill, self._stats
         )
+        self._sender = StreamSender()
         self._report_lock = threading.Lock()
         self._sequence = 0
         self._loads: Lagged[dict[str, Any]] = Lagged(self._load())
@@ -134,6 +121,7 @@
         self._closing.set()
         self.orders.close()
         self._scheduler.stop()
+        self._sender.stop()
 
     def _answer_cache(self, request: Request) -> Answer:
         faults = self.faults.current
@@ -184,65 +172,38 @@
         if not self.orders.serves(model):
             error = f"model {model} is not loaded"
             return error_answer(HTTPStatus.NOT_FOUND, error, NOT_RUN)
-        generation = _parse(request.fields)
-        if not self._scheduler.submit(generation.stream):
+        stream, key = _parse(request.fields)
+        if not self._scheduler.submit(stream):
             return error_answer(HTTPStatus.CONFLICT, "the attempt runs already")
         self._report()
-        lines = self._lines(request, generation)
-        return Answer(HTTPStatus.OK, lines, content_type="application/x-ndjson")
+        body = partial(self._transmit, request, stream, key)
+        return Answer(HTTPStatus.OK, body, content_type="application/x-ndjson")
 
     def _refuse(self, error: str) -> Answer:
         self._stats.count(refused=1)
         return _refusal(error)
 
-    def _lines(self, request: Request, generation: _Generation) -> Iterator[bytes]:
-        stream = generation.stream
-        limit = self.faults.current.truncate_after
-        cut = stream.last + 1 if limit is None else stream.first + limit
-        sent = stream.first
-        stored = len(stream.words)
-        completed = False
+    def _transmit(self, request: Request, stream: Stream, key: bytes) -> None:
+        faults = self.faults.current
+        transmission = Transmission(
+            request, stream, key, faults.truncate_after, self._store_words
+        )
+        stream.signal = partial(self._sender.signal, transmission)
+        outcome = "dropped"
         try:
-            self._closing.wait(self.faults.current.answer_delay_s)
-            request.send_headers()
-            while True:
-                self._wait(request, stream)
-                # The ending is read first: the tokens before it are then known.
-                ending = stream.ending
-                computed = min(stream.computed, cut)
-                if computed > sent:
-                    yield _token_lines(generation, sent, computed)
-                    sent = computed
-                if sent == cut or ending is Ending.STOPPED:
-                    raise DropConnection
-                if len(stream.words) - stored >= CACHE_GROUP_WORDS or ending:
-                    self._store(block_hashes(stream.words))
-                    stored = len(stream.words)
-                if ending:
-                    break
-            completed = ending is Ending.DONE
-            yield _last_line(ending, sent)
+            self._closing.wait(faults.answer_delay_s)
+            transmission.run(stream.signal)
+            outcome = "completed" if stream.ending is Ending.DONE else "cancelled"
         finally:
-            self._finish(stream, completed)
-
-    def _wait(self, request: Request, stream: Stream) -> None:
-        while not stream.wait(CALLER_POLL_S):
-            if request.caller_gone():
-                raise DropConnection
-
-    def _finish(self, stream: Stream, completed: bool) -> None:
-        if completed:
-            self._stats.count(completed=1)
-        elif stream.ending is not Ending.CANCELLED:
+            # Without effect on a stream that has ended.
             self._scheduler.cancel(*stream.key)
-            self._stats.count(dropped=1)
-        self._report()
+            self._stats.count(**{outcome: 1})
+            self._report()
 
     def _cancel(self, request_id: str, attempt: str) -> Answer:
         if not attempt.isdecimal():
             raise BadRequest("the attempt must be a number")
         cancelled = self._scheduler.cancel(request_id, int(attempt))
-        self._stats.count(cancelled=int(cancelled))
         return json_answer({"cancelled": cancelled})
 
     def _prefill(self, stream: Stream) -> int:
@@ -254,6 +215,12 @@
         drop_events = self.faults.current.drop_events
         return self._cache.store(blocks, time.monotonic(), drop_events)
 
+    def _store_words(self, stream: Stream) -> None:
+        # A stream that only waited has computed nothing that could be cached.
+        if stream.attempt_stats is not None:
+            stream.blocks = block_hashes(stream.words, stream.blocks)
+            self._store(stream.blocks)
+
     def _slowdown(self) -> float:
         faults = self.faults.current
         return 0.0 if faults.hang else faults.slowdown
@@ -284,7 +251,7 @@
     return retry_later(HTTPStatus.SERVICE_UNAVAILABLE, error)
 
 
-def _parse(fields: dict[str, Any]) -> _Generation:
+def _parse(fields: dict[str, Any]) -> tuple[Stream, bytes]:
     prompt = request_text(fields, "prompt")
     seed = request_int(fields, "seed", 0)
     first = request_int(fields, "resume_from", 0)
@@ -309,7 +276,7 @@
         words,
         block_hashes(words),
     )
-    return _Generation(key, stream)
+    return stream, key
 
 
 def _prefix_tokens(fields: dict[str, Any]) -> list[str]:
@@ -323,21 +290,5 @@
     return [text.strip() for text in tokens]
 
 
-def _token_lines(generation: _Generation, sent: int, computed: int) -> bytes:
-    lines = []
-    words = generation.stream.words
-    for index in range(sent, computed):
-        text = keyed_text(generation.key, index)
-        words.append(text[1:])
-        lines.append(f'{{"i": {index}, "t": {encode_text(text)}}}\n')
-    return "".join(lines).encode()
-
-
-def _last_line(ending: Ending, sent: int) -> bytes:
-    if ending is Ending.DONE:
-        return json.dumps({"done": True, "tokens": sent}).encode() + b"\n"
-    return json.dumps({"cancelled": True, "tokens": sent}).encode() + b"\n"
-
-
 if __name__ == "__main__":
     raise SystemExit(cmdline.run("engine", EngineOptions, Engine, THREADS))
--- a/packages/standins/cicadapass_standins/prefixcache.py
+++ b/packages/standins/cicadapass_standins/prefixcache.py
@@ -13,14 +13,18 @@
 MAX_EVENTS = 10_000
 
 
-def block_hashes(words: Sequence[str]) -> list[str]:
-    """Return the hash of each full block; it covers the words before it too."""
-    hashes: list[str] = []
-    previous = ""
-    for end in range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS):
-        text = previous + "\n" + " ".join(words[end - BLOCK_WORDS : end])
-        previous = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).hexdigest()
-        hashes.append(previous)
+def block_hashes(words: Sequence[str], known: Sequence[str] = ()) -> list[str]:
+    """Return the hash of each full block; it covers the words before it too.
+
+    `known` are the hashes of the first blocks, which are not computed again.
+    """
+    hashes = list(known)
+    for start in range(len(hashes) * BLOCK_WORDS, len(words), BLOCK_WORDS):
+        block = words[start : start + BLOCK_WORDS]
+        if len(block) == BLOCK_WORDS:
+            text = "\n".join([*hashes[-1:], " ".join(block)])
+            digest = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES)
+            hashes.append(digest.hexdigest())
     return hashes
 
 
--- a/packages/standins/cicadapass_standins/scheduler.py
+++ b/packages/standins/cicadapass_standins/scheduler.py
@@ -9,9 +9,8 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
-from queue import Empty, SimpleQueue
 
 from cicadapass_standins.stats import AttemptStats, Stats
 
@@ -53,7 +52,8 @@
     """One attempt of a request; it wants the tokens from `first` to before `last`.
 
     The scheduler writes `computed` (the index after the newest token) and then
-    `ending`, and wakes the one reader.
+    `ending`, and calls `signal`, which must not block. `words` are those of the
+    prompt and of the tokens that were sent, `blocks` the hashes of the prompt's.
     """
 
     request_id: str
@@ -63,32 +63,16 @@
     last: int
     words: list[str]
     blocks: list[str]
+    signal: Callable[[], None] = lambda: None
     computed: int = 0
     ending: Ending | None = None
     attempt_stats: AttemptStats | None = None
-    _signals: SimpleQueue[None] = field(default_factory=SimpleQueue)
-    _signalled: bool = False
 
     @property
     def key(self) -> tuple[str, int]:
         """The request id and attempt, which name a stream."""
         return (self.request_id, self.attempt)
 
-    def signal(self) -> None:
-        """Wake the reader, at most once until it has looked."""
-        if not self._signalled:
-            self._signalled = True
-            self._signals.put(None)
-
-    def wait(self, timeout_s: float) -> bool:
-        """Wait for a change; tell whether there was one."""
-        try:
-            self._signals.get(timeout=timeout_s)
-        except Empty:
-            return False
-        self._signalled = False
-        return True
-
 
 class Scheduler:
     """Run streams in a limited number of slots, highest priority first."""
--- a/packages/standins/cicadapass_standins/server.py
+++ b/packages/standins/cicadapass_standins/server.py
@@ -3,9 +3,10 @@
 import errno
 import json
 import logging
+import os
 import select
 import threading
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import cached_property
 from http import HTTPStatus
@@ -42,10 +43,10 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """An HTTP answer; an iterator as body is sent in chunks as it yields."""
+    """An HTTP answer; a function as body sends the headers and chunks itself."""
 
     status: int
-    body: bytes | Iterator[bytes] = b""
+    body: bytes | Callable[[], None] = b""
     headers: tuple[tuple[str, str], ...] = ()
     content_type: str = "application/json"
 
@@ -102,6 +103,20 @@
         """Send the status and headers before the first part of the body."""
         self._raw.ensure_headers_sent()
 
+    def write_now(self, chunk: bytes) -> bytes:
+        """Send one chunk without waiting and return the bytes not sent."""
+        data = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+        try:
+            # A socket with a timeout does not block at this level.
+            sent = os.write(self._raw.conn.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        return data[sent:]
+
+    def write_raw(self, data: bytes) -> None:
+        """Send what `write_now` left, waiting for a slow reader."""
+        self._raw.conn.wfile.write(data)
+
     def caller_gone(self) -> bool:
         """Tell whether the caller has closed its side of the connection."""
         readable = select.poll()
@@ -146,14 +161,8 @@
             raw.ensure_headers_sent()
             if raw.method != b"HEAD":
                 raw.write(answer.body)
-            return
-        try:
-            for chunk in answer.body:
-                raw.ensure_headers_sent()
-                raw.write(chunk)
-        finally:
-            # Ends the generator now, not when it is garbage-collected.
-            answer.body.close()  # type: ignore[attr-defined]
+        else:
+            answer.body()
 
 
 def _answer_or_error(answer: Callable[[Request], Answer], request: Request) -> Answer:
--- /dev/null
+++ b/packages/standins/cicadapass_standins/streaming.py
@@ -0,0 +1,149 @@
+"""Send the tokens of all streams of an engine from one thread.
+
+A thread a stream would be woken for each token, which costs several times as
+much as sending it. The thread of the request only sends what the socket did
+not take at once, so a slow reader does not hold up the others.
+"""
+
+import json
+import threading
+from collections.abc import Callable
+from queue import SimpleQueue
+
+from cicadapass_standins.answers import keyed_text
+from cicadapass_standins.exceptions import DropConnection
+from cicadapass_standins.scheduler import Ending, Stream
+from cicadapass_standins.server import Request
+
+# A request that waits for tokens looks this often whether its caller has gone.
+CALLER_POLL_S = 1.0
+# Generated words are added to the prefix cache in groups of this size.
+CACHE_GROUP_WORDS = 64
+
+encode_text = json.JSONEncoder(ensure_ascii=False).encode
+
+
+class Transmission:
+    """The answer to one request: the lines sent and those that remain."""
+
+    def __init__(
+        self,
+        request: Request,
+        stream: Stream,
+        key: bytes,
+        cut_after: int | None,
+        store: Callable[[Stream], None],
+    ) -> None:
+        # `cut_after` tokens the connection closes, if not None.
+        self._request = request
+        self._stream = stream
+        self._key = key
+        self._cut = None if cut_after is None else stream.first + cut_after
+        self._store = store
+        self._sent = stream.first
+        self._stored = stream.first
+        # Held while the socket is used: its number may be used again afterwards.
+        self._lock = threading.Lock()
+        self._open = False
+        self._rest = b""
+        self._ended = False
+        self._failed = False
+        self._turn = threading.Event()
+
+    def run(self, signal: Callable[[], None]) -> None:
+        """Return when the answer is complete, or drop the connection."""
+        try:
+            self._request.send_headers()
+            self._open = True
+            signal()
+            while not self._ended or self._rest:
+                self._wait()
+                if self._rest:
+                    self._request.write_raw(self._rest)
+                    self._rest = b""
+                    signal()
+        finally:
+            with self._lock:
+                self._open = False
+            self._store(self._stream)
+        if self._failed or self._is_stopped() or self._is_cut():
+            raise DropConnection
+
+    def send_due(self) -> None:
+        """Send the tokens computed so far."""
+        with self._lock:
+            if not self._open or self._rest or self._ended:
+                return
+            # The ending is read first: all tokens before it are then known.
+            ending = self._stream.ending
+            lines = self._lines()
+            # An engine that stops says nothing more: a chunk without bytes would
+            # mark the answer as complete.
+            if ending and not (self._is_stopped() or self._is_cut()):
+                lines.append(_last_line(ending, self._sent))
+            if lines:
+                self._rest = self._request.write_now("".join(lines).encode())
+            # Set last: the request's thread returns when it sees no rest.
+            self._ended = ending is not None or self._is_cut()
+        if self._ended or self._rest:
+            self._turn.set()
+        if self._sent - self._stored >= CACHE_GROUP_WORDS:
+            self._stored = self._sent
+            self._store(self._stream)
+
+    def fail(self) -> None:
+        """End after the socket has failed."""
+        self._failed = True
+        self._ended = True
+        self._turn.set()
+
+    def _wait(self) -> None:
+        while not self._turn.wait(CALLER_POLL_S):
+            if self._is_stopped() or self._request.caller_gone():
+                raise DropConnection
+        self._turn.clear()
+
+    def _is_stopped(self) -> bool:
+        return self._stream.ending is Ending.STOPPED
+
+    def _is_cut(self) -> bool:
+        return self._cut is not None and self._sent >= self._cut
+
+    def _lines(self) -> list[str]:
+        end = self._stream.computed
+        if self._cut is not None:
+            end = min(end, self._cut)
+        lines = []
+        for index in range(self._sent, end):
+            text = keyed_text(self._key, index)
+            self._stream.words.append(text[1:])
+            lines.append(f'{{"i": {index}, "t": {encode_text(text)}}}\n')
+        self._sent = max(end, self._sent)
+        return lines
+
+
+class StreamSender:
+    """The thread that sends; transmissions queue when they have tokens."""
+
+    def __init__(self) -> None:
+        self._queue: SimpleQueue[Transmission | None] = SimpleQueue()
+        threading.Thread(target=self._run, name="sender", daemon=True).start()
+
+    def signal(self, transmission: Transmission) -> None:
+        """Have the due tokens of a transmission sent soon."""
+        self._queue.put(transmission)
+
+    def stop(self) -> None:
+        """Stop after what is queued."""
+        self._queue.put(None)
+
+    def _run(self) -> None:
+        while (transmission := self._queue.get()) is not None:
+            try:
+                transmission.send_due()
+            except OSError:
+                transmission.fail()
+
+
+def _last_line(ending: Ending, sent: int) -> str:
+    return json.dumps({ending.value: True, "tokens": sent}) + "\n"
