Run cicadapassctl as a module

Cause: the binary exists only where the package is installed. Change: python -m cicadapassctl runs it from the work tree.

--- /dev/null
+++ b/packages/ctl/cicadapassctl/__main__.py
@@ -0,0 +1,7 @@
+"""Run the command line as `python -m cicadapassctl`."""
+
+import sys
+
+from cicadapassctl.cmdline import main
+
+sys.exit(main())
