--- a/packages/node/cicadapass/upstreams.py
+++ b/packages/node/cicadapass/upstreams.py
@@ -265,7 +265,7 @@
 
     def _report(self, change: HealthChange | PanicChange) -> None:
         if isinstance(change, PanicChange):
-            self._events.emit(502 if change.panic else 503, service=change.service)
+            self._report_panic(change)
             return
         self._events.emit(
             500,
@@ -276,6 +276,12 @@
             failures=change.tracker.failures,
         )
 
+    def _report_panic(self, change: PanicChange) -> None:
+        if change.panic:
+            self._events.emit(502, service=change.service)
+        else:
+            self._events.emit(503, service=change.service)
+
     def _close(self) -> None:
         if self._subscription is not None:
             self._subscription.cancel()
