Test the decisions

Change: focused failure tests and derandomised hypothesis properties for each module. The fleet property found a fault: with enough reclaimable slots, the share that is not reclaimable was not bought; plan_fleet now buys the larger of both shortages.

--- a/packages/decisions/cicadapass_decisions/fleet.py
+++ b/packages/decisions/cicadapass_decisions/fleet.py
@@ -115,9 +115,11 @@
     usable = [o for o in offers if _usable(o, backoffs, now_s)]
     purchases: list[Purchase] = []
     missing: dict[str, int] = {}
-    for service in sorted(short):
+    for service in sorted(wanted):
         on_demand = _on_demand_missing(service, wanted, live, rules)
-        bought, left, usable = _buy(service, short[service], on_demand, usable)
+        # Enough reclaimable slots do not replace the share that is not.
+        slots = max(short.get(service, 0), on_demand)
+        bought, left, usable = _buy(service, slots, on_demand, usable)
         purchases += bought
         if left > 0:
             missing[service] = left
--- /dev/null
+++ b/tests/decisions/test_admission.py
@@ -0,0 +1,80 @@
+"""Test admission."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions.admission import (
+    AdmissionRequest,
+    Admitted,
+    QueueLoad,
+    RefusalReason,
+    admit,
+)
+from cicadapass_decisions.drain import (
+    DrainRate,
+    expected_wait_s,
+    on_backlog,
+    on_completed,
+)
+from cicadapass_decisions.policy import AdmissionRules, QueueRules
+from cicadapass_decisions.types import Verdict
+from cicadapass_decisions.work import WorkKind
+
+RULES = AdmissionRules()
+QUEUE = QueueRules(max_queued=10)
+
+
+def _admit(priority, load, deadline_s=100.0, accepted=False):
+    request = AdmissionRequest(WorkKind.SHORT, priority, deadline_s, accepted)
+    return admit(request, load, RULES, QUEUE, 1.0)
+
+
+class AdmissionTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.integers(0, 9),
+        st.integers(0, 9),
+        st.floats(0, 10),
+        st.integers(0, 20),
+        st.none() | st.integers(0, 9),
+    )
+    def test_higher_priority_is_never_shed_instead(self, one, two, wait_s, queued, low):
+        """At the same load a higher priority must not fare worse."""
+        load = QueueLoad(wait_s, queued, low)
+        below, above = sorted((one, two))
+        if _admit(below, load).is_ok():
+            self.assertTrue(_admit(above, load).is_ok())
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.floats(0, allow_nan=False), st.integers(0, 20), st.floats(0, 200))
+    def test_refusals_say_not_run_and_when(self, wait_s, queued, deadline_s):
+        """Shed callers must learn that nothing ran and get a usable time."""
+        result = _admit(0, QueueLoad(wait_s, queued), deadline_s)
+        if result.is_error():
+            self.assertEqual(Verdict.NOT_RUN, result.error.verdict)
+            self.assertTrue(1 <= result.error.retry_after_s <= 30)
+
+    def test_refuses_what_cannot_meet_its_deadline(self):
+        """Work that is too late must not use slots."""
+        result = _admit(9, QueueLoad(1.5, 3), deadline_s=2.0)
+        self.assertEqual(RefusalReason.DEADLINE, result.error.reason)
+
+    def test_full_queue_displaces_only_lower(self):
+        """A full queue must not keep out more important work, nor swap equals."""
+        full = QueueLoad(0.5, 10, 3)
+        self.assertEqual(Admitted(displaces=True), _admit(4, full).ok)
+        self.assertEqual(RefusalReason.QUEUE_FULL, _admit(3, full).error.reason)
+
+    def test_accepted_is_never_shed(self):
+        """A promised answer must not be refused for load."""
+        self.assertTrue(_admit(0, QueueLoad(99.0, 99), accepted=True).is_ok())
+
+    def test_wait_follows_measured_rate(self):
+        """A service that completes less than usual must shed earlier."""
+        rate = on_backlog(DrainRate(), True, 0.0)
+        self.assertEqual(1.0, expected_wait_s(rate, 100.0, 100.0, 0.5))
+        for i in range(100):
+            rate = on_completed(rate, 2.0, i * 0.1)
+        self.assertTrue(4.0 < expected_wait_s(rate, 100.0, 100.0, 10.0) < 6.0)
+        self.assertEqual(float("inf"), expected_wait_s(rate, 1.0, 0.0, 10.0))
--- /dev/null
+++ b/tests/decisions/test_retry.py
@@ -0,0 +1,139 @@
+"""Test what follows a failed attempt."""
+
+import random
+from dataclasses import replace
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions.policy import RetryRules
+from cicadapass_decisions.retry import (
+    Attempt,
+    Failure,
+    FailureKind,
+    GiveUp,
+    Hedge,
+    Resume,
+    Retry,
+    RetryBudget,
+    RetryRequest,
+    Wait,
+    hedge_after_s,
+    next_step,
+    on_request,
+    verdict_of,
+)
+from cicadapass_decisions.types import Verdict
+
+RULES = RetryRules()
+FULL = RetryBudget(10.0)
+REQUEST = RetryRequest(repeatable=True, deadline_s=100.0)
+ENDED = [kind for kind in FailureKind if kind is not FailureKind.LATE]
+
+attempts_of = st.lists(
+    st.builds(
+        Attempt,
+        st.sampled_from(["a", "b"]),
+        st.booleans(),
+        st.sampled_from(ENDED),
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+def _step(attempts, request=REQUEST, budget=FULL, now_s=1.0):
+    failure = Failure(attempts[-1].failure, attempts[-1].sent)
+    rng = random.Random(1)
+    return next_step(attempts, failure, request, budget, now_s, rng, RULES)
+
+
+class RetryTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None)
+    @given(attempts_of, st.floats(0, 10))
+    def test_non_repeatable_is_never_sent_twice(self, attempts, tokens):
+        """A payment must not run twice, not even if the first seemed not to run."""
+        request = replace(REQUEST, repeatable=False)
+        step = _step(attempts, request, RetryBudget(tokens)).step
+        if any(attempt.sent for attempt in attempts):
+            self.assertIsInstance(step, GiveUp)
+
+    @settings(derandomize=True, deadline=None)
+    @given(attempts_of)
+    def test_not_run_needs_proof(self, attempts):
+        """A caller told "not run" must be able to rely on it."""
+        if verdict_of(attempts) is Verdict.NOT_RUN:
+            for attempt in attempts:
+                proved = attempt.failure is FailureKind.REJECTED
+                self.assertTrue(proved or not attempt.sent)
+                self.assertIsNot(FailureKind.ANSWERED, attempt.failure)
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        st.integers(200, 2000),
+        st.floats(0.0005, 0.15),
+        st.lists(st.sampled_from([FailureKind.BROKEN, FailureKind.LATE]), min_size=3),
+    )
+    def test_attempts_stay_within_budget(self, requests, gap_s, kinds):
+        """Retries and hedges of failing requests must not multiply an overload."""
+        budget, extra, now_s = RetryBudget(), 0, 0.0
+        for number in range(requests):
+            now_s += gap_s
+            budget = on_request(budget, now_s, RULES)
+            kind = kinds[number % len(kinds)]
+            attempts = [Attempt("a", True, kind, kind is FailureKind.LATE)]
+            decision = _step(attempts, replace(REQUEST, deadline_s=1e9), budget, now_s)
+            budget = decision.budget
+            extra += isinstance(decision.step, Retry | Hedge)
+        self.assertTrue(extra <= 0.1 * requests + RetryBudget().tokens + 1e-6)
+
+    def test_quiet_node_may_retry(self):
+        """A node with hardly any requests must still retry a failed one."""
+        budget = on_request(RetryBudget(0.0), 0.0, RULES)
+        budget = on_request(budget, 10.0, RULES)
+        attempts = [Attempt("a", True, FailureKind.BROKEN)]
+        self.assertIsInstance(_step(attempts, budget=budget, now_s=10.0).step, Retry)
+
+    def test_spent_budget(self):
+        """An accepted request must wait for budget; any other is given up."""
+        attempts = [Attempt("a", False, FailureKind.REFUSED)]
+        spent = RetryBudget(0.0, 1.0)
+        accepted = replace(REQUEST, accepted=True)
+        self.assertIsInstance(_step(attempts, accepted, spent).step, Wait)
+        step = _step(attempts, REQUEST, spent).step
+        self.assertEqual(Verdict.NOT_RUN, step.verdict)
+
+    def test_leaving_needs_no_budget(self):
+        """A reclaimed zone must not use up the budget of the others."""
+        attempts = [Attempt("a", True, FailureKind.LEAVING)]
+        request = replace(REQUEST, tokens=7)
+        step = _step(attempts, request, RetryBudget(0.0, 1.0)).step
+        self.assertEqual(Resume(0.0, 7, frozenset("a")), step)
+
+    def test_gives_up(self):
+        """Attempts must end at the deadline and at their number."""
+        broken = Attempt("a", True, FailureKind.BROKEN)
+        self.assertIsInstance(_step([broken], now_s=100.0).step, GiveUp)
+        step = _step([broken] * RULES.max_attempts).step
+        self.assertEqual(Verdict.UNKNOWN, step.verdict)
+
+    def test_hedges_once_and_only_before_tokens(self):
+        """A hedge of a started answer would compute its tokens twice."""
+        late = Attempt("a", True, FailureKind.LATE, running=True)
+        self.assertEqual(Hedge(frozenset("a")), _step([late]).step)
+        self.assertIsInstance(_step([late, late]).step, Wait)
+        self.assertIsInstance(_step([late], replace(REQUEST, tokens=1)).step, Wait)
+        once = replace(REQUEST, repeatable=False)
+        self.assertIsInstance(_step([late], once).step, Wait)
+
+    def test_failure_beside_a_running_hedge(self):
+        """A failed attempt must not end the request while the other one runs."""
+        running = Attempt("a", True, None, running=True)
+        failed = Attempt("b", True, FailureKind.BROKEN)
+        self.assertIsInstance(_step([running, failed]).step, Wait)
+
+    def test_hedge_needs_usual_times(self):
+        """Without measurements every first request would be hedged."""
+        self.assertIsNone(hedge_after_s(None, RULES))
+        self.assertEqual(0.4, hedge_after_s(0.1, RULES))
--- /dev/null
+++ b/tests/decisions/test_routing.py
@@ -0,0 +1,158 @@
+"""Test the choice of an upstream."""
+
+import random
+from dataclasses import replace
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions.policy import Policy, RoutingRules
+from cicadapass_decisions.routing import NoUpstreamKind, choose_upstream
+from cicadapass_decisions.scoring import (
+    Candidate,
+    InFlight,
+    LoadReport,
+    RoutingRequest,
+    Status,
+    expected_load,
+)
+from cicadapass_decisions.slowness import Health
+from cicadapass_decisions.work import WorkKind
+
+POLICY = Policy()
+SHORT, LONG = WorkKind.SHORT, WorkKind.LONG
+
+in_flights = st.builds(InFlight, st.integers(0, 5), st.integers(0, 5))
+candidate_lists = st.lists(
+    st.builds(
+        Candidate,
+        upstream=st.uuids().map(str),
+        data_centre=st.sampled_from(["f/a", "f/b"]),
+        limit=st.integers(1, 8),
+        own=in_flights,
+        peers=in_flights,
+        leaving=st.booleans(),
+        health=st.sampled_from(Health),
+        probe_due=st.booleans(),
+        hop_s=st.sampled_from([0.0, 0.002]),
+    ),
+    max_size=8,
+)
+
+
+def _choose(candidates, request=None, panic=False, seed=1, policy=POLICY):
+    request = request or RoutingRequest(SHORT, 20)
+    rng = random.Random(seed)
+    return choose_upstream(request, candidates, rng, 10.0, policy, panic)
+
+
+def _candidate(name, **fields):
+    return Candidate(name, fields.pop("data_centre", "f/a"), 8, **fields)
+
+
+class RoutingTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        candidate_lists, st.sampled_from([SHORT, LONG]), st.booleans(), st.booleans()
+    )
+    def test_never_chooses_what_it_must_not(self, candidates, kind, panic, repeatable):
+        """Leaving, full and (without panic) bad upstreams must get no request."""
+        request = RoutingRequest(kind, 20, repeatable=repeatable)
+        result = _choose(candidates, request, panic)
+        if result.is_error():
+            return
+        chosen = next(c for c in candidates if c.upstream == result.ok.upstream)
+        self.assertFalse(chosen.leaving)
+        used = chosen.own + chosen.peers
+        self.assertTrue(used.short + used.long < chosen.limit)
+        if chosen.health is not Health.GOOD and not panic:
+            self.assertTrue(chosen.probe_due and repeatable)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(candidate_lists, st.booleans())
+    def test_finds_an_upstream_if_there_is_one(self, candidates, panic):
+        """Random draws must not miss the only upstream that has room."""
+        able = [
+            c
+            for c in candidates
+            if not c.leaving
+            and (c.health is Health.GOOD or panic)
+            and (c.own + c.peers).short + (c.own + c.peers).long < c.limit
+        ]
+        result = _choose(candidates, RoutingRequest(SHORT, 20), panic)
+        if able:
+            self.assertTrue(result.is_ok())
+        elif all(c.leaving for c in candidates):
+            self.assertEqual(NoUpstreamKind.NONE, result.error.kind)
+
+    def test_panic_does_not_revive_leaving(self):
+        """A reclaimed zone must not get work because all others are bad."""
+        bad = [_candidate(f"b{i}", health=Health.FAILING) for i in range(2)]
+        gone = [_candidate(f"l{i}", leaving=True) for i in range(8)]
+        for seed in range(50):
+            choice = _choose([*gone, *bad], panic=True, seed=seed).ok
+            self.assertIn(choice.upstream, {"b0", "b1"})
+
+    def test_prefers_the_less_loaded(self):
+        """Of two choices the one with less work must win."""
+        busy = _candidate("busy", own=InFlight(short=5))
+        self.assertEqual("idle", _choose([busy, _candidate("idle")]).ok.upstream)
+        fast = replace(busy, upstream="fast", first_token_s=0.01, inter_token_s=0.001)
+        self.assertEqual("fast", _choose([fast, _candidate("idle")]).ok.upstream)
+
+    def test_old_report_counts_for_nothing(self):
+        """A report that is late must not keep work away from an idle upstream."""
+        fresh = _candidate("u", report=LoadReport(6, 2, 10.0))
+        self.assertEqual(8.0, expected_load(fresh, 10.0, POLICY))
+        self.assertEqual(4.0, expected_load(fresh, 12.5, POLICY))
+        self.assertEqual(0.0, expected_load(fresh, 20.0, POLICY))
+
+    def test_prefix_must_pay_for_the_load(self):
+        """Affinity must save recomputation, but not build a queue."""
+        near, holder = _candidate("near"), _candidate("holder")
+        request = RoutingRequest(
+            SHORT, 20, prompt_tokens=800, prefix_tokens={"holder": 800}
+        )
+        others = [_candidate(f"n{i}") for i in range(20)]
+        self.assertEqual(
+            "holder", _choose([near, holder, *others], request).ok.upstream
+        )
+        loaded = replace(holder, own=InFlight(short=7))
+        self.assertEqual("near", _choose([near, loaded], request).ok.upstream)
+
+    def test_hop_must_pay(self):
+        """Another data centre must be used only when it saves more than the hop."""
+        far = _candidate("far", hop_s=0.05, data_centre="f/b")
+        fars = [replace(far, upstream=f"far{i}") for i in range(9)]
+        for seed in range(20):
+            choice = _choose([_candidate("near"), *fars], seed=seed).ok
+            self.assertEqual("near", choice.upstream)
+        loaded = _candidate("near", own=InFlight(short=6))
+        self.assertIn("far", _choose([loaded, *fars]).ok.upstream)
+
+    def test_avoids_failed_upstream_unless_alone(self):
+        """A retry must go elsewhere, but one upstream is better than none."""
+        request = RoutingRequest(SHORT, 20, avoid=frozenset(["a"]))
+        both = [_candidate("a"), _candidate("b")]
+        self.assertEqual("b", _choose(both, request).ok.upstream)
+        self.assertEqual("a", _choose(both[:1], request).ok.upstream)
+        hedge = replace(request, must_avoid=True)
+        self.assertTrue(_choose(both[:1], hedge).is_error())
+
+    def test_reasons_name_what_was_looked_at(self):
+        """An operator must see why an upstream was passed over."""
+        candidates = [_candidate("a"), _candidate("b", leaving=True)]
+        choice = _choose(candidates).ok
+        statuses = {reason.upstream: reason.status for reason in choice.reasons}
+        self.assertEqual({"a": Status.CHOSEN, "b": Status.LEAVING}, statuses)
+        parts = choice.reasons[-1].parts_s or choice.reasons[0].parts_s
+        self.assertAlmostEqual(choice.score_s, sum(parts.values()))
+
+    def test_switches(self):
+        """A mechanism that is switched off must not influence the choice."""
+        rules = RoutingRules(use_peers=False, use_speed=False, use_reports=False)
+        policy = replace(POLICY, routing=rules)
+        other = _candidate("o", peers=InFlight(short=8), first_token_s=9.0)
+        self.assertTrue(_choose([other], policy=policy).is_ok())
+        self.assertEqual(0.0, expected_load(other, 10.0, policy))
