--- a/packages/standins/cicadapass_standins/cmdline.py
+++ b/packages/standins/cicadapass_standins/cmdline.py
@@ -7,7 +7,7 @@
 import signal
 import threading
 from collections.abc import Callable, Sequence
-from dataclasses import MISSING, fields
+from dataclasses import MISSING, dataclass, fields
 from typing import Any, TypeVar
 
 from cicadapass_standins.exceptions import BadRequest
@@ -16,6 +16,11 @@
 O = TypeVar("O")  # noqa: E741
 
 
+@dataclass(frozen=True)
+class NoOptions:
+    """A stand-in without options of its own."""
+
+
 def run(
     name: str,
     options_type: type[O],
--- a/packages/standins/cicadapass_standins/server.py
+++ b/packages/standins/cicadapass_standins/server.py
@@ -217,7 +217,12 @@
                 CONTROL_THREADS,
             ),
         )
-        self.url, self.control_url = (_start(server) for server in self._servers)
+        try:
+            self.url, self.control_url = (_start(server) for server in self._servers)
+        except OSError:
+            # The threads of the first server would keep the process alive.
+            self.stop()
+            raise
 
     def stop(self) -> None:
         """End streams and long polls and close all connections."""
--- /dev/null
+++ b/tests/standins/test_streaming.py
@@ -0,0 +1,82 @@
+"""Test how the engine sends tokens, with a socket that fails or is slow."""
+
+import threading
+from functools import partial
+
+import testtools
+
+from cicadapass_standins.answers import answer_key, answer_text
+from cicadapass_standins.exceptions import DropConnection
+from cicadapass_standins.scheduler import Ending, Stream
+from cicadapass_standins.streaming import StreamSender, Transmission
+from tests.standins.support import TIMEOUT_S
+
+KEY = answer_key("prompt", 1)
+
+
+class SlowRequest:
+    """Take three bytes of each chunk at once, or fail."""
+
+    def __init__(self, fails=False, gone=False):
+        self.fails, self.gone = fails, gone
+        self.headers_sent = threading.Event()
+        self.body = b""
+
+    def send_headers(self):
+        self.headers_sent.set()
+
+    def write_now(self, chunk: bytes) -> bytes:
+        if self.fails:
+            raise BrokenPipeError
+        self.body += chunk[:3]
+        return chunk[3:]
+
+    def write_raw(self, data: bytes) -> None:
+        self.body += data
+
+    def caller_gone(self) -> bool:
+        return self.gone
+
+
+class TransmissionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.sender = StreamSender()
+        self.addCleanup(self.sender.stop)
+        self.stream = Stream("r", 1, 0, 0, 50, [], [])
+
+    def transmission(self, request) -> Transmission:
+        return Transmission(request, self.stream, KEY, None, lambda stream: None)
+
+    def test_slow_reader_gets_every_byte_in_order(self):
+        """Bytes that the socket did not take must be sent before later ones."""
+        request = SlowRequest()
+        transmission = self.transmission(request)
+        signal = partial(self.sender.signal, transmission)
+        thread = threading.Thread(target=transmission.run, args=(signal,))
+        thread.start()
+        request.headers_sent.wait(TIMEOUT_S)
+        for computed in range(1, 51):
+            self.stream.computed = computed
+            signal()
+        self.stream.ending = Ending.DONE
+        signal()
+        thread.join(TIMEOUT_S)
+        self.assertFalse(thread.is_alive())
+        self.assertEqual(51, request.body.count(b"\n"))
+        self.assertEqual(answer_text("prompt", 1, 50).split(), self.stream.words)
+        indices = [line.split(b",")[0] for line in request.body.splitlines()[:-1]]
+        self.assertEqual([b'{"i": %d' % index for index in range(50)], indices)
+
+    def test_failed_socket_ends_the_stream(self):
+        """A request must not wait for ever, nor look complete, after an error."""
+        transmission = self.transmission(SlowRequest(fails=True))
+        self.stream.computed = 1
+        signal = partial(self.sender.signal, transmission)
+        self.assertRaises(DropConnection, transmission.run, signal)
+
+    def test_caller_that_has_gone_ends_the_stream(self):
+        """A stream without tokens must notice that its caller has gone."""
+        transmission = self.transmission(SlowRequest(gone=True))
+        signal = partial(self.sender.signal, transmission)
+        self.assertRaises(DropConnection, transmission.run, signal)
