Make the tests of priority and long polls detect their failures

Trials with changed copies of the code showed that both passed without the behaviour that they test: both streams of the priority test started together, and the long poll could begin after the append.

--- a/packages/standins/cicadapass_standins/streaming.py
+++ b/packages/standins/cicadapass_standins/streaming.py
@@ -77,8 +77,7 @@
             # The ending is read first: all tokens before it are then known.
             ending = self._stream.ending
             lines = self._lines()
-            # An engine that stops says nothing more: a chunk without bytes would
-            # mark the answer as complete.
+            # An engine that stops says nothing more, like one that is killed.
             if ending and not (self._is_stopped() or self._is_cut()):
                 lines.append(_last_line(ending, self._sent))
             if lines:
--- a/tests/standins/support.py
+++ b/tests/standins/support.py
@@ -9,7 +9,9 @@
 from cicadapass_standins.server import App, ServerOptions, Standin
 
 # Generous: a machine under load must not fail a test.
-TIMEOUT_S = 30.0
+TIMEOUT_S = 20.0
+# A long poll that nothing wakes lasts longer than its caller waits.
+LONG_POLL_S = 30.0
 SERVER = ServerOptions(threads=12)
 
 
--- a/tests/standins/test_log.py
+++ b/tests/standins/test_log.py
@@ -1,21 +1,27 @@
 """Test the log stand-in."""
 
 import base64
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
 
 from cicadapass_standins.log import Log
-from tests.standins.support import TIMEOUT_S, StandinTest
+from tests.standins.support import LONG_POLL_S, TIMEOUT_S, StandinTest
 
 
 class LogTest(StandinTest):
     def setUp(self):
         super().setUp()
         self.now_s = 1000.0
-        self.log = self.serve(Log(clock=lambda: self.now_s))
+        self.clock_read = threading.Event()
+        self.log = self.serve(Log(clock=self.clock))
         self.records = self.log.url + "/streams/main/records"
 
+    def clock(self) -> float:
+        self.clock_read.set()
+        return self.now_s
+
     def append(self, data: bytes):
         return self.call("POST", self.records, data)
 
@@ -33,7 +39,9 @@
     def test_long_poll_ends_with_the_append(self):
         """A waiting reader must get a record that is appended later."""
         with ThreadPoolExecutor() as pool:
-            page = pool.submit(self.read, 0, TIMEOUT_S / 2)
+            page = pool.submit(self.read, 0, LONG_POLL_S)
+            # The reader looks at the stream under the lock with which it waits.
+            self.clock_read.wait(TIMEOUT_S)
             self.append(b"late")
             self.assertEqual(1, len(page.result()["records"]))
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -10,7 +10,7 @@
 from cicadapass_standins.exceptions import BadRequest
 from cicadapass_standins.vmlist import VmList
 from cicadapass_standins.weights import WeightOptions, WeightStore
-from tests.standins.support import TIMEOUT_S, StandinTest
+from tests.standins.support import LONG_POLL_S, StandinTest
 
 VM = {
     "name": "vm-1",
@@ -79,7 +79,7 @@
 
     def test_notice_reaches_a_waiting_reader(self):
         """A reader that waits must get a notice once, after the last it knows."""
-        url = f"{self.cloud.url}/notices?wait_s={TIMEOUT_S / 2}&after="
+        url = f"{self.cloud.url}/notices?wait_s={LONG_POLL_S}&after="
         with ThreadPoolExecutor() as pool:
             waiting = pool.submit(self.get, url + "0")
             self.control(self.cloud, notice={"zone": "zone-a", "seconds": 9})
--- a/tests/standins/test_scheduler.py
+++ b/tests/standins/test_scheduler.py
@@ -36,14 +36,18 @@
 
     def test_slots_go_to_the_highest_priority_first(self):
         """A waiting stream of high priority must start before older ones."""
-        running = [self.submit(name, 10) for name in "ab"]
+        self.scheduler = self.build(Speed(10.0, 0.0, 0.0), slots=1)
+        first = self.submit("first", 10)
         low, high = self.submit("low", 10), self.submit("high", 10, priority=9)
-        self.assertEqual((2, 2), self.scheduler.counts)
+        self.assertEqual((1, 2), self.scheduler.counts)
         self.run_for(1.05)
-        self.scheduler.cancel("low", 1)
-        self.assertEqual([Ending.DONE] * 2, [stream.ending for stream in running])
+        self.assertEqual((Ending.DONE, (1, 1)), (first.ending, self.scheduler.counts))
         self.run_for(0.25)
         self.assertEqual((2, 0), (high.computed, low.computed))
+        self.assertTrue(self.scheduler.cancel("high", 1))
+        self.run_for(0.0)
+        self.run_for(0.25)
+        self.assertEqual((2, 2), (high.computed, low.computed))
 
     def test_rate_falls_with_the_batch(self):
         """Two streams must each be slower than one by the batch cost."""
