--- a/packages/standins/cicadapass_standins/cloud.py
+++ b/packages/standins/cicadapass_standins/cloud.py
@@ -82,7 +82,7 @@
 
     def notify(self, notice: dict[str, Any]) -> None:
         """Issue a notice; its deadline is Unix time, `seconds` from now."""
-        if not isinstance(notice, dict) or not notice.get("zone", notice.get("vm")):
+        if not isinstance(notice, dict) or not (notice.get("zone") or notice.get("vm")):
             raise BadRequest("a notice needs a zone or a vm")
         issued = {"kind": "reclaim", "zone": None, "vm": None, **notice}
         issued["deadline_s"] = time.time() + float(issued.pop("seconds", 30.0))
