Add the connections between nodes

Cause: all parts of the node need typed messages to other nodes, with bounds. Change: one asyncio loop in one thread. Each direction of a pair has its own connection: the client sends requests, the server answers on it, so that no tie-break between two simultaneous connections is needed. Both sides prove the shared secret over both nonces, addresses and the version. Queues, handshakes, connections and running handlers are bounded; an overdue answer makes the link ping its peer and break a dead connection. Faults of peers have events 320 to 330. TLS contexts are passed through but not tested: there is no certificate library in the environment and no private key belongs in the repository.

--- a/packages/common/cicadapass_common/copymessages.py
+++ b/packages/common/cicadapass_common/copymessages.py
@@ -111,13 +111,6 @@
     items: tuple[ReleaseItem, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Done(Message):
-    """Answer a message that needs no other answer."""
-
-    KIND: ClassVar[str] = "done"
-
-
 @dataclass(frozen=True, slots=True)
 class HandOver(Message):
     """Ask the holder to become the owner; answered by CopyReply.
--- a/packages/common/cicadapass_common/messages.py
+++ b/packages/common/cicadapass_common/messages.py
@@ -63,6 +63,13 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Done(Message):
+    """Answer a message that needs no other answer."""
+
+    KIND: ClassVar[str] = "done"
+
+
 @dataclass(frozen=True, slots=True)
 class Probe(Message):
     """Check a member and exchange gossip; answered by ProbeReply.
--- /dev/null
+++ b/packages/node/cicadapass/handshake.py
@@ -0,0 +1,73 @@
+"""The handshake of two peers: versions, addresses and proofs of the shared secret."""
+
+import hashlib
+import hmac
+import secrets
+from dataclasses import replace
+
+from cicadapass.peererrors import PeerError, PeerFault
+from cicadapass_common.messages import Hello, HelloProof, HelloReply, Message
+from cicadapass_common.wire import MAJOR_VERSION, encode
+from cicadapass_decisions.types import NodeAddress
+
+MIN_VERSION = MAJOR_VERSION
+MAX_VERSION = MAJOR_VERSION
+NONCE_BYTES = 16
+# A peer that has not proved the secret may not make the node hold more than this.
+MAX_HANDSHAKE_BYTES = 4096
+# Both sides have different labels, or a server would sign a client's proof for it.
+_SERVER_LABEL = b"server"
+_CLIENT_LABEL = b"client"
+
+
+def new_hello(own: NodeAddress) -> Hello:
+    """Return the client's first message."""
+    return Hello(MIN_VERSION, MAX_VERSION, own, secrets.token_bytes(NONCE_BYTES))
+
+
+def answer_hello(hello: Hello, own: NodeAddress, secret: bytes) -> HelloReply:
+    """Return the server's answer; raise PeerError if no version is common."""
+    version = min(hello.max_version, MAX_VERSION)
+    if version < max(hello.min_version, MIN_VERSION):
+        versions = f"{hello.min_version} to {hello.max_version}"
+        raise PeerError(PeerFault.WRONG_VERSION, f"the peer speaks {versions}")
+    reply = HelloReply(version, own, secrets.token_bytes(NONCE_BYTES), b"")
+    return replace(reply, proof=_proof(_SERVER_LABEL, hello, reply, secret))
+
+
+def check_reply(
+    hello: Hello, reply: HelloReply, target: NodeAddress, secret: bytes
+) -> None:
+    """Raise PeerError unless the server knows the secret and is the target.
+
+    A target without a name is a seed of the settings: any node may answer there.
+    """
+    if not MIN_VERSION <= reply.version <= MAX_VERSION:
+        detail = f"the peer chose version {reply.version}"
+        raise PeerError(PeerFault.WRONG_VERSION, detail)
+    expected = _proof(_SERVER_LABEL, hello, reply, secret)
+    if not hmac.compare_digest(expected, reply.proof):
+        raise PeerError(PeerFault.WRONG_SECRET, "the server's proof is wrong")
+    if target.name and reply.address.vm != target.vm:
+        found = f"{reply.address.name} ({reply.address.incarnation})"
+        raise PeerError(PeerFault.WRONG_NODE, f"the address belongs to {found}")
+
+
+def client_proof(hello: Hello, reply: HelloReply, secret: bytes) -> HelloProof:
+    """Return the client's proof."""
+    return HelloProof(_proof(_CLIENT_LABEL, hello, reply, secret))
+
+
+def check_client(
+    hello: Hello, reply: HelloReply, proof: HelloProof, secret: bytes
+) -> None:
+    """Raise PeerError unless the client knows the secret."""
+    expected = _proof(_CLIENT_LABEL, hello, reply, secret)
+    if not hmac.compare_digest(expected, proof.proof):
+        raise PeerError(PeerFault.WRONG_SECRET, "the client's proof is wrong")
+
+
+def _proof(label: bytes, hello: Hello, reply: HelloReply, secret: bytes) -> bytes:
+    messages: tuple[Message, ...] = hello, replace(reply, proof=b"")
+    transcript = b"".join(encode(m) for m in messages)
+    return hmac.new(secret, label + transcript, hashlib.sha256).digest()
--- /dev/null
+++ b/packages/node/cicadapass/peerlink.py
@@ -0,0 +1,317 @@
+"""The client's side of a connection to one peer: requests out, answers in."""
+
+import asyncio
+import contextlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from cicadapass import handshake, peerstate
+from cicadapass.peererrors import PeerError, PeerFault
+from cicadapass.peerstate import PeerState
+from cicadapass_common.exceptions import FrameError
+from cicadapass_common.messages import Failure, HelloReply, Message
+from cicadapass_common.wire import MAX_FRAME_BYTES, encode
+from cicadapass_decisions.types import NodeAddress
+
+OnReply = Callable[[Result[Message, PeerError]], object]
+
+
+@dataclass(slots=True, eq=False)
+class Outgoing:
+    """Hold an encoded message on its way; one without `on_reply` gets no answer."""
+
+    kind: str
+    data: bytes
+    correlation: int | None
+    on_reply: OnReply | None
+    timeout_s: float
+    sent_s: float | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+class PeerLink:
+    """Own the connection to one peer; used only in the thread of the loop."""
+
+    def __init__(self, target: NodeAddress, state: PeerState) -> None:
+        self._target = target
+        self._state = state
+        self._loop = asyncio.get_running_loop()
+        self._queue: deque[Outgoing] = deque()
+        self._queued_bytes = 0
+        self._pending: dict[int, Outgoing] = {}
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._connection: ClientConnection | None = None
+        self._checking: asyncio.Task[None] | None = None
+        self._failures = 0
+        self._retry_s = 0.0
+        self._last_error: PeerError | None = None
+        self._received_s = 0.0
+
+    @property
+    def in_use(self) -> bool:
+        """Return whether the link has a connection or opens one."""
+        return self._task is not None
+
+    def submit(self, message: Outgoing) -> None:
+        """Queue a message; its `on_reply` is called once, at once if it fails."""
+        error = self._refusal(message)
+        if error is not None:
+            if message.on_reply:
+                message.on_reply(Error(error))
+            return
+        self._queue.append(message)
+        self._queued_bytes += len(message.data)
+        self._state.count_sent(message.kind, len(message.data))
+        if message.correlation is not None:
+            self._pending[message.correlation] = message
+            message.timer = self._loop.call_later(
+                message.timeout_s, self._expire, message.correlation
+            )
+        self._wake.set()
+        if self._task is None:
+            self._task = self._loop.create_task(self._run())
+
+    async def close(self) -> None:
+        """Close the connection; messages without an answer fail."""
+        task = self._task
+        if task is None:
+            return
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    def _refusal(self, message: Outgoing) -> PeerError | None:
+        if not self._state.settings.allow(self._target):
+            return PeerError(PeerFault.UNREACHABLE, "the path is cut")
+        queued = self._queued_bytes + len(message.data)
+        if (
+            len(self._queue) >= peerstate.MAX_QUEUED_MESSAGES
+            or queued > peerstate.MAX_QUEUED_BYTES
+        ):
+            detail = f"{len(self._queue)} messages wait for {self._target.name}"
+            return PeerError(PeerFault.QUEUE_FULL, detail)
+        if self._task is None and self._loop.time() < self._retry_s:
+            return self._last_error
+        return None
+
+    async def _run(self) -> None:
+        error = PeerError(PeerFault.STOPPED, "the node closes its connections")
+        try:
+            connection = await self._open()
+            self._failures = 0
+            self._connection = connection
+            await self._exchange(connection)
+            self._restart()
+            return
+        except PeerError as peer_error:
+            error = peer_error
+        except (OSError, TimeoutError, WebSocketException) as failure:
+            error = PeerError(PeerFault.UNREACHABLE, _reason(failure))
+        finally:
+            if self._task is asyncio.current_task():
+                self._end(error)
+
+    async def _open(self) -> ClientConnection:
+        """Return a connection after the handshake."""
+        target = self._target
+        tls = self._state.settings.client_tls
+        scheme = "wss" if tls else "ws"
+        async with asyncio.timeout(peerstate.OPEN_TIMEOUT_S):
+            connection = await connect(
+                f"{scheme}://{target.host}:{target.peer_port}/",
+                ssl=tls,
+                proxy=None,
+                compression=None,
+                user_agent_header=None,
+                open_timeout=None,
+                ping_interval=None,
+                close_timeout=peerstate.CLOSE_TIMEOUT_S,
+                max_size=MAX_FRAME_BYTES,
+            )
+            try:
+                await self._shake_hands(connection)
+            except BaseException:
+                connection.transport.abort()
+                raise
+        return connection
+
+    async def _shake_hands(self, connection: ClientConnection) -> None:
+        secret = self._state.settings.secret
+        hello = handshake.new_hello(self._state.address)
+        await self._send(connection, hello)
+        try:
+            data = await connection.recv()
+        except ConnectionClosed as closed:
+            raise _refused(closed) from None
+        reply = self._read(data)
+        if not isinstance(reply, HelloReply):
+            raise self._reported(PeerError(PeerFault.GARBAGE, "no handshake"))
+        try:
+            handshake.check_reply(hello, reply, self._target, secret)
+        except PeerError as error:
+            raise self._reported(error) from None
+        await self._send(connection, handshake.client_proof(hello, reply, secret))
+
+    async def _send(self, connection: ClientConnection, message: Message) -> None:
+        data = encode(message, None, self._state.stamps.stamp())
+        self._state.count_sent(message.KIND, len(data))
+        await connection.send(data)
+
+    def _read(self, data: str | bytes) -> Message:
+        try:
+            return self._state.read_frame(data, self._target.name).message
+        except PeerError as error:
+            raise self._reported(error) from None
+
+    def _reported(self, error: PeerError) -> PeerError:
+        self._state.report(error, self._target.name)
+        return error
+
+    async def _exchange(self, connection: ClientConnection) -> None:
+        """Send and receive until the connection is idle, closed or broken."""
+        reader = self._loop.create_task(self._receive(connection))
+        sender = self._loop.create_task(self._send_queue(connection))
+        try:
+            done, _ = await asyncio.wait(
+                (reader, sender), return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+        finally:
+            reader.cancel()
+            sender.cancel()
+            await asyncio.gather(reader, sender, return_exceptions=True)
+            with contextlib.suppress(Exception):
+                await connection.close()
+
+    async def _receive(self, connection: ClientConnection) -> None:
+        try:
+            async for data in connection:
+                self._received_s = self._loop.time()
+                self._answer(data)
+        except ConnectionClosed as closed:
+            raise _refused(closed) from None
+        raise PeerError(PeerFault.CLOSED, "the peer closed the connection")
+
+    def _restart(self) -> None:
+        """Open a new connection if messages came while the idle one was closed."""
+        self._connection = None
+        self._task = None
+        if self._queue:
+            self._task = self._loop.create_task(self._run())
+
+    def _answer(self, data: str | bytes) -> None:
+        try:
+            frame = self._state.read_frame(data, self._target.name)
+        except PeerError as error:
+            raise self._reported(error) from None
+        except FrameError:
+            # A kind of a newer version; the request for it runs into its timeout.
+            return
+        # A late answer finds no request any more.
+        message = self._pending.pop(frame.correlation or 0, None)
+        if message is None:
+            return
+        if isinstance(frame.message, Failure):
+            detail = f"{frame.message.fault} ({frame.message.detail})"
+            self._finish(message, Error(PeerError(PeerFault.REFUSED, detail)))
+        else:
+            self._finish(message, Ok(frame.message))
+
+    async def _send_queue(self, connection: ClientConnection) -> None:
+        while True:
+            while self._queue:
+                message = self._queue.popleft()
+                self._queued_bytes -= len(message.data)
+                message.sent_s = self._loop.time()
+                await self._write(connection, message.data)
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(self._state.settings.idle_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                if not self._pending and not self._queue:
+                    return
+
+    async def _write(self, connection: ClientConnection, data: bytes) -> None:
+        try:
+            await connection.send(data)
+        except ConnectionClosed as closed:
+            raise _refused(closed) from None
+
+    def _expire(self, correlation: int) -> None:
+        message = self._pending.pop(correlation, None)
+        if message is None:
+            return
+        sent = message.sent_s is not None
+        if not sent:
+            self._queue.remove(message)
+            self._queued_bytes -= len(message.data)
+        detail = f"{self._target.name} did not answer in {message.timeout_s} s"
+        error = PeerError(PeerFault.TIMEOUT, detail, may_have_arrived=sent)
+        silent = sent and self._received_s < (message.sent_s or 0.0)
+        if silent and self._connection and self._checking is None:
+            check = self._check(self._connection)
+            self._checking = self._loop.create_task(check)
+        self._finish(message, Error(error))
+
+    async def _check(self, connection: ClientConnection) -> None:
+        """Break a connection whose other end does not even answer a ping."""
+        try:
+            async with asyncio.timeout(peerstate.PING_TIMEOUT_S):
+                await (await connection.ping())
+        except (TimeoutError, WebSocketException):
+            connection.transport.abort()
+        finally:
+            self._checking = None
+
+    def _finish(self, message: Outgoing, result: Result[Message, PeerError]) -> None:
+        if message.timer:
+            message.timer.cancel()
+        if message.on_reply:
+            message.on_reply(result)
+
+    def _back_off(self, error: PeerError) -> None:
+        """Refuse messages for a while, unless a working connection just ended."""
+        if error.fault in (PeerFault.CLOSED, PeerFault.STOPPED):
+            return
+        self._failures += 1
+        ceiling_s = peerstate.BACKOFF_FIRST_S * 2 ** min(self._failures, 10)
+        wait_s = min(peerstate.BACKOFF_MAX_S, ceiling_s)
+        wait_s *= self._state.rng.uniform(0.5, 1.0)
+        self._retry_s = self._loop.time() + wait_s
+        self._last_error = error
+
+    def _end(self, error: PeerError) -> None:
+        self._back_off(error)
+        self._task = None
+        self._connection = None
+        messages = [m for m in self._queue if m.correlation is None]
+        messages += self._pending.values()
+        self._queue.clear()
+        self._queued_bytes = 0
+        self._pending.clear()
+        for message in messages:
+            arrived = message.sent_s is not None
+            own = PeerError(error.fault, _detail(error), may_have_arrived=arrived)
+            self._finish(message, Error(own))
+
+
+def _detail(error: PeerError) -> str:
+    return error.problem.removeprefix(f"{error.fault}: ")
+
+
+def _reason(failure: BaseException) -> str:
+    return str(failure) or type(failure).__name__
+
+
+def _refused(closed: ConnectionClosed) -> PeerError:
+    if closed.rcvd and closed.rcvd.reason in set(PeerFault):
+        fault = PeerFault(closed.rcvd.reason)
+        return PeerError(fault, "the peer closed the connection")
+    return PeerError(PeerFault.CLOSED, _reason(closed))
--- /dev/null
+++ b/packages/node/cicadapass/peerserver.py
@@ -0,0 +1,212 @@
+"""The server's side of connections of peers: requests in, answers out."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from cicadapass import handshake, peerstate
+from cicadapass.peererrors import PeerError, PeerFault
+from cicadapass.peerstate import PeerState
+from cicadapass_common.exceptions import FrameError
+from cicadapass_common.messages import Failure, Hello, HelloProof, Message
+from cicadapass_common.wire import MAX_FRAME_BYTES, Frame, OversizedFrame, encode
+from cicadapass_decisions.types import NodeAddress
+
+MAX_REPLIES = 2048
+
+T = TypeVar("T", bound=Message)
+
+
+class Replies:
+    """Own the answers that wait for one peer; used only in the loop's thread."""
+
+    def __init__(self, connection: ServerConnection, state: PeerState) -> None:
+        self._connection = connection
+        self._state = state
+        self._queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_REPLIES)
+        self._bytes = 0
+        self._closed = False
+
+    def put(self, kind: str, data: bytes, peer: str) -> None:
+        """Queue an answer; break the connection of a peer that does not read."""
+        if self._closed:
+            return
+        self._bytes += len(data)
+        if self._queue.full() or self._bytes > peerstate.MAX_QUEUED_BYTES:
+            self._closed = True
+            self._state.events.emit(327, peer=peer, reason="answers pile up")
+            self._connection.transport.abort()
+            return
+        self._state.count_sent(kind, len(data))
+        self._queue.put_nowait(data)
+
+    async def run(self) -> None:
+        """Send answers until the connection ends."""
+        while True:
+            data = await self._queue.get()
+            await self._connection.send(data)
+            self._bytes -= len(data)
+
+
+def _reporting(on_fault: Callable[[str], None]) -> type[ServerConnection]:
+    """Return a class whose connections report a failed opening handshake."""
+
+    class ReportingConnection(ServerConnection):
+        """Report the failures that the library does not log."""
+
+        async def handshake(self, *args: Any, **kwargs: Any) -> None:
+            """Perform the opening handshake of HTTP."""
+            try:
+                await super().handshake(*args, **kwargs)
+            except BaseException as error:
+                # The open timeout cancels a client that sends nothing of use.
+                on_fault(repr(self.protocol.handshake_exc or error))
+                raise
+            if self.protocol.handshake_exc is not None:
+                on_fault(repr(self.protocol.handshake_exc))
+
+    return ReportingConnection
+
+
+Dispatch = Callable[[NodeAddress, Message, Callable[[Message], None]], None]
+
+
+class PeerServer:
+    """Own the listening socket; used only in the thread of the loop."""
+
+    def __init__(self, state: PeerState, dispatch: Dispatch) -> None:
+        self._state = state
+        self._dispatch = dispatch
+        self._server: Server | None = None
+        self._loop = asyncio.get_running_loop()
+
+    async def start(self) -> int:
+        """Listen and return the port; raise OSError if it is taken."""
+        settings = self._state.settings
+        self._server = await serve(
+            self._handle,
+            settings.listen_host,
+            settings.address.peer_port,
+            ssl=settings.server_tls,
+            compression=None,
+            server_header=None,
+            create_connection=_reporting(self._on_fault),
+            open_timeout=peerstate.OPEN_TIMEOUT_S,
+            ping_interval=peerstate.SERVER_PING_S,
+            close_timeout=peerstate.CLOSE_TIMEOUT_S,
+            max_size=MAX_FRAME_BYTES,
+        )
+        return next(iter(self._server.sockets)).getsockname()[1]
+
+    async def close(self) -> None:
+        """Close the socket and all connections."""
+        if self._server:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _on_fault(self, reason: str) -> None:
+        self._state.events.emit(325, peer="unknown", reason=reason)
+
+    async def _handle(self, connection: ServerConnection) -> None:
+        peer = _remote(connection)
+        if self._state.connections >= peerstate.MAX_CONNECTIONS:
+            self._state.events.emit(330, limit=peerstate.MAX_CONNECTIONS)
+            return
+        self._state.connections += 1
+        try:
+            await self._serve(connection, peer)
+        except PeerError as error:
+            self._state.report(error, peer)
+            with contextlib.suppress(WebSocketException):
+                await connection.close(peerstate.CLOSE_POLICY, error.fault)
+        except ConnectionClosed as closed:
+            self._report_closed(closed, peer)
+        finally:
+            self._state.connections -= 1
+
+    async def _serve(self, connection: ServerConnection, peer: str) -> None:
+        try:
+            async with asyncio.timeout(peerstate.OPEN_TIMEOUT_S):
+                sender = await self._shake_hands(connection, peer)
+        except TimeoutError:
+            raise PeerError(PeerFault.TIMEOUT, "no handshake in time") from None
+        replies = Replies(connection, self._state)
+        writer = self._loop.create_task(replies.run())
+        try:
+            async for data in connection:
+                self._receive(data, sender, replies)
+        finally:
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+
+    async def _shake_hands(
+        self, connection: ServerConnection, peer: str
+    ) -> NodeAddress:
+        """Return the address of the client once it has proved the secret."""
+        secret = self._state.settings.secret
+        hello = await self._expect(connection, peer, Hello)
+        reply = handshake.answer_hello(hello, self._state.address, secret)
+        data = encode(reply, None, self._state.stamps.stamp())
+        self._state.count_sent(reply.KIND, len(data))
+        await connection.send(data)
+        proof = await self._expect(connection, peer, HelloProof)
+        handshake.check_client(hello, reply, proof, secret)
+        return hello.address
+
+    async def _expect(
+        self, connection: ServerConnection, peer: str, kind: type[T]
+    ) -> T:
+        data = await connection.recv()
+        if len(data) > handshake.MAX_HANDSHAKE_BYTES:
+            raise PeerError(PeerFault.OVERSIZED, f"a handshake of {len(data)} bytes")
+        message = self._state.read_frame(data, peer).message
+        if not isinstance(message, kind):
+            raise PeerError(PeerFault.GARBAGE, f"{message.KIND} before the handshake")
+        return message
+
+    def _receive(
+        self, data: str | bytes, sender: NodeAddress, replies: Replies
+    ) -> None:
+        try:
+            frame = self._state.read_frame(data, sender.name)
+        except FrameError:
+            # A kind of a newer version cannot be answered without its correlation.
+            return
+        self._dispatch(sender, frame.message, self._reply_to(frame, sender, replies))
+
+    def _reply_to(
+        self, frame: Frame, sender: NodeAddress, replies: Replies
+    ) -> Callable[[Message], None]:
+        """Return a function that answers the frame from any thread."""
+
+        def reply(message: Message) -> None:
+            if frame.correlation is None:
+                return
+            kind, data = self._encode(message, frame.correlation)
+            # The loop is closed while the node stops; nobody waits then.
+            with contextlib.suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(replies.put, kind, data, sender.name)
+
+        return reply
+
+    def _encode(self, message: Message, correlation: int) -> tuple[str, bytes]:
+        stamp = self._state.stamps.stamp()
+        try:
+            return message.KIND, encode(message, correlation, stamp)
+        except OversizedFrame as error:
+            failure = Failure("oversized", error.problem)
+            return failure.KIND, encode(failure, correlation, stamp)
+
+    def _report_closed(self, closed: ConnectionClosed, peer: str) -> None:
+        if closed.sent and closed.sent.code == peerstate.CLOSE_TOO_BIG:
+            detail = f"a frame over {MAX_FRAME_BYTES} bytes"
+            self._state.report(PeerError(PeerFault.OVERSIZED, detail), peer)
+
+
+def _remote(connection: ServerConnection) -> str:
+    address = connection.remote_address
+    return f"{address[0]}:{address[1]}" if address else "unknown"
--- /dev/null
+++ b/packages/node/cicadapass/peerstate.py
@@ -0,0 +1,139 @@
+"""What all connections of the node to its peers share."""
+
+import random
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cicadapass.peererrors import PeerError, PeerFault
+from cicadapass_common.events import EventLog
+from cicadapass_common.exceptions import FrameError
+from cicadapass_common.stamps import StampClock
+from cicadapass_common.wire import (
+    Frame,
+    GarbageFrame,
+    OversizedFrame,
+    WrongVersion,
+    decode,
+)
+from cicadapass_decisions.types import NodeAddress
+
+# A probe each second to a random member opens most connections anew; keeping them
+# longer would hold hundreds open for nothing.
+IDLE_S = 20.0
+OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+# An answer that is overdue makes the node check the connection with a ping.
+PING_TIMEOUT_S = 1.0
+# A client that vanished without closing is found out by the server's pings.
+SERVER_PING_S = 30.0
+BACKOFF_FIRST_S = 0.1
+BACKOFF_MAX_S = 3.0
+MAX_QUEUED_MESSAGES = 2048
+MAX_QUEUED_BYTES = 16 * 1024 * 1024
+# Two per member at the planned size.
+MAX_CONNECTIONS = 800
+CLOSE_POLICY = 1008
+CLOSE_TOO_BIG = 1009
+
+_FAULT_EVENTS = {
+    PeerFault.WRONG_SECRET: 321,
+    PeerFault.WRONG_VERSION: 322,
+    PeerFault.GARBAGE: 323,
+    PeerFault.OVERSIZED: 324,
+    PeerFault.WRONG_NODE: 326,
+}
+
+
+def allow_all(_target: NodeAddress) -> bool:
+    """Allow connections to every node."""
+    return True
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSettings:
+    """Hold the settings of the connections to peers.
+
+    `allow` says whether the node may connect to another; the fault matrix cuts paths
+    with it. An `address` with port 0 gets a free port.
+    """
+
+    address: NodeAddress
+    secret: bytes
+    listen_host: str = "127.0.0.1"
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    idle_s: float = IDLE_S
+    allow: Callable[[NodeAddress], bool] = allow_all
+
+
+@dataclass(slots=True)
+class KindCount:
+    """Count messages of one kind and direction, and their bytes in frames."""
+
+    messages: int = 0
+    frame_bytes: int = 0
+
+
+@dataclass(slots=True)
+class PeerState:
+    """Hold what the connections share; only the thread of the loop changes it."""
+
+    settings: PeerSettings
+    address: NodeAddress
+    events: EventLog
+    stamps: StampClock
+    rng: random.Random
+    sent: dict[str, KindCount] = field(default_factory=dict)
+    received: dict[str, KindCount] = field(default_factory=dict)
+    connections: int = 0
+
+    def count_sent(self, kind: str, size: int) -> None:
+        """Count a frame that was queued for a peer."""
+        _count(self.sent, kind, size)
+
+    def read_frame(self, data: str | bytes, peer: str) -> Frame:
+        """Return the frame; raise PeerError, or FrameError if it may be ignored."""
+        if isinstance(data, str):
+            raise PeerError(PeerFault.GARBAGE, "a text frame")
+        result = decode(data)
+        if result.is_error():
+            raise _as_peer_error(result.error)
+        frame = result.ok
+        _count(self.received, frame.message.KIND, len(data))
+        if self.stamps.observe(frame.stamp):
+            self.events.emit(328, peer=peer, stamp=frame.stamp)
+        return frame
+
+    def report(self, error: PeerError, peer: str) -> None:
+        """Emit the event of a fault for which a connection is closed."""
+        number = _FAULT_EVENTS.get(error.fault)
+        if number == 321:
+            self.events.emit(321, peer=peer, side=error.problem)
+        elif number == 326:
+            self.events.emit(326, peer=peer, found=error.problem)
+        elif number:
+            self.events.emit(number, peer=peer, reason=error.problem)
+        else:
+            self.events.emit(325, peer=peer, reason=str(error))
+
+
+def _count(counts: dict[str, KindCount], kind: str, size: int) -> None:
+    count = counts.setdefault(kind, KindCount())
+    count.messages += 1
+    count.frame_bytes += size
+
+
+def _as_peer_error(error: FrameError) -> Exception:
+    if getattr(error, "newer", False):
+        return error
+    match error:
+        case WrongVersion():
+            fault = PeerFault.WRONG_VERSION
+        case OversizedFrame():
+            fault = PeerFault.OVERSIZED
+        case GarbageFrame():
+            fault = PeerFault.GARBAGE
+        case _:
+            fault = PeerFault.GARBAGE
+    return PeerError(fault, error.problem)
--- a/tests/common/test_wire.py
+++ b/tests/common/test_wire.py
@@ -11,13 +11,12 @@
     CopiedRequest,
     CopyRequest,
     CopyStatus,
-    Done,
     Progress,
     ProgressAck,
     ProgressItem,
     ProgressReply,
 )
-from cicadapass_common.messages import MESSAGE_KINDS, Probe
+from cicadapass_common.messages import MESSAGE_KINDS, Done, Probe
 from cicadapass_decisions.leaving import LeavingEntry, mark_bytes
 from cicadapass_decisions.membership import GossipEntry, MemberState, entry_bytes
 from cicadapass_decisions.types import NodeAddress
--- /dev/null
+++ b/tests/node/peerkit.py
@@ -0,0 +1,105 @@
+"""Help the tests of peers: nodes on free ports and a peer that breaks the rules."""
+
+import random
+import threading
+
+from websockets.sync.client import connect
+
+from cicadapass import handshake
+from cicadapass.peers import Peers
+from cicadapass.peerstate import PeerSettings
+from cicadapass_common.events import EventLog
+from cicadapass_common.messages import Probe, ProbeReply
+from cicadapass_common.stamps import StampClock
+from cicadapass_common.wire import decode, encode
+from cicadapass_decisions.types import NodeAddress
+
+SECRET = b"shared secret of the tests"
+WAIT_S = 20.0
+PROBE = Probe((), (), 0, 0)
+REPLY = ProbeReply((), (), 7)
+
+
+def address(name="a", data_centre="dc-a", incarnation="1", port=0):
+    """Return the address of a node on loopback."""
+    return NodeAddress(name, incarnation, "grabhandle", data_centre, "127.0.0.1", port)
+
+
+class Node:
+    """Run the peers of one node and keep its events."""
+
+    def __init__(self, test, own, handlers=(), secret=SECRET, **settings):
+        stamps = StampClock()
+        self.events = EventLog(own.name, stamps.stamp)
+        settings = PeerSettings(own, secret, **settings)
+        self.peers = Peers(settings, self.events, stamps, random.Random(1))
+        for kind, handler, pooled in handlers:
+            self.peers.handle(kind, handler, pooled=pooled)
+        self.peers.start()
+        test.addCleanup(self.peers.stop)
+
+    @property
+    def address(self):
+        """Return the address with the port in use."""
+        return self.peers.address
+
+    def wait_for_event(self, number, **fields):
+        """Return the first event of the number with these fields."""
+
+        def find():
+            for event in self.events.recent():
+                if event.number == number and fields.items() <= event.fields.items():
+                    return event
+            return None
+
+        return wait_for(find)
+
+
+def wait_for(predicate):
+    """Return the first true value; fail after a generous bound."""
+    pause = threading.Event()
+    for _ in range(int(WAIT_S / 0.01)):
+        value = predicate()
+        if value:
+            return value
+        pause.wait(0.01)
+    raise AssertionError(f"nothing after {WAIT_S} s")
+
+
+def answer(inbound):
+    """Answer a probe."""
+    inbound.reply(REPLY)
+
+
+class RawPeer:
+    """Connect as a client that follows the handshake only as far as told."""
+
+    def __init__(self, test, target):
+        uri = f"ws://{target.host}:{target.peer_port}/"
+        context = connect(uri, compression=None, proxy=None, max_size=None)
+        self.socket = context.__enter__()
+        test.addCleanup(context.__exit__, None, None, None)
+
+    def send(self, message, correlation=None, stamp=(0, 0)):
+        """Send a message."""
+        self.socket.send(encode(message, correlation, stamp))
+
+    def receive(self):
+        """Return the next message."""
+        return decode(self.socket.recv(WAIT_S)).ok.message
+
+    def shake_hands(self, own, secret=SECRET):
+        """Finish the handshake, whatever the server has proved."""
+        hello = handshake.new_hello(own)
+        self.send(hello)
+        reply = self.receive()
+        self.send(handshake.client_proof(hello, reply, secret))
+
+    def close_code(self):
+        """Return the code and reason with which the server closes."""
+        try:
+            self.socket.recv(WAIT_S)
+        except Exception as error:
+            close = error.rcvd
+            return (close.code, close.reason) if close else (None, str(error))
+        return None, "no close"
