--- /dev/null
+++ b/tests/node/test_dispatcher.py
@@ -0,0 +1,349 @@
+"""Test the fair queue's owner."""
+
+import random
+import threading
+from dataclasses import replace
+
+import pykka
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass.dispatcher import (
+    Dispatcher,
+    DispatcherClient,
+    SetRules,
+    StartDraining,
+)
+from cicadapass.granting import Granting
+from cicadapass.grants import AcquireRequest, Grant
+from cicadapass.upstreamtable import Outcome, ServiceTable, UpstreamTable
+from cicadapass_common.events import EventLog
+from cicadapass_decisions.admission import Refusal, RefusalReason
+from cicadapass_decisions.policy import AdmissionRules, Policy, QueueRules
+from cicadapass_decisions.retry import (
+    Attempt,
+    Failure,
+    FailureKind,
+    GiveUp,
+    Hedge,
+    RetryRequest,
+)
+from cicadapass_decisions.scoring import Candidate
+from cicadapass_decisions.work import WorkClass, WorkKind, WorkRequest
+
+WAIT_S = 20.0
+SERVICE = "f/parts"
+SHORT = WorkClass(WorkKind.SHORT, 20, 20.0)
+LONG = WorkClass(WorkKind.LONG, 5000, 5000.0)
+# Waits that tests cause on purpose must not be shed.
+PATIENT = Policy(admission=AdmissionRules(max_wait_s=600.0, max_long_wait_s=3600.0))
+
+
+def _table(upstreams=2, limit=4, **fields):
+    candidates = tuple(
+        Candidate(f"f/u{i}", "f/dc-a", limit, **fields) for i in range(upstreams)
+    )
+    return UpstreamTable({SERVICE: ServiceTable(candidates)})
+
+
+def _request(name, work=SHORT, **fields):
+    fields = {"deadline_s": 1000.0, "workspace": "f/w"} | fields
+    return AcquireRequest(name, SERVICE, work=work, **fields)
+
+
+class GrantingTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self._start_over()
+
+    def _start_over(self):
+        self.now_s = 0.0
+        self.settled = {}
+        self.measured = []
+        self.granting = Granting(
+            random.Random(1), lambda: self.now_s, self.measured.append
+        )
+        self.granting.set_rules(PATIENT, {})
+        self.granting.set_table(_table())
+
+    def _submit(self, request):
+        name = request.request_id
+
+        def settle(result):
+            self.assertNotIn(name, self.settled)
+            self.settled[name] = result
+
+        result = self.granting.submit(request, settle)
+        if result is not None:
+            settle(result)
+        return result
+
+    def _fill(self, work, count):
+        return [self._submit(_request(f"{work.kind}{i}", work)) for i in range(count)]
+
+    def test_short_work_passes_a_flood_of_long_work(self):
+        """A quick lookup must not wait behind catalogue-wide jobs."""
+        grants = self._fill(LONG, 50)
+        self.assertEqual(6, sum(isinstance(grant, Grant) for grant in grants))
+        self.assertIsInstance(self._submit(_request("lookup")), Grant)
+
+    def test_outgrown_work_frees_the_reserved_slot(self):
+        """Work that was wrongly called short must not hold a reserved slot."""
+        self.granting.set_table(_table(1, 4))
+        grants = self._fill(SHORT, 4)
+        self.granting.progress(grants[0], Outcome(tokens=5000))
+        self.assertEqual(1, self.granting.in_flight()["f/u0"].long)
+        self.assertFalse(self.measured[0].outcome.finished)
+        for grant in grants:
+            self.granting.release(grant, Outcome())
+        self.assertEqual({}, self.granting.in_flight())
+
+    def test_second_release_does_nothing(self):
+        """A slot that is returned twice would let the upstream be overfilled."""
+        grants = self._fill(SHORT, 8)
+        self.assertIsNone(self._submit(_request("waits")))
+        for _ in range(2):
+            self.granting.release(grants[0], Outcome())
+        self.assertIsInstance(self.settled["waits"], Grant)
+        self.assertIsNone(self._submit(_request("still full")))
+
+    def test_leaving_upstream_gets_nothing_from_the_queue(self):
+        """Requests that wait must not be sent to an upstream marked meanwhile."""
+        grants = self._fill(SHORT, 8)
+        self._submit(_request("waits"))
+        self.granting.set_table(_table(leaving=True))
+        for grant in grants:
+            self.granting.release(grant, Outcome())
+        self.assertNotIn("waits", self.settled)
+        self.granting.set_table(_table())
+        self.assertIsInstance(self.settled["waits"], Grant)
+
+    def test_refuses_at_once_without_upstreams(self):
+        """Callers must not wait for upstreams that are all leaving."""
+        self.granting.set_table(_table(leaving=True))
+        refused = self._submit(_request("a"))
+        self.assertEqual(RefusalReason.NO_UPSTREAM, refused.reason)
+        self.assertIsNone(self._submit(_request("b", accepted=True)))
+
+    def test_sheds_the_lowest_waiting_priority(self):
+        """A full queue must give way to more important work."""
+        self.granting.set_rules(replace(PATIENT, queue=QueueRules(max_queued=2)), {})
+        self._fill(SHORT, 8)
+        self._submit(_request("low", priority=1))
+        self._submit(_request("accepted", priority=0, accepted=True))
+        self.assertIsNone(self._submit(_request("high", priority=2)))
+        self.assertEqual(RefusalReason.OVERLOAD, self.settled["low"].reason)
+        self.assertNotIn("accepted", self.settled)
+        self.assertIsInstance(self._submit(_request("also low", priority=1)), Refusal)
+
+    def test_sheds_at_once_when_the_wait_is_too_long(self):
+        """Overload must be told at arrival, not after the wait."""
+        self.granting.set_rules(Policy(), {})
+        results = self._fill(SHORT, 400)
+        refused = [r for r in results if isinstance(r, Refusal)]
+        self.assertTrue(refused)
+        self.assertEqual({RefusalReason.OVERLOAD}, {r.reason for r in refused})
+
+    def test_expires_at_the_deadline(self):
+        """A request whose deadline passed must not be run any more."""
+        self._fill(SHORT, 8)
+        self._submit(_request("late", deadline_s=5.0))
+        self.now_s = 5.0
+        self.granting.expire()
+        self.assertEqual(RefusalReason.DEADLINE, self.settled["late"].reason)
+
+    def test_hedge_goes_elsewhere_or_not_at_all(self):
+        """A hedge must neither wait nor go to the upstream that is late."""
+        hedge = _request("h", attempt=2, hedge=True, avoid=frozenset(["f/u0"]))
+        self.assertEqual("f/u1", self._submit(hedge).upstream)
+        self.granting.set_table(_table(1))
+        self.assertIsInstance(self._submit(replace(hedge, request_id="i")), Refusal)
+
+    def test_retry_does_not_block_the_queue(self):
+        """A retry that avoids the only upstream with room must not hold up others."""
+        grants = self._fill(SHORT, 8)
+        self._submit(_request("retry", attempt=2, avoid=frozenset(["f/u0"])))
+        self._submit(_request("other"))
+        for grant in grants:
+            if grant.upstream == "f/u0":
+                self.granting.release(grant, Outcome())
+        self.assertIsInstance(self.settled["retry"], Grant)
+        self.assertIsInstance(self.settled["other"], Grant)
+
+    def test_one_probe_at_a_time(self):
+        """A slow upstream must not get a burst of requests as probes."""
+        slow = {"probe_due": True, "health": "slow"}
+        self.granting.set_table(_table(1, **slow))
+        probe = self._submit(_request("probe"))
+        self.assertTrue(probe.probe)
+        self.granting.set_table(_table(1, **slow))
+        self.assertIsNone(self._submit(_request("next")))
+
+    def test_retries_and_hedges_share_the_budget(self):
+        """A service must not get more than its extra attempts in any form."""
+        request = RetryRequest(repeatable=True, deadline_s=100.0)
+        late = Attempt("f/u0", True, FailureKind.LATE, running=True)
+        lost = Attempt("f/u0", True, FailureKind.BROKEN)
+        first = self.granting.next_step(
+            SERVICE, [late], Failure(FailureKind.LATE, True), request
+        )
+        second = self.granting.next_step(
+            SERVICE, [lost], Failure(FailureKind.BROKEN, True), request
+        )
+        self.assertIsInstance(first, Hedge)
+        self.assertIsInstance(second, GiveUp)
+
+    def test_sends_the_same_prompt_to_the_same_upstream(self):
+        """Late cache events must not spread a conversation over all engines."""
+        self.granting.set_table(_table(20, 8))
+        blocks = ("b1", "b2")
+        names = set()
+        for i in range(20):
+            request = _request(str(i), blocks=blocks, prompt_tokens=2000)
+            grant = self._submit(request)
+            self.granting.release(grant, Outcome())
+            names.add(grant.upstream)
+        self.assertEqual(1, len(names))
+
+    def test_learns_from_answers(self):
+        """The owner's history must reach later predictions."""
+        request = WorkRequest(SERVICE, "f/w", max_tokens=5000)
+        for _ in range(8):
+            self.granting.observe_answer(request, 10)
+        self.assertEqual(WorkKind.SHORT, self.granting.predict(request).kind)
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["submit", "submit", "release", "expire", "cancel"]),
+                st.sampled_from([SHORT, LONG]),
+                st.integers(0, 9),
+                st.booleans(),
+            ),
+            max_size=60,
+        )
+    )
+    def test_every_request_gets_one_result(self, steps):
+        """No slot may leak and no request may be forgotten or settled twice."""
+        self._start_over()
+        self.granting.set_rules(replace(PATIENT, queue=QueueRules(max_queued=4)), {})
+        self.granting.set_table(_table(1, 2))
+        waiting, released = [], set()
+        for i, (step, work, number, accepted) in enumerate(steps):
+            self.now_s += 1.0
+            held = [g for n, g in self.settled.items() if n not in released]
+            held = [g for g in held if isinstance(g, Grant)]
+            if step == "submit":
+                deadline_s = self.now_s + number
+                fields = {"deadline_s": deadline_s, "priority": number}
+                request = _request(str(i), work, accepted=accepted, **fields)
+                self._submit(request)
+                waiting.append(request)
+            elif step == "release" and held:
+                grant = held[number % len(held)]
+                released.add(grant.request.request_id)
+                self.granting.release(grant, Outcome())
+            elif step == "expire":
+                self.granting.expire()
+            elif step == "cancel" and waiting:
+                self.granting.cancel(waiting[number % len(waiting)])
+            for own in self.granting.in_flight().values():
+                self.assertTrue(own.short + own.long <= 2 and own.long <= 1)
+        self.now_s += 1000.0
+        self.granting.expire()
+        self.assertEqual({r.request_id for r in waiting}, set(self.settled))
+        for name, grant in self.settled.items():
+            if isinstance(grant, Grant) and name not in released:
+                self.granting.release(grant, Outcome())
+        self.assertEqual({}, self.granting.in_flight())
+
+
+class DispatcherTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_s = 0.0
+        self.events = EventLog("n", lambda: (0, 0))
+        self.granting = Granting(random.Random(1), lambda: self.now_s)
+        self.client = DispatcherClient(self.granting, self.events, lambda: self.now_s)
+        self.actions = []
+        supervisor = _Ignore.start()
+        self.addCleanup(supervisor.stop)
+        self.ref = Dispatcher.start(supervisor, self, self.granting)
+        self.addCleanup(self.ref.stop)
+
+    def subscribe(self, action, interval_s, first_s=0.0):
+        """Stand in for the timer service."""
+        self.actions.append(action)
+        return self
+
+    def cancel(self):
+        """Stand in for the subscription."""
+
+    def _acquire_in_thread(self, request):
+        results, done = [], threading.Event()
+
+        def run():
+            results.append(self.client.acquire(request))
+            done.set()
+
+        threading.Thread(target=run, daemon=True).start()
+        return results, done
+
+    def _until_queued(self, count):
+        numbers = []
+        changed = threading.Event()
+        while len(numbers) < count:
+            changed.wait(0.001)
+            numbers = [e for e in self.events.recent() if e.number == 511]
+
+    def test_waiting_thread_gets_the_released_slot(self):
+        """A thread that waits must wake up with a grant of its own."""
+        self.ref.ask(_table(1, 1))
+        grant = self.client.acquire(_request("first"))
+        results, done = self._acquire_in_thread(_request("second"))
+        self._until_queued(1)
+        self.client.release(grant, Outcome())
+        self.assertTrue(done.wait(WAIT_S))
+        self.assertEqual("second", results[0].request.request_id)
+
+    def test_timer_expires_waiting_requests(self):
+        """A waiting caller must be told at its deadline."""
+        self.ref.ask(_table(1, 1))
+        self.client.acquire(_request("first"))
+        results, done = self._acquire_in_thread(_request("second", deadline_s=500.0))
+        self._until_queued(1)
+        self.now_s = 500.0
+        self.actions[0]()
+        self.assertTrue(done.wait(WAIT_S))
+        self.assertEqual(RefusalReason.DEADLINE, results[0].reason)
+        self.assertEqual(512, self.events.recent()[-1].number)
+
+    def test_thread_expires_itself_without_the_part(self):
+        """A part that is being restarted must not leave callers waiting."""
+        self.ref.ask(_table(1, 1))
+        self.client.acquire(_request("first"))
+        self.ref.stop()
+        results, done = self._acquire_in_thread(_request("second", deadline_s=0.01))
+        self._until_queued(1)
+        self.now_s = 0.01
+        self.assertTrue(done.wait(WAIT_S))
+        self.assertEqual(RefusalReason.DEADLINE, results[0].reason)
+
+    def test_draining_keeps_accepted_requests(self):
+        """A graceful shutdown must finish what was accepted and take nothing new."""
+        self.ref.ask(_table())
+        self.ref.ask(SetRules(PATIENT, {}))
+        self.ref.ask(StartDraining())
+        refused = self.client.acquire(_request("new"))
+        self.assertEqual(RefusalReason.DRAINING, refused.reason)
+        accepted = self.client.acquire(_request("old", accepted=True))
+        self.assertIsInstance(accepted, Grant)
+
+
+class _Ignore(pykka.ThreadingActor):
+    use_daemon_thread = True
+
+    def on_receive(self, message):
+        return None
