--- a/packages/decisions/cicadapass_decisions/fold.py
+++ b/packages/decisions/cicadapass_decisions/fold.py
@@ -91,10 +91,8 @@
             return _judge(state, record.offset, publish, validate)
         case Publish():
             return _buffer(state, record), Buffered()
-        case Snapshot() as snapshot if not state.complete:
+        case Snapshot() as snapshot:
             return adopt(state, snapshot, validate)
-        case Snapshot():
-            return state, Skipped("snapshot of a state that this reader has")
         case _:
             return state, Skipped("no configuration record")
 
