Test that one decider acts at a time

Cause: the lease decisions had no tests. Change: hypothesis moves three deciders through late deliveries, lost answers, releases, restarts with missing records and clocks of different rates; at no time may two of them act.

--- /dev/null
+++ b/tests/decisions/test_lease.py
@@ -0,0 +1,176 @@
+"""Test leases and fencing numbers."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions.lease import (
+    MAX_LEASE_S,
+    LeaseState,
+    LeaseVerdict,
+    hold,
+    judge_lease,
+    may_act,
+    may_take,
+    request_lease,
+    skip_leases_to,
+)
+from cicadapass_decisions.logrecords import LeaseRequest, LogRecord
+
+EXAMPLES = 300
+NAME = "decider/f/dc-a"
+LEASE_S = 10.0
+nodes = st.integers(0, 2)
+# An attempt reads, requests and is delivered at once; a request stays in flight.
+actions = st.one_of(
+    st.tuples(st.just("advance"), st.sampled_from([0.5, 4.0, 9.9, 10.2, 16.0])),
+    st.tuples(st.just("read"), nodes),
+    st.tuples(st.just("attempt"), nodes),
+    st.tuples(st.just("request"), nodes),
+    st.tuples(st.just("release"), nodes),
+    st.tuples(st.just("deliver"), st.integers(0, 3)),
+    st.tuples(st.sampled_from(["read", "read", "restart"]), nodes),
+)
+
+
+class _Node:
+    """Act as a decider; every second one's clock runs a little fast."""
+
+    def __init__(self, number):
+        self.name = f"vm-{number}"
+        self.rate = 1.0 + 0.009 * (number % 2)
+        self.start(0, 0.0)
+
+    def start(self, first_offset, now_s):
+        self.incarnation = f"i{now_s}"
+        self.state = skip_leases_to(LeaseState(), first_offset, now_s * self.rate)
+        self.asked = []
+        self.held = []
+
+    def read(self, log, now_s):
+        clock_s = now_s * self.rate
+        for record in log[self.state.next_offset :]:
+            self.state, verdict = judge_lease(self.state, record, clock_s)
+            for request, before_s in self.asked:
+                if request is record.body and verdict is LeaseVerdict.GRANTED:
+                    self.held = [hold(request, record.offset, before_s)]
+
+    def request(self, now_s, duration_s):
+        clock_s = now_s * self.rate
+        if not may_take(self.state, NAME, self.name, self.incarnation, clock_s):
+            return None
+        request = request_lease(
+            self.state, NAME, self.name, self.incarnation, duration_s
+        )
+        self.asked.append((request, clock_s))
+        return request
+
+    def acts(self, now_s):
+        return any(may_act(held, now_s * self.rate) for held in self.held)
+
+
+class _World:
+    def __init__(self):
+        self.now_s, self.log, self.in_flight = 100.0, [], []
+        self.nodes = [_Node(number) for number in range(3)]
+
+    def step(self, action, value):
+        match action:
+            case "advance":
+                self.now_s += value
+            case "read":
+                self.nodes[value].read(self.log, self.now_s)
+            case "attempt":
+                node = self.nodes[value]
+                node.read(self.log, self.now_s)
+                self.send(node.request(self.now_s, LEASE_S))
+                self.step("deliver", -1)
+                node.read(self.log, self.now_s)
+            case "request":
+                self.send(self.nodes[value].request(self.now_s, LEASE_S))
+            case "release" if self.nodes[value].held:
+                self.nodes[value].held = []
+                self.send(self.nodes[value].request(self.now_s, 0.0))
+            case "deliver" if self.in_flight:
+                self.deliver(self.in_flight.pop(value % len(self.in_flight)))
+            case "restart":
+                self.nodes[value].start(max(0, len(self.log) - 1), self.now_s)
+
+    def send(self, request):
+        if request is not None:
+            self.in_flight.append(request)
+
+    def deliver(self, request):
+        self.log.append(LogRecord(len(self.log), self.now_s, request))
+
+
+class LeaseTest(testtools.TestCase):
+    @settings(derandomize=True, deadline=None, max_examples=2 * EXAMPLES)
+    @given(st.lists(actions, min_size=10, max_size=60))
+    def test_one_decider_acts_at_a_time(self, steps):
+        """Lost answers, pauses and restarts must not give two valid holders."""
+        world = _World()
+        for step in steps:
+            world.step(*step)
+            acting = [node.name for node in world.nodes if node.acts(world.now_s)]
+            self.assertLessEqual(len(acting), 1, (acting, world.log))
+
+    @settings(derandomize=True, deadline=None, max_examples=EXAMPLES)
+    @given(
+        st.lists(st.tuples(nodes, st.integers(1, 5)), min_size=2, max_size=20),
+        st.integers(0, 19),
+    )
+    def test_readers_that_start_anywhere_agree(self, history, start):
+        """A reader that cannot know a verdict must say so rather than guess."""
+        log = [
+            LogRecord(o, 0.0, LeaseRequest(f"n{n % 2}", f"vm-{n}", "i", 5.0, o - lag))
+            for o, (n, lag) in enumerate(history)
+        ]
+        start %= len(log)
+        full, late = LeaseState(), skip_leases_to(LeaseState(), start, 0.0)
+        for record in log:
+            full, expected = judge_lease(full, record, 0.0)
+            late, found = judge_lease(late, record, 0.0)
+            if found is not None and found is not LeaseVerdict.UNJUDGED:
+                self.assertEqual(expected, found)
+
+    def test_fencing_number_grows(self):
+        """An engine must be able to tell an order of an older holder."""
+        state = LeaseState()
+        numbers = []
+        for offset, holder in enumerate(["vm-1", "vm-2", "vm-3"]):
+            request = request_lease(state, NAME, holder, "i", LEASE_S)
+            state, verdict = judge_lease(state, LogRecord(offset, 0.0, request), 0.0)
+            self.assertEqual(LeaseVerdict.GRANTED, verdict)
+            numbers.append(state.leases[NAME].fencing_number)
+        self.assertEqual([0, 1, 2], numbers)
+
+    def test_new_reader_waits_for_leases_it_cannot_see(self):
+        """A reader whose records expired must wait out the longest lease."""
+        state = skip_leases_to(LeaseState(), 7, 100.0)
+        self.assertFalse(may_take(state, NAME, "vm-1", "i", 100.0 + MAX_LEASE_S))
+        self.assertTrue(may_take(state, NAME, "vm-1", "i", 101.0 + MAX_LEASE_S))
+
+    def test_holder_with_a_gap_waits_before_it_renews(self):
+        """A holder that missed records must not renew over another's lease."""
+        request = request_lease(LeaseState(), NAME, "vm-1", "i", LEASE_S)
+        state, _ = judge_lease(LeaseState(), LogRecord(0, 0.0, request), 100.0)
+        self.assertTrue(may_take(state, NAME, "vm-1", "i", 100.0))
+        state = skip_leases_to(state, 9, 101.0)
+        self.assertFalse(may_take(state, NAME, "vm-1", "i", 101.0 + MAX_LEASE_S))
+
+    def test_unjudged_release_does_not_shorten_the_wait(self):
+        """A release that may have been refused must not free a valid lease."""
+        state = skip_leases_to(LeaseState(), 5, 100.0)
+        for offset, holder, duration_s in [(5, "vm-1", LEASE_S), (6, "vm-2", 0.0)]:
+            request = LeaseRequest(NAME, holder, "i", duration_s, 3)
+            state, verdict = judge_lease(state, LogRecord(offset, 0.0, request), 110.0)
+            self.assertEqual(LeaseVerdict.UNJUDGED, verdict)
+        self.assertFalse(may_take(state, NAME, "vm-3", "i", 119.0))
+        self.assertTrue(may_take(state, NAME, "vm-3", "i", 121.0))
+
+    def test_lease_longer_than_the_limit_is_not_granted(self):
+        """A lease must not outlive the wait of a reader that missed it."""
+        request = LeaseRequest(NAME, "vm-1", "i", MAX_LEASE_S + 1, -1)
+        _, verdict = judge_lease(LeaseState(), LogRecord(0, 0.0, request), 0.0)
+        self.assertEqual(LeaseVerdict.LOST, verdict)
