--- a/packages/common/cicadapass_common/publish.py
+++ b/packages/common/cicadapass_common/publish.py
@@ -163,9 +163,10 @@
     if not state.complete:
         return None
     known = first_verdict(state, request.publish_id)
-    if known is not None or progress.sent or state.version == request.base_offset:
+    if known is not None or state.version == request.base_offset:
         return known
-    # Versions only grow, so the base cannot come into force again.
+    # Versions only grow, so the base cannot come into force again, not even for an
+    # append that takes effect later.
     return PublishVerdict(
         PublishOutcome.CONFLICT, state.next_offset, state.version, state.author
     )
