Stop stand-ins whose callers do not read

cheroot waits for worker threads without a limit, and a thread that sends to a paused caller waits for up to the connection timeout of 600 s. A stop now shuts the sockets of requests in progress down after one second.

--- a/packages/standins/cicadapass_standins/server.py
+++ b/packages/standins/cicadapass_standins/server.py
@@ -1,10 +1,12 @@
 """Serve a stand-in and its control address over HTTP with cheroot."""
 
+import contextlib
 import errno
 import json
 import logging
 import os
 import select
+import socket
 import threading
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -27,6 +29,8 @@
 IDLE_CONNECTION_S = 600
 LISTEN_BACKLOG = 1024
 CONTROL_THREADS = 4
+# A stop lets requests in progress end for this time.
+STOP_GRACE_S = 1.0
 # The accept loop notices a stop within this time.
 STOP_POLL_S = 0.1
 
@@ -141,12 +145,15 @@
     # the handler fails, so it cannot close a connection without any answer.
     def respond(self) -> None:
         raw = self.req
+        raw.server.active.add(raw.conn.socket)
         try:
             answer = _answer_or_error(raw.server.app_answer, Request(raw))
             self._send(answer)
         except DropConnection as drop:
             # cheroot closes the connection silently on this error.
             raise ConnectionResetError(errno.ECONNRESET, "dropped") from drop
+        finally:
+            raw.server.active.discard(raw.conn.socket)
 
     def _send(self, answer: Answer) -> None:
         raw = self.req
@@ -186,6 +193,8 @@
     ) -> None:
         super().__init__(address, _Gateway, minthreads=threads, maxthreads=threads)
         self.app_answer = app_answer
+        # The sockets of requests in progress.
+        self.active: set[socket.socket] = set()
         self.request_queue_size = LISTEN_BACKLOG
         self.timeout = IDLE_CONNECTION_S
         # No limit; the type that cheroot declares does not know it.
@@ -193,6 +202,12 @@
         self.expiration_interval = STOP_POLL_S
         self.shutdown_timeout = 1
 
+    def abort(self) -> None:
+        """Break off the requests in progress, also those that wait to send."""
+        for connection in list(self.active):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
@@ -228,7 +243,11 @@
         """End streams and long polls and close all connections."""
         self.app.close()
         for server in self._servers:
+            # cheroot waits without a limit for a caller that does not read.
+            timer = threading.Timer(STOP_GRACE_S, server.abort)
+            timer.start()
             server.stop()
+            timer.cancel()
 
     def _answer(self, request: Request) -> Answer:
         if request.path == "/healthz":
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,5 +1,7 @@
 """Test the stand-ins for the VM list, the cloud and the weight store."""
 
+import socket
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 import testtools
@@ -10,7 +12,7 @@
 from cicadapass_standins.exceptions import BadRequest
 from cicadapass_standins.vmlist import VmList
 from cicadapass_standins.weights import WeightOptions, WeightStore
-from tests.standins.support import LONG_POLL_S, StandinTest
+from tests.standins.support import LONG_POLL_S, TIMEOUT_S, StandinTest
 
 VM = {
     "name": "vm-1",
@@ -91,6 +93,18 @@
 
 
 class WeightStoreTest(StandinTest):
+    def test_stop_does_not_wait_for_a_caller_that_does_not_read(self):
+        """A paused node must not keep a stand-in from stopping."""
+        store = self.serve(WeightStore(WeightOptions(size_bytes=50_000_000)))
+        address = urllib3.util.parse_url(store.url)
+        with socket.create_connection((address.host, address.port)) as caller:
+            caller.sendall(b"GET /weights/parts-1/2 HTTP/1.1\r\nHost: x\r\n\r\n")
+            caller.recv(1)
+            stopping = threading.Thread(target=store.stop, daemon=True)
+            stopping.start()
+            stopping.join(TIMEOUT_S)
+            self.assertFalse(stopping.is_alive())
+
     def test_fetch_over_the_rate_is_refused(self):
         """A fetch over the rate must be refused, and the others complete."""
         store = self.serve(WeightStore(WeightOptions(size_bytes=1000)))
