Encode the frame of another version before the server can see the changed version

The test patched the version in the server's own process while the server decoded the frame, and failed once under load. The check is the same.

--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -89,8 +89,10 @@
         self.assertEqual(raw.close_code(), (1008, "wrong-version"))
         server.wait_for_event(322, reason="wrong-version: the peer speaks 9 to 9")
         other = RawPeer(self, server.address)
+        # The server runs in this process and must decode with the real version.
         with mock.patch.object(wire, "MAJOR_VERSION", 2):
-            other.send(PROBE)
+            frame = wire.encode(PROBE, None, (0, 0))
+        other.socket.send(frame)
         self.assertEqual(other.close_code(), (1008, "wrong-version"))
         server.wait_for_event(322, reason="wrong-version: version 2")
         self.assert_serves(server)
