Add the members part

Cause: nodes must agree on who is gone, and stop work on leaving VMs within seconds of the first indication. Change: one probe a second with bounded gossip; three others probe before a member is suspected. A new leaving mark goes at once to the data centre and to two forwarders in each other one. An address that answers as another incarnation proves the old one gone.

Red runs, each with one line broken on purpose: - indirect success ignored: test_one_way_partition fails (SUSPECT != ALIVE); - suspicion kept over a pause: test_paused_node_gives_suspects_their_time fails (GONE != SUSPECT); - other incarnation not recognised: test_address_reused_by_another_incarnation fails; - marks not sent, or not forwarded: test_mark_reaches_all_without_a_round fails (nothing after 20.0 s); - marks not restored: test_marks_survive_a_restart_of_the_part fails; - gone members not probed: test_healed_partition fails; - target not told of the doubt: test_doubted_target_is_told fails.

--- a/packages/common/cicadapass_common/messages.py
+++ b/packages/common/cicadapass_common/messages.py
@@ -109,10 +109,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingNotice(Message):
-    """Tell of VMs that leave, without waiting for gossip; not answered."""
+    """Tell of VMs that leave, without waiting for gossip; not answered.
+
+    The receiver passes it on to its data centre if `forward` is set.
+    """
 
     KIND: ClassVar[str] = "leaving_notice"
     marks: tuple[LeavingEntry, ...]
+    forward: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/decisions/cicadapass_decisions/membership.py
+++ b/packages/decisions/cicadapass_decisions/membership.py
@@ -150,8 +150,8 @@
         if known is None or merged.state != known.entry.state:
             before = known.entry.state if known else None
             changes.append(StateChange(merged, before))
-        _store(table, merged, now_s)
         hints = hints or known is None or merged != known.entry
+        _store(table, merged, now_s)
     return GossipEffect(tuple(changes), hints, declared_gone)
 
 
@@ -229,6 +229,13 @@
     return max(MIN_SUSPICION_S, SUSPICION_S_PER_DECADE * decades)
 
 
+def restart_suspicions(table: MemberTable, now_s: float) -> None:
+    """Give suspected members their time anew, after the node itself was paused."""
+    for member in table.members.values():
+        if member.entry.state is MemberState.SUSPECT:
+            member.since_s = now_s
+
+
 def expire_members(table: MemberTable, now_s: float) -> GossipEffect:
     """Declare gone whoever did not refute in time; forget who is gone for long."""
     timeout_s = suspicion_s(table)
--- /dev/null
+++ b/packages/node/cicadapass/memberbook.py
@@ -0,0 +1,195 @@
+"""The state of the members part: table, leaving marks, snapshot and events."""
+
+from collections.abc import Iterable
+
+from cicadapass.membermessages import MembersConfig
+from cicadapass.membersnapshot import take_snapshot
+from cicadapass_common.messages import (
+    LeavingNotice,
+    Probe,
+    ProbeReply,
+    ProbeVia,
+)
+from cicadapass_decisions import leaving, membership
+from cicadapass_decisions.leaving import LeavingEntry
+from cicadapass_decisions.membership import (
+    GossipEffect,
+    GossipEntry,
+    MemberState,
+    StateChange,
+)
+from cicadapass_decisions.types import NodeAddress, VmId
+
+ENTRIES_BUDGET_BYTES = 800
+MARKS_BUDGET_BYTES = 300
+# The entries of 380 members take half of this.
+JOIN_BUDGET_BYTES = 64 * 1024
+# Two, so that one that is just dying does not hold up a mark.
+FORWARDERS_PER_DATA_CENTRE = 2
+
+_STATE_EVENTS = {
+    MemberState.ALIVE: 303,
+    MemberState.SUSPECT: 301,
+    MemberState.GONE: 302,
+}
+
+
+class MemberBook:
+    """Own the tables; used only by the members part."""
+
+    def __init__(self, config: MembersConfig) -> None:
+        self._config = config
+        self._changed = False
+        self.table = membership.new_table(config.peers.address)
+        self.marks = leaving.LeavingMarks()
+
+    def restore(self) -> None:
+        """Take over what a failed predecessor had published."""
+        now_s = self._config.clock()
+        known = self._config.board.snapshot
+        others = [e for vm, e in known.by_vm.items() if vm != self.table.own.vm]
+        membership.apply_gossip(self.table, others, now_s)
+        leaving.apply_marks(self.marks, known.marks, now_s)
+        self._changed = True
+        self.publish()
+
+    def publish(self) -> None:
+        """Publish a snapshot if anything has changed."""
+        if not self._changed:
+            return
+        now_s = self._config.clock()
+        entries = [leaving.entry_of(self.marks, vm, now_s) for vm in self.marks.by_vm]
+        snapshot = take_snapshot(self.table.own, self.table.entries(), entries)
+        self._config.board.publish(snapshot)
+        self._changed = False
+
+    def set_own(self, config_offset: int, load: int) -> None:
+        """Change the node's hints; the next round publishes them."""
+        membership.set_own(self.table, config_offset, load)
+        self._changed = True
+
+    def probe(self, target: VmId) -> Probe:
+        """Return a probe with gossip."""
+        entries = membership.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, target)
+        offset, known = self.table.own.config_offset, len(self.table.members)
+        return Probe(entries, self._marks_to_send(), offset, known)
+
+    def probe_via(self, via: VmId, target: NodeAddress) -> ProbeVia:
+        """Return a request to probe the target, with gossip."""
+        entries = membership.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, via)
+        offset = self.table.own.config_offset
+        return ProbeVia(target, entries, self._marks_to_send(), offset)
+
+    def reply(self, sender: VmId, known: int, reached: bool) -> ProbeReply:
+        """Return the answer to a probe; a sender that has just joined gets all."""
+        if 2 * known < len(self.table.members):
+            entries = membership.full_entries(self.table, JOIN_BUDGET_BYTES)
+        else:
+            entries = membership.gossip_entries(
+                self.table, ENTRIES_BUDGET_BYTES, sender
+            )
+        offset = self.table.own.config_offset
+        return ProbeReply(entries, self._marks_to_send(), offset, reached)
+
+    def merge(
+        self, entries: Iterable[GossipEntry], marks: Iterable[LeavingEntry]
+    ) -> tuple[VmId, ...]:
+        """Take gossip and return the VMs that are newly marked."""
+        now_s = self._config.clock()
+        self.take(membership.apply_gossip(self.table, entries, now_s))
+        fresh = leaving.apply_marks(self.marks, marks, now_s)
+        self._on_marked(fresh)
+        return fresh
+
+    def add_listed(self, nodes: Iterable[NodeAddress]) -> None:
+        """Add the nodes that the VM list names."""
+        now_s = self._config.clock()
+        self.take(membership.add_listed(self.table, nodes, now_s))
+
+    def mark(self, vms: Iterable[VmId], source: str) -> tuple[VmId, ...]:
+        """Mark VMs and return those that are new."""
+        now_s = self._config.clock()
+        fresh = tuple(vm for vm in vms if leaving.mark(self.marks, vm, source, now_s))
+        self._on_marked(fresh)
+        return fresh
+
+    def expire(self) -> None:
+        """Drop old marks and declare gone whoever did not refute."""
+        now_s = self._config.clock()
+        self.take(membership.expire_members(self.table, now_s))
+        for vm in leaving.expire_marks(self.marks, now_s):
+            self._config.events.emit(306, vm=vm_text(vm))
+            self._changed = True
+
+    def take(self, effect: GossipEffect) -> None:
+        """Publish and report what changed in the member table."""
+        self._changed |= effect.hints or bool(effect.changes)
+        if effect.changes:
+            self.publish()
+        for change in effect.changes:
+            self._report(change)
+        if effect.declared_gone:
+            refutation = self.table.own.refutation
+            self._config.events.emit(304, refutation=refutation)
+            self._config.callbacks.on_declared_gone()
+
+    def notice(self, vms: Iterable[VmId], *, forward: bool) -> LeavingNotice:
+        """Return a message that tells of the marks of the VMs."""
+        now_s = self._config.clock()
+        entries = tuple(leaving.entry_of(self.marks, vm, now_s) for vm in vms)
+        return LeavingNotice(entries, forward)
+
+    def neighbours(self) -> list[NodeAddress]:
+        """Return the other members of the node's data centre."""
+        own = self.table.own.address
+        return [a for a in self._reachable() if _place(a) == _place(own)]
+
+    def forwarders(self) -> list[NodeAddress]:
+        """Return some members of each other data centre, chosen at random."""
+        own = self.table.own.address
+        groups: dict[tuple[str, str], list[NodeAddress]] = {}
+        for address in self._reachable():
+            if _place(address) != _place(own):
+                groups.setdefault(_place(address), []).append(address)
+        chosen = []
+        for group in groups.values():
+            count = min(FORWARDERS_PER_DATA_CENTRE, len(group))
+            chosen += self._config.rng.sample(group, count)
+        return chosen
+
+    def _reachable(self) -> list[NodeAddress]:
+        gone = MemberState.GONE
+        return [e.address for e in self.table.entries() if e.state is not gone]
+
+    def _marks_to_send(self) -> tuple[LeavingEntry, ...]:
+        now_s = self._config.clock()
+        return leaving.leaving_entries(self.marks, MARKS_BUDGET_BYTES, now_s)
+
+    def _on_marked(self, fresh: tuple[VmId, ...]) -> None:
+        if not fresh:
+            return
+        self._changed = True
+        self.publish()
+        for vm in fresh:
+            source = self.marks.by_vm[vm].source
+            self._config.events.emit(305, vm=vm_text(vm), source=source)
+        self._config.callbacks.on_leaving(fresh)
+
+    def _report(self, change: StateChange) -> None:
+        entry = change.entry
+        number = 300 if change.before is None else _STATE_EVENTS[entry.state]
+        data_centre = entry.address.data_centre
+        self._config.events.emit(
+            number, member=vm_text(entry.vm), data_centre=data_centre
+        )
+        if entry.state is MemberState.GONE:
+            self._config.callbacks.on_gone(entry.vm)
+
+
+def vm_text(vm: VmId) -> str:
+    """Return the VM as events name it."""
+    return f"{vm.name}/{vm.incarnation}"
+
+
+def _place(address: NodeAddress) -> tuple[str, str]:
+    return address.fleet, address.data_centre
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -144,6 +144,16 @@
         states = {e.address.name: e.state for e in gossip_entries(table, 400)}
         self.assertEqual(states["vm-7"], MemberState.SUSPECT)
 
+    def test_doubted_target_is_told(self):
+        """A member that is declared gone must learn it, however old the news is."""
+        table = _table_of(others=[f"vm-{n}" for n in range(380)])
+        doubted = _address("vm-7").vm
+        on_replaced(table, doubted, 1.0)
+        for _ in range(600):
+            gossip_entries(table, 1000)
+        states = {e.vm: e.state for e in gossip_entries(table, 300, doubted)}
+        self.assertEqual(states[doubted], MemberState.GONE)
+
     @settings(derandomize=True, deadline=None, max_examples=300)
     @given(st.lists(ENTRIES, max_size=8), st.randoms(use_true_random=False))
     def test_any_order_and_repetition_gives_same_table(self, entries, rng):
--- /dev/null
+++ b/tests/node/clusterkit.py
@@ -0,0 +1,116 @@
+"""Help tests with several nodes that know each other, on a clock of the test."""
+
+import random
+import threading
+
+from expression import Ok
+
+from cicadapass import members
+from cicadapass.membermessages import (
+    ListedVm,
+    MemberCallbacks,
+    MembersConfig,
+    ProbeTick,
+)
+from cicadapass.members import Members
+from cicadapass.membersnapshot import MembersBoard
+from cicadapass.supervisor import PartRef, StartPart, StopParts, Supervisor
+from cicadapass.timers import TimerService
+from tests.node.peerkit import Node
+
+# Each step lets this much real time pass, so that messages arrive.
+STEP_WAIT_S = 0.03
+MAX_STEPS = 400
+
+
+class Clock:
+    """Return a time that only the test advances."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        """Return the time."""
+        return self.now_s
+
+
+class Member(Node):
+    """Run the peers and the members part of one node."""
+
+    def __init__(self, test, own, clock, listed=(), seeds=(), register=(), **settings):
+        self.part = PartRef("members")
+        self.gone, self.marked, self.declared = [], [], []
+        self.listed = list(listed)
+        self.read_vm_list = lambda: Ok(tuple(self.listed))
+        self.register = [*register, members.register]
+        super().__init__(test, own, **settings)
+        self.board = MembersBoard(self.address)
+        self.timers = TimerService(clock)
+        self.config = MembersConfig(
+            self.peers,
+            self.timers,
+            self.events,
+            self.board,
+            lambda: self.read_vm_list(),
+            random.Random(own.name),
+            tuple(seeds),
+            MemberCallbacks(
+                self.gone.append,
+                self.marked.extend,
+                lambda: self.declared.append(True),
+            ),
+            clock,
+        )
+        self.supervisor = Supervisor.start(self.events, lambda: None)
+        test.addCleanup(self.supervisor.stop)
+        test.addCleanup(self.supervisor.ask, StopParts())
+        self.supervisor.ask(StartPart("members", self._start_part))
+
+    def before_start(self):
+        """Register the handlers of the parts."""
+        for register in self.register:
+            register(self.peers, self.part)
+
+    def _start_part(self):
+        ref = Members.start(self.supervisor, self.config)
+        self.part.bind(ref)
+        return ref
+
+    def state_of(self, other):
+        """Return the state of another member, or nothing if it is unknown."""
+        entry = self.board.snapshot.by_vm.get(other.vm)
+        return entry and entry.state
+
+    def round(self):
+        """Do one round of the part."""
+        self.part.ask(ProbeTick(), 20.0)
+
+
+class Cluster:
+    """Advance some members together."""
+
+    def __init__(self, *nodes):
+        self.nodes = list(nodes)
+        self.clock = nodes[0].config.clock
+        self._pause = threading.Event()
+
+    def introduce(self):
+        """Let all nodes find all others in their VM lists."""
+        listed = [ListedVm(n.address.vm, False, n.address) for n in self.nodes]
+        for node in self.nodes:
+            node.listed[:] = listed
+
+    def step(self, seconds=1.0):
+        """Let one second pass on all nodes."""
+        self.clock.now_s += seconds
+        for node in self.nodes:
+            node.timers.run_due()
+        self._pause.wait(STEP_WAIT_S)
+
+    def run_until(self, predicate):
+        """Step until the predicate is true; fail after a generous number."""
+        for _ in range(MAX_STEPS):
+            if predicate():
+                return
+            self.step()
+        raise AssertionError(f"not true after {MAX_STEPS} steps")
--- a/tests/node/peerkit.py
+++ b/tests/node/peerkit.py
@@ -35,9 +35,13 @@
         self.peers = Peers(settings, self.events, stamps, random.Random(1))
         for kind, handler, pooled in handlers:
             self.peers.handle(kind, handler, pooled=pooled)
+        self.before_start()
         self.peers.start()
         test.addCleanup(self.peers.stop)
 
+    def before_start(self):
+        """Register more handlers."""
+
     @property
     def address(self):
         """Return the address with the port in use."""
--- /dev/null
+++ b/tests/node/test_members.py
@@ -0,0 +1,212 @@
+"""Test the members part over real connections."""
+
+import socket
+
+import testtools
+from expression import Error
+
+from cicadapass.membermessages import ListedVm, MarkLeaving, ReadList, SetOwn
+from cicadapass_common.exceptions import CicadapassError
+from cicadapass_decisions.membership import MemberState
+from cicadapass_decisions.types import VmId
+from tests.node.clusterkit import Clock, Cluster, Member
+from tests.node.peerkit import address, wait_for
+
+ALIVE, SUSPECT, GONE = MemberState.ALIVE, MemberState.SUSPECT, MemberState.GONE
+
+
+class MembersTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+
+    def member(self, name, data_centre="dc-a", **more):
+        own = more.pop("own", None) or address(name, data_centre)
+        return Member(self, own, self.clock, **more)
+
+    def cluster(self, *nodes):
+        cluster = Cluster(*nodes)
+        cluster.introduce()
+        cluster.run_until(lambda: self.all_alive(nodes))
+        return cluster
+
+    def all_alive(self, nodes):
+        return all(n.state_of(o.address) is ALIVE for n in nodes for o in nodes)
+
+    def numbers(self, node):
+        return [e.number for e in node.events.recent()]
+
+
+class DetectionTest(MembersTest):
+    def test_seed_is_enough_to_join(self):
+        """A node must join while the VM list is down."""
+        a, b = self.member("a"), self.member("b")
+        self.cluster(a, b)
+        seed = address("", incarnation="", port=a.address.peer_port)
+        c = self.member("c", seeds=[seed])
+        Cluster(a, b, c).run_until(lambda: self.all_alive([a, b, c]))
+
+    def test_dead_member_is_gone_everywhere(self):
+        """A death that is not noticed leaves requests without an owner."""
+        a, b, c = self.member("a"), self.member("b"), self.member("c", "dc-b")
+        cluster = self.cluster(a, b, c)
+        c.peers.stop()
+        cluster.nodes.remove(c)
+        cluster.run_until(lambda: a.gone and b.gone)
+        self.assertEqual((a.gone, b.gone), ([c.address.vm], [c.address.vm]))
+        self.assertTrue(a.board.snapshot.is_gone(c.address.vm))
+        self.assertNotIn("grabhandle/dc-b", a.board.snapshot.alive)
+        a.wait_for_event(301, member="c/1")
+        a.wait_for_event(302, member="c/1")
+
+    def test_frozen_member_is_gone(self):
+        """A node that accepts connections but does nothing must be replaced."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        frozen = address("frozen", port=listener.getsockname()[1])
+        a, b = self.member("a"), self.member("b")
+        cluster = Cluster(a, b)
+        cluster.introduce()
+        a.listed.append(ListedVm(frozen.vm, False, frozen))
+        cluster.run_until(lambda: frozen.vm in a.gone and frozen.vm in b.gone)
+        self.assertEqual(a.state_of(b.address), ALIVE)
+
+    def test_one_way_partition(self):
+        """A broken path from one node must not take a live member down."""
+        cut = []
+        a = self.member("a", allow=lambda target: target.name not in cut)
+        b, c = self.member("b"), self.member("c")
+        cluster = self.cluster(a, b, c)
+        cut.append("c")
+        for _ in range(20):
+            cluster.step()
+        self.assertEqual(a.state_of(c.address), ALIVE)
+        self.assertNotIn(301, self.numbers(a))
+
+    def test_healed_partition(self):
+        """After a partition both sides must be one fleet again."""
+        cut = []
+
+        def allow(target):
+            return target.name not in cut
+
+        a, b = self.member("a", allow=allow), self.member("b", allow=allow)
+        cluster = self.cluster(a, b)
+        cut.extend("ab")
+        cluster.run_until(lambda: a.gone and b.gone)
+        cut.clear()
+        cluster.run_until(lambda: self.all_alive([a, b]))
+        self.assertTrue(a.declared and b.declared)
+        a.wait_for_event(304)
+        a.wait_for_event(303)
+
+    def test_member_refutes_suspicion(self):
+        """A member that was slow once must not lose its requests."""
+        cut = []
+        a = self.member("a", allow=lambda target: target.name not in cut)
+        b = self.member("b")
+        cluster = self.cluster(a, b)
+        cut.append("b")
+        cluster.run_until(lambda: a.state_of(b.address) is SUSPECT)
+        cut.clear()
+        cluster.run_until(lambda: a.state_of(b.address) is ALIVE)
+        self.assertEqual((a.gone, b.declared), ([], []))
+
+    def test_paused_node_gives_suspects_their_time(self):
+        """A node that was paused must not declare others gone on resumption."""
+        dead = self.member("dead")
+        a = self.member("a")
+        cluster = self.cluster(a, dead)
+        dead.peers.stop()
+        cluster.nodes.remove(dead)
+        cluster.run_until(lambda: a.state_of(dead.address) is SUSPECT)
+        self.clock.now_s += 100.0
+        a.round()
+        self.assertEqual(a.state_of(dead.address), SUSPECT)
+        cluster.run_until(lambda: a.gone)
+
+    def test_address_reused_by_another_incarnation(self):
+        """The old incarnation must be gone at once, and the new one be used."""
+        a, old = self.member("a"), self.member("c")
+        cluster = self.cluster(a, old)
+        old.peers.stop()
+        port = old.address.peer_port
+        new = self.member("c", own=address("c", incarnation="2", port=port))
+        cluster.nodes[1] = new
+        a.listed.append(ListedVm(new.address.vm, False, new.address))
+        cluster.run_until(lambda: a.state_of(new.address) is ALIVE and a.gone)
+        self.assertEqual(a.gone, [old.address.vm])
+        self.assertNotIn(301, self.numbers(a))
+
+    def test_stale_list_does_not_revive(self):
+        """A lagging VM list must not bring a dead member back."""
+        a, b = self.member("a"), self.member("b")
+        cluster = self.cluster(a, b)
+        b.peers.stop()
+        cluster.nodes.remove(b)
+        cluster.run_until(lambda: a.gone)
+        a.part.ask(ReadList(), 20.0)
+        for _ in range(10):
+            cluster.step()
+        self.assertEqual(a.state_of(b.address), GONE)
+
+    def test_unreadable_list(self):
+        """An outage of the VM list must not stop the members part."""
+        a = self.member("a")
+        a.read_vm_list = lambda: Error(CicadapassError("down", "wait"))
+        a.part.ask(ReadList(), 20.0)
+        a.wait_for_event(307, reason="down; wait")
+        a.read_vm_list = lambda: 1 / 0
+        a.part.ask(ReadList(), 20.0)
+        a.wait_for_event(
+            307, reason="ZeroDivisionError('division by zero'); check the VM list"
+        )
+        a.round()
+
+    def test_hints_spread(self):
+        """A node behind the log must learn who has newer records."""
+        a, b = self.member("a"), self.member("b")
+        cluster = self.cluster(a, b)
+        a.part.tell(SetOwn(77, 200))
+
+        def seen():
+            entry = b.board.snapshot.by_vm[a.address.vm]
+            return (entry.config_offset, entry.load) == (77, 200)
+
+        cluster.run_until(seen)
+
+
+class LeavingTest(MembersTest):
+    VM = VmId("engine-1", "1")
+
+    def test_mark_reaches_all_without_a_round(self):
+        """New work must stop within seconds of the first indication anywhere."""
+        nodes = [self.member(n, f"dc-{n[0]}") for n in ("a1", "a2", "b1", "b2", "b3")]
+        self.cluster(*nodes)
+        nodes[0].part.tell(MarkLeaving((self.VM,), "notice"))
+        for node in nodes:
+            wait_for(lambda node=node: node.board.snapshot.is_leaving(self.VM))
+            self.assertEqual(node.marked, [self.VM])
+            node.wait_for_event(305, vm="engine-1/1", source="notice")
+
+    def test_stale_list_does_not_clear(self):
+        """A list that still calls a leaving VM live must not give it work."""
+        a = self.member("a", listed=[ListedVm(self.VM, True)])
+        wait_for(lambda: a.board.snapshot.is_leaving(self.VM))
+        a.listed[:] = [ListedVm(self.VM, False)]
+        for _ in range(10):
+            Cluster(a).step()
+        self.assertTrue(a.board.snapshot.is_leaving(self.VM))
+        self.assertFalse(a.board.snapshot.is_leaving(VmId("engine-1", "2")))
+
+    def test_marks_survive_a_restart_of_the_part(self):
+        """A fault in the part must not send work to leaving VMs."""
+        a = self.member("a")
+        a.part.ask(MarkLeaving((self.VM,), "notice"), 20.0)
+        failed = a.part._ref
+        a.part.tell(MarkLeaving((None,), "notice"))
+        a.wait_for_event(110, part="members")
+        wait_for(lambda: a.part._ref is not failed)
+        other = VmId("engine-2", "1")
+        a.part.ask(MarkLeaving((other,), "notice"), 20.0)
+        self.assertEqual(a.board.snapshot.leaving, {self.VM, other})
