--- /dev/null
+++ b/packages/node/cicadapass/progress.py
@@ -0,0 +1,275 @@
+"""Sends new tokens to the holders of copies, one message at a time per holder."""
+
+import threading
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from expression import Result
+
+from cicadapass.memberbook import vm_text
+from cicadapass.peererrors import PeerError
+from cicadapass.peers import Peers
+from cicadapass_common.copymessages import (
+    CopyStatus,
+    Progress,
+    ProgressAck,
+    ProgressItem,
+    ProgressReply,
+)
+from cicadapass_common.events import EventLog
+from cicadapass_common.messages import Message
+from cicadapass_decisions.types import NodeAddress, VmId
+
+# A holder in another data centre answers within milliseconds; callers see a pause of
+# their streams for twice this time before another holder is chosen.
+PROGRESS_TIMEOUT_S = 0.5
+MAX_TRIES = 2
+# Far below the limit of frames, so that one request's backlog delays no other long.
+MAX_BATCH_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Acked:
+    """Report how many tokens the holder has; `done` that it has the end as well."""
+
+    request_id: str
+    tokens: int
+    done: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HolderLost:
+    """Report that the request needs another holder and a full copy there."""
+
+    request_id: str
+    holder: NodeAddress
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Report that another node owns the request now, so that this one must stop."""
+
+    request_id: str
+    epoch: int
+
+
+ProgressEvent = Acked | HolderLost | Superseded
+Listener = Callable[[ProgressEvent], object]
+
+
+@dataclass(slots=True, eq=False)
+class _Stream:
+    """Hold the tokens of one request that its holder has not acknowledged."""
+
+    request_id: str
+    epoch: int
+    holder: "_Holder"
+    listener: Listener
+    acked: int
+    texts: list[str] = field(default_factory=list)
+    done: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Holder:
+    """Hold the requests of one holder, and those of them with new tokens."""
+
+    address: NodeAddress
+    streams: dict[str, _Stream] = field(default_factory=dict)
+    waiting: dict[str, _Stream] = field(default_factory=dict)
+    busy: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    holder: _Holder
+    streams: tuple[_Stream, ...]
+    message: Progress
+
+
+class ProgressSender:
+    """Own the unacknowledged tokens of all requests of this owner.
+
+    Every thread may call it. Listeners are called in the thread of the peers and
+    must return at once.
+    """
+
+    def __init__(self, peers: Peers, events: EventLog) -> None:
+        self._peers = peers
+        self._events = events
+        self._lock = threading.Lock()
+        self._streams: dict[str, _Stream] = {}
+        self._holders: dict[VmId, _Holder] = {}
+
+    def track(
+        self,
+        request_id: str,
+        epoch: int,
+        holder: NodeAddress,
+        tokens: int,
+        listener: Listener,
+    ) -> None:
+        """Start after the holder has accepted a copy with this many tokens."""
+        with self._lock:
+            self._remove(request_id)
+            held_by = self._holders.setdefault(holder.vm, _Holder(holder))
+            stream = _Stream(request_id, epoch, held_by, listener, tokens)
+            self._streams[request_id] = held_by.streams[request_id] = stream
+
+    def add(self, request_id: str, texts: Sequence[str], done: bool = False) -> bool:
+        """Send tokens that follow the earlier ones; False if it is not tracked."""
+        with self._lock:
+            stream = self._streams.get(request_id)
+            if stream is None:
+                return False
+            stream.texts += texts
+            stream.done = stream.done or done
+            holder = stream.holder
+            holder.waiting[request_id] = stream
+            batch = self._next_batch(holder)
+        self._send(batch)
+        return True
+
+    def untrack(self, request_id: str) -> None:
+        """Forget a request; its listener is not called for later answers."""
+        with self._lock:
+            self._remove(request_id)
+
+    def holder_gone(self, vm: VmId) -> None:
+        """Report the holder lost to the requests that it holds."""
+        with self._lock:
+            holder = self._holders.get(vm)
+            streams = list(holder.streams.values()) if holder else []
+        if holder:
+            self._lose(holder, streams, "the holder is gone")
+
+    def _remove(self, request_id: str) -> None:
+        stream = self._streams.pop(request_id, None)
+        if stream is None:
+            return
+        holder = stream.holder
+        holder.streams.pop(request_id, None)
+        holder.waiting.pop(request_id, None)
+        self._prune(holder)
+
+    def _prune(self, holder: _Holder) -> None:
+        if not holder.streams and not holder.busy:
+            self._holders.pop(holder.address.vm, None)
+
+    def _next_batch(self, holder: _Holder) -> _Batch | None:
+        """Return the next message, unless one is on its way."""
+        if holder.busy or not holder.waiting:
+            return None
+        items, streams, left = [], [], MAX_BATCH_BYTES
+        for stream in list(holder.waiting.values()):
+            if left <= 0:
+                break
+            count, size = _fitting(stream.texts, left)
+            left -= size
+            streams.append(stream)
+            items.append(_item(stream, count))
+            if count == len(stream.texts):
+                del holder.waiting[stream.request_id]
+        holder.busy = True
+        return _Batch(holder, tuple(streams), Progress(tuple(items)))
+
+    def _send(self, batch: _Batch | None, tries: int = 1) -> None:
+        if batch is None:
+            return
+
+        def on_reply(result: Result[Message, PeerError]) -> None:
+            self._on_reply(batch, result, tries)
+
+        address = batch.holder.address
+        self._peers.request_async(address, batch.message, PROGRESS_TIMEOUT_S, on_reply)
+
+    def _on_reply(
+        self, batch: _Batch, result: Result[Message, PeerError], tries: int
+    ) -> None:
+        if result.is_ok() and isinstance(result.ok, ProgressReply):
+            self._on_acks(batch, result.ok.acks)
+        elif result.is_error() and tries < MAX_TRIES:
+            # The holder drops what it has already got, so a repeat is harmless.
+            self._send(batch, tries + 1)
+        else:
+            reason = str(result.error) if result.is_error() else "wrong answer"
+            with self._lock:
+                streams = list(batch.holder.streams.values())
+            self._lose(batch.holder, streams, reason)
+            self._go_on(batch.holder)
+
+    def _on_acks(self, batch: _Batch, acks: tuple[ProgressAck, ...]) -> None:
+        by_id = {ack.request_id: ack for ack in acks}
+        lost: list[_Stream] = []
+        calls: list[tuple[_Stream, ProgressEvent]] = []
+        with self._lock:
+            for stream in batch.streams:
+                if self._streams.get(stream.request_id) is not stream:
+                    continue
+                ack = by_id.get(stream.request_id)
+                if ack is not None and ack.status is CopyStatus.ACCEPTED:
+                    calls.append((stream, _take_ack(stream, ack)))
+                elif ack is not None and ack.status is CopyStatus.STALE_EPOCH:
+                    self._remove(stream.request_id)
+                    calls.append((stream, Superseded(stream.request_id, ack.epoch)))
+                else:
+                    lost.append(stream)
+        self._call(calls)
+        self._lose(batch.holder, lost, "the holder cannot go on with its copy")
+        self._go_on(batch.holder)
+
+    def _go_on(self, holder: _Holder) -> None:
+        """Send what has queued up while the last message was on its way."""
+        with self._lock:
+            holder.busy = False
+            batch = self._next_batch(holder)
+            if batch is None:
+                self._prune(holder)
+        self._send(batch)
+
+    def _lose(self, holder: _Holder, streams: Iterable[_Stream], reason: str) -> None:
+        calls: list[tuple[_Stream, ProgressEvent]] = []
+        with self._lock:
+            for stream in streams:
+                if self._streams.get(stream.request_id) is stream:
+                    self._remove(stream.request_id)
+                    event = HolderLost(stream.request_id, holder.address, reason)
+                    calls.append((stream, event))
+        self._call(calls)
+
+    def _call(self, calls: Iterable[tuple[_Stream, ProgressEvent]]) -> None:
+        for stream, event in calls:
+            match event:
+                case HolderLost(request_id, holder, reason):
+                    name = vm_text(holder.vm)
+                    self._events.emit(
+                        406, request_id=request_id, holder=name, reason=reason
+                    )
+                case Superseded(request_id, seen):
+                    self._events.emit(
+                        407, request_id=request_id, epoch=stream.epoch, seen=seen
+                    )
+            stream.listener(event)
+
+
+def _fitting(texts: list[str], limit: int) -> tuple[int, int]:
+    """Return how many texts fit, at least one, and their size in characters."""
+    size = 0
+    for count, text in enumerate(texts):
+        if size >= limit:
+            return count, size
+        size += len(text) + 1
+    return len(texts), size
+
+
+def _item(stream: _Stream, count: int) -> ProgressItem:
+    texts = tuple(stream.texts[:count])
+    done = stream.done and count == len(stream.texts)
+    return ProgressItem(stream.request_id, stream.epoch, stream.acked, texts, done)
+
+
+def _take_ack(stream: _Stream, ack: ProgressAck) -> Acked:
+    del stream.texts[: ack.tokens - stream.acked]
+    stream.acked = ack.tokens
+    return Acked(stream.request_id, ack.tokens, ack.done)
--- /dev/null
+++ b/packages/node/cicadapass/releases.py
@@ -0,0 +1,73 @@
+"""Tells holders which copies they may drop, until they have heard it."""
+
+import threading
+from collections.abc import Callable
+
+from expression import Result
+
+from cicadapass.peererrors import PeerError
+from cicadapass.peers import Peers
+from cicadapass_common.copymessages import Release, ReleaseItem
+from cicadapass_common.messages import Message
+from cicadapass_decisions.types import NodeAddress, VmId
+
+RELEASE_TIMEOUT_S = 2.0
+RETRY_S = 2.0
+# The holder drops the rest when it expires.
+MAX_QUEUED = 10_000
+
+
+class ReleaseSender:
+    """Own the releases that holders have not acknowledged; callable in any thread."""
+
+    def __init__(
+        self, peers: Peers, call_later: Callable[[Callable[[], None], float], object]
+    ) -> None:
+        self._peers = peers
+        self._call_later = call_later
+        self._lock = threading.Lock()
+        self._queued: dict[NodeAddress, list[ReleaseItem]] = {}
+        self._busy: set[NodeAddress] = set()
+
+    def release(self, request_id: str, epoch: int, holder: NodeAddress) -> None:
+        """Let a holder drop its copy of this epoch or an earlier one."""
+        with self._lock:
+            items = self._queued.setdefault(holder, [])
+            if len(items) < MAX_QUEUED:
+                items.append(ReleaseItem(request_id, epoch))
+        self._flush(holder)
+
+    def holder_gone(self, vm: VmId) -> None:
+        """Forget what a member that is gone has not heard."""
+        with self._lock:
+            for holder in [h for h in self._queued if h.vm == vm]:
+                del self._queued[holder]
+
+    def _flush(self, holder: NodeAddress) -> None:
+        with self._lock:
+            items = self._queued.get(holder)
+            if not items or holder in self._busy:
+                return
+            self._busy.add(holder)
+            message = Release(tuple(items))
+
+        def on_reply(result: Result[Message, PeerError]) -> None:
+            self._on_reply(holder, len(message.items), result.is_ok())
+
+        self._peers.request_async(holder, message, RELEASE_TIMEOUT_S, on_reply)
+
+    def _on_reply(self, holder: NodeAddress, count: int, heard: bool) -> None:
+        if not heard:
+            self._call_later(lambda: self._go_on(holder), RETRY_S)
+            return
+        with self._lock:
+            items = self._queued.get(holder, [])
+            del items[:count]
+            if not items:
+                self._queued.pop(holder, None)
+        self._go_on(holder)
+
+    def _go_on(self, holder: NodeAddress) -> None:
+        with self._lock:
+            self._busy.discard(holder)
+        self._flush(holder)
--- /dev/null
+++ b/tests/node/test_progress.py
@@ -0,0 +1,259 @@
+"""Test sending progress and releases to holders."""
+
+import threading
+
+import testtools
+from expression import Error, Ok
+
+from cicadapass.peererrors import PeerError, PeerFault
+from cicadapass.progress import Acked, HolderLost, ProgressSender, Superseded
+from cicadapass.releases import ReleaseSender
+from cicadapass_common.copymessages import (
+    CopyStatus,
+    Progress,
+    ProgressAck,
+    ProgressReply,
+    Release,
+    ReleaseItem,
+)
+from cicadapass_common.events import EventLog
+from cicadapass_common.messages import Done
+from tests.node.peerkit import WAIT_S, Node, address
+
+HOLDER = address("holder", "dc-b")
+OTHER = address("other", "dc-c")
+TIMEOUT = Error(PeerError(PeerFault.TIMEOUT, "holder", may_have_arrived=True))
+
+
+class FakePeers:
+    """Keep the requests until the test answers them."""
+
+    def __init__(self):
+        self.requests = []
+
+    def request_async(self, target, message, _timeout_s, on_reply):
+        """Keep a request."""
+        self.requests.append((target, message, on_reply))
+
+    def take(self):
+        """Return the message and the reply function of the oldest request."""
+        _, message, on_reply = self.requests.pop(0)
+        return message, on_reply
+
+
+def _acks(message, status=CopyStatus.ACCEPTED, epoch=1):
+    return Ok(
+        ProgressReply(
+            tuple(
+                ProgressAck(i.request_id, status, epoch, i.first + len(i.texts), i.done)
+                for i in message.items
+            )
+        )
+    )
+
+
+class ProgressTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.peers = FakePeers()
+        events = EventLog("a", lambda: (0, 0))
+        self.sender = ProgressSender(self.peers, events)
+        self.heard = []
+        self.track("r1")
+
+    def track(self, request_id, tokens=0, holder=HOLDER, epoch=1):
+        self.sender.track(request_id, epoch, holder, tokens, self.heard.append)
+
+    def texts(self, message):
+        return {
+            i.request_id: (i.first, "".join(i.texts), i.done) for i in message.items
+        }
+
+    def test_one_outstanding_message_per_holder(self):
+        """Under load, a message per token would cost more than the token."""
+        self.track("r2")
+        self.track("r3", tokens=7, holder=OTHER)
+        self.sender.add("r1", ["a"])
+        self.sender.add("r1", ["b", "c"])
+        self.sender.add("r2", ["x"])
+        self.sender.add("r3", ["y"])
+        first, reply = self.peers.take()
+        other, _ = self.peers.take()
+        self.assertEqual(self.texts(first), {"r1": (0, "a", False)})
+        self.assertEqual(self.texts(other), {"r3": (7, "y", False)})
+        self.assertEqual((self.peers.requests, self.heard), ([], []))
+        reply(_acks(first))
+        second, reply = self.peers.take()
+        expected = {"r1": (1, "bc", False), "r2": (0, "x", False)}
+        self.assertEqual(self.texts(second), expected)
+        self.sender.add("r1", (), done=True)
+        reply(_acks(second))
+        last, reply = self.peers.take()
+        self.assertEqual(self.texts(last), {"r1": (3, "", True)})
+        reply(_acks(last))
+        self.assertEqual(
+            self.heard,
+            [
+                Acked("r1", 1, False),
+                Acked("r1", 3, False),
+                Acked("r2", 1, False),
+                Acked("r1", 3, True),
+            ],
+        )
+
+    def test_long_backlog_is_split(self):
+        """A backlog of one request must not exceed the limit of frames."""
+        self.sender.add("r1", ["x" * 100_000] * 5)
+        first, reply = self.peers.take()
+        self.assertEqual(len(first.items[0].texts), 3)
+        reply(_acks(first))
+        second, _ = self.peers.take()
+        self.assertEqual((second.items[0].first, len(second.items[0].texts)), (3, 2))
+
+    def test_lost_answer_is_repeated(self):
+        """A lost answer must not cost a full copy to another holder."""
+        self.sender.add("r1", ["a"])
+        first, reply = self.peers.take()
+        reply(TIMEOUT)
+        second, reply = self.peers.take()
+        self.assertEqual(first, second)
+        reply(_acks(second))
+        self.assertEqual(self.heard, [Acked("r1", 1, False)])
+
+    def test_failed_holder_is_reported_for_all_its_requests(self):
+        """An owner that is not told would keep its callers waiting for ever."""
+        self.track("r2")
+        self.track("r3", holder=OTHER)
+        self.sender.add("r1", ["a"])
+        self.peers.take()[1](TIMEOUT)
+        self.peers.take()[1](TIMEOUT)
+        lost = {(e.request_id, e.holder) for e in self.heard}
+        self.assertEqual(lost, {("r1", HOLDER), ("r2", HOLDER)})
+        self.assertFalse(self.sender.add("r1", ["b"]))
+        self.assertEqual(self.peers.requests, [])
+        self.track("r1", tokens=2, holder=OTHER, epoch=3)
+        self.assertTrue(self.sender.add("r1", ["c"]))
+        self.assertEqual(self.texts(self.peers.take()[0]), {"r1": (2, "c", False)})
+
+    def test_holder_gone(self):
+        """A holder that the members know to be gone must not cost a timeout."""
+        self.sender.add("r1", ["a"])
+        self.sender.holder_gone(HOLDER.vm)
+        self.assertIsInstance(self.heard[0], HolderLost)
+        message, reply = self.peers.take()
+        reply(_acks(message))
+        self.assertEqual(len(self.heard), 1)
+
+    def test_superseded_owner(self):
+        """An owner whose request was taken over must be told to stop."""
+        self.sender.add("r1", ["a"])
+        message, reply = self.peers.take()
+        reply(_acks(message, CopyStatus.STALE_EPOCH, 2))
+        self.assertEqual(self.heard, [Superseded("r1", 2)])
+        self.assertFalse(self.sender.add("r1", ["b"]))
+
+    def test_holder_without_the_copy(self):
+        """A holder that lost or cannot extend its copy must be replaced."""
+        for status in (CopyStatus.UNKNOWN, CopyStatus.FULL, CopyStatus.GAP):
+            self.heard.clear()
+            self.track("r1")
+            self.sender.add("r1", ["a"])
+            message, reply = self.peers.take()
+            reply(_acks(message, status))
+            self.assertIsInstance(self.heard[0], HolderLost, str(status))
+
+    def test_late_answer_of_a_former_holder(self):
+        """An acknowledgement of the former copy must not count for the present one."""
+        self.sender.add("r1", ["a", "b"])
+        message, reply = self.peers.take()
+        self.track("r1", tokens=1, holder=OTHER, epoch=3)
+        reply(_acks(message))
+        self.assertEqual(self.heard, [])
+
+    def test_no_state_is_left(self):
+        """State of finished requests would grow until the node stops."""
+        self.sender.add("r1", ["a"], done=True)
+        message, reply = self.peers.take()
+        reply(_acks(message))
+        self.sender.untrack("r1")
+        self.assertEqual((self.sender._streams, self.sender._holders), ({}, {}))
+
+
+class ReleaseTest(testtools.TestCase):
+    def test_release_is_repeated_until_heard(self):
+        """A copy that is not dropped is run again when its owner is gone."""
+        peers, later = FakePeers(), []
+        releases = ReleaseSender(peers, lambda action, _s: later.append(action))
+        releases.release("r1", 1, HOLDER)
+        releases.release("r2", 1, HOLDER)
+        message, reply = peers.take()
+        self.assertEqual(message, Release((ReleaseItem("r1", 1),)))
+        reply(TIMEOUT)
+        self.assertEqual(peers.requests, [])
+        later.pop()()
+        message, reply = peers.take()
+        items = ReleaseItem("r1", 1), ReleaseItem("r2", 1)
+        self.assertEqual(message, Release(items))
+        reply(Ok(Done()))
+        self.assertEqual((peers.requests, releases._queued), ([], {}))
+
+
+class ConnectedProgressTest(testtools.TestCase):
+    """Run the sender over a real connection, with a holder that acknowledges all."""
+
+    def setUp(self):
+        super().setUp()
+        self.holder = Node(self, HOLDER, [(Progress, self._hold, False)])
+        self.owner = Node(self, address("owner"))
+        self.sender = ProgressSender(self.owner.peers, self.owner.events)
+        self.held = {}
+
+    def _hold(self, inbound):
+        for item in inbound.message.items:
+            texts = self.held.setdefault(item.request_id, [])
+            if item.first == len(texts):
+                texts += item.texts
+        inbound.reply(_acks(inbound.message).ok)
+
+    def test_all_tokens_arrive_in_few_messages(self):
+        """Every token must be acknowledged once, from many threads at a time."""
+        streams, tokens = 20, 200
+        ends = [threading.Event() for _ in range(streams)]
+        counts = [[] for _ in range(streams)]
+
+        def listen(n, event):
+            counts[n].append(event.tokens)
+            if event.done:
+                ends[n].set()
+
+        def run(n):
+            for token in range(tokens):
+                self.sender.add(str(n), [f"{token} "], done=token == tokens - 1)
+
+        for n in range(streams):
+            self.sender.track(
+                str(n), 1, self.holder.address, 0, lambda e, n=n: listen(n, e)
+            )
+            threading.Thread(target=run, args=(n,)).start()
+        for end in ends:
+            self.assertTrue(end.wait(WAIT_S))
+        answer = [f"{token} " for token in range(tokens)]
+        self.assertEqual(self.held, {str(n): answer for n in range(streams)})
+        self.assertTrue(all(c == sorted(set(c)) for c in counts), str(counts))
+        messages = self.owner.peers.traffic().sent["progress"].messages
+        self.assertLess(messages, streams * tokens / 2)
+
+    def test_holder_that_stops(self):
+        """A stopped holder must be reported, however the connection ends."""
+        lost = threading.Event()
+
+        def listen(event):
+            if isinstance(event, HolderLost):
+                lost.set()
+
+        self.sender.track("r1", 1, self.holder.address, 0, listen)
+        self.sender.add("r1", ["a"])
+        self.holder.peers.stop()
+        self.sender.add("r1", ["b"])
+        self.assertTrue(lost.wait(WAIT_S))
+        self.owner.wait_for_event(406, request_id="r1")
