--- a/packages/node/cicadapass/copies.py
+++ b/packages/node/cicadapass/copies.py
@@ -155,8 +155,8 @@
                         self._report_stale(item.request_id, item.epoch, ack.epoch)
                 inbound.reply(ProgressReply(acks))
             case Release(released):
-                for copy in released:
-                    self._store.release(copy)
+                for each in released:
+                    self._store.release(each)
                 inbound.reply(Done())
             case HandOver():
                 inbound.reply(self._hand_over(message, inbound.sender))
