Measure the overhead of a node

There was no measure of what a node adds to calls and streams. The new module compares short requests through a node with direct ones, and measures streamed tokens a second and short calls beside 500 open streams.

--- /dev/null
+++ b/packages/bench/cicadapass_bench/loadclient.py
@@ -0,0 +1,135 @@
+"""Send load from a process of its own and print what was measured as one line."""
+
+import dataclasses
+import http.client
+import json
+import sys
+import threading
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlsplit
+
+from cicadapass_bench.histograms import Latencies
+from cicadapass_bench.streamload import StreamLoad
+
+CALL_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Say what one load process sends, and for how long.
+
+    `rate_per_s` spaces the calls of all connections together, and latencies count
+    from the planned time; 0 sends the next call when the last one was answered.
+    `tokens_marker` selects streams, which are counted by this part of their answer.
+    """
+
+    url: str
+    path: str
+    body: str
+    method: str = "POST"
+    headers: Mapping[str, str] = field(default_factory=dict)
+    connections: int = 1
+    rate_per_s: float = 0.0
+    warm_up_s: float = 0.5
+    duration_s: float = 2.0
+    tokens_marker: str = ""
+
+
+class CallLoad:
+    """Send whole calls on kept connections."""
+
+    def __init__(self, load: Load) -> None:
+        self._load = load
+        self._latencies = Latencies()
+        self._lock = threading.Lock()
+        self._failed = 0
+
+    def run(self) -> dict[str, Any]:
+        """Return the latencies in the window after the warm-up."""
+        began_s = time.perf_counter()
+        threads = [
+            threading.Thread(target=self._connection, args=(index, began_s))
+            for index in range(self._load.connections)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return {"latencies": self._latencies.encode(), "failed": self._failed}
+
+    def _connection(self, index: int, began_s: float) -> None:
+        load = self._load
+        connection = http.client.HTTPConnection(
+            urlsplit(load.url).netloc, timeout=CALL_TIMEOUT_S
+        )
+        interval_s = load.connections / load.rate_per_s if load.rate_per_s else 0.0
+        due_s = began_s + index * interval_s / load.connections
+        measure_s = began_s + load.warm_up_s
+        end_s = measure_s + load.duration_s
+        while due_s < end_s:
+            wait_s = due_s - time.perf_counter()
+            if wait_s > 0:
+                time.sleep(wait_s)
+            ok = self._call(connection)
+            now_s = time.perf_counter()
+            if due_s >= measure_s:
+                with self._lock:
+                    self._latencies.add(now_s - due_s)
+                    self._failed += not ok
+            due_s = due_s + interval_s if interval_s else now_s
+        connection.close()
+
+    def _call(self, connection: http.client.HTTPConnection) -> bool:
+        load = self._load
+        body = load.body.encode() or None
+        try:
+            connection.request(load.method, load.path, body, dict(load.headers))
+            answer = connection.getresponse()
+            answer.read()
+        except (OSError, http.client.HTTPException):
+            # The next request opens the connection again.
+            connection.close()
+            return False
+        return answer.status == 200
+
+
+def arguments(load: Load) -> list[str]:
+    """Return the arguments that start a process with this load."""
+    document = json.dumps(dataclasses.asdict(load))
+    return ["-m", "cicadapass_bench.loadclient", document]
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the load that the first argument describes."""
+    load = Load(**json.loads(argv[0]))
+    if load.tokens_marker:
+        result = StreamLoad(
+            load.url,
+            request_bytes(load),
+            load.connections,
+            load.tokens_marker.encode(),
+        ).run(load.warm_up_s, load.duration_s)
+    else:
+        result = CallLoad(load).run()
+    print(json.dumps(result), flush=True)
+    return 0
+
+
+def request_bytes(load: Load) -> bytes:
+    """Return the HTTP request of a stream."""
+    body = load.body.encode()
+    headers = {
+        "Host": urlsplit(load.url).netloc,
+        "Content-Length": str(len(body)),
+        **load.headers,
+    }
+    lines = [f"{load.method} {load.path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+if __name__ == "__main__":
+    raise SystemExit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/bench/cicadapass_bench/loadrun.py
@@ -0,0 +1,86 @@
+"""Start load processes beside a world and add up what they measured."""
+
+import itertools
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from cicadapass_bench.histograms import Latencies
+from cicadapass_bench.loadclient import Load, arguments
+from cicadapass_bench.processes import Process, ProcessGroup
+
+_numbers = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """Hold the latencies of whole calls."""
+
+    latencies: Latencies
+    failed: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamResult:
+    """Hold what was received on streams."""
+
+    tokens_per_s: float
+    ended: int
+    broken: int
+    first_token: Latencies
+    gaps: Latencies
+    client_cpu_s: float
+
+
+def start(group: ProcessGroup, loads: Sequence[Load]) -> list[Process]:
+    """Start one process for each load."""
+    return [group.start(f"load-{next(_numbers)}", arguments(load)) for load in loads]
+
+
+def call_result(processes: Sequence[Process]) -> CallResult:
+    """Wait for processes that send calls."""
+    latencies = Latencies()
+    failed = 0
+    for document in _documents(processes):
+        latencies.add_encoded(document["latencies"])
+        failed += document["failed"]
+    return CallResult(latencies, failed)
+
+
+def stream_result(processes: Sequence[Process]) -> StreamResult:
+    """Wait for processes that read streams."""
+    first, gaps = Latencies(), Latencies()
+    documents = _documents(processes)
+    for document in documents:
+        first.add_encoded(document["first_token"])
+        gaps.add_encoded(document["gaps"])
+    return StreamResult(
+        tokens_per_s=sum(each["tokens"] / each["window_s"] for each in documents),
+        ended=sum(each["ended"] for each in documents),
+        broken=sum(each["broken"] for each in documents),
+        first_token=first,
+        gaps=gaps,
+        client_cpu_s=max(each["cpu_s"] for each in documents),
+    )
+
+
+def print_measure(
+    measure: str, variant: str, value: float, unit: str, seed: int
+) -> None:
+    """Print one value as a JSON line."""
+    document = {
+        "measure": measure,
+        "variant": variant,
+        "value": round(value, 3),
+        "unit": unit,
+        "seed": seed,
+    }
+    print(json.dumps(document), flush=True)
+
+
+def _documents(processes: Sequence[Process]) -> list[dict[str, Any]]:
+    documents = [process.read_addresses() for process in processes]
+    for process in processes:
+        process.wait(10.0)
+    return documents
--- /dev/null
+++ b/packages/bench/cicadapass_bench/overhead.py
@@ -0,0 +1,300 @@
+"""Measure what a node adds to calls and streams, against direct calls."""
+
+import argparse
+import json
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+
+from cicadapass_bench import loadrun
+from cicadapass_bench.loadclient import Load
+from cicadapass_bench.world import (
+    GRABHANDLE,
+    World,
+    WorldPlan,
+    running_world,
+    wait_until,
+)
+
+ENGINES = 5
+SERVICES = 2
+SLOTS = 400
+# The engines run at this speed; a slowdown below 1 makes them faster.
+TOKENS_PER_S = 50.0
+FAST_SLOWDOWN = 0.02
+SHORT_TOKENS = 4
+IDLE_PAUSE_S = 3.0
+# Streams of the throughput measure, and the tokens a second of each.
+FAST_STREAMS = 400
+FAST_TOKENS_PER_S = 50.0
+FAST_CLIENTS = 4
+# The warm-up is long enough for all streams to start.
+STREAM_WARM_UP_S = 3.0
+STREAM_WINDOW_S = 6.0
+# A node completes an accepted answer without its caller, so streams last little
+# longer than the measure and the next measure waits for their end.
+STREAM_MARGIN_S = 2.0
+OPEN_STREAMS = 500
+OPEN_TOKENS_PER_S = 10.0
+PEAK_CONNECTIONS = 8
+HALF_LOAD_CONNECTIONS = 32
+PERCENTILES = {"median": 50.0, "p99": 99.0}
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Hold one kind of short request, through the node and direct."""
+
+    name: str
+    through_node: Load
+    direct: Load
+
+
+class Overhead:
+    """Run the measures on one world."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        self._world = world
+        self._seed = seed
+        self._node = world.nodes[0]
+        plan = world.plan.fleets[0]
+        self._engines = [
+            each for each in world.upstreams if each.service == plan.model_service
+        ]
+        self._services = [
+            each for each in world.upstreams if each.service == plan.plain_service
+        ]
+
+    def idle_memory(self) -> None:
+        """Measure the memory of a node that has served nothing yet."""
+        threading.Event().wait(IDLE_PAUSE_S)
+        self._print("idle_node_memory", "node", self._node_megabytes(), "MB")
+
+    def short_requests(self) -> None:
+        """Measure short calls and model requests, idle and at half load."""
+        self._set_speed(FAST_SLOWDOWN)
+        for kind in (self._plain_kind(), self._model_kind()):
+            self._compare(f"{kind.name}_idle", kind)
+            peak_per_s = self._peak_per_s(kind.through_node)
+            self._print(f"{kind.name}_peak", "node", peak_per_s, "requests/s")
+            half = replace_both(
+                kind, connections=HALF_LOAD_CONNECTIONS, rate_per_s=peak_per_s / 2
+            )
+            self._compare(f"{kind.name}_half_load", half, processes=2)
+
+    def token_rate(self) -> None:
+        """Measure the streamed tokens a second of the node."""
+        self._set_speed(TOKENS_PER_S / FAST_TOKENS_PER_S)
+        load = replace(
+            self._long_stream(FAST_TOKENS_PER_S),
+            connections=FAST_STREAMS // FAST_CLIENTS,
+        )
+        offered = FAST_STREAMS * FAST_TOKENS_PER_S
+        self._print("streamed_tokens_offered", "node", offered, "tokens/s")
+        self._wait_idle()
+        with self._processor_use("streaming"):
+            loads = loadrun.start(self._world.group, [load] * FAST_CLIENTS)
+            result = loadrun.stream_result(loads)
+        self._print("streamed_tokens", "node", result.tokens_per_s, "tokens/s")
+        self._print_gaps("streamed_gap", result)
+        self._print("streamed_broken", "node", result.broken, "streams")
+
+    def calls_beside_streams(self) -> None:
+        """Measure short calls while many long streams are open."""
+        self._set_speed(TOKENS_PER_S / OPEN_TOKENS_PER_S)
+        streams = replace(
+            self._long_stream(OPEN_TOKENS_PER_S),
+            connections=OPEN_STREAMS // FAST_CLIENTS,
+        )
+        calls = replace(
+            self._plain_kind().through_node,
+            connections=HALF_LOAD_CONNECTIONS,
+            rate_per_s=100.0,
+            warm_up_s=STREAM_WARM_UP_S,
+            duration_s=STREAM_WINDOW_S - 1.0,
+        )
+        self._wait_idle()
+        with self._processor_use("open_streams"):
+            running = loadrun.start(self._world.group, [streams] * FAST_CLIENTS)
+            result = loadrun.call_result(loadrun.start(self._world.group, [calls]))
+            streamed = loadrun.stream_result(running)
+        name = f"calls_beside_{OPEN_STREAMS}_streams"
+        for label, percentile in PERCENTILES.items():
+            value = result.latencies.percentile_ms(percentile)
+            self._print(f"{name}_{label}", "node", value, "ms")
+        self._print(f"{name}_failed", "node", result.failed, "calls")
+        self._print(f"{name}_tokens", "node", streamed.tokens_per_s, "tokens/s")
+        self._print_gaps(f"{name}_gap", streamed)
+        self._print(f"{name}_broken", "node", streamed.broken, "streams")
+        self._print("busy_node_memory", "node", self._node_megabytes(), "MB")
+
+    def _compare(self, name: str, kind: Kind, processes: int = 1) -> None:
+        latencies = {}
+        for variant, load in (("direct", kind.direct), ("node", kind.through_node)):
+            part = replace(
+                load,
+                connections=max(1, load.connections // processes),
+                rate_per_s=load.rate_per_s / processes,
+            )
+            started = loadrun.start(self._world.group, [part] * processes)
+            result = loadrun.call_result(started)
+            latencies[variant] = result.latencies
+            self._print(f"{name}_failed", variant, result.failed, "requests")
+        for label, percentile in PERCENTILES.items():
+            values = {
+                variant: each.percentile_ms(percentile)
+                for variant, each in latencies.items()
+            }
+            values["added"] = values["node"] - values["direct"]
+            for variant, value in values.items():
+                self._print(f"{name}_{label}", variant, value, "ms")
+
+    def _peak_per_s(self, load: Load) -> float:
+        greedy = replace(load, connections=PEAK_CONNECTIONS, duration_s=2.0)
+        result = loadrun.call_result(loadrun.start(self._world.group, [greedy] * 2))
+        return result.latencies.count / greedy.duration_s
+
+    @contextmanager
+    def _processor_use(self, name: str) -> Iterator[None]:
+        # Which process limits shows in how much of a processor each used.
+        began = [each.process.cpu_s() for each in self._engines]
+        node_began = self._node.process.cpu_s()
+        began_s = time.perf_counter()
+        yield
+        elapsed_s = time.perf_counter() - began_s
+        node_s = self._node.process.cpu_s() - node_began
+        engine_s = [
+            each.process.cpu_s() - before
+            for each, before in zip(self._engines, began, strict=True)
+        ]
+        self._print(f"{name}_processor", "node", node_s / elapsed_s, "cores")
+        self._print(
+            f"{name}_processor", "busiest_engine", max(engine_s) / elapsed_s, "cores"
+        )
+
+    def _plain_kind(self) -> Kind:
+        service = self._services[0]
+        target = "/stock/bolts"
+        direct = Load(service.url, target, "", method="GET")
+        node = replace(
+            direct,
+            url=self._node.callers_url,
+            path=f"/v1/services/{service.service}{target}",
+            headers=self._headers(),
+        )
+        return Kind("plain_call", node, direct)
+
+    def _model_kind(self) -> Kind:
+        engine = self._engines[0]
+        prompt = "which bolts fit"
+        # The engine wants a new id for each attempt only while one is running.
+        body = {
+            "request_id": "direct",
+            "prompt": f"user: {prompt}",
+            "max_tokens": SHORT_TOKENS,
+        }
+        direct = Load(engine.url, "/v1/generate", json.dumps(body))
+        node = self._chat_load(prompt, SHORT_TOKENS, stream=False)
+        return Kind("model_request", node, direct)
+
+    def _long_stream(self, tokens_per_s: float) -> Load:
+        lasts_s = STREAM_WARM_UP_S + STREAM_WINDOW_S + STREAM_MARGIN_S
+        tokens = int(tokens_per_s * lasts_s)
+        load = self._chat_load("the whole catalogue", tokens, stream=True)
+        return replace(
+            load,
+            tokens_marker='"content"',
+            warm_up_s=STREAM_WARM_UP_S,
+            duration_s=STREAM_WINDOW_S,
+        )
+
+    def _wait_idle(self) -> None:
+        def idle() -> bool:
+            status = self._world.operators_get(self._node, "/v1/status")
+            return bool(status["requests_in_progress"] == 0)
+
+        wait_until(idle, "all streams ended")
+
+    def _chat_load(self, prompt: str, tokens: int, *, stream: bool) -> Load:
+        body = {
+            "model": self._engines[0].service,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+            "seed": self._seed,
+        }
+        path = "/v1/chat/completions"
+        url = self._node.callers_url
+        return Load(url, path, json.dumps(body), headers=self._headers())
+
+    def _headers(self) -> dict[str, str]:
+        credential = self._world.credential(self._node.fleet, "counter")
+        return {"Authorization": f"Bearer {credential}"}
+
+    def _set_speed(self, slowdown: float) -> None:
+        for engine in self._engines:
+            self._world.control(engine.process, slowdown=slowdown)
+
+    def _node_megabytes(self) -> float:
+        return self._node.process.resident_bytes() / 2**20
+
+    def _print_gaps(self, name: str, result: loadrun.StreamResult) -> None:
+        for label, percentile in PERCENTILES.items():
+            value = result.gaps.percentile_ms(percentile)
+            self._print(f"{name}_{label}", "node", value, "ms")
+
+    def _print(self, measure: str, variant: str, value: float, unit: str) -> None:
+        loadrun.print_measure(measure, variant, value, unit, self._seed)
+
+
+def replace_both(kind: Kind, **changes: float) -> Kind:
+    """Return the kind with both loads changed alike."""
+    return replace(
+        kind,
+        through_node=replace(kind.through_node, **changes),  # type: ignore[arg-type]
+        direct=replace(kind.direct, **changes),  # type: ignore[arg-type]
+    )
+
+
+def plan() -> WorldPlan:
+    """Return one node with enough upstreams that these do not limit."""
+    fleet = replace(
+        GRABHANDLE, data_centres=("dc-a",), engines=ENGINES, services=SERVICES
+    )
+    return WorldPlan(
+        fleets=(fleet,),
+        engine_slots=SLOTS,
+        service_slots=SLOTS,
+        engine_options=(
+            *("--tokens-per-s", str(TOKENS_PER_S)),
+            *("--batch-cost", "0", "--threads", "700"),
+        ),
+        rules={"durability": {"copies": False}},
+    )
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Print the measures as JSON lines."""
+    parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.overhead")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--only", choices=["requests", "tokens", "beside"])
+    arguments = parser.parse_args(argv)
+    with running_world(plan()) as world:
+        overhead = Overhead(world, arguments.seed)
+        parts: dict[str, Callable[[], None]] = {
+            "requests": overhead.short_requests,
+            "tokens": overhead.token_rate,
+            "beside": overhead.calls_beside_streams,
+        }
+        overhead.idle_memory()
+        for name, part in parts.items():
+            if arguments.only in (None, name):
+                part()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/cicadapass_bench/streamload.py
@@ -0,0 +1,122 @@
+"""Read many streams in one thread and count their tokens."""
+
+import selectors
+import socket
+import time
+from typing import Any
+from urllib.parse import urlsplit
+
+from cicadapass_bench.histograms import Latencies
+
+RECEIVE_BYTES = 64 * 1024
+LAST_CHUNK = b"0\r\n\r\n"
+CONNECT_TIMEOUT_S = 10.0
+SELECT_S = 0.05
+
+
+class _Stream:
+    """Hold one connection, which sends its request again after each answer."""
+
+    def __init__(self, host: str, port: int, request: bytes, marker: bytes) -> None:
+        self._request = request
+        self._marker = marker
+        self._tail = b""
+        self.socket = socket.create_connection((host, port), CONNECT_TIMEOUT_S)
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.send()
+
+    def send(self) -> None:
+        """Send the request."""
+        self._tail = b""
+        self.last_s: float | None = None
+        self.began_s = time.perf_counter()
+        self.socket.setblocking(True)
+        self.socket.sendall(self._request)
+        self.socket.setblocking(False)
+
+    def receive(self) -> tuple[int, bool] | None:
+        """Return the new tokens and whether the answer ended; None if it broke."""
+        try:
+            data = self.socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return 0, False
+        except OSError:
+            return None
+        if not data:
+            return None
+        joined = self._tail + data
+        # The tail is too short to hold a whole marker, so none counts twice.
+        self._tail = joined[-(len(self._marker) - 1) :]
+        return joined.count(self._marker), joined.endswith(LAST_CHUNK)
+
+
+class StreamLoad:
+    """Keep a number of streams running, each with the next request after an answer."""
+
+    def __init__(self, url: str, request: bytes, streams: int, marker: bytes) -> None:
+        address = urlsplit(url)
+        self._place = (address.hostname or "", address.port or 80)
+        self._request = request
+        self._marker = marker
+        self._count = streams
+        self._tokens = 0
+        self._ended = 0
+        self._broken = 0
+        self._first = Latencies()
+        self._gaps = Latencies()
+
+    def run(self, warm_up_s: float, duration_s: float) -> dict[str, Any]:
+        """Return what was received in the window after the warm-up."""
+        selector = selectors.DefaultSelector()
+        for _ in range(self._count):
+            stream = _Stream(*self._place, self._request, self._marker)
+            selector.register(stream.socket, selectors.EVENT_READ, stream)
+        self._read(selector, time.perf_counter() + warm_up_s, measured=False)
+        began_s = time.perf_counter()
+        self._read(selector, began_s + duration_s, measured=True)
+        window_s = time.perf_counter() - began_s
+        cpu_s = time.process_time()
+        for key in list(selector.get_map().values()):
+            key.data.socket.close()
+        return {
+            "tokens": self._tokens,
+            "window_s": window_s,
+            "ended": self._ended,
+            "broken": self._broken,
+            "first_token": self._first.encode(),
+            "gaps": self._gaps.encode(),
+            "cpu_s": cpu_s,
+        }
+
+    def _read(
+        self, selector: selectors.BaseSelector, until_s: float, *, measured: bool
+    ) -> None:
+        while time.perf_counter() < until_s:
+            for key, _ in selector.select(SELECT_S):
+                self._receive(selector, key.data, measured)
+
+    def _receive(
+        self, selector: selectors.BaseSelector, stream: _Stream, measured: bool
+    ) -> None:
+        received = stream.receive()
+        if received is None:
+            selector.unregister(stream.socket)
+            stream.socket.close()
+            self._broken += 1
+            return
+        tokens, ended = received
+        if tokens:
+            self._note(stream, tokens, measured)
+        if ended:
+            self._ended += 1
+            stream.send()
+
+    def _note(self, stream: _Stream, tokens: int, measured: bool) -> None:
+        now_s = time.perf_counter()
+        if measured:
+            self._tokens += tokens
+            if stream.last_s is None:
+                self._first.add(now_s - stream.began_s)
+            else:
+                self._gaps.add(now_s - stream.last_s)
+        stream.last_s = now_s
--- a/packages/bench/cicadapass_bench/world.py
+++ b/packages/bench/cicadapass_bench/world.py
@@ -50,6 +50,8 @@
     engine_options: tuple[str, ...] = ("--tokens-per-s", "500")
     service_options: tuple[str, ...] = ()
     log_options: tuple[str, ...] = ()
+    engine_slots: int = 8
+    service_slots: int = 8
     rules: Mapping[str, Any] = field(default_factory=dict)
     node_settings: Mapping[str, Any] = field(default_factory=dict)
 
@@ -210,7 +212,9 @@
                     (fleet.model_service, "engine", fleet.engines),
                     (fleet.plain_service, "service", fleet.services),
                 ):
+                    slots = getattr(self.plan, f"{module}_slots")
                     options = getattr(self.plan, f"{module}_options")
+                    options = ("--slots", str(slots), *options)
                     for index in range(count):
                         name = f"{service}-{data_centre}-{index}"
                         command = ["-m", f"cicadapass_standins.{module}", *options]
@@ -268,6 +272,11 @@
         }
         self.control(self.vm_list, put=entry)
 
+    def _slots(self, plan: FleetPlan, upstream: UpstreamProcess) -> int:
+        if upstream.service == plan.model_service:
+            return self.plan.engine_slots
+        return self.plan.service_slots
+
     def _fleet_document(self, plan: FleetPlan) -> dict[str, Any]:
         return {
             "region": plan.region,
@@ -287,7 +296,7 @@
                     "service": each.service,
                     "data_centre": each.data_centre,
                     "url": each.url,
-                    "slots": 8,
+                    "slots": self._slots(plan, each),
                 }
                 for each in self.upstreams
                 if each.fleet == plan.name
