Read engines' streams and send answers from one thread

Cause: each token woke the thread of its attempt and the thread of its caller. With hundreds of streams, two wake-ups a token cost about 200 microseconds, so a node used a whole core for 4,500 tokens/s and short calls waited for seconds.

Change: a stream loop reads the sockets of all engines and writes to the sockets of all callers; the threads of attempts and callers wait for the end only. A slow reader is served by its own thread. TLS connections keep the old path.

--- a/packages/node/cicadapass/answers.py
+++ b/packages/node/cicadapass/answers.py
@@ -2,7 +2,7 @@
 
 import threading
 from array import array
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from cicadapass.problems import Problem
@@ -37,6 +37,7 @@
         self._problem: Problem | None = None
         self._changed = threading.Condition()
         self._waiting_readers = 0
+        self._watchers: tuple[Callable[[], None], ...] = ()
         self.add_tokens(0, texts)
         self.commit(len(texts))
 
@@ -133,6 +134,16 @@
         """Return whether another node continues the answer."""
         return self._abandoned
 
+    def watch(self, on_news: Callable[[], None]) -> None:
+        """Call back on each change for readers; the callback must not block."""
+        with self._changed:
+            self._watchers = (*self._watchers, on_news)
+
+    def unwatch(self, on_news: Callable[[], None]) -> None:
+        """End the callbacks."""
+        with self._changed:
+            self._watchers = tuple(w for w in self._watchers if w != on_news)
+
     def read(self, from_byte: int, wait_s: float) -> AnswerPart:
         """Return the bytes from the offset, after waiting for some if needed."""
         with self._changed:
@@ -148,7 +159,7 @@
             return self._has_news(0)
 
     def _wait_for_news(self, from_byte: int, wait_s: float) -> None:
-        if self._has_news(from_byte):
+        if wait_s <= 0 or self._has_news(from_byte):
             return
         self._waiting_readers += 1
         self._changed.wait_for(lambda: self._has_news(from_byte), wait_s)
@@ -167,3 +178,5 @@
     def _notify(self) -> None:
         if self._waiting_readers:
             self._changed.notify_all()
+        for on_news in self._watchers:
+            on_news()
--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -1,6 +1,6 @@
 """The HTTP interface for callers."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TypeVar
@@ -8,8 +8,9 @@
 
 from expression import Result
 
-from cicadapass.delivery import ReadPiece, pieces, read_whole
-from cicadapass.httpserver import Environ, StartResponse
+from cicadapass.delivery import AnswerCutShort, ReadPiece, read_whole
+from cicadapass.directdelivery import stream
+from cicadapass.httpserver import DIRECT_SENDER_KEY, Environ, StartResponse
 from cicadapass.plaincalls import PlainRequest, PlainResponse
 from cicadapass.problems import (
     Problem,
@@ -21,6 +22,7 @@
 )
 from cicadapass.requests import ChatRequest, parse_chat
 from cicadapass.services import pass_through
+from cicadapass.streamloop import StreamLoop
 from cicadapass.webreply import (
     Refused,
     phrase_of,
@@ -43,10 +45,6 @@
 REQUESTS_PREFIX = "/v1/requests/"
 
 
-class AnswerCutShort(Exception):
-    """The answer cannot go on, so the connection ends before its last chunk."""
-
-
 @dataclass(frozen=True, slots=True)
 class CallerContext:
     """Hold who calls and what the headers ask for."""
@@ -76,6 +74,7 @@
     find_answer: Callable[[str, Binding], Result[ReadPiece, Problem]]
     call_plain: Callable[[CallerContext, PlainRequest], Result[PlainResponse, Problem]]
     thread_taken: Callable[[], None]
+    streams: StreamLoop
     max_body_bytes: int
 
 
@@ -149,7 +148,9 @@
             (REQUEST_ID_HEADER, accepted.request_id),
             (DURABILITY_HEADER, accepted.durability),
         ]
-        return self._deliver(start, accepted.read, headers, chat.format.streams, 0)
+        return self._deliver(
+            environ, start, accepted.read, headers, chat.format.streams, 0
+        )
 
     def _answer(
         self, environ: Environ, start: StartResponse, context: CallerContext, path: str
@@ -158,10 +159,11 @@
         from_byte = _from_byte(environ)
         read = _value(self._parts.find_answer(request_id, context.binding))
         headers = [(REQUEST_ID_HEADER, request_id)]
-        return self._deliver(start, read, headers, True, from_byte)
+        return self._deliver(environ, start, read, headers, True, from_byte)
 
     def _deliver(
         self,
+        environ: Environ,
         start: StartResponse,
         read: ReadPiece,
         headers: list[tuple[str, str]],
@@ -175,7 +177,8 @@
             # The headers go out now, so that a caller that loses its connection
             # knows the request id.
             start(status_line(HTTPStatus.OK), headers)(b"")
-            return _stream(read, from_byte)
+            sender = environ.get(DIRECT_SENDER_KEY)
+            return stream(read, from_byte, sender, self._parts.streams)
         piece = _value(read_whole(read, from_byte))
         if piece.problem is not None:
             return send_problem(start, piece.problem, headers)
@@ -210,14 +213,6 @@
     return result.ok
 
 
-def _stream(read: ReadPiece, from_byte: int) -> Iterator[bytes]:
-    for result in pieces(read, from_byte):
-        if result.is_error():
-            raise AnswerCutShort(result.error.detail)
-        if result.ok.data:
-            yield result.ok.data
-
-
 def _priority(environ: Environ, workspace: Workspace) -> int:
     text = environ.get("HTTP_CICADAPASS_PRIORITY", "0")
     if len(text) != 1 or not text.isdigit():
--- /dev/null
+++ b/packages/node/cicadapass/chunks.py
@@ -0,0 +1,50 @@
+"""Decode the chunked transfer coding of HTTP/1.1 (RFC 9112, 7.1)."""
+
+# Engines send small chunks; more pending bytes mean a malformed stream.
+MAX_PENDING_BYTES = 4 * 2**20
+LINE_END = b"\r\n"
+
+
+class ChunkDecoder:
+    """Take bytes as they arrive and give the content of complete chunks."""
+
+    def __init__(self) -> None:
+        self._pending = b""
+        self._ended = False
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the last chunk and its empty line have arrived."""
+        return self._ended
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the content that is complete; raise ValueError if malformed."""
+        buffer = self._pending + data if self._pending else data
+        parts = []
+        position = 0
+        while not self._ended:
+            line_end = buffer.find(LINE_END, position)
+            if line_end < 0:
+                break
+            begin = line_end + 2
+            size = _size(buffer[position:line_end])
+            end = begin + size
+            if len(buffer) < end + 2:
+                break
+            if buffer[end : end + 2] != LINE_END:
+                # Trailers are not used by engines.
+                raise ValueError("a chunk does not end with a line end")
+            parts.append(buffer[begin:end])
+            position = end + 2
+            self._ended = size == 0
+        self._pending = buffer[position:]
+        if len(self._pending) > MAX_PENDING_BYTES:
+            raise ValueError("a chunk is too large")
+        return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+def _size(line: bytes) -> int:
+    digits = line.partition(b";")[0].strip()
+    if not digits or digits[:1] in b"+-":
+        raise ValueError("a chunk has no size")
+    return int(digits, 16)
--- a/packages/node/cicadapass/delivery.py
+++ b/packages/node/cicadapass/delivery.py
@@ -2,10 +2,13 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from expression import Error, Ok, Result
 
+from cicadapass.answers import Answer
 from cicadapass.problems import Problem
+from cicadapass_decisions.types import Verdict
 
 # One read waits this long for new bytes, so that an abandoned answer or a caller
 # that has gone is noticed.
@@ -25,6 +28,25 @@
 ReadPiece = Callable[[int, float], Result[Piece, Problem]]
 
 
+class AnswerCutShort(Exception):
+    """The answer cannot go on, so the connection ends before its last chunk."""
+
+
+@dataclass(frozen=True, slots=True)
+class LocalReader:
+    """Read an answer that this node owns."""
+
+    answer: Answer
+
+    def __call__(self, from_byte: int, wait_s: float) -> Result[Piece, Problem]:
+        """Return the bytes from the offset, or that another node continues."""
+        part = self.answer.read(from_byte, wait_s)
+        if self.answer.abandoned and not part.data and not part.ended:
+            return Error(_moved())
+        problem = self.answer.problem if part.ended else None
+        return Ok(Piece(part.data, part.ended, problem))
+
+
 def pieces(read: ReadPiece, from_byte: int) -> Iterator[Result[Piece, Problem]]:
     """Yield the pieces of an answer from the byte on until its end or a failure."""
     offset = from_byte
@@ -46,3 +68,14 @@
         last = result.ok
         data += last.data
     return Ok(Piece(bytes(data), last.ended, last.problem))
+
+
+def _moved() -> Problem:
+    return Problem(
+        "answer-moved",
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "another node continues the answer",
+        "read the rest with the request id",
+        Verdict.RUN,
+        retry_after_s=1.0,
+    )
--- /dev/null
+++ b/packages/node/cicadapass/directdelivery.py
@@ -0,0 +1,114 @@
+"""Send the answers that this node owns from the stream loop."""
+
+import threading
+from collections.abc import Iterator
+from typing import Protocol
+
+from cicadapass.delivery import AnswerCutShort, LocalReader, ReadPiece, pieces
+from cicadapass.streamloop import StreamLoop
+
+# A thread that waits for the loop looks this often whether the loop still runs.
+LOOP_CHECK_S = 5.0
+
+
+class DirectSender(Protocol):
+    """Write parts of a body past the server's thread."""
+
+    def write_now(self, data: bytes) -> bytes:
+        """Send a part without waiting and return the bytes not sent."""
+
+    def write_rest(self, data: bytes) -> None:
+        """Send what `write_now` left, waiting for a slow reader."""
+
+
+def stream(
+    read: ReadPiece, from_byte: int, sender: DirectSender | None, loop: StreamLoop
+) -> Iterator[bytes]:
+    """Yield an answer's bytes, or send them past the server and yield none."""
+    if isinstance(read, LocalReader) and sender is not None and loop.alive:
+        DirectDelivery(read, from_byte, sender, loop).run()
+        return
+    for result in pieces(read, from_byte):
+        if result.is_error():
+            raise AnswerCutShort(result.error.detail)
+        if result.ok.data:
+            yield result.ok.data
+
+
+class DirectDelivery:
+    """Send one answer: the loop sends, the server's thread waits for the end.
+
+    The thread sends only what the socket did not take at once, so a slow reader
+    does not hold up the others.
+    """
+
+    def __init__(
+        self, read: LocalReader, from_byte: int, sender: DirectSender, loop: StreamLoop
+    ) -> None:
+        self._read = read
+        self._offset = from_byte
+        self._sender = sender
+        self._loop = loop
+        # Held while the socket is used: its number may be used again afterwards.
+        self._lock = threading.Lock()
+        self._open = True
+        self._due = False
+        self._rest = b""
+        self._ended = False
+        self._failure: Exception | None = None
+        self._turn = threading.Event()
+
+    def run(self) -> None:
+        """Return when all is sent; raise if the connection must be cut."""
+        answer = self._read.answer
+        answer.watch(self._signal)
+        self._signal()
+        try:
+            while not self._ended or self._rest:
+                self._wait()
+                if self._rest:
+                    self._sender.write_rest(self._rest)
+                    self._rest = b""
+                    self._signal()
+        finally:
+            with self._lock:
+                self._open = False
+            answer.unwatch(self._signal)
+
+    def _wait(self) -> None:
+        while not self._turn.wait(LOOP_CHECK_S):
+            if not self._loop.alive:
+                raise AnswerCutShort("the stream loop has ended")
+        self._turn.clear()
+        if self._failure is not None:
+            raise self._failure
+
+    def _signal(self) -> None:
+        if not self._due:
+            self._due = True
+            self._loop.call_soon(self._send_due)
+
+    def _send_due(self) -> None:
+        # Cleared first: news from now on is sent by another call.
+        self._due = False
+        try:
+            with self._lock:
+                self._send()
+        except Exception as error:
+            # The server's thread raises it, which cuts the connection.
+            self._failure = error
+        if self._ended or self._rest or self._failure is not None:
+            self._turn.set()
+
+    def _send(self) -> None:
+        if not self._open or self._rest or self._ended:
+            return
+        result = self._read(self._offset, 0.0)
+        if result.is_error():
+            raise AnswerCutShort(result.error.detail)
+        piece = result.ok
+        if piece.data:
+            self._rest = self._sender.write_now(piece.data)
+            self._offset += len(piece.data)
+        # Set last: the server's thread returns when it sees no rest.
+        self._ended = piece.ended
--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -1,14 +1,26 @@
 """The HTTP client of model engines."""
 
 import json
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from typing import Any
 
 import urllib3
 from expression import Error, Ok, Result
 
-from cicadapass.upstreamhttp import CallFailure, Timeouts, classify, timeout_of
+from cicadapass.chunks import ChunkDecoder
+from cicadapass.streamloop import StreamLoop
+from cicadapass.upstreamhttp import (
+    CallFailure,
+    TakenSocket,
+    Timeouts,
+    classify,
+    take_socket,
+    timeout_of,
+)
+
+RECEIVE_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,35 +63,159 @@
     done: bool
 
 
+# Takes a batch and returns whether to go on; must not block.
+TakeBatch = Callable[[TokenBatch], bool]
+
+
 class TokenStream:
-    """Iterate over the token batches of one attempt."""
+    """Pass on the token batches of one attempt."""
 
-    def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, loop: StreamLoop | None
+    ) -> None:
         self._response = response
+        self._loop = loop
+
+    def run(self, take: TakeBatch, silence_s: float) -> CallFailure | None:
+        """Pass each batch on until the last one; return why it ended before.
+
+        Return None as well when `take` returned False. An engine that is silent
+        for too long has failed. An exception of `take` is raised.
+        """
+        taken = take_socket(self._response) if self._loop else None
+        if self._loop is None or taken is None:
+            return self._read_here(take)
+        reader = TokenReader(self._loop, taken, take)
+        return reader.run(silence_s)
+
+    def close(self) -> None:
+        """Drop the connection, which may still carry tokens."""
+        self._response.close()
+
+    def _read_here(self, take: TakeBatch) -> CallFailure | None:
+        lines = Lines()
+        for result in self._chunks():
+            if isinstance(result, CallFailure):
+                return result
+            batch = lines.feed(result)
+            if isinstance(batch, CallFailure):
+                return batch
+            if not take(batch) or batch.done:
+                return None
+        return CallFailure("stream ended before its last token", sent=True)
 
-    def __iter__(self) -> Iterator[Result[TokenBatch, CallFailure]]:
-        """Yield batches until the last one or one failure."""
-        pending = b""
+    def _chunks(self) -> Iterator[bytes | CallFailure]:
         try:
-            for chunk in self._response.stream(None):
-                lines = (pending + chunk).split(b"\n")
-                pending = lines.pop()
-                if lines:
-                    batch = _parse_lines(lines)
-                    yield Ok(batch)
-                    if batch.done:
-                        return
+            yield from self._response.stream(None)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            yield Error(replace(classify(error), sent=True))
-            return
+            yield replace(classify(error), sent=True)
+
+
+class Lines:
+    """Cut the bytes of a stream into batches of tokens."""
+
+    def __init__(self) -> None:
+        self._pending = b""
+
+    def feed(self, data: bytes) -> TokenBatch | CallFailure:
+        """Return the tokens of the lines that are complete, perhaps none."""
+        lines = (self._pending + data).split(b"\n")
+        self._pending = lines.pop()
+        try:
+            return _parse_lines(lines)
         except (ValueError, KeyError, TypeError) as error:
-            yield Error(CallFailure(f"stream is malformed: {error!r}", sent=True))
+            return CallFailure(f"stream is malformed: {error!r}", sent=True)
+
+
+class TokenReader:
+    """Read one stream in the loop while the thread of the attempt waits."""
+
+    def __init__(self, loop: StreamLoop, taken: TakenSocket, take: TakeBatch) -> None:
+        self._loop = loop
+        self._taken = taken
+        self._take = take
+        self._chunks = ChunkDecoder()
+        self._lines = Lines()
+        self._ended = threading.Event()
+        self._failure: CallFailure | None = None
+        self._error: Exception | None = None
+        self._heard = True
+
+    def run(self, silence_s: float) -> CallFailure | None:
+        """Wait for the end of the stream and return why it is incomplete."""
+        self._loop.call_soon(self._begin)
+        while not self._ended.wait(silence_s):
+            if not self._loop.alive:
+                # Nobody reads any more, so the attempt must not wait.
+                return CallFailure("the stream loop has ended", sent=True)
+            if not self._heard:
+                self._loop.call_soon(self._time_out)
+            self._heard = False
+        if self._error is not None:
+            raise self._error
+        return self._failure
+
+    def _begin(self) -> None:
+        self._loop.add_reader(self._taken.socket, self._on_readable)
+        self._guarded(lambda: self._feed(self._taken.buffered))
+
+    def _on_readable(self) -> None:
+        self._guarded(self._receive)
+
+    def _guarded(self, step: Callable[[], None]) -> None:
+        try:
+            step()
+        except Exception as error:
+            # The thread of the attempt reports it and ends the answer.
+            self._error = error
+            self._end(None)
+
+    def _receive(self) -> None:
+        try:
+            data = self._taken.socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._end(CallFailure(str(error), sent=True))
+            return
+        if not data:
+            self._end(CallFailure("stream ended before its last token", sent=True))
             return
-        yield Error(CallFailure("stream ended before its last token", sent=True))
+        self._heard = True
+        self._feed(data)
 
-    def close(self) -> None:
-        """Drop the connection, which may still carry tokens."""
-        self._response.close()
+    def _feed(self, data: bytes) -> None:
+        if not data:
+            return
+        try:
+            content = self._chunks.feed(data)
+        except ValueError as error:
+            self._end(CallFailure(f"stream is malformed: {error}", sent=True))
+            return
+        if content and not self._ended.is_set():
+            self._pass_on(self._lines.feed(content))
+        if self._chunks.ended:
+            self._end(CallFailure("stream ended before its last token", sent=True))
+            self._taken.give_back()
+
+    def _pass_on(self, batch: TokenBatch | CallFailure) -> None:
+        if isinstance(batch, CallFailure):
+            self._end(batch)
+        elif not self._take(batch):
+            self._end(None)
+        elif batch.done:
+            # The connection is used again once its last chunk has arrived.
+            self._ended.set()
+
+    def _time_out(self) -> None:
+        if not self._heard:
+            self._end(CallFailure("the engine is silent", sent=True, timed_out=True))
+
+    def _end(self, failure: CallFailure | None) -> None:
+        self._loop.remove_reader(self._taken.socket)
+        if not self._ended.is_set():
+            self._failure = failure
+            self._ended.set()
 
 
 def _parse_lines(lines: list[bytes]) -> TokenBatch:
@@ -99,9 +235,20 @@
 class EngineClient:
     """Call model engines."""
 
-    def __init__(self, pool: urllib3.PoolManager, timeouts: Timeouts) -> None:
+    def __init__(
+        self,
+        pool: urllib3.PoolManager,
+        timeouts: Timeouts,
+        loop: StreamLoop | None = None,
+    ) -> None:
         self._pool = pool
         self._timeouts = timeouts
+        self._loop = loop
+
+    @property
+    def silence_s(self) -> float:
+        """Return how long an engine may be silent."""
+        return self._timeouts.read_s
 
     def generate(
         self, url: str, call: GenerateCall
@@ -126,7 +273,7 @@
             response.drain_conn()
             response.release_conn()
             return Error(failure)
-        return Ok(TokenStream(response))
+        return Ok(TokenStream(response, self._loop))
 
     def cancel(self, url: str, request_id: str, attempt: int) -> None:
         """Ask the engine to stop an attempt; a failure only costs its tokens."""
--- a/packages/node/cicadapass/execution.py
+++ b/packages/node/cicadapass/execution.py
@@ -226,20 +226,20 @@
     def _copy_tokens(
         self, index: int, grant: Grant, stream: TokenStream, meter: "Meter"
     ) -> Failure | None:
-        for result in stream:
+        def take(batch: TokenBatch) -> bool:
             if self._stopped.is_set():
-                return Failure(FailureKind.BROKEN, sent=True)
-            if result.is_error():
-                return failure_of(result.error)
-            batch = result.ok
+                return False
             if batch.texts and not self._may_write(index):
-                return None
+                return False
             self._write(batch)
             if meter.count(len(batch.texts), self._parts.clock()):
                 self._parts.granting.progress(grant, meter.outcome())
-            if batch.done:
-                return None
-        return Failure(FailureKind.BROKEN, sent=True)
+            return True
+
+        failure = stream.run(take, self._parts.engines.silence_s)
+        if self._stopped.is_set():
+            return Failure(FailureKind.BROKEN, sent=True)
+        return None if failure is None else failure_of(failure)
 
     def _write(self, batch: TokenBatch) -> None:
         if not batch.texts:
@@ -256,7 +256,10 @@
                 self._writer = index
         if self._writer != index:
             return False
-        self._cancel_streams(except_number=index)
+        if len(self._streams) > 1:
+            # Tokens arrive in the stream loop, which must not wait for engines.
+            cancel = lambda: self._cancel_streams(except_number=index)  # noqa: E731
+            threading.Thread(target=cancel, name="cancel", daemon=True).start()
         return True
 
     def _lost(self, index: int) -> bool:
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import os
 import threading
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -20,6 +21,8 @@
 
 # The application finds the time limit for receiving the body under this key.
 RECEIVE_LIMIT_KEY = "cicadapass.receive_limit"
+# The application finds a SocketSender under this key, except on TLS connections.
+DIRECT_SENDER_KEY = "cicadapass.direct_sender"
 # The deadlines of slow senders are checked this often.
 SLOW_SENDER_CHECK_S = 0.5
 
@@ -90,6 +93,28 @@
         return len(late)
 
 
+class SocketSender:
+    """Write parts of an answer's body whose headers have been sent."""
+
+    def __init__(self, request: HTTPRequest) -> None:
+        self._request = request
+
+    def write_now(self, data: bytes) -> bytes:
+        """Send a part without waiting and return the bytes not sent."""
+        if self._request.chunked_write:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        try:
+            # A socket with a timeout does not block at this level.
+            sent = os.write(self._request.conn.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        return data[sent:]
+
+    def write_rest(self, data: bytes) -> None:
+        """Send what `write_now` left, waiting for a slow reader."""
+        self._request.conn.wfile.write(data)
+
+
 class _Server(wsgi.Server):
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
@@ -220,6 +245,8 @@
                 environ: Any = super().get_environ()  # type: ignore[func-returns-value]
                 connection = self.req.conn
                 environ[RECEIVE_LIMIT_KEY] = lambda: deadlines.limit(connection)
+                if self.req.server.ssl_adapter is None:
+                    environ[DIRECT_SENDER_KEY] = SocketSender(self.req)
                 return environ
 
         return Gateway
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -3,13 +3,12 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
 
 from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
 from cicadapass.callers import Accepted, CallerContext
-from cicadapass.delivery import Piece, ReadPiece
+from cicadapass.delivery import LocalReader, ReadPiece
 from cicadapass.execution import Execution, ExecutionParts
 from cicadapass.failures import refused
 from cicadapass.grants import AcquireRequest, Grant
@@ -23,7 +22,7 @@
 from cicadapass_decisions.inventory import Inventory, Service, ServiceKind
 from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.prefix import prefix_blocks
-from cicadapass_decisions.types import Verdict, qualify
+from cicadapass_decisions.types import qualify
 from cicadapass_decisions.work import WorkRequest
 
 # A request without a deadline of its own may take this long.
@@ -139,23 +138,4 @@
 
 def local_reader(answer: Answer) -> ReadPiece:
     """Return a reader of an answer that this node owns."""
-
-    def read(from_byte: int, wait_s: float) -> Result[Piece, Problem]:
-        part = answer.read(from_byte, wait_s)
-        if answer.abandoned and not part.data and not part.ended:
-            return Error(_moved())
-        problem = answer.problem if part.ended else None
-        return Ok(Piece(part.data, part.ended, problem))
-
-    return read
-
-
-def _moved() -> Problem:
-    return Problem(
-        "answer-moved",
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        "another node continues the answer",
-        "read the rest with the request id",
-        Verdict.RUN,
-        retry_after_s=1.0,
-    )
+    return LocalReader(answer)
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -35,6 +35,7 @@
 from cicadapass.plaingate import GateParts, PlainGate
 from cicadapass.problems import Problem, not_found
 from cicadapass.services import ServiceClient
+from cicadapass.streamloop import StreamLoop
 from cicadapass.supervisor import PartRef, StartPart, StopParts, Supervisor
 from cicadapass.telemetry import Telemetry
 from cicadapass.timers import TimerService
@@ -92,7 +93,10 @@
         self._granting = Granting(self._rng, measured=self._upstreams.tell)
         self._dispatch = DispatcherClient(self._granting, self._events)
         timeouts = Timeouts(read_s=settings.upstream_read_timeout_s)
-        self._engines = EngineClient(new_pool(UPSTREAM_CONNECTIONS), timeouts)
+        self._streams = StreamLoop()
+        self._engines = EngineClient(
+            new_pool(UPSTREAM_CONNECTIONS), timeouts, self._streams
+        )
         self._services = ServiceClient(new_pool(UPSTREAM_CONNECTIONS), timeouts)
         self._reports = EngineClient(new_pool(1), REPORT_TIMEOUTS)
         log = LogClient(settings.log_url, settings.log_stream)
@@ -121,6 +125,7 @@
         """Start all parts; raise OSError if an address is taken."""
         self._events.emit(100, version=VERSION)
         self._timers.start()
+        self._streams.start()
         self._keep("ownership", self._ownership, self._start_ownership)
         self._keep("upstreams", self._upstreams, self._start_upstreams)
         self._keep("dispatcher", self._dispatcher, self._start_dispatcher)
@@ -141,6 +146,7 @@
         self._log.stop()
         self._supervisor.tell(StopParts())
         self._timers.stop()
+        self._streams.stop()
         self._supervisor.stop()
         self._events.emit(103, unfinished=unfinished)
 
@@ -311,6 +317,7 @@
             find_answer=self._find_answer,
             call_plain=self._plain.call,
             thread_taken=lambda: self._callers.thread_taken(),
+            streams=self._streams,
             max_body_bytes=self._settings.http.max_body_bytes,
         )
 
--- /dev/null
+++ b/packages/node/cicadapass/streamloop.py
@@ -0,0 +1,109 @@
+"""One thread that reads the engines' streams and sends answers to callers.
+
+A thread a stream would be woken for each token. With hundreds of streams, taking
+the interpreter's lock for each wake-up cost several times as much as the token.
+"""
+
+import logging
+import selectors
+import socket
+import threading
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+
+logger = logging.getLogger(__name__)
+
+# The loop looks this often for readers that have been silent for too long.
+CHECK_INTERVAL_S = 1.0
+WAKE_BYTES = 4096
+
+
+class StreamLoop:
+    """Run callbacks that must not block: readable sockets and short calls."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._calls: SimpleQueue[Callable[[], None]] = SimpleQueue()
+        self._wake_receiver, self._wake_sender = socket.socketpair()
+        self._wake_receiver.setblocking(False)
+        self._wake_sender.setblocking(False)
+        self._woken = False
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="streams", daemon=True)
+
+    @property
+    def alive(self) -> bool:
+        """Return whether callbacks run."""
+        return self._thread.is_alive() and not self._stopping
+
+    def start(self) -> None:
+        """Run callbacks in a thread of the loop's own."""
+        self._selector.register(
+            self._wake_receiver, selectors.EVENT_READ, self._drain_wake_ups
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop after the callbacks that are under way."""
+        self._stopping = True
+        self._wake()
+
+    def call_soon(self, call: Callable[[], None]) -> None:
+        """Run a call in the loop, after the sockets that are readable now."""
+        self._calls.put(call)
+        if threading.get_ident() != self._thread.ident:
+            self._wake()
+
+    def add_reader(
+        self, readable: socket.socket, on_readable: Callable[[], None]
+    ) -> None:
+        """Call back when the socket has bytes; call this in the loop."""
+        self._selector.register(readable, selectors.EVENT_READ, on_readable)
+
+    def remove_reader(self, readable: socket.socket) -> None:
+        """End the callbacks of a socket; call this in the loop."""
+        try:
+            self._selector.unregister(readable)
+        except (KeyError, ValueError):
+            # It was removed before or is closed.
+            return
+
+    def _wake(self) -> None:
+        if self._woken:
+            return
+        self._woken = True
+        try:
+            self._wake_sender.send(b"\0")
+        except OSError:
+            # A full buffer wakes the loop as well; a closed one needs no call.
+            return
+
+    def _drain_wake_ups(self) -> None:
+        # Cleared first: a call that is queued from now on wakes the loop again.
+        self._woken = False
+        try:
+            self._wake_receiver.recv(WAKE_BYTES)
+        except BlockingIOError:
+            return
+
+    def _run(self) -> None:
+        while not self._stopping:
+            for key, _ in self._selector.select(CHECK_INTERVAL_S):
+                _guarded(key.data)
+            for _ in range(self._calls.qsize()):
+                try:
+                    call = self._calls.get_nowait()
+                except Empty:
+                    break
+                _guarded(call)
+        self._selector.close()
+        self._wake_sender.close()
+        self._wake_receiver.close()
+
+
+def _guarded(call: Callable[[], None]) -> None:
+    try:
+        call()
+    except Exception:
+        # The fault of one stream must not end the others.
+        logger.exception("callback of the stream loop failed")
--- a/packages/node/cicadapass/upstreamhttp.py
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -1,6 +1,10 @@
 """What the clients of engines and plain services share."""
 
+import socket
+import ssl
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import urllib3
 
@@ -48,3 +52,39 @@
 def new_pool(max_connections: int) -> urllib3.PoolManager:
     """Return a connection pool for upstreams that never retries by itself."""
     return urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
+
+
+@dataclass(frozen=True, slots=True)
+class TakenSocket:
+    """Hold the socket of a response whose body is read without the library.
+
+    `give_back` returns the connection to its pool after the last chunk.
+    """
+
+    socket: socket.socket
+    buffered: bytes
+    give_back: Callable[[], None]
+
+
+def take_socket(response: urllib3.BaseHTTPResponse) -> TakenSocket | None:
+    """Return the non-blocking socket of a chunked body, or None if not possible."""
+    connection = response.connection
+    sock = getattr(connection, "sock", None)
+    # The library has no public access to the bytes it has read beyond the head.
+    original: Any = getattr(response, "_original_response", None)
+    buffer = getattr(original, "fp", None)
+    if sock is None or buffer is None or isinstance(sock, ssl.SSLSocket):
+        return None
+    if not getattr(response, "chunked", False):
+        return None
+    timeout_s = sock.gettimeout()
+    sock.setblocking(False)
+    # On a socket that does not block, peek gives what is buffered.
+    buffered = buffer.read1(len(buffer.peek()) or 1) or b""
+
+    def give_back() -> None:
+        sock.settimeout(timeout_s)
+        original.close()
+        response.release_conn()
+
+    return TakenSocket(sock, buffered, give_back)
