Add the policy bench

Cause: the decisions need measures before they are tuned. The fair queue's switch `fair` now has its effect: without it all workspaces share one flow.

--- /dev/null
+++ b/packages/bench/cicadapass_bench/engine_model.py
@@ -0,0 +1,160 @@
+"""Simple queue model of model engines on a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+FIRST_TOKEN_S = 0.05
+PREFILL_S_PER_TOKEN = 0.0005
+INTER_TOKEN_S = 0.02
+# Each further request of a batch slows the others by this share.
+BATCH_SLOWDOWN = 0.03
+SLOTS = 8
+CACHED_CONVERSATIONS = 30
+# Tokens between two events; a smaller step only costs time.
+STEP_TOKENS = 4
+
+
+class Loop:
+    """Run actions in the order of their virtual times."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+        self._heap: list[tuple[float, int, Callable[[], object]]] = []
+        self._order = itertools.count()
+
+    def later(self, delay_s: float, action: Callable[[], object]) -> None:
+        """Run the action after a delay."""
+        heapq.heappush(self._heap, (self.now_s + delay_s, next(self._order), action))
+
+    def every(self, interval_s: float, action: Callable[[], object]) -> None:
+        """Run the action at each interval."""
+
+        def again() -> None:
+            action()
+            self.later(interval_s, again)
+
+        self.later(interval_s, again)
+
+    def run_until(self, end_s: float) -> None:
+        """Run all actions up to a time."""
+        while self._heap and self._heap[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._heap)
+            action()
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """Hold one attempt in an engine."""
+
+    tokens: int
+    prompt_tokens: int
+    conversation: int | None
+    on_first: Callable[["Run"], object]
+    on_done: Callable[["Run"], object]
+    sent_s: float = 0.0
+    first_s: float | None = None
+    generated: int = 0
+    cancelled: bool = False
+    cache_hit: bool = False
+
+
+class Engine:
+    """Run up to `SLOTS` attempts as one batch; further ones wait in order."""
+
+    def __init__(self, loop: Loop, name: str, data_centre: str) -> None:
+        self.loop = loop
+        self.name = name
+        self.data_centre = data_centre
+        self.slow = 1.0
+        self.running: list[Run] = []
+        self.waiting: deque[Run] = deque()
+        self.history: deque[tuple[float, int, int]] = deque(maxlen=64)
+        self.cache_events: list[tuple[float, bool, int]] = []
+        self._cache: OrderedDict[int, None] = OrderedDict()
+
+    def submit(self, run: Run) -> None:
+        """Start the attempt or let it wait."""
+        if run.cancelled:
+            return
+        if len(self.running) < SLOTS:
+            self._start(run)
+        else:
+            self.waiting.append(run)
+
+    def cancel(self, run: Run) -> None:
+        """Stop the attempt and free its slot."""
+        run.cancelled = True
+        if run in self.running:
+            self._leave(run)
+        elif run in self.waiting:
+            self.waiting.remove(run)
+
+    def inter_token_s(self) -> float:
+        """Return the time between tokens at this moment."""
+        batch = 1.0 + BATCH_SLOWDOWN * len(self.running)
+        return INTER_TOKEN_S * batch * self.slow
+
+    def record(self) -> None:
+        """Record the load for late reports."""
+        self.history.append((self.loop.now_s, len(self.running), len(self.waiting)))
+
+    def _start(self, run: Run) -> None:
+        self.running.append(run)
+        run.cache_hit = run.conversation in self._cache
+        if run.conversation is not None:
+            self._remember(run.conversation)
+        prompt_tokens = 0 if run.cache_hit else run.prompt_tokens
+        first_s = FIRST_TOKEN_S + prompt_tokens * PREFILL_S_PER_TOKEN
+        self.loop.later(first_s * self.slow, lambda: self._step(run, 1))
+
+    def _remember(self, conversation: int) -> None:
+        self._cache[conversation] = None
+        self._cache.move_to_end(conversation)
+        self.cache_events.append((self.loop.now_s, True, conversation))
+        if len(self._cache) > CACHED_CONVERSATIONS:
+            removed, _ = self._cache.popitem(last=False)
+            self.cache_events.append((self.loop.now_s, False, removed))
+
+    def _step(self, run: Run, tokens: int) -> None:
+        if run.cancelled:
+            return
+        run.generated += tokens
+        if run.first_s is None:
+            run.first_s = self.loop.now_s
+            run.on_first(run)
+            if run.cancelled:
+                return
+        if run.generated >= run.tokens:
+            self._leave(run)
+            run.on_done(run)
+            return
+        tokens = min(STEP_TOKENS, run.tokens - run.generated)
+        self.loop.later(tokens * self.inter_token_s(), lambda: self._step(run, tokens))
+
+    def _leave(self, run: Run) -> None:
+        self.running.remove(run)
+        if self.waiting:
+            self._start(self.waiting.popleft())
+
+
+def slow_some(
+    loop: Loop, engines: list[Engine], rng: random.Random, ratio: float
+) -> None:
+    """Slow a random fifth of the engines for 2 s out of every 4 s."""
+
+    def begin() -> None:
+        chosen = rng.sample(engines, max(1, len(engines) // 5))
+        for engine in chosen:
+            engine.slow = ratio
+
+        def end() -> None:
+            for engine in chosen:
+                engine.slow = 1.0
+
+        loop.later(2.0, end)
+
+    loop.every(4.0, begin)
--- a/packages/decisions/cicadapass_decisions/fairness.py
+++ b/packages/decisions/cicadapass_decisions/fairness.py
@@ -42,13 +42,15 @@
 
     def __init__(self) -> None:
         self._flows: dict[str, _Flow[T]] = {}
+        self._flow_of: dict[str, str] = {}
         self._virtual = 0.0
 
-    def add(self, entry: Waiting[T], weight: float, first: bool) -> None:
-        """Add the entry; a workspace that was idle gets no credit for it."""
-        flow = self._flows.get(entry.workspace)
+    def add(self, entry: Waiting[T], name: str, weight: float, first: bool) -> None:
+        """Add the entry to a flow; one that was idle gets no credit for it."""
+        flow = self._flows.get(name)
         if flow is None:
-            flow = self._flows[entry.workspace] = _Flow(weight)
+            flow = self._flows[name] = _Flow(weight)
+        self._flow_of[entry.request_id] = name
         flow.weight = weight
         if not flow.queues:
             flow.finish = max(flow.finish, self._virtual)
@@ -69,8 +71,9 @@
         return flow.queues[max(flow.queues)][0]
 
     def remove(self, entry: Waiting[T], *, served: bool) -> None:
-        """Take the entry out and charge its workspace if it was served."""
-        flow = self._flows[entry.workspace]
+        """Take the entry out and charge its flow if it was served."""
+        name = self._flow_of.pop(entry.request_id)
+        flow = self._flows[name]
         queue = flow.queues[entry.priority]
         queue.remove(entry)
         if not queue:
@@ -79,9 +82,9 @@
             self._virtual = max(self._virtual, flow.finish)
             flow.finish += entry.cost / flow.weight
         if not flow.queues and flow.finish <= self._virtual:
-            # An idle workspace without a debt is forgotten; callers choose no names,
-            # but workspaces come and go with the inventory.
-            del self._flows[entry.workspace]
+            # An idle flow without a debt is forgotten, since workspaces come and go
+            # with the inventory.
+            del self._flows[name]
 
 
 class FairQueue(Generic[T]):
@@ -109,7 +112,9 @@
         self._entries[entry.request_id] = entry
         self._arrivals[entry.request_id] = order
         heapq.heappush(self._deadlines, (entry.deadline_s, order, entry.request_id))
-        self._lanes[entry.kind].add(entry, self._weight(entry.workspace), first)
+        # Without fairness all workspaces share one flow.
+        flow = entry.workspace if self.rules.fair else ""
+        self._lanes[entry.kind].add(entry, flow, self._weight(flow), first)
         key = (entry.kind, entry.workspace, entry.priority)
         self._cost[key] = self._cost.get(key, 0.0) + entry.cost
 
