End failed answers after their committed tokens

Cause: Answer.fail appended the problem after whatever was rendered. After finish() this was the end marker, so readers saw `data: [DONE]` (or a whole JSON document) before the error. It also delivered tokens that the holder of the copy had not acknowledged. end() before finish() gave an answer without an end.

Change: fail() drops uncommitted tokens and the end marker; end() raises ValueError before finish(); add_tokens holds the answer's lock.

--- a/packages/node/cicadapass/answers.py
+++ b/packages/node/cicadapass/answers.py
@@ -76,17 +76,19 @@
         Tokens that the answer has are dropped, so that late and repeated pieces
         change nothing; a gap raises ValueError.
         """
-        known = len(self._texts) - first_index
-        if known < 0:
-            raise ValueError(f"token {first_index} does not follow {len(self._texts)}")
-        if self._finished:
-            return 0
-        fresh = texts[known:]
-        for text in fresh:
-            self._texts.append(text)
-            self._data += self._renderer.token(text)
-            self._ends.append(len(self._data))
-        return len(fresh)
+        with self._changed:
+            if self._finished:
+                return 0
+            known = len(self._texts) - first_index
+            if known < 0:
+                expected = len(self._texts)
+                raise ValueError(f"token {first_index} does not follow {expected}")
+            fresh = texts[known:]
+            for text in fresh:
+                self._texts.append(text)
+                self._data += self._renderer.token(text)
+                self._ends.append(len(self._data))
+            return len(fresh)
 
     def commit(self, token_count: int) -> None:
         """Let readers have the tokens before this index."""
@@ -104,19 +106,21 @@
                 self._data += self._renderer.end(self._texts)
 
     def end(self) -> None:
-        """Let readers have all bytes of the finished answer."""
+        """Let readers have all bytes of the answer; ValueError if unfinished."""
         with self._changed:
+            if not self._finished:
+                raise ValueError("an answer ends only after it is finished")
             self._committed_tokens = len(self._texts)
             self._ended = True
             self._notify()
 
     def fail(self, problem: Problem) -> None:
-        """End the answer as visibly incomplete."""
+        """End the answer as visibly incomplete after its committed tokens."""
         with self._changed:
             if self._ended:
                 return
             self._problem = problem
-            self._committed_tokens = len(self._texts)
+            self._drop_uncommitted()
             self._data += self._renderer.failure(problem.members())
             self._finished = True
             self._ended = True
@@ -157,9 +161,17 @@
     def _has_news(self, from_byte: int) -> bool:
         return self._ended or self._abandoned or self._readable_bytes() > from_byte
 
+    def _drop_uncommitted(self) -> None:
+        # An uncommitted token could be computed anew with another value, and the
+        # end marker of a finished answer would make it look complete.
+        del self._texts[self._committed_tokens :]
+        del self._ends[self._committed_tokens :]
+        del self._data[self._committed_bytes() :]
+
     def _readable_bytes(self) -> int:
-        if self._ended:
-            return len(self._data)
+        return len(self._data) if self._ended else self._committed_bytes()
+
+    def _committed_bytes(self) -> int:
         if not self._committed_tokens:
             return 0
         return self._ends[self._committed_tokens - 1]
