--- a/packages/bench/cicadapass_bench/node_model.py
+++ b/packages/bench/cicadapass_bench/node_model.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from functools import partial
 
 from cicadapass.granting import Granting
 from cicadapass.grants import AcquireRequest, Grant
@@ -11,7 +12,7 @@
 from cicadapass_bench.engine_model import FIRST_TOKEN_S, SLOTS, Engine, Loop, Run
 from cicadapass_decisions.admission import Refusal
 from cicadapass_decisions.policy import Policy
-from cicadapass_decisions.prefix import CacheEvent, CacheEventKind
+from cicadapass_decisions.prefix import CacheEvent
 from cicadapass_decisions.retry import (
     Attempt,
     Failure,
@@ -129,9 +130,7 @@
             engine = self._engines[config.name]
             timing = Timing(FIRST_TOKEN_S * engine.slow, engine.inter_token_s())
             probed_s = 2 * timing.first_token_s if timing.first_token_s else 0.0
-            self._loop.later(
-                probed_s, lambda n=config.name, t=timing: self._on_probe(n, t)
-            )
+            self._loop.later(probed_s, partial(self._on_probe, config.name, timing))
         self._publish()
         self.granting.expire()
 
@@ -154,8 +153,12 @@
         for index, (at_s, stored, name) in enumerate(engine.cache_events[known:]):
             if at_s > self._loop.now_s - CACHE_EVENT_LAG_S:
                 break
-            kind = CacheEventKind.STORED if stored else CacheEventKind.REMOVED
-            events.append(CacheEvent(known + index + 1, kind, _blocks(name)))
+            blocks = _blocks(name)
+            number = known + index + 1
+            event = (
+                CacheEvent(number, blocks) if stored else CacheEvent(number, (), blocks)
+            )
+            events.append(event)
         if events:
             self.book.on_cache_events(engine.name, tuple(events))
 
--- a/packages/bench/cicadapass_bench/policy_bench.py
+++ b/packages/bench/cicadapass_bench/policy_bench.py
@@ -5,7 +5,7 @@
 import json
 import random
 import sys
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from cicadapass_bench.engine_model import Engine, Loop, slow_some
@@ -144,7 +144,7 @@
     rng: random.Random,
     rate: float,
     draw: Draw,
-    nodes: list[PlainNode] | list[CicadapassNode],
+    nodes: Sequence[PlainNode | CicadapassNode],
     jobs: list[Job],
     load: Load,
 ) -> None:
