Add the configuration feed

Cause: no part of the node followed the log. Change: an actor owns the fold state and publishes an immutable view; a thread long-polls the log and waits for the actor after each page. A node that is behind its peers for 2 s, or whose log fails, fetches from a peer. A restarted feed goes on from the state that was published last.

--- /dev/null
+++ b/packages/node/cicadapass/logreader.py
@@ -0,0 +1,84 @@
+"""A thread that long-polls the log and hands each answer to its owner."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from expression import Result
+
+from cicadapass_common.logclient import Log, LogError, Page
+
+PAGE_RECORDS = 100
+POLL_WAIT_S = 5.0
+FIRST_RETRY_S = 0.2
+# Keeps the time to notice that the log is back well below 16 s.
+MAX_RETRY_S = 4.0
+
+Answer = Result[Page, LogError]
+
+
+class LogReader:
+    """Read pages until stopped; the owner confirms each before the next is read.
+
+    `deliver(answer, confirm)` must call `confirm(next_offset)` or stop the reader.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        from_offset: int,
+        deliver: Callable[[Answer, Callable[[int], None]], None],
+        rng: random.Random,
+    ) -> None:
+        self._log = log
+        self._offset = from_offset
+        self._deliver = deliver
+        self._rng = rng
+        self._failures = 0
+        self._wait_s = 0.0
+        self._changed = threading.Condition()
+        self._confirmed = False
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="logreader", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Tell the thread to end after its current read."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while not self._stopped:
+            answer = self._log.read(self._offset, PAGE_RECORDS, self._wait_s)
+            if self._stopped:
+                return
+            self._confirmed = False
+            self._deliver(answer, self._confirm)
+            self._wait_for_confirmation()
+            self._failures = self._failures + 1 if answer.is_error() else 0
+            if self._failures:
+                self._pause()
+            # An empty page without a wait tells the owner that it has caught up.
+            at_end = answer.is_ok() and not answer.ok.records
+            self._wait_s = POLL_WAIT_S if at_end else 0.0
+
+    def _confirm(self, next_offset: int) -> None:
+        with self._changed:
+            self._offset = next_offset
+            self._confirmed = True
+            self._changed.notify_all()
+
+    def _wait_for_confirmation(self) -> None:
+        with self._changed:
+            self._changed.wait_for(lambda: self._confirmed or self._stopped)
+
+    def _pause(self) -> None:
+        wait_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2 ** min(self._failures - 1, 10))
+        # Jitter keeps the nodes from calling a recovering log at the same moment.
+        wait_s *= self._rng.uniform(0.5, 1.0)
+        with self._changed:
+            self._changed.wait_for(lambda: self._stopped, wait_s)
--- /dev/null
+++ b/tests/node/test_configfeed.py
@@ -0,0 +1,431 @@
+"""Test the configuration feed."""
+
+import logging
+import queue
+import random
+import threading
+
+import pykka
+import testtools
+from expression import Error, Ok
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass import configfeed, recentrecords
+from cicadapass.configfeed import ConfigFeed
+from cicadapass.configmessages import (
+    NEED_SNAPSHOT,
+    ConfigTools,
+    FetchRequested,
+    OffsetAnnounced,
+    PageArrived,
+    PeerAnswered,
+    Tick,
+)
+from cicadapass.configview import ConfigFetched, ConfigHolder
+from cicadapass.recentrecords import RecentRecords
+from cicadapass.supervisor import StartPart, StopParts, Supervisor
+from cicadapass.timers import TimerService
+from cicadapass_common.events import LOGGER_NAME, EventLog
+from cicadapass_common.logclient import LogUnreachable, RawRecord
+from cicadapass_common.records import decode_log_record, encode_record
+from cicadapass_decisions.fold import FoldState, fold, skip_to, to_snapshot
+from cicadapass_decisions.logrecords import Publish
+from tests.common.memorylog import MemoryLog
+
+RETENTION_S = 1200.0
+WAIT_S = 30.0
+EXAMPLES = 200
+
+
+def _parse(document):
+    return Ok(document["n"]) if "n" in document else Error(("no n",))
+
+
+def _publish(base, number, **document):
+    body = Publish(f"p{number}", base, "op", {"n": number} | document)
+    return encode_record(body).ok
+
+
+class _Events(EventLog):
+    """Put each event's number into a queue, so that tests can wait for it."""
+
+    def __init__(self):
+        super().__init__("vm-1", lambda: (0, 0))
+        self.numbers = queue.SimpleQueue()
+
+    def emit(self, number, **fields):
+        event = super().emit(number, **fields)
+        self.numbers.put(number)
+        return event
+
+    def wait_for(self, number):
+        while self.numbers.get(timeout=WAIT_S) != number:
+            pass
+
+
+class _Node:
+    """Drive one feed without its threads."""
+
+    def __init__(self, test, log, seed=0):
+        self.log = log
+        self.reachable = True
+        self.now_s = 0.0
+        self.events = _Events()
+        self.holder = ConfigHolder()
+        self.changes = []
+        self.peers = []
+        self.fetched = []
+        self.rng = random.Random(seed)
+        self.parse = _parse
+        self.urns = test.urns
+        self.restart()
+
+    def restart(self):
+        """Start a feed as the supervisor does after a crash."""
+        tools = ConfigTools(
+            log=self.log,
+            parse=lambda document: self.parse(document),
+            events=self.events,
+            timers=None,
+            fetch_from_peer=self.fetch,
+            on_change=self.changes.append,
+            retention_s=RETENTION_S,
+            rng=self.rng,
+            clock=lambda: self.now_s,
+            wall=lambda: self.now_s,
+            run_aside=lambda job: job(),
+        )
+        self.feed = ConfigFeed(None, "configfeed", tools, self.holder)
+        self.urns[self.feed.actor_urn] = self.feed
+
+    def poll(self, limit=3):
+        answer = Error(LogUnreachable("cut off", "wait", False))
+        if self.reachable:
+            answer = self.log.read(self.holder.state.next_offset, limit, 0.0)
+        self.feed.on_receive(PageArrived(answer, lambda offset: None))
+        return answer
+
+    def poll_to_end(self):
+        while self.poll().ok.records:
+            pass
+
+    def tick(self, seconds=1.0):
+        self.now_s += seconds
+        self.feed.on_receive(Tick())
+
+    def fetch(self, from_offset):
+        self.fetched.append(from_offset)
+        for peer in sorted(self.peers, key=lambda p: -p.holder.offset):
+            return Ok(peer.feed.on_receive(FetchRequested(from_offset)))
+        return Error("no peer")
+
+    def listen(self):
+        """Learn the highest offset of the peers, as gossip tells it."""
+        for peer in self.peers:
+            self.feed.on_receive(OffsetAnnounced(peer.holder.offset))
+
+
+class FeedTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
+        self.urns = {}
+        self.patch(configfeed, "_tell", self._tell)
+        self.log = MemoryLog()
+        self.node = _Node(self, self.log)
+
+    def _tell(self, ref, message):
+        self.urns[ref.actor_urn].on_receive(message)
+
+    def test_accepted_publish_is_published_to_all_threads(self):
+        """A node must serve a version once it has read it, and say so once."""
+        self.assertFalse(self.node.holder.is_ready)
+        self.log.put(_publish(-1, 1))
+        self.log.put(_publish(0, 2))
+        self.log.put(b"junk")
+        self.node.poll_to_end()
+        view = self.node.holder.view
+        self.assertEqual((1, 2, 2, {"n": 2}), (*_view(view), view.document))
+        self.assertEqual([1], [change.version for change in self.node.changes])
+
+    def test_unusable_version_leaves_the_older_one_in_force(self):
+        """A node of an older program must not stop at a document it cannot use."""
+        self.log.put(_publish(-1, 1))
+        self.node.poll_to_end()
+        self.log.put(_publish(0, 2))
+        state = skip_to(FoldState(), 0)
+        for raw in self.log.records:
+            record = decode_log_record(raw.offset, raw.time_s, raw.data)
+            state, _ = fold(state, record, _parse)
+        self.node.parse = lambda document: 1 / 0
+        self.log.expire(2)
+        self.log.put(encode_record(to_snapshot(state)).ok)
+        self.node.poll_to_end()
+        self.assertEqual(0, self.node.holder.view.version)
+        self.assertEqual(1, self.node.holder.state.version)
+        self.assertIn(211, [event.number for event in self.node.events.recent()])
+
+    def test_node_without_configuration_is_not_ready(self):
+        """A node that has neither log nor peers must report it once."""
+        self.node.reachable = False
+        for _ in range(3):
+            self.node.poll()
+            self.node.tick()
+        self.assertFalse(self.node.holder.is_ready)
+        numbers = [event.number for event in self.node.events.recent()]
+        self.assertEqual((1, 1), (numbers.count(206), numbers.count(207)))
+
+    def test_cut_off_node_gets_a_snapshot_from_a_peer(self):
+        """A new node must become ready although it cannot reach the log."""
+        self.log.put(_publish(-1, 1))
+        peer = _Node(self, self.log)
+        peer.poll_to_end()
+        self.node.peers = [peer]
+        self.node.reachable = False
+        self.node.poll()
+        self.node.tick()
+        self.assertEqual([NEED_SNAPSHOT], self.node.fetched)
+        self.assertEqual((0, 0, 1), _view(self.node.holder.view))
+
+    def test_silent_log_does_not_delay_the_peers_answer(self):
+        """A log that drops packets must not keep a node behind for long."""
+        self.log.put(_publish(-1, 1))
+        peer = _Node(self, self.log)
+        self.node.poll_to_end()
+        self.log.put(_publish(0, 2))
+        peer.poll_to_end()
+        self.node.peers = [peer]
+        self.node.listen()
+        self.node.tick()
+        self.assertEqual([], self.node.fetched)
+        self.node.tick(2.0)
+        self.assertEqual([1], self.node.fetched)
+        self.assertEqual(1, self.node.holder.view.version)
+
+    def test_failed_fetch_is_repeated(self):
+        """A fetch that raises must not end all fetching."""
+        self.node.reachable = False
+        self.node.peers = [None]
+        self.node.poll()
+        self.node.tick()
+        self.node.tick()
+        self.assertEqual(2, len(self.node.fetched))
+
+    def test_peers_get_records_or_a_snapshot(self):
+        """A peer that is a few records behind must not cost a whole snapshot."""
+        self.log.put(_publish(-1, 1))
+        self.log.put(_publish(0, 2))
+        empty = ConfigFetched((), 0)
+        self.assertEqual(empty, self.node.feed.on_receive(FetchRequested(0)))
+        self.node.poll_to_end()
+        serve = self.node.feed.on_receive
+        self.assertEqual(tuple(self.log.records[1:]), serve(FetchRequested(1)).records)
+        self.assertIsNone(serve(FetchRequested(1)).snapshot)
+        self.assertIsNotNone(serve(FetchRequested(NEED_SNAPSHOT)).snapshot)
+        self.assertEqual(ConfigFetched((), 2), serve(FetchRequested(2)))
+
+    def test_gap_in_a_peers_answer_is_no_gap_in_the_log(self):
+        """A peer that skips records must not make the node lose its state."""
+        self.log.put(_publish(-1, 1))
+        self.node.poll_to_end()
+        for number in range(3):
+            self.log.put(_publish(0, number))
+        answer = Ok(ConfigFetched(tuple(self.log.records[2:]), 4))
+        self.node.feed.on_receive(PeerAnswered(answer))
+        self.assertTrue(self.node.holder.state.complete)
+        self.assertEqual(1, self.node.holder.state.next_offset)
+
+    def test_recent_records_are_consecutive_and_bounded(self):
+        """A peer must not be sent records with a hole, nor all of them be kept."""
+        recent = RecentRecords()
+        for offset in [3, 5, 6]:
+            recent.add(RawRecord(offset, 0.0, b"x"))
+        self.assertEqual([], [r.offset for r in recent.since(3)])
+        self.assertEqual([6], [r.offset for r in recent.since(6)])
+        recent.add(RawRecord(7, 0.0, bytes(recentrecords.MAX_BYTES)))
+        self.assertEqual([], [r.offset for r in recent.since(6)])
+
+    def test_one_node_appends_a_due_snapshot(self):
+        """All nodes together must append one snapshot before the retention ends."""
+        self.log.put(_publish(-1, 1))
+        nodes = [self.node, _Node(self, self.log, seed=1)]
+        for second in range(0, int(RETENTION_S / 2), 5):
+            self.log.now_s = float(second)
+            for node in nodes:
+                node.poll_to_end()
+            for node in nodes:
+                node.tick(5.0)
+        self.assertEqual(2, self.log.end_offset)
+        self.assertLess(self.log.records[1].time_s, RETENTION_S / 2)
+
+
+def _view(view):
+    return view.version, view.offset, view.inventory
+
+
+nodes = st.integers(0, 2)
+# The number chooses a node, or how far a publish's base lies back.
+ACTIONS = """publish publish poll poll poll tick cut heal listen expire junk
+    replace crash age"""
+steps = st.tuples(st.sampled_from(ACTIONS.split()), nodes)
+
+
+class AgreementTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
+        self.urns = {}
+        self.patch(configfeed, "_tell", self._tell)
+
+    def _tell(self, ref, message):
+        self.urns[ref.actor_urn].on_receive(message)
+
+    @settings(derandomize=True, deadline=None, max_examples=EXAMPLES)
+    @given(st.lists(steps, min_size=10, max_size=60))
+    def test_nodes_agree_and_never_go_back(self, chosen):
+        """Outages, expiry, crashes and new VMs must not split or revert nodes."""
+        self.log, self.states = MemoryLog(), [skip_to(FoldState(), 0)]
+        self.nodes = [_Node(self, self.log, seed) for seed in range(3)]
+        for node in self.nodes:
+            node.peers = [peer for peer in self.nodes if peer is not node]
+        for action, number in chosen:
+            before = [node.holder for node in self.nodes]
+            versions = [holder.state.version for holder in before]
+            self.step(action, number)
+            for holder, version in zip(before, versions, strict=True):
+                self.check(holder, version)
+        self.check_convergence()
+
+    def step(self, action, number):
+        match action:
+            case "publish":
+                base = self.reference()[max(0, len(self.states) - 1 - number)].version
+                self.log.put(_publish(base, self.log.end_offset // 2))
+            case "junk":
+                self.log.put(b"junk")
+            case "expire":
+                self.reference()
+                self.log.expire(self.log.end_offset - number)
+            case "age":
+                self.log.now_s += RETENTION_S / 4
+                for node in self.nodes:
+                    node.now_s = self.log.now_s
+            case _:
+                self.step_node(action, self.nodes[number])
+
+    def step_node(self, action, node):
+        match action:
+            case "poll":
+                node.poll()
+            case "tick":
+                node.tick(2.0)
+            case "cut" | "heal":
+                node.reachable = action == "heal"
+            case "listen":
+                node.listen()
+            case "crash":
+                node.restart()
+            case "replace":
+                node.holder = ConfigHolder()
+                node.restart()
+
+    def reference(self):
+        """Fold all records that were ever appended."""
+        for raw in self.log.records:
+            if raw.offset == len(self.states) - 1:
+                record = decode_log_record(raw.offset, raw.time_s, raw.data)
+                self.states.append(fold(self.states[-1], record, _parse)[0])
+        return self.states
+
+    def check(self, holder, version):
+        self.assertGreaterEqual(holder.state.version, version)
+        if holder.view is not None:
+            self.assertEqual(holder.state.version, holder.view.version)
+        if holder.state.complete:
+            expected = self.reference()[holder.state.next_offset]
+            self.assertEqual(to_snapshot(expected), to_snapshot(holder.state))
+
+    def check_convergence(self):
+        """Check that healed nodes reach the same end if any node knows it."""
+        states = [node.holder.state for node in self.nodes]
+        first = self.log.first_offset
+        knows = any(s.complete and s.next_offset >= first for s in states)
+        for _ in range(3):
+            for node in self.nodes:
+                node.reachable = True
+                node.poll_to_end()
+                node.listen()
+                node.tick(3.0)
+        for node in self.nodes:
+            node.poll_to_end()
+        ends = {node.holder.offset for node in self.nodes}
+        if knows:
+            self.assertEqual({self.log.end_offset - 1}, ends)
+        else:
+            self.assertEqual(1, len(ends))
+
+
+def _reader_threads():
+    return [t for t in threading.enumerate() if t.name == "logreader"]
+
+
+class ActorTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
+        self.old_readers = set(_reader_threads())
+        self.log, self.events = MemoryLog(), _Events()
+        self.holder = ConfigHolder()
+        self.timers = TimerService()
+        self.supervisor = Supervisor.start(self.events, lambda: None)
+        self.addCleanup(self.stop)
+        self.on_change = lambda view: None
+        self.supervisor.ask(StartPart("configfeed", self.start_feed), timeout=WAIT_S)
+
+    def start_feed(self):
+        tools = ConfigTools(
+            log=self.log,
+            parse=_parse,
+            events=self.events,
+            timers=self.timers,
+            fetch_from_peer=lambda offset: Error("no peer"),
+            on_change=lambda view: self.on_change(view),
+            retention_s=RETENTION_S,
+            rng=random.Random(0),
+        )
+        return ConfigFeed.start(self.supervisor, "configfeed", tools, self.holder)
+
+    def stop(self):
+        self.supervisor.ask(StopParts(), timeout=WAIT_S)
+        self.supervisor.stop()
+        self.log.set_down(True)
+
+    def test_reader_thread_brings_new_versions(self):
+        """The feed must follow the log through an outage without being asked."""
+        self.log.put(_publish(-1, 1))
+        self.events.wait_for(200)
+        self.log.set_down(True)
+        self.events.wait_for(207)
+        self.log.put(_publish(0, 2))
+        self.log.set_down(False)
+        self.events.wait_for(200)
+        self.assertEqual(1, self.holder.view.version)
+
+    def test_restarted_feed_goes_on_from_its_version(self):
+        """A crash of the feed must not lose or revert the configuration."""
+        self.log.put(_publish(-1, 1))
+        self.events.wait_for(200)
+        readers = set(_reader_threads())
+        self.on_change = lambda view: 1 / 0
+        self.log.put(_publish(0, 2))
+        self.events.wait_for(110)
+        self.on_change = lambda view: None
+        self.log.put(_publish(1, 3))
+        self.events.wait_for(200)
+        self.assertEqual((2, 2, 3), _view(self.holder.view))
+        self.assertEqual(1, len(pykka.ActorRegistry.get_by_class(ConfigFeed)))
+        self.assertEqual(1, len(set(_reader_threads()) - readers))
+        for thread in readers - self.old_readers:
+            thread.join(WAIT_S)
+            self.assertFalse(thread.is_alive())
