Add the claims part

Cause: no part of the node claimed idempotency keys. Change: an actor batches claims for at most 20 ms or 256 claims, appends them and reads them back; keys that are known to be taken need no append, also while the log is down. A restart loads two windows, found by bisection. Claims that expired unread stop new keys for one window. A full index refuses new keys and appends an empty batch now and then, because claims expire by the log's time. Issued keys need no log.

Measured, 18 tests green. Each change below, made on purpose, was seen red: - verdict before the read-back: test_no_key_is_won_twice_within_the_window, test_same_key_at_two_batchers_at_once and 3 more, 'MismatchError: NOT_RUN != WON' - lost answer not read back: test_lost_append_answer_is_read_back, 'MismatchError: WON != NOT_RUN' - window not loaded: test_batcher_after_a_crash_knows_the_winners and 12 more - half a window or the whole log loaded: test_only_the_windows_are_loaded - gap ignored: test_claims_that_expired_unread_stop_new_keys, 'MismatchError: NOT_RUN != WON' - full index not refused, or never emptied: test_full_index_refuses_until_claims_expire - claim appended after its deadline: test_late_and_excess_claims_are_not_run - one append per submission: test_claims_of_several_nodes_share_an_append, 'MismatchError: [0.02] != []' - crash leaves claims waiting: test_crash_refuses_the_waiting_claims

--- a/packages/decisions/cicadapass_decisions/claims.py
+++ b/packages/decisions/cicadapass_decisions/claims.py
@@ -137,9 +137,16 @@
     return tuple(verdict for record in records for verdict in index.judge(record))
 
 
-def hold_claim(claim: Claim, before_append_s: float) -> HeldClaim:
+def not_run(claims: Iterable[Claim]) -> tuple[ClaimVerdict, ...]:
+    """Return the verdicts on claims that were not judged."""
+    return tuple(ClaimVerdict(c.claim_id, ClaimOutcome.NOT_RUN) for c in claims)
+
+
+def hold_claim(
+    claim: Claim, before_append_s: float, validity_s: float = CLAIM_VALIDITY_S
+) -> HeldClaim:
     """Return the claimant's view of a claim, valid from before the append."""
-    return HeldClaim(claim, before_append_s + CLAIM_VALIDITY_S)
+    return HeldClaim(claim, before_append_s + validity_s)
 
 
 def may_send(claim: HeldClaim, now_s: float) -> bool:
--- /dev/null
+++ b/packages/node/cicadapass/claimlog.py
@@ -0,0 +1,205 @@
+"""Claims in the log: loads the window, appends batches and reads them back."""
+
+import time
+from collections.abc import Callable, Sequence
+
+from expression import Error, Ok, Result
+
+from cicadapass_common.events import EventLog
+from cicadapass_common.exceptions import CicadapassError
+from cicadapass_common.logclient import Log, LogError, Page, RawRecord
+from cicadapass_common.records import decode_log_record, encode_record
+from cicadapass_decisions.claims import (
+    LOADED_WINDOWS,
+    ClaimIndex,
+    ClaimOutcome,
+    ClaimVerdict,
+    not_run,
+)
+from cicadapass_decisions.logrecords import Claim, ClaimBatch
+
+PAGE_RECORDS = 500
+# How often a full index appends an empty batch to let claims expire.
+MOVE_LOG_S = 10.0
+
+
+class ClaimLog:
+    """Own the claim index; calls block on the log, so one actor makes them all.
+
+    The index is kept through an outage: a key that is already claimed is answered
+    without the log.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        events: EventLog,
+        window_s: float,
+        retention_s: float,
+        max_claims: int,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._log = log
+        self._events = events
+        self._window_s = window_s
+        self._retention_s = retention_s
+        self._max_claims = max_claims
+        self._clock = clock
+        self._index = ClaimIndex(window_s)
+        self._read_at_s: float | None = None
+        self._refuse_until_s = clock()
+        self._moved_log_at_s: float | None = None
+
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the window has been read."""
+        return self._read_at_s is not None
+
+    def catch_up(self) -> Result[None, LogError]:
+        """Read to the end of the log; the first time, from the window's start."""
+        try:
+            if not self.is_loaded:
+                self._load()
+            else:
+                self._read_to_end()
+        except LogError as error:
+            return Error(error)
+        return Ok(None)
+
+    def judge(self, claims: Sequence[Claim]) -> tuple[ClaimVerdict, ...]:
+        """Return one verdict per claim; append those whose key looks free."""
+        if not self.is_loaded:
+            loaded = self.catch_up()
+            if loaded.is_error():
+                return self._refuse(claims, str(loaded.error))
+        free = [claim for claim in claims if self._index.find(claim) is None]
+        reason = self._append(free) if free else ""
+        return self._verdicts(claims, reason)
+
+    def _append(self, claims: Sequence[Claim]) -> str:
+        """Append and read back; return why claims may be without a verdict."""
+        if not self._has_room(len(claims)):
+            return "the claim index is full"
+        if self._misses_claims():
+            return "claims of the window are missing"
+        appended = self._append_batch(ClaimBatch(tuple(claims)))
+        if appended.is_error():
+            error = appended.error
+            if not getattr(error, "may_have_taken_effect", False):
+                return str(error)
+            self._events.emit(602, reason=str(error))
+        read = self.catch_up()
+        if read.is_error():
+            return str(read.error)
+        if self._misses_claims():
+            return "claims of the window are missing"
+        return "" if appended.is_ok() else str(appended.error)
+
+    def _misses_claims(self) -> bool:
+        return self._clock() < self._refuse_until_s
+
+    def _has_room(self, count: int) -> bool:
+        if len(self._index) + count <= self._max_claims:
+            return True
+        now_s = self._clock()
+        moved_s = self._moved_log_at_s
+        if moved_s is None or now_s - moved_s >= MOVE_LOG_S:
+            # Claims expire by the log's time, which only moves with new records.
+            self._moved_log_at_s = now_s
+            self._append_batch(ClaimBatch(()))
+            self.catch_up()
+        return len(self._index) + count <= self._max_claims
+
+    def _append_batch(self, batch: ClaimBatch) -> Result[int, CicadapassError]:
+        payload = encode_record(batch)
+        if payload.is_error():
+            return Error(payload.error)
+        appended = self._log.append(payload.ok)
+        return Ok(appended.ok) if appended.is_ok() else Error(appended.error)
+
+    def _verdicts(
+        self, claims: Sequence[Claim], reason: str
+    ) -> tuple[ClaimVerdict, ...]:
+        found = [self._find(claim) for claim in claims]
+        refused = sum(verdict is None for verdict in found)
+        if refused:
+            self._events.emit(601, count=refused, reason=reason or "not read back")
+        pairs = zip(claims, found, strict=True)
+        return tuple(verdict or not_run([claim])[0] for claim, verdict in pairs)
+
+    def _find(self, claim: Claim) -> ClaimVerdict | None:
+        verdict = self._index.find(claim)
+        if verdict is None or verdict.outcome is ClaimOutcome.LOST:
+            return verdict
+        # After a gap, an earlier claim of the key may be missing.
+        return None if self._misses_claims() else verdict
+
+    def _refuse(self, claims: Sequence[Claim], reason: str) -> tuple[ClaimVerdict, ...]:
+        self._events.emit(601, count=len(claims), reason=reason)
+        return not_run(claims)
+
+    def _load(self) -> None:
+        self._index = ClaimIndex(self._window_s)
+        self._index.skip_to(self._find_start())
+        self._read_to_end()
+        offset = self._index.next_offset
+        self._events.emit(600, offset=offset, claims=len(self._index))
+
+    def _read_to_end(self) -> None:
+        while True:
+            page = self._read(self._index.next_offset, PAGE_RECORDS)
+            if page.first_offset > self._index.next_offset:
+                self._on_gap(page.first_offset)
+            for raw in page.records:
+                record = decode_log_record(raw.offset, raw.time_s, raw.data)
+                self._index.judge(record)
+            self._read_at_s = self._clock()
+            if not page.records:
+                return
+
+    def _on_gap(self, first_offset: int) -> None:
+        next_offset = self._index.next_offset
+        self._index.skip_to(first_offset)
+        now_s = self._clock()
+        if self._read_at_s is None or now_s - self._read_at_s >= self._retention_s:
+            # What expired is older than the retention, and so than the window.
+            return
+        self._events.emit(603, next_offset=next_offset, first_offset=first_offset)
+        self._refuse_until_s = now_s + self._window_s
+
+    def _find_start(self) -> int:
+        """Return the offset from which on the records cover the loaded windows."""
+        page = self._read(0, 1)
+        if not page.records:
+            return page.next_offset
+        first = page.records[0]
+        last = self._find_last(first)
+        cutoff_s = last.time_s - LOADED_WINDOWS * self._window_s
+        low, high = first.offset - 1, last.offset
+        while high - low > 1:
+            middle = (low + high) // 2
+            record = self._probe(middle)
+            if record is not None and record.time_s < cutoff_s:
+                low = middle
+            else:
+                high = middle
+        return high
+
+    def _find_last(self, first: RawRecord) -> RawRecord:
+        last, step = first, 1
+        while (record := self._probe(last.offset + step)) is not None:
+            last, step = record, 2 * step
+        while step > 1:
+            step //= 2
+            last = self._probe(last.offset + step) or last
+        return last
+
+    def _probe(self, offset: int) -> RawRecord | None:
+        records = self._read(offset, 1).records
+        return records[0] if records else None
+
+    def _read(self, from_offset: int, limit: int) -> Page:
+        answer = self._log.read(from_offset, limit, 0.0)
+        if answer.is_error():
+            raise answer.error
+        return answer.ok
--- /dev/null
+++ b/packages/node/cicadapass/claims.py
@@ -0,0 +1,210 @@
+"""The part that owns the claim index: batches claims and answers with verdicts."""
+
+import os
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any
+
+import pykka
+
+from cicadapass.claimlog import ClaimLog
+from cicadapass.supervisor import Part, PartRef
+from cicadapass.timers import Subscription, TimerService
+from cicadapass_decisions.claims import ClaimVerdict, not_run
+from cicadapass_decisions.issuedkeys import IssuedKeys
+from cicadapass_decisions.logrecords import Claim
+
+BATCH_WAIT_S = 0.020
+MAX_BATCH_CLAIMS = 256
+# Claims that wait longer than the log can take them are refused.
+MAX_WAITING_CLAIMS = 4096
+# Keeps the records that a batch must read back few.
+CATCH_UP_S = 1.0
+# Leaves the claimant time to send within the claim's validity.
+HANDLE_TIMEOUT_S = 3.0
+KEY_NONCE_BYTES = 12
+
+Reply = Callable[[tuple[ClaimVerdict, ...]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitClaims:
+    """Ask for verdicts; claims are refused if not appended before the deadline."""
+
+    claims: tuple[Claim, ...]
+    deadline_s: float
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class FlushClaims:
+    """Ask to append the waiting claims."""
+
+
+@dataclass(frozen=True, slots=True)
+class CatchUpClaims:
+    """Ask to read the claims that others appended; loads the window at first."""
+
+
+@dataclass(frozen=True, slots=True)
+class IssueKey:
+    """Ask for a new idempotency key for a scope such as fleet/workspace."""
+
+    scope: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimIssuedKey:
+    """Ask for the verdict on the claim of a key that this node issued."""
+
+    scope: str
+    key: str
+    claim: Claim
+
+
+class ClaimsPart(Part):
+    """Own the claim index and the keys that this node issued."""
+
+    def __init__(
+        self,
+        supervisor: pykka.ActorRef[Any],
+        name: str,
+        claim_log: ClaimLog,
+        issued_keys: IssuedKeys,
+        timers: TimerService,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__(supervisor, name)
+        self._claim_log = claim_log
+        self._issued_keys = issued_keys
+        self._timers = timers
+        self._clock = clock
+        self._waiting: list[SubmitClaims] = []
+        self._waiting_claims = 0
+        self._flush: Subscription | None = None
+        self._catch_up: Subscription | None = None
+
+    def on_stop(self) -> None:
+        """Refuse the waiting claims."""
+        if self._catch_up is not None:
+            self._catch_up.cancel()
+        for submitted in self._take_waiting():
+            submitted.reply(not_run(submitted.claims))
+
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Refuse the waiting claims before the part is restarted."""
+        self.on_stop()
+        super().on_failure(exception_type, exception_value, traceback)
+
+    def on_receive(self, message: object) -> object:
+        """Collect claims, append them or judge issued keys."""
+        match message:
+            case SubmitClaims():
+                self._submit(message)
+            case FlushClaims():
+                self._flush_waiting()
+            case CatchUpClaims():
+                self._read_others()
+            case IssueKey(scope):
+                nonce = os.urandom(KEY_NONCE_BYTES)
+                return self._issued_keys.issue(scope, nonce, self._clock())
+            case ClaimIssuedKey(scope, key, claim):
+                return self._issued_keys.claim(scope, key, claim, self._clock())
+        return None
+
+    def _submit(self, submitted: SubmitClaims) -> None:
+        if self._waiting_claims + len(submitted.claims) > MAX_WAITING_CLAIMS:
+            submitted.reply(not_run(submitted.claims))
+            return
+        self._waiting.append(submitted)
+        self._waiting_claims += len(submitted.claims)
+        if self._waiting_claims >= MAX_BATCH_CLAIMS:
+            self._flush_waiting()
+        elif self._flush is None:
+            self._flush = self._tell_later(FlushClaims(), BATCH_WAIT_S)
+
+    def _take_waiting(self) -> list[SubmitClaims]:
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        waiting, self._waiting, self._waiting_claims = self._waiting, [], 0
+        return waiting
+
+    def _flush_waiting(self) -> None:
+        now_s = self._clock()
+        live = []
+        for submitted in self._take_waiting():
+            if now_s < submitted.deadline_s:
+                live.append(submitted)
+            else:
+                # The claimant has given up; an append would only burn its keys.
+                submitted.reply(not_run(submitted.claims))
+        verdicts = self._judge([c for submitted in live for c in submitted.claims])
+        for submitted in live:
+            count = len(submitted.claims)
+            submitted.reply(tuple(verdicts[:count]))
+            verdicts = verdicts[count:]
+
+    def _judge(self, claims: list[Claim]) -> list[ClaimVerdict]:
+        verdicts: list[ClaimVerdict] = []
+        for start in range(0, len(claims), MAX_BATCH_CLAIMS):
+            batch = claims[start : start + MAX_BATCH_CLAIMS]
+            verdicts.extend(self._claim_log.judge(batch))
+        if claims:
+            self._keep_up()
+        return verdicts
+
+    def _read_others(self) -> None:
+        # An outage shows at the next append; the next tick reads again.
+        self._claim_log.catch_up()
+        self._keep_up()
+
+    def _keep_up(self) -> None:
+        if self._catch_up is None and self._claim_log.is_loaded:
+            ref = self.actor_ref
+            self._catch_up = self._timers.subscribe(
+                lambda: _tell(ref, CatchUpClaims()), CATCH_UP_S
+            )
+
+    def _tell_later(self, message: object, delay_s: float) -> Subscription:
+        ref = self.actor_ref
+        return self._timers.call_later(lambda: _tell(ref, message), delay_s)
+
+
+class ClaimBatcher:
+    """Let any thread claim through the part, whichever node asks."""
+
+    def __init__(
+        self, part: PartRef, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._part = part
+        self._clock = clock
+
+    def handle(
+        self, claims: tuple[Claim, ...], timeout_s: float = HANDLE_TIMEOUT_S
+    ) -> tuple[ClaimVerdict, ...]:
+        """Return one verdict per claim, in order; NOT_RUN when there is none."""
+        verdicts: Future[tuple[ClaimVerdict, ...]] = Future()
+        deadline_s = self._clock() + timeout_s
+        try:
+            self._part.tell(SubmitClaims(claims, deadline_s, verdicts.set_result))
+            return verdicts.result(timeout_s)
+        except (FutureTimeoutError, pykka.ActorDeadError):
+            return not_run(claims)
+
+
+def _tell(ref: pykka.ActorRef[Any], message: object) -> None:
+    try:
+        ref.tell(message)
+    except pykka.ActorDeadError:
+        # The restarted part loads the window again.
+        return
--- a/tests/common/memorylog.py
+++ b/tests/common/memorylog.py
@@ -28,7 +28,7 @@
         self.on_append = None
         self.now_s = 0.0
         self.appends = 0
-        self.reads = 0
+        self.records_read = 0
         self.first_offset = 0
         self.records = []
         self._changed = threading.Condition()
@@ -65,7 +65,6 @@
     def read(self, from_offset, limit, wait_s):
         """Read like LogClient."""
         with self._changed:
-            self.reads += 1
             self._changed.wait_for(
                 lambda: self.down or self.end_offset > from_offset, wait_s
             )
@@ -74,6 +73,7 @@
             start = min(max(from_offset, self.first_offset), self.end_offset)
             index = start - self.first_offset
             records = tuple(self.records[index : index + limit])
+            self.records_read += len(records)
             return Ok(Page(self.first_offset, start + len(records), records))
 
     def expire(self, before_offset):
--- /dev/null
+++ b/tests/node/test_claims.py
@@ -0,0 +1,345 @@
+"""Test the claims part."""
+
+import logging
+import threading
+
+import pykka
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cicadapass.claimlog import MOVE_LOG_S, ClaimLog
+from cicadapass.claims import (
+    MAX_BATCH_CLAIMS,
+    MAX_WAITING_CLAIMS,
+    CatchUpClaims,
+    ClaimBatcher,
+    ClaimIssuedKey,
+    ClaimsPart,
+    FlushClaims,
+    IssueKey,
+    SubmitClaims,
+)
+from cicadapass.supervisor import PartRef
+from cicadapass_common.events import LOGGER_NAME, EventLog
+from cicadapass_common.records import encode_record
+from cicadapass_decisions.claims import ClaimOutcome, hash_key, hash_payload
+from cicadapass_decisions.issuedkeys import IssuedKeys
+from cicadapass_decisions.logrecords import Claim, ClaimBatch
+from tests.common.memorylog import MemoryLog
+
+WINDOW_S = 3600.0
+RETENTION_S = 86400.0
+WAIT_S = 30.0
+EXAMPLES = 200
+WON, LOST, NOT_RUN = ClaimOutcome.WON, ClaimOutcome.LOST, ClaimOutcome.NOT_RUN
+
+
+def _claim(key, number, payload=b"p"):
+    return Claim(
+        hash_key("f", "w", "s", str(key)),
+        hash_payload("POST", "/", payload),
+        number.to_bytes(8, "big"),
+        f"request-{number}",
+        "vm-1",
+    )
+
+
+class _Case(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
+        self.now_s = 0.0
+        self.log = MemoryLog()
+        self.events = EventLog("vm-1", lambda: (0, 0))
+
+    def claim_log(self, max_claims=1000):
+        return ClaimLog(
+            self.log,
+            self.events,
+            WINDOW_S,
+            RETENTION_S,
+            max_claims,
+            lambda: self.now_s,
+        )
+
+    def outcomes(self, claim_log, *claims):
+        return [verdict.outcome for verdict in claim_log.judge(claims)]
+
+    def put(self, *claims):
+        self.log.put(encode_record(ClaimBatch(claims)).ok)
+
+
+class ClaimLogTest(_Case):
+    def test_same_key_at_two_batchers_at_once(self):
+        """Two data centres that claim a key at once must not both win."""
+        first, second = self.claim_log(), self.claim_log()
+        first.catch_up()
+        second.catch_up()
+        self.log.on_append = lambda: self.put(_claim("k", 1))
+        (verdict,) = second.judge([_claim("k", 2)])
+        self.assertEqual((LOST, "request-1"), (verdict.outcome, _winner(verdict)))
+        self.log.on_append = None
+        self.assertEqual([WON], self.outcomes(first, _claim("k", 1)))
+
+    def test_batcher_after_a_crash_knows_the_winners(self):
+        """A key won before a batcher's crash must not be won again."""
+        self.assertEqual([WON], self.outcomes(self.claim_log(), _claim("k", 1)))
+        restarted = self.claim_log()
+        self.assertEqual([LOST], self.outcomes(restarted, _claim("k", 2)))
+        self.assertEqual([WON], self.outcomes(restarted, _claim("k", 1)))
+        self.assertEqual(1, self.log.appends)
+
+    def test_lost_append_answer_is_read_back(self):
+        """A claim in the log must win although the append's answer was lost."""
+        self.log.lose_answers = 1
+        self.assertEqual([WON], self.outcomes(self.claim_log(), _claim("k", 1)))
+
+    def test_lost_append_is_not_run(self):
+        """A claim that cannot be read back must not win, even if it appears later."""
+        claim_log = self.claim_log()
+        self.log.lose_appends = 1
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, _claim("k", 1)))
+        self.put(_claim("k", 1))
+        claim_log.catch_up()
+        self.assertEqual([LOST], self.outcomes(claim_log, _claim("k", 2)))
+
+    def test_log_down_is_not_run_but_known_keys_are_answered(self):
+        """An outage must refuse new keys and still replay the winners' answers."""
+        claim_log = self.claim_log()
+        self.log.down = True
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, _claim("k", 1)))
+        self.log.down = False
+        self.assertEqual([WON], self.outcomes(claim_log, _claim("k", 1)))
+        self.log.down = True
+        claims = [_claim("k", 2), _claim("other", 3)]
+        self.assertEqual([LOST, NOT_RUN], self.outcomes(claim_log, *claims))
+
+    def test_outage_before_the_read_back_is_not_run(self):
+        """A winner must not be told before its batch was read back."""
+        claim_log = self.claim_log()
+        claim_log.catch_up()
+        self.log.cut_after_append = True
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, _claim("k", 1)))
+
+    def test_only_the_windows_are_loaded(self):
+        """A restarted batcher must not read a whole day of claims."""
+        for minute in range(600):
+            self.log.now_s = 60.0 * minute
+            self.put(_claim(minute, minute))
+        claim_log = self.claim_log()
+        claim_log.catch_up()
+        self.assertGreaterEqual(self.log.records_read, 120)
+        loaded = [e.fields for e in self.events.recent() if e.number == 600]
+        self.assertEqual([{"offset": 600, "claims": 60}], loaded)
+        self.assertEqual([LOST], self.outcomes(claim_log, _claim(541, 700)))
+        self.assertEqual([WON], self.outcomes(claim_log, _claim(300, 701)))
+        # Two windows hold 120 records; the probes that find them read one each.
+        self.assertLess(self.log.records_read, 160)
+
+    def test_expired_log_loads_what_is_left(self):
+        """A batcher must start on a log whose first records have expired."""
+        for number in range(10):
+            self.put(_claim(number, number))
+        self.log.expire(7)
+        claim_log = self.claim_log()
+        self.assertEqual([LOST], self.outcomes(claim_log, _claim(8, 20)))
+        self.log.expire(20)
+        self.assertEqual([WON], self.outcomes(self.claim_log(), _claim("k", 21)))
+
+    def test_claims_that_expired_unread_stop_new_keys(self):
+        """A key whose earlier claim was lost with the log must not be won."""
+        claim_log = self.claim_log()
+        self.outcomes(claim_log, _claim("a", 1))
+        self.put(_claim("k", 2))
+        self.log.expire(2)
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, _claim("k", 3)))
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, _claim("k", 3)))
+        self.assertEqual([LOST], self.outcomes(claim_log, _claim("a", 4)))
+        self.now_s += WINDOW_S
+        self.assertEqual([WON], self.outcomes(claim_log, _claim("other", 5)))
+
+    def test_gap_of_the_retention_stops_nothing(self):
+        """A batcher that was cut off for a day must claim again at once."""
+        claim_log = self.claim_log()
+        self.outcomes(claim_log, _claim("a", 1))
+        self.put(_claim("b", 2))
+        self.log.expire(2)
+        self.now_s += RETENTION_S
+        self.assertEqual([WON], self.outcomes(claim_log, _claim("k", 3)))
+
+    def test_full_index_refuses_until_claims_expire(self):
+        """A full index must neither forget a key nor refuse for ever."""
+        claim_log = self.claim_log(max_claims=2)
+        claims = [_claim(number, number) for number in range(4)]
+        self.assertEqual([WON, WON], self.outcomes(claim_log, *claims[:2]))
+        self.assertEqual([NOT_RUN], self.outcomes(claim_log, claims[2]))
+        self.log.now_s += WINDOW_S
+        self.now_s += MOVE_LOG_S
+        self.assertEqual([WON], self.outcomes(claim_log, claims[2]))
+
+    @settings(derandomize=True, deadline=None, max_examples=EXAMPLES)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["judge", "judge", "judge", "restart", "age"]),
+                st.integers(0, 2),
+                st.lists(st.integers(0, 3), min_size=1, max_size=3),
+                st.sampled_from(["", "", "answer", "append", "cut", "down", "late"]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_no_key_is_won_twice_within_the_window(self, steps):
+        """Faults of log and batchers must not give two winners of one key."""
+        self.log, winners, number = MemoryLog(), {}, 0
+        batchers = [self.claim_log() for _ in range(3)]
+        for action, which, keys, fault in steps:
+            if action == "restart":
+                batchers[which] = self.claim_log()
+                continue
+            if action == "age":
+                self.log.now_s += WINDOW_S / 2
+                self.now_s += WINDOW_S / 2
+                continue
+            claims = [_claim(key, number + i) for i, key in enumerate(keys)]
+            number += len(claims)
+            self.switch(fault, claims)
+            verdicts = batchers[which].judge(claims)
+            self.switch("", ())
+            for key, verdict in zip(keys, verdicts, strict=True):
+                if verdict.outcome is WON:
+                    last_s = winners.get(key, -WINDOW_S)
+                    self.assertGreaterEqual(self.log.now_s - last_s, WINDOW_S)
+                    winners[key] = self.log.now_s
+
+    def switch(self, fault, claims):
+        self.log.lose_answers = int(fault == "answer")
+        self.log.lose_appends = int(fault == "append")
+        self.log.cut_after_append = fault == "cut"
+        self.log.down = fault == "down"
+        # Another batcher's claims of the same keys are appended just before.
+        rivals = [_claim_like(c) for c in claims] if fault == "late" else []
+        self.log.on_append = (lambda: self.put(*rivals)) if rivals else None
+
+
+def _claim_like(claim):
+    rival = b"r" + claim.claim_id[1:]
+    return Claim(claim.key_hash, claim.fingerprint, rival, "rival", "vm-2")
+
+
+def _winner(verdict):
+    return verdict.winner_request_id
+
+
+class _Timers:
+    """Keep what the part wants to be told later."""
+
+    def __init__(self):
+        self.delays_s = []
+
+    def call_later(self, action, delay_s):
+        self.delays_s.append(delay_s)
+        return self
+
+    def subscribe(self, action, interval_s):
+        return self
+
+    def cancel(self):
+        pass
+
+
+class ClaimsPartTest(_Case):
+    def setUp(self):
+        super().setUp()
+        self.timers = _Timers()
+        _Supervisor.failed.clear()
+        keys = IssuedKeys("vm-1", "i", b"secret", WINDOW_S, 10)
+        self.supervisor = _Supervisor.start()
+        self.addCleanup(self.supervisor.stop)
+        self.part = ClaimsPart.start(
+            self.supervisor,
+            "claims",
+            self.claim_log(),
+            keys,
+            self.timers,
+            lambda: self.now_s,
+        )
+        self.addCleanup(self.part.stop)
+        self.answers = []
+
+    def submit(self, *claims, deadline_s=3.0):
+        index = len(self.answers)
+        self.answers.append(None)
+
+        def reply(verdicts):
+            self.answers[index] = [v.outcome for v in verdicts]
+
+        self.part.ask(SubmitClaims(claims, deadline_s, reply), timeout=WAIT_S)
+
+    def flush(self):
+        self.part.ask(FlushClaims(), timeout=WAIT_S)
+
+    def test_claims_of_several_nodes_share_an_append(self):
+        """An append per claim would exceed the log's rate."""
+        self.submit(_claim("a", 1), _claim("b", 2))
+        self.submit(_claim("a", 3))
+        self.assertEqual([0.02], self.timers.delays_s)
+        self.flush()
+        self.assertEqual([[WON, WON], [LOST]], self.answers)
+        self.assertEqual(1, self.log.appends)
+
+    def test_full_batch_is_not_delayed(self):
+        """A batch must not grow beyond its limit while it waits."""
+        claims = [_claim(number, number) for number in range(MAX_BATCH_CLAIMS)]
+        self.submit(*claims)
+        self.assertEqual([[WON] * MAX_BATCH_CLAIMS], self.answers)
+        more = [_claim(number, number) for number in range(2 * MAX_BATCH_CLAIMS)]
+        self.submit(*more)
+        self.assertEqual(2, self.log.appends)
+
+    def test_late_and_excess_claims_are_not_run(self):
+        """A claimant that has given up must not burn its key."""
+        self.submit(_claim("a", 1), deadline_s=0.0)
+        self.submit(*[_claim("b", 2)] * MAX_WAITING_CLAIMS)
+        self.flush()
+        self.assertEqual([NOT_RUN], self.answers[0])
+        self.assertEqual({NOT_RUN}, set(self.answers[1]))
+        self.assertEqual(0, self.log.appends)
+
+    def test_crash_refuses_the_waiting_claims(self):
+        """Claims that wait in a part that dies must be answered as not run."""
+        self.submit(_claim("a", 1))
+        self.log.read = None
+        self.part.tell(CatchUpClaims())
+        self.assertTrue(_Supervisor.failed.wait(WAIT_S))
+        self.assertEqual([[NOT_RUN]], self.answers)
+
+    def test_issued_keys_need_no_log(self):
+        """A key that this node issued must work while the log is down."""
+        self.log.down = True
+        key = self.part.ask(IssueKey("f/w"), timeout=WAIT_S)
+        message = ClaimIssuedKey("f/w", key, _claim(key, 1))
+        self.assertEqual(WON, self.part.ask(message, timeout=WAIT_S).outcome)
+
+    def test_handle_gives_verdicts_or_not_run(self):
+        """A caller's thread must get an answer although the part may be gone."""
+        ref = PartRef("claims")
+        batcher = ClaimBatcher(ref, lambda: self.now_s)
+        claims = (_claim("a", 1),)
+        self.assertEqual(NOT_RUN, batcher.handle(claims)[0].outcome)
+        ref.bind(self.part)
+        # The fake timer never flushes, so the time limit ends the wait.
+        self.assertEqual(NOT_RUN, batcher.handle(claims, 0.05)[0].outcome)
+        full = tuple(_claim(number, number) for number in range(MAX_BATCH_CLAIMS))
+        self.assertEqual({WON}, {v.outcome for v in batcher.handle(full, WAIT_S)})
+
+
+class _Supervisor(pykka.ThreadingActor):
+    """Note that a part failed."""
+
+    use_daemon_thread = True
+    failed = threading.Event()
+
+    def on_receive(self, message):
+        self.failed.set()
