--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -28,6 +28,10 @@
     The node takes no new requests.
 103 info node_stopped(unfinished)
     The node stopped.
+104 info requests_handed_over(requests, handed_over)
+    A stopping node handed requests over that would not end in time.
+105 warning notice_received(deadline_s, zone, vm)
+    The cloud takes this VM back at the deadline, in Unix time.
 110 warning part_restarted(part, reason)
     The supervisor restarted a failed part.
 111 error part_given_up(part, reason)
@@ -147,6 +151,15 @@
 512 info request_shed(request_id, service, workspace, priority, reason, retry_after_s)
     A request was refused or shed and was not run.
 
+600 info claims_loaded(offset, claims)
+    The node loaded the claims of the window.
+601 warning claims_refused(count, reason)
+    Claims were refused as not run.
+602 warning claims_answer_lost(reason)
+    The answer to an append of claims was lost; it is read back.
+603 error claims_gap(next_offset, first_offset)
+    Claims expired unread; new keys are refused for a window.
+
 700 info publish_appended(publish_id, base_offset)
     The command line appended a publish to the log.
 701 info publish_judged(publish_id, verdict, version)
--- a/packages/common/cicadapass_common/messages.py
+++ b/packages/common/cicadapass_common/messages.py
@@ -143,7 +143,7 @@
     KIND: ClassVar[str] = "config_records"
     records: tuple[LogRecord, ...]
     next_offset: int
-    snapshot: LogRecord | None = None
+    snapshot: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,12 +152,13 @@
 
     key_hash: bytes
     fingerprint: bytes
+    claim_id: bytes
     request_id: str
-    claimant: str
+    incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
-class Claim(Message):
+class ClaimKeys(Message):
     """Ask the batcher to claim keys; answered by ClaimVerdicts."""
 
     KIND: ClassVar[str] = "claim"
@@ -165,13 +166,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimVerdict:
-    """Say which request holds a key; `offset` is that of the winning record."""
+class ClaimVerdictItem:
+    """Answer one claim; a loser learns the winner's request."""
 
-    key_hash: bytes
+    claim_id: bytes
     outcome: str
-    request_id: str
-    offset: int
+    winner_request_id: str
+    same_payload: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,7 +180,7 @@
     """Answer a Claim."""
 
     KIND: ClassVar[str] = "claim_verdicts"
-    verdicts: tuple[ClaimVerdict, ...]
+    verdicts: tuple[ClaimVerdictItem, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,8 +188,9 @@
     """Say how many requests the sender has in flight at an upstream."""
 
     upstream: str
-    requests: int
-    work: float
+    short: int
+    long: int
+    tokens_left: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/common/cicadapass_common/wire.py
+++ b/packages/common/cicadapass_common/wire.py
@@ -7,7 +7,7 @@
 import cbor2
 from expression import Error, Ok, Result
 
-from cicadapass_common import copymessages
+from cicadapass_common import copymessages, outcomemessages
 from cicadapass_common.exceptions import FrameError
 from cicadapass_common.messages import MESSAGE_KINDS, Message
 from cicadapass_common.wirefields import (
@@ -74,6 +74,7 @@
 }
 # Importing the module registers its kinds.
 assert copymessages.CopyRequest.KIND in _BODIES
+assert outcomemessages.OutcomeRead.KIND in _BODIES
 _SPEAK_SAME = "run nodes of compatible versions"
 _CHECK_PEER = "check that the peer is a cicadapass node"
 
--- a/packages/common/cicadapass_common/wirefields.py
+++ b/packages/common/cicadapass_common/wirefields.py
@@ -78,9 +78,10 @@
 
 
 def _check_number(value: Any) -> Any:
-    if type(value) is not float or not math.isfinite(value):
-        raise FieldFault(f"expected a finite float, got {type(value).__name__}")
-    return value
+    # Counts and times that happen to be whole may be ints.
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise FieldFault(f"expected a finite number, got {type(value).__name__}")
+    return float(value)
 
 
 def _check_flag(value: Any) -> Any:
--- a/packages/decisions/cicadapass_decisions/rule_sections.py
+++ b/packages/decisions/cicadapass_decisions/rule_sections.py
@@ -57,12 +57,6 @@
         low=60,
         high=86400,
     )
-    valid_s: float = option(
-        5.0,
-        "How long after its append began a winning claim may be sent.",
-        low=0.5,
-        high=60,
-    )
 
 
 # A section is added by one line here; its class states the defaults and ranges.
@@ -87,7 +81,6 @@
     ("cost", "refused_backoff_s", "refused_backoff_max_s"),
     ("slowness", "recovered_ratio", "slow_ratio"),
     ("retry", "backoff_s", "backoff_max_s"),
-    ("claims", "valid_s", "window_s"),
 )
 
 
--- a/packages/node/cicadapass/answers.py
+++ b/packages/node/cicadapass/answers.py
@@ -51,6 +51,11 @@
         """Return the number of tokens, committed or not."""
         return len(self._texts)
 
+    @property
+    def committed_tokens(self) -> int:
+        """Return the number of tokens that readers may have."""
+        return self._committed_tokens
+
     @property
     def texts(self) -> tuple[str, ...]:
         """Return the texts of all tokens."""
--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -1,5 +1,6 @@
 """The HTTP interface for callers."""
 
+import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -36,6 +37,8 @@
 from cicadapass_common.credentials import bearer_credential, hash_credential
 from cicadapass_decisions.inventory import Inventory, Workspace
 
+logger = logging.getLogger(__name__)
+
 T = TypeVar("T")
 
 REQUEST_ID_HEADER = "Cicadapass-Request-Id"
@@ -64,6 +67,14 @@
     read: ReadPiece
 
 
+@dataclass(frozen=True, slots=True)
+class Readers:
+    """Hold the reader to start with, and one that follows an answer that moves."""
+
+    first: ReadPiece
+    follow: ReadPiece
+
+
 @dataclass(frozen=True, slots=True)
 class CallerParts:
     """Hold what the interface calls."""
@@ -72,7 +83,9 @@
     not_ready_reason: Callable[[], str | None]
     accept: Callable[[CallerContext, ChatRequest], Result[Accepted, Problem]]
     find_answer: Callable[[str, Binding], Result[ReadPiece, Problem]]
+    follow_answer: Callable[[str, Binding], ReadPiece]
     call_plain: Callable[[CallerContext, PlainRequest], Result[PlainResponse, Problem]]
+    issue_key: Callable[[CallerContext], str]
     thread_taken: Callable[[], None]
     streams: StreamLoop
     max_body_bytes: int
@@ -98,6 +111,7 @@
         except AnswerCutShort:
             raise
         except Exception:
+            logger.exception("the handler of %s failed", path)
             return send_problem(start, internal())
 
     def _readiness(self, start: StartResponse) -> Iterable[bytes]:
@@ -114,6 +128,9 @@
         method = environ["REQUEST_METHOD"]
         if path == "/v1/chat/completions" and method == "POST":
             return self._chat(environ, start, context)
+        if path == "/v1/idempotency-keys" and method == "POST":
+            key = self._parts.issue_key(context)
+            return send_json(start, {"key": key}, HTTPStatus.CREATED)
         if path.startswith(REQUESTS_PREFIX) and method == "GET":
             return self._answer(environ, start, context, path)
         if path.startswith(SERVICES_PREFIX):
@@ -148,9 +165,9 @@
             (REQUEST_ID_HEADER, accepted.request_id),
             (DURABILITY_HEADER, accepted.durability),
         ]
-        return self._deliver(
-            environ, start, accepted.read, headers, chat.format.streams, 0
-        )
+        follow = self._parts.follow_answer(accepted.request_id, context.binding)
+        readers = Readers(accepted.read, follow)
+        return self._deliver(environ, start, readers, headers, chat.format.streams, 0)
 
     def _answer(
         self, environ: Environ, start: StartResponse, context: CallerContext, path: str
@@ -158,14 +175,16 @@
         request_id = path.removeprefix(REQUESTS_PREFIX)
         from_byte = _from_byte(environ)
         read = _value(self._parts.find_answer(request_id, context.binding))
+        follow = self._parts.follow_answer(request_id, context.binding)
         headers = [(REQUEST_ID_HEADER, request_id)]
-        return self._deliver(environ, start, read, headers, True, from_byte)
+        readers = Readers(read, follow)
+        return self._deliver(environ, start, readers, headers, True, from_byte)
 
     def _deliver(
         self,
         environ: Environ,
         start: StartResponse,
-        read: ReadPiece,
+        readers: Readers,
         headers: list[tuple[str, str]],
         streams: bool,
         from_byte: int,
@@ -178,8 +197,14 @@
             # knows the request id.
             start(status_line(HTTPStatus.OK), headers)(b"")
             sender = environ.get(DIRECT_SENDER_KEY)
-            return stream(read, from_byte, sender, self._parts.streams)
-        piece = _value(read_whole(read, from_byte))
+            return stream(
+                readers.first,
+                from_byte,
+                sender,
+                self._parts.streams,
+                readers.follow,
+            )
+        piece = _value(read_whole(readers.follow, from_byte))
         if piece.problem is not None:
             return send_problem(start, piece.problem, headers)
         headers.append(("Content-Type", "application/json"))
--- /dev/null
+++ b/packages/node/cicadapass/claimclient.py
@@ -0,0 +1,171 @@
+"""Claim idempotency keys at the batcher of the data centre."""
+
+import hashlib
+from dataclasses import dataclass
+
+import pykka
+
+from cicadapass.claims import ClaimBatcher, ClaimIssuedKey, IssueKey
+from cicadapass.membersnapshot import MembersBoard
+from cicadapass.peers import Inbound, Peers
+from cicadapass.supervisor import PartRef
+from cicadapass_common.messages import (
+    ClaimItem,
+    ClaimKeys,
+    ClaimVerdictItem,
+    ClaimVerdicts,
+    Message,
+)
+from cicadapass_common.outcomemessages import ClaimIssued
+from cicadapass_decisions.claims import ClaimOutcome, ClaimVerdict, not_run
+from cicadapass_decisions.issuedkeys import issuing_node
+from cicadapass_decisions.logrecords import Claim
+from cicadapass_decisions.types import NodeAddress, VmId, qualify
+
+# The batcher needs up to 3 s, and the claim is valid for 5 s.
+CLAIM_TIMEOUT_S = 3.5
+PART_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimParts:
+    """Hold what claims need."""
+
+    part: PartRef
+    batcher: ClaimBatcher
+    peers: Peers
+    board: MembersBoard
+
+
+class ClaimClient:
+    """Claim keys for this node, and answer the claims of others."""
+
+    def __init__(self, parts: ClaimParts) -> None:
+        self._parts = parts
+
+    def register(self) -> None:
+        """Answer other nodes, before the peers start."""
+        self._parts.peers.handle(ClaimKeys, self._on_claim, pooled=True)
+        self._parts.peers.handle(ClaimIssued, self._on_claim_issued, pooled=True)
+
+    def issue(self, scope: str) -> str:
+        """Return a new key of this node; raise pykka.Timeout or ActorDeadError."""
+        return str(self._parts.part.ask(IssueKey(scope), PART_TIMEOUT_S))
+
+    def claim(self, scope: str, key: str, claim: Claim) -> ClaimVerdict:
+        """Return the verdict on a claim; NOT_RUN if there is none."""
+        issuer = issuing_node(key)
+        if issuer is not None:
+            return self._claim_issued(VmId(*issuer), scope, key, claim)
+        own = self._parts.board.snapshot.own
+        batcher = choose_batcher(self._alive_near(), own)
+        if batcher.vm != own.vm:
+            verdict = self._ask(batcher, ClaimKeys((_to_item(claim),)), claim)
+            if verdict is not None:
+                return verdict
+            # The batcher may have appended the claim; the same claim appended
+            # again still counts once, because it has the same claim id.
+        return self._parts.batcher.handle((claim,))[0]
+
+    def _claim_issued(
+        self, issuer: VmId, scope: str, key: str, claim: Claim
+    ) -> ClaimVerdict:
+        snapshot = self._parts.board.snapshot
+        if issuer == snapshot.own.vm:
+            return self._judge_issued(scope, key, claim)
+        entry = snapshot.by_vm.get(issuer)
+        verdict = None
+        if entry is not None:
+            message = ClaimIssued(scope, key, _to_item(claim))
+            verdict = self._ask(entry.address, message, claim)
+        # Only the issuer can tell whether the key was used.
+        return verdict or not_run((claim,))[0]
+
+    def _judge_issued(self, scope: str, key: str, claim: Claim) -> ClaimVerdict:
+        message = ClaimIssuedKey(scope, key, claim)
+        try:
+            verdict = self._parts.part.ask(message, PART_TIMEOUT_S)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            return not_run((claim,))[0]
+        assert isinstance(verdict, ClaimVerdict)
+        return verdict
+
+    def _ask(
+        self, target: NodeAddress, message: Message, claim: Claim
+    ) -> ClaimVerdict | None:
+        result = self._parts.peers.request(target, message, CLAIM_TIMEOUT_S)
+        if result.is_error() or not isinstance(result.ok, ClaimVerdicts):
+            return None
+        for item in result.ok.verdicts:
+            if item.claim_id == claim.claim_id:
+                return _from_verdict(item)
+        return None
+
+    def _alive_near(self) -> tuple[NodeAddress, ...]:
+        snapshot = self._parts.board.snapshot
+        place = qualify(snapshot.own.fleet, snapshot.own.data_centre)
+        return tuple(entry.address for entry in snapshot.alive.get(place, ()))
+
+    def _on_claim(self, inbound: Inbound[ClaimKeys]) -> None:
+        claims = tuple(_from_item(item) for item in inbound.message.claims)
+        verdicts = self._parts.batcher.handle(claims)
+        inbound.reply(ClaimVerdicts(tuple(_to_verdict(each) for each in verdicts)))
+
+    def _on_claim_issued(self, inbound: Inbound[ClaimIssued]) -> None:
+        message = inbound.message
+        verdict = self._judge_issued(
+            message.scope, message.key, _from_item(message.claim)
+        )
+        inbound.reply(ClaimVerdicts((_to_verdict(verdict),)))
+
+
+def choose_batcher(alive: tuple[NodeAddress, ...], own: NodeAddress) -> NodeAddress:
+    """Return the node of the data centre that batches claims.
+
+    Nodes that see different members may choose different batchers, which costs
+    only more appends.
+    """
+    return max((*alive, own), key=lambda address: _weight(address.vm))
+
+
+def _weight(vm: VmId) -> bytes:
+    text = f"{vm.name}\0{vm.incarnation}\0claims"
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+def _to_item(claim: Claim) -> ClaimItem:
+    return ClaimItem(
+        claim.key_hash,
+        claim.fingerprint,
+        claim.claim_id,
+        claim.request_id,
+        claim.incarnation,
+    )
+
+
+def _from_item(item: ClaimItem) -> Claim:
+    return Claim(
+        item.key_hash,
+        item.fingerprint,
+        item.claim_id,
+        item.request_id,
+        item.incarnation,
+    )
+
+
+def _to_verdict(verdict: ClaimVerdict) -> ClaimVerdictItem:
+    return ClaimVerdictItem(
+        verdict.claim_id,
+        str(verdict.outcome),
+        verdict.winner_request_id,
+        verdict.same_payload,
+    )
+
+
+def _from_verdict(item: ClaimVerdictItem) -> ClaimVerdict:
+    return ClaimVerdict(
+        item.claim_id,
+        ClaimOutcome(item.outcome),
+        item.winner_request_id,
+        item.same_payload,
+    )
--- /dev/null
+++ b/packages/node/cicadapass/claimside.py
@@ -0,0 +1,91 @@
+"""The node's side of claims: the part, the client and the keyed calls."""
+
+import os
+from typing import Any
+
+import pykka
+
+from cicadapass.claimclient import ClaimClient, ClaimParts
+from cicadapass.claimlog import ClaimLog
+from cicadapass.claims import ClaimBatcher, ClaimsPart
+from cicadapass.cluster import Cluster
+from cicadapass.config import NodeSettings
+from cicadapass.configview import ConfigView
+from cicadapass.keyedcalls import KeyedCalls, KeyedParts
+from cicadapass.outcomes import Outcomes
+from cicadapass.parts import Parts
+from cicadapass.supervisor import PartRef, Supervisor
+from cicadapass.timers import TimerService
+from cicadapass_common.events import EventLog
+from cicadapass_common.logclient import LogClient
+from cicadapass_decisions.issuedkeys import IssuedKeys
+from cicadapass_decisions.rule_sections import ClaimRules
+
+SECRET_BYTES = 32
+MAX_ISSUED_KEYS = 100_000
+
+
+class ClaimSide:
+    """Own the claims part, which starts with the first inventory's rules."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        supervisor: pykka.ActorRef[Supervisor],
+        events: EventLog,
+        timers: TimerService,
+        cluster: Cluster,
+    ) -> None:
+        self._settings = settings
+        self._supervisor = supervisor
+        self._events = events
+        self._timers = timers
+        self._cluster = cluster
+        self._part = PartRef("claims")
+        self._rules = ClaimRules()
+        self._started = False
+        self._secret = os.urandom(SECRET_BYTES)
+        claims = ClaimClient(
+            ClaimParts(
+                self._part, ClaimBatcher(self._part), cluster.peers, cluster.board
+            )
+        )
+        claims.register()
+        self.keyed = KeyedCalls(
+            KeyedParts(
+                claims,
+                Outcomes(lambda: self._rules.window_s),
+                cluster.peers,
+                cluster.board,
+                lambda: self._rules.claims,
+            )
+        )
+        self.keyed.register()
+
+    def on_config(self, view: ConfigView, parts: Parts) -> None:
+        """Adopt the rules; another window needs another index."""
+        rules = view.inventory.rules.of(ClaimRules)
+        changed = rules.window_s != self._rules.window_s
+        self._rules = rules
+        if changed or not self._started:
+            self._started = True
+            self._part.stop()
+            parts.keep(self._part, self._start_part)
+
+    def _start_part(self) -> pykka.ActorRef[Any]:
+        settings = self._settings
+        window_s = self._rules.window_s
+        claim_log = ClaimLog(
+            LogClient(settings.log_url, settings.claim_stream),
+            self._events,
+            window_s,
+            settings.log_retention_s,
+            settings.max_claims,
+        )
+        own = self._cluster.peers.address
+        issued = IssuedKeys(
+            own.name, own.incarnation, self._secret, window_s, MAX_ISSUED_KEYS
+        )
+        return ClaimsPart.start(
+            self._supervisor, self._part.name, claim_log, issued, self._timers
+        )
--- a/packages/node/cicadapass/cmdline.py
+++ b/packages/node/cicadapass/cmdline.py
@@ -43,8 +43,9 @@
         for problem in result.error:
             print(problem, file=sys.stderr)
         return EXIT_SETTINGS
-    # pykka logs each actor; the node has events of its own for that.
-    logging.getLogger("pykka").setLevel(logging.WARNING)
+    # These log each actor and connection; the node has events of its own for that.
+    for library in ("pykka", "websockets"):
+        logging.getLogger(library).setLevel(logging.WARNING)
     logging.basicConfig(
         level=arguments.log_level.upper(), format="%(message)s", stream=sys.stderr
     )
--- a/packages/node/cicadapass/commits.py
+++ b/packages/node/cicadapass/commits.py
@@ -1,9 +1,24 @@
 """Decide when the tokens of an answer may be delivered."""
 
+import threading
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cicadapass.answers import Answer
+from cicadapass.progress import (
+    Acked,
+    HolderLost,
+    ProgressEvent,
+    ProgressSender,
+    Superseded,
+)
+from cicadapass.requests import AcceptedRequest
+from cicadapass_common.copymessages import CopiedRequest
+from cicadapass_decisions.recovery import epoch_of_new_copy
+from cicadapass_decisions.types import NodeAddress, VmId
+
+# Copies a request to a holder other than the one that was lost.
+CopyElsewhere = Callable[[CopiedRequest, VmId], NodeAddress | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +36,97 @@
         answer.commit(first + len(texts))
 
     return Commits(tokens_added, answer.end)
+
+
+class CopyCommits:
+    """Deliver the tokens of one answer once the holder of the copy has them.
+
+    While another holder is looked for, nothing is delivered; if there is none,
+    the rest is delivered without a copy.
+    """
+
+    def __init__(
+        self,
+        request: AcceptedRequest,
+        answer: Answer,
+        progress: ProgressSender,
+        copy_elsewhere: CopyElsewhere,
+        superseded: Callable[[str, int], None],
+    ) -> None:
+        self._request = request
+        self._answer = answer
+        self._progress = progress
+        self._copy_elsewhere = copy_elsewhere
+        self._superseded = superseded
+        self._lock = threading.Lock()
+        self._tracked = False
+        self._without_copy = False
+        self._sent = 0
+        self._done = False
+
+    def track(self, holder: NodeAddress, tokens: int) -> None:
+        """Send what the holder does not have yet, and all that follows."""
+        request = self._request
+        with self._lock:
+            self._progress.track(
+                request.request_id, request.epoch, holder, tokens, self._on_event
+            )
+            self._tracked = True
+            self._sent = tokens
+            self._send(self._answer.texts[tokens:])
+
+    def tokens_added(self, first: int, texts: Sequence[str]) -> None:
+        """Send tokens that the answer has got."""
+        with self._lock:
+            if self._without_copy:
+                self._answer.commit(first + len(texts))
+            elif self._tracked:
+                # Some may have been sent with the start of another copy.
+                self._send(texts[max(0, self._sent - first) :])
+
+    def finished(self) -> None:
+        """Send the end; readers see it once the holder has it."""
+        with self._lock:
+            self._done = True
+            if self._without_copy:
+                self._answer.end()
+            elif self._tracked:
+                self._send(())
+
+    def _send(self, texts: Sequence[str]) -> None:
+        if not texts and not self._done:
+            return
+        self._sent += len(texts)
+        self._tracked = self._progress.add(self._request.request_id, texts, self._done)
+
+    def _on_event(self, event: ProgressEvent) -> None:
+        match event:
+            case Acked(_, tokens, done):
+                self._answer.commit(tokens)
+                if done:
+                    self._answer.end()
+            case HolderLost(_, holder, _):
+                with self._lock:
+                    self._tracked = False
+                # The listener must return at once, but a new copy takes a round trip.
+                replace_holder = lambda: self._replace_holder(holder.vm)  # noqa: E731
+                threading.Thread(
+                    target=replace_holder, name="new-holder", daemon=True
+                ).start()
+            case Superseded(request_id, epoch):
+                self._superseded(request_id, epoch)
+
+    def _replace_holder(self, lost: VmId) -> None:
+        epoch = epoch_of_new_copy(self._request.epoch)
+        self._request = replace(self._request, epoch=epoch)
+        texts = self._answer.texts
+        holder = self._copy_elsewhere(self._request.to_copy(texts), lost)
+        if holder is not None:
+            self.track(holder, len(texts))
+            self._answer.commit(len(texts))
+            return
+        with self._lock:
+            self._without_copy = True
+            self._answer.commit(self._answer.token_count)
+            if self._done:
+                self._answer.end()
--- a/packages/node/cicadapass/config.py
+++ b/packages/node/cicadapass/config.py
@@ -15,6 +15,9 @@
     port: int = option(0, "The port; 0 takes a free one.", low=0, high=PORT_MAX)
     certificate: str | None = option(None, "Path of the TLS certificate chain.")
     private_key: str | None = option(None, "Path of the TLS private key.")
+    authority: str | None = option(
+        None, "Path of the certificates that those of peers are checked with."
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,12 @@
     http: HttpSettings = option(HttpSettings(), "Limits towards callers.")
     statsd: StatsdSettings = option(StatsdSettings(), "Where metrics go.")
     drain: DrainSettings = option(DrainSettings(), "Bounds of a planned stop.")
+    claim_stream: str = option(
+        "cicadapass-claims", "The stream of the claims of idempotency keys."
+    )
+    max_claims: int = option(
+        200_000, "The most claims that the index holds.", low=1000, high=10**8
+    )
     log_retention_s: float = option(
         86_400.0,
         "How long the log keeps records.",
@@ -112,7 +121,7 @@
         high=10**8,
     )
     answers_keep_s: float = option(
-        120.0,
+        30.0,
         "How long a finished answer is kept for a caller who returns.",
         low=1,
         high=86_400,
--- /dev/null
+++ b/packages/node/cicadapass/configlink.py
@@ -0,0 +1,73 @@
+"""Exchange configuration records with peers when the log cannot be read."""
+
+from dataclasses import dataclass
+
+import pykka
+from expression import Error, Ok, Result
+
+from cicadapass.configmessages import FetchRequested, OffsetAnnounced
+from cicadapass.configview import ConfigFetched
+from cicadapass.membersnapshot import MembersBoard
+from cicadapass.peers import Inbound, Peers
+from cicadapass.supervisor import PartRef
+from cicadapass_common.exceptions import CicadapassError
+from cicadapass_common.logclient import RawRecord
+from cicadapass_common.messages import ConfigFetch, ConfigRecords, LogRecord
+from cicadapass_decisions.membership import GossipEntry, MemberState
+
+FETCH_TIMEOUT_S = 2.0
+PART_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigLink:
+    """Hold what the exchange of records with peers needs."""
+
+    feed: PartRef
+    peers: Peers
+    board: MembersBoard
+
+    def register(self) -> None:
+        """Answer the fetches of other nodes, before the peers start."""
+        self.peers.handle(ConfigFetch, self._on_fetch, pooled=True)
+
+    def announce(self) -> None:
+        """Tell the feed the highest offset that gossip has brought."""
+        newest = self._newest()
+        if newest is not None:
+            self.feed.tell(OffsetAnnounced(newest.config_offset))
+
+    def fetch(self, from_offset: int) -> Result[ConfigFetched, CicadapassError]:
+        """Return records or a snapshot of the peer that has read the furthest."""
+        newest = self._newest()
+        if newest is None:
+            return Error(CicadapassError("no peer is known", "check the VM list"))
+        message = ConfigFetch(from_offset)
+        result = self.peers.request(newest.address, message, FETCH_TIMEOUT_S)
+        if result.is_error():
+            return Error(CicadapassError(str(result.error), "wait for the next try"))
+        reply = result.ok
+        if not isinstance(reply, ConfigRecords):
+            problem = f"the peer answered with {reply.KIND}"
+            return Error(CicadapassError(problem, "check the versions of the nodes"))
+        records = tuple(RawRecord(r.offset, r.time_s, r.data) for r in reply.records)
+        return Ok(ConfigFetched(records, reply.next_offset, reply.snapshot))
+
+    def _newest(self) -> GossipEntry | None:
+        snapshot = self.board.snapshot
+        others = [
+            entry
+            for vm, entry in snapshot.by_vm.items()
+            if vm != snapshot.own.vm and entry.state is not MemberState.GONE
+        ]
+        return max(others, key=lambda entry: entry.config_offset, default=None)
+
+    def _on_fetch(self, inbound: Inbound[ConfigFetch]) -> None:
+        request = FetchRequested(inbound.message.from_offset)
+        try:
+            fetched = self.feed.ask(request, PART_TIMEOUT_S)
+        except (pykka.Timeout, pykka.ActorDeadError):
+            # The peer's own timeout makes it ask again.
+            return
+        records = tuple(LogRecord(r.offset, r.time_s, r.data) for r in fetched.records)
+        inbound.reply(ConfigRecords(records, fetched.next_offset, fetched.snapshot))
--- /dev/null
+++ b/packages/node/cicadapass/configside.py
@@ -0,0 +1,103 @@
+"""The node's side towards the configuration: the feed and the exchange with peers."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pykka
+
+from cicadapass.cluster import Cluster
+from cicadapass.config import NodeSettings
+from cicadapass.configfeed import ConfigFeed
+from cicadapass.configlink import ConfigLink
+from cicadapass.configmessages import ConfigTools
+from cicadapass.configview import ConfigHolder, ConfigView
+from cicadapass.parts import Parts
+from cicadapass.supervisor import PartRef, Supervisor
+from cicadapass.timers import TimerService
+from cicadapass_common.events import EventLog
+from cicadapass_common.logclient import LogClient
+from cicadapass_common.operator_api import PublishAnswer, PublishBody
+from cicadapass_common.publish import (
+    PublishAccepted,
+    PublishConflict,
+    PublishRejected,
+    PublishResult,
+    PublishTools,
+    PublishUnknown,
+    publish,
+)
+from cicadapass_decisions.diff import diff_inventories
+from cicadapass_decisions.inventory import EMPTY_INVENTORY, parse_inventory
+from cicadapass_decisions.logrecords import Publish
+
+
+class ConfigSide:
+    """Own the configuration feed and publish for operators."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        supervisor: pykka.ActorRef[Supervisor],
+        events: EventLog,
+        timers: TimerService,
+        holder: ConfigHolder,
+        cluster: Cluster,
+        on_change: Callable[[ConfigView], None],
+        rng: random.Random,
+    ) -> None:
+        self._supervisor = supervisor
+        self._holder = holder
+        self._feed = PartRef("configfeed")
+        self._log = LogClient(settings.log_url, settings.log_stream)
+        self.link = ConfigLink(self._feed, cluster.peers, cluster.board)
+        self.link.register()
+        self._tools = ConfigTools(
+            log=self._log,
+            parse=parse_inventory,
+            events=events,
+            timers=timers,
+            fetch_from_peer=self.link.fetch,
+            on_change=on_change,
+            retention_s=settings.log_retention_s,
+            rng=rng,
+        )
+
+    def start(self, parts: Parts) -> None:
+        """Start to follow the log."""
+        parts.keep(self._feed, self._start_feed)
+
+    def publish(self, body: PublishBody) -> PublishAnswer:
+        """Publish for an operator through the same checks as the command line."""
+        tools = PublishTools(self._log, parse_inventory, _describe_change)
+        request = Publish(body.publish_id, body.base_offset, body.author, body.document)
+        state = self._holder.state
+        base = state.document if state.version == body.base_offset else None
+        return _to_answer(publish(tools, request, state, base))
+
+    def _start_feed(self) -> pykka.ActorRef[Any]:
+        return ConfigFeed.start(
+            self._supervisor, self._feed.name, self._tools, self._holder
+        )
+
+
+def _describe_change(base: Any, winner: Any) -> tuple[str, ...]:
+    inventories = [_inventory(document) for document in (base, winner)]
+    return tuple(str(change) for change in diff_inventories(*inventories))
+
+
+def _inventory(document: Any) -> Any:
+    return EMPTY_INVENTORY if document is None else parse_inventory(document).ok
+
+
+def _to_answer(result: PublishResult) -> PublishAnswer:
+    match result:
+        case PublishAccepted(version):
+            return PublishAnswer("accepted", version)
+        case PublishRejected(problems):
+            return PublishAnswer("rejected", details=tuple(map(str, problems)))
+        case PublishConflict(_, author, version, change):
+            lines = (f"{author} published first", *change)
+            return PublishAnswer("conflict", version, lines)
+        case PublishUnknown(reason):
+            return PublishAnswer("unknown", details=(reason,))
--- a/packages/node/cicadapass/copies.py
+++ b/packages/node/cicadapass/copies.py
@@ -11,6 +11,7 @@
 from cicadapass.copiesmessages import (
     CopiesConfig,
     CopiesTick,
+    CountCopies,
     DeclaredGone,
     FindCopy,
     FoundCopy,
@@ -134,6 +135,8 @@
                 return self._find(request_id, binding)
             case OwnerAnswered():
                 self._on_owner_answered(message)
+            case CountCopies():
+                return sum(not c.adopted for c in self._store.copies.values())
             case CopiesTick():
                 self._tick()
         return None
--- a/packages/node/cicadapass/copiesmessages.py
+++ b/packages/node/cicadapass/copiesmessages.py
@@ -82,6 +82,11 @@
     caller_waits: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CountCopies:
+    """Ask for the number of copies of requests that others own."""
+
+
 @dataclass(frozen=True, slots=True)
 class CopiesTick:
     """Ask for the check of silent owners and old copies."""
--- a/packages/node/cicadapass/directdelivery.py
+++ b/packages/node/cicadapass/directdelivery.py
@@ -21,13 +21,32 @@
         """Send what `write_now` left, waiting for a slow reader."""
 
 
+class AnswerMoved(AnswerCutShort):
+    """Another node continues the answer from this byte."""
+
+    def __init__(self, offset: int) -> None:
+        super().__init__(f"another node continues the answer from byte {offset}")
+        self.offset = offset
+
+
 def stream(
-    read: ReadPiece, from_byte: int, sender: DirectSender | None, loop: StreamLoop
+    read: ReadPiece,
+    from_byte: int,
+    sender: DirectSender | None,
+    loop: StreamLoop,
+    follow: ReadPiece,
 ) -> Iterator[bytes]:
-    """Yield an answer's bytes, or send them past the server and yield none."""
+    """Yield an answer's bytes, or send them past the server and yield none.
+
+    `follow` reads the rest if another node continues the answer.
+    """
     if isinstance(read, LocalReader) and sender is not None and loop.alive:
-        DirectDelivery(read, from_byte, sender, loop).run()
-        return
+        try:
+            DirectDelivery(read, from_byte, sender, loop).run()
+        except AnswerMoved as moved:
+            read, from_byte = follow, moved.offset
+        else:
+            return
     for result in pieces(read, from_byte):
         if result.is_error():
             raise AnswerCutShort(result.error.detail)
@@ -105,7 +124,7 @@
             return
         result = self._read(self._offset, 0.0)
         if result.is_error():
-            raise AnswerCutShort(result.error.detail)
+            raise AnswerMoved(self._offset)
         piece = result.ok
         if piece.data:
             self._rest = self._sender.write_now(piece.data)
--- a/packages/node/cicadapass/execution.py
+++ b/packages/node/cicadapass/execution.py
@@ -122,7 +122,7 @@
     def _attempt_until_ended(self, grant: Grant | None) -> None:
         while not self._stopped.is_set():
             if self._answer.token_count >= self._request.chat.max_tokens:
-                self._complete()
+                self.complete()
                 return
             if grant is None:
                 grant = self._acquire(hedge=False)
@@ -176,7 +176,7 @@
         if failure is not None:
             return self._end(index, failure)
         if not self._lost(index):
-            self._complete()
+            self.complete()
         return None
 
     def _begin(self, grant: Grant) -> int:
@@ -330,7 +330,8 @@
         service = self._request.qualified_service
         return self._parts.granting.next_step(service, attempts, failure, request)
 
-    def _complete(self) -> None:
+    def complete(self) -> None:
+        """End the answer, whose tokens are all there."""
         self._answer.finish()
         self._commits.finished()
         chat = self._request.chat
--- /dev/null
+++ b/packages/node/cicadapass/keyedcalls.py
@@ -0,0 +1,277 @@
+"""Calls with an idempotency key: claimed, sent at most once, replayed."""
+
+import json
+import os
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+
+from expression import Error, Ok, Result
+
+from cicadapass.claimclient import ClaimClient
+from cicadapass.membersnapshot import MembersBoard
+from cicadapass.outcomes import KeyedAnswer, Outcome, Outcomes
+from cicadapass.peers import Inbound, Peers
+from cicadapass.plaincalls import PlainRequest, PlainResponse
+from cicadapass.problems import Problem
+from cicadapass_common.copymessages import Binding
+from cicadapass_common.outcomemessages import (
+    HeaderItem,
+    OutcomeRead,
+    OutcomeReply,
+    OutcomeState,
+)
+from cicadapass_decisions.claims import (
+    CLAIM_ID_BYTES,
+    ClaimOutcome,
+    ClaimVerdict,
+    HeldClaim,
+    hash_key,
+    hash_payload,
+    hold_claim,
+    may_send,
+)
+from cicadapass_decisions.logrecords import Claim
+from cicadapass_decisions.recovery import (
+    make_request_id,
+    node_key,
+    parse_request_id,
+)
+from cicadapass_decisions.types import NodeAddress, Verdict, qualify
+
+RANDOM_BYTES = 12
+OUTCOME_TIMEOUT_S = 1.0
+MAX_KEY_CHARS = 255
+REPLAYED_HEADER = ("Idempotency-Replayed", "true")
+
+# Runs the call; the function given says right before sending whether it may be sent.
+RunCall = Callable[[str, Callable[[], bool]], Result[PlainResponse, Problem]]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedParts:
+    """Hold what keyed calls need."""
+
+    claims: ClaimClient
+    outcomes: Outcomes
+    peers: Peers
+    board: MembersBoard
+    claims_enabled: Callable[[], bool]
+    clock: Callable[[], float] = time.monotonic
+
+
+class KeyedCalls:
+    """Send keyed calls at most once."""
+
+    def __init__(self, parts: KeyedParts) -> None:
+        self._parts = parts
+
+    def register(self) -> None:
+        """Answer other nodes, before the peers start."""
+        self._parts.peers.handle(OutcomeRead, self._on_read, pooled=False)
+
+    def issue_key(self, binding: Binding) -> str:
+        """Return a new key that only this node's incarnation accepts."""
+        return self._parts.claims.issue(_scope(binding))
+
+    def call(
+        self, binding: Binding, request: PlainRequest, run: RunCall
+    ) -> Result[PlainResponse, Problem]:
+        """Claim the key, then run the call or replay the winner's answer."""
+        key = request.idempotency_key or ""
+        if not 0 < len(key) <= MAX_KEY_CHARS:
+            return Error(_bad_key())
+        if not self._parts.claims_enabled():
+            return Error(_no_claims())
+        claim = self._new_claim(binding, request, key)
+        held = hold_claim(claim, self._parts.clock())
+        self._parts.outcomes.begin(claim.request_id, binding)
+        verdict = self._parts.claims.claim(_scope(binding), key, claim)
+        if verdict.outcome is ClaimOutcome.WON:
+            return self._run(held, run)
+        # If the claim is in the log after all, the key's later users are told that
+        # nothing was run under it.
+        self._parts.outcomes.end(claim.request_id, _not_claimed())
+        if verdict.outcome is ClaimOutcome.LOST:
+            return self._replay(binding, verdict)
+        return Error(_not_claimed())
+
+    def _new_claim(self, binding: Binding, request: PlainRequest, key: str) -> Claim:
+        own = self._parts.board.snapshot.own.vm
+        request_id = make_request_id(own, None, os.urandom(RANDOM_BYTES).hex())
+        return Claim(
+            hash_key(binding.fleet, binding.workspace, request.service, key),
+            hash_payload(request.method, request.path, request.body),
+            os.urandom(CLAIM_ID_BYTES),
+            str(request_id),
+            own.incarnation,
+        )
+
+    def _run(self, held: HeldClaim, run: RunCall) -> Result[PlainResponse, Problem]:
+        request_id = held.claim.request_id
+        try:
+            result = run(request_id, lambda: may_send(held, self._parts.clock()))
+            outcome, result = _keep_whole(result)
+        except Exception:
+            self._parts.outcomes.end(request_id, _outcome_unknown())
+            raise
+        self._parts.outcomes.end(request_id, outcome)
+        return result
+
+    def _replay(
+        self, binding: Binding, verdict: ClaimVerdict
+    ) -> Result[PlainResponse, Problem]:
+        if not verdict.same_payload:
+            return Error(_other_payload())
+        known, outcome = self._find(verdict.winner_request_id, binding)
+        if not known:
+            return Error(_outcome_unknown())
+        if outcome is None:
+            return Error(_in_progress())
+        if isinstance(outcome, Problem):
+            return Error(outcome)
+        headers = (*outcome.headers, REPLAYED_HEADER)
+        request_id = verdict.winner_request_id
+        return Ok(PlainResponse(request_id, outcome.status, headers, [outcome.body]))
+
+    def _find(self, request_id: str, binding: Binding) -> tuple[bool, Outcome]:
+        """Ask the node that won the claim, which its request id names."""
+        owner = self._owner_of(request_id)
+        if owner is None:
+            return False, None
+        if owner.vm == self._parts.board.snapshot.own.vm:
+            return self._parts.outcomes.find(request_id, binding)
+        message = OutcomeRead(request_id, binding)
+        result = self._parts.peers.request(owner, message, OUTCOME_TIMEOUT_S)
+        if result.is_error() or not isinstance(result.ok, OutcomeReply):
+            return False, None
+        return _from_reply(result.ok)
+
+    def _owner_of(self, request_id: str) -> NodeAddress | None:
+        parsed = parse_request_id(request_id)
+        for vm, entry in self._parts.board.snapshot.by_vm.items():
+            if parsed is not None and node_key(vm) == parsed.owner_key:
+                return entry.address
+        return None
+
+    def _on_read(self, inbound: Inbound[OutcomeRead]) -> None:
+        message = inbound.message
+        found = self._parts.outcomes.find(message.request_id, message.binding)
+        inbound.reply(_to_reply(*found))
+
+
+def _scope(binding: Binding) -> str:
+    return qualify(binding.fleet, binding.workspace)
+
+
+def _keep_whole(
+    result: Result[PlainResponse, Problem],
+) -> tuple[KeyedAnswer | Problem, Result[PlainResponse, Problem]]:
+    """Return the outcome to keep, with the body read so that it can be sent."""
+    if result.is_error():
+        return result.error, result
+    response = result.ok
+    # A keyed answer is kept whole; a longer one than is buffered is read here.
+    body = b"".join(response.body)
+    answer = KeyedAnswer(response.status, response.headers, body)
+    return answer, Ok(replace(response, body=[body]))
+
+
+def _to_reply(known: bool, outcome: Outcome) -> OutcomeReply:
+    if not known:
+        return OutcomeReply(OutcomeState.UNKNOWN)
+    if outcome is None:
+        return OutcomeReply(OutcomeState.RUNNING)
+    if isinstance(outcome, Problem):
+        return OutcomeReply(
+            OutcomeState.FAILED, int(outcome.status), body=outcome.to_json()
+        )
+    headers = tuple(HeaderItem(name, value) for name, value in outcome.headers)
+    return OutcomeReply(OutcomeState.ANSWERED, outcome.status, headers, outcome.body)
+
+
+def _from_reply(reply: OutcomeReply) -> tuple[bool, Outcome]:
+    match reply.state:
+        case OutcomeState.RUNNING:
+            return True, None
+        case OutcomeState.ANSWERED:
+            headers = tuple((item.name, item.value) for item in reply.headers)
+            return True, KeyedAnswer(reply.status, headers, reply.body)
+        case OutcomeState.FAILED:
+            return True, _from_members(json.loads(reply.body))
+        case _:
+            return False, None
+
+
+def _from_members(members: dict[str, str]) -> Problem:
+    return Problem(
+        members["title"].replace(" ", "-"),
+        HTTPStatus(int(members["status"])),
+        members["detail"],
+        members["remedy"],
+        Verdict(members["verdict"]),
+    )
+
+
+def _bad_key() -> Problem:
+    return Problem(
+        "bad-idempotency-key",
+        HTTPStatus.BAD_REQUEST,
+        f"the Idempotency-Key is empty or over {MAX_KEY_CHARS} characters",
+        "send a key of 1 to 255 characters that is unique to the call",
+        Verdict.NOT_RUN,
+    )
+
+
+def _no_claims() -> Problem:
+    return Problem(
+        "claims-off",
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "the rule claims.claims is off, so keyed calls are refused",
+        "ask the operators, or send the call without a key and never twice",
+        Verdict.NOT_RUN,
+    )
+
+
+def _not_claimed() -> Problem:
+    return Problem(
+        "not-claimed",
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "the key could not be claimed, so the call was not sent",
+        "send the call again with a new key; keys of POST /v1/idempotency-keys "
+        "need no log",
+        Verdict.NOT_RUN,
+        retry_after_s=1.0,
+    )
+
+
+def _other_payload() -> Problem:
+    return Problem(
+        "key-reused",
+        HTTPStatus.UNPROCESSABLE_ENTITY,
+        "the key was used for another call",
+        "use a new key for each call",
+        Verdict.NOT_RUN,
+    )
+
+
+def _in_progress() -> Problem:
+    return Problem(
+        "in-progress",
+        HTTPStatus.CONFLICT,
+        "the call with this key is in progress",
+        "send it again with the same key after the time in Retry-After",
+        Verdict.UNKNOWN,
+        retry_after_s=1.0,
+    )
+
+
+def _outcome_unknown() -> Problem:
+    return Problem(
+        "outcome-unknown",
+        HTTPStatus.CONFLICT,
+        "the call with this key was claimed, but its outcome is not known",
+        "read the service's state before you use a new key",
+        Verdict.UNKNOWN,
+    )
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -1,23 +1,25 @@
 """Accept model requests: admission, the copy at another node, the execution."""
 
+import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
 from cicadapass.callers import Accepted, CallerContext
-from cicadapass.delivery import LocalReader, ReadPiece
+from cicadapass.delivery import LocalReader
 from cicadapass.execution import Execution, ExecutionParts
 from cicadapass.failures import refused
 from cicadapass.grants import AcquireRequest, Grant
 from cicadapass.ownership import AddRequest, OwnedRequest
 from cicadapass.placement import Placement
 from cicadapass.problems import Problem, not_found
-from cicadapass.requests import AcceptedRequest, ChatRequest
+from cicadapass.requests import AcceptedRequest, ChatRequest, from_copy
 from cicadapass.supervisor import PartRef
 from cicadapass.upstreamtable import Outcome
+from cicadapass_common.copymessages import CopiedRequest
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.inventory import Inventory, Service, ServiceKind
 from cicadapass_decisions.policy import Policy
@@ -65,7 +67,7 @@
         if placed.is_error():
             self._parts.execution.granting.release(grant, Outcome())
             return Error(placed.error)
-        request, durability = placed.ok
+        durability = placed.ok
         answer = self._run(request, Answer(request.head), work, grant)
         self._parts.events.emit(
             450,
@@ -74,12 +76,23 @@
             workspace=context.workspace.qualified_name,
             durability=durability,
         )
-        return Ok(Accepted(request.request_id, durability, local_reader(answer)))
+        return Ok(Accepted(request.request_id, durability, LocalReader(answer)))
 
-    def resume(self, request: AcceptedRequest, texts: tuple[str, ...]) -> Answer:
-        """Continue a request whose copy this node held."""
-        answer = Answer(request.head, texts)
-        return self._run(request, answer, self._work_of(request), None)
+    def adopt(self, copied: CopiedRequest, epoch: int) -> None:
+        """Continue a request whose copy this node held, in another thread.
+
+        Raises ValueError if the copy cannot be read.
+        """
+        request = from_copy(copied, epoch)
+        resume = lambda: self._resume(request, copied)  # noqa: E731
+        threading.Thread(target=resume, name="adopt", daemon=True).start()
+
+    def _resume(self, request: AcceptedRequest, copied: CopiedRequest) -> None:
+        # The answer is in reach of callers before it has a new holder, and what the
+        # old owner delivered is committed already.
+        answer = Answer(request.head, copied.texts)
+        self._parts.placement.copy(replace(copied, epoch=request.epoch))
+        self._run(request, answer, self._work_of(request), None, copied.finished)
 
     def _run(
         self,
@@ -87,12 +100,16 @@
         answer: Answer,
         work: AcquireRequest,
         grant: Grant | None,
+        finished: bool = False,
     ) -> Answer:
         commits = self._parts.placement.commits(request, answer)
         execution = Execution(request, answer, commits, work, self._parts.execution)
         owned = OwnedRequest(request, answer, execution.stop)
         self._parts.ownership.ask(AddRequest(owned), OWNERSHIP_TIMEOUT_S)
-        execution.start(grant)
+        if finished:
+            execution.complete()
+        else:
+            execution.start(grant)
         return answer
 
     def _service(self, fleet: str, name: str) -> Service | None:
@@ -134,8 +151,3 @@
             prompt_tokens=prompt_tokens,
             blocks=prefix_blocks(request.chat.prompt, policy.prefix),
         )
-
-
-def local_reader(answer: Answer) -> ReadPiece:
-    """Return a reader of an answer that this node owns."""
-    return LocalReader(answer)
--- /dev/null
+++ b/packages/node/cicadapass/notices.py
@@ -0,0 +1,53 @@
+"""Follow the cloud's notices and act on those for this VM."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cicadapass.platformclient import Notice, PlatformClient
+
+RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class NoticeTarget:
+    """Say which notices are for this VM; its zone is its data centre."""
+
+    vm: str
+    zone: str
+
+
+class NoticeReader:
+    """Read notices in a thread and call back for each one."""
+
+    def __init__(
+        self, platform: PlatformClient, on_notice: Callable[[Notice], object]
+    ) -> None:
+        self._platform = platform
+        self._on_notice = on_notice
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="notices", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread after its present read."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        after = 0
+        while not self._stopped.is_set():
+            page = self._platform.read_notices(after)
+            if page.is_error():
+                self._stopped.wait(RETRY_S)
+                continue
+            after = page.ok.next_sequence
+            for notice in page.ok.notices:
+                self._on_notice(notice)
+
+
+def concerns(notice: Notice, target: NoticeTarget) -> bool:
+    """Return whether the notice says that this VM is taken back."""
+    return notice.vm == target.vm or notice.zone == target.zone
--- a/packages/node/cicadapass/operatorviews.py
+++ b/packages/node/cicadapass/operatorviews.py
@@ -6,8 +6,10 @@
 
 from expression import Error, Ok, Result
 
+from cicadapass.configview import ConfigHolder
 from cicadapass.granting import Granting
 from cicadapass.grants import AcquireRequest
+from cicadapass.membersnapshot import MembersBoard
 from cicadapass.problems import Problem, not_found, not_ready
 from cicadapass.upstreamtable import UpstreamTable
 from cicadapass_common.events import EventLog
@@ -16,12 +18,14 @@
     EventsAnswer,
     ExplainAnswer,
     InventoryAnswer,
+    MembersAnswer,
+    MemberStatus,
     UpstreamsAnswer,
     UpstreamStatus,
     VerdictEntry,
 )
-from cicadapass_decisions.fold import FoldState
 from cicadapass_decisions.inventory import Inventory
+from cicadapass_decisions.membership import MemberState
 from cicadapass_decisions.routing import Choice, NoUpstream
 from cicadapass_decisions.scoring import Candidate as RoutingCandidate
 from cicadapass_decisions.scoring import Reason, Status
@@ -29,6 +33,11 @@
 from cicadapass_decisions.types import qualify
 from cicadapass_decisions.work import WorkRequest
 
+_MEMBER_STATES = {
+    MemberState.ALIVE: "alive",
+    MemberState.SUSPECT: "suspected",
+    MemberState.GONE: "gone",
+}
 # The request that `explain` asks about is of this size.
 EXPLAIN_MAX_TOKENS = 64
 EXPLAIN_DEADLINE_S = 60.0
@@ -41,14 +50,14 @@
     node: str
     granting: Granting
     events: EventLog
-    inventory: Callable[[], Inventory | None]
-    state: Callable[[], FoldState]
+    holder: ConfigHolder
+    board: MembersBoard
     table: Callable[[], UpstreamTable]
     clock: Callable[[], float] = time.monotonic
 
     def inventory_answer(self) -> InventoryAnswer:
         """Return the state folded from the log."""
-        state = self.state()
+        state = self.holder.state
         return InventoryAnswer(
             version=state.version,
             next_offset=state.next_offset,
@@ -73,6 +82,22 @@
                 statuses.append(_status(service, candidate, in_flight, now_s))
         return UpstreamsAnswer(self.node, tuple(statuses))
 
+    def members_answer(self) -> MembersAnswer:
+        """Return the members as this node sees them."""
+        snapshot = self.board.snapshot
+        members = tuple(
+            MemberStatus(
+                name=vm.name,
+                incarnation=vm.incarnation,
+                fleet=entry.address.fleet,
+                data_centre=entry.address.data_centre,
+                state=_MEMBER_STATES[entry.state],
+                leaving=snapshot.is_leaving(vm),
+            )
+            for vm, entry in sorted(snapshot.by_vm.items())
+        )
+        return MembersAnswer(self.node, members)
+
     def events_answer(self, request_id: str | None, since_ms: int) -> EventsAnswer:
         """Return the events that this node keeps."""
         events = self.events.recent(request_id)
@@ -83,9 +108,10 @@
         self, fleet: str, service: str, workspace: str
     ) -> Result[ExplainAnswer, Problem]:
         """Say where a short request would go now and why."""
-        inventory = self.inventory()
-        if inventory is None:
+        view = self.holder.view
+        if view is None:
             return Error(not_ready("this node has no inventory yet"))
+        inventory: Inventory = view.inventory
         if inventory.service(fleet, service) is None:
             return Error(not_found(f"service {qualify(fleet, service)}"))
         if workspace not in inventory.fleets[fleet].workspaces:
--- a/packages/node/cicadapass/ownership.py
+++ b/packages/node/cicadapass/ownership.py
@@ -69,12 +69,14 @@
         keep_s: float,
         max_kept_bytes: int,
         on_count: Callable[[int], None],
+        on_expired: Callable[[str], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(supervisor, "ownership")
         self._keep_s = keep_s
         self._max_kept_bytes = max_kept_bytes
         self._on_count = on_count
+        self._on_expired = on_expired
         self._clock = clock
         self._owned: dict[str, OwnedRequest] = {}
         # Ended requests in the order of their end, with the time and their size.
@@ -137,6 +139,7 @@
             if ended_s > limit_s and self._kept_bytes <= self._max_kept_bytes:
                 return
             self._forget(request_id)
+            self._on_expired(request_id)
 
     def _forget(self, request_id: str) -> None:
         self._owned.pop(request_id, None)
--- a/packages/node/cicadapass/placement.py
+++ b/packages/node/cicadapass/placement.py
@@ -1,44 +1,178 @@
 """Place the copies of accepted requests at nodes in other data centres."""
 
 import random
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
-from cicadapass.commits import Commits, commit_at_once
+from cicadapass.commits import Commits, CopyCommits, commit_at_once
+from cicadapass.membersnapshot import MembersBoard
+from cicadapass.peers import Peers
 from cicadapass.problems import Problem
+from cicadapass.progress import ProgressSender
 from cicadapass.requests import AcceptedRequest
-from cicadapass_decisions.recovery import make_request_id
-from cicadapass_decisions.types import VmId
+from cicadapass_common.copymessages import (
+    CopiedRequest,
+    CopyReply,
+    CopyRequest,
+    CopyStatus,
+    Release,
+    ReleaseItem,
+)
+from cicadapass_decisions.recovery import (
+    choose_holder,
+    make_request_id,
+    node_key,
+    parse_request_id,
+)
+from cicadapass_decisions.rule_sections import DurabilityRules
+from cicadapass_decisions.types import NodeAddress, Verdict, VmId
 
 SINGLE_NODE = "single-node"
 PEER_COPY = "peer-copy"
 RANDOM_BITS = 96
+# The holder named in the request id, and another one if that does not answer.
+HOLDER_TRIES = 2
 
 
 @dataclass(frozen=True, slots=True)
+class PlacementParts:
+    """Hold what placement needs; `superseded` gets a request id and an epoch."""
+
+    board: MembersBoard
+    peers: Peers
+    progress: ProgressSender
+    rules: Callable[[], DurabilityRules]
+    superseded: Callable[[str, int], None]
+    rng: random.Random
+
+
 class Placement:
-    """Hold the functions that place copies."""
+    """Know at which node the copy of each owned request is."""
+
+    def __init__(self, parts: PlacementParts) -> None:
+        self._parts = parts
+        self._lock = threading.Lock()
+        self._holders: dict[str, tuple[NodeAddress, int]] = {}
+
+    def new_request_id(self) -> str:
+        """Return an id that names this node and the holder that is tried first."""
+        parts = self._parts
+        own = parts.board.snapshot.own.vm
+        holder = self._choose(()) if parts.rules().copies else None
+        random_hex = f"{parts.rng.getrandbits(RANDOM_BITS):024x}"
+        return str(make_request_id(own, holder.vm if holder else None, random_hex))
+
+    def place(self, request: AcceptedRequest) -> Result[str, Problem]:
+        """Copy a new request and return its durability, or refuse it as not run."""
+        rules = self._parts.rules()
+        if rules.copies and self.copy(request.to_copy(), self._named(request)):
+            return Ok(PEER_COPY)
+        if rules.copies and rules.require_copy:
+            return Error(_no_holder())
+        return Ok(SINGLE_NODE)
+
+    def copy(
+        self,
+        copied: CopiedRequest,
+        first: NodeAddress | None = None,
+        exclude: Iterable[VmId] = (),
+    ) -> NodeAddress | None:
+        """Copy a request to a holder and return it, or None if none accepts."""
+        refused = set(exclude)
+        for _ in range(HOLDER_TRIES):
+            holder, first = first or self._choose(refused), None
+            if holder is None:
+                return None
+            if self._send_copy(copied, holder):
+                with self._lock:
+                    self._holders[copied.request_id] = holder, copied.epoch
+                return holder
+            refused.add(holder.vm)
+        return None
+
+    def commits(self, request: AcceptedRequest, answer: Answer) -> Commits:
+        """Return what delivers the tokens once the holder has them."""
+        holder = self.holder_of(request.request_id)
+        if holder is None:
+            return commit_at_once(answer)
+        commits = CopyCommits(
+            request,
+            answer,
+            self._parts.progress,
+            lambda copied, lost: self.copy(copied, exclude=(lost,)),
+            self._parts.superseded,
+        )
+        commits.track(holder, answer.token_count)
+        return Commits(commits.tokens_added, commits.finished)
+
+    def holder_of(self, request_id: str) -> NodeAddress | None:
+        """Return the holder of the copy of an owned request."""
+        with self._lock:
+            placed = self._holders.get(request_id)
+        return placed[0] if placed else None
+
+    def epoch_of(self, request_id: str) -> int | None:
+        """Return the epoch of the copy of an owned request."""
+        with self._lock:
+            placed = self._holders.get(request_id)
+        return placed[1] if placed else None
+
+    def owner_status(self, request_id: str, epoch: int) -> CopyReply:
+        """Tell a holder at once whether this node still owns a request."""
+        current = self.epoch_of(request_id)
+        if current is None:
+            return CopyReply(CopyStatus.UNKNOWN, epoch)
+        if current > epoch:
+            return CopyReply(CopyStatus.STALE_EPOCH, current)
+        return CopyReply(CopyStatus.ACCEPTED, current)
 
-    new_request_id: Callable[[], str]
-    place: Callable[[AcceptedRequest], Result[tuple[AcceptedRequest, str], Problem]]
-    commits: Callable[[AcceptedRequest, Answer], Commits]
+    def release(self, request_id: str) -> None:
+        """Let the holder drop the copy, since the answer is not kept any more."""
+        self._parts.progress.untrack(request_id)
+        with self._lock:
+            placed = self._holders.pop(request_id, None)
+        if placed is not None:
+            holder, epoch = placed
+            self._parts.peers.send(holder, Release((ReleaseItem(request_id, epoch),)))
 
+    def forget(self, request_id: str) -> None:
+        """Forget the holder of a request that another node owns now."""
+        self._parts.progress.untrack(request_id)
+        with self._lock:
+            self._holders.pop(request_id, None)
 
-def without_copies(own: VmId, rng: random.Random) -> Placement:
-    """Keep accepted requests on this node only."""
+    def _send_copy(self, copied: CopiedRequest, holder: NodeAddress) -> bool:
+        timeout_s = self._parts.rules().holder_timeout_s
+        result = self._parts.peers.request(holder, CopyRequest(copied), timeout_s)
+        if result.is_error() or not isinstance(result.ok, CopyReply):
+            return False
+        return result.ok.status is CopyStatus.ACCEPTED
 
-    def new_request_id() -> str:
-        return str(make_request_id(own, None, f"{rng.getrandbits(RANDOM_BITS):024x}"))
+    def _choose(self, exclude: Iterable[VmId]) -> NodeAddress | None:
+        members = self._parts.board.snapshot.for_recovery()
+        return choose_holder(members, self._parts.rng, exclude)
 
-    def place(
-        request: AcceptedRequest,
-    ) -> Result[tuple[AcceptedRequest, str], Problem]:
-        return Ok((request, SINGLE_NODE))
+    def _named(self, request: AcceptedRequest) -> NodeAddress | None:
+        parsed = parse_request_id(request.request_id)
+        if parsed is None or parsed.holder_key == parsed.owner_key:
+            return None
+        for vm, entry in self._parts.board.snapshot.by_vm.items():
+            if node_key(vm) == parsed.holder_key:
+                return entry.address
+        return None
 
-    def commits(request: AcceptedRequest, answer: Answer) -> Commits:
-        return commit_at_once(answer)
 
-    return Placement(new_request_id, place, commits)
+def _no_holder() -> Problem:
+    return Problem(
+        "no-copy",
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "no node in another data centre can hold a copy of the request",
+        "send the request again, or let the rule durability.require_copy be off",
+        Verdict.NOT_RUN,
+        retry_after_s=1.0,
+    )
--- a/packages/node/cicadapass/plaingate.py
+++ b/packages/node/cicadapass/plaingate.py
@@ -3,12 +3,13 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Result
 
 from cicadapass.callers import CallerContext
 from cicadapass.grants import AcquireRequest
+from cicadapass.keyedcalls import KeyedCalls
 from cicadapass.plaincalls import (
     PlainExecution,
     PlainParts,
@@ -31,6 +32,7 @@
 
     inventory: Callable[[], Inventory | None]
     plain: PlainParts
+    keyed: KeyedCalls
     rng: random.Random
     clock: Callable[[], float] = time.monotonic
 
@@ -53,7 +55,16 @@
         call = PlainCall(
             request.method, request.path, request.headers, request.body, repeatable
         )
-        return PlainExecution(call, work, self._parts.plain).run()
+        if repeatable or request.idempotency_key is None:
+            return PlainExecution(call, work, self._parts.plain).run()
+
+        def run(
+            request_id: str, may_send: Callable[[], bool]
+        ) -> Result[PlainResponse, Problem]:
+            keyed_work = replace(work, request_id=request_id)
+            return PlainExecution(call, keyed_work, self._parts.plain, may_send).run()
+
+        return self._parts.keyed.call(context.binding, request, run)
 
     def _service(self, fleet: str, name: str) -> Service | None:
         inventory = self._parts.inventory()
--- a/packages/node/cicadapass/requests.py
+++ b/packages/node/cicadapass/requests.py
@@ -69,7 +69,7 @@
             self.request_id,
             self.epoch,
             self.binding,
-            self.created_s,
+            float(self.created_s),
             self.service,
             json.dumps(document, separators=(",", ":")).encode(),
             texts,
--- a/packages/node/cicadapass/supervisor.py
+++ b/packages/node/cicadapass/supervisor.py
@@ -76,6 +76,11 @@
         self._ref = ref
         self._set.set()
 
+    def stop(self) -> None:
+        """Stop the part's current actor, if there is one."""
+        if self._ref is not None:
+            self._ref.stop(block=False)
+
     def tell(self, message: object) -> None:
         """Send the message; drop it if the part is being restarted."""
         try:
--- a/packages/node/cicadapass/upstreams.py
+++ b/packages/node/cicadapass/upstreams.py
@@ -28,6 +28,7 @@
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.slowness import Timing
+from cicadapass_decisions.types import VmId
 
 # Reads wait in threads of their own, one for each upstream up to this bound; only
 # when more upstreams than this hang do they delay the others' reads.
@@ -76,6 +77,7 @@
         readers: UpstreamReaders,
         publish: Callable[[UpstreamTable], object],
         current: Callable[[], SetUpstreams | None] = lambda: None,
+        on_reported_leaving: Callable[[VmId], object] = lambda vm: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(supervisor, "upstreams")
@@ -84,6 +86,7 @@
         self._readers = readers
         self._publish = publish
         self._current = current
+        self._on_reported_leaving = on_reported_leaving
         self._clock = clock
         self._policy = Policy()
         self._book = UpstreamBook(self._policy)
@@ -250,6 +253,7 @@
                 self._events.emit(504, upstream=config.name, reason=reason)
         elif self._book.on_report(config.name, reading, now_s):
             self._on_leaving(config.name, reading.incarnation, "report")
+            self._on_reported_leaving(VmId(config.name, reading.incarnation))
 
     def _on_cache(self, config: UpstreamConfig, reading: CacheReading) -> None:
         if reading.resync is not None:
--- /dev/null
+++ b/tests/bench/test_recovery.py
@@ -0,0 +1,157 @@
+"""Test that accepted requests and keyed calls survive the loss of processes."""
+
+import contextlib
+import json
+import threading
+
+import testtools
+import urllib3
+
+from cicadapass_bench.world import running_world, small_plan, wait_until
+from cicadapass_standins.answers import answer_text
+from tests.bench.callers import call, chat, text_of
+
+TOKENS = 600
+# Slow enough that the owner is lost in the middle of the answer.
+SLOW_ENGINES = ("--tokens-per-s", "150")
+READ_TIMEOUT_S = 30.0
+
+
+class RecoveryTest(testtools.TestCase):
+    def test_owner_is_killed_mid_stream(self):
+        """An accepted answer must go on, byte for byte, when its node dies."""
+        with running_world(small_plan(engine_options=SLOW_ENGINES)) as world:
+            world.wait_members(3)
+            owner, other = world.nodes[0], world.nodes[1]
+            answer = chat(world, owner, "all bolts", TOKENS, preload_content=False)
+            self.assertEqual("peer-copy", answer.headers["Cicadapass-Durability"])
+            request_id = answer.headers["Cicadapass-Request-Id"]
+            head = answer.read(20_000)
+            owner.process.kill()
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                head += answer.read()
+            path = f"/v1/requests/{request_id}?from={len(head)}"
+            rest = call(world, other, "GET", path, timeout=READ_TIMEOUT_S)
+            self.assertEqual(200, rest.status)
+            whole = text_of(head + rest.data)
+            self.assertEqual(answer_text("user: all bolts", 0, TOKENS), whole)
+
+    def test_notice_hands_requests_over(self):
+        """A reclaimed node must not take its unfinished answers with it."""
+        with running_world(small_plan(engine_options=SLOW_ENGINES)) as world:
+            world.wait_members(3)
+            owner, other = world.nodes[0], world.nodes[1]
+            answer = chat(world, owner, "all nuts", TOKENS, preload_content=False)
+            request_id = answer.headers["Cicadapass-Request-Id"]
+            head = answer.read(5_000)
+            world.control(world.cloud, notice={"zone": "dc-a", "seconds": 6})
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                head += answer.read()
+            self.assertEqual(0, owner.process.wait(READ_TIMEOUT_S))
+            path = f"/v1/requests/{request_id}?from={len(head)}"
+            rest = call(world, other, "GET", path, timeout=READ_TIMEOUT_S)
+            whole = text_of(head + rest.data)
+            self.assertEqual(answer_text("user: all nuts", 0, TOKENS), whole)
+
+    def test_same_key_at_two_nodes(self):
+        """A payment whose key arrives twice must take effect once."""
+        plan = small_plan(service_options=("--service-s", "0.2"))
+        with running_world(plan) as world:
+            world.wait_members(3)
+            answers = []
+
+            def pay(node):
+                headers = {"Idempotency-Key": "order-17"}
+                answers.append(
+                    call(
+                        world,
+                        node,
+                        "POST",
+                        "/v1/services/orders/payments",
+                        body=b'{"amount": 3}',
+                        extra_headers=headers,
+                    )
+                )
+
+            threads = [
+                threading.Thread(target=pay, args=(node,)) for node in world.nodes
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join(READ_TIMEOUT_S)
+            self.assertEqual(1, effects(world))
+            statuses = sorted(answer.status for answer in answers)
+            self.assertIn(200, statuses)
+            for answer in answers:
+                self.assertIn(answer.status, (200, 409))
+            pay(world.nodes[2])
+            self.assertEqual(200, answers[-1].status)
+            self.assertEqual("true", answers[-1].headers["Idempotency-Replayed"])
+            self.assertEqual(1, effects(world))
+
+    def test_log_outage(self):
+        """Without the log, keyed calls are not run and the rest is served."""
+        with running_world(small_plan()) as world:
+            world.wait_members(3)
+            world.control(world.log, down=True)
+            node = world.nodes[0]
+            path = "/v1/services/orders/payments"
+            key = {"Idempotency-Key": "order-18"}
+            refused = call(world, node, "POST", path, body=b"{}", extra_headers=key)
+            self.assertEqual(503, refused.status)
+            self.assertEqual("not-run", refused.headers["Cicadapass-Verdict"])
+            self.assertEqual(0, effects(world))
+            issued = call(world, node, "POST", "/v1/idempotency-keys").json()["key"]
+            key = {"Idempotency-Key": issued}
+            for sender in (world.nodes[1], node):
+                paid = call(world, sender, "POST", path, body=b"{}", extra_headers=key)
+                self.assertEqual(200, paid.status)
+            self.assertEqual(1, effects(world))
+            self.assertEqual(200, chat(world, node, "one bolt", 5).status)
+
+    def test_joining_node_learns_from_peers(self):
+        """A node that starts in a log outage must serve the inventory in force."""
+        with running_world(small_plan()) as world:
+            world.wait_members(3)
+            world.control(world.log, down=True)
+            node = world.start_node("grabhandle", "dc-b", "grabhandle-dc-b-late")
+            world.wait_ready([node])
+            seen = world.operators_get(node, "/v1/inventory")
+            self.assertEqual(world.inventory(), seen["document"])
+
+    def test_leaving_upstream_gets_no_new_work(self):
+        """A leaving upstream that still gets work takes that work with it."""
+        with running_world(small_plan()) as world:
+            world.wait_members(3)
+            leaving = world.upstreams[0]
+            world.control(leaving.process, leaving=True)
+            for node in world.nodes:
+                wait_until(
+                    lambda node=node: marked(world, node, leaving.name),
+                    f"{node.name} knows that {leaving.name} leaves",
+                )
+            before = attempts(world, leaving)
+            for index in range(12):
+                node = world.nodes[index % 3]
+                self.assertEqual(200, chat(world, node, f"bolt {index}", 5).status)
+            self.assertEqual(before, attempts(world, leaving))
+
+
+def effects(world):
+    """Return the number of effects at all plain services."""
+    urls = [each.url for each in world.upstreams if each.service == "orders"]
+    ledgers = [world.http.request("GET", f"{url}/ledger").json() for url in urls]
+    return sum(len(ledger["effects"]) for ledger in ledgers)
+
+
+def marked(world, node, upstream):
+    """Return whether a node knows that an upstream leaves."""
+    upstreams = world.operators_get(node, "/v1/upstreams")["upstreams"]
+    return any(each["name"] == upstream and each["leaving"] for each in upstreams)
+
+
+def attempts(world, upstream):
+    """Return the number of requests that an engine has seen."""
+    stats = world.http.request("GET", f"{upstream.url}/stats").json()
+    return json.dumps(stats.get("requests", stats), sort_keys=True)
--- a/tests/bench/test_world.py
+++ b/tests/bench/test_world.py
@@ -1,6 +1,5 @@
 """Test the path of a request through separate processes."""
 
-import json
 import signal
 import threading
 
@@ -8,6 +7,7 @@
 
 from cicadapass_bench.world import running_world, small_plan
 from cicadapass_standins.answers import answer_text
+from tests.bench.callers import call, chat, text_of
 
 STOP_TIMEOUT_S = 30.0
 
@@ -67,31 +67,3 @@
         reader.join(STOP_TIMEOUT_S)
         self.assertEqual(answer_text("user: long list", 0, 400), text_of(answers[0]))
         self.assertEqual(0, node.process.wait(STOP_TIMEOUT_S))
-
-
-def call(world, node, method, path, workspace="counter", **options):
-    """Send a caller's request to a node."""
-    credential = world.credential(node.fleet, workspace)
-    headers = {"Authorization": f"Bearer {credential}"}
-    url = node.callers_url + path
-    return world.http.request(method, url, headers=headers, **options)
-
-
-def chat(world, node, content, max_tokens, **options):
-    """Send a streamed model request to a node."""
-    document = {
-        "model": "parts",
-        "messages": [{"role": "user", "content": content}],
-        "max_tokens": max_tokens,
-        "stream": True,
-    }
-    return call(world, node, "POST", "/v1/chat/completions", json=document, **options)
-
-
-def text_of(stream):
-    """Return the text of a whole event stream; fail on one without its end."""
-    events = stream.decode().split("\n\n")
-    assert events[-2:] == ["data: [DONE]", ""], events[-2:]
-    chunks = [json.loads(event.removeprefix("data: ")) for event in events[:-2]]
-    deltas = [chunk["choices"][0]["delta"] for chunk in chunks]
-    return "".join(delta.get("content", "") for delta in deltas)
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,9 +1,18 @@
-"""Run the test suite and judge it against the list of known failures."""
+"""Run the test suite and judge it against the list of known failures.
+
+Each test module runs in a process of its own, several at a time: the modules that
+start whole systems wait most of their time.
+"""
 
 import argparse
+import json
+import os
+import subprocess
 import sys
 import unittest
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
 import testtools
@@ -12,21 +21,38 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 # Each entry of the known failures starts with this word and a test id.
 ENTRY_PREFIX = "test: "
+MODULE_TIMEOUT_S = 480
+MAX_JOBS = 4
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """Hold the counts of a module and the ids of its failed tests."""
+
+    run: int
+    skipped: int
+    failed: frozenset[str]
+    output: str
 
 
 def main() -> int:
     """Run the named tests, or all, and return the exit code."""
     parser = argparse.ArgumentParser(prog="python -m tests.run")
     parser.add_argument("names", nargs="*", help="dotted names; all tests if none")
-    parser.add_argument("--failfast", action="store_true")
+    parser.add_argument(
+        "--jobs",
+        type=int,
+        default=max(1, min(MAX_JOBS, (os.cpu_count() or 2) // 2)),
+        help="modules that run at the same time",
+    )
+    parser.add_argument("--in-process", action="store_true", help=argparse.SUPPRESS)
     args = parser.parse_args()
-    suite = _load(args.names)
-    known = known_red()
-    result = testtools.TextTestResult(sys.stdout, failfast=args.failfast)
-    result.startTestRun()
-    suite.run(result)
-    result.stopTestRun()
-    return _report(result, known)
+    if args.in_process:
+        return _run_here(args.names)
+    names = args.names or list(_modules())
+    with ThreadPoolExecutor(args.jobs) as pool:
+        outcomes = list(pool.map(_run_module, names))
+    return _report(outcomes, known_red())
 
 
 def known_red() -> frozenset[str]:
@@ -38,11 +64,43 @@
     return frozenset(line.removeprefix(ENTRY_PREFIX).strip() for line in entries)
 
 
-def _load(names: list[str]) -> unittest.TestSuite:
-    loader = unittest.TestLoader()
-    if names:
-        return loader.loadTestsFromNames(names)
-    return loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+def _modules() -> Iterator[str]:
+    for path in sorted((ROOT / "tests").rglob("test_*.py")):
+        yield ".".join(path.relative_to(ROOT).with_suffix("").parts)
+
+
+def _run_module(name: str) -> Outcome:
+    command = [sys.executable, "-m", "tests.run", "--in-process", name]
+    try:
+        process = subprocess.run(
+            command,
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=MODULE_TIMEOUT_S,
+            check=False,
+        )
+        counts = json.loads(process.stdout.splitlines()[-1])
+    except (subprocess.TimeoutExpired, ValueError, IndexError) as error:
+        return Outcome(1, 0, frozenset({name}), f"{name} gave no result: {error!r}")
+    output = process.stdout + process.stderr
+    failed = frozenset(counts["failed"])
+    return Outcome(counts["run"], counts["skipped"], failed, output)
+
+
+def _run_here(names: list[str]) -> int:
+    suite = unittest.TestLoader().loadTestsFromNames(names)
+    result = testtools.TextTestResult(sys.stdout)
+    result.startTestRun()
+    suite.run(result)
+    result.stopTestRun()
+    counts = {
+        "run": result.testsRun,
+        "skipped": sum(len(tests) for tests in result.skip_reasons.values()),
+        "failed": sorted(set(_failed_ids(result))),
+    }
+    print(json.dumps(counts))
+    return 1 if counts["failed"] else 0
 
 
 def _failed_ids(result: testtools.TextTestResult) -> Iterator[str]:
@@ -52,18 +110,22 @@
         yield test.id()
 
 
-def _report(result: testtools.TextTestResult, known: frozenset[str]) -> int:
-    failed = set(_failed_ids(result))
+def _report(outcomes: list[Outcome], known: frozenset[str]) -> int:
+    failed = {test_id for outcome in outcomes for test_id in outcome.failed}
+    for outcome in outcomes:
+        if outcome.failed - known:
+            print(outcome.output)
     for test_id in sorted(failed & known):
         print(f"known red: {test_id}")
     for test_id in sorted(failed - known):
         print(f"failed: {test_id}")
-    skipped = sum(len(tests) for tests in result.skip_reasons.values())
+    skipped = sum(outcome.skipped for outcome in outcomes)
+    run = sum(outcome.run for outcome in outcomes)
     unexpected = failed - known
-    passed = result.testsRun - len(failed) - skipped
+    passed = run - len(failed) - skipped
     print(f"{passed} passed, {len(unexpected)} failed, {skipped} skipped")
     # An empty run must not count as a pass.
-    return 1 if unexpected or not result.testsRun else 0
+    return 1 if unexpected or not run else 0
 
 
 if __name__ == "__main__":
