End each execution once, release each grant, and cancel without waiting

Faults found in execution.py: - the loser of a hedge stayed "running", so a winner that broke waited for it and nobody ended the answer; - an exception in the hedge's thread, or anywhere in an attempt, leaked the grant; - two threads could both go on, under the same attempt number, and fail twice; - a gap and an end before the last token failed or completed the whole answer; - a hedge was only armed after the head of the first answer, so an engine that accepts and stays silent was never hedged; - the first token of a winner, a retry and Ownership's actor waited for the DELETE to the slow or dead engine (up to the read timeout of 30 s); - a cancelled attempt counted as a failure or as a measured answer; - a stop left the thread in the dispatcher's queue, and a process without a thread left the caller and the grant.

Change: contenders.py decides which thread writes, goes on and ends; the last one always ends the answer. attempts.py runs single attempts and releases in `finally`. Cancels run in threads of their own. The total in the engine's last line is compared with the tokens received.

--- /dev/null
+++ b/packages/node/cicadapass/attempts.py
@@ -0,0 +1,231 @@
+"""Run single attempts of one model request and copy their tokens to its answer."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from cicadapass.answers import Answer
+from cicadapass.commits import Commits
+from cicadapass.contenders import Contenders
+from cicadapass.engines import GenerateCall, TokenBatch, TokenStream
+from cicadapass.executionparts import ExecutionParts
+from cicadapass.failures import failure_of
+from cicadapass.grants import Grant
+from cicadapass.meter import Meter
+from cicadapass.requests import AcceptedRequest
+from cicadapass.upstreamhttp import CallFailure
+from cicadapass_decisions.retry import Attempt, Failure, FailureKind
+
+BROKEN = Failure(FailureKind.BROKEN, sent=True)
+
+
+class _Gap(Exception):
+    """An upstream left out tokens."""
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Hold what the attempts of one request work on."""
+
+    request: AcceptedRequest
+    answer: Answer
+    commits: Commits
+    contenders: Contenders
+    parts: ExecutionParts
+
+
+class Attempts:
+    """Own the attempts of one request.
+
+    `watch` is called with the index of an attempt before it is sent.
+    """
+
+    def __init__(self, work: Work, watch: Callable[[int], None]) -> None:
+        self._request = work.request
+        self._answer = work.answer
+        self._commits = work.commits
+        self._contenders = work.contenders
+        self._parts = work.parts
+        self._watch = watch
+        self._lock = threading.Lock()
+        self._attempts: list[Attempt] = []
+        self._streams: dict[int, Grant] = {}
+        self._began_s = work.parts.clock()
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def all(self) -> tuple[Attempt, ...]:
+        """Return the attempts so far."""
+        with self._lock:
+            return tuple(self._attempts)
+
+    def run(self, thread: int, grant: Grant) -> Failure | None:
+        """Run one attempt and release its grant; return its failure.
+
+        Return None if the answer is whole, or if the thread does not contend any
+        more.
+        """
+        meter = Meter(self._parts.clock())
+        failure: Failure | None = BROKEN
+        index: int | None = None
+        try:
+            index = self._begin(grant)
+            failure = self._open_and_copy(thread, index, grant, meter)
+        finally:
+            lost = not self._contenders.contends(thread)
+            if index is not None:
+                self._end(index, failure)
+            self._release(grant, meter, failure, lost)
+        if failure is None or lost:
+            return None
+        self._report(grant, failure)
+        return failure
+
+    def cancel_others(self, index: int | None) -> None:
+        """Cancel the running attempts, except the one given, without waiting."""
+        for other, grant in list(self._streams.items()):
+            if other != index:
+                self._cancel(grant)
+
+    def _begin(self, grant: Grant) -> int:
+        self._parts.telemetry.count("attempts")
+        with self._lock:
+            self._attempts.append(Attempt(grant.upstream, sent=True, running=True))
+            return len(self._attempts) - 1
+
+    def _end(self, index: int, failure: Failure | None) -> None:
+        with self._lock:
+            attempt = replace(self._attempts[index], running=False)
+            if failure is not None:
+                attempt = replace(attempt, sent=failure.sent, failure=failure.kind)
+            self._attempts[index] = attempt
+
+    def _release(
+        self, grant: Grant, meter: Meter, failure: Failure | None, lost: bool
+    ) -> None:
+        # The failure of a cancelled attempt says nothing about its upstream, and its
+        # time is not that of a whole answer.
+        failed = failure is not None and not lost
+        outcome = meter.outcome(failed=failed, finished=True)
+        if lost:
+            outcome = replace(outcome, total_s=None)
+        self._parts.granting.release(grant, outcome)
+
+    def _report(self, grant: Grant, failure: Failure) -> None:
+        self._parts.events.emit(
+            453,
+            request_id=self._request.request_id,
+            upstream=grant.upstream,
+            failure=str(failure.kind),
+            tokens=self._answer.token_count,
+        )
+
+    def _open_and_copy(
+        self, thread: int, index: int, grant: Grant, meter: Meter
+    ) -> Failure | None:
+        if not self._contenders.contends(thread):
+            return Failure(FailureKind.REFUSED, sent=False)
+        self._watch(index)
+        opened = self._open(grant)
+        if isinstance(opened, CallFailure):
+            if opened.timed_out:
+                self._cancel(grant)
+            return failure_of(opened)
+        self._streams[index] = grant
+        whole = False
+        try:
+            failure = self._copy_tokens(thread, grant, opened, meter)
+            whole = failure is None and self._contenders.contends(thread)
+            return failure
+        except _Gap:
+            return BROKEN
+        finally:
+            self._streams.pop(index, None)
+            if not whole:
+                opened.close()
+                self._cancel(grant)
+
+    def _open(self, grant: Grant) -> TokenStream | CallFailure:
+        url = self._parts.url_of(grant.upstream)
+        if url is None:
+            return CallFailure("the upstream left the inventory", sent=False)
+        request = self._request
+        texts = self._answer.texts
+        call = GenerateCall(
+            request_id=request.request_id,
+            attempt=grant.attempt,
+            model=request.engine_model,
+            prompt=request.chat.prompt,
+            max_tokens=request.chat.max_tokens,
+            seed=request.chat.seed,
+            priority=request.priority,
+            resume_from=len(texts),
+            prefix_tokens=texts,
+        )
+        result = self._parts.engines.generate(url, call)
+        return result.ok if result.is_ok() else result.error
+
+    def _copy_tokens(
+        self, thread: int, grant: Grant, stream: TokenStream, meter: Meter
+    ) -> Failure | None:
+        for result in stream:
+            if result.is_error():
+                return failure_of(result.error)
+            batch = result.ok
+            if not self._take(thread, grant, batch, meter) or batch.done:
+                return None
+        return BROKEN
+
+    def _take(self, thread: int, grant: Grant, batch: TokenBatch, meter: Meter) -> bool:
+        """Write the tokens of a batch and return whether the attempt goes on."""
+        if batch.texts and not self._may_write(thread, grant):
+            return False
+        self._write(batch)
+        if meter.count(len(batch.texts), self._parts.clock()):
+            self._parts.granting.progress(grant, meter.outcome())
+        if batch.total not in (None, self._answer.token_count):
+            raise _Gap
+        return self._contenders.contends(thread)
+
+    def _write(self, batch: TokenBatch) -> None:
+        if not batch.texts:
+            return
+        before = self._answer.token_count
+        if batch.first_index > before:
+            raise _Gap
+        fresh = self._answer.add_tokens(batch.first_index, batch.texts)
+        if fresh:
+            self._commits.tokens_added(batch.first_index, batch.texts)
+        self._count_tokens(before, fresh, len(batch.texts) - fresh)
+
+    def _count_tokens(self, before: int, fresh: int, repeated: int) -> None:
+        telemetry = self._parts.telemetry
+        if repeated:
+            telemetry.count("tokens.recomputed", repeated)
+        if fresh and not before:
+            first_token_s = self._parts.clock() - self._began_s
+            telemetry.time_ms("requests.first_token", first_token_s * 1000)
+
+    def _may_write(self, thread: int, grant: Grant) -> bool:
+        if not self._contenders.may_write(thread):
+            return False
+        if len(self._streams) > 1:
+            own = next((i for i, g in self._streams.items() if g is grant), None)
+            self.cancel_others(own)
+        return True
+
+    def _cancel(self, grant: Grant) -> None:
+        url = self._parts.url_of(grant.upstream)
+        if url is None:
+            return
+        request_id = self._request.request_id
+        cancel = lambda: self._parts.engines.cancel(  # noqa: E731
+            url, request_id, grant.attempt
+        )
+        try:
+            # The upstream may be the slow or dead one, and nothing depends on it.
+            self._parts.spawn("cancel", cancel)
+        except RuntimeError:
+            # Without a thread for it, the engine computes tokens for nobody.
+            return
--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -44,11 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenBatch:
-    """Hold tokens that arrived together; the last batch says so."""
+    """Hold tokens that arrived together.
+
+    The last batch is `done` and has the number of all tokens of the answer.
+    """
 
     first_index: int
     texts: tuple[str, ...]
     done: bool
+    total: int | None = None
 
 
 class TokenStream:
@@ -86,14 +90,15 @@
     # One parse of an array costs less than one parse per line.
     items = json.loads(b"[" + b",".join(line for line in lines if line) + b"]")
     done = bool(items) and bool(items[-1].get("done"))
+    total = int(items[-1]["tokens"]) if done else None
     tokens = items[:-1] if done else items
     if not tokens:
-        return TokenBatch(0, (), done)
+        return TokenBatch(0, (), done, total)
     first_index = tokens[0]["i"]
     texts = tuple(str(token["t"]) for token in tokens)
     if tokens[-1]["i"] != first_index + len(texts) - 1:
         raise ValueError("token indexes have a gap")
-    return TokenBatch(int(first_index), texts, done)
+    return TokenBatch(int(first_index), texts, done, total)
 
 
 class EngineClient:
--- /dev/null
+++ b/packages/node/cicadapass/executionparts.py
@@ -0,0 +1,33 @@
+"""What the executions of model requests share."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from cicadapass.engines import EngineClient
+from cicadapass.granting import Granting
+from cicadapass.grants import AcquireRequest, Grant
+from cicadapass.misc import start_thread
+from cicadapass.telemetry import Telemetry, no_telemetry
+from cicadapass_common.events import EventLog
+from cicadapass_decisions.admission import Refusal
+
+if TYPE_CHECKING:
+    from cicadapass.execution import Execution
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutionParts:
+    """Hold what executions share; `spawn` raises RuntimeError without a thread."""
+
+    acquire: Callable[[AcquireRequest], Grant | Refusal]
+    granting: Granting
+    engines: EngineClient
+    url_of: Callable[[str], str | None]
+    call_later: Callable[[Callable[[], object], float], object]
+    events: EventLog
+    on_ended: Callable[["Execution"], None]
+    clock: Callable[[], float] = time.monotonic
+    spawn: Callable[[str, Callable[[], None]], None] = start_thread
+    telemetry: Telemetry = field(default_factory=no_telemetry)
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -10,7 +10,8 @@
 from cicadapass.answers import Answer
 from cicadapass.callers import Accepted, CallerContext
 from cicadapass.delivery import Piece, ReadPiece
-from cicadapass.execution import Execution, ExecutionParts
+from cicadapass.execution import Execution
+from cicadapass.executionparts import ExecutionParts
 from cicadapass.failures import refused
 from cicadapass.grants import AcquireRequest, Grant
 from cicadapass.ownership import AddRequest, OwnedRequest
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -15,7 +15,8 @@
 from cicadapass.delivery import ReadPiece
 from cicadapass.dispatcher import Dispatcher, DispatcherClient, SetRules
 from cicadapass.engines import EngineClient
-from cicadapass.execution import Execution, ExecutionParts
+from cicadapass.execution import Execution
+from cicadapass.executionparts import ExecutionParts
 from cicadapass.granting import Granting
 from cicadapass.httpserver import HttpLimits, NodeHttpServer, TlsFiles, WsgiApp
 from cicadapass.inprogress import InProgress
--- a/packages/node/cicadapass/telemetry.py
+++ b/packages/node/cicadapass/telemetry.py
@@ -46,6 +46,11 @@
             self._client.timing(name, value_ms)
 
 
+def no_telemetry() -> Telemetry:
+    """Return a telemetry that sends nothing."""
+    return Telemetry(None, 0, "")
+
+
 def _check(name: str, kind: str) -> None:
     if METRICS[name][0] != kind:
         raise KeyError(f"metric {name} is not a {kind}; see docs/metrics.md")
--- /dev/null
+++ b/tests/node/executionkit.py
@@ -0,0 +1,256 @@
+"""Fakes of what executions use, with faults at chosen calls."""
+
+import logging
+import random
+import threading
+
+from expression import Error, Ok
+
+from cicadapass.answers import Answer
+from cicadapass.commits import Commits
+from cicadapass.engines import TokenBatch
+from cicadapass.execution import Execution
+from cicadapass.executionparts import ExecutionParts
+from cicadapass.grants import AcquireRequest, Grant
+from cicadapass.render import AnswerFormat
+from cicadapass.requests import AcceptedRequest, ChatRequest
+from cicadapass.upstreamhttp import CallFailure
+from cicadapass_common.copymessages import Binding
+from cicadapass_common.events import LOGGER_NAME, EventLog
+from cicadapass_decisions.policy import RetryRules
+from cicadapass_decisions.retry import RetryBudget, next_step
+from cicadapass_decisions.work import WorkClass, WorkKind
+
+WAIT_S = 20.0
+SERVICE = "f/parts"
+WORK = WorkClass(WorkKind.SHORT, 20, 20.0)
+BROKEN = CallFailure("broken", sent=True)
+UNSENT = CallFailure("no connection", sent=False)
+# Thousands of runs would fill the output with their events.
+logging.getLogger(LOGGER_NAME).addHandler(logging.NullHandler())
+RULES = RetryRules(backoff_s=0.0, budget_burst=100.0)
+
+
+class Fault(RuntimeError):
+    """A fault that a test puts into the node."""
+
+
+def token(index):
+    """Return the text of each token of the right answer."""
+    return f" t{index}"
+
+
+def chat_request(max_tokens=4):
+    """Return a request for that many tokens."""
+    chat = ChatRequest("parts", "user: hi", max_tokens, 0, AnswerFormat.EVENT_STREAM)
+    binding = Binding("f", "w", "0" * 64)
+    return AcceptedRequest("r", 1, binding, "parts", "m", 0, 1, 1e9, chat)
+
+
+class Script:
+    """Say what one attempt does: tokens, then its end.
+
+    `go` holds the stream back before its first token, which makes it late, until it
+    is set or the attempt is cancelled.
+    """
+
+    def __init__(self, tokens=4, end="done", first=None, opens=None, go=None):
+        self.tokens = tokens
+        self.end = end
+        self.first = first
+        self.opens = opens
+        self.go = go
+        self.closed = threading.Event()
+        self.on_late = lambda: None
+
+    def stream(self, call):
+        """Yield the batches of the attempt."""
+        if self.go is not None:
+            self.on_late()
+            self.go.wait(WAIT_S)
+        start = call.resume_from if self.first is None else self.first
+        for index in range(start, start + self.tokens):
+            if index < call.max_tokens:
+                yield Ok(TokenBatch(index, (token(index),), False))
+        total = min(start + self.tokens, call.max_tokens)
+        match self.end:
+            case "done":
+                yield Ok(TokenBatch(0, (), True, total))
+            case "short":
+                yield Ok(TokenBatch(0, (), True, total + 1))
+            case "broken":
+                yield Error(BROKEN)
+            case "gap":
+                yield Ok(TokenBatch(total + 1, (token(total + 1),), False))
+            case "raise":
+                raise Fault("stream")
+
+
+class _Stream:
+    def __init__(self, script, call):
+        self._script = script
+        self._call = call
+
+    def __iter__(self):
+        return self._script.stream(self._call)
+
+    def close(self):
+        self._script.closed.set()
+
+
+class World:
+    """Run one execution with scripted attempts."""
+
+    def __init__(self, scripts, max_tokens=4, rules=RULES, fault_at=None):
+        self.scripts = list(scripts)
+        self.fault_at = fault_at
+        self.calls = 0
+        self.granted = []
+        self.released = []
+        self.refusals = {}
+        self.opened = []
+        self.cancelled = []
+        self.ended = []
+        self.threads = []
+        self.checks = []
+        self.hedge_after_s = None
+        self._by_attempt = {}
+        self._rules = rules
+        self._lock = threading.Lock()
+        self.request = chat_request(max_tokens)
+        self.answer = Answer(self.request.head)
+        self.work = AcquireRequest("r", SERVICE, "f/w", WORK, 1e9)
+        self.execution = Execution(
+            self.request, self.answer, self._commits(), self.work, self._parts()
+        )
+
+    def run(self, grant=True):
+        """Start the execution and return once its threads have ended."""
+        first = self.acquire(self.work) if grant else None
+        self.execution.start(first)
+        self.join()
+        return self.answer
+
+    def join(self):
+        """Wait until all threads have ended."""
+        for thread in self.threads:
+            thread.join(WAIT_S)
+            if thread.is_alive():
+                raise AssertionError(f"{thread.name} has not ended")
+
+    def check_late(self):
+        """Let the time pass after which late attempts are hedged."""
+        checks, self.checks = self.checks, []
+        for check in checks:
+            check()
+
+    def step(self, kind):
+        """Count a call of the execution, and fail the chosen one."""
+        with self._lock:
+            self.calls += 1
+            if self.calls == self.fault_at:
+                raise Fault(kind)
+
+    # What the execution is given.
+
+    def acquire(self, asked):
+        self.step("acquire")
+        if asked.attempt in self.refusals:
+            return self.refusals[asked.attempt]
+        with self._lock:
+            number = len(self.granted) + 1
+            grant = Grant(number, asked, f"f/u{number}", WORK, 0.0, 0.0, False, ())
+            self.granted.append(grant)
+        return grant
+
+    def release(self, grant, outcome):
+        self.released.append((grant.number, outcome))
+        self.step("release")
+
+    def cancel(self, asked):
+        self.step("cancel waiting")
+
+    def progress(self, grant, outcome):
+        self.step("progress")
+
+    def observe_answer(self, work, tokens):
+        self.step("observe")
+
+    def next_step(self, service, attempts, failure, request):
+        self.step("next step")
+        budget = RetryBudget(100.0)
+        rng = random.Random(1)
+        return next_step(attempts, failure, request, budget, 0.0, rng, self._rules).step
+
+    def generate(self, url, call):
+        self.step("generate")
+        with self._lock:
+            script = self.scripts.pop(0) if self.scripts else Script()
+            self.opened.append((url, call))
+            script.on_late = self.check_late
+            self._by_attempt[call.attempt] = script
+        if script.opens is not None:
+            return Error(script.opens)
+        return Ok(_Stream(script, call))
+
+    def cancel_attempt(self, url, request_id, attempt):
+        self.cancelled.append(attempt)
+        script = self._by_attempt.get(attempt)
+        if script is not None and script.go is not None:
+            script.go.set()
+
+    def _commits(self):
+        def tokens_added(first, texts):
+            self.step("commit")
+            self.answer.commit(first + len(texts))
+
+        def finished():
+            self.step("finished")
+            self.answer.end()
+
+        return Commits(tokens_added, finished)
+
+    def _parts(self):
+        granting = _Named(
+            release=self.release,
+            cancel=self.cancel,
+            progress=self.progress,
+            observe_answer=self.observe_answer,
+            next_step=self.next_step,
+            hedge_after_s=lambda service: self.hedge_after_s,
+        )
+        engines = _Named(generate=self.generate, cancel=self.cancel_attempt)
+        return ExecutionParts(
+            acquire=self.acquire,
+            granting=granting,
+            engines=engines,
+            url_of=lambda upstream: f"http://{upstream}",
+            call_later=self._call_later,
+            events=EventLog("n", lambda: (0, 0)),
+            on_ended=self._on_ended,
+            clock=self._clock,
+            spawn=self.spawn,
+        )
+
+    def _call_later(self, check, delay_s):
+        self.checks.append(check)
+        if delay_s == 0.0:
+            check()
+
+    def _clock(self):
+        return 0.0
+
+    def _on_ended(self, execution):
+        self.ended.append(execution)
+        self.step("on ended")
+
+    def spawn(self, name, work):
+        self.step("spawn")
+        thread = threading.Thread(target=work, name=name, daemon=True)
+        self.threads.append(thread)
+        thread.start()
+
+
+class _Named:
+    def __init__(self, **functions):
+        self.__dict__.update(functions)
