Judge plain calls by the path that is sent and refuse cut heads

Faults found: - the path was decoded by the server, quoted again and normalised by urllib3, so the path judged for repeatability could differ from the path sent (dot segments, %2F, %25); - an upstream that closed within the head of its answer gave "200 OK" with an empty body, since http.client takes the end of the connection for the end of the head; - an exception while sending, and a large body whose caller left before the first byte, leaked the grant; a caller that left counted as a failure of the upstream; - a call past its deadline was sent, and the upstream got no remaining time; - the last 502/503/504 of a repeatable call was replaced by an error of the node; - control characters in headers ended in an internal error, Expect went on to the upstream, and an upstream could set Cicadapass-Verdict; - numbers such as a superscript two or 5000 digits ended in an internal error.

--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TypeVar
-from urllib.parse import parse_qs, quote
+from urllib.parse import parse_qs
 
 from expression import Result
 
 from cicadapass.delivery import ReadPiece, pieces, read_whole
+from cicadapass.headers import from_upstream, to_upstream
 from cicadapass.httpserver import Environ, StartResponse
 from cicadapass.plaincalls import PlainRequest, PlainResponse
 from cicadapass.problems import (
@@ -20,9 +21,10 @@
     unauthorized,
 )
 from cicadapass.requests import ChatRequest, parse_chat
-from cicadapass.services import pass_through
+from cicadapass.targets import SERVICES_PREFIX, plain_target
 from cicadapass.webreply import (
     Refused,
+    number_in,
     phrase_of,
     read_body,
     send,
@@ -39,7 +41,8 @@
 REQUEST_ID_HEADER = "Cicadapass-Request-Id"
 DURABILITY_HEADER = "Cicadapass-Durability"
 MAX_DEADLINE_MS = 86_400_000
-SERVICES_PREFIX = "/v1/services/"
+MAX_PRIORITY = 9
+MAX_OFFSET = 2**53
 REQUESTS_PREFIX = "/v1/requests/"
 
 
@@ -111,6 +114,8 @@
     def _authenticated(
         self, environ: Environ, start: StartResponse, path: str
     ) -> Iterable[bytes]:
+        # The request may wait for an upstream, so the pool may have to grow now.
+        self._parts.thread_taken()
         context = self._context(environ)
         method = environ["REQUEST_METHOD"]
         if path == "/v1/chat/completions" and method == "POST":
@@ -118,7 +123,7 @@
         if path.startswith(REQUESTS_PREFIX) and method == "GET":
             return self._answer(environ, start, context, path)
         if path.startswith(SERVICES_PREFIX):
-            return self._plain(environ, start, context, path)
+            return self._plain(environ, start, context)
         raise Refused(not_found("this path"))
 
     def _context(self, environ: Environ) -> CallerContext:
@@ -168,7 +173,6 @@
         streams: bool,
         from_byte: int,
     ) -> Iterable[bytes]:
-        self._parts.thread_taken()
         if streams:
             headers.append(("Content-Type", "text/event-stream"))
             headers.append(("Cache-Control", "no-store"))
@@ -183,23 +187,20 @@
         return send(start, HTTPStatus.OK, headers, piece.data)
 
     def _plain(
-        self, environ: Environ, start: StartResponse, context: CallerContext, path: str
+        self, environ: Environ, start: StartResponse, context: CallerContext
     ) -> Iterable[bytes]:
-        service, _, rest = path.removeprefix(SERVICES_PREFIX).partition("/")
-        target = "/" + quote(rest, safe="/:@!$&'()*+,;=-._~%")
-        if environ.get("QUERY_STRING"):
-            target += "?" + environ["QUERY_STRING"]
+        service, target = _value(plain_target(environ["REQUEST_URI"]))
         request = PlainRequest(
             service=service,
             method=environ["REQUEST_METHOD"],
             path=target,
-            headers=_headers(environ),
+            headers=_value(to_upstream(environ)),
             body=read_body(environ, self._parts.max_body_bytes),
             idempotency_key=environ.get("HTTP_IDEMPOTENCY_KEY"),
         )
         response = _value(self._parts.call_plain(context, request))
-        self._parts.thread_taken()
-        headers = [*response.headers, (REQUEST_ID_HEADER, response.request_id)]
+        headers = from_upstream(response.headers)
+        headers.append((REQUEST_ID_HEADER, response.request_id))
         start(f"{response.status} {phrase_of(response.status)}", headers)
         return response.body
 
@@ -220,38 +221,27 @@
 
 def _priority(environ: Environ, workspace: Workspace) -> int:
     text = environ.get("HTTP_CICADAPASS_PRIORITY", "0")
-    if len(text) != 1 or not text.isdigit():
-        remedy = "send a whole number from 0 to 9"
-        raise Refused(malformed("Cicadapass-Priority is not a digit", remedy))
-    return min(int(text), workspace.max_priority)
+    priority = number_in(text, 0, MAX_PRIORITY)
+    if priority is None:
+        remedy = f"send a whole number from 0 to {MAX_PRIORITY}"
+        raise Refused(malformed("Cicadapass-Priority is out of range", remedy))
+    return min(priority, workspace.max_priority)
 
 
 def _deadline_s(environ: Environ) -> float | None:
     text = environ.get("HTTP_CICADAPASS_DEADLINE_MS")
     if text is None:
         return None
-    if not text.isdigit() or not 0 < int(text) <= MAX_DEADLINE_MS:
+    deadline_ms = number_in(text, 1, MAX_DEADLINE_MS)
+    if deadline_ms is None:
         remedy = f"send a whole number of ms from 1 to {MAX_DEADLINE_MS}"
         raise Refused(malformed("Cicadapass-Deadline-Ms is out of range", remedy))
-    return int(text) / 1000
+    return deadline_ms / 1000
 
 
 def _from_byte(environ: Environ) -> int:
     values = parse_qs(environ.get("QUERY_STRING", "")).get("from", ["0"])
-    if len(values) != 1 or not values[0].isdigit():
+    from_byte = number_in(values[0], 0, MAX_OFFSET) if len(values) == 1 else None
+    if from_byte is None:
         raise Refused(malformed("from is not a byte offset", "send from=0 or more"))
-    return int(values[0])
-
-
-def _headers(environ: Environ) -> tuple[tuple[str, str], ...]:
-    named = {
-        key.removeprefix("HTTP_").replace("_", "-").title(): value
-        for key, value in environ.items()
-        if key.startswith("HTTP_")
-    }
-    if environ.get("CONTENT_TYPE"):
-        named["Content-Type"] = environ["CONTENT_TYPE"]
-    # The credential is for this system, not for the service behind it.
-    named.pop("Authorization", None)
-    named.pop("Content-Length", None)
-    return pass_through(named)
+    return from_byte
--- /dev/null
+++ b/packages/node/cicadapass/headers.py
@@ -0,0 +1,68 @@
+"""The headers of plain calls: which pass through, and which are refused."""
+
+import re
+from collections.abc import Iterable, Mapping
+
+from expression import Error, Ok, Result
+
+from cicadapass.httpserver import Environ
+from cicadapass.problems import Problem, malformed
+
+# Headers that belong to one connection (RFC 9110, 7.6.1) or to the exchange with the
+# server that was asked: the node has answered `Expect` itself.
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Headers that the node sets in answers; an upstream must not speak for it.
+OWN_HEADERS = frozenset(
+    {"cicadapass-request-id", "cicadapass-verdict", "cicadapass-durability"}
+)
+_TOKEN = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+# A line end in a value would start another header at the upstream.
+_CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def to_upstream(environ: Environ) -> Result[Headers, Problem]:
+    """Return the headers that the upstream gets; refuse a request with bad ones."""
+    if not _TOKEN.fullmatch(environ["REQUEST_METHOD"]):
+        return Error(malformed("the method is no token", "send a valid method"))
+    named = {
+        key.removeprefix("HTTP_").replace("_", "-").title(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        named["Content-Type"] = environ["CONTENT_TYPE"]
+    # The credential is for this system, not for the service behind it.
+    named.pop("Authorization", None)
+    for name, value in named.items():
+        if not _TOKEN.fullmatch(name) or _CONTROL.search(value):
+            remedy = "send names that are tokens and values without control characters"
+            return Error(malformed("a header is malformed", remedy))
+    return Ok(pass_through(named))
+
+
+def from_upstream(headers: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers of an upstream's answer that the caller gets."""
+    return [(name, value) for name, value in headers if name.lower() not in OWN_HEADERS]
+
+
+def pass_through(headers: Mapping[str, str]) -> Headers:
+    """Return the headers that are not tied to one connection."""
+    named = headers.get("Connection", "").lower().split(",")
+    dropped = HOP_HEADERS | {name.strip() for name in named}
+    return tuple((k, v) for k, v in headers.items() if k.lower() not in dropped)
--- a/packages/node/cicadapass/plaincalls.py
+++ b/packages/node/cicadapass/plaincalls.py
@@ -79,6 +79,42 @@
     first_byte_s: float
 
 
+class _StreamedBody:
+    """Pass a large body on; an upstream that breaks cuts the caller's answer visibly.
+
+    The server closes the body on each path, also if it never asks for a byte, which
+    would not start a generator and so would not end it either.
+    """
+
+    def __init__(self, opened: _Opened, on_end: Callable[[bool], None]) -> None:
+        self._opened = opened
+        self._on_end: Callable[[bool], None] | None = on_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield self._opened.head
+        rest = self._opened.answer.rest()
+        while True:
+            try:
+                chunk = next(rest, None)
+            except BaseException:
+                self._end(failed=True)
+                raise
+            if chunk is None:
+                break
+            yield chunk
+        self._end(failed=False)
+
+    def close(self) -> None:
+        """Drop the rest, for example because the caller has gone."""
+        self._end(failed=False)
+
+    def _end(self, *, failed: bool) -> None:
+        on_end, self._on_end = self._on_end, None
+        if on_end is not None:
+            self._opened.answer.close()
+            on_end(failed)
+
+
 class PlainExecution:
     """Run the attempts of one plain call in the thread of the caller."""
 
@@ -94,6 +130,7 @@
         self._parts = parts
         self._may_send = may_send
         self._attempts: list[Attempt] = []
+        self._own_error: PlainResponse | None = None
 
     def run(self) -> Result[PlainResponse, Problem]:
         """Return the answer, or the problem with the verdict on the effect."""
@@ -109,7 +146,9 @@
                 return Ok(result)
             step = self._next_step(result)
             if isinstance(step, GiveUp):
-                return Error(gave_up(step))
+                # The service's own error says more than one of the node.
+                own = self._own_error
+                return Error(gave_up(step)) if own is None else Ok(own)
 
     def _next_step(self, failure: Failure) -> Retry | GiveUp:
         """Return when it is time for another attempt or none is made."""
@@ -135,84 +174,92 @@
 
     def _attempt(self, grant: Grant) -> PlainResponse | Failure:
         began_s = self._parts.clock()
-        opened = self._open(grant, began_s)
+        self._own_error = None
+        try:
+            opened = self._open(grant, began_s)
+        except BaseException:
+            self._release(grant, began_s, failed=True)
+            raise
         if isinstance(opened, Failure):
-            self._release(grant, began_s, failure=opened)
-            self._attempts.append(
-                Attempt(grant.upstream, sent=opened.sent, failure=opened.kind)
-            )
-            self._parts.events.emit(
-                453,
-                request_id=self._work.request_id,
-                upstream=grant.upstream,
-                failure=str(opened.kind),
-                tokens=0,
-            )
+            self._release(grant, began_s, failed=True)
+            self._failed(grant, opened)
             return opened
         if opened.whole:
             self._release(grant, began_s, opened.first_byte_s)
-            body: Iterable[bytes] = [opened.head]
-        else:
-            body = self._rest(grant, opened, began_s)
+            return self._whole(opened)
+        first_byte_s = opened.first_byte_s
+
+        def on_end(failed: bool) -> None:
+            self._release(grant, began_s, first_byte_s, failed=failed)
+
+        return self._response(opened.answer, _StreamedBody(opened, on_end))
+
+    def _failed(self, grant: Grant, failure: Failure) -> None:
+        attempt = Attempt(grant.upstream, sent=failure.sent, failure=failure.kind)
+        self._attempts.append(attempt)
+        self._parts.events.emit(
+            453,
+            request_id=self._work.request_id,
+            upstream=grant.upstream,
+            failure=str(failure.kind),
+            tokens=0,
+        )
+
+    def _whole(self, opened: _Opened) -> PlainResponse:
         answer = opened.answer
-        headers = answer.headers
-        if opened.whole and self._call.method != "HEAD":
-            headers = _with_length(headers, len(opened.head))
-        return PlainResponse(self._work.request_id, answer.status, headers, body)
+        response = self._response(answer, [opened.head])
+        # These answers have no body, but may state the length that another would have.
+        if self._call.method == "HEAD" or answer.status in (204, 304):
+            return response
+        headers = _with_length(answer.headers, len(opened.head))
+        return replace(response, headers=headers)
+
+    def _response(self, answer: PlainAnswer, body: Iterable[bytes]) -> PlainResponse:
+        request_id = self._work.request_id
+        return PlainResponse(request_id, answer.status, answer.headers, body)
 
     def _open(self, grant: Grant, began_s: float) -> _Opened | Failure:
         url = self._parts.url_of(grant.upstream)
-        if url is None or not self._may_send():
+        left_s = self._work.deadline_s - began_s
+        if url is None or left_s <= 0 or not self._may_send():
             return Failure(FailureKind.REFUSED, sent=False)
-        result = self._parts.client.call(url, self._call)
+        result = self._parts.client.call(url, self._call, left_s)
         if result.is_error():
             return failure_of(result.error)
         answer = result.ok
         first_byte_s = self._parts.clock() - began_s
-        failure = self._judge(answer)
-        if failure is not None:
-            answer.close()
-            return failure
         try:
+            if answer.proves_not_run and answer.status >= 500:
+                answer.close()
+                return Failure(FailureKind.REJECTED, sent=True)
             head, whole = answer.read_up_to(BUFFERED_BODY_BYTES)
         except (urllib3.exceptions.HTTPError, OSError):
             answer.close()
             return Failure(FailureKind.BROKEN, sent=True)
-        return _Opened(answer, head, whole, first_byte_s)
-
-    def _judge(self, answer: PlainAnswer) -> Failure | None:
-        """Return a failure for answers that another upstream may do better."""
-        if answer.status < 500:
-            return None
-        if answer.proves_not_run:
-            return Failure(FailureKind.REJECTED, sent=True)
-        if self._call.repeatable and answer.status in (502, 503, 504):
+        opened = _Opened(answer, head, whole, first_byte_s)
+        if self._another_may_do_better(answer.status):
+            answer.close()
+            self._own_error = self._whole(opened) if whole else None
             return Failure(FailureKind.BROKEN, sent=True)
-        # Any other error is the service's own answer and passes through.
-        return None
+        return opened
 
-    def _rest(self, grant: Grant, opened: _Opened, began_s: float) -> Iterator[bytes]:
-        failure: Failure | None = Failure(FailureKind.BROKEN, sent=True)
-        try:
-            yield opened.head
-            yield from opened.answer.rest()
-            failure = None
-        finally:
-            # A broken upstream raises here, which cuts the caller's answer visibly.
-            opened.answer.close()
-            self._release(grant, began_s, opened.first_byte_s, failure)
+    def _another_may_do_better(self, status: int) -> bool:
+        # Any other error is the service's own answer and passes through.
+        return self._call.repeatable and status in (502, 503, 504)
 
     def _release(
         self,
         grant: Grant,
         began_s: float,
         first_byte_s: float | None = None,
-        failure: Failure | None = None,
+        *,
+        failed: bool = False,
     ) -> None:
+        total_s = self._parts.clock() - began_s
         outcome = Outcome(
             timing=Timing(first_token_s=first_byte_s),
-            total_s=None if failure else self._parts.clock() - began_s,
-            failed=failure is not None,
+            total_s=None if failed else total_s,
+            failed=failed,
         )
         self._parts.granting.release(grant, outcome)
 
--- a/packages/node/cicadapass/services.py
+++ b/packages/node/cicadapass/services.py
@@ -1,30 +1,24 @@
 """The HTTP client of plain services."""
 
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
 import urllib3
 from expression import Error, Ok, Result
 
-from cicadapass.upstreamhttp import CallFailure, Timeouts, classify, timeout_of
+from cicadapass.headers import pass_through
+from cicadapass.upstreamhttp import (
+    CallFailure,
+    Timeouts,
+    classify,
+    new_pool,
+    timeout_of,
+)
 
+# The upstream gets the time that is left, not what the caller had.
+DEADLINE_HEADER = "Cicadapass-Deadline-Ms"
 # An upstream that sets this header on an error proves that it ran nothing.
 NOT_RUN_HEADER = "Cicadapass-Not-Run"
-# Headers that belong to one connection and are not passed through (RFC 9110, 7.6.1).
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 BODY_CHUNK_BYTES = 64 * 1024
 
 
@@ -82,33 +76,40 @@
         self._pool = pool
         self._timeouts = timeouts
 
-    def call(self, url: str, call: PlainCall) -> Result[PlainAnswer, CallFailure]:
-        """Pass one call through and return the answer once its head is here."""
+    def call(
+        self, url: str, call: PlainCall, left_s: float
+    ) -> Result[PlainAnswer, CallFailure]:
+        """Pass one call through and return the answer once its head is here.
+
+        `left_s` is the time to the deadline, after which nobody waits for the answer.
+        """
+        timeouts = replace(
+            self._timeouts,
+            connect_s=min(self._timeouts.connect_s, left_s),
+            read_s=min(self._timeouts.read_s, left_s),
+        )
         pool = self._pool if call.repeatable else _one_connection()
         try:
             response = pool.request(
                 call.method,
-                url + call.path,
+                url.rstrip("/") + call.path,
                 body=call.body or None,
-                headers=dict(call.headers),
+                headers=dict(call.headers) | {DEADLINE_HEADER: _ms(left_s)},
                 preload_content=False,
                 redirect=False,
                 retries=False,
-                timeout=timeout_of(self._timeouts),
+                timeout=timeout_of(timeouts),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(classify(error))
         return Ok(PlainAnswer(response))
 
 
+def _ms(seconds: float) -> str:
+    return str(max(1, int(seconds * 1000)))
+
+
 def _one_connection() -> urllib3.PoolManager:
     # A kept connection may be closed by the upstream while the call is on its way,
     # and then nobody knows whether the call ran. A fresh connection avoids this.
-    return urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
-
-
-def pass_through(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
-    """Return the headers that are not tied to one connection."""
-    named = headers.get("Connection", "").lower().split(",")
-    dropped = HOP_HEADERS | {name.strip() for name in named}
-    return tuple((k, v) for k, v in headers.items() if k.lower() not in dropped)
+    return new_pool(1)
--- a/packages/node/cicadapass/upstreamhttp.py
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -4,6 +4,8 @@
 
 import urllib3
 
+from cicadapass.wholehead import require_whole_heads
+
 
 @dataclass(frozen=True, slots=True)
 class CallFailure:
@@ -47,4 +49,5 @@
 
 def new_pool(max_connections: int) -> urllib3.PoolManager:
     """Return a connection pool for upstreams that never retries by itself."""
-    return urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
+    pool = urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
+    return require_whole_heads(pool)
--- a/packages/node/cicadapass/webreply.py
+++ b/packages/node/cicadapass/webreply.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from cheroot.errors import MaxSizeExceeded
+
 from cicadapass.httpserver import RECEIVE_LIMIT_KEY, Environ, StartResponse
-from cicadapass.problems import Problem, slow_body, too_large
+from cicadapass.problems import Problem, malformed, slow_body, too_large
 
 Headers = list[tuple[str, str]]
 
@@ -19,26 +21,45 @@
         self.problem = problem
 
 
+def number_in(text: str, low: int, high: int) -> int | None:
+    """Return the whole number in the text, or None if it is none of the range."""
+    # `isdigit` alone takes digits of other scripts, and `int` refuses long texts.
+    if not (text.isascii() and text.isdigit()) or len(text) > len(str(high)):
+        return None
+    return int(text) if low <= int(text) <= high else None
+
+
 def read_body(environ: Environ, limit_bytes: int) -> bytes:
     """Return the body; raise Refused if it is too large or does not arrive."""
-    declared = environ.get("CONTENT_LENGTH") or "0"
-    if not declared.isdigit() or int(declared) > limit_bytes:
+    declared = number_in(environ.get("CONTENT_LENGTH") or "0", 0, limit_bytes)
+    if declared is None:
         raise Refused(too_large(limit_bytes))
     receive_limit = environ.get(RECEIVE_LIMIT_KEY, contextlib.nullcontext)
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
     try:
         with receive_limit():
-            wanted = limit_bytes + 1 if chunked else int(declared)
-            body = environ["wsgi.input"].read(wanted)
+            wanted = limit_bytes + 1 if chunked else declared
+            body: bytes = environ["wsgi.input"].read(wanted)
+    except MaxSizeExceeded as error:
+        raise Refused(too_large(limit_bytes)) from error
+    except ValueError as error:
+        remedy = "send the chunks as RFC 9112 describes them"
+        raise Refused(malformed("the chunked body is malformed", remedy)) from error
     except OSError as error:
-        raise Refused(slow_body()) from error
+        raise Refused(_unread(error, limit_bytes)) from error
     if len(body) > limit_bytes:
         raise Refused(too_large(limit_bytes))
-    if not chunked and len(body) < int(declared):
+    if not chunked and len(body) < declared:
         raise Refused(slow_body())
     return body
 
 
+def _unread(error: OSError, limit_bytes: int) -> Problem:
+    # The server reports an overlong chunk by an error without a number.
+    overlong = error.errno is None and not isinstance(error, TimeoutError)
+    return too_large(limit_bytes) if overlong else slow_body()
+
+
 def status_line(status: HTTPStatus) -> str:
     """Return the status with its phrase."""
     return f"{status.value} {status.phrase}"
