--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -33,6 +33,33 @@
 111 error part_given_up(part, reason)
     A part failed too often; the node stops.
 
+200 info config_in_force(version, author, publish_id)
+    The node serves this version.
+201 warning publish_rejected(publish_id, version)
+    A publish is not valid; this version stays.
+202 warning publish_conflict(publish_id, version, author)
+    A publish lost to this version.
+203 warning record_skipped(offset, reason)
+    A record of the log cannot be used.
+204 info config_adopted(version)
+    A snapshot became the node's state.
+205 warning config_gap(next_offset, first_offset)
+    Records that the node has not read have expired.
+206 error config_missing(reason)
+    The node has no configuration and is not ready.
+207 warning config_log_lost(reason)
+    The log cannot be read; the configuration stays in force.
+208 info config_log_found(offset)
+    The log can be read again.
+209 info snapshot_appended(offset, version)
+    The node appended a snapshot.
+210 warning snapshot_failed(reason)
+    The node could not append a snapshot.
+211 error config_unusable(version, problems)
+    This program cannot use the version in force; the older one stays.
+212 warning config_fetch_failed(reason)
+    No peer answered with the configuration.
+
 300 info member_joined(member, data_centre)
     A member was seen for the first time.
 301 warning member_suspected(member, data_centre)
--- a/packages/node/cicadapass/attempts.py
+++ b/packages/node/cicadapass/attempts.py
@@ -169,13 +169,11 @@
     def _copy_tokens(
         self, thread: int, grant: Grant, stream: TokenStream, meter: Meter
     ) -> Failure | None:
-        for result in stream:
-            if result.is_error():
-                return failure_of(result.error)
-            batch = result.ok
-            if not self._take(thread, grant, batch, meter) or batch.done:
-                return None
-        return BROKEN
+        def take(batch: TokenBatch) -> bool:
+            return self._take(thread, grant, batch, meter)
+
+        failure = stream.run(take, self._parts.engines.silence_s)
+        return None if failure is None else failure_of(failure)
 
     def _take(self, thread: int, grant: Grant, batch: TokenBatch, meter: Meter) -> bool:
         """Write the tokens of a batch and return whether the attempt goes on."""
--- /dev/null
+++ b/packages/node/cicadapass/receiving.py
@@ -0,0 +1,200 @@
+"""Bound what a sender can make the server wait for, read and keep open."""
+
+import contextlib
+import errno
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+from cheroot.server import HTTPConnection, HTTPRequest
+
+from cicadapass.problems import Problem, internal, malformed, slow_body
+
+# An unread body up to this size is read before the answer, so that the connection
+# can be used again.
+DRAIN_BYTES = 64 * 1024
+# A connection with an unread body is read for this long after the answer, since
+# closing it at once would reset it and might take the answer from the sender.
+LINGER_S = 1.0
+LINGER_BYTES = 1024 * 1024
+
+
+class ReceiveDeadlines:
+    """End the reading from connections whose request does not arrive in time.
+
+    The socket timeout alone restarts with each byte, so a sender that drips bytes
+    could hold a thread for ever.
+    """
+
+    def __init__(self, limit_s: float, clock: Callable[[], float]) -> None:
+        self._limit_s = limit_s
+        self._clock = clock
+        self._due: dict[int, tuple[float, Any]] = {}
+        self._lock = threading.Lock()
+
+    @contextlib.contextmanager
+    def limit(self, connection: Any) -> Iterator[None]:
+        """Limit the time of the enclosed reads from the connection."""
+        key = id(connection)
+        with self._lock:
+            self._due[key] = (self._clock() + self._limit_s, connection)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._due.pop(key, None)
+
+    def close_late(self) -> int:
+        """End the reading from the late connections and return their number."""
+        now_s = self._clock()
+        # The lock is held until the end, so that no connection whose request has
+        # just arrived is shut down.
+        with self._lock:
+            late = [key for key, (due_s, _) in self._due.items() if due_s <= now_s]
+            for key in late:
+                _, connection = self._due.pop(key)
+                connection.end_reading()
+        return len(late)
+
+
+class ConnectionSlots:
+    """Count the open connections up to a limit."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._taken = 0
+        self._lock = threading.Lock()
+
+    @property
+    def taken(self) -> int:
+        """Return the number of open connections."""
+        return self._taken
+
+    def take(self) -> bool:
+        """Return whether there is room for one more connection."""
+        with self._lock:
+            if self._taken >= self._limit:
+                return False
+            self._taken += 1
+            return True
+
+    def give_back(self) -> None:
+        """Make room for another connection."""
+        with self._lock:
+            self._taken -= 1
+
+
+def connection_class(
+    deadlines: ReceiveDeadlines, slots: ConnectionSlots
+) -> type[HTTPConnection]:
+    """Return the class of the server's connections."""
+
+    class Request(HTTPRequest):
+        """Receive a request within the time limit; report errors as problems."""
+
+        def parse_request(self) -> None:
+            """Read the head of the request."""
+            with deadlines.limit(self.conn):
+                super().parse_request()
+
+        def simple_response(self, status: Any, msg: str = "") -> None:
+            """Answer an error of the server itself and end the connection."""
+            problem = _problem(str(status), msg, late=self.conn.late)
+            self.close_connection = True
+            self.conn.wfile.write(_answer(self.server.protocol, problem))
+
+    class Connection(HTTPConnection):
+        """Use the request class; hold one of the slots."""
+
+        RequestHandlerClass = Request
+        late = False
+        unread = False
+
+        def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
+            if not slots.take():
+                sock.close()
+                # The server takes this error for a connection that is gone.
+                raise ConnectionResetError(errno.ECONNRESET, "too many connections")
+            self._holds_slot = True
+            super().__init__(server, sock, makefile)
+
+        def end_reading(self) -> None:
+            """Make reads return the end; a plain connection can still be answered."""
+            self.late = True
+            # A TLS socket would send the answer unencrypted after a partial shutdown.
+            plain = self.server.ssl_adapter is None
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RD if plain else socket.SHUT_RDWR)
+
+        def close(self) -> None:
+            """Close the connection and give its slot back once."""
+            try:
+                if self.unread and self.server.ssl_adapter is None:
+                    _linger(self.socket)
+                super().close()
+            finally:
+                held, self._holds_slot = self._holds_slot, False
+                if held:
+                    slots.give_back()
+
+    return Connection
+
+
+def settle_body(request: Any, deadlines: ReceiveDeadlines) -> None:
+    """Read the rest of a request's body, or mark the connection to be closed.
+
+    What is left of a body would be taken for the next request.
+    """
+    remaining = getattr(request.rfile, "remaining", None)
+    if remaining is None:
+        whole = bool(request.rfile.closed)
+    elif remaining > DRAIN_BYTES:
+        whole = False
+    else:
+        with deadlines.limit(request.conn), contextlib.suppress(OSError):
+            request.rfile.read(remaining)
+        whole = request.rfile.remaining == 0
+    if not whole or request.conn.late:
+        request.close_connection = True
+        request.conn.unread = not whole
+
+
+def _problem(status: str, detail: str, *, late: bool) -> Problem:
+    if late:
+        return slow_body()
+    number = int(status[:3])
+    if number == HTTPStatus.INTERNAL_SERVER_ERROR:
+        return internal()
+    problem = malformed(detail or status, "send a request that RFC 9112 allows")
+    return Problem(
+        problem.name,
+        HTTPStatus(number),
+        problem.detail,
+        problem.remedy,
+        problem.verdict,
+    )
+
+
+def _answer(protocol: str, problem: Problem) -> bytes:
+    body = json.dumps(problem.members()).encode()
+    status = problem.status
+    headers = [
+        *problem.headers(),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    ]
+    lines = [f"{protocol} {status.value} {status.phrase}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def _linger(sock: socket.socket) -> None:
+    left = LINGER_BYTES
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+        sock.settimeout(LINGER_S)
+        while left > 0 and (data := sock.recv(min(left, 65_536))):
+            left -= len(data)
--- a/packages/node/cicadapass/webreply.py
+++ b/packages/node/cicadapass/webreply.py
@@ -94,7 +94,4 @@
 ) -> list[bytes]:
     """Send problem details."""
     all_headers = [*headers, *problem.headers()]
-    if problem.status is HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
-        # The rest of the body is not read, so the connection cannot be used again.
-        all_headers.append(("Connection", "close"))
     return send(start, problem.status, all_headers, problem.to_json())
--- a/tests/node/executionkit.py
+++ b/tests/node/executionkit.py
@@ -91,8 +91,13 @@
         self._script = script
         self._call = call
 
-    def __iter__(self):
-        return self._script.stream(self._call)
+    def run(self, take, silence_s):
+        for result in self._script.stream(self._call):
+            if result.is_error():
+                return result.error
+            if not take(result.ok) or result.ok.done:
+                return None
+        return BROKEN
 
     def close(self):
         self._script.closed.set()
@@ -219,7 +224,9 @@
             next_step=self.next_step,
             hedge_after_s=lambda service: self.hedge_after_s,
         )
-        engines = _Named(generate=self.generate, cancel=self.cancel_attempt)
+        engines = _Named(
+            generate=self.generate, cancel=self.cancel_attempt, silence_s=WAIT_S
+        )
         return ExecutionParts(
             acquire=self.acquire,
             granting=granting,
