--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -12,6 +12,7 @@
 from cicadapass.chunks import ChunkDecoder
 from cicadapass.streamloop import StreamLoop
 from cicadapass.upstreamhttp import (
+    NOT_RUN_HEADER,
     CallFailure,
     TakenSocket,
     Timeouts,
@@ -232,11 +233,14 @@
     tokens = items[:-1] if done else items
     if not tokens:
         return TokenBatch(0, (), done, total)
-    first_index = tokens[0]["i"]
-    texts = tuple(str(token["t"]) for token in tokens)
-    if tokens[-1]["i"] != first_index + len(texts) - 1:
-        raise ValueError("token indexes have a gap")
-    return TokenBatch(int(first_index), texts, done, total)
+    first_index = int(tokens[0]["i"])
+    indexes = [token["i"] for token in tokens]
+    if indexes != list(range(first_index, first_index + len(tokens))):
+        raise ValueError("token indexes are not in order")
+    texts = tuple(token["t"] for token in tokens)
+    # Raises for texts that are no strings or that UTF-8 cannot carry to a copy.
+    "".join(texts).encode()
+    return TokenBatch(first_index, texts, done, total)
 
 
 class EngineClient:
@@ -274,12 +278,11 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(classify(error))
         if response.status != 200:
-            # An engine that answers with an error status has not started the work.
+            # Only this header proves that the engine has not started the work.
+            refused = response.headers.get(NOT_RUN_HEADER) == "1"
+            response.close()
             reason = f"engine answered {response.status}"
-            failure = CallFailure(reason, sent=True, refused=True)
-            response.drain_conn()
-            response.release_conn()
-            return Error(failure)
+            return Error(CallFailure(reason, sent=True, refused=refused))
         return Ok(TokenStream(response, self._loop))
 
     def cancel(self, url: str, request_id: str, attempt: int) -> None:
--- a/packages/node/cicadapass/services.py
+++ b/packages/node/cicadapass/services.py
@@ -8,6 +8,7 @@
 
 from cicadapass.headers import pass_through
 from cicadapass.upstreamhttp import (
+    NOT_RUN_HEADER,
     CallFailure,
     Timeouts,
     classify,
@@ -17,8 +18,6 @@
 
 # The upstream gets the time that is left, not what the caller had.
 DEADLINE_HEADER = "Cicadapass-Deadline-Ms"
-# An upstream that sets this header on an error proves that it ran nothing.
-NOT_RUN_HEADER = "Cicadapass-Not-Run"
 BODY_CHUNK_BYTES = 64 * 1024
 
 
--- a/packages/node/cicadapass/upstreamhttp.py
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -10,6 +10,9 @@
 
 from cicadapass.wholehead import require_whole_heads
 
+# An upstream that sets this header to 1 on an error proves that it ran nothing.
+NOT_RUN_HEADER = "Cicadapass-Not-Run"
+
 
 @dataclass(frozen=True, slots=True)
 class CallFailure:
