Bound connections and unread bodies; state a verdict in the server's own errors

Faults found in httpserver.py and webreply.py: - an unread chunked body was taken for the next request, and "Connection: close" of the application did not close the connection; - one chunk could state any size and was read whole; a malformed chunk ended in an internal error; - an unread body was read without the time limit; - errors of cheroot itself (400, 408, 413, 501, 505, 500) were plain text without Cicadapass-Verdict; a late sender got no answer; - a connection whose request had just arrived could be shut down by an old deadline; - the number of connections had no bound, and only 10 were kept alive; - the TLS handshake ran in the accepting thread, where one silent sender held up all others; - stop() waited for hung requests without a limit.

Change: receiving.py holds deadlines, connection slots and the classes of connections and requests.

--- a/tests/node/test_engines.py
+++ b/tests/node/test_engines.py
@@ -102,11 +102,12 @@
             "[" * 100_000,
             "x",
         ):
-            self._assert_fails(HEAD + _chunk(line + "\n") + LAST)
+            self._assert_fails(HEAD + _chunks([line, DONE]) + LAST)
 
     def test_tokens_out_of_order_fail(self):
         """Swapped tokens would be delivered in the wrong order."""
         lines = [json.dumps({"i": i, "t": str(i)}) for i in (0, 2, 1, 3)]
+        lines.append('{"done": true, "tokens": 4}')
         self._assert_fails(HEAD + _chunk("\n".join(lines) + "\n") + LAST)
 
     def test_only_the_header_proves_that_nothing_ran(self):
--- /dev/null
+++ b/tests/node/test_httpserver.py
@@ -0,0 +1,267 @@
+"""Test the server with raw connections: limits, slow senders and broken requests."""
+
+import json
+import socket
+import threading
+
+import testtools
+
+from cicadapass.httpserver import HttpLimits, NodeHttpServer
+from cicadapass.receiving import ConnectionSlots, ReceiveDeadlines
+from cicadapass.webreply import Refused, read_body, send_json, send_problem
+
+WAIT_S = 20.0
+LIMITS = HttpLimits(
+    min_threads=2,
+    max_threads=8,
+    idle_reserve=1,
+    max_header_bytes=2048,
+    max_body_bytes=1000,
+    receive_timeout_s=0.3,
+    max_connections=4,
+)
+GET = b"GET / HTTP/1.1\r\nHost: n\r\n\r\n"
+CHUNKED = b"POST /read HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def _post(path, length, body=b""):
+    head = f"POST {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {length}\r\n\r\n"
+    return head.encode() + body
+
+
+class Client:
+    """A raw connection that reads answers with a stated length."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), WAIT_S)
+        self._file = self.socket.makefile("rb")
+
+    def send(self, data):
+        """Send the bytes; a server that has closed does not matter."""
+        try:
+            self.socket.sendall(data)
+        except OSError:
+            return
+
+    def answer(self):
+        """Return status, headers and body of the next answer, or None at the end."""
+        try:
+            line = self._file.readline()
+        except OSError:
+            return None
+        if not line:
+            return None
+        headers = {}
+        while (header := self._file.readline().strip()) != b"":
+            name, _, value = header.decode().partition(":")
+            headers[name.lower()] = value.strip()
+        body = self._file.read(int(headers.get("content-length", "0")))
+        return int(line.split()[1]), headers, body
+
+    def close(self):
+        """Close the connection."""
+        self._file.close()
+        self.socket.close()
+
+
+class HttpServerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.seen = []
+        self.go = threading.Event()
+        self.began = threading.Event()
+        self.addCleanup(self.go.set)
+        self.server = NodeHttpServer("127.0.0.1", 0, self._app, LIMITS)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+
+    def _app(self, environ, start):
+        path = environ["PATH_INFO"]
+        self.seen.append(path)
+        if path == "/hold":
+            self.began.set()
+            self.go.wait(WAIT_S)
+        if path == "/fault":
+            raise RuntimeError("fault")
+        if path == "/refuse":
+            return send_json(start, {"refused": True})
+        try:
+            body = read_body(environ, LIMITS.max_body_bytes)
+        except Refused as refused:
+            return send_problem(start, refused.problem)
+        return send_json(start, {"length": len(body)})
+
+    def _connect(self):
+        client = Client(self.server.port)
+        self.addCleanup(client.close)
+        return client
+
+    def _ask(self, data):
+        client = self._connect()
+        client.send(data)
+        return client, client.answer()
+
+    def _assert_refused(self, answer, status, verdict="not-run"):
+        self.assertEqual(status, answer[0])
+        self.assertEqual(verdict, answer[1].get("cicadapass-verdict"))
+        self.assertEqual("application/problem+json", answer[1]["content-type"])
+        self.assertEqual(verdict, json.loads(answer[2])["verdict"])
+
+    def test_a_connection_is_kept(self):
+        """Each request over a new connection would cost a round trip."""
+        client, answer = self._ask(GET)
+        self.assertEqual(200, answer[0])
+        client.send(_post("/read", 3, b"abc"))
+        self.assertEqual({"length": 3}, json.loads(client.answer()[2]))
+
+    def test_a_body_over_the_limit_is_refused_unread(self):
+        """A sender must not make the node read what it will refuse."""
+        for length in (1001, 10**12, 10**400):
+            client, answer = self._ask(_post("/read", length, b"x" * 500))
+            self._assert_refused(answer, 413)
+            self.assertEqual("close", answer[1]["connection"])
+            self.assertIsNone(client.answer())
+
+    def test_a_large_unread_body_ends_the_connection(self):
+        """Its bytes would be taken for the next request."""
+        body = GET * 4000
+        client, answer = self._ask(_post("/refuse", len(body), body))
+        self.assertEqual(200, answer[0])
+        self.assertIsNone(client.answer())
+        self.assertEqual(["/refuse"], self.seen)
+
+    def test_a_small_unread_body_keeps_the_connection(self):
+        """An error must not cost the caller its connection."""
+        client, answer = self._ask(_post("/refuse", len(GET), GET) + _post("/read", 0))
+        self.assertEqual(200, answer[0])
+        self.assertEqual({"length": 0}, json.loads(client.answer()[2]))
+        self.assertEqual(["/refuse", "/read"], self.seen)
+
+    def test_an_unread_chunked_body_ends_the_connection(self):
+        """The chunks would be taken for the next request."""
+        head = CHUNKED.replace(b"/read", b"/refuse")
+        client, answer = self._ask(head + b"1b\r\n" + GET + b"\r\n0\r\n\r\n")
+        self.assertEqual(200, answer[0])
+        self.assertIsNone(client.answer())
+        self.assertEqual(["/refuse"], self.seen)
+
+    def test_a_chunked_body_is_read_and_bounded(self):
+        """A chunk may state any size, so the limit must hold for it as well."""
+        _, answer = self._ask(CHUNKED + b"3\r\nabc\r\n0\r\n\r\n")
+        self.assertEqual({"length": 3}, json.loads(answer[2]))
+        for size in (b"3e9", b"ffffffffff"):
+            _, answer = self._ask(CHUNKED + size + b"\r\n" + b"x" * 1001 + b"\r\n")
+            self._assert_refused(answer, 413)
+
+    def test_a_malformed_chunk_is_refused(self):
+        """It is the sender's mistake and nothing ran."""
+        for chunk in (b"zz\r\n", b"3\r\nabcd\r\n0\r\n\r\n"):
+            _, answer = self._ask(CHUNKED + chunk)
+            self._assert_refused(answer, 400)
+
+    def test_a_slow_head_is_cut(self):
+        """A sender that drips a head must not hold a thread."""
+        client = self._connect()
+        client.send(b"GET / HTTP/1.1\r\nHost: n\r\n")
+        self._assert_refused(client.answer(), 408)
+        self.assertIsNone(client.answer())
+        self.assertEqual([], self.seen)
+
+    def test_a_slow_body_is_cut(self):
+        """A sender that drips a body must not hold a thread, read or not."""
+        for path in ("/read", "/refuse"):
+            client, answer = self._ask(_post(path, 10, b"abc"))
+            self.assertEqual(408 if path == "/read" else 200, answer[0])
+            self.assertIsNone(client.answer())
+
+    def test_errors_of_the_server_carry_a_verdict(self):
+        """Callers must know that nothing ran, also when the server refuses."""
+        for request, status in (
+            (b"nonsense\r\n\r\n", 400),
+            (b"GET / HTTP/9.9\r\n\r\n", 505),
+            (b"GET / HTTP/1.1\r\nX: " + b"x" * 4000 + b"\r\n\r\n", 413),
+            (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501),
+        ):
+            _, answer = self._ask(request)
+            self._assert_refused(answer, status)
+        self.assertEqual([], self.seen)
+
+    def test_a_fault_of_the_application_is_unknown(self):
+        """A fault after the request was read says nothing about its effect."""
+        _, answer = self._ask(GET.replace(b"/ ", b"/fault "))
+        self._assert_refused(answer, 500, "unknown")
+
+    def test_expect_continue_is_answered(self):
+        """Some clients send no body before it."""
+        client = self._connect()
+        client.send(
+            b"POST /read HTTP/1.1\r\nHost: n\r\nExpect: 100-continue\r\n"
+            b"Content-Length: 3\r\n\r\n"
+        )
+        self.assertEqual(100, client.answer()[0])
+        client.send(b"abc")
+        self.assertEqual({"length": 3}, json.loads(client.answer()[2]))
+
+    def test_head_and_options_have_answers(self):
+        """Balancers probe with these methods."""
+        for method in (b"HEAD", b"OPTIONS"):
+            client = self._connect()
+            client.send(GET.replace(b"GET", method))
+            self.assertIn(b"200 OK", client._file.readline())
+
+    def test_the_number_of_connections_is_bounded(self):
+        """Idle connections must not use up the node's files."""
+        kept = [self._ask(GET)[0] for _ in range(LIMITS.max_connections)]
+        self.assertIsNone(self._ask(GET)[1])
+        kept[0].close()
+        # The server sees the end of the first connection at some time.
+        for _ in range(1000):
+            if self._ask(GET)[1] is not None:
+                return
+        self.fail("a closed connection made no room")
+
+    def test_a_stop_ends_requests_in_progress_first(self):
+        """A planned stop must not cut an answer."""
+        client = self._connect()
+        client.send(GET.replace(b"/ ", b"/hold "))
+        self.assertTrue(self.began.wait(WAIT_S))
+        stopper = threading.Thread(target=self.server.stop)
+        stopper.start()
+        self.go.set()
+        self.assertEqual(200, client.answer()[0])
+        stopper.join(WAIT_S)
+        self.assertFalse(stopper.is_alive())
+
+
+class ReceiveDeadlinesTest(testtools.TestCase):
+    def test_only_late_connections_end(self):
+        """A request that has arrived must never be cut by an old deadline."""
+        now_s = 0.0
+        ended = []
+
+        class Connection:
+            def end_reading(self):
+                ended.append(self)
+
+        deadlines = ReceiveDeadlines(1.0, lambda: now_s)
+        late, done, early = Connection(), Connection(), Connection()
+        with deadlines.limit(late):
+            with deadlines.limit(done):
+                pass
+            now_s = 0.5
+            with deadlines.limit(early):
+                now_s = 1.0
+                self.assertEqual(1, deadlines.close_late())
+                self.assertEqual(0, deadlines.close_late())
+        self.assertEqual([late], ended)
+
+
+class ConnectionSlotsTest(testtools.TestCase):
+    def test_the_limit_holds(self):
+        """A slot that is given back twice would raise the limit."""
+        slots = ConnectionSlots(1)
+        self.assertTrue(slots.take())
+        self.assertFalse(slots.take())
+        slots.give_back()
+        self.assertTrue(slots.take())
