Restart parts that fail to start, let asks outlive a restart, and keep timers

Faults found: - a part whose on_start failed was dead and nobody restarted it; - an exception of a start function during a restart killed the supervisor, after which no part was restarted; - the give-up function was called again for each later failure; - an ask of a part that was being restarted failed the caller's request; the message was certainly unhandled, so it is now asked again within its time; - a timer added between run_due and the wait was only called after the next other one, or never; subscribers were still called after stop().

--- a/packages/node/cicadapass/supervisor.py
+++ b/packages/node/cicadapass/supervisor.py
@@ -34,7 +34,18 @@
         traceback: TracebackType | None,
     ) -> None:
         """Tell the supervisor, which decides whether to restart."""
-        self._supervisor.tell(PartFailed(self._name, repr(exception_value)))
+        try:
+            self._supervisor.tell(PartFailed(self._name, repr(exception_value)))
+        except pykka.ActorDeadError:
+            # The node stops, so nobody restarts its parts.
+            return
+
+    def _actor_loop_setup(self) -> None:
+        # pykka stops an actor whose `on_start` fails, but calls no `on_failure`.
+        super()._actor_loop_setup()
+        if self.actor_stopped.is_set():
+            error = RuntimeError("on_start failed; the log has the traceback")
+            self.on_failure(RuntimeError, error, None)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,7 +75,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._ref: pykka.ActorRef[Any] | None = None
-        self._set = threading.Event()
+        self._bound = threading.Condition()
 
     @property
     def name(self) -> str:
@@ -73,25 +84,43 @@
 
     def bind(self, ref: pykka.ActorRef[Any]) -> None:
         """Point to the part's current actor."""
-        self._ref = ref
-        self._set.set()
+        with self._bound:
+            self._ref = ref
+            self._bound.notify_all()
 
     def tell(self, message: object) -> None:
         """Send the message; drop it if the part is being restarted."""
         try:
-            self._current().tell(message)
+            if self._ref is not None:
+                self._ref.tell(message)
         except pykka.ActorDeadError:
             # The owner of lost state rebuilds it, so a dropped message is safe.
             return
 
     def ask(self, message: object, timeout_s: float) -> Any:
-        """Return the part's answer; raise pykka.Timeout or ActorDeadError."""
-        return self._current().ask(message, timeout=timeout_s)
-
-    def _current(self) -> pykka.ActorRef[Any]:
-        if self._ref is None:
-            raise pykka.ActorDeadError(f"part {self._name} has not been started")
-        return self._ref
+        """Return the part's answer, waiting for its restart if needed.
+
+        Raise pykka.Timeout, or ActorDeadError if the part is not restarted in time.
+        """
+        until_s = time.monotonic() + timeout_s
+        dead = None
+        while True:
+            left_s = until_s - time.monotonic()
+            ref = self._other_than(dead, left_s)
+            if ref is None:
+                raise pykka.ActorDeadError(f"part {self._name} does not run")
+            try:
+                return ref.ask(message, timeout=max(0.0, left_s))
+            except pykka.ActorDeadError:
+                # A dead actor has not handled the message, so it may be sent again.
+                dead = ref
+
+    def _other_than(
+        self, dead: pykka.ActorRef[Any] | None, wait_s: float
+    ) -> pykka.ActorRef[Any] | None:
+        with self._bound:
+            self._bound.wait_for(lambda: self._ref is not dead, wait_s)
+            return None if self._ref is dead else self._ref
 
 
 class Supervisor(pykka.ThreadingActor):
@@ -117,8 +146,8 @@
         """Start parts, restart failed ones, or stop all."""
         match message:
             case StartPart(name, start):
-                self._starts[name] = start
                 self._refs[name] = start()
+                self._starts[name] = start
             case PartFailed(name, reason):
                 self._restart(name, reason)
             case StopParts():
@@ -129,11 +158,17 @@
         if name not in self._starts:
             return
         if self._too_often(name):
+            # Later reports of the part are not answered any more.
+            del self._starts[name]
             self._events.emit(111, part=name, reason=reason)
             self._on_give_up()
             return
         self._events.emit(110, part=name, reason=reason)
-        self._refs[name] = self._starts[name]()
+        try:
+            self._refs[name] = self._starts[name]()
+        except Exception as error:
+            # It counts as one more failure, so that the attempts stay bounded.
+            self.actor_ref.tell(PartFailed(name, repr(error)))
 
     def _too_often(self, name: str) -> bool:
         now_s = self._clock()
--- a/packages/node/cicadapass/timers.py
+++ b/packages/node/cicadapass/timers.py
@@ -71,9 +71,12 @@
             with self._changed:
                 entry = self._pop_due()
                 if entry is None:
-                    return self._heap[0].due_s - self._clock() if self._heap else None
+                    return self._until_next_s()
             self._call(entry)
 
+    def _until_next_s(self) -> float | None:
+        return self._heap[0].due_s - self._clock() if self._heap else None
+
     def _add(
         self, action: Callable[[], object], delay_s: float, interval_s: float | None
     ) -> Subscription:
@@ -87,7 +90,7 @@
     def _pop_due(self) -> _Entry | None:
         while self._heap and self._heap[0].cancelled:
             heapq.heappop(self._heap)
-        if not self._heap or self._heap[0].due_s > self._clock():
+        if self._stopped or not self._heap or self._heap[0].due_s > self._clock():
             return None
         entry = heapq.heappop(self._heap)
         if entry.interval_s is not None:
@@ -107,8 +110,9 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            wait_s = self.run_due()
+            self.run_due()
             with self._changed:
-                if self._stopped:
-                    return
-                self._changed.wait(wait_s)
+                # An entry added since `run_due` has notified nobody.
+                wait_s = self._until_next_s()
+                if not self._stopped and (wait_s is None or wait_s > 0):
+                    self._changed.wait(wait_s)
