Keep work without a caller through a stop, and send every metric

Faults found: - a stop waited for HTTP requests only, so the execution of a request whose caller had gone was cut; InProgress.spawn now counts the threads of executions; - an exception after the grant (placement, the table of owned requests) leaked it, and the request stayed owned without an end; a refusal by the table because of a later epoch was ignored and the request ran twice; - a request replaced under a later epoch kept the "ended" mark of the earlier one, and its readers were not woken; - 7 of the 12 metrics were never sent.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 
 docs: install
 	$(BIN)/python -m cicadapassctl.pages docs
+	$(BIN)/python -m cicadapass.metricspage docs
 
 unit: install
 	$(BIN)/python -m tests.run
--- a/packages/node/cicadapass/attempts.py
+++ b/packages/node/cicadapass/attempts.py
@@ -223,7 +223,7 @@
         )
         try:
             # The upstream may be the slow or dead one, and nothing depends on it.
-            self._parts.spawn("cancel", cancel)
+            self._parts.spawn_cancel("cancel", cancel)
         except RuntimeError:
             # Without a thread for it, the engine computes tokens for nobody.
             return
--- a/packages/node/cicadapass/executionparts.py
+++ b/packages/node/cicadapass/executionparts.py
@@ -19,7 +19,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutionParts:
-    """Hold what executions share; `spawn` raises RuntimeError without a thread."""
+    """Hold what executions share.
+
+    Both functions that start threads raise RuntimeError without one. A planned stop
+    waits for the threads of `spawn`, but not for those of `spawn_cancel`.
+    """
 
     acquire: Callable[[AcquireRequest], Grant | Refusal]
     granting: Granting
@@ -30,4 +34,5 @@
     on_ended: Callable[["Execution"], None]
     clock: Callable[[], float] = time.monotonic
     spawn: Callable[[str, Callable[[], None]], None] = start_thread
+    spawn_cancel: Callable[[str, Callable[[], None]], None] = start_thread
     telemetry: Telemetry = field(default_factory=no_telemetry)
--- a/packages/node/cicadapass/inprogress.py
+++ b/packages/node/cicadapass/inprogress.py
@@ -1,9 +1,13 @@
-"""Count the requests in progress, so that a planned stop can wait for them."""
+"""Count the requests in progress, so that a planned stop can wait for them.
+
+A request whose caller has gone is in progress until its answer has ended.
+"""
 
 import threading
 from collections.abc import Callable, Iterable, Iterator
 
 from cicadapass.httpserver import Environ, StartResponse, WsgiApp
+from cicadapass.misc import start_thread
 
 
 class InProgress:
@@ -28,6 +32,22 @@
         with self._changed:
             return self._changed.wait_for(lambda: self._count == 0, timeout_s)
 
+    def spawn(self, name: str, work: Callable[[], None]) -> None:
+        """Run the work of a request in a thread and count it until it ends."""
+
+        def counted() -> None:
+            try:
+                work()
+            finally:
+                self._add(-1)
+
+        self._add(1)
+        try:
+            start_thread(name, counted)
+        except BaseException:
+            self._add(-1)
+            raise
+
     def track(self, app: WsgiApp) -> WsgiApp:
         """Return the application with its requests counted."""
 
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -13,7 +13,7 @@
 from cicadapass.executionparts import ExecutionParts
 from cicadapass.failures import refused
 from cicadapass.grants import AcquireRequest, Grant
-from cicadapass.ownership import AddRequest, OwnedRequest
+from cicadapass.ownership import AddRequest, DropRequest, OwnedRequest
 from cicadapass.placement import Placement
 from cicadapass.problems import Problem, not_found
 from cicadapass.requests import AcceptedRequest, ChatRequest
@@ -54,6 +54,23 @@
         self, context: CallerContext, chat: ChatRequest
     ) -> Result[Accepted, Problem]:
         """Return the accepted request, or the problem with the verdict not-run."""
+        result = self._accept(context, chat)
+        telemetry = self._parts.execution.telemetry
+        if result.is_ok():
+            telemetry.count("requests.accepted")
+        else:
+            telemetry.count("requests.refused")
+        return result
+
+    def resume(self, request: AcceptedRequest, texts: tuple[str, ...]) -> Answer:
+        """Continue a request whose copy this node held."""
+        answer = Answer(request.head, texts)
+        self._parts.execution.telemetry.count("requests.adopted")
+        return self._run(request, answer, self._work_of(request), None)
+
+    def _accept(
+        self, context: CallerContext, chat: ChatRequest
+    ) -> Result[Accepted, Problem]:
         service = self._service(context.binding.fleet, chat.model)
         if service is None:
             return Error(not_found(f"model {chat.model}"))
@@ -62,26 +79,30 @@
         grant = self._parts.execution.acquire(work)
         if not isinstance(grant, Grant):
             return Error(refused(grant))
+        try:
+            return self._place_and_run(request, work, grant)
+        except BaseException:
+            self._parts.execution.granting.release(grant, Outcome())
+            raise
+
+    def _place_and_run(
+        self, request: AcceptedRequest, work: AcquireRequest, grant: Grant
+    ) -> Result[Accepted, Problem]:
         placed = self._parts.placement.place(request)
         if placed.is_error():
             self._parts.execution.granting.release(grant, Outcome())
             return Error(placed.error)
         request, durability = placed.ok
-        answer = self._run(request, Answer(request.head), work, grant)
         self._parts.events.emit(
             450,
             request_id=request.request_id,
             service=request.qualified_service,
-            workspace=context.workspace.qualified_name,
+            workspace=qualify(request.binding.fleet, request.binding.workspace),
             durability=durability,
         )
+        answer = self._run(request, Answer(request.head), work, grant)
         return Ok(Accepted(request.request_id, durability, local_reader(answer)))
 
-    def resume(self, request: AcceptedRequest, texts: tuple[str, ...]) -> Answer:
-        """Continue a request whose copy this node held."""
-        answer = Answer(request.head, texts)
-        return self._run(request, answer, self._work_of(request), None)
-
     def _run(
         self,
         request: AcceptedRequest,
@@ -92,10 +113,27 @@
         commits = self._parts.placement.commits(request, answer)
         execution = Execution(request, answer, commits, work, self._parts.execution)
         owned = OwnedRequest(request, answer, execution.stop)
-        self._parts.ownership.ask(AddRequest(owned), OWNERSHIP_TIMEOUT_S)
-        execution.start(grant)
+        if self._own(owned):
+            execution.start(grant)
+            return answer
+        # Another owner with a later epoch answers the request.
+        if grant is not None:
+            self._parts.execution.granting.release(grant, Outcome())
+        answer.abandon()
         return answer
 
+    def _own(self, owned: OwnedRequest) -> bool:
+        request = owned.request
+        try:
+            return bool(
+                self._parts.ownership.ask(AddRequest(owned), OWNERSHIP_TIMEOUT_S)
+            )
+        except BaseException:
+            # The owner of the table may still add it, and nobody would end it.
+            drop = DropRequest(request.request_id, request.epoch + 1)
+            self._parts.ownership.tell(drop)
+            raise
+
     def _service(self, fleet: str, name: str) -> Service | None:
         inventory = self._parts.inventory()
         service = inventory.service(fleet, name) if inventory else None
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -227,7 +227,7 @@
 
     def _on_ended(self, execution: Execution) -> None:
         request, answer = execution.request, execution.answer
-        self._ownership.tell(RequestEnded(request.request_id))
+        self._ownership.tell(RequestEnded(request.request_id, request.epoch))
         if answer.problem is None:
             self._events.emit(
                 451,
@@ -287,6 +287,8 @@
             call_later=self._timers.call_later,
             events=self._events,
             on_ended=self._on_ended,
+            spawn=self._in_progress.spawn,
+            telemetry=self._telemetry,
         )
 
     def _model_parts(self) -> ModelParts:
@@ -307,6 +309,7 @@
             url_of=self._url_of,
             events=self._events,
             sleep=time.sleep,
+            telemetry=self._telemetry,
         )
         return GateParts(self._inventory, plain, self._rng)
 
--- a/packages/node/cicadapass/ownership.py
+++ b/packages/node/cicadapass/ownership.py
@@ -37,9 +37,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestEnded:
-    """Tell that the answer of a request has ended."""
+    """Tell that the answer of a request has ended under the epoch given."""
 
     request_id: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,8 +89,8 @@
                 return self._add(owned)
             case FindRequest(request_id):
                 return self._owned.get(request_id)
-            case RequestEnded(request_id):
-                self._end(request_id)
+            case RequestEnded(request_id, epoch):
+                self._end(request_id, epoch)
             case DropRequest(request_id, epoch):
                 self._drop(request_id, epoch)
             case ListUnfinished():
@@ -104,15 +105,20 @@
         if current is not None and current.request.epoch >= request.epoch:
             return False
         if current is not None:
+            self._forget(request.request_id)
             current.stop()
+            current.answer.abandon()
         self._owned[request.request_id] = owned
         self._report()
         return True
 
-    def _end(self, request_id: str) -> None:
+    def _end(self, request_id: str, epoch: int) -> None:
         owned = self._owned.get(request_id)
         if owned is None or request_id in self._ended:
             return
+        if owned.request.epoch != epoch:
+            # The message of an execution that was replaced in the meantime.
+            return
         size_bytes = owned.answer.size_bytes
         self._ended[request_id] = (self._clock(), size_bytes)
         self._kept_bytes += size_bytes
--- a/packages/node/cicadapass/plaincalls.py
+++ b/packages/node/cicadapass/plaincalls.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import urllib3
 from expression import Error, Ok, Result
@@ -12,6 +12,7 @@
 from cicadapass.grants import AcquireRequest, Grant
 from cicadapass.problems import Problem
 from cicadapass.services import PlainAnswer, PlainCall, ServiceClient
+from cicadapass.telemetry import Telemetry, no_telemetry
 from cicadapass.upstreamtable import Outcome
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.admission import Refusal
@@ -69,6 +70,7 @@
     events: EventLog
     sleep: Callable[[float], None]
     clock: Callable[[], float] = time.monotonic
+    telemetry: Telemetry = field(default_factory=no_telemetry)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/cicadapass/plaingate.py
+++ b/packages/node/cicadapass/plaingate.py
@@ -18,6 +18,7 @@
 from cicadapass.problems import Problem, not_found
 from cicadapass.services import PlainCall
 from cicadapass_decisions.inventory import Inventory, Service, ServiceKind
+from cicadapass_decisions.types import Verdict
 from cicadapass_decisions.work import WorkRequest
 
 # A plain call without a deadline of its own may take this long.
@@ -45,6 +46,19 @@
         self, context: CallerContext, request: PlainRequest
     ) -> Result[PlainResponse, Problem]:
         """Return the answer, or the problem with the verdict on the effect."""
+        began_s = self._parts.clock()
+        result = self._call(context, request)
+        telemetry = self._parts.plain.telemetry
+        if result.is_ok():
+            telemetry.count("plain.calls")
+            telemetry.time_ms("plain.latency", (self._parts.clock() - began_s) * 1000)
+        elif result.error.verdict is Verdict.NOT_RUN:
+            telemetry.count("requests.refused")
+        return result
+
+    def _call(
+        self, context: CallerContext, request: PlainRequest
+    ) -> Result[PlainResponse, Problem]:
         service = self._service(context.binding.fleet, request.service)
         if service is None:
             return Error(not_found(f"service {request.service}"))
--- a/packages/node/cicadapass/telemetry.py
+++ b/packages/node/cicadapass/telemetry.py
@@ -1,21 +1,45 @@
 """Metrics through statsd."""
 
+from dataclasses import dataclass
+
 import statsd
 
-# Name, type and unit of each metric; docs/metrics.md lists the same.
-METRICS: dict[str, tuple[str, str]] = {
-    "requests.accepted": ("counter", "requests"),
-    "requests.refused": ("counter", "requests"),
-    "requests.failed": ("counter", "requests"),
-    "requests.in_progress": ("gauge", "requests"),
-    "requests.adopted": ("counter", "requests"),
-    "requests.first_token": ("timer", "ms"),
-    "plain.calls": ("counter", "calls"),
-    "plain.latency": ("timer", "ms"),
-    "tokens.delivered": ("counter", "tokens"),
-    "tokens.recomputed": ("counter", "tokens"),
-    "attempts": ("counter", "attempts"),
-    "config.version": ("gauge", "log offset"),
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """Describe one metric; the kind is a word of statsd."""
+
+    kind: str
+    unit: str
+    meaning: str
+
+
+def _counter(unit: str, meaning: str) -> Metric:
+    return Metric("counter", unit, meaning)
+
+
+def _gauge(unit: str, meaning: str) -> Metric:
+    return Metric("gauge", unit, meaning)
+
+
+def _timer(meaning: str) -> Metric:
+    return Metric("timer", "ms", meaning)
+
+
+# docs/metrics.md is made from this list.
+METRICS: dict[str, Metric] = {
+    "requests.accepted": _counter("requests", "model requests accepted from callers"),
+    "requests.refused": _counter("requests", "model requests and plain calls not run"),
+    "requests.failed": _counter("requests", "accepted requests that failed"),
+    "requests.adopted": _counter("requests", "requests taken over from other nodes"),
+    "requests.in_progress": _gauge("requests", "owned requests without an end"),
+    "requests.first_token": _timer("from the start of a request to its first token"),
+    "attempts": _counter("attempts", "attempts of model requests at engines"),
+    "tokens.delivered": _counter("tokens", "new tokens of requests that ended here"),
+    "tokens.recomputed": _counter("tokens", "tokens that an engine sent again"),
+    "plain.calls": _counter("calls", "plain calls that an upstream answered"),
+    "plain.latency": _timer("from a plain call to the head of its answer"),
+    "config.version": _gauge("log offset", "version of the inventory in force"),
 }
 
 
@@ -52,5 +76,5 @@
 
 
 def _check(name: str, kind: str) -> None:
-    if METRICS[name][0] != kind:
+    if METRICS[name].kind != kind:
         raise KeyError(f"metric {name} is not a {kind}; see docs/metrics.md")
--- a/tests/node/executionkit.py
+++ b/tests/node/executionkit.py
@@ -237,6 +237,7 @@
             on_ended=self._on_ended,
             clock=self._clock,
             spawn=self.spawn,
+            spawn_cancel=self.spawn,
         )
 
     def _call_later(self, check, delay_s):
--- a/tests/node/test_execution.py
+++ b/tests/node/test_execution.py
@@ -125,7 +125,7 @@
     def test_a_refused_request_fails(self):
         """A request that no upstream can take must not wait for ever."""
         world = World([Script(0, "broken")])
-        refusal = Refusal(RefusalReason.DEADLINE, Verdict.NOT_RUN, 0.0)
+        refusal = Refusal(RefusalReason.DEADLINE, 0.0)
         world.refusals = {number: refusal for number in range(1000, 1010)}
         self.assertEqual(Verdict.UNKNOWN, world.run().problem.verdict)
         self._assert_sound(world)
--- /dev/null
+++ b/tests/node/test_modelcalls.py
@@ -0,0 +1,122 @@
+"""Test the acceptance of model requests."""
+
+import json
+import random
+from dataclasses import replace
+
+import pykka
+import testtools
+
+from cicadapass.answers import Answer
+from cicadapass.callers import CallerContext
+from cicadapass.modelcalls import ModelCalls, ModelParts
+from cicadapass.ownership import AddRequest, DropRequest
+from cicadapass.placement import without_copies
+from cicadapass.requests import parse_chat
+from cicadapass_common.copymessages import Binding
+from cicadapass_common.events import EventLog
+from cicadapass_decisions.admission import Refusal, RefusalReason
+from cicadapass_decisions.inventory import parse_inventory
+from cicadapass_decisions.policy import Policy
+from cicadapass_decisions.types import Verdict, VmId
+from tests.decisions.documents import inventory_document
+from tests.node.executionkit import WORK, Script, World, chat_request
+
+
+class OwnershipDouble:
+    """Answer as told and keep the messages."""
+
+    def __init__(self):
+        self.messages = []
+        self.answer = True
+
+    def ask(self, message, timeout_s):
+        self.messages.append(message)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        return self.answer
+
+    def tell(self, message):
+        self.messages.append(message)
+
+
+class ModelCallsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = World([Script() for _ in range(3)])
+        self.ownership = OwnershipDouble()
+        self.inventory = parse_inventory(inventory_document()).ok
+        fleet = next(
+            fleet
+            for fleet in self.inventory.fleets.values()
+            if any(s.model for s in fleet.services.values())
+        )
+        self.workspace = next(iter(fleet.workspaces.values()))
+        self.service = next(s for s in fleet.services.values() if s.model)
+        parts = self.world._parts()
+        parts.granting.predict = lambda wanted: WORK
+        self.models = ModelCalls(
+            ModelParts(
+                inventory=lambda: self.inventory,
+                policy=Policy,
+                execution=parts,
+                placement=without_copies(VmId("n1", "i"), random.Random(1)),
+                ownership=self.ownership,
+                events=EventLog("n", lambda: (0, 0)),
+                wall_clock=lambda: 1000.0,
+            )
+        )
+
+    def _accept(self, model=None):
+        binding = Binding(self.workspace.fleet, self.workspace.name, "0" * 64)
+        context = CallerContext(binding, self.workspace, 0, None)
+        messages = [{"role": "user", "content": "hi"}]
+        body = {"model": "x", "max_tokens": 4, "messages": messages}
+        chat = parse_chat(json.dumps(body).encode()).ok
+        chat = replace(chat, model=model or self.service.name)
+        return self.models.accept(context, chat)
+
+    def _assert_released(self):
+        released = [number for number, _ in self.world.released]
+        self.assertEqual([grant.number for grant in self.world.granted], released)
+
+    def test_an_accepted_request_is_owned_and_answered(self):
+        """The caller may come back for it by its id."""
+        accepted = self._accept().ok
+        self.world.join()
+        owned = self.ownership.messages[0].owned
+        self.assertEqual(accepted.request_id, owned.request.request_id)
+        self.assertTrue(owned.answer.ended)
+        self._assert_released()
+
+    def test_an_unknown_model_is_not_run(self):
+        """Plain services and other fleets' names are no models."""
+        for name in ("missing", "orders", "\ud800"):
+            self.assertEqual(Verdict.NOT_RUN, self._accept(name).error.verdict)
+        self.assertEqual([], self.world.granted)
+
+    def test_a_refusal_is_not_run(self):
+        """A shed request must say so, with the time to wait."""
+        refusal = Refusal(RefusalReason.OVERLOAD, 2.0)
+        self.world.refusals = {1: refusal}
+        problem = self._accept().error
+        self.assertEqual(Verdict.NOT_RUN, problem.verdict)
+        self.assertIn(("Retry-After", "2"), problem.headers())
+
+    def test_a_fault_of_the_table_releases_the_grant(self):
+        """A part that is being restarted must not cost a slot for ever."""
+        self.ownership.answer = pykka.Timeout("late")
+        self.assertRaises(pykka.Timeout, self._accept)
+        self._assert_released()
+        self.assertEqual([], self.world.threads)
+        add, drop = self.ownership.messages
+        self.assertIsInstance(add, AddRequest)
+        self.assertEqual(DropRequest(add.owned.request.request_id, 2), drop)
+
+    def test_a_request_of_a_later_owner_is_not_run(self):
+        """Two owners would compute the answer twice."""
+        self.ownership.answer = False
+        answer = self.models.resume(chat_request(), ())
+        self.assertIsInstance(answer, Answer)
+        self.assertTrue(answer.abandoned)
+        self.assertEqual([], self.world.threads)
--- /dev/null
+++ b/tests/node/test_ownership.py
@@ -0,0 +1,99 @@
+"""Test the table of owned requests."""
+
+from dataclasses import replace
+
+import testtools
+
+from cicadapass.answers import Answer
+from cicadapass.ownership import (
+    AddRequest,
+    DropRequest,
+    ExpireAnswers,
+    FindRequest,
+    ListUnfinished,
+    OwnedRequest,
+    Ownership,
+    RequestEnded,
+)
+from tests.node.executionkit import chat_request
+
+WAIT_S = 20.0
+KEEP_S = 10.0
+
+
+class OwnershipTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.now_s = 0.0
+        self.counts = []
+        self.stopped = []
+        self.actor = Ownership.start(
+            None, KEEP_S, 1000, self.counts.append, lambda: self.now_s
+        )
+        self.addCleanup(self.actor.stop)
+
+    def _ask(self, message):
+        return self.actor.ask(message, timeout=WAIT_S)
+
+    def _owned(self, name="r", epoch=1, texts=()):
+        request = replace(chat_request(), request_id=name, epoch=epoch)
+        answer = Answer(request.head, texts)
+        return OwnedRequest(request, answer, lambda: self.stopped.append(epoch))
+
+    def _add(self, *args, **kwargs):
+        owned = self._owned(*args, **kwargs)
+        return owned if self._ask(AddRequest(owned)) else None
+
+    def test_a_later_epoch_replaces_an_earlier_one(self):
+        """Two owners of one request would write two answers."""
+        first = self._add(epoch=1)
+        self.assertIsNone(self._add(epoch=1))
+        second = self._add(epoch=2)
+        self.assertIsNone(self._add(epoch=1))
+        self.assertIs(second, self._ask(FindRequest("r")))
+        self.assertEqual([1], self.stopped)
+        self.assertTrue(first.answer.abandoned)
+
+    def test_a_replaced_request_that_had_ended_is_unfinished_again(self):
+        """A stop would not wait for it, and its end would not be noticed."""
+        self._add(epoch=1, texts=["abc"])
+        self._ask(RequestEnded("r", 1))
+        second = self._add(epoch=2)
+        self.assertEqual((second,), self._ask(ListUnfinished()))
+        self._ask(RequestEnded("r", 1))
+        self.assertEqual((second,), self._ask(ListUnfinished()))
+        self._ask(RequestEnded("r", 2))
+        self.assertEqual((), self._ask(ListUnfinished()))
+        self.assertEqual([1, 0, 1, 0], self.counts)
+
+    def test_a_request_of_another_owner_is_dropped(self):
+        """The other owner's answer is the only one from then on."""
+        owned = self._add(epoch=1)
+        self._ask(DropRequest("r", 1))
+        self.assertIs(owned, self._ask(FindRequest("r")))
+        self._ask(DropRequest("r", 2))
+        self.assertIsNone(self._ask(FindRequest("r")))
+        self.assertTrue(owned.answer.abandoned)
+        self.assertEqual([1], self.stopped)
+
+    def test_ended_answers_expire_and_unfinished_ones_do_not(self):
+        """A caller may return for an answer for some time."""
+        self._add("ended")
+        self._add("running")
+        self._ask(RequestEnded("ended", 1))
+        self.now_s = KEEP_S - 1
+        self._ask(ExpireAnswers())
+        self.assertIsNotNone(self._ask(FindRequest("ended")))
+        self.now_s = 100 * KEEP_S
+        self._ask(ExpireAnswers())
+        self.assertIsNone(self._ask(FindRequest("ended")))
+        self.assertIsNotNone(self._ask(FindRequest("running")))
+
+    def test_the_oldest_answers_go_when_memory_is_short(self):
+        """Finished answers must not use up the node's memory."""
+        for name in ("a", "b", "c"):
+            self._add(name, texts=["x" * 500])
+            self._ask(RequestEnded(name, 1))
+            self._ask(ExpireAnswers())
+        kept = [n for n in "abc" if self._ask(FindRequest(n)) is not None]
+        self.assertEqual(["c"], kept)
--- a/tests/node/test_plaincalls.py
+++ b/tests/node/test_plaincalls.py
@@ -62,7 +62,7 @@
     def _acquire(self, asked):
         number = len(self.granted)
         if number == len(self.urls):
-            return Refusal(RefusalReason.DEADLINE, Verdict.NOT_RUN, 0.0)
+            return Refusal(RefusalReason.DEADLINE, 0.0)
         grant = Grant(number, asked, str(number), PLAIN, 0.0, 0.0, False, ())
         self.granted.append(grant)
         return grant
