Refuse what cannot be understood and state the verdict with each failed answer

Faults found in the callers' interface: - a failed JSON answer read by its request id had the status 200 and the type of an event stream; a moved one did not name the request id that its remedy needs; - an offset behind the end gave an empty "200 OK"; - half a surrogate pair in a message passed the check and raised a fault later; - digits of other scripts and numbers of thousands of digits in headers and in `from` ended in an internal error; - internal errors left no event: they are event 455 now; - 401 had no WWW-Authenticate.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -127,6 +127,8 @@
     An attempt failed; the tokens are those that the answer has so far.
 454 error execution_fault(request_id, reason)
     The execution of a request failed by a fault of the node.
+455 error handler_fault(reason)
+    A request ended in an internal error.
 
 500 warning upstream_health(upstream, health, first_token_s, inter_token_s, failures)
     An upstream became slow, failing or good.
--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -79,6 +79,7 @@
     thread_taken: Callable[[], None]
     streams: StreamLoop
     max_body_bytes: int
+    report_fault: Callable[[str], object]
 
 
 class CallerApp:
@@ -100,7 +101,8 @@
             return send_problem(start, refused.problem)
         except AnswerCutShort:
             raise
-        except Exception:
+        except Exception as error:
+            self._parts.report_fault(repr(error))
             return send_problem(start, internal())
 
     def _readiness(self, start: StartResponse) -> Iterable[bytes]:
@@ -153,9 +155,7 @@
             (REQUEST_ID_HEADER, accepted.request_id),
             (DURABILITY_HEADER, accepted.durability),
         ]
-        return self._deliver(
-            environ, start, accepted.read, headers, chat.format.streams, 0
-        )
+        return self._deliver(environ, start, accepted.read, headers, 0)
 
     def _answer(
         self, environ: Environ, start: StartResponse, context: CallerContext, path: str
@@ -164,7 +164,7 @@
         from_byte = _from_byte(environ)
         read = _value(self._parts.find_answer(request_id, context.binding))
         headers = [(REQUEST_ID_HEADER, request_id)]
-        return self._deliver(environ, start, read, headers, True, from_byte)
+        return self._deliver(environ, start, read, headers, from_byte)
 
     def _deliver(
         self,
@@ -172,10 +172,9 @@
         start: StartResponse,
         read: ReadPiece,
         headers: list[tuple[str, str]],
-        streams: bool,
         from_byte: int,
     ) -> Iterable[bytes]:
-        if streams:
+        if read.streams:
             headers.append(("Content-Type", "text/event-stream"))
             headers.append(("Cache-Control", "no-store"))
             # The headers go out now, so that a caller that loses its connection
@@ -183,11 +182,13 @@
             start(status_line(HTTPStatus.OK), headers)(b"")
             sender = environ.get(DIRECT_SENDER_KEY)
             return stream(read, from_byte, sender, self._parts.streams)
-        piece = _value(read_whole(read, from_byte))
-        if piece.problem is not None:
-            return send_problem(start, piece.problem, headers)
+        result = read_whole(read, from_byte)
+        problem = result.error if result.is_error() else result.ok.problem
+        if problem is not None:
+            # The caller needs the request id to read the rest elsewhere.
+            return send_problem(start, problem, headers)
         headers.append(("Content-Type", "application/json"))
-        return send(start, HTTPStatus.OK, headers, piece.data)
+        return send(start, HTTPStatus.OK, headers, result.ok.data)
 
     def _plain(
         self, environ: Environ, start: StartResponse, context: CallerContext
--- a/packages/node/cicadapass/delivery.py
+++ b/packages/node/cicadapass/delivery.py
@@ -1,13 +1,14 @@
 """Deliver the bytes of an answer from whichever node has it."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Protocol
 
 from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
-from cicadapass.problems import Problem
+from cicadapass.problems import Problem, malformed
 from cicadapass_decisions.types import Verdict
 
 # One read waits this long for new bytes, so that an abandoned answer or a caller
@@ -24,8 +25,15 @@
     problem: Problem | None = None
 
 
-# Reads from a byte offset, waiting up to a number of seconds.
-ReadPiece = Callable[[int, float], Result[Piece, Problem]]
+class ReadPiece(Protocol):
+    """Read an answer from a byte offset, waiting up to a number of seconds."""
+
+    @property
+    def streams(self) -> bool:
+        """Return whether the bytes are delivered as they are made."""
+
+    def __call__(self, from_byte: int, wait_s: float, /) -> Result[Piece, Problem]:
+        """Return the bytes from the offset."""
 
 
 class AnswerCutShort(Exception):
@@ -38,11 +46,19 @@
 
     answer: Answer
 
+    @property
+    def streams(self) -> bool:
+        """Return whether the bytes are delivered as they are made."""
+        return self.answer.head.format.streams
+
     def __call__(self, from_byte: int, wait_s: float) -> Result[Piece, Problem]:
         """Return the bytes from the offset, or that another node continues."""
         part = self.answer.read(from_byte, wait_s)
         if self.answer.abandoned and not part.data and not part.ended:
             return Error(_moved())
+        if part.ended and from_byte > self.answer.size_bytes:
+            # Nothing at all would look like the whole rest of the answer.
+            return Error(malformed("the offset is behind the end", "send from=0"))
         problem = self.answer.problem if part.ended else None
         return Ok(Piece(part.data, part.ended, problem))
 
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -323,6 +323,7 @@
             thread_taken=lambda: self._callers.thread_taken(),
             streams=self._streams,
             max_body_bytes=self._settings.http.max_body_bytes,
+            report_fault=self._report_fault,
         )
 
     def _caller_server(self) -> NodeHttpServer:
@@ -358,6 +359,7 @@
             explain=views.explain,
             publish=self._publish,
             drain=self._drain_for_operator,
+            report_fault=self._report_fault,
         )
 
     def _status(self) -> NodeStatus:
@@ -377,6 +379,9 @@
     def _publish(self, body: PublishBody) -> PublishAnswer:
         raise NotImplementedError
 
+    def _report_fault(self, reason: str) -> None:
+        self._events.emit(455, reason=reason)
+
     def _drain_for_operator(self) -> DrainAnswer:
         self.drain("an operator asked for it")
         return DrainAnswer(True, self._unfinished())
--- a/packages/node/cicadapass/operators.py
+++ b/packages/node/cicadapass/operators.py
@@ -9,7 +9,7 @@
 
 from cicadapass.httpserver import Environ, StartResponse
 from cicadapass.problems import Problem, internal, malformed, not_found, unauthorized
-from cicadapass.webreply import Refused, read_body, send_json, send_problem
+from cicadapass.webreply import Refused, number_in, read_body, send_json, send_problem
 from cicadapass_common.credentials import bearer_credential, matches
 from cicadapass_common.operator_api import (
     DRAIN_PATH,
@@ -34,6 +34,7 @@
 from cicadapass_decisions.options import to_document
 
 MAX_PUBLISH_BYTES = 4 * 1024 * 1024
+MAX_SINCE_MS = 2**53
 Query = dict[str, str]
 
 
@@ -50,6 +51,7 @@
     explain: Callable[[str, str, str], Result[ExplainAnswer, Problem]]
     publish: Callable[[PublishBody], PublishAnswer]
     drain: Callable[[], DrainAnswer]
+    report_fault: Callable[[str], object]
 
 
 class OperatorApp:
@@ -73,7 +75,8 @@
             answer = self._route(environ)
         except Refused as refused:
             return send_problem(start, refused.problem)
-        except Exception:
+        except Exception as error:
+            self._parts.report_fault(repr(error))
             return send_problem(start, internal())
         return send_json(start, to_document(answer), HTTPStatus.OK)
 
@@ -96,9 +99,10 @@
 
     def _events(self, query: Query) -> EventsAnswer:
         since = query.get("since", "0")
-        if not since.isdigit():
+        since_ms = number_in(since, 0, MAX_SINCE_MS)
+        if since_ms is None:
             raise Refused(malformed("since is not a time in ms", "send since=0"))
-        return self._parts.events(query.get("request_id"), int(since))
+        return self._parts.events(query.get("request_id"), since_ms)
 
     def _explain(self, query: Query) -> ExplainAnswer:
         names = [query.get(name, "") for name in ("fleet", "service", "workspace")]
--- a/packages/node/cicadapass/problems.py
+++ b/packages/node/cicadapass/problems.py
@@ -43,6 +43,8 @@
             ("Content-Type", "application/problem+json"),
             (VERDICT_HEADER, str(self.verdict)),
         ]
+        if self.status is HTTPStatus.UNAUTHORIZED:
+            headers.append(("WWW-Authenticate", "Bearer"))
         if self.retry_after_s is not None:
             # The header has whole seconds; rounding down would invite early retries.
             headers.append(("Retry-After", str(math.ceil(self.retry_after_s))))
--- a/packages/node/cicadapass/requests.py
+++ b/packages/node/cicadapass/requests.py
@@ -133,10 +133,10 @@
     if not isinstance(messages, list) or not messages:
         return malformed("messages is missing or empty", "send at least one message")
     for index, message in enumerate(messages):
-        if not _is_message(message):
+        if not _is_message(message) or not _is_unicode(message):
             return malformed(
                 f"messages[{index}] has no string role and content",
-                "send each message as an object with role and content",
+                "send each message as an object with role and content in Unicode",
             )
     return None
 
@@ -148,6 +148,15 @@
     return isinstance(role, str) and isinstance(message.get("content"), str)
 
 
+def _is_unicode(message: dict[str, str]) -> bool:
+    # JSON can carry half of a surrogate pair, which no copy can hold.
+    try:
+        (message["role"] + message["content"]).encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _check_numbers(document: dict[str, Any]) -> Problem | None:
     ranges = {"max_tokens": (1, MAX_TOKENS_LIMIT), "seed": (0, 2**63 - 1)}
     for name, (low, high) in ranges.items():
--- /dev/null
+++ b/tests/node/callerkit.py
@@ -0,0 +1,86 @@
+"""Run the callers' application without a server."""
+
+import io
+
+from expression import Error, Ok
+
+from cicadapass.callers import Accepted, CallerApp, CallerParts
+from cicadapass.delivery import LocalReader
+from cicadapass.plaincalls import PlainResponse
+from cicadapass.problems import not_found
+from cicadapass_decisions.inventory import parse_inventory
+from tests.decisions.documents import inventory_document
+
+MAX_BODY_BYTES = 10_000
+
+
+class DeadLoop:
+    """Stand for a stream loop that does not run."""
+
+    alive = False
+
+
+class CallerWorld:
+    """Hold an application, what it called, and its last answer."""
+
+    def __init__(self, answer=None):
+        self.inventory = parse_inventory(inventory_document()).ok
+        self.answer = answer
+        self.accepted = []
+        self.found = []
+        self.calls = []
+        self.faults = []
+        self.call_result = Ok(PlainResponse("r", 200, (("X-Own", "1"),), [b"ok"]))
+        self.app = CallerApp(
+            CallerParts(
+                inventory=lambda: self.inventory,
+                not_ready_reason=lambda: None,
+                accept=self._accept,
+                find_answer=self._find,
+                call_plain=self._call,
+                thread_taken=lambda: None,
+                streams=DeadLoop(),
+                max_body_bytes=MAX_BODY_BYTES,
+                report_fault=self.faults.append,
+            )
+        )
+
+    def ask(self, method, uri, body=b"", credential=None, **headers):
+        """Return status, headers and body of one request."""
+        path, _, query = uri.partition("?")
+        environ = {
+            "REQUEST_METHOD": method,
+            "REQUEST_URI": uri,
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        for name, value in headers.items():
+            environ["HTTP_" + name.upper()] = value
+        if credential is not None:
+            environ["HTTP_AUTHORIZATION"] = f"Bearer {credential}"
+        started = []
+
+        def start(status, headers):
+            started[:] = [int(status[:3]), {k.lower(): v for k, v in headers}]
+            return lambda data: None
+
+        body = self.app(environ, start)
+        return (*started, b"".join(body))
+
+    def _accept(self, context, chat):
+        self.accepted.append((context, chat))
+        return Ok(Accepted("r", "single-node", LocalReader(self.answer)))
+
+    def _find(self, request_id, binding):
+        self.found.append((request_id, binding))
+        if self.answer is None:
+            return Error(not_found("this request"))
+        return Ok(LocalReader(self.answer))
+
+    def _call(self, context, request):
+        self.calls.append((context, request))
+        if isinstance(self.call_result, Exception):
+            raise self.call_result
+        return self.call_result
--- /dev/null
+++ b/tests/node/test_callers.py
@@ -0,0 +1,271 @@
+"""Test what callers may send and what they get for it."""
+
+import json
+
+import testtools
+from expression import Error
+
+from cicadapass.answers import Answer
+from cicadapass.delivery import AnswerCutShort
+from cicadapass.failures import gave_up
+from cicadapass.render import AnswerFormat, AnswerHead
+from cicadapass_decisions.retry import GiveUp
+from cicadapass_decisions.types import Verdict
+from tests.decisions.documents import sha256_of
+from tests.node.callerkit import MAX_BODY_BYTES, CallerWorld
+
+KEY = "grabhandle-k1"
+CHAT = "/v1/chat/completions"
+PROBLEM = gave_up(GiveUp(Verdict.UNKNOWN, "test"))
+MESSAGES = [{"role": "user", "content": "hi"}]
+
+
+def _chat(**changes):
+    return json.dumps({"model": "parts", "messages": MESSAGES} | changes).encode()
+
+
+def _answer(form, texts=("a", "b"), problem=None):
+    answer = Answer(AnswerHead("r", 1, "parts", form), texts)
+    if problem is None:
+        answer.finish()
+        answer.end()
+    else:
+        answer.fail(problem)
+    return answer
+
+
+class CallerTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = CallerWorld(_answer(AnswerFormat.EVENT_STREAM))
+
+    def _assert_refused(self, reply, status, verdict="not-run"):
+        self.assertEqual(status, reply[0])
+        self.assertEqual(verdict, reply[1]["cicadapass-verdict"])
+        self.assertEqual("application/problem+json", reply[1]["content-type"])
+        self.assertEqual(
+            {"type", "title", "status", "detail", "verdict", "remedy"},
+            set(json.loads(reply[2])),
+        )
+
+    def _refuse(self, status, method, uri, body=b"", credential=KEY, **headers):
+        reply = self.world.ask(method, uri, body, credential, **headers)
+        self._assert_refused(reply, status)
+        self.assertEqual([], self.world.accepted + self.world.calls)
+        return reply
+
+    def test_credentials_are_required(self):
+        """Nothing of a fleet is open to callers without a credential."""
+        for path in (CHAT, "/v1/requests/r", "/v1/services/orders/x", "/v1/other"):
+            reply = self._refuse(401, "POST", path, _chat(), credential=None)
+            self.assertEqual("Bearer", reply[1]["www-authenticate"])
+            for value in ("", "Bearer", "Bearer ", "Basic x", "Bearer x y", "\xff"):
+                self._refuse(
+                    401, "POST", path, _chat(), credential=None, authorization=value
+                )
+            self._refuse(401, "POST", path, _chat(), credential="klasite-k2")
+
+    def test_the_binding_is_that_of_the_credential(self):
+        """Short names clash between fleets, so the fleet comes from the credential."""
+        for fleet in ("grabhandle", "klasite"):
+            self.world.ask("GET", "/v1/requests/r", credential=f"{fleet}-k1")
+            request_id, binding = self.world.found[-1]
+            self.assertEqual("r", request_id)
+            self.assertEqual((fleet, "counter"), (binding.fleet, binding.workspace))
+            self.assertEqual(sha256_of(f"{fleet}-k1"), binding.credential_sha256)
+
+    def test_an_unknown_request_is_not_found(self):
+        """Another caller's request id must look like one that does not exist."""
+        self.world.answer = None
+        for name in ("r", "", "a/b", "r\r\nX-Injected: 1", "r" * 9000):
+            self._refuse(404, "GET", "/v1/requests/" + name)
+
+    def test_malformed_bodies_are_refused(self):
+        """No body may raise a fault of the node."""
+        for body in (
+            b"",
+            b"\xff",
+            b"nonsense",
+            b"[]",
+            b"null",
+            b"[" * 9000,
+            b'{"a":' * 1800,
+            b"9" * 9000,
+            _chat(model=None),
+            _chat(model=""),
+            _chat(model=7),
+            _chat(messages=[]),
+            _chat(messages={"role": "user"}),
+            _chat(messages=[{"role": "user"}]),
+            _chat(messages=[{"role": 1, "content": "x"}]),
+            _chat(messages=[{"role": "user", "content": "\ud800"}]),
+            _chat(messages=[None]),
+            _chat(stream=1),
+            _chat(max_tokens=0),
+            _chat(max_tokens=True),
+            _chat(max_tokens=1.0),
+            _chat(max_tokens="1"),
+            _chat(max_tokens=10**30),
+            _chat(seed=-1),
+            _chat(seed=float("nan")),
+            _chat(seed=float("inf")),
+            _chat(seed=1e400),
+        ):
+            self._refuse(400, "POST", CHAT, body)
+
+    def test_a_body_over_the_limit_is_refused(self):
+        """Each byte of a body costs memory here, at the holder and upstream."""
+        for uri in (CHAT, "/v1/services/orders/x"):
+            self._refuse(413, "POST", uri, b"x" * (MAX_BODY_BYTES + 1))
+
+    def test_malformed_headers_are_refused(self):
+        """Digits of other scripts and long numbers raised faults of the node."""
+        for value in ("", "-1", "10", "x", "\xb2", "1.0", "9" * 5000):
+            self._refuse(400, "POST", CHAT, _chat(), cicadapass_priority=value)
+        for value in ("", "0", "-1", "x", "\xb2", "86400001", "9" * 5000):
+            self._refuse(400, "POST", CHAT, _chat(), cicadapass_deadline_ms=value)
+        for value in ("x", "-1", "%C2%B2", "1&from=2", "9" * 5000):
+            self._refuse(400, "GET", f"/v1/requests/r?from={value}")
+
+    def test_priority_and_deadline_reach_the_dispatcher(self):
+        """The workspace's rule caps what a caller may claim."""
+        self.world.ask(
+            "POST",
+            CHAT,
+            _chat(stream=True),
+            KEY,
+            cicadapass_priority="9",
+            cicadapass_deadline_ms="1500",
+        )
+        context, chat = self.world.accepted[0]
+        self.assertEqual((9, 1.5), (context.priority, context.deadline_s))
+        self.assertEqual("user: hi", chat.prompt)
+
+    def test_unknown_paths_and_methods_are_not_found(self):
+        """A caller must not reach the operators' interface."""
+        for method, path in (
+            ("GET", CHAT),
+            ("DELETE", "/v1/requests/r"),
+            ("GET", "/v1/status"),
+            ("POST", "/v1/publish"),
+            ("GET", "//v1/services/orders/x"),
+            ("GET", "/v1/services"),
+        ):
+            self._refuse(404, method, path, _chat())
+
+    def test_a_plain_call_is_passed_on_as_it_is(self):
+        """The path judged for repeatability is the path that is sent."""
+        status, headers, body = self.world.ask(
+            "PUT",
+            "/v1/services/orders/a%20b//c?d=%2F",
+            b"{}",
+            KEY,
+            idempotency_key='"k"',
+            x_own="1",
+            connection="close, x-hop",
+            x_hop="1",
+            transfer_encoding="chunked",
+            te="trailers",
+            expect="100-continue",
+        )
+        self.assertEqual((200, b"ok"), (status, body))
+        self.assertEqual("r", headers["cicadapass-request-id"])
+        request = self.world.calls[0][1]
+        self.assertEqual(
+            ("orders", "PUT", "/a%20b//c?d=%2F", b"{}", '"k"'),
+            (
+                request.service,
+                request.method,
+                request.path,
+                request.body,
+                request.idempotency_key,
+            ),
+        )
+        self.assertEqual({"Idempotency-Key", "X-Own"}, dict(request.headers).keys())
+
+    def test_injection_towards_the_upstream_is_refused(self):
+        """A line end in a header, method or path would start another request."""
+        uri = "/v1/services/orders/x"
+        for value in ("a\r\nX: b", "a\rX: b", "a\nb", "a\x00b", "a\r b"):
+            self._refuse(400, "GET", uri, x_own=value)
+        for name in ("x own", "x:own", "x\r\nown"):
+            self._refuse(400, "GET", uri, **{name: "1"})
+        for method in ("GET /x HTTP/1.1\r\nA:", "G(T", ""):
+            self._refuse(400, method, uri)
+        for path in ("/../x", "/%2e%2e/x", "/a\r\nb", "/a b"):
+            self._refuse(400, "GET", uri + path)
+
+    def test_an_upstream_cannot_speak_for_the_node(self):
+        """A request id or verdict of an upstream would mislead the caller."""
+        result = self.world.call_result.ok
+        forged = (("Cicadapass-Verdict", "not-run"), ("cicadapass-request-id", "x"))
+        object.__setattr__(result, "headers", forged)
+        headers = self.world.ask("GET", "/v1/services/orders/x", b"", KEY)[1]
+        self.assertEqual({"cicadapass-request-id": "r"}, headers)
+
+    def test_a_fault_is_reported_and_unknown(self):
+        """Nobody can tell whether a call ran that ended in a fault."""
+        self.world.call_result = RuntimeError("fault")
+        reply = self.world.ask("POST", "/v1/services/orders/x", b"", KEY)
+        self._assert_refused(reply, 500, "unknown")
+        self.assertEqual(["RuntimeError('fault')"], self.world.faults)
+
+    def test_a_problem_of_a_call_passes_on(self):
+        """The verdict is that of the part that knows."""
+        self.world.call_result = Error(PROBLEM)
+        reply = self.world.ask("POST", "/v1/services/orders/x", b"", KEY)
+        self._assert_refused(reply, 502, "unknown")
+
+    def test_a_json_answer_has_its_type_and_length(self):
+        """A caller that comes back gets the same answer in the same form."""
+        self.world.answer = _answer(AnswerFormat.JSON)
+        posted = self.world.ask("POST", CHAT, _chat(), KEY)
+        self.assertEqual("application/json", posted[1]["content-type"])
+        self.assertEqual("single-node", posted[1]["cicadapass-durability"])
+        again = self.world.ask("GET", "/v1/requests/r", b"", KEY)
+        self.assertEqual("application/json", again[1]["content-type"])
+        self.assertEqual(posted[2], again[2])
+        rest = self.world.ask("GET", "/v1/requests/r?from=5", b"", KEY)
+        self.assertEqual(posted[2][5:], rest[2])
+
+    def test_a_failed_json_answer_is_an_error(self):
+        """A failure with the status 200 would be taken for an answer."""
+        self.world.answer = _answer(AnswerFormat.JSON, problem=PROBLEM)
+        for method, uri in (("POST", CHAT), ("GET", "/v1/requests/r")):
+            reply = self.world.ask(method, uri, _chat(), KEY)
+            self._assert_refused(reply, 502, "unknown")
+            self.assertEqual("r", reply[1]["cicadapass-request-id"])
+
+    def test_a_moved_json_answer_names_its_request(self):
+        """The remedy is to read the rest with the request id."""
+        self.world.answer = Answer(AnswerHead("r", 1, "parts", AnswerFormat.JSON))
+        self.world.answer.abandon()
+        reply = self.world.ask("POST", CHAT, _chat(), KEY)
+        self._assert_refused(reply, 503, "run")
+        self.assertEqual("r", reply[1]["cicadapass-request-id"])
+
+    def test_a_moved_stream_is_cut(self):
+        """The end of the connection must not look like the end of the answer."""
+        self.world.answer = Answer(
+            AnswerHead("r", 1, "parts", AnswerFormat.EVENT_STREAM), ["a"]
+        )
+        self.world.answer.abandon()
+        ask = self.world.ask
+        self.assertRaises(AnswerCutShort, ask, "POST", CHAT, _chat(stream=True), KEY)
+
+    def test_an_offset_behind_the_end_is_no_whole_answer(self):
+        """An empty rest with the status 200 would look complete."""
+        ask = self.world.ask
+        uri = "/v1/requests/r?from=100000"
+        self.assertRaises(AnswerCutShort, ask, "GET", uri, b"", KEY)
+
+    def test_health_needs_no_credential(self):
+        """The balancer has none."""
+        for path in ("/healthz", "/readyz"):
+            self.assertEqual(200, self.world.ask("GET", path)[0])
+
+    def test_without_an_inventory_nothing_is_accepted(self):
+        """No credential can be judged."""
+        self.world.inventory = None
+        reply = self._refuse(503, "POST", CHAT, _chat())
+        self.assertIn("retry-after", reply[1])
