--- a/packages/node/cicadapass/answerfinder.py
+++ b/packages/node/cicadapass/answerfinder.py
@@ -43,6 +43,55 @@
     clock: Callable[[], float] = time.monotonic
 
 
+@dataclass(frozen=True, slots=True)
+class RemoteReader:
+    """Read an answer that another node owns."""
+
+    ask: Callable[[int, float], AnswerPiece | None]
+    streams: bool
+
+    def __call__(self, from_byte: int, wait_s: float, /) -> Result[Piece, Problem]:
+        """Return the bytes from the offset, or that the node does not answer."""
+        piece = self.ask(from_byte, min(wait_s, PEER_WAIT_S))
+        if piece is None:
+            return Error(_lost())
+        return Ok(Piece(piece.data, piece.complete))
+
+
+class FollowingReader:
+    """Read an answer from one owner after the other; for one thread."""
+
+    def __init__(
+        self,
+        locate: Callable[[], ReadPiece | None],
+        source: ReadPiece | None,
+        sleep: Callable[[float], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._locate = locate
+        self._source = source
+        self._streams = source.streams if source is not None else True
+        self._sleep = sleep
+        self._clock = clock
+
+    @property
+    def streams(self) -> bool:
+        """Return whether the bytes are delivered as they are made."""
+        return self._streams
+
+    def __call__(self, from_byte: int, wait_s: float, /) -> Result[Piece, Problem]:
+        """Return the bytes from the offset, after a search for the next owner."""
+        until_s = self._clock() + SEARCH_S
+        while True:
+            source = self._source or self._locate()
+            self._source = source
+            result = source(from_byte, wait_s) if source else Error(_lost())
+            if result.is_ok() or self._clock() >= until_s:
+                return result
+            self._source = None
+            self._sleep(SEARCH_PAUSE_S)
+
+
 class AnswerFinder:
     """Read answers from whichever node owns them."""
 
@@ -69,21 +118,12 @@
         self, request_id: str, binding: Binding, source: ReadPiece | None = None
     ) -> ReadPiece:
         """Return a reader that goes on with the next owner when one is lost."""
-        current = source
-
-        def read(from_byte: int, wait_s: float) -> Result[Piece, Problem]:
-            nonlocal current
-            until_s = self._parts.clock() + SEARCH_S
-            while True:
-                if current is None:
-                    current = self._locate(request_id, binding)
-                result = current(from_byte, wait_s) if current else Error(_lost())
-                if result.is_ok() or self._parts.clock() >= until_s:
-                    return result
-                current = None
-                self._parts.sleep(SEARCH_PAUSE_S)
-
-        return read
+        return FollowingReader(
+            lambda: self._locate(request_id, binding),
+            source,
+            self._parts.sleep,
+            self._parts.clock,
+        )
 
     def _locate(self, request_id: str, binding: Binding) -> ReadPiece | None:
         local = self._local(request_id, binding)
@@ -96,8 +136,9 @@
         for address in locate_candidates(parsed, members):
             if address.vm == members.own.vm:
                 continue
-            if self._ask(address, request_id, binding, 0, 0.0) is not None:
-                return self._remote(address, request_id, binding)
+            piece = self._ask(address, request_id, binding, 0, 0.0)
+            if piece is not None:
+                return self._remote(address, request_id, binding, piece.streams)
         return None
 
     def _local(self, request_id: str, binding: Binding) -> LocalReader | None:
@@ -133,16 +174,12 @@
         return None
 
     def _remote(
-        self, address: NodeAddress, request_id: str, binding: Binding
+        self, address: NodeAddress, request_id: str, binding: Binding, streams: bool
     ) -> ReadPiece:
-        def read(from_byte: int, wait_s: float) -> Result[Piece, Problem]:
-            wait_s = min(wait_s, PEER_WAIT_S)
-            piece = self._ask(address, request_id, binding, from_byte, wait_s)
-            if piece is None:
-                return Error(_lost())
-            return Ok(Piece(piece.data, piece.complete))
+        def ask(from_byte: int, wait_s: float) -> AnswerPiece | None:
+            return self._ask(address, request_id, binding, from_byte, wait_s)
 
-        return read
+        return RemoteReader(ask, streams)
 
     def _ask(
         self,
@@ -171,7 +208,10 @@
         if result.is_error():
             inbound.reply(AnswerPiece(known=False))
             return
-        inbound.reply(AnswerPiece(True, result.ok.data, result.ok.ended))
+        piece = AnswerPiece(
+            True, result.ok.data, result.ok.ended, streams=local.streams
+        )
+        inbound.reply(piece)
 
 
 def _lost() -> Problem:
--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -12,6 +12,7 @@
 from cicadapass.chunks import ChunkDecoder
 from cicadapass.streamloop import StreamLoop
 from cicadapass.upstreamhttp import (
+    NOT_RUN_HEADER,
     CallFailure,
     TakenSocket,
     Timeouts,
@@ -21,6 +22,8 @@
 )
 
 RECEIVE_BYTES = 64 * 1024
+# What parsing lines of any JSON may raise.
+MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,11 +59,15 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenBatch:
-    """Hold tokens that arrived together; the last batch says so."""
+    """Hold tokens that arrived together.
+
+    The last batch is `done` and has the number of all tokens of the answer.
+    """
 
     first_index: int
     texts: tuple[str, ...]
     done: bool
+    total: int | None = None
 
 
 # Takes a batch and returns whether to go on; must not block.
@@ -123,7 +130,7 @@
         self._pending = lines.pop()
         try:
             return _parse_lines(lines)
-        except (ValueError, KeyError, TypeError) as error:
+        except MALFORMED as error:
             return CallFailure(f"stream is malformed: {error!r}", sent=True)
 
 
@@ -222,14 +229,18 @@
     # One parse of an array costs less than one parse per line.
     items = json.loads(b"[" + b",".join(line for line in lines if line) + b"]")
     done = bool(items) and bool(items[-1].get("done"))
+    total = int(items[-1]["tokens"]) if done else None
     tokens = items[:-1] if done else items
     if not tokens:
-        return TokenBatch(0, (), done)
-    first_index = tokens[0]["i"]
-    texts = tuple(str(token["t"]) for token in tokens)
-    if tokens[-1]["i"] != first_index + len(texts) - 1:
-        raise ValueError("token indexes have a gap")
-    return TokenBatch(int(first_index), texts, done)
+        return TokenBatch(0, (), done, total)
+    first_index = int(tokens[0]["i"])
+    indexes = [token["i"] for token in tokens]
+    if indexes != list(range(first_index, first_index + len(tokens))):
+        raise ValueError("token indexes are not in order")
+    texts = tuple(token["t"] for token in tokens)
+    # Raises for texts that are no strings or that UTF-8 cannot carry to a copy.
+    "".join(texts).encode()
+    return TokenBatch(first_index, texts, done, total)
 
 
 class EngineClient:
@@ -267,12 +278,11 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(classify(error))
         if response.status != 200:
-            # An engine that answers with an error status has not started the work.
+            # Only this header proves that the engine has not started the work.
+            refused = response.headers.get(NOT_RUN_HEADER) == "1"
+            response.close()
             reason = f"engine answered {response.status}"
-            failure = CallFailure(reason, sent=True, refused=True)
-            response.drain_conn()
-            response.release_conn()
-            return Error(failure)
+            return Error(CallFailure(reason, sent=True, refused=refused))
         return Ok(TokenStream(response, self._loop))
 
     def cancel(self, url: str, request_id: str, attempt: int) -> None:
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -1,18 +1,24 @@
 """The HTTP server for callers and operators, with bounded cost per connection."""
 
-import contextlib
 import logging
 import os
 import threading
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from cheroot import wsgi
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
+from cicadapass.receiving import (
+    ConnectionSlots,
+    ReceiveDeadlines,
+    connection_class,
+    settle_body,
+)
+
 logger = logging.getLogger(__name__)
 
 Environ = dict[str, Any]
@@ -25,6 +31,10 @@
 DIRECT_SENDER_KEY = "cicadapass.direct_sender"
 # The deadlines of slow senders are checked this often.
 SLOW_SENDER_CHECK_S = 0.5
+# Requests still in progress after this time in `stop` are cut.
+STOP_LIMIT_S = 5.0
+# Chunk sizes and line ends count towards the limit of a chunked body.
+CHUNK_FRAMING_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +49,7 @@
     receive_timeout_s: float = 10.0
     idle_timeout_s: int = 10
     listen_backlog: int = 128
+    max_connections: int = 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,48 +60,19 @@
     private_key: str
 
 
-class ReceiveDeadlines:
-    """Close the connections whose request does not arrive in time.
+class _LateHandshake(BuiltinSSLAdapter):
+    """Let the thread of the request make the TLS handshake.
 
-    The socket timeout alone restarts with each byte, so a sender that drips bytes
-    could hold a thread for ever.
+    The adapter makes it in the thread that accepts, where one silent sender would
+    hold up all others for the socket timeout.
     """
 
-    def __init__(self, limit_s: float, clock: Callable[[], float]) -> None:
-        self._limit_s = limit_s
-        self._clock = clock
-        self._due: dict[int, tuple[float, Any]] = {}
-        self._lock = threading.Lock()
-
-    def begin(self, connection: HTTPConnection) -> None:
-        """Start the time limit of a request that is being received."""
-        with self._lock:
-            due_s = self._clock() + self._limit_s
-            self._due[id(connection)] = (due_s, connection)
-
-    def end(self, connection: HTTPConnection) -> None:
-        """End the time limit, since the request has arrived or failed."""
-        with self._lock:
-            self._due.pop(id(connection), None)
-
-    @contextlib.contextmanager
-    def limit(self, connection: HTTPConnection) -> Iterator[None]:
-        """Limit the time of the enclosed reads from the connection."""
-        self.begin(connection)
-        try:
-            yield
-        finally:
-            self.end(connection)
-
-    def close_late(self) -> int:
-        """Shut the late connections down and return their number."""
-        now_s = self._clock()
-        with self._lock:
-            late = [c for due_s, c in self._due.values() if due_s <= now_s]
-        for connection in late:
-            self.end(connection)
-            _shut_down(connection)
-        return len(late)
+    def wrap(self, sock: Any) -> tuple[Any, dict[str, str]]:
+        """Return the wrapped socket and the environment of its requests."""
+        wrapped = self.context.wrap_socket(
+            sock, do_handshake_on_connect=False, server_side=True
+        )
+        return wrapped, {"wsgi.url_scheme": "https", "HTTPS": "on"}
 
 
 class SocketSender:
@@ -124,14 +106,6 @@
         logger.debug("%s", msg, exc_info=traceback)
 
 
-def _shut_down(connection: HTTPConnection) -> None:
-    try:
-        connection.socket.shutdown(2)
-    except OSError:
-        # The sender may have gone by itself.
-        return
-
-
 class NodeHttpServer:
     """Run a WSGI application on a pool of threads that keeps a reserve."""
 
@@ -155,12 +129,12 @@
             shutdown_timeout=1,
         )
         self._server.max_request_header_size = limits.max_header_bytes
-        self._server.ConnectionClass = self._connection_class()
+        self._slots = ConnectionSlots(limits.max_connections)
+        self._server.keep_alive_conn_limit = limits.max_connections
+        self._server.ConnectionClass = connection_class(self._deadlines, self._slots)
         self._server.gateway = self._gateway_class()
         if tls is not None:
-            self._server.ssl_adapter = BuiltinSSLAdapter(
-                tls.certificate, tls.private_key
-            )
+            self._server.ssl_adapter = _LateHandshake(tls.certificate, tls.private_key)
         self._pressure = threading.Event()
         self._stopping = False
         self._threads: list[threading.Thread] = []
@@ -188,10 +162,15 @@
             self._threads.append(thread)
 
     def stop(self) -> None:
-        """Stop listening and end all connections."""
+        """Stop listening and end all connections, at last those in use."""
         self._stopping = True
         self._pressure.set()
-        self._server.stop()
+        # The server waits for its threads without a limit.
+        stopper = threading.Thread(
+            target=self._server.stop, name="http-stop", daemon=True
+        )
+        stopper.start()
+        stopper.join(STOP_LIMIT_S)
 
     def thread_taken(self) -> None:
         """Note that a request keeps its thread, so that the pool may grow."""
@@ -216,26 +195,9 @@
             done.wait(SLOW_SENDER_CHECK_S)
             self._deadlines.close_late()
 
-    def _connection_class(self) -> type[HTTPConnection]:
-        deadlines = self._deadlines
-
-        class Request(HTTPRequest):
-            """Receive a request within the time limit."""
-
-            def parse_request(self) -> None:
-                """Read the head of the request."""
-                with deadlines.limit(self.conn):
-                    super().parse_request()
-
-        class Connection(HTTPConnection):
-            """Use the request class with the time limit."""
-
-            RequestHandlerClass = Request
-
-        return Connection
-
     def _gateway_class(self) -> type[wsgi.Gateway_10]:
         deadlines = self._deadlines
+        max_chunked_bytes = self._limits.max_body_bytes + CHUNK_FRAMING_BYTES
 
         class Gateway(wsgi.Gateway_10):
             """Give the application the time limit for the body."""
@@ -245,8 +207,18 @@
                 environ: Any = super().get_environ()  # type: ignore[func-returns-value]
                 connection = self.req.conn
                 environ[RECEIVE_LIMIT_KEY] = lambda: deadlines.limit(connection)
+                if self.req.chunked_read:
+                    # Without it, one chunk may have any size.
+                    self.req.rfile.maxlen = max_chunked_bytes
                 if self.req.server.ssl_adapter is None:
                     environ[DIRECT_SENDER_KEY] = SocketSender(self.req)
                 return environ
 
+            def start_response(self, status: Any, headers: Any, *args: Any) -> Any:
+                """Begin the answer; end the connection if the application says so."""
+                if ("Connection", "close") in headers:
+                    self.req.close_connection = True
+                settle_body(self.req, deadlines)
+                return super().start_response(status, headers, *args)
+
         return Gateway
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -1,6 +1,5 @@
 """Accept model requests: admission, the copy at another node, the execution."""
 
-import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -10,10 +9,11 @@
 from cicadapass.answers import Answer
 from cicadapass.callers import Accepted, CallerContext
 from cicadapass.delivery import LocalReader
-from cicadapass.execution import Execution, ExecutionParts
+from cicadapass.execution import Execution
+from cicadapass.executionparts import ExecutionParts
 from cicadapass.failures import refused
 from cicadapass.grants import AcquireRequest, Grant
-from cicadapass.ownership import AddRequest, OwnedRequest
+from cicadapass.ownership import AddRequest, DropRequest, OwnedRequest
 from cicadapass.placement import Placement
 from cicadapass.problems import Problem, not_found
 from cicadapass.requests import AcceptedRequest, ChatRequest, from_copy
@@ -55,6 +55,32 @@
         self, context: CallerContext, chat: ChatRequest
     ) -> Result[Accepted, Problem]:
         """Return the accepted request, or the problem with the verdict not-run."""
+        result = self._accept(context, chat)
+        telemetry = self._parts.execution.telemetry
+        if result.is_ok():
+            telemetry.count("requests.accepted")
+        else:
+            telemetry.count("requests.refused")
+        return result
+
+    def adopt(self, copied: CopiedRequest, epoch: int) -> None:
+        """Continue a request whose copy this node held, in another thread.
+
+        Raises ValueError if the copy cannot be read.
+        """
+        request = from_copy(copied, epoch)
+        self._parts.execution.telemetry.count("requests.adopted")
+        self._parts.execution.spawn("adopt", lambda: self._resume(request, copied))
+
+    def _resume(self, request: AcceptedRequest, copied: CopiedRequest) -> None:
+        # What the old owner delivered is committed in the copy already.
+        answer = Answer(request.head, copied.texts)
+        self._parts.placement.copy(replace(copied, epoch=request.epoch))
+        self._run(request, answer, self._work_of(request), None, copied.finished)
+
+    def _accept(
+        self, context: CallerContext, chat: ChatRequest
+    ) -> Result[Accepted, Problem]:
         service = self._service(context.binding.fleet, chat.model)
         if service is None:
             return Error(not_found(f"model {chat.model}"))
@@ -63,37 +89,30 @@
         grant = self._parts.execution.acquire(work)
         if not isinstance(grant, Grant):
             return Error(refused(grant))
+        try:
+            return self._place_and_run(request, work, grant)
+        except BaseException:
+            self._parts.execution.granting.release(grant, Outcome())
+            raise
+
+    def _place_and_run(
+        self, request: AcceptedRequest, work: AcquireRequest, grant: Grant
+    ) -> Result[Accepted, Problem]:
         placed = self._parts.placement.place(request)
         if placed.is_error():
             self._parts.execution.granting.release(grant, Outcome())
             return Error(placed.error)
         durability = placed.ok
-        answer = self._run(request, Answer(request.head), work, grant)
         self._parts.events.emit(
             450,
             request_id=request.request_id,
             service=request.qualified_service,
-            workspace=context.workspace.qualified_name,
+            workspace=qualify(request.binding.fleet, request.binding.workspace),
             durability=durability,
         )
+        answer = self._run(request, Answer(request.head), work, grant)
         return Ok(Accepted(request.request_id, durability, LocalReader(answer)))
 
-    def adopt(self, copied: CopiedRequest, epoch: int) -> None:
-        """Continue a request whose copy this node held, in another thread.
-
-        Raises ValueError if the copy cannot be read.
-        """
-        request = from_copy(copied, epoch)
-        resume = lambda: self._resume(request, copied)  # noqa: E731
-        threading.Thread(target=resume, name="adopt", daemon=True).start()
-
-    def _resume(self, request: AcceptedRequest, copied: CopiedRequest) -> None:
-        # The answer is in reach of callers before it has a new holder, and what the
-        # old owner delivered is committed already.
-        answer = Answer(request.head, copied.texts)
-        self._parts.placement.copy(replace(copied, epoch=request.epoch))
-        self._run(request, answer, self._work_of(request), None, copied.finished)
-
     def _run(
         self,
         request: AcceptedRequest,
@@ -103,15 +122,31 @@
         finished: bool = False,
     ) -> Answer:
         commits = self._parts.placement.commits(request, answer)
-        execution = Execution(request, answer, commits, work, self._parts.execution)
+        execution = Execution(
+            request, answer, commits, work, self._parts.execution, finished
+        )
         owned = OwnedRequest(request, answer, execution.stop)
-        self._parts.ownership.ask(AddRequest(owned), OWNERSHIP_TIMEOUT_S)
-        if finished:
-            execution.complete()
-        else:
+        if self._own(owned):
             execution.start(grant)
+            return answer
+        # Another owner with a later epoch answers the request.
+        if grant is not None:
+            self._parts.execution.granting.release(grant, Outcome())
+        answer.abandon()
         return answer
 
+    def _own(self, owned: OwnedRequest) -> bool:
+        request = owned.request
+        try:
+            return bool(
+                self._parts.ownership.ask(AddRequest(owned), OWNERSHIP_TIMEOUT_S)
+            )
+        except BaseException:
+            # The owner of the table may still add it, and nobody would end it.
+            drop = DropRequest(request.request_id, request.epoch + 1)
+            self._parts.ownership.tell(drop)
+            raise
+
     def _service(self, fleet: str, name: str) -> Service | None:
         inventory = self._parts.inventory()
         service = inventory.service(fleet, name) if inventory else None
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -14,7 +14,8 @@
 from cicadapass.configside import ConfigSide
 from cicadapass.configview import ConfigHolder, ConfigView
 from cicadapass.drain import Drain, DrainParts
-from cicadapass.execution import Execution, ExecutionParts
+from cicadapass.execution import Execution
+from cicadapass.executionparts import ExecutionParts
 from cicadapass.httpserver import HttpLimits, NodeHttpServer, TlsFiles, WsgiApp
 from cicadapass.inprogress import InProgress
 from cicadapass.loadsharing import INTERVAL_S, LoadSharing
@@ -193,7 +194,7 @@
 
     def _on_ended(self, execution: Execution) -> None:
         request, answer = execution.request, execution.answer
-        self._ownership.tell(RequestEnded(request.request_id))
+        self._ownership.tell(RequestEnded(request.request_id, request.epoch))
         if answer.problem is None:
             self._events.emit(
                 451,
@@ -288,6 +289,8 @@
             call_later=self._timers.call_later,
             events=self._events,
             on_ended=self._on_ended,
+            spawn=self._in_progress.spawn,
+            telemetry=self._telemetry,
         )
 
     def _model_parts(self) -> ModelParts:
@@ -308,6 +311,7 @@
             url_of=self._upstreams.url_of,
             events=self._events,
             sleep=time.sleep,
+            telemetry=self._telemetry,
         )
         return GateParts(self._inventory, plain, self._claims.keyed, self._rng)
 
@@ -333,6 +337,7 @@
             thread_taken=lambda: self._callers.thread_taken(),
             streams=self._upstreams.streams,
             max_body_bytes=self._settings.http.max_body_bytes,
+            report_fault=self._report_fault,
         )
 
     def _issue_key(self, context: CallerContext) -> str:
@@ -347,6 +352,7 @@
             max_header_bytes=http.max_header_bytes,
             max_body_bytes=http.max_body_bytes,
             receive_timeout_s=http.receive_timeout_s,
+            max_connections=http.max_connections,
         )
         app = self._in_progress.track(CallerApp(self._caller_parts()))
         return _server(self._settings.callers, app, limits)
@@ -370,6 +376,7 @@
             explain=views.explain,
             publish=self._config.publish,
             drain=self._drain_for_operator,
+            report_fault=self._report_fault,
         )
 
     def _status(self) -> NodeStatus:
@@ -387,6 +394,9 @@
             copies_held=self._cluster.copies_held(),
         )
 
+    def _report_fault(self, reason: str) -> None:
+        self._events.emit(455, reason=reason)
+
     def _drain_for_operator(self) -> DrainAnswer:
         self._drain.begin("an operator asked for it")
         return DrainAnswer(True, len(self._unfinished()))
