--- a/packages/decisions/cicadapass_decisions/fold.py
+++ b/packages/decisions/cicadapass_decisions/fold.py
@@ -43,6 +43,7 @@
     verdicts: Mapping[str, PublishVerdict] = field(default_factory=dict)
     next_offset: int = 0
     snapshot_time_s: float | None = None
+    snapshot_offset: int = -1
     buffer_start: int = 0
     buffer: tuple[LogRecord[Publish], ...] = ()
 
@@ -132,6 +133,7 @@
         verdicts=snapshot.verdicts,
         next_offset=max(snapshot.folded_through + 1, state.next_offset),
         snapshot_time_s=state.snapshot_time_s,
+        snapshot_offset=state.snapshot_offset,
     )
     judged = []
     for record in state.buffer:
@@ -167,14 +169,22 @@
     return age_s >= retention_s * REAPPEND_SHARE_OF_RETENTION
 
 
+def has_lost_snapshot(state: FoldState, first_offset: int) -> bool:
+    """Return whether a reader without state could not start from the log."""
+    # A log that still has its first record needs no snapshot.
+    return state.complete and first_offset > max(state.snapshot_offset, 0)
+
+
 def _note_snapshot(state: FoldState, record: LogRecord[object]) -> FoldState:
     newest_s = state.snapshot_time_s
+    if isinstance(record.body, Snapshot):
+        newest_s = max(record.time_s, newest_s or record.time_s)
+        offset = max(record.offset, state.snapshot_offset)
+        return replace(state, snapshot_time_s=newest_s, snapshot_offset=offset)
     # Before the first snapshot, the age counts from the first record read.
-    if newest_s is None:
-        return replace(state, snapshot_time_s=record.time_s)
-    if isinstance(record.body, Snapshot) and record.time_s > newest_s:
-        return replace(state, snapshot_time_s=record.time_s)
-    return state
+    return (
+        state if newest_s is not None else replace(state, snapshot_time_s=record.time_s)
+    )
 
 
 def _judge(
--- a/packages/node/cicadapass/claims.py
+++ b/packages/node/cicadapass/claims.py
@@ -11,6 +11,7 @@
 
 import pykka
 
+from cicadapass.actormail import tell_if_alive
 from cicadapass.claimlog import ClaimLog
 from cicadapass.supervisor import Part, PartRef
 from cicadapass.timers import Subscription, TimerService
@@ -77,8 +78,10 @@
         issued_keys: IssuedKeys,
         timers: TimerService,
         clock: Callable[[], float] = time.monotonic,
+        batch_wait_s: float = BATCH_WAIT_S,
     ) -> None:
         super().__init__(supervisor, name)
+        self._batch_wait_s = batch_wait_s
         self._claim_log = claim_log
         self._issued_keys = issued_keys
         self._timers = timers
@@ -130,7 +133,7 @@
         if self._waiting_claims >= MAX_BATCH_CLAIMS:
             self._flush_waiting()
         elif self._flush is None:
-            self._flush = self._tell_later(FlushClaims(), BATCH_WAIT_S)
+            self._flush = self._tell_later(FlushClaims(), self._batch_wait_s)
 
     def _take_waiting(self) -> list[SubmitClaims]:
         if self._flush is not None:
@@ -172,12 +175,12 @@
         if self._catch_up is None and self._claim_log.is_loaded:
             ref = self.actor_ref
             self._catch_up = self._timers.subscribe(
-                lambda: _tell(ref, CatchUpClaims()), CATCH_UP_S
+                lambda: tell_if_alive(ref, CatchUpClaims()), CATCH_UP_S
             )
 
     def _tell_later(self, message: object, delay_s: float) -> Subscription:
         ref = self.actor_ref
-        return self._timers.call_later(lambda: _tell(ref, message), delay_s)
+        return self._timers.call_later(lambda: tell_if_alive(ref, message), delay_s)
 
 
 class ClaimBatcher:
@@ -200,11 +203,3 @@
             return verdicts.result(timeout_s)
         except (FutureTimeoutError, pykka.ActorDeadError):
             return not_run(claims)
-
-
-def _tell(ref: pykka.ActorRef[Any], message: object) -> None:
-    try:
-        ref.tell(message)
-    except pykka.ActorDeadError:
-        # The restarted part loads the window again.
-        return
--- a/packages/node/cicadapass/configfeed.py
+++ b/packages/node/cicadapass/configfeed.py
@@ -7,6 +7,7 @@
 import pykka
 from expression import Error, Result
 
+from cicadapass.actormail import tell_if_alive
 from cicadapass.configmessages import (
     NEED_SNAPSHOT,
     ConfigTools,
@@ -19,6 +20,7 @@
 )
 from cicadapass.configsteps import (
     SnapshotSchedule,
+    append_snapshot,
     parse_safely,
     report_verdict,
 )
@@ -33,6 +35,7 @@
 from cicadapass_decisions.fold import (
     adopt,
     fold,
+    has_lost_snapshot,
     needs_reappend,
     skip_to,
     to_snapshot,
@@ -62,6 +65,7 @@
         self._view = holder.view
         self._recent = RecentRecords()
         self._announced = -1
+        self._first_offset = 0
         self._log_lost = False
         self._caught_up = False
         self._in_step_s = tools.clock()
@@ -79,12 +83,14 @@
         ref = self.actor_ref
 
         def deliver(answer: Answer, confirm: Callable[[int], None]) -> None:
-            _tell(ref, PageArrived(answer, confirm))
+            tell_if_alive(ref, PageArrived(answer, confirm))
 
         offset = self._state.next_offset
         self._reader = LogReader(self._tools.log, offset, deliver, self._tools.rng)
         self._reader.start()
-        self._ticks = self._tools.timers.subscribe(lambda: _tell(ref, Tick()), TICK_S)
+        self._ticks = self._tools.timers.subscribe(
+            lambda: tell_if_alive(ref, Tick()), TICK_S
+        )
 
     def on_stop(self) -> None:
         """Stop reading and ticking."""
@@ -142,6 +148,7 @@
             )
             self._recent.clear()
         self._state = skip_to(self._state, page.first_offset)
+        self._first_offset = page.first_offset
         for raw in page.records:
             self._fold(raw)
         self._caught_up = self._caught_up or not page.records
@@ -262,22 +269,17 @@
     def _consider_snapshot(self) -> None:
         tools = self._tools
         due = needs_reappend(self._state, tools.wall(), tools.retention_s)
-        due = due and self._caught_up
-        if self._schedule.is_time(due, tools.clock()) and not self._appending:
+        lost = has_lost_snapshot(self._state, self._first_offset)
+        ready = self._caught_up and not self._appending
+        if self._schedule.is_time(due and ready, lost and ready, tools.clock()):
             self._append_snapshot()
 
     def _append_snapshot(self) -> None:
         self._appending = True
-        version = self._state.version
-        payload = encode_record(to_snapshot(self._state))
-        log = self._tools.log
-
-        def append() -> SnapshotAnswered:
-            if payload.is_error():
-                return SnapshotAnswered(Error(payload.error), version)
-            return SnapshotAnswered(log.append(payload.ok), version)
-
-        self._run_aside(append)
+        log, state = self._tools.log, self._state
+        self._run_aside(
+            lambda: SnapshotAnswered(append_snapshot(log, state), state.version)
+        )
 
     def _on_snapshot_answer(
         self, answer: Result[int, CicadapassError], version: int
@@ -291,12 +293,4 @@
 
     def _run_aside(self, job: Callable[[], object]) -> None:
         ref = self.actor_ref
-        self._tools.run_aside(lambda: _tell(ref, job()))
-
-
-def _tell(ref: pykka.ActorRef[Any], message: object) -> None:
-    try:
-        ref.tell(message)
-    except pykka.ActorDeadError:
-        # The restarted feed reads and fetches again.
-        return
+        self._tools.run_aside(lambda: tell_if_alive(ref, job()))
--- a/packages/node/cicadapass/configsteps.py
+++ b/packages/node/cicadapass/configsteps.py
@@ -4,14 +4,25 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from expression import Error, Result
+from expression import Error, Ok, Result
 
 from cicadapass_common.events import EventLog
-from cicadapass_decisions.fold import Adopted, Judged, RecordVerdict
+from cicadapass_common.exceptions import CicadapassError
+from cicadapass_common.logclient import Log
+from cicadapass_common.records import encode_record
+from cicadapass_decisions.fold import (
+    Adopted,
+    FoldState,
+    Judged,
+    RecordVerdict,
+    to_snapshot,
+)
 from cicadapass_decisions.logrecords import PublishOutcome, PublishVerdict
 
 # Spreads the nodes' snapshots, so that usually one node appends before the others.
 SPREAD_SHARE_OF_RETENTION = 1 / 12
+# Used when no new reader can start from the log; some nodes may append together.
+URGENT_SPREAD_S = 30.0
 
 
 class SnapshotSchedule:
@@ -22,13 +33,14 @@
         self._rng = rng
         self._at_s: float | None = None
 
-    def is_time(self, due: bool, now_s: float) -> bool:
+    def is_time(self, due: bool, urgent: bool, now_s: float) -> bool:
         """Return whether to append now a snapshot that is due."""
-        if not due:
+        if not due and not urgent:
             self._at_s = None
             return False
-        if self._at_s is None:
-            self._at_s = now_s + self._rng.uniform(0.0, self._spread_s)
+        spread_s = min(URGENT_SPREAD_S, self._spread_s) if urgent else self._spread_s
+        if self._at_s is None or self._at_s - now_s > spread_s:
+            self._at_s = now_s + self._rng.uniform(0.0, spread_s)
         return now_s >= self._at_s
 
     def restart(self) -> None:
@@ -36,6 +48,15 @@
         self._at_s = None
 
 
+def append_snapshot(log: Log, state: FoldState) -> Result[int, CicadapassError]:
+    """Append a snapshot of the state and return its offset."""
+    payload = encode_record(to_snapshot(state))
+    if payload.is_error():
+        return Error(payload.error)
+    appended = log.append(payload.ok)
+    return Ok(appended.ok) if appended.is_ok() else Error(appended.error)
+
+
 def parse_safely(
     parse: Callable[[Mapping[str, Any]], Result[Any, Any]], document: Mapping[str, Any]
 ) -> Result[Any, Any]:
--- a/packages/node/cicadapass/logreader.py
+++ b/packages/node/cicadapass/logreader.py
@@ -4,9 +4,9 @@
 import threading
 from collections.abc import Callable
 
-from expression import Result
+from expression import Error, Result
 
-from cicadapass_common.logclient import Log, LogError, Page
+from cicadapass_common.logclient import Log, LogAnswerLost, LogError, Page
 
 PAGE_RECORDS = 100
 POLL_WAIT_S = 5.0
@@ -53,7 +53,7 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            answer = self._log.read(self._offset, PAGE_RECORDS, self._wait_s)
+            answer = self._read()
             if self._stopped:
                 return
             self._confirmed = False
@@ -66,6 +66,14 @@
             at_end = answer.is_ok() and not answer.ok.records
             self._wait_s = POLL_WAIT_S if at_end else 0.0
 
+    def _read(self) -> Answer:
+        try:
+            return self._log.read(self._offset, PAGE_RECORDS, self._wait_s)
+        except Exception as error:
+            # Without this thread, the node would never hear of a publish again.
+            problem = f"reading the log failed: {error!r}"
+            return Error(LogAnswerLost(problem, "report this error", False))
+
     def _confirm(self, next_offset: int) -> None:
         with self._changed:
             self._offset = next_offset
--- a/tests/decisions/test_fold.py
+++ b/tests/decisions/test_fold.py
@@ -15,6 +15,7 @@
     adopt,
     first_verdict,
     fold,
+    has_lost_snapshot,
     needs_reappend,
     skip_to,
     to_snapshot,
@@ -221,3 +222,5 @@
         state, _ = fold(state, snapshot, _validate)
         self.assertFalse(needs_reappend(state, 199.0, RETENTION_S))
         self.assertFalse(needs_reappend(FoldState(), 1e9, RETENTION_S))
+        self.assertFalse(has_lost_snapshot(state, 2))
+        self.assertTrue(has_lost_snapshot(state, 3))
--- a/tests/node/test_configfeed.py
+++ b/tests/node/test_configfeed.py
@@ -28,6 +28,7 @@
 from cicadapass.timers import TimerService
 from cicadapass_common.events import LOGGER_NAME, EventLog
 from cicadapass_common.logclient import LogUnreachable, RawRecord
+from cicadapass_common.publish import read_to_end
 from cicadapass_common.records import decode_log_record, encode_record
 from cicadapass_decisions.fold import FoldState, fold, skip_to, to_snapshot
 from cicadapass_decisions.logrecords import Publish
@@ -131,7 +132,7 @@
         super().setUp()
         self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
         self.urns = {}
-        self.patch(configfeed, "_tell", self._tell)
+        self.patch(configfeed, "tell_if_alive", self._tell)
         self.log = MemoryLog()
         self.node = _Node(self, self.log)
 
@@ -246,6 +247,19 @@
         recent.add(RawRecord(7, 0.0, bytes(recentrecords.MAX_BYTES)))
         self.assertEqual([], [r.offset for r in recent.since(6)])
 
+    def test_snapshot_that_expired_early_is_replaced_soon(self):
+        """A log that lost its snapshot must not keep new readers out for hours."""
+        self.log.put(_publish(-1, 1))
+        self.node.poll_to_end()
+        self.log.expire(1)
+        self.assertFalse(read_to_end(self.log, FoldState(), _parse).ok.complete)
+        for _ in range(31):
+            self.node.poll_to_end()
+            self.node.tick()
+        self.assertEqual(2, self.log.end_offset)
+        reader = read_to_end(self.log, FoldState(), _parse).ok
+        self.assertEqual((True, 0), (reader.complete, reader.version))
+
     def test_one_node_appends_a_due_snapshot(self):
         """All nodes together must append one snapshot before the retention ends."""
         self.log.put(_publish(-1, 1))
@@ -276,7 +290,7 @@
         super().setUp()
         self.patch(logging.getLogger(LOGGER_NAME), "disabled", True)
         self.urns = {}
-        self.patch(configfeed, "_tell", self._tell)
+        self.patch(configfeed, "tell_if_alive", self._tell)
 
     def _tell(self, ref, message):
         self.urns[ref.actor_urn].on_receive(message)
@@ -412,6 +426,17 @@
         self.events.wait_for(200)
         self.assertEqual(1, self.holder.view.version)
 
+    def test_reader_thread_outlives_a_fault_of_the_client(self):
+        """An unexpected exception must not end the reading of the log."""
+        self.log.put(_publish(-1, 1))
+        self.events.wait_for(200)
+        read, self.log.read = self.log.read, None
+        self.log.put(b"ends the waiting read")
+        self.events.wait_for(207)
+        self.log.read = read
+        self.log.put(_publish(0, 2))
+        self.events.wait_for(200)
+
     def test_restarted_feed_goes_on_from_its_version(self):
         """A crash of the feed must not lose or revert the configuration."""
         self.log.put(_publish(-1, 1))
