Make issued keys invalid when the claims part restarts

Cause: a part that is restarted with the same secret accepted keys whose use its predecessor remembered, so that a call could be sent twice. Change: each part derives a new secret when it starts.

--- a/packages/decisions/cicadapass_decisions/issuedkeys.py
+++ b/packages/decisions/cicadapass_decisions/issuedkeys.py
@@ -14,8 +14,8 @@
 class IssuedKeys:
     """Issue keys and remember the used ones for the claim window.
 
-    This is a class because the used keys are state of one node's incarnation. Its
-    secret is never stored, so that a key is good only in that incarnation.
+    This is a class because the used keys are state of one node's incarnation. A
+    key is good only as long as its use is remembered, see `forget`.
     """
 
     def __init__(
@@ -28,6 +28,11 @@
         self._limit = limit
         self._used: OrderedDict[bytes, tuple[float, Claim]] = OrderedDict()
 
+    def forget(self, nonce: bytes) -> None:
+        """Forget the used keys and make all keys issued so far invalid."""
+        self._used.clear()
+        self._secret = hmac.new(self._secret, nonce, hashlib.sha256).digest()
+
     def issue(self, scope: str, nonce: bytes, now_s: float) -> str:
         """Return a new key for the scope, such as fleet/workspace."""
         parts = (self._node, self._incarnation, f"{now_s:.3f}", nonce.hex())
--- a/packages/node/cicadapass/claims.py
+++ b/packages/node/cicadapass/claims.py
@@ -84,6 +84,9 @@
         self._batch_wait_s = batch_wait_s
         self._claim_log = claim_log
         self._issued_keys = issued_keys
+        # A restarted part does not know which keys its predecessor's callers used,
+        # even if it is given the same secret.
+        issued_keys.forget(os.urandom(KEY_NONCE_BYTES))
         self._timers = timers
         self._clock = clock
         self._waiting: list[SubmitClaims] = []
--- a/tests/node/test_claims.py
+++ b/tests/node/test_claims.py
@@ -254,20 +254,20 @@
         super().setUp()
         self.timers = _Timers()
         _Supervisor.failed.clear()
-        keys = IssuedKeys("vm-1", "i", b"secret", WINDOW_S, 10)
         self.supervisor = _Supervisor.start()
         self.addCleanup(self.supervisor.stop)
-        self.part = ClaimsPart.start(
-            self.supervisor,
-            "claims",
-            self.claim_log(),
-            keys,
-            self.timers,
-            lambda: self.now_s,
-        )
-        self.addCleanup(self.part.stop)
+        self.part = self.start_part()
         self.answers = []
 
+    def start_part(self):
+        keys = IssuedKeys("vm-1", "i", b"secret", WINDOW_S, 10)
+        log, clock = self.claim_log(), lambda: self.now_s
+        part = ClaimsPart.start(
+            self.supervisor, "claims", log, keys, self.timers, clock
+        )
+        self.addCleanup(part.stop)
+        return part
+
     def submit(self, *claims, deadline_s=3.0):
         index = len(self.answers)
         self.answers.append(None)
@@ -322,6 +322,13 @@
         message = ClaimIssuedKey("f/w", key, _claim(key, 1))
         self.assertEqual(WON, self.part.ask(message, timeout=WAIT_S).outcome)
 
+    def test_issued_key_is_not_good_after_a_restart(self):
+        """A restarted part must not accept a key that was used before."""
+        key = self.part.ask(IssueKey("f/w"), timeout=WAIT_S)
+        for part, outcome in [(self.part, WON), (self.start_part(), NOT_RUN)]:
+            message = ClaimIssuedKey("f/w", key, _claim(key, outcome == WON))
+            self.assertEqual(outcome, part.ask(message, timeout=WAIT_S).outcome)
+
     def test_handle_gives_verdicts_or_not_run(self):
         """A caller's thread must get an answer although the part may be gone."""
         ref = PartRef("claims")
