Count all nodes' requests and give each node a share of its own

Tried and reverted: counting what late reports show in the room of an upstream.

Change: the bench's nodes exchange in-flight counts with all nodes of the fleet, which at 8 nodes costs 7 small messages (variant peers_in_data_centre keeps the old way). A node that holds less than its share of a service's slots may therefore exceed the limit by that share, for long work by one job.

--- a/packages/bench/cicadapass_bench/policy_bench.py
+++ b/packages/bench/cicadapass_bench/policy_bench.py
@@ -123,9 +123,10 @@
             )
         )
     for node in nodes:
-        node.peers = [
-            n for n in nodes if n is not node and n.data_centre == node.data_centre
-        ]
+        near = variant == "peers_in_data_centre"
+        others = [n for n in nodes if n is not node]
+        centre = node.data_centre
+        node.peers = [n for n in others if not near or n.data_centre == centre]
     return nodes
 
 
@@ -181,8 +182,7 @@
 
 
 def _attempts(jobs: list[Job]) -> float:
-    started = [job for job in jobs if job.attempts]
-    return sum(job.attempts for job in started) / max(1, len(jobs))
+    return sum(job.attempts for job in jobs) / max(1, len(jobs))
 
 
 def head_of_line(variant: str, seed: int) -> Iterator[tuple[str, float, str]]:
@@ -275,6 +275,7 @@
     "cicadapass",
     "round_robin",
     "least_outstanding",
+    "peers_in_data_centre",
     *(f"without_{group}.{switch}" for group, switch in SWITCHES),
 )
 
--- a/packages/decisions/cicadapass_decisions/routing.py
+++ b/packages/decisions/cicadapass_decisions/routing.py
@@ -17,6 +17,7 @@
     score,
 )
 from cicadapass_decisions.slowness import Health
+from cicadapass_decisions.work import WorkKind
 
 # Random draws for each wanted choice before all candidates are looked at, so that a
 # choice among thousands of upstreams with room costs a few draws.
@@ -111,8 +112,11 @@
 
 def has_room(request: RoutingRequest, candidate: Candidate, policy: Policy) -> bool:
     """Return whether one more request of this kind fits into the upstream's limit."""
-    room = room_of(candidate.limit, policy.queue)
     short, long = candidate.own.short, candidate.own.long
+    held = long if request.kind is WorkKind.LONG else short + long
+    if held < request.own_share:
+        return True
+    room = room_of(candidate.limit, policy.queue)
     if policy.routing.use_peers:
         short += candidate.peers.short
         long += candidate.peers.long
--- a/packages/decisions/cicadapass_decisions/scoring.py
+++ b/packages/decisions/cicadapass_decisions/scoring.py
@@ -64,7 +64,9 @@
 
     `prefix_tokens` are the prompt tokens that each upstream need not compute;
     upstreams in `avoid` are chosen only if there is no other that could be, and
-    never if `must_avoid` is set.
+    never if `must_avoid` is set. `own_share` lets a node that holds less than its
+    share of the service's slots use up to that many requests of an upstream that
+    other nodes have filled.
     """
 
     kind: WorkKind
@@ -75,6 +77,7 @@
     avoid: frozenset[str] = frozenset()
     long_waits: bool = False
     must_avoid: bool = False
+    own_share: int = 0
 
 
 class Status(StrEnum):
--- a/packages/node/cicadapass/servicequeue.py
+++ b/packages/node/cicadapass/servicequeue.py
@@ -1,5 +1,6 @@
 """Queue and in-flight counts of one service: grants are decided here."""
 
+import math
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import replace
@@ -185,6 +186,15 @@
             long_waits,
             must_avoid=request.hedge,
         )
+        chosen = self._choose_from(routing, now_s)
+        share = self._own_share(request) if chosen.is_error() else 0
+        if share:
+            chosen = self._choose_from(replace(routing, own_share=share), now_s)
+        return chosen
+
+    def _choose_from(
+        self, routing: RoutingRequest, now_s: float
+    ) -> Result[Choice, NoUpstream]:
         return choose_upstream(
             routing,
             self._candidates,
@@ -194,6 +204,24 @@
             self._table.panic,
         )
 
+    def _own_share(self, request: AcquireRequest) -> int:
+        """Return the requests for each upstream that other nodes cannot deny this one.
+
+        A node keeps the slots that it releases, so without a share of its own a node
+        that holds none would get none while the others are busy.
+        """
+        nodes = self._table.nodes
+        if nodes < 2 or request.hedge:
+            return 0
+        own = sum(self._own.values(), InFlight())
+        if request.work.kind is WorkKind.LONG:
+            # Long work above the limit takes reserved slots, so one job must do.
+            return 1 if own.long == 0 else 0
+        slots = sum(c.limit for c in self._candidates if not c.leaving)
+        if own.short + own.long >= slots / nodes:
+            return 0
+        return math.ceil(slots / nodes / max(1, len(self._candidates)))
+
     def _prefix_tokens(self, request: AcquireRequest) -> dict[str, int]:
         if not request.blocks or not self._policy.routing.prefer_prefix:
             return {}
--- a/packages/node/cicadapass/upstreambook.py
+++ b/packages/node/cicadapass/upstreambook.py
@@ -271,4 +271,5 @@
             verdict.first_token_s,
             verdict.inter_token_s,
             hints,
+            len(self._peers) + 1,
         )
--- a/packages/node/cicadapass/upstreamtable.py
+++ b/packages/node/cicadapass/upstreamtable.py
@@ -53,13 +53,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceTable:
-    """Hold the upstreams of one service as candidates without own counts."""
+    """Hold the upstreams of one service as candidates without own counts.
+
+    `nodes` counts the nodes, this one included, that share their in-flight counts.
+    """
 
     candidates: tuple[Candidate, ...]
     panic: bool = False
     first_token_s: float | None = None
     inter_token_s: float | None = None
     hints: Mapping[str, CacheHints] = field(default_factory=dict)
+    nodes: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/node/test_dispatcher.py
+++ b/tests/node/test_dispatcher.py
@@ -29,7 +29,7 @@
     Hedge,
     RetryRequest,
 )
-from cicadapass_decisions.scoring import Candidate
+from cicadapass_decisions.scoring import Candidate, InFlight
 from cicadapass_decisions.work import WorkClass, WorkKind, WorkRequest
 
 WAIT_S = 20.0
@@ -40,11 +40,11 @@
 PATIENT = Policy(admission=AdmissionRules(max_wait_s=600.0, max_long_wait_s=3600.0))
 
 
-def _table(upstreams=2, limit=4, **fields):
+def _table(upstreams=2, limit=4, nodes=1, **fields):
     candidates = tuple(
         Candidate(f"f/u{i}", "f/dc-a", limit, **fields) for i in range(upstreams)
     )
-    return UpstreamTable({SERVICE: ServiceTable(candidates)})
+    return UpstreamTable({SERVICE: ServiceTable(candidates, nodes=nodes)})
 
 
 def _request(name, work=SHORT, **fields):
@@ -171,6 +171,14 @@
         self.assertIsInstance(self.settled["retry"], Grant)
         self.assertIsInstance(self.settled["other"], Grant)
 
+    def test_other_nodes_cannot_starve_this_one(self):
+        """A node without slots must get its share although others keep theirs."""
+        self.granting.set_table(_table(2, 4, nodes=4, peers=InFlight(short=4)))
+        grants = self._fill(SHORT, 5)
+        self.assertEqual(2, sum(isinstance(grant, Grant) for grant in grants))
+        jobs = self._fill(LONG, 3)
+        self.assertEqual(1, sum(isinstance(job, Grant) for job in jobs))
+
     def test_one_probe_at_a_time(self):
         """A slow upstream must not get a burst of requests as probes."""
         slow = {"probe_due": True, "health": "slow"}
