Use few probe targets and holders per node, and pace progress messages

Cause: a request over a new connection took 7.5 ms of processor time on both sides together, and a node's tokens spread over 30 holders came to 4 tokens a message, each message costing about as much as hundreds of tokens. Change: a node probes the 40 members it prefers by rendezvous hashing and keeps these connections; every member is still probed by about 40 others. An owner uses the two holders it prefers. A holder gets at most one message in 5 ms. Answers and requests of the loop's own thread do not wake it up. Red runs: any candidate as holder (25 not less than or equal to 2), the same holders for all owners (100 not less than 15), all members probed (80 != 40), no gap (test_gap_between_messages fails), load ignored (test_load_spreads fails).

--- /dev/null
+++ b/packages/bench/cicadapass_bench/peerfixtures.py
@@ -0,0 +1,78 @@
+"""Tables, copies and results that the measurements of peers share."""
+
+import json
+import random
+from dataclasses import dataclass
+
+from cicadapass.copystore import CopyStore
+from cicadapass_common.copymessages import Binding, CopiedRequest
+from cicadapass_common.messages import Probe
+from cicadapass_common.wire import decode, encode
+from cicadapass_decisions.membership import (
+    GossipEntry,
+    MemberState,
+    MemberTable,
+    apply_gossip,
+    new_table,
+)
+from cicadapass_decisions.types import NodeAddress
+
+TOKEN_TEXT = " token"
+MICROSECONDS = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Measure:
+    """Hold one measured value."""
+
+    measure: str
+    variant: str
+    value: float
+    unit: str
+
+    def to_json(self, seed: int) -> str:
+        """Return the measure as one line of JSON."""
+        line = {
+            "measure": self.measure,
+            "variant": self.variant,
+            "value": round(self.value, 2),
+            "unit": self.unit,
+            "seed": seed,
+        }
+        return json.dumps(line)
+
+
+def address(n: int, port: int = 9000) -> NodeAddress:
+    """Return an address with texts as long as those of a real fleet."""
+    fleet = ("grabhandle", "klasite")[n % 2]
+    name, host = f"entry-{n:04d}", f"10.20.{n // 250}.{n % 250}"
+    return NodeAddress(name, f"{n:08x}", fleet, f"dc-{n % 10}", host, port)
+
+
+def _entry(n: int, rng: random.Random) -> GossipEntry:
+    offset, load = rng.randrange(10**6, 10**7), rng.randrange(256)
+    beat = rng.randrange(10**5)
+    return GossipEntry(address(n), MemberState.ALIVE, 0, beat, offset, load)
+
+
+def table_of(count: int, rng: random.Random) -> MemberTable:
+    """Return a table of decoded entries, whose texts are objects of their own."""
+    table = new_table(address(count))
+    for n in range(count):
+        apply_gossip(table, _over_the_wire(_entry(n, rng)), 0.0)
+    return table
+
+
+def _over_the_wire(entry: GossipEntry) -> tuple[GossipEntry, ...]:
+    frame = decode(encode(Probe((entry,), (), 0, 0))).ok
+    assert isinstance(frame.message, Probe)
+    return frame.message.entries
+
+
+def store_with(request_id: str) -> CopyStore:
+    """Return a store that holds one copy."""
+    store = CopyStore(10**7)
+    binding = Binding("grabhandle", "counter", "0" * 64)
+    copy = CopiedRequest(request_id, 1, binding, 0.0, "parts", b"")
+    store.put(copy, address(0), 0.0)
+    return store
--- /dev/null
+++ b/packages/bench/cicadapass_bench/slopes_sockets.py
@@ -0,0 +1,168 @@
+"""Measure probes and progress over loopback sockets."""
+
+import random
+import threading
+import time
+import tracemalloc
+from collections.abc import Iterator
+from dataclasses import replace
+
+from cicadapass.memberbook import ENTRIES_BUDGET_BYTES
+from cicadapass.peers import Inbound, Peers
+from cicadapass.peerstate import PeerSettings
+from cicadapass.progress import Acked, ProgressEvent, ProgressSender
+from cicadapass_bench.peerfixtures import (
+    MICROSECONDS,
+    TOKEN_TEXT,
+    Measure,
+    store_with,
+    table_of,
+)
+from cicadapass_common.copymessages import Progress, ProgressReply
+from cicadapass_common.events import EventLog
+from cicadapass_common.messages import Probe, ProbeReply
+from cicadapass_common.stamps import StampClock
+from cicadapass_decisions.gossip import full_entries
+from cicadapass_decisions.types import NodeAddress
+
+SOCKET_ROUNDS = 100
+IDLE_S = 0.005
+# Long enough that an idle connection is closed before the next round.
+PAUSE_S = 0.02
+STREAMS = 100
+STREAM_TOKENS = 200
+# The share of one of 380 nodes in 2 million tokens a second.
+TOKENS_PER_S = 5300.0
+HOLDER_COUNTS = (1, 2, 30)
+WAIT_S = 60.0
+
+
+def connections(rng: random.Random) -> Iterator[Measure]:
+    """Measure requests and streams over loopback sockets."""
+    yield from _socket_rounds("open-connection", 60.0, rng)
+    yield from _socket_rounds("new-connection", IDLE_S, rng)
+    yield from _memory(rng)
+    yield from _streams(rng)
+
+
+def _peers(n: int, rng: random.Random, idle_s: float = 60.0) -> Peers:
+    place = NodeAddress(f"entry-{n:04d}", "1", "grabhandle", "dc-1", "127.0.0.1", 0)
+    stamps = StampClock()
+    settings = PeerSettings(place, b"secret of the measurement", idle_s=idle_s)
+    return Peers(settings, EventLog(place.name, stamps.stamp), stamps, rng)
+
+
+def _socket_rounds(
+    variant: str, idle_s: float, rng: random.Random
+) -> Iterator[Measure]:
+    """Measure the processor time of both sides of a probe with full gossip."""
+    table = table_of(380, rng)
+    entries = full_entries(table, ENTRIES_BUDGET_BYTES)
+    server, client = _peers(1, rng), _peers(2, rng, idle_s)
+    reply = ProbeReply(entries, (), 1)
+    server.handle(Probe, lambda inbound: inbound.reply(reply), pooled=False)
+    server.start()
+    client.start()
+    pause = threading.Event()
+    probe = Probe(entries, (), 1, 380)
+    client.request(server.address, probe, WAIT_S)
+    start_s = time.process_time()
+    for _ in range(SOCKET_ROUNDS):
+        client.request(server.address, probe, WAIT_S)
+        pause.wait(PAUSE_S)
+    spent_s = time.process_time() - start_s
+    counts = [*client.traffic().sent.values(), *client.traffic().received.values()]
+    hellos = client.traffic().sent["hello"].messages
+    client.stop()
+    server.stop()
+    yield Measure(
+        "probe_socket_cpu", variant, spent_s / SOCKET_ROUNDS * MICROSECONDS, "us"
+    )
+    size = sum(c.frame_bytes for c in counts) / (SOCKET_ROUNDS + 1)
+    yield Measure("probe_socket_bytes", variant, size, "bytes")
+    yield Measure("probe_socket_handshakes", variant, hellos, "handshakes")
+
+
+def _memory(rng: random.Random) -> Iterator[Measure]:
+    """Measure the memory of both ends of an open connection."""
+    server, client = _peers(1, rng), _peers(2, rng)
+    reply = ProbeReply((), (), 1)
+    server.handle(Probe, lambda inbound: inbound.reply(reply), pooled=False)
+    server.start()
+    client.start()
+    # Targets without a name are not checked, so each gets a connection of its own.
+    targets = [replace(server.address, name="", incarnation=str(n)) for n in range(41)]
+    client.request(targets.pop(), Probe((), (), 1, 1), WAIT_S)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for target in targets:
+        client.request(target, Probe((), (), 1, 1), WAIT_S)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    client.stop()
+    server.stop()
+    size = (after - before) / len(targets)
+    yield Measure("connection_bytes", "both-ends", size, "bytes/connection")
+
+
+def _streams(rng: random.Random) -> Iterator[Measure]:
+    """Measure streams at a steady rate, by the number of holders they use."""
+    for holders in HOLDER_COUNTS:
+        yield from _paced_streams(holders, rng)
+
+
+def _paced_streams(holders: int, rng: random.Random) -> Iterator[Measure]:
+    stores = {str(n): store_with(str(n)) for n in range(STREAMS)}
+
+    def hold(inbound: Inbound[Progress]) -> None:
+        items = inbound.message.items
+        acks = tuple(stores[i.request_id].progress(i, 0.0) for i in items)
+        inbound.reply(ProgressReply(acks))
+
+    nodes = [_peers(n, rng) for n in range(holders + 1)]
+    owner, receivers = nodes[0], nodes[1:]
+    for receiver in receivers:
+        receiver.handle(Progress, hold, pooled=False)
+    for node in nodes:
+        node.start()
+    events = EventLog("owner", lambda: (0, 0))
+    sender = ProgressSender(owner, events)
+    left = threading.Semaphore(0)
+
+    def listen(event: ProgressEvent) -> None:
+        if isinstance(event, Acked) and event.done:
+            left.release()
+
+    for n, request_id in enumerate(stores):
+        target = receivers[n % holders].address
+        sender.track(request_id, 1, target, 0, listen)
+    cpu_s, start_s = time.process_time(), time.monotonic()
+    _produce(sender, list(stores))
+    for _ in stores:
+        assert left.acquire(timeout=WAIT_S), "a stream did not end"
+    tokens = STREAMS * STREAM_TOKENS
+    spent_s, wall_s = time.process_time() - cpu_s, time.monotonic() - start_s
+    counts = owner.traffic().sent["progress"]
+    for node in nodes:
+        node.stop()
+    variant = f"{STREAMS}-streams-{holders}-holders"
+    yield Measure("stream_rate", variant, tokens / wall_s, "tokens/s")
+    # Both sides run in this process, as a node is owner and holder alike.
+    yield Measure("stream_cpu", variant, spent_s / tokens * MICROSECONDS, "us/token")
+    size = counts.frame_bytes / tokens
+    yield Measure("stream_bytes", variant, size, "bytes/token")
+    batch = tokens / counts.messages
+    yield Measure("stream_batch", variant, batch, "tokens/message")
+
+
+def _produce(sender: ProgressSender, request_ids: list[str]) -> None:
+    """Add one token at a time to all streams in turn, at TOKENS_PER_S in total."""
+    pause = threading.Event()
+    start_s = time.monotonic()
+    total = len(request_ids) * STREAM_TOKENS
+    for n in range(total):
+        ahead_s = start_s + n / TOKENS_PER_S - time.monotonic()
+        if ahead_s > 0:
+            pause.wait(ahead_s)
+        done = n >= total - len(request_ids)
+        sender.add(request_ids[n % len(request_ids)], [TOKEN_TEXT], done)
--- a/packages/decisions/cicadapass_decisions/membership.py
+++ b/packages/decisions/cicadapass_decisions/membership.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 from enum import IntEnum
 
+from cicadapass_decisions.rendezvous import preferred
 from cicadapass_decisions.types import NodeAddress, VmId
 
 INDIRECT_PROBES = 3
@@ -16,15 +17,12 @@
 # A partition between regions may last an hour; a forgotten member could not be
 # probed again after it.
 GONE_RETENTION_S = 6 * 3600.0
+# Each node probes the same members again and again, and keeps its connections to them:
+# a handshake costs more than twice a probe. Every member is in the sets of about as
+# many others, so that it is still probed once a second on average.
+PROBE_SET = 40
 # Gone members are probed too, or a healed partition would never be noticed.
 GONE_PROBE_EVERY = 8
-# A change is passed on this many times per decade of members.
-SENDS_PER_DECADE = 6
-# Entries without news that fill up a message, so that differences that gossip missed
-# are found after some minutes.
-FILLER_ENTRIES = 3
-# Heads of the arrays and texts, and the numbers, in CBOR.
-ENTRY_OVERHEAD_BYTES = 46
 
 
 class MemberState(IntEnum):
@@ -78,7 +76,9 @@
 
 
 @dataclass(slots=True)
-class _Member:
+class Member:
+    """Hold one member; `sends` counts how often its entry was passed on."""
+
     entry: GossipEntry
     since_s: float
     sends: int = 0
@@ -92,7 +92,7 @@
     """
 
     own: GossipEntry
-    members: dict[VmId, _Member] = field(default_factory=dict)
+    members: dict[VmId, Member] = field(default_factory=dict)
     probe_order: list[VmId] = field(default_factory=list)
     probes: int = 0
     filler: int = 0
@@ -170,8 +170,8 @@
 def choose_probe(table: MemberTable, rng: random.Random) -> NodeAddress | None:
     """Return the next member to probe, if there is one.
 
-    Each round visits all members in random order, which bounds the time until a
-    given one is probed.
+    Each round visits the members of the node's set in random order, which bounds the
+    time until a given one is probed.
     """
     table.probes += 1
     if table.probes % GONE_PROBE_EVERY == 0:
@@ -183,7 +183,8 @@
             member = table.members.get(table.probe_order.pop())
             if member and not _is_gone(member.entry):
                 return member.entry.address
-        table.probe_order = list(table.members)
+        present = [vm for vm, m in table.members.items() if not _is_gone(m.entry)]
+        table.probe_order = preferred(table.own.vm, present, PROBE_SET)
         rng.shuffle(table.probe_order)
     return None
 
@@ -249,52 +250,6 @@
     return apply_gossip(table, overdue, now_s)
 
 
-def gossip_entries(
-    table: MemberTable, budget_bytes: int, about: VmId | None = None
-) -> tuple[GossipEntry, ...]:
-    """Return entries to pass on, within the budget: own, news, then fillers.
-
-    The receiver's own entry goes with them if others doubt the receiver, so that it
-    learns of the suspicion and refutes it.
-    """
-    chosen = {table.own.vm: table.own}
-    budget_bytes -= entry_bytes(table.own)
-    doubted = table.members.get(about) if about else None
-    if doubted and doubted.entry.state is not MemberState.ALIVE:
-        chosen[doubted.entry.vm] = doubted.entry
-        budget_bytes -= entry_bytes(doubted.entry)
-    limit = SENDS_PER_DECADE * math.ceil(math.log10(len(table.members) + 2))
-    news = [m for m in table.members.values() if m.sends < limit]
-    news.sort(key=lambda m: m.sends)
-    for member in [*news, *_fillers(table)]:
-        if member.entry.vm in chosen:
-            continue
-        budget_bytes -= entry_bytes(member.entry)
-        if budget_bytes < 0:
-            break
-        member.sends += 1
-        chosen[member.entry.vm] = member.entry
-    return tuple(chosen.values())
-
-
-def full_entries(table: MemberTable, budget_bytes: int) -> tuple[GossipEntry, ...]:
-    """Return all members that fit, for a node that has just joined."""
-    chosen = [table.own]
-    for member in table.members.values():
-        budget_bytes -= entry_bytes(member.entry)
-        if budget_bytes < 0:
-            break
-        chosen.append(member.entry)
-    return tuple(chosen)
-
-
-def entry_bytes(entry: GossipEntry) -> int:
-    """Return an upper bound of the size of an entry in a frame."""
-    a = entry.address
-    texts = a.name, a.incarnation, a.fleet, a.data_centre, a.host
-    return ENTRY_OVERHEAD_BYTES + sum(len(t.encode()) for t in texts)
-
-
 def _is_gone(entry: GossipEntry) -> bool:
     return entry.state is MemberState.GONE
 
@@ -302,7 +257,7 @@
 def _store(table: MemberTable, entry: GossipEntry, now_s: float) -> None:
     known = table.members.get(entry.vm)
     if known is None:
-        table.members[entry.vm] = _Member(entry, now_s)
+        table.members[entry.vm] = Member(entry, now_s)
         return
     news = (entry.state, entry.refutation) != (
         known.entry.state,
@@ -331,12 +286,3 @@
 def _hints_differ(first: GossipEntry, second: GossipEntry) -> bool:
     hints = first.config_offset, first.load
     return hints != (second.config_offset, second.load)
-
-
-def _fillers(table: MemberTable) -> list[_Member]:
-    members = list(table.members.values())
-    if not members:
-        return []
-    start = table.filler % len(members)
-    table.filler = start + FILLER_ENTRIES
-    return (members[start:] + members[:start])[:FILLER_ENTRIES]
--- a/packages/decisions/cicadapass_decisions/recovery.py
+++ b/packages/decisions/cicadapass_decisions/recovery.py
@@ -12,11 +12,14 @@
 from enum import Enum, auto
 
 from cicadapass_decisions.membership import GossipEntry, MemberState
+from cicadapass_decisions.rendezvous import preferred
 from cicadapass_decisions.types import NodeAddress, VmId
 
 FIRST_EPOCH = 1
 TAKE_OVER_STEP = 1
 COPY_STEP = 2
+# An owner uses few holders, so that the tokens of many requests share a message.
+HOLDER_SET = 2
 # 40 bits: with 380 nodes, two share a key with a chance of 1 in 15 million.
 NODE_KEY_DIGITS = 10
 
@@ -114,20 +117,23 @@
 ) -> NodeAddress | None:
     """Return a holder in another data centre of the fleet, if there is one.
 
-    Of two random candidates, the one with less load spreads the copies.
+    The candidates are the nodes that the owner prefers, which differ from owner to
+    owner; of two random ones, the one with less load is taken.
     """
     own = members.own
     excluded = {*exclude, *members.leaving, own.vm}
-    candidates = [
-        e
+    suitable = {
+        e.vm: e
         for e in members.entries
         if e.state is MemberState.ALIVE
         and e.address.fleet == own.fleet
         and e.address.data_centre != own.data_centre
         and e.vm not in excluded
-    ]
-    if not candidates:
+    }
+    if not suitable:
         return None
+    nearest = preferred(own.vm, suitable, HOLDER_SET)
+    candidates = [suitable[vm] for vm in nearest]
     pair = rng.sample(candidates, min(2, len(candidates)))
     return min(pair, key=lambda e: e.load).address
 
--- a/packages/node/cicadapass/memberbook.py
+++ b/packages/node/cicadapass/memberbook.py
@@ -10,7 +10,7 @@
     ProbeReply,
     ProbeVia,
 )
-from cicadapass_decisions import leaving, membership
+from cicadapass_decisions import gossip, leaving, membership
 from cicadapass_decisions.leaving import LeavingEntry
 from cicadapass_decisions.membership import (
     GossipEffect,
@@ -70,24 +70,22 @@
 
     def probe(self, target: VmId) -> Probe:
         """Return a probe with gossip."""
-        entries = membership.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, target)
+        entries = gossip.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, target)
         offset, known = self.table.own.config_offset, len(self.table.members)
         return Probe(entries, self._marks_to_send(), offset, known)
 
     def probe_via(self, via: VmId, target: NodeAddress) -> ProbeVia:
         """Return a request to probe the target, with gossip."""
-        entries = membership.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, via)
+        entries = gossip.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, via)
         offset = self.table.own.config_offset
         return ProbeVia(target, entries, self._marks_to_send(), offset)
 
     def reply(self, sender: VmId, known: int, reached: bool) -> ProbeReply:
         """Return the answer to a probe; a sender that has just joined gets all."""
         if 2 * known < len(self.table.members):
-            entries = membership.full_entries(self.table, JOIN_BUDGET_BYTES)
+            entries = gossip.full_entries(self.table, JOIN_BUDGET_BYTES)
         else:
-            entries = membership.gossip_entries(
-                self.table, ENTRIES_BUDGET_BYTES, sender
-            )
+            entries = gossip.gossip_entries(self.table, ENTRIES_BUDGET_BYTES, sender)
         offset = self.table.own.config_offset
         return ProbeReply(entries, self._marks_to_send(), offset, reached)
 
--- a/packages/node/cicadapass/peers.py
+++ b/packages/node/cicadapass/peers.py
@@ -1,6 +1,7 @@
 """Messages to and from other nodes: one asyncio loop in one thread."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 import threading
@@ -137,6 +138,14 @@
         """Send a message that needs no answer; it is lost if the peer is not there."""
         self._submit(target, message, None, None, 0.0)
 
+    def call_later(self, action: Callable[[], None], delay_s: float) -> None:
+        """Call the action in the thread of the loop, unless the node stops before."""
+        if threading.current_thread() is self._thread:
+            self._loop.call_later(delay_s, action)
+        else:
+            with contextlib.suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(self._loop.call_later, delay_s, action)
+
     def traffic(self) -> Traffic:
         """Return the counts of messages and bytes by kind."""
         return Traffic(dict(self._state.sent), dict(self._state.received))
@@ -159,7 +168,11 @@
         try:
             if self._stopped:
                 raise RuntimeError
-            self._loop.call_soon_threadsafe(self._submit_in_loop, target, outgoing)
+            if threading.current_thread() is self._thread:
+                # Waking the loop up from itself would cost another of its rounds.
+                self._submit_in_loop(target, outgoing)
+            else:
+                self._loop.call_soon_threadsafe(self._submit_in_loop, target, outgoing)
         except RuntimeError:
             if on_reply:
                 on_reply(Error(PeerError(PeerFault.STOPPED, "the node stops")))
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import threading
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -83,6 +84,7 @@
         self._dispatch = dispatch
         self._server: Server | None = None
         self._loop = asyncio.get_running_loop()
+        self._thread = threading.current_thread()
 
     async def start(self) -> int:
         """Listen and return the port; raise OSError if it is taken."""
@@ -187,6 +189,9 @@
             if frame.correlation is None:
                 return
             kind, data = self._encode(message, frame.correlation)
+            if threading.current_thread() is self._thread:
+                replies.put(kind, data, sender.name)
+                return
             # The loop is closed while the node stops; nobody waits then.
             with contextlib.suppress(RuntimeError):
                 self._loop.call_soon_threadsafe(replies.put, kind, data, sender.name)
--- a/packages/node/cicadapass/peerstate.py
+++ b/packages/node/cicadapass/peerstate.py
@@ -18,15 +18,14 @@
 )
 from cicadapass_decisions.types import NodeAddress
 
-# A probe each second to a random member opens most connections anew; keeping them
-# longer would hold hundreds open for nothing.
-IDLE_S = 20.0
+# Longer than a round of probes, which visits the same 40 members again and again.
+IDLE_S = 100.0
 OPEN_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 # An answer that is overdue makes the node check the connection with a ping.
 PING_TIMEOUT_S = 1.0
 # A client that vanished without closing is found out by the server's pings.
-SERVER_PING_S = 30.0
+SERVER_PING_S = 120.0
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MAX_S = 3.0
 MAX_QUEUED_MESSAGES = 2048
--- a/packages/node/cicadapass/progress.py
+++ b/packages/node/cicadapass/progress.py
@@ -1,6 +1,8 @@
 """Sends new tokens to the holders of copies, one message at a time per holder."""
 
+import math
 import threading
+import time
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -28,6 +30,10 @@
 MAX_BATCH_BYTES = 256 * 1024
 
 
+# A message costs as much as hundreds of tokens, so a busy holder gets at most so many.
+MIN_GAP_S = 0.005
+
+
 @dataclass(frozen=True, slots=True)
 class Acked:
     """Report how many tokens the holder has; `done` that it has the end as well."""
@@ -79,6 +85,7 @@
     streams: dict[str, _Stream] = field(default_factory=dict)
     waiting: dict[str, _Stream] = field(default_factory=dict)
     busy: bool = False
+    sent_s: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,9 +102,15 @@
     must return at once.
     """
 
-    def __init__(self, peers: Peers, events: EventLog) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        events: EventLog,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._peers = peers
         self._events = events
+        self._clock = clock
         self._lock = threading.Lock()
         self._streams: dict[str, _Stream] = {}
         self._holders: dict[VmId, _Holder] = {}
@@ -158,9 +171,14 @@
             self._holders.pop(holder.address.vm, None)
 
     def _next_batch(self, holder: _Holder) -> _Batch | None:
-        """Return the next message, unless one is on its way."""
+        """Return the next message, unless one is on its way or it is too early."""
         if holder.busy or not holder.waiting:
             return None
+        wait_s = holder.sent_s + MIN_GAP_S - self._clock()
+        if wait_s > 0:
+            holder.busy = True
+            self._peers.call_later(lambda: self._go_on(holder), wait_s)
+            return None
         items, streams, left = [], [], MAX_BATCH_BYTES
         for stream in list(holder.waiting.values()):
             if left <= 0:
@@ -172,6 +190,7 @@
             if count == len(stream.texts):
                 del holder.waiting[stream.request_id]
         holder.busy = True
+        holder.sent_s = self._clock()
         return _Batch(holder, tuple(streams), Progress(tuple(items)))
 
     def _send(self, batch: _Batch | None, tries: int = 1) -> None:
--- a/tests/common/test_wire.py
+++ b/tests/common/test_wire.py
@@ -17,8 +17,9 @@
     ProgressReply,
 )
 from cicadapass_common.messages import MESSAGE_KINDS, Done, Probe
+from cicadapass_decisions.gossip import entry_bytes
 from cicadapass_decisions.leaving import LeavingEntry, mark_bytes
-from cicadapass_decisions.membership import GossipEntry, MemberState, entry_bytes
+from cicadapass_decisions.membership import GossipEntry, MemberState
 from cicadapass_decisions.types import NodeAddress
 
 OWN = NodeAddress("vm-1", "i1", "klasīte", "dc-a", "127.0.0.1", 65535)
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -1,6 +1,7 @@
 """Test the membership decisions."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import testtools
@@ -8,15 +9,14 @@
 from hypothesis import strategies as st
 
 from cicadapass_decisions import membership
+from cicadapass_decisions.gossip import entry_bytes, gossip_entries
 from cicadapass_decisions.membership import (
     GossipEntry,
     MemberState,
     add_listed,
     apply_gossip,
     choose_probe,
-    entry_bytes,
     expire_members,
-    gossip_entries,
     new_table,
     on_indirect_result,
     on_probe_failed,
@@ -125,6 +125,19 @@
         targets = {choose_probe(table, rng).name for _ in range(5)}
         self.assertEqual(targets, {"a", "b", "c", "d", "e"})
 
+    def test_each_member_is_probed_by_many(self):
+        """A large fleet must not reconnect at each probe or miss a member."""
+        names = [f"vm-{n}" for n in range(380)]
+        probers = Counter()
+        for name in names:
+            table = _table_of(name, [n for n in names if n != name])
+            rng = random.Random(1)
+            targets = {choose_probe(table, rng).name for _ in range(80)}
+            self.assertEqual(len(targets), membership.PROBE_SET)
+            probers.update(targets)
+        self.assertEqual(len(probers), 380)
+        self.assertGreater(min(probers.values()), 15)
+
     def test_entries_stay_in_budget_and_rotate(self):
         """With 380 members, a probe must stay small and still spread all of them."""
         table = _table_of(others=[f"vm-{n}" for n in range(380)])
--- a/tests/decisions/test_recovery.py
+++ b/tests/decisions/test_recovery.py
@@ -63,14 +63,38 @@
         self.assertIsNone(choose_holder(state, random.Random(1), exclude=[B2.vm]))
 
     def test_load_spreads(self):
-        """All copies on one holder would fill it."""
+        """The copies of many owners on one holder would fill it."""
         busy = _member("c3", "dc-c", load=200)
         rng = random.Random(1)
-        state = _members(B1, B2, C1, busy)
-        counts = Counter(choose_holder(state, rng).name for _ in range(300))
+        counts = Counter()
+        for n in range(300):
+            own = _member(f"a{n}", "dc-a").address
+            state = Members(own, (B1, B2, C1, busy))
+            counts[choose_holder(state, rng).name] += 1
         self.assertNotIn("c3", counts)
         self.assertLess(max(counts.values()), 200)
 
+    def test_one_owner_uses_all_its_holders(self):
+        """An owner that always takes the same holder would fill it first."""
+        rng = random.Random(1)
+        state = _members(B1, B2, C1)
+        counts = Counter(choose_holder(state, rng).name for _ in range(300))
+        self.assertEqual(len(counts), 2)
+        self.assertLess(max(counts.values()), 200)
+
+    def test_few_holders_per_owner(self):
+        """With many holders, each message would carry the tokens of one request."""
+        others = [_member(f"b{n}", "dc-b") for n in range(100)]
+        rng = random.Random(1)
+        used = Counter()
+        for n in range(100):
+            own = _member(f"a{n}", "dc-a").address
+            state = Members(own, tuple(others))
+            holders = {choose_holder(state, rng).name for _ in range(30)}
+            self.assertLessEqual(len(holders), 2)
+            used.update(holders)
+        self.assertLess(max(used.values()), 15)
+
 
 class EpochTest(testtools.TestCase):
     def test_take_over_stops_old_owner(self):
--- a/tests/node/test_progress.py
+++ b/tests/node/test_progress.py
@@ -6,7 +6,13 @@
 from expression import Error, Ok
 
 from cicadapass.peererrors import PeerError, PeerFault
-from cicadapass.progress import Acked, HolderLost, ProgressSender, Superseded
+from cicadapass.progress import (
+    MIN_GAP_S,
+    Acked,
+    HolderLost,
+    ProgressSender,
+    Superseded,
+)
 from cicadapass.releases import ReleaseSender
 from cicadapass_common.copymessages import (
     CopyStatus,
@@ -18,6 +24,7 @@
 )
 from cicadapass_common.events import EventLog
 from cicadapass_common.messages import Done
+from tests.node.clusterkit import Clock
 from tests.node.peerkit import WAIT_S, Node, address
 
 HOLDER = address("holder", "dc-b")
@@ -29,12 +36,16 @@
     """Keep the requests until the test answers them."""
 
     def __init__(self):
-        self.requests = []
+        self.requests, self.later = [], []
 
     def request_async(self, target, message, _timeout_s, on_reply):
         """Keep a request."""
         self.requests.append((target, message, on_reply))
 
+    def call_later(self, action, _delay_s):
+        """Keep an action."""
+        self.later.append(action)
+
     def take(self):
         """Return the message and the reply function of the oldest request."""
         _, message, on_reply = self.requests.pop(0)
@@ -57,13 +68,21 @@
         super().setUp()
         self.peers = FakePeers()
         events = EventLog("a", lambda: (0, 0))
-        self.sender = ProgressSender(self.peers, events)
+        self.clock, self.later = Clock(), self.peers.later
+        self.sender = ProgressSender(self.peers, events, self.clock)
         self.heard = []
         self.track("r1")
 
     def track(self, request_id, tokens=0, holder=HOLDER, epoch=1):
         self.sender.track(request_id, epoch, holder, tokens, self.heard.append)
 
+    def take(self):
+        """Let the gap pass, and return the message and its reply function."""
+        self.clock.now_s += MIN_GAP_S
+        while self.later:
+            self.later.pop(0)()
+        return self.peers.take()
+
     def texts(self, message):
         return {
             i.request_id: (i.first, "".join(i.texts), i.done) for i in message.items
@@ -77,18 +96,18 @@
         self.sender.add("r1", ["b", "c"])
         self.sender.add("r2", ["x"])
         self.sender.add("r3", ["y"])
-        first, reply = self.peers.take()
-        other, _ = self.peers.take()
+        first, reply = self.take()
+        other, _ = self.take()
         self.assertEqual(self.texts(first), {"r1": (0, "a", False)})
         self.assertEqual(self.texts(other), {"r3": (7, "y", False)})
         self.assertEqual((self.peers.requests, self.heard), ([], []))
         reply(_acks(first))
-        second, reply = self.peers.take()
+        second, reply = self.take()
         expected = {"r1": (1, "bc", False), "r2": (0, "x", False)}
         self.assertEqual(self.texts(second), expected)
         self.sender.add("r1", (), done=True)
         reply(_acks(second))
-        last, reply = self.peers.take()
+        last, reply = self.take()
         self.assertEqual(self.texts(last), {"r1": (3, "", True)})
         reply(_acks(last))
         self.assertEqual(
@@ -101,21 +120,33 @@
             ],
         )
 
+    def test_gap_between_messages(self):
+        """A fast holder must not get a message for each token of a busy node."""
+        self.sender.add("r1", ["a"])
+        message, reply = self.take()
+        self.clock.now_s -= MIN_GAP_S / 2
+        self.sender.add("r1", ["b"])
+        reply(_acks(message))
+        self.sender.add("r1", ["c"])
+        self.assertEqual((self.peers.requests, len(self.later)), ([], 1))
+        message, _ = self.take()
+        self.assertEqual(self.texts(message), {"r1": (1, "bc", False)})
+
     def test_long_backlog_is_split(self):
         """A backlog of one request must not exceed the limit of frames."""
         self.sender.add("r1", ["x" * 100_000] * 5)
-        first, reply = self.peers.take()
+        first, reply = self.take()
         self.assertEqual(len(first.items[0].texts), 3)
         reply(_acks(first))
-        second, _ = self.peers.take()
+        second, _ = self.take()
         self.assertEqual((second.items[0].first, len(second.items[0].texts)), (3, 2))
 
     def test_lost_answer_is_repeated(self):
         """A lost answer must not cost a full copy to another holder."""
         self.sender.add("r1", ["a"])
-        first, reply = self.peers.take()
+        first, reply = self.take()
         reply(TIMEOUT)
-        second, reply = self.peers.take()
+        second, reply = self.take()
         self.assertEqual(first, second)
         reply(_acks(second))
         self.assertEqual(self.heard, [Acked("r1", 1, False)])
@@ -125,29 +156,29 @@
         self.track("r2")
         self.track("r3", holder=OTHER)
         self.sender.add("r1", ["a"])
-        self.peers.take()[1](TIMEOUT)
-        self.peers.take()[1](TIMEOUT)
+        self.take()[1](TIMEOUT)
+        self.take()[1](TIMEOUT)
         lost = {(e.request_id, e.holder) for e in self.heard}
         self.assertEqual(lost, {("r1", HOLDER), ("r2", HOLDER)})
         self.assertFalse(self.sender.add("r1", ["b"]))
         self.assertEqual(self.peers.requests, [])
         self.track("r1", tokens=2, holder=OTHER, epoch=3)
         self.assertTrue(self.sender.add("r1", ["c"]))
-        self.assertEqual(self.texts(self.peers.take()[0]), {"r1": (2, "c", False)})
+        self.assertEqual(self.texts(self.take()[0]), {"r1": (2, "c", False)})
 
     def test_holder_gone(self):
         """A holder that the members know to be gone must not cost a timeout."""
         self.sender.add("r1", ["a"])
         self.sender.holder_gone(HOLDER.vm)
         self.assertIsInstance(self.heard[0], HolderLost)
-        message, reply = self.peers.take()
+        message, reply = self.take()
         reply(_acks(message))
         self.assertEqual(len(self.heard), 1)
 
     def test_superseded_owner(self):
         """An owner whose request was taken over must be told to stop."""
         self.sender.add("r1", ["a"])
-        message, reply = self.peers.take()
+        message, reply = self.take()
         reply(_acks(message, CopyStatus.STALE_EPOCH, 2))
         self.assertEqual(self.heard, [Superseded("r1", 2)])
         self.assertFalse(self.sender.add("r1", ["b"]))
@@ -158,14 +189,14 @@
             self.heard.clear()
             self.track("r1")
             self.sender.add("r1", ["a"])
-            message, reply = self.peers.take()
+            message, reply = self.take()
             reply(_acks(message, status))
             self.assertIsInstance(self.heard[0], HolderLost, str(status))
 
     def test_late_answer_of_a_former_holder(self):
         """An acknowledgement of the former copy must not count for the present one."""
         self.sender.add("r1", ["a", "b"])
-        message, reply = self.peers.take()
+        message, reply = self.take()
         self.track("r1", tokens=1, holder=OTHER, epoch=3)
         reply(_acks(message))
         self.assertEqual(self.heard, [])
@@ -173,7 +204,7 @@
     def test_no_state_is_left(self):
         """State of finished requests would grow until the node stops."""
         self.sender.add("r1", ["a"], done=True)
-        message, reply = self.peers.take()
+        message, reply = self.take()
         reply(_acks(message))
         self.sender.untrack("r1")
         self.assertEqual((self.sender._streams, self.sender._holders), ({}, {}))
