--- a/packages/bench/cicadapass_bench/peerfixtures.py
+++ b/packages/bench/cicadapass_bench/peerfixtures.py
@@ -10,6 +10,7 @@
 from cicadapass_common.wire import decode, encode
 from cicadapass_decisions.membership import (
     GossipEntry,
+    Member,
     MemberState,
     MemberTable,
     apply_gossip,
@@ -19,6 +20,7 @@
 
 TOKEN_TEXT = " token"
 MICROSECONDS = 1e6
+MANY_SENDS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +65,16 @@
     return table
 
 
+def quiet_table(own: int, count: int) -> MemberTable:
+    """Return the table of one of the members, with nothing left to pass on."""
+    table = new_table(address(own))
+    for n in range(count):
+        if n != own:
+            entry = GossipEntry(address(n), MemberState.ALIVE, 0, 0, 0, 0)
+            table.members[entry.vm] = Member(entry, 0.0, sends=MANY_SENDS)
+    return table
+
+
 def _over_the_wire(entry: GossipEntry) -> tuple[GossipEntry, ...]:
     frame = decode(encode(Probe((entry,), (), 0, 0))).ok
     assert isinstance(frame.message, Probe)
--- a/packages/bench/cicadapass_bench/slopes_peers.py
+++ b/packages/bench/cicadapass_bench/slopes_peers.py
@@ -14,6 +14,7 @@
     TOKEN_TEXT,
     Measure,
     address,
+    quiet_table,
     store_with,
     table_of,
 )
@@ -27,7 +28,10 @@
     MemberState,
     MemberTable,
     apply_gossip,
+    choose_probe,
+    on_replaced,
 )
+from cicadapass_decisions.types import VmId
 
 MEMBER_COUNTS = (10, 40, 120, 380)
 TOKEN_COUNTS = (1, 8, 64, 512)
@@ -41,7 +45,13 @@
     parser.add_argument("--seed", type=int, default=1)
     seed = parser.parse_args().seed
     logging.disable(logging.CRITICAL)
-    for measures in (_probe_rounds, _states, _progress_messages, connections):
+    for measures in (
+        _probe_rounds,
+        _spread_rounds,
+        _states,
+        _progress_messages,
+        connections,
+    ):
         for measure in measures(random.Random(seed)):
             print(measure.to_json(seed), flush=True)
     return 0
@@ -71,6 +81,32 @@
             yield Measure("probe_round_bytes", name, mean, "bytes")
 
 
+def _spread_rounds(rng: random.Random) -> Iterator[Measure]:
+    """Measure the seconds until gossip alone has told every member of a death."""
+    for count in MEMBER_COUNTS:
+        tables = [quiet_table(n, count) for n in range(count)]
+        dead = address(0).vm
+        on_replaced(tables[1], dead, 0.0)
+        rounds = 0
+        while not all(_knows(t, dead) for t in tables[1:]):
+            rounds += 1
+            for n in rng.sample(range(1, count), count - 1):
+                target = choose_probe(tables[n], rng)
+                number = int(target.name.removeprefix("entry-")) if target else 0
+                if number:
+                    _exchange_entries(tables[n], tables[number])
+        yield Measure("spread_rounds", f"{count}-members", rounds, "s")
+
+
+def _knows(table: MemberTable, dead: VmId) -> bool:
+    return table.members[dead].entry.state is MemberState.GONE
+
+
+def _exchange_entries(table: MemberTable, peer: MemberTable) -> None:
+    apply_gossip(peer, gossip_entries(table, ENTRIES_BUDGET_BYTES), 0.0)
+    apply_gossip(table, gossip_entries(peer, ENTRIES_BUDGET_BYTES), 0.0)
+
+
 def _suspect(table: MemberTable, n: int, round_number: int) -> None:
     vm = address(n).vm
     entry = table.members[vm].entry
