Test the take-over with members, copies and progress together

Cause: the parts were tested one by one only. Change: test_takeover kills an owner, and cuts one off and lets it return. The opening of connections moves into a module of its own.

--- a/packages/node/cicadapass/peerlink.py
+++ b/packages/node/cicadapass/peerlink.py
@@ -7,15 +7,15 @@
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
-from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.client import ClientConnection
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from cicadapass import handshake, peerstate
+from cicadapass import peerstate
+from cicadapass.peerconnect import closed_error, failure_reason, open_connection
 from cicadapass.peererrors import PeerError, PeerFault
 from cicadapass.peerstate import PeerState
 from cicadapass_common.exceptions import FrameError
-from cicadapass_common.messages import Failure, HelloReply, Message
-from cicadapass_common.wire import MAX_FRAME_BYTES, encode
+from cicadapass_common.messages import Failure, Message
 from cicadapass_decisions.types import NodeAddress
 
 OnReply = Callable[[Result[Message, PeerError]], object]
@@ -102,7 +102,7 @@
     async def _run(self) -> None:
         error = PeerError(PeerFault.STOPPED, "the node closes its connections")
         try:
-            connection = await self._open()
+            connection = await open_connection(self._target, self._state)
             self._failures = 0
             self._connection = connection
             await self._exchange(connection)
@@ -111,67 +111,11 @@
         except PeerError as peer_error:
             error = peer_error
         except (OSError, TimeoutError, WebSocketException) as failure:
-            error = PeerError(PeerFault.UNREACHABLE, _reason(failure))
+            error = PeerError(PeerFault.UNREACHABLE, failure_reason(failure))
         finally:
             if self._task is asyncio.current_task():
                 self._end(error)
 
-    async def _open(self) -> ClientConnection:
-        """Return a connection after the handshake."""
-        target = self._target
-        tls = self._state.settings.client_tls
-        scheme = "wss" if tls else "ws"
-        async with asyncio.timeout(peerstate.OPEN_TIMEOUT_S):
-            connection = await connect(
-                f"{scheme}://{target.host}:{target.peer_port}/",
-                ssl=tls,
-                proxy=None,
-                compression=None,
-                user_agent_header=None,
-                open_timeout=None,
-                ping_interval=None,
-                close_timeout=peerstate.CLOSE_TIMEOUT_S,
-                max_size=MAX_FRAME_BYTES,
-            )
-            try:
-                await self._shake_hands(connection)
-            except BaseException:
-                connection.transport.abort()
-                raise
-        return connection
-
-    async def _shake_hands(self, connection: ClientConnection) -> None:
-        secret = self._state.settings.secret
-        hello = handshake.new_hello(self._state.address)
-        await self._send(connection, hello)
-        try:
-            data = await connection.recv()
-        except ConnectionClosed as closed:
-            raise _refused(closed) from None
-        reply = self._read(data)
-        if not isinstance(reply, HelloReply):
-            raise self._reported(PeerError(PeerFault.GARBAGE, "no handshake"))
-        try:
-            handshake.check_reply(hello, reply, self._target, secret)
-        except PeerError as error:
-            raise self._reported(error) from None
-        await self._send(connection, handshake.client_proof(hello, reply, secret))
-
-    async def _send(self, connection: ClientConnection, message: Message) -> None:
-        data = encode(message, None, self._state.stamps.stamp())
-        self._state.count_sent(message.KIND, len(data))
-        await connection.send(data)
-
-    def _read(self, data: str | bytes) -> Message:
-        try:
-            return self._state.read_frame(data, self._target.name).message
-        except PeerError as error:
-            raise self._reported(error) from None
-
-    def _reported(self, error: PeerError) -> PeerError:
-        self._state.report(error, self._target.name)
-        return error
-
     async def _exchange(self, connection: ClientConnection) -> None:
         """Send and receive until the connection is idle, closed or broken."""
         reader = self._loop.create_task(self._receive(connection))
@@ -195,7 +139,7 @@
                 self._received_s = self._loop.time()
                 self._answer(data)
         except ConnectionClosed as closed:
-            raise _refused(closed) from None
+            raise closed_error(closed) from None
         raise PeerError(PeerFault.CLOSED, "the peer closed the connection")
 
     def _restart(self) -> None:
@@ -209,7 +153,8 @@
         try:
             frame = self._state.read_frame(data, self._target.name)
         except PeerError as error:
-            raise self._reported(error) from None
+            self._state.report(error, self._target.name)
+            raise
         except FrameError:
             # A kind of a newer version; the request for it runs into its timeout.
             return
@@ -242,7 +187,7 @@
         try:
             await connection.send(data)
         except ConnectionClosed as closed:
-            raise _refused(closed) from None
+            raise closed_error(closed) from None
 
     def _expire(self, correlation: int) -> None:
         message = self._pending.pop(correlation, None)
@@ -304,14 +249,3 @@
 
 def _detail(error: PeerError) -> str:
     return error.problem.removeprefix(f"{error.fault}: ")
-
-
-def _reason(failure: BaseException) -> str:
-    return str(failure) or type(failure).__name__
-
-
-def _refused(closed: ConnectionClosed) -> PeerError:
-    if closed.rcvd and closed.rcvd.reason in set(PeerFault):
-        fault = PeerFault(closed.rcvd.reason)
-        return PeerError(fault, "the peer closed the connection")
-    return PeerError(PeerFault.CLOSED, _reason(closed))
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -165,7 +165,10 @@
         data = await connection.recv()
         if len(data) > handshake.MAX_HANDSHAKE_BYTES:
             raise PeerError(PeerFault.OVERSIZED, f"a handshake of {len(data)} bytes")
-        message = self._state.read_frame(data, peer).message
+        try:
+            message = self._state.read_frame(data, peer).message
+        except FrameError as error:
+            raise PeerError(PeerFault.GARBAGE, error.problem) from None
         if not isinstance(message, kind):
             raise PeerError(PeerFault.GARBAGE, f"{message.KIND} before the handshake")
         return message
--- a/tests/node/clusterkit.py
+++ b/tests/node/clusterkit.py
@@ -40,6 +40,7 @@
     def __init__(self, test, own, clock, listed=(), seeds=(), register=(), **settings):
         self.part = PartRef("members")
         self.gone, self.marked, self.declared = [], [], []
+        self.when_gone = lambda vm: None
         self.listed = list(listed)
         self.read_vm_list = lambda: Ok(tuple(self.listed))
         self.register = [*register, members.register]
@@ -55,7 +56,7 @@
             random.Random(own.name),
             tuple(seeds),
             MemberCallbacks(
-                self.gone.append,
+                self._on_gone,
                 self.marked.extend,
                 lambda: self.declared.append(True),
             ),
@@ -71,6 +72,10 @@
         for register in self.register:
             register(self.peers, self.part)
 
+    def _on_gone(self, vm):
+        self.gone.append(vm)
+        self.when_gone(vm)
+
     def _start_part(self):
         ref = Members.start(self.supervisor, self.config)
         self.part.bind(ref)
