Send the head of an answer with the first part of its body

Cause: the server wrote the head and the body of each answer separately, so the caller was woken twice; and its pool grew by a fixed number of threads a step, each of which waits for the new threads to start.

Change: the head waits for the first part of a body that follows at once. The pool grows by its backlog as well.

--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers and operators, with bounded cost per connection."""
 
 import contextlib
+import io
 import logging
 import os
 import threading
@@ -205,7 +206,9 @@
             pool = self._server.requests
             while not self._stopping and pool.idle < self._limits.idle_reserve:
                 before = len(pool._threads)
-                pool.grow(2 * self._limits.idle_reserve)
+                # Each call waits for its threads to start, so a backlog that grew
+                # by the reserve alone would be served late.
+                pool.grow(2 * self._limits.idle_reserve + pool.qsize)
                 if len(pool._threads) == before:
                     break
 
@@ -220,7 +223,39 @@
         deadlines = self._deadlines
 
         class Request(HTTPRequest):
-            """Receive a request within the time limit."""
+            """Receive a request within the time limit; answer in few writes."""
+
+            _head = b""
+
+            def send_headers(self) -> None:
+                """Send the head, or keep it for the first part of the body."""
+                wfile = self.conn.wfile
+                held = io.BytesIO()
+                self.conn.wfile = held
+                try:
+                    super().send_headers()
+                finally:
+                    self.conn.wfile = wfile
+                self._head = held.getvalue()
+                if self.chunked_write or self.method == b"HEAD":
+                    self._send_head()
+
+            def write(self, chunk: bytes) -> None:
+                """Send a part of the body, with the head before the first."""
+                if self._head and chunk:
+                    # One packet wakes the caller once instead of twice.
+                    chunk, self._head = self._head + chunk, b""
+                super().write(chunk)
+
+            def respond(self) -> None:
+                """Answer, even if no part of a body follows the head."""
+                super().respond()
+                self._send_head()
+
+            def _send_head(self) -> None:
+                head, self._head = self._head, b""
+                if head:
+                    self.conn.wfile.write(head)
 
             def parse_request(self) -> None:
                 """Read the head of the request."""
