--- a/packages/common/cicadapass_common/messages.py
+++ b/packages/common/cicadapass_common/messages.py
@@ -63,6 +63,13 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Done(Message):
+    """Answer a message that needs no other answer."""
+
+    KIND: ClassVar[str] = "done"
+
+
 @dataclass(frozen=True, slots=True)
 class Probe(Message):
     """Check a member and exchange gossip; answered by ProbeReply.
@@ -102,10 +109,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingNotice(Message):
-    """Tell of VMs that leave, without waiting for gossip; not answered."""
+    """Tell of VMs that leave, without waiting for gossip; not answered.
+
+    The receiver passes it on to its data centre if `forward` is set.
+    """
 
     KIND: ClassVar[str] = "leaving_notice"
     marks: tuple[LeavingEntry, ...]
+    forward: bool = False
 
 
 @dataclass(frozen=True, slots=True)
