Add the demo of two fleets in three data centres

It starts the stand-ins, upstreams and nodes, publishes with cicadapassctl, sends requests of all kinds, reclaims a data centre under load and checks every byte of every answer. What the node cannot do yet is a check that fails.

--- /dev/null
+++ b/packages/bench/cicadapass_bench/callerkit.py
@@ -0,0 +1,237 @@
+"""Callers that verify every byte and return when they lose their connection."""
+
+import http.client
+import json
+import threading
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import urlsplit
+
+from cicadapass_standins.answers import answer_text, service_answer
+
+READ_BYTES = 64 * 1024
+CALL_TIMEOUT_S = 15.0
+# A caller that lost its connection tries the nodes in turn for this long.
+RETURN_LIMIT_S = 10.0
+RETURN_PAUSE_S = 0.05
+STREAM_END = b"data: [DONE]\n\n"
+REQUEST_ID_HEADER = "Cicadapass-Request-Id"
+NETWORK_ERRORS = (OSError, http.client.HTTPException)
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """Hold what decides the answer of a model request."""
+
+    service: str
+    content: str
+    tokens: int
+    seed: int = 0
+
+    @property
+    def expected(self) -> str:
+        """Return the text of the complete answer."""
+        # The prompt carries the role, as the node renders it.
+        return answer_text(f"user: {self.content}", self.seed, self.tokens)
+
+    def body(self, *, stream: bool) -> bytes:
+        """Return the body of the HTTP request."""
+        message = {"role": "user", "content": self.content}
+        return json.dumps(
+            {
+                "model": self.service,
+                "messages": [message],
+                "max_tokens": self.tokens,
+                "seed": self.seed,
+                "stream": stream,
+            }
+        ).encode()
+
+
+@dataclass(slots=True)
+class Streamed:
+    """Collect a streamed answer over one or more connections."""
+
+    prompt: Prompt
+    request_id: str = ""
+    data: bytearray = field(default_factory=bytearray)
+    returns: int = 0
+    longest_return_s: float = 0.0
+    refusal: str = ""
+
+    @property
+    def complete(self) -> bool:
+        """Return whether the answer says that it is whole."""
+        return self.data.endswith(STREAM_END)
+
+    @property
+    def verified(self) -> bool:
+        """Return whether the answer is whole and each byte is right."""
+        return self.complete and self.text() == self.prompt.expected
+
+    def text(self) -> str:
+        """Return the text of the tokens received."""
+        events = self.data.decode("utf-8", "replace").split("\n\n")
+        chunks = [_event(event) for event in events]
+        deltas = [chunk["choices"][0]["delta"] for chunk in chunks if chunk]
+        return "".join(delta.get("content", "") for delta in deltas)
+
+
+@dataclass(frozen=True, slots=True)
+class Called:
+    """Hold the answer to a whole call; status 0 stands for a lost connection."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+    @property
+    def verdict(self) -> str:
+        """Return the verdict header of an error."""
+        return self.headers.get("Cicadapass-Verdict", "")
+
+
+class Caller:
+    """Send requests of one workspace through the nodes of its fleet."""
+
+    def __init__(self, credential: str, node_urls: Callable[[], Sequence[str]]) -> None:
+        self._credential = credential
+        self._node_urls = node_urls
+        self._turn = 0
+        self._lock = threading.Lock()
+
+    def stream(
+        self, prompt: Prompt, first_url: str = "", drop_bytes: int = 0
+    ) -> Streamed:
+        """Read a streamed answer; return through other nodes for its rest.
+
+        `drop_bytes` makes the caller drop its connection once after so many.
+        """
+        answer = Streamed(prompt)
+        url = first_url or self._next_url()
+        body = prompt.body(stream=True)
+        self._read(answer, url, "POST", "/v1/chat/completions", body, drop_bytes)
+        lost_s = time.monotonic()
+        while answer.request_id and not answer.complete and not answer.refusal:
+            if time.monotonic() - lost_s > RETURN_LIMIT_S:
+                answer.refusal = "no node gave the rest in time"
+                break
+            if self._return(answer, url, lost_s):
+                lost_s = time.monotonic()
+        return answer
+
+    def whole(self, prompt: Prompt, url: str = "") -> Called:
+        """Return the whole answer of a model request."""
+        body = prompt.body(stream=False)
+        return self.call("POST", "/v1/chat/completions", body, url)
+
+    def plain(
+        self, service: str, method: str, target: str, body: bytes = b"", key: str = ""
+    ) -> Called:
+        """Return the answer of a plain call."""
+        headers = {"Idempotency-Key": key} if key else {}
+        return self.call(
+            method, f"/v1/services/{service}{target}", body, headers=headers
+        )
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        url: str = "",
+        headers: Mapping[str, str] | None = None,
+    ) -> Called:
+        """Send one request; nodes that refuse the connection are passed over."""
+        for _ in range(len(self._node_urls()) + 1):
+            connection = self._connect(url or self._next_url())
+            try:
+                connection.connect()
+            except OSError:
+                # No byte was sent, so another node may get the request.
+                continue
+            try:
+                all_headers = self._headers() | dict(headers or {})
+                connection.request(method, path, body or None, all_headers)
+                response = connection.getresponse()
+                return Called(response.status, response.read(), dict(response.headers))
+            except NETWORK_ERRORS:
+                return Called(0, b"", {})
+            finally:
+                connection.close()
+        return Called(0, b"", {"Cicadapass-Verdict": "not-run"})
+
+    def _return(self, answer: Streamed, lost_url: str, lost_s: float) -> bool:
+        """Ask one other node for the rest and return whether bytes came."""
+        threading.Event().wait(RETURN_PAUSE_S)
+        url = self._next_url(avoid=lost_url)
+        path = f"/v1/requests/{answer.request_id}?from={len(answer.data)}"
+        before = len(answer.data)
+        self._read(answer, url, "GET", path, b"", 0, lost_s)
+        return len(answer.data) > before
+
+    def _read(
+        self,
+        answer: Streamed,
+        url: str,
+        method: str,
+        path: str,
+        body: bytes,
+        drop_bytes: int,
+        lost_s: float | None = None,
+    ) -> None:
+        connection = self._connect(url)
+        try:
+            connection.request(method, path, body or None, self._headers())
+            response = connection.getresponse()
+            if response.status != 200:
+                if method == "POST":
+                    answer.refusal = f"{response.status} {response.read()[:200]!r}"
+                return
+            answer.request_id = response.headers[REQUEST_ID_HEADER]
+            while data := response.read1(READ_BYTES):
+                if lost_s is not None:
+                    answer.returns += 1
+                    waited_s = time.monotonic() - lost_s
+                    answer.longest_return_s = max(answer.longest_return_s, waited_s)
+                    lost_s = None
+                answer.data += data
+                if drop_bytes and len(answer.data) >= drop_bytes:
+                    return
+        except NETWORK_ERRORS:
+            if method == "POST" and not answer.request_id:
+                answer.refusal = "the connection was lost before the request id"
+        finally:
+            connection.close()
+
+    def _next_url(self, avoid: str = "") -> str:
+        with self._lock:
+            self._turn += 1
+            urls = self._node_urls()
+            others = [url for url in urls if url != avoid] or urls
+            return others[self._turn % len(others)]
+
+    def _connect(self, url: str) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(urlsplit(url).netloc, timeout=CALL_TIMEOUT_S)
+
+    def _headers(self) -> dict[str, str]:
+        return {"Authorization": f"Bearer {self._credential}"}
+
+
+def expected_plain(method: str, target: str, body: bytes = b"") -> bytes:
+    """Return the plain service's answer."""
+    return service_answer(method, target, body)
+
+
+def _event(event: str) -> dict[str, Any] | None:
+    data = event.removeprefix("data: ")
+    if not data or data == "[DONE]":
+        return None
+    try:
+        document = json.loads(data)
+    except ValueError:
+        # The last event of a cut answer may be incomplete.
+        return None
+    return document if "choices" in document else None
--- a/packages/bench/cicadapass_bench/world.py
+++ b/packages/bench/cicadapass_bench/world.py
@@ -5,11 +5,13 @@
 import sys
 import tempfile
 import threading
+from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlsplit
 
 import urllib3
 
@@ -20,6 +22,7 @@
 OPERATOR_CREDENTIAL = "bench-operator-credential"
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.05
+PROBE_TIMEOUT_S = 2.0
 
 
 class NotReady(Exception):
@@ -195,10 +198,59 @@
                     f"{node.name} knows {count} members",
                 )
 
+    def ready_nodes(self, fleet: str) -> list[NodeProcess]:
+        """Return the nodes that the platform's balancer would send callers to."""
+        return [
+            node
+            for node in self.nodes
+            if node.fleet == fleet and node.process.running and self._is_ready(node)
+        ]
+
+    def effects(self, plan: FleetPlan, data_centre: str = "") -> "Counter[str]":
+        """Return how often each write took effect, at the services that run."""
+        counts: Counter[str] = Counter()
+        for each in self.upstreams:
+            wanted = data_centre in ("", each.data_centre) and each.process.running
+            if wanted and (each.fleet, each.service) == (plan.name, plan.plain_service):
+                page = self.http.request("GET", f"{each.url}/ledger").json()
+                counts.update(effect["path"] for effect in page["effects"])
+        return counts
+
+    def mark_leaving(self, fleet: str, data_centre: str, deadline_s: float) -> None:
+        """List all VMs of a data centre as leaving."""
+        place = (fleet, data_centre)
+        for node in self.nodes:
+            if (node.fleet, node.data_centre) == place:
+                self._list_vm(node, state="leaving", deadline_s=deadline_s)
+        for each in self.upstreams:
+            if (each.fleet, each.data_centre) == place:
+                path = "/v1/load" if each.service != self._plain_of(fleet) else "/load"
+                load = self.http.request("GET", each.url + path).json()
+                entry = {
+                    "name": each.name,
+                    "incarnation": load["incarnation"],
+                    "fleet": fleet,
+                    "data_centre": data_centre,
+                    "address": urlsplit(each.url).netloc,
+                    "state": "leaving",
+                    "deadline_s": deadline_s,
+                }
+                self.control(self.vm_list, put=entry)
+
     def credential(self, fleet: str, workspace: str) -> str:
         """Return the callers' credential of a workspace."""
         return f"bench-{fleet}-{workspace}-credential"
 
+    def _is_ready(self, node: NodeProcess) -> bool:
+        try:
+            url = f"{node.callers_url}/readyz"
+            return self.http.request("GET", url, timeout=PROBE_TIMEOUT_S).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _plain_of(self, fleet: str) -> str:
+        return next(p.plain_service for p in self.plan.fleets if p.name == fleet)
+
     def _alive(self, node: NodeProcess) -> int:
         members = self.operators_get(node, "/v1/members")["members"]
         return sum(member["state"] == "alive" for member in members)
@@ -260,7 +312,7 @@
         command = ["-m", "cicadapass", "--settings", str(path)]
         return NodeProcess(name, fleet, data_centre, self.group.start(name, command))
 
-    def _list_vm(self, node: NodeProcess) -> None:
+    def _list_vm(self, node: NodeProcess, **changes: Any) -> None:
         addresses = node.process.addresses
         entry = {
             "name": node.name,
@@ -269,6 +321,7 @@
             "data_centre": node.data_centre,
             "address": f"127.0.0.1:{addresses.get('peer_port', 0)}",
             "state": "live",
+            **changes,
         }
         self.control(self.vm_list, put=entry)
 
