--- a/packages/bench/cicadapass_bench/callerkit.py
+++ b/packages/bench/cicadapass_bench/callerkit.py
@@ -60,6 +60,14 @@
     returns: int = 0
     longest_return_s: float = 0.0
     refusal: str = ""
+    began_s: float = field(default_factory=time.monotonic)
+    first_byte_s: float | None = None
+    ended_s: float | None = None
+
+    @property
+    def total_s(self) -> float:
+        """Return how long the answer took."""
+        return (self.ended_s or time.monotonic()) - self.began_s
 
     @property
     def complete(self) -> bool:
@@ -120,6 +128,7 @@
                 break
             if self._return(answer, url, lost_s):
                 lost_s = time.monotonic()
+        answer.ended_s = time.monotonic()
         return answer
 
     def whole(self, prompt: Prompt, url: str = "") -> Called:
@@ -197,6 +206,8 @@
                     waited_s = time.monotonic() - lost_s
                     answer.longest_return_s = max(answer.longest_return_s, waited_s)
                     lost_s = None
+                if answer.first_byte_s is None:
+                    answer.first_byte_s = time.monotonic() - answer.began_s
                 answer.data += data
                 if drop_bytes and len(answer.data) >= drop_bytes:
                     return
--- a/packages/bench/cicadapass_bench/loadclient.py
+++ b/packages/bench/cicadapass_bench/loadclient.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import http.client
+import itertools
 import json
 import sys
 import threading
@@ -15,6 +16,7 @@
 from cicadapass_bench.streamload import StreamLoad
 
 CALL_TIMEOUT_S = 30.0
+NUMBER = "#NUMBER#"
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +25,7 @@
 
     `rate_per_s` spaces the calls of all connections together, and latencies count
     from the planned time; 0 sends the next call when the last one was answered.
+    `NUMBER` in the body stands for a number that differs for each call.
     `tokens_marker` selects streams, which are counted by this part of their answer.
     """
 
@@ -46,6 +49,7 @@
         self._latencies = Latencies()
         self._lock = threading.Lock()
         self._failed = 0
+        self._numbers = itertools.count(1)
 
     def run(self) -> dict[str, Any]:
         """Return the latencies in the window after the warm-up."""
@@ -84,7 +88,8 @@
 
     def _call(self, connection: http.client.HTTPConnection) -> bool:
         load = self._load
-        body = load.body.encode() or None
+        number = str(next(self._numbers))
+        body = load.body.replace(NUMBER, number).encode() or None
         try:
             connection.request(load.method, load.path, body, dict(load.headers))
             answer = connection.getresponse()
--- /dev/null
+++ b/packages/bench/cicadapass_bench/measureload.py
@@ -0,0 +1,124 @@
+"""Send seeded model requests to a world and collect what callers saw."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from cicadapass_bench.callerkit import Caller, Prompt, Streamed
+from cicadapass_bench.histograms import Latencies
+
+SHORT_TOKENS = 16
+LONG_TOKENS = 600
+CLIENT_THREADS = 192
+
+
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """Say how many requests arrive; the times are those of a Poisson process."""
+
+    short_per_s: float = 0.0
+    long_per_s: float = 0.0
+    duration_s: float = 8.0
+    warm_up_s: float = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Hold one request and when it arrives."""
+
+    at_s: float
+    prompt: Prompt
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Hold the answers to the requests that arrived after the warm-up."""
+
+    short: Sequence[Streamed]
+    long: Sequence[Streamed]
+
+    @property
+    def all(self) -> Sequence[Streamed]:
+        """Return the answers of both kinds."""
+        return [*self.short, *self.long]
+
+    @property
+    def incomplete(self) -> int:
+        """Return how many answers are not whole and right."""
+        return sum(not answer.verified for answer in self.all)
+
+    def short_ms(self, percentile: float) -> float:
+        """Return a percentile of the time to the end of short answers."""
+        return _percentile_ms([a.total_s for a in self.short if a.complete], percentile)
+
+    def long_tokens_per_s(self) -> float:
+        """Return the mean speed of complete long answers."""
+        speeds = [a.prompt.tokens / a.total_s for a in self.long if a.complete]
+        return sum(speeds) / len(speeds) if speeds else 0.0
+
+    def share_within(self, first_token_s: float) -> float:
+        """Return the share of all requests whose first token came in time."""
+        answers = self.all
+        in_time = sum((a.first_byte_s or 1e9) <= first_token_s for a in answers)
+        return in_time / len(answers) if answers else 0.0
+
+
+def plan_arrivals(arrivals: Arrivals, service: str, seed: int) -> list[Arrival]:
+    """Return the requests of one run, in order of their times."""
+    rng = random.Random(seed)
+    planned = []
+    for name, per_s, tokens in (
+        ("lookup", arrivals.short_per_s, SHORT_TOKENS),
+        ("catalogue", arrivals.long_per_s, LONG_TOKENS),
+    ):
+        at_s = rng.expovariate(per_s) if per_s else arrivals.duration_s
+        while at_s < arrivals.duration_s:
+            content = f"{name} {rng.getrandbits(48):012x}"
+            planned.append(Arrival(at_s, Prompt(service, content, tokens, seed)))
+            at_s += rng.expovariate(per_s)
+    return sorted(planned, key=lambda arrival: arrival.at_s)
+
+
+def send(
+    caller: Caller,
+    arrivals: Arrivals,
+    service: str,
+    seed: int,
+    events: Sequence[tuple[float, Callable[[], None]]] = (),
+) -> Answered:
+    """Send the requests at their times and wait for all answers.
+
+    Each event is called at its time, in a thread of its own.
+    """
+    planned = plan_arrivals(arrivals, service, seed)
+    pause = threading.Event()
+    began_s = time.monotonic()
+    timers = [threading.Timer(at_s, call) for at_s, call in events]
+    for timer in timers:
+        timer.start()
+    with ThreadPoolExecutor(CLIENT_THREADS) as pool:
+        pending = []
+        for arrival in planned:
+            pause.wait(max(0.0, began_s + arrival.at_s - time.monotonic()))
+            pending.append((arrival, pool.submit(caller.stream, arrival.prompt)))
+        answers = [
+            (arrival.prompt, future.result())
+            for arrival, future in pending
+            if arrival.at_s >= arrivals.warm_up_s
+        ]
+    for timer in timers:
+        timer.join()
+    return Answered(
+        [answer for prompt, answer in answers if prompt.tokens == SHORT_TOKENS],
+        [answer for prompt, answer in answers if prompt.tokens == LONG_TOKENS],
+    )
+
+
+def _percentile_ms(values_s: Sequence[float], percentile: float) -> float:
+    latencies = Latencies()
+    for value_s in values_s:
+        latencies.add(value_s)
+    return latencies.percentile_ms(percentile)
--- a/packages/bench/cicadapass_bench/overhead.py
+++ b/packages/bench/cicadapass_bench/overhead.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import sys
 import threading
 import time
@@ -10,7 +11,7 @@
 from dataclasses import dataclass, replace
 
 from cicadapass_bench import loadrun
-from cicadapass_bench.loadclient import Load
+from cicadapass_bench.loadclient import NUMBER, Load
 from cicadapass_bench.world import (
     GRABHANDLE,
     World,
@@ -192,9 +193,9 @@
     def _model_kind(self) -> Kind:
         engine = self._engines[0]
         prompt = "which bolts fit"
-        # The engine wants a new id for each attempt only while one is running.
+        # An engine refuses an attempt that it runs already.
         body = {
-            "request_id": "direct",
+            "request_id": f"{os.getpid()}-{NUMBER}",
             "prompt": f"user: {prompt}",
             "max_tokens": SHORT_TOKENS,
         }
