Test the stream loop and cut an abandoned answer at once

The new test found that a delivery waited for ever when its answer was abandoned together with its last committed tokens: no further news followed. The delivery now reads what is left of an abandoned answer in the same step.

--- a/packages/node/cicadapass/directdelivery.py
+++ b/packages/node/cicadapass/directdelivery.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from cicadapass.delivery import AnswerCutShort, LocalReader, ReadPiece, pieces
+from cicadapass.delivery import AnswerCutShort, LocalReader, Piece, ReadPiece, pieces
 from cicadapass.streamloop import StreamLoop
 
 # A thread that waits for the loop looks this often whether the loop still runs.
@@ -103,6 +103,14 @@
     def _send(self) -> None:
         if not self._open or self._rest or self._ended:
             return
+        piece = self._send_piece()
+        if piece.data and self._read.answer.abandoned:
+            # No news follows an abandoned answer: what it has left is read now.
+            piece = piece if self._rest else self._send_piece()
+        # Set last: the server's thread returns when it sees no rest.
+        self._ended = piece.ended
+
+    def _send_piece(self) -> Piece:
         result = self._read(self._offset, 0.0)
         if result.is_error():
             raise AnswerCutShort(result.error.detail)
@@ -110,5 +118,4 @@
         if piece.data:
             self._rest = self._sender.write_now(piece.data)
             self._offset += len(piece.data)
-        # Set last: the server's thread returns when it sees no rest.
-        self._ended = piece.ended
+        return piece
--- /dev/null
+++ b/tests/node/test_streamloop.py
@@ -0,0 +1,167 @@
+"""Test the reading of engines' streams and the sending of answers in one thread."""
+
+import socket
+import threading
+from unittest import mock
+
+import testtools
+
+from cicadapass.answers import Answer
+from cicadapass.delivery import AnswerCutShort, LocalReader
+from cicadapass.directdelivery import DirectDelivery, stream
+from cicadapass.engines import TokenReader
+from cicadapass.render import AnswerFormat, AnswerHead
+from cicadapass.streamloop import StreamLoop
+from cicadapass.upstreamhttp import TakenSocket
+
+HEAD = AnswerHead("a.b.c", 1, "parts", AnswerFormat.EVENT_STREAM)
+TIMEOUT_S = 30.0
+
+
+def chunk(text):
+    """Return one chunk with the text."""
+    return b"%x\r\n%b\r\n" % (len(text), text.encode())
+
+
+class LoopTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = StreamLoop()
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+
+    def in_thread(self, call):
+        """Run a call and return a function that waits for its result or error."""
+        results = []
+
+        def run():
+            try:
+                results.append(call())
+            except Exception as error:
+                results.append(error)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+
+        def result():
+            thread.join(TIMEOUT_S)
+            return results[0]
+
+        return result
+
+
+class TokenReaderTest(LoopTest):
+    def read(self, take, sent, buffered=b"", silence_s=TIMEOUT_S, close=True):
+        here, there = socket.socketpair()
+        self.addCleanup(here.close)
+        self.addCleanup(there.close)
+        here.setblocking(False)
+        self.given_back = threading.Event()
+        taken = TakenSocket(here, buffered, self.given_back.set)
+        reader = TokenReader(self.loop, taken, take)
+        wait = self.in_thread(lambda: reader.run(silence_s))
+        there.sendall(sent)
+        if close:
+            there.close()
+        return wait()
+
+    def test_tokens_that_came_with_the_head(self):
+        """Bytes that the library had read beyond the head must not be lost."""
+        texts = []
+        buffered = chunk('{"i": 0, "t": "a"}\n')
+        sent = chunk('{"i": 1, "t": "b"}\n{"done": true, "tokens": 2}\n')
+        take = lambda batch: texts.extend(batch.texts) is None  # noqa: E731
+        failure = self.read(take, sent + b"0\r\n\r\n", buffered)
+        self.assertIsNone(failure)
+        self.assertEqual(["a", "b"], texts)
+        self.assertTrue(self.given_back.wait(TIMEOUT_S))
+
+    def test_a_cut_stream_is_a_failure(self):
+        """A stream without its last line must never count as complete."""
+        sent = chunk('{"i": 0, "t": "a"}\n')
+        for end in (b"", b"0\r\n\r\n"):
+            failure = self.read(lambda batch: True, sent + end)
+            self.assertTrue(failure.sent)
+
+    def test_a_fault_reaches_the_thread_of_the_attempt(self):
+        """A fault in the loop must not leave the caller of the request waiting."""
+
+        def fail(batch):
+            raise ValueError("gap")
+
+        error = self.read(fail, chunk('{"i": 5, "t": "a"}\n'))
+        self.assertIsInstance(error, ValueError)
+        self.assertTrue(self.loop.alive)
+
+    def test_a_silent_engine_fails(self):
+        """An engine that hangs must not hold the request for ever."""
+        failure = self.read(lambda batch: True, b"", silence_s=0.05, close=False)
+        self.assertTrue(failure.timed_out)
+
+    def test_the_end_of_the_loop_ends_the_wait(self):
+        """Nobody reads after the loop has ended, so the attempt must go on."""
+        self.loop.stop()
+        failure = self.read(lambda batch: True, b"", silence_s=0.05, close=False)
+        self.assertIsNotNone(failure)
+
+
+class FakeSender:
+    """Take a limited number of bytes at once."""
+
+    def __init__(self, at_once):
+        self.data = b""
+        self._at_once = at_once
+
+    def write_now(self, data):
+        self.data += data[: self._at_once]
+        return data[self._at_once :]
+
+    def write_rest(self, data):
+        self.data += data
+
+
+class DirectDeliveryTest(LoopTest):
+    def deliver(self, answer, sender):
+        delivery = DirectDelivery(LocalReader(answer), 0, sender, self.loop)
+        return self.in_thread(delivery.run)
+
+    def test_a_slow_reader_gets_each_byte_once(self):
+        """Bytes that the socket did not take must be sent once and in order."""
+        answer = Answer(HEAD)
+        sender = FakeSender(7)
+        wait = self.deliver(answer, sender)
+        for index in range(50):
+            answer.add_tokens(index, [f" {index}"])
+            answer.commit(index + 1)
+        answer.finish()
+        answer.end()
+        self.assertIsNone(wait())
+        self.assertEqual(answer.read(0, 0.0).data, sender.data)
+
+    def test_only_committed_tokens(self):
+        """A token that no other node holds must not reach the caller."""
+        answer = Answer(HEAD)
+        sender = FakeSender(10_000)
+        wait = self.deliver(answer, sender)
+        answer.add_tokens(0, [" a", " b"])
+        answer.commit(1)
+        answer.abandon()
+        self.assertIsInstance(wait(), AnswerCutShort)
+        self.assertIn(b" a", sender.data)
+        self.assertNotIn(b" b", sender.data)
+
+    def test_a_failed_socket_ends_the_wait(self):
+        """A caller that is gone must not keep its thread."""
+        sender = mock.Mock()
+        sender.write_now.side_effect = BrokenPipeError
+        answer = Answer(HEAD, [" a"])
+        self.assertIsInstance(self.deliver(answer, sender)(), BrokenPipeError)
+
+    def test_without_the_loop_the_server_sends(self):
+        """An answer must be delivered even if the loop has ended."""
+        answer = Answer(HEAD, [" a"])
+        answer.finish()
+        answer.end()
+        stopped = StreamLoop()
+        parts = stream(LocalReader(answer), 0, FakeSender(1), stopped)
+        self.assertEqual(answer.read(0, 0.0).data, b"".join(parts))
