--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -184,7 +184,9 @@
             pool = self._server.requests
             while not self._stopping and pool.idle < self._limits.idle_reserve:
                 before = len(pool._threads)
-                pool.grow(2 * self._limits.idle_reserve)
+                # Each call waits for its threads to start, so a backlog that grew
+                # by the reserve alone would be served late.
+                pool.grow(2 * self._limits.idle_reserve + pool.qsize)
                 if len(pool._threads) == before:
                     break
 
--- a/packages/node/cicadapass/receiving.py
+++ b/packages/node/cicadapass/receiving.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import io
 import json
 import socket
 import threading
@@ -87,12 +88,48 @@
             self._taken -= 1
 
 
+class HeadWithBody(HTTPRequest):
+    """Send the head of an answer together with the first part of its body."""
+
+    _head = b""
+
+    def send_headers(self) -> None:
+        """Send the head, or keep it for the first part of the body."""
+        wfile = self.conn.wfile
+        held = io.BytesIO()
+        self.conn.wfile = held
+        try:
+            super().send_headers()
+        finally:
+            self.conn.wfile = wfile
+        self._head = held.getvalue()
+        if self.chunked_write or self.method == b"HEAD":
+            self._send_head()
+
+    def write(self, chunk: bytes) -> None:
+        """Send a part of the body, with the head before the first."""
+        if self._head and chunk:
+            # One packet wakes the caller once instead of twice.
+            chunk, self._head = self._head + chunk, b""
+        super().write(chunk)
+
+    def respond(self) -> None:
+        """Answer, even if no part of a body follows the head."""
+        super().respond()
+        self._send_head()
+
+    def _send_head(self) -> None:
+        head, self._head = self._head, b""
+        if head:
+            self.conn.wfile.write(head)
+
+
 def connection_class(
     deadlines: ReceiveDeadlines, slots: ConnectionSlots
 ) -> type[HTTPConnection]:
     """Return the class of the server's connections."""
 
-    class Request(HTTPRequest):
+    class Request(HeadWithBody):
         """Receive a request within the time limit; report errors as problems."""
 
         def parse_request(self) -> None:
