Stop a node before the deadline of its notice

The last wait of the drain ended at the deadline itself, when the VM is taken. It now ends one second before; tests with an injected clock show both bounds.

--- a/packages/node/cicadapass/drain.py
+++ b/packages/node/cicadapass/drain.py
@@ -13,6 +13,8 @@
 
 # What is left at the deadline is handed over this long before it.
 HAND_OVER_MARGIN_S = 3.0
+# The parts are stopped this long before the deadline, when the VM is taken.
+STOP_MARGIN_S = 1.0
 CHECK_S = 0.1
 
 
@@ -72,9 +74,7 @@
         self._wait(self._all_ended)
         if not self._all_ended():
             self._hand_over(0.0)
-            left_s = self._left_s()
-            self._wait(self._all_ended, margin_s=0.0)
-            parts.in_progress.wait_until_none(left_s)
+            self._wait(self._all_ended, margin_s=STOP_MARGIN_S)
         return len(parts.unfinished())
 
     def _hand_over(self, left_s: float) -> None:
