Probe a member at once when a connection to it breaks

Cause: a killed node stayed undetected until its turn to be probed came. Change: the peers tell the members part of broken connections; connections that are closed because they are idle do not count. The test of a reused address asserted that no suspicion arises between the stop of the old node and the start of the new one, which is no longer so; test_old_incarnation_needs_no_suspicion keeps the assertion for an address that already has its new node.

--- a/packages/node/cicadapass/members.py
+++ b/packages/node/cicadapass/members.py
@@ -53,6 +53,7 @@
     def receive(inbound: Inbound[Any]) -> None:
         part.tell(Received(inbound))
 
+    peers.watch(lambda peer: part.tell(ProbeNow(peer.vm)))
     for kind in (Probe, ProbeVia, LeavingNotice):
         peers.handle(kind, receive, pooled=False)
 
--- a/packages/node/cicadapass/peerlink.py
+++ b/packages/node/cicadapass/peerlink.py
@@ -105,7 +105,11 @@
             connection = await open_connection(self._target, self._state)
             self._failures = 0
             self._connection = connection
-            await self._exchange(connection)
+            try:
+                await self._exchange(connection)
+            except PeerError:
+                self._state.on_broken(self._target)
+                raise
             self._restart()
             return
         except PeerError as peer_error:
--- a/packages/node/cicadapass/peers.py
+++ b/packages/node/cicadapass/peers.py
@@ -91,6 +91,13 @@
         """
         self._handlers[kind] = handler, pooled
 
+    def watch(self, on_broken: Callable[[NodeAddress], object]) -> None:
+        """Register who is told, in the loop's thread, of a peer whose connection broke.
+
+        A connection that either side closes because it is idle does not count.
+        """
+        self._state.on_broken = on_broken
+
     def start(self) -> None:
         """Listen; raise OSError if the port is taken."""
         self._thread.start()
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -141,6 +141,10 @@
         try:
             async for data in connection:
                 self._receive(data, sender, replies)
+        except ConnectionClosed:
+            # A client that only closes an idle connection says so.
+            self._state.on_broken(sender)
+            raise
         finally:
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
--- a/packages/node/cicadapass/peerstate.py
+++ b/packages/node/cicadapass/peerstate.py
@@ -49,6 +49,10 @@
     return True
 
 
+def ignore(_peer: NodeAddress) -> None:
+    """Do nothing about a peer."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerSettings:
     """Hold the settings of the connections to peers.
@@ -86,6 +90,7 @@
     sent: dict[str, KindCount] = field(default_factory=dict)
     received: dict[str, KindCount] = field(default_factory=dict)
     connections: int = 0
+    on_broken: Callable[[NodeAddress], object] = ignore
 
     def count_sent(self, kind: str, size: int) -> None:
         """Count a frame that was queued for a peer."""
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -1,6 +1,7 @@
 """Test the members part over real connections."""
 
 import socket
+from dataclasses import replace
 
 import testtools
 from expression import Error
@@ -59,6 +60,21 @@
         a.wait_for_event(301, member="c/1")
         a.wait_for_event(302, member="c/1")
 
+    def test_broken_connection_is_followed_up_at_once(self):
+        """A killed member must not stay undetected until its turn comes."""
+        a, b, c = self.member("a"), self.member("b"), self.member("c")
+        cluster = self.cluster(a, b, c)
+
+        def connected():
+            # Two rounds of probes connect a to both others.
+            probes = a.peers.traffic().sent.get("probe")
+            return probes is not None and probes.messages >= 4
+
+        cluster.run_until(connected)
+        c.peers.stop()
+        wait_for(lambda: a.state_of(c.address) is SUSPECT)
+        self.assertEqual(a.state_of(b.address), ALIVE)
+
     def test_frozen_member_is_gone(self):
         """A node that accepts connections but does nothing must be replaced."""
         listener = socket.create_server(("127.0.0.1", 0))
@@ -136,7 +152,17 @@
         a.listed.append(ListedVm(new.address.vm, False, new.address))
         cluster.run_until(lambda: a.state_of(new.address) is ALIVE and a.gone)
         self.assertEqual(a.gone, [old.address.vm])
+
+    def test_old_incarnation_needs_no_suspicion(self):
+        """What its successor proves must not wait for the suspicion to end."""
+        a, new = self.member("a"), self.member("c", own=address("c", incarnation="2"))
+        old = replace(new.address, incarnation="1")
+        a.listed += [ListedVm(p.vm, False, p) for p in (old, new.address)]
+        a.part.ask(ReadList(), 20.0)
+        Cluster(a, new).run_until(lambda: a.gone)
+        self.assertEqual(a.gone, [old.vm])
         self.assertNotIn(301, self.numbers(a))
+        self.assertEqual(a.state_of(new.address), ALIVE)
 
     def test_stale_list_does_not_revive(self):
         """A lagging VM list must not bring a dead member back."""
