Report repeated faults of peers once in ten seconds

Cause: anybody in the network could fill the ring of events with one fault. Change: events 321 to 326, 328 and 330 are emitted once per host and reason in 10 s.

--- a/packages/common/cicadapass_common/events.py
+++ b/packages/common/cicadapass_common/events.py
@@ -187,7 +187,7 @@
             330,
             "peer_connections_full",
             logging.WARNING,
-            "limit",
+            "peer limit",
             "A connection was refused at the limit.",
         ),
         _kind(
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -111,12 +111,13 @@
             await self._server.wait_closed()
 
     def _on_fault(self, reason: str) -> None:
-        self._state.events.emit(325, peer="unknown", reason=reason)
+        self._state.emit_fault(325, "unknown", reason, reason=reason)
 
     async def _handle(self, connection: ServerConnection) -> None:
         peer = _remote(connection)
         if self._state.connections >= peerstate.MAX_CONNECTIONS:
-            self._state.events.emit(330, limit=peerstate.MAX_CONNECTIONS)
+            limit = peerstate.MAX_CONNECTIONS
+            self._state.emit_fault(330, peer, "", limit=limit)
             return
         self._state.connections += 1
         try:
--- a/packages/node/cicadapass/peerstate.py
+++ b/packages/node/cicadapass/peerstate.py
@@ -1,7 +1,9 @@
 """What all connections of the node to its peers share."""
 
+import math
 import random
 import ssl
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -32,6 +34,9 @@
 MAX_QUEUED_BYTES = 16 * 1024 * 1024
 # Two per member at the planned size.
 MAX_CONNECTIONS = 800
+# Anybody in the network can cause these events; they must not push out the others.
+REPORT_GAP_S = 10.0
+MAX_REPORTED = 1024
 CLOSE_POLICY = 1008
 CLOSE_TOO_BIG = 1009
 
@@ -42,6 +47,7 @@
     PeerFault.OVERSIZED: 324,
     PeerFault.WRONG_NODE: 326,
 }
+_REASON_FIELDS = {321: "side", 326: "found"}
 
 
 def allow_all(_target: NodeAddress) -> bool:
@@ -91,6 +97,7 @@
     received: dict[str, KindCount] = field(default_factory=dict)
     connections: int = 0
     on_broken: Callable[[NodeAddress], object] = ignore
+    reported_s: dict[tuple[int, str, str], float] = field(default_factory=dict)
 
     def count_sent(self, kind: str, size: int) -> None:
         """Count a frame that was queued for a peer."""
@@ -106,20 +113,26 @@
         frame = result.ok
         _count(self.received, frame.message.KIND, len(data))
         if self.stamps.observe(frame.stamp):
-            self.events.emit(328, peer=peer, stamp=frame.stamp)
+            self.emit_fault(328, peer, "", stamp=frame.stamp)
         return frame
 
     def report(self, error: PeerError, peer: str) -> None:
         """Emit the event of a fault for which a connection is closed."""
-        number = _FAULT_EVENTS.get(error.fault)
-        if number == 321:
-            self.events.emit(321, peer=peer, side=error.problem)
-        elif number == 326:
-            self.events.emit(326, peer=peer, found=error.problem)
-        elif number:
-            self.events.emit(number, peer=peer, reason=error.problem)
-        else:
-            self.events.emit(325, peer=peer, reason=str(error))
+        number = _FAULT_EVENTS.get(error.fault, 325)
+        name = _REASON_FIELDS.get(number, "reason")
+        self.emit_fault(number, peer, error.problem, **{name: error.problem})
+
+    def emit_fault(self, number: int, peer: str, detail: str, **fields: object) -> None:
+        """Emit an event, unless one of the same detail and host came just before."""
+        host = peer.rpartition(":")[0] or peer
+        key = number, host, detail
+        now_s = time.monotonic()
+        if now_s - self.reported_s.get(key, -math.inf) < REPORT_GAP_S:
+            return
+        if len(self.reported_s) >= MAX_REPORTED:
+            self.reported_s.clear()
+        self.reported_s[key] = now_s
+        self.events.emit(number, peer=peer, **fields)
 
 
 def _count(counts: dict[str, KindCount], kind: str, size: int) -> None:
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -110,6 +110,18 @@
             server.wait_for_event(325, peer="unknown")
         self.assert_serves(server)
 
+    def test_repeated_faults_are_reported_once(self):
+        """A port scanner must not push all other events out of the ring."""
+        server = self.node(address("a"))
+        forever = mock.patch.object(peerstate, "REPORT_GAP_S", 1e9)
+        forever.start()
+        self.addCleanup(forever.stop)
+        for _ in range(3):
+            raw = RawPeer(self, server.address)
+            raw.send(PROBE, 1)
+            self.assertEqual(raw.close_code(), (1008, "garbage"))
+        self.assertEqual([e.number for e in server.events.recent()], [320, 323])
+
     def test_oversized(self):
         """A frame over the limit must not be held in memory."""
         server = self.node(address("a"))
