--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -76,7 +76,6 @@
     accept: Callable[[CallerContext, ChatRequest], Result[Accepted, Problem]]
     find_answer: Callable[[str, Binding], Result[ReadPiece, Problem]]
     call_plain: Callable[[CallerContext, PlainRequest], Result[PlainResponse, Problem]]
-    thread_taken: Callable[[], None]
     streams: StreamLoop
     max_body_bytes: int
     report_fault: Callable[[str], object]
@@ -115,8 +114,6 @@
     def _authenticated(
         self, environ: Environ, start: StartResponse, path: str
     ) -> Iterable[bytes]:
-        # The request may wait for an upstream, so the pool may have to grow now.
-        self._parts.thread_taken()
         context = self._context(environ)
         method = environ["REQUEST_METHOD"]
         if path == "/v1/chat/completions" and method == "POST":
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -98,6 +98,15 @@
 
 
 class _Server(wsgi.Server):
+    def process_conn(self, conn: Any) -> None:
+        """Give a connection to a thread, a new one only once it has sent a byte."""
+        if conn.silent:
+            # A thread that waited for the first byte would be lost to others.
+            conn.silent = False
+            self._connections.put(conn)  # type: ignore[attr-defined]
+            return
+        super().process_conn(conn)
+
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
     ) -> None:
@@ -131,7 +140,9 @@
         self._server.max_request_header_size = limits.max_header_bytes
         self._slots = ConnectionSlots(limits.max_connections)
         self._server.keep_alive_conn_limit = limits.max_connections
-        self._server.ConnectionClass = connection_class(self._deadlines, self._slots)
+        self._server.ConnectionClass = connection_class(
+            self._deadlines, self._slots, self.thread_taken
+        )
         self._server.gateway = self._gateway_class()
         if tls is not None:
             self._server.ssl_adapter = _LateHandshake(tls.certificate, tls.private_key)
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -320,7 +320,6 @@
             accept=self._models.accept,
             find_answer=self._find_answer,
             call_plain=self._plain.call,
-            thread_taken=lambda: self._callers.thread_taken(),
             streams=self._streams,
             max_body_bytes=self._settings.http.max_body_bytes,
             report_fault=self._report_fault,
--- a/packages/node/cicadapass/receiving.py
+++ b/packages/node/cicadapass/receiving.py
@@ -88,7 +88,9 @@
 
 
 def connection_class(
-    deadlines: ReceiveDeadlines, slots: ConnectionSlots
+    deadlines: ReceiveDeadlines,
+    slots: ConnectionSlots,
+    on_thread_taken: Callable[[], None],
 ) -> type[HTTPConnection]:
     """Return the class of the server's connections."""
 
@@ -97,6 +99,8 @@
 
         def parse_request(self) -> None:
             """Read the head of the request."""
+            # A slow sender keeps the thread, so the pool may have to grow.
+            on_thread_taken()
             with deadlines.limit(self.conn):
                 super().parse_request()
 
@@ -111,6 +115,7 @@
 
         RequestHandlerClass = Request
         late = False
+        silent = True
         unread = False
 
         def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
--- a/tests/node/callerkit.py
+++ b/tests/node/callerkit.py
@@ -38,7 +38,6 @@
                 accept=self._accept,
                 find_answer=self._find,
                 call_plain=self._call,
-                thread_taken=lambda: None,
                 streams=DeadLoop(),
                 max_body_bytes=MAX_BODY_BYTES,
                 report_fault=self.faults.append,
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import threading
+from dataclasses import replace
 
 import testtools
 
@@ -210,6 +211,40 @@
             client.send(GET.replace(b"GET", method))
             self.assertIn(b"200 OK", client._file.readline())
 
+    def test_silent_connections_take_no_thread(self):
+        """A few callers that connect and wait would stop all others."""
+        limits = replace(LIMITS, max_threads=2, receive_timeout_s=WAIT_S)
+        server = NodeHttpServer("127.0.0.1", 0, self._app, limits)
+        server.start()
+        self.addCleanup(server.stop)
+        silent = [Client(server.port) for _ in range(3)]
+        for each in silent:
+            self.addCleanup(each.close)
+        client = Client(server.port)
+        self.addCleanup(client.close)
+        client.send(GET)
+        self.assertEqual(200, client.answer()[0])
+        for each in silent:
+            each.socket.setblocking(False)
+            self.assertRaises(BlockingIOError, each.socket.recv, 1)
+
+    def test_slow_senders_leave_threads_to_others(self):
+        """The pool must grow although no request has arrived whole."""
+        limits = replace(
+            LIMITS, max_threads=16, max_connections=20, receive_timeout_s=WAIT_S
+        )
+        server = NodeHttpServer("127.0.0.1", 0, self._app, limits)
+        server.start()
+        self.addCleanup(server.stop)
+        for _ in range(10):
+            slow = Client(server.port)
+            self.addCleanup(slow.close)
+            slow.send(b"GET / HTTP/1.1\r\n")
+        client = Client(server.port)
+        self.addCleanup(client.close)
+        client.send(GET)
+        self.assertEqual(200, client.answer()[0])
+
     def test_the_number_of_connections_is_bounded(self):
         """Idle connections must not use up the node's files."""
         kept = [self._ask(GET)[0] for _ in range(LIMITS.max_connections)]
--- /dev/null
+++ b/tests/node/test_tls.py
@@ -0,0 +1,121 @@
+"""Test the TLS option of an address with a throw-away certificate."""
+
+import http.client
+import socket
+import ssl
+import subprocess
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from cicadapass.httpserver import HttpLimits, NodeHttpServer, TlsFiles
+from cicadapass.webreply import read_body, send_json
+
+WAIT_S = 20.0
+
+
+def make_certificate(directory):
+    """Write a certificate for 127.0.0.1 and its key, and return their paths."""
+    certificate, key = directory / "node.pem", directory / "node.key"
+    command = (
+        "openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 -nodes"
+        " -days 2 -subj /CN=node -addext subjectAltName=IP:127.0.0.1"
+    )
+    subprocess.run(
+        [*command.split(), "-keyout", str(key), "-out", str(certificate)],
+        check=True,
+        capture_output=True,
+        timeout=WAIT_S,
+    )
+    return certificate, key
+
+
+class TlsTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.certificate, self._key = make_certificate(Path(directory.name))
+        self.seen = []
+        self.server = self._serve(receive_timeout_s=WAIT_S)
+
+    def _serve(self, receive_timeout_s):
+        limits = HttpLimits(
+            min_threads=2,
+            max_threads=8,
+            idle_reserve=1,
+            receive_timeout_s=receive_timeout_s,
+            max_body_bytes=1000,
+        )
+        tls = TlsFiles(str(self.certificate), str(self._key))
+        server = NodeHttpServer("127.0.0.1", 0, self._app, limits, tls)
+        server.start()
+        self.addCleanup(server.stop)
+        return server
+
+    def _app(self, environ, start):
+        self.seen.append(environ["wsgi.url_scheme"])
+        return send_json(start, {"length": len(read_body(environ, 1000))})
+
+    def _connection(self, context):
+        connection = http.client.HTTPSConnection(
+            "127.0.0.1", self.server.port, timeout=WAIT_S, context=context
+        )
+        self.addCleanup(connection.close)
+        return connection
+
+    def _trusting(self):
+        return ssl.create_default_context(cafile=str(self.certificate))
+
+    def test_requests_over_one_connection(self):
+        """A kept TLS connection must serve as well as a plain one."""
+        connection = self._connection(self._trusting())
+        for length in (0, 500):
+            connection.request("POST", "/", b"x" * length)
+            response = connection.getresponse()
+            self.assertEqual(b'{"length": %d}' % length, response.read())
+        self.assertEqual(["https", "https"], self.seen)
+
+    def test_an_untrusted_certificate_is_refused_by_the_caller(self):
+        """The server presents the certificate of the settings and no other."""
+        connection = self._connection(ssl.create_default_context())
+        self.assertRaises(ssl.SSLCertVerificationError, connection.request, "GET", "/")
+        self.assertEqual([], self.seen)
+
+    def test_a_plain_request_gets_nothing(self):
+        """A credential must not be accepted over an open connection."""
+        with socket.create_connection(("127.0.0.1", self.server.port), WAIT_S) as plain:
+            plain.sendall(b"GET / HTTP/1.1\r\nHost: n\r\n\r\n")
+            data = plain.recv(1000)
+        self.assertNotIn(b"200", data)
+        self.assertEqual([], self.seen)
+
+    def test_a_silent_sender_holds_up_nobody(self):
+        """A handshake in the accepting thread would stop all other callers."""
+        silent = [
+            socket.create_connection(("127.0.0.1", self.server.port), WAIT_S)
+            for _ in range(3)
+        ]
+        for each in silent:
+            self.addCleanup(each.close)
+        connection = self._connection(self._trusting())
+        connection.request("GET", "/")
+        self.assertEqual(200, connection.getresponse().status)
+        # The server has not given the silent ones up, so it did not wait for them.
+        for each in silent:
+            each.setblocking(False)
+            self.assertRaises(BlockingIOError, each.recv, 1)
+
+    def test_a_slow_body_gets_no_unencrypted_answer(self):
+        """After a partial shutdown a TLS socket would write in the open."""
+        self.server = self._serve(receive_timeout_s=0.2)
+        connection = self._connection(self._trusting())
+        connection.putrequest("POST", "/")
+        connection.putheader("Content-Length", "10")
+        connection.endheaders(b"abc")
+        try:
+            data = connection.sock.recv(1000)
+        except OSError:
+            return
+        self.assertEqual(b"", data)
