--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -8,7 +8,7 @@
 
 from expression import Result
 
-from cicadapass.delivery import AnswerCutShort, ReadPiece, read_whole
+from cicadapass.delivery import AnswerCutShort, LocalReader, ReadPiece, read_whole
 from cicadapass.directdelivery import stream
 from cicadapass.headers import from_upstream, to_upstream
 from cicadapass.httpserver import DIRECT_SENDER_KEY, Environ, StartResponse
@@ -67,6 +67,14 @@
     read: ReadPiece
 
 
+@dataclass(frozen=True, slots=True)
+class Readers:
+    """Hold the reader to start with, and one that follows an answer that moves."""
+
+    first: ReadPiece
+    follow: ReadPiece
+
+
 @dataclass(frozen=True, slots=True)
 class CallerParts:
     """Hold what the interface calls."""
@@ -75,7 +83,9 @@
     not_ready_reason: Callable[[], str | None]
     accept: Callable[[CallerContext, ChatRequest], Result[Accepted, Problem]]
     find_answer: Callable[[str, Binding], Result[ReadPiece, Problem]]
+    follow_answer: Callable[[str, Binding], ReadPiece]
     call_plain: Callable[[CallerContext, PlainRequest], Result[PlainResponse, Problem]]
+    issue_key: Callable[[CallerContext], str]
     streams: StreamLoop
     max_body_bytes: int
     report_fault: Callable[[str], object]
@@ -118,6 +128,9 @@
         method = environ["REQUEST_METHOD"]
         if path == "/v1/chat/completions" and method == "POST":
             return self._chat(environ, start, context)
+        if path == "/v1/idempotency-keys" and method == "POST":
+            key = self._parts.issue_key(context)
+            return send_json(start, {"key": key}, HTTPStatus.CREATED)
         if path.startswith(REQUESTS_PREFIX) and method == "GET":
             return self._answer(environ, start, context, path)
         if path.startswith(SERVICES_PREFIX):
@@ -152,7 +165,9 @@
             (REQUEST_ID_HEADER, accepted.request_id),
             (DURABILITY_HEADER, accepted.durability),
         ]
-        return self._deliver(environ, start, accepted.read, headers, 0)
+        follow = self._parts.follow_answer(accepted.request_id, context.binding)
+        readers = Readers(accepted.read, follow)
+        return self._deliver(environ, start, readers, headers, chat.format.streams, 0)
 
     def _answer(
         self, environ: Environ, start: StartResponse, context: CallerContext, path: str
@@ -160,26 +175,40 @@
         request_id = path.removeprefix(REQUESTS_PREFIX)
         from_byte = _from_byte(environ)
         read = _value(self._parts.find_answer(request_id, context.binding))
+        if isinstance(read, LocalReader) and read.is_behind_end(from_byte):
+            # An empty rest would look like the end of the answer.
+            raise Refused(malformed("from is behind the end", "send a smaller from"))
+        follow = self._parts.follow_answer(request_id, context.binding)
         headers = [(REQUEST_ID_HEADER, request_id)]
-        return self._deliver(environ, start, read, headers, from_byte)
+        # Bytes of another node come in the form of a stream.
+        streams = not isinstance(read, LocalReader) or read.streams
+        readers = Readers(read, follow)
+        return self._deliver(environ, start, readers, headers, streams, from_byte)
 
     def _deliver(
         self,
         environ: Environ,
         start: StartResponse,
-        read: ReadPiece,
+        readers: Readers,
         headers: list[tuple[str, str]],
+        streams: bool,
         from_byte: int,
     ) -> Iterable[bytes]:
-        if read.streams:
+        if streams:
             headers.append(("Content-Type", "text/event-stream"))
             headers.append(("Cache-Control", "no-store"))
             # The headers go out now, so that a caller that loses its connection
             # knows the request id.
             start(status_line(HTTPStatus.OK), headers)(b"")
             sender = environ.get(DIRECT_SENDER_KEY)
-            return stream(read, from_byte, sender, self._parts.streams)
-        result = read_whole(read, from_byte)
+            return stream(
+                readers.first,
+                from_byte,
+                sender,
+                self._parts.streams,
+                readers.follow,
+            )
+        result = read_whole(readers.follow, from_byte)
         problem = result.error if result.is_error() else result.ok.problem
         if problem is not None:
             # The caller needs the request id to read the rest elsewhere.
--- a/packages/node/cicadapass/execution.py
+++ b/packages/node/cicadapass/execution.py
@@ -123,7 +123,7 @@
 
     def _run(self, thread: int, grant: Grant | None) -> None:
         if grant is None and self._has_all_tokens():
-            self._complete()
+            self.complete()
             return
         while not self._contenders.over:
             if grant is None:
@@ -134,7 +134,7 @@
             grant = None
             if failure is None:
                 if self._contenders.contends(thread):
-                    self._complete()
+                    self.complete()
                 return
             if not self._goes_on(thread, failure):
                 return
@@ -208,7 +208,7 @@
     def _goes_on(self, thread: int, failure: Failure) -> bool:
         """Return whether this thread makes the next attempt, after its pause."""
         if self._has_all_tokens():
-            self._complete()
+            self.complete()
         while not self._contenders.yields(thread):
             match self._next_step(failure):
                 case Retry(delay_s, _) | Resume(delay_s, _, _):
@@ -236,7 +236,8 @@
     def _has_all_tokens(self) -> bool:
         return self._answer.token_count >= self._request.chat.max_tokens
 
-    def _complete(self) -> None:
+    def complete(self) -> None:
+        """End the answer, whose tokens are all there."""
         if not self._contenders.end():
             return
         try:
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -2,13 +2,13 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
 from cicadapass.callers import Accepted, CallerContext
-from cicadapass.delivery import LocalReader, ReadPiece
+from cicadapass.delivery import LocalReader
 from cicadapass.execution import Execution
 from cicadapass.executionparts import ExecutionParts
 from cicadapass.failures import refused
@@ -16,9 +16,10 @@
 from cicadapass.ownership import AddRequest, DropRequest, OwnedRequest
 from cicadapass.placement import Placement
 from cicadapass.problems import Problem, not_found
-from cicadapass.requests import AcceptedRequest, ChatRequest
+from cicadapass.requests import AcceptedRequest, ChatRequest, from_copy
 from cicadapass.supervisor import PartRef
 from cicadapass.upstreamtable import Outcome
+from cicadapass_common.copymessages import CopiedRequest
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.inventory import Inventory, Service, ServiceKind
 from cicadapass_decisions.policy import Policy
@@ -62,11 +63,22 @@
             telemetry.count("requests.refused")
         return result
 
-    def resume(self, request: AcceptedRequest, texts: tuple[str, ...]) -> Answer:
-        """Continue a request whose copy this node held."""
-        answer = Answer(request.head, texts)
+    def adopt(self, copied: CopiedRequest, epoch: int) -> None:
+        """Continue a request whose copy this node held, in another thread.
+
+        Raises ValueError if the copy cannot be read.
+        """
+        request = from_copy(copied, epoch)
+        resume = lambda: self._resume(request, copied)  # noqa: E731
+        self._parts.execution.spawn("adopt", resume)
+
+    def _resume(self, request: AcceptedRequest, copied: CopiedRequest) -> None:
+        # The answer is in reach of callers before it has a new holder, and what the
+        # old owner delivered is committed already.
         self._parts.execution.telemetry.count("requests.adopted")
-        return self._run(request, answer, self._work_of(request), None)
+        answer = Answer(request.head, copied.texts)
+        self._parts.placement.copy(replace(copied, epoch=request.epoch))
+        self._run(request, answer, self._work_of(request), None, copied.finished)
 
     def _accept(
         self, context: CallerContext, chat: ChatRequest
@@ -83,6 +95,8 @@
             return self._place_and_run(request, work, grant)
         except BaseException:
             self._parts.execution.granting.release(grant, Outcome())
+            # Its holder would run the request once this node has gone.
+            self._parts.placement.release(request.request_id)
             raise
 
     def _place_and_run(
@@ -92,7 +106,7 @@
         if placed.is_error():
             self._parts.execution.granting.release(grant, Outcome())
             return Error(placed.error)
-        request, durability = placed.ok
+        durability = placed.ok
         self._parts.events.emit(
             450,
             request_id=request.request_id,
@@ -101,7 +115,7 @@
             durability=durability,
         )
         answer = self._run(request, Answer(request.head), work, grant)
-        return Ok(Accepted(request.request_id, durability, local_reader(answer)))
+        return Ok(Accepted(request.request_id, durability, LocalReader(answer)))
 
     def _run(
         self,
@@ -109,17 +123,20 @@
         answer: Answer,
         work: AcquireRequest,
         grant: Grant | None,
+        finished: bool = False,
     ) -> Answer:
         commits = self._parts.placement.commits(request, answer)
         execution = Execution(request, answer, commits, work, self._parts.execution)
         owned = OwnedRequest(request, answer, execution.stop)
-        if self._own(owned):
+        if not self._own(owned):
+            # Another owner with a later epoch answers the request.
+            if grant is not None:
+                self._parts.execution.granting.release(grant, Outcome())
+            answer.abandon()
+        elif finished:
+            execution.complete()
+        else:
             execution.start(grant)
-            return answer
-        # Another owner with a later epoch answers the request.
-        if grant is not None:
-            self._parts.execution.granting.release(grant, Outcome())
-        answer.abandon()
         return answer
 
     def _own(self, owned: OwnedRequest) -> bool:
@@ -173,8 +190,3 @@
             prompt_tokens=prompt_tokens,
             blocks=prefix_blocks(request.chat.prompt, policy.prefix),
         )
-
-
-def local_reader(answer: Answer) -> ReadPiece:
-    """Return a reader of an answer that this node owns."""
-    return LocalReader(answer)
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -255,9 +255,8 @@
 
     def test_an_offset_behind_the_end_is_no_whole_answer(self):
         """An empty rest with the status 200 would look complete."""
-        ask = self.world.ask
-        uri = "/v1/requests/r?from=100000"
-        self.assertRaises(AnswerCutShort, ask, "GET", uri, b"", KEY)
+        reply = self.world.ask("GET", "/v1/requests/r?from=100000", b"", KEY)
+        self._assert_refused(reply, 400)
 
     def test_health_needs_no_credential(self):
         """The balancer has none."""
--- a/tests/node/test_inprogress.py
+++ b/tests/node/test_inprogress.py
@@ -1,7 +1,5 @@
 """Test that a planned stop waits for requests and their work."""
 
-import threading
-
 import testtools
 
 from cicadapass.httpserver import HttpLimits, NodeHttpServer
@@ -48,15 +46,6 @@
         self.assertRaises(RuntimeError, body.close)
         self.assertEqual(0, self.in_progress.count)
 
-    def test_work_goes_on_without_its_caller(self):
-        """An accepted request must be answered although its caller has gone."""
-        go = threading.Event()
-        self.addCleanup(go.set)
-        self.in_progress.spawn("request", lambda: go.wait(WAIT_S))
-        self.assertFalse(self.in_progress.wait_until_none(0.0))
-        go.set()
-        self.assertTrue(self.in_progress.wait_until_none(WAIT_S))
-
     def test_a_request_on_a_kept_connection_is_answered_during_a_stop(self):
         """It must not be cut, and its connection must not be used again."""
         app = self.in_progress.track(lambda environ, start: send_json(start, {}))
--- a/tests/node/test_modelcalls.py
+++ b/tests/node/test_modelcalls.py
@@ -1,26 +1,25 @@
 """Test the acceptance of model requests."""
 
 import json
-import random
 from dataclasses import replace
 
 import pykka
 import testtools
+from expression import Ok
 
-from cicadapass.answers import Answer
 from cicadapass.callers import CallerContext
+from cicadapass.commits import commit_at_once
 from cicadapass.modelcalls import ModelCalls, ModelParts
 from cicadapass.ownership import AddRequest, DropRequest
-from cicadapass.placement import without_copies
 from cicadapass.requests import parse_chat
 from cicadapass_common.copymessages import Binding
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.admission import Refusal, RefusalReason
 from cicadapass_decisions.inventory import parse_inventory
 from cicadapass_decisions.policy import Policy
-from cicadapass_decisions.types import Verdict, VmId
+from cicadapass_decisions.types import Verdict
 from tests.decisions.documents import inventory_document
-from tests.node.executionkit import WORK, Script, World, chat_request
+from tests.node.executionkit import WORK, Script, World, chat_request, token
 
 
 class OwnershipDouble:
@@ -40,11 +39,35 @@
         self.messages.append(message)
 
 
+class PlacementDouble:
+    """Place no copies and keep what was asked."""
+
+    def __init__(self):
+        self.released = []
+        self.copied = []
+
+    def new_request_id(self):
+        return "r"
+
+    def place(self, request):
+        return Ok("single-node")
+
+    def copy(self, copied):
+        self.copied.append(copied)
+
+    def commits(self, request, answer):
+        return commit_at_once(answer)
+
+    def release(self, request_id):
+        self.released.append(request_id)
+
+
 class ModelCallsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.world = World([Script() for _ in range(3)])
         self.ownership = OwnershipDouble()
+        self.placement = PlacementDouble()
         self.inventory = parse_inventory(inventory_document()).ok
         fleet = next(
             fleet
@@ -60,7 +83,7 @@
                 inventory=lambda: self.inventory,
                 policy=Policy,
                 execution=parts,
-                placement=without_copies(VmId("n1", "i"), random.Random(1)),
+                placement=self.placement,
                 ownership=self.ownership,
                 events=EventLog("n", lambda: (0, 0)),
                 wall_clock=lambda: 1000.0,
@@ -111,12 +134,27 @@
         self.assertEqual([], self.world.threads)
         add, drop = self.ownership.messages
         self.assertIsInstance(add, AddRequest)
-        self.assertEqual(DropRequest(add.owned.request.request_id, 2), drop)
+        self.assertEqual(DropRequest("r", 2), drop)
+        self.assertEqual(["r"], self.placement.released)
 
     def test_a_request_of_a_later_owner_is_not_run(self):
         """Two owners would compute the answer twice."""
         self.ownership.answer = False
-        answer = self.models.resume(chat_request(), ())
-        self.assertIsInstance(answer, Answer)
-        self.assertTrue(answer.abandoned)
-        self.assertEqual([], self.world.threads)
+        self.models.adopt(chat_request().to_copy(), 2)
+        self.world.join()
+        owned = self.ownership.messages[0].owned
+        self.assertEqual(2, owned.request.epoch)
+        self.assertTrue(owned.answer.abandoned)
+        self.assertEqual(["adopt"], [thread.name for thread in self.world.threads])
+
+    def test_an_adopted_request_ends(self):
+        """The caller of a node that died must get the rest of the answer."""
+        for texts, finished in (((), False), ((token(0),), False), ((token(0),), True)):
+            copied = chat_request().to_copy(texts, finished=finished)
+            self.models.adopt(copied, 2)
+            self.world.join()
+            answer = self.ownership.messages[-1].owned.answer
+            self.assertTrue(answer.ended)
+            self.assertIsNone(answer.problem)
+            self.assertEqual(1 if finished else 4, answer.token_count)
+        self._assert_released()
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -27,8 +27,14 @@
         self.now_s = 0.0
         self.counts = []
         self.stopped = []
+        self.expired = []
         self.actor = Ownership.start(
-            None, KEEP_S, 1000, self.counts.append, lambda: self.now_s
+            None,
+            KEEP_S,
+            1000,
+            self.counts.append,
+            self.expired.append,
+            lambda: self.now_s,
         )
         self.addCleanup(self.actor.stop)
 
@@ -97,3 +103,4 @@
             self._ask(ExpireAnswers())
         kept = [n for n in "abc" if self._ask(FindRequest(n)) is not None]
         self.assertEqual(["c"], kept)
+        self.assertEqual(["a", "b"], self.expired)
