Test delivery over real connections, with and without the stream loop

Cause: nothing tested that a cut, moved or failed stream looks incomplete, that uncommitted tokens wait, or that a slow reader gets every byte once.

--- /dev/null
+++ b/tests/node/test_delivery.py
@@ -0,0 +1,215 @@
+"""Test over real connections that a cut answer never looks complete."""
+
+import socket
+import threading
+from dataclasses import replace
+
+import testtools
+from expression import Error, Ok
+
+from cicadapass.answers import Answer
+from cicadapass.delivery import LocalReader, Piece, pieces, read_whole
+from cicadapass.failures import gave_up
+from cicadapass.httpserver import HttpLimits, NodeHttpServer
+from cicadapass.inprogress import InProgress
+from cicadapass.render import AnswerFormat, AnswerHead
+from cicadapass.streamloop import StreamLoop
+from cicadapass_decisions.retry import GiveUp
+from cicadapass_decisions.types import Verdict
+from tests.node.callerkit import CallerWorld, DeadLoop
+
+WAIT_S = 20.0
+LAST_CHUNK = b"0\r\n\r\n"
+DONE = b"data: [DONE]"
+PROBLEM = gave_up(GiveUp(Verdict.UNKNOWN, "test"))
+HEAD = AnswerHead("r", 1, "parts", AnswerFormat.EVENT_STREAM)
+REQUEST = (
+    b"GET /v1/requests/r?from=%d HTTP/1.1\r\nHost: n\r\n"
+    b"Authorization: Bearer grabhandle-k1\r\nConnection: close\r\n\r\n"
+)
+
+
+def body_of(data):
+    """Return the body in the chunks and whether the last chunk is there."""
+    rest = data.partition(b"\r\n\r\n")[2]
+    body = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        if int(size, 16) == 0:
+            return body, True
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+    return body, False
+
+
+class DeliveryTest(testtools.TestCase):
+    """Each test runs with the stream loop and with the server's threads alone."""
+
+    def setUp(self):
+        super().setUp()
+        self.loop = StreamLoop()
+        self.loop.start()
+        self.addCleanup(self.loop.stop)
+
+    def _serve(self, answer, loop):
+        world = CallerWorld(answer)
+        world.app._parts = replace(world.app._parts, streams=loop)
+        self.in_progress = InProgress()
+        app = self.in_progress.track(world.app)
+        limits = HttpLimits(min_threads=2, max_threads=4, idle_reserve=1)
+        server = NodeHttpServer("127.0.0.1", 0, app, limits)
+        server.start()
+        self.addCleanup(server.stop)
+        return server.port
+
+    def _connect(self, port, from_byte=0):
+        client = socket.create_connection(("127.0.0.1", port), WAIT_S)
+        self.addCleanup(client.close)
+        client.sendall(REQUEST % from_byte)
+        return client
+
+    def _read(self, client, until=None):
+        data = b""
+        while until is None or until not in data:
+            chunk = client.recv(65536)
+            if not chunk:
+                break
+            data += chunk
+        return data
+
+    def _each_way(self, steps, texts=("a",)):
+        """Return body and end of an answer that goes on with the steps given."""
+        results = []
+        for loop in (self.loop, DeadLoop()):
+            answer = Answer(HEAD, texts)
+            client = self._connect(self._serve(answer, loop))
+            start = self._read(client, b'"a"')
+            steps(answer)
+            results.append(body_of(start + self._read(client)))
+            self.assertTrue(self.in_progress.wait_until_none(WAIT_S))
+        self.assertEqual(*results)
+        return results[0]
+
+    def test_a_whole_answer_ends(self):
+        """The end marker and the last chunk come once, after all tokens."""
+
+        def steps(answer):
+            answer.add_tokens(1, ["b"])
+            answer.commit(2)
+            answer.finish()
+            answer.end()
+
+        body, ended = self._each_way(steps)
+        self.assertTrue(ended)
+        self.assertTrue(body.endswith(DONE + b"\n\n"))
+        self.assertEqual(1, body.count(DONE))
+        self.assertEqual(1, body.count(b'"b"'))
+
+    def test_a_failed_answer_has_no_end_marker(self):
+        """The caller must see that tokens are missing, and why."""
+
+        def steps(answer):
+            answer.add_tokens(1, ["b"])
+            answer.finish()
+            answer.fail(PROBLEM)
+
+        body, _ = self._each_way(steps)
+        self.assertNotIn(DONE, body)
+        self.assertNotIn(b'"b"', body)
+        self.assertIn(b'"verdict":"unknown"', body)
+
+    def test_a_moved_answer_ends_without_its_last_chunk(self):
+        """The HTTP client of the caller must report an error."""
+        body, ended = self._each_way(Answer.abandon)
+        self.assertFalse(ended)
+        self.assertNotIn(DONE, body)
+
+    def test_uncommitted_tokens_wait(self):
+        """The holder of the copy must have a token before a caller sees it."""
+        for loop in (self.loop, DeadLoop()):
+            answer = Answer(HEAD, ["a"])
+            client = self._connect(self._serve(answer, loop))
+            start = self._read(client, b'"a"')
+            answer.add_tokens(1, ["b"])
+            answer.finish()
+            answer.abandon()
+            self.assertNotIn(b'"b"', start + self._read(client))
+
+    def test_a_caller_that_returns_gets_the_rest(self):
+        """Both parts together are the answer, whatever the offset."""
+        answer = Answer(HEAD, ["a", "\u0101\n\n", "c"])
+        answer.finish()
+        answer.end()
+        whole = answer.read(0, 0.0).data
+        for loop in (self.loop, DeadLoop()):
+            port = self._serve(answer, loop)
+            for offset in (0, 1, len(whole) // 2, len(whole) - 1, len(whole)):
+                data = self._read(self._connect(port, offset))
+                self.assertEqual((whole[offset:], True), body_of(data))
+
+    def test_a_caller_that_leaves_ends_its_request(self):
+        """A stop would wait for a request that nobody reads."""
+        for loop in (self.loop, DeadLoop()):
+            answer = Answer(HEAD, ["a"])
+            client = self._connect(self._serve(answer, loop))
+            self._read(client, b'"a"')
+            client.close()
+            # The first write tells the server, at the latest the second one fails.
+            for index in range(1, 200):
+                answer.add_tokens(index, ["x" * 10_000])
+                answer.commit(index + 1)
+            answer.finish()
+            answer.end()
+            self.assertTrue(self.in_progress.wait_until_none(WAIT_S))
+
+    def test_a_slow_reader_gets_every_byte_once(self):
+        """What a full socket does not take must follow in order."""
+        texts = [f"{index:06d}" * 200 for index in range(3000)]
+        for loop in (self.loop, DeadLoop()):
+            answer = Answer(HEAD, ["a"])
+            client = self._connect(self._serve(answer, loop))
+            start = self._read(client, b'"a"')
+            for index, text in enumerate(texts, 1):
+                answer.add_tokens(index, [text])
+                answer.commit(index + 1)
+            answer.finish()
+            answer.end()
+            body, ended = body_of(start + self._read(client))
+            self.assertTrue(ended)
+            self.assertEqual(answer.read(0, 0.0).data, body)
+
+
+class ReadWholeTest(testtools.TestCase):
+    def test_pieces_join_and_problems_stay(self):
+        """A JSON answer is sent with its length, so it must be whole."""
+        script = [
+            Ok(Piece(b"ab", ended=False)),
+            Ok(Piece(b"", ended=False)),
+            Ok(Piece(b"c", ended=True, problem=PROBLEM)),
+        ]
+        offsets = []
+
+        def read(from_byte, wait_s):
+            offsets.append(from_byte)
+            return script[len(offsets) - 1]
+
+        result = read_whole(read, 5)
+        self.assertEqual(Ok(Piece(b"abc", True, PROBLEM)), result)
+        self.assertEqual([5, 7, 7], offsets)
+
+    def test_an_error_ends_the_reading(self):
+        """A part of an answer must never be taken for all of it."""
+        script = iter([Ok(Piece(b"ab", ended=False)), Error(PROBLEM)])
+        read = lambda from_byte, wait_s: next(script)  # noqa: E731
+        self.assertEqual(Error(PROBLEM), read_whole(read, 0))
+
+    def test_a_reader_of_a_moved_answer_gives_what_there_is(self):
+        """Bytes that the caller may have come before the word that it moved."""
+        answer = Answer(HEAD, ["a"])
+        reader = LocalReader(answer)
+        waiting = threading.Timer(0.0, answer.abandon)
+        waiting.start()
+        results = list(pieces(reader, 0))
+        waiting.join(WAIT_S)
+        self.assertIn(b'"a"', results[0].ok.data)
+        self.assertEqual(Verdict.RUN, results[-1].error.verdict)
