Let a node that stops or cannot start end its process

Faults found: - the worker threads of the server were no daemons, so a node that could not start (an address in use) or that stopped beside a hung request never exited; the test module hung at the end of its process until this was fixed; - a taken address or a missing certificate ended in a traceback; it is exit code 4 with a remedy now; - the signal handler set an event that the interrupted thread may be waiting on, which can deadlock in Event.wait; a SimpleQueue is made for that.

--- a/packages/node/cicadapass/cmdline.py
+++ b/packages/node/cicadapass/cmdline.py
@@ -6,8 +6,8 @@
 import os
 import signal
 import sys
-import threading
 from collections.abc import Sequence
+from queue import SimpleQueue
 
 from cicadapass.config import NodeSettings
 from cicadapass.env import incarnation
@@ -17,6 +17,8 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_GIVEN_UP = 3
+EXIT_START = 4
+START_REMEDY = "check the addresses and the certificate files in the settings"
 
 DESCRIPTION = """\
 Serve callers from this entry VM.
@@ -29,6 +31,7 @@
   0  stopped as asked
   2  the settings have mistakes, which were all printed
   3  a part of the node failed too often
+  4  an address is taken or a certificate cannot be read
 """
 
 
@@ -74,14 +77,20 @@
 
 
 def _run(settings: NodeSettings) -> int:
-    stop = threading.Event()
+    # Unlike an event, this queue may be used in a signal handler while the thread
+    # that the signal interrupts uses it.
+    stops: SimpleQueue[None] = SimpleQueue()
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    node = Node(settings, incarnation(), stop.set)
-    node.start()
+        signal.signal(number, lambda *_: stops.put(None))
+    try:
+        node = Node(settings, incarnation(), lambda: stops.put(None))
+        node.start()
+    except OSError as error:
+        print(f"the node cannot start: {error}; {START_REMEDY}", file=sys.stderr)
+        return EXIT_START
     addresses = {"node": settings.name, "pid": os.getpid(), **node.addresses()}
     print(json.dumps(addresses), flush=True)
-    stop.wait()
+    stops.get()
     node.stop()
     return EXIT_GIVEN_UP if node.given_up else EXIT_OK
 
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -161,8 +161,8 @@
         return self._server.requests.idle
 
     def start(self) -> None:
-        """Listen and serve in threads of the server's own."""
-        self._server.prepare()
+        """Listen and serve in threads of its own; raise OSError if that fails."""
+        self._prepare()
         for name, target in (
             ("http-accept", self._server.serve),
             ("http-pool", self._keep_reserve),
@@ -172,6 +172,23 @@
             thread.start()
             self._threads.append(thread)
 
+    def _prepare(self) -> None:
+        # Threads of the pool inherit the flag of the thread that starts them, and
+        # others than daemons would keep a node alive that has stopped or failed.
+        failures: list[OSError] = []
+
+        def prepare() -> None:
+            try:
+                self._server.prepare()
+            except OSError as error:
+                failures.append(error)
+
+        thread = threading.Thread(target=prepare, name="http-prepare", daemon=True)
+        thread.start()
+        thread.join()
+        if failures:
+            raise failures[0]
+
     def stop(self) -> None:
         """Stop listening and end all connections, at last those in use."""
         self._stopping = True
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -256,6 +256,16 @@
                 return
         self.fail("a closed connection made no room")
 
+    def test_hung_requests_do_not_keep_the_process_alive(self):
+        """A stopped node must exit although a caller holds a request open."""
+        client = self._connect()
+        client.send(GET.replace(b"/ ", b"/hold "))
+        self.assertTrue(self.began.wait(WAIT_S))
+        self.assertEqual(
+            [threading.main_thread()],
+            [thread for thread in threading.enumerate() if not thread.daemon],
+        )
+
     def test_a_stop_ends_requests_in_progress_first(self):
         """A planned stop must not cut an answer."""
         client = self._connect()
