--- a/packages/decisions/cicadapass_decisions/fold.py
+++ b/packages/decisions/cicadapass_decisions/fold.py
@@ -19,8 +19,9 @@
 # publish id cannot be accepted again, because its base is not in force any more.
 MAX_PUBLISH_IDS = 512
 # A snapshot is appended within seconds of the record it was folded through, so a
-# reader without state needs only the latest records before it.
-MAX_BUFFERED = 64
+# reader without state needs only the latest records before it. A document of 1,400
+# upstreams takes some megabytes in memory.
+MAX_BUFFERED = 8
 # Two more snapshots fit into the retention before the first one expires.
 REAPPEND_SHARE_OF_RETENTION = 1 / 3
 
@@ -43,6 +44,7 @@
     verdicts: Mapping[str, PublishVerdict] = field(default_factory=dict)
     next_offset: int = 0
     snapshot_time_s: float | None = None
+    snapshot_offset: int = -1
     buffer_start: int = 0
     buffer: tuple[LogRecord[Publish], ...] = ()
 
@@ -132,6 +134,7 @@
         verdicts=snapshot.verdicts,
         next_offset=max(snapshot.folded_through + 1, state.next_offset),
         snapshot_time_s=state.snapshot_time_s,
+        snapshot_offset=state.snapshot_offset,
     )
     judged = []
     for record in state.buffer:
@@ -167,14 +170,22 @@
     return age_s >= retention_s * REAPPEND_SHARE_OF_RETENTION
 
 
+def has_lost_snapshot(state: FoldState, first_offset: int) -> bool:
+    """Return whether a reader without state could not start from the log."""
+    # A log that still has its first record needs no snapshot.
+    return state.complete and first_offset > max(state.snapshot_offset, 0)
+
+
 def _note_snapshot(state: FoldState, record: LogRecord[object]) -> FoldState:
     newest_s = state.snapshot_time_s
+    if isinstance(record.body, Snapshot):
+        newest_s = max(record.time_s, newest_s or record.time_s)
+        offset = max(record.offset, state.snapshot_offset)
+        return replace(state, snapshot_time_s=newest_s, snapshot_offset=offset)
     # Before the first snapshot, the age counts from the first record read.
-    if newest_s is None:
-        return replace(state, snapshot_time_s=record.time_s)
-    if isinstance(record.body, Snapshot) and record.time_s > newest_s:
-        return replace(state, snapshot_time_s=record.time_s)
-    return state
+    return (
+        state if newest_s is not None else replace(state, snapshot_time_s=record.time_s)
+    )
 
 
 def _judge(
--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -167,7 +167,7 @@
         ]
         follow = self._parts.follow_answer(accepted.request_id, context.binding)
         readers = Readers(accepted.read, follow)
-        return self._deliver(environ, start, readers, headers, chat.format.streams, 0)
+        return self._deliver(environ, start, readers, headers, 0)
 
     def _answer(
         self, environ: Environ, start: StartResponse, context: CallerContext, path: str
@@ -180,10 +180,8 @@
             raise Refused(malformed("from is behind the end", "send a smaller from"))
         follow = self._parts.follow_answer(request_id, context.binding)
         headers = [(REQUEST_ID_HEADER, request_id)]
-        # Bytes of another node come in the form of a stream.
-        streams = not isinstance(read, LocalReader) or read.streams
         readers = Readers(read, follow)
-        return self._deliver(environ, start, readers, headers, streams, from_byte)
+        return self._deliver(environ, start, readers, headers, from_byte)
 
     def _deliver(
         self,
@@ -191,10 +189,9 @@
         start: StartResponse,
         readers: Readers,
         headers: list[tuple[str, str]],
-        streams: bool,
         from_byte: int,
     ) -> Iterable[bytes]:
-        if streams:
+        if readers.first.streams:
             headers.append(("Content-Type", "text/event-stream"))
             headers.append(("Cache-Control", "no-store"))
             # The headers go out now, so that a caller that loses its connection
--- a/packages/node/cicadapass/delivery.py
+++ b/packages/node/cicadapass/delivery.py
@@ -1,8 +1,9 @@
 """Deliver the bytes of an answer from whichever node has it."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Protocol
 
 from expression import Error, Ok, Result
 
@@ -24,8 +25,15 @@
     problem: Problem | None = None
 
 
-# Reads from a byte offset, waiting up to a number of seconds.
-ReadPiece = Callable[[int, float], Result[Piece, Problem]]
+class ReadPiece(Protocol):
+    """Read an answer from a byte offset, waiting up to a number of seconds."""
+
+    @property
+    def streams(self) -> bool:
+        """Return whether the bytes are delivered as they are made."""
+
+    def __call__(self, from_byte: int, wait_s: float, /) -> Result[Piece, Problem]:
+        """Return the bytes from the offset."""
 
 
 class AnswerCutShort(Exception):
--- a/packages/node/cicadapass/execution.py
+++ b/packages/node/cicadapass/execution.py
@@ -49,7 +49,10 @@
         commits: Commits,
         work: AcquireRequest,
         parts: ExecutionParts,
+        finished: bool = False,
     ) -> None:
+        # All tokens are in the copy that this node takes over.
+        self._is_finished = finished
         self._request = request
         self._answer = answer
         self._commits = commits
@@ -122,8 +125,8 @@
             self._fail(gave_up(GiveUp(verdict, "fault of the node")))
 
     def _run(self, thread: int, grant: Grant | None) -> None:
-        if grant is None and self._has_all_tokens():
-            self.complete()
+        if grant is None and (self._is_finished or self._has_all_tokens()):
+            self._complete()
             return
         while not self._contenders.over:
             if grant is None:
@@ -134,7 +137,7 @@
             grant = None
             if failure is None:
                 if self._contenders.contends(thread):
-                    self.complete()
+                    self._complete()
                 return
             if not self._goes_on(thread, failure):
                 return
@@ -208,7 +211,7 @@
     def _goes_on(self, thread: int, failure: Failure) -> bool:
         """Return whether this thread makes the next attempt, after its pause."""
         if self._has_all_tokens():
-            self.complete()
+            self._complete()
         while not self._contenders.yields(thread):
             match self._next_step(failure):
                 case Retry(delay_s, _) | Resume(delay_s, _, _):
@@ -236,8 +239,7 @@
     def _has_all_tokens(self) -> bool:
         return self._answer.token_count >= self._request.chat.max_tokens
 
-    def complete(self) -> None:
-        """End the answer, whose tokens are all there."""
+    def _complete(self) -> None:
         if not self._contenders.end():
             return
         try:
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -69,13 +69,11 @@
         Raises ValueError if the copy cannot be read.
         """
         request = from_copy(copied, epoch)
-        resume = lambda: self._resume(request, copied)  # noqa: E731
-        self._parts.execution.spawn("adopt", resume)
+        self._parts.execution.telemetry.count("requests.adopted")
+        self._parts.execution.spawn("adopt", lambda: self._resume(request, copied))
 
     def _resume(self, request: AcceptedRequest, copied: CopiedRequest) -> None:
-        # The answer is in reach of callers before it has a new holder, and what the
-        # old owner delivered is committed already.
-        self._parts.execution.telemetry.count("requests.adopted")
+        # What the old owner delivered is committed in the copy already.
         answer = Answer(request.head, copied.texts)
         self._parts.placement.copy(replace(copied, epoch=request.epoch))
         self._run(request, answer, self._work_of(request), None, copied.finished)
@@ -126,17 +124,17 @@
         finished: bool = False,
     ) -> Answer:
         commits = self._parts.placement.commits(request, answer)
-        execution = Execution(request, answer, commits, work, self._parts.execution)
+        execution = Execution(
+            request, answer, commits, work, self._parts.execution, finished
+        )
         owned = OwnedRequest(request, answer, execution.stop)
-        if not self._own(owned):
-            # Another owner with a later epoch answers the request.
-            if grant is not None:
-                self._parts.execution.granting.release(grant, Outcome())
-            answer.abandon()
-        elif finished:
-            execution.complete()
-        else:
+        if self._own(owned):
             execution.start(grant)
+            return answer
+        # Another owner with a later epoch answers the request.
+        if grant is not None:
+            self._parts.execution.granting.release(grant, Outcome())
+        answer.abandon()
         return answer
 
     def _own(self, owned: OwnedRequest) -> bool:
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -93,6 +93,8 @@
         self.now_s = 100 * KEEP_S
         self._ask(ExpireAnswers())
         self.assertIsNone(self._ask(FindRequest("ended")))
+        # The holder of the copy may drop it only now.
+        self.assertEqual(["ended"], self.expired)
         self.assertIsNotNone(self._ask(FindRequest("running")))
 
     def test_the_oldest_answers_go_when_memory_is_short(self):
