--- a/packages/node/cicadapass/cluster.py
+++ b/packages/node/cicadapass/cluster.py
@@ -23,6 +23,7 @@
     MarkLeaving,
     MemberCallbacks,
     MembersConfig,
+    ProbeNow,
     SetOwn,
 )
 from cicadapass.members import Members
@@ -34,6 +35,7 @@
 from cicadapass.placement import Placement, PlacementParts
 from cicadapass.platformclient import PlatformClient
 from cicadapass.progress import ProgressSender
+from cicadapass.releases import ReleaseSender
 from cicadapass.supervisor import PartRef, Supervisor
 from cicadapass.timers import TimerService
 from cicadapass_common.copymessages import CopiedRequest
@@ -83,11 +85,13 @@
         )
         self.board = MembersBoard(self.peers.address)
         self._progress = ProgressSender(self.peers, parts.events)
+        self._releases = ReleaseSender(self.peers, parts.timers.call_later)
         self.placement = Placement(
             PlacementParts(
                 self.board,
                 self.peers,
                 self._progress,
+                self._releases,
                 parts.rules,
                 self.moved,
                 parts.rng,
@@ -97,6 +101,7 @@
             FinderParts(parts.ownership, self._copies, self.peers, self.board)
         )
         members.register(self.peers, self._members)
+        self.peers.watch(lambda address: self._members.tell(ProbeNow(address.vm)))
         copies.register(self.peers, self._copies, self.placement.owner_status)
         self.finder.register()
 
@@ -171,6 +176,7 @@
     def _on_gone(self, vm: VmId) -> None:
         self._copies.tell(OwnerGone(vm))
         self._progress.holder_gone(vm)
+        self._releases.holder_gone(vm)
 
 
 def _server_tls(address: AddressSettings) -> ssl.SSLContext | None:
--- a/packages/node/cicadapass/commits.py
+++ b/packages/node/cicadapass/commits.py
@@ -15,10 +15,10 @@
 from cicadapass.requests import AcceptedRequest
 from cicadapass_common.copymessages import CopiedRequest
 from cicadapass_decisions.recovery import epoch_of_new_copy
-from cicadapass_decisions.types import NodeAddress, VmId
+from cicadapass_decisions.types import NodeAddress
 
 # Copies a request to a holder other than the one that was lost.
-CopyElsewhere = Callable[[CopiedRequest, VmId], NodeAddress | None]
+CopyElsewhere = Callable[[CopiedRequest, NodeAddress], NodeAddress | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,14 +109,14 @@
                 with self._lock:
                     self._tracked = False
                 # The listener must return at once, but a new copy takes a round trip.
-                replace_holder = lambda: self._replace_holder(holder.vm)  # noqa: E731
+                replace_holder = lambda: self._replace_holder(holder)  # noqa: E731
                 threading.Thread(
                     target=replace_holder, name="new-holder", daemon=True
                 ).start()
             case Superseded(request_id, epoch):
                 self._superseded(request_id, epoch)
 
-    def _replace_holder(self, lost: VmId) -> None:
+    def _replace_holder(self, lost: NodeAddress) -> None:
         epoch = epoch_of_new_copy(self._request.epoch)
         self._request = replace(self._request, epoch=epoch)
         texts = self._answer.texts
--- a/packages/node/cicadapass/upstreamtable.py
+++ b/packages/node/cicadapass/upstreamtable.py
@@ -129,6 +129,14 @@
     source: str
 
 
+@dataclass(frozen=True, slots=True)
+class MarkPlaceLeaving:
+    """Mark the present lives of all upstreams of a data centre as leaving."""
+
+    data_centre: str
+    source: str
+
+
 @dataclass(frozen=True, slots=True)
 class PeerCounts:
     """Replace the in-flight counts of one peer of the data centre."""
