Give up a plain call that is withheld, without blaming the upstream

Faults: a call past its deadline, or whose claim had lapsed, counted as a failure of the upstream that was not called, and was tried again at others.

--- a/packages/node/cicadapass/plaincalls.py
+++ b/packages/node/cicadapass/plaincalls.py
@@ -25,6 +25,7 @@
     Retry,
     RetryRequest,
     Wait,
+    verdict_of,
 )
 from cicadapass_decisions.slowness import Timing
 from cicadapass_decisions.types import Verdict
@@ -32,6 +33,8 @@
 # A body up to this size is read whole before the head is passed on, so that a cut
 # answer can still be replaced by another attempt or an error.
 BUFFERED_BODY_BYTES = 256 * 1024
+# The node itself did not send the call.
+UNSENT = Failure(FailureKind.REFUSED, sent=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +136,7 @@
         self._may_send = may_send
         self._attempts: list[Attempt] = []
         self._own_error: PlainResponse | None = None
+        self._withheld = False
 
     def run(self) -> Result[PlainResponse, Problem]:
         """Return the answer, or the problem with the verdict on the effect."""
@@ -146,6 +150,10 @@
             result = self._attempt(grant)
             if isinstance(result, PlainResponse):
                 return Ok(result)
+            if self._withheld:
+                # Neither the deadline nor a claim that has lapsed comes back.
+                verdict = verdict_of(self._attempts)
+                return Error(gave_up(GiveUp(verdict, "it was too late to send it")))
             step = self._next_step(result)
             if isinstance(step, GiveUp):
                 # The service's own error says more than one of the node.
@@ -183,7 +191,8 @@
             self._release(grant, began_s, failed=True)
             raise
         if isinstance(opened, Failure):
-            self._release(grant, began_s, failed=True)
+            # An upstream that was not called has not failed.
+            self._release(grant, began_s, failed=opened is not UNSENT)
             self._failed(grant, opened)
             return opened
         if opened.whole:
@@ -223,8 +232,11 @@
     def _open(self, grant: Grant, began_s: float) -> _Opened | Failure:
         url = self._parts.url_of(grant.upstream)
         left_s = self._work.deadline_s - began_s
-        if url is None or left_s <= 0 or not self._may_send():
-            return Failure(FailureKind.REFUSED, sent=False)
+        if left_s <= 0 or not self._may_send():
+            self._withheld = True
+            return UNSENT
+        if url is None:
+            return UNSENT
         result = self._parts.client.call(url, self._call, left_s)
         if result.is_error():
             return failure_of(result.error)
--- a/tests/node/test_plaincalls.py
+++ b/tests/node/test_plaincalls.py
@@ -57,7 +57,7 @@
         body = b"" if method == "GET" else b"{}"
         call = PlainCall(method, "/payments", headers, body, repeatable)
         work = AcquireRequest("r", "f/orders", "f/w", PLAIN, 60.0)
-        return PlainExecution(call, work, self._parts(), may_send).run()
+        return PlainExecution(call, work, self.parts(), may_send).run()
 
     def _acquire(self, asked):
         number = len(self.granted)
@@ -76,7 +76,7 @@
         decision = next_step(attempts, failure, request, budget, 0.0, rng, self._rules)
         return decision.step
 
-    def _parts(self):
+    def parts(self):
         class _Granting:
             release = staticmethod(self._release)
             next_step = staticmethod(self._next_step)
@@ -171,11 +171,22 @@
     def test_a_lapsed_claim_is_not_sent(self):
         """Another node may hold the claim by now."""
         upstream = self._upstream()
-        world = PlainWorld(upstream.url, rules=RetryRules(retry=False))
+        world = PlainWorld(upstream.url, upstream.url)
         result = world.call(repeatable=False, may_send=lambda: False)
         self.assertEqual(Verdict.NOT_RUN, result.error.verdict)
         self.assertEqual(0, upstream.connections)
         self._assert_released(world)
+        # The upstream must not count as failing, and asking another is of no use.
+        self.assertEqual([False], [outcome.failed for _, outcome in world.released])
+
+    def test_a_claim_that_lapses_between_attempts_is_not_sent(self):
+        """The first attempt proved that nothing ran; the second must not start."""
+        upstream = self._upstream()
+        world = PlainWorld(free_port_url(), upstream.url)
+        answers = iter([True, False])
+        result = world.call(repeatable=False, may_send=lambda: next(answers))
+        self.assertEqual(Verdict.NOT_RUN, result.error.verdict)
+        self.assertEqual(0, upstream.connections)
 
     def test_a_call_after_its_deadline_is_not_sent(self):
         """Nobody waits for the answer any more."""
