--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -1,6 +1,5 @@
 """The HTTP interface for callers."""
 
-import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -9,7 +8,7 @@
 
 from expression import Result
 
-from cicadapass.delivery import AnswerCutShort, ReadPiece, read_whole
+from cicadapass.delivery import AnswerCutShort, LocalReader, ReadPiece, read_whole
 from cicadapass.directdelivery import stream
 from cicadapass.headers import from_upstream, to_upstream
 from cicadapass.httpserver import DIRECT_SENDER_KEY, Environ, StartResponse
@@ -39,8 +38,6 @@
 from cicadapass_common.credentials import bearer_credential, hash_credential
 from cicadapass_decisions.inventory import Inventory, Workspace
 
-logger = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
 REQUEST_ID_HEADER = "Cicadapass-Request-Id"
@@ -89,7 +86,6 @@
     follow_answer: Callable[[str, Binding], ReadPiece]
     call_plain: Callable[[CallerContext, PlainRequest], Result[PlainResponse, Problem]]
     issue_key: Callable[[CallerContext], str]
-    thread_taken: Callable[[], None]
     streams: StreamLoop
     max_body_bytes: int
     report_fault: Callable[[str], object]
@@ -128,8 +124,6 @@
     def _authenticated(
         self, environ: Environ, start: StartResponse, path: str
     ) -> Iterable[bytes]:
-        # The request may wait for an upstream, so the pool may have to grow now.
-        self._parts.thread_taken()
         context = self._context(environ)
         method = environ["REQUEST_METHOD"]
         if path == "/v1/chat/completions" and method == "POST":
@@ -181,6 +175,9 @@
         request_id = path.removeprefix(REQUESTS_PREFIX)
         from_byte = _from_byte(environ)
         read = _value(self._parts.find_answer(request_id, context.binding))
+        if isinstance(read, LocalReader) and read.is_behind_end(from_byte):
+            # An empty rest would look like the end of the answer.
+            raise Refused(malformed("from is behind the end", "send a smaller from"))
         follow = self._parts.follow_answer(request_id, context.binding)
         headers = [(REQUEST_ID_HEADER, request_id)]
         readers = Readers(read, follow)
--- a/packages/node/cicadapass/delivery.py
+++ b/packages/node/cicadapass/delivery.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from cicadapass.answers import Answer
-from cicadapass.problems import Problem, malformed
+from cicadapass.problems import Problem
 from cicadapass_decisions.types import Verdict
 
 # One read waits this long for new bytes, so that an abandoned answer or a caller
@@ -51,14 +51,15 @@
         """Return whether the bytes are delivered as they are made."""
         return self.answer.head.format.streams
 
+    def is_behind_end(self, from_byte: int) -> bool:
+        """Return whether the answer has ended before the byte."""
+        return self.answer.ended and from_byte > self.answer.size_bytes
+
     def __call__(self, from_byte: int, wait_s: float) -> Result[Piece, Problem]:
         """Return the bytes from the offset, or that another node continues."""
         part = self.answer.read(from_byte, wait_s)
         if self.answer.abandoned and not part.data and not part.ended:
             return Error(_moved())
-        if part.ended and from_byte > self.answer.size_bytes:
-            # Nothing at all would look like the whole rest of the answer.
-            return Error(malformed("the offset is behind the end", "send from=0"))
         problem = self.answer.problem if part.ended else None
         return Ok(Piece(part.data, part.ended, problem))
 
--- a/packages/node/cicadapass/executionparts.py
+++ b/packages/node/cicadapass/executionparts.py
@@ -19,11 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExecutionParts:
-    """Hold what executions share.
-
-    Both functions that start threads raise RuntimeError without one. A planned stop
-    waits for the threads of `spawn`, but not for those of `spawn_cancel`.
-    """
+    """Hold what executions share; `spawn` raises RuntimeError without a thread."""
 
     acquire: Callable[[AcquireRequest], Grant | Refusal]
     granting: Granting
@@ -34,5 +30,4 @@
     on_ended: Callable[["Execution"], None]
     clock: Callable[[], float] = time.monotonic
     spawn: Callable[[str, Callable[[], None]], None] = start_thread
-    spawn_cancel: Callable[[str, Callable[[], None]], None] = start_thread
     telemetry: Telemetry = field(default_factory=no_telemetry)
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -98,6 +98,15 @@
 
 
 class _Server(wsgi.Server):
+    def process_conn(self, conn: Any) -> None:
+        """Give a connection to a thread, a new one only once it has sent a byte."""
+        if conn.silent:
+            # A thread that waited for the first byte would be lost to others.
+            conn.silent = False
+            self._connections.put(conn)  # type: ignore[attr-defined]
+            return
+        super().process_conn(conn)
+
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
     ) -> None:
@@ -131,7 +140,9 @@
         self._server.max_request_header_size = limits.max_header_bytes
         self._slots = ConnectionSlots(limits.max_connections)
         self._server.keep_alive_conn_limit = limits.max_connections
-        self._server.ConnectionClass = connection_class(self._deadlines, self._slots)
+        self._server.ConnectionClass = connection_class(
+            self._deadlines, self._slots, self.thread_taken
+        )
         self._server.gateway = self._gateway_class()
         if tls is not None:
             self._server.ssl_adapter = _LateHandshake(tls.certificate, tls.private_key)
@@ -150,8 +161,8 @@
         return self._server.requests.idle
 
     def start(self) -> None:
-        """Listen and serve in threads of the server's own."""
-        self._server.prepare()
+        """Listen and serve in threads of its own; raise OSError if that fails."""
+        self._prepare()
         for name, target in (
             ("http-accept", self._server.serve),
             ("http-pool", self._keep_reserve),
@@ -161,6 +172,23 @@
             thread.start()
             self._threads.append(thread)
 
+    def _prepare(self) -> None:
+        # Threads of the pool inherit the flag of the thread that starts them, and
+        # others than daemons would keep a node alive that has stopped or failed.
+        failures: list[OSError] = []
+
+        def prepare() -> None:
+            try:
+                self._server.prepare()
+            except OSError as error:
+                failures.append(error)
+
+        thread = threading.Thread(target=prepare, name="http-prepare", daemon=True)
+        thread.start()
+        thread.join()
+        if failures:
+            raise failures[0]
+
     def stop(self) -> None:
         """Stop listening and end all connections, at last those in use."""
         self._stopping = True
--- a/packages/node/cicadapass/modelcalls.py
+++ b/packages/node/cicadapass/modelcalls.py
@@ -93,6 +93,8 @@
             return self._place_and_run(request, work, grant)
         except BaseException:
             self._parts.execution.granting.release(grant, Outcome())
+            # Its holder would run the request once this node has gone.
+            self._parts.placement.release(request.request_id)
             raise
 
     def _place_and_run(
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -295,7 +295,6 @@
             call_later=self._timers.call_later,
             events=self._events,
             on_ended=self._on_ended,
-            spawn=self._in_progress.spawn,
             telemetry=self._telemetry,
         )
 
@@ -340,7 +339,6 @@
             follow_answer=self._cluster.finder.follow,
             call_plain=self._plain.call,
             issue_key=self._issue_key,
-            thread_taken=lambda: self._callers.thread_taken(),
             streams=self._upstreams.streams,
             max_body_bytes=self._settings.http.max_body_bytes,
             report_fault=self._report_fault,
--- a/tests/node/test_modelcalls.py
+++ b/tests/node/test_modelcalls.py
@@ -19,7 +19,7 @@
 from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.types import Verdict
 from tests.decisions.documents import inventory_document
-from tests.node.executionkit import WORK, Script, World, chat_request
+from tests.node.executionkit import WORK, Script, World, chat_request, token
 
 
 class OwnershipDouble:
@@ -40,26 +40,34 @@
 
 
 class PlacementDouble:
-    """Keep requests on this node only."""
+    """Place no copies and keep what was asked."""
+
+    def __init__(self):
+        self.released = []
+        self.copied = []
 
     def new_request_id(self):
-        return "own.own.0123"
+        return "r"
 
     def place(self, request):
         return Ok("single-node")
 
     def copy(self, copied):
-        return None
+        self.copied.append(copied)
 
     def commits(self, request, answer):
         return commit_at_once(answer)
 
+    def release(self, request_id):
+        self.released.append(request_id)
+
 
 class ModelCallsTest(testtools.TestCase):
     def setUp(self):
         super().setUp()
         self.world = World([Script() for _ in range(3)])
         self.ownership = OwnershipDouble()
+        self.placement = PlacementDouble()
         self.inventory = parse_inventory(inventory_document()).ok
         fleet = next(
             fleet
@@ -75,7 +83,7 @@
                 inventory=lambda: self.inventory,
                 policy=Policy,
                 execution=parts,
-                placement=PlacementDouble(),
+                placement=self.placement,
                 ownership=self.ownership,
                 events=EventLog("n", lambda: (0, 0)),
                 wall_clock=lambda: 1000.0,
@@ -126,23 +134,27 @@
         self.assertEqual([], self.world.threads)
         add, drop = self.ownership.messages
         self.assertIsInstance(add, AddRequest)
-        self.assertEqual(DropRequest(add.owned.request.request_id, 2), drop)
+        self.assertEqual(DropRequest("r", 2), drop)
+        self.assertEqual(["r"], self.placement.released)
 
     def test_a_request_of_a_later_owner_is_not_run(self):
         """Two owners would compute the answer twice."""
         self.ownership.answer = False
         self.models.adopt(chat_request().to_copy(), 2)
         self.world.join()
-        (add,) = self.ownership.messages
-        self.assertEqual(2, add.owned.request.epoch)
-        self.assertTrue(add.owned.answer.abandoned)
-        self.assertEqual([], self.world.granted)
-
-    def test_an_adopted_answer_that_was_finished_only_ends(self):
-        """An engine must not compute an answer whose tokens are all in the copy."""
-        self.models.adopt(chat_request().to_copy((" a", " b"), finished=True), 2)
-        self.world.join()
         owned = self.ownership.messages[0].owned
-        self.assertTrue(owned.answer.ended)
-        self.assertEqual((" a", " b"), owned.answer.texts)
-        self.assertEqual([], self.world.granted)
+        self.assertEqual(2, owned.request.epoch)
+        self.assertTrue(owned.answer.abandoned)
+        self.assertEqual(["adopt"], [thread.name for thread in self.world.threads])
+
+    def test_an_adopted_request_ends(self):
+        """The caller of a node that died must get the rest of the answer."""
+        for texts, finished in (((), False), ((token(0),), False), ((token(0),), True)):
+            copied = chat_request().to_copy(texts, finished=finished)
+            self.models.adopt(copied, 2)
+            self.world.join()
+            answer = self.ownership.messages[-1].owned.answer
+            self.assertTrue(answer.ended)
+            self.assertIsNone(answer.problem)
+            self.assertEqual(1 if finished else 4, answer.token_count)
+        self._assert_released()
--- a/tests/node/test_ownership.py
+++ b/tests/node/test_ownership.py
@@ -105,3 +105,4 @@
             self._ask(ExpireAnswers())
         kept = [n for n in "abc" if self._ask(FindRequest(n)) is not None]
         self.assertEqual(["c"], kept)
+        self.assertEqual(["a", "b"], self.expired)
