Cut what is in progress when a stop has used up its grace time

Relays of answers that another node continues kept their threads, so the server waited 5 s for them and the node outlived the deadline of its notice. Entries of upstream VMs in the VM list are no longer taken for nodes.

--- a/packages/node/cicadapass/answerfinder.py
+++ b/packages/node/cicadapass/answerfinder.py
@@ -21,8 +21,9 @@
 from cicadapass_decisions.types import NodeAddress, Verdict
 
 PART_TIMEOUT_S = 2.0
-# A peer that is asked for bytes waits this long for new ones.
-PEER_WAIT_S = 2.0
+# A peer that is asked for bytes waits this long for new ones; a longer wait would
+# hold up the stop of a node that relays.
+PEER_WAIT_S = 0.5
 PEER_TIMEOUT_S = 1.0
 # The answer may be between two owners for this long.
 SEARCH_S = 8.0
--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -31,8 +31,9 @@
 DIRECT_SENDER_KEY = "cicadapass.direct_sender"
 # The deadlines of slow senders are checked this often.
 SLOW_SENDER_CHECK_S = 0.5
-# Requests still in progress after this time in `stop` are cut.
-STOP_LIMIT_S = 5.0
+STOP_GRACE_S = 5.0
+# Threads of requests that were cut end within this time, or with the process.
+STOP_LIMIT_S = 1.5
 # Chunk sizes and line ends count towards the limit of a chunked body.
 CHUNK_FRAMING_BYTES = 64 * 1024
 
@@ -189,8 +190,8 @@
         if failures:
             raise failures[0]
 
-    def stop(self) -> None:
-        """Stop listening and end all connections, at last those in use."""
+    def stop(self, grace_s: float = STOP_GRACE_S) -> None:
+        """Stop listening; cut what is still in progress after the grace time."""
         self._stopping = True
         self._pressure.set()
         # The server waits for its threads without a limit.
@@ -198,7 +199,10 @@
             target=self._server.stop, name="http-stop", daemon=True
         )
         stopper.start()
-        stopper.join(STOP_LIMIT_S)
+        stopper.join(grace_s)
+        if stopper.is_alive():
+            self._slots.cut_all()
+            stopper.join(STOP_LIMIT_S)
 
     def thread_taken(self) -> None:
         """Note that a request keeps its thread, so that the pool may grow."""
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -50,6 +50,7 @@
 VERSION = "0.1.0"
 EXPIRE_INTERVAL_S = 5.0
 ANNOUNCE_INTERVAL_S = 1.0
+STOP_GRACE_S = 0.2
 OPERATOR_LIMITS = HttpLimits(min_threads=2, max_threads=8, idle_reserve=1)
 
 
@@ -134,8 +135,9 @@
         """Stop without cutting a request in progress, within the grace time."""
         self._drain.begin("stop was asked for")
         unfinished = self._drain.finish()
-        self._callers.stop()
-        self._operators.stop()
+        # What the drain left in progress had its grace time already.
+        self._callers.stop(STOP_GRACE_S)
+        self._operators.stop(STOP_GRACE_S)
         self._notices.stop()
         self._parts.stop()
         self._cluster.stop()
--- a/packages/node/cicadapass/platformclient.py
+++ b/packages/node/cicadapass/platformclient.py
@@ -14,6 +14,8 @@
 LIST_TIMEOUT_S = 2.0
 NOTICE_WAIT_S = 10.0
 LEAVING_STATE = "leaving"
+# The list names upstream VMs too, which run no node.
+ENTRY_KIND = "entry"
 
 
 class PlatformError(CicadapassError):
@@ -91,9 +93,9 @@
 
 
 def _parse_node(entry: dict[str, Any], vm: VmId) -> NodeAddress | None:
-    """Return the node's address if the VM runs one, which its address shows."""
+    """Return the address of the node if this is an entry VM."""
     host, _, port = str(entry.get("address") or "").rpartition(":")
-    if not host or not port.isdigit() or int(port) == 0:
+    if entry.get("kind") != ENTRY_KIND or not host or not port.isdigit():
         return None
     return NodeAddress(
         vm.name,
--- a/packages/node/cicadapass/receiving.py
+++ b/packages/node/cicadapass/receiving.py
@@ -62,30 +62,38 @@
 
 
 class ConnectionSlots:
-    """Count the open connections up to a limit."""
+    """Know the open connections, up to a limit."""
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
-        self._taken = 0
+        self._open: set[socket.socket] = set()
         self._lock = threading.Lock()
 
     @property
     def taken(self) -> int:
         """Return the number of open connections."""
-        return self._taken
+        return len(self._open)
 
-    def take(self) -> bool:
+    def take(self, connection: socket.socket) -> bool:
         """Return whether there is room for one more connection."""
         with self._lock:
-            if self._taken >= self._limit:
+            if len(self._open) >= self._limit:
                 return False
-            self._taken += 1
+            self._open.add(connection)
             return True
 
-    def give_back(self) -> None:
+    def give_back(self, connection: socket.socket) -> None:
         """Make room for another connection."""
         with self._lock:
-            self._taken -= 1
+            self._open.discard(connection)
+
+    def cut_all(self) -> None:
+        """End all connections, so that no thread waits for one."""
+        with self._lock:
+            connections = tuple(self._open)
+        for connection in connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
 
 
 class HeadWithBody(HTTPRequest):
@@ -156,11 +164,11 @@
         unread = False
 
         def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
-            if not slots.take():
+            if not slots.take(sock):
                 sock.close()
                 # The server takes this error for a connection that is gone.
                 raise ConnectionResetError(errno.ECONNRESET, "too many connections")
-            self._holds_slot = True
+            self._slot = sock
             super().__init__(server, sock, makefile)
 
         def end_reading(self) -> None:
@@ -178,9 +186,7 @@
                     _linger(self.socket)
                 super().close()
             finally:
-                held, self._holds_slot = self._holds_slot, False
-                if held:
-                    slots.give_back()
+                slots.give_back(self._slot)
 
     return Connection
 
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -266,6 +266,17 @@
             [thread for thread in threading.enumerate() if not thread.daemon],
         )
 
+    def test_a_stop_ends_at_its_grace_time(self):
+        """A VM is taken at its deadline, whatever a slow answer still needs."""
+        client = self._connect()
+        client.send(GET.replace(b"/ ", b"/hold "))
+        self.assertTrue(self.began.wait(WAIT_S))
+        stopper = threading.Thread(target=self.server.stop, args=(0.0,))
+        stopper.start()
+        stopper.join(WAIT_S)
+        self.assertFalse(stopper.is_alive())
+        self.go.set()
+
     def test_a_stop_ends_requests_in_progress_first(self):
         """A planned stop must not cut an answer."""
         client = self._connect()
@@ -306,7 +317,10 @@
     def test_the_limit_holds(self):
         """A slot that is given back twice would raise the limit."""
         slots = ConnectionSlots(1)
-        self.assertTrue(slots.take())
-        self.assertFalse(slots.take())
-        slots.give_back()
-        self.assertTrue(slots.take())
+        first, second, third = object(), object(), object()
+        self.assertTrue(slots.take(first))
+        self.assertFalse(slots.take(second))
+        slots.give_back(first)
+        slots.give_back(first)
+        self.assertTrue(slots.take(second))
+        self.assertFalse(slots.take(third))
