End the node's connections at the deadline of a stop

Cause: the server waits without a limit for the threads of streams, and its first threads were not daemon threads.

Change: a stop ends the connections of busy threads, whose callers go on through another node, and waits for the threads for 1.5 s at most.

--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -24,6 +24,8 @@
 RECEIVE_LIMIT_KEY = "cicadapass.receive_limit"
 # The application finds a SocketSender under this key, except on TLS connections.
 DIRECT_SENDER_KEY = "cicadapass.direct_sender"
+# A stop waits this long for the threads whose connections were ended.
+STOP_LIMIT_S = 1.5
 # The deadlines of slow senders are checked this often.
 SLOW_SENDER_CHECK_S = 0.5
 
@@ -178,7 +180,7 @@
 
     def start(self) -> None:
         """Listen and serve in threads of the server's own."""
-        self._server.prepare()
+        self._prepare()
         for name, target in (
             ("http-accept", self._server.serve),
             ("http-pool", self._keep_reserve),
@@ -192,7 +194,35 @@
         """Stop listening and end all connections."""
         self._stopping = True
         self._pressure.set()
-        self._server.stop()
+        for worker in tuple(self._server.requests._threads):
+            if worker.conn is not None:
+                # Its caller goes on through another node.
+                _shut_down(worker.conn)
+        # The server waits for its threads without a limit, and one of them may be
+        # waiting for a token that does not come.
+        stopping = threading.Thread(target=self._server.stop, daemon=True)
+        stopping.start()
+        stopping.join(STOP_LIMIT_S)
+
+    def _prepare(self) -> None:
+        """Bind the address and start the first threads, as daemon threads.
+
+        Threads inherit this from the thread that starts them; others would keep
+        the process alive.
+        """
+        errors: list[Exception] = []
+
+        def prepare() -> None:
+            try:
+                self._server.prepare()
+            except Exception as error:
+                errors.append(error)
+
+        thread = threading.Thread(target=prepare, name="http-prepare", daemon=True)
+        thread.start()
+        thread.join()
+        if errors:
+            raise errors[0]
 
     def thread_taken(self) -> None:
         """Note that a request keeps its thread, so that the pool may grow."""
