--- a/packages/common/cicadapass_common/copymessages.py
+++ b/packages/common/cicadapass_common/copymessages.py
@@ -153,3 +153,4 @@
     data: bytes = b""
     complete: bool = False
     epoch: int = 0
+    streams: bool = True
--- a/packages/node/cicadapass/config.py
+++ b/packages/node/cicadapass/config.py
@@ -47,6 +47,9 @@
     max_body_bytes: int = option(
         8 * 2**20, "Largest request body.", low=1024, high=2**30
     )
+    max_connections: int = option(
+        4096, "The most open connections of callers.", low=1, high=2**20
+    )
     receive_timeout_s: float = option(
         10.0,
         "How long a request may take to arrive.",
--- a/packages/node/cicadapass/upstreamhttp.py
+++ b/packages/node/cicadapass/upstreamhttp.py
@@ -8,6 +8,11 @@
 
 import urllib3
 
+from cicadapass.wholehead import require_whole_heads
+
+# An upstream that sets this header to 1 on an error proves that it ran nothing.
+NOT_RUN_HEADER = "Cicadapass-Not-Run"
+
 
 @dataclass(frozen=True, slots=True)
 class CallFailure:
@@ -51,7 +56,8 @@
 
 def new_pool(max_connections: int) -> urllib3.PoolManager:
     """Return a connection pool for upstreams that never retries by itself."""
-    return urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
+    pool = urllib3.PoolManager(num_pools=64, maxsize=max_connections, retries=False)
+    return require_whole_heads(pool)
 
 
 @dataclass(frozen=True, slots=True)
