--- a/packages/bench/cicadapass_bench/overhead.py
+++ b/packages/bench/cicadapass_bench/overhead.py
@@ -8,22 +8,14 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from cicadapass_bench import loadrun
 from cicadapass_bench.loadclient import NUMBER, Load
-from cicadapass_bench.world import (
-    GRABHANDLE,
-    World,
-    WorldPlan,
-    running_world,
-)
+from cicadapass_bench.overheadplan import TOKENS_PER_S, Kind, plan, replace_both
+from cicadapass_bench.world import World, running_world
 
-ENGINES = 5
-SERVICES = 2
-SLOTS = 400
-# The engines run at this speed; a slowdown below 1 makes them faster.
-TOKENS_PER_S = 50.0
+# A slowdown below 1 makes the engines faster.
 FAST_SLOWDOWN = 0.02
 SHORT_TOKENS = 4
 IDLE_PAUSE_S = 3.0
@@ -46,21 +38,13 @@
 PERCENTILES = {"median": 50.0, "p99": 99.0}
 
 
-@dataclass(frozen=True, slots=True)
-class Kind:
-    """Hold one kind of short request, through the node and direct."""
-
-    name: str
-    through_node: Load
-    direct: Load
-
-
 class Overhead:
     """Run the measures on one world."""
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: World, seed: int, variant: str = "node") -> None:
         self._world = world
         self._seed = seed
+        self._variant = variant
         self._node = world.nodes[0]
         plan = world.plan.fleets[0]
         self._engines = [
@@ -98,13 +82,13 @@
             connections=FAST_STREAMS // FAST_CLIENTS,
         )
         offered = FAST_STREAMS * FAST_TOKENS_PER_S
-        self._print("streamed_tokens_offered", "node", offered, "tokens/s")
+        self._print("streamed_tokens_offered", self._variant, offered, "tokens/s")
         with self._processor_use("streaming"):
             loads = loadrun.start(self._world.group, [load] * FAST_CLIENTS)
             result = loadrun.stream_result(loads)
-        self._print("streamed_tokens", "node", result.tokens_per_s, "tokens/s")
+        self._print("streamed_tokens", self._variant, result.tokens_per_s, "tokens/s")
         self._print_gaps("streamed_gap", result)
-        self._print("streamed_broken", "node", result.broken, "streams")
+        self._print("streamed_broken", self._variant, result.broken, "streams")
 
     def calls_beside_streams(self) -> None:
         """Measure short calls while many long streams are open."""
@@ -127,12 +111,12 @@
         name = f"calls_beside_{OPEN_STREAMS}_streams"
         for label, percentile in PERCENTILES.items():
             value = result.latencies.percentile_ms(percentile)
-            self._print(f"{name}_{label}", "node", value, "ms")
-        self._print(f"{name}_failed", "node", result.failed, "calls")
-        self._print(f"{name}_tokens", "node", streamed.tokens_per_s, "tokens/s")
+            self._print(f"{name}_{label}", self._variant, value, "ms")
+        self._print(f"{name}_failed", self._variant, result.failed, "calls")
+        self._print(f"{name}_tokens", self._variant, streamed.tokens_per_s, "tokens/s")
         self._print_gaps(f"{name}_gap", streamed)
-        self._print(f"{name}_broken", "node", streamed.broken, "streams")
-        self._print("busy_node_memory", "node", self._node_megabytes(), "MB")
+        self._print(f"{name}_broken", self._variant, streamed.broken, "streams")
+        self._print("busy_node_memory", self._variant, self._node_megabytes(), "MB")
 
     def _compare(self, name: str, kind: Kind, processes: int = 1) -> None:
         latencies = {}
@@ -173,7 +157,7 @@
             each.process.cpu_s() - before
             for each, before in zip(self._engines, began, strict=True)
         ]
-        self._print(f"{name}_processor", "node", node_s / elapsed_s, "cores")
+        self._print(f"{name}_processor", self._variant, node_s / elapsed_s, "cores")
         self._print(
             f"{name}_processor", "busiest_engine", max(engine_s) / elapsed_s, "cores"
         )
@@ -240,57 +224,36 @@
     def _print_gaps(self, name: str, result: loadrun.StreamResult) -> None:
         for label, percentile in PERCENTILES.items():
             value = result.gaps.percentile_ms(percentile)
-            self._print(f"{name}_{label}", "node", value, "ms")
+            self._print(f"{name}_{label}", self._variant, value, "ms")
 
     def _print(self, measure: str, variant: str, value: float, unit: str) -> None:
         loadrun.print_measure(measure, variant, value, unit, self._seed)
 
 
-def replace_both(kind: Kind, **changes: float) -> Kind:
-    """Return the kind with both loads changed alike."""
-    return replace(
-        kind,
-        through_node=replace(kind.through_node, **changes),  # type: ignore[arg-type]
-        direct=replace(kind.direct, **changes),  # type: ignore[arg-type]
-    )
-
-
-def plan() -> WorldPlan:
-    """Return one node with enough upstreams that these do not limit."""
-    fleet = replace(
-        GRABHANDLE, data_centres=("dc-a",), engines=ENGINES, services=SERVICES
-    )
-    return WorldPlan(
-        fleets=(fleet,),
-        engine_slots=SLOTS,
-        service_slots=SLOTS,
-        engine_options=(
-            *("--tokens-per-s", str(TOKENS_PER_S)),
-            *("--batch-cost", "0", "--threads", "700"),
-        ),
-        rules={"durability": {"copies": False}},
-    )
-
-
 def main(argv: Sequence[str] | None = None) -> int:
     """Print the measures as JSON lines."""
     parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.overhead")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--only", choices=["requests", "tokens", "beside"])
+    parser.add_argument("--only", choices=["requests", "tokens", "beside", "copies"])
     arguments = parser.parse_args(argv)
     parts: dict[str, tuple[Callable[[Overhead], None], ...]] = {
         "requests": (Overhead.idle_memory, Overhead.short_requests),
         "tokens": (Overhead.token_rate,),
         "beside": (Overhead.calls_beside_streams,),
+        "copies": (Overhead.token_rate,),
     }
     for name, measures in parts.items():
-        if arguments.only in (None, name):
-            # A fresh world: limits and speeds learned by one part would reach
-            # into the next.
-            with running_world(plan()) as world:
-                overhead = Overhead(world, arguments.seed)
-                for measure in measures:
-                    measure(overhead)
+        if arguments.only not in (None, name):
+            continue
+        copies = name == "copies"
+        # A fresh world: limits and speeds learned by one part would reach into
+        # the next.
+        with running_world(plan(copies=copies)) as world:
+            world.wait_members(len(world.nodes))
+            variant = "node_with_copies" if copies else "node"
+            overhead = Overhead(world, arguments.seed, variant)
+            for measure in measures:
+                measure(overhead)
     return 0
 
 
--- /dev/null
+++ b/packages/bench/cicadapass_bench/waiting.py
@@ -0,0 +1,27 @@
+"""Wait until a running system reaches a state."""
+
+import threading
+from typing import Any
+
+import urllib3
+
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class NotReady(Exception):
+    """The system did not reach the expected state in time."""
+
+
+def wait_until(condition: Any, what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
+    """Poll until the condition holds; raise NotReady with `what` after the time."""
+    pause = threading.Event()
+    for _ in range(int(timeout_s / POLL_S)):
+        try:
+            if condition():
+                return
+        except (urllib3.exceptions.HTTPError, KeyError):
+            # The process may still be starting or may have been stopped.
+            pass
+        pause.wait(POLL_S)
+    raise NotReady(f"not reached in {timeout_s} s: {what}")
--- a/packages/bench/cicadapass_bench/world.py
+++ b/packages/bench/cicadapass_bench/world.py
@@ -4,11 +4,9 @@
 import subprocess
 import sys
 import tempfile
-import threading
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 from urllib.parse import urlsplit
@@ -16,93 +14,40 @@
 import urllib3
 
 from cicadapass_bench.processes import Process, ProcessGroup, process_group
+from cicadapass_bench.waiting import NotReady, wait_until
+from cicadapass_bench.worldplan import (
+    GRABHANDLE,
+    KLASITE,
+    FleetPlan,
+    NodeProcess,
+    UpstreamProcess,
+    WorldPlan,
+    credential_of,
+    fleet_document,
+    small_plan,
+)
 from cicadapass_common.credentials import hash_credential
 
+# A run needs only this module: the plans come with it.
+__all__ = [
+    "GRABHANDLE",
+    "KLASITE",
+    "FleetPlan",
+    "NodeProcess",
+    "NotReady",
+    "UpstreamProcess",
+    "World",
+    "WorldPlan",
+    "running_world",
+    "small_plan",
+    "wait_until",
+]
+
 SHARED_SECRET = "bench-shared-secret-0001"
 OPERATOR_CREDENTIAL = "bench-operator-credential"
-READY_TIMEOUT_S = 30.0
-POLL_S = 0.05
 PROBE_TIMEOUT_S = 2.0
 
 
-class NotReady(Exception):
-    """The system did not reach the expected state in time."""
-
-
-@dataclass(frozen=True, slots=True)
-class FleetPlan:
-    """Say how many processes each data centre of a fleet gets."""
-
-    name: str
-    region: str
-    data_centres: tuple[str, ...]
-    nodes: int
-    engines: int
-    services: int
-    model_service: str
-    plain_service: str
-    workspaces: tuple[str, ...] = ("counter", "bulk")
-    hop_ms: float = 1.2
-
-
-@dataclass(frozen=True, slots=True)
-class WorldPlan:
-    """Say what the system consists of."""
-
-    fleets: tuple[FleetPlan, ...]
-    engine_options: tuple[str, ...] = ("--tokens-per-s", "500")
-    service_options: tuple[str, ...] = ()
-    log_options: tuple[str, ...] = ()
-    engine_slots: int = 8
-    service_slots: int = 8
-    rules: Mapping[str, Any] = field(default_factory=dict)
-    node_settings: Mapping[str, Any] = field(default_factory=dict)
-
-
-GRABHANDLE = FleetPlan(
-    "grabhandle", "eu-west", ("dc-a", "dc-b", "dc-c"), 1, 1, 1, "parts", "orders"
-)
-KLASITE = FleetPlan(
-    "klasite", "lv-central", ("dc-a", "dc-b", "dc-c"), 1, 1, 1, "layouts", "orders"
-)
-
-
-@dataclass(frozen=True, slots=True)
-class NodeProcess:
-    """Hold a running node and where it stands."""
-
-    name: str
-    fleet: str
-    data_centre: str
-    process: Process
-
-    @property
-    def callers_url(self) -> str:
-        """Return the address for callers."""
-        return str(self.process.addresses["callers_url"])
-
-    @property
-    def operators_url(self) -> str:
-        """Return the address for operators."""
-        return str(self.process.addresses["operators_url"])
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamProcess:
-    """Hold a running upstream and where it stands."""
-
-    name: str
-    fleet: str
-    data_centre: str
-    service: str
-    process: Process
-
-    @property
-    def url(self) -> str:
-        """Return the address of the upstream."""
-        return str(self.process.addresses["url"])
-
-
 class World:
     """Own one running system."""
 
@@ -150,7 +95,10 @@
 
     def inventory(self) -> dict[str, Any]:
         """Return the inventory document of the running upstreams."""
-        fleets = {plan.name: self._fleet_document(plan) for plan in self.plan.fleets}
+        fleets = {
+            fleet.name: fleet_document(self.plan, fleet, self.upstreams)
+            for fleet in self.plan.fleets
+        }
         return {"format": 1, "fleets": fleets, "rules": dict(self.plan.rules)}
 
     def publish(self, document: Mapping[str, Any]) -> subprocess.CompletedProcess[str]:
@@ -239,7 +187,7 @@
 
     def credential(self, fleet: str, workspace: str) -> str:
         """Return the callers' credential of a workspace."""
-        return f"bench-{fleet}-{workspace}-credential"
+        return credential_of(fleet, workspace)
 
     def _is_ready(self, node: NodeProcess) -> bool:
         try:
@@ -325,64 +273,6 @@
         }
         self.control(self.vm_list, put=entry)
 
-    def _slots(self, plan: FleetPlan, upstream: UpstreamProcess) -> int:
-        if upstream.service == plan.model_service:
-            return self.plan.engine_slots
-        return self.plan.service_slots
-
-    def _fleet_document(self, plan: FleetPlan) -> dict[str, Any]:
-        return {
-            "region": plan.region,
-            "data_centres": {
-                name: {"hop_ms": plan.hop_ms, "client_ms": 2 * plan.hop_ms}
-                for name in plan.data_centres
-            },
-            "services": {
-                plan.model_service: {
-                    "kind": "model",
-                    "model": f"{plan.model_service}-1",
-                },
-                plan.plain_service: {"kind": "plain"},
-            },
-            "upstreams": {
-                each.name: {
-                    "service": each.service,
-                    "data_centre": each.data_centre,
-                    "url": each.url,
-                    "slots": self._slots(plan, each),
-                }
-                for each in self.upstreams
-                if each.fleet == plan.name
-            },
-            "workspaces": {
-                name: {
-                    "weight": 1,
-                    "max_priority": 9,
-                    "credentials": [
-                        {
-                            "id": "k1",
-                            "sha256": hash_credential(self.credential(plan.name, name)),
-                        }
-                    ],
-                }
-                for name in plan.workspaces
-            },
-        }
-
-
-def wait_until(condition: Any, what: str, timeout_s: float = READY_TIMEOUT_S) -> None:
-    """Poll until the condition holds; raise NotReady with `what` after the time."""
-    pause = threading.Event()
-    for _ in range(int(timeout_s / POLL_S)):
-        try:
-            if condition():
-                return
-        except (urllib3.exceptions.HTTPError, KeyError):
-            # The process may still be starting or may have been stopped.
-            pass
-        pause.wait(POLL_S)
-    raise NotReady(f"not reached in {timeout_s} s: {what}")
-
 
 @contextmanager
 def running_world(plan: WorldPlan, directory: Path | None = None) -> Iterator[World]:
@@ -397,8 +287,3 @@
             raise NotReady(f"publish failed: {published.stderr}")
         world.wait_ready()
         yield world
-
-
-def small_plan(**changes: Any) -> WorldPlan:
-    """Return the plan of one fleet with three data centres."""
-    return replace(WorldPlan(fleets=(GRABHANDLE,)), **changes)
--- /dev/null
+++ b/packages/bench/cicadapass_bench/worldplan.py
@@ -0,0 +1,141 @@
+"""Say what a system consists of, and the inventory document of what runs."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from cicadapass_bench.processes import Process
+from cicadapass_common.credentials import hash_credential
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """Say how many processes each data centre of a fleet gets."""
+
+    name: str
+    region: str
+    data_centres: tuple[str, ...]
+    nodes: int
+    engines: int
+    services: int
+    model_service: str
+    plain_service: str
+    workspaces: tuple[str, ...] = ("counter", "bulk")
+    hop_ms: float = 1.2
+
+
+@dataclass(frozen=True, slots=True)
+class WorldPlan:
+    """Say what the system consists of."""
+
+    fleets: tuple[FleetPlan, ...]
+    engine_options: tuple[str, ...] = ("--tokens-per-s", "500")
+    service_options: tuple[str, ...] = ()
+    log_options: tuple[str, ...] = ()
+    engine_slots: int = 8
+    service_slots: int = 8
+    rules: Mapping[str, Any] = field(default_factory=dict)
+    node_settings: Mapping[str, Any] = field(default_factory=dict)
+
+
+GRABHANDLE = FleetPlan(
+    "grabhandle", "eu-west", ("dc-a", "dc-b", "dc-c"), 1, 1, 1, "parts", "orders"
+)
+KLASITE = FleetPlan(
+    "klasite", "lv-central", ("dc-a", "dc-b", "dc-c"), 1, 1, 1, "layouts", "orders"
+)
+
+
+@dataclass(frozen=True, slots=True)
+class NodeProcess:
+    """Hold a running node and where it stands."""
+
+    name: str
+    fleet: str
+    data_centre: str
+    process: Process
+
+    @property
+    def callers_url(self) -> str:
+        """Return the address for callers."""
+        return str(self.process.addresses["callers_url"])
+
+    @property
+    def operators_url(self) -> str:
+        """Return the address for operators."""
+        return str(self.process.addresses["operators_url"])
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamProcess:
+    """Hold a running upstream and where it stands."""
+
+    name: str
+    fleet: str
+    data_centre: str
+    service: str
+    process: Process
+
+    @property
+    def url(self) -> str:
+        """Return the address of the upstream."""
+        return str(self.process.addresses["url"])
+
+
+def small_plan(**changes: Any) -> WorldPlan:
+    """Return the plan of one fleet with three data centres."""
+    return replace(WorldPlan(fleets=(GRABHANDLE,)), **changes)
+
+
+def credential_of(fleet: str, workspace: str) -> str:
+    """Return the callers' credential of a workspace."""
+    return f"bench-{fleet}-{workspace}-credential"
+
+
+def fleet_document(
+    world: WorldPlan, plan: FleetPlan, upstreams: Sequence[UpstreamProcess]
+) -> dict[str, Any]:
+    """Return a fleet's part of the inventory document."""
+    return {
+        "region": plan.region,
+        "data_centres": {
+            name: {"hop_ms": plan.hop_ms, "client_ms": 2 * plan.hop_ms}
+            for name in plan.data_centres
+        },
+        "services": {
+            plan.model_service: {
+                "kind": "model",
+                "model": f"{plan.model_service}-1",
+            },
+            plan.plain_service: {"kind": "plain"},
+        },
+        "upstreams": {
+            each.name: {
+                "service": each.service,
+                "data_centre": each.data_centre,
+                "url": each.url,
+                "slots": _slots(world, plan, each),
+            }
+            for each in upstreams
+            if each.fleet == plan.name
+        },
+        "workspaces": {
+            name: {
+                "weight": 1,
+                "max_priority": 9,
+                "credentials": [
+                    {
+                        "id": "k1",
+                        "sha256": hash_credential(credential_of(plan.name, name)),
+                    }
+                ],
+            }
+            for name in plan.workspaces
+        },
+    }
+
+
+def _slots(world: WorldPlan, plan: FleetPlan, upstream: UpstreamProcess) -> int:
+    if upstream.service == plan.model_service:
+        return world.engine_slots
+    return world.service_slots
