Lose no wake-up of the stream loop

Cause: the loop cleared its flag before it read the wake-up bytes. A byte that another thread sent in between was read with them while the flag stayed set, so no later call woke the loop and every token waited for the check each second.

Seen by the measure of short requests after a run with long ones: 99th percentile 1,968 ms at 25 requests/s, first tokens about 1 s late on one of three nodes. The new test fails without the change.

Change: the bytes are read before the flag is cleared.

--- a/packages/node/cicadapass/streamloop.py
+++ b/packages/node/cicadapass/streamloop.py
@@ -4,6 +4,7 @@
 the interpreter's lock for each wake-up cost several times as much as the token.
 """
 
+import contextlib
 import logging
 import selectors
 import socket
@@ -79,12 +80,12 @@
             return
 
     def _drain_wake_ups(self) -> None:
-        # Cleared first: a call that is queued from now on wakes the loop again.
-        self._woken = False
-        try:
+        with contextlib.suppress(BlockingIOError):
             self._wake_receiver.recv(WAKE_BYTES)
-        except BlockingIOError:
-            return
+        # Cleared after the bytes are read: a byte that was sent in between would be
+        # read as well, and no later call would wake the loop. A call that was queued
+        # before this line runs in the same round.
+        self._woken = False
 
     def _run(self) -> None:
         while not self._stopping:
--- a/tests/node/test_streamloop.py
+++ b/tests/node/test_streamloop.py
@@ -15,7 +15,7 @@
 from cicadapass.upstreamhttp import TakenSocket
 
 HEAD = AnswerHead("a.b.c", 1, "parts", AnswerFormat.EVENT_STREAM)
-TIMEOUT_S = 30.0
+TIMEOUT_S = 20.0
 
 
 def chunk(text):
@@ -50,6 +50,45 @@
         return result
 
 
+class WakeUpTest(testtools.TestCase):
+    def test_a_call_during_a_wake_up_loses_no_later_one(self):
+        """A lost wake-up delayed every token of a node by up to a second."""
+        patched = mock.patch("cicadapass.streamloop.CHECK_INTERVAL_S", 10 * TIMEOUT_S)
+        patched.start()
+        self.addCleanup(patched.stop)
+        loop = StreamLoop()
+        receiver = RacingReceiver(loop)
+        loop._wake_receiver = receiver
+        loop.start()
+        self.addCleanup(loop.stop)
+        loop.call_soon(lambda: None)
+        self.assertTrue(receiver.raced.wait(TIMEOUT_S))
+        later = threading.Event()
+        loop.call_soon(later.set)
+        self.assertTrue(later.wait(TIMEOUT_S))
+
+
+class RacingReceiver:
+    """Let another thread queue a call right before the bytes are read."""
+
+    def __init__(self, loop):
+        self._loop = loop
+        self._receiver = loop._wake_receiver
+        self.raced = threading.Event()
+
+    def recv(self, size):
+        if not self.raced.is_set():
+            thread = threading.Thread(target=self._loop.call_soon, args=(int,))
+            thread.start()
+            thread.join()
+        data = self._receiver.recv(size)
+        self.raced.set()
+        return data
+
+    def __getattr__(self, name):
+        return getattr(self._receiver, name)
+
+
 class TokenReaderTest(LoopTest):
     def read(self, take, sent, buffered=b"", silence_s=TIMEOUT_S, close=True):
         here, there = socket.socketpair()
