--- a/packages/node/cicadapass/notices.py
+++ b/packages/node/cicadapass/notices.py
@@ -11,7 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class NoticeTarget:
-    """Say which notices are for this VM; its zone is its data centre."""
+    """Say which notices are for this VM; its zone is its data centre.
+
+    Both names are qualified by the fleet, since the fleets' names clash.
+    """
 
     vm: str
     zone: str
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -111,12 +111,13 @@
             await self._server.wait_closed()
 
     def _on_fault(self, reason: str) -> None:
-        self._state.events.emit(325, peer="unknown", reason=reason)
+        self._state.report_handshake(reason)
 
     async def _handle(self, connection: ServerConnection) -> None:
         peer = _remote(connection)
         if self._state.connections >= peerstate.MAX_CONNECTIONS:
-            self._state.events.emit(330, limit=peerstate.MAX_CONNECTIONS)
+            limit = peerstate.MAX_CONNECTIONS
+            self._state.report_full(peer, limit)
             return
         self._state.connections += 1
         try:
@@ -141,6 +142,10 @@
         try:
             async for data in connection:
                 self._receive(data, sender, replies)
+        except ConnectionClosed:
+            # A client that only closes an idle connection says so.
+            self._state.on_broken(sender)
+            raise
         finally:
             writer.cancel()
             await asyncio.gather(writer, return_exceptions=True)
--- a/packages/node/cicadapass/upstreambook.py
+++ b/packages/node/cicadapass/upstreambook.py
@@ -99,6 +99,16 @@
         entry.marks.add(incarnation)
         return entry.leaving and not before
 
+    def mark_place_leaving(self, data_centre: str) -> tuple[tuple[str, str], ...]:
+        """Mark the present lives of a data centre's upstreams; return the news."""
+        news = []
+        for name, entry in self._entries.items():
+            if entry.config.data_centre != data_centre or entry.leaving:
+                continue
+            entry.marks.add(entry.incarnation)
+            news.append((name, entry.incarnation))
+        return tuple(news)
+
     def on_peer_counts(
         self, node: str, counts: Mapping[str, InFlight], now_s: float
     ) -> None:
--- a/packages/node/cicadapass/upstreamside.py
+++ b/packages/node/cicadapass/upstreamside.py
@@ -21,7 +21,12 @@
 from cicadapass.upstreamhttp import Timeouts, new_pool
 from cicadapass.upstreamreaders import http_readers
 from cicadapass.upstreams import Upstreams
-from cicadapass.upstreamtable import MarkLeaving, SetUpstreams, UpstreamTable
+from cicadapass.upstreamtable import (
+    MarkLeaving,
+    MarkPlaceLeaving,
+    SetUpstreams,
+    UpstreamTable,
+)
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.policy import PrefixRules
 from cicadapass_decisions.types import VmId
@@ -101,6 +106,10 @@
         for vm in vms:
             self._upstreams.tell(MarkLeaving(vm.name, vm.incarnation, "members"))
 
+    def on_place_leaving(self, data_centre: str) -> None:
+        """Give no new work to the upstreams of a data centre that is reclaimed."""
+        self._upstreams.tell(MarkPlaceLeaving(data_centre, "notice"))
+
     def tell_upstreams(self, message: object) -> None:
         """Pass a message to the owner of the upstream table."""
         self._upstreams.tell(message)
--- a/tests/bench/test_recovery.py
+++ b/tests/bench/test_recovery.py
@@ -44,7 +44,7 @@
             answer = chat(world, owner, "all nuts", TOKENS, preload_content=False)
             request_id = answer.headers["Cicadapass-Request-Id"]
             head = answer.read(5_000)
-            world.control(world.cloud, notice={"zone": "dc-a", "seconds": 6})
+            world.control(world.cloud, notice={"zone": "grabhandle/dc-a", "seconds": 6})
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 head += answer.read()
             self.assertEqual(0, owner.process.wait(READ_TIMEOUT_S))
--- a/tests/node/test_streamloop.py
+++ b/tests/node/test_streamloop.py
@@ -208,3 +208,16 @@
         read = LocalReader(answer)
         parts = stream(read, 0, FakeSender(1), stopped, follow=read)
         self.assertEqual(answer.read(0, 0.0).data, b"".join(parts))
+
+    def test_a_moved_answer_goes_on_with_its_next_owner(self):
+        """A hand-over must neither cut the caller's stream nor repeat a byte."""
+        first = Answer(HEAD, [" a", " b"])
+        first.abandon()
+        second = Answer(HEAD, [" a", " b", " c"])
+        second.finish()
+        second.end()
+        sender = FakeSender(10_000)
+        parts = stream(LocalReader(first), 0, sender, self.loop, LocalReader(second))
+        delivered = b"".join(parts)
+        self.assertEqual(second.read(0, 0.0).data, sender.data + delivered)
+        self.assertNotIn(b" a", delivered)
