--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -194,7 +194,8 @@
         """Stop listening; cut what is still in progress after the grace time."""
         self._stopping = True
         self._pressure.set()
-        # The server waits for its threads without a limit.
+        # The server waits for its threads without a limit, and one of them may be
+        # waiting for a token that does not come.
         stopper = threading.Thread(
             target=self._server.stop, name="http-stop", daemon=True
         )
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -46,6 +46,14 @@
 
     def answer(self):
         """Return status, headers and body of the next answer, or None at the end."""
+        head = self.head()
+        if head is None:
+            return None
+        status, headers = head
+        return status, headers, self._file.read(int(headers.get("content-length", "0")))
+
+    def head(self):
+        """Return status and headers of the next answer, or None at the end."""
         try:
             line = self._file.readline()
         except OSError:
@@ -56,8 +64,7 @@
         while (header := self._file.readline().strip()) != b"":
             name, _, value = header.decode().partition(":")
             headers[name.lower()] = value.strip()
-        body = self._file.read(int(headers.get("content-length", "0")))
-        return int(line.split()[1]), headers, body
+        return int(line.split()[1]), headers
 
     def close(self):
         """Close the connection."""
@@ -84,6 +91,9 @@
             self.go.wait(WAIT_S)
         if path == "/fault":
             raise RuntimeError("fault")
+        if path in ("/empty", "/head"):
+            start("200 OK", [("Content-Length", "0" if path == "/empty" else "5")])
+            return []
         if path == "/refuse":
             return send_json(start, {"refused": True})
         try:
@@ -289,6 +299,26 @@
         stopper.join(WAIT_S)
         self.assertFalse(stopper.is_alive())
 
+    def test_a_stop_cuts_a_request_that_never_ends(self):
+        """A stream without tokens must not hold a node beyond its deadline."""
+        client = self._connect()
+        client.send(GET.replace(b"/ ", b"/hold "))
+        self.assertTrue(self.began.wait(WAIT_S))
+        stopper = threading.Thread(target=self.server.stop, daemon=True)
+        stopper.start()
+        stopper.join(WAIT_S / 2)
+        self.assertFalse(stopper.is_alive())
+        self.assertIsNone(client.answer())
+
+    def test_answers_without_a_body(self):
+        """The head of an answer must go out even if no body follows it."""
+        client = self._connect()
+        for path, length in ((b"/empty", "0"), (b"/head", "5")):
+            method = b"HEAD" if path == b"/head" else b"GET"
+            client.send(method + b" " + path + b" HTTP/1.1\r\nHost: n\r\n\r\n")
+            status, headers = client.head()
+            self.assertEqual((200, length), (status, headers["content-length"]))
+
 
 class ReceiveDeadlinesTest(testtools.TestCase):
     def test_only_late_connections_end(self):
