Answer requests that have arrived when the server stops

Fault: a request whose bytes had arrived on a kept connection between the last look of the server and the closing of idle connections was reset.

--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from cheroot import wsgi
+from cheroot.connections import ConnectionManager
 from cheroot.server import HTTPRequest
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
@@ -97,13 +98,34 @@
         self._request.conn.wfile.write(data)
 
 
+class _Connections(ConnectionManager):
+    _selector: Any
+    server: Any
+
+    def close(self) -> None:
+        """Close the idle connections, after those with a request got a thread."""
+        for number, connection in list(self._selector.select(timeout=0)):
+            if connection is not self.server:
+                self._selector.unregister(number)
+                self.server.process_conn(connection)
+        super().close()
+
+
 class _Server(wsgi.Server):
+    _connections: Any
+
+    def prepare(self) -> None:
+        """Listen; raise OSError if that fails."""
+        super().prepare()
+        self._connections.close()
+        self._connections = _Connections(self)
+
     def process_conn(self, conn: Any) -> None:
         """Give a connection to a thread, a new one only once it has sent a byte."""
         if conn.silent:
             # A thread that waited for the first byte would be lost to others.
             conn.silent = False
-            self._connections.put(conn)  # type: ignore[attr-defined]
+            self._connections.put(conn)
             return
         super().process_conn(conn)
 
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -256,6 +256,21 @@
                 return
         self.fail("a closed connection made no room")
 
+    def test_a_request_that_arrives_during_the_stop_is_answered(self):
+        """A kept connection must not be reset under a request that has arrived."""
+        client, _ = self._ask(GET)
+        manager = self.server._server._connections
+        stop = manager.stop
+
+        def stop_and_send():
+            stop()
+            client.send(GET)
+
+        manager.stop = stop_and_send
+        self.server.stop()
+        self.assertEqual(200, client.answer()[0])
+        self.assertIsNone(client.answer())
+
     def test_hung_requests_do_not_keep_the_process_alive(self):
         """A stopped node must exit although a caller holds a request open."""
         client = self._connect()
