Report a failed JSON answer of another node as an error

Fault: a node that relays an answer gets its bytes but not that it failed, and sent a failed JSON answer with the status 200 and without a verdict.

Red run without the change: 'MismatchError: 502 != 200'.

--- a/packages/node/cicadapass/callers.py
+++ b/packages/node/cicadapass/callers.py
@@ -21,6 +21,7 @@
     not_ready,
     unauthorized,
 )
+from cicadapass.render import failure_in
 from cicadapass.requests import ChatRequest, parse_chat
 from cicadapass.streamloop import StreamLoop
 from cicadapass.targets import SERVICES_PREFIX, plain_target
@@ -207,6 +208,9 @@
             )
         result = read_whole(readers.follow, from_byte)
         problem = result.error if result.is_error() else result.ok.problem
+        if problem is None and from_byte == 0:
+            # Another node sends the bytes of a failed answer, but not its problem.
+            problem = failure_in(result.ok.data)
         if problem is not None:
             # The caller needs the request id to read the rest elsewhere.
             return send_problem(start, problem, headers)
--- a/packages/node/cicadapass/keyedcalls.py
+++ b/packages/node/cicadapass/keyedcalls.py
@@ -14,7 +14,7 @@
 from cicadapass.outcomes import KeyedAnswer, Outcome, Outcomes
 from cicadapass.peers import Inbound, Peers
 from cicadapass.plaincalls import PlainRequest, PlainResponse
-from cicadapass.problems import Problem
+from cicadapass.problems import Problem, problem_from
 from cicadapass_common.copymessages import Binding
 from cicadapass_common.outcomemessages import (
     HeaderItem,
@@ -199,21 +199,11 @@
             headers = tuple((item.name, item.value) for item in reply.headers)
             return True, KeyedAnswer(reply.status, headers, reply.body)
         case OutcomeState.FAILED:
-            return True, _from_members(json.loads(reply.body))
+            return True, problem_from(json.loads(reply.body))
         case _:
             return False, None
 
 
-def _from_members(members: dict[str, str]) -> Problem:
-    return Problem(
-        members["title"].replace(" ", "-"),
-        HTTPStatus(int(members["status"])),
-        members["detail"],
-        members["remedy"],
-        Verdict(members["verdict"]),
-    )
-
-
 def _bad_key() -> Problem:
     return Problem(
         "bad-idempotency-key",
--- a/packages/node/cicadapass/problems.py
+++ b/packages/node/cicadapass/problems.py
@@ -4,6 +4,7 @@
 import math
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 
 from cicadapass_decisions.types import Verdict
 
@@ -51,6 +52,20 @@
         return headers
 
 
+def problem_from(members: dict[str, Any]) -> Problem:
+    """Return the problem whose members another node sent; raise ValueError if bad."""
+    try:
+        return Problem(
+            str(members["title"]).replace(" ", "-"),
+            HTTPStatus(int(members["status"])),
+            str(members["detail"]),
+            str(members["remedy"]),
+            Verdict(members["verdict"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"no problem document: {error!r}") from error
+
+
 def _not_run(name: str, status: HTTPStatus, detail: str, remedy: str) -> Problem:
     return Problem(name, status, detail, remedy, Verdict.NOT_RUN)
 
--- a/packages/node/cicadapass/render.py
+++ b/packages/node/cicadapass/render.py
@@ -9,6 +9,11 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from cicadapass.problems import Problem, problem_from
+
+# An answer that was completed starts with its id instead.
+_JSON_FAILURE = b'{"error": '
+
 
 class AnswerFormat(StrEnum):
     """Say how the caller wants the answer."""
@@ -41,6 +46,13 @@
     failure: Callable[[dict[str, object]], bytes]
 
 
+def failure_in(data: bytes) -> Problem | None:
+    """Return the problem if the bytes are a JSON answer that failed."""
+    if not data.startswith(_JSON_FAILURE):
+        return None
+    return problem_from(json.loads(data)["error"])
+
+
 def renderer_for(head: AnswerHead) -> Renderer:
     """Return the renderer of the format that the caller asked for."""
     if head.format is AnswerFormat.EVENT_STREAM:
@@ -80,7 +92,7 @@
         return json.dumps(document).encode()
 
     def failure(problem: dict[str, object]) -> bytes:
-        return json.dumps({"error": problem}).encode()
+        return _JSON_FAILURE + json.dumps(problem).encode() + b"}"
 
     return Renderer(token, end, failure)
 
--- a/tests/node/callerkit.py
+++ b/tests/node/callerkit.py
@@ -26,6 +26,7 @@
     def __init__(self, answer=None):
         self.inventory = parse_inventory(inventory_document()).ok
         self.answer = answer
+        self.reader = None
         self.accepted = []
         self.found = []
         self.calls = []
@@ -37,7 +38,7 @@
                 not_ready_reason=lambda: None,
                 accept=self._accept,
                 find_answer=self._find,
-                follow_answer=lambda request_id, binding: LocalReader(self.answer),
+                follow_answer=lambda request_id, binding: self._reader(),
                 call_plain=self._call,
                 issue_key=lambda context: "key",
                 streams=DeadLoop(),
@@ -70,6 +71,9 @@
         body = self.app(environ, start)
         return (*started, b"".join(body))
 
+    def _reader(self):
+        return self.reader or LocalReader(self.answer)
+
     def _accept(self, context, chat):
         self.accepted.append((context, chat))
         return Ok(Accepted("r", "single-node", LocalReader(self.answer)))
@@ -78,7 +82,7 @@
         self.found.append((request_id, binding))
         if self.answer is None:
             return Error(not_found("this request"))
-        return Ok(LocalReader(self.answer))
+        return Ok(self._reader())
 
     def _call(self, context, request):
         self.calls.append((context, request))
--- a/tests/node/test_callers.py
+++ b/tests/node/test_callers.py
@@ -3,10 +3,10 @@
 import json
 
 import testtools
-from expression import Error
+from expression import Error, Ok
 
 from cicadapass.answers import Answer
-from cicadapass.delivery import AnswerCutShort
+from cicadapass.delivery import AnswerCutShort, Piece
 from cicadapass.failures import gave_up
 from cicadapass.render import AnswerFormat, AnswerHead
 from cicadapass_decisions.retry import GiveUp
@@ -236,6 +236,21 @@
             self._assert_refused(reply, 502, "unknown")
             self.assertEqual("r", reply[1]["cicadapass-request-id"])
 
+    def test_a_failed_json_answer_of_another_node_is_an_error(self):
+        """Other nodes send the bytes of an answer, but not that it failed."""
+        failed = _answer(AnswerFormat.JSON, problem=PROBLEM).read(0, 0.0).data
+
+        class Remote:
+            streams = False
+
+            def __call__(self, from_byte, wait_s):
+                return Ok(Piece(failed[from_byte:], ended=True))
+
+        self.world.reader = Remote()
+        reply = self.world.ask("GET", "/v1/requests/r", b"", KEY)
+        self._assert_refused(reply, 502, "unknown")
+        self.assertEqual("r", reply[1]["cicadapass-request-id"])
+
     def test_a_moved_json_answer_names_its_request(self):
         """The remedy is to read the rest with the request id."""
         self.world.answer = Answer(AnswerHead("r", 1, "parts", AnswerFormat.JSON))
