--- a/packages/node/cicadapass/attempts.py
+++ b/packages/node/cicadapass/attempts.py
@@ -7,12 +7,13 @@
 from cicadapass.answers import Answer
 from cicadapass.commits import Commits
 from cicadapass.contenders import Contenders
-from cicadapass.engines import GenerateCall, TokenBatch, TokenStream
+from cicadapass.engines import GenerateCall, TokenStream
 from cicadapass.executionparts import ExecutionParts
 from cicadapass.failures import failure_of
 from cicadapass.grants import Grant
 from cicadapass.meter import Meter
 from cicadapass.requests import AcceptedRequest
+from cicadapass.tokenlines import TokenBatch
 from cicadapass.upstreamhttp import CallFailure
 from cicadapass_decisions.retry import Attempt, Failure, FailureKind
 
--- a/tests/node/executionkit.py
+++ b/tests/node/executionkit.py
@@ -8,12 +8,12 @@
 
 from cicadapass.answers import Answer
 from cicadapass.commits import Commits
-from cicadapass.engines import TokenBatch
 from cicadapass.execution import Execution
 from cicadapass.executionparts import ExecutionParts
 from cicadapass.grants import AcquireRequest, Grant
 from cicadapass.render import AnswerFormat
 from cicadapass.requests import AcceptedRequest, ChatRequest
+from cicadapass.tokenlines import TokenBatch
 from cicadapass.upstreamhttp import CallFailure
 from cicadapass_common.copymessages import Binding
 from cicadapass_common.events import LOGGER_NAME, EventLog
