Tell shed requests at once and stop work that comes too late

Cause: a low priority was admitted by the work ahead of it, then passed by later higher priorities until its deadline; and answers that ended after the deadline used slots. Change: the expected wait counts the request itself and the rate of requests that will overtake it, and divides the capacity by the nodes that share it; the lowest priority may expect a quarter of the longest wait, now 1 s; a request is refused when it could not finish by its deadline; priority passes other workspaces by at most 200 tokens; a workspace within its share of the last 10 s is not shed for its wait.

--- a/packages/decisions/cicadapass_decisions/admission.py
+++ b/packages/decisions/cicadapass_decisions/admission.py
@@ -10,6 +10,8 @@
 from cicadapass_decisions.types import Verdict
 from cicadapass_decisions.work import WorkKind
 
+MAX_PRIORITY = 9
+
 
 class RefusalReason(StrEnum):
     """Say why a request was not run."""
@@ -49,13 +51,15 @@
     """Hold the load of a service's queue as one request sees it.
 
     `wait_s` is the expected wait behind the work that is served before it. `queued`
-    counts all waiting requests and `lowest_priority` is the lowest that can be shed.
+    counts all waiting requests, `lowest_priority` is the lowest that can be shed, and
+    `within_share` says that the workspace asks for no more than its share.
     """
 
     wait_s: float
     queued: int
     lowest_priority: int | None = None
     has_room: bool = False
+    within_share: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +83,7 @@
         return Ok(Admitted())
     if rules.shed and now_s + load.wait_s > request.deadline_s:
         return Error(refusal(RefusalReason.DEADLINE, load.wait_s, rules))
-    if rules.shed and load.wait_s > _max_wait_s(request.kind, rules):
+    if rules.shed and load.wait_s > _max_wait_s(request, load, rules):
         return Error(refusal(RefusalReason.OVERLOAD, load.wait_s, rules))
     if load.queued < queue_rules.max_queued:
         return Ok(Admitted())
@@ -96,5 +100,16 @@
     return Refusal(reason, after_s)
 
 
-def _max_wait_s(kind: WorkKind, rules: AdmissionRules) -> float:
-    return rules.max_wait_s if kind is WorkKind.SHORT else rules.max_long_wait_s
+def _max_wait_s(
+    request: AdmissionRequest, load: QueueLoad, rules: AdmissionRules
+) -> float:
+    if load.within_share:
+        # The overload is caused by others; fair sharing bounds the wait.
+        return math.inf
+    short = request.kind is WorkKind.SHORT
+    longest_s = rules.max_wait_s if short else rules.max_long_wait_s
+    # Later requests of higher priorities pass the low ones, whose wait is therefore
+    # the least certain.
+    priority = min(max(request.priority, 0), MAX_PRIORITY) / MAX_PRIORITY
+    low = rules.lowest_wait_ratio
+    return longest_s * (low + (1.0 - low) * priority)
--- a/packages/decisions/cicadapass_decisions/fairness.py
+++ b/packages/decisions/cicadapass_decisions/fairness.py
@@ -60,15 +60,21 @@
         else:
             queue.append(entry)
 
-    def head(self) -> Waiting[T] | None:
-        """Return the next entry: the workspace most behind, its highest priority."""
+    def head(self, priority_burst: float) -> Waiting[T] | None:
+        """Return the next entry: the workspace most behind, its highest priority.
+
+        Higher priorities of workspaces that are ahead by at most the burst go first.
+        """
         busy = [
-            (flow.finish, name) for name, flow in self._flows.items() if flow.queues
+            (-max(flow.queues), flow.finish, name)
+            for name, flow in self._flows.items()
+            if flow.queues
         ]
         if not busy:
             return None
-        flow = self._flows[min(busy)[1]]
-        return flow.queues[max(flow.queues)][0]
+        latest = min(finish for _, finish, _ in busy) + priority_burst
+        level, _, name = min(item for item in busy if item[1] <= latest)
+        return self._flows[name].queues[-level][0]
 
     def remove(self, entry: Waiting[T], *, served: bool) -> None:
         """Take the entry out and charge its flow if it was served."""
@@ -120,7 +126,7 @@
 
     def head(self, kind: WorkKind) -> Waiting[T] | None:
         """Return the request of this kind that is served next."""
-        return self._lanes[kind].head()
+        return self._lanes[kind].head(self.rules.priority_burst_tokens)
 
     def take(self, entry: Waiting[T]) -> None:
         """Take out a request that was served and charge its workspace."""
@@ -148,26 +154,33 @@
         """Return a time at or before the earliest deadline."""
         return self._deadlines[0][0] if self._deadlines else None
 
-    def cost_ahead(self, kind: WorkKind, workspace: str, priority: int) -> float:
-        """Return the waiting cost that is served before a new request.
+    def cost_ahead(
+        self, kind: WorkKind, workspace: str, priority: int, cost: float
+    ) -> float:
+        """Return the cost that is served up to and with a new request of this cost.
 
         Other workspaces count at most in the proportion of their weights.
         """
-        own = 0.0
+        own = cost
         others: dict[str, float] = {}
-        for (kept, name, level), cost in self._cost.items():
+        for (kept, name, level), waiting in self._cost.items():
             if kept is not kind:
                 continue
             if name != workspace:
-                others[name] = others.get(name, 0.0) + cost
+                others[name] = others.get(name, 0.0) + waiting
             elif level >= priority:
-                own += cost
-        weight = self._weight(workspace)
+                own += waiting
+        share = own / self._weight(workspace)
         return own + sum(
-            min(cost, (own + 1.0) * self._weight(name) / weight)
-            for name, cost in others.items()
+            min(waiting, share * self._weight(name)) for name, waiting in others.items()
         )
 
+    def weight_ratio(self, kind: WorkKind, workspace: str) -> float:
+        """Return the weight of all that wait or ask relative to this workspace's."""
+        names = {name for kept, name, _ in self._cost if kept is kind} | {workspace}
+        total = sum(self._weight(name) for name in names)
+        return total / self._weight(workspace)
+
     def lowest_sheddable(self) -> Waiting[T] | None:
         """Return the request to shed first.
 
--- a/packages/decisions/cicadapass_decisions/policy.py
+++ b/packages/decisions/cicadapass_decisions/policy.py
@@ -50,6 +50,9 @@
         0.9,
         "share of each limit that short work leaves to waiting long work",
     )
+    priority_burst_tokens: float = _rule(
+        200.0, 0.0, 1e6, "tokens of weight 1 by which priority may pass fair shares"
+    )
     max_queued: int = _rule(512, 1, 100_000, "requests that wait for one service")
     reserve_short: bool = _switch("reserve slots for short work")
     fair: bool = _switch("share by workspace weight; otherwise first come first served")
@@ -60,11 +63,14 @@
     """Say when a request is refused instead of queued."""
 
     max_wait_s: float = _rule(
-        2.0, 0.01, 600.0, "longest expected wait for a slot of short work"
+        1.0, 0.01, 600.0, "longest expected wait for a slot of short work"
     )
     max_long_wait_s: float = _rule(
         60.0, 0.01, 3600.0, "longest expected wait for a slot of long work"
     )
+    lowest_wait_ratio: float = _rule(
+        0.25, 0.01, 1.0, "part of the longest wait that the lowest priority may expect"
+    )
     min_retry_after_s: int = _rule(1, 1, 60, "shortest Retry-After")
     max_retry_after_s: int = _rule(30, 1, 3600, "longest Retry-After")
     shed: bool = _switch("refuse early, lowest priority first")
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/sharing.py
@@ -0,0 +1,30 @@
+"""Share the slots of a service between nodes that do not coordinate."""
+
+import math
+from collections.abc import Sequence
+
+from cicadapass_decisions.scoring import Candidate, InFlight
+from cicadapass_decisions.work import WorkKind
+
+# A node may exceed the limits only below this part of its even share: at the whole
+# share nodes exceed them all the time, at half of it one was starved by the others.
+OWN_SHARE_RATIO = 0.75
+
+
+def own_share(
+    kind: WorkKind, own: InFlight, candidates: Sequence[Candidate], nodes: int
+) -> int:
+    """Return the requests for each upstream that other nodes cannot deny this one.
+
+    A node keeps the slots that it releases, so without a share of its own a node
+    that holds none would get none while the others are busy.
+    """
+    if nodes < 2 or not candidates:
+        return 0
+    if kind is WorkKind.LONG:
+        # Long work above the limit takes reserved slots, so one job must do.
+        return 1 if own.long == 0 else 0
+    slots = sum(c.limit for c in candidates if not c.leaving)
+    if own.short + own.long >= slots / nodes * OWN_SHARE_RATIO:
+        return 0
+    return math.ceil(slots / nodes / len(candidates))
--- a/packages/node/cicadapass/dispatcher.py
+++ b/packages/node/cicadapass/dispatcher.py
@@ -123,6 +123,7 @@
         except FutureTimeout:
             # The part that expires requests is late, for example being restarted.
             self._granting.expire()
+            self._granting.cancel(request)
             return future.result()
 
     def _emit_queued(self, request: AcquireRequest) -> None:
--- a/packages/node/cicadapass/granting.py
+++ b/packages/node/cicadapass/granting.py
@@ -8,8 +8,8 @@
 
 from expression import Result
 
-from cicadapass.grants import AcquireRequest, Grant
-from cicadapass.servicequeue import ServiceQueue, Settle
+from cicadapass.grants import AcquireRequest, Grant, Settle
+from cicadapass.servicequeue import ServiceQueue
 from cicadapass.upstreamtable import (
     AttemptMeasured,
     Outcome,
--- a/packages/node/cicadapass/grants.py
+++ b/packages/node/cicadapass/grants.py
@@ -1,7 +1,9 @@
 """Types of the dispatcher that the threads of requests use."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from cicadapass_decisions.admission import Refusal
 from cicadapass_decisions.scoring import Reason
 from cicadapass_decisions.work import WorkClass
 
@@ -46,3 +48,15 @@
     def attempt(self) -> int:
         """Return the number of the attempt."""
         return self.request.attempt
+
+
+Settle = Callable[[Grant | Refusal], object]
+
+
+class Pending:
+    """Hold a waiting request and the callback that gets its grant or refusal."""
+
+    def __init__(self, request: AcquireRequest, settle: Settle, since_s: float) -> None:
+        self.request = request
+        self.settle = settle
+        self.since_s = since_s
--- /dev/null
+++ b/packages/node/cicadapass/loadestimate.py
@@ -0,0 +1,112 @@
+"""Rates of arrivals and completions of one service, and the waits they predict."""
+
+from collections.abc import Mapping
+
+from cicadapass.grants import AcquireRequest
+from cicadapass.upstreamtable import ServiceTable
+from cicadapass_decisions.admission import QueueLoad
+from cicadapass_decisions.drain import (
+    SHARE_WINDOW_S,
+    DrainRate,
+    expected_wait_s,
+    nominal_per_s,
+    on_backlog,
+    on_completed,
+    served_per_s,
+    smoothed_per_s,
+)
+from cicadapass_decisions.fairness import FairQueue
+from cicadapass_decisions.policy import RoutingRules
+from cicadapass_decisions.work import WorkClass, WorkKind
+
+# A workspace with less than this cost per second takes no share from the others.
+MIN_OFFERED_PER_S = 1.0
+
+
+class LoadEstimate:
+    """Hold the rates of one service; belongs to its queue."""
+
+    def __init__(self) -> None:
+        self._completed = {kind: DrainRate() for kind in WorkKind}
+        self._admitted: dict[tuple[WorkKind, str, int], DrainRate] = {}
+        self._offered: dict[tuple[WorkKind, str], DrainRate] = {}
+
+    def on_offered(self, request: AcquireRequest, now_s: float) -> None:
+        """Count a request that asks for an upstream, whatever comes of it."""
+        key = (request.work.kind, request.workspace)
+        rate = self._offered.get(key, DrainRate())
+        cost = request.work.cost
+        self._offered[key] = on_completed(rate, cost, now_s, SHARE_WINDOW_S)
+
+    def on_admitted(self, request: AcquireRequest, now_s: float) -> None:
+        """Count a request that was granted or queued."""
+        key = (request.work.kind, request.workspace, request.priority)
+        rate = self._admitted.get(key, DrainRate())
+        self._admitted[key] = on_completed(rate, request.work.cost, now_s)
+
+    def on_released(self, work: WorkClass, now_s: float) -> None:
+        """Count completed work."""
+        rate = self._completed[work.kind]
+        self._completed[work.kind] = on_completed(rate, work.cost, now_s)
+
+    def on_backlog(self, kind: WorkKind, waiting: bool, now_s: float) -> None:
+        """Note whether requests of this kind wait."""
+        self._completed[kind] = on_backlog(self._completed[kind], waiting, now_s)
+
+    def load(
+        self,
+        request: AcquireRequest,
+        queue: FairQueue,
+        table: ServiceTable,
+        rules: RoutingRules,
+        now_s: float,
+    ) -> QueueLoad:
+        """Return the load as the request sees it."""
+        kind, workspace = request.work.kind, request.workspace
+        cost = request.work.cost
+        ahead = queue.cost_ahead(kind, workspace, request.priority, cost)
+        # All nodes share the upstreams.
+        nominal = nominal_per_s(table.candidates, request.work, rules) / table.nodes
+        served = served_per_s(self._completed[kind], nominal, now_s)
+        overtaking = self._overtaking_per_s(request, queue, now_s)
+        lowest = queue.lowest_sheddable()
+        return QueueLoad(
+            expected_wait_s(served, ahead, overtaking),
+            len(queue),
+            None if lowest is None else lowest.priority,
+            within_share=self._is_within_share(request, queue.weights, served, now_s),
+        )
+
+    def _overtaking_per_s(
+        self, request: AcquireRequest, queue: FairQueue, now_s: float
+    ) -> float:
+        kind, workspace = request.work.kind, request.workspace
+        higher = sum(
+            smoothed_per_s(rate, now_s)
+            for key, rate in self._admitted.items()
+            if key[:2] == (kind, workspace) and key[2] > request.priority
+        )
+        # Fair sharing gives the workspace only its part of the upstreams.
+        return higher * queue.weight_ratio(kind, workspace)
+
+    def _is_within_share(
+        self,
+        request: AcquireRequest,
+        weights: Mapping[str, float],
+        served_per_s: float,
+        now_s: float,
+    ) -> bool:
+        """Return whether the workspace asks for no more than its weight allows."""
+        offered = {
+            workspace: smoothed_per_s(rate, now_s, SHARE_WINDOW_S)
+            for (kind, workspace), rate in self._offered.items()
+            if kind is request.work.kind
+        }
+        total = sum(
+            weights.get(workspace, 1.0)
+            for workspace, rate in offered.items()
+            if rate >= MIN_OFFERED_PER_S or workspace == request.workspace
+        )
+        weight = weights.get(request.workspace, 1.0)
+        share = served_per_s * weight / max(total, weight)
+        return offered.get(request.workspace, 0.0) <= share
--- a/packages/node/cicadapass/servicequeue.py
+++ b/packages/node/cicadapass/servicequeue.py
@@ -1,49 +1,31 @@
 """Queue and in-flight counts of one service: grants are decided here."""
 
-import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 
 from expression import Error, Ok, Result
 
-from cicadapass.grants import AcquireRequest, Grant
+from cicadapass.grants import AcquireRequest, Grant, Pending, Settle
+from cicadapass.loadestimate import LoadEstimate
 from cicadapass.upstreamtable import ServiceTable
 from cicadapass_decisions.admission import (
     AdmissionRequest,
     Admitted,
-    QueueLoad,
     Refusal,
     RefusalReason,
     admit,
     refusal,
 )
-from cicadapass_decisions.drain import (
-    DrainRate,
-    expected_wait_s,
-    nominal_per_s,
-    on_backlog,
-    on_completed,
-)
 from cicadapass_decisions.fairness import FairQueue, Waiting
 from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.prefix import RecentPrefixes, matched_tokens
 from cicadapass_decisions.retry import RetryBudget
 from cicadapass_decisions.routing import Choice, NoUpstream, choose_upstream
 from cicadapass_decisions.scoring import Candidate, InFlight, RoutingRequest
+from cicadapass_decisions.sharing import own_share
 from cicadapass_decisions.work import WorkClass, WorkKind
 
-Settle = Callable[[Grant | Refusal], object]
-
-
-class Pending:
-    """Hold a waiting request and the callback that gets its grant or refusal."""
-
-    def __init__(self, request: AcquireRequest, settle: Settle, since_s: float) -> None:
-        self.request = request
-        self.settle = settle
-        self.since_s = since_s
-
 
 class ServiceQueue:
     """Grant the upstreams of one service; belongs to one owner, time is passed in."""
@@ -59,7 +41,7 @@
         self._index: dict[str, int] = {}
         self._own: dict[str, InFlight] = {}
         self._recent = RecentPrefixes(policy.prefix)
-        self._drain = {kind: DrainRate() for kind in WorkKind}
+        self._load = LoadEstimate()
         self._shed: list[tuple[Settle, Refusal]] = []
         self.budget = RetryBudget()
 
@@ -102,16 +84,19 @@
         A queued request that is shed for this one is returned by `take_shed`.
         """
         pending = Pending(request, settle, now_s)
+        self._load.on_offered(request, now_s)
         kind = request.work.kind
         # A request must not overtake those that wait for the same slots.
         chosen = self._choose(request, now_s) if self._is_next(kind) else None
         if chosen is not None and chosen.is_ok() and request.deadline_s > now_s:
+            self._load.on_admitted(request, now_s)
             return Ok(self._grant(pending, chosen.ok, number, now_s))
         if request.hedge or not self._has_upstream(request):
             return Error(self.refuse(RefusalReason.NO_UPSTREAM, 0.0))
         admitted = self._admit(request, now_s)
         if admitted.is_error():
             return Error(admitted.error)
+        self._load.on_admitted(request, now_s)
         if admitted.ok.displaces:
             self._shed_lowest()
         self._enqueue(pending)
@@ -138,8 +123,7 @@
     def release(self, grant: Grant, work: WorkClass, now_s: float) -> None:
         """Return the slot of a grant whose work class is now `work`."""
         self._count(grant.upstream, work, -1)
-        kind = work.kind
-        self._drain[kind] = on_completed(self._drain[kind], work.cost, now_s)
+        self._load.on_released(work, now_s)
 
     def reclassify(self, grant: Grant, old: WorkClass, new: WorkClass) -> None:
         """Count a granted attempt as another class of work."""
@@ -187,7 +171,11 @@
             must_avoid=request.hedge,
         )
         chosen = self._choose_from(routing, now_s)
-        share = self._own_share(request) if chosen.is_error() else 0
+        if chosen.is_ok() or request.hedge:
+            return chosen
+        own = sum(self._own.values(), InFlight())
+        nodes = self._table.nodes
+        share = own_share(request.work.kind, own, self._candidates, nodes)
         if share:
             chosen = self._choose_from(replace(routing, own_share=share), now_s)
         return chosen
@@ -204,24 +192,6 @@
             self._table.panic,
         )
 
-    def _own_share(self, request: AcquireRequest) -> int:
-        """Return the requests for each upstream that other nodes cannot deny this one.
-
-        A node keeps the slots that it releases, so without a share of its own a node
-        that holds none would get none while the others are busy.
-        """
-        nodes = self._table.nodes
-        if nodes < 2 or request.hedge:
-            return 0
-        own = sum(self._own.values(), InFlight())
-        if request.work.kind is WorkKind.LONG:
-            # Long work above the limit takes reserved slots, so one job must do.
-            return 1 if own.long == 0 else 0
-        slots = sum(c.limit for c in self._candidates if not c.leaving)
-        if own.short + own.long >= slots / nodes:
-            return 0
-        return math.ceil(slots / nodes / max(1, len(self._candidates)))
-
     def _prefix_tokens(self, request: AcquireRequest) -> dict[str, int]:
         if not request.blocks or not self._policy.routing.prefer_prefix:
             return {}
@@ -277,19 +247,26 @@
     def _admit(
         self, request: AcquireRequest, now_s: float
     ) -> Result[Admitted, Refusal]:
-        kind = request.work.kind
-        ahead = self._queue.cost_ahead(kind, request.workspace, request.priority)
-        nominal = nominal_per_s(self._candidates, request.work, self._policy.routing)
-        wait_s = expected_wait_s(self._drain[kind], ahead, nominal, now_s)
-        lowest = self._queue.lowest_sheddable()
-        load = QueueLoad(
-            wait_s, len(self._queue), None if lowest is None else lowest.priority
+        load = self._load.load(
+            request, self._queue, self._table, self._policy.routing, now_s
         )
         asked = AdmissionRequest(
-            kind, request.priority, request.deadline_s, request.accepted
+            request.work.kind,
+            request.priority,
+            self._latest_start_s(request),
+            request.accepted,
         )
         return admit(asked, load, self._policy.admission, self._policy.queue, now_s)
 
+    def _latest_start_s(self, request: AcquireRequest) -> float:
+        """Return the time after which the answer would come after the deadline."""
+        if request.accepted:
+            return request.deadline_s
+        rules = self._policy.routing
+        first_s = self._table.first_token_s or rules.default_first_token_s
+        inter_s = self._table.inter_token_s or rules.default_inter_token_s
+        return request.deadline_s - first_s - request.work.expected_tokens * inter_s
+
     def _shed_lowest(self) -> None:
         lowest = self._queue.lowest_sheddable()
         if lowest is None:
@@ -308,7 +285,7 @@
                 request.priority,
                 request.work.kind,
                 request.work.cost,
-                request.deadline_s,
+                self._latest_start_s(request),
                 pending,
                 sheddable=not request.accepted,
             ),
@@ -318,7 +295,7 @@
     def _note_backlog(self, now_s: float) -> None:
         for kind in WorkKind:
             waiting = self._queue.head(kind) is not None
-            self._drain[kind] = on_backlog(self._drain[kind], waiting, now_s)
+            self._load.on_backlog(kind, waiting, now_s)
 
 
 def _key(request: AcquireRequest) -> str:
