Hedge answers whose next token is late

Cause: 6% of the requests are in an engine at the moment it slows; they were never moved, since only a late first token was hedged. Change: a stream that has made no progress for 15 usual inter-token times, with at least 8 tokens expected to follow, is hedged from its token offset. Hedge.from_token, Granting. stalled_after_s and RetryRequest.tokens_left are new.

test_hedges_once_and_only_before_tokens forbade hedges of started answers because they would compute tokens twice; the hedge now resumes at the offset, which test_hedge_of_a_stalled_answer_resumes checks. Broken on purpose (hedge from the start; nearly complete answers hedged; two hedges): that test and test_hedges_once failed.

--- a/packages/bench/cicadapass_bench/policy_bench.py
+++ b/packages/bench/cicadapass_bench/policy_bench.py
@@ -39,6 +39,7 @@
     ("slowness", "detect"),
     ("slowness", "panic"),
     ("retry", "hedge"),
+    ("retry", "hedge_stalled"),
     ("retry", "limit_budget"),
     ("work", "use_history"),
 )
--- a/packages/decisions/cicadapass_decisions/policy.py
+++ b/packages/decisions/cicadapass_decisions/policy.py
@@ -207,6 +207,13 @@
         4.0, 1.0, 100.0, "wait relative to the usual first-token time before a hedge"
     )
     hedge_min_s: float = _rule(0.05, 0.0, 60.0, "shortest wait before a hedge")
+    stall_ratio: float = _rule(
+        15.0, 2.0, 1000.0, "wait relative to the usual time between tokens"
+    )
+    stall_min_tokens: int = _rule(
+        8, 0, 100_000, "expected tokens left below which a stall is not hedged"
+    )
+    hedge_stalled: bool = _switch("hedge answers whose next token is late")
     retry: bool = _switch("retry and resume failed attempts")
     hedge: bool = _switch("hedge attempts whose first token is late")
     limit_budget: bool = _switch("limit retries and hedges by the budget")
--- a/packages/decisions/cicadapass_decisions/retry.py
+++ b/packages/decisions/cicadapass_decisions/retry.py
@@ -25,7 +25,7 @@
     BROKEN = "broken"
     # No answer in time.
     TIMEOUT = "timeout"
-    # The first token is late; the attempt still runs.
+    # The first or the next token is late; the attempt still runs.
     LATE = "late"
     # The upstream is leaving, or is known to be gone.
     LEAVING = "leaving"
@@ -53,7 +53,8 @@
 class RetryRequest:
     """Hold what the decision needs to know about the request.
 
-    `accepted` says that the caller was promised an answer.
+    `accepted` says that the caller was promised an answer. `tokens` were generated,
+    and about `tokens_left` are expected to follow, if that is known.
     """
 
     repeatable: bool
@@ -61,6 +62,7 @@
     accepted: bool = False
     tokens: int = 0
     streams: bool = True
+    tokens_left: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,9 +92,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Hedge:
-    """Run a second attempt beside the late one; the loser is cancelled."""
+    """Run a second attempt beside the late one; the loser is cancelled.
+
+    It starts at a token offset, so that a stalled answer is not computed again.
+    """
 
     avoid: frozenset[str]
+    from_token: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +182,13 @@
     return max(rules.hedge_min_s, first_token_s * rules.hedge_ratio)
 
 
+def stalled_after_s(inter_token_s: float | None, rules: RetryRules) -> float | None:
+    """Return the wait for the next token before a hedge, or None if hedges are off."""
+    if not rules.hedge or not rules.hedge_stalled or inter_token_s is None:
+        return None
+    return max(rules.hedge_min_s, inter_token_s * rules.stall_ratio)
+
+
 def _attempt_verdict(attempt: Attempt) -> Verdict:
     if attempt.failure is FailureKind.ANSWERED:
         return Verdict.RUN
@@ -211,12 +224,21 @@
 ) -> Decision:
     running = sum(attempt.running for attempt in attempts)
     allowed = rules.hedge and request.repeatable and running < 2
-    if not allowed or request.tokens or len(attempts) >= rules.max_attempts:
+    if request.tokens > 0:
+        allowed = allowed and _may_hedge_stalled(request, rules)
+    if not allowed or len(attempts) >= rules.max_attempts:
         return Decision(Wait(max(0.0, request.deadline_s - now_s)), budget)
     paid = _withdraw(budget, now_s, rules)
     if paid is None:
         return Decision(Wait(BUDGET_WAIT_S), budget)
-    return Decision(Hedge(_used(attempts)), paid)
+    return Decision(Hedge(_used(attempts), request.tokens), paid)
+
+
+def _may_hedge_stalled(request: RetryRequest, rules: RetryRules) -> bool:
+    # The rest of a nearly complete answer costs less than another attempt.
+    left = request.tokens_left
+    long_enough = left is None or left >= rules.stall_min_tokens
+    return request.streams and rules.hedge_stalled and long_enough
 
 
 def _again(
--- a/packages/node/cicadapass/granting.py
+++ b/packages/node/cicadapass/granting.py
@@ -26,6 +26,7 @@
     hedge_after_s,
     next_step,
     on_request,
+    stalled_after_s,
 )
 from cicadapass_decisions.routing import Choice, NoUpstream
 from cicadapass_decisions.scoring import InFlight
@@ -181,6 +182,12 @@
         first_token_s = table.first_token_s if table else None
         return hedge_after_s(first_token_s, self._policy.retry)
 
+    def stalled_after_s(self, service: str) -> float | None:
+        """Return the wait for the next token before `FailureKind.LATE` is reported."""
+        table = self._table.services.get(service)
+        inter_token_s = table.inter_token_s if table else None
+        return stalled_after_s(inter_token_s, self._policy.retry)
+
     def explain(self, request: AcquireRequest) -> Result[Choice, NoUpstream]:
         """Return what would be chosen now, without granting it."""
         with self._lock:
