Add the capacity measurements and the traffic counters of a node

The slopes behind docs/CAPACITY.md had no command. GET /v1/traffic shows the message counts that the peers keep already.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: install format lint types docs unit test demo measure matrix
+.PHONY: install format lint types docs unit test demo measure matrix capacity
 
 install: $(VENV)/installed
 
@@ -46,3 +46,6 @@
 
 matrix: install
 	$(BIN)/python -m cicadapass_bench.matrix
+
+capacity: install
+	$(BIN)/python -m cicadapass_bench.capacity
--- /dev/null
+++ b/packages/bench/cicadapass_bench/capacity.py
@@ -0,0 +1,110 @@
+"""Measure the slopes behind docs/CAPACITY.md and project them to the planned size."""
+
+import argparse
+import sys
+import tempfile
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+
+from cicadapass_bench import slopes_claims, slopes_peers
+from cicadapass_bench.capacity_claims import measure_claims
+from cicadapass_bench.capacity_copies import measure_copies, measure_hand_over
+from cicadapass_bench.capacity_load import measure_load
+from cicadapass_bench.capacity_nodes import measure_engines, measure_nodes
+from cicadapass_bench.capacity_output import Output
+from cicadapass_bench.capacity_plan import PlannedSize
+from cicadapass_bench.capacity_tables import (
+    measure_documents,
+    measure_reads,
+    measure_table,
+)
+from cicadapass_bench.processes import ProcessGroup, process_group
+
+Part = Callable[[Output, PlannedSize, bool], None]
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Print the measures of the chosen parts as JSON lines."""
+    parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.capacity")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true", help="small sizes, no accuracy")
+    parser.add_argument("--only", choices=list(PARTS), action="append")
+    arguments = parser.parse_args(argv)
+    output = Output(arguments.seed)
+    for name in arguments.only or PARTS:
+        PARTS[name](output, PlannedSize(), arguments.quick)
+    return 0
+
+
+@contextmanager
+def _group() -> Iterator[ProcessGroup]:
+    with (
+        tempfile.TemporaryDirectory(prefix="cicadapass-") as directory,
+        process_group(Path(directory)) as group,
+    ):
+        yield group
+
+
+def _documents(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_documents(output, plan)
+
+
+def _table(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_table(output, plan)
+
+
+def _reads(output: Output, plan: PlannedSize, quick: bool) -> None:
+    with _group() as group:
+        measure_reads(output, plan, group, quick=quick)
+
+
+def _copies(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_copies(output, quick=quick)
+    measure_hand_over(output, plan, quick=quick)
+
+
+def _claims(output: Output, plan: PlannedSize, quick: bool) -> None:
+    with _group() as group:
+        measure_claims(output, plan, group, quick=quick)
+
+
+def _nodes(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_nodes(output, plan, quick=quick)
+
+
+def _engines(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_engines(output, plan, quick=quick)
+
+
+def _load(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_load(output, plan, quick=quick)
+
+
+def _existing(
+    run: Callable[[Sequence[str]], object],
+    output: Output,
+    plan: PlannedSize,
+    quick: bool,
+) -> None:
+    # The older benches have no quick form and take most of a minute.
+    if not quick:
+        run(["--seed", str(output.seed)])
+
+
+PARTS: dict[str, Part] = {
+    "documents": _documents,
+    "table": _table,
+    "reads": _reads,
+    "copies": _copies,
+    "claims": _claims,
+    "engines": _engines,
+    "nodes": _nodes,
+    "load": _load,
+    "index": partial(_existing, slopes_claims.main),
+    "members": partial(_existing, slopes_peers.main),
+}
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/cicadapass_bench/capacity_fit.py
@@ -0,0 +1,46 @@
+"""Fit a straight line to measured costs and project it to another size."""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """Hold a least-squares line and the standard errors of its two numbers."""
+
+    base: float
+    slope: float
+    base_error: float
+    slope_error: float
+    sizes: tuple[float, ...]
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.base + self.slope * size
+
+    def error_at(self, size: float) -> float:
+        """Return the standard error of the line at a size."""
+        mean = sum(self.sizes) / len(self.sizes)
+        # The line turns about the mean of the sizes, so the error grows from there.
+        at_mean_squared = self.base_error**2 - (self.slope_error * mean) ** 2
+        turned = self.slope_error * (size - mean)
+        return math.sqrt(max(0.0, at_mean_squared) + turned**2)
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """Fit `base + slope * size`; raise ValueError with fewer than three sizes."""
+    if len(set(sizes)) < 3 or len(sizes) != len(values):
+        raise ValueError("a fit with an error needs three sizes; measure more of them")
+    count = len(sizes)
+    mean_size, mean_value = sum(sizes) / count, sum(values) / count
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    pairs = list(zip(sizes, values, strict=True))
+    joint = sum((size - mean_size) * (value - mean_value) for size, value in pairs)
+    slope = joint / spread
+    base = mean_value - slope * mean_size
+    left = sum((value - base - slope * size) ** 2 for size, value in pairs)
+    variance = left / (count - 2)
+    slope_error = math.sqrt(variance / spread)
+    base_error = math.sqrt(variance * (1 / count + mean_size**2 / spread))
+    return Fit(base, slope, base_error, slope_error, tuple(sizes))
--- /dev/null
+++ b/packages/bench/cicadapass_bench/capacity_nodes.py
@@ -0,0 +1,194 @@
+"""Measure what idle nodes and publishes cost, with real node processes."""
+
+import json
+import threading
+import time
+import uuid
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from statistics import median
+from typing import Any
+
+from cicadapass_bench.capacity_output import Output
+from cicadapass_bench.capacity_plan import PlannedSize
+from cicadapass_bench.world import (
+    GRABHANDLE,
+    OPERATOR_CREDENTIAL,
+    NodeProcess,
+    World,
+    WorldPlan,
+    running_world,
+    wait_until,
+)
+from cicadapass_common.operator_api import PUBLISH_PATH, STATUS_PATH, TRAFFIC_PATH
+
+NODES_PER_PLACE = (1, 2, 4, 8)
+QUICK_NODES_PER_PLACE = (1, 2, 3)
+# The same few engines are listed under as many names.
+LISTED_ENGINES = (12, 24, 48, 96)
+QUICK_LISTED_ENGINES = (6, 12, 24)
+PUBLISHES = 5
+SETTLE_S = 6.0
+WINDOW_S = 8.0
+QUICK_WINDOW_S = 2.0
+PUBLISH_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class IdleCost:
+    """Hold the mean cost of an idle node."""
+
+    core_share: float
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    messages_per_s: float
+    resident_bytes: float
+
+
+def measure_nodes(output: Output, plan: PlannedSize, *, quick: bool) -> None:
+    """Measure idle nodes and publishes by the number of nodes."""
+    rows: dict[str, list[tuple[float, float]]] = {}
+    for count in QUICK_NODES_PER_PLACE if quick else NODES_PER_PLACE:
+        fleet = replace(GRABHANDLE, nodes=count, services=0)
+        with running_world(WorldPlan(fleets=(fleet,))) as world:
+            nodes = len(world.nodes)
+            world.wait_members(nodes)
+            cost = _idle_cost(world, quick)
+            _add_cost(rows, nodes, cost)
+            times = _publish_times(world)
+        output.value("publish_in_force_median", f"{nodes} nodes", median(times), "s")
+        output.value("publish_in_force_worst", f"{nodes} nodes", max(times), "s")
+        rows.setdefault("publish_in_force_s", []).append((nodes, median(times)))
+    _print_rows(output, rows, "nodes", plan.nodes)
+
+
+def measure_engines(output: Output, plan: PlannedSize, *, quick: bool) -> None:
+    """Measure three idle nodes by the number of engines that they list."""
+    rows: dict[str, list[tuple[float, float]]] = {}
+    fleet = replace(GRABHANDLE, services=0)
+    with running_world(WorldPlan(fleets=(fleet,))) as world:
+        for count in QUICK_LISTED_ENGINES if quick else LISTED_ENGINES:
+            _publish(world, _listed(world, count))
+            cost = _idle_cost(world, quick)
+            _add_cost(rows, count, cost, "_by_engines")
+    _print_rows(output, rows, "engines", plan.engines)
+
+
+def _print_rows(
+    output: Output,
+    rows: dict[str, list[tuple[float, float]]],
+    what: str,
+    planned: int,
+) -> None:
+    for name, pairs in rows.items():
+        unit = _unit(name)
+        output.series(name, what, pairs, unit)
+        output.projected(name, planned, unit)
+
+
+def _unit(name: str) -> str:
+    for part, unit in (
+        ("percent", "% of a core"),
+        ("messages", "messages/s"),
+        ("resident", "B"),
+        ("in_force", "s"),
+    ):
+        if part in name:
+            return unit
+    return "B/s"
+
+
+def _add_cost(
+    rows: dict[str, list[tuple[float, float]]],
+    size: int,
+    cost: IdleCost,
+    suffix: str = "",
+) -> None:
+    for name, value in (
+        ("idle_percent", 100 * cost.core_share),
+        ("idle_sent", cost.sent_bytes_per_s),
+        ("idle_received", cost.received_bytes_per_s),
+        ("idle_messages", cost.messages_per_s),
+        ("idle_resident", cost.resident_bytes),
+    ):
+        rows.setdefault(name + suffix, []).append((size, value))
+
+
+def _idle_cost(world: World, quick: bool) -> IdleCost:
+    pause = threading.Event()
+    pause.wait(QUICK_WINDOW_S if quick else SETTLE_S)
+    before = [_counters(world, node) for node in world.nodes]
+    began_s = time.monotonic()
+    pause.wait(QUICK_WINDOW_S if quick else WINDOW_S)
+    after = [_counters(world, node) for node in world.nodes]
+    window_s = time.monotonic() - began_s
+    spent = [
+        [new - old for old, new in zip(first, last, strict=True)]
+        for first, last in zip(before, after, strict=True)
+    ]
+    mean = [sum(column) / len(spent) / window_s for column in zip(*spent, strict=True)]
+    resident = [node.process.resident_bytes() for node in world.nodes]
+    return IdleCost(mean[0], mean[1], mean[2], mean[3], sum(resident) / len(resident))
+
+
+def _counters(world: World, node: NodeProcess) -> tuple[float, float, float, float]:
+    """Return processor seconds, bytes sent, bytes received and messages."""
+    traffic = world.operators_get(node, TRAFFIC_PATH)
+    sent, received = traffic["sent"], traffic["received"]
+    messages = sum(kind["messages"] for kind in [*sent, *received])
+    return node.process.cpu_s(), _bytes(sent), _bytes(received), messages
+
+
+def _bytes(kinds: Sequence[dict[str, Any]]) -> float:
+    return float(sum(kind["frame_bytes"] for kind in kinds))
+
+
+def _listed(world: World, count: int) -> dict[str, Any]:
+    """Return the inventory with each engine listed several times."""
+    document = world.inventory()
+    fleet = document["fleets"][world.plan.fleets[0].name]
+    engines = list(fleet["upstreams"].items())
+    fleet["upstreams"] = {
+        f"{engines[n % len(engines)][0]}-{n}": engines[n % len(engines)][1]
+        for n in range(count)
+    }
+    return document
+
+
+def _publish_times(world: World) -> list[float]:
+    """Publish changes and return the seconds from the call to all nodes."""
+    times = []
+    for number in range(PUBLISHES):
+        document = world.inventory()
+        workspace = document["fleets"][GRABHANDLE.name]["workspaces"]["counter"]
+        workspace["weight"] = 2 + number
+        times.append(_publish(world, document))
+    return times
+
+
+def _publish(world: World, document: dict[str, Any]) -> float:
+    first = world.nodes[0]
+    base = world.operators_get(first, STATUS_PATH)["version"]
+    body = {
+        "publish_id": uuid.uuid4().hex,
+        "author": "capacity",
+        "base_offset": base,
+        "document": document,
+    }
+    headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
+    url = first.operators_url + PUBLISH_PATH
+    began_s = time.monotonic()
+    answer = world.http.request(
+        "POST", url, body=json.dumps(body), headers=headers, timeout=PUBLISH_TIMEOUT_S
+    ).json()
+    version = answer.get("version", -1)
+    if answer.get("outcome") != "accepted":
+        raise RuntimeError(f"publish was not accepted: {answer}")
+    for node in world.nodes:
+        wait_until(
+            lambda node=node: (  # type: ignore[misc]
+                world.operators_get(node, STATUS_PATH)["version"] >= version
+            ),
+            f"{node.name} has version {version}",
+        )
+    return time.monotonic() - began_s
--- /dev/null
+++ b/packages/bench/cicadapass_bench/capacity_output.py
@@ -0,0 +1,43 @@
+"""Print measures and fits as JSON lines."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from cicadapass_bench.capacity_fit import Fit, fit_line
+from cicadapass_bench.loadrun import print_measure
+
+
+@dataclass(slots=True)
+class Output:
+    """Print each measured value and remember the fits by their measure."""
+
+    seed: int
+    fits: dict[str, Fit] = field(default_factory=dict)
+
+    def value(self, measure: str, variant: str, value: float, unit: str) -> None:
+        """Print one value."""
+        print_measure(measure, variant, value, unit, self.seed)
+
+    def series(
+        self, measure: str, what: str, pairs: Sequence[tuple[float, float]], unit: str
+    ) -> Fit:
+        """Print the values at several sizes and the line through them."""
+        for size, value in pairs:
+            self.value(measure, f"{size:g} {what}", value, unit)
+        fit = fit_line([size for size, _ in pairs], [value for _, value in pairs])
+        self.fits[measure] = fit
+        self.value(f"{measure}_base", f"fit over {what}", fit.base, unit)
+        self.value(f"{measure}_base_error", f"fit over {what}", fit.base_error, unit)
+        # Three decimals must be enough for the slope of a cost per unit.
+        self.value(f"{measure}_slope", f"per 1000 {what}", 1e3 * fit.slope, unit)
+        error = 1e3 * fit.slope_error
+        self.value(f"{measure}_slope_error", f"per 1000 {what}", error, unit)
+        return fit
+
+    def projected(self, measure: str, size: float, unit: str) -> float:
+        """Print the value of a fitted line at the planned size."""
+        fit = self.fits[measure]
+        variant = f"projected to {size:g}"
+        self.value(measure, variant, fit.at(size), unit)
+        self.value(f"{measure}_error", variant, fit.error_at(size), unit)
+        return fit.at(size)
--- /dev/null
+++ b/packages/bench/cicadapass_bench/capacity_tables.py
@@ -0,0 +1,194 @@
+"""Measure what engines and documents cost a node, without other processes."""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from cicadapass.configuration import upstreams_of
+from cicadapass.engines import EngineClient
+from cicadapass.upstreambook import UpstreamBook
+from cicadapass.upstreamhttp import Timeouts, new_pool
+from cicadapass.upstreamreaders import http_readers
+from cicadapass.upstreamtable import Reading, UpstreamConfig, UpstreamTable
+from cicadapass_bench.capacity_output import Output
+from cicadapass_bench.capacity_plan import PlannedSize
+from cicadapass_bench.processes import ProcessGroup
+from cicadapass_common.records import decode_record, encode_record
+from cicadapass_decisions.fold import FoldState, fold, skip_to
+from cicadapass_decisions.inventory import parse_inventory
+from cicadapass_decisions.logrecords import LogRecord, Publish
+from cicadapass_decisions.policy import PrefixRules
+
+UPSTREAMS = (50, 350, 1_400)
+READS = 1_000
+QUICK_READS = 100
+REPEATS = 5
+PLACES = 10
+
+Rows = dict[str, list[tuple[float, float]]]
+
+
+def document_of(upstreams: int, rng: random.Random) -> dict[str, Any]:
+    """Return a valid document with as many engines, spread over ten data centres."""
+    names = [f"dc-{n:02}" for n in range(PLACES)]
+    entries = {
+        f"parts-{names[n % PLACES]}-{n:04}": {
+            "service": "parts",
+            "data_centre": names[n % PLACES],
+            "url": f"http://10.{n // 250}.{n % 250}.{rng.randrange(250)}:9000",
+            "slots": rng.choice([4, 8, 16]),
+            "class": rng.choice(["l4", "a100", "h100"]),
+            "reclaimable": rng.random() < 0.59,
+            "price_per_hour": round(rng.uniform(0.5, 4.0), 2),
+            "checks_fencing": rng.random() < 0.5,
+        }
+        for n in range(upstreams)
+    }
+    fleet = {
+        "region": "eu-west",
+        "data_centres": {name: {"hop_ms": 1.2, "client_ms": 2.4} for name in names},
+        "services": {"parts": {"kind": "model", "model": "parts-1"}},
+        "upstreams": entries,
+        "workspaces": {},
+    }
+    return {"format": 1, "fleets": {"grabhandle": fleet}}
+
+
+def measure_documents(output: Output, plan: PlannedSize) -> None:
+    """Measure a publish: bytes, decoding, validation and folding."""
+    rows: Rows = {}
+    for count in UPSTREAMS:
+        _add(rows, count, _document_costs(count, output.seed))
+    _project(output, rows, plan)
+    record_bytes = output.fits["publish_record_bytes"].at(plan.engines)
+    daily = record_bytes * plan.publishes_per_day
+    output.value("log_bytes_per_day", "publishes, projected", daily, "B")
+    rate = plan.publish_bytes_per_s(record_bytes)
+    output.value("publish_bytes_per_s", "a node, projected", rate, "B/s")
+
+
+def _document_costs(upstreams: int, seed: int) -> dict[str, float]:
+    document = document_of(upstreams, random.Random(seed))
+    publish = Publish("id", -1, "op", document)
+    data = encode_record(publish).ok
+    record = LogRecord(0, 0.0, publish)
+    empty = skip_to(FoldState(), 0)
+    text = json.dumps(document).encode()
+    return {
+        "publish_record_bytes": len(data),
+        "publish_decode_ms": _ms(lambda: decode_record(data)),
+        "publish_parse_ms": _ms(lambda: parse_inventory(document)),
+        "publish_fold_ms": _ms(lambda: fold(empty, record, parse_inventory)),
+        "inventory_bytes": _traced(lambda: parse_inventory(document).ok),
+        "document_bytes": _traced(lambda: json.loads(text)),
+    }
+
+
+def measure_table(output: Output, plan: PlannedSize) -> None:
+    """Measure the upstream table and one round of its owner."""
+    rows: Rows = {}
+    for count in UPSTREAMS:
+        _add(rows, count, _table_costs(count, output.seed))
+    _project(output, rows, plan)
+
+
+def _table_costs(upstreams: int, seed: int) -> dict[str, float]:
+    document = document_of(upstreams, random.Random(seed))
+    inventory = parse_inventory(document).ok
+    configured = upstreams_of(inventory, "grabhandle", "dc-00")
+    book = UpstreamBook(configured.policy)
+
+    def fill() -> UpstreamTable:
+        book.configure(configured.configs, configured.policy)
+        for config in configured.configs:
+            book.on_report(config.name, Reading(3, 0, 8, incarnation="1"), 0.0)
+        book.judge()
+        return book.table(0.0, False)
+
+    return {
+        "upstream_table_bytes": _traced(fill),
+        "upstream_publish_ms": _ms(lambda: book.table(0.0, False)),
+        "upstream_judge_ms": _ms(book.judge),
+    }
+
+
+def _add(rows: Rows, size: float, costs: dict[str, float]) -> None:
+    for name, value in costs.items():
+        rows.setdefault(name, []).append((size, value))
+
+
+def _project(output: Output, rows: Rows, plan: PlannedSize) -> None:
+    for name, pairs in rows.items():
+        unit = "ms" if name.endswith("_ms") else "B"
+        output.series(name, "upstreams", pairs, unit)
+        output.projected(name, plan.engines, unit)
+
+
+def measure_reads(
+    output: Output, plan: PlannedSize, group: ProcessGroup, *, quick: bool
+) -> None:
+    """Measure a read of a load report and of cache events, on both sides."""
+    command = ["-m", "cicadapass_standins.engine", "--slots", "8"]
+    [engine] = group.start_all([("report-engine", command)])
+    config = UpstreamConfig("e", "s", "d", str(engine.addresses["url"]), 8)
+    kept = http_readers(EngineClient(new_pool(1), Timeouts()), PrefixRules())
+    assert kept.read_cache is not None
+    read_cache = kept.read_cache
+    sizes = (QUICK_READS // 4, QUICK_READS // 2, QUICK_READS) if quick else ()
+    sizes = sizes or (READS // 4, READS // 2, READS)
+    actions: dict[str, Callable[[], object]] = {
+        "report_read": lambda: kept.read_load(config),
+        "cache_read": lambda: read_cache(config, 0),
+    }
+    for name, action in actions.items():
+        own, other = [], []
+        for count in sizes:
+            began, engine_began = time.process_time(), engine.cpu_s()
+            for _ in range(count):
+                action()
+            own.append((count, 1e3 * (time.process_time() - began)))
+            other.append((count, 1e3 * (engine.cpu_s() - engine_began)))
+        node = output.series(f"{name}_node_ms", "reads", own, "ms")
+        served = output.series(f"{name}_engine_ms", "reads", other, "ms")
+        cores = node.slope * plan.engine_reads_per_s / 1e3
+        output.value(f"{name}_cores", "a node reads all engines", cores, "cores")
+        cores = served.slope * plan.nodes / plan.report_interval_s / 1e3
+        output.value(f"{name}_cores", "stand-in engine read by all", cores, "cores")
+    _measure_new_connections(output, config, sizes)
+
+
+def _measure_new_connections(
+    output: Output, config: UpstreamConfig, sizes: tuple[int, ...]
+) -> None:
+    """Measure reads whose connection is opened anew, as beyond the pool's 64 hosts."""
+    pairs = []
+    for count in sizes:
+        began = time.process_time()
+        for _ in range(count):
+            readers = http_readers(EngineClient(new_pool(1), Timeouts()), PrefixRules())
+            readers.read_load(config)
+        pairs.append((count, 1e3 * (time.process_time() - began)))
+    output.series("report_read_new_connection_ms", "reads", pairs, "ms")
+
+
+def _ms(action: Callable[[], object]) -> float:
+    """Return the shortest of several runs, in processor time."""
+    spent = []
+    for _ in range(REPEATS):
+        start_s = time.process_time()
+        action()
+        spent.append(time.process_time() - start_s)
+    return 1e3 * min(spent)
+
+
+def _traced(make: Callable[[], object]) -> float:
+    """Return the bytes that the made object keeps."""
+    tracemalloc.start()
+    kept = make()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return held
--- a/packages/bench/cicadapass_bench/slopes_claims.py
+++ b/packages/bench/cicadapass_bench/slopes_claims.py
@@ -6,7 +6,7 @@
 import random
 import time
 import tracemalloc
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from expression import Ok
@@ -29,11 +29,11 @@
 WINDOW_S = 3600.0
 
 
-def main() -> None:
+def main(argv: Sequence[str] | None = None) -> None:
     """Run all measurements with one seed."""
     parser = argparse.ArgumentParser(prog="slopes_claims")
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    seed = parser.parse_args(argv).seed
     # The largest index comes first, before freed memory can be used again.
     before_bytes = _resident_bytes()
     index = _fill(max(SIZES), random.Random(seed))
--- a/packages/bench/cicadapass_bench/slopes_peers.py
+++ b/packages/bench/cicadapass_bench/slopes_peers.py
@@ -5,7 +5,7 @@
 import random
 import time
 import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 
 from cicadapass.memberbook import ENTRIES_BUDGET_BYTES
 from cicadapass.membersnapshot import take_snapshot
@@ -39,11 +39,11 @@
 WARM_UP_PER_MEMBER = 4
 
 
-def main() -> int:
+def main(argv: Sequence[str] | None = None) -> int:
     """Print all measures as JSON, one a line."""
     parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.slopes_peers")
     parser.add_argument("--seed", type=int, default=1)
-    seed = parser.parse_args().seed
+    seed = parser.parse_args(argv).seed
     logging.disable(logging.CRITICAL)
     for measures in (
         _probe_rounds,
--- a/packages/common/cicadapass_common/operator_api.py
+++ b/packages/common/cicadapass_common/operator_api.py
@@ -22,6 +22,7 @@
 MEMBERS_PATH = "/v1/members"
 EVENTS_PATH = "/v1/events"
 EXPLAIN_PATH = "/v1/explain"
+TRAFFIC_PATH = "/v1/traffic"
 PUBLISH_PATH = "/v1/publish"
 DRAIN_PATH = "/v1/drain"
 
@@ -152,6 +153,24 @@
     candidates: tuple[Candidate, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class KindTraffic:
+    """Count the messages of one kind between nodes since the node started."""
+
+    kind: str
+    messages: int
+    frame_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficAnswer:
+    """Answer `GET /v1/traffic`; bytes are those of the messages alone."""
+
+    node: str
+    sent: tuple[KindTraffic, ...] = ()
+    received: tuple[KindTraffic, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class PublishBody:
     """Body of `POST /v1/publish`; the same `publish_id` may be sent again."""
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -31,6 +31,7 @@
     RequestEnded,
 )
 from cicadapass.parts import PART_TIMEOUT_S, Parts
+from cicadapass.peerstate import KindCount
 from cicadapass.plaincalls import PlainParts
 from cicadapass.plaingate import GateParts, PlainGate
 from cicadapass.platformclient import Notice, PlatformClient, seconds_left
@@ -39,7 +40,12 @@
 from cicadapass.timers import TimerService
 from cicadapass.upstreamside import UpstreamParts, UpstreamSide
 from cicadapass_common.events import EventLog
-from cicadapass_common.operator_api import DrainAnswer, NodeStatus
+from cicadapass_common.operator_api import (
+    DrainAnswer,
+    KindTraffic,
+    NodeStatus,
+    TrafficAnswer,
+)
 from cicadapass_common.stamps import StampClock
 from cicadapass_decisions.inventory import Inventory
 from cicadapass_decisions.logrecords import NO_VERSION
@@ -378,6 +384,7 @@
             inventory=views.inventory_answer,
             upstreams=views.upstreams_answer,
             members=views.members_answer,
+            traffic=self._traffic,
             events=views.events_answer,
             explain=views.explain,
             publish=self._config.publish,
@@ -385,6 +392,12 @@
             report_fault=self._report_fault,
         )
 
+    def _traffic(self) -> TrafficAnswer:
+        traffic = self._cluster.peers.traffic()
+        return TrafficAnswer(
+            self._settings.name, _kinds(traffic.sent), _kinds(traffic.received)
+        )
+
     def _status(self) -> NodeStatus:
         view = self._holder.view
         return NodeStatus(
@@ -417,6 +430,13 @@
     return NodeHttpServer(address.host, address.port, app, limits, tls)
 
 
+def _kinds(counts: dict[str, KindCount]) -> tuple[KindTraffic, ...]:
+    return tuple(
+        KindTraffic(kind, count.messages, count.frame_bytes)
+        for kind, count in sorted(counts.items())
+    )
+
+
 def _url(address: AddressSettings, port: int) -> str:
     scheme = "http" if address.certificate is None else "https"
     return f"{scheme}://{address.host}:{port}"
--- a/packages/node/cicadapass/operators.py
+++ b/packages/node/cicadapass/operators.py
@@ -19,6 +19,7 @@
     MEMBERS_PATH,
     PUBLISH_PATH,
     STATUS_PATH,
+    TRAFFIC_PATH,
     UPSTREAMS_PATH,
     DrainAnswer,
     EventsAnswer,
@@ -28,6 +29,7 @@
     NodeStatus,
     PublishAnswer,
     PublishBody,
+    TrafficAnswer,
     UpstreamsAnswer,
     read_answer,
 )
@@ -47,6 +49,7 @@
     inventory: Callable[[], InventoryAnswer]
     upstreams: Callable[[], UpstreamsAnswer]
     members: Callable[[], MembersAnswer]
+    traffic: Callable[[], TrafficAnswer]
     events: Callable[[str | None, int], EventsAnswer]
     explain: Callable[[str, str, str], Result[ExplainAnswer, Problem]]
     publish: Callable[[PublishBody], PublishAnswer]
@@ -64,6 +67,7 @@
             INVENTORY_PATH: lambda query: parts.inventory(),
             UPSTREAMS_PATH: lambda query: parts.upstreams(),
             MEMBERS_PATH: lambda query: parts.members(),
+            TRAFFIC_PATH: lambda query: parts.traffic(),
             EVENTS_PATH: self._events,
             EXPLAIN_PATH: self._explain,
         }
--- /dev/null
+++ b/tests/bench/test_capacity.py
@@ -0,0 +1,102 @@
+"""Test the fit of the capacity measurements and their arithmetic."""
+
+import io
+import json
+import random
+from contextlib import redirect_stdout
+
+import testtools
+
+from cicadapass_bench import capacity
+from cicadapass_bench.capacity_fit import fit_line
+from cicadapass_bench.capacity_output import Output
+from cicadapass_bench.capacity_plan import (
+    PlannedSize,
+    batcher_appends_per_s,
+    keyed_share_at,
+)
+from cicadapass_bench.capacity_tables import document_of
+from cicadapass_decisions.inventory import parse_inventory
+
+
+class FitTest(testtools.TestCase):
+    def test_exact_line(self):
+        """A wrong slope would carry over to each projected figure."""
+        fit = fit_line([1, 2, 4], [5.0, 7.0, 11.0])
+        self.assertAlmostEqual(3.0, fit.base)
+        self.assertAlmostEqual(2.0, fit.slope)
+        self.assertAlmostEqual(0.0, fit.slope_error)
+        self.assertAlmostEqual(23.0, fit.at(10))
+
+    def test_errors(self):
+        """Too small an error would make a doubtful projection look certain."""
+        # A textbook case: the residuals are -1/6, 1/3 and -1/6.
+        fit = fit_line([1, 2, 3], [1.0, 2.0, 2.0])
+        self.assertAlmostEqual(0.5, fit.slope)
+        self.assertAlmostEqual((1 / 12) ** 0.5, fit.slope_error)
+        self.assertAlmostEqual((1 / 6 * (1 / 3 + 2)) ** 0.5, fit.base_error)
+        self.assertAlmostEqual(fit.base_error, fit.error_at(0))
+        self.assertLess(fit.error_at(2), fit.error_at(20))
+
+    def test_too_few_sizes(self):
+        """Two sizes always fit, and their error would be zero."""
+        self.assertRaises(ValueError, fit_line, [1, 2], [1.0, 2.0])
+        self.assertRaises(ValueError, fit_line, [1, 1, 2], [1.0, 2.0, 3.0])
+
+
+class PlanTest(testtools.TestCase):
+    def test_shares_of_a_node(self):
+        """A node's share decides how many cores it needs."""
+        plan = PlannedSize()
+        self.assertAlmostEqual(19.7, plan.node_requests_per_s, 1)
+        self.assertAlmostEqual(5263, plan.node_tokens_per_s, 0)
+        self.assertAlmostEqual(267, plan.tokens_per_request, 0)
+        self.assertAlmostEqual(2800, plan.engine_reads_per_s)
+        self.assertAlmostEqual(76, plan.idle_log_reads_per_s)
+
+    def test_publish_bytes(self):
+        """Leaving out base64 would understate the bytes that a node reads."""
+        plan = PlannedSize(publishes_per_day=86_400)
+        self.assertAlmostEqual(4000, plan.publish_bytes_per_s(3000))
+
+    def test_appends_reach_the_limit(self):
+        """The share at the limit must give exactly the limit."""
+        share = keyed_share_at(300, 7500, 10, 0.02, 0.005)
+        appends = batcher_appends_per_s(share * 7500, 10, 0.02, 0.005)
+        self.assertAlmostEqual(300, appends)
+        self.assertEqual(0.0, batcher_appends_per_s(0, 10, 0.02, 0.005))
+
+    def test_slow_log_never_reaches_the_limit(self):
+        """Ten batchers that wait for a slow log cannot exceed the rate."""
+        self.assertEqual(1.0, keyed_share_at(300, 7500, 10, 0.02, 0.1))
+
+
+class OutputTest(testtools.TestCase):
+    def test_lines(self):
+        """The page quotes these lines; each must be complete."""
+        out = io.StringIO()
+        with redirect_stdout(out):
+            output = Output(7)
+            output.series("m", "nodes", [(1, 2.0), (2, 4.0), (3, 6.0)], "B")
+            self.assertAlmostEqual(20.0, output.projected("m", 10, "B"))
+        lines = [json.loads(line) for line in out.getvalue().splitlines()]
+        keys = {"measure", "variant", "value", "unit", "seed"}
+        for line in lines:
+            self.assertEqual((set(line), line["seed"]), (keys, 7))
+        last = next(line for line in lines if line["variant"] == "projected to 10")
+        self.assertEqual(("m", 20.0), (last["measure"], last["value"]))
+
+    def test_copies_part(self):
+        """A part that no longer runs would leave old figures on the page."""
+        out = io.StringIO()
+        with redirect_stdout(out):
+            self.assertEqual(0, capacity.main(["--quick", "--only", "copies"]))
+        names = {json.loads(line)["measure"] for line in out.getvalue().splitlines()}
+        self.assertLessEqual({"copy_bytes_slope", "hand_over_bytes_slope"}, names)
+
+
+class DocumentTest(testtools.TestCase):
+    def test_valid(self):
+        """An invalid document would measure the reporting of mistakes instead."""
+        document = document_of(30, random.Random(1))
+        self.assertTrue(parse_inventory(document).is_ok())
