--- a/packages/bench/cicadapass_bench/capacity_claims.py
+++ b/packages/bench/cicadapass_bench/capacity_claims.py
@@ -30,8 +30,6 @@
 WINDOW_S = 3600.0
 RETENTION_S = 86_400.0
 MAX_CLAIMS = 200_000
-# Far above the planned limit, so that the stand-in does not hide the demand.
-STAND_IN_APPENDS_PER_S = 5_000
 
 
 @dataclass(slots=True)
@@ -51,8 +49,8 @@
     logging.disable(logging.CRITICAL)
     duration_s = QUICK_DURATION_S if quick else DURATION_S
     for share in SHARES:
+        # The stand-in has no append limit by default, so it does not hide the demand.
         command = ["-m", "cicadapass_standins.log"]
-        command += ["--appends-per-s", str(STAND_IN_APPENDS_PER_S)]
         [log] = group.start_all([(f"log-{share}", command)])
         rate = share * plan.requests_per_s / plan.data_centres
         counts = [Counts() for _ in range(plan.data_centres)]
--- a/packages/bench/cicadapass_bench/capacity_nodes.py
+++ b/packages/bench/cicadapass_bench/capacity_nodes.py
@@ -24,9 +24,8 @@
 
 NODES_PER_PLACE = (1, 2, 4, 8)
 QUICK_NODES_PER_PLACE = (1, 2, 3)
-# The same few engines are listed under as many names.
-LISTED_ENGINES = (12, 24, 48, 96)
-QUICK_LISTED_ENGINES = (6, 12, 24)
+ENGINES_PER_PLACE = (1, 2, 4, 8)
+QUICK_ENGINES_PER_PLACE = (1, 2, 3)
 PUBLISHES = 5
 SETTLE_S = 6.0
 WINDOW_S = 8.0
@@ -63,14 +62,13 @@
 
 
 def measure_engines(output: Output, plan: PlannedSize, *, quick: bool) -> None:
-    """Measure three idle nodes by the number of engines that they list."""
+    """Measure three idle nodes by the number of engines."""
     rows: dict[str, list[tuple[float, float]]] = {}
-    fleet = replace(GRABHANDLE, services=0)
-    with running_world(WorldPlan(fleets=(fleet,))) as world:
-        for count in QUICK_LISTED_ENGINES if quick else LISTED_ENGINES:
-            _publish(world, _listed(world, count))
+    for count in QUICK_ENGINES_PER_PLACE if quick else ENGINES_PER_PLACE:
+        fleet = replace(GRABHANDLE, engines=count, services=0)
+        with running_world(WorldPlan(fleets=(fleet,))) as world:
             cost = _idle_cost(world, quick)
-            _add_cost(rows, count, cost, "_by_engines")
+            _add_cost(rows, len(world.upstreams), cost, "_by_engines")
     _print_rows(output, rows, "engines", plan.engines)
 
 
@@ -143,18 +141,6 @@
     return float(sum(kind["frame_bytes"] for kind in kinds))
 
 
-def _listed(world: World, count: int) -> dict[str, Any]:
-    """Return the inventory with each engine listed several times."""
-    document = world.inventory()
-    fleet = document["fleets"][world.plan.fleets[0].name]
-    engines = list(fleet["upstreams"].items())
-    fleet["upstreams"] = {
-        f"{engines[n % len(engines)][0]}-{n}": engines[n % len(engines)][1]
-        for n in range(count)
-    }
-    return document
-
-
 def _publish_times(world: World) -> list[float]:
     """Publish changes and return the seconds from the call to all nodes."""
     times = []
