--- a/packages/bench/cicadapass_bench/capacity.py
+++ b/packages/bench/cicadapass_bench/capacity.py
@@ -11,6 +11,7 @@
 from cicadapass_bench import slopes_claims, slopes_peers
 from cicadapass_bench.capacity_claims import measure_claims
 from cicadapass_bench.capacity_copies import measure_copies, measure_hand_over
+from cicadapass_bench.capacity_fleet import measure_fleet
 from cicadapass_bench.capacity_load import measure_load
 from cicadapass_bench.capacity_nodes import measure_engines, measure_nodes
 from cicadapass_bench.capacity_output import Output
@@ -70,6 +71,10 @@
         measure_claims(output, plan, group, quick=quick)
 
 
+def _fleet(output: Output, plan: PlannedSize, quick: bool) -> None:
+    measure_fleet(output, plan)
+
+
 def _nodes(output: Output, plan: PlannedSize, quick: bool) -> None:
     measure_nodes(output, plan, quick=quick)
 
@@ -98,6 +103,7 @@
     "table": _table,
     "reads": _reads,
     "copies": _copies,
+    "fleet": _fleet,
     "claims": _claims,
     "engines": _engines,
     "nodes": _nodes,
