--- a/packages/bench/cicadapass_bench/callerkit.py
+++ b/packages/bench/cicadapass_bench/callerkit.py
@@ -18,6 +18,7 @@
 RETURN_PAUSE_S = 0.05
 STREAM_END = b"data: [DONE]\n\n"
 REQUEST_ID_HEADER = "Cicadapass-Request-Id"
+DURABILITY_HEADER = "Cicadapass-Durability"
 NETWORK_ERRORS = (OSError, http.client.HTTPException)
 
 
@@ -60,6 +61,7 @@
     returns: int = 0
     longest_return_s: float = 0.0
     refusal: str = ""
+    durability: str = ""
     began_s: float = field(default_factory=time.monotonic)
     first_byte_s: float | None = None
     ended_s: float | None = None
@@ -111,13 +113,18 @@
         self._lock = threading.Lock()
 
     def stream(
-        self, prompt: Prompt, first_url: str = "", drop_bytes: int = 0
+        self,
+        prompt: Prompt,
+        first_url: str = "",
+        drop_bytes: int = 0,
+        answer: Streamed | None = None,
     ) -> Streamed:
         """Read a streamed answer; return through other nodes for its rest.
 
-        `drop_bytes` makes the caller drop its connection once after so many.
+        `drop_bytes` makes the caller drop its connection once after so many. An
+        `answer` that is given can be watched while it grows.
         """
-        answer = Streamed(prompt)
+        answer = answer or Streamed(prompt)
         url = first_url or self._next_url()
         body = prompt.body(stream=True)
         self._read(answer, url, "POST", "/v1/chat/completions", body, drop_bytes)
@@ -200,6 +207,8 @@
                     answer.refusal = f"{response.status} {response.read()[:200]!r}"
                 return
             answer.request_id = response.headers[REQUEST_ID_HEADER]
+            if method == "POST":
+                answer.durability = response.headers.get(DURABILITY_HEADER, "")
             while data := response.read1(READ_BYTES):
                 if lost_s is not None:
                     answer.returns += 1
--- /dev/null
+++ b/packages/bench/cicadapass_bench/matrix.py
@@ -0,0 +1,195 @@
+"""Run the fault matrix: inject each fault at each step and check all guarantees.
+
+python -m cicadapass_bench.matrix [--quick] [--step S] [--fault F] [--seed N]
+"""
+
+import argparse
+import random
+import sys
+import time
+import zlib
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import urllib3
+
+from cicadapass_bench.matrix_checks import PlannedStop, failures
+from cicadapass_bench.matrix_faults import FAULTS, KEEPS_NODES, LOSES_NODES
+from cicadapass_bench.matrix_load import Load
+from cicadapass_bench.matrix_steps import NOT_RUN_STEPS, STEPS, Cell
+from cicadapass_bench.matrix_world import MatrixWorld, matrix_world
+from cicadapass_bench.world import NodeProcess, NotReady
+
+KNOWN_RED = Path("KNOWN-RED.txt")
+ENTRY_PREFIX = "matrix: "
+GUARANTEES = ("P1", "P2", "P3", "P4", "P5", "P6", "P7")
+STOP_TIMEOUT_S = 30.0
+# A step is held on for this time after its fault has begun.
+RELEASE_AFTER_S = 0.5
+# These steps take one node away by themselves.
+NODE_STEPS = frozenset({"drain", "hand-over", "take-over"})
+TAKES_TWO_NODES = frozenset({"two-data-centres", "fault-twice"})
+# The only copy is not reachable while its node is frozen, cut off or reclaimed.
+WITHHOLDS_NODES = frozenset({"node-frozen", "reclaimed", "cut-from-peers"})
+# The cells that most often showed a fault, or that cover a guarantee alone.
+QUICK = (
+    ("mid-stream", "node-killed"),
+    ("claim", "node-killed"),
+    ("answer", "node-killed"),
+    ("mid-stream", "upstream-killed"),
+    ("send", "upstream-truncating"),
+    ("claim", "log-answer-lost"),
+    ("publish-read-back", "two-operators"),
+    ("publish-in-force", "cut-from-log"),
+    ("mid-stream", "cut-from-peers"),
+    ("drain", "vm-list-stale"),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Hold the verdict on one cell."""
+
+    step: str
+    fault: str
+    seed: int
+    word: str
+    guarantees: tuple[str, ...] = ()
+    details: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        """Return the cell's line."""
+        guarantees = ",".join(self.guarantees) or "-"
+        line = f"step={self.step} fault={self.fault} guarantee={guarantees}"
+        return f"{line} verdict={self.word} seed={self.seed}"
+
+
+def run_cell(world: MatrixWorld, step: str, fault: str, seed: int) -> Verdict:
+    """Run one cell on a healed world and return its verdict."""
+    if step in NODE_STEPS and fault in TAKES_TWO_NODES:
+        reason = "no node would be left"
+        return Verdict(step, fault, seed, "not-applicable", details=(reason,))
+    rng = random.Random(zlib.crc32(f"{step} {fault} {seed}".encode()))
+    load = Load(world, rng)
+    nodes = sorted(world.nodes, key=lambda node: node.data_centre)
+    cell = Cell(world, load, rng, rng.choice(nodes), rng.choice(world.engines))
+    load.outcome.nodes_lost = fault in LOSES_NODES or step == "take-over"
+    problems = _inject(cell, step, fault)
+    if cell.drained is not None and fault in KEEPS_NODES:
+        load.outcome.stops.append(_planned_stop(cell, cell.drained))
+    problems += _heal(world, load)
+    outcome = load.stop()
+    judged = list(GUARANTEES)
+    if cell.copies_lost and fault in (LOSES_NODES | WITHHOLDS_NODES):
+        judged.remove("P1")
+    found = {k: v for k, v in failures(outcome).items() if k in judged}
+    details = [*problems, *(f"{k}: {each}" for k, v in found.items() for each in v)]
+    word = "FAIL" if details else "ok"
+    return Verdict(step, fault, seed, word, tuple(found or judged), tuple(details))
+
+
+def _inject(cell: Cell, step: str, fault: str) -> list[str]:
+    cell.load.start()
+    try:
+        release = STEPS[step](cell)
+        cell.load.spawn(lambda: _release_later(cell, release))
+        FAULTS[fault](cell)
+    except (NotReady, urllib3.exceptions.HTTPError, StopIteration) as error:
+        return [f"the cell could not be set up: {error!r}"]
+    return []
+
+
+def _release_later(cell: Cell, release: Callable[[], object]) -> None:
+    cell.load.wait(RELEASE_AFTER_S)
+    # What was held may have been killed in the meantime.
+    with suppress(urllib3.exceptions.HTTPError):
+        release()
+
+
+def _planned_stop(cell: Cell, node: NodeProcess) -> PlannedStop:
+    code = node.process.wait(STOP_TIMEOUT_S)
+    interrupted = sum(each.returns > 0 for each in cell.drained_streams)
+    return PlannedStop(node.name, code, interrupted)
+
+
+def _heal(world: MatrixWorld, load: Load) -> list[str]:
+    """Heal the world under load and check that publishes work again."""
+    try:
+        world.heal()
+    except (NotReady, urllib3.exceptions.HTTPError) as error:
+        return [f"the world did not heal: {error!r}"]
+    answer = load.publish()
+    if answer.get("outcome") != "accepted":
+        return [f"the publish after the fault: {answer}"]
+    return []
+
+
+def cells(args: argparse.Namespace) -> Iterator[tuple[str, str]]:
+    """Return the steps and faults that were asked for."""
+    for step in STEPS:
+        for fault in FAULTS:
+            wanted = args.step in (None, step) and args.fault in (None, fault)
+            if wanted and (not args.quick or (step, fault) in QUICK):
+                yield step, fault
+
+
+def known_red() -> frozenset[str]:
+    """Return the cells that are listed as known failures."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = KNOWN_RED.read_text().splitlines()
+    return frozenset(
+        line.removeprefix(ENTRY_PREFIX).strip()
+        for line in lines
+        if line.startswith(ENTRY_PREFIX)
+    )
+
+
+def run(args: argparse.Namespace, out: Callable[[str], object]) -> "Counter[str]":
+    """Run cells until they or the time end; return how often each verdict was."""
+    began_s = time.monotonic()
+    counts: Counter[str] = Counter()
+    known = known_red()
+    todo = list(cells(args))
+    while todo:
+        with matrix_world() as world:
+            while todo:
+                if args.limit_s and time.monotonic() - began_s > args.limit_s:
+                    counts["not-run"] += len(todo)
+                    return counts
+                step, fault = todo.pop(0)
+                verdict = run_cell(world, step, fault, args.seed)
+                if verdict.word == "FAIL" and f"step={step} fault={fault}" in known:
+                    verdict = replace(verdict, word="known-red")
+                counts[verdict.word] += 1
+                out(str(verdict))
+                for detail in verdict.details:
+                    out(f"  {detail}")
+                if any("the world did not heal" in d for d in verdict.details):
+                    break
+    return counts
+
+
+def main() -> int:
+    """Run the command and return the exit code."""
+    parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.matrix")
+    parser.add_argument("--quick", action="store_true", help="the most telling cells")
+    parser.add_argument("--step", choices=[*STEPS], help="only this step")
+    parser.add_argument("--fault", choices=[*FAULTS], help="only this fault")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--limit-s", type=float, default=0.0, help="stop after so long")
+    args = parser.parse_args()
+    counts = run(args, lambda line: print(line, flush=True))
+    for step, reason in NOT_RUN_STEPS.items():
+        print(f"step={step} not run: {reason}")
+    ok, failed = counts["ok"], counts["FAIL"]
+    other = ", ".join(f"{counts[w]} {w}" for w in ("known-red", "not-applicable"))
+    print(f"{ok} cells ok, {failed} failed, {counts['not-run']} not run, {other}")
+    return 1 if failed or not ok else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/cicadapass_bench/matrix_world.py
@@ -0,0 +1,341 @@
+"""A world whose processes can be cut off, killed, and brought back between cells."""
+
+import itertools
+import json
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+from urllib.parse import urlsplit
+
+import urllib3
+
+from cicadapass_bench.matrix_relay import RELAY_HOST, Relay, owns_port
+from cicadapass_bench.processes import (
+    Process,
+    ProcessGroup,
+    StartError,
+    process_group,
+)
+from cicadapass_bench.world import (
+    OPERATOR_CREDENTIAL,
+    NodeProcess,
+    NotReady,
+    UpstreamProcess,
+    World,
+    WorldPlan,
+    small_plan,
+    wait_until,
+)
+
+FLEET = "grabhandle"
+CONFIG_STREAM = "cicadapass"
+CLAIM_STREAM = "cicadapass-claims"
+TOKENS_PER_S = 250
+OPERATORS_TIMEOUT_S = 2.0
+CTL_TIMEOUT_S = 60.0
+PORT_TRIES = 8
+PORT_RETRY_S = 0.25
+
+
+class MatrixWorld(World):
+    """Own a world with relays before the log and before each node's peer address."""
+
+    def __init__(self, plan: WorldPlan, group: ProcessGroup) -> None:
+        self._log_relays: dict[str, Relay] = {}
+        self._peer_relays: dict[str, Relay] = {}
+        self._numbers = itertools.count(1)
+        self.lost_effects: Counter[str] = Counter()
+        self.lost_attempts: set[tuple[str, str, int]] = set()
+        self.frozen: set[str] = set()
+        super().__init__(plan, group)
+
+    @property
+    def engines(self) -> list[UpstreamProcess]:
+        """Return the model engines."""
+        return [u for u in self.upstreams if u.service == "parts"]
+
+    @property
+    def services(self) -> list[UpstreamProcess]:
+        """Return the plain services."""
+        return [u for u in self.upstreams if u.service != "parts"]
+
+    def usable_nodes(self) -> list[NodeProcess]:
+        """Return the nodes that run and are not frozen."""
+        return [
+            n for n in self.nodes if n.process.running and n.name not in self.frozen
+        ]
+
+    def freeze(self, node: NodeProcess) -> None:
+        """Stop a node's process; callers are sent elsewhere."""
+        self.frozen.add(node.name)
+        node.process.pause()
+
+    def thaw(self, node: NodeProcess) -> None:
+        """Let a frozen node go on."""
+        node.process.resume()
+        self.frozen.discard(node.name)
+
+    def cut_log(self, node: NodeProcess) -> None:
+        """Hold all traffic between a node and the log."""
+        self._log_relays[node.name].block()
+
+    def cut_peers(self, node: NodeProcess) -> None:
+        """Hold all traffic between a node and all other nodes."""
+        pid = node.process.pid
+        known: dict[int, bool] = {}
+
+        def from_node(port: int) -> bool:
+            if port not in known:
+                known[port] = owns_port(pid, port)
+            return known[port]
+
+        for name, relay in self._peer_relays.items():
+            if name == node.name:
+                relay.block()
+            else:
+                relay.block(from_node)
+
+    def heal_links(self) -> None:
+        """Let all relays forward again."""
+        for relay in (*self._log_relays.values(), *self._peer_relays.values()):
+            relay.heal()
+
+    def kill_upstream(self, upstream: UpstreamProcess) -> None:
+        """Kill an upstream, keeping what it has done."""
+        if not upstream.process.running:
+            return
+        self.lost_effects += self._effects_of(upstream)
+        self.lost_attempts |= self.attempts_of(upstream)
+        upstream.process.kill()
+
+    def restart_upstream(self, upstream: UpstreamProcess) -> UpstreamProcess:
+        """Start another incarnation at the address of a killed upstream."""
+        model = upstream.service == "parts"
+        module = "engine" if model else "service"
+        options = self.plan.engine_options if model else self.plan.service_options
+        slots = self.plan.engine_slots if model else self.plan.service_slots
+        port = str(urlsplit(upstream.url).port)
+        command = ["-m", f"cicadapass_standins.{module}", "--slots", str(slots)]
+        name = f"{upstream.name}-r{next(self._numbers)}"
+        process = self._start_at(name, [*command, *options], port)
+        fresh = UpstreamProcess(
+            upstream.name,
+            upstream.fleet,
+            upstream.data_centre,
+            upstream.service,
+            process,
+        )
+        self.upstreams[self.upstreams.index(upstream)] = fresh
+        return fresh
+
+    def _start_at(self, name: str, command: list[str], port: str) -> Process:
+        for _ in range(PORT_TRIES):
+            process = self.group.start(name, [*command, "--port", port])
+            try:
+                process.read_addresses()
+                return process
+            except StartError:
+                # A connection that lingers, or another process, may hold the port.
+                threading.Event().wait(PORT_RETRY_S)
+        return self.group.start_all([(name, command)])[0]
+
+    def all_effects(self) -> "Counter[str]":
+        """Return the effects of all services, also of those that were killed."""
+        total = Counter(self.lost_effects)
+        for each in self.services:
+            total += self._effects_of(each)
+        return total
+
+    def attempts_of(self, upstream: UpstreamProcess) -> set[tuple[str, str, int]]:
+        """Return the attempts that an engine has got."""
+        if upstream.service != "parts" or not upstream.process.running:
+            return set()
+        page = self.http.request("GET", f"{upstream.url}/stats").json()
+        return {
+            (upstream.url, request_id, attempt["attempt"])
+            for request_id, each in page["requests"].items()
+            for attempt in each
+        }
+
+    def attempted(self) -> frozenset[str]:
+        """Return the requests that any engine has got."""
+        found = set(self.lost_attempts)
+        for each in self.engines:
+            found |= self.attempts_of(each)
+        return frozenset(request_id for _, request_id, _ in found)
+
+    def end_offset(self, stream: str) -> int:
+        """Return the offset after the last record of a stream of the log."""
+        url = f"{self.log.addresses['url']}/streams/{stream}/records?from=0&limit=1"
+        return int(self.http.request("GET", url).json()["end_offset"])
+
+    def status(self, node: NodeProcess) -> dict[str, Any]:
+        """Return a node's status, or nothing if it does not answer."""
+        return self._ask(node, "/v1/status")
+
+    def events(self, node: NodeProcess, number: int, since_ms: int) -> list[Any]:
+        """Return a node's recent events of one number."""
+        page = self._ask(node, f"/v1/events?since={since_ms}")
+        return [e for e in page.get("events", []) if e["event"] == number]
+
+    def document(self) -> dict[str, Any]:
+        """Return a valid inventory that differs from all before."""
+        document = self.inventory()
+        workspaces = document["fleets"][FLEET]["workspaces"]
+        workspaces["bulk"]["weight"] = next(self._numbers)
+        return document
+
+    def publish_new(self, *options: str) -> dict[str, Any]:
+        """Publish a new inventory and return the command's JSON answer."""
+        number = next(self._numbers)
+        path = self.group.directory / f"inventory-{number}.json"
+        path.write_text(json.dumps(self.document()))
+        settings = self.group.directory / f"ctl-{number}.json"
+        nodes = [node.operators_url for node in self.usable_nodes()]
+        values = {
+            "log_url": self.log.addresses["url"],
+            "nodes": nodes,
+            "operator_credential": OPERATOR_CREDENTIAL,
+        }
+        settings.write_text(json.dumps(values))
+        command = [sys.executable, "-m", "cicadapassctl", "--settings", str(settings)]
+        ended = subprocess.run(
+            [*command, "--json", "publish", *options, str(path)],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=CTL_TIMEOUT_S,
+        )
+        with suppress(ValueError):
+            return dict(json.loads(ended.stdout)) | {"code": ended.returncode}
+        return {"outcome": f"exit {ended.returncode}: {ended.stderr[-200:]}"}
+
+    def heal(self) -> None:
+        """Bring everything back: stand-ins without faults, three ready nodes."""
+        self.heal_links()
+        for node in self.nodes:
+            self.thaw(node)
+        for standin in (self.log, self.vm_list, self.cloud):
+            self.control(standin, reset=True)
+        for upstream in list(self.upstreams):
+            upstream.process.resume()
+            if not upstream.process.running:
+                upstream = self.restart_upstream(upstream)
+            elif self._left(upstream):
+                # Leaving marks are never cleared, so that a new VM takes its place.
+                self.kill_upstream(upstream)
+                upstream = self.restart_upstream(upstream)
+            self.control(upstream.process, reset=True)
+            self.control(self.vm_list, remove=upstream.name)
+        self._replace_nodes()
+        self.wait_ready()
+        self.wait_members(len(self.nodes))
+
+    def _left(self, upstream: UpstreamProcess) -> bool:
+        path = "/v1/load" if upstream.service == "parts" else "/load"
+        load = self.http.request("GET", upstream.url + path).json()
+        return bool(load["leaving"])
+
+    def _replace_nodes(self) -> None:
+        for node in list(self.nodes):
+            stopping = node.process.running and self.status(node).get("draining", True)
+            if stopping:
+                node.process.kill()
+            if not node.process.running:
+                self.nodes.remove(node)
+                self.control(self.vm_list, remove=node.name)
+                for relays in (self._log_relays, self._peer_relays):
+                    relays.pop(node.name).close()
+        for plan in self.plan.fleets:
+            for place in plan.data_centres:
+                here = [n for n in self.nodes if n.data_centre == place]
+                # A node that joined in an earlier cell is one too many.
+                for extra in here[1:]:
+                    extra.process.kill()
+                    self.nodes.remove(extra)
+                    self.control(self.vm_list, remove=extra.name)
+                if not here:
+                    self.start_node(plan.name, place, self.fresh_name(place))
+
+    def fresh_name(self, data_centre: str) -> str:
+        """Return a name that no node had before."""
+        return f"{FLEET}-{data_centre}-r{next(self._numbers)}"
+
+    def _effects_of(self, upstream: UpstreamProcess) -> "Counter[str]":
+        if upstream.service == "parts" or not upstream.process.running:
+            return Counter()
+        page = self.http.request("GET", f"{upstream.url}/ledger").json()
+        return Counter(effect["path"] for effect in page["effects"])
+
+    def _ask(self, node: NodeProcess, path: str) -> dict[str, Any]:
+        headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
+        try:
+            answer = self.http.request(
+                "GET",
+                node.operators_url + path,
+                headers=headers,
+                timeout=OPERATORS_TIMEOUT_S,
+            )
+            return dict(answer.json())
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return {}
+
+    def _start_node(
+        self, fleet: str, data_centre: str, name: str, settings: Mapping[str, Any]
+    ) -> NodeProcess:
+        relay = Relay(_address(self.log.addresses["url"]))
+        self._log_relays[name] = relay
+        log_url = f"http://{RELAY_HOST}:{relay.port}"
+        values = {"log_url": log_url, **settings}
+        return super()._start_node(fleet, data_centre, name, values)
+
+    def _list_vm(self, node: NodeProcess, **changes: Any) -> None:
+        if node.name not in self._peer_relays:
+            target = ("127.0.0.1", int(node.process.addresses["peer_port"]))
+            self._peer_relays[node.name] = Relay(target)
+        port = self._peer_relays[node.name].port
+        super()._list_vm(node, **{"address": f"{RELAY_HOST}:{port}", **changes})
+
+
+def matrix_plan() -> WorldPlan:
+    """Return the plan of the matrix: services that do not deduplicate by key."""
+    return small_plan(
+        engine_options=("--tokens-per-s", str(TOKENS_PER_S)),
+        service_options=("--faults", '{"deduplicate": false}'),
+    )
+
+
+@contextmanager
+def matrix_world() -> Iterator[MatrixWorld]:
+    """Run the world of the matrix and stop it with the block."""
+    with (
+        TemporaryDirectory(prefix="cicadapass-matrix-") as directory,
+        process_group(Path(directory)) as group,
+    ):
+        world = MatrixWorld(matrix_plan(), group)
+        published = world.publish(world.inventory())
+        if published.returncode != 0:
+            raise NotReady(f"publish failed: {published.stderr}")
+        world.wait_ready()
+        world.wait_members(len(world.nodes))
+        yield world
+
+
+def now_ms() -> int:
+    """Return the wall time as events are stamped."""
+    return int(time.time() * 1000)
+
+
+def _address(url: str) -> tuple[str, int]:
+    parts = urlsplit(url)
+    return str(parts.hostname), int(parts.port or 80)
+
+
+__all__ = ["MatrixWorld", "matrix_plan", "matrix_world", "now_ms", "wait_until"]
