Leave the events of a stopping node with a peer

The timeline of a request lost the part of a node that was reclaimed. Events carry the node's name qualified by its fleet, because both fleets may use the same name.

--- a/packages/common/cicadapass_common/messages.py
+++ b/packages/common/cicadapass_common/messages.py
@@ -201,18 +201,9 @@
     counts: tuple[InFlightCount, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EventsRead(Message):
-    """Ask for events; answered by EventLines."""
-
-    KIND: ClassVar[str] = "events_read"
-    request_id: str | None
-    since_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class EventLines(Message):
-    """Answer an EventsRead with events as JSON lines."""
+    """Leave events of a stopping node, as JSON lines; answered by Done."""
 
     KIND: ClassVar[str] = "event_lines"
     lines: tuple[str, ...]
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -14,6 +14,7 @@
 from cicadapass.configside import ConfigSide
 from cicadapass.configview import ConfigHolder, ConfigView
 from cicadapass.drain import Drain, DrainParts
+from cicadapass.eventrelay import EventRelay
 from cicadapass.execution import Execution
 from cicadapass.executionparts import ExecutionParts
 from cicadapass.httpserver import HttpLimits, NodeHttpServer, TlsFiles, WsgiApp
@@ -72,7 +73,9 @@
         self._given_up = False
         self._rng = random.Random()
         self._stamps = StampClock()
-        self._events = EventLog(settings.name, self._stamps.stamp)
+        # Both fleets may use the same VM name.
+        own_name = qualify(settings.fleet, settings.name)
+        self._events = EventLog(own_name, self._stamps.stamp)
         self._telemetry = Telemetry(
             settings.statsd.host, settings.statsd.port, settings.statsd.prefix
         )
@@ -93,6 +96,10 @@
             self._rng,
         )
         self._sharing.register()
+        self._relay = EventRelay(
+            self._events, self._cluster.peers, self._cluster.board, self._rng
+        )
+        self._relay.register()
         self._config = self._config_side()
         self._claims = ClaimSide(
             settings,
@@ -141,6 +148,8 @@
         """Stop without cutting a request in progress, within the grace time."""
         self._drain.begin("stop was asked for")
         unfinished = self._drain.finish()
+        self._events.emit(103, unfinished=unfinished)
+        self._relay.leave_events()
         # What the drain left in progress had its grace time already.
         self._callers.stop(STOP_GRACE_S)
         self._operators.stop(STOP_GRACE_S)
@@ -149,7 +158,6 @@
         self._cluster.stop()
         self._timers.stop()
         self._upstreams.stop()
-        self._events.emit(103, unfinished=unfinished)
 
     def _subscribe_timers(self) -> None:
         subscribe = self._timers.subscribe
@@ -373,7 +381,7 @@
         views = OperatorViews(
             self._settings.name,
             self._upstreams.granting,
-            self._events,
+            self._relay,
             self._holder,
             self._cluster.board,
             lambda: self._upstreams.table,
--- a/packages/node/cicadapass/operatorviews.py
+++ b/packages/node/cicadapass/operatorviews.py
@@ -7,12 +7,12 @@
 from expression import Error, Ok, Result
 
 from cicadapass.configview import ConfigHolder
+from cicadapass.eventrelay import EventRelay
 from cicadapass.granting import Granting
 from cicadapass.grants import AcquireRequest
 from cicadapass.membersnapshot import MembersBoard
 from cicadapass.problems import Problem, not_found, not_ready
 from cicadapass.upstreamtable import UpstreamTable
-from cicadapass_common.events import EventLog
 from cicadapass_common.operator_api import (
     Candidate,
     EventsAnswer,
@@ -49,7 +49,7 @@
 
     node: str
     granting: Granting
-    events: EventLog
+    events: EventRelay
     holder: ConfigHolder
     board: MembersBoard
     table: Callable[[], UpstreamTable]
@@ -99,7 +99,7 @@
         return MembersAnswer(self.node, members)
 
     def events_answer(self, request_id: str | None, since_ms: int) -> EventsAnswer:
-        """Return the events that this node keeps."""
+        """Return the events that this node keeps, those of stopped peers included."""
         events = self.events.recent(request_id)
         recent = (event for event in events if event.stamp[0] >= since_ms)
         return EventsAnswer(self.node, tuple(event.to_document() for event in recent))
--- a/tests/bench/test_recovery.py
+++ b/tests/bench/test_recovery.py
@@ -52,6 +52,9 @@
             rest = call(world, other, "GET", path, timeout=READ_TIMEOUT_S)
             whole = text_of(head + rest.data)
             self.assertEqual(answer_text("user: all nuts", 0, TOKENS), whole)
+            # The stopped node's part of the timeline is left with a peer.
+            timeline = world.ctl("timeline", "--request-id", request_id).stdout
+            self.assertIn("request_accepted", timeline)
 
     def test_same_key_at_two_nodes(self):
         """A payment whose key arrives twice must take effect once."""
