Let the reserve for short work follow its use

Cause: short calls needed 27 slots on average, the reserve had 20, and long jobs held the rest for 24 s each. Change: the reserve is at least 1.5 times the share that short work used lately, a peak that fades with a half-life of 30 s, and leaves long work its guaranteed share.

Broken on purpose (fixed reserve; reserve that never fades): GrantingTest.test_reserve_follows_the_short_work failed.

--- a/packages/bench/cicadapass_bench/policy_bench.py
+++ b/packages/bench/cicadapass_bench/policy_bench.py
@@ -24,7 +24,7 @@
 CAPACITY_PER_S = 69.5
 SHORT_TOKENS = (16, 64)
 LONG_TOKENS = 1000
-LONG_PER_S = 1.6
+LONG_PER_S = 4.0
 # Mechanisms that are switched off alone, as group and switch of the policy.
 SWITCHES = (
     ("queue", "reserve_short"),
--- a/packages/decisions/cicadapass_decisions/fairness.py
+++ b/packages/decisions/cicadapass_decisions/fairness.py
@@ -234,13 +234,18 @@
         return short + long < self.limit - kept
 
 
-def room_of(limit: int, rules: QueueRules) -> Room:
+def room_of(limit: int, rules: QueueRules, short_ratio: float = 0.0) -> Room:
     """Return how the limit of an upstream is shared.
 
-    Both kinds get at least one slot when there are two; one slot serves both.
+    `short_ratio` is the share of the slots that short work used lately. Both kinds
+    get at least one slot when there are two; one slot serves both.
     """
     if not rules.reserve_short or limit < 2:
         return Room(limit, 0, 0)
-    reserved = min(max(1, round(limit * rules.reserved_short_ratio)), limit - 1)
+    # A fixed reserve is too small once short work needs more than it: long jobs that
+    # hold the other slots end late. A margin lets short work grow.
+    ratio = max(rules.reserved_short_ratio, short_ratio * rules.reserve_margin)
+    reserved = max(1, round(limit * min(ratio, 1.0 - rules.guaranteed_long_ratio)))
+    reserved = min(reserved, limit - 1)
     guaranteed = min(int(limit * rules.guaranteed_long_ratio), limit - reserved)
     return Room(limit, reserved, guaranteed)
--- a/packages/decisions/cicadapass_decisions/policy.py
+++ b/packages/decisions/cicadapass_decisions/policy.py
@@ -44,6 +44,9 @@
     reserved_short_ratio: float = _rule(
         0.25, 0.0, 0.9, "share of each upstream's limit that long work cannot use"
     )
+    reserve_margin: float = _rule(
+        1.5, 0.0, 10.0, "reserve relative to the share that short work used lately"
+    )
     guaranteed_long_ratio: float = _rule(
         0.25,
         0.0,
--- a/packages/decisions/cicadapass_decisions/routing.py
+++ b/packages/decisions/cicadapass_decisions/routing.py
@@ -116,7 +116,7 @@
     held = long if request.kind is WorkKind.LONG else short + long
     if held < request.own_share:
         return True
-    room = room_of(candidate.limit, policy.queue)
+    room = room_of(candidate.limit, policy.queue, request.short_ratio)
     if policy.routing.use_peers:
         short += candidate.peers.short
         long += candidate.peers.long
--- a/packages/decisions/cicadapass_decisions/scoring.py
+++ b/packages/decisions/cicadapass_decisions/scoring.py
@@ -66,7 +66,8 @@
     upstreams in `avoid` are chosen only if there is no other that could be, and
     never if `must_avoid` is set. `own_share` lets a node that holds less than its
     share of the service's slots use up to that many requests of an upstream that
-    other nodes have filled.
+    other nodes have filled. `short_ratio` is the share of the slots that short work
+    used lately.
     """
 
     kind: WorkKind
@@ -78,6 +79,7 @@
     long_waits: bool = False
     must_avoid: bool = False
     own_share: int = 0
+    short_ratio: float = 0.0
 
 
 class Status(StrEnum):
--- a/packages/decisions/cicadapass_decisions/sharing.py
+++ b/packages/decisions/cicadapass_decisions/sharing.py
@@ -10,6 +10,19 @@
 # share nodes exceed them all the time, at half of it one was starved by the others.
 OWN_SHARE_RATIO = 0.75
 
+# The reserve follows a peak of short work for about this long.
+SHORT_RATIO_HALF_LIFE_S = 30.0
+
+
+def short_ratio(
+    before: float, candidates: Sequence[Candidate], elapsed_s: float
+) -> float:
+    """Return the share of the slots that short work used lately, as a fading peak."""
+    limits = sum(c.limit for c in candidates if not c.leaving)
+    used = sum(c.own.short + c.peers.short for c in candidates if not c.leaving)
+    faded = before * 0.5 ** (max(0.0, elapsed_s) / SHORT_RATIO_HALF_LIFE_S)
+    return max(faded, min(1.0, used / limits) if limits else 0.0)
+
 
 def own_share(
     kind: WorkKind, own: InFlight, candidates: Sequence[Candidate], nodes: int
--- a/packages/node/cicadapass/granting.py
+++ b/packages/node/cicadapass/granting.py
@@ -88,7 +88,8 @@
             self._table = table
             for service in {*table.services, *self._queues}:
                 queue = self._queue(service)
-                queue.set_table(table.services.get(service, ServiceTable(())))
+                found = table.services.get(service, ServiceTable(()))
+                queue.set_table(found, self._clock())
                 self._grant_waiting(queue)
         self._settle()
 
--- a/packages/node/cicadapass/servicequeue.py
+++ b/packages/node/cicadapass/servicequeue.py
@@ -23,7 +23,7 @@
 from cicadapass_decisions.retry import RetryBudget
 from cicadapass_decisions.routing import Choice, NoUpstream, choose_upstream
 from cicadapass_decisions.scoring import Candidate, InFlight, RoutingRequest
-from cicadapass_decisions.sharing import own_share
+from cicadapass_decisions.sharing import own_share, short_ratio
 from cicadapass_decisions.work import WorkClass, WorkKind
 
 
@@ -42,6 +42,8 @@
         self._own: dict[str, InFlight] = {}
         self._recent = RecentPrefixes(policy.prefix)
         self._load = LoadEstimate()
+        self._short_ratio = 0.0
+        self._table_at_s = 0.0
         self._shed: list[tuple[Settle, Refusal]] = []
         self.budget = RetryBudget()
 
@@ -64,7 +66,7 @@
         self._queue.rules = policy.queue
         self._queue.weights = weights
 
-    def set_table(self, table: ServiceTable) -> None:
+    def set_table(self, table: ServiceTable, now_s: float) -> None:
         """Adopt a snapshot of the service's upstreams."""
         self._table = table
         # A probe is due only while no other request is under way.
@@ -75,6 +77,8 @@
             for c in table.candidates
         ]
         self._index = {c.upstream: i for i, c in enumerate(self._candidates)}
+        elapsed_s, self._table_at_s = now_s - self._table_at_s, now_s
+        self._short_ratio = short_ratio(self._short_ratio, self._candidates, elapsed_s)
 
     def submit(
         self, request: AcquireRequest, settle: Settle, number: int, now_s: float
@@ -169,6 +173,7 @@
             request.avoid,
             long_waits,
             must_avoid=request.hedge,
+            short_ratio=self._short_ratio,
         )
         chosen = self._choose_from(routing, now_s)
         if chosen.is_ok() or request.hedge:
--- a/tests/node/test_dispatcher.py
+++ b/tests/node/test_dispatcher.py
@@ -89,6 +89,20 @@
         self.assertEqual(6, sum(isinstance(grant, Grant) for grant in grants))
         self.assertIsInstance(self._submit(_request("lookup")), Grant)
 
+    def test_reserve_follows_the_short_work(self):
+        """Long jobs must not take slots that short work needs again soon."""
+        table = _table(1, 16)
+        self.granting.set_table(table)
+        lookups = self._fill(SHORT, 9)
+        self.granting.set_table(table)
+        for lookup in lookups:
+            self.granting.release(lookup, Outcome())
+        jobs = self._fill(LONG, 16)
+        self.assertEqual(4, sum(isinstance(job, Grant) for job in jobs))
+        self.now_s = 60.0
+        self.granting.set_table(table)
+        self.assertEqual(12, self.granting.in_flight()["f/u0"].long)
+
     def test_outgrown_work_frees_the_reserved_slot(self):
         """Work that was wrongly called short must not hold a reserved slot."""
         self.granting.set_table(_table(1, 4))
