--- a/packages/node/cicadapass/loadestimate.py
+++ b/packages/node/cicadapass/loadestimate.py
@@ -113,3 +113,14 @@
         weight = weights.get(request.workspace, 1.0)
         share = served_per_s * weight / max(total, weight)
         return offered.get(request.workspace, 0.0) <= share * SHARE_MARGIN
+
+
+def latest_start_s(
+    request: AcquireRequest, table: ServiceTable, rules: RoutingRules
+) -> float:
+    """Return the time after which the answer would come after the deadline."""
+    if request.accepted:
+        return request.deadline_s
+    first_s = table.first_token_s or rules.default_first_token_s
+    inter_s = table.inter_token_s or rules.default_inter_token_s
+    return request.deadline_s - first_s - request.work.expected_tokens * inter_s
--- a/packages/node/cicadapass/servicequeue.py
+++ b/packages/node/cicadapass/servicequeue.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 
 from cicadapass.grants import AcquireRequest, Grant, Pending, Settle
-from cicadapass.loadestimate import LoadEstimate
+from cicadapass.loadestimate import LoadEstimate, latest_start_s
 from cicadapass.upstreamtable import ServiceTable
 from cicadapass_decisions.admission import (
     AdmissionRequest,
@@ -260,20 +260,11 @@
         asked = AdmissionRequest(
             request.work.kind,
             request.priority,
-            self._latest_start_s(request),
+            latest_start_s(request, self._table, self._policy.routing),
             request.accepted,
         )
         return admit(asked, load, self._policy.admission, self._policy.queue, now_s)
 
-    def _latest_start_s(self, request: AcquireRequest) -> float:
-        """Return the time after which the answer would come after the deadline."""
-        if request.accepted:
-            return request.deadline_s
-        rules = self._policy.routing
-        first_s = self._table.first_token_s or rules.default_first_token_s
-        inter_s = self._table.inter_token_s or rules.default_inter_token_s
-        return request.deadline_s - first_s - request.work.expected_tokens * inter_s
-
     def _shed_lowest(self) -> None:
         lowest = self._queue.lowest_sheddable()
         if lowest is None:
@@ -292,7 +283,7 @@
                 request.priority,
                 request.work.kind,
                 request.work.cost,
-                self._latest_start_s(request),
+                latest_start_s(request, self._table, self._policy.routing),
                 pending,
                 sheddable=not request.accepted,
             ),
