Bound the threads and the start of stand-ins in worlds

Cause: each engine got 600 threads. With several worlds on the machine (31,189 threads, pid_max 32,768) stand-ins could not start theirs and were silent, and the demo waited for them without a limit; ended by SIGTERM, it left them running.

Change: threads follow the slots; a start without an address fails after 30 s, which was meant but not done; SIGTERM ends what a run started.

--- a/packages/bench/cicadapass_bench/loadrun.py
+++ b/packages/bench/cicadapass_bench/loadrun.py
@@ -10,6 +10,9 @@
 from cicadapass_bench.loadclient import Load, arguments
 from cicadapass_bench.processes import Process, ProcessGroup
 
+# Far longer than any load lasts.
+RESULT_TIMEOUT_S = 120.0
+
 _numbers = itertools.count(1)
 
 
@@ -80,7 +83,7 @@
 
 
 def _documents(processes: Sequence[Process]) -> list[dict[str, Any]]:
-    documents = [process.read_addresses() for process in processes]
+    documents = [process.read_addresses(RESULT_TIMEOUT_S) for process in processes]
     for process in processes:
         process.wait(10.0)
     return documents
--- a/packages/bench/cicadapass_bench/processes.py
+++ b/packages/bench/cicadapass_bench/processes.py
@@ -3,9 +3,11 @@
 import contextlib
 import json
 import os
+import select
 import signal
 import subprocess
 import sys
+import threading
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
@@ -43,9 +45,12 @@
         """Return whether the process has not ended."""
         return self._popen.poll() is None
 
-    def read_addresses(self) -> dict[str, Any]:
-        """Wait for the first line; raise StartError if there is none."""
+    def read_addresses(self, timeout_s: float = START_TIMEOUT_S) -> dict[str, Any]:
+        """Wait for the first line; raise StartError if there is none in time."""
         assert self._popen.stdout is not None
+        readable, _, _ = select.select([self._popen.stdout], [], [], timeout_s)
+        if not readable:
+            raise StartError(f"{self._arguments} was silent for {timeout_s} s")
         line = self._popen.stdout.readline()
         if not line:
             raise StartError(f"{self._arguments} ended with {self._popen.wait()}")
@@ -133,9 +138,16 @@
 
 @contextlib.contextmanager
 def process_group(directory: Path) -> Iterator[ProcessGroup]:
-    """Give a group whose processes end with the block."""
+    """Give a group whose processes end with the block, also after SIGTERM."""
     group = ProcessGroup(directory)
+    if threading.current_thread() is threading.main_thread():
+        # The default action would leave the started processes running.
+        signal.signal(signal.SIGTERM, _exit)
     try:
         yield group
     finally:
         group.stop()
+
+
+def _exit(number: int, frame: object) -> None:
+    raise SystemExit(128 + number)
--- a/packages/bench/cicadapass_bench/world.py
+++ b/packages/bench/cicadapass_bench/world.py
@@ -46,6 +46,9 @@
 SHARED_SECRET = "bench-shared-secret-0001"
 OPERATOR_CREDENTIAL = "bench-operator-credential"
 PROBE_TIMEOUT_S = 2.0
+# Each node of a fleet may use all slots of an upstream; reports need threads too.
+THREADS_PER_SLOT = 8
+MIN_THREADS = 16
 
 
 class World:
@@ -215,7 +218,11 @@
                 ):
                     slots = getattr(self.plan, f"{module}_slots")
                     options = getattr(self.plan, f"{module}_options")
-                    options = ("--slots", str(slots), *options)
+                    # The default of 600 threads an engine used up the machine's
+                    # process ids when several worlds ran at once.
+                    threads = MIN_THREADS + THREADS_PER_SLOT * slots
+                    sizes = ("--slots", str(slots), "--threads", str(threads))
+                    options = (*sizes, *options)
                     for index in range(count):
                         name = f"{service}-{data_centre}-{index}"
                         command = ["-m", f"cicadapass_standins.{module}", *options]
