--- a/packages/bench/cicadapass_bench/capacity.py
+++ b/packages/bench/cicadapass_bench/capacity.py
@@ -18,6 +18,7 @@
 from cicadapass_bench.capacity_plan import PlannedSize
 from cicadapass_bench.capacity_tables import (
     measure_documents,
+    measure_in_flight,
     measure_reads,
     measure_table,
 )
@@ -54,6 +55,7 @@
 
 def _table(output: Output, plan: PlannedSize, quick: bool) -> None:
     measure_table(output, plan)
+    measure_in_flight(output, plan)
 
 
 def _reads(output: Output, plan: PlannedSize, quick: bool) -> None:
--- a/packages/bench/cicadapass_bench/capacity_tables.py
+++ b/packages/bench/cicadapass_bench/capacity_tables.py
@@ -16,13 +16,16 @@
 from cicadapass_bench.capacity_output import Output
 from cicadapass_bench.capacity_plan import PlannedSize
 from cicadapass_bench.processes import ProcessGroup
+from cicadapass_common.messages import InFlight, InFlightCount
 from cicadapass_common.records import decode_record, encode_record
+from cicadapass_common.wire import decode, encode
 from cicadapass_decisions.fold import FoldState, fold, skip_to
 from cicadapass_decisions.inventory import parse_inventory
 from cicadapass_decisions.logrecords import LogRecord, Publish
 from cicadapass_decisions.policy import PrefixRules
 
 UPSTREAMS = (50, 350, 1_400)
+IN_FLIGHT_UPSTREAMS = (10, 50, 140)
 READS = 1_000
 QUICK_READS = 100
 REPEATS = 5
@@ -115,6 +118,26 @@
     }
 
 
+def measure_in_flight(output: Output, plan: PlannedSize) -> None:
+    """Measure the message that tells other nodes of requests in flight."""
+    rows: Rows = {}
+    for count in IN_FLIGHT_UPSTREAMS:
+        _add(rows, count, _in_flight_costs(count))
+    _project(output, rows, PlannedSize(engines=plan.engines // plan.data_centres))
+
+
+def _in_flight_costs(upstreams: int) -> dict[str, float]:
+    counts = [
+        InFlightCount(f"grabhandle/parts-dc-00-{n:04}", 1, 0, 130.0)
+        for n in range(upstreams)
+    ]
+    data = encode(InFlight(tuple(counts)))
+    return {
+        "in_flight_bytes": len(data),
+        "in_flight_decode_ms": _ms(lambda: decode(data)),
+    }
+
+
 def _add(rows: Rows, size: float, costs: dict[str, float]) -> None:
     for name, value in costs.items():
         rows.setdefault(name, []).append((size, value))
