--- a/packages/bench/cicadapass_bench/capacity_nodes.py
+++ b/packages/bench/cicadapass_bench/capacity_nodes.py
@@ -26,6 +26,9 @@
 QUICK_NODES_PER_PLACE = (1, 2, 3)
 ENGINES_PER_PLACE = (1, 2, 4, 8)
 QUICK_ENGINES_PER_PLACE = (1, 2, 3)
+# A stand-in engine starts 600 threads by default; two dozen of them would meet the
+# limit of threads of a small machine.
+ENGINE_OPTIONS = ("--tokens-per-s", "500", "--threads", "24")
 PUBLISHES = 5
 SETTLE_S = 6.0
 WINDOW_S = 8.0
@@ -66,7 +69,9 @@
     rows: dict[str, list[tuple[float, float]]] = {}
     for count in QUICK_ENGINES_PER_PLACE if quick else ENGINES_PER_PLACE:
         fleet = replace(GRABHANDLE, engines=count, services=0)
-        with running_world(WorldPlan(fleets=(fleet,))) as world:
+        with running_world(
+            WorldPlan(fleets=(fleet,), engine_options=ENGINE_OPTIONS)
+        ) as world:
             cost = _idle_cost(world, quick)
             _add_cost(rows, len(world.upstreams), cost, "_by_engines")
     _print_rows(output, rows, "engines", plan.engines)
