--- a/packages/node/cicadapass/engines.py
+++ b/packages/node/cicadapass/engines.py
@@ -11,19 +11,19 @@
 
 from cicadapass.chunks import ChunkDecoder
 from cicadapass.streamloop import StreamLoop
+from cicadapass.tokenlines import Lines, TokenBatch
 from cicadapass.upstreamhttp import (
     NOT_RUN_HEADER,
     CallFailure,
     TakenSocket,
     Timeouts,
+    UpstreamPools,
     classify,
     take_socket,
     timeout_of,
 )
 
 RECEIVE_BYTES = 64 * 1024
-# What parsing lines of any JSON may raise.
-MALFORMED = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,19 +57,6 @@
         ).encode()
 
 
-@dataclass(frozen=True, slots=True)
-class TokenBatch:
-    """Hold tokens that arrived together.
-
-    The last batch is `done` and has the number of all tokens of the answer.
-    """
-
-    first_index: int
-    texts: tuple[str, ...]
-    done: bool
-    total: int | None = None
-
-
 # Takes a batch and returns whether to go on; must not block.
 TakeBatch = Callable[[TokenBatch], bool]
 
@@ -118,22 +105,6 @@
             yield replace(classify(error), sent=True)
 
 
-class Lines:
-    """Cut the bytes of a stream into batches of tokens."""
-
-    def __init__(self) -> None:
-        self._pending = b""
-
-    def feed(self, data: bytes) -> TokenBatch | CallFailure:
-        """Return the tokens of the lines that are complete, perhaps none."""
-        lines = (self._pending + data).split(b"\n")
-        self._pending = lines.pop()
-        try:
-            return _parse_lines(lines)
-        except MALFORMED as error:
-            return CallFailure(f"stream is malformed: {error!r}", sent=True)
-
-
 class TokenReader:
     """Read one stream in the loop while the thread of the attempt waits."""
 
@@ -225,30 +196,12 @@
             self._ended.set()
 
 
-def _parse_lines(lines: list[bytes]) -> TokenBatch:
-    # One parse of an array costs less than one parse per line.
-    items = json.loads(b"[" + b",".join(line for line in lines if line) + b"]")
-    done = bool(items) and bool(items[-1].get("done"))
-    total = int(items[-1]["tokens"]) if done else None
-    tokens = items[:-1] if done else items
-    if not tokens:
-        return TokenBatch(0, (), done, total)
-    first_index = int(tokens[0]["i"])
-    indexes = [token["i"] for token in tokens]
-    if indexes != list(range(first_index, first_index + len(tokens))):
-        raise ValueError("token indexes are not in order")
-    texts = tuple(token["t"] for token in tokens)
-    # Raises for texts that are no strings or that UTF-8 cannot carry to a copy.
-    "".join(texts).encode()
-    return TokenBatch(first_index, texts, done, total)
-
-
 class EngineClient:
     """Call model engines."""
 
     def __init__(
         self,
-        pool: urllib3.PoolManager,
+        pool: UpstreamPools,
         timeouts: Timeouts,
         loop: StreamLoop | None = None,
     ) -> None:
@@ -268,12 +221,12 @@
         try:
             response = self._pool.request(
                 "POST",
-                f"{url}/v1/generate",
+                url,
+                "/v1/generate",
+                timeout_of(self._timeouts),
                 body=call.to_json(),
                 headers={"Content-Type": "application/json"},
                 preload_content=False,
-                retries=False,
-                timeout=timeout_of(self._timeouts),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(classify(error))
@@ -290,9 +243,9 @@
         try:
             self._pool.request(
                 "DELETE",
-                f"{url}/v1/generate/{request_id}/{attempt}",
-                retries=False,
-                timeout=timeout_of(self._timeouts),
+                url,
+                f"/v1/generate/{request_id}/{attempt}",
+                timeout_of(self._timeouts),
             )
         except (urllib3.exceptions.HTTPError, OSError):
             return
@@ -300,9 +253,7 @@
     def get_json(self, url: str, path: str) -> Result[dict[str, Any], CallFailure]:
         """Return the JSON object at the path, such as a load report."""
         try:
-            response = self._pool.request(
-                "GET", url + path, retries=False, timeout=timeout_of(self._timeouts)
-            )
+            response = self._pool.request("GET", url, path, timeout_of(self._timeouts))
             document = response.json()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Error(classify(error))
