--- a/packages/bench/cicadapass_bench/matrix.py
+++ b/packages/bench/cicadapass_bench/matrix.py
@@ -136,6 +136,17 @@
                 yield step, fault
 
 
+def _share(
+    todo: list[tuple[str, str]], shard: str, seed: int
+) -> list[tuple[str, str]]:
+    """Return one of n shares of the cells, as in "0/4", in a mixed order."""
+    if not shard:
+        return todo
+    index, _, count = shard.partition("/")
+    random.Random(seed).shuffle(todo)
+    return todo[int(index) :: int(count)]
+
+
 def known_red() -> frozenset[str]:
     """Return the cells that are listed as known failures."""
     if not KNOWN_RED.exists():
@@ -153,7 +164,7 @@
     began_s = time.monotonic()
     counts: Counter[str] = Counter()
     known = known_red()
-    todo = list(cells(args))
+    todo = _share(list(cells(args)), args.shard, args.seed)
     while todo:
         with matrix_world() as world:
             while todo:
@@ -180,6 +191,7 @@
     parser.add_argument("--step", choices=[*STEPS], help="only this step")
     parser.add_argument("--fault", choices=[*FAULTS], help="only this fault")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--shard", default="", help="a share of the cells, as 0/4")
     parser.add_argument("--limit-s", type=float, default=0.0, help="stop after so long")
     args = parser.parse_args()
     counts = run(args, lambda line: print(line, flush=True))
