Make the drain step a planned stop by SIGTERM

Cause: an operator's drain does not end the process, so the check of its exit code failed although nothing was cut. Change: the step sends SIGTERM and waits for event 102; the check is unchanged.

--- a/packages/bench/cicadapass_bench/matrix.py
+++ b/packages/bench/cicadapass_bench/matrix.py
@@ -5,6 +5,7 @@
 
 import argparse
 import random
+import signal
 import sys
 import time
 import zlib
@@ -136,9 +137,7 @@
                 yield step, fault
 
 
-def _share(
-    todo: list[tuple[str, str]], shard: str, seed: int
-) -> list[tuple[str, str]]:
+def _share(todo: list[tuple[str, str]], shard: str, seed: int) -> list[tuple[str, str]]:
     """Return one of n shares of the cells, as in "0/4", in a mixed order."""
     if not shard:
         return todo
@@ -194,6 +193,8 @@
     parser.add_argument("--shard", default="", help="a share of the cells, as 0/4")
     parser.add_argument("--limit-s", type=float, default=0.0, help="stop after so long")
     args = parser.parse_args()
+    # Without it, SIGTERM would leave the processes of the world behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     counts = run(args, lambda line: print(line, flush=True))
     for step, reason in NOT_RUN_STEPS.items():
         print(f"step={step} not run: {reason}")
--- a/packages/bench/cicadapass_bench/matrix_steps.py
+++ b/packages/bench/cicadapass_bench/matrix_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import signal
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,7 +19,6 @@
     now_ms,
 )
 from cicadapass_bench.world import (
-    OPERATOR_CREDENTIAL,
     NodeProcess,
     UpstreamProcess,
     wait_until,
@@ -284,9 +284,9 @@
 def drain(cell: Cell) -> Release:
     """Reach a planned stop with a stream in progress."""
     cell.drained_streams.append(_reach(cell, 0.2))
-    headers = {"Authorization": f"Bearer {OPERATOR_CREDENTIAL}"}
-    url = f"{cell.victim.operators_url}/v1/drain"
-    cell.world.http.request("POST", url, headers=headers, json={})
+    # An operator's drain does not end the process; SIGTERM drains and then does.
+    cell.victim.process.signal(signal.SIGTERM)
+    cell.wait(lambda: _event_at(cell, cell.victim, 102), "drain started")
     cell.drained = cell.victim
     return _nothing
 
