Let a replacement VM pass over the notice of its predecessors

Cause: the matrix's reclaim cells did not heal: a node started in a reclaimed zone read the old notice, which the cloud still lists, and drained at once. Change: the reader passes over notices whose deadline was before its start. The matrix's hand-over step names the VM by its fleet, as notices do.

--- a/packages/bench/cicadapass_bench/matrix_steps.py
+++ b/packages/bench/cicadapass_bench/matrix_steps.py
@@ -295,7 +295,7 @@
     """Reach a hand-over to another node before the deadline of a notice."""
     cell.load.target_stream(cell.victim, 3 * TARGET_TOKENS)
     _reach(cell, 0.2)
-    vm = {"vm": cell.victim.name, "seconds": NOTICE_S}
+    vm = {"vm": f"{FLEET}/{cell.victim.name}", "seconds": NOTICE_S}
     cell.world.control(cell.world.cloud, notice=vm)
     cell.wait(lambda: _any_event(cell, 404) or _any_event(cell, 402), "hand-over")
     return _nothing
--- a/packages/node/cicadapass/notices.py
+++ b/packages/node/cicadapass/notices.py
@@ -1,6 +1,7 @@
 """Follow the cloud's notices and act on those for this VM."""
 
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,13 +22,21 @@
 
 
 class NoticeReader:
-    """Read notices in a thread and call back for each one."""
+    """Read notices in a thread and call back for each one.
+
+    A notice whose deadline is before the reader was made took older VMs. The cloud
+    still lists it, and a replacement in the zone must not stop because of it.
+    """
 
     def __init__(
-        self, platform: PlatformClient, on_notice: Callable[[Notice], object]
+        self,
+        platform: PlatformClient,
+        on_notice: Callable[[Notice], object],
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._platform = platform
         self._on_notice = on_notice
+        self._made_s = wall_clock()
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="notices", daemon=True)
 
@@ -48,7 +57,8 @@
                 continue
             after = page.ok.next_sequence
             for notice in page.ok.notices:
-                self._on_notice(notice)
+                if notice.deadline_s > self._made_s:
+                    self._on_notice(notice)
 
 
 def concerns(notice: Notice, target: NoticeTarget) -> bool:
