--- a/packages/bench/cicadapass_bench/callerkit.py
+++ b/packages/bench/cicadapass_bench/callerkit.py
@@ -245,6 +245,11 @@
     return service_answer(method, target, body)
 
 
+def whole_text(body: bytes) -> str:
+    """Return the text of a whole model answer."""
+    return str(json.loads(body)["choices"][0]["message"]["content"])
+
+
 def _event(event: str) -> dict[str, Any] | None:
     data = event.removeprefix("data: ")
     if not data or data == "[DONE]":
--- a/packages/bench/cicadapass_bench/demo.py
+++ b/packages/bench/cicadapass_bench/demo.py
@@ -1,7 +1,6 @@
 """Show the system at work in three data centres, and check every answer."""
 
 import contextlib
-import json
 import sys
 import time
 from collections import Counter
@@ -14,6 +13,7 @@
     Prompt,
     Streamed,
     expected_plain,
+    whole_text,
 )
 from cicadapass_bench.reclaim import Outcome, Reclaim, wrong_reads
 from cicadapass_bench.report import Report
@@ -271,11 +271,6 @@
         self._report.check(f"{what} is refused as not run", right, seen)
 
 
-def whole_text(body: bytes) -> str:
-    """Return the text of a whole model answer."""
-    return str(json.loads(body)["choices"][0]["message"]["content"])
-
-
 def main() -> int:
     """Run the demo; return 1 if a check did not hold."""
     report = Report()
