Let nodes of different minor versions prove the shared secret

The proof covered the handshake as each side encoded it, with its own minor version, so two nodes of different minor versions refused each other as wrong-secret. The proof now covers the values that all minor versions send. The new test failed before the change with wrong-secret and passes now, as do the tests of the peers. Nodes from before this change do not connect to nodes with it.

--- a/packages/node/cicadapass/handshake.py
+++ b/packages/node/cicadapass/handshake.py
@@ -2,12 +2,13 @@
 
 import hashlib
 import hmac
+import json
 import secrets
 from dataclasses import replace
 
 from cicadapass.peererrors import PeerError, PeerFault
-from cicadapass_common.messages import Hello, HelloProof, HelloReply, Message
-from cicadapass_common.wire import MAJOR_VERSION, encode
+from cicadapass_common.messages import Hello, HelloProof, HelloReply
+from cicadapass_common.wire import MAJOR_VERSION
 from cicadapass_decisions.types import NodeAddress
 
 MIN_VERSION = MAJOR_VERSION
@@ -68,6 +69,24 @@
 
 
 def _proof(label: bytes, hello: Hello, reply: HelloReply, secret: bytes) -> bytes:
-    messages: tuple[Message, ...] = hello, replace(reply, proof=b"")
-    transcript = b"".join(encode(m) for m in messages)
+    # Only values that every minor version sends: a peer of an older one drops the
+    # others, and its proof would look like that of another secret.
+    values = [
+        [hello.min_version, hello.max_version, reply.version],
+        [hello.nonce.hex(), reply.nonce.hex()],
+        _address_values(hello.address),
+        _address_values(reply.address),
+    ]
+    transcript = json.dumps(values).encode()
     return hmac.new(secret, label + transcript, hashlib.sha256).digest()
+
+
+def _address_values(address: NodeAddress) -> list[str | int]:
+    return [
+        address.name,
+        address.incarnation,
+        address.fleet,
+        address.data_centre,
+        address.host,
+        address.peer_port,
+    ]
