--- a/packages/bench/cicadapass_bench/matrix.py
+++ b/packages/bench/cicadapass_bench/matrix.py
@@ -30,6 +30,10 @@
 STOP_TIMEOUT_S = 30.0
 # A step is held on for this time after its fault has begun.
 RELEASE_AFTER_S = 0.5
+# An answer goes on within this time of its caller's return after a kill.
+RETURN_LIMIT_S = 2.0
+# Only these steps hold back nothing that the rest of the answer needs.
+STREAMING_STEPS = frozenset({"first-token", "mid-stream", "last-token"})
 # These steps take one node away by themselves.
 NODE_STEPS = frozenset({"drain", "hand-over", "take-over"})
 TAKES_TWO_NODES = frozenset({"two-data-centres", "fault-twice"})
@@ -47,6 +51,8 @@
     ("publish-in-force", "cut-from-log"),
     ("mid-stream", "cut-from-peers"),
     ("drain", "vm-list-stale"),
+    ("mid-stream", "reclaimed"),
+    ("copy", "node-killed"),
 )
 
 
@@ -78,6 +84,8 @@
     nodes = sorted(world.nodes, key=lambda node: node.data_centre)
     cell = Cell(world, load, rng, rng.choice(nodes), rng.choice(world.engines))
     load.outcome.nodes_lost = fault in LOSES_NODES or step == "take-over"
+    if fault == "node-killed" and step in STREAMING_STEPS:
+        load.outcome.return_limit_s = RETURN_LIMIT_S
     problems = _inject(cell, step, fault)
     if cell.drained is not None and fault in KEEPS_NODES:
         load.outcome.stops.append(_planned_stop(cell, cell.drained))
--- a/packages/bench/cicadapass_bench/matrix_checks.py
+++ b/packages/bench/cicadapass_bench/matrix_checks.py
@@ -59,6 +59,8 @@
     attempted: frozenset[str] = frozenset()
     # Whether nodes were lost without notice, and with them requests without a copy.
     nodes_lost: bool = False
+    # Within this time of its return, a caller gets more of its answer; 0 for no limit.
+    return_limit_s: float = 0.0
     late_work: int = 0
     stops: list[PlannedStop] = field(default_factory=list)
     seen: list[Seen] = field(default_factory=list)
@@ -70,7 +72,7 @@
 def failures(outcome: CellOutcome) -> Mapping[str, tuple[str, ...]]:
     """Return what breaks each guarantee; a guarantee that holds is left out."""
     found = {
-        "P1": _unanswered(outcome),
+        "P1": [*_unanswered(outcome), *_late_returns(outcome)],
         "P2": [*_wrong_streams(outcome), *_wrong_answers(outcome)],
         "P3": [*_run_after_all(outcome)],
         "P4": _doubled(outcome),
@@ -92,6 +94,15 @@
     ]
 
 
+def _late_returns(outcome: CellOutcome) -> list[str]:
+    limit_s = outcome.return_limit_s
+    return [
+        f"{each.request_id}: went on {each.longest_return_s:.1f} s after the return"
+        for each in outcome.streams
+        if limit_s and each.longest_return_s > limit_s
+    ]
+
+
 def _wrong_streams(outcome: CellOutcome) -> list[str]:
     return [
         f"{each.request_id}: the text differs from that of {each.prompt.content!r}"
--- a/tests/bench/test_matrix_checks.py
+++ b/tests/bench/test_matrix_checks.py
@@ -58,6 +58,13 @@
         cut.durability = "peer-copy"
         self.assertEqual(["P1"], found(streams=[cut], nodes_lost=True))
 
+    def test_late_return(self):
+        """P1: after a kill, a caller that returns is not left waiting."""
+        late = streamed(PROMPT, PROMPT.expected)
+        late.longest_return_s = 2.5
+        self.assertEqual(["P1"], found(streams=[late], return_limit_s=2.0))
+        self.assertEqual([], found(streams=[late], return_limit_s=3.0))
+
     def test_bytes_of_another_caller(self):
         """P2: a whole answer that belongs to another caller is wrong."""
         self.assertEqual(["P2"], found(streams=[streamed(PROMPT, OTHER.expected)]))
