--- a/packages/bench/cicadapass_bench/matrix_load.py
+++ b/packages/bench/cicadapass_bench/matrix_load.py
@@ -29,7 +29,8 @@
         self.outcome = CellOutcome()
         self.caller = Caller(
             world.credential(FLEET, "counter"),
-            lambda: [node.callers_url for node in world.usable_nodes()],
+            # With all nodes frozen, callers still have their addresses.
+            lambda: [n.callers_url for n in world.usable_nodes() or world.nodes],
         )
         self._tag = f"{rng.randrange(16**6):06x}"
         self._stop = threading.Event()
