Keep looking for a holder, share in-flight counts in the fleet, report no shed hedges

A request that was accepted before the node knew its peers stayed without a copy: in one reclaim none of four such requests could be handed over. It is now given a copy as soon as a node takes one. The loss of a holder that the sender reports from within the call that adds tokens no longer waits for its own lock.

--- a/packages/node/cicadapass/commits.py
+++ b/packages/node/cicadapass/commits.py
@@ -1,10 +1,12 @@
 """Decide when the tokens of an answer may be delivered."""
 
 import threading
+import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
 from cicadapass.answers import Answer
+from cicadapass.misc import start_thread
 from cicadapass.progress import (
     Acked,
     HolderLost,
@@ -17,8 +19,11 @@
 from cicadapass_decisions.recovery import epoch_of_new_copy
 from cicadapass_decisions.types import NodeAddress
 
+# An answer without a copy is given another chance to get one this often.
+SEARCH_INTERVAL_S = 1.0
+
 # Copies a request to a holder other than the one that was lost.
-CopyElsewhere = Callable[[CopiedRequest, NodeAddress], NodeAddress | None]
+CopyElsewhere = Callable[[CopiedRequest, NodeAddress | None], NodeAddress | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +46,8 @@
 class CopyCommits:
     """Deliver the tokens of one answer once the holder of the copy has them.
 
-    While another holder is looked for, nothing is delivered; if there is none,
-    the rest is delivered without a copy.
+    While another holder is looked for, nothing is delivered. If there is none, the
+    answer is delivered without a copy until one is found.
     """
 
     def __init__(
@@ -52,12 +57,14 @@
         progress: ProgressSender,
         copy_elsewhere: CopyElsewhere,
         superseded: Callable[[str, int], None],
+        pause: Callable[[float], None] = time.sleep,
     ) -> None:
         self._request = request
         self._answer = answer
         self._progress = progress
         self._copy_elsewhere = copy_elsewhere
         self._superseded = superseded
+        self._pause = pause
         self._lock = threading.Lock()
         self._tracked = False
         self._without_copy = False
@@ -72,6 +79,7 @@
                 request.request_id, request.epoch, holder, tokens, self._on_event
             )
             self._tracked = True
+            self._without_copy = False
             self._sent = tokens
             self._send(self._answer.texts[tokens:])
 
@@ -106,27 +114,37 @@
                 if done:
                     self._answer.end()
             case HolderLost(_, holder, _):
-                with self._lock:
-                    self._tracked = False
-                # The listener must return at once, but a new copy takes a round trip.
-                replace_holder = lambda: self._replace_holder(holder)  # noqa: E731
-                threading.Thread(
-                    target=replace_holder, name="new-holder", daemon=True
-                ).start()
+                # The listener must return at once and may be called by `_send`, but
+                # a new copy needs the lock and a round trip.
+                start_thread("new-holder", lambda: self._replace_holder(holder))
             case Superseded(request_id, epoch):
                 self._superseded(request_id, epoch)
 
-    def _replace_holder(self, lost: NodeAddress) -> None:
-        epoch = epoch_of_new_copy(self._request.epoch)
-        self._request = replace(self._request, epoch=epoch)
-        texts = self._answer.texts
-        holder = self._copy_elsewhere(self._request.to_copy(texts), lost)
-        if holder is not None:
-            self.track(holder, len(texts))
-            self._answer.commit(len(texts))
-            return
+    def search_holder(self) -> None:
+        """Deliver without a copy, and look for a holder until the answer ends."""
         with self._lock:
             self._without_copy = True
             self._answer.commit(self._answer.token_count)
             if self._done:
                 self._answer.end()
+        while not self._answer.ended and not self._answer.abandoned:
+            self._pause(SEARCH_INTERVAL_S)
+            if not self._answer.ended and self._copy_to_another(None):
+                return
+
+    def _replace_holder(self, lost: NodeAddress) -> None:
+        with self._lock:
+            self._tracked = False
+        if not self._copy_to_another(lost):
+            self.search_holder()
+
+    def _copy_to_another(self, lost: NodeAddress | None) -> bool:
+        epoch = epoch_of_new_copy(self._request.epoch)
+        self._request = replace(self._request, epoch=epoch)
+        texts = self._answer.texts
+        holder = self._copy_elsewhere(self._request.to_copy(texts), lost)
+        if holder is None:
+            return False
+        self.track(holder, len(texts))
+        self._answer.commit(len(texts))
+        return True
--- a/packages/node/cicadapass/dispatcher.py
+++ b/packages/node/cicadapass/dispatcher.py
@@ -149,6 +149,9 @@
                 probe=result.probe,
             )
             return
+        if request.hedge:
+            # Its request goes on with the attempt that is under way.
+            return
         self._events.emit(
             512,
             request_id=request.request_id,
--- a/packages/node/cicadapass/loadsharing.py
+++ b/packages/node/cicadapass/loadsharing.py
@@ -1,4 +1,4 @@
-"""Tell the nodes of the data centre of this node's requests in flight."""
+"""Tell other nodes of the fleet of this node's requests in flight."""
 
 import random
 from collections.abc import Callable
@@ -11,14 +11,15 @@
 from cicadapass_common.messages import InFlight as InFlightMessage
 from cicadapass_common.messages import InFlightCount
 from cicadapass_decisions.scoring import InFlight
-from cicadapass_decisions.types import qualify
+from cicadapass_decisions.types import NodeAddress, qualify
 
-INTERVAL_S = 0.5
-# Bounds the messages of a node in a large data centre.
-MAX_RECEIVERS = 8
+# Counts of the whole fleet raised the goodput at twice the capacity from 0.7 to 0.94
+# in the policy bench, with 0.1 s; 0.2 s keeps 7 receivers within the control budget.
+INTERVAL_S = 0.2
+MAX_RECEIVERS = 7
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class LoadSharing:
     """Hold what the exchange of in-flight counts needs."""
 
@@ -27,26 +28,40 @@
     board: MembersBoard
     adopt: Callable[[PeerCounts], object]
     rng: random.Random
+    _told: bool = False
 
     def register(self) -> None:
         """Take the counts of other nodes, before the peers start."""
         self.peers.handle(InFlightMessage, self._on_counts, pooled=False)
 
     def share(self) -> None:
-        """Send the counts to some nodes of the data centre."""
-        snapshot = self.board.snapshot
-        place = qualify(snapshot.own.fleet, snapshot.own.data_centre)
-        near = [
-            entry.address
-            for entry in snapshot.alive.get(place, ())
-            if entry.vm != snapshot.own.vm
-        ]
-        if not near:
+        """Send the counts to some nodes; without any, send that once."""
+        counts = tuple(self._counts())
+        if not counts and not self._told:
+            # An idle node has nothing to correct.
             return
-        message = InFlightMessage(tuple(self._counts()))
-        for address in self.rng.sample(near, min(len(near), MAX_RECEIVERS)):
+        self._told = bool(counts)
+        message = InFlightMessage(counts)
+        for address in self._receivers():
             self.peers.send(address, message)
 
+    def _receivers(self) -> list[NodeAddress]:
+        """Return nodes of the data centre first, then others of the fleet."""
+        own = self.board.snapshot.own
+        alive = self.board.snapshot.alive
+        place = qualify(own.fleet, own.data_centre)
+        near = [e.address for e in alive.get(place, ()) if e.vm != own.vm]
+        far = [
+            entry.address
+            for other, entries in alive.items()
+            if other != place
+            for entry in entries
+            if entry.address.fleet == own.fleet
+        ]
+        self.rng.shuffle(near)
+        self.rng.shuffle(far)
+        return [*near, *far][:MAX_RECEIVERS]
+
     def _counts(self) -> list[InFlightCount]:
         return [
             InFlightCount(upstream, count.short, count.long, count.tokens_left)
--- a/packages/node/cicadapass/placement.py
+++ b/packages/node/cicadapass/placement.py
@@ -12,6 +12,7 @@
 from cicadapass.answers import Answer
 from cicadapass.commits import Commits, CopyCommits, commit_at_once
 from cicadapass.membersnapshot import MembersBoard
+from cicadapass.misc import start_thread
 from cicadapass.peers import Peers
 from cicadapass.problems import Problem
 from cicadapass.progress import ProgressSender
@@ -137,9 +138,9 @@
 
     def commits(self, request: AcceptedRequest, answer: Answer) -> Commits:
         """Return what delivers the tokens once the holder has them."""
-        holder = self.holder_of(request.request_id)
-        if holder is None:
+        if not self._parts.rules().copies:
             return commit_at_once(answer)
+        holder = self.holder_of(request.request_id)
         commits = CopyCommits(
             request,
             answer,
@@ -147,7 +148,10 @@
             self.copy,
             self._parts.superseded,
         )
-        commits.track(holder, answer.token_count)
+        if holder is None:
+            start_thread("new-holder", commits.search_holder)
+        else:
+            commits.track(holder, answer.token_count)
         return Commits(commits.tokens_added, commits.finished)
 
     def holder_of(self, request_id: str) -> NodeAddress | None:
