Let a node advertise another address to its peers, so that a relay can cut it

With an advertised address the relay is the only way. A node whose VM is listed as leaving now stops as after a notice, and POST /v1/publish answers a refused publish (it failed with a fault of the node).

--- a/packages/bench/cicadapass_bench/matrix_relay.py
+++ b/packages/bench/cicadapass_bench/matrix_relay.py
@@ -7,17 +7,18 @@
 from pathlib import Path
 
 READ_BYTES = 64 * 1024
-# Nodes prefer the greater of two addresses of one peer, so that the relay's address
-# wins over the one that the node itself announces.
 RELAY_HOST = "127.0.0.9"
 Pair = tuple[socket.socket, socket.socket]
 
 
 class Relay:
-    """Forward connections to one address; `blocked` decides by the client's port."""
+    """Forward connections to one address; `blocked` decides by the client's port.
 
-    def __init__(self, target: tuple[str, int]) -> None:
-        self._target = target
+    The target may be set later, because a node's port is known only after its start.
+    """
+
+    def __init__(self, target: tuple[str, int] | None = None) -> None:
+        self.target = target
         self._listener = socket.create_server((RELAY_HOST, 0))
         self.port: int = self._listener.getsockname()[1]
         self._changed = threading.Condition()
@@ -69,7 +70,9 @@
 
     def _serve(self, client: socket.socket, port: int) -> None:
         try:
-            server = socket.create_connection(self._target)
+            if self.target is None:
+                raise ConnectionRefusedError
+            server = socket.create_connection(self.target)
         except OSError:
             client.close()
             return
--- a/packages/bench/cicadapass_bench/matrix_world.py
+++ b/packages/bench/cicadapass_bench/matrix_world.py
@@ -293,14 +293,20 @@
         relay = Relay(_address(self.log.addresses["url"]))
         self._log_relays[name] = relay
         log_url = f"http://{RELAY_HOST}:{relay.port}"
-        values = {"log_url": log_url, **settings}
+        peer_relay = Relay()
+        self._peer_relays[name] = peer_relay
+        # All peers reach the node through the relay, whoever tells them of it.
+        advertised = {
+            "advertised_host": RELAY_HOST,
+            "advertised_port": peer_relay.port,
+        }
+        values = {"log_url": log_url, "peers": advertised, **settings}
         return super()._start_node(fleet, data_centre, name, values)
 
     def _list_vm(self, node: NodeProcess, **changes: Any) -> None:
-        if node.name not in self._peer_relays:
-            target = ("127.0.0.1", int(node.process.addresses["peer_port"]))
-            self._peer_relays[node.name] = Relay(target)
-        port = self._peer_relays[node.name].port
+        relay = self._peer_relays[node.name]
+        relay.target = ("127.0.0.1", int(node.process.addresses["peer_port"]))
+        port = relay.port
         super()._list_vm(node, **{"address": f"{RELAY_HOST}:{port}", **changes})
 
 
--- a/packages/common/cicadapass_common/operator_api.py
+++ b/packages/common/cicadapass_common/operator_api.py
@@ -186,7 +186,7 @@
     """Answer `POST /v1/publish`; the outcome `unknown` may be sent again."""
 
     outcome: str = option(pattern="^(accepted|rejected|conflict|unknown)$")
-    version: int = option(low=NO_VERSION)
+    version: int = option(NO_VERSION, low=NO_VERSION)
     details: tuple[str, ...] = ()
 
 
--- a/packages/node/cicadapass/cluster.py
+++ b/packages/node/cicadapass/cluster.py
@@ -10,7 +10,7 @@
 
 from cicadapass import copies, members
 from cicadapass.answerfinder import AnswerFinder, FinderParts
-from cicadapass.config import AddressSettings, NodeSettings
+from cicadapass.config import AddressSettings, NodeSettings, PeerAddressSettings
 from cicadapass.copies import (
     Copies,
     CopiesConfig,
@@ -187,7 +187,7 @@
     return context
 
 
-def _client_tls(address: AddressSettings) -> ssl.SSLContext | None:
+def _client_tls(address: PeerAddressSettings) -> ssl.SSLContext | None:
     if address.certificate is None:
         return None
     context = ssl.create_default_context(cafile=address.authority)
@@ -197,21 +197,24 @@
 
 
 def _peer_settings(settings: NodeSettings, incarnation: str) -> PeerSettings:
+    peers = settings.peers
+    advertised = peers.advertised_port is not None
     address = NodeAddress(
         # Both fleets may use the same VM name.
         qualify(settings.fleet, settings.name),
         incarnation,
         settings.fleet,
         settings.data_centre,
-        settings.peers.host,
-        settings.peers.port,
+        peers.advertised_host or peers.host,
+        peers.advertised_port or peers.port,
     )
     return PeerSettings(
         address=address,
         secret=settings.shared_secret.encode(),
-        listen_host=settings.peers.host,
-        server_tls=_server_tls(settings.peers),
-        client_tls=_client_tls(settings.peers),
+        listen_host=peers.host,
+        listen_port=peers.port if advertised else None,
+        server_tls=_server_tls(peers),
+        client_tls=_client_tls(peers),
     )
 
 
--- a/packages/node/cicadapass/config.py
+++ b/packages/node/cicadapass/config.py
@@ -15,9 +15,21 @@
     port: int = option(0, "The port; 0 takes a free one.", low=0, high=PORT_MAX)
     certificate: str | None = option(None, "Path of the TLS certificate chain.")
     private_key: str | None = option(None, "Path of the TLS private key.")
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddressSettings(AddressSettings):
+    """Name the address for other nodes, and the one that they are told."""
+
     authority: str | None = option(
         None, "Path of the certificates that those of peers are checked with."
     )
+    advertised_host: str | None = option(
+        None, "The IP address that other nodes use, if it is not that of `host`."
+    )
+    advertised_port: int | None = option(
+        None, "The port that other nodes use, if not `port`.", low=1, high=PORT_MAX
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +118,9 @@
     notices_url: str | None = option(None, "The base URL of the cloud's notices.")
     callers: AddressSettings = option(AddressSettings(), "The callers' address.")
     operators: AddressSettings = option(AddressSettings(), "The operators' address.")
-    peers: AddressSettings = option(AddressSettings(), "The address for other nodes.")
+    peers: PeerAddressSettings = option(
+        PeerAddressSettings(), "The address for other nodes."
+    )
     seeds: tuple[SeedSettings, ...] = option((), "Nodes to ask for members.")
     http: HttpSettings = option(HttpSettings(), "Limits towards callers.")
     statsd: StatsdSettings = option(StatsdSettings(), "Where metrics go.")
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -127,7 +127,7 @@
             "incarnation": self._incarnation,
             "callers_url": _url(self._settings.callers, self._callers.port),
             "operators_url": _url(self._settings.operators, self._operators.port),
-            "peer_port": self._cluster.peers.address.peer_port,
+            "peer_port": self._cluster.peers.port,
         }
 
     def start(self) -> None:
@@ -195,6 +195,7 @@
         self._upstreams.on_leaving(vms)
         if self._cluster.peers.address.vm in vms:
             self._drain.begin("the VM list says that this VM leaves")
+            self._on_stop()
 
     def _on_notice(self, notice: Notice) -> None:
         """Act on a notice; each node reads the notices of all zones."""
--- a/packages/node/cicadapass/peers.py
+++ b/packages/node/cicadapass/peers.py
@@ -75,6 +75,12 @@
         self._thread = threading.Thread(target=self._run, name="peers", daemon=True)
         self._server: PeerServer | None = None
         self._stopped = False
+        self._port = 0
+
+    @property
+    def port(self) -> int:
+        """Return the port that the node listens on, after the start."""
+        return self._port
 
     @property
     def address(self) -> NodeAddress:
@@ -102,7 +108,9 @@
         """Listen; raise OSError if the port is taken."""
         self._thread.start()
         port = self._run_in_loop(self._listen(), START_TIMEOUT_S)
-        self._state.address = replace(self._state.address, peer_port=port)
+        self._port = port
+        if self._state.settings.listen_port is None:
+            self._state.address = replace(self._state.address, peer_port=port)
         host = self._state.settings.listen_host
         self._events.emit(320, host=host, port=port)
 
--- a/packages/node/cicadapass/peerserver.py
+++ b/packages/node/cicadapass/peerserver.py
@@ -92,7 +92,9 @@
         self._server = await serve(
             self._handle,
             settings.listen_host,
-            settings.address.peer_port,
+            settings.address.peer_port
+            if settings.listen_port is None
+            else settings.listen_port,
             ssl=settings.server_tls,
             compression=None,
             server_header=None,
--- a/packages/node/cicadapass/peerstate.py
+++ b/packages/node/cicadapass/peerstate.py
@@ -61,6 +61,8 @@
     address: NodeAddress
     secret: bytes
     listen_host: str = "127.0.0.1"
+    # Set if peers reach the node by another address than the one it listens on.
+    listen_port: int | None = None
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
     idle_s: float = IDLE_S
--- a/tests/bench/test_matrix.py
+++ b/tests/bench/test_matrix.py
@@ -12,6 +12,8 @@
     def test_relays_cut(self):
         """Cells whose cut cuts nothing would prove nothing."""
         with matrix_world() as world:
+            # A node that has met no member yet has none to suspect.
+            world.wait_members(3)
             node, began_ms = world.nodes[0], now_ms()
             world.cut_peers(node)
             for each in world.nodes:
--- /dev/null
+++ b/tests/node/test_configside.py
@@ -0,0 +1,42 @@
+"""Test the answers to operators who publish through a node."""
+
+import json
+
+import testtools
+
+from cicadapass.configside import _to_answer
+from cicadapass_common.operator_api import PublishAnswer, read_answer
+from cicadapass_common.publish import (
+    PublishAccepted,
+    PublishConflict,
+    PublishRejected,
+    PublishUnknown,
+)
+from cicadapass_decisions.options import to_document
+
+RESULTS = {
+    "accepted": PublishAccepted(3),
+    "rejected": PublishRejected(("/fleets: missing",)),
+    "conflict": PublishConflict(4, "ann", 5, ("added service f/x",)),
+    "unknown": PublishUnknown("the log is down", True),
+}
+
+
+class PublishAnswerTest(testtools.TestCase):
+    def test_each_result_has_an_answer(self):
+        """A refused publish must not look like a fault of the node."""
+        for outcome, result in RESULTS.items():
+            answer = _to_answer(result)
+            self.assertEqual(outcome, answer.outcome)
+            text = json.dumps(to_document(answer))
+            self.assertEqual(answer, read_answer(text, PublishAnswer).ok)
+
+    def test_a_conflict_names_the_winner(self):
+        """The operator must see whose change was first."""
+        answer = _to_answer(RESULTS["conflict"])
+        self.assertEqual(5, answer.version)
+        self.assertIn("ann published first", answer.details)
+
+    def test_an_unknown_publish_says_what_may_have_happened(self):
+        """A retry needs to know whether the document may be in the log."""
+        self.assertIn("may have been", _to_answer(RESULTS["unknown"]).details[1])
