Split the building of servers and the operators' side from the node

Settings that name a certificate without its key are refused: the address was served without TLS although its URL said https.

--- a/packages/node/cicadapass/cmdline.py
+++ b/packages/node/cicadapass/cmdline.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from queue import SimpleQueue
 
-from cicadapass.config import NodeSettings
+from cicadapass.config import NodeSettings, conflicts
 from cicadapass.env import incarnation
 from cicadapass.node import Node
 from cicadapass_common.config import defaults_document, read_settings
@@ -42,8 +42,9 @@
         print(json.dumps(defaults_document(NodeSettings), indent=2))
         return EXIT_OK
     result = read_settings(arguments.settings, NodeSettings)
-    if result.is_error():
-        for problem in result.error:
+    problems = result.error if result.is_error() else conflicts(result.ok)
+    if problems:
+        for problem in problems:
             print(problem, file=sys.stderr)
         return EXIT_SETTINGS
     # These log each actor and connection; the node has events of its own for that.
--- a/packages/node/cicadapass/config.py
+++ b/packages/node/cicadapass/config.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cicadapass_decisions.options import option
+from cicadapass_decisions.problems import Problem
 
 PORT_MAX = 65_535
 
@@ -155,3 +156,22 @@
         low=0.1,
         high=3600,
     )
+
+
+def conflicts(settings: NodeSettings) -> tuple[Problem, ...]:
+    """Return the settings that contradict each other."""
+    addresses = {
+        "callers": settings.callers,
+        "operators": settings.operators,
+        "peers": settings.peers,
+    }
+    return tuple(
+        Problem(
+            f"/{name}",
+            "one of certificate and private_key",
+            "both or neither",
+            "name both files, or remove the one that is there",
+        )
+        for name, address in addresses.items()
+        if (address.certificate is None) != (address.private_key is None)
+    )
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -10,20 +10,20 @@
 from cicadapass.callers import CallerApp, CallerContext, CallerParts
 from cicadapass.claimside import ClaimSide
 from cicadapass.cluster import Cluster, ClusterParts
-from cicadapass.config import AddressSettings, NodeSettings
+from cicadapass.config import NodeSettings
 from cicadapass.configside import ConfigSide
 from cicadapass.configview import ConfigHolder, ConfigView
 from cicadapass.drain import Drain, DrainParts
 from cicadapass.eventrelay import EventRelay
 from cicadapass.execution import Execution
 from cicadapass.executionparts import ExecutionParts
-from cicadapass.httpserver import HttpLimits, NodeHttpServer, TlsFiles, WsgiApp
+from cicadapass.httpserver import NodeHttpServer
 from cicadapass.inprogress import InProgress
+from cicadapass.listening import caller_limits, listen, url_of
 from cicadapass.loadsharing import INTERVAL_S, LoadSharing
 from cicadapass.modelcalls import ModelCalls, ModelParts
 from cicadapass.notices import NoticeReader, NoticeTarget, concerns
-from cicadapass.operators import OperatorApp, OperatorParts
-from cicadapass.operatorviews import OperatorViews
+from cicadapass.operatorside import OperatorSide
 from cicadapass.ownership import (
     ExpireAnswers,
     ListUnfinished,
@@ -32,7 +32,6 @@
     RequestEnded,
 )
 from cicadapass.parts import PART_TIMEOUT_S, Parts
-from cicadapass.peerstate import KindCount
 from cicadapass.plaincalls import PlainParts
 from cicadapass.plaingate import GateParts, PlainGate
 from cicadapass.platformclient import Notice, PlatformClient, seconds_left
@@ -41,15 +40,8 @@
 from cicadapass.timers import TimerService
 from cicadapass.upstreamside import UpstreamParts, UpstreamSide
 from cicadapass_common.events import EventLog
-from cicadapass_common.operator_api import (
-    DrainAnswer,
-    KindTraffic,
-    NodeStatus,
-    TrafficAnswer,
-)
 from cicadapass_common.stamps import StampClock
 from cicadapass_decisions.inventory import Inventory
-from cicadapass_decisions.logrecords import NO_VERSION
 from cicadapass_decisions.policy import Policy
 from cicadapass_decisions.rule_sections import DurabilityRules
 from cicadapass_decisions.types import VmId, qualify
@@ -58,7 +50,6 @@
 EXPIRE_INTERVAL_S = 5.0
 ANNOUNCE_INTERVAL_S = 1.0
 STOP_GRACE_S = 0.2
-OPERATOR_LIMITS = HttpLimits(min_threads=2, max_threads=8, idle_reserve=1)
 
 
 class Node:
@@ -112,9 +103,7 @@
         self._plain = PlainGate(self._gate_parts())
         self._drain = Drain(self._drain_parts())
         self._callers = self._caller_server()
-        self._operators = _server(
-            settings.operators, OperatorApp(self._operator_parts()), OPERATOR_LIMITS
-        )
+        self._operators = self._operator_side().server()
 
     @property
     def given_up(self) -> bool:
@@ -125,8 +114,8 @@
         """Return the addresses that the node listens on."""
         return {
             "incarnation": self._incarnation,
-            "callers_url": _url(self._settings.callers, self._callers.port),
-            "operators_url": _url(self._settings.operators, self._operators.port),
+            "callers_url": url_of(self._settings.callers, self._callers.port),
+            "operators_url": url_of(self._settings.operators, self._operators.port),
             "peer_port": self._cluster.peers.port,
         }
 
@@ -365,87 +354,24 @@
         return self._claims.keyed.issue_key(context.binding)
 
     def _caller_server(self) -> NodeHttpServer:
-        http = self._settings.http
-        limits = HttpLimits(
-            min_threads=http.min_threads,
-            max_threads=http.max_threads,
-            idle_reserve=http.idle_reserve,
-            max_header_bytes=http.max_header_bytes,
-            max_body_bytes=http.max_body_bytes,
-            receive_timeout_s=http.receive_timeout_s,
-            max_connections=http.max_connections,
-        )
+        settings = self._settings
         app = self._in_progress.track(CallerApp(self._caller_parts()))
-        return _server(self._settings.callers, app, limits)
+        return listen(settings.callers, app, caller_limits(settings.http))
 
-    def _operator_parts(self) -> OperatorParts:
-        views = OperatorViews(
-            self._settings.name,
-            self._upstreams.granting,
-            self._relay,
+    def _operator_side(self) -> OperatorSide:
+        return OperatorSide(
+            self._settings,
+            self._incarnation,
             self._holder,
-            self._cluster.board,
-            lambda: self._upstreams.table,
-        )
-        return OperatorParts(
-            operator_sha256=self._settings.operator_sha256,
-            status=self._status,
-            inventory=views.inventory_answer,
-            upstreams=views.upstreams_answer,
-            members=views.members_answer,
-            traffic=self._traffic,
-            events=views.events_answer,
-            explain=views.explain,
-            publish=self._config.publish,
-            drain=self._drain_for_operator,
-            report_fault=self._report_fault,
-        )
-
-    def _traffic(self) -> TrafficAnswer:
-        traffic = self._cluster.peers.traffic()
-        return TrafficAnswer(
-            self._settings.name, _kinds(traffic.sent), _kinds(traffic.received)
-        )
-
-    def _status(self) -> NodeStatus:
-        view = self._holder.view
-        return NodeStatus(
-            name=self._settings.name,
-            fleet=self._settings.fleet,
-            data_centre=self._settings.data_centre,
-            incarnation=self._incarnation,
-            ready=self._not_ready_reason() is None,
-            draining=self._drain.started,
-            version=NO_VERSION if view is None else view.version,
-            offset=self._holder.state.next_offset,
-            requests_in_progress=len(self._unfinished()),
-            copies_held=self._cluster.copies_held(),
+            self._upstreams,
+            self._cluster,
+            self._relay,
+            self._drain,
+            lambda: len(self._unfinished()),
+            self._not_ready_reason,
+            self._config.publish,
+            self._report_fault,
         )
 
     def _report_fault(self, reason: str) -> None:
         self._events.emit(455, reason=reason)
-
-    def _drain_for_operator(self) -> DrainAnswer:
-        self._drain.begin("an operator asked for it")
-        return DrainAnswer(True, len(self._unfinished()))
-
-
-def _server(
-    address: AddressSettings, app: WsgiApp, limits: HttpLimits
-) -> NodeHttpServer:
-    tls = None
-    if address.certificate is not None and address.private_key is not None:
-        tls = TlsFiles(address.certificate, address.private_key)
-    return NodeHttpServer(address.host, address.port, app, limits, tls)
-
-
-def _kinds(counts: dict[str, KindCount]) -> tuple[KindTraffic, ...]:
-    return tuple(
-        KindTraffic(kind, count.messages, count.frame_bytes)
-        for kind, count in sorted(counts.items())
-    )
-
-
-def _url(address: AddressSettings, port: int) -> str:
-    scheme = "http" if address.certificate is None else "https"
-    return f"{scheme}://{address.host}:{port}"
--- /dev/null
+++ b/packages/node/cicadapass/operatorside.py
@@ -0,0 +1,104 @@
+"""The node's side towards operators."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cicadapass.cluster import Cluster
+from cicadapass.config import NodeSettings
+from cicadapass.configview import ConfigHolder
+from cicadapass.drain import Drain
+from cicadapass.eventrelay import EventRelay
+from cicadapass.httpserver import HttpLimits, NodeHttpServer
+from cicadapass.listening import listen
+from cicadapass.operators import OperatorApp, OperatorParts
+from cicadapass.operatorviews import OperatorViews
+from cicadapass.peerstate import KindCount
+from cicadapass.upstreamside import UpstreamSide
+from cicadapass_common.operator_api import (
+    DrainAnswer,
+    KindTraffic,
+    NodeStatus,
+    PublishAnswer,
+    PublishBody,
+    TrafficAnswer,
+)
+from cicadapass_decisions.logrecords import NO_VERSION
+
+OPERATOR_LIMITS = HttpLimits(min_threads=2, max_threads=8, idle_reserve=1)
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSide:
+    """Answer operators from the other sides of the node."""
+
+    settings: NodeSettings
+    incarnation: str
+    holder: ConfigHolder
+    upstreams: UpstreamSide
+    cluster: Cluster
+    relay: EventRelay
+    drain: Drain
+    unfinished: Callable[[], int]
+    not_ready_reason: Callable[[], str | None]
+    publish: Callable[[PublishBody], PublishAnswer]
+    report_fault: Callable[[str], None]
+
+    def server(self) -> NodeHttpServer:
+        """Return the server of the operators' address."""
+        app = OperatorApp(self._parts())
+        return listen(self.settings.operators, app, OPERATOR_LIMITS)
+
+    def _parts(self) -> OperatorParts:
+        views = OperatorViews(
+            self.settings.name,
+            self.upstreams.granting,
+            self.relay,
+            self.holder,
+            self.cluster.board,
+            lambda: self.upstreams.table,
+        )
+        return OperatorParts(
+            operator_sha256=self.settings.operator_sha256,
+            status=self._status,
+            inventory=views.inventory_answer,
+            upstreams=views.upstreams_answer,
+            members=views.members_answer,
+            traffic=self._traffic,
+            events=views.events_answer,
+            explain=views.explain,
+            publish=self.publish,
+            drain=self._begin_drain,
+            report_fault=self.report_fault,
+        )
+
+    def _status(self) -> NodeStatus:
+        view = self.holder.view
+        return NodeStatus(
+            name=self.settings.name,
+            fleet=self.settings.fleet,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
+            ready=self.not_ready_reason() is None,
+            draining=self.drain.started,
+            version=NO_VERSION if view is None else view.version,
+            offset=self.holder.state.next_offset,
+            requests_in_progress=self.unfinished(),
+            copies_held=self.cluster.copies_held(),
+        )
+
+    def _traffic(self) -> TrafficAnswer:
+        traffic = self.cluster.peers.traffic()
+        return TrafficAnswer(
+            self.settings.name, _kinds(traffic.sent), _kinds(traffic.received)
+        )
+
+    def _begin_drain(self) -> DrainAnswer:
+        self.drain.begin("an operator asked for it")
+        return DrainAnswer(True, self.unfinished())
+
+
+def _kinds(counts: dict[str, KindCount]) -> tuple[KindTraffic, ...]:
+    return tuple(
+        KindTraffic(kind, count.messages, count.frame_bytes)
+        for kind, count in sorted(counts.items())
+    )
