Keep trying an accepted request whose attempts were all refused

Cause: with all engines refusing for a moment, an accepted request was given up after six attempts and its stream ended with an error event.

--- a/packages/decisions/cicadapass_decisions/retry.py
+++ b/packages/decisions/cicadapass_decisions/retry.py
@@ -197,6 +197,19 @@
     return Verdict.UNKNOWN
 
 
+def _counted(attempts: Sequence[Attempt], request: RetryRequest) -> int:
+    """Return the attempts that count towards the limit.
+
+    An accepted request is owed an answer, so attempts that ran nothing do not count:
+    all upstreams may refuse for a moment. Others do, because a request that breaks
+    its upstreams must not go on for ever.
+    """
+    if not request.accepted:
+        return len(attempts)
+    verdicts = (_attempt_verdict(attempt) for attempt in attempts)
+    return sum(verdict is not Verdict.NOT_RUN for verdict in verdicts)
+
+
 def _reason_to_stop(
     attempts: Sequence[Attempt],
     failure: Failure,
@@ -210,7 +223,7 @@
         return "the call must not be repeated"
     if not rules.retry:
         return "retries are switched off"
-    if len(attempts) >= rules.max_attempts:
+    if _counted(attempts, request) >= rules.max_attempts:
         return "too many attempts"
     return "the deadline has passed" if now_s >= request.deadline_s else None
 
--- a/packages/node/cicadapass/node.py
+++ b/packages/node/cicadapass/node.py
@@ -215,6 +215,8 @@
                 attempts=execution.attempt_count,
             )
             return
+        # No holder may compute an answer that the caller was told has failed.
+        self._cluster.placement.release(request.request_id)
         self._telemetry.count("requests.failed")
         self._events.emit(
             452,
--- a/tests/decisions/test_retry.py
+++ b/tests/decisions/test_retry.py
@@ -119,6 +119,22 @@
         step = _step([broken] * RULES.max_attempts).step
         self.assertEqual(Verdict.UNKNOWN, step.verdict)
 
+    def test_refusals_do_not_end_an_accepted_request(self):
+        """All upstreams may refuse for a moment, and the caller is owed an answer."""
+        accepted = replace(REQUEST, accepted=True)
+        for kind, sent in ((FailureKind.REJECTED, True), (FailureKind.REFUSED, False)):
+            refused = [Attempt("a", sent, kind)] * (3 * RULES.max_attempts)
+            self.assertIsInstance(_step(refused, accepted).step, Retry)
+            self.assertIsInstance(_step(refused).step, GiveUp)
+            late = _step(refused, accepted, now_s=100.0).step
+            self.assertEqual(Verdict.NOT_RUN, late.verdict)
+
+    def test_broken_attempts_end_an_accepted_request(self):
+        """A request that breaks its upstreams must not break them for ever."""
+        accepted = replace(REQUEST, accepted=True)
+        broken = [Attempt("a", True, FailureKind.BROKEN)] * RULES.max_attempts
+        self.assertIsInstance(_step(broken, accepted).step, GiveUp)
+
     def test_hedges_once(self):
         """A third attempt or one of a payment would only add load or harm."""
         late = Attempt("a", True, FailureKind.LATE, running=True)
