Stop a failed part in one place before it is reported

Five parts repeated the same handler of failures, the dispatcher had none and kept its subscription, and a part whose stop failed was never reported, so that it stayed dead. The base class now stops the part and reports it in any case; a new test shows both.

--- a/packages/node/cicadapass/claims.py
+++ b/packages/node/cicadapass/claims.py
@@ -6,7 +6,6 @@
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from dataclasses import dataclass
-from types import TracebackType
 from typing import Any
 
 import pykka
@@ -103,16 +102,6 @@
         for submitted in self._take_waiting():
             submitted.reply(not_run(submitted.claims))
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Refuse the waiting claims before the part is restarted."""
-        self.on_stop()
-        super().on_failure(exception_type, exception_value, traceback)
-
     def on_receive(self, message: object) -> object:
         """Collect claims, append them or judge issued keys."""
         match message:
--- a/packages/node/cicadapass/configfeed.py
+++ b/packages/node/cicadapass/configfeed.py
@@ -1,7 +1,6 @@
 """The part that owns the configuration: reads the log, asks peers, re-appends."""
 
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 import pykka
@@ -99,16 +98,6 @@
         if self._ticks is not None:
             self._ticks.cancel()
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stop reading, so that the restarted feed is the only reader."""
-        self.on_stop()
-        super().on_failure(exception_type, exception_value, traceback)
-
     def on_receive(self, message: object) -> object:
         """Fold what arrives and answer peers."""
         match message:
--- a/packages/node/cicadapass/copies.py
+++ b/packages/node/cicadapass/copies.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import replace
-from types import TracebackType
 from typing import Any
 
 import pykka
@@ -111,16 +110,6 @@
         if self._timer:
             self._timer.cancel()
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """End the checks and report; the owners send their copies again."""
-        self.on_stop()
-        super().on_failure(exception_type, exception_value, traceback)
-
     def on_receive(self, message: object) -> object:
         """Handle one message."""
         match message:
--- a/packages/node/cicadapass/members.py
+++ b/packages/node/cicadapass/members.py
@@ -3,7 +3,6 @@
 import contextlib
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from types import TracebackType
 from typing import Any
 
 import pykka
@@ -88,16 +87,6 @@
             timer.cancel()
         self._list_reader.shutdown(wait=False, cancel_futures=True)
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """End the rounds and report to the supervisor."""
-        self.on_stop()
-        super().on_failure(exception_type, exception_value, traceback)
-
     def on_receive(self, message: object) -> object:
         """Handle one message; see `membermessages`."""
         match message:
--- a/packages/node/cicadapass/supervisor.py
+++ b/packages/node/cicadapass/supervisor.py
@@ -1,5 +1,6 @@
 """The supervisor tree: restarts failed parts at a bounded rate."""
 
+import logging
 import threading
 import time
 from collections import deque
@@ -12,6 +13,8 @@
 
 from cicadapass_common.events import EventLog
 
+logger = logging.getLogger(__name__)
+
 # More restarts than this in the window mean that a restart does not help.
 MAX_RESTARTS = 5
 RESTART_WINDOW_S = 60.0
@@ -33,7 +36,14 @@
         exception_value: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Tell the supervisor, which decides whether to restart."""
+        """Stop what the part runs, so that a restarted one is alone; then report."""
+        try:
+            self.on_stop()
+        except Exception:
+            # The supervisor must hear of the failure whatever state the part is in.
+            logger.exception(
+                "part %s could not be stopped after its failure", self._name
+            )
         try:
             self._supervisor.tell(PartFailed(self._name, repr(exception_value)))
         except pykka.ActorDeadError:
--- a/packages/node/cicadapass/upstreams.py
+++ b/packages/node/cicadapass/upstreams.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
-from types import TracebackType
 
 import pykka
 
@@ -111,16 +110,6 @@
         """Stop reading; a read that hangs ends by its own timeout."""
         self._close()
 
-    def on_failure(
-        self,
-        exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Release the threads before the supervisor starts a new part."""
-        self._close()
-        super().on_failure(exception_type, exception_value, traceback)
-
     def on_receive(self, message: object) -> object:
         """Adopt what was read, measured or told, and publish what changed."""
         match message:
--- a/tests/node/test_supervisor.py
+++ b/tests/node/test_supervisor.py
@@ -183,3 +183,28 @@
             self.world.supervisor.ask(StartPart(name, start), timeout=WAIT_S)
         self.world.supervisor.ask(StopParts(), timeout=WAIT_S)
         self.assertEqual(["second", "first"], order)
+
+
+class FailingPartTest(testtools.TestCase):
+    def test_a_part_that_fails_is_stopped_and_reported(self):
+        """Timers and threads of the failed part would run beside the new one's."""
+        reported = []
+
+        class Reporter:
+            def tell(self, message):
+                reported.append(message)
+                told.set()
+
+        class Failing(Part):
+            def on_stop(self):
+                stopped.set()
+                raise RuntimeError("cannot stop either")
+
+            def on_receive(self, message):
+                raise RuntimeError("failed")
+
+        stopped, told = threading.Event(), threading.Event()
+        Failing.start(Reporter(), "failing").tell("anything")
+        self.assertTrue(stopped.wait(WAIT_S))
+        self.assertTrue(told.wait(WAIT_S))
+        self.assertEqual(["failing"], [message.name for message in reported])
