Send datagrams between nodes and order engines by demand

Cause: the selector loop's datagram transport failed an assertion, so that no node heard another and each usage window held one node's counts.

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -16,7 +16,7 @@
 # first tokens stay in time through bursts and beside decoding.
 USABLE_PART = 0.5
 # Engines held when demand is unknown or low, for all data centres together.
-LEAST_ENGINES = 3
+LEAST_ENGINES = 4
 # Reclaimable engines are asked for again this long after a refusal.
 REFUSED_S = 2.0
 # Fewer engines are ordered only after this long without a need for more.
@@ -41,10 +41,10 @@
     reclaimable: int
 
 
-def engines_needed(tokens_per_s: float, token_s: float, floor: int) -> int:
+def engines_needed(tokens_per_s: float, token_s: float) -> int:
     """Return the engines that read so many prompt tokens in time."""
     capacity = USABLE_PART / max(token_s, 1e-9)
-    return max(floor, LEAST_ENGINES, math.ceil(tokens_per_s / capacity))
+    return max(LEAST_ENGINES, math.ceil(tokens_per_s / capacity))
 
 
 def plan_engines(
@@ -54,12 +54,21 @@
     places = sorted(holdings, key=lambda name: (scaling.prices.get(name, 1.0), name))
     wanted = _reclaimable(scaling, holdings, places, needed)
     # A new engine counts only once it serves; until then the present ones are kept.
-    serving = {name: min(wanted[name], holdings[name].reclaimable) for name in places}
-    safe = sum(serving.values()) - max(serving.values(), default=0)
-    on_demand = _on_demand(scaling, wanted, places, max(0, needed - safe))
+    serving = [min(wanted[name], holdings[name].reclaimable) for name in places]
+    missing = max(0, needed - _safe(serving))
+    on_demand = _on_demand(scaling, wanted, places, missing)
     return {name: Targets(on_demand[name], wanted[name]) for name in places}
 
 
+def _safe(serving: list[int]) -> int:
+    """Return the reclaimable engines to count on."""
+    held = [count for count in serving if count]
+    if len(held) < 2:
+        # Where one data centre holds all, full cover would double the engines.
+        return sum(held) // 2
+    return sum(held) - max(held)
+
+
 def _reclaimable(
     scaling: Scaling,
     holdings: Mapping[str, Holdings],
@@ -67,14 +76,14 @@
     needed: int,
 ) -> dict[str, int]:
     """Return an even spread that still has `needed` without one data centre."""
-    open_places = [name for name in places if not holdings[name].refused]
-    others = max(1, len(open_places) - 1)
-    each = min(scaling.maximum, math.ceil(needed / others))
-    wanted = {}
-    for name in places:
-        held = holdings[name].reclaimable
-        wanted[name] = held if holdings[name].refused else max(each, scaling.minimum)
-    return wanted
+    others = max(1, len(places) - 1)
+    each = min(scaling.maximum, max(scaling.minimum, math.ceil(needed / others)))
+    return {
+        name: max(each, holdings[name].reclaimable)
+        if holdings[name].refused
+        else each
+        for name in places
+    }
 
 
 def _on_demand(
@@ -83,8 +92,7 @@
     """Return on-demand engines, dealt evenly, the cheapest data centres first."""
     wanted = {}
     for name in places:
-        wanted[name] = max(0, scaling.minimum - reclaimable[name])
-        missing -= wanted[name]
+        wanted[name] = 0
     while missing > 0:
         roomy = [n for n in places if wanted[n] + reclaimable[n] < scaling.maximum]
         if not roomy:
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -13,6 +13,7 @@
     plan_engines,
 )
 from cicadapass_decisions.passthrough import Service, UpstreamRecord
+from cicadapass_decisions.upstreammeter import INITIAL_TOKEN_S
 from cicadapass_gateway.dialect import EngineOrder
 from cicadapass_gateway.nodestate import NodeState
 
@@ -21,6 +22,10 @@
 REPEAT_S = 8.0
 
 
+# A learnt reading time counts up to this multiple of the initial one.
+MAX_TOKEN_FACTOR = 2.0
+
+
 @dataclass(frozen=True, slots=True)
 class _Confirmed:
     count: int
@@ -42,7 +47,6 @@
         self._confirmed: dict[str, _Confirmed] = {}
         self._refused_s: dict[str, float] = {}
         self._peak: dict[str, tuple[int, float]] = {}
-        self._baseline: dict[str, int] = {}
         self._lowered_s: dict[str, float] = {}
 
     def reset(self) -> None:
@@ -91,7 +95,7 @@
         present = self._holdings(service, now_s)
         if not present:
             return
-        needed = self._needed(service, present, now_s)
+        needed = self._needed(service, now_s)
         targets = plan_engines(service.scaling, present, needed)
         for name, target in targets.items():
             self._set(orders, service.name, name, target, present[name], now_s)
@@ -141,15 +145,10 @@
         since_s = self._lowered_s.setdefault(key, now_s)
         return now_s - since_s >= SHRINK_AFTER_S
 
-    def _needed(
-        self, service: Service, present: dict[str, Holdings], now_s: float
-    ) -> int:
+    def _needed(self, service: Service, now_s: float) -> int:
         """Return the engines needed; a peak is remembered for a while."""
-        total = sum(each.on_demand + each.reclaimable for each in present.values())
-        baseline = self._baseline.setdefault(service.name, total)
         token_s = self._token_s(service.name)
-        floor = 2 * baseline // 3
-        needed = engines_needed(self._demand(service.name), token_s, floor)
+        needed = engines_needed(self._demand(service.name), token_s)
         known, until_s = self._peak.get(service.name, (0, 0.0))
         if needed >= known or now_s > until_s:
             self._peak[service.name] = (needed, now_s + SHRINK_AFTER_S)
@@ -157,11 +156,18 @@
         return known
 
     def _token_s(self, service: str) -> float:
-        meters = [
-            self._state.book.meter(record).token_s
-            for record in self._state.book.usable(service)
-        ]
-        return sorted(meters)[len(meters) // 2] if meters else 0.00002
+        """Return the time to read a token on the fastest engine, within bounds.
+
+        Others look slow while they have a backlog, which must not raise the demand.
+        """
+        fastest = min(
+            (
+                self._state.book.meter(record).token_s
+                for record in self._state.book.usable(service)
+            ),
+            default=INITIAL_TOKEN_S,
+        )
+        return max(INITIAL_TOKEN_S, min(fastest, MAX_TOKEN_FACTOR * INITIAL_TOKEN_S))
 
     def _holdings(self, service: Service, now_s: float) -> dict[str, Holdings]:
         assert service.scaling is not None
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -80,6 +80,11 @@
             loop.add_signal_handler(signum, self._stop.set)
         # The address and limits of a node are fixed; a changed file changes nothing.
         loop.add_signal_handler(signal.SIGHUP, lambda: events.emit(807, changed=[]))
+        loop.set_exception_handler(
+            lambda _, context: events.emit(
+                808, reason=repr(context.get("exception") or context["message"])
+            )
+        )
         parts = self._build(events)
         await self._start(parts)
         events.emit(800, data_centre=self._settings.data_centre, pid_started=_wall_ms())
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, cast
 
 import cbor2
 
@@ -92,11 +92,12 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self._transport = transport
+        # The selector loop's transport is no subclass of DatagramTransport in 3.11.
+        self._transport = cast(asyncio.DatagramTransport, transport)
 
     def error_received(self, exc: Exception) -> None:
-        """Ignore a refused datagram; the peer is found silent soon."""
+        """Note a refused datagram; the peer is found silent soon."""
+        self._parts.state.metrics.count("datagrams_refused", type(exc).__name__)
 
     def add(self, address: NodeAddress, now_s: float) -> None:
         """Add a member that a listing or a peer names."""
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -33,6 +33,8 @@
 SILENCE_EXPECTED = 3.0
 # Answers that are not streams are kept whole before they are passed on.
 MAX_ANSWER_BYTES = 16_777_216
+# Part of the shared prompt tokens that engines are expected to hold already.
+CACHED_PART = 0.8
 # Statuses that promise that a request was not executed; only a true promise is sent.
 PROMISES = frozenset({408, 421, 429, 503})
 
@@ -115,7 +117,9 @@
             self._reject(exchange, call, 429, "over_limit", wait_s)
             return None
         self._state.allowance(match.service).note_request(self._state.clock())
-        self._state.demand.add(match.service, call.prompt.prompt_tokens)
+        prompt = call.prompt
+        unread = prompt.prompt_tokens - CACHED_PART * prompt.shared_tokens
+        self._state.demand.add(match.service, max(0.0, unread))
         return job
 
     def _charge(self, job: Job) -> float | None:
