--- a/packages/decisions/cicadapass_decisions/tokenlimit.py
+++ b/packages/decisions/cicadapass_decisions/tokenlimit.py
@@ -21,6 +21,8 @@
 DEMAND_WINDOW_S = 4.0
 # A node alone keeps at least this part of the limit, so that its callers can return.
 LEAST_PART = 0.05
+# Part of the burst that a node admits before it knows a whole window.
+YOUNG_BURST_PART = 0.4
 # Use is kept in steps of this length.
 STEP_S = 0.2
 
@@ -71,8 +73,9 @@
 class TokenLimits:
     """Admit or refuse requests by the rate limits of their workspaces."""
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, started_s: float) -> None:
         self._window_s = window_s
+        self._started_s = started_s
         self._accounts: dict[str, _Account] = {}
 
     def admit(
@@ -83,7 +86,7 @@
             return None
         account = self._accounts.setdefault(workspace, _Account())
         account.demand += cost
-        limit = rate * self._window_s + burst
+        limit = self._limit(rate, burst, now_s)
         uses, free = self._uses(account, limit, now_s)
         excess = sum(use.amount for use in uses) + min(cost, limit) - free
         if excess > 0:
@@ -129,6 +132,17 @@
                 if now_s - peer.heard_s > FORGET_AFTER_S:
                     del account.peers[name]
 
+    def _limit(self, rate: float, burst: float, now_s: float) -> float:
+        """Return what all nodes may admit in the time that this node knows of.
+
+        What was admitted before its start is unknown: after a restart of all nodes,
+        only the rate and a part of the burst are sure to be left.
+        """
+        age_s = now_s - self._started_s
+        if age_s < self._window_s:
+            return rate * age_s + YOUNG_BURST_PART * burst
+        return rate * self._window_s + burst
+
     def _uses(
         self, account: _Account, limit: float, now_s: float
     ) -> tuple[list[_Use], float]:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -42,7 +42,7 @@
         self.clock: Callable[[], float] = asyncio.get_running_loop().time
         self.book = UpstreamBook(data_centre)
         self.room = WaitingRoom(self.book, self.clock)
-        self.limits = TokenLimits(limit_window_s)
+        self.limits = TokenLimits(limit_window_s, self.clock())
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.upstreams_known = False
