Hold ample reclaimable engines and refuse late requests of a draining node

Cause: too few engines before demand was known; a draining node took requests that could not end before the process did (LOST).

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -12,11 +12,13 @@
 
 from cicadapass_decisions.passthrough import Scaling
 
-# An engine is planned for this part of the prompt tokens that it can read, so that
-# first tokens stay in time through bursts and beside decoding.
-USABLE_PART = 0.5
-# Engines held when demand is unknown or low, for all data centres together.
-LEAST_ENGINES = 4
+# Part of the prompt tokens that an engine can read for which it is planned, so that
+# first tokens stay in time through bursts and beside decoding. Reclaimable engines are
+# cheap and planned amply; on-demand ones only cover what must be served.
+AMPLE_PART = 0.35
+TIGHT_PART = 0.6
+# Engines held in each data centre when demand is unknown or low.
+LEAST_ENGINES = 2
 # Reclaimable engines are asked for again this long after a refusal.
 REFUSED_S = 2.0
 # Fewer engines are ordered only after this long without a need for more.
@@ -41,21 +43,33 @@
     reclaimable: int
 
 
-def engines_needed(tokens_per_s: float, token_s: float) -> int:
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Hold the engines that serve the demand amply, and those that just do."""
+
+    ample: int
+    tight: int
+
+
+def engines_needed(tokens_per_s: float, token_s: float, places: int) -> Need:
     """Return the engines that read so many prompt tokens in time."""
-    capacity = USABLE_PART / max(token_s, 1e-9)
-    return max(LEAST_ENGINES, math.ceil(tokens_per_s / capacity))
+    engines = tokens_per_s * max(token_s, 1e-9)
+    least = LEAST_ENGINES * places
+    return Need(
+        ample=max(least, math.ceil(engines / AMPLE_PART)),
+        tight=max(least // 2, math.ceil(engines / TIGHT_PART)),
+    )
 
 
 def plan_engines(
-    scaling: Scaling, holdings: Mapping[str, Holdings], needed: int
+    scaling: Scaling, holdings: Mapping[str, Holdings], need: Need
 ) -> dict[str, Targets]:
     """Return the engines wanted by data centre."""
     places = sorted(holdings, key=lambda name: (scaling.prices.get(name, 1.0), name))
-    wanted = _reclaimable(scaling, holdings, places, needed)
+    wanted = _reclaimable(scaling, holdings, places, need.ample)
     # A new engine counts only once it serves; until then the present ones are kept.
     serving = [min(wanted[name], holdings[name].reclaimable) for name in places]
-    missing = max(0, needed - _safe(serving))
+    missing = max(0, need.tight - _safe(serving))
     on_demand = _on_demand(scaling, wanted, places, missing)
     return {name: Targets(on_demand[name], wanted[name]) for name in places}
 
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -8,6 +8,7 @@
     REFUSED_S,
     SHRINK_AFTER_S,
     Holdings,
+    Need,
     Targets,
     engines_needed,
     plan_engines,
@@ -46,7 +47,7 @@
         self._view_fresh = view_fresh
         self._confirmed: dict[str, _Confirmed] = {}
         self._refused_s: dict[str, float] = {}
-        self._peak: dict[str, tuple[int, float]] = {}
+        self._peak: dict[str, tuple[Need, float]] = {}
         self._lowered_s: dict[str, float] = {}
 
     def reset(self) -> None:
@@ -95,8 +96,8 @@
         present = self._holdings(service, now_s)
         if not present:
             return
-        needed = self._needed(service, now_s)
-        targets = plan_engines(service.scaling, present, needed)
+        need = self._needed(service, len(present), now_s)
+        targets = plan_engines(service.scaling, present, need)
         for name, target in targets.items():
             self._set(orders, service.name, name, target, present[name], now_s)
 
@@ -145,14 +146,14 @@
         since_s = self._lowered_s.setdefault(key, now_s)
         return now_s - since_s >= SHRINK_AFTER_S
 
-    def _needed(self, service: Service, now_s: float) -> int:
+    def _needed(self, service: Service, places: int, now_s: float) -> Need:
         """Return the engines needed; a peak is remembered for a while."""
         token_s = self._token_s(service.name)
-        needed = engines_needed(self._demand(service.name), token_s)
-        known, until_s = self._peak.get(service.name, (0, 0.0))
-        if needed >= known or now_s > until_s:
-            self._peak[service.name] = (needed, now_s + SHRINK_AFTER_S)
-            return needed
+        need = engines_needed(self._demand(service.name), token_s, places)
+        known, until_s = self._peak.get(service.name, (need, 0.0))
+        if need.ample >= known.ample or now_s > until_s:
+            self._peak[service.name] = (need, now_s + SHRINK_AFTER_S)
+            return need
         return known
 
     def _token_s(self, service: str) -> float:
--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -304,6 +304,7 @@
         """Take no more connections."""
         if self._listener is not None:
             self._listener.close()
+            self._listener = None
 
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -32,7 +32,7 @@
 # Interval of the averages of demand and speed, in seconds.
 AVERAGE_S = 0.5
 # After this long, the platform's entry has noticed that the node is not ready.
-NOTICED_S = 2.6
+NOTICED_S = 3.2
 # Left of the grace period to end the process in order.
 LAST_S = 0.6
 # Part of the common slack of repeats that each node takes for itself. With seven or
@@ -194,16 +194,16 @@
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + self._settings.grace_s - LAST_S
         noticed_s = loop.time() + NOTICED_S
-        parts.state.stopping = True
+        parts.state.stopping_since_s = loop.time()
         parts.callers.state.stopping = True
         parts.state.events.emit(813, in_progress=parts.callers.busy_count)
         while loop.time() < ends_s:
             if loop.time() >= noticed_s:
+                parts.callers.stop_listening()
                 parts.callers.close_idle()
                 if not parts.callers.channels:
                     break
             await asyncio.sleep(0.05)
-        parts.callers.stop_listening()
         return parts.callers.busy_count
 
     def _give_up(self) -> None:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -23,6 +23,11 @@
     floor: float
 
 
+# A draining node takes requests for this long: the platform's entry needs two missed
+# checks, a second apart, before it sends new connections elsewhere.
+LATE_REQUESTS_S = 2.8
+
+
 class NodeState:
     """Hold the node's view of the configuration, the upstreams and its limits."""
 
@@ -46,7 +51,7 @@
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.upstreams_known = False
-        self.stopping = False
+        self.stopping_since_s: float | None = None
         self.demand = DemandMeter()
         self._retry = retry
         self._allowances: dict[str, RetryAllowance] = {}
@@ -66,6 +71,18 @@
         """Return whether the node should get new connections."""
         return self.routes is not None and self.upstreams_known and not self.stopping
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether the node is draining."""
+        return self.stopping_since_s is not None
+
+    @property
+    def takes_requests(self) -> bool:
+        """Return whether a new request can be finished before the node ends."""
+        if self.stopping_since_s is None:
+            return True
+        return self.clock() - self.stopping_since_s < LATE_REQUESTS_S
+
     def adopt(self, configuration: Configuration, raw: bytes) -> bool:
         """Put a configuration in force unless it is not newer; return whether it is."""
         if configuration.version <= self.version:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -99,6 +99,9 @@
         if table is None:
             self._reject(exchange, call, 503, "no_configuration", 0.5)
             return None
+        if not self._state.takes_requests:
+            self._reject(exchange, call, 503, "stopping", 0.05)
+            return None
         target = exchange.target.decode("latin-1")
         match = table.match(call.host, target, call.key, self._state.rng)
         if isinstance(match, NoRoute):
