Let on-demand engines take the places of reclaimed ones

Cause: after two reclaims no on-demand engine was ordered, since the places of the reclaimable ones that could not be had were held free; first tokens took 0.9 s. Shares of limits follow demand more closely (not measured alone).

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -21,6 +21,9 @@
 LEAST_ENGINES = 2
 # Reclaimable engines are asked for again this long after a refusal.
 REFUSED_S = 2.0
+# A data centre counts as without them for this long, so that the time between two
+# refusals does not look like one with engines to be had.
+SCARCE_S = 5.0
 # Fewer engines are ordered only after this long without a need for more.
 SHRINK_AFTER_S = 6.0
 
@@ -68,10 +71,20 @@
     places = sorted(holdings, key=lambda name: (scaling.prices.get(name, 1.0), name))
     wanted = _reclaimable(scaling, holdings, places, need.ample)
     # A new engine counts only once it serves; until then the present ones are kept.
-    serving = [min(wanted[name], holdings[name].reclaimable) for name in places]
-    missing = max(0, need.tight - _safe(serving))
-    on_demand = _on_demand(scaling, wanted, places, missing)
-    return {name: Targets(on_demand[name], wanted[name]) for name in places}
+    serving = {name: min(wanted[name], holdings[name].reclaimable) for name in places}
+    missing = max(0, need.tight - _safe(list(serving.values())))
+    # Where reclaimable engines are not to be had, their places are free.
+    taken = {
+        name: serving[name] if holdings[name].refused else wanted[name]
+        for name in places
+    }
+    on_demand = _on_demand(scaling, taken, places, missing)
+    return {
+        name: Targets(
+            on_demand[name], min(wanted[name], scaling.maximum - on_demand[name])
+        )
+        for name in places
+    }
 
 
 def _safe(serving: list[int]) -> int:
@@ -101,14 +114,14 @@
 
 
 def _on_demand(
-    scaling: Scaling, reclaimable: Mapping[str, int], places: list[str], missing: int
+    scaling: Scaling, taken: Mapping[str, int], places: list[str], missing: int
 ) -> dict[str, int]:
     """Return on-demand engines, dealt evenly, the cheapest data centres first."""
     wanted = {}
     for name in places:
         wanted[name] = 0
     while missing > 0:
-        roomy = [n for n in places if wanted[n] + reclaimable[n] < scaling.maximum]
+        roomy = [n for n in places if wanted[n] + taken[n] < scaling.maximum]
         if not roomy:
             break
         name = min(roomy, key=lambda each: (wanted[each], places.index(each)))
--- a/packages/decisions/cicadapass_decisions/tokenlimit.py
+++ b/packages/decisions/cicadapass_decisions/tokenlimit.py
@@ -15,10 +15,10 @@
 SILENT_AFTER_S = 1.0
 # A node that was silent this long is restarted or removed; its share is free again.
 FORGET_AFTER_S = 20.0
-# Half of each share is even, so that a node without recent demand can admit some.
-EVEN_PART = 0.5
-# Demand is averaged over about this time.
-DEMAND_WINDOW_S = 4.0
+# A part of each share is even, so that a node without recent demand can admit some.
+EVEN_PART = 0.2
+# Demand is averaged over about this time, the usual window of the limits.
+DEMAND_WINDOW_S = 8.0
 # A node alone keeps at least this part of the limit, so that its callers can return.
 LEAST_PART = 0.05
 # Part of the burst that a node admits before it knows a whole window.
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -6,6 +6,7 @@
 from cicadapass_decisions.dutylease import DutyRecord
 from cicadapass_decisions.enginefleet import (
     REFUSED_S,
+    SCARCE_S,
     SHRINK_AFTER_S,
     Holdings,
     Need,
@@ -76,7 +77,8 @@
             confirmed = self._confirmed.get(key)
             if confirmed is not None and confirmed.count == count:
                 continue
-            if order.reclaimable and self._is_refused(order.data_centre, now_s):
+            refused_s = self._refused_s.get(order.data_centre, -1e9)
+            if order.reclaimable and now_s - refused_s < REFUSED_S:
                 continue
             found.append(order)
         return sorted(found, key=lambda order: -order.count)
@@ -125,9 +127,6 @@
                 continue
             if count >= known:
                 self._lowered_s.pop(key, None)
-            if reclaimable and present.refused and count <= known:
-                # What the platform took back is ordered again later.
-                continue
             orders[key] = count
             self._renew_lost(key, count, held, now_s)
 
@@ -174,17 +173,24 @@
         assert service.scaling is not None
         records = self._state.book.usable(service.name)
         places = {each.data_centre for each in records} | set(service.scaling.prices)
+        # Engines on notice, until the first refusal or success tells more.
+        reclaimed = {
+            each.data_centre
+            for each in self._state.book.view.records.values()
+            if each.service == service.name and each.leaves_in_s is not None
+        }
         return {
             name: Holdings(
                 on_demand=_count(records, name, reclaimable=False),
                 reclaimable=_count(records, name, reclaimable=True),
-                refused=self._is_refused(name, now_s),
+                refused=self._is_scarce(name, now_s) or name in reclaimed,
             )
             for name in sorted(places)
         }
 
-    def _is_refused(self, data_centre: str, now_s: float) -> bool:
-        return now_s - self._refused_s.get(data_centre, -1e9) < REFUSED_S
+    def _is_scarce(self, data_centre: str, now_s: float) -> bool:
+        """Return whether reclaimable engines were refused or taken back lately."""
+        return now_s - self._refused_s.get(data_centre, -1e9) < SCARCE_S
 
 
 def _count(records: list[UpstreamRecord], name: str, *, reclaimable: bool) -> int:
