Move the runs of leaving engines to others

Change: a run that would not end in time is copied while it goes on, then stopped, and goes on at another engine from the copy.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -202,6 +202,8 @@
     A request that was placed or waited has ended.
 813 info gateway_draining(in_progress)
     SIGTERM came; the node is not ready and finishes what is in progress.
+814 info run_moved(request_id, upstream, target, delivered, outcome)
+    A run of a leaving engine was copied to another one, or why it was not.
 820 warning peer_message_skipped(peer, reason)
     A message of a peer cannot be read.
 821 warning peer_state_failed(peer, reason)
--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -15,6 +15,7 @@
     REJECTED = "rejected"
     FAILED = "failed"
     BROKEN = "broken"
+    MOVED = "moved"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,11 @@
         """Return the result of an attempt whose answer is not whole."""
         return cls(End.BROKEN, False, detail)
 
+    @classmethod
+    def moved(cls, upstream_id: str) -> "AttemptResult":
+        """Return the result of a run that goes on at another upstream."""
+        return cls(End.MOVED, True, upstream_id)
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptEnd:
@@ -89,11 +95,16 @@
     """Return what follows an attempt; `allowed` is the retry allowance's word."""
     if result.end is End.DELIVERED:
         return Done()
+    if result.end is End.MOVED:
+        return Repeat()
+    if progress.runs and not progress.repeatable:
+        # A rejected continuation does not take back that the request has run.
+        return Fail()
     more = allowed and progress.sends < MAX_SENDS
     if result.end in (End.NOT_SENT, End.REJECTED):
         if more:
             return Repeat()
         return Fail() if progress.runs else Refuse()
-    if more and progress.repeatable and progress.runs < progress.max_runs:
+    if more and progress.runs < progress.max_runs:
         return Repeat()
     return Fail()
--- a/packages/decisions/cicadapass_decisions/passthrough.py
+++ b/packages/decisions/cicadapass_decisions/passthrough.py
@@ -136,6 +136,15 @@
     parts: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     max_output_tokens: int = 0
+    # The caller's estimate of the output, where it gives one.
+    hinted_tokens: int | None = None
+
+    @property
+    def expected_tokens(self) -> int:
+        """Return the output tokens to expect."""
+        if self.hinted_tokens is None:
+            return self.max_output_tokens
+        return min(self.hinted_tokens, self.max_output_tokens or self.hinted_tokens)
 
     @property
     def total_tokens(self) -> int:
--- a/packages/gateway/cicadapass_gateway/dialect.py
+++ b/packages/gateway/cicadapass_gateway/dialect.py
@@ -32,6 +32,8 @@
     time_left_s: float
     priority: int | None
     resume_after: str | None
+    # Where the copy of the run's memory lies that the upstream goes on from.
+    copy: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +127,19 @@
     reclaimable: bool
 
 
+class MoveRun(Protocol):
+    """Copy a run to another engine, and stop it at the source when `last`."""
+
+    async def __call__(
+        self,
+        source: UpstreamRecord,
+        request_id: str,
+        target: UpstreamRecord,
+        last: bool,
+    ) -> str:
+        """Return the name of the copy."""
+
+
 @dataclass(frozen=True, slots=True)
 class Cloud:
     """Hold the calls that only the holder of the duties may make."""
@@ -141,4 +156,5 @@
     registry: Registry
     topics: Topics
     codec: Codec
+    move_run: MoveRun
     cloud: Cloud | None
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -18,6 +18,7 @@
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import Exchange, HttpServer, ServerState
 from cicadapass_gateway.logoutput import QueuedOutput
+from cicadapass_gateway.movers import Movers
 from cicadapass_gateway.nodestate import NodeState, RetryBounds
 from cicadapass_gateway.peers import INTERVAL_S, NodeAddress, PeerParts, Peers
 from cicadapass_gateway.registrysync import RegistrySync, repeated
@@ -54,6 +55,7 @@
     duties: Duties
     supervisor: Supervisor
     pool: ClientPool
+    movers: Movers
 
 
 class Node:
@@ -131,7 +133,8 @@
         planner = FleetPlanner(state, peers.total_demand, lambda: sync.registry_ok)
         times = DutyTimes(settings.lease_s, settings.usage_window_s)
         duties = Duties(state, adapter, peers, usage, planner, times, true_time)
-        relay = Relay(state, adapter.dialect, pool, usage)
+        movers = Movers(state, adapter.move_run)
+        relay = Relay(state, adapter.dialect, pool, usage, movers)
 
         def server(handler: Callable[[Exchange], object]) -> HttpServer:
             limits = ServerState(CallerLimits())
@@ -165,6 +168,7 @@
             duties=duties,
             supervisor=Supervisor(events, self._give_up),
             pool=pool,
+            movers=movers,
         )
 
     async def _start(self, parts: Parts) -> None:
@@ -183,6 +187,7 @@
         start("nodes", parts.sync.follow_nodes)
         start("peer-fallback", parts.sync.follow_peers)
         start("datagrams", repeated(parts.peers.send_state, INTERVAL_S))
+        start("movers", parts.movers.watch)
         start("sweep", repeated(lambda: _sweep(parts), SWEEP_S))
         start("averages", repeated(lambda: _average(parts.state), AVERAGE_S))
         start("waiting", repeated(parts.state.room.pump, PUMP_S))
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -11,7 +11,7 @@
     Repeat,
     after_attempt,
 )
-from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
+from cicadapass_decisions.passthrough import CallKind, Prompt, UpstreamRecord
 from cicadapass_decisions.routetable import Match, NoRoute, UnknownCredential
 from cicadapass_decisions.waitingorder import retry_after_s
 from cicadapass_gateway.dialect import AnswerFacts, Attempt, Call, Dialect
@@ -19,6 +19,7 @@
 from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
 from cicadapass_gateway.httpclient import ClientChannel, ClientPool
 from cicadapass_gateway.httpserver import Exchange
+from cicadapass_gateway.movers import ActiveRun, Moved, Movers
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.upstreambook import Ticket
 from cicadapass_gateway.usage import UsageCounter
@@ -33,6 +34,9 @@
 SILENCE_EXPECTED = 3.0
 # Answers that are not streams are kept whole before they are passed on.
 MAX_ANSWER_BYTES = 16_777_216
+# The rest of a move may take this long after the source ended the stream; callers bear
+# a gap of two seconds.
+MOVE_WAIT_S = 1.2
 # Part of the shared prompt tokens that engines are expected to hold already.
 CACHED_PART = 0.8
 # Statuses that promise that a request was not executed; only a true promise is sent.
@@ -55,6 +59,7 @@
     first_piece_s: float | None = None
     counted: bool = False
     upstream_id: str = ""
+    moved: Moved | None = None
     waited_s: float = 0.0
 
     @property
@@ -72,11 +77,13 @@
         dialect: Dialect,
         pool: ClientPool,
         usage: UsageCounter,
+        movers: Movers,
     ) -> None:
         self._state = state
         self._dialect = dialect
         self._pool = pool
         self._usage = usage
+        self._movers = movers
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -148,16 +155,15 @@
 
     async def _serve(self, job: Job) -> None:
         while True:
-            began_s = self._state.clock()
-            granted = await self._state.room.place(self._placement(job))
-            job.waited_s += self._state.clock() - began_s
+            granted = await self._place(job)
             if isinstance(granted, NotPlaced):
                 self._refuse(job, granted.reason, granted.queued_s)
                 return
             result = await self._attempt(job, granted)
             self._log_attempt(job, granted, result)
             step = after_attempt(result, self._progress(job), allowed=True)
-            if isinstance(step, Repeat) and not self._may_repeat(job):
+            moved = job.moved is not None
+            if isinstance(step, Repeat) and not moved and not self._may_repeat(job):
                 step = after_attempt(result, self._progress(job), allowed=False)
             if isinstance(step, Refuse):
                 self._refuse(job, result.end.value, 0.1)
@@ -171,6 +177,15 @@
             if len(job.excluded) >= len(self._state.book.usable(job.match.service)):
                 job.excluded.clear()
 
+    async def _place(self, job: Job) -> Ticket | NotPlaced:
+        """Return a place; a run that was moved goes on where its copy lies."""
+        began_s = self._state.clock()
+        if job.moved is not None:
+            return self._state.book.begin(job.moved.record, Prompt(), 0.0, began_s)
+        granted = await self._state.room.place(self._placement(job))
+        job.waited_s += self._state.clock() - began_s
+        return granted
+
     def _placement(self, job: Job) -> Placement:
         route = job.match.route
         table = self._state.routes
@@ -245,7 +260,9 @@
             time_left_s=time_left_s,
             priority=job.match.priority,
             resume_after=job.last_event_id,
+            copy=job.moved.copy if job.moved is not None else None,
         )
+        job.moved = None
         headers = self._dialect.encode_attempt(
             job.call, attempt, len(exchange.body)
         )
@@ -305,6 +322,59 @@
     ) -> AttemptResult:
         """Pass on whole events as they come."""
         exchange = job.exchange
+        run = self._active_run(job, ticket)
+        self._movers.add(run)
+        try:
+            await self._pass_events(job, ticket, channel, status, facts, run)
+        except AnswerBroken:
+            # A run that is being moved ends at its source without its end.
+            job.moved = await self._moved(run)
+            if job.moved is None:
+                raise
+            channel.abort()
+            return AttemptResult.moved(job.moved.record.upstream_id)
+        finally:
+            self._movers.discard(run)
+        if not exchange.started:
+            exchange.start(status, facts.headers)
+        record = ticket.record
+        self._pool.give_back(record.host, record.port, channel)
+        exchange.finish()
+        self._finish(job, status, "answered")
+        return AttemptResult.delivered(status)
+
+    def _active_run(self, job: Job, ticket: Ticket) -> ActiveRun:
+        configuration = self._state.configuration
+        service = configuration and configuration.services.get(job.match.service)
+        return ActiveRun(
+            request_id=job.call.request_id or "",
+            record=ticket.record,
+            prompt=job.call.prompt,
+            tokens_per_event=service.tokens_per_event if service else 1,
+            began_s=self._state.clock(),
+        )
+
+    async def _moved(self, run: ActiveRun) -> Moved | None:
+        """Return where the run was moved to, if it was."""
+        if run.mover is None:
+            return None
+        try:
+            async with asyncio.timeout(MOVE_WAIT_S):
+                return await asyncio.shield(run.mover)
+        except TimeoutError:
+            return None
+
+    async def _pass_events(
+        self,
+        job: Job,
+        ticket: Ticket,
+        channel: ClientChannel,
+        status: int,
+        facts: AnswerFacts,
+        run: ActiveRun,
+    ) -> None:
+        """Pass on events until the proper end of the stream."""
+        exchange = job.exchange
         splitter = EventSplitter()
         while True:
             async with self._silence(job, ticket):
@@ -314,6 +384,7 @@
             events = splitter.feed(piece)
             if not events:
                 continue
+            run.events += len(events)
             if not exchange.started:
                 exchange.start(status, facts.headers)
             self._note_first_piece(job, ticket)
@@ -322,13 +393,6 @@
             await exchange.drained()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
-        if not exchange.started:
-            exchange.start(status, facts.headers)
-        record = ticket.record
-        self._pool.give_back(record.host, record.port, channel)
-        exchange.finish()
-        self._finish(job, status, "answered")
-        return AttemptResult.delivered(status)
 
     def _note_first_piece(self, job: Job, ticket: Ticket) -> None:
         now_s = self._state.clock()
