--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Test the gateway."""
--- /dev/null
+++ b/tests/gateway/kit.py
@@ -0,0 +1,453 @@
+"""Stand-ins and a small dialect for tests of the gateway, all in one event loop."""
+
+import asyncio
+import logging
+
+import h11
+import testtools
+
+from cicadapass_common.events import EventLog
+from cicadapass_common.stamps import StampClock
+from cicadapass_decisions.passthrough import (
+    CallerLimits,
+    CallKind,
+    Configuration,
+    Prompt,
+    PromptPart,
+    Route,
+    Service,
+    UpstreamRecord,
+    WeightedService,
+    Workspace,
+)
+from cicadapass_gateway.dialect import (
+    AnswerFacts,
+    Call,
+    Changes,
+    Dialect,
+    Document,
+    Listing,
+)
+from cicadapass_gateway.exceptions import (
+    HistoryExpired,
+    OffsetConflict,
+    PlatformUnavailable,
+)
+from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.httpserver import HttpServer, ServerState
+from cicadapass_gateway.movers import Movers
+from cicadapass_gateway.nodestate import NodeState, RetryBounds
+from cicadapass_gateway.relay import Relay
+from cicadapass_gateway.usage import UsageCounter
+
+# Generous: a machine under load must not fail a test.
+TIMEOUT_S = 30.0
+HOST = "127.0.0.1"
+
+
+class LoopTest(testtools.TestCase):
+    """Run the coroutine `scenario` style of tests in a fresh event loop."""
+
+    def run_loop(self, coroutine):
+        """Run a coroutine to its end."""
+
+        async def bounded():
+            async with asyncio.timeout(TIMEOUT_S):
+                return await coroutine
+
+        return asyncio.run(bounded())
+
+
+async def until(condition):
+    """Wait until a condition holds; the test's time limit bounds it."""
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+def _decode_call(headers):
+    found = {name.lower(): value.decode() for name, value in headers}
+    tokens = int(found.get(b"x-tokens", "0"))
+    parts = (PromptPart("shared", tokens // 2), PromptPart("own", tokens // 2))
+    limit = found.get(b"x-limit")
+    return Call(
+        request_id=found.get(b"x-id"),
+        host=found.get(b"host", ""),
+        key=found.get(b"x-key"),
+        time_limit_s=None if limit is None else float(limit),
+        prompt=Prompt(parts if tokens else (), tokens, 400 if tokens else 0),
+        last_event_id=None,
+        headers=[(n, v) for n, v in headers if n.lower().startswith(b"x-")],
+    )
+
+
+def _encode_attempt(call, attempt, body_bytes):
+    headers = [(b"Host", b"u"), *call.headers]
+    headers.append((b"y-upstream", attempt.upstream_id.encode()))
+    if attempt.resume_after is not None:
+        headers.append((b"y-after", attempt.resume_after.encode()))
+    if attempt.copy is not None:
+        headers.append((b"y-copy", attempt.copy.encode()))
+    headers.append((b"Content-Length", str(body_bytes).encode()))
+    return headers
+
+
+def _decode_answer(status, headers):
+    found = {name.lower(): value for name, value in headers}
+    kept = [(n, v) for n, v in headers if n.lower() in (b"content-type", b"x-id")]
+    request_id = found.get(b"x-id")
+    return AnswerFacts(
+        request_id=None if request_id is None else request_id.decode(),
+        not_executed=b"x-not-run" in found,
+        wrong_instance=status == 421,
+        event_stream=found.get(b"content-type") == b"text/event-stream",
+        headers=kept,
+    )
+
+
+def _encode_refusal(request_id, retry_after_s):
+    if retry_after_s is None:
+        return []
+    return [(b"Retry-After", f"{retry_after_s:.3f}".encode())]
+
+
+DIALECT = Dialect(_decode_call, _encode_attempt, _decode_answer, _encode_refusal)
+
+
+class Upstream:
+    """Accept connections and answer each request with a script."""
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.requests = []
+        self.closed = 0
+        self.connections = 0
+        self._server = None
+
+    async def start(self):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        return self
+
+    @property
+    def port(self):
+        """Return the port."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def record(self, **changes):
+        """Return the registry's record of this upstream."""
+        values = {
+            "service": "s",
+            "data_centre": "dc-a",
+            "slots": 64,
+            "leaving": False,
+            "started_ms": 1,
+            "sequence": 1,
+            **changes,
+        }
+        return UpstreamRecord(self.name, host=HOST, port=self.port, **values)
+
+    def stop(self):
+        """Stop to listen."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        parser = h11.Connection(h11.SERVER)
+        request, body = None, b""
+        try:
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    data = await reader.read(65536)
+                    parser.receive_data(data)
+                    if not data:
+                        break
+                elif isinstance(event, h11.Request):
+                    request, body = event, b""
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    self.requests.append((request, body))
+                    await self.script(Answer(request, body, reader, writer))
+                    if writer.is_closing():
+                        break
+                    parser.send(h11.Response(status_code=200, headers=[]))
+                    parser.send(h11.EndOfMessage())
+                    parser.start_next_cycle()
+                else:
+                    break
+        except (ConnectionError, h11.ProtocolError, asyncio.CancelledError):
+            # The other side left, or the test ended.
+            pass
+        finally:
+            self.closed += 1
+            writer.close()
+
+
+class Answer:
+    """Write the answer to one request, byte by byte if need be."""
+
+    def __init__(self, request, body, reader, writer):
+        self.request, self.body = request, body
+        self.headers = {n: v.decode() for n, v in request.headers}
+        self._reader, self._writer = reader, writer
+
+    def send(self, data):
+        """Write raw bytes."""
+        self._writer.write(data)
+
+    def whole(self, status=200, body=b"ok", extra=""):
+        """Write a whole answer."""
+        request_id = self.headers.get(b"x-id", "")
+        head = f"HTTP/1.1 {status} X\r\nx-id: {request_id}\r\n{extra}"
+        self.send(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
+
+    def stream(self):
+        """Write the head of an event stream."""
+        request_id = self.headers.get(b"x-id", "")
+        self.send(
+            f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\ncontent-type: text/event-stream"
+            "\r\ntransfer-encoding: chunked\r\n\r\n".encode()
+        )
+
+    def event(self, number, cut=False):
+        """Write one event, or the first half of it."""
+        data = f"id: {number}\ndata: piece {number}\n\n".encode()
+        data = data[: len(data) // 2] if cut else data
+        self.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end(self):
+        """End the stream properly."""
+        self.send(b"0\r\n\r\n")
+
+    def reset(self):
+        """Reset the connection."""
+        self._writer.transport.abort()
+
+    async def until_closed(self):
+        """Wait until the other side closes the connection."""
+        while await self._reader.read(65536):
+            pass
+
+
+def configuration(version=1, workspaces=(), **changes):
+    """Return a configuration with a route of each kind."""
+    routes = tuple(
+        Route(
+            name=name,
+            host="h",
+            path_prefix=f"/{name}/",
+            kind=kind,
+            services=(WeightedService("s", 1.0),),
+            attempts=2,
+            resumable=name == "resume",
+            max_gap_s=0.25 if kind is CallKind.STREAM else None,
+            **{"timeout_s": 10.0, "target_latency_s": 0.5, **changes},
+        )
+        for name, kind in (
+            ("safe", CallKind.SAFE),
+            ("unsafe", CallKind.UNSAFE),
+            ("stream", CallKind.STREAM),
+            ("resume", CallKind.STREAM),
+        )
+    )
+    return Configuration(
+        version=version,
+        routes=routes,
+        services={"s": Service("s", model_engine=True, tokens_per_event=4)},
+        workspaces=tuple(workspaces),
+        limits=CallerLimits(),
+    )
+
+
+def workspace(rate=0.0):
+    """Return a workspace with the key `k`."""
+    return Workspace("w", frozenset({"k"}), rate_per_s=rate, burst=rate)
+
+
+def quiet_events():
+    """Return an event log that writes nothing."""
+    logging.getLogger("cicadapass.events").setLevel(logging.CRITICAL)
+    return EventLog("n", StampClock().stamp)
+
+
+def make_state(**changes):
+    """Return the state of a node; call it within the event loop."""
+    bounds = RetryBounds(10.0, 20.0)
+    return NodeState("n", "dc-a", quiet_events(), bounds, changes.get("window_s", 8.0))
+
+
+async def no_move(source, request_id, target, last):
+    """Refuse every move."""
+    raise PlatformUnavailable("no moves here")
+
+
+class World:
+    """Serve callers in front of scripted upstreams."""
+
+    def __init__(self, move_run=no_move):
+        self.state = make_state()
+        self.pool = ClientPool()
+        self.usage = UsageCounter(5.0, lambda: 1000.0)
+        self.movers = Movers(self.state, move_run)
+        self.relay = Relay(self.state, DIALECT, self.pool, self.usage, self.movers)
+        self.faults = []
+        self.server = HttpServer(
+            ServerState(CallerLimits()), self.relay.handle, self.faults.append
+        )
+        self.upstreams = []
+        self._tasks = []
+
+    async def start(self, *scripts, config=None):
+        """Start an upstream for each script and listen."""
+        for number, script in enumerate(scripts):
+            self.upstreams.append(await Upstream(f"u{number}", script).start())
+        self.state.adopt(config or configuration(), b"raw")
+        self.list_upstreams()
+        await self.server.listen(HOST, 0)
+        self._tasks.append(asyncio.create_task(self.movers.watch()))
+        return self
+
+    def list_upstreams(self, **changes):
+        """Put the upstreams into the registry's view."""
+        records = [each.record(**changes) for each in self.upstreams]
+        self.state.book.view.replace(records, self.state.clock())
+        self.state.book.refresh()
+        self.state.upstreams_known = True
+
+    async def call(self, path, method="GET", body=b"", **headers):
+        """Send a request on a new connection and return the reply."""
+        caller = await self.connect()
+        caller.send(path, method, body, **headers)
+        try:
+            return await caller.reply()
+        finally:
+            caller.close()
+
+    async def connect(self):
+        """Return a new caller."""
+        reader, writer = await asyncio.open_connection(HOST, self.server.port)
+        return Caller(reader, writer)
+
+
+class Reply:
+    """Hold what a caller got."""
+
+    def __init__(self, status, headers, body, complete):
+        self.status, self.headers = status, headers
+        self.body, self.complete = body, complete
+
+
+class Caller:
+    """Send requests on one connection."""
+
+    def __init__(self, reader, writer):
+        self._reader, self._writer = reader, writer
+        self._parser = h11.Connection(h11.CLIENT)
+
+    def send(self, path, method="GET", body=b"", **headers):
+        """Send a request."""
+        fields = [("Host", "h"), ("x-id", "r1")]
+        fields += [(name.replace("_", "-"), str(v)) for name, v in headers.items()]
+        fields.append(("Content-Length", str(len(body))))
+        self._parser = h11.Connection(h11.CLIENT)
+        request = h11.Request(method=method, target=path, headers=fields)
+        data = self._parser.send(request)
+        if body:
+            data += self._parser.send(h11.Data(data=body))
+        self._writer.write(data + self._parser.send(h11.EndOfMessage()))
+
+    async def head(self):
+        """Return the head of the reply, or None at the end."""
+        event = await self._event()
+        return event if isinstance(event, h11.Response) else None
+
+    async def reply(self):
+        """Return the whole reply."""
+        head = await self.head()
+        if head is None:
+            return Reply(0, {}, b"", False)
+        body = b""
+        while isinstance(event := await self._event(), h11.Data):
+            body += bytes(event.data)
+        complete = isinstance(event, h11.EndOfMessage)
+        return Reply(head.status_code, dict(head.headers), body, complete)
+
+    def close(self):
+        """Close the connection."""
+        self._writer.close()
+
+    async def _event(self):
+        while True:
+            try:
+                event = self._parser.next_event()
+            except h11.RemoteProtocolError:
+                return None
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._reader.read(65536)
+            except ConnectionError:
+                return None
+            self._parser.receive_data(data)
+
+
+class MemoryRegistry:
+    """Keep keyed topics in memory, with faults to switch on."""
+
+    def __init__(self):
+        self.logs = {}
+        self.down = False
+        # Appends that take effect although their answer is lost.
+        self.lose_answers = 0
+        self.first = {}
+
+    def put(self, topic, key, value):
+        """Append as the operator or an upstream does."""
+        self.logs.setdefault(topic, []).append((key, value))
+
+    async def newest(self, topic):
+        """Return the newest record of each key."""
+        await self._check()
+        log = self.logs.get(topic, [])
+        newest = {key: (offset, value) for offset, (key, value) in enumerate(log)}
+        documents = tuple(
+            Document(key, value, offset)
+            for key, (offset, value) in newest.items()
+            if value
+        )
+        return Listing(documents, len(log))
+
+    async def changes(self, topic, start, wait_s):
+        """Return the records from an offset on."""
+        await self._check()
+        if start < self.first.get(topic, 0):
+            raise HistoryExpired("gone")
+        for _ in range(max(1, int(wait_s / 0.01))):
+            log = self.logs.get(topic, [])
+            if len(log) > start or not wait_s:
+                break
+            await asyncio.sleep(0.01)
+        found = enumerate(log[start:], start)
+        documents = tuple(
+            Document(key, value, offset) for offset, (key, value) in found
+        )
+        return Changes(documents, len(log))
+
+    async def append(self, topic, key, value, expected_end):
+        """Append a record under a condition."""
+        await self._check()
+        log = self.logs.setdefault(topic, [])
+        if expected_end is not None and expected_end != len(log):
+            raise OffsetConflict("another writer was first")
+        log.append((key, value))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise PlatformUnavailable("the answer was lost")
+        return len(log)
+
+    async def _check(self):
+        await asyncio.sleep(0)
+        if self.down:
+            raise PlatformUnavailable("the registry is down")
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the adapter to the users' platform."""
