--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -30,6 +30,7 @@
     PlatformRefused,
 )
 from cicadapass_gateway.fleetplanner import FleetPlanner
+from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peers import Peers
 from cicadapass_gateway.usage import UsageCounter
@@ -249,5 +250,5 @@
 
 
 def _decode(document: Document) -> DutyRecord | None:
-    holder, fence, renewal, reports, orders = cbor2.loads(document.value)
+    holder, fence, renewal, reports, orders = decode_cbor(document.value)
     return DutyRecord(holder, fence, renewal, reports, orders)
--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -207,6 +207,10 @@
         if event is h11.PAUSED:
             return False
         if isinstance(event, h11.Request):
+            # The parser bounds only heads that come in pieces.
+            if _head_bytes(event) > self._server.state.limits.max_header_bytes:
+                self._refuse(431)
+                return False
             arrived_s = self._reading_since_s or self._loop.time()
             self._exchange = Exchange(self, event, arrived_s)
             self._body, self._body_bytes = [], 0
@@ -311,3 +315,9 @@
         for channel in list(self.channels):
             if not channel.busy:
                 channel.close()
+
+
+def _head_bytes(request: h11.Request) -> int:
+    """Return the size of a request's line and headers."""
+    fields = sum(len(name) + len(value) + 4 for name, value in request.headers)
+    return len(request.method) + len(request.target) + fields
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -12,6 +12,7 @@
 import cbor2
 
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
 
@@ -128,7 +129,7 @@
         if len(data) > MAX_DATAGRAM:
             return
         try:
-            self._take(cbor2.loads(data))
+            self._take(decode_cbor(data))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._parts.state.events.emit(
                 820, peer=f"{addr[0]}:{addr[1]}", reason=repr(error)
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -15,6 +15,7 @@
     HistoryExpired,
 )
 from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peers import Member, NodeAddress, Peers
 
@@ -168,7 +169,7 @@
         try:
             async with asyncio.timeout(PEER_TIMEOUT_S):
                 data = await self._fetch(address)
-            self._take_state(cbor2.loads(data))
+            self._take_state(decode_cbor(data))
         except (TimeoutError, AnswerBroken, ConnectFailed) as error:
             self._state.events.emit(821, peer=address.name, reason=repr(error))
         except (KeyError, TypeError, ValueError) as error:
@@ -281,7 +282,7 @@
         now_s = self._state.clock()
         for document in documents:
             try:
-                name, host, port, incarnation = cbor2.loads(document.value)
+                name, host, port, incarnation = decode_cbor(document.value)
             except (TypeError, ValueError) as error:
                 self._state.events.emit(820, peer=document.key, reason=repr(error))
                 continue
--- /dev/null
+++ b/tests/gateway/test_duties.py
@@ -0,0 +1,245 @@
+"""Test that one node performs the duties, under lost answers and outages."""
+
+import asyncio
+
+from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
+from cicadapass_gateway.dialect import Adapter, Cloud, Codec, Topics
+from cicadapass_gateway.duties import Duties, DutyTimes
+from cicadapass_gateway.exceptions import PlatformRefused, PlatformUnavailable
+from cicadapass_gateway.fleetplanner import FleetPlanner
+from cicadapass_gateway.peers import HolderNews, NodeAddress
+from cicadapass_gateway.usage import UsageCounter
+from tests.gateway.kit import (
+    DIALECT,
+    LoopTest,
+    MemoryRegistry,
+    configuration,
+    make_state,
+    no_move,
+    until,
+)
+
+# Short times keep the tests quick; nothing depends on their size.
+TIMES = DutyTimes(lease_s=0.6, window_s=5.0)
+
+
+class FakePeers:
+    """Say who this node is and what the holder told."""
+
+    def __init__(self, name):
+        self.own = NodeAddress(name, "127.0.0.1", 1, 1)
+        self.holder = None
+
+
+class Platform:
+    """Take the calls of the duties, with faults to switch on."""
+
+    def __init__(self):
+        self.registry = MemoryRegistry()
+        self.reports, self.orders = [], []
+        self.fail_reports = 0
+        self.refuse_reclaimable = False
+
+    def adapter(self, name):
+        """Return the adapter of one node."""
+
+        async def report(window, counts, fence):
+            self.reports.append((name, window, dict(counts), fence))
+            if self.fail_reports:
+                self.fail_reports -= 1
+                raise PlatformUnavailable("the answer was lost")
+
+        async def order(order, fence):
+            if order.reclaimable and self.refuse_reclaimable:
+                raise PlatformRefused(409, "/scale")
+            self.orders.append((name, order, fence))
+
+        topics = Topics("configuration", "upstreams", "nodes", "duties")
+        codec = Codec("config", lambda raw: None, lambda key, raw: None)
+        cloud = Cloud(report, order)
+        return Adapter(DIALECT, self.registry, topics, codec, no_move, cloud)
+
+
+class Node:
+    """One node that holds or waits for the duties."""
+
+    def __init__(self, platform, name, now_s=1000.0):
+        self.now_s = now_s
+        self.state = make_state()
+        self.state.adopt(configuration(), b"raw")
+        self.peers = FakePeers(name)
+        self.usage = UsageCounter(TIMES.window_s, lambda: self.now_s)
+        planner = FleetPlanner(self.state, lambda service: 0.0, lambda: True)
+        self.duties = Duties(
+            self.state,
+            platform.adapter(name),
+            self.peers,
+            self.usage,
+            planner,
+            TIMES,
+            lambda: self.now_s,
+        )
+
+    def start(self):
+        """Run the duties."""
+        self.task = asyncio.create_task(self.duties.run())
+        return self
+
+
+class DutiesTest(LoopTest):
+    def test_a_window_is_reported_once_its_counts_are_in(self):
+        """Usage of a window was missing."""
+
+        async def scenario():
+            platform = Platform()
+            node = Node(platform, "a").start()
+            node.usage.count("w")
+            node.usage.hear("b/1", {200: {"w": 2}})
+            await until(lambda: node.duties.own_renewal() is not None)
+            node.now_s = 1006.5
+            await until(lambda: platform.reports)
+            self.assertEqual(("a", 200, {"w": 3}, 1), platform.reports[0])
+
+        self.run_loop(scenario())
+
+    def test_an_unanswered_report_is_repeated_with_the_same_counts(self):
+        """A repeat after a lost answer had other counts."""
+
+        async def scenario():
+            platform = Platform()
+            platform.fail_reports = 2
+            node = Node(platform, "a").start()
+            node.usage.count("w")
+            await until(lambda: node.duties.own_renewal() is not None)
+            node.now_s = 1006.5
+            await until(lambda: platform.reports)
+            node.usage.hear("late/1", {200: {"w": 5}})
+            await until(lambda: len(platform.reports) == 3)
+            self.assertEqual({1}, {each[2]["w"] for each in platform.reports})
+
+        self.run_loop(scenario())
+
+    def test_a_successor_repeats_the_fixed_counts(self):
+        """Two holders reported one window with different counts."""
+
+        async def scenario():
+            platform = Platform()
+            platform.fail_reports = 1
+            first = Node(platform, "a").start()
+            first.usage.count("w")
+            await until(lambda: first.duties.own_renewal() is not None)
+            first.now_s = 1006.5
+            await until(lambda: platform.reports)
+            first.task.cancel()
+            Node(platform, "b", now_s=1007.0).start()
+            await until(lambda: any(each[0] == "b" for each in platform.reports))
+            self.assertEqual(
+                {("a", 1, 1), ("b", 1, 2)},
+                {(name, c["w"], f) for name, w, c, f in platform.reports if w == 200},
+            )
+
+        self.run_loop(scenario())
+
+    def test_an_append_whose_answer_was_lost_is_found(self):
+        """A node waited for the lease that it held itself."""
+
+        async def scenario():
+            platform = Platform()
+            platform.registry.lose_answers = 1
+            node = Node(platform, "a").start()
+            await until(lambda: node.duties.own_renewal() is not None)
+
+        self.run_loop(scenario())
+
+    def test_two_candidates_do_not_both_hold(self):
+        """Two nodes that started together both took the duties."""
+
+        async def scenario():
+            platform = Platform()
+            nodes = [Node(platform, name).start() for name in "abc"]
+            held = [node.duties.own_renewal for node in nodes]
+            await until(lambda: any(each() for each in held))
+            for _ in range(50):
+                self.assertLessEqual(sum(each() is not None for each in held), 1)
+                await asyncio.sleep(0.01)
+
+        self.run_loop(scenario())
+
+    def test_a_holder_without_the_registry_stops_to_act(self):
+        """A holder that was cut off went on beside its successor."""
+
+        async def scenario():
+            platform = Platform()
+            node = Node(platform, "a").start()
+            await until(lambda: node.duties.own_renewal() is not None)
+            platform.registry.down = True
+            await until(lambda: node.duties.own_renewal() is None)
+            platform.registry.down = False
+            await until(lambda: node.duties.own_renewal() is not None)
+
+        self.run_loop(scenario())
+
+    def test_a_candidate_with_news_of_the_holder_asks_nothing(self):
+        """Every node read the record all the time, and each call is paid."""
+
+        async def scenario():
+            platform = Platform()
+            platform.registry.down = True
+            node = Node(platform, "a")
+            node.peers.holder = HolderNews(1, 1, node.state.clock() + 1000.0)
+            node.start()
+            await asyncio.sleep(0.7)
+            self.assertEqual({}, node.state.metrics._counters)
+
+        self.run_loop(scenario())
+
+
+class OrdersTest(LoopTest):
+    def node(self, platform, on_demand=2):
+        """Return a node whose service may be scaled in three data centres."""
+        node = Node(platform, "a")
+        scaling = Scaling(1, 6, 4.0, 0.18, {"dc-a": 1.0, "dc-b": 1.0, "dc-c": 1.0})
+        service = Service("s", model_engine=True, scaling=scaling)
+        config = configuration(version=2)
+        config.services["s"] = service
+        node.state.adopt(config, b"raw")
+        records = [
+            UpstreamRecord(f"{dc}{n}", "s", "h", 1, dc, 64, False, 1, 1)
+            for dc in ("dc-a", "dc-b", "dc-c")
+            for n in range(on_demand)
+        ]
+        node.state.book.view.replace(records, node.state.clock())
+        node.state.book.refresh()
+        return node.start()
+
+    def test_engines_are_ordered_once(self):
+        """Each round placed the same orders again."""
+
+        async def scenario():
+            platform = Platform()
+            node = self.node(platform)
+            await until(lambda: len(platform.orders) >= 3)
+            placed = len(platform.orders)
+            renewal = node.duties.own_renewal()
+            await until(lambda: (node.duties.own_renewal() or renewal) > renewal)
+            kinds = [
+                (o.data_centre, o.reclaimable, o.count) for _, o, _ in platform.orders
+            ]
+            self.assertEqual(len(set(kinds)), len(kinds))
+            self.assertGreaterEqual(len(kinds), placed)
+            self.assertTrue(any(reclaimable for _, reclaimable, _ in kinds))
+
+        self.run_loop(scenario())
+
+    def test_a_refused_order_is_remembered_and_others_go_on(self):
+        """One refusal held up all orders."""
+
+        async def scenario():
+            platform = Platform()
+            platform.refuse_reclaimable = True
+            node = self.node(platform, on_demand=0)
+            await until(lambda: platform.orders)
+            self.assertFalse(any(o.reclaimable for _, o, _ in platform.orders))
+            self.assertIsNotNone(node.duties.own_renewal())
+
+        self.run_loop(scenario())
--- /dev/null
+++ b/tests/gateway/test_httpserver.py
@@ -0,0 +1,139 @@
+"""Test the server against slow, broken and leaving callers."""
+
+import asyncio
+
+from cicadapass_decisions.passthrough import CallerLimits
+from cicadapass_gateway.httpserver import HttpServer, ServerState
+from tests.gateway.kit import HOST, LoopTest, until
+
+LIMITS = CallerLimits(2048, 1000, header_timeout_s=1.0, idle_timeout_s=2.0)
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+class ServerTest(LoopTest):
+    async def start(self, handler=None):
+        """Start a server that answers `ok`."""
+
+        async def respond(exchange):
+            exchange.respond(200, [], b"ok")
+
+        self.faults = []
+        state = ServerState(LIMITS)
+        server = HttpServer(state, handler or respond, self.faults.append)
+        await server.listen(HOST, 0)
+        return server
+
+    async def exchange(self, server, data):
+        """Send raw bytes and return all that comes until the end."""
+        reader, writer = await asyncio.open_connection(HOST, server.port)
+        writer.write(data)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    def test_requests_that_cannot_be_read_are_refused(self):
+        """A request hidden in another one was passed on."""
+        cases = (
+            (b"nonsense\r\n\r\n", b" 400 "),
+            (b"GET / HTTP/1.1\r\n\r\n", b" 400 "),
+            (GET[:-2] + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", b" 400 "),
+            (GET[:-2] + b"x: " + b"y" * 4000 + b"\r\n\r\n", b" 431 "),
+            (GET[:-2] + b"Content-Length: 2000\r\n\r\n" + b"z" * 2000, b" 413 "),
+        )
+
+        async def scenario():
+            server = await self.start()
+            for data, status in cases:
+                answer = await self.exchange(server, data)
+                self.assertIn(status, answer.splitlines()[0], data[:60])
+
+        self.run_loop(scenario())
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        """The second of two requests sent together was lost."""
+
+        async def handler(exchange):
+            await asyncio.sleep(0.01)
+            exchange.respond(200, [], exchange.target)
+
+        async def scenario():
+            server = await self.start(handler)
+            first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+            last = b"GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            answer = await self.exchange(server, first + last)
+            self.assertLess(answer.index(b"/1"), answer.index(b"/2"))
+
+        self.run_loop(scenario())
+
+    def test_slow_and_idle_callers_are_let_go(self):
+        """Callers that sent nothing kept their connections for ever."""
+
+        async def scenario():
+            server = await self.start()
+            slow, idle = [
+                await asyncio.open_connection(HOST, server.port) for _ in range(2)
+            ]
+            slow[1].write(b"GET / HT")
+            await until(lambda: any(each.busy for each in server.channels))
+            now_s = asyncio.get_running_loop().time()
+            server.sweep(now_s + 0.5)
+            self.assertEqual(2, len(server.channels))
+            server.sweep(now_s + 1.5)
+            self.assertIn(b" 408 ", await slow[0].read())
+            server.sweep(now_s + 2.5)
+            self.assertEqual(b"", await idle[0].read())
+
+        self.run_loop(scenario())
+
+    def test_a_stopping_server_closes_after_its_answers(self):
+        """A planned stop cut a request, or kept its caller."""
+
+        async def scenario():
+            server = await self.start()
+            reader, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(GET)
+            await reader.readuntil(b"ok")
+            server.state.stopping = True
+            writer.write(GET)
+            answer = await reader.read()
+            self.assertIn(b"connection: close", answer.lower())
+            self.assertTrue(answer.endswith(b"ok"))
+
+        self.run_loop(scenario())
+
+    def test_a_fault_of_the_handler_is_answered(self):
+        """A fault left its caller without an answer."""
+
+        async def handler(exchange):
+            raise ValueError("a fault")
+
+        async def scenario():
+            server = await self.start(handler)
+            reader, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(GET)
+            self.assertIn(b" 502 ", await reader.readline())
+            self.assertEqual(1, len(self.faults))
+            writer.close()
+
+        self.run_loop(scenario())
+
+    def test_a_caller_that_half_closes_has_left(self):
+        """Work went on for a caller that had closed its side."""
+
+        ended = asyncio.Event()
+
+        async def handler(exchange):
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        async def scenario():
+            server = await self.start(handler)
+            _, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(GET)
+            await until(lambda: server.busy_count)
+            writer.write_eof()
+            await ended.wait()
+
+        self.run_loop(scenario())
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,142 @@
+"""Test what nodes tell each other by datagrams."""
+
+import asyncio
+
+import cbor2
+
+from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
+from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_gateway.peers import FORGET_S, NodeAddress, PeerParts, Peers
+from cicadapass_gateway.usage import UsageCounter
+from tests.gateway.kit import HOST, LoopTest, configuration, make_state, until
+
+UPSTREAM = UpstreamRecord("u1", "s", "h", 1, "dc-a", 64, False, 1, 1)
+
+
+class Node:
+    """A node with datagrams on a free port."""
+
+    def __init__(self, name, incarnation=1):
+        self.name, self.incarnation = name, incarnation
+        self.state = make_state()
+        self.state.book.view.replace([UPSTREAM], 0.0)
+        self.state.book.refresh()
+        self.state.book.meter(UPSTREAM)
+        self.usage = UsageCounter(5.0, lambda: 1000.0)
+        self.renewal = None
+
+    async def start(self, seeds=()):
+        """Bind to a free port."""
+        loop = asyncio.get_running_loop()
+        clock = PeerClock()
+        parts = PeerParts(
+            self.state, self.usage, clock, lambda: self.renewal, lambda: True
+        )
+        self.peers = Peers(NodeAddress(self.name, HOST, 0, 1), list(seeds), parts)
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self.peers, local_addr=(HOST, 0)
+        )
+        port = transport.get_extra_info("sockname")[1]
+        self.peers.own = NodeAddress(self.name, HOST, port, self.incarnation)
+        return self
+
+    @property
+    def address(self):
+        """Return the host and port."""
+        return HOST, self.peers.own.port
+
+
+class DatagramTest(LoopTest):
+    async def pair(self):
+        """Return two nodes, of which the second knows the first."""
+        first = await Node("a").start()
+        second = await Node("b").start([first.address])
+        return first, second
+
+    def test_figures_reach_the_other_node(self):
+        """Nodes did not know of each other's work and overloaded an engine."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.state.book.begin(UPSTREAM, Prompt(prompt_tokens=900), 0.0, 0.0)
+            second.usage.count("w")
+            second.state.demand.add("s", 3000.0)
+            second.renewal = (4, 2)
+            second.state.adopt(configuration(version=9), b"raw")
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            now_s = first.state.clock()
+            self.assertEqual(1, first.state.book.meter(UPSTREAM).running(now_s))
+            self.assertEqual({"w": 1}, first.usage.total(200))
+            self.assertGreater(first.peers.total_demand("s"), 0)
+            self.assertEqual(4, first.peers.holder.fence)
+            self.assertEqual(9, first.peers.members["b"].version)
+
+        self.run_loop(scenario())
+
+    def test_marks_of_leaving_spread(self):
+        """A node that the registry refused sent work to a leaving upstream."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.state.book.view.mark_leaving("u1", 1, 0.0)
+            second.peers.send_state()
+            await until(lambda: not first.state.book.usable("s"))
+
+        self.run_loop(scenario())
+
+    def test_members_introduce_each_other(self):
+        """Nodes that knew only a seed did not find each other."""
+
+        async def scenario():
+            seed = await Node("seed").start()
+            nodes = [await Node(name).start([seed.address]) for name in "bc"]
+            for node in nodes:
+                node.peers.send_state()
+            await until(lambda: len(seed.peers.members) == 2)
+            seed.peers.send_state()
+            await until(lambda: all(len(n.peers.members) == 2 for n in nodes))
+
+        self.run_loop(scenario())
+
+    def test_an_older_incarnation_is_not_heard(self):
+        """A late datagram of a process that had ended changed the counts."""
+
+        async def scenario():
+            first, second = await self.pair()
+            old = await Node("b", incarnation=0).start([first.address])
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            old.usage.count("w")
+            old.peers.send_state()
+            second.usage.count("v")
+            second.peers.send_state()
+            await until(lambda: "v" in first.usage.total(200))
+            self.assertNotIn("w", first.usage.total(200))
+
+        self.run_loop(scenario())
+
+    def test_bytes_that_are_no_message_are_skipped(self):
+        """A stray datagram ended the exchange between nodes."""
+
+        async def scenario():
+            first, second = await self.pair()
+            for data in (b"", b"\xff" * 9, cbor2.dumps({"node": 1}), cbor2.dumps([1])):
+                first.peers.datagram_received(data, ("127.0.0.1", 9))
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+
+        self.run_loop(scenario())
+
+    def test_silent_members_are_forgotten(self):
+        """Datagrams went to nodes that had been removed for good."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            first.peers.members["b"].heard_s -= FORGET_S + 1
+            first.peers.send_state()
+            self.assertEqual({}, first.peers.members)
+
+        self.run_loop(scenario())
--- /dev/null
+++ b/tests/gateway/test_registrysync.py
@@ -0,0 +1,235 @@
+"""Test how a node follows the registry, or its peers without it."""
+
+import asyncio
+import json
+
+from cicadapass_decisions.passthrough import CallerLimits, UpstreamRecord
+from cicadapass_gateway.dialect import Adapter, Codec, Topics
+from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.httpserver import HttpServer, ServerState
+from cicadapass_gateway.peers import Member, NodeAddress
+from cicadapass_gateway.registrysync import RegistrySync
+from tests.gateway.kit import (
+    DIALECT,
+    HOST,
+    LoopTest,
+    MemoryRegistry,
+    configuration,
+    make_state,
+    no_move,
+    until,
+)
+
+
+def decode_configuration(raw):
+    """Return a configuration of the version that the bytes name."""
+    return configuration(version=int(raw))
+
+
+def decode_upstream(key, raw):
+    """Return a record, or None for bytes that are none."""
+    try:
+        entry = json.loads(raw)
+    except ValueError:
+        return None
+    sequence, leaving = entry["sequence"], entry.get("leaving", False)
+    return UpstreamRecord(key, "s", "h", 1, "dc-a", 64, leaving, 1, sequence)
+
+
+def entry(sequence, leaving=False):
+    """Return an upstream's entry."""
+    return json.dumps({"sequence": sequence, "leaving": leaving}).encode()
+
+
+class FakePeers:
+    """Hold members as the datagrams would."""
+
+    def __init__(self, name):
+        self.own = NodeAddress(name, HOST, 1, 1)
+        self.members = {}
+
+    def add(self, address, now_s):
+        if address.name != self.own.name:
+            self.members[address.name] = Member(address, now_s)
+
+
+class Node:
+    """A node that follows a registry."""
+
+    def __init__(self, registry, name="a"):
+        self.state = make_state()
+        self.peers = FakePeers(name)
+        topics = Topics("configuration", "upstreams", "nodes", "duties")
+        codec = Codec("config", decode_configuration, decode_upstream)
+        adapter = Adapter(DIALECT, registry, topics, codec, no_move, None)
+        self.sync = RegistrySync(self.state, adapter, self.peers, ClientPool())
+
+    def start(self):
+        """Run all followers."""
+        self.tasks = [
+            asyncio.create_task(follow())
+            for follow in (
+                self.sync.follow_configuration,
+                self.sync.follow_upstreams,
+                self.sync.follow_nodes,
+                self.sync.follow_peers,
+            )
+        ]
+        return self
+
+    async def serve_peers(self):
+        """Answer peers that ask for the state; return this node as a member."""
+
+        async def handler(exchange):
+            exchange.respond(200, [], self.sync.encode_state())
+
+        state = ServerState(CallerLimits())
+        server = HttpServer(state, handler, lambda error: None)
+        await server.listen(HOST, 0)
+        own = self.peers.own
+        return NodeAddress(own.name, HOST, server.port, own.incarnation)
+
+    @property
+    def usable(self):
+        """Return the ids of the usable upstreams."""
+        return {each.upstream_id for each in self.state.book.usable("s")}
+
+
+class FollowTest(LoopTest):
+    def test_changes_come_into_force(self):
+        """A change of the configuration or of an upstream was not seen."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            registry.put("configuration", "config", b"3")
+            registry.put("upstreams", "u1", entry(1))
+            node = Node(registry).start()
+            await until(lambda: node.state.ready and node.usable == {"u1"})
+            registry.put("configuration", "config", b"5")
+            registry.put("upstreams", "u1", entry(2, leaving=True))
+            registry.put("upstreams", "u2", entry(1))
+            await until(lambda: node.state.version == 5 and node.usable == {"u2"})
+
+        self.run_loop(scenario())
+
+    def test_a_node_never_goes_back_to_an_older_version(self):
+        """A late copy of an old configuration came into force."""
+
+        async def scenario():
+            state = make_state()
+            self.assertTrue(state.adopt(configuration(version=7), b"7"))
+            self.assertFalse(state.adopt(configuration(version=6), b"6"))
+            self.assertFalse(state.adopt(configuration(version=7), b"7"))
+            self.assertEqual(7, state.version)
+
+        self.run_loop(scenario())
+
+    def test_entries_that_cannot_be_read_are_skipped(self):
+        """One bad entry hid all others."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            registry.put("upstreams", "bad", b"\xff{")
+            registry.put("upstreams", "u1", entry(1))
+            node = Node(registry).start()
+            await until(lambda: node.usable == {"u1"})
+            registry.put("upstreams", "u1", b"no entry")
+            registry.put("upstreams", "u2", entry(1))
+            await until(lambda: node.usable == {"u2"})
+
+        self.run_loop(scenario())
+
+    def test_an_unreadable_configuration_leaves_the_old_one(self):
+        """A configuration that cannot be decoded stopped the node."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            registry.put("configuration", "config", b"3")
+            node = Node(registry).start()
+            await until(lambda: node.state.version == 3)
+            registry.put("configuration", "config", b"broken")
+            registry.put("configuration", "config", b"4")
+            await until(lambda: node.state.version == 4)
+
+        self.run_loop(scenario())
+
+    def test_expired_history_is_replaced_by_a_listing(self):
+        """A removal that was in the lost history was never seen."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            registry.put("upstreams", "u1", entry(1))
+            node = Node(registry).start()
+            await until(lambda: node.usable == {"u1"})
+            registry.put("upstreams", "u1", b"")
+            registry.put("upstreams", "u2", entry(1))
+            registry.first["upstreams"] = 3
+            await until(lambda: node.usable == {"u2"})
+
+        self.run_loop(scenario())
+
+    def test_an_outage_keeps_the_upstreams(self):
+        """Requests were refused because the registry was away."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            registry.put("configuration", "config", b"3")
+            registry.put("upstreams", "u1", entry(1))
+            node = Node(registry).start()
+            await until(lambda: node.usable == {"u1"})
+            registry.down = True
+            await until(lambda: not node.sync.registry_ok)
+            self.assertEqual({"u1"}, node.usable)
+            self.assertTrue(node.state.ready)
+
+        self.run_loop(scenario())
+
+
+class PeerTest(LoopTest):
+    def test_a_node_that_the_registry_refuses_learns_from_a_peer(self):
+        """A node that was turned away kept the old routes and upstreams."""
+
+        async def scenario():
+            registry, closed = MemoryRegistry(), MemoryRegistry()
+            closed.down = True
+            registry.put("configuration", "config", b"3")
+            registry.put("upstreams", "u1", entry(1))
+            served = Node(registry, "served").start()
+            await until(lambda: served.state.ready)
+            address = await served.serve_peers()
+            node = Node(closed, "closed").start()
+
+            def tell():
+                member = Member(address, node.state.clock())
+                member.version = served.state.version
+                member.registry_ok = served.sync.registry_ok
+                node.peers.members["served"] = member
+
+            async def keep_telling():
+                while True:
+                    tell()
+                    await asyncio.sleep(0.05)
+
+            telling = asyncio.create_task(keep_telling())
+            await until(lambda: node.state.version == 3 and node.usable == {"u1"})
+            registry.put("configuration", "config", b"8")
+            registry.put("upstreams", "u1", b"")
+            registry.put("upstreams", "u2", entry(1))
+            await until(lambda: node.state.version == 8)
+            await until(lambda: "u2" in node.usable)
+            telling.cancel()
+
+        self.run_loop(scenario())
+
+    def test_nodes_find_each_other_through_the_registry(self):
+        """A node that started later was never told anything."""
+
+        async def scenario():
+            registry = MemoryRegistry()
+            first = Node(registry, "a").start()
+            await until(lambda: registry.logs.get("nodes"))
+            second = Node(registry, "b").start()
+            await until(lambda: "a" in second.peers.members)
+            self.assertEqual(first.peers.own, second.peers.members["a"].address)
+
+        self.run_loop(scenario())
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,51 @@
+"""Test that the platform's words stay in the adapter, and that it hides no module."""
+
+import re
+import subprocess
+import sys
+
+import testtools
+
+from tests.run import ROOT
+
+# Names of the platform's wire that mean nothing elsewhere.
+WIRE_NAMES = re.compile(
+    r"Server-Seal|Fencing-Token|Duty-Holder|Kv-(?:Hold|From|Backup|Fetch)|kv-move"
+    r"|log-(?:append|read|newest|join)|Not-Executed|Prefix-Hash|Token-Usage"
+    r"|Expect-Instance|pathPrefix|trafficSplit|apiKeys|ratePerS|zonePrices|windowId"
+    r"|CICADAPASS_BOOT|keyed\.(?:op|servers|status)"
+)
+
+
+class BoundaryTest(testtools.TestCase):
+    def test_wire_names_stay_in_the_adapter(self):
+        """A name of the platform spread through the product."""
+        for path in sorted((ROOT / "packages").rglob("*.py")):
+            found = WIRE_NAMES.search(path.read_text())
+            self.assertIsNone(found, f"{path.name}: {found}")
+
+    def test_the_search_finds_names(self):
+        """A search that finds nothing would pass for ever."""
+        text = (ROOT / "platform/cicadapass_platform/headers.py").read_text().title()
+        self.assertIsNotNone(WIRE_NAMES.search(text))
+
+    def test_the_folder_does_not_hide_the_standard_module(self):
+        """A program started at the root imported the folder as `platform`."""
+        self.assertFalse((ROOT / "platform" / "__init__.py").exists())
+        script = "import platform; print(platform.python_version())"
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
+
+    def test_a_started_program_finds_the_standard_module(self):
+        """A library that imports `platform` failed in a started node."""
+        script = "import cicadapass_platform.__main__, platform; platform.system()"
+        done = subprocess.run(
+            [sys.executable, "-c", script], cwd=ROOT, capture_output=True, check=False
+        )
+        self.assertEqual(0, done.returncode, done.stderr)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,117 @@
+"""Test the translation of headers."""
+
+import testtools
+
+from cicadapass_decisions.passthrough import PromptPart
+from cicadapass_gateway.dialect import Attempt
+from cicadapass_platform.headers import (
+    decode_answer,
+    decode_call,
+    encode_attempt,
+    encode_refusal,
+)
+
+CALL = [
+    (b"Host", b"FICU95.example"),
+    (b"Request-Id", b"9c41"),
+    (b"Model", b"m"),
+    (b"Token-Usage", b"1460,80"),
+    (b"Length-Hint", b"60"),
+    (b"Prefix-Hash", b"5c1e:800,91bd:410,e440:250"),
+    (b"Request-Deadline", b"15000"),
+    (b"Authorization", b"Token 3d3z"),
+]
+FIRST = Attempt("i-1", "w", 1.5, 1, None)
+
+
+def names(headers):
+    """Return the lower-case names."""
+    return [name.lower() for name, _ in headers]
+
+
+class CallTest(testtools.TestCase):
+    def test_a_call_is_decoded(self):
+        """A size or limit of a request was read wrongly."""
+        call = decode_call(CALL)
+        self.assertEqual(("9c41", "3d3z"), (call.request_id, call.key))
+        self.assertEqual("ficu95.example", call.host)
+        self.assertEqual(15.0, call.time_limit_s)
+        self.assertEqual(1540, call.prompt.total_tokens)
+        self.assertEqual(60, call.prompt.expected_tokens)
+        self.assertEqual(
+            (PromptPart("5c1e", 800), PromptPart("91bd", 410)), call.prompt.shared_parts
+        )
+
+    def test_sizes_that_cannot_be_read_are_left_out(self):
+        """A malformed header failed the request."""
+        odd = [(b"Token-Usage", b"many"), (b"Prefix-Hash", b"a:1,:,b"), (b"x", b"y")]
+        call = decode_call([*odd, (b"Request-Deadline", b"soon")])
+        self.assertEqual(0, call.prompt.prompt_tokens)
+        self.assertEqual((PromptPart("a", 1),), call.prompt.parts)
+        self.assertIsNone(call.time_limit_s)
+
+    def test_headers_of_the_system_never_come_from_a_caller(self):
+        """A caller chose its workspace, or reserved memory at an engine."""
+        forged = (
+            b"Tenant",
+            b"Kv-Hold",
+            b"Kv-From",
+            b"Kv-Backup",
+            b"Kv-Fetch",
+            b"Pin-Ms",
+            b"Request-Priority",
+            b"Expect-Instance",
+            b"Expect-Version",
+        )
+        call = decode_call([*CALL, *((name, b"forged") for name in forged)])
+        sent = encode_attempt(call, FIRST, 0)
+        self.assertNotIn(b"forged", [value for _, value in sent])
+
+    def test_headers_of_one_connection_are_not_passed_on(self):
+        """A caller's connection options reached an upstream."""
+        extra = [(b"Connection", b"close, X-Hop"), (b"X-Hop", b"1"), (b"TE", b"x")]
+        sent = names(encode_attempt(decode_call([*CALL, *extra]), FIRST, 0))
+        for name in (b"connection", b"x-hop", b"te"):
+            self.assertNotIn(name, sent)
+
+
+class AttemptTest(testtools.TestCase):
+    def test_an_attempt_carries_what_the_system_sets(self):
+        """An upstream got the credential, or a limit that is too long."""
+        sent = dict(encode_attempt(decode_call(CALL), FIRST, 5))
+        self.assertEqual(b"1500", sent[b"Request-Deadline"])
+        self.assertEqual(b"i-1", sent[b"Expect-Instance"])
+        self.assertEqual(b"w", sent[b"Tenant"])
+        self.assertEqual(b"5", sent[b"Content-Length"])
+        self.assertEqual(b"9c41", sent[b"Request-Id"])
+        self.assertNotIn(b"Authorization", sent)
+
+    def test_a_resumed_stream_names_its_last_event_once(self):
+        """A caller's own resume point was sent beside the later one."""
+        call = decode_call([*CALL, (b"Last-Event-Id", b"3")])
+        fresh = encode_attempt(call, FIRST, 0)
+        self.assertIn((b"Last-Event-Id", b"3"), fresh)
+        resumed = encode_attempt(call, Attempt("i-1", "w", 1.5, 1, "7", "h:1/2"), 0)
+        self.assertEqual(1, names(resumed).count(b"last-event-id"))
+        self.assertIn((b"Last-Event-Id", b"7"), resumed)
+        self.assertIn((b"Kv-From", b"h:1/2"), resumed)
+
+
+class AnswerTest(testtools.TestCase):
+    def test_an_answer_is_decoded(self):
+        """A rejection was taken for a run, or a seal was lost."""
+        seal = (b"Server-Seal", b"3e1b.07")
+        facts = decode_answer(503, [seal, (b"Not-Executed", b"1")])
+        self.assertTrue(facts.not_executed)
+        self.assertIn(seal, facts.headers)
+        self.assertFalse(decode_answer(503, []).not_executed)
+        self.assertTrue(decode_answer(421, []).wrong_instance)
+        stream = decode_answer(200, [(b"Content-Type", b"text/event-stream")])
+        self.assertTrue(stream.event_stream)
+
+    def test_a_refusal_says_when_to_return(self):
+        """Callers were not told when to come back."""
+        headers = dict(encode_refusal("9c41", 0.25))
+        self.assertEqual(b"0.250", headers[b"Retry-After"])
+        self.assertEqual(b"9c41", headers[b"Request-Id"])
+        self.assertEqual([], encode_refusal(None, None))
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,50 @@
+"""Test the decoding of the platform's settings file."""
+
+import testtools
+
+from cicadapass_gateway.config import Address
+from cicadapass_gateway.exceptions import SettingsError
+from cicadapass_platform.settings import decode_settings
+
+TEXT = """nodeName=front-a-1
+zone=dc-a
+ip=10.1.0.16
+listen.front=10.1.0.16:8360
+listen.ready=10.1.0.16:8365
+internalPortRange=7500,7515
+seeds=10.1.0.16:8367,10.2.0.33:8367
+bounds.graceS=6
+bounds.leaseMs=2500
+platform.address=10.200.1.7:8361
+cloudApi.address=10.200.0.114:8361
+cloudApi.duties=usage_report,autoscale
+later.field=of no interest
+"""
+
+
+class SettingsTest(testtools.TestCase):
+    def test_the_fields_are_decoded(self):
+        """A node listened on the wrong port."""
+        settings = decode_settings(TEXT)
+        node = settings.node
+        self.assertEqual(("front-a-1", "dc-a"), (node.node, node.data_centre))
+        self.assertEqual(Address("10.1.0.16", 8360), node.callers)
+        self.assertEqual(Address("10.1.0.16", 7500), node.peers)
+        self.assertEqual(Address("10.2.0.33", 7500), node.seeds[1])
+        self.assertEqual((6.0, 2.5), (node.grace_s, node.lease_s))
+        self.assertEqual(Address("10.200.1.7", 8361), settings.store)
+        self.assertTrue(node.has_duties)
+
+    def test_every_mistake_is_named(self):
+        """An operator had to start the node once for each mistake."""
+        wrong = TEXT.replace("zone=dc-a", "zone=").replace(":8360", ":many")
+        error = self.assertRaises(SettingsError, decode_settings, wrong)
+        self.assertIn("zone is missing", str(error))
+        self.assertIn("listen.front='10.1.0.16:many'", str(error))
+
+    def test_a_deployment_without_duties(self):
+        """A node without a cloud API did not start."""
+        lines = [line for line in TEXT.splitlines() if "cloudApi" not in line]
+        settings = decode_settings("\n".join(lines))
+        self.assertIsNone(settings.cloud)
+        self.assertFalse(settings.node.has_duties)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,175 @@
+"""Test the calls to the platform's store and cloud API, against a small stand-in."""
+
+import base64
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from cicadapass_decisions.passthrough import CallerLimits, UpstreamRecord
+from cicadapass_gateway.config import Address
+from cicadapass_gateway.dialect import EngineOrder
+from cicadapass_gateway.exceptions import (
+    HistoryExpired,
+    OffsetConflict,
+    PlatformRefused,
+    PlatformUnavailable,
+)
+from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.httpserver import HttpServer, ServerState
+from cicadapass_platform.store import (
+    CloudCalls,
+    EngineCalls,
+    HttpCaller,
+    Store,
+    decode_changes,
+)
+from tests.gateway.kit import HOST, LoopTest
+
+
+class Standin:
+    """Answer calls from a table and note them."""
+
+    def __init__(self):
+        self.answers = []
+        self.calls = []
+
+    async def start(self):
+        """Listen and return the address."""
+        server = HttpServer(
+            ServerState(CallerLimits()), self._serve, lambda error: None
+        )
+        await server.listen(HOST, 0)
+        return Address(HOST, server.port)
+
+    async def _serve(self, exchange):
+        url = urlsplit(exchange.target.decode())
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        headers = {name.lower(): value for name, value in exchange.headers}
+        self.calls.append((url.path, query, headers, exchange.body))
+        status, body = self.answers.pop(0)
+        if status == 0:
+            exchange.cut()
+            return
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        exchange.respond(status, [], data)
+
+
+def item(key, value, offset):
+    """Return a row of a listing."""
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "offset": offset}
+
+
+def records(end, *pairs):
+    """Return the bytes of a read."""
+    data = struct.pack(">QQ", end, 0)
+    for key, value in pairs:
+        record = bytes([len(key)]) + key.encode() + value
+        data += struct.pack(">I", len(record)) + record
+    return data
+
+
+class StoreTest(LoopTest):
+    def play(self, scenario, *answers):
+        """Run a scenario against a stand-in with these answers."""
+
+        async def run():
+            standin = Standin()
+            standin.answers = list(answers)
+            address = await standin.start()
+            caller = HttpCaller(address, ClientPool())
+            await scenario(caller, standin)
+
+        self.run_loop(run())
+
+    def test_a_listing_follows_its_pages(self):
+        """Upstreams of the second page were missing."""
+        first = {"items": [item("a", b"1", 4)], "morePages": True, "end": 6}
+        second = {"items": [item("b", b"2", 7)], "morePages": False, "end": 9}
+
+        async def scenario(caller, standin):
+            listing = await Store(caller).newest("keyed.servers")
+            self.assertEqual(["a", "b"], [each.key for each in listing.documents])
+            # What came between the pages is read again.
+            self.assertEqual(6, listing.end)
+            self.assertEqual("a", standin.calls[1][1]["after"])
+
+        self.play(scenario, (200, first), (200, second))
+
+    def test_changes_are_numbered_from_the_start(self):
+        """A node read a record twice or missed one."""
+
+        async def scenario(caller, standin):
+            changes = await Store(caller).changes("keyed.op", 5, 0.0)
+            found = [(each.key, each.value, each.offset) for each in changes.documents]
+            self.assertEqual([("k", b"v", 5), ("gone", b"", 6)], found)
+            self.assertEqual(7, changes.end)
+
+        self.play(scenario, (200, records(7, ("k", b"v"), ("gone", b""))))
+
+    def test_a_cut_read_gives_no_half_record(self):
+        """A record that was cut on the way was taken as whole."""
+        data = records(7, ("k", b"value"))
+        for cut in range(len(data)):
+            changes = decode_changes(data[:cut], 5)
+            self.assertEqual((), changes.documents)
+            self.assertEqual(5, changes.end)
+
+    def test_refusals_are_told_apart(self):
+        """An expired history or a lost race looked like an outage."""
+
+        async def scenario(caller, standin):
+            store = Store(caller)
+            with self.assertRaisesRegex(HistoryExpired, "gone"):
+                await store.changes("t", 0, 0.0)
+            with self.assertRaises(OffsetConflict):
+                await store.append("t", "k", b"v", 3)
+            with self.assertRaises(PlatformRefused):
+                await store.append("t", "k", b"v", None)
+            with self.assertRaises(PlatformUnavailable):
+                await store.append("t", "k", b"v", None)
+
+        self.play(scenario, (410, {}), (412, {"end": 4}), (503, {}), (0, b""))
+
+    def test_an_append_is_conditional_and_framed(self):
+        """An append went to the wrong end of the log."""
+
+        async def scenario(caller, standin):
+            end = await Store(caller).append("keyed.duties", "key", b"value", 8)
+            self.assertEqual(9, end)
+            _, query, _, body = standin.calls[0]
+            self.assertEqual("8", query["at"])
+            self.assertEqual(b"\x00\x00\x00\x09\x03keyvalue", body)
+
+        self.play(scenario, (200, {"offset": 8, "end": 9}))
+
+    def test_duties_carry_holder_and_fence(self):
+        """An order was sent without its fencing number."""
+
+        async def scenario(caller, standin):
+            cloud = CloudCalls(caller, "front-1")
+            await cloud.report_usage(5, {"w": 3}, 12)
+            await cloud.order_engines(EngineOrder("s", "dc-a", 2, True), 12)
+            usage, scale = standin.calls
+            self.assertEqual(b"front-1", usage[2][b"duty-holder"])
+            self.assertEqual(b"12", scale[2][b"fencing-token"])
+            self.assertEqual({"windowId": 5, "counts": {"w": 3}}, json.loads(usage[3]))
+            order = {"service": "s", "zone": "dc-a", "desired": 2, "spot": True}
+            self.assertEqual(order, json.loads(scale[3]))
+
+        self.play(scenario, (200, {}), (200, {}))
+
+    def test_a_move_returns_where_the_copy_lies(self):
+        """A moved run could not be found at its target."""
+
+        async def scenario(caller, standin):
+            address = caller._address
+            values = ("dc-a", 64, True, 1, 1)
+            source = UpstreamRecord("i-1", "s", address.host, address.port, *values)
+            target = UpstreamRecord("i-2", "s", "10.1.0.8", 80, *values)
+            copy = await EngineCalls(ClientPool()).move_run(source, "r1", target, True)
+            self.assertEqual(f"{address.host}:{address.port}/h7", copy)
+            body = json.loads(standin.calls[0][3])
+            self.assertEqual({"id": "r1", "to": "10.1.0.8:80", "last": True}, body)
+
+        self.play(scenario, (200, {"handle": "h7", "createdRev": 9}))
