--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -72,7 +72,11 @@
     wanted = _reclaimable(scaling, holdings, places, need.ample)
     # A new engine counts only once it serves; until then the present ones are kept.
     serving = {name: min(wanted[name], holdings[name].reclaimable) for name in places}
-    missing = max(0, need.tight - _safe(list(serving.values())))
+    safe = _safe(list(serving.values()))
+    if any(held.refused for held in holdings.values()):
+        # Reclaims come in waves: while one lasts, the next data centre may follow.
+        safe //= 2
+    missing = max(0, need.tight - safe)
     on_demand = _on_demand(scaling, serving, places, missing)
     return {
         name: Targets(
--- a/packages/gateway/cicadapass_gateway/waitingroom.py
+++ b/packages/gateway/cicadapass_gateway/waitingroom.py
@@ -20,6 +20,9 @@
 # So many requests in a row may find no room before the others are left for later;
 # bounds the cost of one pass over a long queue.
 MAX_MISSES = 8
+# A service without upstreams gets new ones after about this long: an order is placed
+# with the notice of a reclaim and boots in four seconds.
+REPLACED_S = 2.0
 # An upper bound of waiting requests a service; far above what can be served in time.
 MAX_WAITING = 2000
 
@@ -143,7 +146,7 @@
         )
         choice = choose(work, candidates)
         if isinstance(choice, Unavailable):
-            return NotPlaced("no_upstream", 0.5)
+            return NotPlaced("no_upstream", REPLACED_S)
         if isinstance(choice, Wait):
             entry.expected_s = choice.expected_s
             return None
