--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -25,7 +25,9 @@
 # refusals does not look like one with engines to be had.
 SCARCE_S = 5.0
 # Fewer engines are ordered only after this long without a need for more.
-SHRINK_AFTER_S = 6.0
+SHRINK_AFTER_S = 3.0
+# A peak of the need is remembered for this long.
+PEAK_S = 6.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -5,6 +5,7 @@
 
 from cicadapass_decisions.dutylease import DutyRecord
 from cicadapass_decisions.enginefleet import (
+    PEAK_S,
     REFUSED_S,
     SCARCE_S,
     SHRINK_AFTER_S,
@@ -152,7 +153,7 @@
         need = engines_needed(self._demand(service.name), token_s, places)
         known, until_s = self._peak.get(service.name, (need, 0.0))
         if need.ample >= known.ample or now_s > until_s:
-            self._peak[service.name] = (need, now_s + SHRINK_AFTER_S)
+            self._peak[service.name] = (need, now_s + PEAK_S)
             return need
         return known
 
--- a/tests/decisions/test_enginefleet.py
+++ b/tests/decisions/test_enginefleet.py
@@ -43,6 +43,12 @@
             sum(each.on_demand for each in targets.values()), NEED.tight - 1
         )
 
+    def test_a_wave_of_reclaims_is_met_after_its_first(self):
+        """Three reclaims in a row left no engine until on-demand ones had booted."""
+        first = {"a": held(0, 3), "b": held(0, 3), "c": held(0, 0, True)}
+        targets = plan_engines(SCALING, first, Need(ample=6, tight=3))
+        self.assertGreater(sum(each.on_demand for each in targets.values()), 0)
+
     def test_the_maximum_holds_for_both_classes_together(self):
         """An order beyond the maximum is cut by the platform."""
         for refused in (True, False):
