--- a/packages/decisions/cicadapass_decisions/dutylease.py
+++ b/packages/decisions/cicadapass_decisions/dutylease.py
@@ -31,6 +31,10 @@
     reports: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
     # Engines ordered, by service, data centre and class.
     orders: Mapping[str, int] = field(default_factory=dict)
+    # Tokens that workspaces used lately, as pairs of age and amount, for nodes that
+    # start, and the true time at which it was told.
+    use: Mapping[str, tuple[tuple[float, float], ...]] = field(default_factory=dict)
+    told_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/decisions/cicadapass_decisions/tokenlimit.py
+++ b/packages/decisions/cicadapass_decisions/tokenlimit.py
@@ -8,11 +8,13 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-# A peer is silent after five lost messages at the usual interval of 0.2 s.
+# A peer is silent after five lost messages at the usual interval of 0.2 s, or after
+# this many rounds where many nodes take turns.
 SILENT_AFTER_S = 1.0
+SILENT_ROUNDS = 3.0
 # A node that was silent this long is restarted or removed; its share is free again.
 FORGET_AFTER_S = 20.0
 # A part of each share is even, so that a node without recent demand can admit some.
@@ -23,6 +25,11 @@
 LEAST_PART = 0.05
 # Part of the burst that a node admits before it knows a whole window.
 YOUNG_BURST_PART = 0.4
+# Use is told to later processes in steps of this length.
+KEPT_STEP_S = 1.0
+# What was told this lately covers all but the last moments before a restart: holders
+# renew every 0.6 s, and a killed process is back after a second or two.
+FRESH_S = 4.0
 # Use is kept in steps of this length.
 STEP_S = 0.2
 
@@ -60,6 +67,8 @@
     total: float = 0.0
     demand: float = 0.0
     use: _Use = field(default_factory=_Use)
+    # What all nodes admitted before this one started.
+    former: _Use = field(default_factory=_Use)
     peers: dict[str, _Peer] = field(default_factory=dict)
 
 
@@ -76,6 +85,7 @@
     def __init__(self, window_s: float, started_s: float) -> None:
         self._window_s = window_s
         self._started_s = started_s
+        self._silent_after_s = SILENT_AFTER_S
         self._accounts: dict[str, _Account] = {}
 
     def admit(
@@ -109,6 +119,38 @@
             for name, account in self._accounts.items()
         }
 
+    def recent_use(self, now_s: float) -> dict[str, tuple[tuple[float, float], ...]]:
+        """Return the age and amount of what all nodes admitted in the window."""
+        start_s = now_s - self._window_s
+        found = {}
+        for name, account in self._accounts.items():
+            uses = [account.use, account.former]
+            uses += [peer.use for peer in account.peers.values()]
+            bins: dict[int, float] = {}
+            for at_s, amount in (step for use in uses for step in use.steps):
+                if at_s >= start_s:
+                    age = int((now_s - at_s) / KEPT_STEP_S)
+                    bins[age] = bins.get(age, 0.0) + amount
+            if bins:
+                found[name] = tuple(
+                    (age * KEPT_STEP_S, bins[age]) for age in sorted(bins)
+                )
+        return found
+
+    def restore(
+        self,
+        use: Mapping[str, Iterable[tuple[float, float]]],
+        told_ago_s: float,
+        now_s: float,
+    ) -> None:
+        """Take in what all nodes admitted before this one started."""
+        for name, steps in use.items():
+            account = self._accounts.setdefault(name, _Account())
+            for age_s, amount in sorted(steps, reverse=True):
+                account.former.add(now_s - told_ago_s - age_s, amount)
+        if told_ago_s < FRESH_S:
+            self._started_s = min(self._started_s, now_s - self._window_s)
+
     def hear(
         self, peer: str, totals: Mapping[str, tuple[float, float]], now_s: float
     ) -> None:
@@ -122,12 +164,16 @@
                 known.use.add(now_s, total - known.total)
             known.total, known.demand, known.heard_s = total, demand, now_s
 
+    def set_round(self, round_s: float) -> None:
+        """Set the time in which each node hears from each other once."""
+        self._silent_after_s = max(SILENT_AFTER_S, SILENT_ROUNDS * round_s)
+
     def tick(self, now_s: float, elapsed_s: float) -> None:
         """Let the averages of demand fade and note the shares of peers."""
         keep = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
         for account in self._accounts.values():
             account.demand *= keep
-            _note_shares(account, now_s)
+            _note_shares(account, now_s - self._silent_after_s)
             for name, peer in list(account.peers.items()):
                 if now_s - peer.heard_s > FORGET_AFTER_S:
                     del account.peers[name]
@@ -149,10 +195,11 @@
         """Return the uses that count, and the part of the limit that they share."""
         start_s = now_s - self._window_s
         account.use.trim(start_s)
-        uses, aside = [account.use], 0.0
+        account.former.trim(start_s)
+        uses, aside = [account.use, account.former], 0.0
         for peer in account.peers.values():
             peer.use.trim(start_s)
-            if now_s - peer.heard_s < SILENT_AFTER_S:
+            if now_s - peer.heard_s < self._silent_after_s:
                 uses.append(peer.use)
             else:
                 aside += max(peer.use.amount, peer.share * limit)
@@ -172,10 +219,8 @@
     return step[0]
 
 
-def _note_shares(account: _Account, now_s: float) -> None:
-    live = [
-        peer for peer in account.peers.values() if now_s - peer.heard_s < SILENT_AFTER_S
-    ]
+def _note_shares(account: _Account, silent_before_s: float) -> None:
+    live = [peer for peer in account.peers.values() if peer.heard_s > silent_before_s]
     total = account.demand + sum(peer.demand for peer in live)
     even = 1.0 / (len(live) + 1)
     for peer in live:
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -23,7 +23,7 @@
 # A learnt speed fades towards the group's in about this time without samples.
 SPEED_FADE_S = 6.0
 # A peer's figures count until it has been silent this long.
-PEER_FIGURES_S = 2.0
+PEER_FIGURES_S = 3.0
 # A cached part of a prompt is expected to be held this long after its last use.
 HELD_S = 30.0
 MAX_HELD_PARTS = 2000
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -37,12 +37,15 @@
 from cicadapass_gateway.usage import UsageCounter
 
 KEY = "holder"
+# Part of the platform's time between holders that a lease lasts. A former holder waits
+# for the whole time before it takes over again, so that holders never alternate in it.
+LEASE_PART = 0.6
 # How often the holder looks for work, in seconds.
 INTERVAL_S = 0.3
 # A candidate that hears of the holder's renewals by datagram asks the platform nothing.
-NEWS_S = 1.5
+NEWS_S = 0.8
 # How often a candidate without news reads the record, in seconds.
-READ_INTERVAL_S = 0.8
+READ_INTERVAL_S = 0.5
 # Unfinished reports are repeated until this long after their window's end.
 REPORT_UNTIL_S = 20.0
 
@@ -74,9 +77,11 @@
         self._usage = usage
         self._planner = planner
         self._times = times
+        self._lease_s = LEASE_PART * times.lease_s
         self._true_time = true_time
         self._seen: Seen | None = None
         self._lease: Lease | None = None
+        self._held_until_s = -1e9
         self._reported: set[int] = set()
         self._since_window = usage.window_at(true_time())
 
@@ -89,6 +94,7 @@
 
     async def run(self) -> None:
         """Hold the duties whenever possible."""
+        await self._restore()
         while True:
             try:
                 if self._lease is not None and self._state.stopping:
@@ -104,18 +110,34 @@
                 self._state.events.emit(842, reason=str(error))
             await asyncio.sleep(INTERVAL_S)
 
+    async def _restore(self) -> None:
+        """Learn what workspaces used before this process started."""
+        try:
+            record, _ = await self._read()
+        except GatewayError as error:
+            # Without it, the limits of a young node are narrower for a while.
+            self._state.events.emit(842, reason=str(error))
+            return
+        if record is not None:
+            told_ago_s = max(0.0, self._true_time() - record.told_s)
+            self._state.limits.restore(record.use, told_ago_s, self._state.clock())
+
     async def _wait(self) -> None:
         """Watch the holder's record and take over when it is no longer renewed."""
         now_s = _steady_s()
         news = self._peers.holder
-        if news is not None and self._state.clock() - news.heard_s < NEWS_S:
+        fresh_s = NEWS_S + self._peers.round_s
+        if news is not None and self._state.clock() - news.heard_s < fresh_s:
             self._seen = None
             return
         if self._state.configuration is None:
             return
         record, end = await self._read()
         self._seen = observe(self._seen, record, end, self._renewed_s(record, now_s))
-        if may_take_over(self._seen, self._times.lease_s, now_s):
+        if now_s - self._held_until_s < self._times.lease_s:
+            # Another node may have acted since, and holders must not alternate.
+            return
+        if may_take_over(self._seen, self._lease_s, now_s):
             own = self._peers.own.key
             await self._append(taken_over(self._seen, own), self._seen.end)
             assert self._lease is not None
@@ -146,7 +168,7 @@
     async def _hold(self) -> None:
         assert self._lease is not None
         now_s = _steady_s()
-        if not self._may_act() and now_s - self._lease.began_s > self._times.lease_s:
+        if not self._may_act() and now_s - self._lease.began_s > self._lease_s:
             # The lease may be somebody else's by now; only a fresh read tells.
             record, end = await self._read()
             if record != self._lease.record:
@@ -155,9 +177,14 @@
         fixed = self._fix_windows(self._lease.record)
         planned = self._planner.plan(fixed)
         if planned != self._lease.record or should_renew(
-            self._lease, self._times.lease_s, now_s
+            self._lease, self._lease_s, now_s
         ):
-            await self._append(renewed(planned), self._lease.end)
+            told = replace(
+                renewed(planned),
+                use=self._state.limits.recent_use(self._state.clock()),
+                told_s=self._true_time(),
+            )
+            await self._append(told, self._lease.end)
         await self._report()
         await self._order()
 
@@ -239,10 +266,11 @@
         return (_decode(found[0]) if found else None), listing.end
 
     def _may_act(self) -> bool:
-        return may_act(self._lease, self._times.lease_s, _steady_s())
+        return may_act(self._lease, self._lease_s, _steady_s())
 
     def _lose(self, reason: str) -> None:
         if self._lease is not None:
+            self._held_until_s = _steady_s()
             fence = self._lease.record.fence
             self._state.events.emit(841, fence=fence, reason=reason)
         self._lease = None
@@ -263,10 +291,13 @@
             record.renewal,
             {window: dict(counts) for window, counts in record.reports.items()},
             dict(record.orders),
+            {name: [list(step) for step in use] for name, use in record.use.items()},
+            record.told_s,
         ]
     )
 
 
 def _decode(document: Document) -> DutyRecord | None:
-    holder, fence, renewal, reports, orders = decode_cbor(document.value)
-    return DutyRecord(holder, fence, renewal, reports, orders)
+    holder, fence, renewal, reports, orders, use, told_s = decode_cbor(document.value)
+    kept = {name: tuple((age, used) for age, used in use[name]) for name in use}
+    return DutyRecord(holder, fence, renewal, reports, orders, kept, told_s)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -20,7 +20,7 @@
 # this is 9 KB/s, within the 12 KB/s that a node may use for control.
 INTERVAL_S = 0.2
 # With more peers than this, each interval reaches so many of them in turn.
-FAN_OUT = 12
+FAN_OUT = 10
 # Other members named in each datagram, so that all nodes find each other.
 NAMED_MEMBERS = 2
 # A member is no longer written to when it was silent for this long.
@@ -108,6 +108,12 @@
         if known is None or known.address.incarnation < address.incarnation:
             self.members[address.name] = Member(address, now_s)
 
+    @property
+    def round_s(self) -> float:
+        """Return the time in which each member is written to once."""
+        rounds = -(-len(self.members) // FAN_OUT)
+        return INTERVAL_S * max(1, rounds)
+
     def total_demand(self, service: str) -> float:
         """Return the prompt tokens a second that all nodes see for a service."""
         heard = self._parts.demand.values()
@@ -120,6 +126,8 @@
             return
         now_s = self._parts.state.clock()
         self._forget(now_s)
+        state = self._parts.state
+        state.limits.set_round(self.round_s)
         data = cbor2.dumps(self._encode(now_s))
         for address in self._next_addresses():
             self._transport.sendto(data, address)
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -142,7 +142,7 @@
             fresh = [
                 member
                 for member in self._peers.members.values()
-                if now_s - member.heard_s < AWAY_S
+                if now_s - member.heard_s < AWAY_S + self._peers.round_s
             ]
             newer = [each for each in fresh if each.version > self._state.version]
             served = [each for each in fresh if each.registry_ok]
--- a/packages/gateway/cicadapass_gateway/usage.py
+++ b/packages/gateway/cicadapass_gateway/usage.py
@@ -4,6 +4,8 @@
 
 # Windows are reported within ten seconds of their end; older counts are not needed.
 KEPT_WINDOWS = 8
+# Windows that nodes tell each other: the present one and those still to be fixed.
+TOLD_WINDOWS = 3
 
 Counts = dict[int, dict[str, int]]
 
@@ -36,8 +38,9 @@
         _trim(self._own)
 
     def own(self) -> Counts:
-        """Return this node's recent counts."""
-        return self._own
+        """Return this node's counts of the windows that may still be reported."""
+        newest = sorted(self._own)[-TOLD_WINDOWS:]
+        return {window: self._own[window] for window in newest}
 
     def hear(self, peer: str, counts: Mapping[int, Mapping[str, int]]) -> None:
         """Take in the counts of one incarnation of a peer."""
--- a/tests/decisions/test_tokenlimit.py
+++ b/tests/decisions/test_tokenlimit.py
@@ -86,6 +86,17 @@
         nodes.play(31.2, 45.0, per_step=1)
         self.assertLessEqual(nodes.worst_window(), BOUND)
 
+    def test_the_use_before_a_restart_is_known_again(self):
+        """A workspace spent its whole limit again after a kill of all nodes."""
+        nodes = Nodes(3)
+        nodes.play(0.0, 30.0, per_step=6)
+        told = nodes.limits[0].recent_use(30.0)
+        nodes.limits = [TokenLimits(WINDOW_S, 31.0) for _ in range(3)]
+        for limits in nodes.limits:
+            limits.restore(told, told_ago_s=1.0, now_s=31.0)
+        nodes.play(31.2, 45.0, per_step=6)
+        self.assertLessEqual(nodes.worst_window(), BOUND)
+
     def test_the_wait_says_when_enough_has_left_the_window(self):
         """Callers came back too soon and were refused again."""
         limits = TokenLimits(WINDOW_S, -100.0)
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -29,6 +29,7 @@
     def __init__(self, name):
         self.own = NodeAddress(name, "127.0.0.1", 1, 1)
         self.holder = None
+        self.round_s = 0.2
 
 
 class Platform:
@@ -155,6 +156,42 @@
 
         self.run_loop(scenario())
 
+    def test_a_former_holder_does_not_return_at_once(self):
+        """Two nodes acted in turn within the platform's time between holders."""
+
+        async def scenario():
+            platform = Platform()
+            node = Node(platform, "a").start()
+            await until(lambda: node.duties.own_renewal() is not None)
+            node.duties._lose("a test")
+            lost_s = node.state.clock()
+            await until(lambda: node.duties.own_renewal() is not None)
+            self.assertGreaterEqual(node.state.clock() - lost_s, TIMES.lease_s)
+
+        self.run_loop(scenario())
+
+    def test_a_node_that_starts_learns_the_use_of_the_limits(self):
+        """After a kill of all nodes, workspaces spent their limits again."""
+
+        async def scenario():
+            platform = Platform()
+            first = Node(platform, "a")
+            now_s = first.state.clock()
+            first.state.limits.restore({}, 0.0, now_s)
+            self.assertIsNone(first.state.limits.admit("w", 10.0, 10.0, 90.0, now_s))
+            first.start()
+            log = platform.registry.logs
+            await until(lambda: len(log.get("duties", ())) >= 3)
+            first.task.cancel()
+            second = Node(platform, "b")
+            second.start()
+            limits = second.state.limits
+            await until(lambda: limits.recent_use(second.state.clock()))
+            over = limits.admit("w", 10.0, 10.0, 20.0, second.state.clock())
+            self.assertIsNotNone(over)
+
+        self.run_loop(scenario())
+
     def test_an_append_whose_answer_was_lost_is_found(self):
         """A node waited for the lease that it held itself."""
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -47,6 +47,7 @@
     def __init__(self, name):
         self.own = NodeAddress(name, HOST, 1, 1)
         self.members = {}
+        self.round_s = 0.2
 
     def add(self, address, now_s):
         if address.name != self.own.name:
