Run a node as a process in the tests; read changed settings again

A changed settings file, with or without SIGHUP, is compared with the last one; seeds and the grace period are taken over. The process test plays start, readiness, a stream across SIGTERM and the exit.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -206,6 +206,8 @@
     SIGTERM came; the node is not ready and finishes what is in progress.
 814 info run_moved(request_id, upstream, target, delivered, outcome)
     A run of a leaving engine was copied to another one, or why it was not.
+815 error gateway_settings_unreadable(reason)
+    The settings file is wrong; the settings in force stay.
 820 warning peer_message_skipped(peer, reason)
     A message of a peer cannot be read.
 821 warning peer_state_failed(peer, reason)
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 
 from cicadapass_common.events import LOGGER_NAME, EventLog
 from cicadapass_common.stamps import StampClock
@@ -14,6 +14,7 @@
 from cicadapass_gateway.config import Settings
 from cicadapass_gateway.dialect import Adapter
 from cicadapass_gateway.duties import Duties, DutyTimes
+from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import Exchange, HttpServer, ServerState
@@ -32,6 +33,8 @@
 PUMP_S = 0.03
 # Interval of the averages of demand and speed, in seconds.
 AVERAGE_S = 0.5
+# The settings file is read again this often, since it may change without a signal.
+SETTINGS_S = 5.0
 # After this long, the platform's entry has noticed that the node is not ready.
 NOTICED_S = 3.2
 # Left of the grace period to end the process in order.
@@ -62,9 +65,12 @@
     """Run the parts until a signal ends them."""
 
     def __init__(
-        self, settings: Settings, make_adapter: Callable[[ClientPool], Adapter]
+        self,
+        read_settings: Callable[[], Settings],
+        make_adapter: Callable[[ClientPool], Adapter],
     ) -> None:
-        self._settings = settings
+        self._read_settings = read_settings
+        self._settings = self._last_read = read_settings()
         self._make_adapter = make_adapter
         self._stop = asyncio.Event()
         self._failed = False
@@ -80,15 +86,17 @@
         events = EventLog(self._settings.node, StampClock().stamp)
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._stop.set)
-        # The address and limits of a node are fixed; a changed file changes nothing.
-        loop.add_signal_handler(signal.SIGHUP, lambda: events.emit(807, changed=[]))
         loop.set_exception_handler(
             lambda _, context: events.emit(
                 808, reason=repr(context.get("exception") or context["message"])
             )
         )
         parts = self._build(events)
+        loop.add_signal_handler(signal.SIGHUP, lambda: self._reread(parts))
         await self._start(parts)
+        parts.supervisor.start(
+            "settings", repeated(lambda: self._reread(parts), SETTINGS_S)
+        )
         events.emit(800, data_centre=self._settings.data_centre, pid_started=_wall_ms())
         await self._stop.wait()
         unfinished = await self._drain(parts)
@@ -211,6 +219,28 @@
             await asyncio.sleep(0.05)
         return parts.callers.busy_count
 
+    def _reread(self, parts: Parts) -> None:
+        """Take over what may change in the settings while the node runs."""
+        try:
+            found = self._read_settings()
+        except SettingsError as error:
+            parts.state.events.emit(815, reason=str(error))
+            return
+        changed = [
+            each.name
+            for each in fields(Settings)
+            if getattr(found, each.name) != getattr(self._last_read, each.name)
+        ]
+        self._last_read = found
+        if not changed:
+            return
+        # Addresses are bound at the start; a new one needs a restart.
+        self._settings = replace(
+            self._settings, seeds=found.seeds, grace_s=found.grace_s
+        )
+        parts.peers.set_seeds([(each.host, each.port) for each in found.seeds])
+        parts.state.events.emit(807, changed=changed)
+
     def _give_up(self) -> None:
         self._failed = True
         self._stop.set()
@@ -237,10 +267,13 @@
     return int(time.time() * 1000)
 
 
-def run_node(settings: Settings, make_adapter: Callable[[ClientPool], Adapter]) -> int:
+def run_node(
+    read_settings: Callable[[], Settings],
+    make_adapter: Callable[[ClientPool], Adapter],
+) -> int:
     """Run a node in a new event loop."""
 
     async def main() -> int:
-        return await Node(settings, make_adapter).run()
+        return await Node(read_settings, make_adapter).run()
 
     return asyncio.run(main())
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -85,7 +85,8 @@
         self.own = own
         self.members: dict[str, Member] = {}
         self.holder: HolderNews | None = None
-        self._seeds = [seed for seed in seeds if seed != (own.host, own.port)]
+        self._seeds: list[tuple[str, int]] = []
+        self.set_seeds(seeds)
         self._parts = parts
         self._transport: asyncio.DatagramTransport | None = None
         self._marks: dict[tuple[str, int], float] = {}
@@ -100,6 +101,10 @@
         """Note a refused datagram; the peer is found silent soon."""
         self._parts.state.metrics.count("datagrams_refused", type(exc).__name__)
 
+    def set_seeds(self, seeds: list[tuple[str, int]]) -> None:
+        """Set the addresses that are written to until members are known."""
+        self._seeds = [seed for seed in seeds if seed != (self.own.host, self.own.port)]
+
     def add(self, address: NodeAddress, now_s: float) -> None:
         """Add a member that a listing or a peer names."""
         known = self.members.get(address.name)
--- /dev/null
+++ b/tests/platform/storestandin.py
@@ -0,0 +1,77 @@
+"""A small stand-in of the platform's store and cloud API over HTTP."""
+
+import base64
+import json
+import struct
+from urllib.parse import parse_qs, urlsplit
+
+from cicadapass_decisions.passthrough import CallerLimits
+from cicadapass_gateway.exceptions import GatewayError, OffsetConflict
+from cicadapass_gateway.httpserver import HttpServer, ServerState
+from tests.gateway.kit import HOST, MemoryRegistry
+
+
+class StoreStandin:
+    """Serve a memory registry as the platform does."""
+
+    def __init__(self):
+        self.registry = MemoryRegistry()
+        self.duties = []
+        self._server = HttpServer(
+            ServerState(CallerLimits()), self._serve, lambda error: None
+        )
+
+    async def start(self):
+        """Listen and return the address."""
+        await self._server.listen(HOST, 0)
+        return f"{HOST}:{self._server.port}"
+
+    async def _serve(self, exchange):
+        url = urlsplit(exchange.target.decode())
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        calls = {
+            "/api/log-newest": self._newest,
+            "/api/log-read": self._read,
+            "/api/log-append": self._append,
+        }
+        call = calls.get(url.path)
+        if call is None:
+            self.duties.append((url.path, json.loads(exchange.body)))
+            exchange.respond(200, [], b"{}")
+            return
+        try:
+            exchange.respond(200, [], await call(query, exchange.body))
+        except OffsetConflict:
+            exchange.respond(412, [], b"{}")
+        except GatewayError:
+            exchange.respond(503, [], b"{}")
+
+    async def _newest(self, query, body):
+        listing = await self.registry.newest(query["topic"])
+        items = [
+            {
+                "key": each.key,
+                "value": base64.b64encode(each.value).decode(),
+                "offset": each.offset,
+            }
+            for each in listing.documents
+        ]
+        answer = {"items": items, "morePages": False, "end": listing.end}
+        return json.dumps(answer).encode()
+
+    async def _read(self, query, body):
+        wait_s = int(query.get("waitMs", 0)) / 1000
+        start = int(query["from"])
+        changes = await self.registry.changes(query["topic"], start, wait_s)
+        data = struct.pack(">QQ", changes.end, 0)
+        for each in changes.documents:
+            record = bytes([len(each.key)]) + each.key.encode() + each.value
+            data += struct.pack(">I", len(record)) + record
+        return data
+
+    async def _append(self, query, body):
+        key_end = 5 + body[4]
+        expected = int(query["at"]) if "at" in query else None
+        key, value = body[5:key_end].decode(), body[key_end:]
+        end = await self.registry.append(query["topic"], key, value, expected)
+        return json.dumps({"offset": end - 1, "end": end}).encode()
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,153 @@
+"""Test a gateway node as a process of its own, from its settings file to SIGTERM."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+from tests.gateway.kit import HOST, Caller, LoopTest, Upstream, until
+from tests.platform.storestandin import StoreStandin
+from tests.platform.test_documents import DOCUMENT, ENTRY, ROUTE
+from tests.run import ROOT
+
+
+def free_port():
+    """Return a port that the kernel says is free."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+async def slow_stream(answer):
+    """Stream a hundred events in half a second."""
+    answer.stream()
+    for number in range(100):
+        answer.event(number)
+        await asyncio.sleep(0.005)
+    answer.end()
+
+
+class Process:
+    """One node, its store and one engine."""
+
+    async def start(self, folder):
+        """Start all and wait until the node is ready."""
+        self.store = StoreStandin()
+        address = await self.store.start()
+        self.engine = await Upstream("i-1", slow_stream).start()
+        registry = self.store.registry
+        route = {**ROUTE, "streamResume": False, "timeoutMs": 15000}
+        document = {**DOCUMENT, "routes": [route], "tenants": []}
+        registry.put("keyed.op", "config", json.dumps(document).encode())
+        entry = {**ENTRY, "address": f"{HOST}:{self.engine.port}"}
+        registry.put("keyed.servers", "i-1", json.dumps(entry).encode())
+        self.front, self.ready = free_port(), free_port()
+        self.settings = Path(folder) / "boot.conf"
+        self.settings.write_text(
+            f"nodeName=n1\nzone=dc-a\nip={HOST}\ninternalPortRange={free_port()},1\n"
+            f"listen.front={HOST}:{self.front}\nlisten.ready={HOST}:{self.ready}\n"
+            f"platform.address={address}\ncloudApi.address={address}\n"
+            "cloudApi.duties=usage_report\nbounds.graceS=8\n"
+        )
+        environment = {**os.environ, "CICADAPASS_BOOT": str(self.settings)}
+        environment["CICADAPASS_METRICS_PORT"] = str(free_port())
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cicadapass_platform",
+            cwd=ROOT,
+            env=environment,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        while await self.status() != 200:
+            await asyncio.sleep(0.05)
+        return self
+
+    async def status(self):
+        """Return what the readiness address answers, or 0."""
+        try:
+            caller = await self.connect(self.ready)
+        except OSError:
+            return 0
+        caller.send("/api/ready")
+        status = (await caller.reply()).status
+        caller.close()
+        return status
+
+    async def connect(self, port):
+        """Return a new caller."""
+        return Caller(*await asyncio.open_connection(HOST, port))
+
+
+class ProcessTest(LoopTest):
+    def test_a_planned_stop_cuts_nothing(self):
+        """A stream in progress was cut by SIGTERM, or the node stayed ready."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def scenario():
+            node = await Process().start(folder)
+            caller = await node.connect(node.front)
+            caller.send("/p/x", "POST", b"ask", Request_Id="r1")
+            await until(lambda: node.engine.requests)
+            node.process.send_signal(signal.SIGTERM)
+            reply = await caller.reply()
+            self.assertTrue(reply.complete)
+            self.assertEqual(100, reply.body.count(b"data:"))
+            self.assertEqual(503, await node.status())
+            output, _ = await node.process.communicate()
+            self.assertEqual(0, node.process.returncode)
+            names = [json.loads(line)["name"] for line in output.splitlines()]
+            for name in ("gateway_started", "gateway_configuration", "request_ended"):
+                self.assertIn(name, names)
+            self.assertEqual("gateway_stopped", names[-1])
+            sent = dict(node.engine.requests[0][0].headers)
+            self.assertEqual(b"i-1", sent[b"expect-instance"])
+
+        self.run_loop(scenario())
+
+    def test_a_changed_file_is_read_again(self):
+        """A change of the settings needed a restart, or ended the node."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def scenario():
+            node = await Process().start(folder)
+            text = node.settings.read_text()
+            node.settings.write_text(f"{text}seeds=127.0.0.9:1\n")
+            node.process.send_signal(signal.SIGHUP)
+            changed = None
+            while changed is None:
+                line = json.loads(await node.process.stdout.readline())
+                changed = line.get("changed")
+            self.assertEqual(["seeds"], changed)
+            node.settings.write_text("nonsense")
+            node.process.send_signal(signal.SIGHUP)
+            while "nodeName is missing" not in str(line.get("reason")):
+                line = json.loads(await node.process.stdout.readline())
+            self.assertEqual(200, await node.status())
+            node.process.send_signal(signal.SIGTERM)
+            await node.process.communicate()
+
+        self.run_loop(scenario())
+
+    def test_wrong_settings_are_named(self):
+        """A node with a wrong settings file ended without a word."""
+
+        async def scenario():
+            environment = {**os.environ, "CICADAPASS_BOOT": os.devnull}
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cicadapass_platform",
+                cwd=ROOT,
+                env=environment,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            _, errors = await process.communicate()
+            self.assertEqual(2, process.returncode)
+            self.assertIn(b"nodeName is missing", errors)
+
+        self.run_loop(scenario())
