Share the slack of repeats by nodes; plan engines by slots and by what was held

Change: also, an upstream's own word of its load counts for half a second, and one that rejected a request is left alone for 0.3 s.

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -56,13 +56,29 @@
     tight: int
 
 
-def engines_needed(tokens_per_s: float, token_s: float, places: int) -> Need:
-    """Return the engines that read so many prompt tokens in time."""
-    engines = tokens_per_s * max(token_s, 1e-9)
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """Hold what is asked of the engines of a service."""
+
+    tokens_per_s: float
+    token_s: float
+    # Requests in progress and waiting, and the slots of one engine.
+    requests: int
+    slots: int
+    # Engines held before there was any demand, for the first moments of it.
+    prior: int
+
+
+def engines_needed(demand: Demand, places: int) -> Need:
+    """Return the engines that read the prompts in time and have a slot for each."""
+    engines = max(
+        demand.tokens_per_s * max(demand.token_s, 1e-9),
+        demand.requests / max(1, demand.slots),
+    )
     least = LEAST_ENGINES * places
     return Need(
-        ample=max(least, math.ceil(engines / AMPLE_PART)),
-        tight=max(least // 2, math.ceil(engines / TIGHT_PART)),
+        ample=max(least, demand.prior, math.ceil(engines / AMPLE_PART)),
+        tight=max(least // 2, demand.prior // 2, math.ceil(engines / TIGHT_PART)),
     )
 
 
--- a/packages/decisions/cicadapass_decisions/placing.py
+++ b/packages/decisions/cicadapass_decisions/placing.py
@@ -48,6 +48,8 @@
     call_s: float
     held_tokens: int
     failure_score: float
+    # The upstream rejected a request just now.
+    full: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +144,8 @@
 
 
 def _has_room(work: Work, each: Candidate) -> bool:
+    if each.full:
+        return False
     if not work.model:
         return each.running < each.slots + EXTRA_PLACES
     if each.running >= each.slots:
--- a/packages/decisions/cicadapass_decisions/retryallowance.py
+++ b/packages/decisions/cicadapass_decisions/retryallowance.py
@@ -5,14 +5,17 @@
 # Repeats allowed for each request, under the platform's bound of 0.2 to leave room
 # for the other nodes' rounding.
 RATIO = 0.12
+# Part of the platform's slack that is used; the rest covers nodes that do not know of
+# each other yet.
+SLACK_PART = 0.5
 
 
 class RetryAllowance:
     """Count requests and repeats of one service in a sliding window."""
 
-    def __init__(self, window_s: float, floor: float) -> None:
+    def __init__(self, window_s: float, slack: float) -> None:
         self._window_s = window_s
-        self._floor = floor
+        self._slack = slack
         self._requests: deque[float] = deque()
         self._repeats: deque[float] = deque()
 
@@ -21,10 +24,14 @@
         self._requests.append(now_s)
         self._trim(now_s)
 
-    def take(self, now_s: float) -> bool:
-        """Return whether one more repeat is allowed, and count it if so."""
+    def take(self, now_s: float, nodes: int) -> bool:
+        """Return whether one more repeat is allowed, and count it if so.
+
+        The slack beyond the ratio is shared evenly by all nodes.
+        """
         self._trim(now_s)
-        allowed = self._floor + RATIO * len(self._requests)
+        floor = SLACK_PART * self._slack / max(1, nodes)
+        allowed = floor + RATIO * len(self._requests)
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_s)
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -24,6 +24,9 @@
 SPEED_FADE_S = 6.0
 # A peer's figures count until it has been silent this long.
 PEER_FIGURES_S = 3.0
+# What an upstream told of its load counts for this long, and a rejection for this long.
+REPORTED_S = 0.5
+FULL_S = 0.3
 # A cached part of a prompt is expected to be held this long after its last use.
 HELD_S = 30.0
 MAX_HELD_PARTS = 2000
@@ -63,6 +66,8 @@
         self._failed_s = 0.0
         self._last_first_s = 0.0
         self._held: OrderedDict[str, float] = OrderedDict()
+        self._reported = (0, -1e9)
+        self._full_s = -1e9
 
     @property
     def own_running(self) -> int:
@@ -114,6 +119,18 @@
         """Note that the upstream could not be reached."""
         self._failure_score, self._failed_s = 1.0, now_s
 
+    def report(self, running: int, now_s: float) -> None:
+        """Take in the number of requests that the upstream itself told."""
+        self._reported = (running, now_s)
+
+    def note_full(self, now_s: float) -> None:
+        """Note that the upstream rejected a request for want of room."""
+        self._full_s = now_s
+
+    def is_full(self, now_s: float) -> bool:
+        """Return whether the upstream rejected a request just now."""
+        return now_s - self._full_s < FULL_S
+
     def hear(self, peer: str, figures: PeerFigures) -> None:
         """Take in the figures of a peer."""
         self._peers[peer] = figures
@@ -121,7 +138,9 @@
     def running(self, now_s: float) -> int:
         """Return the requests in progress there, those of peers included."""
         peers = (peer.running for peer in self._fresh_peers(now_s))
-        return len(self._runs) + sum(peers)
+        counted = len(self._runs) + sum(peers)
+        reported, told_s = self._reported
+        return max(counted, reported) if now_s - told_s < REPORTED_S else counted
 
     def reading_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that the upstream has still to read."""
--- a/packages/gateway/cicadapass_gateway/dialect.py
+++ b/packages/gateway/cicadapass_gateway/dialect.py
@@ -44,6 +44,8 @@
     not_executed: bool
     wrong_instance: bool
     event_stream: bool
+    # Requests running and waiting at the upstream, where it tells.
+    load: int | None
     # Headers to pass on as they are.
     headers: Headers
 
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -9,6 +9,7 @@
     REFUSED_S,
     SCARCE_S,
     SHRINK_AFTER_S,
+    Demand,
     Holdings,
     Need,
     Targets,
@@ -25,6 +26,8 @@
 REPEAT_S = 5.5
 
 
+# The engines held at the start count as the need until demand has lasted for this long.
+PRIOR_S = 6.0
 # Below this demand nothing is cut when an engine leaves; one short prompt a second.
 IDLE_TOKENS_PER_S = 1000.0
 # A learnt reading time counts up to this multiple of the initial one.
@@ -52,6 +55,8 @@
         self._confirmed: dict[str, _Confirmed] = {}
         self._refused_s: dict[str, float] = {}
         self._peak: dict[str, tuple[Need, float]] = {}
+        self._held: dict[str, int] = {}
+        self._busy_s: dict[str, float] = {}
         self._lowered_s: dict[str, float] = {}
 
     def reset(self) -> None:
@@ -149,14 +154,40 @@
 
     def _needed(self, service: Service, places: int, now_s: float) -> Need:
         """Return the engines needed; a peak is remembered for a while."""
-        token_s = self._token_s(service.name)
-        need = engines_needed(self._demand(service.name), token_s, places)
+        need = engines_needed(self._asked(service.name, now_s), places)
         known, until_s = self._peak.get(service.name, (need, 0.0))
         if need.ample >= known.ample or now_s > until_s:
             self._peak[service.name] = (need, now_s + PEAK_S)
             return need
         return known
 
+    def _asked(self, service: str, now_s: float) -> Demand:
+        records = self._state.book.usable(service)
+        running = sum(self._state.book.meter(each).running(now_s) for each in records)
+        tokens_per_s = self._demand(service)
+        return Demand(
+            tokens_per_s=tokens_per_s,
+            token_s=self._token_s(service),
+            requests=running + self._state.nodes * self._state.room.waiting_count,
+            slots=min((each.slots for each in records), default=1),
+            prior=self._prior(
+                service,
+                sum(1 for each in records if not each.reclaimable),
+                tokens_per_s,
+                now_s,
+            ),
+        )
+
+    def _prior(self, service: str, held: int, tokens_per_s: float, now_s: float) -> int:
+        """Return the engines held before demand came, until it is known."""
+        if tokens_per_s < IDLE_TOKENS_PER_S:
+            if service not in self._busy_s:
+                self._held[service] = max(self._held.get(service, 0), held)
+        else:
+            self._busy_s.setdefault(service, now_s)
+        began_s = self._busy_s.get(service, now_s)
+        return self._held.get(service, 0) if now_s - began_s < PRIOR_S else 0
+
     def _token_s(self, service: str) -> float:
         """Return the time to read a token on the fastest engine, within bounds.
 
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -39,9 +39,6 @@
 NOTICED_S = 3.2
 # Left of the grace period to end the process in order.
 LAST_S = 0.6
-# Part of the common slack of repeats that each node takes for itself. With seven or
-# eight nodes they stay within it together.
-SLACK_PART = 0.07
 
 
 @dataclass(slots=True)
@@ -111,7 +108,7 @@
             settings.node,
             settings.data_centre,
             events,
-            RetryBounds(settings.retry_window_s, SLACK_PART * settings.retry_slack),
+            RetryBounds(settings.retry_window_s, settings.retry_slack),
             settings.limit_window_s,
         )
         pool = ClientPool()
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -17,10 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RetryBounds:
-    """Hold the platform's bound on repeated sends and this node's part of it."""
+    """Hold the platform's bound on repeated sends, for all nodes together."""
 
     window_s: float
-    floor: float
+    slack: float
 
 
 # A draining node takes requests for this long: the platform's entry needs two missed
@@ -51,6 +51,8 @@
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.upstreams_known = False
+        # Nodes that are known to run, this one included.
+        self.nodes = 1
         self.stopping_since_s: float | None = None
         self.demand = DemandMeter()
         self._retry = retry
@@ -95,7 +97,7 @@
         """Return the retry allowance of a service."""
         allowance = self._allowances.get(service)
         if allowance is None:
-            allowance = RetryAllowance(self._retry.window_s, self._retry.floor)
+            allowance = RetryAllowance(self._retry.window_s, self._retry.slack)
             self._allowances[service] = allowance
         return allowance
 
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -133,6 +133,7 @@
         self._forget(now_s)
         state = self._parts.state
         state.limits.set_round(self.round_s)
+        state.nodes = len(self.members) + 1
         data = cbor2.dumps(self._encode(now_s))
         for address in self._next_addresses():
             self._transport.sendto(data, address)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -214,7 +214,9 @@
 
     def _may_repeat(self, job: Job) -> bool:
         """Take one repeat from the service's allowance."""
-        return self._state.allowance(job.match.service).take(self._state.clock())
+        return self._state.allowance(job.match.service).take(
+            self._state.clock(), self._state.nodes
+        )
 
     async def _attempt(self, job: Job, ticket: Ticket) -> AttemptResult:
         """Send the request to an upstream once."""
@@ -273,7 +275,11 @@
         facts = self._dialect.decode_answer(head.status, head.headers)
         if facts.request_id not in (None, job.call.request_id):
             raise AnswerBroken("the answer belongs to another request")
+        meter = self._state.book.meter(record)
+        if facts.load is not None:
+            meter.report(facts.load, self._state.clock())
         if facts.not_executed or facts.wrong_instance:
+            meter.note_full(self._state.clock())
             await channel.read_rest(MAX_ANSWER_BYTES)
             job.runs -= 1
             self._pool.give_back(record.host, record.port, channel)
--- a/packages/gateway/cicadapass_gateway/upstreambook.py
+++ b/packages/gateway/cicadapass_gateway/upstreambook.py
@@ -122,6 +122,7 @@
             call_s=meter.call_s,
             held_tokens=meter.held_tokens(prompt, now_s),
             failure_score=meter.failure_score(now_s),
+            full=meter.is_full(now_s),
         )
 
     def _group_speed(self, service: str) -> tuple[float, float]:
--- a/tests/decisions/test_enginefleet.py
+++ b/tests/decisions/test_enginefleet.py
@@ -3,6 +3,7 @@
 import testtools
 
 from cicadapass_decisions.enginefleet import (
+    Demand,
     Holdings,
     Need,
     engines_needed,
@@ -67,6 +68,19 @@
 
     def test_demand_raises_the_need(self):
         """The number of engines did not follow the demand."""
-        low, high = (engines_needed(rate, 0.00002, 3) for rate in (0.0, 200_000.0))
+        low, high = (
+            engines_needed(Demand(rate, 0.00002, 0, 64, 0), 3)
+            for rate in (0.0, 200_000.0)
+        )
         self.assertGreater(high.ample, low.ample)
         self.assertGreater(high.ample, high.tight)
+
+    def test_engines_with_few_slots_are_planned_by_their_slots(self):
+        """Requests were shed for want of slots while prompts were read in time."""
+        need = engines_needed(Demand(1000.0, 0.00002, 480, 16, 0), 3)
+        self.assertGreater(need.tight, 480 / 16)
+
+    def test_engines_are_kept_until_demand_is_known(self):
+        """Engines were given up before the first requests came."""
+        need = engines_needed(Demand(0.0, 0.00002, 0, 64, 30), 3)
+        self.assertEqual((30, 15), (need.ample, need.tight))
--- a/tests/decisions/test_retryallowance.py
+++ b/tests/decisions/test_retryallowance.py
@@ -8,15 +8,22 @@
 class AllowanceTest(testtools.TestCase):
     def test_repeats_stay_a_part_of_the_requests(self):
         """When all upstreams failed, repeats doubled the load."""
-        allowance = RetryAllowance(10.0, 2.0)
+        allowance = RetryAllowance(10.0, 8.0)
         for _ in range(100):
             allowance.note_request(0.0)
-        granted = sum(allowance.take(1.0) for _ in range(100))
+        granted = sum(allowance.take(1.0, 2) for _ in range(100))
         self.assertEqual(int(2 + 100 * RATIO), granted)
 
     def test_the_window_slides(self):
         """An allowance that was used up never came back."""
-        allowance = RetryAllowance(10.0, 1.0)
-        self.assertTrue(allowance.take(0.0))
-        self.assertFalse(allowance.take(5.0))
-        self.assertTrue(allowance.take(10.5))
+        allowance = RetryAllowance(10.0, 2.0)
+        self.assertTrue(allowance.take(0.0, 1))
+        self.assertFalse(allowance.take(5.0, 1))
+        self.assertTrue(allowance.take(10.5, 1))
+
+    def test_all_nodes_together_stay_within_the_slack(self):
+        """Each node took a fixed part, and 58 nodes went beyond the bound."""
+        slack = 156.0
+        nodes = [RetryAllowance(10.0, slack) for _ in range(58)]
+        granted = sum(each.take(0.0, 58) for each in nodes for _ in range(50))
+        self.assertLessEqual(granted, slack)
--- a/tests/gateway/kit.py
+++ b/tests/gateway/kit.py
@@ -37,6 +37,7 @@
 from cicadapass_gateway.httpserver import HttpServer, ServerState
 from cicadapass_gateway.movers import Movers
 from cicadapass_gateway.nodestate import NodeState, RetryBounds
+from cicadapass_gateway.registrysync import repeated
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.usage import UsageCounter
 
@@ -99,6 +100,7 @@
         request_id=None if request_id is None else request_id.decode(),
         not_executed=b"x-not-run" in found,
         wrong_instance=status == 421,
+        load=None,
         event_stream=found.get(b"content-type") == b"text/event-stream",
         headers=kept,
     )
@@ -307,6 +309,8 @@
         self.list_upstreams()
         await self.server.listen(HOST, 0)
         self._tasks.append(asyncio.create_task(self.movers.watch()))
+        pump = repeated(self.state.room.pump, 0.02)
+        self._tasks.append(asyncio.create_task(pump()))
         return self
 
     def list_upstreams(self, **changes):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -105,6 +105,11 @@
         self.assertTrue(facts.not_executed)
         self.assertIn(seal, facts.headers)
         self.assertFalse(decode_answer(503, []).not_executed)
+        loads = (b"3,2,8,150", b"3,2,8"), (b"many", b"3")
+        for value in loads[0]:
+            self.assertEqual(5, decode_answer(200, [(b"Engine-Load", value)]).load)
+        for value in loads[1]:
+            self.assertIsNone(decode_answer(200, [(b"Engine-Load", value)]).load)
         self.assertTrue(decode_answer(421, []).wrong_instance)
         stream = decode_answer(200, [(b"Content-Type", b"text/event-stream")])
         self.assertTrue(stream.event_stream)
