--- a/packages/decisions/cicadapass_decisions/placing.py
+++ b/packages/decisions/cicadapass_decisions/placing.py
@@ -33,6 +33,9 @@
 # A request that would wait at the node for more than this part of what the caller
 # bears is refused at arrival.
 HOPELESS_PART = 0.6
+# A waiting request is refused once its wait and what is expected come to this part of
+# what the caller bears; a late answer is still worth something until then.
+OVERDUE_PART = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +121,11 @@
     return wait_s > HOPELESS_PART * patience
 
 
+def is_overdue(waited_s: float, expected_s: float, patience: float) -> bool:
+    """Return whether a waiting request should be told to come back."""
+    return waited_s + expected_s > OVERDUE_PART * patience
+
+
 def _home(prompt: Prompt, candidates: Sequence[Candidate]) -> set[str]:
     key = prompt.affinity_key
     if key is None:
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/job.py
@@ -0,0 +1,33 @@
+"""The progress of one request."""
+
+from dataclasses import dataclass, field
+
+from cicadapass_decisions.routetable import Match
+from cicadapass_gateway.dialect import Call
+from cicadapass_gateway.httpserver import Exchange
+from cicadapass_gateway.movers import Moved
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold the progress of one request."""
+
+    exchange: Exchange
+    call: Call
+    match: Match
+    deadline_s: float
+    charged: float = 0.0
+    sends: int = 0
+    runs: int = 0
+    excluded: set[str] = field(default_factory=set)
+    last_event_id: str | None = None
+    first_piece_s: float | None = None
+    counted: bool = False
+    upstream_id: str = ""
+    moved: Moved | None = None
+    waited_s: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the request may be sent again after it may have run."""
+        return self.match.route.repeatable
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -1,7 +1,7 @@
 """Carry a caller's request to an upstream and the answer back."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from cicadapass_decisions.attempts import (
     AttemptEnd,
@@ -12,15 +12,18 @@
     after_attempt,
 )
 from cicadapass_decisions.passthrough import CallKind, Prompt, UpstreamRecord
-from cicadapass_decisions.routetable import Match, NoRoute, UnknownCredential
+from cicadapass_decisions.routetable import NoRoute, UnknownCredential
 from cicadapass_decisions.waitingorder import retry_after_s
 from cicadapass_gateway.dialect import AnswerFacts, Attempt, Call, Dialect
 from cicadapass_gateway.eventstream import EventSplitter
 from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
 from cicadapass_gateway.httpclient import ClientChannel, ClientPool
 from cicadapass_gateway.httpserver import Exchange
+from cicadapass_gateway.job import Job
 from cicadapass_gateway.movers import ActiveRun, Moved, Movers
 from cicadapass_gateway.nodestate import NodeState
+from cicadapass_gateway.requestlog import RequestLog
+from cicadapass_gateway.silence import SilenceLimit
 from cicadapass_gateway.upstreambook import Ticket
 from cicadapass_gateway.usage import UsageCounter
 from cicadapass_gateway.waitingroom import NotPlaced, Placement
@@ -43,29 +46,15 @@
 PROMISES = frozenset({408, 421, 429, 503})
 
 
-@dataclass(slots=True)
-class Job:
-    """Hold the progress of one request."""
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Hold an answer whose head has been read."""
 
-    exchange: Exchange
-    call: Call
-    match: Match
-    deadline_s: float
-    charged: float = 0.0
-    sends: int = 0
-    runs: int = 0
-    excluded: set[str] = field(default_factory=set)
-    last_event_id: str | None = None
-    first_piece_s: float | None = None
-    counted: bool = False
-    upstream_id: str = ""
-    moved: Moved | None = None
-    waited_s: float = 0.0
-
-    @property
-    def repeatable(self) -> bool:
-        """Return whether the request may be sent again after it may have run."""
-        return self.match.route.repeatable
+    job: Job
+    ticket: Ticket
+    channel: ClientChannel
+    status: int
+    facts: AnswerFacts
 
 
 class Relay:
@@ -84,6 +73,7 @@
         self._pool = pool
         self._usage = usage
         self._movers = movers
+        self._log = RequestLog(state)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -97,7 +87,7 @@
         except TimeoutError:
             self._time_out(job)
         except asyncio.CancelledError:
-            self._finish(job, 0, "caller_left")
+            self._log.ended(job, 0, "caller_left")
             raise
 
     def _admit(self, exchange: Exchange, call: Call) -> Job | None:
@@ -160,7 +150,7 @@
                 self._refuse(job, granted.reason, granted.queued_s)
                 return
             result = await self._attempt(job, granted)
-            self._log_attempt(job, granted, result)
+            self._log.attempt(job, granted, result)
             step = after_attempt(result, self._progress(job), allowed=True)
             moved = job.moved is not None
             if isinstance(step, Repeat) and not moved and not self._may_repeat(job):
@@ -279,29 +269,32 @@
         if facts.load is not None:
             meter.report(facts.load, self._state.clock())
         if facts.not_executed or facts.wrong_instance:
-            meter.note_full(self._state.clock())
+            self._note_rejection(record, facts)
             await channel.read_rest(MAX_ANSWER_BYTES)
             job.runs -= 1
             self._pool.give_back(record.host, record.port, channel)
             return AttemptResult.rejected(head.status)
+        reading = Reading(job, ticket, channel, head.status, facts)
         if facts.event_stream and head.status < 300:
-            return await self._stream(job, ticket, channel, head.status, facts)
-        return await self._whole(job, ticket, channel, head.status, facts)
+            return await self._stream(reading)
+        return await self._whole(reading)
 
-    async def _whole(
-        self,
-        job: Job,
-        ticket: Ticket,
-        channel: ClientChannel,
-        status: int,
-        facts: AnswerFacts,
-    ) -> AttemptResult:
+    def _note_rejection(self, record: UpstreamRecord, facts: AnswerFacts) -> None:
+        now_s = self._state.clock()
+        if not facts.wrong_instance:
+            self._state.book.meter(record).note_full(now_s)
+            return
+        # Another instance has the address, so this start of the upstream is over.
+        self._state.book.view.mark_leaving(record.upstream_id, record.started_ms, now_s)
+        self._state.book.refresh()
+
+    async def _whole(self, reading: Reading) -> AttemptResult:
         """Pass on an answer that is not a stream, once it is complete."""
-        async with self._silence(job, ticket):
-            body = await channel.read_rest(MAX_ANSWER_BYTES)
+        job, status = reading.job, reading.status
+        async with self._silence(job, reading.ticket):
+            body = await reading.channel.read_rest(MAX_ANSWER_BYTES)
         self._count_run(job)
-        record = ticket.record
-        self._pool.give_back(record.host, record.port, channel)
+        self._give_back(reading)
         if job.exchange.started:
             # A resumed stream cannot go on with an answer of another kind.
             return AttemptResult.failed(status)
@@ -311,43 +304,39 @@
             return AttemptResult.broken(
                 f"answered {status} without saying not executed"
             )
-        job.exchange.respond(status, facts.headers, body)
-        self._finish(job, status, "answered")
+        job.exchange.respond(status, reading.facts.headers, body)
+        self._log.ended(job, status, "answered")
         return AttemptResult.delivered(status)
 
+    def _give_back(self, reading: Reading) -> None:
+        record = reading.ticket.record
+        self._pool.give_back(record.host, record.port, reading.channel)
+
     def _can_run_again(self, job: Job) -> bool:
         return job.repeatable and job.runs < job.match.route.attempts
 
-    async def _stream(
-        self,
-        job: Job,
-        ticket: Ticket,
-        channel: ClientChannel,
-        status: int,
-        facts: AnswerFacts,
-    ) -> AttemptResult:
+    async def _stream(self, reading: Reading) -> AttemptResult:
         """Pass on whole events as they come."""
-        exchange = job.exchange
-        run = self._active_run(job, ticket)
+        job, exchange = reading.job, reading.job.exchange
+        run = self._active_run(job, reading.ticket)
         self._movers.add(run)
         try:
-            await self._pass_events(job, ticket, channel, status, facts, run)
+            await self._pass_events(reading, run)
         except AnswerBroken:
             # A run that is being moved ends at its source without its end.
             job.moved = await self._moved(run)
             if job.moved is None:
                 raise
-            channel.abort()
+            reading.channel.abort()
             return AttemptResult.moved(job.moved.record.upstream_id)
         finally:
             self._movers.discard(run)
         if not exchange.started:
-            exchange.start(status, facts.headers)
-        record = ticket.record
-        self._pool.give_back(record.host, record.port, channel)
+            exchange.start(reading.status, reading.facts.headers)
+        self._give_back(reading)
         exchange.finish()
-        self._finish(job, status, "answered")
-        return AttemptResult.delivered(status)
+        self._log.ended(job, reading.status, "answered")
+        return AttemptResult.delivered(reading.status)
 
     def _active_run(self, job: Job, ticket: Ticket) -> ActiveRun:
         configuration = self._state.configuration
@@ -370,21 +359,13 @@
         except TimeoutError:
             return None
 
-    async def _pass_events(
-        self,
-        job: Job,
-        ticket: Ticket,
-        channel: ClientChannel,
-        status: int,
-        facts: AnswerFacts,
-        run: ActiveRun,
-    ) -> None:
+    async def _pass_events(self, reading: Reading, run: ActiveRun) -> None:
         """Pass on events until the proper end of the stream."""
-        exchange = job.exchange
+        job, ticket, exchange = reading.job, reading.ticket, reading.job.exchange
         splitter = EventSplitter()
         while True:
             async with self._silence(job, ticket):
-                piece = await channel.read_body()
+                piece = await reading.channel.read_body()
             if piece is None:
                 break
             events = splitter.feed(piece)
@@ -392,7 +373,7 @@
                 continue
             run.events += len(events)
             if not exchange.started:
-                exchange.start(status, facts.headers)
+                exchange.start(reading.status, reading.facts.headers)
             self._note_first_piece(job, ticket)
             exchange.write(b"".join(event.data for event in events))
             job.last_event_id = events[-1].event_id or job.last_event_id
@@ -414,14 +395,14 @@
             job.counted = True
             self._usage.count(job.match.workspace.name)
 
-    def _silence(self, job: Job, ticket: Ticket) -> "_SilenceLimit":
+    def _silence(self, job: Job, ticket: Ticket) -> SilenceLimit:
         """Limit how long a repeatable request waits for the next bytes."""
         if not job.repeatable or job.runs >= job.match.route.attempts:
-            return _SilenceLimit(None)
+            return SilenceLimit(None)
         if job.match.route.kind is CallKind.STREAM:
-            return _SilenceLimit(SILENCE_S + SILENCE_EXPECTED * ticket.expected_s)
+            return SilenceLimit(SILENCE_S + SILENCE_EXPECTED * ticket.expected_s)
         share = (job.deadline_s - job.exchange.arrived_s) / 3
-        return _SilenceLimit(max(share, SILENCE_EXPECTED * ticket.expected_s))
+        return SilenceLimit(max(share, SILENCE_EXPECTED * ticket.expected_s))
 
     def _refuse(self, job: Job, reason: str, queued_s: float) -> None:
         """Answer that the request has not run, with the time to come back."""
@@ -436,28 +417,28 @@
         wait_s = retry_after_s(queued_s, left_s, self._state.rng.random())
         headers = self._dialect.encode_refusal(job.call.request_id, wait_s)
         job.exchange.respond(503, headers, b"")
-        self._finish(job, 503, reason)
+        self._log.ended(job, 503, reason)
 
     def _fail(self, job: Job, reason: str) -> None:
         """Answer that the request failed and may have run."""
         if job.exchange.started:
             job.exchange.cut()
-            self._finish(job, 0, f"cut_{reason}")
+            self._log.ended(job, 0, f"cut_{reason}")
             return
         headers = self._dialect.encode_refusal(job.call.request_id, None)
         job.exchange.respond(502, headers, b"")
-        self._finish(job, 502, reason)
+        self._log.ended(job, 502, reason)
 
     def _time_out(self, job: Job) -> None:
         if job.exchange.finished:
             return
         if job.exchange.started:
             job.exchange.cut()
-            self._finish(job, 0, "cut_timeout")
+            self._log.ended(job, 0, "cut_timeout")
             return
         headers = self._dialect.encode_refusal(job.call.request_id, None)
         job.exchange.respond(504, headers, b"")
-        self._finish(job, 504, "timeout")
+        self._log.ended(job, 504, "timeout")
 
     def _reject(
         self,
@@ -470,67 +451,4 @@
     ) -> None:
         headers = self._dialect.encode_refusal(call.request_id, wait_s)
         exchange.respond(status, headers, b"")
-        self._state.metrics.count("rejected", reason)
-        self._state.events.emit(
-            810,
-            request_id=call.request_id,
-            status=status,
-            reason=reason,
-            version=self._state.version,
-            workspace=workspace,
-        )
-
-    def _log_attempt(self, job: Job, ticket: Ticket, result: AttemptResult) -> None:
-        if result.end.value == "delivered":
-            return
-        self._state.metrics.count("attempts_failed", result.end.value)
-        self._state.events.emit(
-            811,
-            request_id=job.call.request_id,
-            upstream=ticket.record.upstream_id,
-            upstream_sequence=ticket.record.sequence,
-            outcome=result.end.value,
-            detail=result.detail,
-            sends=job.sends,
-        )
-
-    def _finish(self, job: Job, status: int, outcome: str) -> None:
-        now_s = self._state.clock()
-        arrived_s = job.exchange.arrived_s
-        first_s = job.first_piece_s
-        route = job.match.route
-        self._state.metrics.count("requests", outcome)
-        self._state.metrics.observe("request", route.kind.value, now_s - arrived_s)
-        if first_s is not None:
-            self._state.metrics.observe(
-                "first_piece", route.kind.value, first_s - arrived_s
-            )
-        self._state.events.emit(
-            812,
-            request_id=job.call.request_id,
-            status=status,
-            outcome=outcome,
-            route=route.name,
-            version=job.match.version,
-            upstream=job.upstream_id,
-            sends=job.sends,
-            waited_ms=round(1000 * job.waited_s),
-            first_ms=None if first_s is None else round(1000 * (first_s - arrived_s)),
-            total_ms=round(1000 * (now_s - arrived_s)),
-        )
-
-
-class _SilenceLimit:
-    """Turn a long silence of an upstream into a broken answer."""
-
-    def __init__(self, seconds: float | None) -> None:
-        self._timeout = asyncio.timeout(seconds)
-
-    async def __aenter__(self) -> None:
-        await self._timeout.__aenter__()
-
-    async def __aexit__(self, *details: object) -> None:
-        try:
-            await self._timeout.__aexit__(*details)  # type: ignore[arg-type]
-        except TimeoutError as error:
-            raise AnswerBroken("the upstream was silent for too long") from error
+        self._log.rejected(call, status, reason, workspace)
--- a/packages/gateway/cicadapass_gateway/waitingroom.py
+++ b/packages/gateway/cicadapass_gateway/waitingroom.py
@@ -12,6 +12,7 @@
     Work,
     choose,
     is_hopeless,
+    is_overdue,
     patience_s,
 )
 from cicadapass_decisions.waitingorder import Waiting, turn
@@ -109,7 +110,7 @@
         queue.entries.sort(key=lambda entry: turn(_waiting(entry), now_s))
         misses = 0
         for entry in list(queue.entries):
-            outcome = self._try(entry, now_s)
+            outcome = self._overdue(entry, now_s) or self._try(entry, now_s)
             if outcome is None:
                 misses += 1
                 if misses >= MAX_MISSES:
@@ -121,6 +122,13 @@
             elif isinstance(outcome, Ticket):
                 self._book.end(outcome, now_s, succeeded=None)
 
+    def _overdue(self, entry: _Entry, now_s: float) -> NotPlaced | None:
+        """Return the refusal of a request that has waited for too long."""
+        waited_s = now_s - entry.placement.arrived_s
+        if is_overdue(waited_s, entry.expected_s, entry.patience_s):
+            return NotPlaced("overdue", entry.expected_s)
+        return None
+
     def _entry(self, placement: Placement, now_s: float) -> _Entry:
         patience = patience_s(
             placement.target_s,
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -278,6 +278,38 @@
 
         self.run_loop(scenario())
 
+    def test_a_request_that_waited_too_long_is_told_to_come_back(self):
+        """A request waited for room until its caller had gone."""
+
+        async def scenario():
+            async def hang(answer):
+                await answer.until_closed()
+
+            world = await World().start(hang)
+            world.list_upstreams(slots=1)
+            first = await world.connect()
+            first.send("/safe/x", x_tokens=100)
+            await until(lambda: world.upstreams[0].requests)
+            reply = await world.call("/stream/x", "POST", x_tokens=100, x_limit="1")
+            self.assertEqual(503, reply.status)
+            self.assertEqual(1, len(world.upstreams[0].requests))
+
+        self.run_loop(scenario())
+
+    def test_an_upstream_whose_address_is_another_ones_gets_no_more_work(self):
+        """Requests kept going to an address that had been given away."""
+
+        async def stranger(answer):
+            answer.whole(421, b"")
+
+        async def scenario():
+            world = await World().start(stranger, ok)
+            for _ in range(4):
+                self.assertEqual(200, (await world.call("/safe/x")).status)
+            self.assertLessEqual(len(world.upstreams[0].requests), 1)
+
+        self.run_loop(scenario())
+
 
 class StreamTest(LoopTest):
     def test_events_are_passed_on_as_they_come(self):
