Order no reclaimable engines that are no cheaper; name what the wire's names hide

Cause: on a platform without a lower price, or one that refuses such orders with another status than 409, the refusal held up all orders. Fields that nothing used are gone.

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -86,6 +86,8 @@
     scaling: Scaling, holdings: Mapping[str, Holdings], need: Need
 ) -> dict[str, Targets]:
     """Return the engines wanted by data centre."""
+    if scaling.reclaimable_price >= 1:
+        return _plan_on_demand(scaling, holdings, need)
     places = sorted(holdings, key=lambda name: (scaling.prices.get(name, 1.0), name))
     wanted = _reclaimable(scaling, holdings, places, need.ample)
     # A new engine counts only once it serves; until then the present ones are kept.
@@ -105,6 +107,16 @@
     }
 
 
+def _plan_on_demand(
+    scaling: Scaling, holdings: Mapping[str, Holdings], need: Need
+) -> dict[str, Targets]:
+    """Return on-demand engines alone, where reclaimable ones are no cheaper."""
+    places = sorted(holdings, key=lambda name: (scaling.prices.get(name, 1.0), name))
+    engines = (need.ample + need.tight) // 2
+    wanted = _on_demand(scaling, dict.fromkeys(places, 0), places, engines)
+    return {name: Targets(wanted[name], 0) for name in places}
+
+
 def _that_fit(scaling: Scaling, wanted: int, on_demand: int, held: Holdings) -> int:
     """Return the reclaimable engines that fit beside the on-demand ones.
 
--- a/packages/decisions/cicadapass_decisions/passthrough.py
+++ b/packages/decisions/cicadapass_decisions/passthrough.py
@@ -53,6 +53,7 @@
     minimum: int
     maximum: int
     boot_s: float
+    # Price of a reclaimable engine as a part of an on-demand one's.
     reclaimable_price: float
     prices: Mapping[str, float] = field(default_factory=dict)
 
@@ -62,9 +63,7 @@
     """Describe a group of upstreams that serve the same calls."""
 
     name: str
-    max_connections: int = 0
     model_engine: bool = False
-    cache_tokens: int = 0
     tokens_per_event: int = 1
     scaling: Scaling | None = None
 
@@ -117,7 +116,6 @@
     started_ms: int
     sequence: int
     reclaimable: bool = False
-    cold_left_s: float = 0.0
     leaves_in_s: float | None = None
 
 
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -40,6 +40,8 @@
 # Part of the platform's time between holders that a lease lasts. A former holder waits
 # for the whole time before it takes over again, so that holders never alternate in it.
 LEASE_PART = 0.6
+# With these statuses the platform refuses any call for now; others refuse the order.
+BUSY_STATUSES = frozenset({429, 503})
 # How often the holder looks for work, in seconds.
 INTERVAL_S = 0.3
 # A candidate that hears of the holder's renewals by datagram asks the platform nothing.
@@ -229,10 +231,10 @@
                 self._planner.confirmed(order)
                 self._emit_order(order, record.fence, "accepted")
             except PlatformRefused as error:
-                if error.status != 409:
+                if error.status in BUSY_STATUSES:
                     raise
                 self._planner.refused(order)
-                self._emit_order(order, record.fence, "refused")
+                self._emit_order(order, record.fence, f"refused_{error.status}")
 
     def _emit_order(self, order: EngineOrder, fence: int, outcome: str) -> None:
         self._state.events.emit(
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -85,8 +85,7 @@
             confirmed = self._confirmed.get(key)
             if confirmed is not None and confirmed.count == count:
                 continue
-            refused_s = self._refused_s.get(order.data_centre, -1e9)
-            if order.reclaimable and now_s - refused_s < REFUSED_S:
+            if now_s - self._refused_s.get(key, -1e9) < REFUSED_S:
                 continue
             found.append(order)
         return sorted(found, key=lambda order: -order.count)
@@ -97,8 +96,8 @@
         self._confirmed[_key(order)] = _Confirmed(order.count, now_s)
 
     def refused(self, order: EngineOrder) -> None:
-        """Note that reclaimable engines are not to be had."""
-        self._refused_s[order.data_centre] = self._state.clock()
+        """Note that the platform has no such engines at the moment."""
+        self._refused_s[_key(order)] = self._state.clock()
 
     def _plan_service(self, service: Service, orders: dict[str, int]) -> None:
         assert service.scaling is not None
@@ -216,14 +215,15 @@
             name: Holdings(
                 on_demand=_count(records, name, reclaimable=False),
                 reclaimable=_count(records, name, reclaimable=True),
-                refused=self._is_scarce(name, now_s) or name in reclaimed,
+                refused=name in reclaimed or self._is_scarce(service, name, now_s),
             )
             for name in sorted(places)
         }
 
-    def _is_scarce(self, data_centre: str, now_s: float) -> bool:
-        """Return whether reclaimable engines were refused or taken back lately."""
-        return now_s - self._refused_s.get(data_centre, -1e9) < SCARCE_S
+    def _is_scarce(self, service: Service, data_centre: str, now_s: float) -> bool:
+        """Return whether reclaimable engines were refused lately."""
+        key = _key(EngineOrder(service.name, data_centre, 0, reclaimable=True))
+        return now_s - self._refused_s.get(key, -1e9) < SCARCE_S
 
 
 def _count(records: list[UpstreamRecord], name: str, *, reclaimable: bool) -> int:
--- a/tests/decisions/test_enginefleet.py
+++ b/tests/decisions/test_enginefleet.py
@@ -50,6 +50,14 @@
         targets = plan_engines(SCALING, first, Need(ample=6, tight=3))
         self.assertGreater(sum(each.on_demand for each in targets.values()), 0)
 
+    def test_without_a_lower_price_no_reclaimable_engines_are_ordered(self):
+        """Engines that cost the same and may be taken back carried the load."""
+        scaling = Scaling(1, 6, 4.0, 1.0, SCALING.prices)
+        targets = plan_engines(scaling, {name: held(2) for name in "abc"}, NEED)
+        self.assertEqual(0, sum(each.reclaimable for each in targets.values()))
+        total = sum(each.on_demand for each in targets.values())
+        self.assertGreaterEqual(total, NEED.tight)
+
     def test_the_maximum_holds_for_both_classes_together(self):
         """An order beyond the maximum is cut by the platform."""
         for refused in (True, False):
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -39,7 +39,7 @@
         self.registry = MemoryRegistry()
         self.reports, self.orders = [], []
         self.fail_reports = 0
-        self.refuse_reclaimable = False
+        self.refuse_reclaimable = 0
 
     def adapter(self, name):
         """Return the adapter of one node."""
@@ -52,7 +52,7 @@
 
         async def order(order, fence):
             if order.reclaimable and self.refuse_reclaimable:
-                raise PlatformRefused(409, "/scale")
+                raise PlatformRefused(self.refuse_reclaimable, "/scale")
             self.orders.append((name, order, fence))
 
         topics = Topics("configuration", "upstreams", "nodes", "duties")
@@ -286,12 +286,13 @@
     def test_a_refused_order_is_remembered_and_others_go_on(self):
         """One refusal held up all orders."""
 
-        async def scenario():
+        async def scenario(status):
             platform = Platform()
-            platform.refuse_reclaimable = True
+            platform.refuse_reclaimable = status
             node = self.node(platform, on_demand=0)
             await until(lambda: platform.orders)
             self.assertFalse(any(o.reclaimable for _, o, _ in platform.orders))
             self.assertIsNotNone(node.duties.own_renewal())
 
-        self.run_loop(scenario())
+        for status in (409, 400):
+            self.run_loop(scenario(status))
