--- a/packages/gateway/cicadapass_gateway/dialect.py
+++ b/packages/gateway/cicadapass_gateway/dialect.py
@@ -41,6 +41,8 @@
     """Hold what the headers of an upstream's answer say."""
 
     request_id: str | None
+    # The answer bears the mark by which callers know an upstream's own answer.
+    sealed: bool
     not_executed: bool
     wrong_instance: bool
     event_stream: bool
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -265,6 +265,8 @@
         facts = self._dialect.decode_answer(head.status, head.headers)
         if facts.request_id not in (None, job.call.request_id):
             raise AnswerBroken("the answer belongs to another request")
+        if head.status < 300 and not (facts.sealed and facts.request_id):
+            raise AnswerBroken("a success without the upstream's seal or the id")
         meter = self._state.book.meter(record)
         if facts.load is not None:
             meter.report(facts.load, self._state.clock())
--- a/tests/gateway/kit.py
+++ b/tests/gateway/kit.py
@@ -66,7 +66,7 @@
 
 
 def _decode_call(headers):
-    found = {name.lower(): value.decode() for name, value in headers}
+    found = {name.lower(): value.decode("latin-1") for name, value in headers}
     tokens = int(found.get(b"x-tokens", "0"))
     parts = (PromptPart("shared", tokens // 2), PromptPart("own", tokens // 2))
     limit = found.get(b"x-limit")
@@ -97,9 +97,10 @@
     kept = [(n, v) for n, v in headers if n.lower() in (b"content-type", b"x-id")]
     request_id = found.get(b"x-id")
     return AnswerFacts(
-        request_id=None if request_id is None else request_id.decode(),
+        request_id=None if request_id is None else request_id.decode("latin-1"),
         not_executed=b"x-not-run" in found,
         wrong_instance=status == 421,
+        sealed=b"x-seal" in found,
         load=None,
         event_stream=found.get(b"content-type") == b"text/event-stream",
         headers=kept,
@@ -193,6 +194,8 @@
     def __init__(self, request, body, reader, writer):
         self.request, self.body = request, body
         self.headers = {n: v.decode() for n, v in request.headers}
+        # Further header lines of each answer.
+        self.extra = ""
         self._reader, self._writer = reader, writer
 
     def send(self, data):
@@ -202,15 +205,15 @@
     def whole(self, status=200, body=b"ok", extra=""):
         """Write a whole answer."""
         request_id = self.headers.get(b"x-id", "")
-        head = f"HTTP/1.1 {status} X\r\nx-id: {request_id}\r\n{extra}"
+        head = f"HTTP/1.1 {status} X\r\nx-id: {request_id}\r\nx-seal: 1\r\n{extra}"
         self.send(f"{head}content-length: {len(body)}\r\n\r\n".encode() + body)
 
     def stream(self):
         """Write the head of an event stream."""
         request_id = self.headers.get(b"x-id", "")
         self.send(
-            f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\ncontent-type: text/event-stream"
-            "\r\ntransfer-encoding: chunked\r\n\r\n".encode()
+            f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-seal: 1\r\n{self.extra}"
+            "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n".encode()
         )
 
     def event(self, number, cut=False):
--- a/tests/gateway/test_parts.py
+++ b/tests/gateway/test_parts.py
@@ -11,7 +11,7 @@
 from cicadapass_gateway.logoutput import MAX_LINES, QueuedOutput
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.supervisor import MAX_RESTARTS, Supervisor
-from cicadapass_gateway.usage import KEPT_WINDOWS, UsageCounter
+from cicadapass_gateway.usage import KEPT_WINDOWS, TOLD_WINDOWS, UsageCounter
 from tests.gateway.kit import LoopTest, quiet_events
 
 
@@ -55,7 +55,17 @@
         for window in range(30):
             now[0] = window * 5.0
             usage.count("w")
-        self.assertEqual(KEPT_WINDOWS, len(usage.own()))
+        kept = [window for window in range(30) if usage.total(window)]
+        self.assertEqual(list(range(30 - KEPT_WINDOWS, 30)), kept)
+
+    def test_peers_are_told_the_windows_that_may_still_be_reported(self):
+        """Each datagram carried counts that nobody needed any more."""
+        now = [0.0]
+        usage = UsageCounter(5.0, lambda: now[0])
+        for window in range(30):
+            now[0] = window * 5.0
+            usage.count("w")
+        self.assertEqual(list(range(30 - TOLD_WINDOWS, 30)), sorted(usage.own()))
 
 
 class MetricsTest(testtools.TestCase):
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -139,6 +139,22 @@
 
         self.run_loop(scenario())
 
+    def test_a_success_without_seal_or_id_is_not_passed_on(self):
+        """Bytes that no upstream had signed reached a caller as a success."""
+
+        async def scenario():
+            for head in (b"x-id: r1\r\n", b"x-seal: 1\r\n"):
+
+                async def bare(answer, head=head):
+                    answer.send(b"HTTP/1.1 200 OK\r\n" + head)
+                    answer.send(b"content-length: 2\r\n\r\nok")
+
+                world = await World().start(bare)
+                reply = await world.call("/unsafe/x", "POST", b"pay")
+                self.assertEqual((502, b""), (reply.status, reply.body))
+
+        self.run_loop(scenario())
+
     def test_bytes_after_an_answer_spoil_the_connection(self):
         """An extra answer was taken for the next request's."""
 
@@ -172,7 +188,8 @@
         """A body that was cut on the way was passed on as whole."""
 
         async def cut(answer):
-            answer.send(b"HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 9\r\n\r\nhalf")
+            head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: 1\r\ncontent-length: 9"
+            answer.send(head + b"\r\n\r\nhalf")
             answer.reset()
 
         async def scenario():
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -24,6 +24,7 @@
 
 async def slow_stream(answer):
     """Stream a hundred events in half a second."""
+    answer.extra = f"request-id: {answer.headers[b'request-id']}\r\nserver-seal: 1\r\n"
     answer.stream()
     for number in range(100):
         answer.event(number)
