--- a/tests/gateway/kit.py
+++ b/tests/gateway/kit.py
@@ -211,10 +211,9 @@
     def stream(self):
         """Write the head of an event stream."""
         request_id = self.headers.get(b"x-id", "")
-        self.send(
-            f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-seal: 1\r\n{self.extra}"
-            "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n".encode()
-        )
+        head = f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-seal: 1\r\n{self.extra}"
+        kind = "content-type: text/event-stream\r\ntransfer-encoding: chunked"
+        self.send(f"{head}{kind}\r\n\r\n".encode())
 
     def event(self, number, cut=False):
         """Write one event, or the first half of it."""
