Let nodes share the reading of the upstreams' entries

Beyond ten nodes, each now reads less often, and changes of entries spread in the datagrams. A node that reads rarely takes trouble with the registry from its peers. Work that a peer has ended is dropped at once.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -212,7 +212,7 @@
     A message of a peer cannot be read.
 821 warning peer_state_failed(peer, reason)
     A peer did not give its state.
-831 info upstream_changed(upstream, change, offset)
+831 info upstream_changed(upstream, change, offset, source)
     An upstream's entry came, left or is marked as leaving.
 832 warning upstream_entry_skipped(upstream, offset)
     An upstream's entry cannot be read and names no upstream to use.
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -135,6 +135,10 @@
         """Take in the figures of a peer."""
         self._peers[peer] = figures
 
+    def forget(self, peer: str) -> None:
+        """Note that a peer has nothing in progress there."""
+        self._peers.pop(peer, None)
+
     def running(self, now_s: float) -> int:
         """Return the requests in progress there, those of peers included."""
         peers = (peer.running for peer in self._fresh_peers(now_s))
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -1,7 +1,7 @@
 """Fold the registry's records of upstreams into the ones that may get work."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 
@@ -48,7 +48,7 @@
         self._unsettled_until_s = max(self._unsettled_until_s, now_s + REAPPEAR_S)
 
     def apply(self, record: UpstreamRecord, now_s: float) -> bool:
-        """Take in one entry; return whether the set of usable upstreams changed."""
+        """Take in one entry; return whether it says anything new but its number."""
         known = self._records.get(record.upstream_id)
         if known is not None and _is_older(record, known):
             return False
@@ -56,7 +56,7 @@
         self._lapsed.pop(record.upstream_id, None)
         if record.leaving:
             self.mark_leaving(record.upstream_id, record.started_ms, now_s)
-        return known is None or known != record
+        return known is None or replace(known, sequence=record.sequence) != record
 
     def remove(self, upstream_id: str, now_s: float) -> bool:
         """Take in the removal of an entry; return whether anything changed."""
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -131,7 +131,7 @@
                 usage,
                 clock,
                 lambda: duties.own_renewal(),
-                lambda: sync.registry_ok,
+                lambda: sync,
             ),
         )
         sync = RegistrySync(state, adapter, peers, pool)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -5,13 +5,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import cbor2
 
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.registrynews import Change
 from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
@@ -53,6 +54,8 @@
     heard_s: float
     version: int = -1
     registry_ok: bool = False
+    # Its last call to the registry failed.
+    failing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +67,24 @@
     heard_s: float
 
 
+class RegistryNews(Protocol):
+    """Tell and take in what nodes know of the registry."""
+
+    @property
+    def registry_ok(self) -> bool:
+        """Return whether the registry answered this node's last reads."""
+
+    @property
+    def failing(self) -> bool:
+        """Return whether this node's last call to the registry failed."""
+
+    def news_to_tell(self) -> list[Change]:
+        """Return the changed entries for the next datagram."""
+
+    def take_news(self, changes: Iterable[Change]) -> None:
+        """Take in changed entries that a peer tells."""
+
+
 @dataclass(slots=True)
 class PeerParts:
     """Hold the parts that datagrams are made of and go to."""
@@ -72,7 +93,7 @@
     usage: UsageCounter
     clock: PeerClock
     own_renewal: Callable[[], tuple[int, int] | None]
-    registry_ok: Callable[[], bool]
+    registry: Callable[[], RegistryNews]
     demand: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
@@ -90,7 +111,8 @@
         self._parts = parts
         self._transport: asyncio.DatagramTransport | None = None
         self._marks: dict[tuple[str, int], float] = {}
-        self._turn = 0
+        # Nodes start at different members, so that together they reach all at once.
+        self._turn = parts.state.rng.randrange(1 << 16)
         self._started_s = parts.state.clock()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -171,13 +193,14 @@
         named = state.rng.sample(
             sorted(self.members), min(NAMED_MEMBERS, len(self.members))
         )
-        own = self.own
+        own, registry = self.own, self._parts.registry()
         return {
             "node": [own.name, own.host, own.port, own.incarnation],
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
-            "registry": self._parts.registry_ok(),
+            "registry": [registry.registry_ok, registry.failing],
+            "news": [[e.key, e.value, e.offset] for e in registry.news_to_tell()],
             "upstreams": state.book.own_figures(now_s),
             "limits": {
                 name: [round(total), round(demand)]
@@ -207,7 +230,9 @@
             known = self.members[address.name] = Member(address, now_s)
         known.heard_s = now_s
         known.version = int(message["version"])
-        known.registry_ok = bool(message["registry"])
+        known.registry_ok, known.failing = map(bool, message["registry"])
+        changes = [Change(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
+        self._parts.registry().take_news(changes)
         key = address.key
         self._parts.clock.hear(key, float(message["wall"]), now_s)
         figures = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
@@ -237,6 +262,7 @@
             if now_s - member.heard_s > FORGET_S:
                 del self.members[name]
                 self._parts.demand.pop(name, None)
+                self._parts.state.book.hear(name, {}, now_s)
 
 
 def _row(address: NodeAddress) -> list[Any]:
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -1,12 +1,13 @@
 """Follow the platform's registry: the configuration, the upstreams and the nodes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import cbor2
 
 from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.registrynews import Change, NewsBoard, read_interval_s
 from cicadapass_gateway.dialect import Adapter, Document, Listing
 from cicadapass_gateway.exceptions import (
     AnswerBroken,
@@ -27,11 +28,16 @@
 UPSTREAM_INTERVAL_S = 0.7
 # Pause after a failed call, in seconds.
 RETRY_S = 0.3
-# The registry counts as away for this node after this long without an answer.
-AWAY_S = 1.2
+# The registry counts as away for this node once an answer is this much overdue.
+AWAY_S = 0.5
+# So many peers whose reads fail just now are taken as trouble of the registry, which
+# a node that reads rarely would not notice itself.
+FAILING_PEERS = 2
 # Interval at which a node without the registry asks a peer.
 PEER_INTERVAL_S = 0.7
 PEER_TIMEOUT_S = 0.6
+# A peer is asked only if one of its last datagrams came; covers six lost ones.
+PEER_FRESH_S = 1.2
 # The list of nodes is read again at this interval; datagrams name new nodes sooner.
 NODES_INTERVAL_S = 20.0
 
@@ -56,18 +62,50 @@
         self._pool = pool
         self._link = Link()
         self._documents: dict[str, Document] = {}
+        # The offset of the newest record of each upstream that was taken in.
+        self._offsets: dict[str, int] = {}
         self._upstreams_end = -1
+        self._interval_s = UPSTREAM_INTERVAL_S
+        self._news = NewsBoard()
 
     @property
     def registry_ok(self) -> bool:
-        """Return whether the registry answered this node lately."""
-        return self._state.clock() - self._link.answered_s < AWAY_S
+        """Return whether the registry answered this node's last reads."""
+        overdue_s = self._state.clock() - self._link.answered_s - self._interval_s
+        return overdue_s < AWAY_S
+
+    @property
+    def failing(self) -> bool:
+        """Return whether this node's last call to the registry failed."""
+        return self._link.lost
 
     @property
     def upstreams_end(self) -> int:
         """Return the offset up to which the upstreams' entries are known."""
         return self._upstreams_end
 
+    def news_to_tell(self) -> list[Change]:
+        """Return the changed entries for the next datagram."""
+        return self._news.take()
+
+    def take_news(self, changes: Iterable[Change]) -> None:
+        """Take in changed entries that a peer tells."""
+        if self._upstreams_end < 0:
+            # A few changes alone would look like all the upstreams there are.
+            return
+        now_s = self._state.clock()
+        documents = [Document(each.key, each.value, each.offset) for each in changes]
+        peers = self._peers.members.values()
+        failing = sum(
+            1
+            for each in peers
+            if each.failing and now_s - each.heard_s < 2 * self._peers.round_s
+        )
+        if failing >= FAILING_PEERS:
+            self._state.book.view.registry_failed(now_s)
+        if self._apply(documents, "peer"):
+            self._refresh()
+
     async def follow_configuration(self) -> None:
         """Adopt each new configuration."""
         topic = self._adapter.topics.configuration
@@ -103,7 +141,9 @@
                     changes = await self._adapter.registry.changes(
                         topic, self._upstreams_end, 0.0
                     )
-                    self._apply(changes.documents, changes.end)
+                    self._upstreams_end = changes.end
+                    if self._apply(changes.documents, "registry"):
+                        self._refresh()
                 self._note_answer()
             except HistoryExpired:
                 self._upstreams_end = -1
@@ -112,7 +152,10 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            await asyncio.sleep(UPSTREAM_INTERVAL_S)
+            self._interval_s = read_interval_s(
+                UPSTREAM_INTERVAL_S, self._state.nodes, self._state.rng
+            )
+            await asyncio.sleep(self._interval_s)
 
     async def follow_nodes(self) -> None:
         """Announce this node and learn of the others."""
@@ -142,7 +185,7 @@
             fresh = [
                 member
                 for member in self._peers.members.values()
-                if now_s - member.heard_s < AWAY_S + self._peers.round_s
+                if now_s - member.heard_s < PEER_FRESH_S + self._peers.round_s
             ]
             newer = [each for each in fresh if each.version > self._state.version]
             served = [each for each in fresh if each.registry_ok]
@@ -219,46 +262,57 @@
             self._state.room.pump()
 
     def _replace(self, listing: Listing) -> None:
-        now_s = self._state.clock()
-        self._documents = {each.key: each for each in listing.documents}
-        records = [
-            record
-            for each in listing.documents
-            if (record := self._decode(each)) is not None
+        """Take in a complete listing; what peers told since it was made stays."""
+        listed = {each.key for each in listing.documents}
+        gone = [
+            Document(key, b"", listing.end - 1)
+            for key in self._documents
+            if key not in listed
         ]
-        self._state.book.view.replace(records, now_s)
+        self._apply([*listing.documents, *gone], "listing")
         self._upstreams_end = listing.end
+        self._offsets = {
+            key: offset
+            for key, offset in self._offsets.items()
+            if key in self._documents or offset >= listing.end
+        }
         self._refresh()
 
-    def _apply(self, documents: tuple[Document, ...], end: int) -> None:
-        now_s = self._state.clock()
-        view = self._state.book.view
-        changed = False
+    def _apply(self, documents: Iterable[Document], source: str) -> bool:
+        """Take in changed entries; return whether the usable upstreams changed."""
+        news = []
         for document in documents:
-            if not document.value:
-                self._documents.pop(document.key, None)
-                changed |= view.remove(document.key, now_s)
-                self._state.events.emit(
-                    831, upstream=document.key, change="removed", offset=document.offset
-                )
+            if document.offset <= self._offsets.get(document.key, -1):
                 continue
+            self._offsets[document.key] = document.offset
+            if self._apply_one(document, source):
+                news.append(Change(document.key, document.value, document.offset))
+        if source != "listing":
+            self._news.add(news)
+        return bool(news)
+
+    def _apply_one(self, document: Document, source: str) -> bool:
+        now_s = self._state.clock()
+        view = self._state.book.view
+        if document.value:
             self._documents[document.key] = document
-            record = self._decode(document)
-            if record is None:
-                changed |= view.remove(document.key, now_s)
-                continue
-            known = view.records.get(record.upstream_id)
-            changed |= view.apply(record, now_s)
-            if known is None or known.leaving != record.leaving:
-                self._state.events.emit(
-                    831,
-                    upstream=document.key,
-                    change="leaving" if record.leaving else "ready",
-                    offset=document.offset,
-                )
-        self._upstreams_end = end
+        else:
+            self._documents.pop(document.key, None)
+        record = self._decode(document) if document.value else None
+        if record is None:
+            changed, change = view.remove(document.key, now_s), "removed"
+        else:
+            changed = view.apply(record, now_s)
+            change = "leaving" if record.leaving else "ready"
         if changed:
-            self._refresh()
+            self._state.events.emit(
+                831,
+                upstream=document.key,
+                change=change,
+                offset=document.offset,
+                source=source,
+            )
+        return changed
 
     def _decode(self, document: Document) -> UpstreamRecord | None:
         record = self._adapter.codec.decode_upstream(document.key, document.value)
--- a/packages/gateway/cicadapass_gateway/upstreambook.py
+++ b/packages/gateway/cicadapass_gateway/upstreambook.py
@@ -33,6 +33,8 @@
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._numbers = itertools.count()
         self._by_service: dict[str, list[UpstreamRecord]] = {}
+        # The upstreams at which each peer last had work in progress.
+        self._told: dict[str, set[str]] = {}
 
     def refresh(self) -> None:
         """Rebuild the index after the view has changed."""
@@ -97,9 +99,16 @@
         self, peer: str, figures: Mapping[str, tuple[int, int]], now_s: float
     ) -> None:
         """Take in what a peer has in progress."""
+        over = self._told.get(peer, set()) - figures.keys()
+        self._told[peer] = set(figures)
+        if not figures:
+            del self._told[peer]
         for (upstream_id, _), meter in self._meters.items():
-            running, reading = figures.get(upstream_id, (0, 0))
-            meter.hear(peer, PeerFigures(running, float(reading), now_s))
+            if upstream_id in figures:
+                running, reading = figures[upstream_id]
+                meter.hear(peer, PeerFigures(running, float(reading), now_s))
+            elif upstream_id in over:
+                meter.forget(peer)
 
     def fade(self, now_s: float) -> None:
         """Let the learnt speeds fade towards the group's."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,6 +6,7 @@
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.registrynews import Change, NewsBoard
 from cicadapass_gateway.peers import FORGET_S, NodeAddress, PeerParts, Peers
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.kit import HOST, LoopTest, configuration, make_state, until
@@ -13,6 +14,25 @@
 UPSTREAM = UpstreamRecord("u1", "s", "h", 1, "dc-a", 64, False, 1, 1)
 
 
+class FakeRegistryNews:
+    """Hold what a node tells and hears of the registry."""
+
+    registry_ok = True
+
+    def __init__(self):
+        self.failing = False
+        self.board = NewsBoard()
+        self.heard = []
+
+    def news_to_tell(self):
+        """Return the changes for the next datagram."""
+        return self.board.take()
+
+    def take_news(self, changes):
+        """Keep the changes that came."""
+        self.heard += changes
+
+
 class Node:
     """A node with datagrams on a free port."""
 
@@ -24,13 +44,14 @@
         self.state.book.meter(UPSTREAM)
         self.usage = UsageCounter(5.0, lambda: 1000.0)
         self.renewal = None
+        self.registry = FakeRegistryNews()
 
     async def start(self, seeds=()):
         """Bind to a free port."""
         loop = asyncio.get_running_loop()
         clock = PeerClock()
         parts = PeerParts(
-            self.state, self.usage, clock, lambda: self.renewal, lambda: True
+            self.state, self.usage, clock, lambda: self.renewal, lambda: self.registry
         )
         self.peers = Peers(NodeAddress(self.name, HOST, 0, 1), list(seeds), parts)
         transport, _ = await loop.create_datagram_endpoint(
@@ -85,6 +106,35 @@
 
         self.run_loop(scenario())
 
+    def test_changed_entries_are_told(self):
+        """With many nodes, each learnt of a change only by its own rare reads."""
+
+        async def scenario():
+            first, second = await self.pair()
+            change = Change("u2", b"entry", 7)
+            second.registry.board.add([change])
+            second.registry.failing = True
+            second.peers.send_state()
+            await until(lambda: first.registry.heard == [change])
+            self.assertTrue(first.peers.members["b"].failing)
+
+        self.run_loop(scenario())
+
+    def test_work_that_a_peer_ended_no_longer_counts(self):
+        """An engine looked busy for seconds after a peer's last request there."""
+
+        async def scenario():
+            first, second = await self.pair()
+            ticket = second.state.book.begin(UPSTREAM, Prompt(), 0.0, 0.0)
+            second.peers.send_state()
+            meter = first.state.book.meter(UPSTREAM)
+            await until(lambda: meter.running(first.state.clock()) == 1)
+            second.state.book.end(ticket, 1.0, succeeded=True)
+            second.peers.send_state()
+            await until(lambda: meter.running(first.state.clock()) == 0)
+
+        self.run_loop(scenario())
+
     def test_members_introduce_each_other(self):
         """Nodes that knew only a seed did not find each other."""
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -4,6 +4,7 @@
 import json
 
 from cicadapass_decisions.passthrough import CallerLimits, UpstreamRecord
+from cicadapass_decisions.registrynews import NEWS_ROUNDS, Change
 from cicadapass_gateway.dialect import Adapter, Codec, Topics
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import HttpServer, ServerState
@@ -186,6 +187,112 @@
         self.run_loop(scenario())
 
 
+class NewsTest(LoopTest):
+    async def node(self, *upstreams):
+        """Return a node that reads rarely and knows these upstreams."""
+        self.registry = MemoryRegistry()
+        self.registry.put("configuration", "config", b"3")
+        for upstream in upstreams:
+            self.registry.put("upstreams", upstream, entry(1))
+        node = Node(self.registry)
+        # One of a thousand nodes reads once a minute.
+        node.state.nodes = 1000
+        node.start()
+        await until(lambda: node.usable == set(upstreams) and node.state.ready)
+        return node
+
+    def test_a_told_change_comes_into_force_at_once(self):
+        """A node that reads rarely went on with a leaving upstream."""
+
+        async def scenario():
+            node = await self.node("u1")
+            end = node.sync.upstreams_end
+            node.sync.take_news([Change("u1", entry(2, leaving=True), end)])
+            node.sync.take_news([Change("u2", entry(1), end + 1)])
+            self.assertEqual({"u2"}, node.usable)
+            node.sync.take_news([Change("u2", b"", end + 2)])
+            self.assertEqual(set(), node.usable)
+
+        self.run_loop(scenario())
+
+    def test_an_older_change_is_ignored(self):
+        """A late datagram took a live upstream away."""
+
+        async def scenario():
+            node = await self.node("u1")
+            end = node.sync.upstreams_end
+            node.sync.take_news([Change("u1", entry(4), end + 3)])
+            node.sync.take_news([Change("u1", b"", end + 2)])
+            self.assertEqual({"u1"}, node.usable)
+
+        self.run_loop(scenario())
+
+    def test_a_change_is_told_on_once(self):
+        """A change went round between the nodes for ever."""
+
+        async def scenario():
+            node = await self.node("u1")
+            change = Change("u1", b"", node.sync.upstreams_end)
+            node.sync.take_news([change])
+            told = [node.sync.news_to_tell() for _ in range(NEWS_ROUNDS)]
+            self.assertEqual([[change]] * NEWS_ROUNDS, told)
+            node.sync.take_news([change])
+            self.assertEqual([], node.sync.news_to_tell())
+
+        self.run_loop(scenario())
+
+    def test_a_sign_of_life_is_no_news(self):
+        """The entries that upstreams write every second filled the datagrams."""
+
+        async def scenario():
+            node = await self.node("u1")
+            change = Change("u1", entry(2), node.sync.upstreams_end)
+            node.sync.take_news([change])
+            self.assertEqual([], node.sync.news_to_tell())
+
+        self.run_loop(scenario())
+
+    def test_a_listing_keeps_what_was_told_since_it_was_made(self):
+        """A listing that had been on its way hid a new upstream."""
+
+        async def scenario():
+            node = await self.node("u1")
+            end = node.sync.upstreams_end
+            node.sync.take_news([Change("u2", entry(1), end)])
+            self.registry.first["upstreams"] = end
+            # The registry's own log still ends before the change.
+            node.sync._replace(await self.registry.newest("upstreams"))
+            self.assertEqual({"u1", "u2"}, node.usable)
+
+        self.run_loop(scenario())
+
+    def test_changes_before_the_first_listing_wait_for_it(self):
+        """A new node took one told upstream for all there are."""
+
+        async def scenario():
+            down = MemoryRegistry()
+            down.down = True
+            node = Node(down)
+            node.sync.take_news([Change("u1", entry(1), 5)])
+            self.assertFalse(node.state.upstreams_known)
+
+        self.run_loop(scenario())
+
+    def test_trouble_that_peers_see_keeps_lapsed_upstreams(self):
+        """An outage between two rare reads took live upstreams away."""
+
+        async def scenario():
+            node = await self.node("u1")
+            for name in ("b", "c"):
+                member = Member(NodeAddress(name, HOST, 1, 1), node.state.clock())
+                member.failing = True
+                node.peers.members[name] = member
+            node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
+            self.assertEqual({"u1"}, node.usable)
+
+        self.run_loop(scenario())
+
+
 class PeerTest(LoopTest):
     def test_a_node_that_the_registry_refuses_learns_from_a_peer(self):
         """A node that was turned away kept the old routes and upstreams."""
