Take nothing from the retry allowance for a refused connection

Cause: a connection that an engine does not take brings it no request, but each such try took one repeat from the allowance.

--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -5,6 +5,9 @@
 
 # Sends of one request, rejected ones included. Each costs an arrival at an upstream.
 MAX_SENDS = 4
+# Choices of an upstream for one request. One that takes no connection costs little,
+# and a crash of several engines leaves as many entries for some seconds.
+MAX_TRIES = 8
 
 
 class End(Enum):
@@ -65,6 +68,8 @@
     repeatable: bool
     started: bool
     sends: int
+    # Choices of an upstream, with those that took no connection.
+    tries: int
     runs: int
     max_runs: int
 
@@ -78,6 +83,9 @@
 class Repeat:
     """Say that the request goes to another upstream."""
 
+    # The platform bounds these: an upstream got the request before.
+    needs_allowance: bool
+
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
@@ -96,15 +104,17 @@
     if result.end is End.DELIVERED:
         return Done()
     if result.end is End.MOVED:
-        return Repeat()
+        return Repeat(needs_allowance=False)
     if progress.runs and not progress.repeatable:
         # A rejected continuation does not take back that the request has run.
         return Fail()
+    if result.end is End.NOT_SENT and progress.tries < MAX_TRIES:
+        return Repeat(needs_allowance=False)
     more = allowed and progress.sends < MAX_SENDS
+    if result.end is End.REJECTED and more:
+        return Repeat(needs_allowance=True)
     if result.end in (End.NOT_SENT, End.REJECTED):
-        if more:
-            return Repeat()
         return Fail() if progress.runs else Refuse()
     if more and progress.runs < progress.max_runs:
-        return Repeat()
+        return Repeat(needs_allowance=True)
     return Fail()
--- a/packages/gateway/cicadapass_gateway/job.py
+++ b/packages/gateway/cicadapass_gateway/job.py
@@ -17,6 +17,8 @@
     match: Match
     deadline_s: float
     charged: float = 0.0
+    # Upstreams chosen, and sends to those that took a connection.
+    tries: int = 0
     sends: int = 0
     runs: int = 0
     excluded: set[str] = field(default_factory=set)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -152,9 +152,9 @@
             result = await self._attempt(job, granted)
             self._log.attempt(job, granted, result)
             step = after_attempt(result, self._progress(job), allowed=True)
-            moved = job.moved is not None
-            if isinstance(step, Repeat) and not moved and not self._may_repeat(job):
-                step = after_attempt(result, self._progress(job), allowed=False)
+            if isinstance(step, Repeat) and step.needs_allowance:
+                allowed = self._may_repeat(job)
+                step = after_attempt(result, self._progress(job), allowed=allowed)
             if isinstance(step, Refuse):
                 self._refuse(job, result.end.value, 0.1)
                 return
@@ -198,6 +198,7 @@
             repeatable=job.repeatable,
             started=job.exchange.started,
             sends=job.sends,
+            tries=job.tries,
             runs=job.runs,
             max_runs=job.match.route.attempts,
         )
@@ -212,6 +213,7 @@
         """Send the request to an upstream once."""
         record = ticket.record
         job.upstream_id = record.upstream_id
+        job.tries += 1
         succeeded: bool | None = None
         ended = False
         channel: ClientChannel | None = None
--- a/tests/decisions/test_attempts.py
+++ b/tests/decisions/test_attempts.py
@@ -4,6 +4,7 @@
 
 from cicadapass_decisions.attempts import (
     MAX_SENDS,
+    MAX_TRIES,
     AttemptEnd,
     AttemptResult,
     Done,
@@ -15,11 +16,12 @@
 
 BROKEN = AttemptResult.broken("reset")
 REJECTED = AttemptResult.rejected(503)
+NOT_SENT = AttemptResult.not_sent("refused")
 
 
-def progress(repeatable, runs, sends=1, started=False, max_runs=2):
+def progress(repeatable, runs, sends=1, started=False, max_runs=2, tries=1):
     """Return the progress of a request."""
-    return AttemptEnd(repeatable, started, sends, runs, max_runs)
+    return AttemptEnd(repeatable, started, sends, tries, runs, max_runs)
 
 
 class AfterAttemptTest(testtools.TestCase):
@@ -31,9 +33,23 @@
 
     def test_a_call_that_has_not_run_is_sent_elsewhere(self):
         """A rejection by a full upstream was given to the caller."""
-        for result in (REJECTED, AttemptResult.not_sent("refused")):
-            step = after_attempt(result, progress(False, runs=0), allowed=True)
-            self.assertEqual(Repeat(), step)
+        step = after_attempt(REJECTED, progress(False, runs=0), allowed=True)
+        self.assertEqual(Repeat(needs_allowance=True), step)
+
+    def test_a_refused_connection_takes_nothing_from_the_allowance(self):
+        """Crashed engines used the allowance up, and requests got 503 for it."""
+        for runs in (0, 1):
+            step = after_attempt(
+                NOT_SENT, progress(True, runs=runs, sends=runs), allowed=False
+            )
+            self.assertEqual(Repeat(needs_allowance=False), step)
+
+    def test_tries_are_bounded(self):
+        """A service that is gone kept its requests busy until their deadline."""
+        step = after_attempt(
+            NOT_SENT, progress(True, runs=0, sends=0, tries=MAX_TRIES), allowed=True
+        )
+        self.assertEqual(Refuse(), step)
 
     def test_a_refusal_promises_only_what_is_true(self):
         """A request that may have run was answered as not run."""
@@ -55,7 +71,7 @@
         step = after_attempt(
             moved, progress(False, runs=1, started=True), allowed=False
         )
-        self.assertEqual(Repeat(), step)
+        self.assertEqual(Repeat(needs_allowance=False), step)
 
     def test_repeats_are_bounded(self):
         """A failing service was flooded with repeats."""
@@ -72,7 +88,7 @@
     def test_a_repeatable_call_is_repeated(self):
         """A lost answer of a read was given to the caller as a failure."""
         step = after_attempt(BROKEN, progress(True, runs=1), allowed=True)
-        self.assertEqual(Repeat(), step)
+        self.assertEqual(Repeat(needs_allowance=True), step)
 
     def test_a_delivered_answer_ends_the_request(self):
         """A failure that was passed on counted as a success of the upstream."""
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -155,6 +155,22 @@
 
         self.run_loop(scenario())
 
+    def test_crashed_upstreams_are_passed_over(self):
+        """Calls were refused because a crashed upstream was still listed."""
+
+        async def scenario():
+            world = await World().start(ok, ok, ok)
+            # With so many nodes, this one may repeat nothing.
+            world.state.nodes = 1000
+            for upstream in world.upstreams[:2]:
+                upstream.stop()
+            for number in range(8):
+                reply = await world.call(f"/unsafe/{number}", "POST", b"pay")
+                self.assertEqual(200, reply.status)
+            self.assertEqual(8, len(world.upstreams[2].requests))
+
+        self.run_loop(scenario())
+
     def test_bytes_after_an_answer_spoil_the_connection(self):
         """An extra answer was taken for the next request's."""
 
