--- a/packages/decisions/cicadapass_decisions/placing.py
+++ b/packages/decisions/cicadapass_decisions/placing.py
@@ -53,6 +53,8 @@
     failure_score: float
     # The upstream rejected a request just now.
     full: bool = False
+    # The upstream took no connection just now.
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +98,9 @@
     """Return where to send a request, or that it should wait."""
     if not candidates:
         return Unavailable()
+    # A crashed engine stays listed for seconds and looks idle, so while the others are
+    # busy it would draw all requests. If none can be reached, the cause may lie here.
+    candidates = [each for each in candidates if not each.unreachable] or candidates
     lowest = min(each.failure_score for each in candidates)
     home = _home(work.prompt, candidates)
     costs = sorted(
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -27,6 +27,9 @@
 # What an upstream told of its load counts for this long, and a rejection for this long.
 REPORTED_S = 0.5
 FULL_S = 0.3
+# An upstream that took no connection is tried again after this long; the entry of a
+# crashed one lasts about four times as long.
+UNREACHABLE_S = 1.0
 # A cached part of a prompt is expected to be held this long after its last use.
 HELD_S = 30.0
 MAX_HELD_PARTS = 2000
@@ -68,6 +71,7 @@
         self._held: OrderedDict[str, float] = OrderedDict()
         self._reported = (0, -1e9)
         self._full_s = -1e9
+        self._unreachable_s = -1e9
 
     @property
     def own_running(self) -> int:
@@ -118,6 +122,11 @@
     def fail(self, now_s: float) -> None:
         """Note that the upstream could not be reached."""
         self._failure_score, self._failed_s = 1.0, now_s
+        self._unreachable_s = now_s
+
+    def is_unreachable(self, now_s: float) -> bool:
+        """Return whether the upstream took no connection just now."""
+        return now_s - self._unreachable_s < UNREACHABLE_S
 
     def report(self, running: int, now_s: float) -> None:
         """Take in the number of requests that the upstream itself told."""
--- a/packages/gateway/cicadapass_gateway/upstreambook.py
+++ b/packages/gateway/cicadapass_gateway/upstreambook.py
@@ -132,6 +132,7 @@
             held_tokens=meter.held_tokens(prompt, now_s),
             failure_score=meter.failure_score(now_s),
             full=meter.is_full(now_s),
+            unreachable=meter.is_unreachable(now_s),
         )
 
     def _group_speed(self, service: str) -> tuple[float, float]:
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -105,6 +105,24 @@
         self.assertNotEqual(home, choose(work(hot, 1.0), loaded).upstream_id)
 
 
+class CrashTest(testtools.TestCase):
+    """Replay a crash of engines while the others are busy."""
+
+    def test_a_crashed_engine_does_not_draw_the_load(self):
+        """Full engines made a crashed one the only place with room."""
+        busy = [engine(f"e{number}", 0.2, running=64) for number in range(3)]
+        gone = engine("gone", unreachable=True)
+        self.assertIsInstance(choose(work(prompt(2000)), [*busy, gone]), Wait)
+        free = engine("free", 0.4, running=10)
+        chosen = choose(work(prompt(2000)), [*busy, gone, free])
+        self.assertEqual("free", chosen.upstream_id)
+
+    def test_the_last_upstreams_are_not_shunned(self):
+        """A moment without connections took the whole service away."""
+        engines = [engine(name, unreachable=True) for name in "ab"]
+        self.assertIsInstance(choose(work(prompt(2000)), engines), Send)
+
+
 class ChooseTest(testtools.TestCase):
     def test_no_upstream_is_said_at_once(self):
         """A request for a service without upstreams waited until its deadline."""
