Give up no engine before all at the start are known

Cause: at a start of everything the engines announce themselves over some seconds, and the holder took the first ones for all there were: its first orders gave the others up before there was any traffic.

--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -28,6 +28,9 @@
 
 # The engines held at the start count as the need until demand has lasted for this long.
 PRIOR_S = 6.0
+# Engines announce themselves one after another when all starts at once. None is given
+# up before demand until their number has not grown for this long.
+SETTLE_S = 2.5
 # Below this demand nothing is cut when an engine leaves; one short prompt a second.
 IDLE_TOKENS_PER_S = 1000.0
 # A learnt reading time counts up to this multiple of the initial one.
@@ -56,6 +59,7 @@
         self._refused_s: dict[str, float] = {}
         self._peak: dict[str, tuple[Need, float]] = {}
         self._held: dict[str, int] = {}
+        self._grown_s: dict[str, float] = {}
         self._busy_s: dict[str, float] = {}
         self._lowered_s: dict[str, float] = {}
 
@@ -148,7 +152,7 @@
         since_s = self._lowered_s.setdefault(key, now_s)
         service = key.partition("|")[0]
         if self._demand(service) < IDLE_TOKENS_PER_S:
-            return True
+            return now_s - self._grown_s.get(service, now_s) >= SETTLE_S
         return now_s - since_s >= SHRINK_AFTER_S
 
     def _needed(self, service: Service, places: int, now_s: float) -> Need:
@@ -180,8 +184,9 @@
     def _prior(self, service: str, held: int, tokens_per_s: float, now_s: float) -> int:
         """Return the engines held before demand came, until it is known."""
         if tokens_per_s < IDLE_TOKENS_PER_S:
-            if service not in self._busy_s:
-                self._held[service] = max(self._held.get(service, 0), held)
+            if service not in self._busy_s and held > self._held.get(service, 0):
+                self._held[service] = held
+                self._grown_s[service] = now_s
         else:
             self._busy_s.setdefault(service, now_s)
         began_s = self._busy_s.get(service, now_s)
--- /dev/null
+++ b/tests/gateway/test_fleetplanner.py
@@ -0,0 +1,88 @@
+"""Test what engines are ordered as demand comes and goes."""
+
+from cicadapass_decisions.dutylease import DutyRecord
+from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
+from cicadapass_gateway.fleetplanner import SETTLE_S, FleetPlanner
+from tests.gateway.kit import LoopTest, configuration, make_state
+
+PLACES = ("dc-a", "dc-b", "dc-c")
+
+
+class Planner:
+    """A planner on a clock that the test sets."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.demand = 0.0
+        self.state = make_state()
+        self.state.clock = lambda: self.now_s
+        scaling = Scaling(1, 40, 4.0, 0.18, dict.fromkeys(PLACES, 1.0))
+        config = configuration()
+        config.services["s"] = Service("s", model_engine=True, scaling=scaling)
+        self.state.adopt(config, b"raw")
+        self.planner = FleetPlanner(
+            self.state, lambda service: self.demand, lambda: True
+        )
+        self.record = DutyRecord("n", 1, 1)
+
+    def list_engines(self, each):
+        """Put so many on-demand engines of each data centre into the view."""
+        records = [
+            UpstreamRecord(f"{place}{n}", "s", "h", 1, place, 16, False, 1, 1)
+            for place in PLACES
+            for n in range(each)
+        ]
+        self.state.book.view.replace(records, self.now_s)
+        self.state.book.refresh()
+
+    def plan(self):
+        """Plan once; return the orders by class."""
+        self.record = self.planner.plan(self.record)
+        orders = self.record.orders
+        return {
+            kind: sum(count for key, count in orders.items() if key.endswith(kind))
+            for kind in ("|on-demand", "|reclaimable")
+        }
+
+
+class StartTest(LoopTest):
+    def test_engines_that_are_still_announced_are_kept(self):
+        """The first of forty engines to be listed counted as all there were.
+
+        The orders that followed gave the others up, and the first seconds of traffic
+        found a third of the engines that the operator had started.
+        """
+
+        async def scenario():
+            planner = Planner()
+            for each in (1, 4, 8):
+                planner.list_engines(each)
+                orders = planner.plan()
+                planner.now_s += 0.4
+            self.assertEqual(0, orders["|on-demand"])
+            self.assertFalse(
+                [key for key in planner.record.orders if key.endswith("on-demand")]
+            )
+            # One data centre may be lost, and the others have as many as at the start.
+            self.assertGreaterEqual(orders["|reclaimable"], 24 * 3 / 2)
+
+        self.run_loop(scenario())
+
+    def test_engines_are_given_up_once_all_are_known(self):
+        """On-demand engines were kept beside the cheaper ones that replace them."""
+
+        async def scenario():
+            planner = Planner()
+            planner.list_engines(8)
+            planner.plan()
+            planner.now_s += SETTLE_S
+            planner.plan()
+            ordered = [
+                count
+                for key, count in planner.record.orders.items()
+                if key.endswith("on-demand")
+            ]
+            self.assertEqual(3, len(ordered))
+            self.assertLess(max(ordered), 8)
+
+        self.run_loop(scenario())
