Expect at a start what the workspaces' limits allow

Cause: when all starts at once, the load comes within a second and engines take four to boot. Until the first demand, for a minute at most, it now orders what half of the workspaces' limits need, mostly reclaimable engines.

--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -69,6 +69,11 @@
     prior: int
 
 
+def engines_to_read(tokens_per_s: float, token_s: float) -> int:
+    """Return the engines that read so many prompt tokens amply in time."""
+    return math.ceil(tokens_per_s * token_s / AMPLE_PART)
+
+
 def engines_needed(demand: Demand, places: int) -> Need:
     """Return the engines that read the prompts in time and have a slot for each."""
     engines = max(
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -14,6 +14,7 @@
     Need,
     Targets,
     engines_needed,
+    engines_to_read,
     plan_engines,
 )
 from cicadapass_decisions.passthrough import Service, UpstreamRecord
@@ -31,6 +32,12 @@
 # Engines announce themselves one after another when all starts at once. None is given
 # up before demand until their number has not grown for this long.
 SETTLE_S = 2.5
+# Before its first demand, a service has the engines for this part of what workspaces
+# may ask by their limits: engines boot too slowly for a load that starts at once, and
+# limits are usually about twice the usual use.
+EXPECTED_PART = 0.5
+# Demand that has not come this long after the start is no longer waited for.
+START_S = 60.0
 # Below this demand nothing is cut when an engine leaves; one short prompt a second.
 IDLE_TOKENS_PER_S = 1000.0
 # A learnt reading time counts up to this multiple of the initial one.
@@ -59,6 +66,8 @@
         self._refused_s: dict[str, float] = {}
         self._peak: dict[str, tuple[Need, float]] = {}
         self._held: dict[str, int] = {}
+        self._expected: dict[str, int] = {}
+        self._first_s: dict[str, float] = {}
         self._grown_s: dict[str, float] = {}
         self._busy_s: dict[str, float] = {}
         self._lowered_s: dict[str, float] = {}
@@ -182,15 +191,32 @@
         )
 
     def _prior(self, service: str, held: int, tokens_per_s: float, now_s: float) -> int:
-        """Return the engines held before demand came, until it is known."""
-        if tokens_per_s < IDLE_TOKENS_PER_S:
-            if service not in self._busy_s and held > self._held.get(service, 0):
+        """Return the engines held or expected before demand came, until it is known."""
+        first_s = self._first_s.setdefault(service, now_s)
+        if tokens_per_s >= IDLE_TOKENS_PER_S:
+            self._busy_s.setdefault(service, now_s)
+        elif service not in self._busy_s:
+            if held > self._held.get(service, 0):
                 self._held[service] = held
                 self._grown_s[service] = now_s
-        else:
-            self._busy_s.setdefault(service, now_s)
+            starting = now_s - first_s < START_S
+            self._expected[service] = self._by_limits(service) if starting else 0
         began_s = self._busy_s.get(service, now_s)
-        return self._held.get(service, 0) if now_s - began_s < PRIOR_S else 0
+        if now_s - began_s >= PRIOR_S:
+            return 0
+        return max(self._held.get(service, 0), self._expected.get(service, 0))
+
+    def _by_limits(self, service: str) -> int:
+        """Return the engines for a usual part of what the workspaces may ask."""
+        configuration = self._state.configuration
+        assert configuration is not None
+        scaled = [each for each in configuration.services.values() if each.scaling]
+        tokens_per_s = sum(
+            each.rate_per_s for each in configuration.workspaces if each.counts_tokens
+        )
+        return engines_to_read(
+            EXPECTED_PART * tokens_per_s / len(scaled), self._token_s(service)
+        )
 
     def _token_s(self, service: str) -> float:
         """Return the time to read a token on the fastest engine, within bounds.
--- a/tests/gateway/test_fleetplanner.py
+++ b/tests/gateway/test_fleetplanner.py
@@ -1,9 +1,12 @@
 """Test what engines are ordered as demand comes and goes."""
 
+from dataclasses import replace
+
 from cicadapass_decisions.dutylease import DutyRecord
+from cicadapass_decisions.enginefleet import PEAK_S, SHRINK_AFTER_S
 from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
-from cicadapass_gateway.fleetplanner import SETTLE_S, FleetPlanner
-from tests.gateway.kit import LoopTest, configuration, make_state
+from cicadapass_gateway.fleetplanner import SETTLE_S, START_S, FleetPlanner
+from tests.gateway.kit import LoopTest, configuration, make_state, workspace
 
 PLACES = ("dc-a", "dc-b", "dc-c")
 
@@ -11,13 +14,14 @@
 class Planner:
     """A planner on a clock that the test sets."""
 
-    def __init__(self):
+    def __init__(self, rate_per_s=0.0):
         self.now_s = 100.0
         self.demand = 0.0
         self.state = make_state()
         self.state.clock = lambda: self.now_s
         scaling = Scaling(1, 40, 4.0, 0.18, dict.fromkeys(PLACES, 1.0))
-        config = configuration()
+        tenant = replace(workspace(rate_per_s), counts_tokens=True)
+        config = configuration(workspaces=[tenant])
         config.services["s"] = Service("s", model_engine=True, scaling=scaling)
         self.state.adopt(config, b"raw")
         self.planner = FleetPlanner(
@@ -68,6 +72,38 @@
 
         self.run_loop(scenario())
 
+    def test_a_start_expects_what_the_limits_allow(self):
+        """A load that started at once met the least number of engines.
+
+        They took four seconds to boot, and in these only half was served in time.
+        """
+
+        async def scenario():
+            planner = Planner(rate_per_s=400_000.0)
+            planner.list_engines(1)
+            # Half of the rate, at 20 us a token and 35 in 100 of an engine's time.
+            expected = 0.5 * 400_000 * 0.00002 / 0.35
+            orders = planner.plan()
+            self.assertGreaterEqual(orders["|reclaimable"] * 2 / 3, expected)
+            planner.now_s += START_S
+            planner.plan()
+            planner.now_s += SHRINK_AFTER_S + PEAK_S
+            self.assertLess(planner.plan()["|reclaimable"] * 2 / 3, expected)
+
+        self.run_loop(scenario())
+
+    def test_a_new_holder_amid_traffic_expects_nothing(self):
+        """Each change of the holder ordered the engines of a start again."""
+
+        async def scenario():
+            planner = Planner(rate_per_s=400_000.0)
+            planner.list_engines(4)
+            planner.demand = 20_000.0
+            orders = planner.plan()
+            self.assertLess(orders["|reclaimable"] * 2 / 3, 11)
+
+        self.run_loop(scenario())
+
     def test_engines_are_given_up_once_all_are_known(self):
         """On-demand engines were kept beside the cheaper ones that replace them."""
 
