Add a fault soak of real nodes under random faults

Nodes run as processes of their own behind loopback proxies; signals, links, the store, engines, clocks and configurations are disturbed by a schedule that the seed draws, in series and overlapping. The promises to callers and engines are judged from what both saw.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)/platform:$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: install format lint types docs unit test demo measure matrix capacity
+.PHONY: install format lint types docs unit test demo measure matrix capacity soak
 
 install: $(VENV)/installed
 
@@ -47,5 +47,8 @@
 matrix: install
 	$(BIN)/python -m cicadapass_bench.matrix
 
+soak: install
+	$(BIN)/python -m tests.soak
+
 capacity: install
 	$(BIN)/python -m cicadapass_bench.capacity
--- a/tests/gateway/kit.py
+++ b/tests/gateway/kit.py
@@ -49,11 +49,13 @@
 class LoopTest(testtools.TestCase):
     """Run the coroutine `scenario` style of tests in a fresh event loop."""
 
+    timeout_s = TIMEOUT_S
+
     def run_loop(self, coroutine):
         """Run a coroutine to its end."""
 
         async def bounded():
-            async with asyncio.timeout(TIMEOUT_S):
+            async with asyncio.timeout(self.timeout_s):
                 return await coroutine
 
         return asyncio.run(bounded())
@@ -198,6 +200,11 @@
         self.extra = ""
         self._reader, self._writer = reader, writer
 
+    @property
+    def closed(self):
+        """Return whether the connection has ended."""
+        return self._writer.is_closing()
+
     def send(self, data):
         """Write raw bytes."""
         self._writer.write(data)
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,57 @@
+"""Play many seeds, several at a time, and print one line for each."""
+
+import argparse
+import asyncio
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+
+from tests.soak.world import play_seed
+
+
+def main():
+    """Play the seeds and return the exit code."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50, help="number of seeds")
+    parser.add_argument("--first", type=int, help="first seed; drawn if not given")
+    parser.add_argument("--length", type=float, default=20.0, help="seconds of faults")
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--jobs", type=int, default=3, help="seeds at a time")
+    parser.add_argument("--keep", type=Path, help="folder for the logs of failed seeds")
+    args = parser.parse_args()
+    first = args.first
+    if first is None:
+        first = random.SystemRandom().randrange(1_000_000)
+    play = partial(_play, args)
+    failed = 0
+    with ProcessPoolExecutor(args.jobs) as pool:
+        for line, broken in pool.map(play, range(first, first + args.seeds)):
+            print(line, *broken, sep="\n  ", flush=True)
+            failed += bool(broken)
+    print(f"{args.seeds} seeds from {first}, {failed} failed")
+    return 1 if failed else 0
+
+
+def _play(args, seed):
+    keep = None if args.keep is None else args.keep / str(seed)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = temporary if keep is None else keep
+        Path(folder).mkdir(parents=True, exist_ok=True)
+        began_s = time.monotonic()
+        broken, records = asyncio.run(
+            play_seed(seed, folder, args.length, args.nodes, args.engines)
+        )
+    statuses = Counter(call.status for call in records.calls)
+    counts = ", ".join(f"{status}: {n}" for status, n in sorted(statuses.items()))
+    seconds = time.monotonic() - began_s
+    return f"seed {seed}: {len(broken)} broken; {counts}; {seconds:.0f} s", broken
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,204 @@
+"""Judge the records of a run by the promises to callers and engines.
+
+Bounds are the platform's. A promise with a time bound holds for a node that has been
+without trouble for `CONTACT_S`, with the store in order as long.
+"""
+
+from tests.soak.engines import EVENTS
+
+CONTACT_S = 4.0
+DRAIN_S = 3.0
+APPLY_S = 3.0
+GRACE_S = 8.0
+LATE_S = 0.5
+RECOVERY_S = 15.0
+# Statuses that say that a request has not run and never will.
+NOT_RUN = (408, 421, 429, 503)
+# Statuses that deny a request, which is wrong for a proper one.
+DENIED = (400, 401, 403, 404)
+MOST_DENIED = 10
+MOST_LATE = 7
+
+
+def violations(records):
+    """Return a line for each promise that was broken."""
+    found = []
+    for check in (
+        _ran_twice,
+        _refused_but_ran,
+        _answers,
+        _streams,
+        _requests,
+        _late_at_leaving_engines,
+        _dropped_keys,
+        _lost_at_planned_stops,
+        _denied,
+        _held_too_long,
+        _duties,
+        _recovery,
+    ):
+        found += check(records)
+    return found
+
+
+def in_touch(records, node, moment_s):
+    """Return whether a bound in time holds for a node at a moment."""
+    start_s = moment_s - CONTACT_S
+    stopped = any(
+        each.name == node and each.start_s <= moment_s and each.end_s > start_s
+        for each in records.stops
+    )
+    return not stopped and not any(
+        records.touched(name, start_s, moment_s) for name in (node, "store")
+    )
+
+
+def _ran_twice(records):
+    repeatable = {c.request_id for c in records.calls if c.kind in ("safe", "resume")}
+    for request_id, runs in records.runs.items():
+        ran = [run for run in runs if not run.rejected]
+        if len(ran) > 1 and request_id not in repeatable:
+            yield f"{request_id} ran {len(ran)} times, at {[r.engine for r in ran]}"
+
+
+def _refused_but_ran(records):
+    for call in records.calls:
+        ran = [r for r in records.runs.get(call.request_id, ()) if not r.rejected]
+        if call.status in NOT_RUN and ran and call.kind not in ("safe", "resume"):
+            yield f"{call.request_id} got {call.status} and ran at {ran[0].engine}"
+
+
+def _answers(records):
+    for call in records.calls:
+        if call.status != 200 or not call.complete or "stream" in call.target:
+            continue
+        runs = records.runs.get(call.request_id, ())
+        if call.answer not in [run.answer for run in runs]:
+            yield f"{call.request_id} got an answer that no engine gave to it"
+        if not call.sealed:
+            yield f"{call.request_id} got a success without an engine's seal"
+
+
+def _streams(records):
+    for call in records.calls:
+        if call.status != 200 or "stream" not in call.target:
+            continue
+        blocks = call.answer.decode().split("\n\n")
+        events = [block for block in blocks if block]
+        numbers = [int(e.partition("\n")[0].removeprefix("id: ")) for e in events]
+        tokens = {event.partition("data: ")[2] for event in events}
+        if numbers != list(range(1, len(numbers) + 1)):
+            yield f"{call.request_id} got the events {numbers}"
+        if call.complete and len(numbers) != EVENTS:
+            yield f"{call.request_id} looks complete after {len(numbers)} events"
+        if call.kind != "resume" and len(tokens) > 1:
+            yield f"{call.request_id} got pieces of {len(tokens)} runs"
+        foreign = [t for t in tokens if call.request_id not in t]
+        if foreign:
+            yield f"{call.request_id} got a piece of another request: {foreign[0]}"
+
+
+def _requests(records):
+    calls = {call.request_id: call for call in records.calls}
+    for request_id, runs in records.runs.items():
+        call = calls.get(request_id)
+        for run in runs:
+            if call is None:
+                yield f"{run.engine} got {request_id!r}, which nobody sent"
+                continue
+            if (run.method, run.target, run.body) != (
+                call.method,
+                call.target,
+                call.body,
+            ):
+                yield f"{request_id} was changed on its way to {run.engine}"
+            if run.headers.get("tenant") != "w":
+                yield f"{request_id} came for {run.headers.get('tenant')!r}"
+            if "authorization" in run.headers or "kv-hold" in run.headers:
+                yield f"{request_id} came with a header that is not the engine's"
+
+
+def _late_at_leaving_engines(records):
+    calls = {call.request_id: call for call in records.calls}
+    for request_id, runs in records.runs.items():
+        call = calls.get(request_id)
+        for run in runs:
+            since_s = records.leaving.get(run.engine)
+            if since_s is None or call is None or run.rejected:
+                continue
+            # A link that holds bytes back delivers what was sent in time.
+            if records.touched(run.engine, since_s - CONTACT_S, run.began_s):
+                continue
+            late_s = run.began_s - since_s
+            if late_s > DRAIN_S and in_touch(records, call.node, run.began_s):
+                yield f"{request_id} came {late_s:.1f} s after {run.engine} left"
+
+
+def _dropped_keys(records):
+    for call in records.calls:
+        since_s = records.dropped_keys.get(call.key)
+        if since_s is None or call.sent_s < since_s + APPLY_S:
+            continue
+        ran = [r for r in records.runs.get(call.request_id, ()) if not r.rejected]
+        if ran and in_touch(records, call.node, call.sent_s):
+            yield f"{call.request_id} ran with a key that was dropped"
+
+
+def _lost_at_planned_stops(records):
+    for call in records.calls:
+        stops = [
+            each
+            for each in records.stops
+            if each.name == call.node
+            and each.start_s - call.timeout_s < call.sent_s < each.start_s + DRAIN_S
+            and call.ended_s > each.start_s
+        ]
+        runs = records.runs.get(call.request_id, ())
+        if not stops or not runs or call.complete or call.left_early:
+            continue
+        if call.ended_s - call.sent_s >= call.timeout_s:
+            continue
+        start_s = call.sent_s - CONTACT_S
+        names = ["store", call.node, *(run.engine for run in runs)]
+        if not any(records.touched(name, start_s, call.ended_s) for name in names):
+            yield f"{call.request_id} was cut by the planned stop of {call.node}"
+
+
+def _denied(records):
+    proper = [
+        call
+        for call in records.calls
+        if call.status in DENIED and call.key not in records.dropped_keys
+    ]
+    touch = [call for call in proper if in_touch(records, call.node, call.sent_s)]
+    if len(touch) > 5 + len(records.calls) / 500 or len(proper) > MOST_DENIED:
+        yield f"{len(proper)} proper requests were denied, first {proper[0]}"
+
+
+def _held_too_long(records):
+    late = [
+        call
+        for call in records.calls
+        if call.ended_s - call.sent_s > call.timeout_s + LATE_S
+        and in_touch(records, call.node, call.ended_s)
+    ]
+    if len(late) > MOST_LATE:
+        yield f"{len(late)} requests were held past their time, first {late[0]}"
+
+
+def _duties(records):
+    holders, counts = {}, {}
+    for path, holder, fence, body in records.duties:
+        if holders.setdefault((path, fence), holder) != holder:
+            yield f"{holder} and {holders[path, fence]} both sent {fence} to {path}"
+        if path != "/usage":
+            continue
+        window = body["windowId"]
+        if counts.setdefault(window, body["counts"]) != body["counts"]:
+            yield f"window {window} was reported as {counts[window]} and {body}"
+
+
+def _recovery(records):
+    again_s = records.served_again_s
+    if again_s is None or again_s - records.calm_from_s > RECOVERY_S:
+        yield f"not served again {RECOVERY_S} s after the last fault"
--- /dev/null
+++ b/tests/soak/engines.py
@@ -0,0 +1,109 @@
+"""Stand in for engines that keep a ledger of what they run."""
+
+import asyncio
+import itertools
+
+from tests.gateway.kit import HOST, Upstream
+from tests.soak.proxy import Link
+from tests.soak.records import Run
+
+# Time of a plain call and between the events of a stream, in seconds.
+CALL_S = 0.02
+EVENT_S = 0.03
+EVENTS = 8
+SLOTS = 8
+
+
+class Engine:
+    """One start of an engine behind a link that can be disturbed."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, name, records, clock):
+        self.name = name
+        self.alive = True
+        self.sequence = 0
+        self.started_ms = 1_700_000_000_000 + next(self.numbers)
+        self._records = records
+        self._clock = clock
+        self._running = 0
+        self._upstream = Upstream(name, self._serve)
+
+    async def start(self, link=None):
+        """Listen; take the place of another engine behind its link if one is given."""
+        await self._upstream.start()
+        address = (HOST, self._upstream.port)
+        self.link = link or await Link(address).start()
+        self.link.target = address
+        return self
+
+    def entry(self, data_centre, leaving=False):
+        """Return the engine's next entry in the registry."""
+        self.sequence += 1
+        return {
+            "service": "s",
+            "address": f"{HOST}:{self.link.port}",
+            "zone": data_centre,
+            "version": 1,
+            "slots": SLOTS,
+            "state": "draining" if leaving else "ready",
+            "coldLeftMs": 0,
+            "sequence": self.sequence,
+            "born": self.started_ms,
+        }
+
+    def crash(self):
+        """End at once, with all connections."""
+        self.alive = False
+        self._upstream.stop()
+        # What is in progress ends with its connections.
+        self.link.stop()
+
+    async def _serve(self, answer):
+        request = answer.request
+        headers = {n.decode(): v.decode("latin-1") for n, v in request.headers}
+        request_id = headers.get("request-id", "")
+        run = Run(
+            self.name,
+            self._clock(),
+            request.method.decode(),
+            request.target.decode(),
+            answer.body,
+            headers,
+        )
+        self._records.note_run(request_id, run)
+        extra = f"request-id: {request_id}\r\nserver-seal: {self.name}\r\n"
+        if headers.get("expect-instance") != self.name:
+            run.rejected = True
+            answer.whole(421, b"", f"request-id: {request_id}\r\n")
+            return
+        if self._running >= SLOTS:
+            run.rejected = True
+            answer.whole(503, b"", f"{extra}not-executed: full\r\n")
+            return
+        self._running += 1
+        try:
+            await self._answer(answer, run, extra)
+        finally:
+            self._running -= 1
+
+    async def _answer(self, answer, run, extra):
+        """Answer with what names this very run, so that mixed answers are seen."""
+        token = f"{self.name} {run.headers['request-id']} {run.began_s:.6f}"
+        if "stream" not in run.target:
+            await asyncio.sleep(CALL_S)
+            run.status, run.answer = 200, token.encode()
+            answer.whole(200, run.answer, extra)
+            return
+        run.status, run.answer = 200, b""
+        answer.extra = extra
+        answer.stream()
+        first = int(run.headers.get("last-event-id", 0)) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {token}\n\n".encode()
+            run.answer += event
+            if answer.closed:
+                return
+            answer.send(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await asyncio.sleep(EVENT_S)
+        answer.end()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,76 @@
+"""Draw the faults of a run from its seed."""
+
+import random
+from dataclasses import dataclass
+
+# Kinds and their weights. Kinds of nodes end or stop processes by signals; kinds of
+# links work on a proxy; the others are the work of the store and the operator.
+KINDS = {
+    "node_term": 4,
+    "node_kill": 3,
+    "node_pause": 3,
+    "node_hup": 2,
+    "node_clock": 2,
+    "store_link": 4,
+    "store_down": 2,
+    "store_expired": 1,
+    "store_answers_lost": 2,
+    "store_lapse": 1,
+    "engine_link": 4,
+    "engine_drain": 3,
+    "engine_crash": 3,
+    "engine_rebirth": 2,
+    "engine_address_reused": 2,
+    "config_change": 3,
+    "config_storm": 1,
+    "key_dropped": 1,
+    "all_killed": 1,
+}
+# What a link may do to its connections, by the names of proxy.Disturbance.
+LINK_KINDS = ("delayed", "reset", "one_way", "silent")
+# Traffic without faults first, so that all nodes are in touch.
+FIRST_S = 5.0
+LONGEST_S = 3.5
+# Pause between the starts of two faults; shorter than most of them, so they overlap.
+PAUSES_S = (0.1, 2.0)
+# A fault comes in a series of this many with this chance.
+SERIES = 3
+SERIES_CHANCE = 0.2
+# Steps of a node's clock, in seconds.
+CLOCK_STEPS_S = (-30.0, -5.0, 5.0, 30.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Hold one fault; `pick` selects its target among those that live then."""
+
+    at_s: float
+    kind: str
+    pick: float
+    for_s: float
+    how: str
+    step_s: float
+
+
+def draw_faults(seed, length_s):
+    """Return the faults of a run in the order of their start."""
+    rng = random.Random(seed)
+    kinds, weights = list(KINDS), list(KINDS.values())
+    faults = []
+    at_s = FIRST_S
+    while at_s < length_s:
+        kind = rng.choices(kinds, weights)[0]
+        count = SERIES if rng.random() < SERIES_CHANCE else 1
+        for _ in range(count):
+            faults.append(
+                Fault(
+                    at_s=at_s,
+                    kind=kind,
+                    pick=rng.random(),
+                    for_s=rng.uniform(0.2, LONGEST_S),
+                    how=rng.choice(LINK_KINDS),
+                    step_s=rng.choice(CLOCK_STEPS_S),
+                )
+            )
+            at_s += rng.uniform(*PAUSES_S)
+    return faults
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,128 @@
+"""Start, signal and end the nodes of a run, each a process of its own."""
+
+import asyncio
+import os
+import signal
+import sys
+
+from tests.gateway.kit import HOST, Caller
+from tests.platform.test_process import free_port
+from tests.run import ROOT
+from tests.soak.proxy import Link
+from tests.soak.shiftedclock import OFFSET_VARIABLE
+
+# A node that does not end by itself this long after SIGTERM is killed.
+GRACE_S = 8.0
+READY_TIMEOUT_S = 20.0
+
+
+class NodeProcess:
+    """One node; its addresses stay the same over its restarts."""
+
+    def __init__(self, name, folder, store_port):
+        self.name = name
+        self.front, self._ready = free_port(), free_port()
+        self._internal = free_port()
+        self._folder = folder
+        self._store_port = store_port
+        self._process = None
+        self._settings = folder / f"{name}.conf"
+        self._offset = folder / f"{name}.offset"
+        self._offset.write_text("0")
+
+    @property
+    def pid(self):
+        """Return the process id."""
+        return self._process.pid
+
+    @property
+    def running(self):
+        """Return whether the process lives."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def internal(self):
+        """Return the address for peers."""
+        return f"{HOST}:{self._internal}"
+
+    async def prepare(self):
+        """Open the node's link to the store."""
+        self.store_link = await Link((HOST, self._store_port)).start()
+
+    def write_settings(self, seeds, note=""):
+        """Write the settings file."""
+        store = f"{HOST}:{self.store_link.port}"
+        self._settings.write_text(
+            f"nodeName={self.name}\nzone=dc-{self.name[-1]}\nip={HOST}\n"
+            f"internalPortRange={self._internal},1\n"
+            f"listen.front={HOST}:{self.front}\nlisten.ready={HOST}:{self._ready}\n"
+            f"platform.address={store}\ncloudApi.address={store}\n"
+            "cloudApi.duties=usage_report,scale\n"
+            f"bounds.graceS={GRACE_S}\nseeds={','.join(seeds)}\nnote={note}\n"
+        )
+
+    async def start(self):
+        """Start the process; its log goes to a file."""
+        environment = {
+            **os.environ,
+            "CICADAPASS_BOOT": str(self._settings),
+            "CICADAPASS_METRICS_PORT": str(free_port()),
+            OFFSET_VARIABLE: str(self._offset),
+        }
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tests.soak.shiftedclock",
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, signum):
+        """Send a signal if the process lives."""
+        if self.running:
+            self._process.send_signal(signum)
+
+    def step_clock(self, offset_s):
+        """Set how far the node's wall clock is off."""
+        self._offset.write_text(str(offset_s))
+
+    async def terminate(self):
+        """Stop the process as planned; return whether it ended by itself."""
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self._process.wait()
+        except TimeoutError:
+            await self.kill()
+            return False
+        return True
+
+    async def kill(self):
+        """End the process at once."""
+        if self.running:
+            self._process.kill()
+            await self._process.wait()
+
+    async def connect(self):
+        """Return a caller's new connection."""
+        return Caller(*await asyncio.open_connection(HOST, self.front))
+
+    async def until_ready(self):
+        """Wait until the readiness address says so."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self):
+        """Return whether the readiness address says so."""
+        try:
+            caller = Caller(*await asyncio.open_connection(HOST, self._ready))
+        except OSError:
+            return False
+        caller.send("/api/ready")
+        status = (await caller.reply()).status
+        caller.close()
+        return status == 200
--- /dev/null
+++ b/tests/soak/platform.py
@@ -0,0 +1,162 @@
+"""Stand in for the platform: the store with its engines, and the duties' calls."""
+
+import asyncio
+import json
+
+from tests.platform.storestandin import StoreStandin
+from tests.platform.test_documents import ROUTE
+from tests.soak.engines import Engine
+
+HEARTBEAT_S = 1.2
+# An entry expires after three heartbeats without one.
+EXPIRES_S = 3 * HEARTBEAT_S
+# An engine that leaves serves this long after the store has taken that in.
+DRAIN_S = 3.0
+TIMEOUT_S = 3.0
+KINDS = {"safe": "safe", "unsafe": "unsafe", "stream": "streaming"}
+KEYS = ("key-1", "key-2")
+
+
+class RecordingStore(StoreStandin):
+    """Note the calls of the duties with their holder and fencing number."""
+
+    def __init__(self, records):
+        super().__init__()
+        self._records = records
+
+    async def _serve(self, exchange):
+        path = exchange.target.decode().partition("?")[0]
+        if path in ("/usage", "/scale"):
+            headers = {name.lower(): value.decode() for name, value in exchange.headers}
+            self._records.duties.append(
+                (
+                    path,
+                    headers[b"duty-holder"],
+                    int(headers[b"fencing-token"]),
+                    json.loads(exchange.body),
+                )
+            )
+        await super()._serve(exchange)
+
+
+class Platform:
+    """Keep the engines' entries and the configuration."""
+
+    def __init__(self, records, clock):
+        self.engines = {}
+        self._records = records
+        self._clock = clock
+        self._store = RecordingStore(records)
+        self._version = 0
+        self._keys = list(KEYS)
+        self._silent_s = {}
+        self._lapsed = False
+
+    async def start(self, engines):
+        """Start the store and engines; return the store's port."""
+        address = await self._store.start()
+        for number in range(engines):
+            await self.add_engine(f"i-{number}")
+        self.configure()
+        return int(address.rpartition(":")[2])
+
+    @property
+    def registry(self):
+        """Return the store's memory, with faults to switch on."""
+        return self._store.registry
+
+    def configure(self, dropped=None):
+        """Write the next version of the configuration."""
+        self._version += 1
+        if dropped in self._keys:
+            self._keys.remove(dropped)
+            self._records.dropped_keys[dropped] = self._clock()
+        routes = [
+            {
+                **ROUTE,
+                "name": name,
+                "pathPrefix": f"/{name}/",
+                "kind": KINDS.get(name, "streaming"),
+                "timeoutMs": int(TIMEOUT_S * 1000),
+                "streamResume": name == "resume",
+            }
+            for name in (*KINDS, "resume")
+        ]
+        document = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": "s", "maxConns": 100, "engine": {"stride": 1}}],
+            "limits": {},
+            "tenants": [{"name": "w", "apiKeys": self._keys}],
+        }
+        self.registry.put("keyed.op", "config", json.dumps(document).encode())
+
+    async def add_engine(self, name, link=None):
+        """Start an engine and write its entry."""
+        engine = await Engine(name, self._records, self._clock).start(link)
+        self.engines[name] = engine
+        self._write(engine)
+        return engine
+
+    async def drain(self, engine):
+        """Let an engine leave as planned, and start another one first."""
+        await self.add_engine(f"i-{len(self._records.leaving) + 100}")
+        self._write(engine, leaving=True)
+        self._records.leaving.setdefault(engine.name, self._clock())
+        await asyncio.sleep(2 * DRAIN_S)
+        self._remove(engine)
+
+    def crash(self, engine):
+        """End an engine; its entry stays until it expires."""
+        engine.crash()
+        self._silent_s[engine.name] = self._clock()
+
+    async def reuse_address(self, engine):
+        """Let another engine take the address of one that is gone."""
+        link = engine.link
+        engine.alive = False
+        self._silent_s[engine.name] = self._clock()
+        await self.add_engine(f"{engine.name}-next", link)
+
+    def lapse(self, lapsed):
+        """Drop all entries without their engines' doing, or let them return."""
+        self._lapsed = lapsed
+        for engine in self.engines.values():
+            if lapsed:
+                self._put(engine.name, b"")
+            elif engine.alive:
+                self._write(engine)
+
+    async def beat(self):
+        """Write the engines' heartbeats and let old entries expire, for ever."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            if self.registry.down or self._lapsed:
+                continue
+            now_s = self._clock()
+            for engine in list(self.engines.values()):
+                if engine.alive:
+                    leaving = engine.name in self._records.leaving
+                    self._write(engine, leaving=leaving)
+                elif now_s - self._silent_s.get(engine.name, now_s) > EXPIRES_S:
+                    self._remove(engine)
+
+    def live_engines(self):
+        """Return the engines that may be disturbed."""
+        return [
+            each
+            for each in self.engines.values()
+            if each.alive and each.name not in self._records.leaving
+        ]
+
+    def _write(self, engine, *, leaving=False):
+        entry = engine.entry("dc-0", leaving)
+        self._put(engine.name, json.dumps(entry).encode())
+
+    def _remove(self, engine):
+        if self.engines.pop(engine.name, None) is engine:
+            self._put(engine.name, b"")
+        engine.alive = False
+
+    def _put(self, name, value):
+        self.registry.put("keyed.servers", name, value)
