Make fewer calls to the registry with many nodes

Cause: the nodes together read the upstreams' entries 14 times a second, their configuration each 8 s and the list of nodes each 20 s. News in the datagrams carry changes within half a second, so four nodes' worth of reads is enough, and a long interval ends with a listing, which has fewer bytes than the entries that upstreams wrote meanwhile.

--- a/packages/decisions/cicadapass_decisions/registrynews.py
+++ b/packages/decisions/cicadapass_decisions/registrynews.py
@@ -11,7 +11,7 @@
 
 # Up to this many nodes, each reads at the usual interval; beyond it, the nodes together
 # read as often as this many would.
-READERS = 10
+READERS = 4
 # Datagrams in which a node tells a change; the second makes up for a lost one.
 NEWS_ROUNDS = 2
 # Changes told in one datagram: about 2.5 KB of entries.
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -20,12 +20,18 @@
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peers import Member, NodeAddress, Peers
 
-# A read of the configuration waits this long for a change. A silent connection is
-# found by the client's time limit behind it.
+# A read of the configuration waits this long for a change with few nodes, and longer
+# with many. A silent connection is found by the client's time limit behind it; until
+# then, peers tell of newer versions.
 CONFIGURATION_WAIT_S = 8.0
+# The platform lets a read wait for 30 s at most.
+MOST_WAIT_S = 25.0
 # Upstreams write an entry every 1.2 s each; reading at this interval keeps the calls
 # few and the view well within the two seconds that a leaving upstream allows.
 UPSTREAM_INTERVAL_S = 0.7
+# After a longer interval than this, a listing has fewer bytes than all the entries that
+# upstreams have written since.
+LIST_AFTER_S = 2.0
 # Pause after a failed call, in seconds.
 RETRY_S = 0.3
 # The registry counts as away for this node once an answer is this much overdue.
@@ -117,9 +123,8 @@
                     end = listing.end
                     self._adopt_documents(listing.documents)
                 else:
-                    changes = await self._adapter.registry.changes(
-                        topic, end, CONFIGURATION_WAIT_S
-                    )
+                    wait_s = min(MOST_WAIT_S, self._spread(CONFIGURATION_WAIT_S))
+                    changes = await self._adapter.registry.changes(topic, end, wait_s)
                     end = changes.end
                     self._adopt_documents(changes.documents)
                 if self._state.routes is None:
@@ -135,7 +140,7 @@
         topic = self._adapter.topics.upstreams
         while True:
             try:
-                if self._upstreams_end < 0:
+                if self._upstreams_end < 0 or self._interval_s > LIST_AFTER_S:
                     self._replace(await self._adapter.registry.newest(topic))
                 else:
                     changes = await self._adapter.registry.changes(
@@ -152,9 +157,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._interval_s = read_interval_s(
-                UPSTREAM_INTERVAL_S, self._state.nodes, self._state.rng
-            )
+            self._interval_s = self._spread(UPSTREAM_INTERVAL_S)
             await asyncio.sleep(self._interval_s)
 
     async def follow_nodes(self) -> None:
@@ -173,7 +176,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            await asyncio.sleep(NODES_INTERVAL_S)
+            await asyncio.sleep(self._spread(NODES_INTERVAL_S))
 
     async def follow_peers(self) -> None:
         """Take from peers what the registry does not give this node."""
@@ -207,6 +210,10 @@
             }
         )
 
+    def _spread(self, usual_s: float) -> float:
+        """Return the interval of this node's share of the reads."""
+        return read_interval_s(usual_s, self._state.nodes, self._state.rng)
+
     async def _ask_peer(self, member: Member) -> None:
         address = member.address
         try:
@@ -263,20 +270,25 @@
 
     def _replace(self, listing: Listing) -> None:
         """Take in a complete listing; what peers told since it was made stays."""
+        is_first = self._upstreams_end < 0
         listed = {each.key for each in listing.documents}
         gone = [
             Document(key, b"", listing.end - 1)
             for key in self._documents
             if key not in listed
         ]
-        self._apply([*listing.documents, *gone], "listing")
+        changed = self._apply([*listing.documents, *gone], "listing")
         self._upstreams_end = listing.end
         self._offsets = {
             key: offset
             for key, offset in self._offsets.items()
             if key in self._documents or offset >= listing.end
         }
-        self._refresh()
+        if is_first:
+            # Peers know more than this node.
+            self._news = NewsBoard()
+        if changed or is_first:
+            self._refresh()
 
     def _apply(self, documents: Iterable[Document], source: str) -> bool:
         """Take in changed entries; return whether the usable upstreams changed."""
@@ -287,8 +299,7 @@
             self._offsets[document.key] = document.offset
             if self._apply_one(document, source):
                 news.append(Change(document.key, document.value, document.offset))
-        if source != "listing":
-            self._news.add(news)
+        self._news.add(news)
         return bool(news)
 
     def _apply_one(self, document: Document, source: str) -> bool:
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -266,6 +266,20 @@
 
         self.run_loop(scenario())
 
+    def test_what_a_listing_shows_is_told(self):
+        """Only the node that read a change ever knew of it."""
+
+        async def scenario():
+            node = await self.node("u1")
+            self.assertEqual([], node.sync.news_to_tell())
+            self.registry.put("upstreams", "u1", b"")
+            self.registry.put("upstreams", "u2", entry(1))
+            node.sync._replace(await self.registry.newest("upstreams"))
+            told = {each.key: each.value for each in node.sync.news_to_tell()}
+            self.assertEqual({"u1": b"", "u2": entry(1)}, told)
+
+        self.run_loop(scenario())
+
     def test_changes_before_the_first_listing_wait_for_it(self):
         """A new node took one told upstream for all there are."""
 
@@ -284,7 +298,9 @@
         async def scenario():
             node = await self.node("u1")
             for name in ("b", "c"):
-                member = Member(NodeAddress(name, HOST, 1, 1), node.state.clock())
+                member = Member(
+                    NodeAddress(name, HOST, 1, 1), node.state.clock()
+                )
                 member.failing = True
                 node.peers.members[name] = member
             node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
