Agree on one home a data centre and fetch shared parts from another

Cause: each node took one home for all other data centres together, so the nodes of four data centres had up to eight homes for a part, and a request that left its data centre found none that held it. A part that its home had read was read again beside it and in each data centre. Engines now fetch shared parts from the home that is likely to hold them. Among engines of equal cost, parts no longer all go to the first name.

--- a/packages/decisions/cicadapass_decisions/placing.py
+++ b/packages/decisions/cicadapass_decisions/placing.py
@@ -7,7 +7,7 @@
 """
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import Prompt
@@ -23,6 +23,9 @@
 BACKLOG_PART = 0.5
 # An engine's backlog beyond this part of a request's own target makes it wait.
 OWN_BACKLOG_PART = 0.9
+# Fewer shared tokens than this are read as fast as they are copied: setting a copy up
+# takes about 4 ms, the time to read 250 tokens.
+LEAST_FETCHED_TOKENS = 500
 # Places beyond the slots that may be taken at a plain service, so that a finished call
 # is followed at once.
 EXTRA_PLACES = 2
@@ -43,6 +46,7 @@
     """Hold what is known of an upstream at the moment of a choice."""
 
     upstream_id: str
+    data_centre: str
     local: bool
     slots: int
     running: int
@@ -75,6 +79,8 @@
 
     upstream_id: str
     expected_s: float
+    # An engine that is likely to hold more of the prompt's shared parts.
+    source_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,9 +95,24 @@
     """Say that the service has no upstream."""
 
 
-def home_of(key: str, upstream_ids: Sequence[str]) -> str | None:
-    """Return the upstream that holds a shared part, by rendezvous hashing."""
-    return max(upstream_ids, key=lambda each: _weight(key, each), default=None)
+def weights_of(key: str, upstream_ids: Iterable[str]) -> dict[str, bytes]:
+    """Return the weight of each upstream for a shared part (rendezvous hashing)."""
+    return {each: _weight(key, each) for each in upstream_ids}
+
+
+def homes_of(
+    candidates: Iterable[Candidate], weights: Mapping[str, bytes]
+) -> tuple[str, ...]:
+    """Return the home of a part in each data centre, on which all nodes agree.
+
+    They are in the same order for all nodes, too.
+    """
+    homes: dict[str, str] = {}
+    for each in candidates:
+        known = homes.get(each.data_centre)
+        if known is None or weights[each.upstream_id] > weights[known]:
+            homes[each.data_centre] = each.upstream_id
+    return tuple(sorted(homes.values(), key=weights.__getitem__, reverse=True))
 
 
 def choose(work: Work, candidates: Sequence[Candidate]) -> Send | Wait | Unavailable:
@@ -102,14 +123,18 @@
     # busy it would draw all requests. If none can be reached, the cause may lie here.
     candidates = [each for each in candidates if not each.unreachable] or candidates
     lowest = min(each.failure_score for each in candidates)
-    home = _home(work.prompt, candidates)
+    key = work.prompt.affinity_key
+    weights = weights_of(key or "", [each.upstream_id for each in candidates])
+    homes = () if key is None else homes_of(candidates, weights)
     costs = sorted(
-        ((_cost(work, each, home, lowest), each) for each in candidates),
-        key=lambda pair: (pair[0], pair[1].upstream_id),
+        ((_cost(work, each, homes, lowest), each) for each in candidates),
+        # Among equals, all nodes take the same one for a part, and parts differ.
+        key=lambda pair: (pair[0], weights[pair[1].upstream_id]),
     )
     for cost, candidate in costs:
         if _has_room(work, candidate):
-            return Send(candidate.upstream_id, cost)
+            source_id = _source_id(work.prompt, candidate, homes, candidates)
+            return Send(candidate.upstream_id, cost, source_id)
     return Wait(costs[0][0])
 
 
@@ -131,25 +156,37 @@
     return waited_s + expected_s > OVERDUE_PART * patience
 
 
-def _home(prompt: Prompt, candidates: Sequence[Candidate]) -> set[str]:
-    key = prompt.affinity_key
-    if key is None:
-        return set()
-    groups = (
-        [each.upstream_id for each in candidates if each.local],
-        [each.upstream_id for each in candidates if not each.local],
-    )
-    return {home for home in (home_of(key, group) for group in groups) if home}
-
-
-def _cost(work: Work, each: Candidate, home: set[str], lowest: float) -> float:
+def _source_id(
+    prompt: Prompt,
+    chosen: Candidate,
+    homes: Sequence[str],
+    candidates: Sequence[Candidate],
+) -> str | None:
+    """Return the engine from which the chosen one should fetch the shared parts.
+
+    Answers parts that are asked for in several data centres, or by more requests than
+    their home bears: copying them takes a fraction of the time to read them again.
+    """
+    missing = prompt.shared_tokens - chosen.held_tokens
+    if missing < LEAST_FETCHED_TOKENS:
+        return None
+    others = [each for each in candidates if each.upstream_id != chosen.upstream_id]
+    holder = max(others, key=lambda each: each.held_tokens, default=None)
+    if holder is not None and holder.held_tokens > chosen.held_tokens:
+        return holder.upstream_id
+    own = {each.upstream_id for each in others if each.local}
+    likely = [home for home in homes if home != chosen.upstream_id]
+    return next((home for home in likely if home in own), next(iter(likely), None))
+
+
+def _cost(work: Work, each: Candidate, homes: Sequence[str], lowest: float) -> float:
     penalty = FAILURE_S * (each.failure_score - lowest)
     if not work.model:
         filled = (each.running + 1) / max(1, each.slots)
         remote = 0.0 if each.local else REMOTE_CALL_S
         return each.call_s * max(1.0, filled) + remote + penalty
     held = each.held_tokens
-    if each.upstream_id in home:
+    if each.upstream_id in homes:
         held = max(held, work.prompt.shared_tokens)
     reading_s = max(0, work.prompt.prompt_tokens - held) * each.token_s
     remote = 0.0 if each.local else REMOTE_ENGINE_S
--- a/packages/gateway/cicadapass_gateway/dialect.py
+++ b/packages/gateway/cicadapass_gateway/dialect.py
@@ -34,6 +34,8 @@
     resume_after: str | None
     # Where the copy of the run's memory lies that the upstream goes on from.
     copy: str | None = None
+    # An upstream that is likely to hold shared parts of the prompt.
+    source: UpstreamRecord | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -255,6 +255,7 @@
             priority=job.match.priority,
             resume_after=job.last_event_id,
             copy=job.moved.copy if job.moved is not None else None,
+            source=ticket.source,
         )
         job.moved = None
         headers = self._dialect.encode_attempt(job.call, attempt, len(exchange.body))
--- a/packages/gateway/cicadapass_gateway/upstreambook.py
+++ b/packages/gateway/cicadapass_gateway/upstreambook.py
@@ -22,6 +22,8 @@
     record: UpstreamRecord
     key: str
     expected_s: float
+    # Where the upstream may fetch shared parts of the prompt.
+    source: UpstreamRecord | None = None
 
 
 class UpstreamBook:
@@ -72,12 +74,17 @@
         ]
 
     def begin(
-        self, record: UpstreamRecord, prompt: Prompt, expected_s: float, now_s: float
+        self,
+        record: UpstreamRecord,
+        prompt: Prompt,
+        expected_s: float,
+        now_s: float,
+        source: UpstreamRecord | None = None,
     ) -> Ticket:
         """Note a request that is being sent."""
         key = str(next(self._numbers))
         self.meter(record).begin(key, prompt, now_s)
-        return Ticket(record, key, expected_s)
+        return Ticket(record, key, expected_s, source)
 
     def first_token(self, ticket: Ticket, now_s: float) -> None:
         """Note that the answer to a request began."""
@@ -123,6 +130,7 @@
         meter = self.meter(record)
         return Candidate(
             upstream_id=record.upstream_id,
+            data_centre=record.data_centre,
             local=record.data_centre == self._data_centre,
             slots=record.slots,
             running=meter.running(now_s),
--- a/packages/gateway/cicadapass_gateway/waitingroom.py
+++ b/packages/gateway/cicadapass_gateway/waitingroom.py
@@ -159,12 +159,15 @@
             entry.expected_s = choice.expected_s
             return None
         assert isinstance(choice, Send)
-        record = next(
-            each
-            for each in self._book.usable(placement.service)
-            if each.upstream_id == choice.upstream_id
+        usable = self._book.usable(placement.service)
+        records = {each.upstream_id: each for each in usable}
+        return self._book.begin(
+            records[choice.upstream_id],
+            placement.prompt,
+            choice.expected_s,
+            now_s,
+            None if choice.source_id is None else records[choice.source_id],
         )
-        return self._book.begin(record, placement.prompt, choice.expected_s, now_s)
 
     def _is_passed(self, queue: _Queue, entry: _Entry, now_s: float) -> bool:
         """Return whether a waiting request goes before a new one."""
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -1,6 +1,7 @@
 """Test where requests go, by replays of the loads that the rules answer."""
 
 import random
+from dataclasses import replace
 
 import testtools
 
@@ -12,9 +13,10 @@
     Wait,
     Work,
     choose,
-    home_of,
+    homes_of,
     is_hopeless,
     patience_s,
+    weights_of,
 )
 
 TOKEN_S = 0.00002
@@ -22,7 +24,9 @@
 
 def engine(name, backlog_s=0.0, **changes):
     """Return an engine of the caller's data centre."""
+    local = changes.get("local", True)
     values = {
+        "data_centre": "near" if local else "far",
         "local": True,
         "slots": 64,
         "running": 0,
@@ -41,6 +45,12 @@
     return Prompt(parts, tokens, 400)
 
 
+def homes(key, engines):
+    """Return the homes of a part, the first one first."""
+    weights = weights_of(key, [each.upstream_id for each in engines])
+    return homes_of(engines, weights)
+
+
 def work(sizes, target_s=0.5, urgent_target_s=None, model=True):
     """Return the work of a request that has just come."""
     return Work(sizes, model, target_s, urgent_target_s, 0.0)
@@ -98,13 +108,101 @@
         """One home alone made every request of a hot part late."""
         hot = prompt(12000, shared=6000, key="hot")
         names = ["e1", "e2", "e3"]
-        home = home_of("hot", names)
+        home = max(names, key=weights_of("hot", names).get)
         idle = [engine(name) for name in names]
         self.assertEqual(home, choose(work(hot, 1.0), idle).upstream_id)
         loaded = [engine(name, 0.4 if name == home else 0.0) for name in names]
         self.assertNotEqual(home, choose(work(hot, 1.0), loaded).upstream_id)
 
 
+class HomeTest(testtools.TestCase):
+    def test_nodes_of_all_data_centres_agree_on_the_homes(self):
+        """A request that left its data centre went to an engine without its part.
+
+        Each node took one home for all the other data centres together, so that the
+        nodes of three data centres had six homes for a part.
+        """
+        places = {f"{place}{n}": place for place in "abc" for n in range(8)}
+
+        def seen_from(own):
+            return [
+                engine(name, local=place == own, data_centre=place)
+                for name, place in places.items()
+            ]
+
+        for key in ("one", "two", "three"):
+            found = homes(key, seen_from("a"))
+            self.assertEqual({"a", "b", "c"}, {places[home] for home in found})
+            for own in "bc":
+                self.assertEqual(found, homes(key, seen_from(own)[::-1]))
+
+    def test_equal_engines_share_the_parts_that_leave_their_homes(self):
+        """Beside loaded homes, one idle engine got the requests of all parts."""
+        busy = [engine(f"busy{n}", 0.45) for n in range(4)]
+        idle = [engine(f"idle{n}") for n in range(8)]
+        engines = [*busy, *idle]
+        used = set()
+        for n in range(300):
+            shared = prompt(2000, shared=900, key=f"part{n}")
+            if homes(f"part{n}", engines)[0].startswith("busy"):
+                used.add(choose(work(shared, 1.0), engines).upstream_id)
+        self.assertEqual({each.upstream_id for each in idle}, used)
+
+    def test_a_request_leaves_for_the_home_of_another_data_centre(self):
+        """Beyond the own data centre, shared parts were read again."""
+        engines = [engine("near", 0.9)]
+        engines += [engine(f"far{n}", local=False) for n in range(8)]
+        shared = prompt(12000, shared=6000, key="shared")
+        far = homes("shared", engines[1:])[0]
+        self.assertEqual(far, choose(work(shared, 1.0), engines).upstream_id)
+
+
+class SourceTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.engines = [engine(f"near{n}") for n in range(4)]
+        self.engines += [engine(f"far{n}", local=False) for n in range(4)]
+        self.shared = prompt(12000, shared=6000, key="shared")
+        found = homes("shared", self.engines)
+        self.near = next(home for home in found if home.startswith("near"))
+        self.far = next(home for home in found if home.startswith("far"))
+
+    def test_an_engine_beside_the_home_fetches_from_it(self):
+        """A part that its home had read was read again beside it under load."""
+        loaded = [
+            replace(each, backlog_s=0.4) if each.upstream_id == self.near else each
+            for each in self.engines
+        ]
+        choice = choose(work(self.shared, 1.0), loaded)
+        self.assertNotEqual(self.near, choice.upstream_id)
+        self.assertEqual(self.near, choice.source_id)
+
+    def test_a_home_fetches_from_the_one_of_another_data_centre(self):
+        """Each data centre read a part for itself."""
+        choice = choose(work(self.shared, 1.0), self.engines)
+        self.assertEqual((self.near, self.far), (choice.upstream_id, choice.source_id))
+
+    def test_what_is_held_is_not_fetched(self):
+        """Engines copied parts that they held, and small ones for nothing."""
+        holds = [
+            replace(each, held_tokens=6000) if each.upstream_id == self.near else each
+            for each in self.engines
+        ]
+        self.assertIsNone(choose(work(self.shared, 1.0), holds).source_id)
+        small = prompt(700, shared=300, key="shared")
+        self.assertIsNone(choose(work(small), self.engines).source_id)
+
+    def test_a_known_holder_goes_before_a_likely_one(self):
+        """A part was fetched from an engine that may not have it."""
+        knows = [
+            replace(each, held_tokens=6000, backlog_s=0.5)
+            if each.upstream_id == "far0"
+            else each
+            for each in self.engines
+        ]
+        self.assertEqual("far0", choose(work(self.shared, 1.0), knows).source_id)
+
+
 class CrashTest(testtools.TestCase):
     """Replay a crash of engines while the others are busy."""
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,8 +1,10 @@
 """Test the translation of headers."""
 
+from dataclasses import replace
+
 import testtools
 
-from cicadapass_decisions.passthrough import PromptPart
+from cicadapass_decisions.passthrough import PromptPart, UpstreamRecord
 from cicadapass_gateway.dialect import Attempt
 from cicadapass_platform.headers import (
     decode_answer,
@@ -86,6 +88,13 @@
         self.assertEqual(b"9c41", sent[b"Request-Id"])
         self.assertNotIn(b"Authorization", sent)
 
+    def test_a_source_of_shared_parts_is_named(self):
+        """An engine was not told where it could copy a part of the prompt from."""
+        source = UpstreamRecord("i-2", "s", "h2", 81, "dc-a", 64, False, 1, 1)
+        attempt = replace(FIRST, source=source)
+        sent = dict(encode_attempt(decode_call(CALL), attempt, 0))
+        self.assertEqual(b"h2:81", sent[b"Kv-Fetch"])
+
     def test_a_resumed_stream_names_its_last_event_once(self):
         """A caller's own resume point was sent beside the later one."""
         call = decode_call([*CALL, (b"Last-Event-Id", b"3")])
