--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -7,8 +7,9 @@
 from tests.soak.proxy import Link
 from tests.soak.records import Run
 
-# Time of a plain call and between the events of a stream, in seconds.
-CALL_S = 0.02
+# Time of a plain call and between the events of a stream, in seconds; long enough that
+# each fault meets some in progress.
+CALL_S = 0.15
 EVENT_S = 0.03
 EVENTS = 8
 SLOTS = 8
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,10 +12,10 @@
 from tests.soak.proxy import Disturbance
 from tests.soak.records import Call, Records, Span
 
-CALLERS = 8
+CALLERS = 16
 CALL_KINDS = ("safe", "unsafe", "stream", "resume")
 # Pause of a caller between two requests, in seconds.
-PAUSE_S = 0.05
+PAUSE_S = 0.02
 # Callers that leave before their answer, and those on a new connection.
 LEAVE_CHANCE = 0.03
 RECONNECT_CHANCE = 0.05
