Tell the nodes of a data centre of each long prompt at once

Cause: a node learns of its peers' work by datagrams that come after a round of all nodes, 1.6 s with eighty of them; a long prompt is read in 0.2 s. Nodes chose engines by figures that were over, and some engines queued while others idled (busiest over mean 1.48). Each prompt of 1,000 unread tokens or more is now told to the nodes of the same data centre as it is sent, in some 30 bytes.

--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -78,8 +78,8 @@
         """Return the requests that this node has in progress there."""
         return len(self._runs)
 
-    def begin(self, key: str, prompt: Prompt, now_s: float) -> None:
-        """Note a request that is being sent."""
+    def begin(self, key: str, prompt: Prompt, now_s: float) -> int:
+        """Note a request that is being sent; return its tokens still to be read."""
         reading = max(0, prompt.prompt_tokens - self.held_tokens(prompt, now_s))
         ahead = self.reading_tokens(now_s)
         self._runs[key] = Run(float(reading), ahead, now_s)
@@ -88,6 +88,7 @@
             self._held.move_to_end(part.part_id)
         while len(self._held) > MAX_HELD_PARTS:
             self._held.popitem(last=False)
+        return reading
 
     def first_token(self, key: str, now_s: float) -> None:
         """Note that the answer to a request began."""
@@ -144,6 +145,12 @@
         """Take in the figures of a peer."""
         self._peers[peer] = figures
 
+    def hear_sent(self, peer: str, tokens: int, now_s: float) -> None:
+        """Take in that a peer has just sent a prompt; its next figures hold it too."""
+        known = self._peers.get(peer, PeerFigures(0, 0.0, now_s))
+        unread = self._unread(known, now_s) + tokens
+        self._peers[peer] = PeerFigures(known.running, unread, now_s)
+
     def forget(self, peer: str) -> None:
         """Note that a peer has nothing in progress there."""
         self._peers.pop(peer, None)
@@ -157,11 +164,8 @@
 
     def reading_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that the upstream has still to read."""
-        elapsed = (
-            max(0.0, each.reading_tokens - (now_s - each.heard_s) / self.token_s)
-            for each in self._fresh_peers(now_s)
-        )
-        return self.own_reading_tokens(now_s) + sum(elapsed)
+        unread = (self._unread(each, now_s) for each in self._fresh_peers(now_s))
+        return self.own_reading_tokens(now_s) + sum(unread)
 
     def own_reading_tokens(self, now_s: float) -> float:
         """Return the prompt tokens of this node that are still to be read."""
@@ -198,6 +202,11 @@
             self.token_s += SAMPLE_WEIGHT * (group_token_s - self.token_s)
             self.call_s += SAMPLE_WEIGHT * (group_call_s - self.call_s)
 
+    def _unread(self, peer: PeerFigures, now_s: float) -> float:
+        """Return what is left of a peer's tokens since they were told."""
+        elapsed_s = now_s - peer.heard_s
+        return max(0.0, peer.reading_tokens - elapsed_s / self.token_s)
+
     def _fresh_peers(self, now_s: float) -> list[PeerFigures]:
         return [
             peer
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -120,7 +120,11 @@
 
         usage = UsageCounter(settings.usage_window_s, true_time)
         own = NodeAddress(
-            settings.node, settings.peers.host, settings.peers.port, _wall_ms()
+            settings.node,
+            settings.peers.host,
+            settings.peers.port,
+            _wall_ms(),
+            settings.data_centre,
         )
         # The parts below need each other; these functions are called only later.
         peers = Peers(
@@ -134,6 +138,7 @@
                 lambda: sync,
             ),
         )
+        state.book.subscribe_to_sends(peers.tell_sent)
         sync = RegistrySync(state, adapter, peers, pool)
         planner = FleetPlanner(state, peers.total_demand, lambda: sync.registry_ok)
         times = DutyTimes(settings.lease_s, settings.usage_window_s)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -29,6 +29,11 @@
 # Marks of leaving are repeated for this long.
 MARK_S = 10.0
 MAX_DATAGRAM = 60_000
+# A prompt with fewer unread tokens than this is not told at once: it keeps an engine
+# busy for less than 20 ms.
+TOLD_TOKENS = 1000
+# Nodes of the own data centre that are told of a prompt at once, 25 bytes each.
+NEAR_MEMBERS = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +44,7 @@
     host: str
     port: int
     incarnation: int
+    data_centre: str
 
     @property
     def key(self) -> str:
@@ -110,6 +116,8 @@
         self.set_seeds(seeds)
         self._parts = parts
         self._transport: asyncio.DatagramTransport | None = None
+        # The nodes of this data centre, or some of them.
+        self._near: list[NodeAddress] = []
         self._marks: dict[tuple[str, int], float] = {}
         # Nodes start at different members, so that together they reach all at once.
         self._turn = parts.state.rng.randrange(1 << 16)
@@ -161,12 +169,24 @@
         for address in self._next_addresses():
             self._transport.sendto(data, address)
 
+    def tell_sent(self, upstream_id: str, tokens: int) -> None:
+        """Tell the nodes of this data centre of a prompt that an upstream got now."""
+        if self._transport is None or tokens < TOLD_TOKENS:
+            return
+        data = cbor2.dumps([self.own.name, upstream_id, tokens])
+        for address in self._near:
+            self._transport.sendto(data, (address.host, address.port))
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in the state of a peer."""
         if len(data) > MAX_DATAGRAM:
             return
         try:
-            self._take(decode_cbor(data))
+            message = decode_cbor(data)
+            if isinstance(message, list):
+                self._take_sent(message)
+            else:
+                self._take(message)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._parts.state.events.emit(
                 820, peer=f"{addr[0]}:{addr[1]}", reason=repr(error)
@@ -178,6 +198,14 @@
             start = self._turn % len(members)
             members = (members[start:] + members[:start])[:FAN_OUT]
         self._turn += FAN_OUT
+        near = [
+            each.address
+            for each in self.members.values()
+            if each.address.data_centre == self.own.data_centre
+        ]
+        if len(near) > NEAR_MEMBERS:
+            near = self._parts.state.rng.sample(near, NEAR_MEMBERS)
+        self._near = near
         found = [self.members[each].address for each in members]
         addresses = [(each.host, each.port) for each in found]
         # Seeds are written to until enough members are known.
@@ -195,7 +223,7 @@
         )
         own, registry = self.own, self._parts.registry()
         return {
-            "node": [own.name, own.host, own.port, own.incarnation],
+            "node": encode_address(own),
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
@@ -214,13 +242,13 @@
                 if now_s - marked_s < MARK_S
             ],
             "holder": self._parts.own_renewal(),
-            "members": [_row(self.members[name].address) for name in named],
+            "members": [encode_address(self.members[name].address) for name in named],
         }
 
     def _take(self, message: dict[str, Any]) -> None:
         state = self._parts.state
         now_s = state.clock()
-        address = _address(message["node"])
+        address = decode_address(message["node"])
         if address.name == self.own.name:
             return
         known = self.members.get(address.name)
@@ -246,7 +274,13 @@
             fence, renewal = message["holder"]
             self.holder = HolderNews(int(fence), int(renewal), now_s)
         for row in message["members"]:
-            self.add(_address(row), now_s)
+            self.add(decode_address(row), now_s)
+
+    def _take_sent(self, message: list[Any]) -> None:
+        name, upstream_id, tokens = message
+        if name in self.members:
+            state = self._parts.state
+            state.book.hear_sent(name, str(upstream_id), int(tokens), state.clock())
 
     def _take_marks(self, rows: list[list[Any]], now_s: float) -> None:
         view = self._parts.state.book.view
@@ -265,10 +299,20 @@
                 self._parts.state.book.hear(name, {}, now_s)
 
 
-def _row(address: NodeAddress) -> list[Any]:
-    return [address.name, address.host, address.port, address.incarnation]
+def encode_address(address: NodeAddress) -> list[Any]:
+    """Return an address as datagrams and the registry hold it."""
+    return [
+        address.name,
+        address.host,
+        address.port,
+        address.incarnation,
+        address.data_centre,
+    ]
 
 
-def _address(row: list[Any]) -> NodeAddress:
-    name, host, port, incarnation = row
-    return NodeAddress(str(name), str(host), int(port), int(incarnation))
+def decode_address(row: list[Any]) -> NodeAddress:
+    """Return the address of a row; ValueError or TypeError if it is none."""
+    name, host, port, incarnation, data_centre = row
+    return NodeAddress(
+        str(name), str(host), int(port), int(incarnation), str(data_centre)
+    )
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -18,7 +18,13 @@
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
-from cicadapass_gateway.peers import Member, NodeAddress, Peers
+from cicadapass_gateway.peers import (
+    Member,
+    NodeAddress,
+    Peers,
+    decode_address,
+    encode_address,
+)
 
 # A read of the configuration waits this long for a change with few nodes, and longer
 # with many. A silent connection is found by the client's time limit behind it; until
@@ -338,20 +344,18 @@
 
     async def _announce(self) -> None:
         own = self._peers.own
-        value = cbor2.dumps([own.name, own.host, own.port, own.incarnation])
         await self._adapter.registry.append(
-            self._adapter.topics.nodes, own.name, value, None
+            self._adapter.topics.nodes, own.name, cbor2.dumps(encode_address(own)), None
         )
 
     def _add_nodes(self, documents: tuple[Document, ...]) -> None:
         now_s = self._state.clock()
         for document in documents:
             try:
-                name, host, port, incarnation = decode_cbor(document.value)
+                address = decode_address(decode_cbor(document.value))
             except (TypeError, ValueError) as error:
                 self._state.events.emit(820, peer=document.key, reason=repr(error))
                 continue
-            address = NodeAddress(str(name), str(host), int(port), int(incarnation))
             self._peers.add(address, now_s)
 
     def _note_answer(self) -> None:
--- a/packages/gateway/cicadapass_gateway/upstreambook.py
+++ b/packages/gateway/cicadapass_gateway/upstreambook.py
@@ -1,7 +1,7 @@
 """The node's owner of what is known about upstreams."""
 
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
@@ -37,6 +37,11 @@
         self._by_service: dict[str, list[UpstreamRecord]] = {}
         # The upstreams at which each peer last had work in progress.
         self._told: dict[str, set[str]] = {}
+        self._sends: list[Callable[[str, int], None]] = []
+
+    def subscribe_to_sends(self, tell: Callable[[str, int], None]) -> None:
+        """Call a function with the upstream and the unread tokens of each send."""
+        self._sends.append(tell)
 
     def refresh(self) -> None:
         """Rebuild the index after the view has changed."""
@@ -83,7 +88,9 @@
     ) -> Ticket:
         """Note a request that is being sent."""
         key = str(next(self._numbers))
-        self.meter(record).begin(key, prompt, now_s)
+        reading = self.meter(record).begin(key, prompt, now_s)
+        for tell in self._sends:
+            tell(record.upstream_id, reading)
         return Ticket(record, key, expected_s, source)
 
     def first_token(self, ticket: Ticket, now_s: float) -> None:
@@ -117,6 +124,13 @@
             elif upstream_id in over:
                 meter.forget(peer)
 
+    def hear_sent(self, peer: str, upstream_id: str, tokens: int, now_s: float) -> None:
+        """Take in that a peer has just sent a prompt to an upstream."""
+        for (known_id, _), meter in self._meters.items():
+            if known_id == upstream_id:
+                meter.hear_sent(peer, tokens, now_s)
+                self._told.setdefault(peer, set()).add(upstream_id)
+
     def fade(self, now_s: float) -> None:
         """Let the learnt speeds fade towards the group's."""
         for service, records in self._by_service.items():
--- a/tests/decisions/test_upstreammeter.py
+++ b/tests/decisions/test_upstreammeter.py
@@ -69,3 +69,16 @@
         self.meter.end("a", 1.0, succeeded=None)
         self.assertEqual(0.0, self.meter.failure_score(1.0))
         self.assertEqual(0, self.meter.running(1.0))
+
+
+class SentTest(testtools.TestCase):
+    def test_told_prompts_add_up_and_are_read(self):
+        """A second prompt of a peer replaced its first one."""
+        meter = UpstreamMeter()
+        meter.hear("p", PeerFigures(1, 10_000.0, 0.0))
+        meter.hear_sent("p", 5_000, 0.1)
+        read = 0.1 / meter.token_s
+        self.assertEqual(round(15_000 - read), round(meter.reading_tokens(0.1)))
+        self.assertEqual(0.0, meter.reading_tokens(2.0))
+        meter.hear("p", PeerFigures(1, 100.0, 0.1))
+        self.assertEqual(100.0, meter.reading_tokens(0.1))
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -27,7 +27,7 @@
     """Say who this node is and what the holder told."""
 
     def __init__(self, name):
-        self.own = NodeAddress(name, "127.0.0.1", 1, 1)
+        self.own = NodeAddress(name, "127.0.0.1", 1, 1, "dc-a")
         self.holder = None
         self.round_s = 0.2
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -53,12 +53,14 @@
         parts = PeerParts(
             self.state, self.usage, clock, lambda: self.renewal, lambda: self.registry
         )
-        self.peers = Peers(NodeAddress(self.name, HOST, 0, 1), list(seeds), parts)
+        self.peers = Peers(
+            NodeAddress(self.name, HOST, 0, 1, "dc-a"), list(seeds), parts
+        )
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self.peers, local_addr=(HOST, 0)
         )
         port = transport.get_extra_info("sockname")[1]
-        self.peers.own = NodeAddress(self.name, HOST, port, self.incarnation)
+        self.peers.own = NodeAddress(self.name, HOST, port, self.incarnation, "dc-a")
         return self
 
     @property
@@ -95,6 +97,26 @@
 
         self.run_loop(scenario())
 
+    def test_a_long_prompt_is_told_at_once(self):
+        """Until the next figures, nodes sent their long prompts to one engine.
+
+        With many nodes these come after seconds, when an engine has read twenty.
+        """
+
+        async def scenario():
+            first, second = await self.pair()
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            first.peers.send_state()
+            await until(lambda: second.peers.members)
+            second.peers.send_state()
+            second.state.book.subscribe_to_sends(second.peers.tell_sent)
+            second.state.book.begin(UPSTREAM, Prompt(prompt_tokens=50_000), 0.0, 0.0)
+            meter = first.state.book.meter(UPSTREAM)
+            await until(lambda: meter.reading_tokens(first.state.clock()) > 1000)
+
+        self.run_loop(scenario())
+
     def test_marks_of_leaving_spread(self):
         """A node that the registry refused sent work to a leaving upstream."""
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 from cicadapass_decisions.passthrough import CallerLimits, UpstreamRecord
 from cicadapass_decisions.registrynews import NEWS_ROUNDS, Change
@@ -46,7 +47,7 @@
     """Hold members as the datagrams would."""
 
     def __init__(self, name):
-        self.own = NodeAddress(name, HOST, 1, 1)
+        self.own = NodeAddress(name, HOST, 1, 1, "dc-a")
         self.members = {}
         self.round_s = 0.2
 
@@ -89,7 +90,7 @@
         server = HttpServer(state, handler, lambda error: None)
         await server.listen(HOST, 0)
         own = self.peers.own
-        return NodeAddress(own.name, HOST, server.port, own.incarnation)
+        return replace(own, port=server.port)
 
     @property
     def usable(self):
@@ -299,7 +300,7 @@
             node = await self.node("u1")
             for name in ("b", "c"):
                 member = Member(
-                    NodeAddress(name, HOST, 1, 1), node.state.clock()
+                    NodeAddress(name, HOST, 1, 1, "dc-a"), node.state.clock()
                 )
                 member.failing = True
                 node.peers.members[name] = member
