--- a/packages/decisions/cicadapass_decisions/enginefleet.py
+++ b/packages/decisions/cicadapass_decisions/enginefleet.py
@@ -67,6 +67,9 @@
     slots: int
     # Engines held before there was any demand, for the first moments of it.
     prior: int
+    # Engines for the demand that is expected at a start. On-demand ones are not ordered
+    # for a guess.
+    expected: int = 0
 
 
 def engines_to_read(tokens_per_s: float, token_s: float) -> int:
@@ -82,7 +85,9 @@
     )
     least = LEAST_ENGINES * places
     return Need(
-        ample=max(least, demand.prior, math.ceil(engines / AMPLE_PART)),
+        ample=max(
+            least, demand.prior, demand.expected, math.ceil(engines / AMPLE_PART)
+        ),
         tight=max(least // 2, demand.prior // 2, math.ceil(engines / TIGHT_PART)),
     )
 
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -177,21 +177,22 @@
         records = self._state.book.usable(service)
         running = sum(self._state.book.meter(each).running(now_s) for each in records)
         tokens_per_s = self._demand(service)
+        held = sum(1 for each in records if not each.reclaimable)
+        self._note_start(service, held, tokens_per_s, now_s)
+        known = now_s - self._busy_s.get(service, now_s) >= PRIOR_S
         return Demand(
             tokens_per_s=tokens_per_s,
             token_s=self._token_s(service),
             requests=running + self._state.nodes * self._state.room.waiting_count,
             slots=min((each.slots for each in records), default=1),
-            prior=self._prior(
-                service,
-                sum(1 for each in records if not each.reclaimable),
-                tokens_per_s,
-                now_s,
-            ),
+            prior=0 if known else self._held.get(service, 0),
+            expected=0 if known else self._expected.get(service, 0),
         )
 
-    def _prior(self, service: str, held: int, tokens_per_s: float, now_s: float) -> int:
-        """Return the engines held or expected before demand came, until it is known."""
+    def _note_start(
+        self, service: str, held: int, tokens_per_s: float, now_s: float
+    ) -> None:
+        """Note the engines held and expected before there is any demand."""
         first_s = self._first_s.setdefault(service, now_s)
         if tokens_per_s >= IDLE_TOKENS_PER_S:
             self._busy_s.setdefault(service, now_s)
@@ -201,10 +202,6 @@
                 self._grown_s[service] = now_s
             starting = now_s - first_s < START_S
             self._expected[service] = self._by_limits(service) if starting else 0
-        began_s = self._busy_s.get(service, now_s)
-        if now_s - began_s >= PRIOR_S:
-            return 0
-        return max(self._held.get(service, 0), self._expected.get(service, 0))
 
     def _by_limits(self, service: str) -> int:
         """Return the engines for a usual part of what the workspaces may ask."""
--- a/tests/decisions/test_enginefleet.py
+++ b/tests/decisions/test_enginefleet.py
@@ -50,6 +50,13 @@
         targets = plan_engines(SCALING, first, Need(ample=6, tight=3))
         self.assertGreater(sum(each.on_demand for each in targets.values()), 0)
 
+    def test_an_expected_demand_brings_no_on_demand_engines(self):
+        """A guess at a start held on-demand engines in the places of cheap ones."""
+        demand = Demand(0.0, 0.00002, 0, 64, prior=0, expected=88)
+        need = engines_needed(demand, 3)
+        self.assertEqual(88, need.ample)
+        self.assertLess(need.tight, 6)
+
     def test_without_a_lower_price_no_reclaimable_engines_are_ordered(self):
         """Engines that cost the same and may be taken back carried the load."""
         scaling = Scaling(1, 6, 4.0, 1.0, SCALING.prices)
