--- a/packages/decisions/cicadapass_decisions/placing.py
+++ b/packages/decisions/cicadapass_decisions/placing.py
@@ -26,9 +26,9 @@
 # Fewer shared tokens than this are read as fast as they are copied: setting a copy up
 # takes about 4 ms, the time to read 250 tokens.
 LEAST_FETCHED_TOKENS = 500
-# Places beyond the slots that may be taken at a plain service, so that a finished call
-# is followed at once.
-EXTRA_PLACES = 2
+# Calls at a plain service beyond its slots, as a part of them. They wait there for the
+# time of about one call; the count of peers' calls is too old for a closer bound.
+EXTRA_PART = 1.0
 # A caller leaves a stream after the longest of these gaps.
 PATIENCE_S = 2.0
 PATIENCE_TARGETS = 4.0
@@ -197,7 +197,7 @@
     if each.full:
         return False
     if not work.model:
-        return each.running < each.slots + EXTRA_PLACES
+        return each.running < each.slots * (1 + EXTRA_PART)
     if each.running >= each.slots:
         return False
     if work.urgent_target_s is not None:
