Keep lapsed entries only while the registry answers no node

Cause: two nodes that the registry turned away were taken for trouble of the registry itself, so the others kept a removed engine for 2.2 s, and one request reached it 2.03 s after its removal, where 2 s are allowed. Nodes now tell when the registry last answered them, and only silence to all counts as trouble. A node that hears no datagram for a second reads as often as a single one.

--- a/packages/decisions/cicadapass_decisions/registrynews.py
+++ b/packages/decisions/cicadapass_decisions/registrynews.py
@@ -32,7 +32,7 @@
 
 
 def read_interval_s(usual_s: float, nodes: int, rng: random.Random) -> float:
-    """Return the time until a node's next read.
+    """Return the time until the next read of one of these nodes.
 
     Reads of many nodes are spread by chance, so that some node reads soon.
     """
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -60,8 +60,8 @@
     heard_s: float
     version: int = -1
     registry_ok: bool = False
-    # Its last call to the registry failed.
-    failing: bool = False
+    # When the registry last answered it.
+    answered_s: float = -1e9
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,8 +81,8 @@
         """Return whether the registry answered this node's last reads."""
 
     @property
-    def failing(self) -> bool:
-        """Return whether this node's last call to the registry failed."""
+    def answered_ago_s(self) -> float:
+        """Return how long ago the registry answered this node."""
 
     def news_to_tell(self) -> list[Change]:
         """Return the changed entries for the next datagram."""
@@ -112,6 +112,8 @@
         self.own = own
         self.members: dict[str, Member] = {}
         self.holder: HolderNews | None = None
+        # When the last datagram of any node came.
+        self.heard_s = -1e9
         self._seeds: list[tuple[str, int]] = []
         self.set_seeds(seeds)
         self._parts = parts
@@ -227,7 +229,7 @@
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
-            "registry": [registry.registry_ok, registry.failing],
+            "registry": [registry.registry_ok, registry.answered_ago_s],
             "news": [[e.key, e.value, e.offset] for e in registry.news_to_tell()],
             "upstreams": state.book.own_figures(now_s),
             "limits": {
@@ -256,9 +258,11 @@
             return
         if known is None or known.address != address:
             known = self.members[address.name] = Member(address, now_s)
-        known.heard_s = now_s
+        known.heard_s = self.heard_s = now_s
         known.version = int(message["version"])
-        known.registry_ok, known.failing = map(bool, message["registry"])
+        registry_ok, answered_ago_s = message["registry"]
+        known.registry_ok = bool(registry_ok)
+        known.answered_s = now_s - float(answered_ago_s)
         changes = [Change(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
         self._parts.registry().take_news(changes)
         key = address.key
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -42,9 +42,14 @@
 RETRY_S = 0.3
 # The registry counts as away for this node once an answer is this much overdue.
 AWAY_S = 0.5
-# So many peers whose reads fail just now are taken as trouble of the registry, which
-# a node that reads rarely would not notice itself.
-FAILING_PEERS = 2
+# Without an answer to any node that is heard for this long, the registry is in trouble,
+# which a node that reads rarely would not notice itself. While it turns away some nodes
+# only, others still get answers, several a second.
+UNANSWERED_S = 1.2
+# Without any datagram for this long, a node is on its own and reads as often as one.
+QUIET_S = 1.0
+# Interval at which a node that waits for its next read looks for that.
+LOOK_S = 0.2
 # Interval at which a node without the registry asks a peer.
 PEER_INTERVAL_S = 0.7
 PEER_TIMEOUT_S = 0.6
@@ -87,9 +92,9 @@
         return overdue_s < AWAY_S
 
     @property
-    def failing(self) -> bool:
-        """Return whether this node's last call to the registry failed."""
-        return self._link.lost
+    def answered_ago_s(self) -> float:
+        """Return how long ago the registry answered this node."""
+        return self._state.clock() - self._link.answered_s
 
     @property
     def upstreams_end(self) -> int:
@@ -107,14 +112,7 @@
             return
         now_s = self._state.clock()
         documents = [Document(each.key, each.value, each.offset) for each in changes]
-        peers = self._peers.members.values()
-        failing = sum(
-            1
-            for each in peers
-            if each.failing and now_s - each.heard_s < 2 * self._peers.round_s
-        )
-        if failing >= FAILING_PEERS:
-            self._state.book.view.registry_failed(now_s)
+        self._watch_for_outage(now_s)
         if self._apply(documents, "peer"):
             self._refresh()
 
@@ -163,8 +161,7 @@
                 self._note_failure(error)
                 await asyncio.sleep(RETRY_S)
                 continue
-            self._interval_s = self._spread(UPSTREAM_INTERVAL_S)
-            await asyncio.sleep(self._interval_s)
+            await self._until_next_read()
 
     async def follow_nodes(self) -> None:
         """Announce this node and learn of the others."""
@@ -216,9 +213,29 @@
             }
         )
 
+    async def _until_next_read(self) -> None:
+        """Wait for this node's turn, or until it hears no peer any more."""
+        read_s = self._state.clock()
+        self._interval_s = self._spread(UPSTREAM_INTERVAL_S)
+        while True:
+            now_s = self._state.clock()
+            if now_s - self._peers.heard_s > QUIET_S:
+                self._interval_s = min(self._interval_s, UPSTREAM_INTERVAL_S)
+            left_s = read_s + self._interval_s - now_s
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(LOOK_S, left_s))
+
     def _spread(self, usual_s: float) -> float:
         """Return the interval of this node's share of the reads."""
-        return read_interval_s(usual_s, self._state.nodes, self._state.rng)
+        now_s = self._state.clock()
+        readers = 1 + sum(
+            1
+            for each in self._peers.members.values()
+            if each.registry_ok
+            and now_s - each.heard_s < PEER_FRESH_S + self._peers.round_s
+        )
+        return read_interval_s(usual_s, readers, self._state.rng)
 
     async def _ask_peer(self, member: Member) -> None:
         address = member.address
@@ -358,18 +375,25 @@
                 continue
             self._peers.add(address, now_s)
 
+    def _watch_for_outage(self, now_s: float) -> None:
+        """Note trouble of the registry; entries that lapse now may still come back."""
+        answered_s = [self._link.answered_s]
+        answered_s += [each.answered_s for each in self._peers.members.values()]
+        if now_s - max(answered_s) > UNANSWERED_S:
+            self._state.book.view.registry_failed(now_s)
+
     def _note_answer(self) -> None:
         now_s = self._state.clock()
+        if self._link.lost:
+            self._watch_for_outage(now_s)
         self._link.answered_s = now_s
         if self._link.lost:
             self._link.lost = False
-            # Entries that lapsed during the outage may still come back.
-            self._state.book.view.registry_failed(now_s)
             self._state.events.emit(804, offset=self._upstreams_end)
 
     def _note_failure(self, error: GatewayError) -> None:
         self._state.metrics.count("registry_failures", type(error).__name__)
-        self._state.book.view.registry_failed(self._state.clock())
+        self._watch_for_outage(self._state.clock())
         if not self._link.lost:
             self._link.lost = True
             self._state.events.emit(803, reason=str(error))
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -20,7 +20,7 @@
     registry_ok = True
 
     def __init__(self):
-        self.failing = False
+        self.answered_ago_s = 0.0
         self.board = NewsBoard()
         self.heard = []
 
@@ -135,10 +135,11 @@
             first, second = await self.pair()
             change = Change("u2", b"entry", 7)
             second.registry.board.add([change])
-            second.registry.failing = True
+            second.registry.answered_ago_s = 5.0
             second.peers.send_state()
             await until(lambda: first.registry.heard == [change])
-            self.assertTrue(first.peers.members["b"].failing)
+            answered_s = first.peers.members["b"].answered_s
+            self.assertLess(answered_s, first.state.clock() - 4.0)
 
         self.run_loop(scenario())
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -10,7 +10,7 @@
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import HttpServer, ServerState
 from cicadapass_gateway.peers import Member, NodeAddress
-from cicadapass_gateway.registrysync import RegistrySync
+from cicadapass_gateway.registrysync import QUIET_S, UNANSWERED_S, RegistrySync
 from tests.gateway.kit import (
     DIALECT,
     HOST,
@@ -50,6 +50,7 @@
         self.own = NodeAddress(name, HOST, 1, 1, "dc-a")
         self.members = {}
         self.round_s = 0.2
+        self.heard_s = 0.0
 
     def add(self, address, now_s):
         if address.name != self.own.name:
@@ -196,8 +197,11 @@
         for upstream in upstreams:
             self.registry.put("upstreams", upstream, entry(1))
         node = Node(self.registry)
-        # One of a thousand nodes reads once a minute.
-        node.state.nodes = 1000
+        # One of a thousand nodes reads every two minutes or so.
+        node.peers.heard_s = 1e9
+        for number in range(1000):
+            address = NodeAddress(f"p{number}", HOST, 1, 1, "dc-a")
+            node.peers.members[address.name] = Member(address, 1e9, registry_ok=True)
         node.start()
         await until(lambda: node.usable == set(upstreams) and node.state.ready)
         return node
@@ -298,17 +302,42 @@
 
         async def scenario():
             node = await self.node("u1")
-            for name in ("b", "c"):
-                member = Member(
-                    NodeAddress(name, HOST, 1, 1, "dc-a"), node.state.clock()
-                )
-                member.failing = True
-                node.peers.members[name] = member
+            self.registry.down = True
+            node.sync._link.answered_s -= UNANSWERED_S + 0.1
             node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
             self.assertEqual({"u1"}, node.usable)
 
         self.run_loop(scenario())
 
+    def test_a_registry_that_turns_some_nodes_away_is_believed(self):
+        """Two refused nodes made all others keep an upstream that had left.
+
+        It got a request 2.03 s after its removal, where 2 s are allowed.
+        """
+
+        async def scenario():
+            node = await self.node("u1")
+            node.sync._link.answered_s -= 60.0
+            now_s = node.state.clock()
+            for number in range(3):
+                node.peers.members[f"p{number}"].answered_s = now_s - 30.0
+            node.peers.members["p9"].answered_s = now_s - 0.3
+            node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
+            self.assertEqual(set(), node.usable)
+
+        self.run_loop(scenario())
+
+    def test_a_node_that_hears_nobody_reads_for_itself(self):
+        """A node that was cut off from its peers waited for their news."""
+
+        async def scenario():
+            node = await self.node("u1")
+            self.registry.put("upstreams", "u1", b"")
+            node.peers.heard_s = node.state.clock() - QUIET_S
+            await until(lambda: not node.usable)
+
+        self.run_loop(scenario())
+
 
 class PeerTest(LoopTest):
     def test_a_node_that_the_registry_refuses_learns_from_a_peer(self):
