Move the runs of engines whose entry went without a notice

Cause: some engines leave without a word; their entry goes, and they serve on for some seconds.

Test: test_a_run_is_moved_from_an_engine_that_leaves_without_a_word.

cicadapassctl timeline reads log files, so that a request can be followed over all gateways.

--- a/packages/ctl/cicadapassctl/cmdline.py
+++ b/packages/ctl/cicadapassctl/cmdline.py
@@ -20,7 +20,7 @@
 from cicadapassctl.command_local import credential_new, settings
 from cicadapassctl.command_nodes import explain, status, upstreams
 from cicadapassctl.command_publish import publish, rollback
-from cicadapassctl.command_timeline import timeline
+from cicadapassctl.command_timeline import timeline, timeline_of_logs
 from cicadapassctl.config import Settings
 from cicadapassctl.context import Context, Outcome
 from cicadapassctl.exceptions import CommandError
@@ -74,6 +74,8 @@
         return _LOCAL[args.command](args)
     if args.command == "diff" and args.new:
         return diff(args, None)
+    if args.command == "timeline" and args.log:
+        return timeline_of_logs(args)
     path = args.settings or env.settings_path()
     found = read_settings(path, Settings)
     if found.is_error():
--- a/packages/ctl/cicadapassctl/command_timeline.py
+++ b/packages/ctl/cicadapassctl/command_timeline.py
@@ -1,6 +1,8 @@
 """Command that merges the events of all nodes into one timeline."""
 
 import argparse
+import json
+from collections.abc import Iterable, Iterator
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -26,16 +28,42 @@
     answers = ask_all(
         context.fetch, context.settings.nodes, EVENTS_PATH, EventsAnswer, query
     )
-    events = merge_events(map(_events, answers.each), args.request_id)
+    sources = [_events(answer.events) for answer in answers.each]
+    failed = tuple(f"not reached: {error}" for error in answers.failed)
+    none = "no node holds such an event; nodes keep the most recent ones"
+    return _merged(args, sources, exit_code(answers), (*failed, none))
+
+
+def timeline_of_logs(args: argparse.Namespace) -> Result[Outcome, CommandError]:
+    """Show the events of log files, oldest first."""
+    sources = []
+    for path in args.log:
+        try:
+            text = Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            problem = f"{path} cannot be read: {error}"
+            return Error(CommandError(problem, "name the nodes' log files"))
+        sources.append(_events(_documents(text)))
+    none = "no file holds such an event"
+    return _merged(args, sources, ExitCode.DONE, (none,))
+
+
+def _merged(
+    args: argparse.Namespace,
+    sources: list[list[Event]],
+    code: ExitCode,
+    notes: tuple[str, ...],
+) -> Result[Outcome, CommandError]:
+    """Return the merged events; the last note is for a timeline without any."""
+    events = merge_events(sources, args.request_id)
     if args.svg:
         written = _write(args.svg, timeline_svg(events))
         if written.is_error():
             return Error(written.error)
     lines = [event_line(event) for event in events]
-    lines += [f"not reached: {error}" for error in answers.failed]
-    code = exit_code(answers)
+    lines += notes[:-1]
     if not events and code is ExitCode.DONE:
-        lines.append("no node holds such an event; nodes keep the most recent ones")
+        lines.append(notes[-1])
         code = ExitCode.NOT_FOUND
     document = {"events": [event.to_document() for event in events]}
     return Ok(Outcome(code, tuple(lines), document))
@@ -58,9 +86,20 @@
     return f"{time:%Y-%m-%d %H:%M:%S}.{stamp[0] % 1000:03d}"
 
 
-def _events(answer: EventsAnswer) -> list[Event]:
+def _documents(text: str) -> Iterator[dict[str, object]]:
+    for line in text.splitlines():
+        try:
+            document = json.loads(line)
+        except ValueError:
+            # Other programs may write to the same file.
+            continue
+        if isinstance(document, dict):
+            yield document
+
+
+def _events(documents: Iterable[dict[str, object]]) -> list[Event]:
     found = []
-    for document in answer.events:
+    for document in documents:
         try:
             found.append(Event.from_document(document))
         except ValueError:
--- a/packages/ctl/cicadapassctl/parser.py
+++ b/packages/ctl/cicadapassctl/parser.py
@@ -180,6 +180,12 @@
     text = "Merge the recent events of all nodes, oldest first."
     parser = _command(commands, "timeline", text)
     parser.add_argument("--request-id", metavar="ID", help="events of one request only")
+    parser.add_argument(
+        "--log",
+        metavar="FILE",
+        nargs="+",
+        help="read these log files instead of asking the nodes",
+    )
     parser.add_argument("--svg", metavar="FILE", help="also draw them into this file")
 
 
--- a/packages/gateway/cicadapass_gateway/movers.py
+++ b/packages/gateway/cicadapass_gateway/movers.py
@@ -90,9 +90,11 @@
         now_s = self._state.clock()
         view = self._state.book.view
         marks = set(view.leaving_marks)
+        # Some engines leave without a word: their entry goes while they still serve.
+        listed = {(each.upstream_id, each.started_ms) for each in view.records.values()}
         for run in self._runs:
             key = (run.record.upstream_id, run.record.started_ms)
-            if key not in marks or run.mover is not None:
+            if run.mover is not None or (key in listed and key not in marks):
                 continue
             leaving = self._leaving.get(key)
             if leaving is None:
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -166,6 +166,24 @@
         self.assertEqual("http://n2", outcome.document["failed"][0]["address"])
         self.assertIn("grabhandle/dc-a", outcome.lines[1])
 
+    def test_timeline_of_log_files(self):
+        """The logs of gateways, which answer no operators, were read by hand."""
+        lines = (
+            {"event": 812, "node": "n2", "stamp": [20, 0], "request_id": "r1"},
+            {"event": 811, "node": "n1", "stamp": [10, 0], "request_id": "r1"},
+            {"event": 812, "node": "n1", "stamp": [5, 0], "request_id": "r2"},
+        )
+        paths = [self.folder / "a.log", self.folder / "b.log"]
+        paths[0].write_text("no event\n[1]\n" + json.dumps(lines[0]) + "\n")
+        paths[1].write_text("\n".join(map(json.dumps, lines[1:])))
+        words = ("timeline", "--log", *map(str, paths), "--request-id")
+        found = self.run_command(*words, "r1")
+        self.assertEqual(ExitCode.DONE, found.exit_code)
+        self.assertEqual([811, 812], [e["event"] for e in found.document["events"]])
+        self.assertEqual(ExitCode.NOT_FOUND, self.run_command(*words, "r3").exit_code)
+        missing = self.run_command("timeline", "--log", str(self.folder / "none"))
+        self.assertIn("name the nodes' log files", missing.lines[0])
+
     def test_timeline_of_a_request(self):
         """Events of both nodes must appear in one order, as text and drawing."""
         for node in self.world.nodes.values():
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -418,7 +418,7 @@
 class MoveTest(LoopTest):
     """Play the reclaim of an engine that runs a stream."""
 
-    def play(self, accept_copy):
+    def play(self, accept_copy, *, announced=True):
         async def scenario():
             stopped = asyncio.Event()
             moves = []
@@ -457,7 +457,8 @@
             leaving_record = replace(
                 source.record(), leaving=True, sequence=2, leaves_in_s=1.0
             )
-            view.replace([leaving_record, target.record()], world.state.clock())
+            listed = [leaving_record] if announced else []
+            view.replace([*listed, target.record()], world.state.clock())
             world.state.book.refresh()
             reply = await caller.reply()
             return reply, moves, target
@@ -473,6 +474,12 @@
         headers = dict(target.requests[0][0].headers)
         self.assertEqual(b"copy-1", headers[b"y-copy"])
 
+    def test_a_run_is_moved_from_an_engine_that_leaves_without_a_word(self):
+        """Streams were cut whose engine's entry had gone two seconds before."""
+        reply, moves, _ = self.play(accept_copy=True, announced=False)
+        self.assertTrue(reply.complete)
+        self.assertEqual([("u0", "r1", False), ("u0", "r1", True)], moves)
+
     def test_a_copy_that_is_refused_does_not_run_again(self):
         """A moved stream whose copy was refused ran again from the beginning."""
         reply, _, target = self.play(accept_copy=False)
