--- a/packages/decisions/cicadapass_decisions/registrynews.py
+++ b/packages/decisions/cicadapass_decisions/registrynews.py
@@ -23,8 +23,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Change:
-    """Hold a changed entry; an empty value removes its key."""
+class Document:
+    """Hold one record of a registry; an empty value removes its key."""
 
     key: str
     value: bytes
@@ -45,9 +45,9 @@
     """Keep the changes that this node still has to tell, the oldest first."""
 
     def __init__(self) -> None:
-        self._rounds: dict[Change, int] = {}
+        self._rounds: dict[Document, int] = {}
 
-    def add(self, changes: Iterable[Change]) -> None:
+    def add(self, changes: Iterable[Document]) -> None:
         """Add changes that are new to this node."""
         for change in changes:
             if len(change.value) <= MAX_ENTRY_BYTES:
@@ -55,7 +55,7 @@
         while len(self._rounds) > MAX_NEWS:
             del self._rounds[next(iter(self._rounds))]
 
-    def take(self) -> list[Change]:
+    def take(self) -> list[Document]:
         """Return the changes for the next datagram."""
         told = list(self._rounds)[:NEWS_AT_ONCE]
         for change in told:
--- a/packages/gateway/cicadapass_gateway/dialect.py
+++ b/packages/gateway/cicadapass_gateway/dialect.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from cicadapass_decisions.passthrough import Configuration, Prompt, UpstreamRecord
+from cicadapass_decisions.registrynews import Document
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -64,15 +65,6 @@
     encode_refusal: Callable[[str | None, float | None], Headers]
 
 
-@dataclass(frozen=True, slots=True)
-class Document:
-    """Hold one newest record of a registry and its offset."""
-
-    key: str
-    value: bytes
-    offset: int
-
-
 @dataclass(frozen=True, slots=True)
 class Listing:
     """Hold the newest record of each key, and the offset to read on from."""
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -19,12 +19,13 @@
     should_renew,
     taken_over,
 )
+from cicadapass_decisions.registrynews import Document
 from cicadapass_decisions.usagereports import (
     WindowTimes,
     kept_reports,
     windows_to_fix,
 )
-from cicadapass_gateway.dialect import Adapter, Document, EngineOrder
+from cicadapass_gateway.dialect import Adapter, EngineOrder
 from cicadapass_gateway.exceptions import (
     GatewayError,
     OffsetConflict,
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -12,7 +12,7 @@
 import cbor2
 
 from cicadapass_decisions.peerclock import PeerClock
-from cicadapass_decisions.registrynews import Change
+from cicadapass_decisions.registrynews import Document
 from cicadapass_gateway.misc import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
@@ -84,10 +84,10 @@
     def answered_ago_s(self) -> float:
         """Return how long ago the registry answered this node."""
 
-    def news_to_tell(self) -> list[Change]:
+    def news_to_tell(self) -> list[Document]:
         """Return the changed entries for the next datagram."""
 
-    def take_news(self, changes: Iterable[Change]) -> None:
+    def take_news(self, changes: Iterable[Document]) -> None:
         """Take in changed entries that a peer tells."""
 
 
@@ -263,7 +263,7 @@
         registry_ok, answered_ago_s = message["registry"]
         known.registry_ok = bool(registry_ok)
         known.answered_s = now_s - float(answered_ago_s)
-        changes = [Change(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
+        changes = [Document(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
         self._parts.registry().take_news(changes)
         key = address.key
         self._parts.clock.hear(key, float(message["wall"]), now_s)
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -7,8 +7,8 @@
 import cbor2
 
 from cicadapass_decisions.passthrough import UpstreamRecord
-from cicadapass_decisions.registrynews import Change, NewsBoard, read_interval_s
-from cicadapass_gateway.dialect import Adapter, Document, Listing
+from cicadapass_decisions.registrynews import Document, NewsBoard, read_interval_s
+from cicadapass_gateway.dialect import Adapter, Listing
 from cicadapass_gateway.exceptions import (
     AnswerBroken,
     ConnectFailed,
@@ -101,19 +101,18 @@
         """Return the offset up to which the upstreams' entries are known."""
         return self._upstreams_end
 
-    def news_to_tell(self) -> list[Change]:
+    def news_to_tell(self) -> list[Document]:
         """Return the changed entries for the next datagram."""
         return self._news.take()
 
-    def take_news(self, changes: Iterable[Change]) -> None:
+    def take_news(self, changes: Iterable[Document]) -> None:
         """Take in changed entries that a peer tells."""
         if self._upstreams_end < 0:
             # A few changes alone would look like all the upstreams there are.
             return
         now_s = self._state.clock()
-        documents = [Document(each.key, each.value, each.offset) for each in changes]
         self._watch_for_outage(now_s)
-        if self._apply(documents, "peer"):
+        if self._apply(changes, "peer"):
             self._refresh()
 
     async def follow_configuration(self) -> None:
@@ -321,7 +320,7 @@
                 continue
             self._offsets[document.key] = document.offset
             if self._apply_one(document, source):
-                news.append(Change(document.key, document.value, document.offset))
+                news.append(document)
         self._news.add(news)
         return bool(news)
 
--- a/tests/decisions/test_registrynews.py
+++ b/tests/decisions/test_registrynews.py
@@ -10,7 +10,7 @@
     NEWS_AT_ONCE,
     NEWS_ROUNDS,
     READERS,
-    Change,
+    Document,
     NewsBoard,
     read_interval_s,
 )
@@ -21,7 +21,7 @@
 def spread(nodes, fan_out, rng):
     """Return the rounds until all of these nodes know a change."""
     boards = [NewsBoard() for _ in range(nodes)]
-    change = Change("u", b"entry", 1)
+    change = Document("u", b"entry", 1)
     known = {0}
     boards[0].add([change])
     for round_number in range(1, 100):
@@ -65,7 +65,7 @@
     def test_a_wave_of_changes_is_told_in_parts(self):
         """A wave of reclaims made datagrams that the network does not carry."""
         board = NewsBoard()
-        changes = [Change(f"u{n}", b"", n) for n in range(25)]
+        changes = [Document(f"u{n}", b"", n) for n in range(25)]
         board.add(changes)
         told = []
         while part := board.take():
@@ -79,8 +79,8 @@
     def test_what_is_kept_is_bounded(self):
         """An alternating registry filled the memory of a node."""
         board = NewsBoard()
-        board.add(Change("u", b"", n) for n in range(3 * MAX_NEWS))
-        board.add([Change("u", b"x" * (MAX_ENTRY_BYTES + 1), 9999)])
+        board.add(Document("u", b"", n) for n in range(3 * MAX_NEWS))
+        board.add([Document("u", b"x" * (MAX_ENTRY_BYTES + 1), 9999)])
         told = 0
         while part := board.take():
             told += len(part)
--- a/tests/gateway/kit.py
+++ b/tests/gateway/kit.py
@@ -20,12 +20,12 @@
     WeightedService,
     Workspace,
 )
+from cicadapass_decisions.registrynews import Document
 from cicadapass_gateway.dialect import (
     AnswerFacts,
     Call,
     Changes,
     Dialect,
-    Document,
     Listing,
 )
 from cicadapass_gateway.exceptions import (
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -6,7 +6,7 @@
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
-from cicadapass_decisions.registrynews import Change, NewsBoard
+from cicadapass_decisions.registrynews import Document, NewsBoard
 from cicadapass_gateway.peers import FORGET_S, NodeAddress, PeerParts, Peers
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.kit import HOST, LoopTest, configuration, make_state, until
@@ -133,7 +133,7 @@
 
         async def scenario():
             first, second = await self.pair()
-            change = Change("u2", b"entry", 7)
+            change = Document("u2", b"entry", 7)
             second.registry.board.add([change])
             second.registry.answered_ago_s = 5.0
             second.peers.send_state()
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from cicadapass_decisions.passthrough import CallerLimits, UpstreamRecord
-from cicadapass_decisions.registrynews import NEWS_ROUNDS, Change
+from cicadapass_decisions.registrynews import NEWS_ROUNDS, Document
 from cicadapass_gateway.dialect import Adapter, Codec, Topics
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import HttpServer, ServerState
@@ -212,10 +212,10 @@
         async def scenario():
             node = await self.node("u1")
             end = node.sync.upstreams_end
-            node.sync.take_news([Change("u1", entry(2, leaving=True), end)])
-            node.sync.take_news([Change("u2", entry(1), end + 1)])
+            node.sync.take_news([Document("u1", entry(2, leaving=True), end)])
+            node.sync.take_news([Document("u2", entry(1), end + 1)])
             self.assertEqual({"u2"}, node.usable)
-            node.sync.take_news([Change("u2", b"", end + 2)])
+            node.sync.take_news([Document("u2", b"", end + 2)])
             self.assertEqual(set(), node.usable)
 
         self.run_loop(scenario())
@@ -226,8 +226,8 @@
         async def scenario():
             node = await self.node("u1")
             end = node.sync.upstreams_end
-            node.sync.take_news([Change("u1", entry(4), end + 3)])
-            node.sync.take_news([Change("u1", b"", end + 2)])
+            node.sync.take_news([Document("u1", entry(4), end + 3)])
+            node.sync.take_news([Document("u1", b"", end + 2)])
             self.assertEqual({"u1"}, node.usable)
 
         self.run_loop(scenario())
@@ -237,7 +237,7 @@
 
         async def scenario():
             node = await self.node("u1")
-            change = Change("u1", b"", node.sync.upstreams_end)
+            change = Document("u1", b"", node.sync.upstreams_end)
             node.sync.take_news([change])
             told = [node.sync.news_to_tell() for _ in range(NEWS_ROUNDS)]
             self.assertEqual([[change]] * NEWS_ROUNDS, told)
@@ -251,7 +251,7 @@
 
         async def scenario():
             node = await self.node("u1")
-            change = Change("u1", entry(2), node.sync.upstreams_end)
+            change = Document("u1", entry(2), node.sync.upstreams_end)
             node.sync.take_news([change])
             self.assertEqual([], node.sync.news_to_tell())
 
@@ -263,7 +263,7 @@
         async def scenario():
             node = await self.node("u1")
             end = node.sync.upstreams_end
-            node.sync.take_news([Change("u2", entry(1), end)])
+            node.sync.take_news([Document("u2", entry(1), end)])
             self.registry.first["upstreams"] = end
             # The registry's own log still ends before the change.
             node.sync._replace(await self.registry.newest("upstreams"))
@@ -292,7 +292,7 @@
             down = MemoryRegistry()
             down.down = True
             node = Node(down)
-            node.sync.take_news([Change("u1", entry(1), 5)])
+            node.sync.take_news([Document("u1", entry(1), 5)])
             self.assertFalse(node.state.upstreams_known)
 
         self.run_loop(scenario())
@@ -304,7 +304,7 @@
             node = await self.node("u1")
             self.registry.down = True
             node.sync._link.answered_s -= UNANSWERED_S + 0.1
-            node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
+            node.sync.take_news([Document("u1", b"", node.sync.upstreams_end)])
             self.assertEqual({"u1"}, node.usable)
 
         self.run_loop(scenario())
@@ -322,7 +322,7 @@
             for number in range(3):
                 node.peers.members[f"p{number}"].answered_s = now_s - 30.0
             node.peers.members["p9"].answered_s = now_s - 0.3
-            node.sync.take_news([Change("u1", b"", node.sync.upstreams_end)])
+            node.sync.take_news([Document("u1", b"", node.sync.upstreams_end)])
             self.assertEqual(set(), node.usable)
 
         self.run_loop(scenario())
