--- a/tests/decisions/test_evacuation.py
+++ b/tests/decisions/test_evacuation.py
@@ -19,6 +19,7 @@
 def candidate(name, **changes):
     """Return an idle engine of the same data centre."""
     values = {
+        "data_centre": "dc-a",
         "local": True,
         "slots": 64,
         "running": 0,
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -14,12 +15,22 @@
 from tests.platform.test_documents import DOCUMENT, ENTRY, ROUTE
 from tests.run import ROOT
 
+# Below the ports that the kernel gives to outgoing connections, one of which could
+# take a port between its choice and its use by a node.
+PORTS = range(10_000, 32_000)
+
 
 def free_port():
-    """Return a port that the kernel says is free."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free port that no outgoing connection takes meanwhile."""
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                # Something listens there.
+                continue
+            return port
 
 
 async def slow_stream(answer):
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -114,8 +114,13 @@
         """Wait until the readiness address says so."""
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not await self.is_ready():
+                if not self.running:
+                    raise RuntimeError(f"{self.name} ended: {self._log_tail()}")
                 await asyncio.sleep(0.05)
 
+    def _log_tail(self):
+        return (self._folder / f"{self.name}.log").read_text()[-500:]
+
     async def is_ready(self):
         """Return whether the readiness address says so."""
         try:
