Give up idle engines under a holder that saw no start

Cause: the wait for engines that still announce themselves began only once on-demand engines had been seen before any demand. A holder that took over amid traffic never had such a moment and kept all engines after the traffic had ended.

The test fails without the change.

--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -161,7 +161,8 @@
         since_s = self._lowered_s.setdefault(key, now_s)
         service = key.partition("|")[0]
         if self._demand(service) < IDLE_TOKENS_PER_S:
-            return now_s - self._grown_s.get(service, now_s) >= SETTLE_S
+            grown_s = self._grown_s.get(service, self._first_s[service])
+            return now_s - grown_s >= SETTLE_S
         return now_s - since_s >= SHRINK_AFTER_S
 
     def _needed(self, service: Service, places: int, now_s: float) -> Need:
--- a/tests/gateway/test_fleetplanner.py
+++ b/tests/gateway/test_fleetplanner.py
@@ -104,6 +104,29 @@
 
         self.run_loop(scenario())
 
+    def test_a_holder_that_saw_no_start_gives_up_idle_engines(self):
+        """A holder that took over amid traffic kept all engines once it had ended."""
+
+        async def scenario():
+            planner = Planner()
+            planner.list_engines(8)
+            planner.demand = 20_000.0
+            planner.plan()
+            planner.demand = 0.0
+            planner.now_s += PEAK_S + SETTLE_S
+            planner.plan()
+            planner.now_s += PEAK_S + SETTLE_S
+            planner.plan()
+            ordered = [
+                count
+                for key, count in planner.record.orders.items()
+                if key.endswith("on-demand")
+            ]
+            self.assertEqual(3, len(ordered))
+            self.assertLess(max(ordered), 8)
+
+        self.run_loop(scenario())
+
     def test_engines_are_given_up_once_all_are_known(self):
         """On-demand engines were kept beside the cheaper ones that replace them."""
 
