--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -1,6 +1,8 @@
 """Tell peers this node's figures by datagrams and keep theirs.
 
-Each datagram holds a whole state, so a lost or doubled one changes nothing.
+A node's figures come as a whole state, so a lost or doubled datagram changes nothing.
+Changed entries of the registry and long prompts are told besides; a lost one of these
+is made up for by the node's next read and by the next figures.
 """
 
 import asyncio
