Log by which view of the registry an upstream was chosen

The lines could not tell a change that reached a node late from a removed entry that the node kept in use: no line said that an outage of the registry was assumed, that a leaving mark was applied, or how old the view was.

Lines 811 and 812 now carry the offset and age of the entry, whether it was held after its removal, and the end and age of the view. 831 is one line for each applied batch, 833 an assumed outage, 834 marks from a peer, 835 changes sent.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -197,11 +197,13 @@
 810 info call_rejected(request_id, status, reason, version, workspace)
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
-detail, sends)
-    An attempt at an upstream returned no answer to forward.
+detail, sends, entry_offset, entry_age_ms, held, view_end, view_age_ms)
+    An attempt at an upstream returned no answer to forward. The last five fields \
+describe the view of the registry by which the upstream was chosen.
 812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
-waited_ms, first_ms, total_ms)
-    A request that was sent to an upstream or queued has ended.
+waited_ms, first_ms, total_ms, entry_offset, entry_age_ms, held, view_end, view_age_ms)
+    A request that was sent to an upstream or queued has ended. The last five fields \
+describe the view of the registry by which the last upstream was chosen.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
 814 info run_moved(request_id, upstream, target, delivered, outcome)
@@ -212,10 +214,16 @@
     A message from a peer cannot be decoded.
 821 warning peer_state_failed(peer, reason)
     A peer did not return its state.
-831 info upstream_changed(upstream, change, offset, source)
-    An upstream's entry was added, removed or marked as leaving.
+831 info upstreams_changed(source, peer, view_end, ready, leaving, removed)
+    Entries of upstreams changed; each is named with the offset of its record.
 832 warning upstream_entry_skipped(upstream, offset)
     An upstream's entry cannot be decoded and is ignored.
+833 warning registry_outage_assumed(response_age_ms)
+    No node is known to have read the registry; removed upstreams stay in use for now.
+834 info leaving_marks_applied(peer, upstreams)
+    A peer reported that these upstreams are leaving.
+835 info changes_sent(first_offset, last_offset, entries, recipients)
+    Changed entries were sent to these peers.
 840 info duties_taken(fence, previous, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -18,6 +18,24 @@
     expires_at_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ChoiceBasis:
+    """Describe the entry and the view by which an upstream was chosen."""
+
+    entry_offset: int
+    # Time since this node applied the entry.
+    entry_age_s: float
+    # The entry was removed and is kept during an outage of the registry.
+    held: bool
+    # Offset of the first registry record that the view does not cover.
+    view_end: int
+    # Time since the last read of the registry that the view rests on.
+    view_age_s: float
+
+
+NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
+
+
 class UpstreamView:
     """Track the upstreams of the registry and which of them are leaving.
 
@@ -27,7 +45,13 @@
     """
 
     def __init__(self) -> None:
+        # The registry offset of the next record to read; -1 before the first listing.
+        self.end_offset = -1
+        # Start of the last read of the registry by this node.
+        self.read_s = -1e9
         self._records: dict[str, UpstreamRecord] = {}
+        # Offset of each entry, and when it was applied.
+        self._versions: dict[str, tuple[int, float]] = {}
         self._lapsed: dict[str, LapsedRecord] = {}
         self._leaving: dict[tuple[str, int], float] = {}
         self._unsettled_until_s = 0.0
@@ -43,16 +67,30 @@
         """Return the marked starts as pairs of upstream id and start time."""
         return tuple(self._leaving)
 
-    def record_registry_failure(self, now_s: float) -> None:
-        """Record that a call to the registry failed."""
+    def record_registry_failure(self, now_s: float) -> bool:
+        """Record that a call to the registry failed; return whether it is the first."""
+        is_first = now_s >= self._unsettled_until_s
         self._unsettled_until_s = max(self._unsettled_until_s, now_s + REAPPEAR_S)
-
-    def apply(self, record: UpstreamRecord, now_s: float) -> bool:
+        return is_first
+
+    def basis(self, upstream_id: str, now_s: float) -> ChoiceBasis:
+        """Return what a choice of an upstream is based on."""
+        offset, applied_s = self._versions.get(upstream_id, (-1, now_s))
+        return ChoiceBasis(
+            entry_offset=offset,
+            entry_age_s=now_s - applied_s,
+            held=upstream_id in self._lapsed,
+            view_end=self.end_offset,
+            view_age_s=now_s - self.read_s,
+        )
+
+    def apply(self, record: UpstreamRecord, now_s: float, offset: int = -1) -> bool:
         """Apply an entry unless it is outdated; return whether its content changed."""
         current = self._records.get(record.upstream_id)
         if current is not None and _is_older(record, current):
             return False
         self._records[record.upstream_id] = record
+        self._versions[record.upstream_id] = (offset, now_s)
         self._lapsed.pop(record.upstream_id, None)
         if record.leaving:
             self.mark_leaving(record.upstream_id, record.started_ms, now_s)
@@ -65,6 +103,8 @@
             return False
         if now_s < self._unsettled_until_s:
             self._lapsed[upstream_id] = LapsedRecord(record, self._unsettled_until_s)
+        else:
+            del self._versions[upstream_id]
         return True
 
     def replace(self, records: Iterable[UpstreamRecord], now_s: float) -> None:
@@ -82,6 +122,7 @@
         ]
         for key in expired:
             del self._lapsed[key]
+            self._versions.pop(key, None)
         return bool(expired)
 
     def mark_leaving(self, upstream_id: str, started_ms: int, now_s: float) -> bool:
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -64,6 +64,8 @@
     registry_ok: bool = False
     # When it last got a response from the registry.
     last_response_s: float = -1e9
+    # The interval in which it sent its last datagram to this node.
+    interval: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +91,7 @@
     def pending_changes(self) -> list[Document]:
         """Return the changed entries to send with the next datagram."""
 
-    def apply_changes(self, changes: Iterable[Document]) -> None:
+    def apply_changes(self, changes: Iterable[Document], peer: str) -> None:
         """Apply changed entries from a peer; older ones are ignored."""
 
 
@@ -130,6 +132,8 @@
         # one interval.
         self._next_recipient = dependencies.state.rng.randrange(1 << 16)
         self._started_s = dependencies.state.clock()
+        # Counts the intervals, so that receivers notice missed datagrams.
+        self._interval = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -178,9 +182,13 @@
         state = self._dependencies.state
         state.rate_limiter.set_round(self.round_s)
         state.node_count = len(self.members) + 1
-        data = cbor2.dumps(self._encode(now_s))
-        for address in self._next_addresses():
+        self._interval += 1
+        message = self._encode(now_s)
+        data = cbor2.dumps(message)
+        addresses = self._next_addresses()
+        for address in addresses:
             self._transport.sendto(data, address)
+        self._log_changes(message["news"], addresses)
 
     def report_send(self, upstream_id: str, tokens: int) -> None:
         """Report a prompt just sent to an upstream to the nodes of this data centre."""
@@ -193,6 +201,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Apply a datagram of a peer; a malformed one is logged and ignored."""
         if len(data) > MAX_DATAGRAM_BYTES:
+            self._dependencies.state.metrics.count("datagrams_dropped", "oversized")
             return
         try:
             message = decode_cbor(data)
@@ -239,6 +248,7 @@
         local_address, registry = self.local_address, self._dependencies.registry()
         return {
             "node": encode_address(local_address),
+            "interval": self._interval,
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
@@ -274,12 +284,13 @@
         if member is None or member.address != address:
             member = self.members[address.name] = Member(address, now_s)
         member.last_received_s = self.last_received_s = now_s
+        self._count_missed(member, int(message.get("interval", 0)))
         member.version = int(message["version"])
         registry_ok, response_age_s = message["registry"]
         member.registry_ok = bool(registry_ok)
         member.last_response_s = now_s - float(response_age_s)
         changes = [Document(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
-        self._dependencies.registry().apply_changes(changes)
+        self._dependencies.registry().apply_changes(changes, address.name)
         key = address.key
         self._dependencies.clock.record_reading(key, float(message["wall"]), now_s)
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
@@ -288,7 +299,7 @@
         state.rate_limiter.record_peer_totals(key, limits, float(message["up"]), now_s)
         self._dependencies.usage.merge(key, message["usage"])
         self._dependencies.demand[address.name] = dict(message["demand"])
-        self._apply_marks(message["leaving"], now_s)
+        self._apply_marks(message["leaving"], address.name, now_s)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -303,14 +314,41 @@
                 name, str(upstream_id), int(tokens), state.clock()
             )
 
-    def _apply_marks(self, rows: list[list[Any]], now_s: float) -> None:
-        view = self._dependencies.state.upstreams.view
+    def _apply_marks(self, rows: list[list[Any]], peer: str, now_s: float) -> None:
+        state = self._dependencies.state
         added = [
-            view.mark_leaving(str(upstream_id), int(started_ms), now_s)
+            str(upstream_id)
             for upstream_id, started_ms in rows
+            if state.upstreams.view.mark_leaving(
+                str(upstream_id), int(started_ms), now_s
+            )
         ]
-        if any(added):
-            self._dependencies.state.upstreams.refresh()
+        if added:
+            state.events.emit(834, peer=peer, upstreams=added)
+            state.upstreams.refresh()
+
+    def _count_missed(self, member: Member, interval: int) -> None:
+        """Count the datagrams that a member sent to this node and that were lost."""
+        metrics = self._dependencies.state.metrics
+        metrics.count("datagrams_received")
+        if member.interval is not None and interval > member.interval:
+            rounds = (interval - member.interval) * SEND_INTERVAL_S / self.round_s
+            if round(rounds) > 1:
+                metrics.count("datagrams_missed", amount=round(rounds) - 1)
+        member.interval = interval
+
+    def _log_changes(
+        self, rows: list[list[Any]], addresses: list[tuple[str, int]]
+    ) -> None:
+        if rows:
+            offsets = [offset for _, _, offset in rows]
+            self._dependencies.state.events.emit(
+                835,
+                first_offset=min(offsets),
+                last_offset=max(offsets),
+                entries=len(rows),
+                recipients=[host for host, _ in addresses],
+            )
 
     def _remove_silent_members(self, now_s: float) -> None:
         for name, member in list(self.members.items()):
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -113,14 +113,14 @@
         """Return the changed entries to send with the next datagram."""
         return self._pending.take()
 
-    def apply_changes(self, changes: Iterable[Document]) -> None:
+    def apply_changes(self, changes: Iterable[Document], peer: str) -> None:
         """Apply changed entries from a peer; older ones are ignored."""
         if self._upstreams_end < 0:
             # Without a listing, a few changes would look like the whole fleet.
             return
         now_s = self._state.clock()
         self._check_for_outage(now_s)
-        if self._apply(changes, "peer"):
+        if self._apply(changes, "peer", peer):
             self._refresh()
 
     async def follow_configuration(self) -> None:
@@ -152,6 +152,7 @@
         """Read the changes of the upstreams until cancelled."""
         topic = self._adapter.topics.upstreams
         while True:
+            read_s = self._state.clock()
             try:
                 if self._upstreams_end < 0 or self._interval_s > MAX_CHANGES_INTERVAL_S:
                     self._apply_listing(await self._adapter.registry.newest(topic))
@@ -162,6 +163,8 @@
                     self._upstreams_end = changes.end_offset
                     if self._apply(changes.documents, "registry"):
                         self._refresh()
+                self._state.upstreams.view.read_s = read_s
+                self._state.upstreams.view.end_offset = self._upstreams_end
                 self._record_response()
             except HistoryExpired:
                 self._upstreams_end = -1
@@ -251,7 +254,7 @@
         try:
             async with asyncio.timeout(PEER_FETCH_TIMEOUT_S):
                 data = await self._fetch_state(address)
-            self._apply_peer_state(decode_cbor(data))
+            self._apply_peer_state(decode_cbor(data), address.name)
         except (TimeoutError, AnswerBroken, ConnectFailed) as error:
             self._state.events.emit(821, peer=address.name, reason=repr(error))
         except (KeyError, TypeError, ValueError) as error:
@@ -269,7 +272,7 @@
         finally:
             channel.abort()
 
-    def _apply_peer_state(self, peer_state: dict[str, object]) -> None:
+    def _apply_peer_state(self, peer_state: dict[str, object], peer: str) -> None:
         raw = peer_state["configuration"]
         if isinstance(raw, bytes) and raw:
             self._adopt(raw, "peer")
@@ -278,7 +281,7 @@
             return
         if end > self._upstreams_end:
             documents = tuple(Document(str(k), bytes(v), int(o)) for k, v, o in rows)
-            self._apply_listing(Listing(documents, end))
+            self._apply_listing(Listing(documents, end), peer)
 
     def _adopt_documents(self, documents: tuple[Document, ...]) -> None:
         self._record_response()
@@ -302,7 +305,7 @@
             )
             self._state.queue.dispatch()
 
-    def _apply_listing(self, listing: Listing) -> None:
+    def _apply_listing(self, listing: Listing, peer: str = "") -> None:
         """Apply a complete listing; newer changes from peers are kept."""
         is_first = self._upstreams_end < 0
         listed = {each.key for each in listing.documents}
@@ -311,7 +314,7 @@
             for key in self._documents
             if key not in listed
         ]
-        changed = self._apply([*listing.documents, *removed], "listing")
+        changed = self._apply([*listing.documents, *removed], "listing", peer)
         self._upstreams_end = listing.end_offset
         self._offsets = {
             key: offset
@@ -324,19 +327,35 @@
         if changed or is_first:
             self._refresh()
 
-    def _apply(self, documents: Iterable[Document], source: str) -> bool:
+    def _apply(
+        self, documents: Iterable[Document], source: str, peer: str = ""
+    ) -> bool:
         """Apply changed entries; return whether the usable upstreams changed."""
         changed = []
+        names: dict[str, list[str]] = {"ready": [], "leaving": [], "removed": []}
         for document in documents:
             if document.offset <= self._offsets.get(document.key, -1):
                 continue
             self._offsets[document.key] = document.offset
-            if self._apply_document(document, source):
+            change = self._apply_document(document)
+            if change is not None:
                 changed.append(document)
-        self._pending.add(changed)
+                names[change].append(f"{document.key}@{document.offset}")
+        if changed:
+            self._pending.add(changed)
+            self._state.events.emit(
+                831,
+                source=source,
+                peer=peer,
+                view_end=self._upstreams_end,
+                ready=names["ready"],
+                leaving=names["leaving"],
+                removed=names["removed"],
+            )
         return bool(changed)
 
-    def _apply_document(self, document: Document, source: str) -> bool:
+    def _apply_document(self, document: Document) -> str | None:
+        """Apply an entry; return the change, or None if its content is the same."""
         now_s = self._state.clock()
         view = self._state.upstreams.view
         if document.value:
@@ -347,17 +366,9 @@
         if record is None:
             changed, change = view.remove(document.key, now_s), "removed"
         else:
-            changed = view.apply(record, now_s)
+            changed = view.apply(record, now_s, document.offset)
             change = "leaving" if record.leaving else "ready"
-        if changed:
-            self._state.events.emit(
-                831,
-                upstream=document.key,
-                change=change,
-                offset=document.offset,
-                source=source,
-            )
-        return changed
+        return change if changed else None
 
     def _decode(self, document: Document) -> UpstreamRecord | None:
         record = self._adapter.document_codec.decode_upstream(
@@ -395,8 +406,12 @@
         """Record an outage of the registry; entries that expire now may be restored."""
         responses_s = [self._registry_status.last_response_s]
         responses_s += [each.last_response_s for each in self._peers.members.values()]
-        if now_s - max(responses_s) > OUTAGE_AFTER_S:
-            self._state.upstreams.view.record_registry_failure(now_s)
+        age_s = now_s - max(responses_s)
+        if (
+            age_s > OUTAGE_AFTER_S
+            and self._state.upstreams.view.record_registry_failure(now_s)
+        ):
+            self._state.events.emit(833, response_age_ms=round(1000 * age_s))
 
     def _record_response(self) -> None:
         now_s = self._state.clock()
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -223,6 +223,7 @@
         """Send the request to an upstream once."""
         record = reservation.record
         request.upstream_id = record.upstream_id
+        request.basis = reservation.basis
         request.tries += 1
         succeeded: bool | None = None
         finished = False
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from cicadapass_decisions.routetable import Match
+from cicadapass_decisions.upstreamview import NOT_CHOSEN, ChoiceBasis
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import MigratedRun
@@ -26,6 +27,7 @@
     first_event_s: float | None = None
     usage_counted: bool = False
     upstream_id: str = ""
+    basis: ChoiceBasis = NOT_CHOSEN
     migrated: MigratedRun | None = None
     waited_s: float = 0.0
 
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -33,6 +33,7 @@
         """Log an attempt that delivered no response."""
         if result.outcome is AttemptOutcome.DELIVERED:
             return
+        basis = reservation.basis
         self._state.metrics.count("attempts_failed", result.outcome.value)
         self._state.events.emit(
             811,
@@ -42,6 +43,11 @@
             outcome=result.outcome.value,
             detail=result.detail,
             sends=request.sends,
+            entry_offset=basis.entry_offset,
+            entry_age_ms=_ms(basis.entry_age_s),
+            held=basis.held,
+            view_end=basis.view_end,
+            view_age_ms=_ms(basis.view_age_s),
         )
 
     def log_end(self, request: RequestContext, status: int, outcome: str) -> None:
@@ -49,7 +55,7 @@
         now_s = self._state.clock()
         arrived_s = request.exchange.arrived_s
         first_s = request.first_event_s
-        route = request.match.route
+        route, basis = request.match.route, request.basis
         self._state.metrics.count("requests", outcome)
         self._state.metrics.observe("request", route.kind.value, now_s - arrived_s)
         if first_s is not None:
@@ -65,7 +71,16 @@
             version=request.match.version,
             upstream=request.upstream_id,
             sends=request.sends,
-            waited_ms=round(1000 * request.waited_s),
-            first_ms=None if first_s is None else round(1000 * (first_s - arrived_s)),
-            total_ms=round(1000 * (now_s - arrived_s)),
+            waited_ms=_ms(request.waited_s),
+            first_ms=None if first_s is None else _ms(first_s - arrived_s),
+            total_ms=_ms(now_s - arrived_s),
+            entry_offset=basis.entry_offset,
+            entry_age_ms=_ms(basis.entry_age_s),
+            held=basis.held,
+            view_end=basis.view_end,
+            view_age_ms=_ms(basis.view_age_s),
         )
+
+
+def _ms(seconds: float) -> int:
+    return round(1000 * seconds)
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -12,7 +12,7 @@
     PeerLoad,
     UpstreamMeter,
 )
-from cicadapass_decisions.upstreamview import UpstreamView
+from cicadapass_decisions.upstreamview import ChoiceBasis, UpstreamView
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +22,7 @@
     record: UpstreamRecord
     key: str
     expected_s: float
+    basis: ChoiceBasis
     # Where the upstream may fetch cached segments of the prompt.
     cache_source: UpstreamRecord | None = None
 
@@ -95,7 +96,8 @@
         uncached_tokens = self.meter(record).begin(key, prompt, now_s)
         for listener in self._send_listeners:
             listener(record.upstream_id, uncached_tokens)
-        return Reservation(record, key, expected_s, cache_source)
+        basis = self.view.basis(record.upstream_id, now_s)
+        return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
         """Record the start of the response to a request."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -33,7 +33,7 @@
         """Return the changes to send with the next datagram."""
         return self.pending.take()
 
-    def apply_changes(self, changes):
+    def apply_changes(self, changes, peer):
         """Store the received changes."""
         self.received += changes
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -219,11 +219,11 @@
             node = await self.node("u1")
             end = node.registry_sync.upstreams_end
             node.registry_sync.apply_changes(
-                [Document("u1", entry(2, leaving=True), end)]
+                [Document("u1", entry(2, leaving=True), end)], "p1"
             )
-            node.registry_sync.apply_changes([Document("u2", entry(1), end + 1)])
+            node.registry_sync.apply_changes([Document("u2", entry(1), end + 1)], "p1")
             self.assertEqual({"u2"}, node.usable)
-            node.registry_sync.apply_changes([Document("u2", b"", end + 2)])
+            node.registry_sync.apply_changes([Document("u2", b"", end + 2)], "p1")
             self.assertEqual(set(), node.usable)
 
         self.run_loop(scenario())
@@ -234,8 +234,8 @@
         async def scenario():
             node = await self.node("u1")
             end = node.registry_sync.upstreams_end
-            node.registry_sync.apply_changes([Document("u1", entry(4), end + 3)])
-            node.registry_sync.apply_changes([Document("u1", b"", end + 2)])
+            node.registry_sync.apply_changes([Document("u1", entry(4), end + 3)], "p1")
+            node.registry_sync.apply_changes([Document("u1", b"", end + 2)], "p1")
             self.assertEqual({"u1"}, node.usable)
 
         self.run_loop(scenario())
@@ -246,12 +246,12 @@
         async def scenario():
             node = await self.node("u1")
             change = Document("u1", b"", node.registry_sync.upstreams_end)
-            node.registry_sync.apply_changes([change])
+            node.registry_sync.apply_changes([change], "p1")
             sent = [
                 node.registry_sync.pending_changes() for _ in range(SENDS_PER_CHANGE)
             ]
             self.assertEqual([[change]] * SENDS_PER_CHANGE, sent)
-            node.registry_sync.apply_changes([change])
+            node.registry_sync.apply_changes([change], "p1")
             self.assertEqual([], node.registry_sync.pending_changes())
 
         self.run_loop(scenario())
@@ -262,7 +262,7 @@
         async def scenario():
             node = await self.node("u1")
             change = Document("u1", entry(2), node.registry_sync.upstreams_end)
-            node.registry_sync.apply_changes([change])
+            node.registry_sync.apply_changes([change], "p1")
             self.assertEqual([], node.registry_sync.pending_changes())
 
         self.run_loop(scenario())
@@ -273,7 +273,7 @@
         async def scenario():
             node = await self.node("u1")
             end = node.registry_sync.upstreams_end
-            node.registry_sync.apply_changes([Document("u2", entry(1), end)])
+            node.registry_sync.apply_changes([Document("u2", entry(1), end)], "p1")
             self.registry.first_offsets["upstreams"] = end
             # The registry's own log still ends before the change.
             node.registry_sync._apply_listing(await self.registry.newest("upstreams"))
@@ -304,7 +304,7 @@
             down = MemoryRegistry()
             down.down = True
             node = Node(down)
-            node.registry_sync.apply_changes([Document("u1", entry(1), 5)])
+            node.registry_sync.apply_changes([Document("u1", entry(1), 5)], "p1")
             self.assertFalse(node.state.upstreams_loaded)
 
         self.run_loop(scenario())
@@ -317,7 +317,7 @@
             self.registry.down = True
             node.registry_sync._registry_status.last_response_s -= OUTAGE_AFTER_S + 0.1
             node.registry_sync.apply_changes(
-                [Document("u1", b"", node.registry_sync.upstreams_end)]
+                [Document("u1", b"", node.registry_sync.upstreams_end)], "p1"
             )
             self.assertEqual({"u1"}, node.usable)
 
@@ -337,7 +337,7 @@
                 node.peers.members[f"p{number}"].last_response_s = now_s - 30.0
             node.peers.members["p9"].last_response_s = now_s - 0.3
             node.registry_sync.apply_changes(
-                [Document("u1", b"", node.registry_sync.upstreams_end)]
+                [Document("u1", b"", node.registry_sync.upstreams_end)], "p1"
             )
             self.assertEqual(set(), node.usable)
 
