Know how recent and how complete a node's view of the upstreams is

Callers were sent to upstreams over 3 s after these had left (DRAIN) on deployments of 58 and 80 nodes.

Cause: nodes assumed that their view of the registry was current. Each read the registry every 5 to 21 s and otherwise relied on being told of changes: ten in a datagram, twice each, removals after all other changes of a read. Only entries that say 'leaving' were also told as marks; upstreams that leave without notice are removed. In a wave of 120 changes a removal took 5 s, or was missed until the node's own next read. And a node that had heard of the removal kept the upstream in use for 2.2 s more, because it knew its peers' last responses of the registry only up to a round of datagrams ago (1.2 to 1.6 s) and took an age of 1.2 s for an outage.

Change: a replica of the topic that knows up to which offset it is complete and how old the reads are that confirm it. Datagrams carry both; ages are kept by hops, so that nodes cannot confirm each other without a read. A node that is behind fetches the missing records from a peer; one whose view is older than about a second reads the registry. An outage is assumed when no read confirms the view for two seconds. Marks are only sent where no entry states them.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -219,11 +219,11 @@
 832 warning upstream_entry_skipped(upstream, offset)
     An upstream's entry cannot be decoded and is ignored.
 833 warning registry_outage_assumed(response_age_ms)
-    No node is known to have read the registry; removed upstreams stay in use for now.
+    No node has read the registry recently; removed upstreams stay in use for now.
 834 info leaving_marks_applied(peer, upstreams)
     A peer reported that these upstreams are leaving.
-835 info changes_sent(first_offset, last_offset, entries, recipients)
-    Changed entries were sent to these peers.
+835 info changes_served(peer, start, view_end, entries, complete)
+    A peer fetched the entries of upstreams from this offset on, or all of them.
 840 info duties_taken(fence, previous, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -18,42 +18,20 @@
     expires_at_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class ChoiceBasis:
-    """Describe the entry and the view by which an upstream was chosen."""
-
-    entry_offset: int
-    # Time since this node applied the entry.
-    entry_age_s: float
-    # The entry was removed and is kept during an outage of the registry.
-    held: bool
-    # Offset of the first registry record that the view does not cover.
-    view_end: int
-    # Time since the last read of the registry that the view rests on.
-    view_age_s: float
-
-
-NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
-
-
 class UpstreamView:
     """Track the upstreams of the registry and which of them are leaving.
 
     A leaving mark applies to one start of an upstream and is never cleared. An entry
-    that is removed less than `REAPPEAR_S` after a failed call stays usable until that
-    time has passed.
+    that is removed less than `REAPPEAR_S` after an outage of the registry stays usable
+    until that time has passed.
     """
 
     def __init__(self) -> None:
-        # The registry offset of the next record to read; -1 before the first listing.
-        self.end_offset = -1
-        # Start of the last read of the registry by this node.
-        self.read_s = -1e9
         self._records: dict[str, UpstreamRecord] = {}
-        # Offset of each entry, and when it was applied.
-        self._versions: dict[str, tuple[int, float]] = {}
         self._lapsed: dict[str, LapsedRecord] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        # Upstreams whose newest entry in the registry is an outdated one.
+        self._outdated_entries: set[str] = set()
         self._unsettled_until_s = 0.0
 
     @property
@@ -67,30 +45,35 @@
         """Return the marked starts as pairs of upstream id and start time."""
         return tuple(self._leaving)
 
-    def record_registry_failure(self, now_s: float) -> bool:
-        """Record that a call to the registry failed; return whether it is the first."""
+    @property
+    def unannounced_marks(self) -> list[tuple[str, int]]:
+        """Return the marked starts whose entry does not say that they are leaving."""
+        return [
+            (upstream_id, started_ms)
+            for upstream_id, started_ms in self._leaving
+            if (record := self._records.get(upstream_id)) is not None
+            and record.started_ms == started_ms
+            and (not record.leaving or upstream_id in self._outdated_entries)
+        ]
+
+    def record_outage(self, now_s: float) -> bool:
+        """Record that the registry answers no node; return whether that is new."""
         is_first = now_s >= self._unsettled_until_s
         self._unsettled_until_s = max(self._unsettled_until_s, now_s + REAPPEAR_S)
         return is_first
 
-    def basis(self, upstream_id: str, now_s: float) -> ChoiceBasis:
-        """Return what a choice of an upstream is based on."""
-        offset, applied_s = self._versions.get(upstream_id, (-1, now_s))
-        return ChoiceBasis(
-            entry_offset=offset,
-            entry_age_s=now_s - applied_s,
-            held=upstream_id in self._lapsed,
-            view_end=self.end_offset,
-            view_age_s=now_s - self.read_s,
-        )
-
-    def apply(self, record: UpstreamRecord, now_s: float, offset: int = -1) -> bool:
+    def is_held(self, upstream_id: str) -> bool:
+        """Return whether an upstream's entry was removed and may reappear."""
+        return upstream_id in self._lapsed
+
+    def apply(self, record: UpstreamRecord, now_s: float) -> bool:
         """Apply an entry unless it is outdated; return whether its content changed."""
         current = self._records.get(record.upstream_id)
         if current is not None and _is_older(record, current):
+            self._outdated_entries.add(record.upstream_id)
             return False
+        self._outdated_entries.discard(record.upstream_id)
         self._records[record.upstream_id] = record
-        self._versions[record.upstream_id] = (offset, now_s)
         self._lapsed.pop(record.upstream_id, None)
         if record.leaving:
             self.mark_leaving(record.upstream_id, record.started_ms, now_s)
@@ -99,12 +82,11 @@
     def remove(self, upstream_id: str, now_s: float) -> bool:
         """Apply the removal of an entry; return whether the entry was known."""
         record = self._records.pop(upstream_id, None)
+        self._outdated_entries.discard(upstream_id)
         if record is None:
             return False
         if now_s < self._unsettled_until_s:
             self._lapsed[upstream_id] = LapsedRecord(record, self._unsettled_until_s)
-        else:
-            del self._versions[upstream_id]
         return True
 
     def replace(self, records: Iterable[UpstreamRecord], now_s: float) -> None:
@@ -122,7 +104,6 @@
         ]
         for key in expired:
             del self._lapsed[key]
-            self._versions.pop(key, None)
         return bool(expired)
 
     def mark_leaving(self, upstream_id: str, started_ms: int, now_s: float) -> bool:
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from cicadapass_decisions.passthrough import Configuration, Prompt, UpstreamRecord
-from cicadapass_decisions.registrychanges import Document
+from cicadapass_decisions.topicreplica import Document
 
 Headers = Sequence[tuple[bytes, bytes]]
 
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -19,7 +19,7 @@
     should_renew,
     take_over_record,
 )
-from cicadapass_decisions.registrychanges import Document
+from cicadapass_decisions.topicreplica import Document
 from cicadapass_decisions.usagereports import (
     WindowTimes,
     newest_reports,
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -169,10 +169,11 @@
             exchange.respond(200 if state.ready else 503, [], b"")
 
         async def control(exchange: Exchange) -> None:
-            if exchange.target != b"/v1/state":
+            response = registry_sync.respond(exchange.target)
+            if response is None:
                 exchange.respond(404, [], b"")
-                return
-            exchange.respond(200, [], registry_sync.encode_state())
+            else:
+                exchange.respond(200, [], response)
 
         async def metrics(exchange: Exchange) -> None:
             state.metrics.gauge("waiting", state.queue.waiting_count)
@@ -206,6 +207,7 @@
         start = components.supervisor.start
         start("configuration", components.registry_sync.follow_configuration)
         start("upstreams", components.registry_sync.follow_upstreams)
+        start("peer-views", components.registry_sync.follow_peer_views)
         start("nodes", components.registry_sync.follow_nodes)
         start("peer-fallback", components.registry_sync.follow_peers)
         start("datagrams", periodic(components.peers.send_state, SEND_INTERVAL_S))
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -1,20 +1,20 @@
 """Exchange the load and the other state of nodes by datagrams.
 
-Each state is complete, so a lost or duplicate datagram has no lasting effect. Changed
-registry entries and long prompts are also sent; the receiver's next read and the
-sender's next state make up for a lost one.
+Each state is complete, so a lost or duplicate datagram has no lasting effect. A state
+says how far the sender's view of the upstreams reaches; a receiver that is behind
+fetches what it lacks. Long prompts are also reported; the next state makes up for a
+lost report.
 """
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol, cast
 
 import cbor2
 
 from cicadapass_decisions.peerclock import PeerClock
-from cicadapass_decisions.registrychanges import Document
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
@@ -28,8 +28,6 @@
 MEMBERS_PER_DATAGRAM = 2
 # A member that sends nothing for this long is removed.
 MEMBER_TIMEOUT_S = 30.0
-# Leaving marks are repeated for this long.
-LEAVING_MARK_S = 10.0
 MAX_DATAGRAM_BYTES = 60_000
 # A prompt with fewer uncached tokens is not reported at once: it keeps an engine busy
 # for less than 20 ms.
@@ -62,8 +60,8 @@
     last_received_s: float
     version: int = -1
     registry_ok: bool = False
-    # When it last got a response from the registry.
-    last_response_s: float = -1e9
+    # The offset up to which its view of the upstreams is complete; -1 if not known.
+    view_end: int = -1
     # The interval in which it sent its last datagram to this node.
     interval: int | None = None
 
@@ -78,21 +76,20 @@
 
 
 class RegistryState(Protocol):
-    """Provide this node's state of the registry and apply changes from peers."""
+    """Provide this node's state of the registry and compare it with that of peers."""
 
     @property
     def registry_ok(self) -> bool:
         """Return whether this node's last reads of the registry succeeded."""
 
-    @property
-    def response_age_s(self) -> float:
-        """Return the time since the registry's last response to this node."""
+    def view_state(self) -> tuple[int, list[float]]:
+        """Return the end of the view of the upstreams and its ages in seconds."""
 
-    def pending_changes(self) -> list[Document]:
-        """Return the changed entries to send with the next datagram."""
+    def compare_view(self, end_offset: int, ages_s: Sequence[float]) -> None:
+        """Compare the view with that of a peer, and fetch what it lacks."""
 
-    def apply_changes(self, changes: Iterable[Document], peer: str) -> None:
-        """Apply changed entries from a peer; older ones are ignored."""
+    def apply_marks(self, rows: list[list[Any]], peer: str) -> None:
+        """Apply the marks of leaving upstreams that a peer reported."""
 
 
 @dataclass(slots=True)
@@ -127,7 +124,6 @@
         self._transport: asyncio.DatagramTransport | None = None
         # The other nodes of this data centre, or a sample of them.
         self._local_members: list[NodeAddress] = []
-        self._leaving_marks: dict[tuple[str, int], float] = {}
         # Nodes start at different members, so that together they reach all members in
         # one interval.
         self._next_recipient = dependencies.state.rng.randrange(1 << 16)
@@ -183,12 +179,9 @@
         state.rate_limiter.set_round(self.round_s)
         state.node_count = len(self.members) + 1
         self._interval += 1
-        message = self._encode(now_s)
-        data = cbor2.dumps(message)
-        addresses = self._next_addresses()
-        for address in addresses:
+        data = cbor2.dumps(self._encode(now_s))
+        for address in self._next_addresses():
             self._transport.sendto(data, address)
-        self._log_changes(message["news"], addresses)
 
     def report_send(self, upstream_id: str, tokens: int) -> None:
         """Report a prompt just sent to an upstream to the nodes of this data centre."""
@@ -239,21 +232,21 @@
 
     def _encode(self, now_s: float) -> dict[str, Any]:
         state = self._dependencies.state
-        marks = dict.fromkeys(state.upstreams.view.leaving_marks, 0.0)
-        for mark in marks:
-            self._leaving_marks.setdefault(mark, now_s)
         introduced = state.rng.sample(
             sorted(self.members), min(MEMBERS_PER_DATAGRAM, len(self.members))
         )
-        local_address, registry = self.local_address, self._dependencies.registry()
+        registry = self._dependencies.registry()
+        view_end, ages_s = registry.view_state()
         return {
-            "node": encode_address(local_address),
+            "node": encode_address(self.local_address),
             "interval": self._interval,
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
-            "registry": [registry.registry_ok, registry.response_age_s],
-            "news": [[e.key, e.value, e.offset] for e in registry.pending_changes()],
+            "registry": [registry.registry_ok, min(ages_s)],
+            "view": [view_end, [round(1000 * age_s) for age_s in ages_s]],
+            # Builds without "view" need this field.
+            "news": [],
             "upstreams": state.upstreams.local_load(now_s),
             "limits": {
                 name: [round(total), round(demand)]
@@ -261,11 +254,7 @@
             },
             "usage": self._dependencies.usage.local_counts(),
             "demand": {k: round(v) for k, v in state.demand.rates.items()},
-            "leaving": [
-                list(mark)
-                for mark, marked_s in self._leaving_marks.items()
-                if now_s - marked_s < LEAVING_MARK_S
-            ],
+            "leaving": state.upstreams.view.unannounced_marks,
             "holder": self._dependencies.local_renewal(),
             "members": [
                 encode_address(self.members[name].address) for name in introduced
@@ -286,11 +275,7 @@
         member.last_received_s = self.last_received_s = now_s
         self._count_missed(member, int(message.get("interval", 0)))
         member.version = int(message["version"])
-        registry_ok, response_age_s = message["registry"]
-        member.registry_ok = bool(registry_ok)
-        member.last_response_s = now_s - float(response_age_s)
-        changes = [Document(str(k), bytes(v), int(o)) for k, v, o in message["news"]]
-        self._dependencies.registry().apply_changes(changes, address.name)
+        member.registry_ok = bool(message["registry"][0])
         key = address.key
         self._dependencies.clock.record_reading(key, float(message["wall"]), now_s)
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
@@ -299,7 +284,8 @@
         state.rate_limiter.record_peer_totals(key, limits, float(message["up"]), now_s)
         self._dependencies.usage.merge(key, message["usage"])
         self._dependencies.demand[address.name] = dict(message["demand"])
-        self._apply_marks(message["leaving"], address.name, now_s)
+        self._apply_view(member, message.get("view"))
+        self._dependencies.registry().apply_marks(message["leaving"], address.name)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -314,18 +300,13 @@
                 name, str(upstream_id), int(tokens), state.clock()
             )
 
-    def _apply_marks(self, rows: list[list[Any]], peer: str, now_s: float) -> None:
-        state = self._dependencies.state
-        added = [
-            str(upstream_id)
-            for upstream_id, started_ms in rows
-            if state.upstreams.view.mark_leaving(
-                str(upstream_id), int(started_ms), now_s
+    def _apply_view(self, member: Member, row: list[Any] | None) -> None:
+        if row is not None:
+            end_offset, ages_ms = row
+            member.view_end = int(end_offset)
+            self._dependencies.registry().compare_view(
+                member.view_end, [float(age_ms) / 1000 for age_ms in ages_ms]
             )
-        ]
-        if added:
-            state.events.emit(834, peer=peer, upstreams=added)
-            state.upstreams.refresh()
 
     def _count_missed(self, member: Member, interval: int) -> None:
         """Count the datagrams that a member sent to this node and that were lost."""
@@ -337,19 +318,6 @@
                 metrics.count("datagrams_missed", amount=round(rounds) - 1)
         member.interval = interval
 
-    def _log_changes(
-        self, rows: list[list[Any]], addresses: list[tuple[str, int]]
-    ) -> None:
-        if rows:
-            offsets = [offset for _, _, offset in rows]
-            self._dependencies.state.events.emit(
-                835,
-                first_offset=min(offsets),
-                last_offset=max(offsets),
-                entries=len(rows),
-                recipients=[host for host, _ in addresses],
-            )
-
     def _remove_silent_members(self, now_s: float) -> None:
         for name, member in list(self.members.items()):
             if now_s - member.last_received_s > MEMBER_TIMEOUT_S:
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -1,18 +1,18 @@
 """Follow the platform's registry: the configuration, the upstreams and the nodes."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+import zlib
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qs, urlencode, urlsplit
 
 import cbor2
 
 from cicadapass_decisions.passthrough import UpstreamRecord
-from cicadapass_decisions.registrychanges import (
-    Document,
-    PendingChanges,
-    read_interval_s,
-)
-from cicadapass_gateway.adapterapi import Adapter, Listing
+from cicadapass_decisions.readsharing import read_interval_s
+from cicadapass_decisions.topicreplica import Document
+from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
     AnswerBroken,
@@ -36,31 +36,36 @@
 CONFIGURATION_WAIT_S = 8.0
 # The platform limits the wait of a read to 30 s.
 MAX_WAIT_S = 25.0
-# Each upstream writes an entry every 1.2 s. Reading at this interval limits the calls
-# and keeps the view well within the two seconds that a leaving upstream allows.
+# Reading at this interval limits the calls and keeps the view well within the two
+# seconds that a leaving upstream allows.
 UPSTREAM_READ_INTERVAL_S = 0.7
-# After a longer interval, a listing has fewer bytes than the entries written since.
-MAX_CHANGES_INTERVAL_S = 2.0
+# A node reads the registry itself once its view is older than this, times a random
+# factor so that one read can confirm the views of others. The platform allows 2 s.
+MAX_VIEW_AGE_S = 1.0
+VIEW_AGE_SPREAD = 0.25
 # Pause after a failed call.
 RETRY_PAUSE_S = 0.3
 # The registry counts as unavailable to this node once a response is this late.
 OVERDUE_S = 0.5
-# The registry has an outage if no known node got a response for this long; a node that
-# reads rarely would not notice by itself. While the registry refuses only some nodes,
-# others still get several responses per second.
-OUTAGE_AFTER_S = 1.2
-# Without any datagram for this long, a node is isolated and reads as often as a single
-# node does.
-ISOLATED_AFTER_S = 1.0
-# Interval at which a node that waits for its next read checks for isolation.
+# The registry has an outage if no node's read confirmed the view for this long. While
+# the registry refuses only some nodes, the reads of others confirm it within a second.
+# Entries expire after 3.6 s without a heartbeat, so a shorter outage removes none.
+OUTAGE_AFTER_S = 2.0
+# Interval at which a node that waits for its next read checks the age of its view.
 WAIT_CHECK_INTERVAL_S = 0.2
 # Interval at which a node without the registry reads the state of a peer.
 PEER_FETCH_INTERVAL_S = 0.7
 PEER_FETCH_TIMEOUT_S = 0.6
+# Pause after a failed fetch of the changes of upstreams, before the next peer is asked.
+FETCH_RETRY_PAUSE_S = 0.05
+MAX_FETCH_BYTES = 64 * 1024 * 1024
 # Maximum age of the last datagram of a peer to read from; covers six lost datagrams.
 PEER_MAX_AGE_S = 1.2
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
 NODES_READ_INTERVAL_S = 20.0
+# Paths of the requests between nodes.
+STATE_PATH = "/v1/state"
+UPSTREAMS_PATH = "/v1/upstreams"
 
 
 @dataclass(slots=True)
@@ -82,12 +87,11 @@
         self._peers = peers
         self._pool = pool
         self._registry_status = RegistryStatus()
-        self._documents: dict[str, Document] = {}
-        # The offset of the newest applied record of each upstream.
-        self._offsets: dict[str, int] = {}
-        self._upstreams_end = -1
+        self._replica = state.upstreams.replica
         self._interval_s = UPSTREAM_READ_INTERVAL_S
-        self._pending = PendingChanges()
+        # The registry has deleted records that this node has not read.
+        self._needs_listing = True
+        self._behind = asyncio.Event()
 
     @property
     def registry_ok(self) -> bool:
@@ -99,29 +103,27 @@
         )
         return overdue_s < OVERDUE_S
 
-    @property
-    def response_age_s(self) -> float:
-        """Return the time since the registry's last response to this node."""
-        return self._state.clock() - self._registry_status.last_response_s
-
-    @property
-    def upstreams_end(self) -> int:
-        """Return the offset of the next entry to read; -1 before the first listing."""
-        return self._upstreams_end
-
-    def pending_changes(self) -> list[Document]:
-        """Return the changed entries to send with the next datagram."""
-        return self._pending.take()
-
-    def apply_changes(self, changes: Iterable[Document], peer: str) -> None:
-        """Apply changed entries from a peer; older ones are ignored."""
-        if self._upstreams_end < 0:
-            # Without a listing, a few changes would look like the whole fleet.
-            return
-        now_s = self._state.clock()
-        self._check_for_outage(now_s)
-        if self._apply(changes, "peer", peer):
-            self._refresh()
+    def view_state(self) -> tuple[int, list[float]]:
+        """Return the end of the view of the upstreams and its ages in seconds."""
+        return self._replica.end_offset, self._replica.ages_s(self._state.clock())
+
+    def compare_view(self, end_offset: int, ages_s: Sequence[float]) -> None:
+        """Compare the view with that of a peer, and fetch what it lacks."""
+        self._replica.confirm_by_peer(end_offset, ages_s, self._state.clock())
+        if end_offset > self._replica.end_offset:
+            self._behind.set()
+
+    def apply_marks(self, rows: list[list[Any]], peer: str) -> None:
+        """Apply the marks of leaving upstreams that a peer reported."""
+        view, now_s = self._state.upstreams.view, self._state.clock()
+        added = [
+            str(upstream_id)
+            for upstream_id, started_ms in rows
+            if view.mark_leaving(str(upstream_id), int(started_ms), now_s)
+        ]
+        if added:
+            self._state.events.emit(834, peer=peer, upstreams=added)
+            self._state.upstreams.refresh()
 
     async def follow_configuration(self) -> None:
         """Apply each new configuration until cancelled."""
@@ -150,24 +152,12 @@
 
     async def follow_upstreams(self) -> None:
         """Read the changes of the upstreams until cancelled."""
-        topic = self._adapter.topics.upstreams
         while True:
-            read_s = self._state.clock()
             try:
-                if self._upstreams_end < 0 or self._interval_s > MAX_CHANGES_INTERVAL_S:
-                    self._apply_listing(await self._adapter.registry.newest(topic))
-                else:
-                    changes = await self._adapter.registry.changes(
-                        topic, self._upstreams_end, 0.0
-                    )
-                    self._upstreams_end = changes.end_offset
-                    if self._apply(changes.documents, "registry"):
-                        self._refresh()
-                self._state.upstreams.view.read_s = read_s
-                self._state.upstreams.view.end_offset = self._upstreams_end
+                await self._read_upstreams()
                 self._record_response()
             except HistoryExpired:
-                self._upstreams_end = -1
+                self._needs_listing = True
                 continue
             except GatewayError as error:
                 self._record_failure(error)
@@ -175,6 +165,17 @@
                 continue
             await self._wait_for_next_read()
 
+    async def follow_peer_views(self) -> None:
+        """Fetch the changes of upstreams that peers have and this node lacks."""
+        while True:
+            await self._behind.wait()
+            member = self._member_ahead()
+            if member is None:
+                self._behind.clear()
+            elif not await self._fetch_upstreams(member):
+                member.view_end = -1
+                await asyncio.sleep(FETCH_RETRY_PAUSE_S)
+
     async def follow_nodes(self) -> None:
         """Announce this node, then read the list of nodes until cancelled."""
         announced = False
@@ -200,89 +201,169 @@
             now_s = self._state.clock()
             if self._state.upstreams.view.expire(now_s):
                 self._state.upstreams.refresh()
-            fresh = [
-                member
-                for member in self._peers.members.values()
-                if now_s - member.last_received_s < PEER_MAX_AGE_S + self._peers.round_s
+            newer = [
+                each
+                for each in self._fresh_members()
+                if each.version > self._state.version
             ]
-            newer = [each for each in fresh if each.version > self._state.version]
-            connected = [each for each in fresh if each.registry_ok]
-            sources = newer or ([] if self.registry_ok else connected)
-            if sources:
-                await self._fetch_from_peer(self._state.rng.choice(sources))
+            if newer:
+                await self._fetch_from_peer(self._state.rng.choice(newer))
                 await asyncio.sleep(PEER_FETCH_INTERVAL_S / 2)
 
+    def respond(self, target: bytes) -> bytes | None:
+        """Return the response to a peer's request, or None for an unknown path."""
+        url = urlsplit(target.decode("latin-1"))
+        if url.path == STATE_PATH:
+            return self.encode_state()
+        if url.path != UPSTREAMS_PATH:
+            return None
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        try:
+            start = int(query.get("start", "-1"))
+        except ValueError:
+            return None
+        return self._encode_upstreams(start, query.get("node", ""))
+
     def encode_state(self) -> bytes:
-        """Return the configuration and the entries for a peer without the registry."""
+        """Return the configuration; builds without `UPSTREAMS_PATH` read the rest."""
         return cbor2.dumps(
             {
                 "configuration": self._state.raw_configuration,
-                "end": self._upstreams_end,
+                "end": self._replica.end_offset,
                 "upstreams": [
                     [each.key, each.value, each.offset]
-                    for each in self._documents.values()
+                    for each in self._replica.documents
                 ],
             }
         )
 
+    def _encode_upstreams(self, start: int, peer: str) -> bytes:
+        """Return the compressed entries of upstreams that a peer lacks."""
+        delta = self._replica.delta(start)
+        self._state.events.emit(
+            835,
+            peer=peer,
+            start=start,
+            view_end=delta.end_offset,
+            entries=len(delta.documents),
+            complete=delta.complete,
+        )
+        message = {
+            "end": delta.end_offset,
+            "ages": self._replica.ages_s(self._state.clock()),
+            "complete": delta.complete,
+            "entries": [[e.key, e.value, e.offset] for e in delta.documents],
+            "leaving": self._state.upstreams.view.unannounced_marks,
+        }
+        return zlib.compress(cbor2.dumps(message), level=1)
+
+    async def _read_upstreams(self) -> None:
+        """Read the registry once, and confirm the view unless the read is outdated."""
+        topic = self._adapter.topics.upstreams
+        start, read_s = self._replica.end_offset, self._state.clock()
+        if self._needs_listing or start < 0:
+            listing = await self._adapter.registry.newest(topic)
+            end_offset = listing.end_offset
+            self._apply_listing(listing.documents, end_offset, "listing")
+            self._needs_listing = False
+        else:
+            changes = await self._adapter.registry.changes(topic, start, 0.0)
+            end_offset = changes.end_offset
+            self._apply_changes(changes.documents, end_offset, "registry")
+        if end_offset >= start:
+            self._replica.confirm_read(read_s)
+
     async def _wait_for_next_read(self) -> None:
-        """Wait for this node's next read, which is earlier once it is isolated."""
+        """Wait for this node's next read, which is earlier if its view grows old."""
         read_s = self._state.clock()
         self._interval_s = self._read_interval_s(UPSTREAM_READ_INTERVAL_S)
+        spread = self._state.rng.uniform(1 - VIEW_AGE_SPREAD, 1 + VIEW_AGE_SPREAD)
         while True:
             now_s = self._state.clock()
-            if now_s - self._peers.last_received_s > ISOLATED_AFTER_S:
-                self._interval_s = min(self._interval_s, UPSTREAM_READ_INTERVAL_S)
             remaining_s = read_s + self._interval_s - now_s
-            if remaining_s <= 0:
+            if remaining_s <= 0 or self._replica.age_s(now_s) > MAX_VIEW_AGE_S * spread:
                 return
             await asyncio.sleep(min(WAIT_CHECK_INTERVAL_S, remaining_s))
 
+    def _fresh_members(self) -> list[Member]:
+        """Return the members whose last datagram is recent."""
+        now_s = self._state.clock()
+        max_age_s = PEER_MAX_AGE_S + self._peers.round_s
+        return [
+            member
+            for member in self._peers.members.values()
+            if now_s - member.last_received_s < max_age_s
+        ]
+
+    def _member_ahead(self) -> Member | None:
+        """Return a member whose view covers more, of the local data centre if any."""
+        ahead = [
+            each
+            for each in self._fresh_members()
+            if each.view_end > self._replica.end_offset
+        ]
+        local = [
+            each
+            for each in ahead
+            if each.address.data_centre == self._state.data_centre
+        ]
+        return self._state.rng.choice(local or ahead) if ahead else None
+
     def _read_interval_s(self, usual_s: float) -> float:
         """Return the interval of this node's share of the reads."""
-        now_s = self._state.clock()
-        readers = 1 + sum(
-            1
-            for each in self._peers.members.values()
-            if each.registry_ok
-            and now_s - each.last_received_s < PEER_MAX_AGE_S + self._peers.round_s
-        )
+        readers = 1 + sum(each.registry_ok for each in self._fresh_members())
         return read_interval_s(usual_s, readers, self._state.rng)
 
     async def _fetch_from_peer(self, member: Member) -> None:
-        address = member.address
+        peer_state = await self._fetch(member.address, STATE_PATH, decode_cbor)
+        if peer_state is not None:
+            raw = peer_state.get("configuration")
+            if isinstance(raw, bytes) and raw:
+                self._adopt(raw, "peer")
+
+    async def _fetch_upstreams(self, member: Member) -> bool:
+        """Fetch what this node lacks from a member; return whether it succeeded."""
+        address, start_s = member.address, self._state.clock()
+        query = urlencode({"start": self._replica.end_offset, "node": self._state.node})
+        delta = await self._fetch(
+            address, f"{UPSTREAMS_PATH}?{query}", decode_upstreams
+        )
+        if delta is None:
+            return False
+        apply = self._apply_listing if delta.complete else self._apply_changes
+        if delta.end_offset > self._replica.end_offset:
+            apply(delta.documents, delta.end_offset, "peer", address.name)
+        self._replica.confirm_by_peer(delta.end_offset, delta.ages_s, start_s)
+        self.apply_marks(delta.marks, address.name)
+        return True
+
+    async def _fetch(
+        self, address: NodeAddress, target: str, decode: Callable[[bytes], Any]
+    ) -> Any:
+        """Return a peer's decoded response, or None if there is no valid one."""
         try:
             async with asyncio.timeout(PEER_FETCH_TIMEOUT_S):
-                data = await self._fetch_state(address)
-            self._apply_peer_state(decode_cbor(data), address.name)
+                return decode(await self._request(address, target.encode()))
         except (TimeoutError, AnswerBroken, ConnectFailed) as error:
             self._state.events.emit(821, peer=address.name, reason=repr(error))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, zlib.error) as error:
             self._state.events.emit(820, peer=address.name, reason=repr(error))
+        return None
 
-    async def _fetch_state(self, address: NodeAddress) -> bytes:
+    async def _request(self, address: NodeAddress, target: bytes) -> bytes:
         channel = await self._pool.acquire(
             address.host, address.port, PEER_FETCH_TIMEOUT_S
         )
         try:
             host = f"{address.host}:{address.port}".encode()
-            channel.send(b"GET", b"/v1/state", [(b"Host", host)], b"")
-            await channel.read_head()
-            return await channel.read_remaining(64 * 1024 * 1024)
+            channel.send(b"GET", target, [(b"Host", host)], b"")
+            head = await channel.read_head()
+            if head.status != 200:
+                raise AnswerBroken(f"status {head.status}")
+            return await channel.read_remaining(MAX_FETCH_BYTES)
         finally:
             channel.abort()
 
-    def _apply_peer_state(self, peer_state: dict[str, object], peer: str) -> None:
-        raw = peer_state["configuration"]
-        if isinstance(raw, bytes) and raw:
-            self._adopt(raw, "peer")
-        end, rows = peer_state["end"], peer_state["upstreams"]
-        if self.registry_ok or not isinstance(end, int) or not isinstance(rows, list):
-            return
-        if end > self._upstreams_end:
-            documents = tuple(Document(str(k), bytes(v), int(o)) for k, v, o in rows)
-            self._apply_listing(Listing(documents, end), peer)
-
     def _adopt_documents(self, documents: tuple[Document, ...]) -> None:
         self._record_response()
         for document in documents:
@@ -305,68 +386,63 @@
             )
             self._state.queue.dispatch()
 
-    def _apply_listing(self, listing: Listing, peer: str = "") -> None:
-        """Apply a complete listing; newer changes from peers are kept."""
-        is_first = self._upstreams_end < 0
-        listed = {each.key for each in listing.documents}
-        removed = [
-            Document(key, b"", listing.end_offset - 1)
-            for key in self._documents
-            if key not in listed
-        ]
-        changed = self._apply([*listing.documents, *removed], "listing", peer)
-        self._upstreams_end = listing.end_offset
-        self._offsets = {
-            key: offset
-            for key, offset in self._offsets.items()
-            if key in self._documents or offset >= listing.end_offset
-        }
-        if is_first:
-            # A new node has no changes that peers do not know.
-            self._pending = PendingChanges()
-        if changed or is_first:
+    def _apply_listing(
+        self,
+        documents: Sequence[Document],
+        end_offset: int,
+        source: str,
+        peer: str = "",
+    ) -> None:
+        """Apply a complete listing; upstreams that it lacks are removed."""
+        now_s = self._state.clock()
+        self._check_for_outage(now_s)
+        applied = self._replica.apply_listing(documents, end_offset, now_s)
+        if self._apply(applied, source, peer) or not self._state.upstreams_loaded:
+            self._refresh()
+
+    def _apply_changes(
+        self,
+        documents: Iterable[Document],
+        end_offset: int,
+        source: str,
+        peer: str = "",
+    ) -> None:
+        """Apply the records between the end of the view and another offset."""
+        now_s = self._state.clock()
+        self._check_for_outage(now_s)
+        applied = self._replica.apply(documents, end_offset, now_s)
+        if self._apply(applied, source, peer):
             self._refresh()
 
-    def _apply(
-        self, documents: Iterable[Document], source: str, peer: str = ""
-    ) -> bool:
-        """Apply changed entries; return whether the usable upstreams changed."""
-        changed = []
+    def _apply(self, documents: Iterable[Document], source: str, peer: str) -> bool:
+        """Apply new records to the view; return whether the upstreams changed."""
         names: dict[str, list[str]] = {"ready": [], "leaving": [], "removed": []}
         for document in documents:
-            if document.offset <= self._offsets.get(document.key, -1):
-                continue
-            self._offsets[document.key] = document.offset
             change = self._apply_document(document)
             if change is not None:
-                changed.append(document)
                 names[change].append(f"{document.key}@{document.offset}")
+        changed = any(names.values())
         if changed:
-            self._pending.add(changed)
             self._state.events.emit(
                 831,
                 source=source,
                 peer=peer,
-                view_end=self._upstreams_end,
+                view_end=self._replica.end_offset,
                 ready=names["ready"],
                 leaving=names["leaving"],
                 removed=names["removed"],
             )
-        return bool(changed)
+        return changed
 
     def _apply_document(self, document: Document) -> str | None:
         """Apply an entry; return the change, or None if its content is the same."""
         now_s = self._state.clock()
         view = self._state.upstreams.view
-        if document.value:
-            self._documents[document.key] = document
-        else:
-            self._documents.pop(document.key, None)
         record = self._decode(document) if document.value else None
         if record is None:
             changed, change = view.remove(document.key, now_s), "removed"
         else:
-            changed = view.apply(record, now_s, document.offset)
+            changed = view.apply(record, now_s)
             change = "leaving" if record.leaving else "ready"
         return change if changed else None
 
@@ -404,23 +480,20 @@
 
     def _check_for_outage(self, now_s: float) -> None:
         """Record an outage of the registry; entries that expire now may be restored."""
-        responses_s = [self._registry_status.last_response_s]
-        responses_s += [each.last_response_s for each in self._peers.members.values()]
-        age_s = now_s - max(responses_s)
+        age_s = self._replica.age_s(now_s)
         if (
-            age_s > OUTAGE_AFTER_S
-            and self._state.upstreams.view.record_registry_failure(now_s)
+            self._state.upstreams_loaded
+            and age_s > OUTAGE_AFTER_S
+            and self._state.upstreams.view.record_outage(now_s)
         ):
             self._state.events.emit(833, response_age_ms=round(1000 * age_s))
 
     def _record_response(self) -> None:
         now_s = self._state.clock()
-        if self._registry_status.lost:
-            self._check_for_outage(now_s)
         self._registry_status.last_response_s = now_s
         if self._registry_status.lost:
             self._registry_status.lost = False
-            self._state.events.emit(804, offset=self._upstreams_end)
+            self._state.events.emit(804, offset=self._replica.end_offset)
 
     def _record_failure(self, error: GatewayError) -> None:
         self._state.metrics.count("registry_failures", type(error).__name__)
@@ -430,6 +503,32 @@
             self._state.events.emit(803, reason=str(error))
 
 
+@dataclass(frozen=True, slots=True)
+class PeerUpstreams:
+    """Store the entries of upstreams that a peer returned."""
+
+    documents: tuple[Document, ...]
+    end_offset: int
+    ages_s: tuple[float, ...]
+    complete: bool
+    marks: list[list[Any]]
+
+
+def decode_upstreams(data: bytes) -> PeerUpstreams:
+    """Return a peer's entries; raise an error of the kinds that `_fetch` handles."""
+    message = decode_cbor(zlib.decompress(data))
+    return PeerUpstreams(
+        documents=tuple(
+            Document(str(key), bytes(value), int(offset))
+            for key, value, offset in message["entries"]
+        ),
+        end_offset=int(message["end"]),
+        ages_s=tuple(float(age_s) for age_s in message["ages"]),
+        complete=bool(message["complete"]),
+        marks=list(message["leaving"]),
+    )
+
+
 def periodic(
     action: Callable[[], None], interval_s: float
 ) -> Callable[[], Awaitable[None]]:
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass, field
 
 from cicadapass_decisions.routetable import Match
-from cicadapass_decisions.upstreamview import NOT_CHOSEN, ChoiceBasis
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import MigratedRun
+from cicadapass_gateway.upstreamtracker import NOT_CHOSEN, ChoiceBasis
 
 
 @dataclass(slots=True)
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -6,13 +6,32 @@
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import Candidate
+from cicadapass_decisions.topicreplica import TopicReplica
 from cicadapass_decisions.upstreammeter import (
     INITIAL_CALL_S,
     INITIAL_PREFILL_S_PER_TOKEN,
     PeerLoad,
     UpstreamMeter,
 )
-from cicadapass_decisions.upstreamview import ChoiceBasis, UpstreamView
+from cicadapass_decisions.upstreamview import UpstreamView
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceBasis:
+    """Describe the entry and the view by which an upstream was chosen."""
+
+    entry_offset: int
+    # Time since this node applied the entry.
+    entry_age_s: float
+    # The entry was removed and is kept during an outage of the registry.
+    held: bool
+    # Offset of the first registry record that the view does not cover.
+    view_end: int
+    # Time since the last read of the registry that the view rests on.
+    view_age_s: float
+
+
+NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +50,7 @@
     """Track the registered upstreams, with a meter for each start of one."""
 
     def __init__(self, data_centre: str) -> None:
+        self.replica = TopicReplica()
         self.view = UpstreamView()
         self._data_centre = data_centre
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
@@ -96,7 +116,7 @@
         uncached_tokens = self.meter(record).begin(key, prompt, now_s)
         for listener in self._send_listeners:
             listener(record.upstream_id, uncached_tokens)
-        basis = self.view.basis(record.upstream_id, now_s)
+        basis = self._choice_basis(record.upstream_id, now_s)
         return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
@@ -150,6 +170,15 @@
             for record in records:
                 self.meter(record).decay_speed(prefill_s_per_token, call_s, now_s)
 
+    def _choice_basis(self, upstream_id: str, now_s: float) -> ChoiceBasis:
+        return ChoiceBasis(
+            entry_offset=self.replica.offset(upstream_id),
+            entry_age_s=now_s - self.replica.applied_s(upstream_id),
+            held=self.view.is_held(upstream_id),
+            view_end=self.replica.end_offset,
+            view_age_s=self.replica.age_s(now_s),
+        )
+
     def _candidate(
         self, record: UpstreamRecord, prompt: Prompt, now_s: float
     ) -> Candidate:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -20,7 +20,7 @@
     WeightedService,
     Workspace,
 )
-from cicadapass_decisions.registrychanges import Document
+from cicadapass_decisions.topicreplica import Document
 from cicadapass_gateway.adapterapi import (
     Call,
     Changes,
