Bound responses of upstreams that never end

A connection is now paused at 256 KB of unread bytes. - Blank lines were forwarded as events until the deadline, and informational responses were skipped until then. Both are now limited in number. - Each body could take 16 MB whatever the others held. All bodies of a process now share 32 MB, of which one may take half of what is left. - An upstream that had begun a response when the deadline passed was not judged by it. It now counts as failed, unless a stream had started.

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -4,6 +4,8 @@
 
 # Larger events are rejected, since an event is buffered until it is complete.
 MAX_EVENT_BYTES = 1_048_576
+# Blank lines and comments are legal between events, but not without end.
+MAX_EVENTS_WITHOUT_DATA = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +21,7 @@
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._events_without_data = 0
 
     @property
     def partial(self) -> bool:
@@ -26,16 +29,28 @@
         return bool(self._buffer.strip())
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Return the events that these bytes complete; ValueError for one too large."""
+        """Return the events that these bytes complete.
+
+        Raise ValueError for an event that is too large, or for too many without data.
+        """
         self._buffer += data
         events: list[StreamEvent] = []
         while (end := _event_end(self._buffer)) is not None:
             event, self._buffer = self._buffer[:end], self._buffer[end:]
+            self._count_without_data(event)
             events.append(StreamEvent(event, _event_id(event)))
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    def _count_without_data(self, event: bytes) -> None:
+        if b"data:" in event:
+            self._events_without_data = 0
+            return
+        self._events_without_data += 1
+        if self._events_without_data > MAX_EVENTS_WITHOUT_DATA:
+            raise ValueError(f"{MAX_EVENTS_WITHOUT_DATA} events without data")
+
 
 def _event_end(data: bytes) -> int | None:
     ends = [
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -14,6 +14,13 @@
 MAX_RESPONSE_HEAD_BYTES = 65_536
 # Assumed if an upstream does not send how long it keeps an idle connection open.
 DEFAULT_KEEP_ALIVE_S = 2.0
+# An upstream that sends more informational responses than this sends no final one.
+MAX_INFORMATIONAL_RESPONSES = 16
+# A connection with more unread bytes than this is not read until they are consumed.
+MAX_UNREAD_BYTES = 262_144
+# Bytes of response bodies that all connections of a process may buffer. Each body may
+# take half of what the others leave, so that endless ones do not displace short ones.
+MAX_BUFFERED_BYTES = 33_554_432
 # Fraction of that time in which an idle connection is reused; later, the upstream may
 # already have closed it.
 KEEP_ALIVE_FRACTION = 0.5
@@ -27,10 +34,34 @@
     headers: Headers
 
 
+@dataclass(slots=True)
+class BodyBuffer:
+    """Account for the response bodies that a process buffers."""
+
+    used_bytes: int = 0
+    peak_bytes: int = 0
+
+    def grow(self, held_bytes: int, added_bytes: int) -> None:
+        """Add to a body of `held_bytes`; raise `AnswerBroken` if it is too large."""
+        others = self.used_bytes - held_bytes
+        if held_bytes + added_bytes > (MAX_BUFFERED_BYTES - others) / 2:
+            raise AnswerBroken(
+                f"a response body of over {held_bytes} bytes exceeds what is left of "
+                f"the {MAX_BUFFERED_BYTES} bytes for all bodies"
+            )
+        self.used_bytes += added_bytes
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+
+    def release(self, held_bytes: int) -> None:
+        """Remove a body."""
+        self.used_bytes -= held_bytes
+
+
 class ClientChannel(asyncio.Protocol):
     """Send one request at a time over a connection and read its response."""
 
-    def __init__(self) -> None:
+    def __init__(self, buffer: BodyBuffer) -> None:
+        self._buffer = buffer
         self._loop = asyncio.get_running_loop()
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
@@ -41,6 +72,10 @@
         self._closed = False
         self._in_use = False
         self._response_closes = False
+        # Bytes received since the parser last ran out of data.
+        self._unread_bytes = 0
+        self._reading_paused = False
+        self._responding = False
         self._reusable_until_s = 0.0
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -69,9 +104,19 @@
         if not self._in_use:
             self.abort()
             return
+        self._responding = True
         self._parser.receive_data(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
         self._wake()
 
+    @property
+    def responding(self) -> bool:
+        """Return whether any byte of the current response has arrived."""
+        return self._responding
+
     @property
     def written(self) -> bool:
         """Return whether the whole request was passed to the kernel."""
@@ -86,6 +131,7 @@
         if self._closed or self._transport is None:
             raise AnswerBroken("the connection was closed before the request was sent")
         self._in_use = True
+        self._responding = False
         self._response_closes = False
         request = h11.Request(method=method, target=target, headers=list(headers))
         chunks = [self._parser.send(request)]
@@ -96,7 +142,7 @@
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the final response; informational ones are skipped."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -105,6 +151,9 @@
                 self._record_keep_alive(event)
                 return ResponseHead(event.status_code, headers)
             raise AnswerBroken("the connection was closed before a response")
+        raise AnswerBroken(
+            f"{MAX_INFORMATIONAL_RESPONSES} informational responses and no final one"
+        )
 
     async def read_body(self) -> bytes | None:
         """Return the next chunk of the body, or None after the last one."""
@@ -119,12 +168,16 @@
         """Return the rest of the body; raise `AnswerBroken` beyond `limit` bytes."""
         chunks: list[bytes] = []
         size = 0
-        while (chunk := await self.read_body()) is not None:
-            size += len(chunk)
-            if size > limit:
-                raise AnswerBroken(f"the response body exceeds {limit} bytes")
-            chunks.append(chunk)
-        return b"".join(chunks)
+        try:
+            while (chunk := await self.read_body()) is not None:
+                self._buffer.grow(size, len(chunk))
+                size += len(chunk)
+                if size > limit:
+                    raise AnswerBroken(f"the response body exceeds {limit} bytes")
+                chunks.append(chunk)
+            return b"".join(chunks)
+        finally:
+            self._buffer.release(size)
 
     def finish_exchange(self) -> bool:
         """End a complete exchange; return whether the connection can be reused."""
@@ -139,6 +192,7 @@
             self.abort()
             return False
         self._parser.start_next_cycle()
+        self._resume_reading()
         self._in_use = False
         idle_limit_s = self._keep_alive_s * KEEP_ALIVE_FRACTION
         self._reusable_until_s = self._loop.time() + idle_limit_s
@@ -160,12 +214,19 @@
                 return event
             if self._closed:
                 raise AnswerBroken(f"the connection was lost: {self._lost_error!r}")
+            self._resume_reading()
             self._waiter = self._loop.create_future()
             try:
                 await self._waiter
             finally:
                 self._waiter = None
 
+    def _resume_reading(self) -> None:
+        self._unread_bytes = 0
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
+
     def _record_keep_alive(self, response: h11.Response) -> None:
         for name, value in response.headers:
             if name == b"connection" and b"close" in value.lower():
@@ -178,12 +239,16 @@
             self._waiter.set_result(None)
 
 
-async def connect(host: str, port: int, timeout_s: float) -> ClientChannel:
+async def connect(
+    host: str, port: int, timeout_s: float, buffer: BodyBuffer
+) -> ClientChannel:
     """Open a connection; raise `ConnectFailed` if it is not open within `timeout_s`."""
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, channel = await loop.create_connection(ClientChannel, host, port)
+            _, channel = await loop.create_connection(
+                lambda: ClientChannel(buffer), host, port
+            )
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"cannot connect to {host}:{port}: {error!r}") from error
     return channel
@@ -193,6 +258,7 @@
     """Pool idle connections by address."""
 
     def __init__(self) -> None:
+        self.buffer = BodyBuffer()
         self._idle: dict[tuple[str, int], list[ClientChannel]] = {}
 
     async def acquire(
@@ -206,7 +272,7 @@
             if channel.is_reusable(now_s):
                 return channel
             channel.abort()
-        return await connect(host, port, timeout_s)
+        return await connect(host, port, timeout_s, self.buffer)
 
     def release(self, host: str, port: int, channel: ClientChannel) -> None:
         """End the exchange of a connection and return it to the pool, if reusable."""
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -239,6 +239,10 @@
         except (AnswerBroken, ValueError) as error:
             succeeded = False
             return AttemptResult.broken(str(error))
+        except asyncio.CancelledError:
+            if channel is not None and self._is_unfinished(request, channel):
+                succeeded = False
+            raise
         finally:
             now_s = self._state.clock()
             self._state.upstreams.end(reservation, now_s, succeeded=succeeded)
@@ -246,6 +250,14 @@
                 channel.abort()
             self._state.queue.dispatch()
 
+    def _is_unfinished(self, request: RequestContext, channel: ClientChannel) -> bool:
+        """Return whether the deadline ended a response that had begun but no stream."""
+        return (
+            channel.responding
+            and not request.exchange.started
+            and self._state.clock() >= request.deadline_s
+        )
+
     async def _open(
         self, request: RequestContext, record: UpstreamRecord
     ) -> ClientChannel:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -200,6 +200,7 @@
         self.headers = {n: v.decode() for n, v in request.headers}
         # More header lines for `stream`.
         self.extra = ""
+        self.sent_bytes = 0
         self._reader, self._writer = reader, writer
 
     @property
@@ -234,6 +235,14 @@
         """Write the end of the stream."""
         self.send(b"0\r\n\r\n")
 
+    async def send_forever(self, data):
+        """Write bytes until the client closes; count them in `sent_bytes`."""
+        while True:
+            self._writer.write(data)
+            await self._writer.drain()
+            self.sent_bytes += len(data)
+            await asyncio.sleep(0)
+
     def reset(self):
         """Reset the connection."""
         self._writer.transport.abort()
@@ -375,6 +384,10 @@
             data += self._parser.send(h11.Data(data=body))
         self._writer.write(data + self._parser.send(h11.EndOfMessage()))
 
+    def pause_reading(self):
+        """Read nothing more, so that the buffers on the way fill up."""
+        self._reader._transport.pause_reading()
+
     async def head(self):
         """Return the head of the reply, or None if the connection ended."""
         event = await self._event()
