Count only running nodes among the members

Nodes introduced an ended node to each other again and again, and its entry in the list of nodes did so too, so that it stayed a member forever: after the end of 5 of 20 nodes the others had 14 members for a moment after 30 s and 19 again after 80 s (virtual time).

A node introduces only members that it has heard itself lately, and a member that was removed counts again only after a datagram of its own.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -28,6 +28,8 @@
 MEMBERS_PER_DATAGRAM = 2
 # A member that sends nothing for this long is removed.
 MEMBER_TIMEOUT_S = 30.0
+# A member is introduced to others only if its last datagram is more recent than this.
+INTRODUCTION_MAX_AGE_S = 1.2
 MAX_DATAGRAM_BYTES = 60_000
 # A prompt with fewer uncached tokens is not reported at once: it keeps an engine busy
 # for less than 20 ms.
@@ -57,7 +59,9 @@
     """Store the last reported state of another node."""
 
     address: NodeAddress
+    # Time of its last datagram; before the first one, of its introduction.
     last_received_s: float
+    heard: bool = False
     version: int = -1
     registry_ok: bool = False
     # The offset up to which its view of the upstreams is complete; -1 if not known.
@@ -128,6 +132,8 @@
         # one interval.
         self._next_recipient = dependencies.state.rng.randrange(1 << 16)
         self._started_s = dependencies.state.clock()
+        # The last incarnation of each member that was removed.
+        self._removed: dict[str, int] = {}
         # Counts the intervals, so that receivers notice missed datagrams.
         self._interval = 0
 
@@ -177,7 +183,7 @@
         self._remove_silent_members(now_s)
         state = self._dependencies.state
         state.rate_limiter.set_round(self.round_s)
-        state.node_count = len(self.members) + 1
+        state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
         self._interval += 1
         data = cbor2.dumps(self._encode(now_s))
         for address in self._next_addresses():
@@ -232,9 +238,13 @@
 
     def _encode(self, now_s: float) -> dict[str, Any]:
         state = self._dependencies.state
-        introduced = state.rng.sample(
-            sorted(self.members), min(MEMBERS_PER_DATAGRAM, len(self.members))
-        )
+        max_age_s = INTRODUCTION_MAX_AGE_S + self.round_s
+        recent = [
+            member.address
+            for _, member in sorted(self.members.items())
+            if member.heard and now_s - member.last_received_s < max_age_s
+        ]
+        introduced = state.rng.sample(recent, min(MEMBERS_PER_DATAGRAM, len(recent)))
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
         return {
@@ -256,9 +266,7 @@
             "demand": {k: round(v) for k, v in state.demand.rates.items()},
             "leaving": state.upstreams.view.unannounced_marks,
             "holder": self._dependencies.local_renewal(),
-            "members": [
-                encode_address(self.members[name].address) for name in introduced
-            ],
+            "members": [encode_address(address) for address in introduced],
         }
 
     def _apply_state(self, message: dict[str, Any]) -> None:
@@ -273,6 +281,8 @@
         if member is None or member.address != address:
             member = self.members[address.name] = Member(address, now_s)
         member.last_received_s = self.last_received_s = now_s
+        member.heard = True
+        self._removed.pop(address.name, None)
         self._count_missed(member, int(message.get("interval", 0)))
         member.version = int(message["version"])
         member.registry_ok = bool(message["registry"][0])
@@ -318,10 +328,16 @@
                 metrics.count("datagrams_missed", amount=round(rounds) - 1)
         member.interval = interval
 
+    def _is_counted(self, member: Member) -> bool:
+        """Return whether a member runs, or is new and may run."""
+        removed = self._removed.get(member.address.name, -1)
+        return member.heard or member.address.incarnation > removed
+
     def _remove_silent_members(self, now_s: float) -> None:
         for name, member in list(self.members.items()):
             if now_s - member.last_received_s > MEMBER_TIMEOUT_S:
                 del self.members[name]
+                self._removed[name] = member.address.incarnation
                 self._dependencies.demand.pop(name, None)
                 self._dependencies.state.upstreams.apply_load(name, {}, now_s)
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -16,6 +16,7 @@
 )
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import HOST, LoopTest, configuration, make_state, until
+from tests.gateway.virtualcluster import Cluster, run_virtual
 
 UPSTREAM = UpstreamRecord("u1", "s", "h", 1, "dc-a", 64, False, 1, 1)
 
@@ -261,6 +262,42 @@
 
         self.run_loop(scenario())
 
+    def test_ended_nodes_are_counted_again_and_again(self):
+        """Nodes introduced an ended node to each other forever.
+
+        Each node's share of the retries was then too small.
+        """
+
+        async def scenario():
+            cluster = Cluster(20, seed=1)
+            await cluster.start(5.0)
+            for node in cluster.nodes[15:]:
+                node.stop()
+                del cluster.by_host[node.host]
+            running = cluster.nodes[:15]
+            self.assertEqual({20}, {node.state.node_count for node in running})
+            await asyncio.sleep(MEMBER_TIMEOUT_S + 5.0)
+            for _ in range(40):
+                await asyncio.sleep(5.0)
+                self.assertEqual({15}, {node.state.node_count for node in running})
+
+        run_virtual(scenario())
+
+    def test_removed_members_return_after_a_long_partition(self):
+        """Nodes that had removed each other stayed apart for good."""
+
+        async def scenario():
+            cluster = Cluster(8, seed=2)
+            await cluster.start(5.0)
+            cluster.cut |= {node.host for node in cluster.nodes[4:]}
+            await asyncio.sleep(MEMBER_TIMEOUT_S + 10.0)
+            cluster.cut.clear()
+            await asyncio.sleep(120.0)
+            counts = {node.state.node_count for node in cluster.nodes}
+            self.assertEqual({8}, counts)
+
+        run_virtual(scenario())
+
     def test_silent_members_are_removed(self):
         """Datagrams were sent to permanently removed nodes."""
 
