Give the fetch of upstreams one way to apply what it returned

A listing and a range of records were applied by two functions alike. A peer that had restarted and covered less than before was asked again without a pause until its next datagram, and a malformed response could end the component; both are found by reading, the second has a test.

--- a/packages/decisions/cicadapass_decisions/topicreplica.py
+++ b/packages/decisions/cicadapass_decisions/topicreplica.py
@@ -87,7 +87,13 @@
         if end_offset > self._end_offset:
             return
         for hops, age_s in enumerate(ages_s[:MAX_HOPS], 1):
-            self._confirmed_s[hops] = max(self._confirmed_s[hops], now_s - age_s)
+            confirmed_s = now_s - max(0.0, age_s)
+            self._confirmed_s[hops] = max(self._confirmed_s[hops], confirmed_s)
+
+    def merge(self, delta: Delta, now_s: float) -> list[Document]:
+        """Apply what a peer or the registry returned; return what was new."""
+        apply = self.apply_listing if delta.complete else self.apply
+        return apply(delta.documents, delta.end_offset, now_s)
 
     def apply(
         self, documents: Iterable[Document], end_offset: int, now_s: float
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -11,7 +11,7 @@
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.readsharing import read_interval_s
-from cicadapass_decisions.topicreplica import Document
+from cicadapass_decisions.topicreplica import Delta, Document
 from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
@@ -36,11 +36,11 @@
 CONFIGURATION_WAIT_S = 8.0
 # The platform limits the wait of a read to 30 s.
 MAX_WAIT_S = 25.0
-# Reading at this interval limits the calls and keeps the view well within the two
-# seconds that a leaving upstream allows.
+# Reading at this interval limits the calls and keeps the view of few nodes recent.
 UPSTREAM_READ_INTERVAL_S = 0.7
 # A node reads the registry itself once its view is older than this, times a random
-# factor so that one read can confirm the views of others. The platform allows 2 s.
+# factor so that one read can confirm the views of others. On the platform, a leaving
+# upstream may get requests for two to three seconds.
 MAX_VIEW_AGE_S = 1.0
 VIEW_AGE_SPREAD = 0.25
 # Pause after a failed call.
@@ -53,7 +53,7 @@
 OUTAGE_AFTER_S = 2.0
 # Interval at which a node that waits for its next read checks the age of its view.
 WAIT_CHECK_INTERVAL_S = 0.2
-# Interval at which a node without the registry reads the state of a peer.
+# Interval at which a node looks for peers with a newer configuration.
 PEER_FETCH_INTERVAL_S = 0.7
 PEER_FETCH_TIMEOUT_S = 0.6
 # Pause after a failed fetch of the changes of upstreams, before the next peer is asked.
@@ -195,7 +195,7 @@
             await asyncio.sleep(self._read_interval_s(NODES_READ_INTERVAL_S))
 
     async def follow_peers(self) -> None:
-        """Read newer state from peers if the registry does not provide it."""
+        """Fetch newer configurations of peers, and drop entries that were held."""
         while True:
             await asyncio.sleep(PEER_FETCH_INTERVAL_S / 2)
             now_s = self._state.clock()
@@ -207,7 +207,7 @@
                 if each.version > self._state.version
             ]
             if newer:
-                await self._fetch_from_peer(self._state.rng.choice(newer))
+                await self._fetch_configuration(self._state.rng.choice(newer))
                 await asyncio.sleep(PEER_FETCH_INTERVAL_S / 2)
 
     def respond(self, target: bytes) -> bytes | None:
@@ -263,14 +263,14 @@
         start, read_s = self._replica.end_offset, self._state.clock()
         if self._needs_listing or start < 0:
             listing = await self._adapter.registry.newest(topic)
-            end_offset = listing.end_offset
-            self._apply_listing(listing.documents, end_offset, "listing")
+            delta = Delta(listing.documents, listing.end_offset, complete=True)
+            self._apply_upstreams(delta, "listing")
             self._needs_listing = False
         else:
             changes = await self._adapter.registry.changes(topic, start, 0.0)
-            end_offset = changes.end_offset
-            self._apply_changes(changes.documents, end_offset, "registry")
-        if end_offset >= start:
+            delta = Delta(changes.documents, changes.end_offset, complete=False)
+            self._apply_upstreams(delta, "registry")
+        if delta.end_offset >= start:
             self._replica.confirm_read(read_s)
 
     async def _wait_for_next_read(self) -> None:
@@ -314,27 +314,27 @@
         readers = 1 + sum(each.registry_ok for each in self._fresh_members())
         return read_interval_s(usual_s, readers, self._state.rng)
 
-    async def _fetch_from_peer(self, member: Member) -> None:
-        peer_state = await self._fetch(member.address, STATE_PATH, decode_cbor)
-        if peer_state is not None:
-            raw = peer_state.get("configuration")
-            if isinstance(raw, bytes) and raw:
-                self._adopt(raw, "peer")
+    async def _fetch_configuration(self, member: Member) -> None:
+        raw = await self._fetch(member.address, STATE_PATH, decode_configuration)
+        if raw:
+            self._adopt(raw, "peer")
 
     async def _fetch_upstreams(self, member: Member) -> bool:
         """Fetch what this node lacks from a member; return whether it succeeded."""
         address, start_s = member.address, self._state.clock()
         query = urlencode({"start": self._replica.end_offset, "node": self._state.node})
-        delta = await self._fetch(
+        response = await self._fetch(
             address, f"{UPSTREAMS_PATH}?{query}", decode_upstreams
         )
-        if delta is None:
+        if response is None:
             return False
-        apply = self._apply_listing if delta.complete else self._apply_changes
+        delta = response.delta
+        # The peer may have restarted and cover less than before.
+        member.view_end = delta.end_offset
         if delta.end_offset > self._replica.end_offset:
-            apply(delta.documents, delta.end_offset, "peer", address.name)
-        self._replica.confirm_by_peer(delta.end_offset, delta.ages_s, start_s)
-        self.apply_marks(delta.marks, address.name)
+            self._apply_upstreams(delta, "peer", address.name)
+        self._replica.confirm_by_peer(delta.end_offset, response.ages_s, start_s)
+        self.apply_marks(response.marks, address.name)
         return True
 
     async def _fetch(
@@ -386,35 +386,20 @@
             )
             self._state.queue.dispatch()
 
-    def _apply_listing(
-        self,
-        documents: Sequence[Document],
-        end_offset: int,
-        source: str,
-        peer: str = "",
-    ) -> None:
-        """Apply a complete listing; upstreams that it lacks are removed."""
-        now_s = self._state.clock()
-        self._check_for_outage(now_s)
-        applied = self._replica.apply_listing(documents, end_offset, now_s)
-        if self._apply(applied, source, peer) or not self._state.upstreams_loaded:
-            self._refresh()
-
-    def _apply_changes(
-        self,
-        documents: Iterable[Document],
-        end_offset: int,
-        source: str,
-        peer: str = "",
-    ) -> None:
-        """Apply the records between the end of the view and another offset."""
+    def _apply_upstreams(self, delta: Delta, source: str, peer: str = "") -> None:
+        """Apply records or a listing of the upstreams that are new to this node."""
         now_s = self._state.clock()
         self._check_for_outage(now_s)
-        applied = self._replica.apply(documents, end_offset, now_s)
-        if self._apply(applied, source, peer):
+        applied = self._replica.merge(delta, now_s)
+        if (
+            self._apply_documents(applied, source, peer)
+            or not self._state.upstreams_loaded
+        ):
             self._refresh()
 
-    def _apply(self, documents: Iterable[Document], source: str, peer: str) -> bool:
+    def _apply_documents(
+        self, documents: Iterable[Document], source: str, peer: str
+    ) -> bool:
         """Apply new records to the view; return whether the upstreams changed."""
         names: dict[str, list[str]] = {"ready": [], "leaving": [], "removed": []}
         for document in documents:
@@ -505,30 +490,34 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerUpstreams:
-    """Store the entries of upstreams that a peer returned."""
+    """Store what a peer returned of its view of the upstreams."""
 
-    documents: tuple[Document, ...]
-    end_offset: int
+    delta: Delta
+    # Ages of the reads that confirm the view, by the hops to the reading node.
     ages_s: tuple[float, ...]
-    complete: bool
+    # Leaving marks that no entry states: upstream ids and start times.
     marks: list[list[Any]]
 
 
 def decode_upstreams(data: bytes) -> PeerUpstreams:
-    """Return a peer's entries; raise an error of the kinds that `_fetch` handles."""
+    """Return a peer's response; raise an error of the kinds that `_fetch` handles."""
     message = decode_cbor(zlib.decompress(data))
+    documents = tuple(
+        Document(str(key), bytes(value), int(offset))
+        for key, value, offset in message["entries"]
+    )
     return PeerUpstreams(
-        documents=tuple(
-            Document(str(key), bytes(value), int(offset))
-            for key, value, offset in message["entries"]
-        ),
-        end_offset=int(message["end"]),
+        delta=Delta(documents, int(message["end"]), bool(message["complete"])),
         ages_s=tuple(float(age_s) for age_s in message["ages"]),
-        complete=bool(message["complete"]),
-        marks=list(message["leaving"]),
+        marks=[[str(key), int(started_ms)] for key, started_ms in message["leaving"]],
     )
 
 
+def decode_configuration(data: bytes) -> bytes:
+    """Return the undecoded configuration of a peer; empty if it has none."""
+    return bytes(decode_cbor(data)["configuration"])
+
+
 def periodic(
     action: Callable[[], None], interval_s: float
 ) -> Callable[[], Awaitable[None]]:
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import zlib
 from dataclasses import replace
 
 import testtools
@@ -235,6 +236,19 @@
 
         run_virtual(scenario())
 
+    def test_a_malformed_response_is_skipped(self):
+        """A malformed response of one peer kept a node from asking the next one."""
+
+        async def scenario():
+            cluster = await self.cluster("u1")
+            replies = iter([b"", b"\xff" * 9, zlib.compress(b"\x80"), b"{"] * 100)
+            cluster.nodes[1].respond = lambda target: next(replies)
+            cluster.put("u1", "removed")
+            await asyncio.sleep(2.0)
+            self.assertEqual(set(), cluster.nodes[0].usable)
+
+        run_virtual(scenario())
+
     def test_equal_views_are_not_fetched(self):
         """A change circulated between the nodes forever."""
 
