--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -50,6 +50,8 @@
         self._version = 0
         self._keys = list(KEYS)
         self._silent_since_s = {}
+        # Engines that serve although their entry was removed.
+        self._unlisted = set()
         self._lapsed = False
 
     async def start(self, engines):
@@ -98,10 +100,17 @@
         self._write(engine)
         return engine
 
-    async def drain(self, engine):
-        """Start a replacement, mark an engine as leaving and remove it later."""
+    async def drain(self, engine, announced):
+        """Start a replacement, let an engine leave and end it later.
+
+        Without an announcement, its entry is removed while it still serves.
+        """
         await self.add_engine(f"i-{len(self._records.leaving) + 100}")
-        self._write(engine, leaving=True)
+        if announced:
+            self._write(engine, leaving=True)
+        else:
+            self._unlisted.add(engine.name)
+            self._put(engine.name, b"")
         self._records.leaving.setdefault(engine.name, self._clock())
         await asyncio.sleep(2 * DRAIN_S)
         self._remove(engine)
@@ -124,7 +133,7 @@
         for engine in self.engines.values():
             if lapsed:
                 self._put(engine.name, b"")
-            elif engine.alive:
+            elif engine.alive and engine.name not in self._unlisted:
                 self._write(engine)
 
     async def run_heartbeats(self):
@@ -135,7 +144,7 @@
                 continue
             now_s = self._clock()
             for engine in list(self.engines.values()):
-                if engine.alive:
+                if engine.alive and engine.name not in self._unlisted:
                     leaving = engine.name in self._records.leaving
                     self._write(engine, leaving=leaving)
                 elif (
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -232,7 +232,8 @@
             return
         if kind == "drain":
             if not self._platform.registry.down:
-                await self._platform.drain(engine)
+                announced = fault.disturbance in ("delayed", "one_way")
+                await self._platform.drain(engine, announced)
             return
         started_s = self._clock()
         self._record_disturbance(engine.name, started_s, started_s + TIMEOUT_S)
