--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -30,6 +30,7 @@
         _mixed_answers,
         _broken_streams,
         _altered_requests,
+        _unknown_moves,
         _sent_to_leaving_engines,
         _ran_with_dropped_keys,
         _cut_by_planned_stops,
@@ -107,7 +108,10 @@
         call = calls.get(request_id)
         for run in runs:
             if call is None:
-                yield f"{run.engine} got {request_id!r}, which no caller sent"
+                yield (
+                    f"{run.engine} got {request_id!r} ({run.method} {run.target}),"
+                    " which no caller sent"
+                )
                 continue
             if (run.method, run.target, run.body) != (
                 call.method,
@@ -121,6 +125,12 @@
                 yield f"{request_id} reached the engine with a header for the node"
 
 
+def _unknown_moves(records):
+    for engine, request_id in records.moves:
+        if all(run.engine != engine for run in records.runs.get(request_id, ())):
+            yield f"{engine} was asked to move {request_id!r}, which it did not get"
+
+
 def _sent_to_leaving_engines(records):
     calls = {call.request_id: call for call in records.calls}
     for request_id, runs in records.runs.items():
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 
 from tests.gateway.harness import HOST, Upstream
 from tests.soak.proxy import Link
@@ -13,6 +14,8 @@
 EVENT_S = 0.03
 EVENTS = 8
 SLOTS = 8
+# The request of a node to move a run to another engine.
+MOVE_TARGET = b"/api/kv-move"
 
 
 class Engine:
@@ -65,6 +68,11 @@
         headers = {
             name.decode(): value.decode("latin-1") for name, value in request.headers
         }
+        if request.target == MOVE_TARGET:
+            self._records.moves.append((self.name, json.loads(response.body)["id"]))
+            # These engines move nothing, so that the run goes on.
+            response.respond(404, b"")
+            return
         request_id = headers.get("request-id", "")
         run = Run(
             self.name,
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -57,6 +57,8 @@
 
     calls: list = field(default_factory=list)
     runs: dict = field(default_factory=dict)
+    # Names of engines that were asked to move a run, with the id of its request.
+    moves: list = field(default_factory=list)
     # Unplanned disturbances of nodes and engines, by name, and of "store".
     disturbances: list = field(default_factory=list)
     # Planned stops of nodes.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -128,6 +128,15 @@
             self.assert_one_violation(records([call()], {"r1": [changed]}), expected)
         self.assert_one_violation(records([], {"r7": [run()]}), "no caller sent")
 
+    def test_a_move_of_an_unknown_run_is_reported(self):
+        """A move of a run that the engine does not have must be reported."""
+        runs = {"r1": [run()]}
+        self.assertEqual([], violations(records([call()], runs, moves=[("i-0", "r1")])))
+        for moves in ([("i-1", "r1")], [("i-0", "")]):
+            self.assert_one_violation(
+                records([call()], runs, moves=moves), "asked to move"
+            )
+
     def test_a_request_sent_to_a_leaving_engine_is_reported(self):
         """A request to an engine that left seconds ago must be reported.
 
