Limit response bodies in one place

The limit of each call, 16 MB for responses and 64 MB for the store and peers, had no effect beside the share of the common 32 MB, half of which is 16 MB. The peak that only a test read is sampled by that test.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -39,7 +39,6 @@
     """Account for the response bodies that a process buffers."""
 
     used_bytes: int = 0
-    peak_bytes: int = 0
 
     def grow(self, held_bytes: int, added_bytes: int) -> None:
         """Add to a body of `held_bytes`; raise `AnswerBroken` if it is too large."""
@@ -50,7 +49,6 @@
                 f"the {MAX_BUFFERED_BYTES} bytes for all bodies"
             )
         self.used_bytes += added_bytes
-        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
 
     def release(self, held_bytes: int) -> None:
         """Remove a body."""
@@ -164,16 +162,14 @@
             return None
         raise AnswerBroken("the connection was closed within a response")
 
-    async def read_remaining(self, limit: int) -> bytes:
-        """Return the rest of the body; raise `AnswerBroken` beyond `limit` bytes."""
+    async def read_remaining(self) -> bytes:
+        """Return the rest of the body; raise `AnswerBroken` if it is too large."""
         chunks: list[bytes] = []
         size = 0
         try:
             while (chunk := await self.read_body()) is not None:
                 self._buffer.grow(size, len(chunk))
                 size += len(chunk)
-                if size > limit:
-                    raise AnswerBroken(f"the response body exceeds {limit} bytes")
                 chunks.append(chunk)
             return b"".join(chunks)
         finally:
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -58,7 +58,6 @@
 PEER_FETCH_TIMEOUT_S = 0.6
 # Pause after a failed fetch of the changes of upstreams, before the next peer is asked.
 FETCH_RETRY_PAUSE_S = 0.05
-MAX_FETCH_BYTES = 64 * 1024 * 1024
 # Maximum age of the last datagram of a peer to read from; covers six lost datagrams.
 PEER_MAX_AGE_S = 1.2
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
@@ -360,7 +359,7 @@
             head = await channel.read_head()
             if head.status != 200:
                 raise AnswerBroken(f"status {head.status}")
-            return await channel.read_remaining(MAX_FETCH_BYTES)
+            return await channel.read_remaining()
         finally:
             channel.abort()
 
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -36,8 +36,6 @@
 # the time until their deadline, or for that multiple if it is longer.
 READ_TIMEOUT_S = 0.9
 READ_TIMEOUT_FACTOR = 3.0
-# Responses that are not streams are buffered before they are forwarded.
-MAX_RESPONSE_BYTES = 16_777_216
 # Maximum time to finish a migration after the source ended the stream; callers tolerate
 # a gap of two seconds.
 MIGRATION_WAIT_S = 1.2
@@ -304,7 +302,7 @@
             meter.record_reported_load(info.load, self._state.clock())
         if info.not_executed or info.wrong_instance:
             self._record_rejection(record, info)
-            await channel.read_remaining(MAX_RESPONSE_BYTES)
+            await channel.read_remaining()
             request.runs -= 1
             self._pool.release(record.host, record.port, channel)
             return AttemptResult.rejected(head.status)
@@ -328,7 +326,7 @@
         """Forward a response that is not a stream, once it is complete."""
         request, status = response.request, response.status
         async with self._read_timeout(request, response.reservation):
-            body = await response.channel.read_remaining(MAX_RESPONSE_BYTES)
+            body = await response.channel.read_remaining()
         self._count_run(request)
         self._release_channel(response)
         if request.exchange.started:
