Name the age of the view alike in all events

The line of an assumed outage called it the age of a response, which it no longer is. A condition that always held beside the flag for a listing is gone.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -218,7 +218,7 @@
     Entries of upstreams changed; each is named with the offset of its record.
 832 warning upstream_entry_skipped(upstream, offset)
     An upstream's entry cannot be decoded and is ignored.
-833 warning registry_outage_assumed(response_age_ms)
+833 warning registry_outage_assumed(view_age_ms)
     No node has read the registry recently; removed upstreams stay in use for now.
 834 info leaving_marks_applied(peer, upstreams)
     A peer reported that these upstreams are leaving.
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -253,10 +253,10 @@
             "wall": time.time(),
             "up": now_s - self._started_s,
             "version": state.version,
+            # Builds without "view" need the age, and "news".
             "registry": [registry.registry_ok, min(ages_s)],
-            "view": [view_end, [round(1000 * age_s) for age_s in ages_s]],
-            # Builds without "view" need this field.
             "news": [],
+            "view": [view_end, [round(1000 * age_s) for age_s in ages_s]],
             "upstreams": state.upstreams.local_load(now_s),
             "limits": {
                 name: [round(total), round(demand)]
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -88,7 +88,7 @@
         self._registry_status = RegistryStatus()
         self._replica = state.upstreams.replica
         self._interval_s = UPSTREAM_READ_INTERVAL_S
-        # The registry has deleted records that this node has not read.
+        # Until a first listing, and once the registry has deleted unread records.
         self._needs_listing = True
         self._behind = asyncio.Event()
 
@@ -260,7 +260,7 @@
         """Read the registry once, and confirm the view unless the read is outdated."""
         topic = self._adapter.topics.upstreams
         start, read_s = self._replica.end_offset, self._state.clock()
-        if self._needs_listing or start < 0:
+        if self._needs_listing:
             listing = await self._adapter.registry.newest(topic)
             delta = Delta(listing.documents, listing.end_offset, complete=True)
             self._apply_upstreams(delta, "listing")
@@ -470,7 +470,7 @@
             and age_s > OUTAGE_AFTER_S
             and self._state.upstreams.view.record_outage(now_s)
         ):
-            self._state.events.emit(833, response_age_ms=round(1000 * age_s))
+            self._state.events.emit(833, view_age_ms=round(1000 * age_s))
 
     def _record_response(self) -> None:
         now_s = self._state.clock()
