Confirm the view only by reads that reach the end of the log

A node reads on until the end of the log; an outdated or empty response counts as a failed call, with the pause that follows one. Three tests failed before.

--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -79,6 +79,8 @@
 
     documents: tuple[Document, ...]
     end_offset: int
+    # The read reached the end of the log.
+    complete: bool
 
 
 class Registry(Protocol):
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -19,6 +19,7 @@
     ConnectFailed,
     GatewayError,
     HistoryExpired,
+    PlatformUnavailable,
 )
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.nodestate import NodeState
@@ -257,20 +258,31 @@
         return zlib.compress(cbor2.dumps(message), level=1)
 
     async def _read_upstreams(self) -> None:
-        """Read the registry once, and confirm the view unless the read is outdated."""
-        topic = self._adapter.topics.upstreams
+        """Read the registry to its end, which confirms the view.
+
+        Raise PlatformUnavailable for an outdated or empty response, so that the next
+        read has a pause before it.
+        """
+        topic, registry = self._adapter.topics.upstreams, self._adapter.registry
         start, read_s = self._replica.end_offset, self._state.clock()
         if self._needs_listing:
-            listing = await self._adapter.registry.newest(topic)
-            delta = Delta(listing.documents, listing.end_offset, complete=True)
+            listing = await registry.newest(topic)
+            end_offset = listing.end_offset
+            delta = Delta(listing.documents, end_offset, complete=True)
             self._apply_upstreams(delta, "listing")
             self._needs_listing = False
         else:
-            changes = await self._adapter.registry.changes(topic, start, 0.0)
-            delta = Delta(changes.documents, changes.end_offset, complete=False)
-            self._apply_upstreams(delta, "registry")
-        if delta.end_offset >= start:
-            self._replica.confirm_read(read_s)
+            end_offset, at_end = start, False
+            while not at_end:
+                changes = await registry.changes(topic, end_offset, 0.0)
+                if not (changes.complete or changes.documents):
+                    raise PlatformUnavailable(f"{topic}: no record at {end_offset}")
+                end_offset, at_end = changes.end_offset, changes.complete
+                delta = Delta(changes.documents, end_offset, complete=False)
+                self._apply_upstreams(delta, "registry")
+        if end_offset < start:
+            raise PlatformUnavailable(f"{topic}: the listing ends before {start}")
+        self._replica.confirm_read(read_s)
 
     async def _wait_for_next_read(self) -> None:
         """Wait for this node's next read, which is earlier if its view grows old."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -432,6 +432,8 @@
         # Number of next appends that take effect although their response is lost.
         self.lose_answers = 0
         self.first_offsets = {}
+        # Largest number of records that a read returns; None for all.
+        self.max_records = None
 
     def put(self, topic, key, value):
         """Append a record without conditions, even during an outage."""
@@ -459,11 +461,12 @@
             if len(log) > start or not wait_s:
                 break
             await asyncio.sleep(0.01)
-        records = enumerate(log[start:], start)
+        records = list(enumerate(log[start:], start))[: self.max_records]
         documents = tuple(
             Document(key, value, offset) for offset, (key, value) in records
         )
-        return Changes(documents, len(log))
+        end_offset = start + len(documents)
+        return Changes(documents, end_offset, complete=end_offset >= len(log))
 
     async def append(self, topic, key, value, expected_end):
         """Append a record if the log ends at `expected_end`."""
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -236,6 +236,64 @@
 
         run_virtual(scenario())
 
+    def test_a_read_that_was_cut_confirms_the_view(self):
+        """A node took its view for recent although the read had left records out."""
+
+        async def scenario():
+            cluster = Cluster(1, seed=1)
+            await cluster.start(2.0)
+            cluster.registry.max_records = 1
+            for number in range(40):
+                cluster.put(f"u{number}", "ready")
+            await asyncio.sleep(1.0)
+            self.assertEqual(40, len(cluster.nodes[0].usable))
+
+        run_virtual(scenario())
+
+    def test_an_empty_read_is_repeated_without_a_pause(self):
+        """A read that returned nothing was repeated without end, and confirmed."""
+
+        async def scenario():
+            cluster = Cluster(1, seed=1)
+            await cluster.start(2.0)
+            cluster.registry.max_records = 0
+            cluster.put("u1", "ready")
+            calls = cluster.calls["upstreams"]
+            await asyncio.sleep(2.5)
+            now_s = asyncio.get_running_loop().time()
+            replica = cluster.nodes[0].state.upstreams.replica
+            self.assertGreater(replica.age_s(now_s), 2.0)
+            self.assertLess(cluster.calls["upstreams"] - calls, 50)
+
+        run_virtual(scenario())
+
+    def test_an_outdated_listing_is_repeated_without_a_pause(self):
+        """A listing from before the view was repeated without end, and confirmed."""
+
+        async def scenario():
+            cluster = Cluster(1, seed=1)
+            cluster.put("u1", "ready")
+            await cluster.start(2.0)
+            outdated = await cluster.registry.newest(TOPICS.upstreams)
+            cluster.put("u2", "ready")
+            await asyncio.sleep(2.0)
+
+            async def newest(topic):
+                return outdated
+
+            cluster.registry.newest = newest
+            end = len(cluster.registry.logs[TOPICS.upstreams])
+            cluster.registry.first_offsets[TOPICS.upstreams] = end + 1
+            calls = cluster.calls["upstreams"]
+            await asyncio.sleep(2.5)
+            now_s = asyncio.get_running_loop().time()
+            node = cluster.nodes[0]
+            self.assertGreater(node.state.upstreams.replica.age_s(now_s), 2.0)
+            self.assertLess(cluster.calls["upstreams"] - calls, 50)
+            self.assertEqual({"u1", "u2"}, node.usable)
+
+        run_virtual(scenario())
+
     def test_a_malformed_response_is_skipped(self):
         """A malformed response of one peer kept a node from asking the next one."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -106,6 +106,7 @@
             ]
             self.assertEqual([("k", b"v", 5), ("gone", b"", 6)], records)
             self.assertEqual(7, changes.end_offset)
+            self.assertTrue(changes.complete)
 
         self.run_scenario(scenario, (200, read_response(7, ("k", b"v"), ("gone", b""))))
 
@@ -116,6 +117,12 @@
             changes = decode_changes(data[:cut], 5)
             self.assertEqual((), changes.documents)
             self.assertEqual(5, changes.end_offset)
+            self.assertFalse(changes.complete)
+
+    def test_a_read_that_ends_before_its_start_is_outdated(self):
+        """An outdated read confirmed a view that covered more."""
+        data = read_response(7)
+        self.assertRaises(PlatformUnavailable, decode_changes, data, 8)
 
     def test_refusals_raise_different_errors(self):
         """An expired history or a conflicting append was treated as an outage."""
