--- a/tests/decisions/test_topicreplica.py
+++ b/tests/decisions/test_topicreplica.py
@@ -53,7 +53,7 @@
         replica.apply_listing([Document("u2", b"value", 8)], 9, 1.0)
         peer = listed(("u1", 4), end=5)
         delta = replica.delta(peer.end_offset)
-        peer.apply_listing(delta.documents, delta.end_offset, 1.0)
+        peer.merge(delta, 1.0)
         self.assertTrue(delta.complete)
         self.assertEqual({"u2"}, keys(peer))
 
@@ -112,9 +112,7 @@
     def _fetch(self, replica, peer):
         if peer.end_offset <= replica.end_offset:
             return
-        delta = peer.delta(replica.end_offset)
-        apply = replica.apply_listing if delta.complete else replica.apply
-        apply(delta.documents, delta.end_offset, 0.0)
+        replica.merge(peer.delta(replica.end_offset), 0.0)
 
 
 class AgeTest(testtools.TestCase):
