--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -92,7 +92,7 @@
     def compare_view(self, end_offset: int, ages_s: Sequence[float]) -> None:
         """Compare the view with that of a peer, and fetch what it lacks."""
 
-    def apply_marks(self, rows: list[list[Any]], peer: str) -> None:
+    def apply_marks(self, rows: Sequence[Sequence[Any]], peer: str) -> None:
         """Apply the marks of leaving upstreams that a peer reported."""
 
 
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -1,7 +1,6 @@
 """Follow the platform's registry: the configuration, the upstreams and the nodes."""
 
 import asyncio
-import zlib
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -15,17 +14,23 @@
 from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
-    AnswerBroken,
-    ConnectFailed,
     GatewayError,
     HistoryExpired,
     PlatformUnavailable,
 )
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.nodestate import NodeState
+from cicadapass_gateway.peerclient import (
+    STATE_PATH,
+    UPSTREAMS_PATH,
+    PeerClient,
+    PeerUpstreams,
+    decode_configuration,
+    decode_upstreams,
+    encode_upstreams,
+)
 from cicadapass_gateway.peers import (
     Member,
-    NodeAddress,
     Peers,
     decode_address,
     encode_address,
@@ -56,16 +61,12 @@
 WAIT_CHECK_INTERVAL_S = 0.2
 # Interval at which a node looks for peers with a newer configuration.
 PEER_FETCH_INTERVAL_S = 0.7
-PEER_FETCH_TIMEOUT_S = 0.6
 # Pause after a failed fetch of the changes of upstreams, before the next peer is asked.
 FETCH_RETRY_PAUSE_S = 0.05
 # Maximum age of the last datagram of a peer to read from; covers six lost datagrams.
 PEER_MAX_AGE_S = 1.2
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
 NODES_READ_INTERVAL_S = 20.0
-# Paths of the requests between nodes.
-STATE_PATH = "/v1/state"
-UPSTREAMS_PATH = "/v1/upstreams"
 
 
 @dataclass(slots=True)
@@ -85,7 +86,7 @@
         self._state = state
         self._adapter = adapter
         self._peers = peers
-        self._pool = pool
+        self._peer_client = PeerClient(pool, state.events)
         self._registry_status = RegistryStatus()
         self._replica = state.upstreams.replica
         self._interval_s = UPSTREAM_READ_INTERVAL_S
@@ -113,7 +114,7 @@
         if end_offset > self._replica.end_offset:
             self._behind.set()
 
-    def apply_marks(self, rows: list[list[Any]], peer: str) -> None:
+    def apply_marks(self, rows: Sequence[Sequence[Any]], peer: str) -> None:
         """Apply the marks of leaving upstreams that a peer reported."""
         view, now_s = self._state.upstreams.view, self._state.clock()
         added = [
@@ -248,14 +249,13 @@
             entries=len(delta.documents),
             complete=delta.complete,
         )
-        message = {
-            "end": delta.end_offset,
-            "ages": self._replica.ages_s(self._state.clock()),
-            "complete": delta.complete,
-            "entries": [[e.key, e.value, e.offset] for e in delta.documents],
-            "leaving": self._state.upstreams.view.unannounced_marks,
-        }
-        return zlib.compress(cbor2.dumps(message), level=1)
+        return encode_upstreams(
+            PeerUpstreams(
+                delta,
+                tuple(self._replica.ages_s(self._state.clock())),
+                self._state.upstreams.view.unannounced_marks,
+            )
+        )
 
     async def _read_upstreams(self) -> None:
         """Read the registry to its end, which confirms the view.
@@ -326,7 +326,9 @@
         return read_interval_s(usual_s, readers, self._state.rng)
 
     async def _fetch_configuration(self, member: Member) -> None:
-        raw = await self._fetch(member.address, STATE_PATH, decode_configuration)
+        raw = await self._peer_client.fetch(
+            member.address, STATE_PATH, decode_configuration
+        )
         if raw:
             self._adopt(raw, "peer")
 
@@ -334,7 +336,7 @@
         """Fetch what this node lacks from a member; return whether it succeeded."""
         address, start_s = member.address, self._state.clock()
         query = urlencode({"start": self._replica.end_offset, "node": self._state.node})
-        response = await self._fetch(
+        response = await self._peer_client.fetch(
             address, f"{UPSTREAMS_PATH}?{query}", decode_upstreams
         )
         if response is None:
@@ -348,33 +350,6 @@
         self.apply_marks(response.marks, address.name)
         return True
 
-    async def _fetch(
-        self, address: NodeAddress, target: str, decode: Callable[[bytes], Any]
-    ) -> Any:
-        """Return a peer's decoded response, or None if there is no valid one."""
-        try:
-            async with asyncio.timeout(PEER_FETCH_TIMEOUT_S):
-                return decode(await self._request(address, target.encode()))
-        except (TimeoutError, AnswerBroken, ConnectFailed) as error:
-            self._state.events.emit(821, peer=address.name, reason=repr(error))
-        except (KeyError, TypeError, ValueError, zlib.error) as error:
-            self._state.events.emit(820, peer=address.name, reason=repr(error))
-        return None
-
-    async def _request(self, address: NodeAddress, target: bytes) -> bytes:
-        channel = await self._pool.acquire(
-            address.host, address.port, PEER_FETCH_TIMEOUT_S
-        )
-        try:
-            host = f"{address.host}:{address.port}".encode()
-            channel.send(b"GET", target, [(b"Host", host)], b"")
-            head = await channel.read_head()
-            if head.status != 200:
-                raise AnswerBroken(f"status {head.status}")
-            return await channel.read_remaining()
-        finally:
-            channel.abort()
-
     def _adopt_documents(self, documents: tuple[Document, ...]) -> None:
         self._record_response()
         for document in documents:
@@ -499,36 +474,6 @@
             self._state.events.emit(803, reason=str(error))
 
 
-@dataclass(frozen=True, slots=True)
-class PeerUpstreams:
-    """Store what a peer returned of its view of the upstreams."""
-
-    delta: Delta
-    # Ages of the reads that confirm the view, by the hops to the reading node.
-    ages_s: tuple[float, ...]
-    # Leaving marks that no entry states: upstream ids and start times.
-    marks: list[list[Any]]
-
-
-def decode_upstreams(data: bytes) -> PeerUpstreams:
-    """Return a peer's response; raise an error of the kinds that `_fetch` handles."""
-    message = decode_cbor(zlib.decompress(data))
-    documents = tuple(
-        Document(str(key), bytes(value), int(offset))
-        for key, value, offset in message["entries"]
-    )
-    return PeerUpstreams(
-        delta=Delta(documents, int(message["end"]), bool(message["complete"])),
-        ages_s=tuple(float(age_s) for age_s in message["ages"]),
-        marks=[[str(key), int(started_ms)] for key, started_ms in message["leaving"]],
-    )
-
-
-def decode_configuration(data: bytes) -> bytes:
-    """Return the undecoded configuration of a peer; empty if it has none."""
-    return bytes(decode_cbor(data)["configuration"])
-
-
 def periodic(
     action: Callable[[], None], interval_s: float
 ) -> Callable[[], Awaitable[None]]:
