--- a/tests/gateway/spread.py
+++ b/tests/gateway/spread.py
@@ -53,7 +53,7 @@
     ages_s.sort()
     median_s, largest_s = ages_s[len(ages_s) // 2], ages_s[-1]
     return (
-        f"{nodes} nodes: {sent_bytes:.0f} B/s of datagrams a node, {reads:.1f} reads/s, "
+        f"{nodes} nodes: {sent_bytes:.0f} B/s of datagrams each, {reads:.1f} reads/s, "
         f"{100 * processor_s / MEASURED_S / nodes:.2f}% of a core a node, "
         f"age {median_s:.2f} s (median) to {largest_s:.2f} s, "
         f"last use {last_use_s:.2f} s after a wave of {WAVE}, "
