--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,10 +3,13 @@
 import asyncio
 from dataclasses import replace
 
+from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
+from cicadapass_gateway.migrator import ActiveRun, Migrator
 from tests.gateway.harness import (
     GatewayHarness,
     LoopTest,
     configuration,
+    make_state,
     until,
     workspace,
 )
@@ -484,6 +487,42 @@
         self.assertTrue(reply.complete)
         self.assertEqual([("u0", "r1", False), ("u0", "r1", True)], migrations)
 
+    def test_a_run_goes_on_at_a_target_that_left_during_the_copy(self):
+        """A run was sent to an engine that had left seconds before."""
+
+        async def scenario():
+            state = make_state()
+            source, first, second = (
+                UpstreamRecord(name, "s", "h", 1, "dc-a", 64, False, 1, 1)
+                for name in ("source", "first", "second")
+            )
+            targets = []
+
+            async def move(source, request_id, target, last):
+                targets.append((target.upstream_id, last))
+                if not last and len(targets) == 1:
+                    state.upstreams.view.remove(target.upstream_id, 0.0)
+                    state.upstreams.refresh()
+                return "copy"
+
+            migrator = Migrator(state, move)
+            run = ActiveRun(
+                "r1", source, Prompt((), 9, 400), 1, state.clock(), events=1
+            )
+            state.upstreams.view.replace([first, second], state.clock())
+            state.upstreams.refresh()
+            migrator.add(run)
+            watching = asyncio.create_task(migrator.watch())
+            await until(lambda: run.migration is not None)
+            migrated = await run.migration
+            watching.cancel()
+            (left, _), *rest = targets
+            other = ({"first", "second"} - {left}).pop()
+            self.assertEqual([(other, False), (other, True)], rest)
+            self.assertEqual(other, migrated.record.upstream_id)
+
+        self.run_loop(scenario())
+
     def test_a_copy_that_is_refused_does_not_run_again(self):
         """A migrated stream whose copy was refused ran again from the beginning."""
         reply, _, target = self.reclaim(accept_copy=False)
