Log the prompt segments and the progress of broken attempts

Line 811 now names the shared segments, the time since the response's head and the events that followed. No logic is changed.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -197,8 +197,11 @@
 810 info call_rejected(request_id, status, reason, version, workspace)
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
-detail, sends, entry_offset, entry_age_ms, held, view_end, view_age_ms)
-    An attempt at an upstream returned no answer to forward. The last five fields \
+detail, sends, segments, head_age_ms, events, entry_offset, entry_age_ms, held, \
+view_end, view_age_ms)
+    An attempt at an upstream returned no answer to forward. The segments are the \
+shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
+there was one, and `events` what followed it. The last five fields \
 describe the view of the registry by which the upstream was chosen.
 812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
 waited_ms, first_ms, total_ms, entry_offset, entry_age_ms, held, view_end, view_age_ms)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -22,7 +22,7 @@
 from cicadapass_gateway.migrator import ActiveRun, MigratedRun, Migrator
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.readtimeout import ReadTimeout
-from cicadapass_gateway.requestcontext import RequestContext
+from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 from cicadapass_gateway.requestlog import RequestLog
 from cicadapass_gateway.requestqueue import NotPlaced, RequestRequirements
 from cicadapass_gateway.upstreamtracker import Reservation
@@ -222,6 +222,7 @@
         record = reservation.record
         request.upstream_id = record.upstream_id
         request.basis = reservation.basis
+        request.response = ResponseProgress()
         request.tries += 1
         succeeded: bool | None = None
         finished = False
@@ -290,6 +291,7 @@
         channel.send(exchange.method, exchange.target, headers, exchange.body)
         async with self._read_timeout(request, reservation):
             head = await channel.read_head()
+        request.response.head_s = self._state.clock()
         info = self._header_codec.decode_response(head.status, head.headers)
         if info.request_id not in (None, request.call.request_id):
             raise AnswerBroken("the response belongs to another request")
@@ -412,6 +414,7 @@
             if not events:
                 continue
             run.events += len(events)
+            request.response.events += len(events)
             if not exchange.started:
                 exchange.start(response.status, response.info.headers)
             self._record_first_event(request, reservation)
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -9,6 +9,15 @@
 from cicadapass_gateway.upstreamtracker import NOT_CHOSEN, ChoiceBasis
 
 
+@dataclass(slots=True)
+class ResponseProgress:
+    """Track how far the response to one attempt has come."""
+
+    # When the head arrived.
+    head_s: float | None = None
+    events: int = 0
+
+
 @dataclass(slots=True)
 class RequestContext:
     """Track the attempts and the times of one caller's request."""
@@ -29,6 +38,7 @@
     upstream_id: str = ""
     basis: ChoiceBasis = NOT_CHOSEN
     migrated: MigratedRun | None = None
+    response: ResponseProgress = field(default_factory=ResponseProgress)
     waited_s: float = 0.0
 
     @property
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -6,6 +6,9 @@
 from cicadapass_gateway.requestcontext import RequestContext
 from cicadapass_gateway.upstreamtracker import Reservation
 
+# Shared prompt segments named on a line.
+MAX_LOGGED_SEGMENTS = 8
+
 
 class RequestLog:
     """Write a log line and count a metric for each decision."""
@@ -34,6 +37,8 @@
         if result.outcome is AttemptOutcome.DELIVERED:
             return
         basis = reservation.basis
+        segments = request.call.prompt.shared_segments
+        head_s = request.response.head_s
         self._state.metrics.count("attempts_failed", result.outcome.value)
         self._state.events.emit(
             811,
@@ -43,6 +48,9 @@
             outcome=result.outcome.value,
             detail=result.detail,
             sends=request.sends,
+            segments=[each.segment_id for each in segments[:MAX_LOGGED_SEGMENTS]],
+            head_age_ms=None if head_s is None else _ms(self._state.clock() - head_s),
+            events=request.response.events,
             entry_offset=basis.entry_offset,
             entry_age_ms=_ms(basis.entry_age_s),
             held=basis.held,
