--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -218,7 +218,7 @@
         )
         start(
             "averages",
-            periodic(lambda: _update_averages(components.state), AVERAGING_INTERVAL_S),
+            periodic(lambda: update_averages(components.state), AVERAGING_INTERVAL_S),
         )
         start(
             "waiting", periodic(components.state.queue.dispatch, QUEUE_CHECK_INTERVAL_S)
@@ -285,7 +285,8 @@
     components.pool.close_expired(now_s)
 
 
-def _update_averages(state: NodeState) -> None:
+def update_averages(state: NodeState) -> None:
+    """Update the averages of demand and speed; called periodically."""
     now_s = state.clock()
     state.rate_limiter.tick(now_s, AVERAGING_INTERVAL_S)
     state.demand.decay(AVERAGING_INTERVAL_S)
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -82,7 +82,7 @@
     if state not in ("ready", "leaving"):
         return None
     sequence = int(rest.split()[0])
-    return UpstreamRecord(key, "s", "h", 1, "dc-0", 64, state == "leaving", 1, sequence)
+    return UpstreamRecord(key, "s", key, 1, "dc-0", 64, state == "leaving", 1, sequence)
 
 
 class NodeRegistry:
@@ -241,6 +241,8 @@
 class Cluster:
     """Connect nodes with a registry, and disturb both from a seeded source."""
 
+    node_class = ClusterNode
+
     def __init__(self, nodes, seed, loss=0.005, link_bytes_per_s=625_000):
         self.rng = random.Random(seed)
         self.loss = loss
@@ -254,7 +256,7 @@
         self.cut = set()
         self._sequences = {}
         self._incarnations = 1
-        self.nodes = [ClusterNode(self, number) for number in range(nodes)]
+        self.nodes = [self.node_class(self, number) for number in range(nodes)]
         self.by_host = {node.host: node for node in self.nodes}
 
     def passes(self, sender, receiver):
@@ -274,7 +276,7 @@
         node.stop()
         self._incarnations += 1
         number = self.nodes.index(node)
-        new = ClusterNode(self, number, self._incarnations)
+        new = self.node_class(self, number, self._incarnations)
         self.nodes[number] = self.by_host[new.host] = new
         new.start()
         return new
