Block prompt segments that crash engines

Cause: nothing related the end of an engine to the requests that it was beginning. A broken answer counted against the engine only, was repeated at the next one, and other requests with the segment were placed like any others; first tries were nine tenths of the arrivals after the fifth crash.

Nodes now record under which segments an engine ends: those of answers that had just begun, or of waiting requests if none had. An answer written without harm clears its segments. A suspected segment is tried by one request at a time, at the engine with the least work; after three ends without a clearance it is blocked on all nodes, and requests in progress with it are stopped before their answer begins. Nodes report evidence at once and repeat it with each datagram; the duty record keeps the blocks for restarted nodes. An end counts only if connections were lost, the engine is registered, not leaving, and its address refuses connections.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -197,16 +197,19 @@
 810 info call_rejected(request_id, status, reason, version, workspace)
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
-detail, sends, segments, head_age_ms, events, entry_offset, entry_age_ms, held, \
-view_end, view_age_ms)
+detail, sends, segments, head_age_ms, events, suspected, entry_offset, \
+entry_age_ms, held, view_end, view_age_ms)
     An attempt at an upstream returned no answer to forward. The segments are the \
 shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
-there was one, and `events` what followed it. The last five fields \
-describe the view of the registry by which the upstream was chosen.
+there was one, and `events` what followed it. `suspected` has the evidence against \
+segments at the last decision: name, score, age in ms of the last end. The last five \
+fields describe the view of the registry by which the upstream was chosen.
 812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
-waited_ms, first_ms, total_ms, entry_offset, entry_age_ms, held, view_end, view_age_ms)
-    A request that was sent to an upstream or queued has ended. The last five fields \
-describe the view of the registry by which the last upstream was chosen.
+waited_ms, first_ms, total_ms, suspected, entry_offset, entry_age_ms, held, view_end, \
+view_age_ms)
+    A request that was sent to an upstream or queued has ended. `suspected` is as in \
+`attempt_unsuccessful`. The last five fields describe the view of the registry by \
+which the last upstream was chosen.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
 814 info run_moved(request_id, upstream, target, delivered, outcome)
@@ -237,6 +240,12 @@
     The platform accepted the counts of a usage window.
 844 info engines_ordered(service, data_centre, count, reclaimable, fence, outcome)
     The platform accepted or refused an order of engines.
+850 info segment_suspicion_changed(change, segments, engines, peer)
+    A prompt segment is suspected of crashing engines, because these ended while they \
+began answers on it, or it was cleared by an answer. A peer reported it, if named.
+851 warning segment_block_changed(change, segments, engines, peer, reason)
+    Prompts with these segments, all of them, are rejected because these engines \
+ended, or they are no longer rejected, for this reason.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -20,6 +20,7 @@
     FAILED = "failed"
     BROKEN = "broken"
     MIGRATED = "moved"
+    HELD = "held"
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +62,11 @@
         """Return the result of a run that was migrated to another upstream."""
         return cls(AttemptOutcome.MIGRATED, True, upstream_id)
 
+    @classmethod
+    def held(cls, detail: str) -> "AttemptResult":
+        """Return the result of a request that came under suspicion unsent."""
+        return cls(AttemptOutcome.HELD, None, detail)
+
 
 @dataclass(frozen=True, slots=True)
 class RequestProgress:
@@ -107,7 +113,7 @@
     """Return the next step; `retry_allowed` comes from the retry allowance."""
     if result.outcome is AttemptOutcome.DELIVERED:
         return Done()
-    if result.outcome is AttemptOutcome.MIGRATED:
+    if result.outcome in (AttemptOutcome.MIGRATED, AttemptOutcome.HELD):
         return Retry(needs_allowance=False)
     if progress.runs and not progress.repeatable:
         # Even if a continuation is rejected, the request has already run.
--- a/packages/decisions/cicadapass_decisions/dutylease.py
+++ b/packages/decisions/cicadapass_decisions/dutylease.py
@@ -39,6 +39,8 @@
         default_factory=dict
     )
     usage_recorded_s: float = 0.0
+    # Encoded blocks of prompt segments, which starting nodes restore.
+    segment_blocks: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -76,6 +76,8 @@
     # The shortest target of the service's other routes, if it is shorter.
     shorter_target_s: float | None
     waited_s: float
+    # The request may crash its engine, so the one with the least work gets it.
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,13 +150,17 @@
         ),
         # Ties are broken by the hash, so that all nodes choose the same upstream for a
         # segment, and different ones for different segments.
-        key=lambda pair: (pair[0], weights[pair[1].upstream_id]),
+        key=lambda pair: (
+            pair[1].running if request.isolated else 0,
+            pair[0],
+            weights[pair[1].upstream_id],
+        ),
     )
     for cost_s, candidate in costs:
         if _has_capacity(request, candidate):
             source_id = _cache_source(request.prompt, candidate, preferred, candidates)
             return Send(candidate.upstream_id, cost_s, source_id)
-    return Wait(costs[0][0])
+    return Wait(min(cost_s for cost_s, _ in costs))
 
 
 def estimate_max_wait_s(
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -53,6 +53,8 @@
     load: int | None
     # Headers to forward unchanged.
     headers: Headers
+    # Version of the weights that the upstream uses, if it reports it.
+    weights: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -99,7 +99,7 @@
 
     async def run(self) -> None:
         """Perform the duties or watch their holder; log errors and retry."""
-        await self._restore_limits()
+        await self._restore_state()
         while True:
             try:
                 if self._lease is not None and self._state.stopping:
@@ -115,8 +115,8 @@
                 self._state.events.emit(842, reason=str(error))
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def _restore_limits(self) -> None:
-        """Restore what workspaces used of their limits before this process started."""
+    async def _restore_state(self) -> None:
+        """Restore what was used of limits and blocked before this process started."""
         try:
             record, _ = await self._read_record()
         except GatewayError as error:
@@ -128,6 +128,14 @@
             self._state.rate_limiter.restore(
                 record.recent_usage, usage_age_s, self._state.clock()
             )
+            self._restore_blocks(record.segment_blocks)
+
+    def _restore_blocks(self, encoded: bytes) -> None:
+        try:
+            blocks = decode_cbor(encoded) if encoded else []
+            self._state.segment_suspicions.merge(blocks, None, self._state.clock())
+        except (TypeError, ValueError) as error:
+            self._state.events.emit(842, reason=f"unreadable blocks: {error}")
 
     async def _watch_holder(self) -> None:
         """Observe the holder's record and take over when it is no longer renewed."""
@@ -204,6 +212,9 @@
                 renewal_record(planned),
                 recent_usage=self._state.rate_limiter.recent_usage(self._state.clock()),
                 usage_recorded_s=self._true_time(),
+                segment_blocks=cbor2.dumps(
+                    self._state.segment_suspicions.export(self._state.clock(), only=())
+                ),
             )
             await self._append_record(update, self._lease.end_offset)
         await self._report_usage()
@@ -320,11 +331,17 @@
                 for name, use in record.recent_usage.items()
             },
             record.usage_recorded_s,
+            record.segment_blocks,
         ]
     )
 
 
 def _decode(document: Document) -> DutyRecord | None:
-    holder, fence, renewal, reports, orders, use, told_s = decode_cbor(document.value)
+    fields = decode_cbor(document.value)
+    holder, fence, renewal, reports, orders, use, told_s = fields[:7]
     recent_use = {name: tuple((age, used) for age, used in use[name]) for name in use}
-    return DutyRecord(holder, fence, renewal, reports, orders, recent_use, told_s)
+    # Records of earlier builds have no blocks.
+    blocks = bytes(fields[7]) if len(fields) > 7 else b""
+    return DutyRecord(
+        holder, fence, renewal, reports, orders, recent_use, told_s, blocks
+    )
--- a/packages/gateway/cicadapass_gateway/exceptions.py
+++ b/packages/gateway/cicadapass_gateway/exceptions.py
@@ -12,6 +12,15 @@
 class ConnectFailed(GatewayError):
     """Report that no connection was opened, so that nothing was sent."""
 
+    def __init__(self, detail: str, *, refused: bool = False) -> None:
+        super().__init__(detail)
+        # The host answered that nothing listens at the address.
+        self.refused = refused
+
+
+class PromptHeld(GatewayError):
+    """Report that a segment of the prompt came under suspicion before the send."""
+
 
 class AnswerBroken(GatewayError):
     """Report an invalid or missing response; the request may have been executed."""
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -68,6 +68,7 @@
         self._waiter: asyncio.Future[None] | None = None
         self._lost_error: Exception | None = None
         self._closed = False
+        self._aborted = False
         self._in_use = False
         self._response_closes = False
         # Bytes received since the parser last ran out of data.
@@ -115,6 +116,11 @@
         """Return whether any byte of the current response has arrived."""
         return self._responding
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Return whether the upstream or the network ended the connection."""
+        return self._closed and not self._aborted
+
     @property
     def written(self) -> bool:
         """Return whether the whole request was passed to the kernel."""
@@ -196,6 +202,7 @@
 
     def abort(self) -> None:
         """Reset the connection."""
+        self._aborted = self._aborted or not self._closed
         self._closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -246,7 +253,10 @@
                 lambda: ClientChannel(buffer), host, port
             )
     except (OSError, TimeoutError) as error:
-        raise ConnectFailed(f"cannot connect to {host}:{port}: {error!r}") from error
+        raise ConnectFailed(
+            f"cannot connect to {host}:{port}: {error!r}",
+            refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     return channel
 
 
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -286,11 +286,12 @@
 
 
 def update_averages(state: NodeState) -> None:
-    """Update the averages of demand and speed; called periodically."""
+    """Update the averages and discard what is outdated; called periodically."""
     now_s = state.clock()
     state.rate_limiter.tick(now_s, AVERAGING_INTERVAL_S)
     state.demand.decay(AVERAGING_INTERVAL_S)
     state.upstreams.decay_speeds(now_s)
+    state.segment_suspicions.expire(now_s)
 
 
 def _wall_ms() -> int:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -10,6 +10,7 @@
 from cicadapass_decisions.ratelimit import RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
 from cicadapass_decisions.routetable import RouteTable
+from cicadapass_decisions.segmentsuspicions import SegmentSuspicions
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.requestqueue import RequestQueue
 from cicadapass_gateway.upstreamtracker import UpstreamTracker
@@ -47,6 +48,7 @@
         self.clock: Callable[[], float] = asyncio.get_running_loop().time
         self.upstreams = UpstreamTracker(data_centre)
         self.queue = RequestQueue(self.upstreams, self.clock)
+        self.segment_suspicions = SegmentSuspicions()
         self.rate_limiter = RateLimiter(limit_window_s, self.clock())
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -2,8 +2,8 @@
 
 Each state is complete, so a lost or duplicate datagram has no lasting effect. A state
 says how far the sender's view of the upstreams reaches; a receiver that is behind
-fetches what it lacks. Long prompts are also reported; the next state makes up for a
-lost report.
+fetches what it lacks. Long prompts and evidence against prompt segments are also
+reported at once; the next states make up for a lost report.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 import cbor2
 
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
@@ -34,6 +35,13 @@
 # A prompt with fewer uncached tokens is not reported at once: it keeps an engine busy
 # for less than 20 ms.
 MIN_REPORTED_TOKENS = 1000
+# Rows of evidence against prompt segments in each datagram; they take turns.
+SEGMENT_ROWS_PER_DATAGRAM = 4
+# New evidence is collected for this long before it is reported.
+SEGMENT_REPORT_DELAY_S = 0.005
+MAX_SEGMENT_ROWS_PER_REPORT = 24
+# In place of a node's name in a list: the message contains evidence.
+SEGMENT_MESSAGE = ""
 # Nodes of the local data centre that get a prompt's report at once, 25 bytes each.
 MAX_LOCAL_RECIPIENTS = 40
 
@@ -136,6 +144,9 @@
         self._removed: dict[str, int] = {}
         # Counts the intervals, so that receivers notice missed datagrams.
         self._interval = 0
+        # Rows of evidence that are not reported yet; the values serve as a set.
+        self._unreported_segments: dict[str, None] = {}
+        dependencies.state.segment_suspicions.subscribe(self._report_segments)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -204,7 +215,9 @@
             return
         try:
             message = decode_cbor(data)
-            if isinstance(message, list):
+            if isinstance(message, list) and message[0] == SEGMENT_MESSAGE:
+                self._merge_segments(message[2], str(message[1]))
+            elif isinstance(message, list):
                 self._apply_send(message)
             else:
                 self._apply_state(message)
@@ -265,6 +278,9 @@
             "usage": self._dependencies.usage.local_counts(),
             "demand": {k: round(v) for k, v in state.demand.rates.items()},
             "leaving": state.upstreams.view.unannounced_marks,
+            "segments": state.segment_suspicions.export(
+                now_s, most=SEGMENT_ROWS_PER_DATAGRAM
+            ),
             "holder": self._dependencies.local_renewal(),
             "members": [encode_address(address) for address in introduced],
         }
@@ -296,6 +312,7 @@
         self._dependencies.demand[address.name] = dict(message["demand"])
         self._apply_view(member, message.get("view"))
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
+        self._merge_segments(message.get("segments", []), address.name)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -310,6 +327,35 @@
                 name, str(upstream_id), int(tokens), state.clock()
             )
 
+    def _report_segments(
+        self, _changes: Sequence[Change], names: Sequence[str], peer: str | None
+    ) -> None:
+        """Report evidence at once; with many members, receivers pass it on."""
+        if peer is not None and len(self.members) <= MAX_RECIPIENTS:
+            return
+        if names and not self._unreported_segments:
+            asyncio.get_running_loop().call_later(
+                SEGMENT_REPORT_DELAY_S, self._send_segments
+            )
+        self._unreported_segments.update(dict.fromkeys(names))
+
+    def _send_segments(self) -> None:
+        names, self._unreported_segments = self._unreported_segments, {}
+        if self._transport is None:
+            return
+        state = self._dependencies.state
+        rows = state.segment_suspicions.export(
+            state.clock(), list(names)[-MAX_SEGMENT_ROWS_PER_REPORT:]
+        )
+        data = cbor2.dumps([SEGMENT_MESSAGE, self.local_address.name, rows])
+        members = list(self.members.values())
+        for member in state.rng.sample(members, min(MAX_RECIPIENTS, len(members))):
+            self._transport.sendto(data, (member.address.host, member.address.port))
+
+    def _merge_segments(self, rows: Sequence[Any], peer: str) -> None:
+        state = self._dependencies.state
+        state.segment_suspicions.merge(rows, peer, state.clock())
+
     def _apply_view(self, member: Member, row: list[Any] | None) -> None:
         if row is not None:
             end_offset, ages_ms = row
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cicadapass_decisions.attempts import (
+    AttemptOutcome,
     AttemptResult,
     Fail,
     Refuse,
@@ -16,11 +17,12 @@
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
 from cicadapass_gateway.adapterapi import Attempt, Call, HeaderCodec, ResponseInfo
 from cicadapass_gateway.eventstream import EventSplitter
-from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
+from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed, PromptHeld
 from cicadapass_gateway.httpclient import ClientChannel, ClientPool
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import ActiveRun, MigratedRun, Migrator
 from cicadapass_gateway.nodestate import NodeState
+from cicadapass_gateway.promptguard import HeldReason, PromptGuard
 from cicadapass_gateway.readtimeout import ReadTimeout
 from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 from cicadapass_gateway.requestlog import RequestLog
@@ -41,6 +43,11 @@
 MIGRATION_WAIT_S = 1.2
 # Fraction of the shared prompt tokens that engines are expected to have cached.
 EXPECTED_CACHED_FRACTION = 0.8
+# Time after which a caller may return with a prompt that crashes engines. Blocks last
+# for minutes; callers whose deadline is sooner do not return.
+BLOCKED_RETRY_S = 60.0
+# Time after which a caller may return with a suspected prompt: that of one trial.
+SUSPECTED_RETRY_S = 1.0
 # Statuses by which callers conclude that a request was not executed. If the request
 # must not be repeated, they are not forwarded without the upstream's confirmation.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -73,6 +80,7 @@
         self._pool = pool
         self._usage = usage
         self._migrator = migrator
+        self.prompt_guard = PromptGuard(state, pool)
         self._log = RequestLog(state)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -81,14 +89,20 @@
         request = self._admit(exchange, call)
         if request is None:
             return
+        self.prompt_guard.watch(request)
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with asyncio.timeout_at(request.deadline_s) as request.time_limit:
                 await self._serve(request)
         except TimeoutError:
-            self._respond_timeout(request)
+            if request.stopped is not None:
+                self._refuse_after(request, request.stopped, BLOCKED_RETRY_S)
+            else:
+                self._respond_timeout(request)
         except asyncio.CancelledError:
             self._log.log_end(request, 0, "caller_left")
             raise
+        finally:
+            self.prompt_guard.unwatch(request)
 
     def _admit(self, exchange: Exchange, call: Call) -> RequestContext | None:
         """Return the context of an admitted request; reject any other."""
@@ -111,6 +125,13 @@
         if call.time_limit_s is not None:
             timeout_s = min(timeout_s, call.time_limit_s)
         request = RequestContext(exchange, call, match, exchange.arrived_s + timeout_s)
+        request.segments = tuple(
+            f"{match.service}/{each.segment_id}" for each in call.prompt.shared_segments
+        )
+        if self.prompt_guard.find_block(request) is not None:
+            reason = HeldReason.BLOCKED.value
+            self._reject(exchange, call, 503, reason, BLOCKED_RETRY_S)
+            return None
         limit_wait_s = self._charge(request)
         if limit_wait_s is not None:
             wait_s = min(limit_wait_s, timeout_s / 3)
@@ -147,6 +168,10 @@
 
     async def _serve(self, request: RequestContext) -> None:
         while True:
+            held = await self.prompt_guard.admit(request)
+            if held is not None:
+                self._refuse_held(request, held)
+                return
             reservation = await self._reserve(request)
             if isinstance(reservation, NotPlaced):
                 self._refuse(request, reservation.reason, reservation.queue_delay_s)
@@ -165,6 +190,8 @@
                 return
             if not isinstance(step, Retry):
                 return
+            if result.outcome is AttemptOutcome.HELD:
+                continue
             request.excluded.add(reservation.record.upstream_id)
             if len(request.excluded) >= len(
                 self._state.upstreams.usable(request.match.service)
@@ -197,6 +224,7 @@
             deadline_s=request.deadline_s,
             shorter_target_s=table.shorter_target_s(request.match) if table else None,
             excluded=frozenset(request.excluded),
+            isolated=request.isolated,
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
@@ -232,11 +260,16 @@
             result = await self._send_request(request, reservation, channel)
             succeeded, finished = result.healthy, True
             return result
+        except PromptHeld as error:
+            request.tries -= 1
+            return AttemptResult.held(str(error))
         except ConnectFailed as error:
             self._state.upstreams.meter(record).record_unreachable(self._state.clock())
             return AttemptResult.not_sent(str(error))
         except (AnswerBroken, ValueError) as error:
             succeeded = False
+            if channel is not None and channel.ended_by_peer:
+                self.prompt_guard.record_broken(request, record)
             return AttemptResult.broken(str(error))
         except asyncio.CancelledError:
             if channel is not None and self._is_unfinished(request, channel):
@@ -247,6 +280,7 @@
             self._state.upstreams.end(reservation, now_s, succeeded=succeeded)
             if channel is not None and not finished:
                 channel.abort()
+            self.prompt_guard.end_attempt(request)
             self._state.queue.dispatch()
 
     def _is_unfinished(self, request: RequestContext, channel: ClientChannel) -> bool:
@@ -281,6 +315,8 @@
             copy=request.migrated.copy if request.migrated is not None else None,
             cache_source=reservation.cache_source,
         )
+        if not self.prompt_guard.may_send(request):
+            raise PromptHeld("a segment of the prompt came under suspicion")
         request.migrated = None
         headers = self._header_codec.encode_attempt(
             request.call, attempt, len(exchange.body)
@@ -299,6 +335,10 @@
             raise AnswerBroken(
                 "a successful response without the upstream's seal or the request id"
             )
+        if info.weights is not None:
+            self._state.segment_suspicions.record_weights(
+                record.service, info.weights, self._state.clock()
+            )
         meter = self._state.upstreams.meter(record)
         if info.load is not None:
             meter.record_reported_load(info.load, self._state.clock())
@@ -329,6 +369,7 @@
         request, status = response.request, response.status
         async with self._read_timeout(request, response.reservation):
             body = await response.channel.read_remaining()
+        self.prompt_guard.record_harmless(request)
         self._count_run(request)
         self._release_channel(response)
         if request.exchange.started:
@@ -367,6 +408,7 @@
             return AttemptResult.migrated(request.migrated.record.upstream_id)
         finally:
             self._migrator.discard(run)
+        self.prompt_guard.record_harmless(request)
         if not exchange.started:
             exchange.start(response.status, response.info.headers)
         self._release_channel(response)
@@ -418,6 +460,7 @@
             if not exchange.started:
                 exchange.start(response.status, response.info.headers)
             self._record_first_event(request, reservation)
+            self.prompt_guard.record_progress(request)
             exchange.write(b"".join(event.data for event in events))
             request.last_event_id = events[-1].event_id or request.last_event_id
             await exchange.wait_writable()
@@ -457,6 +500,13 @@
         self, request: RequestContext, reason: str, queue_delay_s: float
     ) -> None:
         """Respond that the request was not executed, with a time to retry."""
+        remaining_s = request.deadline_s - self._state.clock()
+        wait_s = retry_after_s(queue_delay_s, remaining_s, self._state.rng.random())
+        self._refuse_after(request, reason, wait_s)
+
+    def _refuse_after(
+        self, request: RequestContext, reason: str, wait_s: float
+    ) -> None:
         if request.runs or request.exchange.started:
             self._fail(request, reason)
             return
@@ -464,12 +514,16 @@
             self._state.rate_limiter.refund(
                 request.match.workspace.name, request.charged_cost, self._state.clock()
             )
-        remaining_s = request.deadline_s - self._state.clock()
-        wait_s = retry_after_s(queue_delay_s, remaining_s, self._state.rng.random())
         headers = self._header_codec.encode_refusal(request.call.request_id, wait_s)
         request.exchange.respond(503, headers, b"")
         self._log.log_end(request, 503, reason)
 
+    def _refuse_held(self, request: RequestContext, held: HeldReason) -> None:
+        if held is HeldReason.BLOCKED:
+            self._refuse_after(request, held.value, BLOCKED_RETRY_S)
+        else:
+            self._refuse(request, held.value, SUSPECTED_RETRY_S)
+
     def _fail(self, request: RequestContext, reason: str) -> None:
         """Respond that the request failed and may have been executed."""
         if request.exchange.started:
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -1,6 +1,8 @@
 """State of a caller's request while it is served."""
 
+import asyncio
 from dataclasses import dataclass, field
+from typing import Any
 
 from cicadapass_decisions.routetable import Match
 from cicadapass_gateway.adapterapi import Call
@@ -16,9 +18,11 @@
     # When the head arrived.
     head_s: float | None = None
     events: int = 0
+    # The engine has written enough of it for its prompt segments to be harmless.
+    harmless: bool = False
 
 
-@dataclass(slots=True)
+@dataclass(eq=False, slots=True)
 class RequestContext:
     """Track the attempts and the times of one caller's request."""
 
@@ -39,9 +43,25 @@
     basis: ChoiceBasis = NOT_CHOSEN
     migrated: MigratedRun | None = None
     response: ResponseProgress = field(default_factory=ResponseProgress)
+    # Shared prompt segments, qualified by the service.
+    segments: tuple[str, ...] = ()
+    # The suspected segments for which this request is the trial.
+    trial: tuple[str, ...] = ()
+    # Suspected segments, scores and ages at the last decision, for the log.
+    evidence: list[list[Any]] = field(default_factory=list)
+    # Finds out whether the engine of the last attempt has ended.
+    engine_check: asyncio.Task[None] | None = None
+    time_limit: asyncio.Timeout | None = None
+    # Why the request was ended before its deadline.
+    stopped: str | None = None
     waited_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
         """Return whether the request may be sent again after a possible execution."""
         return self.match.route.repeatable
+
+    @property
+    def isolated(self) -> bool:
+        """Return whether the request tries a segment that may crash its engine."""
+        return bool(self.trial)
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -42,6 +42,7 @@
     deadline_s: float
     shorter_target_s: float | None
     excluded: frozenset[str]
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,6 +154,7 @@
             target_s=requirements.target_s,
             shorter_target_s=requirements.shorter_target_s,
             waited_s=now_s - requirements.arrived_s,
+            isolated=requirements.isolated,
         )
         decision = place_request(placement_request, candidates)
         if isinstance(decision, Unavailable):
--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -270,7 +270,7 @@
         await asyncio.sleep(2 * NETWORK_DELAY_S)
         engine = self._cluster.engines.get(host)
         if engine is None or not engine.alive:
-            raise ConnectFailed("nothing listens at the address")
+            raise ConnectFailed("nothing listens at the address", refused=True)
         return EngineChannel(engine, self._node)
 
     def release(self, host, port, channel):
