Suspect waiting requests once an answer has cleared the others

An engine that ends before the head of its answer is sent leaves no sign of the cause but the requests that waited there. They now count as soon as the answers that had begun are cleared.

--- a/packages/decisions/cicadapass_decisions/segmentsuspicions.py
+++ b/packages/decisions/cicadapass_decisions/segmentsuspicions.py
@@ -24,8 +24,8 @@
 TRIAL_ENDS_FAMILIAR = 2.0
 BLOCK_ENDS = 3.0
 BLOCK_ENDS_FAMILIAR = 4.0
-# Weight of an end at which no answer is known to have begun, for the segments of the
-# requests that waited there.
+# Weight of an end for the segments of the requests that waited there. They count if no
+# answer had just begun, or once the segments of those that had are cleared.
 WAITING_WEIGHT = 0.5
 # Ends that are closer together count once: engines that fail together, as with their
 # data centre, do so at the same moment.
@@ -102,10 +102,18 @@
 @dataclass(slots=True)
 class _End:
     at_s: float
-    # An answer had just begun, which explains the end.
-    began: bool = False
     entries: dict[str, _Entry] = field(default_factory=dict)
 
+    @property
+    def weight(self) -> float:
+        """Return the weight of the end for each of its suspects."""
+        return 1.0 if self.has_writing else WAITING_WEIGHT
+
+    @property
+    def has_writing(self) -> bool:
+        """Return whether a segment of an answer that had just begun is suspected."""
+        return any(entry.writing for entry in self.entries.values())
+
 
 @dataclass(slots=True)
 class _Suspect:
@@ -213,8 +221,7 @@
         entries |= {each: _Entry(self._clearance(each), True) for each in writing}
         ordered = sorted(entries, key=lambda each: not entries[each].writing)
         kept = {each: entries[each] for each in ordered[:MAX_SEGMENTS_PER_END]}
-        began = any(each.writing for each in kept.values())
-        changed = self._add_end(engine, _End(now_s, began, kept))
+        changed = self._add_end(engine, _End(now_s, kept))
         self._finish(before, changed, now_s, None)
 
     def record_survival(self, segments: Iterable[str], now_s: float) -> None:
@@ -333,8 +340,7 @@
         known = end is not None
         if end is None:
             end = _End(reported.at_s)
-        changed = reported.began and not end.began
-        end.began = end.began or reported.began
+        changed = False
         for segment, entry in reported.entries.items():
             if entry.clearance < self._clearance(segment):
                 continue
@@ -390,7 +396,7 @@
         for number in range(1, int(BLOCK_ENDS)):
             at_s = now_s - (BLOCK_ENDS - number) * MIN_END_SPACING_S
             name = f"released-{segments[0]}-{self._clearance(segments[0])}-{number}"
-            changed += self._add_end(name, _End(at_s, True, dict(entries)))
+            changed += self._add_end(name, _End(at_s, dict(entries)))
         return changed
 
     def _finish(
@@ -543,8 +549,9 @@
     def _summarise(self) -> _Summary:
         engines: dict[str, list[str]] = {}
         for engine, end in sorted(self._ends.items(), key=lambda pair: pair[1].at_s):
+            has_writing = end.has_writing
             for segment, entry in end.entries.items():
-                if entry.writing or not end.began:
+                if entry.writing or not has_writing:
                     engines.setdefault(segment, []).append(engine)
         explained: set[str] = set()
         for segments in self._blocks:
@@ -563,7 +570,7 @@
             end = self._ends[engine]
             if engine in explained or end.at_s - last_s < MIN_END_SPACING_S:
                 continue
-            score += 1.0 if end.began else WAITING_WEIGHT
+            score += end.weight
             last_s = end.at_s
         return score
 
@@ -603,7 +610,7 @@
             [segment, entry.clearance, entry.writing]
             for segment, entry in end.entries.items()
         ]
-        return [engine, _age_ms(end.at_s, now_s), end.began, entries]
+        return [engine, _age_ms(end.at_s, now_s), entries]
 
     def _merge_suspect(self, row: Sequence[Any], now_s: float) -> list[str]:
         name, clearance, changed_ms, familiar, trial = row
@@ -629,7 +636,7 @@
         return changed
 
     def _merge_end(self, row: Sequence[Any], now_s: float) -> list[str]:
-        engine, age_ms, began, rows = row
+        engine, age_ms, rows = row
         at_s = now_s - float(age_ms) / 1000
         if now_s - at_s > EVIDENCE_LIFETIME_S:
             return []
@@ -637,7 +644,7 @@
             str(segment): _Entry(int(clearance), bool(writing))
             for segment, clearance, writing in rows
         }
-        return self._add_end(str(engine), _End(at_s, bool(began), entries))
+        return self._add_end(str(engine), _End(at_s, entries))
 
     def _merge_block(self, row: Sequence[Any], now_s: float) -> list[str]:
         members, age_ms, weights = row
--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -191,8 +191,10 @@
         read_s = call.prompt.prompt_tokens * PREFILL_S_PER_TOKEN
         self._read_until_s = max(loop.time(), self._read_until_s) + read_s
         await asyncio.sleep(self._read_until_s - loop.time())
-        channel.deliver(ResponseHead(200, [call.request_id]))
-        if self._cluster.crashes(call):
+        crashes = self._cluster.crashes(call)
+        if not (crashes and self._cluster.load.headless):
+            channel.deliver(ResponseHead(200, [call.request_id]))
+        if crashes:
             await asyncio.sleep(self._cluster.rng.uniform(*CRASH_DELAYS_S))
             self.end(crashed=True)
             return
@@ -291,6 +293,11 @@
             Migrator(self.state, refuse_migration),
         )
 
+    @property
+    def running(self):
+        """Return whether the node takes requests."""
+        return bool(self._tasks) and self.state.upstreams_loaded
+
     def start(self):
         """Start the components in the background."""
         super().start()
@@ -313,6 +320,8 @@
     # sent.
     crashing_segment: str = "bad"
     from_s: float = 8.0
+    # Engines end before the head of their answer is sent.
+    headless: bool = False
 
 
 @dataclass(slots=True)
@@ -338,6 +347,14 @@
             if arrival.crashing and arrival.at_s > crashes[4] + contact_s
         ]
 
+    def blocked_sound_requests(self):
+        """Return the sound requests that were never sent although engines ran."""
+        return [
+            request
+            for request in self.requests
+            if not request.crashing and request.status == 503
+        ]
+
     def served_fraction(self, start_s, end_s):
         """Return how many of the sound requests sent in a period were served."""
         sent = [
@@ -448,7 +465,7 @@
         call = RequestCall(
             f"r{number}", "h", None, DEADLINE_S, prompt, None, [], ROUTES[kind]
         )
-        node = self.rng.choice(self.nodes)
+        node = self.rng.choice([each for each in self.nodes if each.running])
         now_s = asyncio.get_running_loop().time()
         request = Request(call.request_id, now_s, node.name, tuple(shared), crashing)
         self.observations.requests.append(request)
