Judge answers that end with their connection

Such a stream is now broken off, and one that ended before it had shown its prompt to be harmless leads to a check whether its engine still runs, as a crashed engine's may look. The stand-in's reset now sends a reset; it had sent a close.

A trial that was reported together with a new end was forgotten, and the two ends that remain after a release counted as one.

--- a/packages/decisions/cicadapass_decisions/segmentsuspicions.py
+++ b/packages/decisions/cicadapass_decisions/segmentsuspicions.py
@@ -315,10 +315,11 @@
         before = self._state()
         suspects, ends, blocks = exported
         changed: list[str] = []
-        for row in suspects:
-            changed += self._merge_suspect(row, now_s)
+        # A new end voids the trial before it; one that is reported with it came later.
         for row in ends:
             changed += self._merge_end(row, now_s)
+        for row in suspects:
+            changed += self._merge_suspect(row, now_s)
         for row in blocks:
             changed += self._merge_block(row, now_s)
         self._finish(before, changed, now_s, peer)
@@ -394,7 +395,7 @@
         entries = {each: _Entry(self._clearance(each), True) for each in segments}
         changed = list(segments)
         for number in range(1, int(BLOCK_ENDS)):
-            at_s = now_s - (BLOCK_ENDS - number) * MIN_END_SPACING_S
+            at_s = now_s - (BLOCK_ENDS - number) * 2 * MIN_END_SPACING_S
             name = f"released-{segments[0]}-{self._clearance(segments[0])}-{number}"
             changed += self._add_end(name, _End(at_s, dict(entries)))
         return changed
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -71,6 +71,7 @@
         self._aborted = False
         self._in_use = False
         self._response_closes = False
+        self._delimited = False
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
@@ -121,6 +122,14 @@
         """Return whether the upstream or the network ended the connection."""
         return self._closed and not self._aborted
 
+    @property
+    def delimited(self) -> bool:
+        """Return whether the response's end is marked by its length or a last chunk.
+
+        The end of the connection ends other responses, whole or not.
+        """
+        return self._delimited
+
     @property
     def written(self) -> bool:
         """Return whether the whole request was passed to the kernel."""
@@ -152,7 +161,7 @@
                 continue
             if isinstance(event, h11.Response):
                 headers = event.headers.raw_items()
-                self._record_keep_alive(event)
+                self._record_connection_headers(event)
                 return ResponseHead(event.status_code, headers)
             raise AnswerBroken("the connection was closed before a response")
         raise AnswerBroken(
@@ -230,8 +239,11 @@
             self._reading_paused = False
             self._transport.resume_reading()
 
-    def _record_keep_alive(self, response: h11.Response) -> None:
+    def _record_connection_headers(self, response: h11.Response) -> None:
+        self._delimited = False
         for name, value in response.headers:
+            if name in (b"content-length", b"transfer-encoding"):
+                self._delimited = True
             if name == b"connection" and b"close" in value.lower():
                 self._response_closes = True
             elif name == b"keep-alive":
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -369,7 +369,7 @@
         request, status = response.request, response.status
         async with self._read_timeout(request, response.reservation):
             body = await response.channel.read_remaining()
-        self.prompt_guard.record_harmless(request)
+        self._record_end_of_answer(response)
         self._count_run(request)
         self._release_channel(response)
         if request.exchange.started:
@@ -385,6 +385,14 @@
         self._log.log_end(request, status, "answered")
         return AttemptResult.delivered(status)
 
+    def _record_end_of_answer(self, response: OpenResponse) -> None:
+        """Record a complete answer as harmless, unless its engine may have ended."""
+        if response.channel.delimited:
+            self.prompt_guard.record_harmless(response.request)
+        else:
+            record = response.reservation.record
+            self.prompt_guard.record_broken(response.request, record)
+
     def _release_channel(self, response: OpenResponse) -> None:
         record = response.reservation.record
         self._pool.release(record.host, record.port, response.channel)
@@ -408,7 +416,7 @@
             return AttemptResult.migrated(request.migrated.record.upstream_id)
         finally:
             self._migrator.discard(run)
-        self.prompt_guard.record_harmless(request)
+        self._record_end_of_answer(response)
         if not exchange.started:
             exchange.start(response.status, response.info.headers)
         self._release_channel(response)
@@ -466,6 +474,8 @@
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
+        if not response.channel.delimited and not run.events:
+            raise AnswerBroken("the connection ended before the first event")
 
     def _record_first_event(
         self, request: RequestContext, reservation: Reservation
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 
 import h11
 import testtools
@@ -44,6 +46,8 @@
 # Long enough that no test fails on a machine under load.
 TIMEOUT_S = 30.0
 HOST = "127.0.0.1"
+# Value of the socket option by which the kernel sends a reset in place of a close.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LoopTest(testtools.TestCase):
@@ -243,8 +247,20 @@
             self.sent_bytes += len(data)
             await asyncio.sleep(0)
 
+    def stream_until_close(self):
+        """Write the head of an event stream that ends with its connection."""
+        request_id = self.headers.get(b"x-id", "")
+        head = f"HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-seal: 1\r\n"
+        self.send(f"{head}content-type: text/event-stream\r\n\r\n".encode())
+
+    def close(self):
+        """End the connection after what was written."""
+        self._writer.close()
+
     def reset(self):
         """Reset the connection."""
+        connection = self._writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._writer.transport.abort()
 
     async def until_closed(self):
