Read and log the limits that upstreams name

The adapter decodes it, each node keeps the newest word of each start of an upstream and logs it; a malformed one is logged and the last one stays. No request is placed differently yet.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -198,18 +198,19 @@
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
 detail, sends, segments, head_age_ms, events, suspected, entry_offset, \
-entry_age_ms, held, view_end, view_age_ms)
+entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms)
     An attempt at an upstream returned no answer to forward. The segments are the \
 shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
 there was one, and `events` what followed it. `suspected` has the evidence against \
-segments at the last decision: name, score, age in ms of the last end. The last five \
-fields describe the view of the registry by which the upstream was chosen.
+segments at the last decision: name, score, age in ms of the last end. The last seven \
+fields describe the view of the registry by which the upstream was chosen, and its \
+limit.
 812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
 waited_ms, first_ms, total_ms, suspected, entry_offset, entry_age_ms, held, view_end, \
-view_age_ms)
+view_age_ms, limit_per_s, limit_age_ms)
     A request that was sent to an upstream or queued has ended. `suspected` is as in \
-`attempt_unsuccessful`. The last five fields describe the view of the registry by \
-which the last upstream was chosen.
+`attempt_unsuccessful`. The last seven fields describe the view of the registry by \
+which the last upstream was chosen, and its limit.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
 814 info run_moved(request_id, upstream, target, delivered, outcome)
@@ -246,6 +247,11 @@
 851 warning segment_block_changed(change, segments, engines, peer, reason)
     Prompts with these segments, all of them, are rejected because these engines \
 ended, or they are no longer rejected, for this reason.
+852 info upstream_limit_changed(upstream, limit_per_s, peer)
+    An upstream named, changed or no longer names (null) a limit for the requests of \
+all nodes. It is named with the Unix millisecond of its start.
+853 warning upstream_limit_unreadable(upstream, value)
+    An answer names a limit that cannot be read; the last one stays.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/passthrough.py
+++ b/packages/decisions/cicadapass_decisions/passthrough.py
@@ -128,6 +128,11 @@
     # Remaining time, if a reclaim was announced.
     leaves_in_s: float | None = None
 
+    @property
+    def start_key(self) -> str:
+        """Return a name of this start of the upstream."""
+        return f"{self.upstream_id}@{self.started_ms}"
+
 
 @dataclass(frozen=True, slots=True)
 class PromptSegment:
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -55,6 +55,10 @@
     headers: Headers
     # Version of the weights that the upstream uses, if it reports it.
     weights: int | None = None
+    # Requests per second that the upstream takes from all nodes together, if it names
+    # a limit, and the text of a limit that cannot be read.
+    limit_per_s: float | None = None
+    unreadable_limit: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -150,7 +150,7 @@
         """
         if not request.segments or request.response.harmless:
             return
-        engine = _engine_key(record)
+        engine = record.start_key
         broken = self._broken.setdefault(engine, _BrokenAnswers())
         began = request.response.head_s is not None
         (broken.writing if began else broken.waiting).update(request.segments)
@@ -213,7 +213,7 @@
     def _is_listed(self, record: UpstreamRecord) -> bool:
         """Return whether an engine is registered and not leaving."""
         return any(
-            _engine_key(each) == _engine_key(record)
+            each.start_key == record.start_key
             for each in self._state.upstreams.usable(record.service)
         )
 
@@ -278,8 +278,3 @@
             ):
                 request.stopped = HeldReason.BLOCKED.value
                 request.time_limit.reschedule(loop_s)
-
-
-def _engine_key(record: UpstreamRecord) -> str:
-    """Return a name of one start of an engine."""
-    return f"{record.upstream_id}@{record.started_ms}"
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -322,6 +322,7 @@
             request.call, attempt, len(exchange.body)
         )
         request.sends += 1
+        sent_s = self._state.clock()
         # From here on the request may have been executed unless the upstream denies it.
         request.runs += 1
         channel.send(exchange.method, exchange.target, headers, exchange.body)
@@ -339,6 +340,7 @@
             self._state.segment_suspicions.record_weights(
                 record.service, info.weights, self._state.clock()
             )
+        self._record_limit(record, info, sent_s)
         meter = self._state.upstreams.meter(record)
         if info.load is not None:
             meter.record_reported_load(info.load, self._state.clock())
@@ -353,6 +355,18 @@
             return await self._relay_stream(response)
         return await self._relay_body(response)
 
+    def _record_limit(
+        self, record: UpstreamRecord, info: ResponseInfo, sent_s: float
+    ) -> None:
+        """Record the limit that an answer names; a malformed one is logged."""
+        if info.unreadable_limit is not None:
+            self._log.log_unreadable_limit(record, info.unreadable_limit)
+            return
+        now_s = self._state.clock()
+        limits = self._state.upstreams.limits
+        if limits.record_answer(record.start_key, info.limit_per_s, sent_s, now_s):
+            self._log.log_limit(record.start_key, info.limit_per_s, None)
+
     def _record_rejection(self, record: UpstreamRecord, info: ResponseInfo) -> None:
         now_s = self._state.clock()
         if not info.wrong_instance:
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -1,6 +1,7 @@
 """Log the decisions on a request and count them."""
 
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.requestcontext import RequestContext
@@ -15,6 +16,7 @@
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
+        self._last_unreadable = ("", "")
 
     def log_rejected(
         self, call: Call, status: int, reason: str, workspace: str | None
@@ -57,6 +59,8 @@
             held=basis.held,
             view_end=basis.view_end,
             view_age_ms=_ms(basis.view_age_s),
+            limit_per_s=basis.limit_per_s,
+            limit_age_ms=_ms(basis.limit_age_s),
         )
 
     def log_end(self, request: RequestContext, status: int, outcome: str) -> None:
@@ -89,8 +93,26 @@
             held=basis.held,
             view_end=basis.view_end,
             view_age_ms=_ms(basis.view_age_s),
+            limit_per_s=basis.limit_per_s,
+            limit_age_ms=_ms(basis.limit_age_s),
         )
 
+    def log_limit(
+        self, start_key: str, limit_per_s: float | None, peer: str | None
+    ) -> None:
+        """Log a limit that an upstream named first, changed or ended."""
+        self._state.metrics.count("upstream_limits")
+        self._state.events.emit(
+            852, upstream=start_key, limit_per_s=limit_per_s, peer=peer
+        )
+
+    def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
+        """Count a malformed limit, and log it once for each start of an upstream."""
+        self._state.metrics.count("upstream_limits_unreadable")
+        if self._last_unreadable != (record.start_key, value):
+            self._last_unreadable = (record.start_key, value)
+            self._state.events.emit(853, upstream=record.start_key, value=value)
+
 
 def _ms(seconds: float) -> int:
     return round(1000 * seconds)
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -7,6 +7,7 @@
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import Candidate
 from cicadapass_decisions.topicreplica import TopicReplica
+from cicadapass_decisions.upstreamlimits import UpstreamLimits
 from cicadapass_decisions.upstreammeter import (
     INITIAL_CALL_S,
     INITIAL_PREFILL_S_PER_TOKEN,
@@ -29,6 +30,9 @@
     view_end: int
     # Time since the last read of the registry that the view rests on.
     view_age_s: float
+    # The limit that the upstream had named, and the time since a node heard it.
+    limit_per_s: float | None = None
+    limit_age_s: float = 0.0
 
 
 NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
@@ -52,6 +56,7 @@
     def __init__(self, data_centre: str) -> None:
         self.replica = TopicReplica()
         self.view = UpstreamView()
+        self.limits = UpstreamLimits()
         self._data_centre = data_centre
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._keys = itertools.count()
@@ -73,6 +78,7 @@
         current_starts = {
             (r.upstream_id, r.started_ms) for r in self.view.records.values()
         }
+        self.limits.keep(each.start_key for each in self.view.records.values())
         for key in [each for each in self._meters if each not in current_starts]:
             if not self._meters[key].local_running:
                 del self._meters[key]
@@ -116,7 +122,7 @@
         uncached_tokens = self.meter(record).begin(key, prompt, now_s)
         for listener in self._send_listeners:
             listener(record.upstream_id, uncached_tokens)
-        basis = self._choice_basis(record.upstream_id, now_s)
+        basis = self._choice_basis(record, now_s)
         return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
@@ -170,13 +176,17 @@
             for record in records:
                 self.meter(record).decay_speed(prefill_s_per_token, call_s, now_s)
 
-    def _choice_basis(self, upstream_id: str, now_s: float) -> ChoiceBasis:
+    def _choice_basis(self, record: UpstreamRecord, now_s: float) -> ChoiceBasis:
+        upstream_id = record.upstream_id
+        named = self.limits.limit(record.start_key)
         return ChoiceBasis(
             entry_offset=self.replica.offset(upstream_id),
             entry_age_s=now_s - self.replica.applied_s(upstream_id),
             held=self.view.is_held(upstream_id),
             view_end=self.replica.end_offset,
             view_age_s=self.replica.age_s(now_s),
+            limit_per_s=None if named is None else named.rate_per_s,
+            limit_age_s=0.0 if named is None else now_s - named.heard_s,
         )
 
     def _candidate(
