Let the engine cluster raise the errors of its tasks

The channel of the stand-in lacked an attribute that the relay reads since the last change, and the tests of the prompt crashes went on with requests that had ended in an error. The six tests pass again; errors of tasks now fail a test.

--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -210,6 +210,7 @@
     """Carry one request to an engine and its answer back."""
 
     responding = False
+    delimited = True
 
     def __init__(self, engine, node):
         self.node = node
@@ -435,6 +436,9 @@
             self.spawn(self._send(crashing))
             await asyncio.sleep(self.rng.expovariate(self.load.requests_per_s))
         await asyncio.sleep(DEADLINE_S)
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                raise task.exception()
         return self.observations
 
     async def end_engines(self, count):
