--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -130,7 +130,7 @@
 
 
 def _decode_response(status, headers):
-    (request_id,) = headers
+    request_id, limit_per_s = headers
     return ResponseInfo(
         request_id=request_id,
         sealed=True,
@@ -139,6 +139,7 @@
         load=None,
         event_stream=True,
         headers=[],
+        limit_per_s=limit_per_s,
     )
 
 
@@ -159,6 +160,8 @@
     def __init__(self, cluster, name):
         self.name = name
         self.alive = True
+        # Requests per second that it names in its answers.
+        self.limit_per_s = None
         self._cluster = cluster
         self._read_until_s = 0.0
         self._channels = set()
@@ -193,7 +196,7 @@
         await asyncio.sleep(self._read_until_s - loop.time())
         crashes = self._cluster.crashes(call)
         if not (crashes and self._cluster.load.headless):
-            channel.deliver(ResponseHead(200, [call.request_id]))
+            channel.deliver(ResponseHead(200, [call.request_id, self.limit_per_s]))
         if crashes:
             await asyncio.sleep(self._cluster.rng.uniform(*CRASH_DELAYS_S))
             self.end(crashed=True)
@@ -356,6 +359,18 @@
             if not request.crashing and request.status == 503
         ]
 
+    def arrivals_in_window(self, engine, from_s, to_s, window_s):
+        """Return the most requests that an engine got within `window_s`."""
+        times = [
+            each.at_s
+            for each in self.arrivals
+            if each.engine == engine and from_s <= each.at_s <= to_s
+        ]
+        return max(
+            (sum(start <= at < start + window_s for at in times) for start in times),
+            default=0,
+        )
+
     def served_fraction(self, start_s, end_s):
         """Return how many of the sound requests sent in a period were served."""
         sent = [
