Keep the limits that upstreams name, over all nodes

A limit is now divided among as many nodes as it has requests a second, chosen by rendezvous hashing of the members heard lately; the others send that engine nothing. So seven nodes keep a limit of 1.3 without agreeing on fractions of a request, and two halves that lose each other stay within the platform's slack. Changes are told to all members at once and repeated with each datagram; the newest word counts, and an answer without a limit ends one only if its request was sent after the limit was heard. Placement, migration and the estimate of the queue know the room; if all engines are limited, what cannot be sent in time is refused at once. At zero a request in four seconds is sent, which shows when the limit ends.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -198,18 +198,20 @@
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
 detail, sends, segments, head_age_ms, events, suspected, entry_offset, \
-entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms)
+entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms, \
+limit_share_per_s, limit_room)
     An attempt at an upstream returned no answer to forward. The segments are the \
 shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
 there was one, and `events` what followed it. `suspected` has the evidence against \
-segments at the last decision: name, score, age in ms of the last end. The last seven \
+segments at the last decision: name, score, age in ms of the last end. The last nine \
 fields describe the view of the registry by which the upstream was chosen, and its \
 limit.
 812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
 waited_ms, first_ms, total_ms, suspected, entry_offset, entry_age_ms, held, view_end, \
-view_age_ms, limit_per_s, limit_age_ms)
+view_age_ms, limit_per_s, limit_age_ms, \
+limit_share_per_s, limit_room)
     A request that was sent to an upstream or queued has ended. `suspected` is as in \
-`attempt_unsuccessful`. The last seven fields describe the view of the registry by \
+`attempt_unsuccessful`. The last nine fields describe the view of the registry by \
 which the last upstream was chosen, and its limit.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -8,10 +8,12 @@
 """
 
 import hashlib
+import math
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import Prompt
+from cicadapass_decisions.upstreamlimits import Room
 
 # An upstream in another data centre must be faster by this much. The penalty covers the
 # round trip and the price of traffic between data centres.
@@ -64,6 +66,13 @@
     full: bool = False
     # A connection to the upstream has just failed.
     unreachable: bool = False
+    # What this node may send it within a limit that the upstream named.
+    room: Room | None = None
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether the upstream's limit leaves room for a request now."""
+        return self.room is None or self.room.requests >= 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +184,20 @@
     return min(deadline_s, max_wait_s)
 
 
+def limit_delay_s(candidates: Iterable[Candidate], requests_ahead: int) -> float:
+    """Return the time until limits leave room for a request; infinite if never."""
+    free, share_per_s = 0.0, 0.0
+    for candidate in candidates:
+        if candidate.room is None:
+            return 0.0
+        free += max(0.0, candidate.room.requests)
+        share_per_s += candidate.room.share_per_s
+    missing = requests_ahead + 1 - free
+    if missing <= 0:
+        return 0.0
+    return missing / share_per_s if share_per_s > 0 else math.inf
+
+
 def is_wait_too_long(wait_s: float, max_wait_s: float) -> bool:
     """Return whether a request should be refused instead of queued."""
     return wait_s > ADMISSION_WAIT_FRACTION * max_wait_s
@@ -247,7 +270,7 @@
 
 
 def _has_capacity(request: PlacementRequest, candidate: Candidate) -> bool:
-    if candidate.full:
+    if candidate.full or not candidate.has_room:
         return False
     if not request.for_model:
         return candidate.running < candidate.slots * (1 + EXTRA_CALLS_FRACTION)
--- a/packages/decisions/cicadapass_decisions/runmigration.py
+++ b/packages/decisions/cicadapass_decisions/runmigration.py
@@ -48,7 +48,9 @@
 def choose_destination(candidates: Sequence[Candidate]) -> str | None:
     """Return the best upstream with a free slot: healthy, near and lightly loaded."""
     available = [
-        candidate for candidate in candidates if candidate.running < candidate.slots
+        candidate
+        for candidate in candidates
+        if candidate.running < candidate.slots and candidate.has_room
     ]
     chosen = min(
         available,
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.passthrough import Configuration
@@ -46,7 +47,7 @@
         self.metrics = Metrics()
         self.rng = random.Random()
         self.clock: Callable[[], float] = asyncio.get_running_loop().time
-        self.upstreams = UpstreamTracker(data_centre)
+        self.upstreams = UpstreamTracker(node, data_centre)
         self.queue = RequestQueue(self.upstreams, self.clock)
         self.segment_suspicions = SegmentSuspicions()
         self.rate_limiter = RateLimiter(limit_window_s, self.clock())
@@ -59,6 +60,7 @@
         self.demand = DemandMeter()
         self._retry = retry
         self._retry_allowances: dict[str, RetryAllowance] = {}
+        self._limit_listeners: list[Callable[[], None]] = []
 
     @property
     def configuration(self) -> Configuration | None:
@@ -95,6 +97,31 @@
         self.raw_configuration = raw
         return True
 
+    def subscribe_to_limits(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when this node hears a change of an upstream's limit."""
+        self._limit_listeners.append(listener)
+
+    def record_upstream_limit(
+        self, start_key: str, rate_per_s: float | None, sent_s: float, now_s: float
+    ) -> None:
+        """Record the limit that an answer names, and report a change to peers."""
+        limits = self.upstreams.limits
+        if limits.record_answer(start_key, rate_per_s, sent_s, now_s):
+            self._log_limit(start_key, rate_per_s, None)
+            for listener in self._limit_listeners:
+                listener()
+
+    def merge_upstream_limits(self, rows: Sequence[Any], peer: str) -> None:
+        """Apply the limits that a peer heard; raise ValueError or TypeError."""
+        for start_key, rate in self.upstreams.limits.merge(rows, self.clock()):
+            self._log_limit(start_key, rate, peer)
+
+    def _log_limit(
+        self, start_key: str, limit_per_s: float | None, peer: str | None
+    ) -> None:
+        self.metrics.count("upstream_limits")
+        self.events.emit(852, upstream=start_key, limit_per_s=limit_per_s, peer=peer)
+
     def retry_allowance(self, service: str) -> RetryAllowance:
         """Return the retry allowance of a service, created on its first use."""
         allowance = self._retry_allowances.get(service)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -42,6 +42,11 @@
 MAX_SEGMENT_ROWS_PER_REPORT = 24
 # In place of a node's name in a list: the message contains evidence.
 SEGMENT_MESSAGE = ""
+# In place of a node's name in a list: the message contains limits of upstreams.
+LIMIT_MESSAGE = "/"
+# A member counts among those that share limits for this long after its last datagram,
+# plus two rounds of datagrams.
+LIMIT_MEMBER_AGE_S = 1.2
 # Nodes of the local data centre that get a prompt's report at once, 25 bytes each.
 MAX_LOCAL_RECIPIENTS = 40
 
@@ -147,6 +152,7 @@
         # Rows of evidence that are not reported yet; the values serve as a set.
         self._unreported_segments: dict[str, None] = {}
         dependencies.state.segment_suspicions.subscribe(self._report_segments)
+        dependencies.state.subscribe_to_limits(self._report_limits)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -194,6 +200,7 @@
         self._remove_silent_members(now_s)
         state = self._dependencies.state
         state.rate_limiter.set_round(self.round_s)
+        state.upstreams.limits.set_members(self._recent_members(now_s))
         state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
         self._interval += 1
         data = cbor2.dumps(self._encode(now_s))
@@ -217,6 +224,10 @@
             message = decode_cbor(data)
             if isinstance(message, list) and message[0] == SEGMENT_MESSAGE:
                 self._merge_segments(message[2], str(message[1]))
+            elif isinstance(message, list) and message[0] == LIMIT_MESSAGE:
+                self._dependencies.state.merge_upstream_limits(
+                    message[2], str(message[1])
+                )
             elif isinstance(message, list):
                 self._apply_send(message)
             else:
@@ -281,6 +292,7 @@
             "segments": state.segment_suspicions.export(
                 now_s, most=SEGMENT_ROWS_PER_DATAGRAM
             ),
+            "upstream_limits": state.upstreams.limits.export(now_s),
             "holder": self._dependencies.local_renewal(),
             "members": [encode_address(address) for address in introduced],
         }
@@ -313,6 +325,7 @@
         self._apply_view(member, message.get("view"))
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
+        state.merge_upstream_limits(message.get("upstream_limits", []), address.name)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -327,6 +340,24 @@
                 name, str(upstream_id), int(tokens), state.clock()
             )
 
+    def _recent_members(self, now_s: float) -> list[str]:
+        max_age_s = LIMIT_MEMBER_AGE_S + 2 * self.round_s
+        return [
+            name
+            for name, member in self.members.items()
+            if member.heard and now_s - member.last_received_s < max_age_s
+        ]
+
+    def _report_limits(self) -> None:
+        """Report the limits that this node heard to all members at once."""
+        if self._transport is None:
+            return
+        state = self._dependencies.state
+        rows = state.upstreams.limits.export(state.clock())
+        data = cbor2.dumps([LIMIT_MESSAGE, self.local_address.name, rows])
+        for member in self.members.values():
+            self._transport.sendto(data, (member.address.host, member.address.port))
+
     def _report_segments(
         self, _changes: Sequence[Change], names: Sequence[str], peer: str | None
     ) -> None:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -363,9 +363,9 @@
             self._log.log_unreadable_limit(record, info.unreadable_limit)
             return
         now_s = self._state.clock()
-        limits = self._state.upstreams.limits
-        if limits.record_answer(record.start_key, info.limit_per_s, sent_s, now_s):
-            self._log.log_limit(record.start_key, info.limit_per_s, None)
+        self._state.record_upstream_limit(
+            record.start_key, info.limit_per_s, sent_s, now_s
+        )
 
     def _record_rejection(self, record: UpstreamRecord, info: ResponseInfo) -> None:
         now_s = self._state.clock()
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -61,6 +61,8 @@
             view_age_ms=_ms(basis.view_age_s),
             limit_per_s=basis.limit_per_s,
             limit_age_ms=_ms(basis.limit_age_s),
+            limit_share_per_s=round(basis.limit_share_per_s, 3),
+            limit_room=round(basis.limit_room, 2),
         )
 
     def log_end(self, request: RequestContext, status: int, outcome: str) -> None:
@@ -95,15 +97,8 @@
             view_age_ms=_ms(basis.view_age_s),
             limit_per_s=basis.limit_per_s,
             limit_age_ms=_ms(basis.limit_age_s),
-        )
-
-    def log_limit(
-        self, start_key: str, limit_per_s: float | None, peer: str | None
-    ) -> None:
-        """Log a limit that an upstream named first, changed or ended."""
-        self._state.metrics.count("upstream_limits")
-        self._state.events.emit(
-            852, upstream=start_key, limit_per_s=limit_per_s, peer=peer
+            limit_share_per_s=round(basis.limit_share_per_s, 3),
+            limit_room=round(basis.limit_room, 2),
         )
 
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -6,6 +6,7 @@
 
 from cicadapass_decisions.passthrough import Prompt
 from cicadapass_decisions.placement import (
+    Candidate,
     PlacementRequest,
     Send,
     Unavailable,
@@ -13,6 +14,7 @@
     estimate_max_wait_s,
     is_overdue,
     is_wait_too_long,
+    limit_delay_s,
     place_request,
 )
 from cicadapass_decisions.queueorder import QueuedRequest, queue_rank
@@ -190,6 +192,20 @@
         )
         if not candidates:
             return 0.0
+        limit_delay = self._limit_delay_s(queue, entry, candidates)
+        return max(limit_delay, self._load_delay_s(queue, entry, candidates))
+
+    def _limit_delay_s(
+        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
+    ) -> float:
+        priority = entry.requirements.priority
+        ahead = sum(each.requirements.priority <= priority for each in queue.entries)
+        return limit_delay_s(candidates, ahead)
+
+    def _load_delay_s(
+        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
+    ) -> float:
+        requirements = entry.requirements
         ahead = [
             each.requirements
             for each in queue.entries
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -33,6 +33,9 @@
     # The limit that the upstream had named, and the time since a node heard it.
     limit_per_s: float | None = None
     limit_age_s: float = 0.0
+    # This node's share of the limit and its room before the request.
+    limit_share_per_s: float = 0.0
+    limit_room: float = 0.0
 
 
 NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
@@ -53,10 +56,10 @@
 class UpstreamTracker:
     """Track the registered upstreams, with a meter for each start of one."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(self, node: str, data_centre: str) -> None:
         self.replica = TopicReplica()
         self.view = UpstreamView()
-        self.limits = UpstreamLimits()
+        self.limits = UpstreamLimits(node)
         self._data_centre = data_centre
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._keys = itertools.count()
@@ -123,6 +126,7 @@
         for listener in self._send_listeners:
             listener(record.upstream_id, uncached_tokens)
         basis = self._choice_basis(record, now_s)
+        self.limits.take(record.start_key, now_s)
         return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
@@ -179,6 +183,7 @@
     def _choice_basis(self, record: UpstreamRecord, now_s: float) -> ChoiceBasis:
         upstream_id = record.upstream_id
         named = self.limits.limit(record.start_key)
+        room = self.limits.room(record.start_key, now_s)
         return ChoiceBasis(
             entry_offset=self.replica.offset(upstream_id),
             entry_age_s=now_s - self.replica.applied_s(upstream_id),
@@ -187,6 +192,8 @@
             view_age_s=self.replica.age_s(now_s),
             limit_per_s=None if named is None else named.rate_per_s,
             limit_age_s=0.0 if named is None else now_s - named.heard_s,
+            limit_share_per_s=0.0 if room is None else room.share_per_s,
+            limit_room=0.0 if room is None else room.requests,
         )
 
     def _candidate(
@@ -206,6 +213,7 @@
             failure_score=meter.failure_score(now_s),
             full=meter.is_full(now_s),
             unreachable=meter.is_unreachable(now_s),
+            room=self.limits.room(record.start_key, now_s),
         )
 
     def _typical_speed(self, service: str) -> tuple[float, float]:
--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -288,7 +288,6 @@
 
     def __init__(self, cluster, number, incarnation=1):
         super().__init__(cluster, number, incarnation)
-        self.state.node = self.name
         self.relay = Relay(
             self.state,
             CODEC,
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -313,7 +313,8 @@
 def make_state(**changes):
     """Return the state of a node; call it within the event loop."""
     bounds = RetryLimits(10.0, 20.0)
-    return NodeState("n", "dc-a", quiet_events(), bounds, changes.get("window_s", 8.0))
+    node, window_s = changes.get("node", "n"), changes.get("window_s", 8.0)
+    return NodeState(node, "dc-a", quiet_events(), bounds, window_s)
 
 
 async def refuse_migration(source, request_id, target, last):
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -180,7 +180,7 @@
     def __init__(self, cluster, number, incarnation=1):
         self.name = f"node-{number}"
         self.host = f"10.0.{number // 250}.{number % 250 + 1}"
-        self.state = make_state()
+        self.state = make_state(node=self.name)
         self.state.rng.seed(cluster.rng.random())
         self.registry = NodeRegistry(cluster.registry, cluster.calls)
         seeds = [(f"10.0.0.{each}", PORT) for each in (1, 2, 3)]
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -128,6 +128,28 @@
         stream = decode_response(200, [(b"Content-Type", b"text/event-stream")])
         self.assertTrue(stream.event_stream)
 
+    def test_a_limit_is_read_only_if_it_is_one_decimal_number(self):
+        """A malformed limit raised an error, or stopped all requests to an upstream."""
+        for text, rate in ((b"1.3", 1.3), (b" 0 ", 0.0), (b".5", 0.5), (b"20.", 20.0)):
+            info = decode_response(200, [(b"Server-Limit", text)])
+            self.assertEqual((rate, None), (info.limit_per_s, info.unreadable_limit))
+        for text in (b"", b"nan", b"inf", b"-1", b"1e9", b"1,5", b"\xb2", b"9" * 400):
+            info = decode_response(200, [(b"Server-Limit", text)])
+            self.assertIsNone(info.limit_per_s)
+            self.assertIsNotNone(info.unreadable_limit)
+            self.assertLessEqual(len(info.unreadable_limit), 40)
+        twice = [(b"Server-Limit", b"1"), (b"server-limit", b"2")]
+        info = decode_response(200, twice)
+        self.assertEqual((None, "1, 2"), (info.limit_per_s, info.unreadable_limit))
+        info = decode_response(200, [])
+        self.assertEqual((None, None), (info.limit_per_s, info.unreadable_limit))
+
+    def test_the_version_of_the_weights_is_read(self):
+        """New weights did not release the blocks of prompt segments."""
+        for text, version in ((b"12", 12), (b"x", None), (b"9" * 30, None)):
+            info = decode_response(200, [(b"Weight-Versions", text)])
+            self.assertEqual(version, info.weights)
+
     def test_refusal_has_retry_after(self):
         """A refused caller did not receive a time to retry."""
         headers = dict(encode_refusal("9c41", 0.25))
