Let prompts of the soak crash engines

The trouble is drawn apart, so that the other faults of a seed stay as they were. A check counts what reaches the engines and uses the platform's bounds; a test shows that it reports violations.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,11 @@
 # Statuses that reject a request, which is wrong for a valid one.
 DENIED = (400, 401, 403, 404)
 MAX_DENIED = 10
+# After so many ends of engines under a segment, and this long, at most so many more
+# requests with it reach engines.
+MAX_PROMPT_CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATE_PROMPTS = 3
 MAX_LATE = 7
 
 
@@ -38,6 +43,7 @@
         _answered_late,
         _duty_conflicts,
         _late_recovery,
+        _crashing_prompts_sent_on,
     ):
         lines += check(records)
     return lines
@@ -224,3 +230,28 @@
     recovered_at_s = records.recovered_at_s
     if recovered_at_s is None or recovered_at_s - records.faults_ended_s > RECOVERY_S:
         yield f"no recovery within {RECOVERY_S} s after the last fault"
+
+
+def _crashing_prompts_sent_on(records):
+    calls = {call.request_id: call for call in records.calls}
+    for segment in dict.fromkeys(each[0] for each in records.prompt_crashes):
+        crashes_s = sorted(
+            at for name, _, at in records.prompt_crashes if name == segment
+        )
+        if len(crashes_s) < MAX_PROMPT_CRASHES:
+            continue
+        from_s = crashes_s[MAX_PROMPT_CRASHES - 1] + CONTACT_S
+        late = [
+            run
+            for request_id, runs in records.runs.items()
+            for run in runs
+            if run.crashing_segment == segment
+            and run.arrived_s > from_s
+            and request_id in calls
+            and is_undisturbed(records, calls[request_id].node, run.arrived_s)
+        ]
+        if len(late) > MAX_LATE_PROMPTS:
+            yield (
+                f"{len(late)} requests with {segment} were sent later than "
+                f"{CONTACT_S} s after it had ended {MAX_PROMPT_CRASHES} engines"
+            )
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -13,6 +13,10 @@
 CALL_S = 0.15
 EVENT_S = 0.03
 EVENTS = 8
+# Prompt segments with this prefix end the engine that begins to write an answer, this
+# long after the head.
+CRASHING_PREFIX = "bad"
+CRASH_S = 0.06
 SLOTS = 8
 # The request of a node to move a run to another engine.
 MOVE_TARGET = b"/api/kv-move"
@@ -27,6 +31,8 @@
         self.name = name
         self.alive = True
         self.sequence = 0
+        # Called if a prompt segment ends it.
+        self.on_crash = None
         self.started_ms = 1_700_000_000_000 + next(self.start_numbers)
         self._records = records
         self._clock = clock
@@ -82,6 +88,7 @@
             response.body,
             headers,
         )
+        run.crashing_segment = _crashing_segment(headers)
         self._records.record_run(request_id, run)
         extra = f"request-id: {request_id}\r\nserver-seal: {self.name}\r\n"
         if headers.get("expect-instance") != self.name:
@@ -109,6 +116,11 @@
         run.status, run.answer = 200, b""
         response.extra = extra
         response.stream()
+        if run.crashing_segment is not None:
+            await asyncio.sleep(CRASH_S)
+            if self.alive:
+                self.on_crash(self, run.crashing_segment)
+            return
         first = int(run.headers.get("last-event-id", 0)) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {token}\n\n".encode()
@@ -118,3 +130,10 @@
             response.send(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await asyncio.sleep(EVENT_S)
         response.end()
+
+
+def _crashing_segment(headers):
+    segments = [
+        each.partition(":")[0] for each in headers.get("prefix-hash", "").split(",")
+    ]
+    return next((each for each in segments if each.startswith(CRASHING_PREFIX)), None)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,11 @@
     "key_dropped": 1,
     "all_killed": 1,
 }
+# Faults of engines in trouble, drawn apart so that the other faults of a seed stay.
+TROUBLE_KINDS = ("prompt_crash",)
+# Time between two of them, and how long they last.
+TROUBLE_PAUSE_RANGE_S = (4.0, 12.0)
+TROUBLE_DURATION_RANGE_S = (5.0, 9.0)
 # Values of proxy.Disturbance that a fault of a link may have.
 LINK_KINDS = ("delayed", "reset", "one_way", "silent")
 # Traffic without faults, until all nodes know each other.
@@ -76,4 +81,23 @@
                 )
             )
             at_s += rng.uniform(*PAUSE_RANGE_S)
+    return sorted(faults + _draw_trouble(seed, length_s), key=lambda each: each.at_s)
+
+
+def _draw_trouble(seed, length_s):
+    rng = random.Random(f"trouble {seed}")
+    faults = []
+    at_s = FIRST_FAULT_S
+    while at_s < length_s:
+        faults.append(
+            Fault(
+                at_s=at_s,
+                kind=rng.choice(TROUBLE_KINDS),
+                target_fraction=rng.random(),
+                duration_s=rng.uniform(*TROUBLE_DURATION_RANGE_S),
+                disturbance="none",
+                clock_step_s=0.0,
+            )
+        )
+        at_s += rng.uniform(*TROUBLE_PAUSE_RANGE_S)
     return faults
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -6,6 +6,7 @@
 from tests.platform.storestandin import StoreStandin
 from tests.platform.test_documents import ROUTE
 from tests.soak.engines import Engine
+from tests.soak.records import Span
 
 HEARTBEAT_S = 1.2
 # An entry expires after three missed heartbeats.
@@ -13,6 +14,8 @@
 # A leaving engine still serves for this time after its entry was marked as leaving.
 DRAIN_S = 3.0
 TIMEOUT_S = 3.0
+# Time until an engine that a prompt has crashed is back.
+RESTART_S = 2.0
 ROUTE_KINDS = {"safe": "safe", "unsafe": "unsafe", "stream": "streaming"}
 KEYS = ("key-1", "key-2")
 
@@ -53,6 +56,7 @@
         # Engines that serve although their entry was removed.
         self._unlisted = set()
         self._lapsed = False
+        self._tasks = set()
 
     async def start(self, engines):
         """Start the store and this number of engines; return the port of the store."""
@@ -96,6 +100,7 @@
     async def add_engine(self, name, link=None):
         """Start an engine, behind a new link or the given one, and write its entry."""
         engine = await Engine(name, self._records, self._clock).start(link)
+        engine.on_crash = self._crash_by_prompt
         self.engines[name] = engine
         self._write(engine)
         return engine
@@ -120,6 +125,22 @@
         engine.crash()
         self._silent_since_s[engine.name] = self._clock()
 
+    def _crash_by_prompt(self, engine, segment):
+        """Crash an engine because of a prompt, and start another one later."""
+        now_s = self._clock()
+        self._records.prompt_crashes.append((segment, engine.name, now_s))
+        self._records.disturbances.append(
+            Span(engine.name, now_s - TIMEOUT_S, now_s + TIMEOUT_S)
+        )
+        self.crash(engine)
+        task = asyncio.create_task(self._replace_later(f"{engine.name}-again"))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _replace_later(self, name):
+        await asyncio.sleep(RESTART_S)
+        await self.add_engine(name)
+
     async def reuse_address(self, engine):
         """Replace an engine by another one at the same address, without notice."""
         link = engine.link
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -15,6 +15,8 @@
     headers: dict
     # The engine refused it as not executed.
     rejected: bool = False
+    # The prompt segment that ends the engine.
+    crashing_segment: str | None = None
     # The complete answer of the engine.
     answer: bytes | None = None
     status: int = 0
@@ -40,6 +42,8 @@
     answer: bytes = b""
     complete: bool = False
     abandoned: bool = False
+    # Its prompt crashes engines.
+    crashing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,6 +65,8 @@
     moves: list = field(default_factory=list)
     # Unplanned disturbances of nodes and engines, by name, and of "store".
     disturbances: list = field(default_factory=list)
+    # Ends of engines under a prompt segment: segment, engine and time.
+    prompt_crashes: list = field(default_factory=list)
     # Planned stops of nodes.
     planned_stops: list = field(default_factory=list)
     # When the entry of an engine was marked as leaving, by engine.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from tests.soak.checks import DRAIN_S, RECOVERY_S, UNDISTURBED_S, violations
+from tests.soak.checks import (
+    CONTACT_S,
+    DRAIN_S,
+    RECOVERY_S,
+    UNDISTURBED_S,
+    violations,
+)
 from tests.soak.engines import EVENTS
 from tests.soak.records import Call, Records, Run, Span
 
@@ -189,3 +195,28 @@
             self.assert_one_violation(
                 records([], {}, recovered_at_s=recovered_at_s), "no recovery"
             )
+
+    def crashing_runs(self, count, arrived_s):
+        """Return calls and runs with a prompt that crashes engines."""
+        calls = [call(f"r{n}", "stream", status=503, answer=b"") for n in range(count)]
+        runs = {
+            each.request_id: [
+                run("stream", arrived_s=arrived_s, crashing_segment="bad1", status=0)
+            ]
+            for each in calls
+        }
+        return calls, runs
+
+    def test_prompts_sent_on_after_five_crashes_are_reported(self):
+        """Requests with a segment that had ended five engines must be reported."""
+        crashes = [("bad1", f"i-{n}", 40.0 + n) for n in range(5)]
+        calls, runs = self.crashing_runs(4, 44.0 + CONTACT_S + 0.1)
+        result = records(calls, runs, prompt_crashes=crashes)
+        lines = [each for each in violations(result) if "bad1" in each]
+        self.assertEqual(1, len(lines))
+        for few in (
+            records(*self.crashing_runs(3, 47.1), prompt_crashes=crashes),
+            records(*self.crashing_runs(9, 46.9), prompt_crashes=crashes),
+            records(*self.crashing_runs(9, 47.1), prompt_crashes=crashes[:4]),
+        ):
+            self.assertEqual([], [each for each in violations(few) if "bad1" in each])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 import testtools
 
 from tests.gateway.harness import LoopTest
-from tests.soak.faults import KIND_WEIGHTS, draw_faults
+from tests.soak.faults import KIND_WEIGHTS, TROUBLE_KINDS, draw_faults
 from tests.soak.world import play_seed
 
 SEED = 4
@@ -30,7 +30,8 @@
         """Every kind of fault must be drawn, and faults must overlap in every seed."""
         faults = [fault for seed in range(50) for fault in draw_faults(seed, 20.0)]
         self.assertEqual(
-            set(KIND_WEIGHTS), set(Counter(fault.kind for fault in faults))
+            {*KIND_WEIGHTS, *TROUBLE_KINDS},
+            set(Counter(fault.kind for fault in faults)),
         )
         for seed in range(50):
             drawn = draw_faults(seed, 20.0)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from tests.soak.checks import RECOVERY_S, violations
+from tests.soak.engines import CRASHING_PREFIX
 from tests.soak.faults import draw_faults
 from tests.soak.nodes import GRACE_S, NodeProcess
 from tests.soak.platform import KEYS, TIMEOUT_S, Platform
@@ -27,6 +28,8 @@
 # Traffic after the recovery, so that guarantees with a time bound are checked.
 SETTLE_S = 6.0
 LAPSE_S = 1.5
+# Fraction of the streams whose prompt crashes engines, while such prompts are sent.
+CRASHING_FRACTION = 0.1
 # A longer delay of the event loop of this process counts as a disturbance.
 MAX_LOOP_LAG_S = 0.25
 MAX_LINK_DELAY_S = 0.3
@@ -47,6 +50,7 @@
         self._tasks = set()
         self._consecutive_served = 0
         self._call_count = 0
+        self._crashing_segments = []
 
     async def run(self, faults):
         """Run with these faults; return a line for each violated guarantee."""
@@ -249,6 +253,13 @@
             await self._platform.add_engine(f"{engine.name}-new")
         self._record_disturbance(engine.name, started_s, self._clock())
 
+    async def _prompt_fault(self, kind, fault):
+        """Let some prompts contain a segment that crashes engines."""
+        segment = f"{CRASHING_PREFIX}{fault.target_fraction:.6f}".replace(".", "")
+        self._crashing_segments.append(segment)
+        await asyncio.sleep(fault.duration_s)
+        self._crashing_segments.remove(segment)
+
     async def _config_fault(self, kind, fault):
         for _ in range(8 if kind == "storm" else 1):
             if not self._platform.registry.down:
@@ -278,6 +289,10 @@
         for node in available:
             self._record_disturbance(node.name, started_s, self._clock())
 
+    def _draws_crash(self):
+        """Return whether the next prompt is one that crashes engines."""
+        return self._crashing_segments and self._rng.random() < CRASHING_FRACTION
+
     async def _run_caller(self):
         """Send requests until cancelled, on one connection until it ends."""
         caller, node = None, None
@@ -316,6 +331,11 @@
             sent_s=self._clock(),
         )
         self.records.calls.append(call)
+        segments = [f"caller{call.key[-1]}:300"]
+        if name == "stream" and self._draws_crash():
+            call.crashing = True
+            segments.append(f"{self._rng.choice(self._crashing_segments)}:200")
+        segments.append(f"own{self._call_count}:100")
         caller.send(
             call.target,
             call.method,
@@ -323,6 +343,8 @@
             Request_Id=call.request_id,
             Authorization=f"Token {call.key}",
             Kv_Hold="1",
+            Prefix_Hash=",".join(segments) if name == "stream" else "",
+            Token_Usage="600,8" if name == "stream" else "",
             Tenant="other",
         )
         max_wait_s = TIMEOUT_S + ABANDON_MARGIN_S
@@ -340,7 +362,7 @@
         call.status, call.answer = reply.status, reply.body
         call.complete = reply.complete
         call.sealed = b"server-seal" in reply.headers
-        if call.key not in self.records.dropped_keys:
+        if call.key not in self.records.dropped_keys and not call.crashing:
             self._consecutive_served = (
                 self._consecutive_served + 1 if call.status == 200 else 0
             )
