Skip messages of peers that lack their parts

Messages that begin with a tag were taken apart by index, and a short one raised an IndexError that the receiver did not catch; the extended test of malformed datagrams failed before.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -232,7 +232,7 @@
                 self._apply_send(message)
             else:
                 self._apply_state(message)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except (LookupError, TypeError, ValueError, AttributeError) as error:
             self._dependencies.state.events.emit(
                 820, peer=f"{addr[0]}:{addr[1]}", reason=repr(error)
             )
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -8,8 +8,10 @@
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_gateway.peers import (
+    LIMIT_MESSAGE,
     MAX_DATAGRAM_BYTES,
     MEMBER_TIMEOUT_S,
+    SEGMENT_MESSAGE,
     NodeAddress,
     PeerDependencies,
     Peers,
@@ -255,7 +257,23 @@
 
         async def scenario():
             first, second = await self.pair()
-            for data in (b"", b"\xff" * 9, cbor2.dumps({"node": 1}), cbor2.dumps([1])):
+            for data in (
+                b"",
+                b"\xff" * 9,
+                *map(
+                    cbor2.dumps,
+                    (
+                        {"node": 1},
+                        [1],
+                        [],
+                        [SEGMENT_MESSAGE],
+                        [SEGMENT_MESSAGE, "b", [1]],
+                        [SEGMENT_MESSAGE, "b", [[["s/x", 1, 1, True, [1]]], [], []]],
+                        [LIMIT_MESSAGE, "b"],
+                        [LIMIT_MESSAGE, "b", [["i-1@1", float("nan"), 1]]],
+                    ),
+                ),
+            ):
                 first.peers.datagram_received(data, ("127.0.0.1", 9))
             second.peers.send_state()
             await until(lambda: first.peers.members)
