--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import cbor2
+
 from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
+from cicadapass_decisions.segmentsuspicions import Blocked
 from cicadapass_gateway.adapterapi import Adapter, Cloud, DocumentCodec, Topics
 from cicadapass_gateway.duties import Duties, DutyTimes
 from cicadapass_gateway.exceptions import PlatformRefused, PlatformUnavailable
@@ -174,6 +177,39 @@
 
         self.run_loop(scenario())
 
+    def test_a_starting_node_restores_the_blocks_of_prompt_segments(self):
+        """After a kill of all nodes, a blocked segment ended more engines."""
+
+        async def scenario():
+            platform = Platform()
+            first = Node(platform, "a")
+            for number in range(3):
+                first.state.segment_suspicions.record_end(
+                    f"i-{number}@1", ["s/bad"], [], first.state.clock() + number
+                )
+            first.start()
+            log = platform.registry.logs
+            await until(lambda: len(log.get("duties", ())) >= 3)
+            first.task.cancel()
+            suspicions = Node(platform, "b").start().state.segment_suspicions
+            await until(lambda: suspicions.active)
+            self.assertEqual(Blocked(("s/bad",)), suspicions.verdict(["s/bad"], 0.0))
+
+        self.run_loop(scenario())
+
+    def test_a_record_of_an_earlier_build_is_read(self):
+        """Nodes that had been upgraded could not read the record of the others."""
+
+        async def scenario():
+            platform = Platform()
+            earlier = ["old", 4, 1, {}, {}, {}, 900.0]
+            platform.registry.put("duties", "holder", cbor2.dumps(earlier))
+            node = Node(platform, "a").start()
+            await until(lambda: node.duties.local_renewal() is not None)
+            self.assertEqual(5, node.duties.local_renewal()[0])
+
+        self.run_loop(scenario())
+
     def test_a_starting_node_restores_the_use_of_the_limits(self):
         """After a kill of all nodes, workspaces could use their limits again."""
 
