Let engines of the soak name limits

A check counts what reaches them and uses the platform's bounds; a test shows that it reports violations.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -23,6 +23,11 @@
 MAX_PROMPT_CRASHES = 5
 CONTACT_S = 3.0
 MAX_LATE_PROMPTS = 3
+# An engine that names a limit gets in a window at most this factor of it, and so many
+# requests more.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 MAX_LATE = 7
 
 
@@ -44,6 +49,7 @@
         _duty_conflicts,
         _late_recovery,
         _crashing_prompts_sent_on,
+        _limits_exceeded,
     ):
         lines += check(records)
     return lines
@@ -255,3 +261,23 @@
                 f"{len(late)} requests with {segment} were sent later than "
                 f"{CONTACT_S} s after it had ended {MAX_PROMPT_CRASHES} engines"
             )
+
+
+def _limits_exceeded(records):
+    calls = {call.request_id: call for call in records.calls}
+    for engine, limit_per_s, named_s, ended_s in records.limits:
+        times = sorted(
+            run.arrived_s
+            for request_id, runs in records.runs.items()
+            for run in runs
+            if run.engine == engine
+            and named_s + CONTACT_S <= run.arrived_s <= ended_s
+            and request_id in calls
+            and is_undisturbed(records, calls[request_id].node, run.arrived_s)
+        )
+        most = max(
+            (sum(t <= at < t + LIMIT_WINDOW_S for at in times) for t in times),
+            default=0,
+        )
+        if most > LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK:
+            yield f"{engine} named {limit_per_s} a second and got {most} requests"
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -31,6 +31,8 @@
         self.name = name
         self.alive = True
         self.sequence = 0
+        # Requests per second that it names in its answers.
+        self.limit_per_s = None
         # Called if a prompt segment ends it.
         self.on_crash = None
         self.started_ms = 1_700_000_000_000 + next(self.start_numbers)
@@ -91,6 +93,8 @@
         run.crashing_segment = _crashing_segment(headers)
         self._records.record_run(request_id, run)
         extra = f"request-id: {request_id}\r\nserver-seal: {self.name}\r\n"
+        if self.limit_per_s is not None:
+            extra += f"server-limit: {self.limit_per_s}\r\n"
         if headers.get("expect-instance") != self.name:
             run.rejected = True
             response.respond(421, b"", f"request-id: {request_id}\r\n")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,7 +29,7 @@
     "all_killed": 1,
 }
 # Faults of engines in trouble, drawn apart so that the other faults of a seed stay.
-TROUBLE_KINDS = ("prompt_crash",)
+TROUBLE_KINDS = ("prompt_crash", "engine_limit")
 # Time between two of them, and how long they last.
 TROUBLE_PAUSE_RANGE_S = (4.0, 12.0)
 TROUBLE_DURATION_RANGE_S = (5.0, 9.0)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -67,6 +67,8 @@
     disturbances: list = field(default_factory=list)
     # Ends of engines under a prompt segment: segment, engine and time.
     prompt_crashes: list = field(default_factory=list)
+    # Limits that engines named: engine, requests a second, first and last time.
+    limits: list = field(default_factory=list)
     # Planned stops of nodes.
     planned_stops: list = field(default_factory=list)
     # When the entry of an engine was marked as leaving, by engine.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -220,3 +220,15 @@
             records(*self.crashing_runs(9, 47.1), prompt_crashes=crashes[:4]),
         ):
             self.assertEqual([], [each for each in violations(few) if "bad1" in each])
+
+    def test_requests_beyond_a_named_limit_are_reported(self):
+        """More requests than an engine's limit allows must be reported."""
+        for count, expected in ((12, 0), (13, 1)):
+            calls = [call(f"r{n}") for n in range(count)]
+            runs = {
+                each.request_id: [run(arrived_s=50.0 + 0.3 * n)]
+                for n, each in enumerate(calls)
+            }
+            result = records(calls, runs, limits=[("i-0", 1.3, 40.0, 60.0)])
+            lines = [each for each in violations(result) if "named" in each]
+            self.assertEqual(expected, len(lines))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,8 @@
 LAPSE_S = 1.5
 # Fraction of the streams whose prompt crashes engines, while such prompts are sent.
 CRASHING_FRACTION = 0.1
+# Limits that engines name.
+LIMITS_PER_S = (0.0, 0.8, 1.3, 2.5, 6.0)
 # A longer delay of the event loop of this process counts as a disturbance.
 MAX_LOOP_LAG_S = 0.25
 MAX_LINK_DELAY_S = 0.3
@@ -234,6 +236,9 @@
         if kind == "link":
             await self._disturb_link(engine.link, engine.name, fault)
             return
+        if kind == "limit":
+            await self._limit_engine(engine, fault)
+            return
         if kind == "drain":
             if not self._platform.registry.down:
                 announced = fault.disturbance in ("delayed", "one_way")
@@ -260,6 +265,15 @@
         await asyncio.sleep(fault.duration_s)
         self._crashing_segments.remove(segment)
 
+    async def _limit_engine(self, engine, fault):
+        """Let an engine name a limit, and then none again."""
+        fraction = 1000 * fault.target_fraction % 1
+        limit_per_s = LIMITS_PER_S[int(fraction * len(LIMITS_PER_S))]
+        engine.limit_per_s, started_s = limit_per_s, self._clock()
+        await asyncio.sleep(fault.duration_s)
+        engine.limit_per_s = None
+        self.records.limits.append((engine.name, limit_per_s, started_s, self._clock()))
+
     async def _config_fault(self, kind, fault):
         for _ in range(8 if kind == "storm" else 1):
             if not self._platform.registry.down:
