Clear prompt segments only by successes

An error answer of a failing engine cleared the segments of its request, so that a segment that crashes engines was sent again. Found on reading the change; the new test failed before. A resumed stream without a length may end without further events.

--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -400,7 +400,9 @@
         return AttemptResult.delivered(status)
 
     def _record_end_of_answer(self, response: OpenResponse) -> None:
-        """Record a complete answer as harmless, unless its engine may have ended."""
+        """Record a success as harmless, unless its engine may have ended with it."""
+        if response.status >= 300:
+            return
         if response.channel.delimited:
             self.prompt_guard.record_harmless(response.request)
         else:
@@ -488,7 +490,8 @@
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
-        if not response.channel.delimited and not run.events:
+        resumed = request.last_event_id is not None
+        if not (response.channel.delimited or run.events or resumed):
             raise AnswerBroken("the connection ended before the first event")
 
     def _record_first_event(
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
+from cicadapass_decisions.segmentsuspicions import Suspected
 from cicadapass_gateway.migrator import ActiveRun, Migrator
 from tests.gateway.harness import (
     GatewayHarness,
@@ -55,6 +56,35 @@
     return script
 
 
+async def failed(response):
+    """Respond with an error of the upstream."""
+    response.respond(500, b"failed")
+
+
+class PromptTest(LoopTest):
+    def test_only_a_success_clears_a_suspected_segment(self):
+        """An error of a failing engine released a segment that crashes engines."""
+
+        async def scenario():
+            gateway = await GatewayHarness().start(failed)
+            state = gateway.state
+            state.segment_suspicions.record_end(
+                "i-9@1", ["s/shared"], [], state.clock()
+            )
+            reply = await gateway.call("/unsafe/a", x_tokens=2000)
+            self.assertEqual(500, reply.status)
+            verdict = state.segment_suspicions.verdict(["s/shared"], state.clock())
+            self.assertEqual(Suspected(("s/shared",), False), verdict)
+            gateway.upstreams[0].script = ok
+            reply = await gateway.call("/unsafe/a", x_tokens=2000)
+            self.assertEqual(200, reply.status)
+            self.assertIsNone(
+                state.segment_suspicions.verdict(["s/shared"], state.clock())
+            )
+
+        self.run_loop(scenario())
+
+
 class CallTest(LoopTest):
     def test_a_call_is_passed_through_unchanged(self):
         """The method, query or body was changed."""
