--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -350,14 +350,6 @@
             if arrival.crashing and arrival.at_s > crashes[4] + contact_s
         ]
 
-    def blocked_sound_requests(self):
-        """Return the sound requests that were never sent although engines ran."""
-        return [
-            request
-            for request in self.requests
-            if not request.crashing and request.status == 503
-        ]
-
     def arrivals_in_window(self, engine, from_s, to_s, window_s):
         """Return the most requests that an engine got within `window_s`."""
         times = [
