Reserve the ports of nodes that tests start

Cause: `free_port` chose a port, closed it and left it unbound until the node listened. Nothing kept a second choice, in the same run or in a test module beside it, from the same port; a metrics port was chosen anew at each start.

Change: `ReservedPort` keeps a bound socket for as long as the test lasts.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -3,9 +3,7 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -13,25 +11,9 @@
 from tests.gateway.harness import HOST, Caller, LoopTest, Upstream, until
 from tests.platform.storestandin import StoreStandin
 from tests.platform.test_documents import DOCUMENT, ENTRY, ROUTE
+from tests.ports import ReservedPort
 from tests.run import ROOT
 
-# Below the range of ephemeral ports, in which an outgoing connection could take a port
-# between its selection and its use by a node.
-PORTS = range(10_000, 32_000)
-
-
-def free_port():
-    """Return a free port that no outgoing connection will take."""
-    while True:
-        port = random.SystemRandom().choice(PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                # The port is in use.
-                continue
-            return port
-
 
 async def slow_stream(answer):
     """Stream 100 events in 0.5 s."""
@@ -46,6 +28,14 @@
 class NodeProcess:
     """Run one node as a process, with a stand-in store and one engine."""
 
+    def __init__(self):
+        self._ports = [ReservedPort() for _ in range(4)]
+
+    def release_ports(self):
+        """Make the ports available to other tests."""
+        for port in self._ports:
+            port.release()
+
     async def start(self, folder):
         """Start the stand-ins and the node, and wait until the node is ready."""
         self.store = StoreStandin()
@@ -57,17 +47,18 @@
         registry.put("keyed.op", "config", json.dumps(document).encode())
         entry = {**ENTRY, "address": f"{HOST}:{self.engine.port}"}
         registry.put("keyed.servers", "i-1", json.dumps(entry).encode())
-        self.caller_port, self.ready_port = free_port(), free_port()
+        numbers = [port.number for port in self._ports]
+        self.caller_port, self.ready_port, internal_port, metrics_port = numbers
         self.settings = Path(folder) / "boot.conf"
         self.settings.write_text(
-            f"nodeName=n1\nzone=dc-a\nip={HOST}\ninternalPortRange={free_port()},1\n"
+            f"nodeName=n1\nzone=dc-a\nip={HOST}\ninternalPortRange={internal_port},1\n"
             f"listen.front={HOST}:{self.caller_port}\n"
             f"listen.ready={HOST}:{self.ready_port}\n"
             f"platform.address={address}\ncloudApi.address={address}\n"
             "cloudApi.duties=usage_report\nbounds.graceS=8\n"
         )
         environment = {**os.environ, "CICADAPASS_BOOT": str(self.settings)}
-        environment["CICADAPASS_METRICS_PORT"] = str(free_port())
+        environment["CICADAPASS_METRICS_PORT"] = str(metrics_port)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -102,7 +93,9 @@
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
         async def scenario():
-            node = await NodeProcess().start(folder)
+            node = NodeProcess()
+            self.addCleanup(node.release_ports)
+            await node.start(folder)
             caller = await node.connect(node.caller_port)
             caller.send("/p/x", "POST", b"ask", Request_Id="r1")
             await until(lambda: node.engine.requests)
@@ -127,7 +120,9 @@
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
         async def scenario():
-            node = await NodeProcess().start(folder)
+            node = NodeProcess()
+            self.addCleanup(node.release_ports)
+            await node.start(folder)
             text = node.settings.read_text()
             node.settings.write_text(f"{text}seeds=127.0.0.9:1\n")
             node.process.send_signal(signal.SIGHUP)
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -6,7 +6,7 @@
 import sys
 
 from tests.gateway.harness import HOST, Caller
-from tests.platform.test_process import free_port
+from tests.ports import ReservedPort
 from tests.run import ROOT
 from tests.soak.proxy import Link
 from tests.soak.shiftedclock import OFFSET_VARIABLE
@@ -21,8 +21,9 @@
 
     def __init__(self, name, folder, store_port):
         self.name = name
-        self.front, self._ready_port = free_port(), free_port()
-        self._internal_port = free_port()
+        self._ports = [ReservedPort() for _ in range(4)]
+        numbers = [port.number for port in self._ports]
+        self.front, self._ready_port, self._internal_port, self._metrics_port = numbers
         self._folder = folder
         self._store_port = store_port
         self._process = None
@@ -66,7 +67,7 @@
         environment = {
             **os.environ,
             "CICADAPASS_BOOT": str(self._settings),
-            "CICADAPASS_METRICS_PORT": str(free_port()),
+            "CICADAPASS_METRICS_PORT": str(self._metrics_port),
             OFFSET_VARIABLE: str(self._offset),
         }
         with (self._folder / f"{self.name}.log").open("ab") as log:
@@ -106,6 +107,12 @@
             self._process.kill()
             await self._process.wait()
 
+    async def close(self):
+        """Kill the process, and release its ports for other tests."""
+        await self.kill()
+        for port in self._ports:
+            port.release()
+
     async def connect(self):
         """Open a connection of a caller to the front address."""
         return Caller(*await asyncio.open_connection(HOST, self.front))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -70,7 +70,7 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
-            await asyncio.gather(*(node.kill() for node in self._nodes))
+            await asyncio.gather(*(node.close() for node in self._nodes))
         return violations(self.records)
 
     async def _run_faults(self, faults):
