Add a failing test of callers that return together

Hypotheses: (a) usage after the last record before the kill of all nodes was unknown; (b) nodes that know the same usage all give the same room before they hear of each other. The trace refutes (a): the nodes agree on what was used. It shows (b): 54 requests with 456,505 tokens are admitted by eight nodes in 0.15 s, where 131,971 tokens had room.

The test has 60 callers who return when they were told to, 8 nodes that exchange totals every 0.2 s, and 58 nodes every 1.2 s. It also demands that nine tenths of the rate are admitted.

--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -1,5 +1,8 @@
 """Test rate limits that several nodes share."""
 
+import heapq
+import random
+
 import testtools
 
 from cicadapass_decisions.ratelimit import PEER_SILENCE_S, OverLimit, RateLimiter
@@ -10,6 +13,8 @@
 # The platform allows the limit to be exceeded by a tenth, and a slack of 1.4 times the
 # rate of a large workspace.
 BOUND = 1.1 * LIMIT + 1.4 * RATE
+# Length of a run with callers that return.
+LENGTH_S = 60.0
 
 
 class Nodes:
@@ -148,3 +153,61 @@
         limiter.tick(0.1, 0.1)
         now_s = PEER_SILENCE_S + 0.1
         self.assertIsNotNone(limiter.admit("w", RATE, BURST, LIMIT * 0.6, now_s))
+
+
+class ReturningCallers:
+    """Simulate callers that ask again when they were told to, at random nodes."""
+
+    def __init__(self, seed, nodes, callers):
+        self._rng = random.Random(seed)
+        self._nodes = nodes
+        self._returns = [
+            (self._rng.random() * WINDOW_S, number) for number in range(callers)
+        ]
+        self._costs = [self._draw_cost() for _ in range(callers)]
+
+    def run(self, start_s, end_s, exchange_s):
+        """Let the callers ask, and the nodes exchange their totals, until `end_s`."""
+        heapq.heapify(self._returns)
+        exchange_at_s = start_s
+        while self._returns[0][0] < end_s:
+            at_s, caller = heapq.heappop(self._returns)
+            while exchange_at_s <= at_s:
+                self._nodes.exchange(exchange_at_s)
+                exchange_at_s += exchange_s
+            node = self._rng.randrange(len(self._nodes.limiters))
+            refusal = self._nodes.admit_one(node, self._costs[caller], at_s)
+            if refusal is None:
+                self._costs[caller] = self._draw_cost()
+                pause_s = self._rng.expovariate(4.0)
+            else:
+                pause_s = refusal.retry_after_s
+            heapq.heappush(self._returns, (at_s + pause_s, caller))
+
+    def _draw_cost(self):
+        return min(1.2 * RATE, 0.1 * RATE * self._rng.lognormvariate(0.0, 1.0))
+
+
+class ReturningCallersTest(testtools.TestCase):
+    def simulate(self, seed, count, exchange_s):
+        """Return what was admitted in the busiest window, and in all per second."""
+        nodes = Nodes(count)
+        for limiter in nodes.limiters:
+            limiter.set_round(exchange_s)
+        ReturningCallers(seed, nodes, callers=60).run(0.0, LENGTH_S, exchange_s)
+        admitted = sum(cost for _, cost in nodes.admitted)
+        return nodes.max_window_usage(), admitted / LENGTH_S
+
+    def test_callers_that_return_together_stay_within_the_limit(self):
+        """Each of eight nodes gave the same room to callers who returned at once."""
+        for seed in range(10):
+            busiest, rate = self.simulate(seed, 8, 0.2)
+            self.assertLessEqual(busiest, BOUND, seed)
+            self.assertGreater(rate, 0.9 * RATE, seed)
+
+    def test_the_limit_holds_over_many_nodes(self):
+        """Each of 58 nodes gave the same room to callers who returned at once."""
+        for seed in range(10):
+            busiest, rate = self.simulate(seed, 58, 1.2)
+            self.assertLessEqual(busiest, BOUND, seed)
+            self.assertGreater(rate, 0.9 * RATE, seed)
