Share the room of a rate limit between two messages of the peers

Peers hear of its usage 0.2 s later, with 58 nodes up to 1.2 s later. Callers who return together, for instance when a second of usage leaves the window at once, find the same room at each node.

Change: while a workspace asks for more than its limit, or may use up the room before the nodes hear of it, a node uses between two messages only its share of the room, by demand. Shares are often smaller than a request, so they are rounded at random, right on average over all nodes; after a request that did not fit, smaller ones wait as well. A quarter of the tolerance that the platform states is used. Retry-After follows from the share, the request and how far the workspace is over its limit.

Steady callers with half of the limit are never refused (new test).

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -5,11 +5,17 @@
 every node knows the usage of all nodes in the window. For a silent peer, a node
 reserves the peer's last share of the limit, so that both sides of a partition together
 stay within the limit.
+
+Between two messages of its peers, a node does not know what they admit. While a
+workspace asks for more than its limit, each node therefore uses only its share of the
+remaining limit in that time. Shares are often smaller than a request, so they are
+rounded at random, such that the sum over all nodes is right on average.
 """
 
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from random import Random
 
 # A peer counts as silent after five lost messages at the usual interval of 0.2 s, or
 # after this many rounds if there are too many peers to send to all at each interval.
@@ -39,6 +45,23 @@
 UNREPORTED_USAGE_S = 2.0
 # Resolution of the usage within the window.
 USAGE_STEP_S = 0.2
+# Callers that return together bring the demand of this time at once.
+BURST_S = 1.2
+# Part of the tolerance that covers usage which nodes do not know of each other yet.
+# The rest covers the rounding of shares, and the usage that is lost with a restart.
+LATE_TOLERANCE_FRACTION = 0.25
+# A node that expects less than one request until its peers know its usage may use more
+# than its share, since others expect none in that time; at most this many times.
+MAX_SHARE_FACTOR = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class LimitTolerance:
+    """Bound by how much all nodes together may exceed the limit of a workspace."""
+
+    # Fraction of the limit, and an amount on top of it.
+    fraction: float = 0.0
+    amount: float = 0.0
 
 
 @dataclass(slots=True)
@@ -55,6 +78,14 @@
             self.steps.append([now_s, amount])
         self.amount += amount
 
+    def amount_since(self, start_s: float) -> float:
+        amount = 0.0
+        for at_s, step_amount in reversed(self.steps):
+            if at_s < start_s:
+                break
+            amount += step_amount
+        return amount
+
     def trim(self, start_s: float) -> None:
         while self.steps and self.steps[0][0] < start_s:
             self.amount -= self.steps.popleft()[1]
@@ -75,6 +106,12 @@
     total_charged: float = 0.0
     # Recent demand, including refused requests.
     demand: float = 0.0
+    # Number of recent requests, including refused ones.
+    requests: float = 0.0
+    # Fraction of the limit that this node may use without its peers' knowledge.
+    share: float = 1.0
+    # When a request last did not fit into the share.
+    exhausted_s: float = float("-inf")
     usage: _WindowUsage = field(default_factory=_WindowUsage)
     # Admitted by all nodes before this one started.
     before_start: _WindowUsage = field(default_factory=_WindowUsage)
@@ -91,10 +128,23 @@
 class RateLimiter:
     """Admit or refuse requests according to the rate limits of their workspaces."""
 
-    def __init__(self, window_s: float, started_s: float) -> None:
+    def __init__(
+        self,
+        window_s: float,
+        started_s: float,
+        tolerance: LimitTolerance,
+        rng: Random,
+    ) -> None:
         self._window_s = window_s
         self._started_s = started_s
+        self._tolerance = tolerance
+        self._rng = rng
+        # Rounds the shares until it is drawn again.
+        self._rounding = 0.5
+        self._drawn_s = started_s
         self._peer_silence_s = PEER_SILENCE_S
+        # Peers know what this node admitted longer ago than this.
+        self._unknown_s = 2 * USAGE_STEP_S
         # Whether the usage before the start is known.
         self._restored = False
         self._accounts: dict[str, _Account] = {}
@@ -107,11 +157,22 @@
             return None
         account = self._accounts.setdefault(workspace, _Account())
         account.demand += cost
+        account.requests += 1.0
         limit = self._limit_in_window(rate, burst, now_s)
         usages, available = self._counted_usages(account, limit, now_s)
-        excess = sum(usage.amount for usage in usages) + min(cost, limit) - available
+        room = available - sum(usage.amount for usage in usages)
+        excess = min(cost, limit) - room
         if excess > 0:
             return OverLimit(self._wait_s(usages, excess, now_s))
+        tolerated = room + self._late_tolerance(limit)
+        demand = self._total_demand(account, now_s)
+        expected = demand * (self._unknown_s + BURST_S) / DEMAND_WINDOW_S
+        if demand > limit or expected > tolerated:
+            # The nodes may use up the room before they hear of each other's use.
+            wait_s = self._wait_for_share_s(account, tolerated, cost, now_s)
+            if wait_s > 0:
+                overload = max(1.0, demand / limit)
+                return OverLimit(min(self._window_s, overload * wait_s))
         account.usage.add(now_s, cost)
         account.total_charged += cost
         return None
@@ -190,12 +251,14 @@
     def set_round(self, round_s: float) -> None:
         """Set the time in which a node receives a message from every peer."""
         self._peer_silence_s = max(PEER_SILENCE_S, PEER_SILENCE_ROUNDS * round_s)
+        self._unknown_s = round_s + USAGE_STEP_S
 
     def tick(self, now_s: float, elapsed_s: float) -> None:
         """Decay the demand, update the shares of peers and drop removed peers."""
         decay = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
         for account in self._accounts.values():
             account.demand *= decay
+            account.requests *= decay
             _update_shares(account, now_s - self._peer_silence_s)
             for name, peer in list(account.peers.items()):
                 if now_s - peer.received_s > FORGET_PEER_AFTER_S:
@@ -216,6 +279,38 @@
             return full_limit - UNREPORTED_USAGE_S * rate
         return rate * age_s + STARTUP_BURST_FRACTION * burst
 
+    def _late_tolerance(self, limit: float) -> float:
+        tolerance = self._tolerance.fraction * limit + self._tolerance.amount
+        return LATE_TOLERANCE_FRACTION * tolerance
+
+    def _total_demand(self, account: _Account, now_s: float) -> float:
+        heard_since_s = now_s - self._peer_silence_s
+        return account.demand + sum(
+            peer.demand
+            for peer in account.peers.values()
+            if peer.received_s > heard_since_s
+        )
+
+    def _wait_for_share_s(
+        self, account: _Account, room: float, cost: float, now_s: float
+    ) -> float:
+        """Return 0 if a request fits into this node's share, else the time until then.
+
+        After a request that does not fit, smaller ones are refused as well; otherwise
+        the node would admit more than its share on average.
+        """
+        if now_s - self._drawn_s >= self._unknown_s:
+            self._rounding, self._drawn_s = self._rng.random(), now_s
+        unknown = account.usage.amount_since(now_s - self._unknown_s)
+        expected_requests = account.requests * self._unknown_s / DEMAND_WINDOW_S
+        factor = min(MAX_SHARE_FACTOR, max(1.0, 1.0 / max(expected_requests, 1e-9)))
+        available = factor * account.share * (room + unknown)
+        fits = unknown + self._rounding * cost <= available
+        if fits and account.exhausted_s < self._drawn_s:
+            return 0.0
+        account.exhausted_s = now_s
+        return self._unknown_s * max(1.0, cost / available)
+
     def _counted_usages(
         self, account: _Account, limit: float, now_s: float
     ) -> tuple[list[_WindowUsage], float]:
@@ -254,8 +349,9 @@
     ]
     total = account.demand + sum(peer.demand for peer in live)
     even_share = 1.0 / (len(live) + 1)
-    for peer in live:
-        demand_share = peer.demand / total if total > 0 else even_share
-        peer.share = (
+    holders: list[_Account | _PeerUsage] = [account, *live]
+    for holder in holders:
+        demand_share = holder.demand / total if total > 0 else even_share
+        holder.share = (
             EVEN_SHARE_FRACTION * even_share + (1 - EVEN_SHARE_FRACTION) * demand_share
         )
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from cicadapass_decisions.ratelimit import LimitTolerance
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -29,6 +31,8 @@
     retry_slack: float
     # Length of the windows over which the rate limits of workspaces apply.
     limit_window_s: float
+    # By how much all nodes together may exceed the rate limit of a workspace.
+    limit_tolerance: LimitTolerance
     lease_s: float
     usage_window_s: float
     has_duties: bool
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -120,6 +120,7 @@
             events,
             RetryLimits(settings.retry_window_s, settings.retry_slack),
             settings.limit_window_s,
+            settings.limit_tolerance,
         )
         pool = ClientPool()
         adapter = self._make_adapter(pool)
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -8,7 +8,7 @@
 
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.passthrough import Configuration
-from cicadapass_decisions.ratelimit import RateLimiter
+from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
 from cicadapass_decisions.routetable import RouteTable
 from cicadapass_decisions.segmentsuspicions import SegmentSuspicions
@@ -40,6 +40,7 @@
         events: EventLog,
         retry: RetryLimits,
         limit_window_s: float,
+        limit_tolerance: LimitTolerance,
     ) -> None:
         self.node = node
         self.data_centre = data_centre
@@ -50,7 +51,9 @@
         self.upstreams = UpstreamTracker(node, data_centre)
         self.queue = RequestQueue(self.upstreams, self.clock)
         self.segment_suspicions = SegmentSuspicions()
-        self.rate_limiter = RateLimiter(limit_window_s, self.clock())
+        self.rate_limiter = RateLimiter(
+            limit_window_s, self.clock(), limit_tolerance, self.rng
+        )
         self.routes: RouteTable | None = None
         self.raw_configuration = b""
         self.upstreams_loaded = False
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -5,34 +5,57 @@
 
 import testtools
 
-from cicadapass_decisions.ratelimit import PEER_SILENCE_S, OverLimit, RateLimiter
+from cicadapass_decisions.ratelimit import (
+    PEER_SILENCE_S,
+    LimitTolerance,
+    OverLimit,
+    RateLimiter,
+)
 
 WINDOW_S = 8.0
 RATE, BURST = 1000.0, 1000.0
 LIMIT = RATE * WINDOW_S + BURST
 # The platform allows the limit to be exceeded by a tenth, and a slack of 1.4 times the
 # rate of a large workspace.
-BOUND = 1.1 * LIMIT + 1.4 * RATE
+TOLERANCE = LimitTolerance(fraction=0.1, amount=1.4 * RATE)
+BOUND = LIMIT * (1 + TOLERANCE.fraction) + TOLERANCE.amount
 # Length of a run with callers that return.
 LENGTH_S = 60.0
 
 
+def new_limiter(started_s, seed=0):
+    """Return the limiter of a node that started at this time."""
+    return RateLimiter(WINDOW_S, started_s, TOLERANCE, random.Random(seed))
+
+
 class Nodes:
-    """Simulate nodes that exchange totals every 0.2 s, except across a partition."""
+    """Simulate nodes that exchange totals every 0.2 s, except across a partition.
+
+    Each message goes to one of `round_parts` parts of the nodes in turn.
+    """
 
-    def __init__(self, count, started_s=-100.0):
-        self.limiters = [RateLimiter(WINDOW_S, started_s) for _ in range(count)]
+    def __init__(self, count, started_s=-100.0, round_parts=1):
+        self.limiters = [new_limiter(started_s, seed) for seed in range(count)]
         self.started_s = started_s
+        self.round_parts = round_parts
+        self.exchanges = 0
         self.admitted = []
         self.partitioned = set()
 
     def exchange(self, now_s):
+        self.exchanges += 1
         for sender_number, sender in enumerate(self.limiters):
             sender.tick(now_s, 0.2)
             for receiver_number, receiver in enumerate(self.limiters):
-                if sender_number != receiver_number and (
-                    sender_number in self.partitioned
-                ) == (receiver_number in self.partitioned):
+                part = (
+                    sender_number + receiver_number + self.exchanges
+                ) % self.round_parts
+                if (
+                    part == 0
+                    and sender_number != receiver_number
+                    and (sender_number in self.partitioned)
+                    == (receiver_number in self.partitioned)
+                ):
                     receiver.record_peer_totals(
                         f"{sender_number}/{id(sender)}",
                         sender.totals(),
@@ -46,10 +69,11 @@
             self.admitted.append((now_s, cost))
         return refusal
 
-    def max_window_usage(self):
+    def max_window_usage(self, from_s=0.0):
         return max(
             sum(c for at, c in self.admitted if start <= at < start + WINDOW_S)
             for start, _ in self.admitted
+            if start >= from_s
         )
 
     def simulate(self, start_s, end_s, per_step, cost=100.0):
@@ -95,7 +119,7 @@
         """
         nodes = Nodes(3)
         nodes.simulate(0.0, 30.0, per_step=1)
-        nodes.limiters = [RateLimiter(WINDOW_S, 31.0) for _ in range(3)]
+        nodes.limiters = [new_limiter(31.0, seed) for seed in range(3)]
         nodes.simulate(31.2, 45.0, per_step=1)
         self.assertLessEqual(nodes.max_window_usage(), BOUND)
 
@@ -112,7 +136,7 @@
             usage = nodes.limiters[0].recent_usage(killed_s - 0.8)
             nodes.simulate(killed_s - 0.8, killed_s, per_step=1)
             started_s = killed_s + 1.0
-            nodes.limiters = [RateLimiter(WINDOW_S, started_s) for _ in range(8)]
+            nodes.limiters = [new_limiter(started_s, seed) for seed in range(8)]
             nodes.started_s = started_s
             for limiter in nodes.limiters:
                 limiter.restore(usage, recorded_ago_s=1.8, now_s=started_s)
@@ -124,7 +148,7 @@
 
     def test_retry_after_covers_the_excess(self):
         """Callers retried too early and were refused again."""
-        limiter = RateLimiter(WINDOW_S, -100.0)
+        limiter = new_limiter(-100.0)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.0))
         refusal = limiter.admit("w", RATE, BURST, 100.0, 3.0)
         self.assertIsInstance(refusal, OverLimit)
@@ -133,21 +157,21 @@
 
     def test_refund_restores_the_charge(self):
         """Requests that did not run counted towards the limit."""
-        limiter = RateLimiter(WINDOW_S, -100.0)
+        limiter = new_limiter(-100.0)
         limiter.admit("w", RATE, BURST, LIMIT, 0.0)
         limiter.refund("w", LIMIT, 0.1)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.2))
 
     def test_repeated_totals_count_once(self):
         """The same total was counted again with each message."""
-        limiter = RateLimiter(WINDOW_S, -100.0)
+        limiter = new_limiter(-100.0)
         for now_s in (0.0, 0.1, 0.2):
             limiter.record_peer_totals("peer", {"w": (5000.0, 0.0)}, 900.0, now_s)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.3))
 
     def test_a_silent_peer_keeps_its_share(self):
         """The share of a peer that was only disconnected was used by other nodes."""
-        limiter = RateLimiter(WINDOW_S, -100.0)
+        limiter = new_limiter(-100.0)
         limiter.record_peer_totals("peer", {"w": (100.0, 900.0)}, 900.0, 0.0)
         limiter.admit("w", RATE, BURST, 100.0, 0.0)
         limiter.tick(0.1, 0.1)
@@ -166,7 +190,7 @@
         ]
         self._costs = [self._draw_cost() for _ in range(callers)]
 
-    def run(self, start_s, end_s, exchange_s):
+    def run(self, start_s, end_s):
         """Let the callers ask, and the nodes exchange their totals, until `end_s`."""
         heapq.heapify(self._returns)
         exchange_at_s = start_s
@@ -174,7 +198,7 @@
             at_s, caller = heapq.heappop(self._returns)
             while exchange_at_s <= at_s:
                 self._nodes.exchange(exchange_at_s)
-                exchange_at_s += exchange_s
+                exchange_at_s += 0.2
             node = self._rng.randrange(len(self._nodes.limiters))
             refusal = self._nodes.admit_one(node, self._costs[caller], at_s)
             if refusal is None:
@@ -189,25 +213,49 @@
 
 
 class ReturningCallersTest(testtools.TestCase):
-    def simulate(self, seed, count, exchange_s):
+    def simulate(self, seed, count, round_parts=1, checked_from_s=0.0):
         """Return what was admitted in the busiest window, and in all per second."""
-        nodes = Nodes(count)
+        nodes = Nodes(count, round_parts=round_parts)
         for limiter in nodes.limiters:
-            limiter.set_round(exchange_s)
-        ReturningCallers(seed, nodes, callers=60).run(0.0, LENGTH_S, exchange_s)
+            limiter.set_round(0.2 * round_parts)
+        ReturningCallers(seed, nodes, callers=60).run(0.0, LENGTH_S)
         admitted = sum(cost for _, cost in nodes.admitted)
-        return nodes.max_window_usage(), admitted / LENGTH_S
+        return nodes.max_window_usage(checked_from_s), admitted / LENGTH_S
 
     def test_callers_that_return_together_stay_within_the_limit(self):
         """Each of eight nodes gave the same room to callers who returned at once."""
         for seed in range(10):
-            busiest, rate = self.simulate(seed, 8, 0.2)
+            busiest, rate = self.simulate(seed, 8)
             self.assertLessEqual(busiest, BOUND, seed)
             self.assertGreater(rate, 0.9 * RATE, seed)
 
     def test_the_limit_holds_over_many_nodes(self):
         """Each of 58 nodes gave the same room to callers who returned at once."""
         for seed in range(10):
-            busiest, rate = self.simulate(seed, 58, 1.2)
+            busiest, rate = self.simulate(seed, 58, round_parts=6)
             self.assertLessEqual(busiest, BOUND, seed)
             self.assertGreater(rate, 0.9 * RATE, seed)
+
+    def test_many_nodes_that_know_the_demand_stay_within_the_limit(self):
+        """Each of 58 nodes gave the same room, although all knew of the demand."""
+        for seed in range(10):
+            busiest, rate = self.simulate(
+                seed, 58, round_parts=6, checked_from_s=WINDOW_S
+            )
+            self.assertLessEqual(busiest, BOUND, seed)
+            self.assertGreater(rate, 0.9 * RATE, seed)
+
+    def test_steady_callers_inside_the_limit_are_served(self):
+        """Shares of the limit turned away callers who asked for half of it."""
+        for count, round_parts in ((8, 1), (58, 6)):
+            nodes = Nodes(count, round_parts=round_parts)
+            for limiter in nodes.limiters:
+                limiter.set_round(0.2 * round_parts)
+            rng = random.Random(count)
+            refused = 0
+            for step in range(400):
+                nodes.exchange(0.2 * step)
+                for cost in (50.0, 20.0, 5.0, 25.0):
+                    refusal = nodes.admit_one(rng.randrange(count), cost, 0.2 * step)
+                    refused += refusal is not None
+            self.assertEqual(0, refused, count)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -22,6 +22,7 @@
     WeightedService,
     Workspace,
 )
+from cicadapass_decisions.ratelimit import LimitTolerance
 from cicadapass_decisions.topicreplica import Document
 from cicadapass_gateway.adapterapi import (
     Call,
@@ -314,7 +315,7 @@
     """Return the state of a node; call it within the event loop."""
     bounds = RetryLimits(10.0, 20.0)
     node, window_s = changes.get("node", "n"), changes.get("window_s", 8.0)
-    return NodeState(node, "dc-a", quiet_events(), bounds, window_s)
+    return NodeState(node, "dc-a", quiet_events(), bounds, window_s, LimitTolerance())
 
 
 async def refuse_migration(source, request_id, target, last):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from cicadapass_decisions.ratelimit import LimitTolerance
 from cicadapass_gateway.config import Address
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_platform.settings import decode_settings
@@ -15,6 +16,8 @@
 seeds=10.1.0.16:8367,10.2.0.33:8367
 bounds.graceS=6
 bounds.leaseMs=2500
+bounds.quotaOvershoot=0.1
+bounds.quotaSlack=140000
 platform.address=10.200.1.7:8361
 cloudApi.address=10.200.0.114:8361
 cloudApi.duties=usage_report,autoscale
@@ -33,6 +36,7 @@
         self.assertEqual(Address("10.2.0.33", 7500), node.seeds[1])
         self.assertEqual((6.0, 2.5), (node.grace_s, node.lease_s))
         self.assertEqual(Address("10.200.1.7", 8361), settings.store)
+        self.assertEqual(LimitTolerance(0.1, 140_000.0), node.limit_tolerance)
         self.assertTrue(node.has_duties)
 
     def test_all_errors_are_reported(self):
