--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -50,9 +50,14 @@
         folder = temporary if kept_folder is None else kept_folder
         Path(folder).mkdir(parents=True, exist_ok=True)
         started_s = time.monotonic()
-        violations, records = asyncio.run(
-            play_seed(seed, folder, args.length, args.nodes, args.engines)
-        )
+        try:
+            violations, records = asyncio.run(
+                play_seed(seed, folder, args.length, args.nodes, args.engines)
+            )
+        except Exception as error:
+            # One seed must not end the run; it counts as failed.
+            seconds = time.monotonic() - started_s
+            return f"seed {seed}: ended early; {seconds:.0f} s", [repr(error)]
     statuses = Counter(call.status for call in records.calls)
     counts = ", ".join(f"{status}: {n}" for status, n in sorted(statuses.items()))
     seconds = time.monotonic() - started_s
