Answer requests on connections that get idle during the stop

A request that had arrived meanwhile got no answer, although the response before it had not closed the connection.

Change: connections are kept during the stop as well, and once the set is closed, the thread answers what has arrived and closes the connection.

--- a/packages/node/cicadapass/httpserver.py
+++ b/packages/node/cicadapass/httpserver.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import selectors
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -107,13 +108,39 @@
     _selector: Any
     server: Any
 
+    def __init__(self, server: Any) -> None:
+        super().__init__(server)
+        # Pool threads keep connections here while another thread closes the server.
+        self._lock = threading.RLock()
+        self._closed = False
+
+    def put(self, conn: Any) -> None:
+        """Keep an idle connection; after the stop, answer what it received and end."""
+        with self._lock:
+            if not self._closed:
+                super().put(conn)
+                return
+        while _has_received(conn) and conn.communicate():
+            pass
+        conn.close()
+
     def close(self) -> None:
         """Close idle connections; those with a received request get a thread first."""
-        for file_number, connection in list(self._selector.select(timeout=0)):
-            if connection is not self.server:
-                self._selector.unregister(file_number)
-                self.server.process_conn(connection)
-        super().close()
+        with self._lock:
+            for file_number, connection in list(self._selector.select(timeout=0)):
+                if connection is not self.server:
+                    self._selector.unregister(file_number)
+                    self.server.process_conn(connection)
+            self._closed = True
+            super().close()
+
+
+def _has_received(connection: Any) -> bool:
+    if connection.rfile.has_data():
+        return True
+    with selectors.DefaultSelector() as selector:
+        selector.register(connection.socket, selectors.EVENT_READ)
+        return bool(selector.select(timeout=0))
 
 
 class _Server(wsgi.Server):
@@ -134,6 +161,14 @@
             return
         super().process_conn(conn)
 
+    def put_conn(self, conn: Any) -> None:
+        """Keep an idle connection, also during the stop.
+
+        The base class closes it once the stop has begun, and with it a request that
+        has arrived since the last response.
+        """
+        self._connections.put(conn)
+
     def error_log(
         self, msg: str = "", level: int = logging.INFO, traceback: bool = False
     ) -> None:
--- a/tests/node/test_httpserver.py
+++ b/tests/node/test_httpserver.py
@@ -283,6 +283,28 @@
         self.assertEqual(200, client.answer()[0])
         self.assertIsNone(client.answer())
 
+    def test_a_connection_that_gets_idle_during_the_stop_is_answered(self):
+        """A thread ended with an error if it kept a connection after the stop."""
+        manager = self.server._server._connections
+        put, close = manager.put, manager.close
+        closed = threading.Event()
+
+        def put_after_close(connection):
+            if self.paths:
+                closed.wait(WAIT_S)
+            put(connection)
+
+        def close_and_send():
+            close()
+            client.send(GET)
+            closed.set()
+
+        manager.put, manager.close = put_after_close, close_and_send
+        client, _ = self._request(GET)
+        self.server.stop()
+        self.assertEqual(200, client.answer()[0])
+        self.assertIsNone(client.answer())
+
     def test_hung_requests_do_not_keep_the_process_alive(self):
         """A stopped node must exit while a request is still in progress."""
         client = self._connect()
