Let usage leave the window of a rate limit when its last part does

Cause: usage is added up in steps of 0.2 s that left the window by the time of their first amount, so that what came at the end of a step left it up to 0.2 s early. Amounts of a burst are admitted again then, while callers see all of them within the window.

Change: a step leaves the window with its last amount.

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -64,31 +64,40 @@
     amount: float = 0.0
 
 
+@dataclass(slots=True)
+class _UsageStep:
+    started_s: float
+    # Time of the last amount; the step leaves the window with it.
+    ended_s: float
+    amount: float
+
+
 @dataclass(slots=True)
 class _WindowUsage:
     """Sum the admitted amounts in the window by steps of time."""
 
-    steps: deque[list[float]] = field(default_factory=deque)
+    steps: deque[_UsageStep] = field(default_factory=deque)
     amount: float = 0.0
 
     def add(self, now_s: float, amount: float) -> None:
-        if self.steps and now_s - self.steps[-1][0] < USAGE_STEP_S:
-            self.steps[-1][1] += amount
+        if self.steps and now_s - self.steps[-1].started_s < USAGE_STEP_S:
+            self.steps[-1].ended_s = now_s
+            self.steps[-1].amount += amount
         else:
-            self.steps.append([now_s, amount])
+            self.steps.append(_UsageStep(now_s, now_s, amount))
         self.amount += amount
 
     def amount_since(self, start_s: float) -> float:
         amount = 0.0
-        for at_s, step_amount in reversed(self.steps):
-            if at_s < start_s:
+        for step in reversed(self.steps):
+            if step.ended_s < start_s:
                 break
-            amount += step_amount
+            amount += step.amount
         return amount
 
     def trim(self, start_s: float) -> None:
-        while self.steps and self.steps[0][0] < start_s:
-            self.amount -= self.steps.popleft()[1]
+        while self.steps and self.steps[0].ended_s < start_s:
+            self.amount -= self.steps.popleft().amount
 
 
 @dataclass(slots=True)
@@ -199,10 +208,10 @@
             usages = [account.usage, account.before_start]
             usages += [peer.usage for peer in account.peers.values()]
             amounts: dict[int, float] = {}
-            for at_s, amount in (step for usage in usages for step in usage.steps):
-                if at_s >= start_s:
-                    age = int((now_s - at_s) / EXPORT_STEP_S)
-                    amounts[age] = amounts.get(age, 0.0) + amount
+            for step in (step for usage in usages for step in usage.steps):
+                if step.ended_s >= start_s:
+                    age = int((now_s - step.ended_s) / EXPORT_STEP_S)
+                    amounts[age] = amounts.get(age, 0.0) + step.amount
             if amounts:
                 recent[name] = tuple(
                     (age * EXPORT_STEP_S, amounts[age]) for age in sorted(amounts)
@@ -330,17 +339,17 @@
     def _wait_s(self, usages: list[_WindowUsage], excess: float, now_s: float) -> float:
         """Return the time until enough usage has left the window."""
         steps = sorted(
-            (step for usage in usages for step in usage.steps), key=_step_start
+            (step for usage in usages for step in usage.steps), key=_step_end
         )
-        for start_s, amount in steps:
-            excess -= amount
+        for step in steps:
+            excess -= step.amount
             if excess <= 0:
-                return max(USAGE_STEP_S, start_s + self._window_s - now_s)
+                return max(USAGE_STEP_S, step.ended_s + self._window_s - now_s)
         return self._window_s
 
 
-def _step_start(step: list[float]) -> float:
-    return step[0]
+def _step_end(step: _UsageStep) -> float:
+    return step.ended_s
 
 
 def _update_shares(account: _Account, silent_before_s: float) -> None:
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -1,6 +1,7 @@
 """Test rate limits that several nodes share."""
 
 import heapq
+import math
 import random
 
 import testtools
@@ -28,6 +29,11 @@
     return RateLimiter(WINDOW_S, started_s, TOLERANCE, random.Random(seed))
 
 
+def draw_cost(rng):
+    """Return the cost of a request; the largest takes over an eighth of the limit."""
+    return min(1.2 * RATE, 0.1 * RATE * rng.lognormvariate(0.0, 1.0))
+
+
 class Nodes:
     """Simulate nodes that exchange totals every 0.2 s, except across a partition.
 
@@ -188,7 +194,7 @@
         self._returns = [
             (self._rng.random() * WINDOW_S, number) for number in range(callers)
         ]
-        self._costs = [self._draw_cost() for _ in range(callers)]
+        self._costs = [draw_cost(self._rng) for _ in range(callers)]
 
     def run(self, start_s, end_s):
         """Let the callers ask, and the nodes exchange their totals, until `end_s`."""
@@ -202,15 +208,12 @@
             node = self._rng.randrange(len(self._nodes.limiters))
             refusal = self._nodes.admit_one(node, self._costs[caller], at_s)
             if refusal is None:
-                self._costs[caller] = self._draw_cost()
+                self._costs[caller] = draw_cost(self._rng)
                 pause_s = self._rng.expovariate(4.0)
             else:
                 pause_s = refusal.retry_after_s
             heapq.heappush(self._returns, (at_s + pause_s, caller))
 
-    def _draw_cost(self):
-        return min(1.2 * RATE, 0.1 * RATE * self._rng.lognormvariate(0.0, 1.0))
-
 
 class ReturningCallersTest(testtools.TestCase):
     def simulate(self, seed, count, round_parts=1, checked_from_s=0.0):
@@ -259,3 +262,46 @@
                     refusal = nodes.admit_one(rng.randrange(count), cost, 0.2 * step)
                     refused += refusal is not None
             self.assertEqual(0, refused, count)
+
+
+class JumpTest(testtools.TestCase):
+    """Let the load of a workspace jump to 7.5 times its usual for 6.5 s."""
+
+    def max_usage(self, seed, count, round_parts, usual_load):
+        """Return the usage in the busiest window; the load is a part of the rate."""
+        rng = random.Random(seed)
+        nodes = Nodes(count, round_parts=round_parts)
+        for limiter in nodes.limiters:
+            limiter.set_round(0.2 * round_parts)
+        mean_cost = 0.1 * RATE * math.exp(0.5)
+        requests, at_s = [], 0.0
+        while at_s < 40.0:
+            load = usual_load * (7.5 if 15.0 <= at_s < 21.5 else 1.0)
+            at_s += rng.expovariate(load * RATE / mean_cost)
+            heapq.heappush(requests, (at_s, draw_cost(rng), 0))
+        exchange_at_s = 0.0
+        while requests[0][0] < 40.0:
+            at_s, cost, tries = heapq.heappop(requests)
+            while exchange_at_s <= at_s:
+                nodes.exchange(exchange_at_s)
+                exchange_at_s += 0.2
+            refusal = nodes.admit_one(rng.randrange(count), cost, at_s)
+            if refusal is not None and tries < 3:
+                retry_s = at_s + refusal.retry_after_s * (1.0 + 0.1 * rng.random())
+                heapq.heappush(requests, (retry_s, cost, tries + 1))
+        return nodes.max_window_usage()
+
+    def assert_within(self, usual_load):
+        for count, round_parts in ((8, 1), (58, 6)):
+            for seed in range(6):
+                usage = self.max_usage(seed, count, round_parts, usual_load)
+                self.assertLessEqual(usage, BOUND, (count, seed))
+
+    def test_a_jump_of_a_workspace_stays_within_the_limit(self):
+        """Each node gave the room of the limit to the first callers of the jump."""
+        self.assert_within(0.3)
+        self.assert_within(0.5)
+
+    def test_a_jump_of_a_busy_workspace_stays_within_the_limit(self):
+        """A workspace near its limit used more than is allowed after a jump."""
+        self.assert_within(0.8)
