Keep the state of prompt segments as long as their evidence

Until then `expire` took them for unused and discarded their state after 10 s. The next clearance evaluated them again and raised KeyError, in the middle of an answer (808 `request_fault`, the answer was cut) or of a peer's message (820, the rest was skipped).

Change: the state is kept while any end of an engine names the segment.

--- a/packages/decisions/cicadapass_decisions/segmentsuspicions.py
+++ b/packages/decisions/cicadapass_decisions/segmentsuspicions.py
@@ -268,10 +268,11 @@
                 del self._ends[engine]
         self._cached_summary = None
         self._narrow_blocks(now_s)
-        blocked = self._blocked()
+        # Evidence against waiting segments may count later, when others are cleared.
+        used = self._blocked().union(*(end.entries for end in self._ends.values()))
         for segment, suspect in list(self._suspects.items()):
-            unused = segment not in blocked and not self._engines(segment)
-            if unused and now_s - suspect.changed_s > CLEARANCE_LIFETIME_S:
+            is_old = now_s - suspect.changed_s > CLEARANCE_LIFETIME_S
+            if segment not in used and is_old:
                 del self._suspects[segment]
         self._finish(before, changed, now_s, None, "quiet")
 
