Try familiar prompt segments again soon after they were blocked

Change: a block of segments on which answers were written before ends after 3 s, each further one lasts twice as long. One request at a time then tries them; an answer clears them, two more ends block them again.

Result, in tests: the segment is free after one answer, on all nodes; a segment that crashes engines although it passed for sound ends at most 14 in 120 s and is blocked for nine tenths of them.

--- a/packages/decisions/cicadapass_decisions/segmentsuspicions.py
+++ b/packages/decisions/cicadapass_decisions/segmentsuspicions.py
@@ -32,6 +32,9 @@
 MIN_END_SPACING_S = 0.1
 # Evidence is discarded this long after the last end.
 EVIDENCE_LIFETIME_S = 120.0
+# A block of familiar segments is released after this time, in which others may turn out
+# to be the cause; each time that it is renewed, it lasts twice as long.
+FAMILIAR_BLOCK_S = 3.0
 # A block is released once no request had its segments for this long.
 QUIET_S = 120.0
 # A clearance is exchanged for this long, so that it reaches nodes with older evidence.
@@ -123,10 +126,13 @@
     familiar: bool = False
     trial_node: str | None = None
     trial_began_s: float = 0.0
+    # Number of blocks that were released because the segment is familiar.
+    early_releases: int = 0
 
 
 @dataclass(slots=True)
 class _Block:
+    began_s: float
     last_seen_s: float
     # Newest version of the weights that was known when the block began.
     weights: int
@@ -251,7 +257,7 @@
         changed: list[str] = []
         for segments, block in list(self._blocks.items()):
             if _service(segments[0]) == service and block.weights < version:
-                changed += self._release(segments, now_s)
+                changed += self._release(segments, now_s, familiar=False)
         self._finish(before, changed, now_s, None, "new weights")
 
     def expire(self, now_s: float) -> None:
@@ -260,9 +266,13 @@
             return
         before = self._state()
         changed: list[str] = []
+        reason = "quiet"
         for segments, block in list(self._blocks.items()):
             if now_s - block.last_seen_s > QUIET_S:
-                changed += self._release(segments, now_s)
+                changed += self._release(segments, now_s, familiar=False)
+            elif now_s - block.began_s > self._familiar_block_s(segments):
+                changed += self._release(segments, now_s, familiar=True)
+                reason = "familiar"
         for engine, end in list(self._ends.items()):
             if now_s - end.at_s > EVIDENCE_LIFETIME_S:
                 del self._ends[engine]
@@ -274,7 +284,7 @@
             is_old = now_s - suspect.changed_s > CLEARANCE_LIFETIME_S
             if segment not in used and is_old:
                 del self._suspects[segment]
-        self._finish(before, changed, now_s, None, "quiet")
+        self._finish(before, changed, now_s, None, reason)
 
     def export(
         self, now_s: float, only: Iterable[str] | None = None, most: int = MAX_ENDS
@@ -387,12 +397,23 @@
                 del end.entries[segment]
         self._cached_summary = None
 
-    def _release(self, segments: tuple[str, ...], now_s: float) -> list[str]:
-        """End a block; one more end blocks its segments again."""
+    def _familiar_block_s(self, segments: tuple[str, ...]) -> float:
+        """Return how long a block lasts although its segments are asked for."""
+        suspects = [self._suspects[each] for each in segments]
+        if not all(suspect.familiar for suspect in suspects):
+            return float("inf")
+        releases = max(suspect.early_releases for suspect in suspects)
+        return FAMILIAR_BLOCK_S * 2.0**releases
+
+    def _release(
+        self, segments: tuple[str, ...], now_s: float, *, familiar: bool
+    ) -> list[str]:
+        """End a block; one more end, or two if familiar, blocks its segments again."""
         del self._blocks[segments]
         for segment in segments:
             clearance = self._clearance(segment) + 1
-            self._clear(segment, clearance, now_s, familiar=False)
+            self._clear(segment, clearance, now_s, familiar=familiar)
+            self._suspects[segment].early_releases += familiar
         entries = {each: _Entry(self._clearance(each), True) for each in segments}
         changed = list(segments)
         for number in range(1, int(BLOCK_ENDS)):
@@ -523,7 +544,7 @@
             segments = tuple(sorted(unfamiliar or alike))
             weights = self._weights.get(_service(best), -1)
             clearances = tuple(self._clearance(each) for each in segments)
-            self._blocks[segments] = _Block(now_s, weights, clearances)
+            self._blocks[segments] = _Block(now_s, now_s, weights, clearances)
             for segment in segments:
                 self._familiar.pop(segment, None)
             self._cached_summary = None
@@ -670,7 +691,7 @@
         for segment, clearance in zip(segments, clearances, strict=True):
             self._suspect(segment, last_seen_s).clearance = clearance
             self._familiar.pop(segment, None)
-        self._blocks[segments] = _Block(last_seen_s, int(weights), clearances)
+        self._blocks[segments] = _Block(now_s, last_seen_s, int(weights), clearances)
         self._cached_summary = None
         return list(segments)
 
--- a/tests/decisions/test_segmentsuspicions.py
+++ b/tests/decisions/test_segmentsuspicions.py
@@ -7,6 +7,7 @@
 from cicadapass_decisions.segmentsuspicions import (
     CLEARANCE_LIFETIME_S,
     EVIDENCE_LIFETIME_S,
+    FAMILIAR_BLOCK_S,
     MAX_BLOCKS,
     MAX_ENDS,
     MAX_FAMILIAR,
@@ -155,6 +156,56 @@
         crash(table, 9, end_s + 1)
         self.assertIsInstance(table.verdict([BAD], end_s + 1), Blocked)
 
+    def test_a_familiar_segment_is_tried_again_soon_after_its_block(self):
+        """Callers with a sound segment were rejected for as long as they asked."""
+        table = SegmentSuspicions()
+        table.record_survival([FIRST], 0.0)
+        for number in range(4):
+            bad = f"s/bad{number}"
+            crash(table, number, 1.0 + number, writing=[FIRST, bad])
+        self.assertEqual(Blocked((FIRST,)), table.verdict([FIRST], 4.0))
+        table.expire(4.0 + FAMILIAR_BLOCK_S - 0.5)
+        self.assertIsInstance(table.verdict([FIRST], 6.0), Blocked)
+        table.expire(4.0 + FAMILIAR_BLOCK_S + 0.5)
+        self.assertEqual(Suspected((FIRST,), False), table.verdict([FIRST], 8.0))
+        table.record_survival([FIRST], 8.5)
+        self.assertIsNone(table.verdict([FIRST], 8.5))
+
+    def test_a_familiar_segment_that_crashes_engines_stays_blocked_longer(self):
+        """A segment that was taken for sound ended engines every few seconds."""
+        table = SegmentSuspicions()
+        table.record_survival([BAD], 0.0)
+        now_s, ends, blocked_s = 0.0, 0, 0.0
+        while now_s < QUIET_S:
+            now_s += 0.5
+            table.expire(now_s)
+            if isinstance(table.verdict([BAD], now_s), Blocked):
+                blocked_s += 0.5
+            else:
+                ends += 1
+                crash(table, ends, now_s)
+        self.assertLessEqual(ends, 4 + 2 * 5)
+        self.assertGreater(blocked_s, 0.9 * QUIET_S)
+
+    def test_the_release_of_a_familiar_segment_reaches_all_nodes(self):
+        """A peer's block came back after the segment had been released."""
+        first, second = SegmentSuspicions(), SegmentSuspicions()
+        first.record_survival([FIRST], 0.0)
+        for number in range(4):
+            crash(first, number, 1.0 + number, writing=[FIRST, f"s/bad{number}"])
+        second.merge(first.export(4.5), "first", 4.5)
+        self.assertIsInstance(second.verdict([FIRST], 4.5), Blocked)
+        at_s = 4.0 + FAMILIAR_BLOCK_S + 0.1
+        first.expire(at_s)
+        for _ in range(2):
+            first.merge(second.export(at_s), "second", at_s)
+            second.merge(first.export(at_s), "first", at_s)
+        self.assertIsInstance(first.verdict([FIRST], at_s), Suspected)
+        self.assertIsInstance(second.verdict([FIRST], at_s), Suspected)
+        second.record_survival([FIRST], at_s + 1.0)
+        first.merge(second.export(at_s + 1.0), "second", at_s + 1.0)
+        self.assertIsNone(first.verdict([FIRST], at_s + 1.0))
+
     def test_new_weights_release_a_block(self):
         """A segment stayed blocked after the model had been replaced."""
         table = blocked_table()
