Let the stand-in of the store tell expired records from an outage

Nodes that were behind when the history expired took it for an outage, and never read the registry again while all engines that they knew had ended.

--- a/tests/platform/storestandin.py
+++ b/tests/platform/storestandin.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from cicadapass_decisions.passthrough import CallerLimits
-from cicadapass_gateway.exceptions import GatewayError, OffsetConflict
+from cicadapass_gateway.exceptions import GatewayError, HistoryExpired, OffsetConflict
 from cicadapass_gateway.httpserver import HttpServer, ServerState
 from tests.gateway.harness import HOST, MemoryRegistry
 
@@ -43,6 +43,9 @@
             exchange.respond(200, [], await call(query, exchange.body))
         except OffsetConflict:
             exchange.respond(412, [], b"{}")
+        except HistoryExpired:
+            first = self.registry.first_offsets[query["topic"]]
+            exchange.respond(410, [], json.dumps({"first": first}).encode())
         except GatewayError:
             exchange.respond(503, [], b"{}")
 
