Refuse requests without an error while a limit has no room at all

Cause: the time until a request fits into the share was divided by the share and by the limit. Right after the start of a node, the limit of a workspace without a burst is zero, and so is the share without a tolerance: ZeroDivisionError, the request ended with an error.

Change: such requests are refused with the length of the window."

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -171,7 +171,7 @@
         usages, available = self._counted_usages(account, limit, now_s)
         room = available - sum(usage.amount for usage in usages)
         excess = min(cost, limit) - room
-        if excess > 0:
+        if excess > 0 or limit <= 0:
             return OverLimit(self._wait_s(usages, excess, now_s))
         tolerated = room + self._late_tolerance(limit)
         demand = self._total_demand(account, now_s)
@@ -312,12 +312,14 @@
             self._rounding, self._drawn_s = self._rng.random(), now_s
         unknown = account.usage.amount_since(now_s - self._unknown_s)
         expected_requests = account.requests * self._unknown_s / DEMAND_WINDOW_S
-        factor = min(MAX_SHARE_FACTOR, max(1.0, 1.0 / max(expected_requests, 1e-9)))
-        available = factor * account.share * (room + unknown)
+        divisor = min(1.0, max(1.0 / MAX_SHARE_FACTOR, expected_requests))
+        available = account.share * (room + unknown) / divisor
         fits = unknown + self._rounding * cost <= available
         if fits and account.exhausted_s < self._drawn_s:
             return 0.0
         account.exhausted_s = now_s
+        if available <= 0:
+            return self._window_s
         return self._unknown_s * max(1.0, cost / available)
 
     def _counted_usages(
