Log a malformed limit of an upstream once while others name some too

Cause: only the last upstream and value were remembered, so two upstreams with malformed limits left a line (853) for each answer, against the description of the method. Found by reading the change.

Change: the last value of each of up to 256 starts is remembered.

Result: two upstreams with five answers each leave 2 lines, 10 before.

--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -1,5 +1,7 @@
 """Log the decisions on a request and count them."""
 
+from collections import OrderedDict
+
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
@@ -9,6 +11,8 @@
 
 # Shared prompt segments named on a line.
 MAX_LOGGED_SEGMENTS = 8
+# Starts of upstreams whose last malformed limit is remembered.
+MAX_REMEMBERED_STARTS = 256
 
 
 class RequestLog:
@@ -16,7 +20,8 @@
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
-        self._last_unreadable = ("", "")
+        # The last malformed limit by start of an upstream, oldest first.
+        self._unreadable_limits: OrderedDict[str, str] = OrderedDict()
 
     def log_rejected(
         self, call: Call, status: int, reason: str, workspace: str | None
@@ -102,11 +107,14 @@
         )
 
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
-        """Count a malformed limit, and log it once for each start of an upstream."""
+        """Count a malformed limit, and log it if the upstream's last one differs."""
         self._state.metrics.count("upstream_limits_unreadable")
-        if self._last_unreadable != (record.start_key, value):
-            self._last_unreadable = (record.start_key, value)
-            self._state.events.emit(853, upstream=record.start_key, value=value)
+        if self._unreadable_limits.get(record.start_key) == value:
+            return
+        self._unreadable_limits[record.start_key] = value
+        if len(self._unreadable_limits) > MAX_REMEMBERED_STARTS:
+            self._unreadable_limits.popitem(last=False)
+        self._state.events.emit(853, upstream=record.start_key, value=value)
 
 
 def _ms(seconds: float) -> int:
--- /dev/null
+++ b/tests/gateway/test_requestlog.py
@@ -0,0 +1,52 @@
+"""Test the log lines of requests."""
+
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_gateway.requestlog import MAX_REMEMBERED_STARTS, RequestLog
+from tests.gateway.harness import HOST, LoopTest, make_state
+
+
+def upstream_record(name):
+    """Return the registry's record of an upstream that is not running."""
+    return UpstreamRecord(
+        upstream_id=name,
+        service="s",
+        host=HOST,
+        port=1,
+        data_centre="dc-a",
+        slots=1,
+        leaving=False,
+        started_ms=1,
+        sequence=1,
+    )
+
+
+class UnreadableLimitTest(LoopTest):
+    def test_each_start_of_an_upstream_is_logged_once(self):
+        """Two upstreams with malformed limits filled the log, a line for each answer."""
+
+        async def scenario():
+            state = make_state()
+            log = RequestLog(state)
+            records = [upstream_record(name) for name in ("i-1", "i-2")]
+            for _ in range(5):
+                for record in records:
+                    log.log_unreadable_limit(record, "much")
+            lines = [each for each in state.events.recent() if each.number == 853]
+            self.assertEqual(2, len(lines))
+            log.log_unreadable_limit(records[0], "more")
+            lines = [each for each in state.events.recent() if each.number == 853]
+            self.assertEqual(3, len(lines))
+
+        self.run_loop(scenario())
+
+    def test_past_starts_are_forgotten(self):
+        """Each start of an upstream took memory for ever."""
+
+        async def scenario():
+            log = RequestLog(make_state())
+            for number in range(2 * MAX_REMEMBERED_STARTS):
+                record = upstream_record(f"i-{number}")
+                log.log_unreadable_limit(record, "much")
+            self.assertLessEqual(len(log._unreadable_limits), MAX_REMEMBERED_STARTS)
+
+        self.run_loop(scenario())
