--- a/tests/decisions/test_segmentsuspicions.py
+++ b/tests/decisions/test_segmentsuspicions.py
@@ -125,6 +125,16 @@
             table.record_survival([FIRST], number + 0.5)
         self.assertEqual(Blocked((BAD,)), table.verdict([BAD], 6.0))
 
+    def test_waiting_segments_keep_their_state_until_the_evidence_is_gone(self):
+        """A segment whose state had been discarded was evaluated again."""
+        table = SegmentSuspicions()
+        crash(table, 1, 1.0, writing=[FIRST], waiting=[OTHER])
+        at_s = 1.0 + CLEARANCE_LIFETIME_S + 1.0
+        table.expire(at_s)
+        table.record_survival([FIRST], at_s)
+        self.assertIsNone(table.verdict([OTHER], at_s))
+        self.assertEqual([[OTHER, 0.5, 11_000]], table.evidence([OTHER], at_s))
+
 
 class TrialTest(testtools.TestCase):
     def test_one_request_at_a_time_tries_a_segment(self):
@@ -224,43 +234,6 @@
         table.expire(EVIDENCE_LIFETIME_S + 2 + CLEARANCE_LIFETIME_S)
         self.assertFalse(table.active)
 
-    def test_waiting_segments_keep_their_state_until_the_evidence_is_gone(self):
-        """A segment whose state had been discarded was evaluated again."""
-        table = SegmentSuspicions()
-        crash(table, 1, 1.0, writing=[FIRST], waiting=[OTHER])
-        at_s = 1.0 + CLEARANCE_LIFETIME_S + 1.0
-        table.expire(at_s)
-        table.record_survival([FIRST], at_s)
-        self.assertIsNone(table.verdict([OTHER], at_s))
-        self.assertEqual([[OTHER, 0.5, 11_000]], table.evidence([OTHER], at_s))
-
-    def test_any_order_of_reports_is_handled(self):
-        """An order of ends, clearances and messages ended with an error."""
-        segments = [f"s/{number}" for number in range(6)]
-        for seed in range(300):
-            rng = random.Random(seed)
-            tables, now_s = [SegmentSuspicions() for _ in range(3)], 0.0
-            for number in range(120):
-                now_s += rng.choice((0.05, 0.5, 3.0, 12.0, 60.0))
-                table = rng.choice(tables)
-                some = rng.sample(segments, 3)
-                match rng.randrange(6):
-                    case 0 | 1:
-                        engine = rng.randrange(number + 1)
-                        crash(table, engine, now_s, some[:1], some[1:])
-                    case 2:
-                        table.record_survival(some[:2], now_s)
-                    case 3:
-                        table.merge(rng.choice(tables).export(now_s), "peer", now_s)
-                    case 4:
-                        table.begin_trial(some, "n", now_s)
-                        table.end_trial(some[:2], "n")
-                    case 5:
-                        table.expire(now_s)
-                table.verdict(some, now_s)
-                table.evidence(some, now_s)
-                table.export(now_s, most=3)
-
 
 class ExchangeTest(testtools.TestCase):
     def test_evidence_of_several_nodes_adds_up_in_any_order(self):
@@ -334,6 +307,33 @@
             )
             self.assertIsInstance(error, (ValueError, TypeError))
 
+    def test_any_order_of_reports_is_handled(self):
+        """An order of ends, clearances and messages ended with an error."""
+        segments = [f"s/{number}" for number in range(6)]
+        for seed in range(300):
+            rng = random.Random(seed)
+            tables, now_s = [SegmentSuspicions() for _ in range(3)], 0.0
+            for number in range(120):
+                now_s += rng.choice((0.05, 0.5, 3.0, 12.0, 60.0))
+                table = rng.choice(tables)
+                some = rng.sample(segments, 3)
+                match rng.randrange(6):
+                    case 0 | 1:
+                        engine = rng.randrange(number + 1)
+                        crash(table, engine, now_s, some[:1], some[1:])
+                    case 2:
+                        table.record_survival(some[:2], now_s)
+                    case 3:
+                        table.merge(rng.choice(tables).export(now_s), "peer", now_s)
+                    case 4:
+                        table.begin_trial(some, "n", now_s)
+                        table.end_trial(some[:2], "n")
+                    case 5:
+                        table.expire(now_s)
+                table.verdict(some, now_s)
+                table.evidence(some, now_s)
+                table.export(now_s, most=3)
+
 
 class BoundsTest(testtools.TestCase):
     def test_invented_segments_take_bounded_memory(self):
