--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -20,6 +20,8 @@
 # rate of a large workspace.
 TOLERANCE = LimitTolerance(fraction=0.1, amount=1.4 * RATE)
 BOUND = LIMIT * (1 + TOLERANCE.fraction) + TOLERANCE.amount
+# Interval of the messages between nodes.
+EXCHANGE_S = 0.2
 # Length of a run with callers that return.
 LENGTH_S = 60.0
 
@@ -43,15 +45,24 @@
     def __init__(self, count, started_s=-100.0, round_parts=1):
         self.limiters = [new_limiter(started_s, seed) for seed in range(count)]
         self.started_s = started_s
+        for limiter in self.limiters:
+            limiter.set_round(EXCHANGE_S * round_parts)
         self.round_parts = round_parts
         self.exchanges = 0
+        self.next_exchange_s = 0.0
         self.admitted = []
         self.partitioned = set()
 
+    def exchange_until(self, now_s):
+        """Make the exchanges that are due by this time, from 0 on."""
+        while self.next_exchange_s <= now_s:
+            self.exchange(self.next_exchange_s)
+            self.next_exchange_s += EXCHANGE_S
+
     def exchange(self, now_s):
         self.exchanges += 1
         for sender_number, sender in enumerate(self.limiters):
-            sender.tick(now_s, 0.2)
+            sender.tick(now_s, EXCHANGE_S)
             for receiver_number, receiver in enumerate(self.limiters):
                 part = (
                     sender_number + receiver_number + self.exchanges
@@ -206,15 +217,12 @@
         ]
         self._costs = [draw_cost(self._rng) for _ in range(callers)]
 
-    def run(self, start_s, end_s):
+    def run(self, end_s):
         """Let the callers ask, and the nodes exchange their totals, until `end_s`."""
         heapq.heapify(self._returns)
-        exchange_at_s = start_s
         while self._returns[0][0] < end_s:
             at_s, caller = heapq.heappop(self._returns)
-            while exchange_at_s <= at_s:
-                self._nodes.exchange(exchange_at_s)
-                exchange_at_s += 0.2
+            self._nodes.exchange_until(at_s)
             node = self._rng.randrange(len(self._nodes.limiters))
             refusal = self._nodes.admit_one(node, self._costs[caller], at_s)
             if refusal is None:
@@ -229,9 +237,7 @@
     def simulate(self, seed, count, round_parts=1, checked_from_s=0.0):
         """Return what was admitted in the busiest window, and in all per second."""
         nodes = Nodes(count, round_parts=round_parts)
-        for limiter in nodes.limiters:
-            limiter.set_round(0.2 * round_parts)
-        ReturningCallers(seed, nodes, callers=60).run(0.0, LENGTH_S)
+        ReturningCallers(seed, nodes, callers=60).run(LENGTH_S)
         admitted = sum(cost for _, cost in nodes.admitted)
         return nodes.max_window_usage(checked_from_s), admitted / LENGTH_S
 
@@ -262,8 +268,6 @@
         """Shares of the limit turned away callers who asked for half of it."""
         for count, round_parts in ((8, 1), (58, 6)):
             nodes = Nodes(count, round_parts=round_parts)
-            for limiter in nodes.limiters:
-                limiter.set_round(0.2 * round_parts)
             rng = random.Random(count)
             refused = 0
             for step in range(400):
@@ -281,20 +285,15 @@
         """Return the usage in the busiest window; the load is a part of the rate."""
         rng = random.Random(seed)
         nodes = Nodes(count, round_parts=round_parts)
-        for limiter in nodes.limiters:
-            limiter.set_round(0.2 * round_parts)
         mean_cost = 0.1 * RATE * math.exp(0.5)
         requests, at_s = [], 0.0
         while at_s < 40.0:
             load = usual_load * (7.5 if 15.0 <= at_s < 21.5 else 1.0)
             at_s += rng.expovariate(load * RATE / mean_cost)
             heapq.heappush(requests, (at_s, draw_cost(rng), 0))
-        exchange_at_s = 0.0
         while requests[0][0] < 40.0:
             at_s, cost, tries = heapq.heappop(requests)
-            while exchange_at_s <= at_s:
-                nodes.exchange(exchange_at_s)
-                exchange_at_s += 0.2
+            nodes.exchange_until(at_s)
             refusal = nodes.admit_one(rng.randrange(count), cost, at_s)
             if refusal is not None and tries < 3:
                 retry_s = at_s + refusal.retry_after_s * (1.0 + 0.1 * rng.random())
