--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -1,14 +1,13 @@
 """Log the decisions on a request and count them."""
 
 from collections import OrderedDict
-from typing import Any
 
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.requestcontext import RequestContext
-from cicadapass_gateway.upstreamtracker import ChoiceBasis, Reservation
+from cicadapass_gateway.upstreamtracker import Reservation
 
 # Shared prompt segments named on a line.
 MAX_LOGGED_SEGMENTS = 8
@@ -44,6 +43,7 @@
         """Log an attempt that delivered no response."""
         if result.outcome is AttemptOutcome.DELIVERED:
             return
+        basis = reservation.basis
         segments = request.call.prompt.shared_segments
         head_s = request.response.head_s
         self._state.metrics.count("attempts_failed", result.outcome.value)
@@ -59,7 +59,15 @@
             head_age_ms=None if head_s is None else _ms(self._state.clock() - head_s),
             events=request.response.events,
             suspected=request.evidence,
-            **_basis_fields(reservation.basis),
+            entry_offset=basis.entry_offset,
+            entry_age_ms=_ms(basis.entry_age_s),
+            held=basis.held,
+            view_end=basis.view_end,
+            view_age_ms=_ms(basis.view_age_s),
+            limit_per_s=basis.limit_per_s,
+            limit_age_ms=_ms(basis.limit_age_s),
+            limit_share_per_s=round(basis.limit_share_per_s, 3),
+            limit_room=round(basis.limit_room, 2),
         )
 
     def log_end(self, request: RequestContext, status: int, outcome: str) -> None:
@@ -67,7 +75,7 @@
         now_s = self._state.clock()
         arrived_s = request.exchange.arrived_s
         first_s = request.first_event_s
-        route = request.match.route
+        route, basis = request.match.route, request.basis
         self._state.metrics.count("requests", outcome)
         self._state.metrics.observe("request", route.kind.value, now_s - arrived_s)
         if first_s is not None:
@@ -87,7 +95,15 @@
             first_ms=None if first_s is None else _ms(first_s - arrived_s),
             total_ms=_ms(now_s - arrived_s),
             suspected=request.evidence,
-            **_basis_fields(request.basis),
+            entry_offset=basis.entry_offset,
+            entry_age_ms=_ms(basis.entry_age_s),
+            held=basis.held,
+            view_end=basis.view_end,
+            view_age_ms=_ms(basis.view_age_s),
+            limit_per_s=basis.limit_per_s,
+            limit_age_ms=_ms(basis.limit_age_s),
+            limit_share_per_s=round(basis.limit_share_per_s, 3),
+            limit_room=round(basis.limit_room, 2),
         )
 
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
@@ -101,20 +117,5 @@
         self._state.events.emit(853, upstream=record.start_key, value=value)
 
 
-def _basis_fields(basis: ChoiceBasis) -> dict[str, Any]:
-    """Return the fields on the view and the limit by which an upstream was chosen."""
-    return {
-        "entry_offset": basis.entry_offset,
-        "entry_age_ms": _ms(basis.entry_age_s),
-        "held": basis.held,
-        "view_end": basis.view_end,
-        "view_age_ms": _ms(basis.view_age_s),
-        "limit_per_s": basis.limit_per_s,
-        "limit_age_ms": _ms(basis.limit_age_s),
-        "limit_share_per_s": round(basis.limit_share_per_s, 3),
-        "limit_room": round(basis.limit_room, 2),
-    }
-
-
 def _ms(seconds: float) -> int:
     return round(1000 * seconds)
