--- a/tests/gateway/test_requestlog.py
+++ b/tests/gateway/test_requestlog.py
@@ -22,7 +22,7 @@
 
 class UnreadableLimitTest(LoopTest):
     def test_each_start_of_an_upstream_is_logged_once(self):
-        """Two upstreams with malformed limits filled the log, a line for each answer."""
+        """Two upstreams with malformed limits left a line for each of their answers."""
 
         async def scenario():
             state = make_state()
