--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -23,7 +23,7 @@
 from cicadapass_gateway.exceptions import ConnectFailed
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.nodestate import NodeState
-from cicadapass_gateway.requestcontext import RequestContext
+from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 
 # An answer is harmless once it has at least this many events this long after its head.
 SURVIVAL_S = 0.25
@@ -126,33 +126,41 @@
             request.trial
         )
 
-    def record_progress(self, request: RequestContext) -> None:
+    def record_progress(
+        self, request: RequestContext, response: ResponseProgress
+    ) -> None:
         """Record that events of an answer arrived."""
-        response = request.response
         if response.harmless or response.head_s is None:
             return
         if (
             response.events >= SURVIVAL_EVENTS
             and self._state.clock() - response.head_s >= SURVIVAL_S
         ):
-            self.record_harmless(request)
+            self.record_harmless(request, response)
 
-    def record_harmless(self, request: RequestContext) -> None:
+    def record_harmless(
+        self, request: RequestContext, response: ResponseProgress
+    ) -> None:
         """Record that an engine wrote an answer, or enough of it, without harm."""
-        request.response.harmless = True
+        response.harmless = True
         request.trial = ()
         self._suspicions.record_survival(request.segments, self._state.clock())
 
-    def record_broken(self, request: RequestContext, record: UpstreamRecord) -> None:
+    def record_broken(
+        self,
+        request: RequestContext,
+        record: UpstreamRecord,
+        response: ResponseProgress,
+    ) -> None:
         """Record that a connection was lost; the engine may have ended.
 
         The repetition of the request waits until that is known.
         """
-        if not request.segments or request.response.harmless:
+        if not request.segments or response.harmless:
             return
         engine = record.start_key
         broken = self._broken.setdefault(engine, _BrokenAnswers())
-        began = request.response.head_s is not None
+        began = response.head_s is not None
         (broken.writing if began else broken.waiting).update(request.segments)
         if engine in self._confirmed:
             self._record_end(engine)
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -42,7 +42,6 @@
     upstream_id: str = ""
     basis: ChoiceBasis = NOT_CHOSEN
     migrated: MigratedRun | None = None
-    response: ResponseProgress = field(default_factory=ResponseProgress)
     # Shared prompt segments, qualified by the service.
     segments: tuple[str, ...] = ()
     # The suspected segments for which this request is the trial.
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -6,7 +6,7 @@
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.nodestate import NodeState
-from cicadapass_gateway.requestcontext import RequestContext
+from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 from cicadapass_gateway.upstreamtracker import Reservation
 
 # Shared prompt segments named on a line.
@@ -38,14 +38,18 @@
         )
 
     def log_failed_attempt(
-        self, request: RequestContext, reservation: Reservation, result: AttemptResult
+        self,
+        request: RequestContext,
+        reservation: Reservation,
+        response: ResponseProgress,
+        result: AttemptResult,
     ) -> None:
         """Log an attempt that delivered no response."""
         if result.outcome is AttemptOutcome.DELIVERED:
             return
         basis = reservation.basis
         segments = request.call.prompt.shared_segments
-        head_s = request.response.head_s
+        head_s = response.head_s
         self._state.metrics.count("attempts_failed", result.outcome.value)
         self._state.events.emit(
             811,
@@ -57,7 +61,7 @@
             sends=request.sends,
             segments=[each.segment_id for each in segments[:MAX_LOGGED_SEGMENTS]],
             head_age_ms=None if head_s is None else _ms(self._state.clock() - head_s),
-            events=request.response.events,
+            events=response.events,
             suspected=request.evidence,
             entry_offset=basis.entry_offset,
             entry_age_ms=_ms(basis.entry_age_s),
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -0,0 +1,352 @@
+"""Send a request to an upstream once and relay its response."""
+
+import asyncio
+from dataclasses import dataclass
+
+from cicadapass_decisions.attempts import AttemptResult
+from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
+from cicadapass_gateway.adapterapi import Attempt, HeaderCodec, ResponseInfo
+from cicadapass_gateway.eventstream import EventSplitter
+from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed, PromptHeld
+from cicadapass_gateway.httpclient import ClientChannel, ClientPool
+from cicadapass_gateway.migrator import ActiveRun, MigratedRun, Migrator
+from cicadapass_gateway.nodestate import NodeState
+from cicadapass_gateway.promptguard import PromptGuard
+from cicadapass_gateway.readtimeout import ReadTimeout
+from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
+from cicadapass_gateway.requestlog import RequestLog
+from cicadapass_gateway.upstreamtracker import Reservation
+from cicadapass_gateway.usage import UsageCounter
+
+# Opening a connection within a region takes milliseconds. TCP resends a lost SYN only
+# after a second, by when another upstream is the better choice.
+CONNECT_TIMEOUT_S = 0.4
+# A repeatable stream is retried at another upstream if no data arrives for this long
+# plus this multiple of the expected time. Other repeatable requests wait for a third of
+# the time until their deadline, or for that multiple if it is longer.
+READ_TIMEOUT_S = 0.9
+READ_TIMEOUT_FACTOR = 3.0
+# Maximum time to finish a migration after the source ended the stream; callers tolerate
+# a gap of two seconds.
+MIGRATION_WAIT_S = 1.2
+# Statuses by which callers conclude that a request was not executed. If the request
+# must not be repeated, they are not forwarded without the upstream's confirmation.
+NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDependencies:
+    """Group what all attempts of a node share."""
+
+    state: NodeState
+    header_codec: HeaderCodec
+    pool: ClientPool
+    usage: UsageCounter
+    migrator: Migrator
+    prompt_guard: PromptGuard
+    log: RequestLog
+
+
+@dataclass(frozen=True, slots=True)
+class OpenResponse:
+    """Represent a response whose head has been read."""
+
+    channel: ClientChannel
+    status: int
+    info: ResponseInfo
+
+
+class UpstreamAttempt:
+    """Hold the connection, the reservation and the progress of one attempt."""
+
+    def __init__(
+        self,
+        dependencies: AttemptDependencies,
+        request: RequestContext,
+        reservation: Reservation,
+    ) -> None:
+        self._state = dependencies.state
+        self._header_codec = dependencies.header_codec
+        self._pool = dependencies.pool
+        self._usage = dependencies.usage
+        self._migrator = dependencies.migrator
+        self._prompt_guard = dependencies.prompt_guard
+        self._log = dependencies.log
+        self._request = request
+        self._reservation = reservation
+        self._progress = ResponseProgress()
+        self._channel: ClientChannel | None = None
+
+    @property
+    def progress(self) -> ResponseProgress:
+        """Return how far the response has come."""
+        return self._progress
+
+    async def run(self) -> AttemptResult:
+        """Send the request and relay the response; return how the attempt ended."""
+        request, record = self._request, self._reservation.record
+        request.upstream_id = record.upstream_id
+        request.basis = self._reservation.basis
+        request.tries += 1
+        succeeded: bool | None = None
+        finished = False
+        try:
+            channel = self._channel = await self._open()
+            result = await self._send_request(channel)
+            succeeded, finished = result.healthy, True
+            return result
+        except PromptHeld as error:
+            request.tries -= 1
+            return AttemptResult.held(str(error))
+        except ConnectFailed as error:
+            self._state.upstreams.meter(record).record_unreachable(self._state.clock())
+            return AttemptResult.not_sent(str(error))
+        except (AnswerBroken, ValueError) as error:
+            succeeded = False
+            if self._channel is not None and self._channel.ended_by_peer:
+                self._prompt_guard.record_broken(request, record, self._progress)
+            return AttemptResult.broken(str(error))
+        except asyncio.CancelledError:
+            if self._is_unfinished():
+                succeeded = False
+            raise
+        finally:
+            now_s = self._state.clock()
+            self._state.upstreams.end(self._reservation, now_s, succeeded=succeeded)
+            if self._channel is not None and not finished:
+                self._channel.abort()
+            self._prompt_guard.end_attempt(request)
+            self._state.queue.dispatch()
+
+    def _is_unfinished(self) -> bool:
+        """Return whether the deadline ended a response that had begun but no stream."""
+        return (
+            self._channel is not None
+            and self._channel.responding
+            and not self._request.exchange.started
+            and self._state.clock() >= self._request.deadline_s
+        )
+
+    async def _open(self) -> ClientChannel:
+        """Return a connection; a request that must not be repeated gets a new one."""
+        record = self._reservation.record
+        return await self._pool.acquire(
+            record.host,
+            record.port,
+            CONNECT_TIMEOUT_S,
+            fresh=not self._request.repeatable,
+        )
+
+    async def _send_request(self, channel: ClientChannel) -> AttemptResult:
+        request, record = self._request, self._reservation.record
+        exchange = request.exchange
+        remaining_s = request.deadline_s - self._state.clock()
+        workspace = request.match.workspace
+        attempt = Attempt(
+            upstream_id=record.upstream_id,
+            workspace=workspace.name if workspace else None,
+            remaining_s=remaining_s,
+            priority=request.match.priority,
+            resume_after=request.last_event_id,
+            copy=request.migrated.copy if request.migrated is not None else None,
+            cache_source=self._reservation.cache_source,
+        )
+        if not self._prompt_guard.may_send(request):
+            raise PromptHeld("a segment of the prompt came under suspicion")
+        request.migrated = None
+        headers = self._header_codec.encode_attempt(
+            request.call, attempt, len(exchange.body)
+        )
+        request.sends += 1
+        sent_s = self._state.clock()
+        # From here on the request may have been executed unless the upstream denies it.
+        request.runs += 1
+        channel.send(exchange.method, exchange.target, headers, exchange.body)
+        async with self._read_timeout():
+            head = await channel.read_head()
+        self._progress.head_s = self._state.clock()
+        info = self._header_codec.decode_response(head.status, head.headers)
+        if info.request_id not in (None, request.call.request_id):
+            raise AnswerBroken("the response belongs to another request")
+        if head.status < 300 and not (info.sealed and info.request_id):
+            raise AnswerBroken(
+                "a successful response without the upstream's seal or the request id"
+            )
+        self._record_state(record, info, sent_s)
+        if info.not_executed or info.wrong_instance:
+            self._record_rejection(record, info)
+            await channel.read_remaining()
+            request.runs -= 1
+            self._pool.release(record.host, record.port, channel)
+            return AttemptResult.rejected(head.status)
+        response = OpenResponse(channel, head.status, info)
+        if info.event_stream and head.status < 300:
+            return await self._relay_stream(response)
+        return await self._relay_body(response)
+
+    def _record_state(
+        self, record: UpstreamRecord, info: ResponseInfo, sent_s: float
+    ) -> None:
+        """Record the weights, the limit and the load that a head reports."""
+        now_s = self._state.clock()
+        if info.weights is not None:
+            self._state.segment_suspicions.record_weights(
+                record.service, info.weights, now_s
+            )
+        if info.unreadable_limit is not None:
+            self._log.log_unreadable_limit(record, info.unreadable_limit)
+        else:
+            self._state.record_upstream_limit(
+                record.start_key, info.limit_per_s, sent_s, now_s
+            )
+        if info.load is not None:
+            self._state.upstreams.meter(record).record_reported_load(info.load, now_s)
+
+    def _record_rejection(self, record: UpstreamRecord, info: ResponseInfo) -> None:
+        now_s = self._state.clock()
+        if not info.wrong_instance:
+            self._state.upstreams.meter(record).record_full(now_s)
+            return
+        # The address now belongs to another instance, so this one has ended.
+        self._state.upstreams.view.mark_leaving(
+            record.upstream_id, record.started_ms, now_s
+        )
+        self._state.upstreams.refresh()
+
+    async def _relay_body(self, response: OpenResponse) -> AttemptResult:
+        """Forward a response that is not a stream, once it is complete."""
+        request, status = self._request, response.status
+        async with self._read_timeout():
+            body = await response.channel.read_remaining()
+        self._record_end_of_answer(response)
+        self._count_run()
+        self._release_channel(response)
+        if request.exchange.started:
+            # A resumed stream cannot continue with a response of another kind.
+            return AttemptResult.failed(status)
+        if status >= 500 and self._can_run_again():
+            return AttemptResult.failed(status)
+        if status in NOT_EXECUTED_STATUSES and not request.repeatable:
+            return AttemptResult.broken(
+                f"status {status} without a confirmation of no execution"
+            )
+        request.exchange.respond(status, response.info.headers, body)
+        self._log.log_end(request, status, "answered")
+        return AttemptResult.delivered(status)
+
+    def _record_end_of_answer(self, response: OpenResponse) -> None:
+        """Record a success as harmless, unless its engine may have ended with it."""
+        if response.status >= 300:
+            return
+        if response.channel.delimited:
+            self._prompt_guard.record_harmless(self._request, self._progress)
+        else:
+            self._prompt_guard.record_broken(
+                self._request, self._reservation.record, self._progress
+            )
+
+    def _release_channel(self, response: OpenResponse) -> None:
+        record = self._reservation.record
+        self._pool.release(record.host, record.port, response.channel)
+
+    def _can_run_again(self) -> bool:
+        request = self._request
+        return request.repeatable and request.runs < request.match.route.attempts
+
+    async def _relay_stream(self, response: OpenResponse) -> AttemptResult:
+        """Forward whole events as they arrive."""
+        request, exchange = self._request, self._request.exchange
+        run = self._active_run()
+        self._migrator.add(run)
+        try:
+            await self._relay_events(response, run)
+        except AnswerBroken:
+            # The source of a migrated run closes the stream before its end.
+            request.migrated = await self._await_migration(run)
+            if request.migrated is None:
+                raise
+            response.channel.abort()
+            return AttemptResult.migrated(request.migrated.record.upstream_id)
+        finally:
+            self._migrator.discard(run)
+        self._record_end_of_answer(response)
+        if not exchange.started:
+            exchange.start(response.status, response.info.headers)
+        self._release_channel(response)
+        exchange.finish()
+        self._log.log_end(request, response.status, "answered")
+        return AttemptResult.delivered(response.status)
+
+    def _active_run(self) -> ActiveRun:
+        request = self._request
+        configuration = self._state.configuration
+        service = configuration and configuration.services.get(request.match.service)
+        return ActiveRun(
+            request_id=request.call.request_id or "",
+            record=self._reservation.record,
+            prompt=request.call.prompt,
+            tokens_per_event=service.tokens_per_event if service else 1,
+            began_s=self._state.clock(),
+        )
+
+    async def _await_migration(self, run: ActiveRun) -> MigratedRun | None:
+        """Return the migrated run, or None without a migration that ends in time."""
+        if run.migration is None:
+            return None
+        try:
+            async with asyncio.timeout(MIGRATION_WAIT_S):
+                return await asyncio.shield(run.migration)
+        except TimeoutError:
+            return None
+
+    async def _relay_events(self, response: OpenResponse, run: ActiveRun) -> None:
+        """Forward events until the stream's end; raise `AnswerBroken` if it is cut."""
+        request, exchange = self._request, self._request.exchange
+        splitter = EventSplitter()
+        while True:
+            async with self._read_timeout():
+                chunk = await response.channel.read_body()
+            if chunk is None:
+                break
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            run.events += len(events)
+            self._progress.events += len(events)
+            if not exchange.started:
+                exchange.start(response.status, response.info.headers)
+            self._record_first_event()
+            self._prompt_guard.record_progress(request, self._progress)
+            exchange.write(b"".join(event.data for event in events))
+            request.last_event_id = events[-1].event_id or request.last_event_id
+            await exchange.wait_writable()
+        if splitter.partial:
+            raise AnswerBroken("the stream ended within an event")
+        resumed = request.last_event_id is not None
+        if not (response.channel.delimited or run.events or resumed):
+            raise AnswerBroken("the connection ended before the first event")
+
+    def _record_first_event(self) -> None:
+        request, now_s = self._request, self._state.clock()
+        self._state.upstreams.first_token(self._reservation, now_s)
+        if request.first_event_s is None:
+            request.first_event_s = now_s
+            self._count_run()
+            self._state.queue.dispatch()
+
+    def _count_run(self) -> None:
+        """Count the request once for the usage of its workspace."""
+        request = self._request
+        if not request.usage_counted and request.match.workspace is not None:
+            request.usage_counted = True
+            self._usage.count(request.match.workspace.name)
+
+    def _read_timeout(self) -> ReadTimeout:
+        """Return the read time-out; a request that cannot be repeated has none."""
+        request, expected_s = self._request, self._reservation.expected_s
+        if not self._can_run_again():
+            return ReadTimeout(None)
+        if request.match.route.kind is CallKind.STREAM:
+            return ReadTimeout(READ_TIMEOUT_S + READ_TIMEOUT_FACTOR * expected_s)
+        timeout_s = (request.deadline_s - request.exchange.arrived_s) / 3
+        return ReadTimeout(max(timeout_s, READ_TIMEOUT_FACTOR * expected_s))
