Log silences of upstreams and who ended a request

A log could not tell the hypotheses of the incident apart: a silence that passed left no line, 811 did not say how long the upstream had been silent, whether it answered others meanwhile and who ended the attempt, and 812 neither who ended a request nor whether the configuration had changed since its admission.

New: event 816 for each silence of 0.7 s or more, at most ten lines a second with the number of those left out; four fields of 811; two of 812; a counter of the outcomes.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -197,20 +197,24 @@
 810 info call_rejected(request_id, status, reason, version, workspace)
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
-detail, sends, segments, head_age_ms, events, suspected, entry_offset, \
-entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms, \
-limit_share_per_s, limit_room)
+detail, sends, segments, head_age_ms, events, bytes, silent_ms, heard_age_ms, \
+ended_by, suspected, entry_offset, entry_age_ms, held, view_end, view_age_ms, \
+limit_per_s, limit_age_ms, limit_share_per_s, limit_room)
     An attempt at an upstream returned no answer to forward. The segments are the \
 shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
-there was one, and `events` what followed it. `suspected` has the evidence against \
-segments at the last decision: name, score, age in ms of the last end. The last nine \
-fields describe the view of the registry by which the upstream was chosen, and its \
-limit.
-812 info request_ended(request_id, status, outcome, route, version, upstream, sends, \
-waited_ms, first_ms, total_ms, suspected, entry_offset, entry_age_ms, held, view_end, \
-view_age_ms, limit_per_s, limit_age_ms, \
+there was one, and `events` and `bytes` what arrived. `silent_ms` is the time \
+without data at the end, and `heard_age_ms` the time since any connection of the \
+node got data from the upstream. `ended_by` is the upstream, which includes the \
+network, or the node. `suspected` has the evidence against segments at the last \
+decision: name, score, age in ms of the last end. The last nine fields describe \
+the view of the registry by which the upstream was chosen, and its limit.
+812 info request_ended(request_id, status, outcome, ended_by, route, version, \
+version_in_force, upstream, sends, waited_ms, first_ms, total_ms, suspected, \
+entry_offset, entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms, \
 limit_share_per_s, limit_room)
-    A request that was sent to an upstream or queued has ended. `suspected` is as in \
+    A request that was sent to an upstream or queued has ended. `ended_by` is null for \
+a whole answer, else the caller, the upstream or the node. The request was matched \
+under `version`; `version_in_force` is that at its end. `suspected` is as in \
 `attempt_unsuccessful`. The last nine fields describe the view of the registry by \
 which the last upstream was chosen, and its limit.
 813 info gateway_draining(in_progress)
@@ -219,6 +223,13 @@
     A run of a leaving engine was migrated, or the outcome says why it was not.
 815 error gateway_settings_unreadable(reason)
     The settings file is invalid; the settings in force stay.
+816 info upstream_silent(request_id, upstream, silent_ms, bytes, events, heard_age_ms, \
+outcome, skipped)
+    A silence of an upstream before or within a response has ended (the body of a call \
+counts as a whole): data came (`resumed`), the connection ended (`lost`), the node \
+gave the attempt up (`given_up`), the time limit passed (`expired`) or the caller \
+left (`left`). `heard_age_ms` is as in `attempt_unsuccessful`. `skipped` counts \
+the silences since the last line that were not logged.
 820 warning peer_message_skipped(peer, reason)
     A message from a peer cannot be decoded.
 821 warning peer_state_failed(peer, reason)
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -72,6 +72,7 @@
         self._reported_load = (0, -1e9)
         self._full_s = -1e9
         self._unreachable_s = -1e9
+        self._heard_s: float | None = None
 
     @property
     def local_running(self) -> int:
@@ -122,6 +123,14 @@
             score += FAILURE_WEIGHT * (1 - score)
         self._failure_score, self._failure_score_s = score, now_s
 
+    def record_heard(self, now_s: float) -> None:
+        """Record that data came from the upstream."""
+        self._heard_s = now_s
+
+    def heard_age_s(self, now_s: float) -> float | None:
+        """Return the time since data came from the upstream, or None without any."""
+        return None if self._heard_s is None else now_s - self._heard_s
+
     def record_unreachable(self, now_s: float) -> None:
         """Record a failed connection, which sets the failure score to 1."""
         self._failure_score, self._failure_score_s = 1.0, now_s
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -76,6 +76,8 @@
         self._unread_bytes = 0
         self._reading_paused = False
         self._responding = False
+        self._received_s = 0.0
+        self._received_bytes = 0
         self._reusable_until_s = 0.0
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
 
@@ -105,6 +107,8 @@
             self.abort()
             return
         self._responding = True
+        self._received_s = self._loop.time()
+        self._received_bytes += len(data)
         self._parser.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
@@ -117,6 +121,16 @@
         """Return whether any byte of the current response has arrived."""
         return self._responding
 
+    @property
+    def received_s(self) -> float:
+        """Return when the last byte of the current response arrived, or 0."""
+        return self._received_s
+
+    @property
+    def received_bytes(self) -> int:
+        """Return the number of bytes of the current response so far."""
+        return self._received_bytes
+
     @property
     def ended_by_peer(self) -> bool:
         """Return whether the upstream or the network ended the connection."""
@@ -145,6 +159,8 @@
             raise AnswerBroken("the connection was closed before the request was sent")
         self._in_use = True
         self._responding = False
+        self._received_s = 0.0
+        self._received_bytes = 0
         self._response_closes = False
         request = h11.Request(method=method, target=target, headers=list(headers))
         chunks = [self._parser.send(request)]
--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -38,6 +38,11 @@
         self.started = False
         self.finished = False
 
+    @property
+    def connected(self) -> bool:
+        """Return whether the caller's connection is open."""
+        return self._channel.connected
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole response; `Content-Length` is added to the headers."""
         length = (b"Content-Length", str(len(body)).encode())
@@ -99,6 +104,11 @@
         """Return whether a request is being read or answered."""
         return self._exchange is not None or self._reading_since_s is not None
 
+    @property
+    def connected(self) -> bool:
+        """Return whether the connection is open."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket's options and register the connection with the server."""
         assert isinstance(transport, asyncio.Transport)
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from cicadapass_decisions.routetable import Match
@@ -11,13 +12,28 @@
 from cicadapass_gateway.upstreamtracker import NOT_CHOSEN, ChoiceBasis
 
 
+class Party(Enum):
+    """Name who ended an attempt or a request; the values are logged."""
+
+    CALLER = "caller"
+    NODE = "node"
+    UPSTREAM = "upstream"
+
+
 @dataclass(slots=True)
 class ResponseProgress:
     """Track how far the response to one attempt has come."""
 
-    # When the head arrived.
+    # When the request was sent, and when the head arrived.
+    sent_s: float | None = None
     head_s: float | None = None
     events: int = 0
+    received_bytes: int = 0
+    # Time without data at the end of the attempt.
+    silent_s: float = 0.0
+    # Time since any connection of the node got data from the upstream, at that moment.
+    heard_age_s: float | None = None
+    ended_by: Party | None = None
     # The engine has written enough of it for its prompt segments to be harmless.
     harmless: bool = False
 
@@ -51,6 +67,8 @@
     # Finds out whether the engine of the last attempt has ended.
     engine_check: asyncio.Task[None] | None = None
     time_limit: asyncio.Timeout | None = None
+    # Who ended the last attempt that delivered no answer.
+    ended_by: Party | None = None
     # Why the request was ended before its deadline.
     stopped: str | None = None
     waited_s: float = 0.0
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -1,18 +1,35 @@
 """Log the decisions on a request and count them."""
 
 from collections import OrderedDict
+from enum import Enum
 
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.nodestate import NodeState
-from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
+from cicadapass_gateway.requestcontext import (
+    Party,
+    RequestContext,
+    ResponseProgress,
+)
 from cicadapass_gateway.upstreamtracker import Reservation
 
 # Shared prompt segments named on a line.
 MAX_LOGGED_SEGMENTS = 8
 # Starts of upstreams whose last malformed limit is remembered.
 MAX_REMEMBERED_STARTS = 256
+# Lines on silences in a second; all upstreams of a data centre may fall silent at once.
+MAX_SILENCE_LINES_PER_S = 10
+
+
+class SilenceOutcome(Enum):
+    """Name how a silence of an upstream ended; the values are logged."""
+
+    RESUMED = "resumed"
+    LOST = "lost"
+    GIVEN_UP = "given_up"
+    EXPIRED = "expired"
+    LEFT = "left"
 
 
 class RequestLog:
@@ -22,6 +39,10 @@
         self._state = state
         # The last malformed limit by start of an upstream, oldest first.
         self._unreadable_limits: OrderedDict[str, str] = OrderedDict()
+        # Lines on silences in the current second, and those left out since the last.
+        self._silence_second = 0
+        self._silence_lines = 0
+        self._silences_skipped = 0
 
     def log_rejected(
         self, call: Call, status: int, reason: str, workspace: str | None
@@ -60,8 +81,14 @@
             detail=result.detail,
             sends=request.sends,
             segments=[each.segment_id for each in segments[:MAX_LOGGED_SEGMENTS]],
-            head_age_ms=None if head_s is None else _ms(self._state.clock() - head_s),
+            head_age_ms=_ms_or_none(
+                None if head_s is None else self._state.clock() - head_s
+            ),
             events=response.events,
+            bytes=response.received_bytes,
+            silent_ms=_ms(response.silent_s),
+            heard_age_ms=_ms_or_none(response.heard_age_s),
+            ended_by=None if response.ended_by is None else response.ended_by.value,
             suspected=request.evidence,
             entry_offset=basis.entry_offset,
             entry_age_ms=_ms(basis.entry_age_s),
@@ -91,12 +118,14 @@
             request_id=request.call.request_id,
             status=status,
             outcome=outcome,
+            ended_by=_ended_by(request, outcome),
             route=route.name,
             version=request.match.version,
+            version_in_force=self._state.version,
             upstream=request.upstream_id,
             sends=request.sends,
             waited_ms=_ms(request.waited_s),
-            first_ms=None if first_s is None else _ms(first_s - arrived_s),
+            first_ms=_ms_or_none(None if first_s is None else first_s - arrived_s),
             total_ms=_ms(now_s - arrived_s),
             suspected=request.evidence,
             entry_offset=basis.entry_offset,
@@ -110,6 +139,35 @@
             limit_room=round(basis.limit_room, 2),
         )
 
+    def log_silence(
+        self,
+        request: RequestContext,
+        reservation: Reservation,
+        response: ResponseProgress,
+        outcome: SilenceOutcome,
+    ) -> None:
+        """Count a silence and log it, unless there were many lines in this second."""
+        self._state.metrics.count("upstream_silences", outcome.value)
+        second = int(self._state.clock())
+        if second != self._silence_second:
+            self._silence_second, self._silence_lines = second, 0
+        if self._silence_lines >= MAX_SILENCE_LINES_PER_S:
+            self._silences_skipped += 1
+            return
+        self._silence_lines += 1
+        self._state.events.emit(
+            816,
+            request_id=request.call.request_id,
+            upstream=reservation.record.upstream_id,
+            silent_ms=_ms(response.silent_s),
+            bytes=response.received_bytes,
+            events=response.events,
+            heard_age_ms=_ms_or_none(response.heard_age_s),
+            outcome=outcome.value,
+            skipped=self._silences_skipped,
+        )
+        self._silences_skipped = 0
+
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
         """Count a malformed limit, and log it if the upstream's last one differs."""
         self._state.metrics.count("upstream_limits_unreadable")
@@ -121,5 +179,18 @@
         self._state.events.emit(853, upstream=record.start_key, value=value)
 
 
+def _ended_by(request: RequestContext, outcome: str) -> str | None:
+    """Return who ended a request without a whole answer, or None for a whole one."""
+    if outcome == "answered":
+        return None
+    if outcome == "caller_left":
+        return Party.CALLER.value
+    return (request.ended_by or Party.NODE).value
+
+
+def _ms_or_none(seconds: float | None) -> int | None:
+    return None if seconds is None else _ms(seconds)
+
+
 def _ms(seconds: float) -> int:
     return round(1000 * seconds)
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -1,7 +1,9 @@
 """Send a request to an upstream once and relay its response."""
 
 import asyncio
+from collections.abc import Awaitable
 from dataclasses import dataclass
+from typing import TypeVar
 
 from cicadapass_decisions.attempts import AttemptResult
 from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
@@ -13,8 +15,12 @@
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.promptguard import PromptGuard
 from cicadapass_gateway.readtimeout import ReadTimeout
-from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
-from cicadapass_gateway.requestlog import RequestLog
+from cicadapass_gateway.requestcontext import (
+    Party,
+    RequestContext,
+    ResponseProgress,
+)
+from cicadapass_gateway.requestlog import RequestLog, SilenceOutcome
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
@@ -29,11 +35,16 @@
 # Maximum time to finish a migration after the source ended the stream; callers tolerate
 # a gap of two seconds.
 MIGRATION_WAIT_S = 1.2
+# Shorter silences of an upstream leave no log line.
+LOGGED_SILENCE_S = 0.7
 # Statuses by which callers conclude that a request was not executed. If the request
 # must not be repeated, they are not forwarded without the upstream's confirmation.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
+T = TypeVar("T")
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptDependencies:
     """Group what all attempts of a node share."""
@@ -74,14 +85,24 @@
         self._log = dependencies.log
         self._request = request
         self._reservation = reservation
+        self._meter = self._state.upstreams.meter(reservation.record)
         self._progress = ResponseProgress()
         self._channel: ClientChannel | None = None
+        # Since when the attempt has waited for the upstream.
+        self._waiting_since_s: float | None = None
 
     @property
     def progress(self) -> ResponseProgress:
         """Return how far the response has come."""
         return self._progress
 
+    def silent_s(self) -> float:
+        """Return for how long the upstream has sent nothing that is waited for."""
+        if self._waiting_since_s is None or self._channel is None:
+            return 0.0
+        since_s = max(self._waiting_since_s, self._channel.received_s)
+        return self._state.clock() - since_s
+
     async def run(self) -> AttemptResult:
         """Send the request and relay the response; return how the attempt ended."""
         request, record = self._request, self._reservation.record
@@ -103,7 +124,9 @@
             return AttemptResult.not_sent(str(error))
         except (AnswerBroken, ValueError) as error:
             succeeded = False
+            self._progress.ended_by = Party.NODE
             if self._channel is not None and self._channel.ended_by_peer:
+                self._progress.ended_by = Party.UPSTREAM
                 self._prompt_guard.record_broken(request, record, self._progress)
             return AttemptResult.broken(str(error))
         except asyncio.CancelledError:
@@ -112,6 +135,7 @@
             raise
         finally:
             now_s = self._state.clock()
+            request.ended_by = self._progress.ended_by
             self._state.upstreams.end(self._reservation, now_s, succeeded=succeeded)
             if self._channel is not None and not finished:
                 self._channel.abort()
@@ -161,9 +185,10 @@
         sent_s = self._state.clock()
         # From here on the request may have been executed unless the upstream denies it.
         request.runs += 1
+        self._progress.sent_s = sent_s
         channel.send(exchange.method, exchange.target, headers, exchange.body)
         async with self._read_timeout():
-            head = await channel.read_head()
+            head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
         info = self._header_codec.decode_response(head.status, head.headers)
         if info.request_id not in (None, request.call.request_id):
@@ -184,6 +209,45 @@
             return await self._relay_stream(response)
         return await self._relay_body(response)
 
+    async def _wait_for(self, channel: ClientChannel, read: Awaitable[T]) -> T:
+        """Return what the upstream sends next, and record its silence until then."""
+        began_s = self._waiting_since_s = self._state.clock()
+        outcome = SilenceOutcome.LOST
+        try:
+            item = await read
+            outcome = SilenceOutcome.RESUMED
+            return item
+        except asyncio.CancelledError:
+            outcome = self._reason_of_cancellation()
+            raise
+        finally:
+            now_s = self._state.clock()
+            silent_s = now_s - began_s
+            if outcome is not SilenceOutcome.RESUMED:
+                silent_s = self.silent_s()
+            self._waiting_since_s = None
+            self._record_silence(channel, silent_s, outcome)
+            if channel.received_s >= began_s:
+                self._meter.record_heard(channel.received_s)
+
+    def _record_silence(
+        self, channel: ClientChannel, silent_s: float, outcome: SilenceOutcome
+    ) -> None:
+        self._progress.silent_s = silent_s
+        self._progress.received_bytes = channel.received_bytes
+        self._progress.heard_age_s = self._meter.heard_age_s(self._state.clock())
+        if silent_s >= LOGGED_SILENCE_S:
+            self._log.log_silence(
+                self._request, self._reservation, self._progress, outcome
+            )
+
+    def _reason_of_cancellation(self) -> SilenceOutcome:
+        if self._state.clock() >= self._request.deadline_s:
+            return SilenceOutcome.EXPIRED
+        if self._request.exchange.connected:
+            return SilenceOutcome.GIVEN_UP
+        return SilenceOutcome.LEFT
+
     def _record_state(
         self, record: UpstreamRecord, info: ResponseInfo, sent_s: float
     ) -> None:
@@ -217,7 +281,9 @@
         """Forward a response that is not a stream, once it is complete."""
         request, status = self._request, response.status
         async with self._read_timeout():
-            body = await response.channel.read_remaining()
+            body = await self._wait_for(
+                response.channel, response.channel.read_remaining()
+            )
         self._record_end_of_answer(response)
         self._count_run()
         self._release_channel(response)
@@ -305,7 +371,9 @@
         splitter = EventSplitter()
         while True:
             async with self._read_timeout():
-                chunk = await response.channel.read_body()
+                chunk = await self._wait_for(
+                    response.channel, response.channel.read_body()
+                )
             if chunk is None:
                 break
             events = splitter.feed(chunk)
--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -79,6 +79,7 @@
     """Record the response to a request in place of a caller's connection."""
 
     method, target, body = b"POST", b"/", b""
+    connected = True
 
     def __init__(self, call, request):
         self.headers = [call]
@@ -220,6 +221,8 @@
         self.task = None
         self.ended_by_peer = False
         self._engine = engine
+        self.received_s = 0.0
+        self.received_bytes = 0
         self._items = asyncio.Queue()
         self._delivered_s = 0.0
 
@@ -262,6 +265,8 @@
         if isinstance(item, Exception):
             self.ended_by_peer = True
             raise item
+        self.received_s = asyncio.get_running_loop().time()
+        self.received_bytes += len(item) if isinstance(item, bytes) else 1
         return item
 
 
