--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -131,14 +131,14 @@
 
 
 def _decode_response(status, headers):
-    request_id, limit_per_s = headers
+    request_id, limit_per_s, *kind = headers
     return ResponseInfo(
         request_id=request_id,
         sealed=True,
         not_executed=False,
         wrong_instance=False,
         load=None,
-        event_stream=True,
+        event_stream=kind != ["plain"],
         headers=[],
         limit_per_s=limit_per_s,
     )
@@ -239,6 +239,13 @@
         """Return the next event, or None at the end."""
         return await self._next()
 
+    async def read_remaining(self):
+        """Return the rest of the body."""
+        chunks = []
+        while (chunk := await self._next()) is not None:
+            chunks.append(chunk)
+        return b"".join(chunks)
+
     def deliver(self, item):
         """Pass a part of the answer to the node."""
         loop = asyncio.get_running_loop()
@@ -382,6 +389,7 @@
     """Connect whole nodes with engines, and send them the requests of callers."""
 
     node_class = ServingNode
+    engine_class = Engine
 
     def __init__(self, nodes, engines, seed, load=None, **changes):
         super().__init__(nodes, seed, **changes)
@@ -407,7 +415,7 @@
     def add_engine(self):
         """Start an engine and register it."""
         name = f"i-{next(self._numbers)}"
-        self.engines[name] = Engine(self, name)
+        self.engines[name] = self.engine_class(self, name)
         self.put(name, "ready")
 
     def crashes(self, call):
@@ -444,7 +452,7 @@
                 elapsed_s >= self.load.from_s
                 and self.rng.random() < self.load.crashing_fraction
             )
-            self.spawn(self._send(crashing))
+            self.spawn(self.send(crashing))
             await asyncio.sleep(self.rng.expovariate(self.load.requests_per_s))
         await asyncio.sleep(DEADLINE_S)
         for task in self._tasks:
@@ -467,7 +475,8 @@
         await asyncio.sleep(self.rng.uniform(*RESTART_S))
         self.add_engine()
 
-    async def _send(self, crashing):
+    async def send(self, crashing):
+        """Send one request and record its outcome."""
         number = next(self._request_numbers)
         kind = self.rng.randrange(len(ROUTES))
         shared = [f"caller-{self.rng.randrange(CALLERS)}", f"route-{kind}"]
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -195,9 +195,7 @@
         address = NodeAddress(self.name, self.host, PORT, incarnation, data_centre)
         self.peers = Peers(address, seeds, dependencies)
         self.peers.connection_made(_Transport(cluster, self))
-        codec = DocumentCodec(
-            "config", lambda raw: configuration(version=int(raw)), decode_entry
-        )
+        codec = DocumentCodec("config", cluster.decode_configuration, decode_entry)
         adapter = Adapter(
             HEADER_CODEC, self.registry, TOPICS, codec, refuse_migration, None
         )
@@ -259,6 +257,10 @@
         self.nodes = [self.node_class(self, number) for number in range(nodes)]
         self.by_host = {node.host: node for node in self.nodes}
 
+    def decode_configuration(self, raw):
+        """Return the configuration of a version."""
+        return configuration(version=int(raw))
+
     def passes(self, sender, receiver):
         """Return whether two nodes reach each other."""
         return sender.host not in self.cut and receiver.host not in self.cut
