Hedge silent attempts instead of giving them up

Cause: after a read time-out the node aborted the connection and only then asked for a repeat. A refused repeat (no allowance, no room, runs used up, prompt held) ended the answer although its engine went on; and each silence counted as a failure of its engine. The class: a time bound on one side that the other side never promised.

Change: a silent attempt goes on. A hedge at another engine runs beside it, within the same retry allowance, and the first attempt with something to deliver cancels the other one. A resumed stream hands over at the first event of the hedge; a hedge whose head brought no event for 0.3 s ends, so that two engines never write one stream for 0.4 s. Silences count as failures from 2 s on, also those of an engine that is silent to all requests. Event 817 and a counter tell each decision on a hedge.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -230,6 +230,13 @@
 gave the attempt up (`given_up`), the time limit passed (`expired`) or the caller \
 left (`left`). `heard_age_ms` is as in `attempt_unsuccessful`. `skipped` counts \
 the silences since the last line that were not logged.
+817 info hedge_decided(request_id, upstream, target, silent_ms, last_event_id, \
+outcome, skipped)
+    A request whose upstream is silent was sent to the target as well, or not, for \
+want of retries (`no_allowance`), of an upstream with room (`no_room`), of runs \
+that the route allows (`used_up`) or because its prompt is suspected (`held`). It \
+goes on waiting in any case. A line is written when the outcome changes; `skipped` \
+is as in `upstream_silent`.
 820 warning peer_message_skipped(peer, reason)
     A message from a peer cannot be decoded.
 821 warning peer_state_failed(peer, reason)
--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -21,6 +21,7 @@
     BROKEN = "broken"
     MIGRATED = "moved"
     HELD = "held"
+    SUPERSEDED = "superseded"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +63,11 @@
         """Return the result of a run that was migrated to another upstream."""
         return cls(AttemptOutcome.MIGRATED, True, upstream_id)
 
+    @classmethod
+    def superseded(cls, detail: str) -> "AttemptResult":
+        """Return the result of a hedge that ended in favour of the other attempt."""
+        return cls(AttemptOutcome.SUPERSEDED, None, detail)
+
     @classmethod
     def held(cls, detail: str) -> "AttemptResult":
         """Return the result of a request that came under suspicion unsent."""
@@ -107,6 +113,15 @@
     """Answer that the request failed and may have run."""
 
 
+def may_run_again(progress: RequestProgress) -> bool:
+    """Return whether the request may be sent to one more upstream."""
+    return (
+        progress.repeatable
+        and progress.sends < MAX_SENDS
+        and progress.runs < progress.max_runs
+    )
+
+
 def next_step(
     result: AttemptResult, progress: RequestProgress, *, retry_allowed: bool
 ) -> Done | Retry | Refuse | Fail:
--- a/packages/decisions/cicadapass_decisions/retryallowance.py
+++ b/packages/decisions/cicadapass_decisions/retryallowance.py
@@ -24,15 +24,18 @@
         self._requests.append(now_s)
         self._trim(now_s)
 
-    def take(self, now_s: float, nodes: int) -> bool:
-        """Return whether one more retry is allowed, and count it if so.
+    def is_available(self, now_s: float, nodes: int) -> bool:
+        """Return whether one more retry is allowed.
 
         The slack beyond the ratio is divided evenly among all nodes.
         """
         self._trim(now_s)
         slack = SLACK_FRACTION * self._slack / max(1, nodes)
-        allowed = slack + RETRY_RATIO * len(self._requests)
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= slack + RETRY_RATIO * len(self._requests)
+
+    def take(self, now_s: float, nodes: int) -> bool:
+        """Return whether one more retry is allowed, and count it if so."""
+        if not self.is_available(now_s, nodes):
             return False
         self._retries.append(now_s)
         return True
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -73,6 +73,8 @@
         self._full_s = -1e9
         self._unreachable_s = -1e9
         self._heard_s: float | None = None
+        # Since when there has been a request in progress.
+        self._busy_since_s = 0.0
 
     @property
     def local_running(self) -> int:
@@ -85,6 +87,8 @@
             0, prompt.prompt_tokens - self.cached_tokens(prompt, now_s)
         )
         tokens_ahead = self.prefill_tokens(now_s)
+        if not self._runs:
+            self._busy_since_s = now_s
         self._runs[key] = Run(float(prefill_tokens), tokens_ahead, now_s)
         for segment in prompt.shared_segments:
             self._segment_used_s[segment.segment_id] = now_s
@@ -116,17 +120,29 @@
             self._sampled_s = now_s
         if succeeded is None:
             return
+        if not succeeded:
+            self.record_failure(now_s)
+            return
+        score = self.failure_score(now_s)
+        self._failure_score = score - SUCCESS_WEIGHT * score
+        self._failure_score_s = now_s
+
+    def record_failure(self, now_s: float) -> None:
+        """Record that a request failed."""
         score = self.failure_score(now_s)
-        if succeeded:
-            score -= SUCCESS_WEIGHT * score
-        else:
-            score += FAILURE_WEIGHT * (1 - score)
-        self._failure_score, self._failure_score_s = score, now_s
+        self._failure_score = score + FAILURE_WEIGHT * (1 - score)
+        self._failure_score_s = now_s
 
     def record_heard(self, now_s: float) -> None:
         """Record that data came from the upstream."""
         self._heard_s = now_s
 
+    def silent_s(self, now_s: float) -> float:
+        """Return for how long requests have been in progress without any data."""
+        if not self._runs:
+            return 0.0
+        return now_s - max(self._busy_since_s, self._heard_s or 0.0)
+
     def heard_age_s(self, now_s: float) -> float | None:
         """Return the time since data came from the upstream, or None without any."""
         return None if self._heard_s is None else now_s - self._heard_s
--- a/packages/gateway/cicadapass_gateway/exceptions.py
+++ b/packages/gateway/cicadapass_gateway/exceptions.py
@@ -26,6 +26,10 @@
     """Report an invalid or missing response; the request may have been executed."""
 
 
+class HedgeSuperseded(GatewayError):
+    """Report that a hedge ended because the attempt beside it may still answer."""
+
+
 class PlatformUnavailable(GatewayError):
     """Report a failed call to the platform, which may have been executed."""
 
--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -117,6 +117,10 @@
                 return HeldReason.SUSPECTED
             await self._wait_for_change(end_s)
 
+    def is_suspected(self, request: RequestContext) -> bool:
+        """Return whether a segment of the prompt is suspected or blocked."""
+        return self._verdict(request) is not None
+
     def may_send(self, request: RequestContext) -> bool:
         """Return whether an admitted request may still be sent."""
         verdict = self._verdict(request)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -1,26 +1,30 @@
 """Forward callers' requests to upstreams and the responses back."""
 
 import asyncio
+from dataclasses import replace
 
 from cicadapass_decisions.attempts import (
     AttemptOutcome,
+    AttemptResult,
     Fail,
     Refuse,
     RequestProgress,
     Retry,
+    may_run_again,
     next_step,
 )
-from cicadapass_decisions.passthrough import Prompt
+from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.queueorder import retry_after_s
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
 from cicadapass_gateway.adapterapi import Call, HeaderCodec
+from cicadapass_gateway.attemptrace import AttemptRace
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import Migrator
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.promptguard import HeldReason, PromptGuard
 from cicadapass_gateway.requestcontext import RequestContext
-from cicadapass_gateway.requestlog import RequestLog
+from cicadapass_gateway.requestlog import HedgeOutcome, RequestLog
 from cicadapass_gateway.requestqueue import NotPlaced, RequestRequirements
 from cicadapass_gateway.upstreamattempt import AttemptDependencies, UpstreamAttempt
 from cicadapass_gateway.upstreamtracker import Reservation
@@ -153,9 +157,7 @@
             if isinstance(reservation, NotPlaced):
                 self._refuse(request, reservation.reason, reservation.queue_delay_s)
                 return
-            attempt = UpstreamAttempt(self._attempt_dependencies, request, reservation)
-            result = await attempt.run()
-            self._log.log_failed_attempt(request, reservation, attempt.progress, result)
+            result = await self._race(request).run(reservation)
             step = next_step(result, self._progress(request), retry_allowed=True)
             if isinstance(step, Retry) and step.needs_allowance:
                 allowed = self._take_retry(request)
@@ -168,14 +170,67 @@
                 return
             if not isinstance(step, Retry):
                 return
-            if result.outcome is AttemptOutcome.HELD:
-                continue
-            request.excluded.add(reservation.record.upstream_id)
             if len(request.excluded) >= len(
                 self._state.upstreams.usable(request.match.service)
             ):
                 request.excluded.clear()
 
+    def _race(self, request: RequestContext) -> AttemptRace:
+        def make_attempt(
+            race: AttemptRace, reservation: Reservation, hedge: bool
+        ) -> UpstreamAttempt:
+            return UpstreamAttempt(
+                self._attempt_dependencies, request, reservation, race, hedge=hedge
+            )
+
+        async def place_hedge(silent: UpstreamAttempt) -> Reservation | None:
+            return await self._place_hedge(request, silent)
+
+        def on_result(attempt: UpstreamAttempt, result: AttemptResult) -> None:
+            reservation = attempt.reservation
+            self._log.log_failed_attempt(request, reservation, attempt.progress, result)
+            if result.outcome not in (AttemptOutcome.DELIVERED, AttemptOutcome.HELD):
+                request.excluded.add(reservation.record.upstream_id)
+
+        return AttemptRace(make_attempt, place_hedge, self._release_place, on_result)
+
+    async def _place_hedge(
+        self, request: RequestContext, silent: UpstreamAttempt
+    ) -> Reservation | None:
+        """Return a place for a hedge beside a silent attempt, if it may be sent."""
+        if not request.repeatable:
+            return None
+        silent_s, record = silent.silent_s(), silent.reservation.record
+        placed, outcome = await self._find_hedge(request, record)
+        self._log.log_hedge(request, record, placed, silent_s, outcome)
+        return placed
+
+    async def _find_hedge(
+        self, request: RequestContext, silent: UpstreamRecord
+    ) -> tuple[Reservation | None, HedgeOutcome]:
+        if not may_run_again(self._progress(request)):
+            return None, HedgeOutcome.USED_UP
+        if request.trial or self.prompt_guard.is_suspected(request):
+            return None, HedgeOutcome.HELD
+        allowance = self._state.retry_allowance(request.match.service)
+        if not allowance.is_available(self._state.clock(), self._state.node_count):
+            return None, HedgeOutcome.NO_ALLOWANCE
+        requirements = self._requirements(request)
+        excluded = requirements.excluded | {silent.upstream_id}
+        reservation = await self._state.queue.place(
+            replace(requirements, excluded=excluded)
+        )
+        if isinstance(reservation, NotPlaced):
+            return None, HedgeOutcome.NO_ROOM
+        if not self._take_retry(request):
+            self._release_place(reservation)
+            return None, HedgeOutcome.NO_ALLOWANCE
+        return reservation, HedgeOutcome.SENT
+
+    def _release_place(self, reservation: Reservation) -> None:
+        now_s = self._state.clock()
+        self._state.upstreams.end(reservation, now_s, succeeded=None)
+
     async def _reserve(self, request: RequestContext) -> Reservation | NotPlaced:
         """Return a reservation; a migrated run continues at its copy."""
         began_s = self._state.clock()
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -69,6 +69,8 @@
     time_limit: asyncio.Timeout | None = None
     # Who ended the last attempt that delivered no answer.
     ended_by: Party | None = None
+    # The last decision on a hedge.
+    hedge_outcome: Enum | None = None
     # Why the request was ended before its deadline.
     stopped: str | None = None
     waited_s: float = 0.0
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -22,11 +22,22 @@
 MAX_SILENCE_LINES_PER_S = 10
 
 
+class HedgeOutcome(Enum):
+    """Name why a hedge was or was not sent; the values are logged."""
+
+    SENT = "sent"
+    USED_UP = "used_up"
+    NO_ALLOWANCE = "no_allowance"
+    NO_ROOM = "no_room"
+    HELD = "held"
+
+
 class SilenceOutcome(Enum):
     """Name how a silence of an upstream ended; the values are logged."""
 
     RESUMED = "resumed"
     LOST = "lost"
+    REPLACED = "replaced"
     GIVEN_UP = "given_up"
     EXPIRED = "expired"
     LEFT = "left"
@@ -148,13 +159,8 @@
     ) -> None:
         """Count a silence and log it, unless there were many lines in this second."""
         self._state.metrics.count("upstream_silences", outcome.value)
-        second = int(self._state.clock())
-        if second != self._silence_second:
-            self._silence_second, self._silence_lines = second, 0
-        if self._silence_lines >= MAX_SILENCE_LINES_PER_S:
-            self._silences_skipped += 1
+        if not self._may_log_silence():
             return
-        self._silence_lines += 1
         self._state.events.emit(
             816,
             request_id=request.call.request_id,
@@ -168,6 +174,44 @@
         )
         self._silences_skipped = 0
 
+    def log_hedge(
+        self,
+        request: RequestContext,
+        silent: UpstreamRecord,
+        hedge: Reservation | None,
+        silent_s: float,
+        outcome: HedgeOutcome,
+    ) -> None:
+        """Count a decision on a hedge, and log it if it differs from the last one."""
+        if request.hedge_outcome is outcome and outcome is not HedgeOutcome.SENT:
+            return
+        request.hedge_outcome = outcome
+        self._state.metrics.count("hedges", outcome.value)
+        if not self._may_log_silence():
+            return
+        self._state.events.emit(
+            817,
+            request_id=request.call.request_id,
+            upstream=silent.upstream_id,
+            target=None if hedge is None else hedge.record.upstream_id,
+            silent_ms=_ms(silent_s),
+            last_event_id=request.last_event_id,
+            outcome=outcome.value,
+            skipped=self._silences_skipped,
+        )
+        self._silences_skipped = 0
+
+    def _may_log_silence(self) -> bool:
+        """Return whether this second has room for a line on a silence; count others."""
+        second = int(self._state.clock())
+        if second != self._silence_second:
+            self._silence_second, self._silence_lines = second, 0
+        if self._silence_lines >= MAX_SILENCE_LINES_PER_S:
+            self._silences_skipped += 1
+            return False
+        self._silence_lines += 1
+        return True
+
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
         """Count a malformed limit, and log it if the upstream's last one differs."""
         self._state.metrics.count("upstream_limits_unreadable")
@@ -185,6 +229,8 @@
         return None
     if outcome == "caller_left":
         return Party.CALLER.value
+    if outcome in ("timeout", "cut_timeout"):
+        return Party.NODE.value
     return (request.ended_by or Party.NODE).value
 
 
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -3,18 +3,22 @@
 import asyncio
 from collections.abc import Awaitable
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from cicadapass_decisions.attempts import AttemptResult
 from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
 from cicadapass_gateway.adapterapi import Attempt, HeaderCodec, ResponseInfo
 from cicadapass_gateway.eventstream import EventSplitter
-from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed, PromptHeld
+from cicadapass_gateway.exceptions import (
+    AnswerBroken,
+    ConnectFailed,
+    HedgeSuperseded,
+    PromptHeld,
+)
 from cicadapass_gateway.httpclient import ClientChannel, ClientPool
 from cicadapass_gateway.migrator import ActiveRun, MigratedRun, Migrator
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.promptguard import PromptGuard
-from cicadapass_gateway.readtimeout import ReadTimeout
 from cicadapass_gateway.requestcontext import (
     Party,
     RequestContext,
@@ -27,11 +31,16 @@
 # Opening a connection within a region takes milliseconds. TCP resends a lost SYN only
 # after a second, by when another upstream is the better choice.
 CONNECT_TIMEOUT_S = 0.4
-# A repeatable stream is retried at another upstream if no data arrives for this long
-# plus this multiple of the expected time. Other repeatable requests wait for a third of
-# the time until their deadline, or for that multiple if it is longer.
-READ_TIMEOUT_S = 0.9
-READ_TIMEOUT_FACTOR = 3.0
+# A stream is hedged if no data arrives for this long plus this multiple of the expected
+# time; a call after a third of the time until its deadline, or after that multiple of
+# the expected time if it is longer.
+HEDGE_DELAY_S = 0.9
+HEDGE_DELAY_FACTOR = 3.0
+# A sound upstream may be silent for a second or so. Longer silences count as a failure.
+SOUND_SILENCE_S = 2.0
+# Time from the head to the first event of a hedge while the other attempt goes on. Two
+# upstreams must not write events of one request for 0.4 s.
+MAX_OVERLAP_S = 0.3
 # Maximum time to finish a migration after the source ended the stream; callers tolerate
 # a gap of two seconds.
 MIGRATION_WAIT_S = 1.2
@@ -67,6 +76,16 @@
     info: ResponseInfo
 
 
+class Race(Protocol):
+    """Decide which of the attempts at a request delivers the answer."""
+
+    def has_rival(self, attempt: "UpstreamAttempt") -> bool:
+        """Return whether another attempt may still deliver the answer."""
+
+    def claim(self, attempt: "UpstreamAttempt") -> None:
+        """Let an attempt deliver, and cancel the other one before it can do so."""
+
+
 class UpstreamAttempt:
     """Hold the connection, the reservation and the progress of one attempt."""
 
@@ -75,6 +94,9 @@
         dependencies: AttemptDependencies,
         request: RequestContext,
         reservation: Reservation,
+        race: Race,
+        *,
+        hedge: bool,
     ) -> None:
         self._state = dependencies.state
         self._header_codec = dependencies.header_codec
@@ -85,12 +107,31 @@
         self._log = dependencies.log
         self._request = request
         self._reservation = reservation
+        self._race = race
+        self._hedge = hedge
+        # Another attempt delivers the answer.
+        self._lost = False
+        self._silence_counted = False
         self._meter = self._state.upstreams.meter(reservation.record)
         self._progress = ResponseProgress()
         self._channel: ClientChannel | None = None
         # Since when the attempt has waited for the upstream.
         self._waiting_since_s: float | None = None
 
+    @property
+    def reservation(self) -> Reservation:
+        """Return the place at the upstream that the attempt uses."""
+        return self._reservation
+
+    @property
+    def hedge_delay_s(self) -> float:
+        """Return the silence after which a hedge is due."""
+        request, expected_s = self._request, self._reservation.expected_s
+        if request.match.route.kind is CallKind.STREAM:
+            return HEDGE_DELAY_S + HEDGE_DELAY_FACTOR * expected_s
+        delay_s = (request.deadline_s - request.exchange.arrived_s) / 3
+        return max(delay_s, HEDGE_DELAY_FACTOR * expected_s)
+
     @property
     def progress(self) -> ResponseProgress:
         """Return how far the response has come."""
@@ -103,6 +144,23 @@
         since_s = max(self._waiting_since_s, self._channel.received_s)
         return self._state.clock() - since_s
 
+    def lose(self) -> None:
+        """Record that another attempt delivers the answer."""
+        self._lost = True
+
+    def judge_silence(self) -> bool:
+        """Return whether the silence counts as a failure; count it once."""
+        limit_s = max(SOUND_SILENCE_S, self.hedge_delay_s)
+        silent_s, now_s = self.silent_s(), self._state.clock()
+        if silent_s < limit_s and (
+            silent_s < self.hedge_delay_s or self._meter.silent_s(now_s) < limit_s
+        ):
+            return False
+        if not self._silence_counted:
+            self._silence_counted = True
+            self._meter.record_failure(now_s)
+        return True
+
     async def run(self) -> AttemptResult:
         """Send the request and relay the response; return how the attempt ended."""
         request, record = self._request, self._reservation.record
@@ -122,6 +180,8 @@
         except ConnectFailed as error:
             self._state.upstreams.meter(record).record_unreachable(self._state.clock())
             return AttemptResult.not_sent(str(error))
+        except HedgeSuperseded as error:
+            return AttemptResult.superseded(str(error))
         except (AnswerBroken, ValueError) as error:
             succeeded = False
             self._progress.ended_by = Party.NODE
@@ -135,7 +195,7 @@
             raise
         finally:
             now_s = self._state.clock()
-            request.ended_by = self._progress.ended_by
+            request.ended_by = self._progress.ended_by or request.ended_by
             self._state.upstreams.end(self._reservation, now_s, succeeded=succeeded)
             if self._channel is not None and not finished:
                 self._channel.abort()
@@ -187,8 +247,7 @@
         request.runs += 1
         self._progress.sent_s = sent_s
         channel.send(exchange.method, exchange.target, headers, exchange.body)
-        async with self._read_timeout():
-            head = await self._wait_for(channel, channel.read_head())
+        head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
         info = self._header_codec.decode_response(head.status, head.headers)
         if info.request_id not in (None, request.call.request_id):
@@ -219,6 +278,7 @@
             return item
         except asyncio.CancelledError:
             outcome = self._reason_of_cancellation()
+            self.judge_silence()
             raise
         finally:
             now_s = self._state.clock()
@@ -242,6 +302,8 @@
             )
 
     def _reason_of_cancellation(self) -> SilenceOutcome:
+        if self._lost:
+            return SilenceOutcome.REPLACED
         if self._state.clock() >= self._request.deadline_s:
             return SilenceOutcome.EXPIRED
         if self._request.exchange.connected:
@@ -280,22 +342,20 @@
     async def _relay_body(self, response: OpenResponse) -> AttemptResult:
         """Forward a response that is not a stream, once it is complete."""
         request, status = self._request, response.status
-        async with self._read_timeout():
-            body = await self._wait_for(
-                response.channel, response.channel.read_remaining()
-            )
+        body = await self._wait_for(response.channel, response.channel.read_remaining())
         self._record_end_of_answer(response)
         self._count_run()
         self._release_channel(response)
         if request.exchange.started:
             # A resumed stream cannot continue with a response of another kind.
             return AttemptResult.failed(status)
-        if status >= 500 and self._can_run_again():
+        if status >= 500 and (self._can_run_again() or self._race.has_rival(self)):
             return AttemptResult.failed(status)
         if status in NOT_EXECUTED_STATUSES and not request.repeatable:
             return AttemptResult.broken(
                 f"status {status} without a confirmation of no execution"
             )
+        self._claim()
         request.exchange.respond(status, response.info.headers, body)
         self._log.log_end(request, status, "answered")
         return AttemptResult.delivered(status)
@@ -328,13 +388,16 @@
             await self._relay_events(response, run)
         except AnswerBroken:
             # The source of a migrated run closes the stream before its end.
-            request.migrated = await self._await_migration(run)
-            if request.migrated is None:
+            migrated = await self._await_migration(run)
+            if migrated is None:
                 raise
+            self._claim()
+            request.migrated = migrated
             response.channel.abort()
-            return AttemptResult.migrated(request.migrated.record.upstream_id)
+            return AttemptResult.migrated(migrated.record.upstream_id)
         finally:
             self._migrator.discard(run)
+        self._claim()
         self._record_end_of_answer(response)
         if not exchange.started:
             exchange.start(response.status, response.info.headers)
@@ -370,10 +433,7 @@
         request, exchange = self._request, self._request.exchange
         splitter = EventSplitter()
         while True:
-            async with self._read_timeout():
-                chunk = await self._wait_for(
-                    response.channel, response.channel.read_body()
-                )
+            chunk = await self._read_chunk(response.channel)
             if chunk is None:
                 break
             events = splitter.feed(chunk)
@@ -381,6 +441,7 @@
                 continue
             run.events += len(events)
             self._progress.events += len(events)
+            self._claim()
             if not exchange.started:
                 exchange.start(response.status, response.info.headers)
             self._record_first_event()
@@ -394,6 +455,29 @@
         if not (response.channel.delimited or run.events or resumed):
             raise AnswerBroken("the connection ended before the first event")
 
+    async def _read_chunk(self, channel: ClientChannel) -> bytes | None:
+        """Return the next chunk of a stream, or None at its end.
+
+        A hedge without an event soon after its head ends if the other attempt goes on.
+        """
+        head_s = self._progress.head_s
+        if not self._hedge or self._progress.events or head_s is None:
+            return await self._wait_for(channel, channel.read_body())
+        while self._race.has_rival(self):
+            try:
+                async with asyncio.timeout(MAX_OVERLAP_S):
+                    return await self._wait_for(channel, channel.read_body())
+            except TimeoutError:
+                if self._race.has_rival(self):
+                    raise HedgeSuperseded("no event soon after the head") from None
+        return await self._wait_for(channel, channel.read_body())
+
+    def _claim(self) -> None:
+        """Become the attempt that delivers; the other one is cancelled."""
+        self._race.claim(self)
+        self._request.upstream_id = self._reservation.record.upstream_id
+        self._request.basis = self._reservation.basis
+
     def _record_first_event(self) -> None:
         request, now_s = self._request, self._state.clock()
         self._state.upstreams.first_token(self._reservation, now_s)
@@ -408,13 +492,3 @@
         if not request.usage_counted and request.match.workspace is not None:
             request.usage_counted = True
             self._usage.count(request.match.workspace.name)
-
-    def _read_timeout(self) -> ReadTimeout:
-        """Return the read time-out; a request that cannot be repeated has none."""
-        request, expected_s = self._request, self._reservation.expected_s
-        if not self._can_run_again():
-            return ReadTimeout(None)
-        if request.match.route.kind is CallKind.STREAM:
-            return ReadTimeout(READ_TIMEOUT_S + READ_TIMEOUT_FACTOR * expected_s)
-        timeout_s = (request.deadline_s - request.exchange.arrived_s) / 3
-        return ReadTimeout(max(timeout_s, READ_TIMEOUT_FACTOR * expected_s))
