Believe an answer only if it bears the request's own id

Callers were told "not run, try again" (503, 421) for requests that an engine was running, and calls that must not be repeated ran at a second engine: a head without an id that said "not executed", or any 421, was taken for the answer of the request at hand, also an engine's earlier refusal written once more. An answer of another status without an id was passed on as the caller's.

Engines echo the request's id, so a head without it, or with several (two heads run together), is now a broken answer: 502, or another try where the request may be repeated. A request without an id of its own gets a new connection, on which no earlier answer can be.

--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -43,6 +43,7 @@
 class ResponseInfo:
     """Store the decoded headers of an upstream's response."""
 
+    # None unless the response names exactly one request.
     request_id: str | None
     # The response carries the seal that marks it as written by an upstream.
     sealed: bool
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -212,13 +212,17 @@
         )
 
     async def _open(self) -> ClientChannel:
-        """Return a connection; a request that must not be repeated gets a new one."""
-        record = self._reservation.record
+        """Return a connection.
+
+        A request that must not be repeated gets a new one, and so does one without an
+        id, whose response cannot be told from others.
+        """
+        request, record = self._request, self._reservation.record
         return await self._pool.acquire(
             record.host,
             record.port,
             CONNECT_TIMEOUT_S,
-            fresh=not self._request.repeatable,
+            fresh=not request.repeatable or request.call.request_id is None,
         )
 
     async def _send_request(self, channel: ClientChannel) -> AttemptResult:
@@ -250,8 +254,9 @@
         head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
         info = self._header_codec.decode_response(head.status, head.headers)
-        if info.request_id not in (None, request.call.request_id):
-            raise AnswerBroken("the response belongs to another request")
+        # Bytes of an earlier response may precede this one on a kept connection.
+        if info.request_id != request.call.request_id:
+            raise AnswerBroken("the response has no id, or that of another request")
         if head.status < 300 and not (info.sealed and info.request_id):
             raise AnswerBroken(
                 "a successful response without the upstream's seal or the request id"
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -102,9 +102,9 @@
 def _decode_response(status, headers):
     by_name = {name.lower(): value for name, value in headers}
     forwarded = [(n, v) for n, v in headers if n.lower() in (b"content-type", b"x-id")]
-    request_id = by_name.get(b"x-id")
+    ids = [value.decode("latin-1") for n, value in headers if n.lower() == b"x-id"]
     return ResponseInfo(
-        request_id=None if request_id is None else request_id.decode("latin-1"),
+        request_id=ids[0] if len(ids) == 1 else None,
         not_executed=b"x-not-run" in by_name,
         wrong_instance=status == 421,
         sealed=b"x-seal" in by_name,
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -128,6 +128,12 @@
         stream = decode_response(200, [(b"Content-Type", b"text/event-stream")])
         self.assertTrue(stream.event_stream)
 
+    def test_an_answer_that_names_several_requests_has_no_id(self):
+        """The head of a refusal, joined with that of an answer, had the answer's id."""
+        for count, expected in ((0, None), (1, "9c41"), (2, None)):
+            headers = [(b"Request-Id", b"9c41")] * count
+            self.assertEqual(expected, decode_response(503, headers).request_id)
+
     def test_a_limit_is_read_only_if_it_is_one_decimal_number(self):
         """A malformed limit raised an error, or stopped all requests to an upstream."""
         for text, rate in ((b"1.3", 1.3), (b" 0 ", 0.0), (b".5", 0.5), (b"20.", 20.0)):
