Repeat a refused request on another connection

A repeatable call or stream that an engine had refused was sent again, by the node itself or by its caller under the same id, on the kept connection that had brought the refusal. An engine that wrote that refusal once more was believed, since the id is the request's: the caller was told "not run", or the request went to a further engine, while this one ran it.

A connection now remembers the ids that were refused on it (64 at most, then it is closed) and carries no repeat of these; the pool takes another connection or opens one.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -24,6 +24,9 @@
 # Fraction of that time in which an idle connection is reused; later, the upstream may
 # already have closed it.
 KEEP_ALIVE_FRACTION = 0.5
+# A connection that has refused more requests than this is closed, which bounds the ids
+# that it stores.
+MAX_REFUSALS = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,7 @@
         self._received_bytes = 0
         self._reusable_until_s = 0.0
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._refused_ids: set[str] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the options of the new socket."""
@@ -153,6 +157,20 @@
         """Return whether the connection may carry another request."""
         return not self._closed and now_s < self._reusable_until_s
 
+    def has_refused(self, request_id: str | None) -> bool:
+        """Return whether a request with this id was refused on the connection."""
+        return request_id in self._refused_ids
+
+    def record_refusal(self, request_id: str) -> None:
+        """Record that a request was refused.
+
+        The refusal may come again in place of the response to a repeat of the request,
+        so a repeat needs another connection.
+        """
+        self._refused_ids.add(request_id)
+        if len(self._refused_ids) > MAX_REFUSALS:
+            self._response_closes = True
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a whole request; raise `AnswerBroken` on a closed connection."""
         if self._closed or self._transport is None:
@@ -296,20 +314,53 @@
         self._idle: dict[tuple[str, int], list[ClientChannel]] = {}
 
     async def acquire(
-        self, host: str, port: int, timeout_s: float, *, fresh: bool = False
+        self,
+        host: str,
+        port: int,
+        timeout_s: float,
+        *,
+        fresh: bool = False,
+        request_id: str | None = None,
     ) -> ClientChannel:
-        """Return an idle connection or open one; `fresh` always opens one."""
-        now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get((host, port))
-        while idle and not fresh:
-            channel = idle.pop()
-            if channel.is_reusable(now_s):
+        """Return an idle connection that has not refused the request, or open one.
+
+        `fresh` always opens one.
+        """
+        if not fresh:
+            channel = self._take_idle((host, port), request_id)
+            if channel is not None:
                 return channel
-            channel.abort()
         return await connect(host, port, timeout_s, self.buffer)
 
-    def release(self, host: str, port: int, channel: ClientChannel) -> None:
-        """End the exchange of a connection and return it to the pool, if reusable."""
+    def _take_idle(
+        self, address: tuple[str, int], request_id: str | None
+    ) -> ClientChannel | None:
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(address, [])
+        for position in range(len(idle) - 1, -1, -1):
+            channel = idle[position]
+            if not channel.is_reusable(now_s):
+                del idle[position]
+                channel.abort()
+            elif not channel.has_refused(request_id):
+                del idle[position]
+                return channel
+        return None
+
+    def release(
+        self,
+        host: str,
+        port: int,
+        channel: ClientChannel,
+        *,
+        refused_id: str | None = None,
+    ) -> None:
+        """End the exchange of a connection and return it to the pool, if reusable.
+
+        `refused_id` is the id of the request, if it was refused.
+        """
+        if refused_id is not None:
+            channel.record_refusal(refused_id)
         if channel.finish_exchange():
             self._idle.setdefault((host, port), []).append(channel)
 
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -223,6 +223,7 @@
             record.port,
             CONNECT_TIMEOUT_S,
             fresh=not request.repeatable or request.call.request_id is None,
+            request_id=request.call.request_id,
         )
 
     async def _send_request(self, channel: ClientChannel) -> AttemptResult:
@@ -266,7 +267,9 @@
             self._record_rejection(record, info)
             await channel.read_remaining()
             request.runs -= 1
-            self._pool.release(record.host, record.port, channel)
+            self._pool.release(
+                record.host, record.port, channel, refused_id=request.call.request_id
+            )
             return AttemptResult.rejected(head.status)
         response = OpenResponse(channel, head.status, info)
         if info.event_stream and head.status < 300:
--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -283,7 +283,7 @@
     def __init__(self, cluster, node):
         self._cluster, self._node = cluster, node
 
-    async def acquire(self, host, port, timeout_s, *, fresh=False):
+    async def acquire(self, host, port, timeout_s, *, fresh=False, request_id=None):
         """Return a connection to an engine that is alive."""
         await asyncio.sleep(2 * NETWORK_DELAY_S)
         engine = self._cluster.engines.get(host)
@@ -291,7 +291,7 @@
             raise ConnectFailed("nothing listens at the address", refused=True)
         return EngineChannel(engine, self._node)
 
-    def release(self, host, port, channel):
+    def release(self, host, port, channel, *, refused_id=None):
         """Do nothing; connections are not pooled."""
 
 
--- a/tests/gateway/test_relay_stale_refusal.py
+++ b/tests/gateway/test_relay_stale_refusal.py
@@ -24,26 +24,31 @@
 class FaultyEngine:
     """Serve requests, and write `stale` before the answers on kept connections.
 
-    The first request on a connection is refused if `refuses_first`. With `split_at`,
-    the stale bytes are written in two parts.
+    The first request of the first `refusing` connections is refused, and the stale
+    bytes are then written on these only. With `split_at`, they come in two parts.
     """
 
-    def __init__(self, stale, *, refuses_first=False, fresh_too=False, split_at=None):
+    def __init__(self, stale, *, refusing=0, fresh_too=False, split_at=None):
         self.runs = []
         self._stale = stale
-        self._refuses_first = refuses_first
+        self._refusing = refusing
+        self._refuses = refusing > 0
         self._fresh_too = fresh_too
         self._split_at = split_at
-        self._connections = weakref.WeakSet()
+        # Connections on which the stale bytes come before the next answer.
+        self._kept = weakref.WeakSet()
 
     async def serve(self, response):
         """Answer one request."""
         request_id = response.headers[b"x-id"]
-        kept = response._writer in self._connections
-        self._connections.add(response._writer)
-        if self._refuses_first and not kept:
+        kept = response._writer in self._kept
+        if self._refusing and not kept:
+            self._refusing -= 1
+            self._kept.add(response._writer)
             response.send(refusal(request_id))
             return
+        if not self._refuses:
+            self._kept.add(response._writer)
         self.runs.append(request_id)
         if kept or self._fresh_too:
             response.send(self._stale[: self._split_at])
@@ -80,6 +85,25 @@
         self.assertNotIn(upstream_id, str(gateway.state.upstreams.view.leaving_marks))
         self.assertEqual([], gateway.errors)
 
+    def test_an_earlier_refusal_of_the_same_request(self):
+        """A repeat on the same connection was answered by its earlier refusal."""
+
+        async def play(path, prefix, split, refusing):
+            stale = prefix + refusal("r1")
+            engine = FaultyEngine(stale, refusing=refusing, split_at=split)
+            case = (path, prefix, split, refusing)
+            await self.play(engine, path, ["r1", "r1"], case)
+            if refusing == 1:
+                # Each of the two calls runs once.
+                self.assertEqual(["r1", "r1"], engine.runs, case)
+
+        async def scenario():
+            paths, prefixes = ("/safe/a", "/resume/a"), (b"", INFORMATIONAL)
+            cases = itertools.product(paths, prefixes, (None, 20), (1, 9))
+            await asyncio.gather(*(play(*case) for case in cases))
+
+        self.run_loop(scenario())
+
     def test_a_refusal_without_an_id(self):
         """A refusal of no request in particular was taken for that of the next one."""
 
