Reject a response head that contains another

An engine left a part of a refusal's head on a kept connection, and the head of the next answer followed: read as one, it had the status of the refusal and the id of the request ("HTTP/1.1 503 HTTP/1.1 200 X", or "not run: 1HTTP/1.1 200 X" in a header), so a request that had run was refused.

A head with a status line in its reason phrase or in a header is now a broken answer.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -1,6 +1,7 @@
 """Send requests over HTTP/1.1 connections that carry one request at a time."""
 
 import asyncio
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -27,6 +28,7 @@
 # A connection that has refused more requests than this is closed, which bounds the ids
 # that it stores.
 MAX_REFUSALS = 64
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +197,10 @@
                 continue
             if isinstance(event, h11.Response):
                 headers = event.headers.raw_items()
+                # What an upstream left of a head joins the one that it writes next.
+                texts = [event.reason, *(value for _, value in headers)]
+                if any(_STATUS_LINE.search(text) for text in texts):
+                    raise AnswerBroken("a response head within another")
                 self._record_connection_headers(event)
                 return ResponseHead(event.status_code, headers)
             raise AnswerBroken("the connection was closed before a response")
--- a/tests/gateway/test_relay_stale_refusal.py
+++ b/tests/gateway/test_relay_stale_refusal.py
@@ -141,6 +141,19 @@
 
         self.run_loop(scenario())
 
+    def test_a_refusal_cut_within_its_head(self):
+        """The rest of a refusal and the head of the answer were read as one head."""
+
+        async def scenario():
+            stale = refusal("r9")
+            kept = refusal(None).removesuffix(b"\r\n\r\n")
+            for whole in (stale, kept):
+                for end in range(1, len(whole)):
+                    engine = FaultyEngine(whole[:end])
+                    await self.play(engine, "/safe/a", ["r1", "r2"], whole[:end])
+
+        self.run_loop(scenario())
+
 
 class LateBytesTest(LoopTest):
     """Write a refusal behind an answer, at various times."""
