Do not reuse a connection on which unread bytes wait

Bytes that an engine wrote behind its answer, or the end of the connection, lay unread in the kernel when the connection was taken from the pool: the request was sent, and these bytes were read as the answer to it. An earlier refusal of the same id was believed; otherwise the attempt was broken and counted as a run.

The pool asks the kernel (poll, without waiting) before it hands out an idle connection, and closes one that has anything to read.

Before: test_bytes_that_arrived_before_the_request_was_sent <ClientChannel ...> matches Is(<ClientChannel ...>), the connection with the late refusal was handed out again

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -8,7 +8,7 @@
 import h11
 
 from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
-from cicadapass_gateway.sockets import watch_connection
+from cicadapass_gateway.sockets import has_unread_data, watch_connection
 
 Headers = Sequence[tuple[bytes, bytes]]
 # Larger response heads are rejected.
@@ -159,6 +159,11 @@
         """Return whether the connection may carry another request."""
         return not self._closed and now_s < self._reusable_until_s
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether data arrived that the event loop has not read yet."""
+        return self._transport is not None and has_unread_data(self._transport)
+
     def has_refused(self, request_id: str | None) -> bool:
         """Return whether a request with this id was refused on the connection."""
         return request_id in self._refused_ids
@@ -345,7 +350,8 @@
         idle = self._idle.get(address, [])
         for position in range(len(idle) - 1, -1, -1):
             channel = idle[position]
-            if not channel.is_reusable(now_s):
+            # Bytes that arrived before the request belong to no response to it.
+            if not channel.is_reusable(now_s) or channel.has_unread_data:
                 del idle[position]
                 channel.abort()
             elif not channel.has_refused(request_id):
--- a/packages/gateway/cicadapass_gateway/sockets.py
+++ b/packages/gateway/cicadapass_gateway/sockets.py
@@ -1,6 +1,7 @@
 """Socket options that detect dead connections."""
 
 import asyncio
+import select
 import socket
 
 # A connection is closed if sent data is not acknowledged for this long.
@@ -23,3 +24,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def has_unread_data(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the kernel holds bytes, an end or an error that were not read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/gateway/test_relay_stale_refusal.py
+++ b/tests/gateway/test_relay_stale_refusal.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import itertools
+import socket
 import weakref
 
-from tests.gateway.harness import GatewayHarness, LoopTest
+from cicadapass_gateway.httpclient import ClientPool
+from tests.gateway.harness import HOST, GatewayHarness, LoopTest
 
 # Statuses that promise callers that the request was not executed.
 NOT_EXECUTED = (408, 421, 429, 503)
@@ -218,3 +220,31 @@
                 self.assertIn(runs, (["r2"], ["r2", "r2"]), case)
 
         self.run_loop(scenario())
+
+    def test_bytes_that_arrived_before_the_request_was_sent(self):
+        """A connection was reused although unread bytes waited on it."""
+
+        async def scenario():
+            for late in (refusal("r2"), b"H", None):
+                pool = ClientPool()
+                with socket.create_server((HOST, 0)) as listener:
+                    port = listener.getsockname()[1]
+                    channel = await pool.acquire(HOST, port, 1.0)
+                    engine, _ = listener.accept()
+                    channel.send(b"GET", b"/", [(b"Host", b"u")], b"")
+                    engine.sendall(b"HTTP/1.1 200 X\r\ncontent-length: 0\r\n\r\n")
+                    await channel.read_head()
+                    await channel.read_remaining()
+                    pool.release(HOST, port, channel)
+                    # The event loop does not run between these bytes and the reuse.
+                    if late is None:
+                        engine.shutdown(socket.SHUT_WR)
+                    else:
+                        engine.sendall(late)
+                    again = await pool.acquire(HOST, port, 1.0)
+                    self.assertIsNot(channel, again, late)
+                    again.abort()
+                    channel.abort()
+                    engine.close()
+
+        self.run_loop(scenario())
