Never pass on an unconfirmed "not run" of a repeatable request

A resumable stream, or a call that may be repeated, whose engine answered 408, 421, 429 or 503 without stating that it had not run got that status as it was, once its attempts were used up. To callers these statuses promise that nothing ran. Only calls that must not be repeated were spared.

Such an answer now counts as broken for every kind of route: it is tried again where this is allowed, and ends with 502.

Before: test_an_unconfirmed_refusal_of_a_repeatable_request 408 for r1, which had run: (408, '/safe/a')

--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -46,8 +46,8 @@
 MIGRATION_WAIT_S = 1.2
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
-# Statuses by which callers conclude that a request was not executed. If the request
-# must not be repeated, they are not forwarded without the upstream's confirmation.
+# Statuses by which callers conclude that a request was not executed. They are not
+# forwarded without the upstream's confirmation.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -359,7 +359,7 @@
             return AttemptResult.failed(status)
         if status >= 500 and (self._can_run_again() or self._race.has_rival(self)):
             return AttemptResult.failed(status)
-        if status in NOT_EXECUTED_STATUSES and not request.repeatable:
+        if status in NOT_EXECUTED_STATUSES:
             return AttemptResult.broken(
                 f"status {status} without a confirmation of no execution"
             )
--- a/tests/gateway/test_relay_stale_refusal.py
+++ b/tests/gateway/test_relay_stale_refusal.py
@@ -156,6 +156,19 @@
 
         self.run_loop(scenario())
 
+    def test_an_unconfirmed_refusal_of_a_repeatable_request(self):
+        """A stream that had run was answered with a status that denies it."""
+
+        async def scenario():
+            for status, path in itertools.product(
+                (408, 429, 503), ("/safe/a", "/resume/a")
+            ):
+                stale = refusal("r1", status, confirmed=False)
+                engine = FaultyEngine(stale, fresh_too=True)
+                await self.play(engine, path, ["r1", "r1"], (status, path))
+
+        self.run_loop(scenario())
+
 
 class LateBytesTest(LoopTest):
     """Write a refusal behind an answer, at various times."""
