Count a response to HEAD, 204 and 304 as ended by its head

A response that never has a body has neither a length nor chunks, so it was taken for one that ends with its connection: a HEAD request on a route of streams got 502 where the engine had answered 200, and after other such answers the engine was suspected to have ended.

The channel treats the end of these heads as the end of the response.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -76,6 +76,7 @@
         self._aborted = False
         self._in_use = False
         self._response_closes = False
+        self._method = b""
         self._delimited = False
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
@@ -187,6 +188,7 @@
         self._received_s = 0.0
         self._received_bytes = 0
         self._response_closes = False
+        self._method = method
         request = h11.Request(method=method, target=target, headers=list(headers))
         chunks = [self._parser.send(request)]
         if body:
@@ -285,7 +287,8 @@
             self._transport.resume_reading()
 
     def _record_connection_headers(self, response: h11.Response) -> None:
-        self._delimited = False
+        # Responses that never have a body end with their head.
+        self._delimited = self._method == b"HEAD" or response.status_code in (204, 304)
         for name, value in response.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 self._delimited = True
