Take an empty body without a length for a broken answer

An engine that stopped just behind its head and closed left a success without a length, chunks or a single byte of a body. Its caller got a 200 with an empty body, framed as whole (Content-Length: 0).

Such an answer is now broken: it is tried again where the request may run again, and ends with 502. Streams already did so. A body that has begun still ends with its connection, since an engine may frame it so.

Before: test_an_undelimited_success_without_a_body (502, b'') != (200, b''): /unsafe/a

--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -351,6 +351,8 @@
         """Forward a response that is not a stream, once it is complete."""
         request, status = self._request, response.status
         body = await self._wait_for(response.channel, response.channel.read_remaining())
+        if status < 300 and not (body or response.channel.delimited):
+            raise AnswerBroken("the connection ended before the first byte of a body")
         self._record_end_of_answer(response)
         self._count_run()
         self._release_channel(response)
--- a/tests/gateway/test_relay_cut_heads.py
+++ b/tests/gateway/test_relay_cut_heads.py
@@ -164,6 +164,17 @@
 
         self.run_loop(scenario())
 
+    def test_an_undelimited_success_without_a_body(self):
+        """An engine that ended after its head passed for one with an empty answer."""
+
+        async def scenario():
+            for path in ("/unsafe/a", "/safe/a", "/stream/a", "/resume/a"):
+                for head in (HEAD, HEAD + STREAM):
+                    reply = await self.play(path, head + b"\r\n", "close")
+                    self.assertEqual((502, b""), (reply.status, reply.body), path)
+
+        self.run_loop(scenario())
+
     def test_a_response_that_never_has_a_body(self):
         """An answer to HEAD, or without content, passed for one that had been cut."""
 
