Do not end a resumed stream whose repeat brought no event

A stream broke off, and the engine that was to go on with it closed its connection behind its head, or behind a comment.

A stream that ends with its connection is now whole only if this answer brought an event with data. An end that is marked, by a last chunk or a length, still counts, since a stream may break off behind its last event.

The new tests break a stream in seven ways and answer the repeat with errors, heads, plain bodies and good continuations.

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -14,6 +14,8 @@
 
     data: bytes
     event_id: str | None
+    # Comments and the like have none.
+    has_data: bool
 
 
 class EventSplitter:
@@ -37,14 +39,15 @@
         events: list[StreamEvent] = []
         while (end := _event_end(self._buffer)) is not None:
             event, self._buffer = self._buffer[:end], self._buffer[end:]
-            self._count_without_data(event)
-            events.append(StreamEvent(event, _event_id(event)))
+            parsed = StreamEvent(event, _event_id(event), b"data:" in event)
+            self._count_without_data(parsed)
+            events.append(parsed)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _count_without_data(self, event: bytes) -> None:
-        if b"data:" in event:
+    def _count_without_data(self, event: StreamEvent) -> None:
+        if event.has_data:
             self._events_without_data = 0
             return
         self._events_without_data += 1
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -442,6 +442,7 @@
         """Forward events until the stream's end; raise `AnswerBroken` if it is cut."""
         request, exchange = self._request, self._request.exchange
         splitter = EventSplitter()
+        has_data = False
         while True:
             chunk = await self._read_chunk(response.channel)
             if chunk is None:
@@ -449,6 +450,7 @@
             events = splitter.feed(chunk)
             if not events:
                 continue
+            has_data = has_data or any(event.has_data for event in events)
             run.events += len(events)
             self._progress.events += len(events)
             self._claim()
@@ -461,8 +463,7 @@
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
-        resumed = request.last_event_id is not None
-        if not (response.channel.delimited or run.events or resumed):
+        if not (response.channel.delimited or has_data):
             raise AnswerBroken("the connection ended before the first event")
 
     async def _read_chunk(self, channel: ClientChannel) -> bytes | None:
--- /dev/null
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -0,0 +1,184 @@
+"""Test streams that break off, and what engines answer to their repeats."""
+
+import asyncio
+
+from tests.gateway.harness import GatewayHarness, LoopTest
+
+EVENTS = 4
+
+
+def raw_event(number):
+    """Return the bytes of an event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def raw_events(first, last):
+    """Return the bytes of several events."""
+    return b"".join(raw_event(number) for number in range(first, last + 1))
+
+
+def head(status=200, kind="text/event-stream", extra=""):
+    """Return the head of an answer to the request `r1`."""
+    lines = [f"HTTP/1.1 {status} X", "x-id: r1", "x-seal: 1", f"content-type: {kind}"]
+    return "\r\n".join([*lines, extra, ""] if extra else [*lines, ""]).encode()
+
+
+def chunks(*parts, end=True):
+    """Return the bytes of a chunked body."""
+    data = b"".join(f"{len(each):x}\r\n".encode() + each + b"\r\n" for each in parts)
+    return b"transfer-encoding: chunked\r\n\r\n" + data + (b"0\r\n\r\n" if end else b"")
+
+
+def sized(body):
+    """Return the bytes of a body with a length."""
+    return f"content-length: {len(body)}\r\n\r\n".encode() + body
+
+
+def undelimited(body=b""):
+    """Return the bytes of a body that ends with its connection."""
+    return b"\r\n" + body
+
+
+def raw(data, end="close"):
+    """Return a step that writes bytes and ends the connection."""
+
+    async def step(response):
+        response.send(data)
+        if end == "reset":
+            # What was written arrives before the reset.
+            await asyncio.sleep(0.01)
+        getattr(response, end)()
+
+    return step
+
+
+DELIVERED = raw_events(1, 2)
+# Two events of a stream that then breaks off.
+BREAKS = {
+    "chunks, between events, close": raw(head() + chunks(DELIVERED, end=False)),
+    "chunks, between events, reset": raw(
+        head() + chunks(DELIVERED, end=False), "reset"
+    ),
+    "chunks, within an event": raw(
+        head() + chunks(DELIVERED + b"id: 3\nda", end=False)
+    ),
+    "chunks, within a chunk": raw(head() + chunks(DELIVERED, b"x" * 9)[:-14]),
+    "length": raw(head() + sized(raw_events(1, EVENTS))[:-30]),
+    "undelimited, reset": raw(head() + undelimited(DELIVERED), "reset"),
+    "undelimited, within an event": raw(head() + undelimited(DELIVERED + b"id: 3\nda")),
+}
+ERROR = b'data: {"error": "failed"}\n\n'
+# Answers to the repeat with which the stream cannot go on.
+FAILED_REPEATS = {
+    "500": raw(head(500, "text/plain") + sized(b"failed")),
+    "503, not executed": raw(head(503, extra="x-not-run: 1") + sized(b"")),
+    "503, not confirmed": raw(head(503) + sized(ERROR)),
+    "421": raw(head(421, "text/plain") + sized(b"wrong")),
+    "500, a stream": raw(head(500) + chunks(ERROR)),
+    "500, a stream without end": raw(head(500) + undelimited(ERROR)),
+    "404, a stream with ids": raw(head(404) + chunks(raw_events(3, EVENTS))),
+    "200, plain": raw(head(200, "text/plain") + sized(b"whole")),
+    "200, plain, undelimited": raw(head(200, "text/plain") + undelimited(b"whole")),
+    "no head": raw(b""),
+    "half a head": raw(head()[:-20]),
+    "a head and no event": raw(head() + undelimited()),
+    "a head and a comment": raw(head() + undelimited(b": ping\n\n")),
+    "a head and a reset": raw(head() + undelimited(), "reset"),
+    "no seal": raw(
+        head().replace(b"x-seal: 1\r\n", b"") + chunks(raw_events(3, EVENTS))
+    ),
+    "another id": raw(
+        head().replace(b"x-id: r1", b"x-id: r2") + chunks(raw_events(3, EVENTS))
+    ),
+}
+# Answers to the repeat with which the stream goes on.
+GOOD_REPEATS = {
+    "chunks": raw(head() + chunks(raw_events(3, EVENTS))),
+    "length": raw(head() + sized(raw_events(3, EVENTS))),
+    "undelimited": raw(head() + undelimited(raw_events(3, EVENTS))),
+    "a comment first": raw(head() + chunks(b": ping\n\n", raw_events(3, EVENTS))),
+}
+
+
+class BrokenStreamTest(LoopTest):
+    async def play(self, path, *steps):
+        """Return the reply to one call, and the headers of the requests sent for it.
+
+        The steps answer the requests in their order, at whichever engine they arrive.
+        """
+        remaining, sent = list(steps), []
+
+        async def serve(response):
+            sent.append(response.headers)
+            await remaining.pop(0)(response) if remaining else response.reset()
+
+        gateway = await GatewayHarness().start(serve, serve)
+        reply = await gateway.call(path, "POST", x_tokens=100)
+        self.assertEqual([], gateway.errors)
+        return reply, sent
+
+    def test_a_repeat_that_fails(self):
+        """A caller found an error, or events it had, in the middle of its stream."""
+
+        async def scenario():
+            for broken, first in BREAKS.items():
+                for name, second in FAILED_REPEATS.items():
+                    reply, sent = await self.play("/resume/a", first, second)
+                    case = (broken, name)
+                    self.assertEqual("2", sent[1][b"y-after"], case)
+                    self.assertEqual(200, reply.status, case)
+                    self.assertFalse(reply.complete, case)
+                    events = reply.body.replace(b": ping\n\n", b"")
+                    self.assertEqual(DELIVERED, events, case)
+
+        self.run_loop(scenario())
+
+    def test_a_repeat_that_goes_on(self):
+        """A stream was cut although its repeat went on where it had broken off."""
+
+        async def scenario():
+            for broken, first in BREAKS.items():
+                for name, second in GOOD_REPEATS.items():
+                    reply, sent = await self.play("/resume/a", first, second)
+                    self.assertEqual(2, len(sent), (broken, name))
+                    self.assertTrue(reply.complete, (broken, name))
+                    events = reply.body.replace(b": ping\n\n", b"")
+                    self.assertEqual(raw_events(1, EVENTS), events, (broken, name))
+
+        self.run_loop(scenario())
+
+    def test_a_repeat_that_has_nothing_more(self):
+        """A stream that broke off behind its last event was cut."""
+
+        async def scenario():
+            for rest in (chunks(), sized(b"")):
+                first = BREAKS["chunks, between events, close"]
+                reply, _ = await self.play("/resume/a", first, raw(head() + rest))
+                self.assertEqual((DELIVERED, True), (reply.body, reply.complete))
+
+        self.run_loop(scenario())
+
+    def test_a_stream_that_must_not_repeat(self):
+        """A stream that had begun was sent to a second engine, or looked complete."""
+
+        async def scenario():
+            for broken, first in BREAKS.items():
+                reply, sent = await self.play("/stream/a", first)
+                self.assertEqual(1, len(sent), broken)
+                self.assertEqual((DELIVERED, False), (reply.body, reply.complete))
+
+        self.run_loop(scenario())
+
+    def test_a_stream_that_broke_off_before_its_events(self):
+        """A stream of which only a comment had come was not tried again."""
+
+        async def scenario():
+            for begun in (b"", b": ping\n\n"):
+                first = raw(head() + chunks(begun, end=False)[: None if begun else -5])
+                second = raw(head() + chunks(raw_events(1, EVENTS)))
+                reply, sent = await self.play("/resume/a", first, second)
+                self.assertEqual(2, len(sent))
+                self.assertEqual(begun + raw_events(1, EVENTS), reply.body)
+                self.assertTrue(reply.complete)
+
+        self.run_loop(scenario())
