Check that a resumed stream goes on behind its last event

The first event with data of a resumed answer must have an id, and each id must follow the one before: a greater number, or another text where ids are no numbers. Any other answer is broken, before a byte of it is passed on. Streams that were not resumed are passed on as they come.

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -19,10 +19,17 @@
 
 
 class EventSplitter:
-    """Split the chunks of a body at the ends of events."""
+    """Split the chunks of a body at the ends of events.
 
-    def __init__(self) -> None:
+    The events of a resumed stream must follow the one with the id `resumed_after`.
+    """
+
+    def __init__(self, resumed_after: str | None = None) -> None:
         self._buffer = b""
+        self._last_id = resumed_after
+        self._resumed = resumed_after is not None
+        # Whether an event has shown where the resumed stream goes on.
+        self._positioned = False
         self._events_without_data = 0
 
     @property
@@ -33,7 +40,8 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that these bytes complete.
 
-        Raise ValueError for an event that is too large, or for too many without data.
+        Raise ValueError for an event that is too large, for too many without data, and
+        for one that does not follow those before it in a resumed stream.
         """
         self._buffer += data
         events: list[StreamEvent] = []
@@ -41,6 +49,8 @@
             event, self._buffer = self._buffer[:end], self._buffer[end:]
             parsed = StreamEvent(event, _event_id(event), b"data:" in event)
             self._count_without_data(parsed)
+            if self._resumed:
+                self._check_position(parsed)
             events.append(parsed)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
@@ -54,6 +64,23 @@
         if self._events_without_data > MAX_EVENTS_WITHOUT_DATA:
             raise ValueError(f"{MAX_EVENTS_WITHOUT_DATA} events without data")
 
+    def _check_position(self, event: StreamEvent) -> None:
+        if not event.event_id:
+            if event.has_data and not self._positioned:
+                raise ValueError("a resumed stream begins with an event without an id")
+            return
+        if not _follows(event.event_id, self._last_id):
+            raise ValueError(f"event {event.event_id} follows event {self._last_id}")
+        self._last_id = event.event_id
+        self._positioned = True
+
+
+def _follows(event_id: str, earlier: str | None) -> bool:
+    """Return whether an event may come after another one; numeric ids increase."""
+    if earlier is not None and event_id.isdecimal() and earlier.isdecimal():
+        return int(event_id) > int(earlier)
+    return event_id != earlier
+
 
 def _event_end(data: bytes) -> int | None:
     ends = [
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -441,7 +441,7 @@
     async def _relay_events(self, response: OpenResponse, run: ActiveRun) -> None:
         """Forward events until the stream's end; raise `AnswerBroken` if it is cut."""
         request, exchange = self._request, self._request.exchange
-        splitter = EventSplitter()
+        splitter = EventSplitter(request.last_event_id)
         has_data = False
         while True:
             chunk = await self._read_chunk(response.channel)
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -79,11 +79,19 @@
     "404, a stream with ids": raw(head(404) + chunks(raw_events(3, EVENTS))),
     "200, plain": raw(head(200, "text/plain") + sized(b"whole")),
     "200, plain, undelimited": raw(head(200, "text/plain") + undelimited(b"whole")),
+    "200, an error without an id": raw(head() + chunks(ERROR)),
+    "200, a named error without an id": raw(head() + chunks(b"event: error\n" + ERROR)),
     "no head": raw(b""),
     "half a head": raw(head()[:-20]),
     "a head and no event": raw(head() + undelimited()),
     "a head and a comment": raw(head() + undelimited(b": ping\n\n")),
     "a head and a reset": raw(head() + undelimited(), "reset"),
+    "from the first event": raw(head() + chunks(raw_events(1, EVENTS))),
+    "from the last event": raw(head() + chunks(raw_events(2, EVENTS))),
+    "from the last event, undelimited": raw(
+        head() + undelimited(raw_events(2, EVENTS))
+    ),
+    "one event over and over": raw(head() + chunks(raw_event(2), raw_event(2))),
     "no seal": raw(
         head().replace(b"x-seal: 1\r\n", b"") + chunks(raw_events(3, EVENTS))
     ),
