Resume a stream only with an answer of the same status

A resumed stream went on with the events of a 206, or ended as complete with a 204, although its caller had the 200 of its first engine.

An answer with another status than that of the head that was sent to the caller is now handled like one of another content type: the attempt has failed, and nothing of it is passed on.

--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -52,6 +52,8 @@
     sends: int = 0
     runs: int = 0
     excluded: set[str] = field(default_factory=set)
+    # Status of the stream that has begun.
+    stream_status: int | None = None
     last_event_id: str | None = None
     first_event_s: float | None = None
     usage_counted: bool = False
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -272,7 +272,9 @@
             )
             return AttemptResult.rejected(head.status)
         response = OpenResponse(channel, head.status, info)
-        if info.event_stream and head.status < 300:
+        # A resumed stream keeps the head of its first engine.
+        same_head = request.stream_status in (None, head.status)
+        if info.event_stream and head.status < 300 and same_head:
             return await self._relay_stream(response)
         return await self._relay_body(response)
 
@@ -409,13 +411,19 @@
             self._migrator.discard(run)
         self._claim()
         self._record_end_of_answer(response)
-        if not exchange.started:
-            exchange.start(response.status, response.info.headers)
+        self._start_stream(response)
         self._release_channel(response)
         exchange.finish()
         self._log.log_end(request, response.status, "answered")
         return AttemptResult.delivered(response.status)
 
+    def _start_stream(self, response: OpenResponse) -> None:
+        """Send the head, unless an earlier attempt did."""
+        request = self._request
+        if not request.exchange.started:
+            request.stream_status = response.status
+            request.exchange.start(response.status, response.info.headers)
+
     def _active_run(self) -> ActiveRun:
         request = self._request
         configuration = self._state.configuration
@@ -454,8 +462,7 @@
             run.events += len(events)
             self._progress.events += len(events)
             self._claim()
-            if not exchange.started:
-                exchange.start(response.status, response.info.headers)
+            self._start_stream(response)
             self._record_first_event()
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -79,6 +79,8 @@
     "404, a stream with ids": raw(head(404) + chunks(raw_events(3, EVENTS))),
     "200, plain": raw(head(200, "text/plain") + sized(b"whole")),
     "200, plain, undelimited": raw(head(200, "text/plain") + undelimited(b"whole")),
+    "206, a stream": raw(head(206) + chunks(raw_events(3, EVENTS))),
+    "204": raw(head(204) + b"\r\n"),
     "200, an error without an id": raw(head() + chunks(ERROR)),
     "200, a named error without an id": raw(head() + chunks(b"event: error\n" + ERROR)),
     "no head": raw(b""),
