Keep the id of an event that a comment follows

A stream was resumed behind the id of the last event of each read. If that was a comment, which has none, the id of the event before it was lost: a resumed stream began an event too early, or from the start, and the caller got events twice (ORDER).

Every id of a read counts, the last one last.

Before: test_an_event_without_an_id_behind_the_last_one '2' != None

--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -466,7 +466,8 @@
             self._record_first_event()
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
-            request.last_event_id = events[-1].event_id or request.last_event_id
+            for event in events:
+                request.last_event_id = event.event_id or request.last_event_id
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -179,6 +179,19 @@
 
         self.run_loop(scenario())
 
+    def test_an_event_without_an_id_behind_the_last_one(self):
+        """An event came twice, since a comment that followed it hid its id."""
+
+        async def scenario():
+            delivered = DELIVERED + b": ping\n\n"
+            first = raw(head() + chunks(delivered, end=False))
+            reply, sent = await self.play("/resume/a", first, GOOD_REPEATS["chunks"])
+            self.assertEqual("2", sent[1].get(b"y-after"))
+            self.assertEqual(delivered + raw_events(3, EVENTS), reply.body)
+            self.assertTrue(reply.complete)
+
+        self.run_loop(scenario())
+
     def test_a_stream_that_broke_off_before_its_events(self):
         """A stream of which only a comment had come was not tried again."""
 
