Do not resume a stream behind an event without an id

A resumable stream whose events have no ids, or whose last event has none, broke off and was sent again without Last-Event-Id, or with that of an earlier event: the caller's stream began anew in the middle, or repeated its last events (ORDER).

Such a stream has no position to resume at, so it counts as one that must not be repeated from that event on, and is cut. As long as only comments have come it is tried again as before.

--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -55,6 +55,8 @@
     # Status of the stream that has begun.
     stream_status: int | None = None
     last_event_id: str | None = None
+    # The last event with data had no id, so the stream cannot be resumed behind it.
+    position_lost: bool = False
     first_event_s: float | None = None
     usage_counted: bool = False
     upstream_id: str = ""
@@ -80,7 +82,7 @@
     @property
     def repeatable(self) -> bool:
         """Return whether the request may be sent again after a possible execution."""
-        return self.match.route.repeatable
+        return self.match.route.repeatable and not self.position_lost
 
     @property
     def isolated(self) -> bool:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -468,6 +468,8 @@
             exchange.write(b"".join(event.data for event in events))
             for event in events:
                 request.last_event_id = event.event_id or request.last_event_id
+                if event.has_data:
+                    request.position_lost = not event.event_id
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -192,6 +192,19 @@
 
         self.run_loop(scenario())
 
+    def test_a_stream_without_ids(self):
+        """A stream whose events have no ids began anew in the middle."""
+
+        async def scenario():
+            for delivered in (b"data: piece\n\n", raw_event(1) + b"data: piece\n\n"):
+                first = raw(head() + chunks(delivered, end=False))
+                second = raw(head() + chunks(delivered, b"data: more\n\n"))
+                reply, sent = await self.play("/resume/a", first, second)
+                self.assertEqual((delivered, False), (reply.body, reply.complete))
+                self.assertEqual(1, len(sent))
+
+        self.run_loop(scenario())
+
     def test_a_stream_that_broke_off_before_its_events(self):
         """A stream of which only a comment had come was not tried again."""
 
