Do not take the stop of a migrated run for the end of its stream

When a run is migrated, its source stops it and closes the stream without an end.

The run records that its source was told to stop; a close without a marked end after that waits for the copy, like any other break, and the stream is cut if there is none.

--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -32,7 +32,11 @@
 
 @dataclass(eq=False, slots=True)
 class ActiveRun:
-    """Track a run that may be migrated; `migration` is set once this has started."""
+    """Track a run that may be migrated.
+
+    `migration` is set once this has started, and `stopping` once the source is told to
+    stop the run.
+    """
 
     request_id: str
     record: UpstreamRecord
@@ -41,6 +45,7 @@
     began_s: float
     events: int = 0
     migration: asyncio.Task[MigratedRun | None] | None = None
+    stopping: bool = False
 
     def progress(self, now_s: float) -> RunProgress:
         """Return the progress from which the remaining time of the run is estimated."""
@@ -121,6 +126,7 @@
                     if not self._is_usable(target):
                         self._log_migration(run, target, "the target is leaving")
                         continue
+                    run.stopping = True
                     copy = await self._migrate_run(
                         run.record, run.request_id, target, True
                     )
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -473,6 +473,8 @@
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
+        if run.stopping and not response.channel.delimited:
+            raise AnswerBroken("the source of a migration ended the stream")
         if not (response.channel.delimited or has_data):
             raise AnswerBroken("the connection ended before the first event")
 
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from tests.gateway.harness import GatewayHarness, LoopTest
+from cicadapass_gateway.exceptions import PlatformUnavailable
+from tests.gateway.harness import GatewayHarness, LoopTest, until
 
 EVENTS = 4
 
@@ -218,3 +219,63 @@
                 self.assertTrue(reply.complete)
 
         self.run_loop(scenario())
+
+
+class StoppedSourceTest(LoopTest):
+    def reclaim(self, path, copied):
+        """Return the reply to a stream whose engine is stopped for a migration."""
+
+        async def scenario():
+            stopped = asyncio.Event()
+
+            async def leaving(response):
+                response.stream_until_close()
+                number = 0
+                while not stopped.is_set():
+                    number += 1
+                    response.send(raw_event(number))
+                    await asyncio.sleep(0.005)
+                response.close()
+
+            async def going_on(response):
+                after = response.headers.get(b"y-after")
+                start = 1 if after is None else int(after) + 1
+                response.stream()
+                for number in range(start, start + 3):
+                    response.event(number)
+                response.event(1_000_000)
+                response.end()
+
+            async def move(source, request_id, target, last):
+                if last:
+                    stopped.set()
+                    # The source closes the stream before the copy is complete.
+                    await asyncio.sleep(0.05)
+                if last and not copied:
+                    raise PlatformUnavailable("the copy failed")
+                return "copy-1"
+
+            gateway = await GatewayHarness(move).start(leaving, going_on)
+            source, target = gateway.upstreams
+            view = gateway.state.upstreams.view
+            view.replace([source.record()], gateway.state.clock())
+            gateway.state.upstreams.refresh()
+            caller = await gateway.connect()
+            caller.send(path, "POST", x_tokens=1000)
+            await until(lambda: source.requests)
+            view.replace([target.record()], gateway.state.clock())
+            gateway.state.upstreams.refresh()
+            return await caller.reply()
+
+        return self.run_loop(scenario())
+
+    def test_an_undelimited_stream_goes_on_at_its_copy(self):
+        """A stream looked complete when its source was stopped for a migration."""
+        reply = self.reclaim("/stream/a", copied=True)
+        self.assertTrue(reply.complete)
+        self.assertTrue(reply.body.endswith(raw_event(1_000_000)))
+
+    def test_an_undelimited_stream_whose_copy_failed_is_cut(self):
+        """A stream that was stopped in vain looked complete."""
+        reply = self.reclaim("/stream/a", copied=False)
+        self.assertFalse(reply.complete)
