--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -6,6 +6,7 @@
 from tests.gateway.harness import GatewayHarness, LoopTest, until
 
 EVENTS = 4
+COMMENT = b": ping\n\n"
 
 
 def raw_event(number):
@@ -87,7 +88,7 @@
     "no head": raw(b""),
     "half a head": raw(head()[:-20]),
     "a head and no event": raw(head() + undelimited()),
-    "a head and a comment": raw(head() + undelimited(b": ping\n\n")),
+    "a head and a comment": raw(head() + undelimited(COMMENT)),
     "a head and a reset": raw(head() + undelimited(), "reset"),
     "from the first event": raw(head() + chunks(raw_events(1, EVENTS))),
     "from the last event": raw(head() + chunks(raw_events(2, EVENTS))),
@@ -107,7 +108,7 @@
     "chunks": raw(head() + chunks(raw_events(3, EVENTS))),
     "length": raw(head() + sized(raw_events(3, EVENTS))),
     "undelimited": raw(head() + undelimited(raw_events(3, EVENTS))),
-    "a comment first": raw(head() + chunks(b": ping\n\n", raw_events(3, EVENTS))),
+    "a comment first": raw(head() + chunks(COMMENT, raw_events(3, EVENTS))),
 }
 
 
@@ -131,30 +132,34 @@
     def test_a_repeat_that_fails(self):
         """A caller found an error, or events it had, in the middle of its stream."""
 
+        async def play(broken, name):
+            first, second = BREAKS[broken], FAILED_REPEATS[name]
+            reply, sent = await self.play("/resume/a", first, second)
+            case = (broken, name)
+            self.assertEqual("2", sent[1][b"y-after"], case)
+            self.assertEqual((200, False), (reply.status, reply.complete), case)
+            self.assertEqual(DELIVERED, reply.body.replace(COMMENT, b""), case)
+
         async def scenario():
-            for broken, first in BREAKS.items():
-                for name, second in FAILED_REPEATS.items():
-                    reply, sent = await self.play("/resume/a", first, second)
-                    case = (broken, name)
-                    self.assertEqual("2", sent[1][b"y-after"], case)
-                    self.assertEqual(200, reply.status, case)
-                    self.assertFalse(reply.complete, case)
-                    events = reply.body.replace(b": ping\n\n", b"")
-                    self.assertEqual(DELIVERED, events, case)
+            for broken in BREAKS:
+                await asyncio.gather(*(play(broken, each) for each in FAILED_REPEATS))
 
         self.run_loop(scenario())
 
     def test_a_repeat_that_goes_on(self):
         """A stream was cut although its repeat went on where it had broken off."""
 
+        async def play(broken, name):
+            first, second = BREAKS[broken], GOOD_REPEATS[name]
+            reply, sent = await self.play("/resume/a", first, second)
+            case = (broken, name)
+            self.assertEqual((2, True), (len(sent), reply.complete), case)
+            events = reply.body.replace(COMMENT, b"")
+            self.assertEqual(raw_events(1, EVENTS), events, case)
+
         async def scenario():
-            for broken, first in BREAKS.items():
-                for name, second in GOOD_REPEATS.items():
-                    reply, sent = await self.play("/resume/a", first, second)
-                    self.assertEqual(2, len(sent), (broken, name))
-                    self.assertTrue(reply.complete, (broken, name))
-                    events = reply.body.replace(b": ping\n\n", b"")
-                    self.assertEqual(raw_events(1, EVENTS), events, (broken, name))
+            for broken in BREAKS:
+                await asyncio.gather(*(play(broken, each) for each in GOOD_REPEATS))
 
         self.run_loop(scenario())
 
@@ -184,7 +189,7 @@
         """An event came twice, since a comment that followed it hid its id."""
 
         async def scenario():
-            delivered = DELIVERED + b": ping\n\n"
+            delivered = DELIVERED + COMMENT
             first = raw(head() + chunks(delivered, end=False))
             reply, sent = await self.play("/resume/a", first, GOOD_REPEATS["chunks"])
             self.assertEqual("2", sent[1].get(b"y-after"))
@@ -210,7 +215,7 @@
         """A stream of which only a comment had come was not tried again."""
 
         async def scenario():
-            for begun in (b"", b": ping\n\n"):
+            for begun in (b"", COMMENT):
                 first = raw(head() + chunks(begun, end=False)[: None if begun else -5])
                 second = raw(head() + chunks(raw_events(1, EVENTS)))
                 reply, sent = await self.play("/resume/a", first, second)
