--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -23,7 +23,7 @@
     Store,
     decode_changes,
 )
-from tests.gateway.harness import HOST, LoopTest
+from tests.gateway.harness import HOST, LoopTest, Upstream
 
 
 class Standin:
@@ -182,3 +182,24 @@
             self.assertEqual({"id": "r1", "to": "10.1.0.8:80", "last": True}, body)
 
         self.run_scenario(scenario, (200, {"handle": "h7", "createdRev": 9}))
+
+    def test_a_migration_ignores_an_earlier_answer_on_a_kept_connection(self):
+        """A request went on from the copy of another, whose answer came once more."""
+        answered = {}
+
+        async def serve(response):
+            run = json.loads(response.body)["id"]
+            earlier = answered.setdefault(response._writer, [])
+            earlier.append(json.dumps({"handle": f"copy of {run}"}).encode())
+            response.respond(body=earlier[0])
+
+        async def scenario():
+            upstream = await Upstream("i-1", serve).start()
+            source, pool = upstream.record(), ClientPool()
+            for run in ("r1", "r2"):
+                copy = await EngineApi(pool).migrate_run(source, run, source, False)
+                self.assertTrue(copy.endswith(f"/copy of {run}"), copy)
+            for writer in answered:
+                writer.close()
+
+        self.run_loop(scenario())
