Do not take a success that denies its execution for a refusal

A head with a 2xx status and the statement that the request was not executed contradicts itself, as two heads run together do. It counted as a refusal: a call that had run was sent on to further engines and then refused with 503. It is now a broken answer.

--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -262,6 +262,8 @@
             raise AnswerBroken(
                 "a successful response without the upstream's seal or the request id"
             )
+        if head.status < 300 and info.not_executed:
+            raise AnswerBroken("a successful response that denies its execution")
         self._record_state(record, info, sent_s)
         if info.not_executed or info.wrong_instance:
             self._record_rejection(record, info)
--- a/tests/gateway/test_relay_stale_refusal.py
+++ b/tests/gateway/test_relay_stale_refusal.py
@@ -133,6 +133,19 @@
 
         self.run_loop(scenario())
 
+    def test_a_success_that_denies_its_execution(self):
+        """A call whose answer contradicted itself ran at a second engine."""
+
+        async def scenario():
+            denial = refusal("r1", 200).replace(b"x-id", b"x-seal: 1\r\nx-id")
+            for path in ("/unsafe/a", "/stream/a", "/resume/a"):
+                engine = FaultyEngine(denial, fresh_too=True)
+                await self.play(engine, path, ["r1"], path)
+                runs = 2 if path == "/resume/a" else 1
+                self.assertEqual(["r1"] * runs, engine.runs, path)
+
+        self.run_loop(scenario())
+
     def test_a_refusal_of_another_request(self):
         """A request was refused by the refusal of the one before it."""
 
