Look for the data of an event at the start of its lines

A comment that contains "data:" counted as an event with data but no id, so a stream that broke off behind it was not resumed, and an answer of such comments without end was not bounded.

Before: test_an_event_without_an_id_behind_the_last_one ['2'] != []

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -1,11 +1,13 @@
 """Split a server-sent event stream into whole events."""
 
+import re
 from dataclasses import dataclass
 
 # Larger events are rejected, since an event is buffered until it is complete.
 MAX_EVENT_BYTES = 1_048_576
 # Blank lines and comments are legal between events, but not without end.
 MAX_EVENTS_WITHOUT_DATA = 100
+_DATA_LINE = re.compile(rb"^data:", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +49,9 @@
         events: list[StreamEvent] = []
         while (end := _event_end(self._buffer)) is not None:
             event, self._buffer = self._buffer[:end], self._buffer[end:]
-            parsed = StreamEvent(event, _event_id(event), b"data:" in event)
+            parsed = StreamEvent(
+                event, _event_id(event), bool(_DATA_LINE.search(event))
+            )
             self._count_without_data(parsed)
             if self._resumed:
                 self._check_position(parsed)
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -189,12 +189,14 @@
         """An event came twice, since a comment that followed it hid its id."""
 
         async def scenario():
-            delivered = DELIVERED + COMMENT
-            first = raw(head() + chunks(delivered, end=False))
-            reply, sent = await self.play("/resume/a", first, GOOD_REPEATS["chunks"])
-            self.assertEqual("2", sent[1].get(b"y-after"))
-            self.assertEqual(delivered + raw_events(3, EVENTS), reply.body)
-            self.assertTrue(reply.complete)
+            for comment in (COMMENT, b": no data: yet\n\n"):
+                delivered = DELIVERED + comment
+                first = raw(head() + chunks(delivered, end=False))
+                second = GOOD_REPEATS["chunks"]
+                reply, sent = await self.play("/resume/a", first, second)
+                self.assertEqual(["2"], [each.get(b"y-after") for each in sent[1:]])
+                self.assertEqual(delivered + raw_events(3, EVENTS), reply.body)
+                self.assertTrue(reply.complete)
 
         self.run_loop(scenario())
 
