Use excluded upstreams when a service has no others

What callers saw: 502, or a cut stream, for a request whose repeat was refused with "no_upstream" while an engine of its service was idle.

Cause: a queued request keeps the exclusions of its failed attempts. The relay clears them when they cover all upstreams, but only before it queues the request; if the other upstreams leave while the request waits, nothing but the excluded one is left, and the queue takes that for a service without upstreams.

Change: the queue falls back to the excluded upstreams if there are no others.

Test: ExclusionTest failed before with NotPlaced(reason='no_upstream').

--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -147,9 +147,7 @@
 
     def _try_place(self, entry: _Entry, now_s: float) -> Reservation | NotPlaced | None:
         requirements = entry.requirements
-        candidates = self._upstreams.candidates(
-            requirements.service, requirements.prompt, requirements.excluded, now_s
-        )
+        candidates = self._candidates(requirements, now_s)
         placement_request = PlacementRequest(
             prompt=requirements.prompt,
             for_model=requirements.model_engine,
@@ -175,6 +173,15 @@
             None if decision.source_id is None else records[decision.source_id],
         )
 
+    def _candidates(
+        self, requirements: RequestRequirements, now_s: float
+    ) -> list[Candidate]:
+        """Return the candidates; excluded ones only if there are no others."""
+        service, prompt = requirements.service, requirements.prompt
+        return self._upstreams.candidates(
+            service, prompt, requirements.excluded, now_s
+        ) or self._upstreams.candidates(service, prompt, (), now_s)
+
     def _is_preceded(self, queue: _ServiceQueue, entry: _Entry, now_s: float) -> bool:
         """Return whether a queued request ranks before a new one."""
         rank = queue_rank(_queued_request(entry), now_s)
--- /dev/null
+++ b/tests/gateway/test_requestqueue.py
@@ -0,0 +1,79 @@
+"""Test which requests are queued or refused without a free upstream."""
+
+import asyncio
+
+from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
+from cicadapass_gateway.requestqueue import RequestQueue, RequestRequirements
+from cicadapass_gateway.upstreamtracker import Reservation, UpstreamTracker
+from tests.gateway.harness import LoopTest
+
+
+class Node:
+    """Queue requests for one service on a clock that the test sets."""
+
+    def __init__(self, *upstreams):
+        self.now_s = 100.0
+        self.upstreams = UpstreamTracker("n", "dc-a")
+        self.queue = RequestQueue(self.upstreams, lambda: self.now_s)
+        self.list(*upstreams)
+
+    def list(self, *names):
+        """Put upstreams with one slot into the node's view of the registry."""
+        records = [
+            UpstreamRecord(name, "s", "127.0.0.1", 1, "dc-a", 1, False, 1, 1)
+            for name in names
+        ]
+        self.upstreams.view.replace(records, self.now_s)
+        self.upstreams.refresh()
+
+    def occupy(self, name):
+        """Fill the slot of an upstream; return the reservation."""
+        record = self.upstreams.view.records[name]
+        return self.upstreams.begin(record, Prompt(), 0.0, self.now_s)
+
+    def release(self, reservation):
+        """Free the slot of a reservation."""
+        self.upstreams.end(reservation, self.now_s, succeeded=True)
+
+    def place(self, **changes):
+        """Start the placement of a request that arrived at 100 s."""
+        values = {
+            "service": "s",
+            "prompt": Prompt((), 100, 100),
+            "model_engine": True,
+            "priority": 0,
+            "arrived_s": 100.0,
+            "target_s": 0.5,
+            "max_gap_s": 0.25,
+            "deadline_s": 130.0,
+            "shorter_target_s": None,
+            "excluded": frozenset(),
+            **changes,
+        }
+        return asyncio.ensure_future(self.queue.place(RequestRequirements(**values)))
+
+
+async def steps():
+    """Let the started tasks run until they wait."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+class ExclusionTest(LoopTest):
+    def test_an_exclusion_yields_when_the_other_upstreams_leave(self):
+        """A repeat was refused, since the only engine left was its first one."""
+
+        async def scenario():
+            node = Node("u0", "u1")
+            used = node.occupy("u1")
+            request = node.place(excluded=frozenset({"u0"}))
+            await steps()
+            self.assertFalse(request.done())
+            node.list("u0")
+            node.queue.dispatch()
+            outcome = await request
+            self.assertIsInstance(outcome, Reservation)
+            self.assertEqual("u0", outcome.record.upstream_id)
+            node.release(used)
+
+        self.run_loop(scenario())
