Let repeats wait in the queue instead of refusing them

What callers saw: 502, or a stream cut after some events, for a request whose first attempt had taken long or had used the last engine of its service, though its deadline was far away and an engine had room soon after.

Cause: the queue bounds every wait by what is left of the caller's patience from its arrival on, so the time at the first engine counts as waiting: a repeat is "hopeless" or "overdue" unless an engine is free at once, and "no_upstream" while none is usable. A refusal promises that a request did not run; a repeat cannot get that promise, so its refusal ends in 502 or a cut stream.

Change: RequestRequirements.refusable; requests that are not refusable wait until they are placed, or until the relay's time limit or the caller cancels them. The relay does not set the field yet, so this commit alone changes nothing for callers.

Test: the two tests of RepeatTest that wait failed before with a refusal ("True is not false") when only the field existed.

--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -45,6 +45,8 @@
     shorter_target_s: float | None
     excluded: frozenset[str]
     isolated: bool = False
+    # A refusal loses no answer: the request has not run, nor has its answer begun.
+    refusable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,7 +84,10 @@
         return sum(len(queue.entries) for queue in self._queues.values())
 
     async def place(self, requirements: RequestRequirements) -> Reservation | NotPlaced:
-        """Return a reservation at an upstream; wait for one that can come in time."""
+        """Return a reservation at an upstream; wait for one that can come in time.
+
+        A request that is not refusable waits until it is placed or cancelled.
+        """
         now_s = self._clock()
         queue = self._queues.setdefault(requirements.service, _ServiceQueue())
         entry = self._entry(requirements, now_s)
@@ -90,11 +95,12 @@
             outcome = self._try_place(entry, now_s)
             if outcome is not None:
                 return outcome
-        queue_delay_s = self._queue_delay_s(queue, entry, now_s)
-        if len(queue.entries) >= MAX_WAITING or is_wait_too_long(
-            queue_delay_s, entry.max_wait_s - (now_s - requirements.arrived_s)
-        ):
-            return NotPlaced("hopeless", queue_delay_s)
+        if requirements.refusable:
+            queue_delay_s = self._queue_delay_s(queue, entry, now_s)
+            if len(queue.entries) >= MAX_WAITING or is_wait_too_long(
+                queue_delay_s, entry.max_wait_s - (now_s - requirements.arrived_s)
+            ):
+                return NotPlaced("hopeless", queue_delay_s)
         queue.entries.append(entry)
         try:
             return await entry.future
@@ -130,7 +136,9 @@
     def _overdue_refusal(self, entry: _Entry, now_s: float) -> NotPlaced | None:
         """Return the refusal of a request that can no longer be served in time."""
         waited_s = now_s - entry.requirements.arrived_s
-        if is_overdue(waited_s, entry.expected_s, entry.max_wait_s):
+        if entry.requirements.refusable and is_overdue(
+            waited_s, entry.expected_s, entry.max_wait_s
+        ):
             return NotPlaced("overdue", entry.expected_s)
         return None
 
@@ -158,6 +166,8 @@
         )
         decision = place_request(placement_request, candidates)
         if isinstance(decision, Unavailable):
+            if not requirements.refusable:
+                return None
             return NotPlaced("no_upstream", REPLACEMENT_S)
         if isinstance(decision, Wait):
             entry.expected_s = decision.expected_s
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -59,6 +59,58 @@
         await asyncio.sleep(0)
 
 
+class RepeatTest(LoopTest):
+    def test_a_repeat_waits_although_its_first_attempt_took_long(self):
+        """The time at the first engine used up the wait, so the repeat was cut."""
+
+        async def scenario():
+            node = Node("u0", "u1")
+            used = [node.occupy("u0"), node.occupy("u1")]
+            node.now_s = 103.0
+            refused = node.place()
+            repeat = node.place(refusable=False, excluded=frozenset({"u0"}))
+            await steps()
+            self.assertEqual("hopeless", refused.result().reason)
+            node.now_s = 104.0
+            node.queue.dispatch()
+            await steps()
+            self.assertFalse(repeat.done())
+            node.release(used[1])
+            node.queue.dispatch()
+            self.assertEqual("u1", (await repeat).record.upstream_id)
+
+        self.run_loop(scenario())
+
+    def test_a_repeat_waits_for_the_replacement_of_the_last_upstream(self):
+        """A begun stream was cut while the replacement of its engine booted."""
+
+        async def scenario():
+            node = Node()
+            refused = node.place()
+            repeat = node.place(refusable=False)
+            await steps()
+            self.assertEqual("no_upstream", refused.result().reason)
+            self.assertFalse(repeat.done())
+            node.list("u0")
+            node.queue.dispatch()
+            self.assertEqual("u0", (await repeat).record.upstream_id)
+
+        self.run_loop(scenario())
+
+    def test_a_cancelled_repeat_leaves_the_queue(self):
+        """A request whose caller left took a place later."""
+
+        async def scenario():
+            node = Node()
+            repeat = node.place(refusable=False)
+            await steps()
+            repeat.cancel()
+            await steps()
+            self.assertEqual(0, node.queue.waiting_count)
+
+        self.run_loop(scenario())
+
+
 class ExclusionTest(LoopTest):
     def test_an_exclusion_yields_when_the_other_upstreams_leave(self):
         """A repeat was refused, since the only engine left was its first one."""
