Hold suspected repeats until they may be sent

What callers saw: 502, or a cut stream, for a request whose first engine had broken off, while its deadline was seconds away and a trial of its prompt segment ran.

A refusal promises that a request did not run; for one that may have run, or whose answer has begun, it ends in 502 or a cut stream instead.

Change: such a request waits for the end of the trial until its deadline.

--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -92,12 +92,17 @@
         self._end_trial(request)
 
     async def admit(self, request: RequestContext) -> HeldReason | None:
-        """Wait until a request may be sent; return why not if it may not."""
+        """Wait until a request may be sent; return why not if it may not.
+
+        One that may have run, or whose answer has begun, waits until it may: to refuse
+        it would lose its answer.
+        """
         if request.engine_check is not None:
             # The answer broke off; the end of the engine may be evidence.
             await asyncio.shield(request.engine_check)
             request.engine_check = None
             self._end_trial(request)
+        refusable = not (request.runs or request.exchange.started)
         now_s = self._state.clock()
         end_s = now_s + min(
             MAX_HOLD_S, MAX_HOLD_FRACTION * (request.deadline_s - now_s)
@@ -114,7 +119,9 @@
                 self._begin_trial(request, verdict)
                 return None
             if now_s >= end_s:
-                return HeldReason.SUSPECTED
+                if refusable:
+                    return HeldReason.SUSPECTED
+                end_s = now_s + MAX_HOLD_S
             await self._wait_for_change(end_s)
 
     def is_suspected(self, request: RequestContext) -> bool:
