Deliver refusals to callers that are still sending

What callers saw: a reset connection, without an answer or a refusal, for a request that the gateway refused with 408, 413, 431 or 400 before it had read all of it.

Cause: the server closed the connection right after the refusal. The kernel answers what the caller still sends to a closed socket with a reset, which fails the caller's write and discards a response that it has not read.

Change: the server half-closes the connection and discards what arrives until the caller closes, for at most 3 s.

--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -10,8 +10,10 @@
 from cicadapass_gateway.sockets import watch_connection
 
 Headers = Sequence[tuple[bytes, bytes]]
-# Time to send the last bytes of an error response before the connection is reset.
-LINGER_S = 1.0
+# After an error response, what the caller still sends is discarded until it closes, for
+# at most this long. Closing at once would reset the connection, and the caller could
+# lose the response.
+LINGER_S = 3.0
 
 
 @dataclass(slots=True)
@@ -161,7 +163,9 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection after sending the buffered data."""
+        """Close the connection after sending the buffered data; do so once."""
+        if self._closing:
+            return
         self._closing = True
         if self._transport is not None:
             self._transport.close()
@@ -262,12 +266,15 @@
         """Send an error for a request that cannot be read, and close the connection."""
         self._reading_since_s = None
         self._exchange = None
-        if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self._send(h11.Response(status_code=status, headers=headers))
-            self._send(h11.EndOfMessage())
-        self.close()
-        if self._transport is not None:
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.close()
+            return
+        headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        self._send(h11.Response(status_code=status, headers=headers))
+        self._send(h11.EndOfMessage())
+        self._closing = True
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
             self._loop.call_later(LINGER_S, self._transport.abort)
 
     def _send(self, event: h11.Event) -> None:
--- a/tests/gateway/test_httpserver.py
+++ b/tests/gateway/test_httpserver.py
@@ -85,6 +85,25 @@
 
         self.run_loop(scenario())
 
+    def test_a_refusal_reaches_a_caller_that_is_still_sending(self):
+        """The connection was reset under the body, and the refusal lost with it."""
+
+        async def scenario():
+            server = await self.start()
+            head = GET[:-2] + b"Content-Length: 4000000\r\n\r\n"
+            reader, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(head + b"z" * 2000)
+            await until(lambda: not server.busy_count)
+            for _ in range(10):
+                writer.write(b"z" * 200_000)
+                await writer.drain()
+                await asyncio.sleep(0)
+            writer.write_eof()
+            self.assertIn(b" 413 ", (await reader.read()).splitlines()[0])
+            await until(lambda: not server.channels)
+
+        self.run_loop(scenario())
+
     def test_a_stopping_server_closes_after_its_responses(self):
         """A planned stop interrupted a request, or kept its connection open."""
 
