Apply the header time-out to heads, not to bodies

What callers saw: 408 for a request whose body took longer than the configuration allows for a head, for example with two pauses of 1.3 s under a limit of 3 s. A pause of the node itself counted as well.

Cause: the header time-out ran from the first byte of a request to the end of its body. The configuration bounds the time for the head and the time without data; callers promise nothing about the time for a body.

Change: the header time-out ends with the head. Within a body, the idle time-out applies, from the last data that arrived. A caller that sends a body in single bytes keeps a connection no longer than one that sends single requests.

Test: test_a_caller_may_pause_within_its_body and test_a_body_without_progress_is_refused failed before, with 408 after 1 s; test_a_slow_head_is_refused passed before and after.

--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -99,6 +99,7 @@
         self._writable.set()
         self._idle_since_s = self._loop.time()
         self._reading_since_s: float | None = None
+        self._received_s = self._idle_since_s
         self._closing = False
 
     @property
@@ -146,17 +147,25 @@
         """Feed the parser; data after the connection's close is ignored."""
         if self._closing:
             return
+        self._received_s = self._loop.time()
         if self._reading_since_s is None and self._exchange is None:
-            self._reading_since_s = self._loop.time()
+            self._reading_since_s = self._received_s
         self._parser.receive_data(data)
         self._process_events()
 
     def enforce_timeouts(self, now_s: float) -> None:
-        """Refuse a request that arrives too slowly; close an idle connection."""
+        """Refuse a request that arrives too slowly; close an idle connection.
+
+        The header time-out covers the head. Within a body, a caller may be idle for as
+        long as between two requests.
+        """
         limits = self._server.state.limits
         if self._task is not None or self._closing:
             return
-        if self._reading_since_s is not None:
+        if self._exchange is not None:
+            if now_s - self._received_s > limits.idle_timeout_s:
+                self._refuse(408)
+        elif self._reading_since_s is not None:
             if now_s - self._reading_since_s > limits.header_timeout_s:
                 self._refuse(408)
         elif now_s - self._idle_since_s > limits.idle_timeout_s:
--- a/tests/gateway/test_httpserver.py
+++ b/tests/gateway/test_httpserver.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import testtools
+
 from cicadapass_decisions.passthrough import CallerLimits
-from cicadapass_gateway.httpserver import HttpServer, ServerState
+from cicadapass_gateway.httpserver import CallerChannel, HttpServer, ServerState
 from tests.gateway.harness import HOST, LoopTest, until
+from tests.gateway.virtualcluster import run_virtual
 
 LIMITS = CallerLimits(2048, 1000, header_timeout_s=1.0, idle_timeout_s=2.0)
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -156,3 +159,93 @@
             await ended.wait()
 
         self.run_loop(scenario())
+
+
+class FakeTransport(asyncio.Transport):
+    """Record what a server sends to a caller."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent, self.closed = b"", False
+
+    def write(self, data):
+        """Record the data."""
+        self.sent += data
+
+    def write_eof(self):
+        """Record the end of the connection."""
+        self.closed = True
+
+    def close(self):
+        """Record the end of the connection."""
+        self.closed = True
+
+    def abort(self):
+        """Record the end of the connection."""
+        self.closed = True
+
+    def is_closing(self):
+        """Return whether the server closed the connection."""
+        return self.closed
+
+
+class SlowCallerTest(testtools.TestCase):
+    """Send requests in parts with pauses, in virtual time."""
+
+    def connect(self):
+        """Return a server that answers `ok` and a connection to it."""
+
+        async def respond(exchange):
+            exchange.respond(200, [], b"ok")
+
+        server = HttpServer(ServerState(LIMITS), respond, lambda error: None)
+        channel, transport = CallerChannel(server), FakeTransport()
+        channel.connection_made(transport)
+        return server, channel, transport
+
+    async def pause(self, server, length_s):
+        """Let the time pass, and check the time-outs as the node does."""
+        end_s = asyncio.get_running_loop().time() + length_s
+        while (now_s := asyncio.get_running_loop().time()) < end_s:
+            await asyncio.sleep(min(0.25, end_s - now_s))
+            server.enforce_timeouts(asyncio.get_running_loop().time())
+
+    def test_a_caller_may_pause_within_its_body(self):
+        """A request was refused since its body took longer than a head may take."""
+
+        async def scenario():
+            server, channel, transport = self.connect()
+            channel.data_received(GET[:-2] + b"Content-Length: 9\r\n\r\n")
+            for _ in range(3):
+                await self.pause(server, 1.3)
+                channel.data_received(b"abc")
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", transport.sent)
+
+        run_virtual(scenario())
+
+    def test_a_body_without_progress_is_refused(self):
+        """A caller that stopped within a body kept its connection forever."""
+
+        async def scenario():
+            server, channel, transport = self.connect()
+            channel.data_received(GET[:-2] + b"Content-Length: 9\r\n\r\nabc")
+            await self.pause(server, 1.9)
+            self.assertEqual(b"", transport.sent)
+            await self.pause(server, 0.4)
+            self.assertIn(b" 408 ", transport.sent)
+            self.assertTrue(transport.closed)
+
+        run_virtual(scenario())
+
+    def test_a_slow_head_is_refused(self):
+        """A caller that sent single bytes of a head kept its connection forever."""
+
+        async def scenario():
+            server, channel, transport = self.connect()
+            for byte in b"GET /":
+                channel.data_received(bytes([byte]))
+                await self.pause(server, 0.3)
+            self.assertIn(b" 408 ", transport.sent)
+
+        run_virtual(scenario())
