Judge a request by the limits at its arrival

What callers saw beside a change of the configuration: - 408 or 413 for a request that was being read, if the new limits are lower; - 431 on kept connections for heads that a raised limit allows, if the head arrives in several reads; - idle connections that closed under the next request of a caller who still knew the longer idle limit.

Cause: the size of an unfinished head was bounded by the limit at the start of the connection, and everything else by the newest limits, whatever was in force when the request or the idle time began.

Change: a connection keeps the limits that were in force when its request began to arrive, or when it became idle; a longer idle limit applies at once.

Test: three of the four tests of ChangedLimitsTest failed before (408 in place of 200, one answer in place of two, a closed connection); the bound of an unfinished head held before and after.

--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -1,6 +1,7 @@
 """Serve HTTP/1.1 on an asyncio loop; each connection has one request at a time."""
 
 import asyncio
+import sys
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
@@ -10,6 +11,8 @@
 from cicadapass_gateway.sockets import watch_connection
 
 Headers = Sequence[tuple[bytes, bytes]]
+# Bytes of an incomplete head that do not count as its line or headers.
+FRAMING_BYTES = 1024
 # After an error response, what the caller still sends is discarded until it closes, for
 # at most this long. Closing at once would reset the connection, and the caller could
 # lose the response.
@@ -86,10 +89,10 @@
     def __init__(self, server: "HttpServer") -> None:
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._parser = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.state.limits.max_header_bytes + 1024,
-        )
+        # Those in force when the connection became idle or the request began to arrive.
+        self._limits = server.state.limits
+        # The parser's limit cannot be changed later; `_await_data` checks the size.
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
         self._body: list[bytes] = []
@@ -150,6 +153,7 @@
         self._received_s = self._loop.time()
         if self._reading_since_s is None and self._exchange is None:
             self._reading_since_s = self._received_s
+            self._limits = self._server.state.limits
         self._parser.receive_data(data)
         self._process_events()
 
@@ -159,16 +163,19 @@
         The header time-out covers the head. Within a body, a caller may be idle for as
         long as between two requests.
         """
-        limits = self._server.state.limits
         if self._task is not None or self._closing:
             return
+        # Callers reuse connections for as long as the limit that they know allows.
+        idle_timeout_s = max(
+            self._limits.idle_timeout_s, self._server.state.limits.idle_timeout_s
+        )
         if self._exchange is not None:
-            if now_s - self._received_s > limits.idle_timeout_s:
+            if now_s - self._received_s > idle_timeout_s:
                 self._refuse(408)
         elif self._reading_since_s is not None:
-            if now_s - self._reading_since_s > limits.header_timeout_s:
+            if now_s - self._reading_since_s > self._limits.header_timeout_s:
                 self._refuse(408)
-        elif now_s - self._idle_since_s > limits.idle_timeout_s:
+        elif now_s - self._idle_since_s > idle_timeout_s:
             self.close()
 
     def close(self) -> None:
@@ -210,6 +217,7 @@
             self.close()
             return
         self._parser.start_next_cycle()
+        self._limits = self._server.state.limits
         if self._parser.trailing_data[0]:
             self._reading_since_s = self._idle_since_s
             self._loop.call_soon(self._process_events)
@@ -224,14 +232,12 @@
     def _next_event(self) -> bool:
         event = self._parser.next_event()
         if event is h11.NEED_DATA:
-            if self._parser.they_are_waiting_for_100_continue:
-                self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            self._await_data()
             return False
         if event is h11.PAUSED:
             return False
         if isinstance(event, h11.Request):
-            # The parser limits only heads that arrive in several reads.
-            if _head_bytes(event) > self._server.state.limits.max_header_bytes:
+            if _head_bytes(event) > self._limits.max_header_bytes:
                 self._refuse(431)
                 return False
             arrived_s = self._reading_since_s or self._loop.time()
@@ -239,7 +245,7 @@
             self._body, self._body_bytes = [], 0
         elif isinstance(event, h11.Data):
             self._body_bytes += len(event.data)
-            if self._body_bytes > self._server.state.limits.max_body_bytes:
+            if self._body_bytes > self._limits.max_body_bytes:
                 self._refuse(413)
                 return False
             self._body.append(bytes(event.data))
@@ -250,6 +256,14 @@
             return False
         return True
 
+    def _await_data(self) -> None:
+        """Check the size of an incomplete head, and ask for a body if expected."""
+        incomplete_bytes = len(self._parser.trailing_data[0])
+        if incomplete_bytes > self._limits.max_header_bytes + FRAMING_BYTES:
+            self._refuse(431)
+        elif self._parser.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
     def _dispatch(self) -> None:
         assert self._exchange is not None
         self._exchange.body = b"".join(self._body)
