--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -106,7 +106,9 @@
         )
         events.emit(800, data_centre=self._settings.data_centre, pid_started=_wall_ms())
         await self._stop.wait()
-        unfinished = await self._drain(components)
+        unfinished = await drain(
+            components.state, components.callers, self._settings.grace_s
+        )
         events.emit(809, unfinished=unfinished)
         await components.supervisor.stop()
         output.stop(SHUTDOWN_RESERVE_S / 2)
@@ -227,23 +229,6 @@
         if settings.has_duties:
             start("duties", components.duties.run)
 
-    async def _drain(self, components: Components) -> int:
-        """Wait for the requests in progress; return the number of unfinished ones."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + self._settings.grace_s - SHUTDOWN_RESERVE_S
-        close_after_s = loop.time() + READINESS_NOTICE_S
-        components.state.stopping_since_s = loop.time()
-        components.callers.state.stopping = True
-        components.state.events.emit(813, in_progress=components.callers.busy_count)
-        while loop.time() < end_s:
-            if loop.time() >= close_after_s:
-                components.callers.stop_listening()
-                components.callers.close_idle()
-                if not components.callers.channels:
-                    break
-            await asyncio.sleep(0.05)
-        return components.callers.busy_count
-
     def _reload_settings(self, components: Components) -> None:
         """Apply the settings that may change while the node runs."""
         try:
@@ -271,6 +256,24 @@
         self._stop.set()
 
 
+async def drain(state: NodeState, callers: HttpServer, grace_s: float) -> int:
+    """Wait for the requests in progress; return the number of unfinished ones."""
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + grace_s - SHUTDOWN_RESERVE_S
+    close_after_s = loop.time() + READINESS_NOTICE_S
+    state.stopping_since_s = loop.time()
+    callers.state.stopping = True
+    state.events.emit(813, in_progress=callers.busy_count)
+    while loop.time() < end_s:
+        if loop.time() >= close_after_s:
+            callers.stop_listening()
+            callers.close_idle()
+            if not callers.channels:
+                break
+        await asyncio.sleep(0.05)
+    return callers.busy_count
+
+
 def _enforce_timeouts(components: Components) -> None:
     now_s = components.state.clock()
     configuration = components.state.configuration
