Refuse queued requests before a stopping node ends

What callers saw: a connection that ended without an answer or a refusal, for a request that a stopping node had accepted within 2.8 s of SIGTERM and that still waited for an upstream at the end of the grace period.

Cause: the drain waits for the requests in progress until shortly before SIGKILL, and then ends the process with whatever is left.

Change: at that moment it refuses what is still queued, with 503 for requests that have not run, and gives the answers time to be written.

Test: test_queued_requests_are_refused_before_the_process_ends failed before with no byte sent to the caller.

--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -42,6 +42,8 @@
 SETTINGS_READ_INTERVAL_S = 5.0
 # Time in which the platform's load balancer notices that the node is not ready.
 READINESS_NOTICE_S = 3.2
+# Interval at which a stopping node looks for requests in progress.
+DRAIN_CHECK_INTERVAL_S = 0.05
 # End of the grace period that is reserved for an orderly exit.
 SHUTDOWN_RESERVE_S = 0.6
 
@@ -257,7 +259,10 @@
 
 
 async def drain(state: NodeState, callers: HttpServer, grace_s: float) -> int:
-    """Wait for the requests in progress; return the number of unfinished ones."""
+    """Wait for the requests in progress; return the number of unfinished ones.
+
+    Requests that are still queued at the end are refused.
+    """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + grace_s - SHUTDOWN_RESERVE_S
     close_after_s = loop.time() + READINESS_NOTICE_S
@@ -270,7 +275,9 @@
             callers.close_idle()
             if not callers.channels:
                 break
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+    state.queue.refuse_all("stopping")
+    await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
     return callers.busy_count
 
 
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -115,6 +115,14 @@
             if queue.entries:
                 self._dispatch_queue(queue, now_s)
 
+    def refuse_all(self, reason: str) -> None:
+        """Refuse all queued requests, including those that are not refusable."""
+        for queue in self._queues.values():
+            entries, queue.entries = queue.entries, []
+            for entry in entries:
+                if not entry.future.done():
+                    entry.future.set_result(NotPlaced(reason, 0.0))
+
     def _dispatch_queue(self, queue: _ServiceQueue, now_s: float) -> None:
         queue.entries.sort(key=lambda entry: queue_rank(_queued_request(entry), now_s))
         misses = 0
--- /dev/null
+++ b/tests/gateway/test_node.py
@@ -0,0 +1,71 @@
+"""Test that a node that stops answers the requests that it has accepted."""
+
+import asyncio
+
+import testtools
+
+from cicadapass_decisions.passthrough import CallerLimits, Prompt, UpstreamRecord
+from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.httpserver import CallerChannel, HttpServer, ServerState
+from cicadapass_gateway.migrator import Migrator
+from cicadapass_gateway.node import drain
+from cicadapass_gateway.registrysync import periodic
+from cicadapass_gateway.relay import Relay
+from cicadapass_gateway.usage import UsageCounter
+from tests.gateway.harness import (
+    HEADER_CODEC,
+    configuration,
+    make_state,
+    refuse_migration,
+)
+from tests.gateway.test_httpserver import FakeTransport
+from tests.gateway.virtualcluster import run_virtual
+
+GRACE_S = 8.0
+REQUEST = b"GET /safe/ HTTP/1.1\r\nHost: h\r\nx-id: r1\r\n\r\n"
+
+
+def start_node():
+    """Return a node's state and server, with one upstream that has no free slot."""
+    state = make_state()
+    record = UpstreamRecord("u0", "s", "127.0.0.1", 1, "dc-a", 1, False, 1, 1)
+    state.adopt(configuration(timeout_s=30.0), b"raw")
+    state.upstreams.view.replace([record], state.clock())
+    state.upstreams.refresh()
+    # Plain services accept twice as many requests as they have slots.
+    for _ in range(4):
+        state.upstreams.begin(record, Prompt(), 0.0, state.clock())
+    migrator = Migrator(state, refuse_migration)
+    usage = UsageCounter(5.0, lambda: 1000.0)
+    relay = Relay(state, HEADER_CODEC, ClientPool(), usage, migrator)
+    server = HttpServer(ServerState(CallerLimits()), relay.handle, lambda error: None)
+    return state, server
+
+
+def connect(server):
+    """Return a connection of a caller and its transport."""
+    channel, transport = CallerChannel(server), FakeTransport()
+    channel.connection_made(transport)
+    return channel, transport
+
+
+class DrainTest(testtools.TestCase):
+    def test_queued_requests_are_refused_before_the_process_ends(self):
+        """A request that waited for an upstream at the end got no answer."""
+
+        async def scenario():
+            state, server = start_node()
+            dispatch = asyncio.ensure_future(periodic(state.queue.dispatch, 0.03)())
+            channel, transport = connect(server)
+            channel.data_received(REQUEST)
+            await asyncio.sleep(0.1)
+            self.assertEqual(1, state.queue.waiting_count)
+            began_s = state.clock()
+            unfinished = await drain(state, server, GRACE_S)
+            self.assertLess(state.clock() - began_s, GRACE_S)
+            self.assertIn(b" 503 ", transport.sent)
+            self.assertIn(b"Retry-After", transport.sent)
+            self.assertEqual(0, unfinished)
+            dispatch.cancel()
+
+        run_virtual(scenario())
