--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -203,3 +203,34 @@
                 writer.close()
 
         self.run_loop(scenario())
+
+    def test_an_unreadable_answer_of_an_engine_is_a_failed_migration(self):
+        """A stream was cut since its engine had given its copy no readable name."""
+        answers = [(200, body) for body in (b"", b"{", [], {}, {"handle": "a\nb"})]
+
+        async def scenario(caller, standin):
+            address = caller._address
+            values = ("dc-a", 64, True, 1, 1)
+            source = UpstreamRecord("i-1", "s", address.host, address.port, *values)
+            engines = EngineApi(ClientPool())
+            for _ in answers:
+                with self.assertRaises(PlatformUnavailable):
+                    await engines.migrate_run(source, "r1", source, True)
+
+        self.run_scenario(scenario, *answers)
+
+    def test_an_unreadable_answer_of_the_store_is_a_failed_call(self):
+        """Answers in no known form ended the node after twenty of them."""
+        row = {"key": "k", "value": "?", "offset": "x"}
+        listings = (b"{", [], {}, {"end": 1, "items": [row]}, {"end": "x", "items": []})
+
+        async def scenario(caller, standin):
+            store = Store(caller)
+            for _ in listings:
+                with self.assertRaises(PlatformUnavailable):
+                    await store.newest("t")
+            for _ in range(2):
+                with self.assertRaises(PlatformUnavailable):
+                    await store.append("t", "k", b"v", None)
+
+        self.run_scenario(scenario, *[(200, each) for each in (*listings, b"", {})])
