Count what a known peer admits before it names a workspace

A workspace of 58 nodes whose callers start with 40 times its rate got up to 19,430 of the 11,300 tokens allowed in its first 8 s (test_the_limit_holds_over_many_nodes).

The first message in which a peer names a workspace served as the baseline of its totals, since a peer that runs for long may have a past of any length. But totals name all workspaces that a peer has admitted requests of, so a peer that was heard before had admitted none.

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -157,6 +157,8 @@
         # Whether the usage before the start is known.
         self._restored = False
         self._accounts: dict[str, _Account] = {}
+        # When the last totals of each peer arrived.
+        self._peers_heard_s: dict[str, float] = {}
 
     def admit(
         self, workspace: str, rate: float, burst: float, cost: float, now_s: float
@@ -241,13 +243,16 @@
         """Record the totals of one incarnation of a peer.
 
         If the peer started within the window, everything it has admitted counts; else
-        only what it admits after its first message.
+        only what it admits after its first message. That message names all workspaces
+        of which it has admitted requests, so those named later count from 0.
         """
+        counts_all = uptime_s < self._window_s or peer in self._peers_heard_s
+        self._peers_heard_s[peer] = now_s
         for workspace, (total, demand) in totals.items():
             account = self._accounts.setdefault(workspace, _Account())
             peer_usage = account.peers.get(peer)
             if peer_usage is None:
-                baseline = 0.0 if uptime_s < self._window_s else total
+                baseline = 0.0 if counts_all else total
                 peer_usage = account.peers[peer] = _PeerUsage(total_charged=baseline)
             if total != peer_usage.total_charged:
                 peer_usage.usage.add(now_s, total - peer_usage.total_charged)
@@ -272,6 +277,9 @@
             for name, peer in list(account.peers.items()):
                 if now_s - peer.received_s > FORGET_PEER_AFTER_S:
                     del account.peers[name]
+        for name, heard_s in list(self._peers_heard_s.items()):
+            if now_s - heard_s > FORGET_PEER_AFTER_S:
+                del self._peers_heard_s[name]
 
     def _limit_in_window(self, rate: float, burst: float, now_s: float) -> float:
         """Return what all nodes may admit in the part of the window that is known.
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -196,6 +196,21 @@
             limiter.record_peer_totals("peer", {"w": (5000.0, 0.0)}, 900.0, now_s)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.3))
 
+    def test_the_first_use_at_a_known_peer_counts(self):
+        """What a peer admitted until it first named a workspace was not counted."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {}, 900.0, 0.0)
+        limiter.record_peer_totals("peer", {"w": (LIMIT, LIMIT)}, 900.2, 0.2)
+        self.assertIsInstance(limiter.admit("w", RATE, BURST, 100.0, 0.3), OverLimit)
+
+    def test_the_past_of_a_peer_does_not_count(self):
+        """A peer that was not known, or was cut off for long, used the whole limit."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {}, 900.0, 0.0)
+        limiter.tick(60.0, 0.2)
+        limiter.record_peer_totals("peer", {"w": (LIMIT, 0.0)}, 960.0, 60.0)
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 60.1))
+
     def test_a_silent_peer_keeps_its_share(self):
         """The share of a peer that was only disconnected was used by other nodes."""
         limiter = new_limiter(-100.0)
