Report unexpected use of a rate limit to all nodes at once

Cause: with more than ten peers, totals arrive after up to 1.2 s (58 nodes) or 1.6 s (80).

A node now reports its total to all members at once (5 ms later) when its use since the last report or round, less what its reported demand lets peers expect, exceeds a quarter of its even share of the remaining limit. Whatever the distribution of callers, all nodes together thus leave at most a quarter of the room unreported, plus what is admitted while a report is under way. From then on the known demand switches to shares as before. Older builds ignore the message (test of unknown names).

The simulated nodes deliver these reports after 50 ms, and nodes of the tests with returning callers, which are 100 s old, have met before 0: their first messages fell into the first window, as if they had never heard of each other.

The new tests ask for ten times the rate and 5 %.

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -10,10 +10,14 @@
 workspace asks for more than its limit, each node therefore uses only its share of the
 remaining limit in that time. Shares are often smaller than a request, so they are
 rounded at random, such that the sum over all nodes is right on average.
+
+That a workspace asks for more, nodes would learn too late from these messages if it
+begins with many times its rate. A node therefore reports its use at once when its peers
+do not expect it and when as much at every node would be a part of the remaining limit.
 """
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
@@ -49,10 +53,12 @@
 BURST_S = 1.2
 # Part of the tolerance that covers usage which nodes do not know of each other yet.
 # The rest covers the rounding of shares, and the usage that is lost with a restart.
-LATE_TOLERANCE_FRACTION = 0.25
+LATE_TOLERANCE_FRACTION = 0.35
 # A node that expects less than one request until its peers know its usage may use more
 # than its share, since others expect none in that time; at most this many times.
 MAX_SHARE_FACTOR = 4.0
+# All nodes together may use this fraction of the remaining limit before they report it.
+UNREPORTED_FRACTION = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +119,8 @@
 @dataclass(slots=True)
 class _Account:
     total_charged: float = 0.0
+    # The total in the last report to all peers at once.
+    total_reported: float = 0.0
     # Recent demand, including refused requests.
     demand: float = 0.0
     # Number of recent requests, including refused ones.
@@ -159,6 +167,9 @@
         self._accounts: dict[str, _Account] = {}
         # When the last totals of each peer arrived.
         self._peers_heard_s: dict[str, float] = {}
+        # Running nodes, including this one.
+        self._node_count = 1
+        self._on_unexpected_use: Callable[[str], None] = _ignore
 
     def admit(
         self, workspace: str, rate: float, burst: float, cost: float, now_s: float
@@ -184,6 +195,8 @@
             if wait_s > 0:
                 overload = max(1.0, demand / limit)
                 return OverLimit(min(self._window_s, overload * wait_s))
+        elif self._is_unexpected(account, tolerated, cost, now_s):
+            self._on_unexpected_use(workspace)
         account.usage.add(now_s, cost)
         account.total_charged += cost
         return None
@@ -202,6 +215,19 @@
             for name, account in self._accounts.items()
         }
 
+    def set_on_unexpected_use(self, on_unexpected_use: Callable[[str], None]) -> None:
+        """Set the function that has the use of a workspace reported to all peers."""
+        self._on_unexpected_use = on_unexpected_use
+
+    def report(self, workspaces: Iterable[str]) -> dict[str, tuple[float, float]]:
+        """Return totals and demands that are reported to all peers now."""
+        reported = {}
+        for name in workspaces:
+            account = self._accounts[name]
+            account.total_reported = account.total_charged
+            reported[name] = (account.total_charged, account.demand)
+        return reported
+
     def recent_usage(self, now_s: float) -> dict[str, tuple[tuple[float, float], ...]]:
         """Return age and amount of all nodes' usage in the window, by workspace."""
         start_s = now_s - self._window_s
@@ -246,8 +272,31 @@
         only what it admits after its first message. That message names all workspaces
         of which it has admitted requests, so those named later count from 0.
         """
-        counts_all = uptime_s < self._window_s or peer in self._peers_heard_s
+        counts_all = self._counts_all(peer, uptime_s)
         self._peers_heard_s[peer] = now_s
+        self._record(peer, totals, counts_all, now_s)
+
+    def record_peer_report(
+        self,
+        peer: str,
+        totals: Mapping[str, tuple[float, float]],
+        uptime_s: float,
+        now_s: float,
+    ) -> None:
+        """Record totals of some workspaces, unless they may be those of a long past."""
+        if self._counts_all(peer, uptime_s):
+            self._record(peer, totals, counts_all=True, now_s=now_s)
+
+    def _counts_all(self, peer: str, uptime_s: float) -> bool:
+        return uptime_s < self._window_s or peer in self._peers_heard_s
+
+    def _record(
+        self,
+        peer: str,
+        totals: Mapping[str, tuple[float, float]],
+        counts_all: bool,
+        now_s: float,
+    ) -> None:
         for workspace, (total, demand) in totals.items():
             account = self._accounts.setdefault(workspace, _Account())
             peer_usage = account.peers.get(peer)
@@ -267,6 +316,10 @@
         self._peer_silence_s = max(PEER_SILENCE_S, PEER_SILENCE_ROUNDS * round_s)
         self._unknown_s = round_s + USAGE_STEP_S
 
+    def set_node_count(self, count: int) -> None:
+        """Set the number of running nodes, including this one."""
+        self._node_count = count
+
     def tick(self, now_s: float, elapsed_s: float) -> None:
         """Decay the demand, update the shares of peers and drop removed peers."""
         decay = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
@@ -296,6 +349,18 @@
             return full_limit - UNREPORTED_USAGE_S * rate
         return rate * age_s + STARTUP_BURST_FRACTION * burst
 
+    def _is_unexpected(
+        self, account: _Account, room: float, cost: float, now_s: float
+    ) -> bool:
+        """Return whether peers must hear at once of a request that is admitted now."""
+        unreported = cost + min(
+            account.usage.amount_since(now_s - self._unknown_s),
+            account.total_charged - account.total_reported,
+        )
+        expected = account.demand * self._unknown_s / DEMAND_WINDOW_S
+        share = UNREPORTED_FRACTION * room / self._node_count
+        return unreported - expected > share
+
     def _late_tolerance(self, limit: float) -> float:
         tolerance = self._tolerance.fraction * limit + self._tolerance.amount
         return LATE_TOLERANCE_FRACTION * tolerance
@@ -358,6 +423,10 @@
         return self._window_s
 
 
+def _ignore(_workspace: str) -> None:
+    pass
+
+
 def _step_end(step: _UsageStep) -> float:
     return step.ended_s
 
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -2,8 +2,8 @@
 
 Each state is complete, so a lost or duplicate datagram has no lasting effect. A state
 says how far the sender's view of the upstreams reaches; a receiver that is behind
-fetches what it lacks. Long prompts and evidence against prompt segments are also
-reported at once; the next states make up for a lost report.
+fetches what it lacks. Long prompts, evidence against prompt segments and unexpected use
+of a rate limit are also reported at once; the next states make up for a lost report.
 """
 
 import asyncio
@@ -44,6 +44,11 @@
 SEGMENT_MESSAGE = ""
 # In place of a node's name in a list: the message contains limits of upstreams.
 LIMIT_MESSAGE = "/"
+# In place of a node's name in a list: the message contains totals of workspaces. Builds
+# that do not know it take it for the name of an unknown node and ignore it.
+USE_MESSAGE = "="
+# The use of workspaces is collected for this long before it is reported.
+USE_REPORT_DELAY_S = 0.005
 # A member counts among those that share limits for this long after its last datagram,
 # plus two rounds of datagrams.
 LIMIT_MEMBER_AGE_S = 1.2
@@ -151,6 +156,9 @@
         self._interval = 0
         # Rows of evidence that are not reported yet; the values serve as a set.
         self._unreported_segments: dict[str, None] = {}
+        # Workspaces whose use is to be reported; the values serve as a set.
+        self._unreported_workspaces: dict[str, None] = {}
+        dependencies.state.rate_limiter.set_on_unexpected_use(self._report_use)
         dependencies.state.segment_suspicions.subscribe(self._report_segments)
         dependencies.state.subscribe_to_limits(self._report_limits)
 
@@ -202,6 +210,7 @@
         state.rate_limiter.set_round(self.round_s)
         state.upstreams.limits.set_members(self._recent_members(now_s))
         state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
+        state.rate_limiter.set_node_count(state.node_count)
         self._interval += 1
         data = cbor2.dumps(self._encode(now_s))
         for address in self._next_addresses():
@@ -228,6 +237,8 @@
                 self._dependencies.state.merge_upstream_limits(
                     message[2], str(message[1])
                 )
+            elif isinstance(message, list) and message[0] == USE_MESSAGE:
+                self._apply_use(str(message[1]), *message[2])
             elif isinstance(message, list):
                 self._apply_send(message)
             else:
@@ -282,10 +293,7 @@
             "news": [],
             "view": [view_end, [round(1000 * age_s) for age_s in ages_s]],
             "upstreams": state.upstreams.local_load(now_s),
-            "limits": {
-                name: [round(total), round(demand)]
-                for name, (total, demand) in state.rate_limiter.totals().items()
-            },
+            "limits": _encode_totals(state.rate_limiter.totals()),
             "usage": self._dependencies.usage.local_counts(),
             "demand": {k: round(v) for k, v in state.demand.rates.items()},
             "leaving": state.upstreams.view.unannounced_marks,
@@ -318,7 +326,7 @@
         self._dependencies.clock.record_reading(key, float(message["wall"]), now_s)
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
         state.upstreams.apply_load(address.name, load, now_s)
-        limits = {k: (float(v[0]), float(v[1])) for k, v in message["limits"].items()}
+        limits = _decode_totals(message["limits"])
         state.rate_limiter.record_peer_totals(key, limits, float(message["up"]), now_s)
         self._dependencies.usage.merge(key, message["usage"])
         self._dependencies.demand[address.name] = dict(message["demand"])
@@ -340,6 +348,19 @@
                 name, str(upstream_id), int(tokens), state.clock()
             )
 
+    def _apply_use(
+        self, name: str, incarnation: int, uptime_s: float, rows: dict[str, Any]
+    ) -> None:
+        member = self.members.get(name)
+        if member is not None and member.address.incarnation == incarnation:
+            state = self._dependencies.state
+            state.rate_limiter.record_peer_report(
+                member.address.key,
+                _decode_totals(rows),
+                float(uptime_s),
+                state.clock(),
+            )
+
     def _recent_members(self, now_s: float) -> list[str]:
         max_age_s = LIMIT_MEMBER_AGE_S + 2 * self.round_s
         return [
@@ -358,6 +379,28 @@
         for member in self.members.values():
             self._transport.sendto(data, (member.address.host, member.address.port))
 
+    def _report_use(self, workspace: str) -> None:
+        """Report the use of a workspace to all members at once."""
+        if self._transport is None:
+            return
+        if not self._unreported_workspaces:
+            asyncio.get_running_loop().call_later(USE_REPORT_DELAY_S, self._send_use)
+        self._unreported_workspaces[workspace] = None
+
+    def _send_use(self) -> None:
+        names, self._unreported_workspaces = self._unreported_workspaces, {}
+        if self._transport is None:
+            return
+        state = self._dependencies.state
+        rows = _encode_totals(state.rate_limiter.report(names))
+        local = self.local_address
+        uptime_s = state.clock() - self._started_s
+        data = cbor2.dumps(
+            [USE_MESSAGE, local.name, [local.incarnation, uptime_s, rows]]
+        )
+        for member in self.members.values():
+            self._transport.sendto(data, (member.address.host, member.address.port))
+
     def _report_segments(
         self, _changes: Sequence[Change], names: Sequence[str], peer: str | None
     ) -> None:
@@ -436,3 +479,13 @@
     return NodeAddress(
         str(name), str(host), int(port), int(incarnation), str(data_centre)
     )
+
+
+def _encode_totals(totals: dict[str, tuple[float, float]]) -> dict[str, list[int]]:
+    return {
+        name: [round(total), round(demand)] for name, (total, demand) in totals.items()
+    }
+
+
+def _decode_totals(rows: dict[str, Any]) -> dict[str, tuple[float, float]]:
+    return {name: (float(row[0]), float(row[1])) for name, row in rows.items()}
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -1,5 +1,6 @@
 """Test rate limits that several nodes share."""
 
+import collections
 import heapq
 import math
 import random
@@ -22,6 +23,8 @@
 BOUND = LIMIT * (1 + TOLERANCE.fraction) + TOLERANCE.amount
 # Interval of the messages between nodes.
 EXCHANGE_S = 0.2
+# Time from a request until all other nodes know of it if its use is unexpected.
+REPORT_S = 0.05
 # Length of a run with callers that return.
 LENGTH_S = 60.0
 
@@ -39,19 +42,30 @@
 class Nodes:
     """Simulate nodes that exchange totals every 0.2 s, except across a partition.
 
-    Each message goes to one of `round_parts` parts of the nodes in turn.
+    Each message goes to one of `round_parts` parts of the nodes in turn. Reports of
+    unexpected use reach all nodes after REPORT_S, or are lost with `report_loss`.
     """
 
-    def __init__(self, count, started_s=-100.0, round_parts=1):
+    def __init__(self, count, started_s=-100.0, round_parts=1, report_loss=0.0):
         self.limiters = [new_limiter(started_s, seed) for seed in range(count)]
         self.started_s = started_s
         for limiter in self.limiters:
             limiter.set_round(EXCHANGE_S * round_parts)
+            limiter.set_node_count(count)
         self.round_parts = round_parts
         self.exchanges = 0
         self.next_exchange_s = 0.0
         self.admitted = []
         self.partitioned = set()
+        self._loss_rng, self._report_loss = random.Random(count), report_loss
+        # Time of arrival, number and totals of the reports in transit.
+        self._reports = collections.deque()
+        self.report_count = 0
+
+    def meet(self):
+        """Let nodes that run for long hear of each other before 0."""
+        for part in range(self.round_parts, 0, -1):
+            self.exchange(-part * EXCHANGE_S)
 
     def exchange_until(self, now_s):
         """Make the exchanges that are due by this time, from 0 on."""
@@ -80,8 +94,31 @@
                         now_s,
                     )
 
+    def _record_report(self, number, totals, now_s):
+        for receiver_number, receiver in enumerate(self.limiters):
+            if (
+                receiver_number != number
+                and self._loss_rng.random() >= self._report_loss
+                and (number in self.partitioned)
+                == (receiver_number in self.partitioned)
+            ):
+                receiver.record_peer_report(
+                    f"{number}/{id(self.limiters[number])}",
+                    totals,
+                    now_s - self.started_s,
+                    now_s,
+                )
+
     def admit_one(self, number, cost, now_s):
-        refusal = self.limiters[number].admit("w", RATE, BURST, cost, now_s)
+        while self._reports and self._reports[0][0] <= now_s:
+            arrival_s, sender_number, totals = self._reports.popleft()
+            self._record_report(sender_number, totals, arrival_s)
+        limiter, unexpected = self.limiters[number], []
+        limiter.set_on_unexpected_use(unexpected.append)
+        refusal = limiter.admit("w", RATE, BURST, cost, now_s)
+        if unexpected:
+            self.report_count += 1
+            self._reports.append((now_s + REPORT_S, number, limiter.report(unexpected)))
         if refusal is None:
             self.admitted.append((now_s, cost))
         return refusal
@@ -252,6 +289,7 @@
     def simulate(self, seed, count, round_parts=1, checked_from_s=0.0):
         """Return what was admitted in the busiest window, and in all per second."""
         nodes = Nodes(count, round_parts=round_parts)
+        nodes.meet()
         ReturningCallers(seed, nodes, callers=60).run(LENGTH_S)
         admitted = sum(cost for _, cost in nodes.admitted)
         return nodes.max_window_usage(checked_from_s), admitted / LENGTH_S
@@ -293,6 +331,55 @@
             self.assertEqual(0, refused, count)
 
 
+class StartTest(testtools.TestCase):
+    """Let a workspace that is new to 80 nodes ask for a multiple of its rate."""
+
+    def simulate(self, seed, load, report_loss=0.0, weights=None):
+        """Return the usage in the busiest window and the number of refusals."""
+        rng = random.Random(seed)
+        nodes = Nodes(80, round_parts=8, report_loss=report_loss)
+        nodes.meet()
+        mean_cost = 0.1 * RATE * math.exp(0.5)
+        refused, at_s = 0, rng.expovariate(load * RATE / mean_cost)
+        while at_s < 12.0:
+            nodes.exchange_until(at_s)
+            (number,) = rng.choices(range(80), weights)
+            refusal = nodes.admit_one(number, draw_cost(rng), at_s)
+            refused += refusal is not None
+            at_s += rng.expovariate(load * RATE / mean_cost)
+        # A report goes to 79 nodes; each sends 50 regular messages a second.
+        self.assertLess(nodes.report_count, 80 * 2)
+        return nodes.max_window_usage(), refused
+
+    def test_a_start_at_many_times_the_rate_stays_within_the_limit(self):
+        """80 nodes admitted 3.5 times the bound before they heard of each other."""
+        for load in (4.0, 40.0):
+            for seed in range(6):
+                usage, _ = self.simulate(seed, load)
+                self.assertLessEqual(usage, BOUND, (load, seed))
+
+    def test_lost_reports_do_not_break_the_limit(self):
+        """The limit held only as long as each report arrived at each node."""
+        for seed in range(6):
+            usage, _ = self.simulate(seed, 40.0, report_loss=0.05)
+            self.assertLessEqual(usage, BOUND, seed)
+
+    def test_a_start_at_few_nodes_stays_within_the_limit(self):
+        """Nodes with most of the callers admitted more than their part."""
+        weights = [1.0 / (1 + number) for number in range(80)]
+        for seed in range(6):
+            usage, _ = self.simulate(seed, 10.0, weights=weights)
+            self.assertLessEqual(usage, BOUND, seed)
+
+    def test_a_start_with_half_of_the_limit_is_served(self):
+        """Nodes that feared the use of others refused callers within the limit."""
+        weights = [1.0 / (1 + number) for number in range(80)]
+        for each in (None, weights):
+            for seed in range(6):
+                _, refused = self.simulate(seed, 0.5 * LIMIT / WINDOW_S / RATE, 0, each)
+                self.assertEqual(0, refused, seed)
+
+
 class JumpTest(testtools.TestCase):
     """Let the load of a workspace jump to 7.5 times its usual for 6.5 s."""
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -12,6 +12,7 @@
     MAX_DATAGRAM_BYTES,
     MEMBER_TIMEOUT_S,
     SEGMENT_MESSAGE,
+    USE_MESSAGE,
     NodeAddress,
     PeerDependencies,
     Peers,
@@ -137,6 +138,38 @@
 
         self.run_loop(scenario())
 
+    def test_unexpected_use_is_reported_at_once(self):
+        """Until the next states of their peers, 80 nodes each admitted a full limit."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            first.peers.send_state()
+            await until(lambda: second.peers.members)
+            limiter, clock = second.state.rate_limiter, second.state.clock
+            self.assertIsNone(limiter.admit("w", 10.0, 1000.0, 300.0, clock()))
+            await until(lambda: "w" in first.state.rate_limiter.totals())
+            usage = first.state.rate_limiter.recent_usage(first.state.clock())
+            self.assertEqual({"w": ((0.0, 300.0),)}, usage)
+
+        self.run_loop(scenario())
+
+    def test_use_of_an_unknown_incarnation_is_ignored(self):
+        """Totals of a node that had ended counted for its next incarnation."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.peers.send_state()
+            await until(lambda: first.peers.members)
+            for name, incarnation in (("b", 2), ("x", 1)):
+                row = [incarnation, 0.5, {"w": [300, 300]}]
+                data = cbor2.dumps([USE_MESSAGE, name, row])
+                first.peers.datagram_received(data, second.address)
+            self.assertEqual({}, first.state.rate_limiter.totals())
+
+        self.run_loop(scenario())
+
     def test_leaving_marks_are_shared(self):
         """A node without the registry sent requests to a leaving upstream."""
 
