Tell a member that it was gone if it refuted only a suspicion

A probe that was built while the member was suspected may arrive after the member was declared gone. The member refutes the suspicion; its new entry also overrides "gone", and nobody keeps that. The same holds for a node that declares it gone late: the member ignored the entry, since it had refuted an earlier suspicion.

A node that has overridden "gone" keeps that entry and sends it to the member with its next eight messages to it. A member counts as newly told by any entry that says gone at a higher refutation number than the one that it knows of, whether it must refute it or not. That "gone" should win over such a refutation was ruled out: a node that has missed a refutation would then have all nodes take the member's requests.

--- a/packages/decisions/cicadapass_decisions/gossip.py
+++ b/packages/decisions/cicadapass_decisions/gossip.py
@@ -25,14 +25,15 @@
     """Return the local entry, changed entries and then fillers, within the budget.
 
     The recipient's entry is included if it is suspected or gone, so that the
-    recipient can refute it.
+    recipient can refute it, and a few times after it was gone, so that it knows.
     """
     chosen = {table.local.vm: table.local}
     budget_bytes -= entry_bytes(table.local)
     recipient_member = table.members.get(recipient) if recipient else None
-    if recipient_member and recipient_member.entry.state is not MemberState.ALIVE:
-        chosen[recipient_member.entry.vm] = recipient_member.entry
-        budget_bytes -= entry_bytes(recipient_member.entry)
+    recipient_entry = _recipient_entry(recipient_member) if recipient_member else None
+    if recipient_entry:
+        chosen[recipient_entry.vm] = recipient_entry
+        budget_bytes -= entry_bytes(recipient_entry)
     limit = SENDS_PER_DECADE * math.ceil(math.log10(len(table.members) + 2))
     changes = [
         candidate for candidate in table.members.values() if candidate.sends < limit
@@ -73,6 +74,16 @@
     return ENTRY_OVERHEAD_BYTES + sum(len(text.encode()) for text in texts)
 
 
+def _recipient_entry(member: Member) -> GossipEntry | None:
+    """Return what the recipient itself must know of its state."""
+    if member.entry.state is not MemberState.ALIVE:
+        return member.entry
+    if member.gone_notices_left == 0:
+        return None
+    member.gone_notices_left -= 1
+    return member.gone_entry
+
+
 def _filler_members(table: MemberTable) -> list[Member]:
     members = list(table.members.values())
     if not members:
--- a/packages/decisions/cicadapass_decisions/membership.py
+++ b/packages/decisions/cicadapass_decisions/membership.py
@@ -23,6 +23,9 @@
 PROBE_SET_SIZE = 40
 # Every eighth probe goes to a gone member, to detect that a partition has healed.
 PROBES_PER_GONE_PROBE = 8
+# A member that is alive again is told this many times that it was declared gone, in
+# case messages are lost.
+GONE_NOTICES = 8
 
 
 class MemberState(IntEnum):
@@ -83,6 +86,10 @@
     entry: GossipEntry
     state_since_s: float
     sends: int = 0
+    # The entry that declared the member gone, until the notices of it are sent. The
+    # member may know only of a suspicion before it, whose refutation overrides both.
+    gone_entry: GossipEntry | None = None
+    gone_notices_left: int = 0
 
 
 @dataclass(slots=True)
@@ -98,6 +105,8 @@
     probe_order: list[VmId] = field(default_factory=list)
     probe_count: int = 0
     next_filler: int = 0
+    # The highest refutation number at which the node knows that it was declared gone.
+    known_gone: int = -1
 
     def entry(self, vm: VmId) -> GossipEntry | None:
         """Return the entry of a member or of the node itself, or None if unknown."""
@@ -281,11 +290,18 @@
     if state_changed:
         existing.state_since_s = now_s
         existing.sends = 0
+    if _is_gone(existing.entry) and not _is_gone(entry):
+        existing.gone_entry = existing.entry
+        existing.gone_notices_left = GONE_NOTICES
     existing.entry = entry
 
 
 def _refute(table: MemberTable, entry: GossipEntry) -> bool:
-    """Refute a peer's entry of the node; return whether it newly says gone."""
+    """Refute a peer's entry of the node; return whether it newly says gone.
+
+    An entry that is refuted already says so too, if that was the refutation of a
+    suspicion.
+    """
     local = table.local
     # Peers still have the hints of the process before its restart.
     if entry.hint_version > local.hint_version or (
@@ -295,9 +311,11 @@
     is_doubted = entry.state is not MemberState.ALIVE
     if is_doubted and entry.refutation >= local.refutation:
         local = replace(local, refutation=entry.refutation + 1)
-    refuted = local.refutation != table.local.refutation
     table.local = local
-    return refuted and entry.state is MemberState.GONE
+    if not _is_gone(entry) or entry.refutation <= table.known_gone:
+        return False
+    table.known_gone = entry.refutation
+    return True
 
 
 def _hints_differ(first: GossipEntry, second: GossipEntry) -> bool:
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -90,6 +90,39 @@
         repeated_effect = apply_gossip(table, [_entry("a", MemberState.GONE)], 1.0)
         self.assertFalse(repeated_effect.declared_gone)
 
+    def test_member_that_refutes_only_a_suspicion_is_told_it_was_gone(self):
+        """A probe from before the end of a suspicion hid that requests had moved.
+
+        The refutation of the suspicion also overrides "gone".
+        """
+        table, member = _table_of(), _table_of(local="a", others=("own",))
+        vm = _address("a").vm
+        on_indirect_result(table, vm, False, 1.0)
+        probe = gossip_entries(table, 600, vm)
+        expire_members(table, 100.0)
+        self.assertEqual(MemberState.GONE, table.entry(vm).state)
+        self.assertFalse(apply_gossip(member, probe, 100.0).declared_gone)
+        apply_gossip(table, gossip_entries(member, 600), 100.1)
+        self.assertEqual(MemberState.ALIVE, table.entry(vm).state)
+        told = [
+            apply_gossip(member, gossip_entries(table, 600, vm), 101.0).declared_gone
+            for _ in range(20)
+        ]
+        self.assertEqual([True] + 19 * [False], told)
+        self.assertEqual(MemberState.ALIVE, table.entry(vm).state)
+
+    def test_a_member_that_knows_is_not_told_again(self):
+        """A member doubted its copies of requests again after each message."""
+        table, member = _table_of(), _table_of(local="a", others=("own",))
+        vm = _address("a").vm
+        on_replaced(table, vm, 1.0)
+        effect = apply_gossip(member, gossip_entries(table, 600, vm), 1.0)
+        self.assertTrue(effect.declared_gone)
+        for _ in range(20):
+            apply_gossip(table, gossip_entries(member, 600), 2.0)
+            effect = apply_gossip(member, gossip_entries(table, 600, vm), 2.0)
+            self.assertFalse(effect.declared_gone)
+
     def test_restarted_process_overrides_its_old_hints(self):
         """A restarted node must override the load hint of its previous process."""
         table, peer = _table_of(local="a"), _table_of()
--- a/tests/node/test_members.py
+++ b/tests/node/test_members.py
@@ -2,6 +2,7 @@
 
 import socket
 from dataclasses import replace
+from types import SimpleNamespace
 
 import testtools
 from expression import Error
@@ -9,10 +10,12 @@
 from cicadapass.membermessages import (
     ListedVm,
     MarkLeaving,
+    MessageReceived,
     RefreshVmList,
     SetLocalHints,
 )
 from cicadapass_common.exceptions import CicadapassError
+from cicadapass_common.messages import Probe
 from cicadapass_decisions.membership import MemberState
 from cicadapass_decisions.types import VmId
 from tests.node.clusterharness import Clock, Cluster, Member
@@ -117,10 +120,34 @@
         cluster.run_until(lambda: a.gone and b.gone)
         blocked.clear()
         cluster.run_until(lambda: self.all_alive([a, b]))
-        self.assertTrue(a.declared and b.declared)
+        cluster.run_until(lambda: a.declared and b.declared)
         a.wait_for_event(304)
         a.wait_for_event(303)
 
+    def test_healed_partition_after_a_late_suspicion(self):
+        """A late probe from before the end of a suspicion hid that a node was gone."""
+        blocked = []
+
+        def allow(target):
+            return target.name not in blocked
+
+        a, b = self.member("a", allow=allow), self.member("b", allow=allow)
+        cluster = self.cluster(a, b)
+        blocked.extend("ab")
+        cluster.run_until(lambda: a.gone and b.gone)
+        suspected = replace(
+            a.current_members.snapshot.by_vm[b.address.vm], state=SUSPECT
+        )
+        probe = Probe((suspected,), (), 0, 2)
+        b.component.tell(
+            MessageReceived(SimpleNamespace(message=probe, sender=a.address, reply=id))
+        )
+        b.round()
+        self.assertEqual([], b.declared)
+        blocked.clear()
+        cluster.run_until(lambda: self.all_alive([a, b]))
+        cluster.run_until(lambda: a.declared and b.declared)
+
     def test_member_refutes_suspicion(self):
         """A temporarily unreachable member must not lose its requests."""
         blocked = []
