--- a/tests/gateway/silence.py
+++ b/tests/gateway/silence.py
@@ -1,7 +1,6 @@
 """Play clusters in which sound engines fall silent for a while and go on."""
 
 import asyncio
-import bisect
 from collections import Counter, defaultdict
 from dataclasses import dataclass, replace
 
@@ -43,17 +42,9 @@
     ),
 }
 ALL_PLACES = frozenset().union(*PLACES.values())
-# The platform's bounds: two engines may work on one request for this long, and the
-# repeats within a window are limited to a ratio of the requests and a slack.
-OVERLAP_S = 0.4
-RETRY_RATIO = 0.2
-RETRY_SLACK = 20
-RETRY_WINDOW_S = 10.0
-# Runs that each route allows for one request.
-MAX_RUNS = 2
-# A request ends at its deadline, up to the delays of timers and the network.
-DEADLINE_SLACK_S = 0.05
 SAMPLE_INTERVAL_S = 0.1
+# A silence without end is waited for in steps of this length.
+FROZEN_STEP_S = 60.0
 # A node that stops gets requests for this long, and has this time to end them.
 STOP_NOTICE_S = 2.0
 GRACE_S = 12.0
@@ -69,6 +60,8 @@
     # Fraction of the engines that fall silent.
     engines: float = 1.0
     places: frozenset = ALL_PLACES
+    # Silences within one answer, each at another place.
+    count: int = 1
     length_s: tuple[float, float] = SILENCE_S
 
 
@@ -80,7 +73,7 @@
     engine: str
     way: str
     sent_s: float
-    place: str | None = None
+    places: tuple[str, ...] = ()
     # When its first event, or the first byte of its body, was written.
     wrote_s: float | None = None
     ended_s: float | None = None
@@ -139,7 +132,7 @@
 
     def __init__(self, cluster, name):
         super().__init__(cluster, name)
-        self._frozen = False
+        self._silent_until_s = 0.0
 
     def accept(self, channel, call, attempt):
         """Queue a request and record the run."""
@@ -159,9 +152,9 @@
             channel.run.finish("lost", self._cluster.now_s())
         super().end(crashed)
 
-    def freeze(self):
-        """Write nothing more; connections stay open and are accepted."""
-        self._frozen = True
+    def fall_silent(self, length_s):
+        """Write nothing for this time; connections stay open and are accepted."""
+        self._silent_until_s = self._cluster.now_s() + length_s
 
     async def _run(self, channel, call, attempt):
         loop, run = asyncio.get_running_loop(), channel.run
@@ -175,7 +168,7 @@
         parts = answer_parts(call, int(attempt.resume_after or 0))
         # The part at which a silence within the events or the body falls.
         silent_part = self._cluster.rng.randrange(max(1, len(parts)))
-        run.place = self._cluster.draw_place(self, call.path)
+        run.places = self._cluster.draw_places(self, call.path)
         kind = ["plain"] if call.path in PLAIN_ROUTES else []
         await self._pause(run, BEFORE_HEAD)
         channel.deliver(ResponseHead(200, [call.request_id, self.limit_per_s, *kind]))
@@ -201,12 +194,14 @@
         channel.deliver(data)
 
     async def _pause(self, run, *places):
-        """Fall silent if the run's silence is here; a frozen engine never returns."""
-        if run.place in places:
+        """Fall silent if the run's silence is here, or the whole engine is silent."""
+        if set(places) & set(run.places):
+            self._cluster.silence_count += 1
             lengths_s = self._cluster.silences.length_s
             await asyncio.sleep(self._cluster.rng.uniform(*lengths_s))
-        if self._frozen:
-            await asyncio.Event().wait()
+        self._cluster.silence_count += self._silent_until_s > self._cluster.now_s()
+        while (left_s := self._silent_until_s - self._cluster.now_s()) > 0:
+            await asyncio.sleep(min(left_s, FROZEN_STEP_S))
 
 
 class SilenceCluster(EngineCluster):
@@ -227,6 +222,8 @@
         self.highest_score = 0.0
         self.scored_samples = self.suspecting_samples = self.samples = 0
         self.unfinished_at_stops = 0
+        # How often an answer stopped and went on, or stopped for good.
+        self.silence_count = 0
 
     def decode_configuration(self, raw):
         """Return a configuration whose limits and times differ by its version."""
@@ -241,13 +238,13 @@
         )
         return replace(changed, limits=limits)
 
-    def draw_place(self, engine, route):
-        """Return where a new answer falls silent, or None if it does not."""
+    def draw_places(self, engine, route):
+        """Return where a new answer falls silent."""
         drawn = self.rng.random() < self.silences.fraction
         places = [each for each in PLACES[route] if each in self.silences.places]
         if not (drawn and places and engine.name in self.silent_engines):
-            return None
-        return self.rng.choice(places)
+            return ()
+        return tuple(self.rng.sample(places, self.silences.count))
 
     def record_run(self, engine, call, attempt):
         """Record that a request is sent to an engine."""
@@ -314,7 +311,7 @@
         )
         names = sorted(self.engines, key=lambda name: (-busy[name], name))
         for name in names[:count]:
-            self.engines[name].freeze()
+            self.engines[name].fall_silent(float("inf"))
             self.frozen.add(name)
 
     async def stop_node(self, node):
@@ -351,6 +348,14 @@
         await cluster.stop_node(cluster.nodes[number])
 
 
+async def silence_engines_at_once(cluster):
+    """Let all engines fall silent at the same moment every few seconds."""
+    while True:
+        await asyncio.sleep(cluster.rng.uniform(2.5, 4.5))
+        for engine in cluster.engines.values():
+            engine.fall_silent(cluster.rng.uniform(*SILENCE_S))
+
+
 async def use_up_retries(cluster):
     """Leave nothing of the retry allowance of each node, as a wave of crashes does."""
     while True:
@@ -374,112 +379,3 @@
         cluster.spawn(disturb(cluster))
     await cluster.run(length_s)
     return cluster
-
-
-def outcomes(cluster):
-    """Count the outcomes at callers by route."""
-    return Counter((each.route, each.outcome) for each in cluster.exchanges)
-
-
-def losses(cluster):
-    """Return the requests without a whole answer, except for refusals, by route."""
-    return {
-        f"{route}: {outcome}": count
-        for (route, outcome), count in sorted(outcomes(cluster).items())
-        if outcome not in ("whole", "503")
-    }
-
-
-def refusals(cluster):
-    """Return the number of requests that were answered with 503."""
-    return sum(each.outcome == "503" for each in cluster.exchanges)
-
-
-def broken_rules(cluster):
-    """Return what broke the rules on runs and ends, with the number of cases."""
-    counts = Counter()
-    for exchange in cluster.exchanges:
-        request = exchange.request
-        runs = cluster.runs[request.request_id]
-        limit_s = TIME_LIMITS_S[exchange.route] + DEADLINE_SLACK_S
-        if exchange.outcome == "503":
-            counts["refused although it ran"] += bool(runs)
-        elif exchange.route not in REPEATABLE_ROUTES:
-            counts["not run exactly once"] += len(runs) != 1
-        counts["more runs than its route allows"] += len(runs) > MAX_RUNS
-        if request.ended_s is None:
-            continue
-        counts["ended after its deadline"] += request.ended_s - request.sent_s > limit_s
-        counts["an engine worked on it after its end"] += any(
-            each.ended_s is None or each.ended_s > request.ended_s + OVERLAP_S
-            for each in runs
-        )
-        if exchange.route in STREAM_ROUTES:
-            counts["two engines worked on a stream"] += _overlaps(runs)
-    counts["unfinished when its node ended"] = cluster.unfinished_at_stops
-    counts["repeats above the limit"] = excess_repeats(cluster)
-    return {name: count for name, count in counts.items() if count}
-
-
-def _overlaps(runs):
-    """Return whether two runs went on for too long after the second one wrote."""
-    return any(
-        second.wrote_s is not None
-        and min(_end_s(first), _end_s(second)) > second.wrote_s + OVERLAP_S
-        for number, second in enumerate(runs)
-        for first in runs[:number]
-    )
-
-
-def _end_s(run):
-    return float("inf") if run.ended_s is None else run.ended_s
-
-
-def excess_repeats(cluster):
-    """Return the most repeats by which a window exceeds the limit of the platform."""
-    sent_s = sorted(each.request.sent_s for each in cluster.exchanges)
-    repeated_s = sorted(
-        run.sent_s for runs in cluster.runs.values() for run in runs[1:]
-    )
-    excess = 0
-    for number, end_s in enumerate(repeated_s, 1):
-        start_s = end_s - RETRY_WINDOW_S
-        repeats = number - bisect.bisect_left(repeated_s, start_s)
-        requests = bisect.bisect_right(sent_s, end_s) - bisect.bisect_left(
-            sent_s, start_s
-        )
-        allowed = RETRY_RATIO * requests + RETRY_SLACK
-        excess = max(excess, round(repeats - allowed))
-    return excess
-
-
-def judgements(cluster):
-    """Return what nodes held against engines and segments, in samples."""
-    found = {}
-    if cluster.scored_samples:
-        found["samples with a failure score"] = cluster.scored_samples
-        found["highest failure score"] = round(cluster.highest_score, 2)
-    if cluster.suspecting_samples:
-        found["samples with suspected segments"] = cluster.suspecting_samples
-    return found
-
-
-def silent_share(cluster):
-    """Return the first tries per silent engine relative to those per engine."""
-    counts = Counter(runs[0].engine for runs in cluster.runs.values() if runs)
-    silent = sum(counts[each] for each in cluster.silent_engines)
-    expected = counts.total() * len(cluster.silent_engines) / len(cluster.engines)
-    return silent / expected if expected else 1.0
-
-
-def summary(cluster):
-    """Return the figures of a play for the message of a failed check."""
-    silent = sum(
-        run.place is not None for runs in cluster.runs.values() for run in runs
-    )
-    repeats = sum(len(runs) - 1 for runs in cluster.runs.values() if runs)
-    return (
-        f"{len(cluster.exchanges)} requests, {silent} silences, {repeats} repeats, "
-        f"{refusals(cluster)} refusals, {cluster.samples} samples, "
-        f"silent engines got {silent_share(cluster):.2f} of their share"
-    )
