--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -165,16 +165,20 @@
         self.limit_per_s = None
         self._cluster = cluster
         self._read_until_s = 0.0
-        self._channels = set()
+        # The values serve as an ordered set.
+        self._channels = {}
+
+    async def open(self, timeout_s):
+        """Accept a connection; raise `ConnectFailed` if that takes too long."""
 
     def accept(self, channel, call, attempt):
         """Queue a request and write its answer to the channel."""
-        self._channels.add(channel)
+        self._channels[channel] = None
         channel.task = asyncio.create_task(self._run(channel, call, attempt))
 
     def release(self, channel):
         """Drop the request of a channel."""
-        self._channels.discard(channel)
+        self._channels.pop(channel, None)
 
     def end(self, crashed=False):
         """End at once, with all requests in progress."""
@@ -207,7 +211,7 @@
             channel.deliver(f"id: {number}\ndata: x\n\n".encode())
             await asyncio.sleep(EVENT_S)
         channel.deliver(None)
-        self._channels.discard(channel)
+        self._channels.pop(channel, None)
 
 
 class EngineChannel:
@@ -289,6 +293,7 @@
         engine = self._cluster.engines.get(host)
         if engine is None or not engine.alive:
             raise ConnectFailed("nothing listens at the address", refused=True)
+        await engine.open(timeout_s)
         return EngineChannel(engine, self._node)
 
     def release(self, host, port, channel, *, refused_id=None):
--- a/tests/gateway/silence.py
+++ b/tests/gateway/silence.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from cicadapass_decisions.passthrough import CallerLimits, Prompt, PromptSegment
+from cicadapass_gateway.exceptions import ConnectFailed
 from cicadapass_gateway.httpclient import ResponseHead
 from tests.gateway.enginecluster import (
     EVENT_S,
@@ -132,7 +133,7 @@
 
     def __init__(self, cluster, name):
         super().__init__(cluster, name)
-        self._silent_until_s = 0.0
+        self._silent_until_s = self._deaf_until_s = 0.0
 
     def accept(self, channel, call, attempt):
         """Queue a request and record the run."""
@@ -152,9 +153,18 @@
             channel.run.finish("lost", self._cluster.now_s())
         super().end(crashed)
 
-    def fall_silent(self, length_s):
-        """Write nothing for this time; connections stay open and are accepted."""
+    def fall_silent(self, length_s, accepts=True):
+        """Write nothing for this time; open connections stay so."""
         self._silent_until_s = self._cluster.now_s() + length_s
+        if not accepts:
+            self._deaf_until_s = self._silent_until_s
+
+    async def open(self, timeout_s):
+        """Accept a connection, unless its machine stands still."""
+        left_s = self._deaf_until_s - self._cluster.now_s()
+        await asyncio.sleep(max(0.0, min(left_s, timeout_s)))
+        if left_s > timeout_s:
+            raise ConnectFailed("no answer to the connection attempt")
 
     async def _run(self, channel, call, attempt):
         loop, run = asyncio.get_running_loop(), channel.run
@@ -184,7 +194,7 @@
             await asyncio.sleep(EVENT_S)
         await self._pause(run)
         channel.deliver(None)
-        self._channels.discard(channel)
+        self._channels.pop(channel, None)
         run.finish("complete", loop.time())
 
     async def _write(self, run, channel, data):
@@ -356,6 +366,21 @@
             engine.fall_silent(cluster.rng.uniform(*SILENCE_S))
 
 
+async def halt_machines_at_once(cluster):
+    """Let the machines of all engines stand still at the same moment."""
+    while True:
+        await asyncio.sleep(cluster.rng.uniform(3.5, 5.5))
+        for engine in cluster.engines.values():
+            engine.fall_silent(cluster.rng.uniform(*SILENCE_S), accepts=False)
+
+
+async def end_engines(cluster):
+    """End an engine without notice every few seconds."""
+    for _ in range(4):
+        await asyncio.sleep(4.0)
+        await cluster.end_engines(1)
+
+
 async def use_up_retries(cluster):
     """Leave nothing of the retry allowance of each node, as a wave of crashes does."""
     while True:
--- a/tests/gateway/test_relay_frozen_engines.py
+++ b/tests/gateway/test_relay_frozen_engines.py
@@ -5,7 +5,12 @@
 
 import testtools
 
-from tests.gateway.silence import REPEATABLE_ROUTES, TIME_LIMITS_S, Silences
+from tests.gateway.silence import (
+    REPEATABLE_ROUTES,
+    TIME_LIMITS_S,
+    Silences,
+    end_engines,
+)
 from tests.gateway.silencechecks import broken_rules, play_silences, summary
 
 SEEDS = (1, 2)
@@ -35,13 +40,6 @@
     cluster.freeze(len(cluster.engines))
 
 
-async def end_engines(cluster):
-    """End an engine without notice every few seconds."""
-    for _ in range(4):
-        await asyncio.sleep(4.0)
-        await cluster.end_engines(1)
-
-
 def runs_of(cluster, exchange):
     """Return the runs of a caller's request."""
     return cluster.runs[exchange.request.request_id]
--- a/tests/gateway/test_relay_silence.py
+++ b/tests/gateway/test_relay_silence.py
@@ -3,6 +3,7 @@
 from tests.gateway.silence import (
     ALL_PLACES,
     Silences,
+    halt_machines_at_once,
     silence_engines_at_once,
     use_up_retries,
 )
@@ -34,6 +35,12 @@
             (1, 2), Silences(0.0), disturb=silence_engines_at_once
         )
 
+    def test_machines_that_stand_still_at_once_cost_no_answer(self):
+        """No engine accepted a connection for a second, and requests were refused."""
+        self.expect_whole_answers_of_seeds(
+            (1, 2), Silences(0.0), disturb=halt_machines_at_once
+        )
+
     def test_a_refused_repeat_costs_no_answer_at_any_place(self):
         """An answer was given up first, and then no repeat was allowed."""
         self.expect_whole_answers(
