Let repeats that a refusal would lose wait for an upstream

A request that may have run, or whose answer has begun, was refused by the queue like a new one, and ended with 502 or a cut stream. It now waits until it is placed or its deadline passes; a hedge is still refused at once, since the first attempt goes on.

--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -218,7 +218,7 @@
         requirements = self._requirements(request)
         excluded = requirements.excluded | {silent.upstream_id}
         reservation = await self._state.queue.place(
-            replace(requirements, excluded=excluded)
+            replace(requirements, excluded=excluded, refusable=True)
         )
         if isinstance(reservation, NotPlaced):
             return None, HedgeOutcome.NO_ROOM
@@ -258,6 +258,7 @@
             shorter_target_s=table.shorter_target_s(request.match) if table else None,
             excluded=frozenset(request.excluded),
             isolated=request.isolated,
+            refusable=not (request.runs or request.exchange.started),
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
