Take no sample of an upstream's speed from a silence

A silence before the first token went into the measured prefill time of the engine, and one within a call into its duration, so that an engine that fell silent got fewer requests for seconds: one first token after 1.2 s moves the prefill time from 20 to 134 us a token (computed). Requests with a silence longer than the hedge delay are no samples now. Two tests of the meter; the first one needs the change.

--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -45,6 +45,8 @@
     tokens_ahead: float
     sent_s: float
     first_token_s: float | None = None
+    # The upstream was silent meanwhile, so that the times do not show its speed.
+    paused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +99,12 @@
             self._segment_used_s.popitem(last=False)
         return prefill_tokens
 
+    def record_pause(self, key: str) -> None:
+        """Record that the upstream was silent within a request; it is no sample."""
+        run = self._runs.get(key)
+        if run is not None:
+            run.paused = True
+
     def first_token(self, key: str, now_s: float) -> None:
         """Record the start of an answer and sample the prefill speed."""
         run = self._runs.get(key)
@@ -105,7 +113,7 @@
         run.first_token_s = now_s
         self._last_first_token_s = now_s
         tokens = run.prefill_tokens + run.tokens_ahead
-        if tokens > 0:
+        if tokens > 0 and not run.paused:
             # Samples of short prompts are imprecise and have less weight.
             sample = max(0.0, now_s - run.sent_s - FIRST_TOKEN_BASE_S) / tokens
             weight = SAMPLE_WEIGHT * min(1.0, tokens / 2000)
@@ -115,7 +123,7 @@
     def end(self, key: str, now_s: float, *, succeeded: bool | None) -> None:
         """Remove a request; `succeeded` of None keeps the failure score."""
         run = self._runs.pop(key, None)
-        if run is not None and succeeded and run.prefill_tokens == 0:
+        if run and succeeded and run.prefill_tokens == 0 and not run.paused:
             self.call_s += SAMPLE_WEIGHT * (now_s - run.sent_s - self.call_s)
             self._sampled_s = now_s
         if succeeded is None:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -298,6 +298,8 @@
             if outcome is not SilenceOutcome.RESUMED:
                 silent_s = self.silent_s()
             self._waiting_since_s = None
+            if silent_s >= self.hedge_delay_s:
+                self._meter.record_pause(self._reservation.key)
             self._record_silence(channel, silent_s, outcome)
             if channel.received_s >= began_s:
                 self._meter.record_heard(channel.received_s)
--- a/tests/decisions/test_upstreammeter.py
+++ b/tests/decisions/test_upstreammeter.py
@@ -57,6 +57,28 @@
             self.meter.decay_speed(normal, 0.03, 20.0 + step)
         self.assertLess(self.meter.prefill_s_per_token, 2 * normal)
 
+    def test_a_silence_is_no_sample_of_the_speed(self):
+        """One silence of a sound engine took its requests away for seconds."""
+        prefill_s, call_s = self.meter.prefill_s_per_token, self.meter.call_s
+        self.meter.begin("stream", Prompt(prompt_tokens=4000), 0.0)
+        self.meter.begin("call", Prompt(), 0.0)
+        for key in ("stream", "call"):
+            self.meter.record_pause(key)
+        self.meter.first_token("stream", 1.3)
+        for key in ("stream", "call"):
+            self.meter.end(key, 1.4, succeeded=True)
+        self.assertEqual(prefill_s, self.meter.prefill_s_per_token)
+        self.assertEqual(call_s, self.meter.call_s)
+
+    def test_an_upstream_is_silent_only_while_it_has_requests(self):
+        """Time without requests counted as silence, or data from another one not."""
+        self.meter.begin("a", Prompt(), 5.0)
+        self.assertEqual(1.5, self.meter.silent_s(6.5))
+        self.meter.record_heard(7.0)
+        self.assertEqual(0.5, self.meter.silent_s(7.5))
+        self.meter.end("a", 8.0, succeeded=None)
+        self.assertEqual(0.0, self.meter.silent_s(9.0))
+
     def test_failure_score_decays(self):
         """A recovered upstream was never selected again."""
         self.meter.record_unreachable(0.0)
