--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -286,10 +286,11 @@
 
 
 class ReturningCallersTest(testtools.TestCase):
-    def simulate(self, seed, count, round_parts=1, checked_from_s=0.0):
+    def simulate(self, seed, count, round_parts=1, checked_from_s=0.0, met=False):
         """Return what was admitted in the busiest window, and in all per second."""
         nodes = Nodes(count, round_parts=round_parts)
-        nodes.meet()
+        if met:
+            nodes.meet()
         ReturningCallers(seed, nodes, callers=60).run(LENGTH_S)
         admitted = sum(cost for _, cost in nodes.admitted)
         return nodes.max_window_usage(checked_from_s), admitted / LENGTH_S
@@ -308,6 +309,13 @@
             self.assertLessEqual(busiest, BOUND, seed)
             self.assertGreater(rate, 0.9 * RATE, seed)
 
+    def test_the_limit_holds_over_many_nodes_that_know_each_other(self):
+        """58 nodes that had met before gave the same room to callers at once."""
+        for seed in range(10):
+            busiest, rate = self.simulate(seed, 58, round_parts=6, met=True)
+            self.assertLessEqual(busiest, BOUND, seed)
+            self.assertGreater(rate, 0.9 * RATE, seed)
+
     def test_many_nodes_that_know_the_demand_stay_within_the_limit(self):
         """Each of 58 nodes gave the same room, although all knew of the demand."""
         for seed in range(10):
