Move the checks of responses to a module of their own

What is checked of a head and of an end without a mark is in responsechecks.py, and the position of a stream is recorded by its request. No change of behaviour.

--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -1,12 +1,14 @@
 """State of a caller's request while it is served."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
 from cicadapass_decisions.routetable import Match
-from cicadapass_gateway.adapterapi import Call
+from cicadapass_gateway.adapterapi import Call, Headers
+from cicadapass_gateway.eventstream import StreamEvent
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import MigratedRun
 from cicadapass_gateway.upstreamtracker import NOT_CHOSEN, ChoiceBasis
@@ -79,6 +81,19 @@
     stopped: str | None = None
     waited_s: float = 0.0
 
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of a stream, unless an earlier attempt did."""
+        if not self.exchange.started:
+            self.stream_status = status
+            self.exchange.start(status, headers)
+
+    def record_position(self, events: Sequence[StreamEvent]) -> None:
+        """Record the events that were delivered, to resume the stream behind them."""
+        for event in events:
+            self.last_event_id = event.event_id or self.last_event_id
+            if event.has_data:
+                self.position_lost = not event.event_id
+
     @property
     def repeatable(self) -> bool:
         """Return whether the request may be sent again after a possible execution."""
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -25,6 +25,11 @@
     ResponseProgress,
 )
 from cicadapass_gateway.requestlog import RequestLog, SilenceOutcome
+from cicadapass_gateway.responsechecks import (
+    NOT_EXECUTED_STATUSES,
+    check_head,
+    check_undelimited_end,
+)
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
@@ -46,9 +51,6 @@
 MIGRATION_WAIT_S = 1.2
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
-# Statuses by which callers conclude that a request was not executed. They are not
-# forwarded without the upstream's confirmation.
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 
 T = TypeVar("T")
@@ -212,11 +214,7 @@
         )
 
     async def _open(self) -> ClientChannel:
-        """Return a connection.
-
-        A request that must not be repeated gets a new one, and so does one without an
-        id, whose response cannot be told from others.
-        """
+        """Return a new connection if an earlier response on another could do harm."""
         request, record = self._request, self._reservation.record
         return await self._pool.acquire(
             record.host,
@@ -255,15 +253,7 @@
         head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
         info = self._header_codec.decode_response(head.status, head.headers)
-        # Bytes of an earlier response may precede this one on a kept connection.
-        if info.request_id != request.call.request_id:
-            raise AnswerBroken("the response has no id, or that of another request")
-        if head.status < 300 and not (info.sealed and info.request_id):
-            raise AnswerBroken(
-                "a successful response without the upstream's seal or the request id"
-            )
-        if head.status < 300 and info.not_executed:
-            raise AnswerBroken("a successful response that denies its execution")
+        check_head(head.status, info, request.call.request_id)
         self._record_state(record, info, sent_s)
         if info.not_executed or info.wrong_instance:
             self._record_rejection(record, info)
@@ -357,8 +347,8 @@
         """Forward a response that is not a stream, once it is complete."""
         request, status = self._request, response.status
         body = await self._wait_for(response.channel, response.channel.read_remaining())
-        if status < 300 and not (body or response.channel.delimited):
-            raise AnswerBroken("the connection ended before the first byte of a body")
+        if status < 300 and not response.channel.delimited:
+            check_undelimited_end(has_data=bool(body), stopping=False)
         self._record_end_of_answer(response)
         self._count_run()
         self._release_channel(response)
@@ -415,19 +405,12 @@
             self._migrator.discard(run)
         self._claim()
         self._record_end_of_answer(response)
-        self._start_stream(response)
+        request.start_stream(response.status, response.info.headers)
         self._release_channel(response)
         exchange.finish()
         self._log.log_end(request, response.status, "answered")
         return AttemptResult.delivered(response.status)
 
-    def _start_stream(self, response: OpenResponse) -> None:
-        """Send the head, unless an earlier attempt did."""
-        request = self._request
-        if not request.exchange.started:
-            request.stream_status = response.status
-            request.exchange.start(response.status, response.info.headers)
-
     def _active_run(self) -> ActiveRun:
         request = self._request
         configuration = self._state.configuration
@@ -466,21 +449,16 @@
             run.events += len(events)
             self._progress.events += len(events)
             self._claim()
-            self._start_stream(response)
+            request.start_stream(response.status, response.info.headers)
             self._record_first_event()
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
-            for event in events:
-                request.last_event_id = event.event_id or request.last_event_id
-                if event.has_data:
-                    request.position_lost = not event.event_id
+            request.record_position(events)
             await exchange.wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
-        if run.stopping and not response.channel.delimited:
-            raise AnswerBroken("the source of a migration ended the stream")
-        if not (response.channel.delimited or has_data):
-            raise AnswerBroken("the connection ended before the first event")
+        if not response.channel.delimited:
+            check_undelimited_end(has_data=has_data, stopping=run.stopping)
 
     async def _read_chunk(self, channel: ClientChannel) -> bytes | None:
         """Return the next chunk of a stream, or None at its end.
