Keep the first attempt while a hedge cannot deliver

Found by a review of the hedges, by reading and with stub attempts: a hedge whose prompt came under suspicion cancelled the sound attempt; one that was cancelled before its first step kept its place at the engine for good; one could go to the silent engine itself where no other is usable; comments of a hedge cancelled the other attempt; an error of a hedge ended the request; a block that came while the answer was delivered reset the connection.

--- a/packages/gateway/cicadapass_gateway/attemptrace.py
+++ b/packages/gateway/cicadapass_gateway/attemptrace.py
@@ -18,9 +18,7 @@
 # Shorter waits may end before the clock has moved.
 TIMER_RESOLUTION_S = 0.001
 # Outcomes that end the request or decide how it goes on.
-_DECIDING = frozenset(
-    {AttemptOutcome.DELIVERED, AttemptOutcome.MIGRATED, AttemptOutcome.HELD}
-)
+_DECIDING = frozenset({AttemptOutcome.DELIVERED, AttemptOutcome.MIGRATED})
 
 # Called with the race, the reservation and whether the attempt is a hedge.
 MakeAttempt = Callable[["AttemptRace", Reservation, bool], UpstreamAttempt]
@@ -45,6 +43,7 @@
         self._release_place = release_place
         self._on_result = on_result
         self._running: dict[UpstreamAttempt, asyncio.Task[AttemptResult]] = {}
+        self._lost: dict[UpstreamAttempt, asyncio.Task[AttemptResult]] = {}
         # Chooses an upstream for a hedge that is not sent yet.
         self._placing: asyncio.Task[Reservation | None] | None = None
 
@@ -58,10 +57,10 @@
     def claim(self, attempt: UpstreamAttempt) -> None:
         """Let an attempt deliver, and cancel the other one before it can do so."""
         self._drop_placing()
-        for other, task in self._running.items():
-            if other is not attempt:
-                other.lose()
-                task.cancel()
+        for other in [each for each in self._running if each is not attempt]:
+            task = self._lost[other] = self._running.pop(other)
+            other.lose()
+            task.cancel()
 
     async def run(self, reservation: Reservation) -> AttemptResult:
         """Return the result that decides the request, or the last failure."""
@@ -70,10 +69,10 @@
             while True:
                 await self._wait()
                 result = self._collect()
-                if result is not None and (
-                    result.outcome in _DECIDING or not self._running
-                ):
+                if result is not None and result.outcome in _DECIDING:
                     return result
+                if not self._running:
+                    return result or AttemptResult.broken("the attempt was cancelled")
                 self._advance_hedge()
         finally:
             await self._cancel()
@@ -105,6 +104,12 @@
                 continue
             del self._running[attempt]
             if task.cancelled():
+                self._release_place(attempt.reservation)
+                continue
+            error = task.exception()
+            if error is not None and self._running:
+                # The other attempt may still answer.
+                _report_error(error)
                 continue
             results.append(task.result())
             self._on_result(attempt, results[-1])
@@ -115,7 +120,7 @@
         """Send the hedge that was placed, or place one beside a silent attempt."""
         if self._placing is not None and self._placing.done():
             placing, self._placing = self._placing, None
-            reservation = None if placing.cancelled() else placing.result()
+            reservation = _placed(placing)
             if reservation is not None:
                 self._start(reservation, hedge=True)
             return
@@ -129,15 +134,37 @@
 
     async def _cancel(self) -> None:
         """Cancel what is left, and wait until it has released what it holds."""
-        self._drop_placing()
-        for task in self._running.values():
+        attempts = {**self._running, **self._lost}
+        for task in attempts.values():
             task.cancel()
-        await asyncio.gather(*self._running.values(), return_exceptions=True)
+        self._drop_placing()
+        await asyncio.gather(*attempts.values(), return_exceptions=True)
+        # A task that is cancelled before its first step releases nothing by itself.
+        for attempt, task in attempts.items():
+            if task.cancelled():
+                self._release_place(attempt.reservation)
 
     def _drop_placing(self) -> None:
         """Give up the hedge that is not sent yet."""
         placing, self._placing = self._placing, None
         if placing is None or placing.cancel():
             return
-        if not placing.cancelled() and (reservation := placing.result()) is not None:
+        if (reservation := _placed(placing)) is not None:
             self._release_place(reservation)
+
+
+def _placed(placing: asyncio.Task[Reservation | None]) -> Reservation | None:
+    """Return the place that was found; an error is reported and means none."""
+    if placing.cancelled():
+        return None
+    error = placing.exception()
+    if error is not None:
+        _report_error(error)
+        return None
+    return placing.result()
+
+
+def _report_error(error: BaseException) -> None:
+    """Report an internal error that does not end the request."""
+    context = {"message": "an attempt or a hedge failed", "exception": error}
+    asyncio.get_running_loop().call_exception_handler(context)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -75,6 +75,8 @@
             async with asyncio.timeout_at(request.deadline_s) as request.time_limit:
                 await self._serve(request)
         except TimeoutError:
+            if request.exchange.finished:
+                return
             if request.stopped is not None:
                 self._refuse_after(request, request.stopped, BLOCKED_RETRY_S)
             else:
@@ -222,6 +224,10 @@
         )
         if isinstance(reservation, NotPlaced):
             return None, HedgeOutcome.NO_ROOM
+        if reservation.record.upstream_id == silent.upstream_id:
+            # A service without other upstreams falls back to the excluded ones.
+            self._release_place(reservation)
+            return None, HedgeOutcome.NO_ROOM
         if not self._take_retry(request):
             self._release_place(reservation)
             return None, HedgeOutcome.NO_ALLOWANCE
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -8,7 +8,7 @@
 from cicadapass_decisions.attempts import AttemptResult
 from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
 from cicadapass_gateway.adapterapi import Attempt, HeaderCodec, ResponseInfo
-from cicadapass_gateway.eventstream import EventSplitter
+from cicadapass_gateway.eventstream import EventSplitter, StreamEvent
 from cicadapass_gateway.exceptions import (
     AnswerBroken,
     ConnectFailed,
@@ -43,6 +43,9 @@
 HEDGE_DELAY_FACTOR = 3.0
 # A sound upstream may be silent for a second or so. Longer silences count as a failure.
 SOUND_SILENCE_S = 2.0
+# So does no data on any connection for this long while requests are in progress, each
+# of which may be within a sound silence of its own.
+SOUND_ENGINE_SILENCE_S = 4.0
 # Time from the head to the first event of a hedge while the other attempt goes on. Two
 # upstreams must not write events of one request for 0.4 s.
 MAX_OVERLAP_S = 0.3
@@ -155,7 +158,8 @@
         limit_s = max(SOUND_SILENCE_S, self.hedge_delay_s)
         silent_s, now_s = self.silent_s(), self._state.clock()
         if silent_s < limit_s and (
-            silent_s < self.hedge_delay_s or self._meter.silent_s(now_s) < limit_s
+            silent_s < self.hedge_delay_s
+            or self._meter.silent_s(now_s) < max(SOUND_ENGINE_SILENCE_S, limit_s)
         ):
             return False
         if not self._silence_counted:
@@ -438,14 +442,20 @@
         request, exchange = self._request, self._request.exchange
         splitter = EventSplitter(request.last_event_id)
         has_data = False
+        # Comments of a hedge, which are no reason to cancel the other attempt.
+        comments: list[StreamEvent] = []
         while True:
             chunk = await self._read_chunk(response.channel)
             if chunk is None:
                 break
-            events = splitter.feed(chunk)
+            events = comments + splitter.feed(chunk)
             if not events:
                 continue
             has_data = has_data or any(event.has_data for event in events)
+            if not has_data and self._race.has_rival(self):
+                comments = events
+                continue
+            comments = []
             run.events += len(events)
             self._progress.events += len(events)
             self._claim()
@@ -463,12 +473,11 @@
     async def _read_chunk(self, channel: ClientChannel) -> bytes | None:
         """Return the next chunk of a stream, or None at its end.
 
-        A hedge without an event soon after its head ends if the other attempt goes on.
+        A hedge that resumes a stream ends if it has no event soon after its head while
+        the other attempt goes on.
         """
-        head_s = self._progress.head_s
-        if not self._hedge or self._progress.events or head_s is None:
-            return await self._wait_for(channel, channel.read_body())
-        while self._race.has_rival(self):
+        resumes = self._hedge and self._request.exchange.started
+        while resumes and not self._progress.events and self._race.has_rival(self):
             try:
                 async with asyncio.timeout(MAX_OVERLAP_S):
                     return await self._wait_for(channel, channel.read_body())
