Pass resets on through the links of the soak

A link aborted the other side of a connection that was reset, which sends a mere close: an engine's reset reached no node. Seen with an engine that resets within a head; the node now gets the reset.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,9 +1,10 @@
 """TCP proxy on the loopback interface that can disturb its connections."""
 
 import asyncio
+import socket
 from enum import Enum
 
-from tests.gateway.harness import HOST
+from tests.gateway.harness import HOST, RESET_ON_CLOSE
 
 CHUNK_BYTES = 65_536
 
@@ -87,7 +88,7 @@
             try:
                 data = await reader.read(CHUNK_BYTES)
             except ConnectionError:
-                writer.transport.abort()
+                _reset(writer)
                 return
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
@@ -99,3 +100,11 @@
                 writer.close()
                 return
             writer.write(data)
+
+
+def _reset(writer):
+    """Reset a connection; without this option, it is merely closed."""
+    connection = writer.get_extra_info("socket")
+    if connection.fileno() >= 0:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
