Let engines of the soak fall silent and answer wrongly

New faults, drawn apart, so that the other faults of a seed stay: a silence of about a second before or within answers, an earlier refusal written once more, broken streams whose repeats are answered wrongly, and cut heads; at one engine, a third or all of them. An answer is now a list of pieces that a fault changes.

The checks know where an engine marked the end of a stream, at which event each run began, and which answers were silent. New: a request that failed although its engines were only silent counts as lost, and events of a run that started again must not follow those of another.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -213,6 +213,11 @@
         """Return whether the connection has ended."""
         return self._writer.is_closing()
 
+    @property
+    def connection(self):
+        """Return an object that is the same for all requests of a connection."""
+        return self._writer
+
     def send(self, data):
         """Write raw bytes."""
         self._writer.write(data)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,8 @@
 from functools import partial
 from pathlib import Path
 
-from tests.soak.world import play_seed
+from tests.soak.faults import ANSWER_KINDS
+from tests.soak.world import SIZES, play_seed
 
 
 def main():
@@ -22,8 +23,16 @@
     parser.add_argument(
         "--length", type=float, default=20.0, help="seconds during which faults start"
     )
-    parser.add_argument("--nodes", type=int, default=3)
-    parser.add_argument("--engines", type=int, default=4)
+    parser.add_argument("--nodes", type=int, default=SIZES[0])
+    parser.add_argument("--engines", type=int, default=SIZES[1])
+    parser.add_argument("--callers", type=int, default=SIZES[2])
+    parser.add_argument(
+        "--only",
+        nargs="*",
+        choices=ANSWER_KINDS,
+        default=(),
+        help="play only faults of these kinds",
+    )
     parser.add_argument(
         "--jobs", type=int, default=3, help="number of seeds run at the same time"
     )
@@ -45,6 +54,7 @@
 
 
 def _run_seed(args, seed):
+    sizes = args.nodes, args.engines, args.callers
     kept_folder = None if args.keep is None else args.keep / str(seed)
     with tempfile.TemporaryDirectory() as temporary:
         folder = temporary if kept_folder is None else kept_folder
@@ -52,7 +62,7 @@
         started_s = time.monotonic()
         try:
             violations, records = asyncio.run(
-                play_seed(seed, folder, args.length, args.nodes, args.engines)
+                play_seed(seed, folder, args.length, sizes, args.only)
             )
         except Exception as error:
             # One seed must not end the run; it counts as failed.
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,7 +5,8 @@
 the store was not disturbed either.
 """
 
-from tests.soak.engines import EVENTS
+from tests.soak.answers import CALL_S, EVENT_S, EVENTS
+from tests.soak.records import Span
 
 UNDISTURBED_S = 4.0
 DRAIN_S = 3.0
@@ -29,6 +30,10 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 MAX_LATE = 7
+# Longest time that a sound engine works on a request, on a busy machine.
+WORK_S = max(CALL_S, EVENTS * EVENT_S) + 0.4
+# Statuses of requests that were accepted and then failed.
+FAILED = (502, 504)
 
 
 def violations(records):
@@ -39,11 +44,13 @@
         _refused_but_ran,
         _mixed_answers,
         _broken_streams,
+        _joined_runs,
         _altered_requests,
         _unknown_moves,
         _sent_to_leaving_engines,
         _ran_with_dropped_keys,
         _cut_by_planned_stops,
+        _lost_in_silence,
         _wrongly_denied,
         _answered_late,
         _duty_conflicts,
@@ -84,36 +91,63 @@
 
 def _mixed_answers(records):
     for call in records.calls:
-        if call.status != 200 or not call.complete or "stream" in call.target:
+        if call.status != 200 or not call.complete or call.event_stream:
             continue
-        runs = records.runs.get(call.request_id, ())
-        if call.answer not in [run.answer for run in runs]:
+        if call.answer not in _whole_bodies(records, call):
             yield f"{call.request_id} got an answer that no engine sent for it"
         if not call.sealed:
             yield f"{call.request_id} got a 200 without the server-seal of an engine"
 
 
-def _broken_streams(records):
+def _whole_bodies(records, call):
+    """Return the bodies of the engines' plain successes for a request."""
+    runs = records.runs.get(call.request_id, ())
+    return [r.answer for r in runs if r.status == 200 and r.answer is not None]
+
+
+def _streams(records):
+    """Yield each event stream of a caller: call, numbers and data of the events.
+
+    The number of a block of bytes that is no event is None.
+    """
     for call in records.calls:
-        if call.status != 200 or "stream" not in call.target:
+        if call.status != 200 or not call.event_stream:
             continue
-        blocks = call.answer.decode().split("\n\n")
-        events = [block for block in blocks if block]
-        numbers = [
-            int(event.partition("\n")[0].removeprefix("id: ")) for event in events
-        ]
-        tokens = {event.partition("data: ")[2] for event in events}
+        numbers, tokens = [], []
+        for block in call.answer.decode().split("\n\n"):
+            number, _, token = block.removeprefix("id: ").partition("\ndata: ")
+            if block:
+                numbers.append(int(number) if number.isdigit() else None)
+                tokens.append(token)
+        yield call, numbers, tokens
+
+
+def _broken_streams(records):
+    for call, numbers, tokens in _streams(records):
+        runs = records.runs.get(call.request_id, ())
         if numbers != list(range(1, len(numbers) + 1)):
             yield f"{call.request_id} got the events {numbers}"
-        if call.complete and len(numbers) != EVENTS:
+        ends = {EVENTS, *(run.ends_after for run in runs)}
+        if call.complete and len(numbers) not in ends:
             yield f"{call.request_id} looks complete after {len(numbers)} events"
-        if call.kind != "resume" and len(tokens) > 1:
-            yield f"{call.request_id} got events of {len(tokens)} runs"
         foreign = [token for token in tokens if call.request_id not in token]
         if foreign:
             yield f"{call.request_id} got an event of another request: {foreign[0]}"
 
 
+def _joined_runs(records):
+    """Find streams with events of two runs, unless the second resumes the first."""
+    for call, numbers, tokens in _streams(records):
+        if call.kind != "resume" and len(set(tokens)) > 1:
+            yield f"{call.request_id} got events of {len(set(tokens))} runs"
+        runs = records.runs.get(call.request_id, ())
+        first_events = {run.token: run.first_event for run in runs if run.token}
+        for token in dict.fromkeys(tokens):
+            first = numbers[tokens.index(token)]
+            if first_events.get(token, first) != first:
+                yield f"{call.request_id} got another run's events from {first} on"
+
+
 def _altered_requests(records):
     calls = {call.request_id: call for call in records.calls}
     for request_id, runs in records.runs.items():
@@ -191,11 +225,53 @@
         start_s = call.sent_s - UNDISTURBED_S
         names = ["store", call.node, *(run.engine for run in runs)]
         if not any(
-            records.was_disturbed(name, start_s, call.ended_s) for name in names
+            records.was_disturbed(name, start_s, call.ended_s)
+            or records.was_faulty(name, start_s, call.ended_s)
+            for name in names
         ):
             yield f"{call.request_id} was cut off by the planned stop of {call.node}"
 
 
+def _lost_in_silence(records):
+    """Find requests that failed although their engines were only silent for a while.
+
+    A request counts if it reached an engine that would have answered in time, one of
+    its engines fell silent, and nothing was disturbed that could explain the failure.
+    """
+    for call in records.calls:
+        failed = call.status in FAILED or not call.complete
+        if not failed or call.abandoned or call.crashing or not call.ended_s:
+            continue
+        runs = [r for r in records.runs.get(call.request_id, ()) if not r.rejected]
+        deadline_s = call.sent_s + call.timeout_s
+        in_time = any(r.arrived_s + r.silent_s + WORK_S < deadline_s for r in runs)
+        if not (in_time and any(run.silent_s for run in runs)):
+            continue
+        if not _was_any_disturbed(records, call):
+            silences = ", ".join(
+                f"{run.engine} after {run.arrived_s - call.sent_s:.2f} s, silent for"
+                f" {run.silent_s:.2f} s"
+                for run in runs
+            )
+            yield (
+                f"{call.request_id} ({call.kind}) was lost with status {call.status}"
+                f" after {call.ended_s - call.sent_s:.2f} s; it ran at {silences}"
+            )
+
+
+def _was_any_disturbed(records, call):
+    """Return whether its node, the store or any engine was disturbed beside a call."""
+    start_s, end_s = call.sent_s - UNDISTURBED_S, call.ended_s
+    spans = [*records.disturbances, *records.engine_faults]
+    spans += [Span(engine, *times) for engine, _, *times in records.limits]
+    nodes = {other.node for other in records.calls} - {call.node}
+    spans += records.planned_stops
+    return any(
+        span.start_s < end_s and span.end_s > start_s and span.name not in nodes
+        for span in spans
+    )
+
+
 def _wrongly_denied(records):
     valid_calls = [
         call
@@ -279,5 +355,8 @@
             (sum(t <= at < t + LIMIT_WINDOW_S for at in times) for t in times),
             default=0,
         )
+        # A refusal from before the limit does not name it.
+        if records.was_faulty(engine, named_s, ended_s):
+            continue
         if most > LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK:
             yield f"{engine} named {limit_per_s} a second and got {most} requests"
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -5,14 +5,10 @@
 import json
 
 from tests.gateway.harness import HOST, Upstream
+from tests.soak.answers import plain_answer, send, stream_answer
 from tests.soak.proxy import Link
 from tests.soak.records import Run
 
-# Duration of a plain call and interval between the events of a stream; long enough
-# that some requests are in progress at each fault.
-CALL_S = 0.15
-EVENT_S = 0.03
-EVENTS = 8
 # Prompt segments with this prefix end the engine that begins to write an answer, this
 # long after the head.
 CRASHING_PREFIX = "bad"
@@ -33,6 +29,8 @@
         self.sequence = 0
         # Requests per second that it names in its answers.
         self.limit_per_s = None
+        # Functions of `faultyengines`; one of them at most changes an answer.
+        self.faults = []
         # Called if a prompt segment ends it.
         self.on_crash = None
         self.started_ms = 1_700_000_000_000 + next(self.start_numbers)
@@ -111,29 +109,27 @@
 
     async def _answer(self, response, run, extra):
         """Answer with a token unique to this run, which exposes mixed answers."""
-        token = f"{self.name} {run.headers['request-id']} {run.arrived_s:.6f}"
-        if "stream" not in run.target:
-            await asyncio.sleep(CALL_S)
-            run.status, run.answer = 200, token.encode()
-            response.respond(200, run.answer, extra)
-            return
-        run.status, run.answer = 200, b""
-        response.extra = extra
-        response.stream()
+        run.token = f"{self.name} {run.headers['request-id']} {run.arrived_s:.6f}"
         if run.crashing_segment is not None:
+            response.extra = extra
+            response.stream()
             await asyncio.sleep(CRASH_S)
             if self.alive:
                 self.on_crash(self, run.crashing_segment)
             return
-        first = int(run.headers.get("last-event-id", 0)) + 1
-        for number in range(first, EVENTS + 1):
-            event = f"id: {number}\ndata: {token}\n\n".encode()
-            run.answer += event
-            if response.closed:
-                return
-            response.send(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await asyncio.sleep(EVENT_S)
-        response.end()
+        if "stream" in run.target:
+            first = int(run.headers.get("last-event-id", 0)) + 1
+            answer = stream_answer(extra, run.token, first)
+        else:
+            answer = plain_answer(200, extra, run.token.encode())
+        for change in self.faults:
+            changed = change(self.name, response, run, answer)
+            if changed is not answer:
+                answer = changed
+                break
+        run.status, run.answer = answer.status, answer.body
+        run.first_event, run.ends_after = answer.first_event, answer.ends_after
+        await send(response, answer)
 
 
 def _crashing_segment(headers):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,7 +30,16 @@
 }
 # Faults of engines in trouble, drawn apart so that the other faults of a seed stay.
 TROUBLE_KINDS = ("prompt_crash", "engine_limit")
-# Time between two of them, and how long they last.
+# Faults in the answers of engines, drawn apart as well.
+ANSWER_KINDS = (
+    "engine_silent",
+    "engine_stale_refusal",
+    "engine_broken_stream",
+    "engine_cut_head",
+)
+# Engines that such a fault affects.
+SCOPES = ("one", "third", "all")
+# Time between two faults that are drawn apart, and how long they last.
 TROUBLE_PAUSE_RANGE_S = (4.0, 12.0)
 TROUBLE_DURATION_RANGE_S = (5.0, 9.0)
 # Values of proxy.Disturbance that a fault of a link may have.
@@ -50,7 +59,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """Represent one fault; `target_fraction` selects one of the live targets."""
+    """Represent one fault; `target_fraction` selects one of the live targets.
+
+    The disturbance is that of a link, or the scope of a fault in engines' answers.
+    """
 
     at_s: float
     kind: str
@@ -60,8 +72,13 @@
     clock_step_s: float
 
 
-def draw_faults(seed, length_s):
-    """Return the faults of a run, ordered by start; the seed determines them."""
+def draw_faults(seed, length_s, only=()):
+    """Return the faults of a run, ordered by start; the seed determines them.
+
+    With kinds in `only`, just these are drawn, in place of all those drawn apart.
+    """
+    if only:
+        return _draw_apart(f"answers {seed}", length_s, only, SCOPES)
     rng = random.Random(seed)
     kinds, weights = list(KIND_WEIGHTS), list(KIND_WEIGHTS.values())
     faults = []
@@ -81,21 +98,23 @@
                 )
             )
             at_s += rng.uniform(*PAUSE_RANGE_S)
-    return sorted(faults + _draw_trouble(seed, length_s), key=lambda each: each.at_s)
+    faults += _draw_apart(f"trouble {seed}", length_s, TROUBLE_KINDS)
+    faults += _draw_apart(f"answers {seed}", length_s, ANSWER_KINDS, SCOPES)
+    return sorted(faults, key=lambda each: each.at_s)
 
 
-def _draw_trouble(seed, length_s):
-    rng = random.Random(f"trouble {seed}")
+def _draw_apart(seed, length_s, kinds, scopes=()):
+    rng = random.Random(seed)
     faults = []
     at_s = FIRST_FAULT_S
     while at_s < length_s:
         faults.append(
             Fault(
                 at_s=at_s,
-                kind=rng.choice(TROUBLE_KINDS),
+                kind=rng.choice(kinds),
                 target_fraction=rng.random(),
                 duration_s=rng.uniform(*TROUBLE_DURATION_RANGE_S),
-                disturbance="none",
+                disturbance=rng.choice(scopes) if scopes else "none",
                 clock_step_s=0.0,
             )
         )
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -17,9 +17,17 @@
     rejected: bool = False
     # The prompt segment that ends the engine.
     crashing_segment: str | None = None
-    # The complete answer of the engine.
+    # The complete body of the engine, unless it sent a stream.
     answer: bytes | None = None
     status: int = 0
+    # Part of each event of the run, and of no other's.
+    token: str = ""
+    # The number of its first event, and of the event after which it marked its stream
+    # as complete.
+    first_event: int = 1
+    ends_after: int | None = None
+    # How long the engine fell silent in its answer.
+    silent_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -40,6 +48,7 @@
     status: int = 0
     sealed: bool = False
     answer: bytes = b""
+    event_stream: bool = False
     complete: bool = False
     abandoned: bool = False
     # Its prompt crashes engines.
@@ -65,6 +74,8 @@
     moves: list = field(default_factory=list)
     # Unplanned disturbances of nodes and engines, by name, and of "store".
     disturbances: list = field(default_factory=list)
+    # Times in which engines broke off answers or wrote wrong ones.
+    engine_faults: list = field(default_factory=list)
     # Ends of engines under a prompt segment: segment, engine and time.
     prompt_crashes: list = field(default_factory=list)
     # Limits that engines named: engine, requests a second, first and last time.
@@ -88,7 +99,15 @@
 
     def was_disturbed(self, name, start_s, end_s):
         """Return whether a disturbance of `name` overlaps with the period."""
-        return any(
-            span.name == name and span.start_s < end_s and span.end_s > start_s
-            for span in self.disturbances
-        )
+        return _overlaps(self.disturbances, name, start_s, end_s)
+
+    def was_faulty(self, name, start_s, end_s):
+        """Return whether an engine answered wrongly in a part of the period."""
+        return _overlaps(self.engine_faults, name, start_s, end_s)
+
+
+def _overlaps(spans, name, start_s, end_s):
+    return any(
+        span.name == name and span.start_s < end_s and span.end_s > start_s
+        for span in spans
+    )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from tests.soak.answers import EVENTS
 from tests.soak.checks import (
     CONTACT_S,
     DRAIN_S,
@@ -9,7 +10,6 @@
     UNDISTURBED_S,
     violations,
 )
-from tests.soak.engines import EVENTS
 from tests.soak.records import Call, Records, Run, Span
 
 FAULTS_ENDED_S = 100.0
@@ -30,6 +30,7 @@
         "status": 200,
         "sealed": True,
         "complete": True,
+        "event_stream": stream,
         "answer": events(request_id) if stream else b"done",
         **changes,
     }
@@ -46,8 +47,9 @@
         "target": f"/{kind}/stream" if stream else f"/{kind}/call",
         "body": b"ask",
         "headers": {"tenant": "w"},
-        "answer": b"done",
+        "answer": None if stream else b"done",
         "status": 200,
+        "ends_after": EVENTS if stream else None,
         **changes,
     }
     return Run(**values)
@@ -123,6 +125,49 @@
                 records([broken_call], {"r1": [run("stream")]}), expected
             )
 
+    def test_a_stream_that_no_engine_ended_is_reported(self):
+        """A stream must look complete only where an engine marked its end."""
+        ended = call(kind="resume", answer=events("r1", [1, 2]))
+        runs = [run("resume", ends_after=None), run("resume", ends_after=2)]
+        self.assertEqual([], violations(records([ended], {"r1": runs})))
+        runs[1].ends_after = None
+        self.assert_one_violation(records([ended], {"r1": runs}), "looks complete")
+        ended.answer = events("r1")
+        self.assertEqual([], violations(records([ended], {"r1": runs})))
+
+    def test_a_plain_answer_to_a_stream_must_be_whole(self):
+        """A 200 in place of a stream must be the whole body of an engine's success."""
+        plain = call(kind="resume", answer=b"whole", event_stream=False)
+        for status, answer, expected in (
+            (200, b"whole", 0),
+            (500, b"whole", 1),
+            (200, b"whole body", 1),
+            (200, None, 1),
+        ):
+            runs = [run("resume", status=status, answer=answer, ends_after=None)]
+            reported = violations(records([plain], {"r1": runs}))
+            self.assertEqual(expected, len(reported), reported)
+
+    def test_text_within_a_stream_that_is_no_event_is_reported(self):
+        """The text of an error must not appear in the middle of a stream."""
+        for kind in ("stream", "resume"):
+            answer = events("r1", [1, 2]) + b"HTTP/1.1 500 r1\n\n"
+            broken = call(kind=kind, answer=answer, complete=False)
+            reported = violations(records([broken], {"r1": [run(kind)]}))
+            self.assertIn("got the events [1, 2, None]", reported[0])
+
+    def test_events_of_a_run_that_started_again_are_reported(self):
+        """Events of a run from the start must not follow those of an earlier run."""
+        answer = events("r1", [1, 2, 3]) + events("r1", range(4, EVENTS + 1), "b")
+        resumed = call(kind="resume", answer=answer)
+        runs = [
+            run("resume", token="a r1", ends_after=None),
+            run("resume", token="b r1", first_event=4),
+        ]
+        self.assertEqual([], violations(records([resumed], {"r1": runs})))
+        runs[1].first_event = 1
+        self.assert_one_violation(records([resumed], {"r1": runs}), "another run's")
+
     def test_altered_requests_are_reported(self):
         """A request that was altered or that no caller sent must be reported."""
         cases = {
@@ -169,6 +214,43 @@
         run_records = records([cut], {"r1": [run("stream")]}, planned_stops=stops)
         self.assert_one_violation(run_records, "planned stop")
 
+    def test_a_request_lost_in_a_silence_is_reported(self):
+        """A request that failed while its engine was only silent must be reported."""
+        silent = {"r1": [run("safe", silent_s=1.2), run("safe", arrived_s=51.1)]}
+        lost = call(kind="safe", status=504, ended_s=53.0, answer=b"", sealed=False)
+        cut = call(kind="resume", complete=False, answer=events("r1", [1]))
+        for failed in (lost, cut, call(status=0, complete=False, answer=b"")):
+            run_records = records([failed], {"r1": [run(failed.kind, silent_s=1.2)]})
+            self.assert_one_violation(run_records, "was lost")
+        self.assert_one_violation(records([lost], silent), "was lost")
+
+    def test_a_failure_that_another_fault_may_explain_is_not_lost(self):
+        """Guards against false alarms where not only a silence disturbed a request."""
+        lost = call(kind="safe", status=504, ended_s=53.0, answer=b"", sealed=False)
+        silent = {"r1": [run("safe", silent_s=1.2)]}
+        explanations = [
+            {name: [Span(each, 49.0, 49.5)]}
+            for name, each in (
+                ("disturbances", "n0"),
+                ("disturbances", "store"),
+                ("disturbances", "i-7"),
+                ("planned_stops", "n0"),
+                ("engine_faults", "i-7"),
+            )
+        ]
+        for changes in (*explanations, {"limits": [("i-7", 1.0, 40.0, 52.0)]}):
+            self.assertEqual([], violations(records([lost], silent, **changes)))
+        for runs in (
+            [run("safe")],
+            [run("safe", arrived_s=51.5, silent_s=1.2)],
+            [run("safe", silent_s=1.2, rejected=True)],
+        ):
+            self.assertEqual([], violations(records([lost], {"r1": runs})))
+        other_node = records([lost], silent, disturbances=[Span("n1", 49.0, 49.5)])
+        other_node.calls.append(call("r2", node="n1"))
+        other_node.runs["r2"] = [run()]
+        self.assert_one_violation(other_node, "was lost")
+
     def test_denied_valid_requests_are_reported(self):
         """Valid requests that got 401 must be reported."""
         denied = [call(f"r{n}", status=401, answer=b"") for n in range(7)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,12 @@
 import testtools
 
 from tests.gateway.harness import LoopTest
-from tests.soak.faults import KIND_WEIGHTS, TROUBLE_KINDS, draw_faults
+from tests.soak.faults import (
+    ANSWER_KINDS,
+    KIND_WEIGHTS,
+    TROUBLE_KINDS,
+    draw_faults,
+)
 from tests.soak.world import play_seed
 
 SEED = 4
@@ -30,7 +35,7 @@
         """Every kind of fault must be drawn, and faults must overlap in every seed."""
         faults = [fault for seed in range(50) for fault in draw_faults(seed, 20.0)]
         self.assertEqual(
-            {*KIND_WEIGHTS, *TROUBLE_KINDS},
+            {*KIND_WEIGHTS, *TROUBLE_KINDS, *ANSWER_KINDS},
             set(Counter(fault.kind for fault in faults)),
         )
         for seed in range(50):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,12 +8,14 @@
 from tests.soak.checks import RECOVERY_S, violations
 from tests.soak.engines import CRASHING_PREFIX
 from tests.soak.faults import draw_faults
+from tests.soak.faultyengines import ENGINE_FAULTS
 from tests.soak.nodes import GRACE_S, NodeProcess
 from tests.soak.platform import KEYS, TIMEOUT_S, Platform
 from tests.soak.proxy import Disturbance
 from tests.soak.records import Call, Records, Span
 
-CALLERS = 16
+# Numbers of nodes, engines and callers.
+SIZES = (3, 4, 16)
 CALL_KINDS = ("safe", "unsafe", "stream", "resume")
 # Mean pause of a caller between two requests.
 PAUSE_S = 0.02
@@ -40,11 +42,11 @@
 class SoakRun:
     """Run nodes, engines and callers, inject faults and record observations."""
 
-    def __init__(self, seed, folder, nodes, engines):
+    def __init__(self, seed, folder, sizes):
         self.records = Records()
         self._rng = random.Random(seed)
         self._folder = Path(folder)
-        self._fleet_sizes = nodes, engines
+        self._sizes = sizes
         self._clock = asyncio.get_running_loop().time
         self._platform = Platform(self.records, self._clock)
         self._nodes = []
@@ -56,7 +58,7 @@
 
     async def run(self, faults):
         """Run with these faults; return a line for each violated guarantee."""
-        nodes, engines = self._fleet_sizes
+        nodes, engines, _ = self._sizes
         store_port = await self._platform.start(engines)
         for number in range(nodes):
             node = NodeProcess(f"n{number}", self._folder, store_port)
@@ -76,7 +78,7 @@
     async def _run_faults(self, faults):
         self._spawn(self._platform.run_heartbeats())
         self._spawn(self._watch_loop_lag())
-        for _ in range(CALLERS):
+        for _ in range(self._sizes[2]):
             self._spawn(self._run_caller())
         started_s = self._clock()
         fault_tasks = []
@@ -233,6 +235,9 @@
             # At least one engine must remain to serve.
             return
         engine = live[int(fault.target_fraction * len(live))]
+        if kind in ENGINE_FAULTS:
+            await self._change_answers(kind, fault, live)
+            return
         if kind == "link":
             await self._disturb_link(engine.link, engine.name, fault)
             return
@@ -265,6 +270,29 @@
         await asyncio.sleep(fault.duration_s)
         self._crashing_segments.remove(segment)
 
+    async def _change_answers(self, kind, fault, live):
+        """Let one engine, a third or all of them answer in a faulty way."""
+        counts = {"one": 1, "third": len(live) // 3 + 1, "all": len(live)}
+        first = int(fault.target_fraction * len(live))
+        names = {
+            each.name
+            for each in (live[first:] + live[:first])[: counts[fault.disturbance]]
+        }
+        rng = random.Random(f"{kind} {fault.target_fraction}")
+        change = ENGINE_FAULTS[kind](rng, names)
+        started_s = self._clock()
+        for engine in live:
+            engine.faults.append(change)
+        await asyncio.sleep(fault.duration_s)
+        for engine in live:
+            engine.faults.remove(change)
+        if kind != "silent":
+            # Answers that began before the end are faulty as well.
+            end_s = self._clock() + TIMEOUT_S
+            self.records.engine_faults += [
+                Span(each.name, started_s, end_s) for each in live
+            ]
+
     async def _limit_engine(self, engine, fault):
         """Let an engine name a limit, and then none again."""
         fraction = 1000 * fault.target_fraction % 1
@@ -376,6 +404,8 @@
         call.status, call.answer = reply.status, reply.body
         call.complete = reply.complete
         call.sealed = b"server-seal" in reply.headers
+        content_type = reply.headers.get(b"content-type", b"")
+        call.event_stream = content_type == b"text/event-stream"
         if call.key not in self.records.dropped_keys and not call.crashing:
             self._consecutive_served = (
                 self._consecutive_served + 1 if call.status == 200 else 0
@@ -383,8 +413,8 @@
         return reply.complete and reply.headers.get(b"connection") != b"close"
 
 
-async def play_seed(seed, folder, length_s, nodes=3, engines=4):
+async def play_seed(seed, folder, length_s, sizes=SIZES, only=()):
     """Run one seed; return the violations, as lines of text, and the records."""
-    soak_run = SoakRun(seed, folder, nodes, engines)
-    violation_lines = await soak_run.run(draw_faults(seed, length_s))
+    soak_run = SoakRun(seed, folder, sizes)
+    violation_lines = await soak_run.run(draw_faults(seed, length_s, only))
     return violation_lines, soak_run.records
