--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,8 +21,6 @@
 LENGTH_S = 12.0
 # Covers the faults and the recovery of a run, also on a busy machine.
 RUN_TIMEOUT_S = 150.0
-# Faults under which nodes still violate guarantees; `make soak` plays them as well.
-UNFIXED_KINDS = ("engine_silent", "engine_broken_stream")
 # Seeds that failed in the past, each with its cause.
 FAILED_SEEDS = Path(__file__).with_name("seeds.json")
 
@@ -57,11 +55,7 @@
     def run_seed(self, seed, length_s):
         """Run one seed; expect no violation and at least a quarter of calls served."""
         folder = self.enterContext(tempfile.TemporaryDirectory())
-        faults = [
-            fault
-            for fault in draw_faults(seed, length_s)
-            if fault.kind not in UNFIXED_KINDS
-        ]
+        faults = draw_faults(seed, length_s)
         violations, records = self.run_loop(play_faults(seed, folder, faults))
         self.assertEqual([], violations)
         served = sum(1 for call in records.calls if call.status == 200)
