Move the times of hedges to the decisions

The delay of a hedge and the judgement of a silence are plain functions with tests of their own now.

--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -3,12 +3,25 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cicadapass_decisions.passthrough import CallKind
+
 # Sends of one request, including those that the upstream rejected. Each one loads an
 # upstream.
 MAX_SENDS = 4
 # Upstreams selected for one request. A failed connection is cheap, and after a crash of
 # several engines the registry lists all of them for a few more seconds.
 MAX_TRIES = 8
+# A stream is hedged if no data arrives for this long plus this multiple of the expected
+# time; a call after this fraction of its time, or after that multiple of the expected
+# time if it is longer.
+HEDGE_DELAY_S = 0.9
+HEDGE_DELAY_FACTOR = 3.0
+HEDGE_DELAY_FRACTION = 1 / 3
+# A sound upstream may be silent for a second or so. Longer silences count as a failure.
+SOUND_SILENCE_S = 2.0
+# So does no data on any connection for this long while requests are in progress, each
+# of which may be within a sound silence of its own.
+SOUND_UPSTREAM_SILENCE_S = 4.0
 
 
 class AttemptOutcome(Enum):
@@ -113,6 +126,26 @@
     """Answer that the request failed and may have run."""
 
 
+def hedge_delay_s(kind: CallKind, expected_s: float, time_limit_s: float) -> float:
+    """Return the silence of an upstream after which a hedge is due."""
+    if kind is CallKind.STREAM:
+        return HEDGE_DELAY_S + HEDGE_DELAY_FACTOR * expected_s
+    return max(HEDGE_DELAY_FRACTION * time_limit_s, HEDGE_DELAY_FACTOR * expected_s)
+
+
+def is_failing_silence(
+    silent_s: float, upstream_silent_s: float, delay_s: float
+) -> bool:
+    """Return whether a silence of a request is too long for a sound upstream.
+
+    `upstream_silent_s` is the silence towards all requests of the node, and `delay_s`
+    that after which a hedge is due.
+    """
+    if silent_s < delay_s:
+        return False
+    return silent_s >= SOUND_SILENCE_S or upstream_silent_s >= SOUND_UPSTREAM_SILENCE_S
+
+
 def may_run_again(progress: RequestProgress) -> bool:
     """Return whether the request may be sent to one more upstream."""
     return (
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -5,8 +5,12 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
-from cicadapass_decisions.attempts import AttemptResult
-from cicadapass_decisions.passthrough import CallKind, UpstreamRecord
+from cicadapass_decisions.attempts import (
+    AttemptResult,
+    hedge_delay_s,
+    is_failing_silence,
+)
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Attempt, HeaderCodec, ResponseInfo
 from cicadapass_gateway.eventstream import EventSplitter, StreamEvent
 from cicadapass_gateway.exceptions import (
@@ -36,16 +40,6 @@
 # Opening a connection within a region takes milliseconds. TCP resends a lost SYN only
 # after a second, by when another upstream is the better choice.
 CONNECT_TIMEOUT_S = 0.4
-# A stream is hedged if no data arrives for this long plus this multiple of the expected
-# time; a call after a third of the time until its deadline, or after that multiple of
-# the expected time if it is longer.
-HEDGE_DELAY_S = 0.9
-HEDGE_DELAY_FACTOR = 3.0
-# A sound upstream may be silent for a second or so. Longer silences count as a failure.
-SOUND_SILENCE_S = 2.0
-# So does no data on any connection for this long while requests are in progress, each
-# of which may be within a sound silence of its own.
-SOUND_ENGINE_SILENCE_S = 4.0
 # Time from the head to the first event of a hedge while the other attempt goes on. Two
 # upstreams must not write events of one request for 0.4 s.
 MAX_OVERLAP_S = 0.3
@@ -131,11 +125,12 @@
     @property
     def hedge_delay_s(self) -> float:
         """Return the silence after which a hedge is due."""
-        request, expected_s = self._request, self._reservation.expected_s
-        if request.match.route.kind is CallKind.STREAM:
-            return HEDGE_DELAY_S + HEDGE_DELAY_FACTOR * expected_s
-        delay_s = (request.deadline_s - request.exchange.arrived_s) / 3
-        return max(delay_s, HEDGE_DELAY_FACTOR * expected_s)
+        request = self._request
+        return hedge_delay_s(
+            request.match.route.kind,
+            self._reservation.expected_s,
+            request.deadline_s - request.exchange.arrived_s,
+        )
 
     @property
     def progress(self) -> ResponseProgress:
@@ -153,19 +148,14 @@
         """Record that another attempt delivers the answer."""
         self._lost = True
 
-    def judge_silence(self) -> bool:
-        """Return whether the silence counts as a failure; count it once."""
-        limit_s = max(SOUND_SILENCE_S, self.hedge_delay_s)
-        silent_s, now_s = self.silent_s(), self._state.clock()
-        if silent_s < limit_s and (
-            silent_s < self.hedge_delay_s
-            or self._meter.silent_s(now_s) < max(SOUND_ENGINE_SILENCE_S, limit_s)
+    def judge_silence(self) -> None:
+        """Count a silence that is too long for a sound upstream as a failure, once."""
+        now_s = self._state.clock()
+        if not self._silence_counted and is_failing_silence(
+            self.silent_s(), self._meter.silent_s(now_s), self.hedge_delay_s
         ):
-            return False
-        if not self._silence_counted:
             self._silence_counted = True
             self._meter.record_failure(now_s)
-        return True
 
     async def run(self) -> AttemptResult:
         """Send the request and relay the response; return how the attempt ended."""
--- a/tests/decisions/test_attempts.py
+++ b/tests/decisions/test_attempts.py
@@ -11,8 +11,12 @@
     Refuse,
     RequestProgress,
     Retry,
+    hedge_delay_s,
+    is_failing_silence,
+    may_run_again,
     next_step,
 )
+from cicadapass_decisions.passthrough import CallKind
 
 BROKEN = AttemptResult.broken("reset")
 REJECTED = AttemptResult.rejected(503)
@@ -99,3 +103,26 @@
         self.assertEqual(
             Done(), next_step(result, progress(True, 1), retry_allowed=True)
         )
+
+
+class HedgeTest(testtools.TestCase):
+    def test_a_hedge_is_an_attempt_like_any_other(self):
+        """Hedges ran on more upstreams than the route allows."""
+        self.assertTrue(may_run_again(progress(True, runs=1)))
+        self.assertFalse(may_run_again(progress(True, runs=2)))
+        self.assertFalse(may_run_again(progress(True, runs=1, sends=MAX_SENDS)))
+        self.assertFalse(may_run_again(progress(False, runs=1)))
+
+    def test_expected_times_delay_a_hedge(self):
+        """Each long prompt was sent to two upstreams."""
+        self.assertGreater(hedge_delay_s(CallKind.STREAM, 2.0, 10.0), 2.0)
+        self.assertGreater(hedge_delay_s(CallKind.SAFE, 2.0, 3.0), 2.0)
+        self.assertEqual(1.0, hedge_delay_s(CallKind.SAFE, 0.1, 3.0))
+
+    def test_a_sound_silence_is_no_failure(self):
+        """An upstream that was silent for a second counted as failed."""
+        self.assertFalse(is_failing_silence(1.4, 1.4, 1.2))
+        self.assertFalse(is_failing_silence(1.4, 3.0, 1.2))
+        self.assertTrue(is_failing_silence(2.1, 0.0, 1.2))
+        self.assertTrue(is_failing_silence(1.4, 4.1, 1.2))
+        self.assertFalse(is_failing_silence(2.1, 4.1, 3.0))
