Do not count runs that ended with their engine

The platform does not count engines that ended. Beside many silences, hedges also used up the retries of broken answers.

Change: before a request has no run left, the node looks whether the engines that broke off its runs still listen; ended ones do not count. Hedges use 70 % of the allowance.

--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -101,6 +101,13 @@
     # Attempts that may have run the request.
     runs: int
     max_runs: int
+    # Those of the runs that ended with their engine, which the route does not count.
+    runs_at_ended: int = 0
+
+    @property
+    def runs_used_up(self) -> bool:
+        """Return whether the route allows no further run."""
+        return self.runs - self.runs_at_ended >= self.max_runs
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,9 +156,7 @@
 def may_run_again(progress: RequestProgress) -> bool:
     """Return whether the request may be sent to one more upstream."""
     return (
-        progress.repeatable
-        and progress.sends < MAX_SENDS
-        and progress.runs < progress.max_runs
+        progress.repeatable and progress.sends < MAX_SENDS and not progress.runs_used_up
     )
 
 
@@ -173,6 +178,6 @@
         return Retry(needs_allowance=True)
     if result.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED):
         return Fail() if progress.runs else Refuse()
-    if may_send_again and progress.runs < progress.max_runs:
+    if may_send_again and not progress.runs_used_up:
         return Retry(needs_allowance=True)
     return Fail()
--- a/packages/decisions/cicadapass_decisions/retryallowance.py
+++ b/packages/decisions/cicadapass_decisions/retryallowance.py
@@ -8,6 +8,9 @@
 # Fraction of the platform's slack that is used; the rest covers nodes that have not yet
 # discovered each other.
 SLACK_FRACTION = 0.5
+# Part of the allowance that hedges may use: a silent upstream may still answer, while
+# an answer that broke off is lost without a retry.
+HEDGE_FRACTION = 0.7
 
 
 class RetryAllowance:
@@ -24,18 +27,21 @@
         self._requests.append(now_s)
         self._trim(now_s)
 
-    def is_available(self, now_s: float, nodes: int) -> bool:
-        """Return whether one more retry is allowed.
+    def is_available(self, now_s: float, nodes: int, *, hedge: bool = False) -> bool:
+        """Return whether one more retry is allowed; hedges leave a part for the others.
 
         The slack beyond the ratio is divided evenly among all nodes.
         """
         self._trim(now_s)
         slack = SLACK_FRACTION * self._slack / max(1, nodes)
-        return len(self._retries) + 1 <= slack + RETRY_RATIO * len(self._requests)
+        allowed = slack + RETRY_RATIO * len(self._requests)
+        if hedge:
+            allowed *= HEDGE_FRACTION
+        return len(self._retries) + 1 <= allowed
 
-    def take(self, now_s: float, nodes: int) -> bool:
+    def take(self, now_s: float, nodes: int, *, hedge: bool = False) -> bool:
         """Return whether one more retry is allowed, and count it if so."""
-        if not self.is_available(now_s, nodes):
+        if not self.is_available(now_s, nodes, hedge=hedge):
             return False
         self._retries.append(now_s)
         return True
--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -20,8 +19,7 @@
     SegmentSuspicions,
     Suspected,
 )
-from cicadapass_gateway.exceptions import ConnectFailed
-from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.endedengines import EndedEngines
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 
@@ -35,10 +33,6 @@
 # Requests of several nodes that waited for a trial resume at random within this time,
 # so that the next trial is known to the others before they begin one.
 RESUME_SPREAD_S = 0.1
-# The connections to an engine that ends are lost within this time.
-COLLECT_S = 0.02
-CHECK_TIMEOUT_S = 0.4
-MAX_CONFIRMED = 256
 
 
 class HeldReason(Enum):
@@ -60,16 +54,14 @@
 class PromptGuard:
     """Apply the suspicions against prompt segments to the requests of this node."""
 
-    def __init__(self, state: NodeState, pool: ClientPool) -> None:
+    def __init__(self, state: NodeState, ended_engines: EndedEngines) -> None:
         self._state = state
-        self._pool = pool
+        self._ended_engines = ended_engines
         self._suspicions: SegmentSuspicions = state.segment_suspicions
         self._suspicions.subscribe(self._apply_changes)
         # Requests in progress by segment; the values serve as ordered sets.
         self._requests: dict[str, dict[RequestContext, None]] = {}
         self._broken: dict[str, _BrokenAnswers] = {}
-        # Engines that have ended.
-        self._confirmed: OrderedDict[str, None] = OrderedDict()
         self._changed: asyncio.Future[None] | None = None
 
     def find_block(self, request: RequestContext) -> Blocked | None:
@@ -173,7 +165,7 @@
         broken = self._broken.setdefault(engine, _BrokenAnswers())
         began = response.head_s is not None
         (broken.writing if began else broken.waiting).update(request.segments)
-        if engine in self._confirmed:
+        if self._ended_engines.is_known(record):
             self._record_end(engine)
             return
         if broken.check is None:
@@ -220,11 +212,8 @@
 
     async def _check_engine(self, engine: str, record: UpstreamRecord) -> None:
         """Find out whether an engine ended, unless it was known to leave."""
-        await asyncio.sleep(COLLECT_S)
-        if self._is_listed(record) and await self._refuses(record):
-            self._confirmed[engine] = None
-            while len(self._confirmed) > MAX_CONFIRMED:
-                self._confirmed.popitem(last=False)
+        ended = await self._ended_engines.has_ended(record)
+        if ended and self._is_listed(record):
             self._record_end(engine)
         else:
             self._broken.pop(engine, None)
@@ -236,17 +225,6 @@
             for each in self._state.upstreams.usable(record.service)
         )
 
-    async def _refuses(self, record: UpstreamRecord) -> bool:
-        """Return whether nothing listens at the address of an engine any more."""
-        try:
-            channel = await self._pool.acquire(
-                record.host, record.port, CHECK_TIMEOUT_S, fresh=True
-            )
-        except ConnectFailed as error:
-            return error.refused
-        channel.abort()
-        return False
-
     def _record_end(self, engine: str) -> None:
         broken = self._broken.pop(engine, None)
         if broken is not None:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -18,12 +18,13 @@
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
 from cicadapass_gateway.adapterapi import Call, HeaderCodec
 from cicadapass_gateway.attemptrace import AttemptRace
+from cicadapass_gateway.endedengines import EndedEngines
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import Migrator
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.promptguard import HeldReason, PromptGuard
-from cicadapass_gateway.requestcontext import RequestContext
+from cicadapass_gateway.requestcontext import Party, RequestContext
 from cicadapass_gateway.requestlog import HedgeOutcome, RequestLog
 from cicadapass_gateway.requestqueue import NotPlaced, RequestRequirements
 from cicadapass_gateway.upstreamattempt import AttemptDependencies, UpstreamAttempt
@@ -52,7 +53,8 @@
     ) -> None:
         self._state = state
         self._header_codec = header_codec
-        self.prompt_guard = PromptGuard(state, pool)
+        self._ended_engines = EndedEngines(pool)
+        self.prompt_guard = PromptGuard(state, self._ended_engines)
         self._log = RequestLog(state)
         self._attempt_dependencies = AttemptDependencies(
             state=state,
@@ -160,6 +162,7 @@
                 self._refuse(request, reservation.reason, reservation.queue_delay_s)
                 return
             result = await self._race(request).run(reservation)
+            await self._discount_ended_engines(request)
             step = next_step(result, self._progress(request), retry_allowed=True)
             if isinstance(step, Retry) and step.needs_allowance:
                 allowed = self._take_retry(request)
@@ -193,6 +196,8 @@
             self._log.log_failed_attempt(request, reservation, attempt.progress, result)
             if result.outcome not in (AttemptOutcome.DELIVERED, AttemptOutcome.HELD):
                 request.excluded.add(reservation.record.upstream_id)
+            if attempt.progress.ended_by is Party.UPSTREAM:
+                request.broken_at.append(reservation.record)
 
         return AttemptRace(make_attempt, place_hedge, self._release_place, on_result)
 
@@ -210,12 +215,14 @@
     async def _find_hedge(
         self, request: RequestContext, silent: UpstreamRecord
     ) -> tuple[Reservation | None, HedgeOutcome]:
+        await self._discount_ended_engines(request)
         if not may_run_again(self._progress(request)):
             return None, HedgeOutcome.USED_UP
         if request.trial or self.prompt_guard.is_suspected(request):
             return None, HedgeOutcome.HELD
         allowance = self._state.retry_allowance(request.match.service)
-        if not allowance.is_available(self._state.clock(), self._state.node_count):
+        now_s, node_count = self._state.clock(), self._state.node_count
+        if not allowance.is_available(now_s, node_count, hedge=True):
             return None, HedgeOutcome.NO_ALLOWANCE
         requirements = self._requirements(request)
         excluded = requirements.excluded | {silent.upstream_id}
@@ -228,7 +235,7 @@
             # A service without other upstreams falls back to the excluded ones.
             self._release_place(reservation)
             return None, HedgeOutcome.NO_ROOM
-        if not self._take_retry(request):
+        if not self._take_retry(request, hedge=True):
             self._release_place(reservation)
             return None, HedgeOutcome.NO_ALLOWANCE
         return reservation, HedgeOutcome.SENT
@@ -274,13 +281,22 @@
             sends=request.sends,
             tries=request.tries,
             runs=request.runs,
+            runs_at_ended=request.runs_at_ended,
             max_runs=request.match.route.attempts,
         )
 
-    def _take_retry(self, request: RequestContext) -> bool:
+    async def _discount_ended_engines(self, request: RequestContext) -> None:
+        """Find out which runs ended with their engine, if that decides on a repeat."""
+        if not (request.repeatable and self._progress(request).runs_used_up):
+            return
+        while request.broken_at:
+            if await self._ended_engines.has_ended(request.broken_at.pop()):
+                request.runs_at_ended += 1
+
+    def _take_retry(self, request: RequestContext, *, hedge: bool = False) -> bool:
         """Take a retry from the service's allowance; return whether there was one."""
         return self._state.retry_allowance(request.match.service).take(
-            self._state.clock(), self._state.node_count
+            self._state.clock(), self._state.node_count, hedge=hedge
         )
 
     def _refuse(
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Any
 
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.routetable import Match
 from cicadapass_gateway.adapterapi import Call, Headers
 from cicadapass_gateway.eventstream import StreamEvent
@@ -53,6 +54,10 @@
     tries: int = 0
     sends: int = 0
     runs: int = 0
+    # Runs that ended with their engine.
+    runs_at_ended: int = 0
+    # The engines that broke off a run and may have ended with it.
+    broken_at: list[UpstreamRecord] = field(default_factory=list)
     excluded: set[str] = field(default_factory=set)
     # Status of the stream that has begun.
     stream_status: int | None = None
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -377,7 +377,8 @@
 
     def _can_run_again(self) -> bool:
         request = self._request
-        return request.repeatable and request.runs < request.match.route.attempts
+        runs = request.runs - request.runs_at_ended
+        return request.repeatable and runs < request.match.route.attempts
 
     async def _relay_stream(self, response: OpenResponse) -> AttemptResult:
         """Forward whole events as they arrive."""
--- a/tests/decisions/test_attempts.py
+++ b/tests/decisions/test_attempts.py
@@ -1,5 +1,7 @@
 """Test the step after an attempt, in particular that no call runs twice."""
 
+from dataclasses import replace
+
 import testtools
 
 from cicadapass_decisions.attempts import (
@@ -40,6 +42,16 @@
         step = next_step(REJECTED, progress(False, runs=0), retry_allowed=True)
         self.assertEqual(Retry(needs_allowance=True), step)
 
+    def test_runs_at_ended_engines_do_not_use_up_the_route(self):
+        """A stream was cut after its second engine had ended under it."""
+        used_up = progress(True, runs=2, sends=2, started=True)
+        self.assertEqual(Fail(), next_step(BROKEN, used_up, retry_allowed=True))
+        ended = replace(used_up, runs_at_ended=1)
+        step = next_step(BROKEN, ended, retry_allowed=True)
+        self.assertEqual(Retry(needs_allowance=True), step)
+        self.assertTrue(may_run_again(ended))
+        self.assertFalse(may_run_again(replace(ended, runs=3, sends=3)))
+
     def test_refused_connection_does_not_use_the_allowance(self):
         """Callers got a 503 after crashed engines had used up the allowance."""
         for runs in (0, 1):
--- a/tests/decisions/test_retryallowance.py
+++ b/tests/decisions/test_retryallowance.py
@@ -14,6 +14,13 @@
         granted = sum(allowance.take(1.0, 2) for _ in range(100))
         self.assertEqual(int(2 + 100 * RETRY_RATIO), granted)
 
+    def test_hedges_leave_retries_for_broken_answers(self):
+        """Hedges of silent upstreams used up what answers that broke off needed."""
+        allowance = RetryAllowance(10.0, 40.0)
+        hedges = sum(allowance.take(0.0, 2, hedge=True) for _ in range(20))
+        retries = sum(allowance.take(0.0, 2) for _ in range(20))
+        self.assertEqual((7, 3), (hedges, retries))
+
     def test_the_window_slides(self):
         """An exhausted allowance never recovered."""
         allowance = RetryAllowance(10.0, 2.0)
