Skip odd entries and values of other writers one by one

Cause: a deeply nested entry among the engines' raised RecursionError, a large number OverflowError, where the reader caught four other kinds. The part that reads the registry ended at each try, and the process after 20 of them; nodes stopped following the engines. Ports out of range, empty slots and sequences of thirty digits were taken and broke at their use. The record of the duties had the same fault, as had numbers of thousands of digits in headers, and numbers of peers that are not finite.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -243,8 +243,9 @@
     A peer did not return its state.
 831 info upstreams_changed(source, peer, view_end, ready, leaving, removed)
     Entries of upstreams changed; each is named with the offset of its record.
-832 warning upstream_entry_skipped(upstream, offset)
-    An upstream's entry cannot be decoded and is ignored.
+832 warning upstream_entry_skipped(upstream, offset, skipped)
+    An upstream's entry cannot be decoded and is ignored; `skipped` counts the entries \
+left out since the last line.
 833 warning registry_outage_assumed(view_age_ms)
     No node has read the registry recently; removed upstreams stay in use for now.
 834 info leaving_marks_applied(peer, upstreams)
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Any
 
 import cbor2
 
@@ -28,9 +29,11 @@
 from cicadapass_gateway.adapterapi import Adapter, EngineOrder
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
+    DECODE_ERRORS,
     GatewayError,
     OffsetConflict,
     PlatformRefused,
+    PlatformUnavailable,
 )
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.nodestate import NodeState
@@ -134,7 +137,7 @@
         try:
             blocks = decode_cbor(encoded) if encoded else []
             self._state.segment_suspicions.merge(blocks, None, self._state.clock())
-        except (TypeError, ValueError) as error:
+        except DECODE_ERRORS as error:
             self._state.events.emit(842, reason=f"unreadable blocks: {error}")
 
     async def _watch_holder(self) -> None:
@@ -350,8 +353,15 @@
     )
 
 
-def _decode(document: Document) -> DutyRecord | None:
-    fields = decode_cbor(document.value)
+def _decode(document: Document) -> DutyRecord:
+    """Return the record of the duties, or raise PlatformUnavailable."""
+    try:
+        return _decode_fields(decode_cbor(document.value))
+    except DECODE_ERRORS as error:
+        raise PlatformUnavailable(f"unreadable duty record: {error!r}") from error
+
+
+def _decode_fields(fields: Any) -> DutyRecord:
     holder, fence, renewal, reports, orders, use, told_s = fields[:7]
     recent_use = {name: tuple((age, used) for age, used in use[name]) for name in use}
     # Records of earlier builds have no blocks.
--- a/packages/gateway/cicadapass_gateway/exceptions.py
+++ b/packages/gateway/cicadapass_gateway/exceptions.py
@@ -1,5 +1,15 @@
 """Exceptions of the gateway; their class names are also metric labels."""
 
+# What reading a document of another writer may raise, whatever its contents.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
 
 class GatewayError(Exception):
     """Serve as the base of the gateway's exceptions."""
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -11,7 +11,11 @@
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.topicreplica import Delta, Document
 from cicadapass_gateway.cbor import decode_cbor
-from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
+from cicadapass_gateway.exceptions import (
+    DECODE_ERRORS,
+    AnswerBroken,
+    ConnectFailed,
+)
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.peers import NodeAddress
 
@@ -81,7 +85,7 @@
                 return decode(await self._request(address, target.encode()))
         except (TimeoutError, AnswerBroken, ConnectFailed) as error:
             self._events.emit(821, peer=address.name, reason=repr(error))
-        except (KeyError, TypeError, ValueError, zlib.error) as error:
+        except (*DECODE_ERRORS, zlib.error) as error:
             self._events.emit(820, peer=address.name, reason=repr(error))
         return None
 
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import ipaddress
+import math
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -17,6 +19,7 @@
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
+from cicadapass_gateway.exceptions import DECODE_ERRORS
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
 
@@ -243,7 +246,7 @@
                 self._apply_send(message)
             else:
                 self._apply_state(message)
-        except (LookupError, TypeError, ValueError, AttributeError) as error:
+        except DECODE_ERRORS as error:
             self._dependencies.state.events.emit(
                 820, peer=f"{addr[0]}:{addr[1]}", reason=repr(error)
             )
@@ -323,13 +326,17 @@
         member.version = int(message["version"])
         member.registry_ok = bool(message["registry"][0])
         key = address.key
-        self._dependencies.clock.record_reading(key, float(message["wall"]), now_s)
+        self._dependencies.clock.record_reading(key, _number(message["wall"]), now_s)
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
         state.upstreams.apply_load(address.name, load, now_s)
         limits = _decode_totals(message["limits"])
-        state.rate_limiter.record_peer_totals(key, limits, float(message["up"]), now_s)
+        state.rate_limiter.record_peer_totals(
+            key, limits, _number(message["up"]), now_s
+        )
         self._dependencies.usage.merge(key, message["usage"])
-        self._dependencies.demand[address.name] = dict(message["demand"])
+        self._dependencies.demand[address.name] = {
+            str(service): _number(rate) for service, rate in message["demand"].items()
+        }
         self._apply_view(member, message.get("view"))
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
@@ -357,7 +364,7 @@
             state.rate_limiter.record_peer_report(
                 member.address.key,
                 _decode_totals(rows),
-                float(uptime_s),
+                _number(uptime_s),
                 state.clock(),
             )
 
@@ -435,7 +442,7 @@
             end_offset, ages_ms = row
             member.view_end = int(end_offset)
             self._dependencies.registry().compare_view(
-                member.view_end, [float(age_ms) / 1000 for age_ms in ages_ms]
+                member.view_end, [_number(age_ms) / 1000 for age_ms in ages_ms]
             )
 
     def _count_missed(self, member: Member, interval: int) -> None:
@@ -474,11 +481,19 @@
 
 
 def decode_address(row: list[Any]) -> NodeAddress:
-    """Return a decoded address; raise ValueError or TypeError for an invalid row."""
-    name, host, port, incarnation, data_centre = row
-    return NodeAddress(
-        str(name), str(host), int(port), int(incarnation), str(data_centre)
-    )
+    """Return a decoded address; raise ValueError for an invalid row."""
+    try:
+        name, host, port, incarnation, data_centre = row
+        address = NodeAddress(
+            str(name), str(host), int(port), int(incarnation), str(data_centre)
+        )
+        ipaddress.IPv4Address(address.host)
+    except DECODE_ERRORS as error:
+        raise ValueError(f"invalid address: {error!r}") from error
+    # Larger numbers cannot be encoded again.
+    if not (0 < address.port < 1 << 16 and 0 <= address.incarnation < 1 << 63):
+        raise ValueError("invalid address: a number is out of range")
+    return address
 
 
 def _encode_totals(totals: dict[str, tuple[float, float]]) -> dict[str, list[int]]:
@@ -488,4 +503,12 @@
 
 
 def _decode_totals(rows: dict[str, Any]) -> dict[str, tuple[float, float]]:
-    return {name: (float(row[0]), float(row[1])) for name, row in rows.items()}
+    return {name: (_number(row[0]), _number(row[1])) for name, row in rows.items()}
+
+
+def _number(value: Any) -> float:
+    """Return a finite number; raise ValueError for any other."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value} is not a finite number")
+    return number
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -14,11 +14,13 @@
 from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
+    DECODE_ERRORS,
     GatewayError,
     HistoryExpired,
     PlatformUnavailable,
 )
 from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.linelimit import LineLimit
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peerclient import (
     STATE_PATH,
@@ -67,6 +69,10 @@
 PEER_MAX_AGE_S = 1.2
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
 NODES_READ_INTERVAL_S = 20.0
+# Lines on entries that cannot be read in a second; the reader may meet many at once.
+MAX_SKIPPED_LINES_PER_S = 10
+# Characters of an odd key that a log line contains.
+MAX_LOGGED_KEY = 80
 
 
 @dataclass(slots=True)
@@ -93,6 +99,7 @@
         # Until a first listing, and once the registry has deleted unread records.
         self._needs_listing = True
         self._behind = asyncio.Event()
+        self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
 
     @property
     def registry_ok(self) -> bool:
@@ -359,7 +366,7 @@
     def _adopt(self, raw: bytes, source: str) -> None:
         try:
             configuration = self._adapter.document_codec.decode_configuration(raw)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except DECODE_ERRORS as error:
             self._state.events.emit(802, source=source, reason=repr(error))
             return
         if self._state.adopt(configuration, raw):
@@ -421,8 +428,13 @@
         record = self._adapter.document_codec.decode_upstream(
             document.key, document.value
         )
-        if record is None:
-            self._state.events.emit(832, upstream=document.key, offset=document.offset)
+        if record is None and self._skipped_lines.allows_line():
+            self._state.events.emit(
+                832,
+                upstream=document.key[:MAX_LOGGED_KEY],
+                offset=document.offset,
+                skipped=self._skipped_lines.take_skipped(),
+            )
         return record
 
     def _refresh(self) -> None:
@@ -444,7 +456,7 @@
         for document in documents:
             try:
                 address = decode_address(decode_cbor(document.value))
-            except (TypeError, ValueError) as error:
+            except DECODE_ERRORS as error:
                 self._state.events.emit(820, peer=document.key, reason=repr(error))
                 continue
             self._peers.add(address, now_s)
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -6,6 +6,7 @@
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
+from cicadapass_gateway.linelimit import LineLimit
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.requestcontext import (
     Party,
@@ -50,10 +51,7 @@
         self._state = state
         # The last malformed limit by start of an upstream, oldest first.
         self._unreadable_limits: OrderedDict[str, str] = OrderedDict()
-        # Lines on silences in the current second, and those left out since the last.
-        self._silence_second = 0
-        self._silence_lines = 0
-        self._silences_skipped = 0
+        self._silence_lines = LineLimit(MAX_SILENCE_LINES_PER_S, state.clock)
 
     def log_rejected(
         self, call: Call, status: int, reason: str, workspace: str | None
@@ -159,7 +157,7 @@
     ) -> None:
         """Count a silence and log it, unless there were many lines in this second."""
         self._state.metrics.count("upstream_silences", outcome.value)
-        if not self._may_log_silence():
+        if not self._silence_lines.allows_line():
             return
         self._state.events.emit(
             816,
@@ -170,9 +168,8 @@
             events=response.events,
             heard_age_ms=_ms_or_none(response.heard_age_s),
             outcome=outcome.value,
-            skipped=self._silences_skipped,
+            skipped=self._silence_lines.take_skipped(),
         )
-        self._silences_skipped = 0
 
     def log_hedge(
         self,
@@ -187,7 +184,7 @@
             return
         request.hedge_outcome = outcome
         self._state.metrics.count("hedges", outcome.value)
-        if not self._may_log_silence():
+        if not self._silence_lines.allows_line():
             return
         self._state.events.emit(
             817,
@@ -197,20 +194,8 @@
             silent_ms=_ms(silent_s),
             last_event_id=request.last_event_id,
             outcome=outcome.value,
-            skipped=self._silences_skipped,
+            skipped=self._silence_lines.take_skipped(),
         )
-        self._silences_skipped = 0
-
-    def _may_log_silence(self) -> bool:
-        """Return whether this second has room for a line on a silence; count others."""
-        second = int(self._state.clock())
-        if second != self._silence_second:
-            self._silence_second, self._silence_lines = second, 0
-        if self._silence_lines >= MAX_SILENCE_LINES_PER_S:
-            self._silences_skipped += 1
-            return False
-        self._silence_lines += 1
-        return True
 
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
         """Count a malformed limit, and log it if the upstream's last one differs."""
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -95,6 +95,23 @@
 
 
 class DutiesTest(LoopTest):
+    def test_an_unreadable_record_does_not_end_the_duties(self):
+        """A record that could not be read ended the part, and then the process."""
+        for record in (b"x", cbor2.dumps([1, 2]), cbor2.dumps([0] * 8)):
+
+            async def scenario(record=record):
+                platform = Platform()
+                await platform.registry.append("duties", "holder", record, None)
+                node = Node(platform, "a")
+                events = []
+                node.state.events.emit = lambda number, **_: events.append(number)
+                node.start()
+                await until(lambda: events.count(842) >= 2)
+                self.assertFalse(node.task.done())
+                node.task.cancel()
+
+            self.run_loop(scenario())
+
     def test_a_window_is_reported_once_its_counts_are_complete(self):
         """A window was reported without the counts of a peer."""
 
--- /dev/null
+++ b/tests/platform/test_foreignvalues.py
@@ -0,0 +1,270 @@
+"""Test that one odd value of a foreign writer costs that value alone."""
+
+import asyncio
+import json
+
+import cbor2
+import testtools
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.topicreplica import Document
+from cicadapass_gateway.adapterapi import Listing
+from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.peers import NodeAddress, decode_address
+from cicadapass_gateway.registrysync import MAX_SKIPPED_LINES_PER_S, RegistrySync
+from cicadapass_platform.documents import CODEC, decode_upstream
+from cicadapass_platform.headers import decode_call, decode_response
+from tests.gateway.harness import make_state
+from tests.gateway.virtualcluster import run_virtual
+
+ENTRY = {
+    "service": "s",
+    "address": "10.1.0.1:8360",
+    "zone": "dc-a",
+    "version": "1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+NESTED = b'{"address":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+ODD_FIELDS = (
+    {"address": "10.1.0.1:99999"},
+    {"address": "10.1.0.1:0"},
+    {"address": "10.1.0.1:-1"},
+    {"address": "10.1.0.1:80 "},
+    {"address": "10.1.0.1:٣٣"},
+    {"address": "10.1.0.1"},
+    {"address": "host.example:80"},
+    {"address": "10.1.0.1\r\nX: y:80"},
+    {"address": 5},
+    {"leaves_ms": 10**400},
+    {"leaves_ms": 10**30},
+    {"leaves_ms": True},
+    {"slots": -1},
+    {"slots": 0},
+    {"slots": 10**30},
+    {"slots": 8.0},
+    {"sequence": 10**30},
+    {"sequence": -1},
+    {"born": 10**30},
+    {"born": -1},
+    {"born": 1.5},
+    {"service": "\ud800"},
+    {"service": ""},
+    {"zone": "a\nb"},
+    {"zone": "z" * 10_000},
+    {"state": ["ready"]},
+    {"state": "gone"},
+)
+ODD_BYTES = (
+    NESTED,
+    b"[" * 200_000,
+    b"9" * 10_000,
+    b"1e999999999",
+    b"\xff\xfe",
+    b"",
+    b"null",
+    b"{}",
+    b'"text"',
+)
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.sampled_from([10**400, -1, 0, 65536, "\ud800"]),
+    lambda each: (
+        st.lists(each, max_size=4) | st.dictionaries(st.text(), each, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+def encode(**changes):
+    """Return the bytes of an entry with some fields changed."""
+    return json.dumps({**ENTRY, **changes}).encode()
+
+
+class EntryTest(testtools.TestCase):
+    def test_a_sound_entry_is_read(self):
+        """A check of values refused what engines write."""
+        for changes in ({}, {"leaves_ms": 0}, {"leaves_ms": 2500}, {"spot": True}):
+            record = decode_upstream("i-1", encode(**changes))
+            self.assertIsInstance(record, UpstreamRecord)
+        self.assertIsNotNone(decode_upstream("i-1", encode(leaves_ms=-5)))
+
+    def test_odd_fields_name_no_upstream(self):
+        """Values that were decoded broke the node when they were used."""
+        for changes in ODD_FIELDS:
+            self.assertIsNone(decode_upstream("i-1", encode(**changes)), changes)
+
+    def test_odd_bytes_name_no_upstream(self):
+        """A deeply nested entry ended the part that reads the registry."""
+        for data in ODD_BYTES:
+            self.assertIsNone(decode_upstream("i-1", data), data[:40])
+
+    def test_odd_keys_name_no_upstream(self):
+        """The key of an entry could not be written into a header."""
+        for key in ("", "a\r\nb", "\ud800", "ж", "x" * 10_000):
+            self.assertIsNone(decode_upstream(key, encode()), key[:20])
+
+    @seed(20261205)
+    @settings(max_examples=400, deadline=None, database=None)
+    @given(st.sampled_from([*ENTRY, "leaves_ms", "spot"]), JSON_VALUES)
+    def test_any_value_is_read_or_skipped(self, name, value):
+        """An error other than those expected ended the part that reads entries."""
+        record = decode_upstream("i-1", encode(**{name: value}))
+        if record is not None:
+            self.assertIn(record.port, range(1, 65536))
+            cbor2.dumps([record.service, record.data_centre, record.host])
+
+    @seed(20261205)
+    @settings(max_examples=200, deadline=None, database=None)
+    @given(JSON_VALUES)
+    def test_any_document_raises_only_the_declared_errors(self, value):
+        """A configuration raised an error that its readers do not handle."""
+        data = json.dumps(value).encode()
+        self.assertRaises(ValueError, CODEC.decode_configuration, data)
+
+    def test_a_nested_configuration_raises_a_declared_error(self):
+        """A deeply nested configuration ended the part that follows it."""
+        for data in (NESTED, b"[" * 200_000):
+            self.assertRaises(ValueError, CODEC.decode_configuration, data)
+
+
+class Registry:
+    """Hold the entries of upstreams in place of the platform's store."""
+
+    def __init__(self, documents):
+        self.documents = documents
+
+    async def newest(self, topic):
+        """Return all entries."""
+        return Listing(tuple(self.documents), 1 + len(self.documents))
+
+
+class FollowTest(testtools.TestCase):
+    def test_odd_entries_cost_only_themselves(self):
+        """Nodes stopped following the upstreams at one odd entry among them."""
+
+        async def play():
+            state = make_state()
+            odd = [encode(**each) for each in ODD_FIELDS] + list(ODD_BYTES)
+            documents = [
+                Document(f"odd-{number}", data, number)
+                for number, data in enumerate(odd)
+            ]
+            documents.append(Document("i-1", encode(), len(documents)))
+            skipped = []
+            state.events.emit = lambda number, **_: skipped.append(number)
+            sync = RegistrySync(
+                state, Adapter(Registry(documents)), NoPeers(), ClientPool()
+            )
+            task = asyncio.create_task(sync.follow_upstreams())
+            await asyncio.sleep(0.1)
+            task.cancel()
+            return [each.upstream_id for each in state.upstreams.usable("s")], skipped
+
+        usable, events = run_virtual(play())
+        self.assertEqual(["i-1"], usable)
+        self.assertEqual(MAX_SKIPPED_LINES_PER_S, events.count(832))
+
+
+class NoPeers:
+    """Stand in for the peers of a node that knows none."""
+
+    round_s = 0.2
+
+    def __init__(self):
+        self.members = {}
+
+
+class Adapter:
+    """Provide the parts of an adapter that reading entries uses."""
+
+    document_codec = CODEC
+
+    class topics:  # noqa: N801
+        """Name the topic."""
+
+        upstreams = "keyed.servers"
+
+    def __init__(self, registry):
+        self.registry = registry
+
+
+class HeaderTest(testtools.TestCase):
+    def test_numbers_of_callers_are_bounded(self):
+        """A number of thousands of digits ended the request with an error."""
+        digits = b"9" * 5000
+        call = decode_call(
+            [
+                (b"Token-Usage", digits + b"," + digits),
+                (b"Length-Hint", digits),
+                (b"Prefix-Hash", b"aa:5,bb:" + digits),
+                (b"Request-Deadline", digits),
+            ]
+        )
+        self.assertEqual((0, 0), (call.prompt.prompt_tokens, call.prompt.total_tokens))
+        self.assertEqual(1, len(call.prompt.segments))
+
+    def test_deadlines_that_are_no_numbers_are_ignored(self):
+        """A request whose deadline was not a number expired at once."""
+        for value in (b"nan", b"inf", b"-inf", b"1e400", b"", b"1_000", b"-5"):
+            call = decode_call([(b"Request-Deadline", value)])
+            self.assertIsNone(call.time_limit_s, value)
+
+    def test_numbers_of_upstreams_are_bounded(self):
+        """A load of thousands of digits broke the answer that carried it."""
+        digits = b"9" * 5000
+        info = decode_response(200, [(b"Engine-Load", digits + b",1,8")])
+        self.assertIsNone(info.load)
+
+    @seed(20261205)
+    @settings(max_examples=300, deadline=None, database=None)
+    @given(
+        st.sampled_from(
+            [
+                b"Token-Usage",
+                b"Request-Deadline",
+                b"Last-Event-Id",
+                b"Prefix-Hash",
+                b"Length-Hint",
+                b"Engine-Load",
+                b"Weight-Versions",
+                b"Server-Limit",
+                b"Server-Leaving",
+                b"Retry-After",
+            ]
+        ),
+        st.binary(max_size=40),
+    )
+    def test_any_header_value_is_read_or_ignored(self, name, value):
+        """A header raised an error in the code that reads it."""
+        decode_call([(name, value)])
+        decode_response(503, [(name, value)])
+
+
+class AddressTest(testtools.TestCase):
+    def test_odd_addresses_of_nodes_raise_a_declared_error(self):
+        """A port out of range raised an error at the first datagram to it."""
+        sound = ["n", "10.0.0.1", 7500, 1, "dc-a"]
+        self.assertIsInstance(decode_address(sound), NodeAddress)
+        for position, value in (
+            (1, "host.example"),
+            (2, 99999),
+            (2, 0),
+            (2, -1),
+            (2, float("inf")),
+            (3, 10**400),
+            (3, float("nan")),
+        ):
+            row = list(sound)
+            row[position] = value
+            error = self.assertRaises(ValueError, decode_address, row)
+            self.assertIsInstance(error, ValueError)
