Heed upstreams that are leaving or ask for a pause in their answers

Change: an answer with the mark makes its start of the upstream leaving for this node and, by a report at once, for its peers. A refusal's seconds begin a pause at this node; requests go elsewhere, wait if the pause ends in time, or are refused at once. Each send looks at the newest marks and pauses. A copy at an engine that has left is not used: the stream resumes elsewhere, or is cut if it may not be repeated.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -252,6 +252,10 @@
     A peer reported that these upstreams are leaving.
 835 info changes_served(peer, start, view_end, entries, complete)
     A peer fetched the entries of upstreams from this offset on, or all of them.
+836 info upstream_leaving(upstream, reason)
+    An answer shows that an upstream is leaving (`answer`), or that its address has \
+gone to another one (`replaced`); it gets no further requests. It is named with the \
+Unix millisecond of its start.
 840 info duties_taken(fence, previous, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
@@ -273,6 +277,10 @@
 all nodes. It is named with the Unix millisecond of its start.
 853 warning upstream_limit_unreadable(upstream, value)
     An answer names a limit that cannot be read; the last one stays.
+854 info upstream_paused(upstream, pause_s)
+    An upstream turned a request away and wants no others of this node for this time.
+855 warning upstream_pause_unreadable(upstream, value)
+    An upstream turned a request away and names a time that cannot be read.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -68,11 +68,16 @@
     unreachable: bool = False
     # What this node may send it within a limit that the upstream named.
     room: Room | None = None
+    # Time for which the upstream wants no requests of this node.
+    pause_s: float = 0.0
 
     @property
     def has_room(self) -> bool:
-        """Return whether the upstream's limit leaves room for a request now."""
-        return self.room is None or self.room.requests >= 1.0
+        """Return whether the upstream takes a request of this node now.
+
+        It may have asked for a pause, or its limit may leave no room.
+        """
+        return self.pause_s <= 0 and (self.room is None or self.room.requests >= 1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +174,7 @@
         if _has_capacity(request, candidate):
             source_id = _cache_source(request.prompt, candidate, preferred, candidates)
             return Send(candidate.upstream_id, cost_s, source_id)
-    return Wait(min(cost_s for cost_s, _ in costs))
+    return Wait(min(cost_s + candidate.pause_s for cost_s, candidate in costs))
 
 
 def estimate_max_wait_s(
@@ -198,6 +203,11 @@
     return missing / share_per_s if share_per_s > 0 else math.inf
 
 
+def pause_delay_s(candidates: Iterable[Candidate]) -> float:
+    """Return the time until the first upstream takes requests again."""
+    return min((candidate.pause_s for candidate in candidates), default=0.0)
+
+
 def is_wait_too_long(wait_s: float, max_wait_s: float) -> bool:
     """Return whether a request should be refused instead of queued."""
     return wait_s > ADMISSION_WAIT_FRACTION * max_wait_s
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -114,6 +114,11 @@
         self._leaving[key] = now_s
         return True
 
+    def leaving_s(self, record: UpstreamRecord, now_s: float) -> float | None:
+        """Return for how long a start has been marked as leaving, or None if not."""
+        marked_s = self._leaving.get((record.upstream_id, record.started_ms))
+        return None if marked_s is None else now_s - marked_s
+
     def usable(self) -> dict[str, UpstreamRecord]:
         """Return the upstreams that may receive new requests, by id."""
         return {
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -60,6 +60,12 @@
     # a limit, and the text of a limit that cannot be read.
     limit_per_s: float | None = None
     unreadable_limit: str | None = None
+    # The upstream is leaving and wants no further requests.
+    leaving: bool = False
+    # Seconds for which an upstream that turned a request away wants no others of this
+    # node, and the text of a time that cannot be read.
+    pause_s: float | None = None
+    unreadable_pause: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/exceptions.py
+++ b/packages/gateway/cicadapass_gateway/exceptions.py
@@ -32,6 +32,10 @@
     """Report that a segment of the prompt came under suspicion before the send."""
 
 
+class UpstreamUnwilling(GatewayError):
+    """Report that an upstream was found to be leaving, or paused, before the send."""
+
+
 class AnswerBroken(GatewayError):
     """Report an invalid or missing response; the request may have been executed."""
 
--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -123,7 +123,7 @@
                 excluded.add(target.upstream_id)
                 try:
                     await self._migrate_run(run.record, run.request_id, target, False)
-                    if not self._is_usable(target):
+                    if not self._state.upstreams.is_usable(target):
                         self._log_migration(run, target, "the target is leaving")
                         continue
                     run.stopping = True
@@ -137,14 +137,6 @@
                 return MigratedRun(target, copy)
         return None
 
-    def _is_usable(self, target: UpstreamRecord) -> bool:
-        """Return whether this start of an upstream may still get requests."""
-        return any(
-            (each.upstream_id, each.started_ms)
-            == (target.upstream_id, target.started_ms)
-            for each in self._state.upstreams.usable(target.service)
-        )
-
     def _choose_target(
         self, run: ActiveRun, excluded: set[str]
     ) -> UpstreamRecord | None:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from cicadapass_common.events import EventLog
-from cicadapass_decisions.passthrough import Configuration
+from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
 from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
 from cicadapass_decisions.routetable import RouteTable
@@ -64,6 +64,7 @@
         self._retry = retry
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._limit_listeners: list[Callable[[], None]] = []
+        self._leaving_listeners: list[Callable[[UpstreamRecord], None]] = []
 
     @property
     def configuration(self) -> Configuration | None:
@@ -119,6 +120,30 @@
         for start_key, rate in self.upstreams.limits.merge(rows, self.clock()):
             self._log_limit(start_key, rate, peer)
 
+    def subscribe_to_leaving(self, listener: Callable[[UpstreamRecord], None]) -> None:
+        """Call `listener` when an answer first shows that an upstream is leaving."""
+        self._leaving_listeners.append(listener)
+
+    def mark_leaving(self, record: UpstreamRecord, reason: str) -> None:
+        """Give a start of an upstream no further requests, as its answer shows."""
+        now_s = self.clock()
+        marked = self.upstreams.view.mark_leaving(
+            record.upstream_id, record.started_ms, now_s
+        )
+        if not marked:
+            return
+        self.upstreams.refresh()
+        self.metrics.count("upstreams_leaving", reason)
+        self.events.emit(836, upstream=record.start_key, reason=reason)
+        for listener in self._leaving_listeners:
+            listener(record)
+
+    def record_pause(self, record: UpstreamRecord, pause_s: float) -> None:
+        """Send an upstream no requests for the seconds that its refusal names."""
+        if self.upstreams.pauses.record(record.start_key, pause_s, self.clock()):
+            self.metrics.count("upstream_pauses")
+            self.events.emit(854, upstream=record.start_key, pause_s=pause_s)
+
     def _log_limit(
         self, start_key: str, limit_per_s: float | None, peer: str | None
     ) -> None:
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -2,8 +2,9 @@
 
 Each state is complete, so a lost or duplicate datagram has no lasting effect. A state
 says how far the sender's view of the upstreams reaches; a receiver that is behind
-fetches what it lacks. Long prompts, evidence against prompt segments and unexpected use
-of a rate limit are also reported at once; the next states make up for a lost report.
+fetches what it lacks. Long prompts, leaving upstreams, evidence against prompt segments
+and unexpected use of a rate limit are also reported at once; the next states make up
+for a lost report.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 
 import cbor2
 
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
@@ -47,6 +49,8 @@
 SEGMENT_MESSAGE = ""
 # In place of a node's name in a list: the message contains limits of upstreams.
 LIMIT_MESSAGE = "/"
+# In place of a node's name in a list: the message contains marks of leaving upstreams.
+LEAVING_MESSAGE = "-"
 # In place of a node's name in a list: the message contains totals of workspaces. Builds
 # that do not know it take it for the name of an unknown node and ignore it.
 USE_MESSAGE = "="
@@ -164,6 +168,7 @@
         dependencies.state.rate_limiter.set_on_unexpected_use(self._report_use)
         dependencies.state.segment_suspicions.subscribe(self._report_segments)
         dependencies.state.subscribe_to_limits(self._report_limits)
+        dependencies.state.subscribe_to_leaving(self._report_leaving)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -240,6 +245,8 @@
                 self._dependencies.state.merge_upstream_limits(
                     message[2], str(message[1])
                 )
+            elif isinstance(message, list) and message[0] == LEAVING_MESSAGE:
+                self._dependencies.registry().apply_marks(message[2], str(message[1]))
             elif isinstance(message, list) and message[0] == USE_MESSAGE:
                 self._apply_use(str(message[1]), *message[2])
             elif isinstance(message, list):
@@ -382,7 +389,17 @@
             return
         state = self._dependencies.state
         rows = state.upstreams.limits.export(state.clock())
-        data = cbor2.dumps([LIMIT_MESSAGE, self.local_address.name, rows])
+        self._send_to_all([LIMIT_MESSAGE, self.local_address.name, rows])
+
+    def _report_leaving(self, record: UpstreamRecord) -> None:
+        """Report that an upstream is leaving to all members at once."""
+        rows = [[record.upstream_id, record.started_ms]]
+        self._send_to_all([LEAVING_MESSAGE, self.local_address.name, rows])
+
+    def _send_to_all(self, message: list[Any]) -> None:
+        if self._transport is None:
+            return
+        data = cbor2.dumps(message)
         for member in self.members.values():
             self._transport.sendto(data, (member.address.host, member.address.port))
 
@@ -402,11 +419,9 @@
         rows = _encode_totals(state.rate_limiter.report(names))
         local = self.local_address
         uptime_s = state.clock() - self._started_s
-        data = cbor2.dumps(
+        self._send_to_all(
             [USE_MESSAGE, local.name, [local.incarnation, uptime_s, rows]]
         )
-        for member in self.members.values():
-            self._transport.sendto(data, (member.address.host, member.address.port))
 
     def _report_segments(
         self, _changes: Sequence[Change], names: Sequence[str], peer: str | None
--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -213,18 +213,11 @@
     async def _check_engine(self, engine: str, record: UpstreamRecord) -> None:
         """Find out whether an engine ended, unless it was known to leave."""
         ended = await self._ended_engines.has_ended(record)
-        if ended and self._is_listed(record):
+        if ended and self._state.upstreams.is_usable(record):
             self._record_end(engine)
         else:
             self._broken.pop(engine, None)
 
-    def _is_listed(self, record: UpstreamRecord) -> bool:
-        """Return whether an engine is registered and not leaving."""
-        return any(
-            each.start_key == record.start_key
-            for each in self._state.upstreams.usable(record.service)
-        )
-
     def _record_end(self, engine: str) -> None:
         broken = self._broken.pop(engine, None)
         if broken is not None:
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -17,7 +17,7 @@
 
 # Shared prompt segments named on a line.
 MAX_LOGGED_SEGMENTS = 8
-# Starts of upstreams whose last malformed limit is remembered.
+# Starts of upstreams whose last malformed limit or pause is remembered.
 MAX_REMEMBERED_STARTS = 256
 # Lines on silences in a second; all upstreams of a data centre may fall silent at once.
 MAX_SILENCE_LINES_PER_S = 10
@@ -49,8 +49,9 @@
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
-        # The last malformed limit by start of an upstream, oldest first.
+        # The last malformed limit and pause by start of an upstream, oldest first.
         self._unreadable_limits: OrderedDict[str, str] = OrderedDict()
+        self._unreadable_pauses: OrderedDict[str, str] = OrderedDict()
         self._silence_lines = LineLimit(MAX_SILENCE_LINES_PER_S, state.clock)
 
     def log_rejected(
@@ -200,12 +201,25 @@
     def log_unreadable_limit(self, record: UpstreamRecord, value: str) -> None:
         """Count a malformed limit, and log it if the upstream's last one differs."""
         self._state.metrics.count("upstream_limits_unreadable")
-        if self._unreadable_limits.get(record.start_key) == value:
-            return
-        self._unreadable_limits[record.start_key] = value
-        if len(self._unreadable_limits) > MAX_REMEMBERED_STARTS:
-            self._unreadable_limits.popitem(last=False)
-        self._state.events.emit(853, upstream=record.start_key, value=value)
+        if self._is_new(self._unreadable_limits, record, value):
+            self._state.events.emit(853, upstream=record.start_key, value=value)
+
+    def log_unreadable_pause(self, record: UpstreamRecord, value: str) -> None:
+        """Count a malformed pause, and log it if the upstream's last one differs."""
+        self._state.metrics.count("upstream_pauses_unreadable")
+        if self._is_new(self._unreadable_pauses, record, value):
+            self._state.events.emit(855, upstream=record.start_key, value=value)
+
+    def _is_new(
+        self, last_values: OrderedDict[str, str], record: UpstreamRecord, value: str
+    ) -> bool:
+        """Return whether a value differs from the upstream's last one, and store it."""
+        if last_values.get(record.start_key) == value:
+            return False
+        last_values[record.start_key] = value
+        if len(last_values) > MAX_REMEMBERED_STARTS:
+            last_values.popitem(last=False)
+        return True
 
 
 def _ended_by(request: RequestContext, outcome: str) -> str | None:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -15,6 +15,7 @@
     is_overdue,
     is_wait_too_long,
     limit_delay_s,
+    pause_delay_s,
     place_request,
 )
 from cicadapass_decisions.queueorder import QueuedRequest, queue_rank
@@ -217,8 +218,11 @@
         )
         if not candidates:
             return 0.0
-        limit_delay = self._limit_delay_s(queue, entry, candidates)
-        return max(limit_delay, self._load_delay_s(queue, entry, candidates))
+        return max(
+            pause_delay_s(candidates),
+            self._limit_delay_s(queue, entry, candidates),
+            self._load_delay_s(queue, entry, candidates),
+        )
 
     def _limit_delay_s(
         self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -18,6 +18,7 @@
     ConnectFailed,
     HedgeSuperseded,
     PromptHeld,
+    UpstreamUnwilling,
 )
 from cicadapass_gateway.httpclient import ClientChannel, ClientPool
 from cicadapass_gateway.migrator import ActiveRun, MigratedRun, Migrator
@@ -46,6 +47,9 @@
 # Maximum time to finish a migration after the source ended the stream; callers tolerate
 # a gap of two seconds.
 MIGRATION_WAIT_S = 1.2
+# A copy is used for this long after its engine was found to be leaving. The platform
+# lets a leaving upstream have requests for two seconds or more.
+MAX_LEAVING_COPY_S = 1.0
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
 
@@ -170,6 +174,8 @@
             result = await self._send_request(channel)
             succeeded, finished = result.healthy, True
             return result
+        except UpstreamUnwilling as error:
+            return AttemptResult.not_sent(str(error))
         except PromptHeld as error:
             request.tries -= 1
             return AttemptResult.held(str(error))
@@ -234,6 +240,9 @@
         )
         if not self._prompt_guard.may_send(request):
             raise PromptHeld("a segment of the prompt came under suspicion")
+        if not self._may_send_to(record):
+            request.migrated = None
+            raise UpstreamUnwilling(f"{record.start_key} wants no requests")
         request.migrated = None
         headers = self._header_codec.encode_attempt(
             request.call, attempt, len(exchange.body)
@@ -264,6 +273,23 @@
             return await self._relay_stream(response)
         return await self._relay_body(response)
 
+    def _may_send_to(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream may get a request at this moment.
+
+        A run that cannot be repeated goes on at the copy that a migration made, unless
+        its engine has been leaving for longer.
+        """
+        request, upstreams = self._request, self._state.upstreams
+        now_s = self._state.clock()
+        if upstreams.is_usable(record):
+            # A copy can only be used at the engine that has it.
+            paused = upstreams.pauses.remaining_s(record.start_key, now_s) > 0
+            return request.migrated is not None or not paused
+        if request.migrated is None or request.repeatable:
+            return False
+        leaving_s = upstreams.view.leaving_s(record, now_s)
+        return leaving_s is not None and leaving_s < MAX_LEAVING_COPY_S
+
     async def _wait_for(self, channel: ClientChannel, read: Awaitable[T]) -> T:
         """Return what the upstream sends next, and record its silence until then."""
         began_s = self._waiting_since_s = self._state.clock()
@@ -311,8 +337,10 @@
     def _record_state(
         self, record: UpstreamRecord, info: ResponseInfo, sent_s: float
     ) -> None:
-        """Record the weights, the limit and the load that a head reports."""
+        """Record what a head reports of the upstream itself."""
         now_s = self._state.clock()
+        if info.leaving and not info.wrong_instance:
+            self._state.mark_leaving(record, "answer")
         if info.weights is not None:
             self._state.segment_suspicions.record_weights(
                 record.service, info.weights, now_s
@@ -323,19 +351,19 @@
             self._state.record_upstream_limit(
                 record.start_key, info.limit_per_s, sent_s, now_s
             )
+        if info.unreadable_pause is not None:
+            self._log.log_unreadable_pause(record, info.unreadable_pause)
+        if info.pause_s is not None:
+            self._state.record_pause(record, info.pause_s)
         if info.load is not None:
             self._state.upstreams.meter(record).record_reported_load(info.load, now_s)
 
     def _record_rejection(self, record: UpstreamRecord, info: ResponseInfo) -> None:
-        now_s = self._state.clock()
-        if not info.wrong_instance:
-            self._state.upstreams.meter(record).record_full(now_s)
-            return
-        # The address now belongs to another instance, so this one has ended.
-        self._state.upstreams.view.mark_leaving(
-            record.upstream_id, record.started_ms, now_s
-        )
-        self._state.upstreams.refresh()
+        if info.wrong_instance:
+            # The address now belongs to another instance, so this one has ended.
+            self._state.mark_leaving(record, "replaced")
+        else:
+            self._meter.record_full(self._state.clock())
 
     async def _relay_body(self, response: OpenResponse) -> AttemptResult:
         """Forward a response that is not a stream, once it is complete."""
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -14,6 +14,7 @@
     PeerLoad,
     UpstreamMeter,
 )
+from cicadapass_decisions.upstreampauses import UpstreamPauses
 from cicadapass_decisions.upstreamview import UpstreamView
 
 
@@ -60,6 +61,7 @@
         self.replica = TopicReplica()
         self.view = UpstreamView()
         self.limits = UpstreamLimits(node)
+        self.pauses = UpstreamPauses()
         self._data_centre = data_centre
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._keys = itertools.count()
@@ -90,6 +92,12 @@
         """Return the upstreams of a service that may get requests."""
         return self._by_service.get(service, [])
 
+    def is_usable(self, record: UpstreamRecord) -> bool:
+        """Return whether this start of an upstream may get requests."""
+        return any(
+            each.start_key == record.start_key for each in self.usable(record.service)
+        )
+
     def meter(self, record: UpstreamRecord) -> UpstreamMeter:
         """Return the meter of one start of an upstream, initially of typical speed."""
         key = (record.upstream_id, record.started_ms)
@@ -214,6 +222,7 @@
             full=meter.is_full(now_s),
             unreachable=meter.is_unreachable(now_s),
             room=self.limits.room(record.start_key, now_s),
+            pause_s=self.pauses.remaining_s(record.start_key, now_s),
         )
 
     def _typical_speed(self, service: str) -> tuple[float, float]:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -111,6 +111,9 @@
         load=None,
         event_stream=by_name.get(b"content-type") == b"text/event-stream",
         headers=forwarded,
+        leaving=b"x-leaving" in by_name,
+        pause_s=float(by_name[b"x-pause"]) if b"x-pause" in by_name else None,
+        unreadable_pause=by_name.get(b"x-odd-pause", b"").decode() or None,
     )
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -162,3 +162,36 @@
         self.assertEqual(b"0.250", headers[b"Retry-After"])
         self.assertEqual(b"9c41", headers[b"Request-Id"])
         self.assertEqual([], encode_refusal(None, None))
+
+
+class UpstreamSignsTest(testtools.TestCase):
+    def test_a_leaving_upstream_says_so(self):
+        """The mark was not read, or went on to the caller."""
+        info = decode_response(200, [(b"Server-Leaving", b"1"), (b"X", b"y")])
+        self.assertTrue(info.leaving)
+        self.assertEqual([(b"X", b"y")], list(info.headers))
+        for value in (b"0", b"", b"yes", b"11"):
+            info = decode_response(200, [(b"Server-Leaving", value)])
+            self.assertFalse(info.leaving, value)
+
+    def test_a_refusal_may_ask_for_a_pause(self):
+        """Seconds were not read, or the answer to another status was."""
+        for values, expected in (
+            ([b"2"], (2.0, None)),
+            ([b"0"], (0.0, None)),
+            ([b"1.5"], (1.5, None)),
+            ([b"2", b"3"], (3.0, None)),
+            ([b"nan"], (None, "nan")),
+            ([b"inf", b"1"], (1.0, "inf")),
+            ([b"-1"], (None, "-1")),
+            ([b"9" * 400], (None, "9" * 40)),
+            (
+                [b"Sat, 05 Dec 2026 10:00:00 GMT"],
+                (None, "Sat, 05 Dec 2026 10:00:00 GMT"),
+            ),
+            ([], (None, None)),
+        ):
+            info = decode_response(503, [(b"Retry-After", each) for each in values])
+            self.assertEqual(expected, (info.pause_s, info.unreadable_pause), values)
+        info = decode_response(429, [(b"Retry-After", b"2")])
+        self.assertIsNone(info.pause_s)
