Refuse what a stopping node has not sent by half of its grace

Cause: a queued request could be sent to an upstream at any time of the grace period, also just before the process ended and cut it; with a grace period under 8 s, requests were accepted until its end.

Change: refusable requests are refused from the middle of the grace period on, queued or new; the time for new requests is 35 % of a short grace period.

Result: two tests of tests/gateway/test_node.py, which failed before.

--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -20,7 +20,7 @@
 from cicadapass_gateway.httpserver import Exchange, HttpServer, ServerState
 from cicadapass_gateway.logoutput import QueuedOutput
 from cicadapass_gateway.migrator import Migrator
-from cicadapass_gateway.nodestate import NodeState, RetryLimits
+from cicadapass_gateway.nodestate import DRAIN_ACCEPT_S, NodeState, RetryLimits
 from cicadapass_gateway.peers import (
     SEND_INTERVAL_S,
     NodeAddress,
@@ -42,6 +42,8 @@
 SETTINGS_READ_INTERVAL_S = 5.0
 # Time in which the platform's load balancer notices that the node is not ready.
 READINESS_NOTICE_S = 3.2
+# A draining node accepts requests for this part of a short grace period at most.
+DRAIN_ACCEPT_FRACTION = 0.35
 # Interval at which a stopping node looks for requests in progress.
 DRAIN_CHECK_INTERVAL_S = 0.05
 # End of the grace period that is reserved for an orderly exit.
@@ -261,15 +263,20 @@
 async def drain(state: NodeState, callers: HttpServer, grace_s: float) -> int:
     """Wait for the requests in progress; return the number of unfinished ones.
 
-    Requests that are still queued at the end are refused.
+    Requests that have not been sent by the middle of the grace period are refused, so
+    that those sent have as long to end; continued ones that wait are, at the end.
     """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + grace_s - SHUTDOWN_RESERVE_S
-    close_after_s = loop.time() + READINESS_NOTICE_S
+    close_after_s = loop.time() + min(READINESS_NOTICE_S, grace_s / 2)
+    last_send_s = loop.time() + grace_s / 2
+    state.drain_accept_s = min(DRAIN_ACCEPT_S, grace_s * DRAIN_ACCEPT_FRACTION)
     state.stopping_since_s = loop.time()
     callers.state.stopping = True
     state.events.emit(813, in_progress=callers.busy_count)
     while loop.time() < end_s:
+        if loop.time() >= last_send_s:
+            state.queue.close("stopping")
         if loop.time() >= close_after_s:
             callers.stop_listening()
             callers.close_idle()
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -60,6 +60,8 @@
         # Known running nodes, including this one.
         self.node_count = 1
         self.stopping_since_s: float | None = None
+        # How long a draining node accepts requests.
+        self.drain_accept_s = DRAIN_ACCEPT_S
         self.demand = DemandMeter()
         self._retry = retry
         self._retry_allowances: dict[str, RetryAllowance] = {}
@@ -91,7 +93,7 @@
         """Return whether a new request can be finished before the node ends."""
         if self.stopping_since_s is None:
             return True
-        return self.clock() - self.stopping_since_s < DRAIN_ACCEPT_S
+        return self.clock() - self.stopping_since_s < self.drain_accept_s
 
     def adopt(self, configuration: Configuration, raw: bytes) -> bool:
         """Apply a configuration if it is newer; return whether it is."""
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -78,6 +78,8 @@
         self._upstreams = upstreams
         self._clock = clock
         self._queues: dict[str, _ServiceQueue] = {}
+        # Why refusable requests are no longer placed, if they are not.
+        self._closed_reason: str | None = None
 
     @property
     def waiting_count(self) -> int:
@@ -89,6 +91,8 @@
 
         A request that is not refusable waits until it is placed or cancelled.
         """
+        if self._closed_reason is not None and requirements.refusable:
+            return NotPlaced(self._closed_reason, 0.0)
         now_s = self._clock()
         queue = self._queues.setdefault(requirements.service, _ServiceQueue())
         entry = self._entry(requirements, now_s)
@@ -116,11 +120,20 @@
             if queue.entries:
                 self._dispatch_queue(queue, now_s)
 
+    def close(self, reason: str) -> None:
+        """Refuse the refusable requests, those that are queued and all further ones."""
+        self._closed_reason = reason
+        self._refuse(reason, lambda entry: entry.requirements.refusable)
+
     def refuse_all(self, reason: str) -> None:
         """Refuse all queued requests, including those that are not refusable."""
+        self._refuse(reason, lambda _: True)
+
+    def _refuse(self, reason: str, applies: Callable[[_Entry], bool]) -> None:
         for queue in self._queues.values():
-            entries, queue.entries = queue.entries, []
-            for entry in entries:
+            refused = [entry for entry in queue.entries if applies(entry)]
+            queue.entries = [entry for entry in queue.entries if not applies(entry)]
+            for entry in refused:
                 if not entry.future.done():
                     entry.future.set_result(NotPlaced(reason, 0.0))
 
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -69,3 +69,37 @@
             dispatch.cancel()
 
         run_virtual(scenario())
+
+    def test_queued_requests_are_not_sent_late_in_the_grace_period(self):
+        """A request was sent just before the process ended, and cut.
+
+        The upstream gets free three quarters into the grace period.
+        """
+
+        async def scenario():
+            state, server = start_node()
+            dispatch = asyncio.create_task(periodic(state.queue.dispatch, 0.03)())
+            channel, transport = connect(server)
+            channel.data_received(REQUEST)
+            await asyncio.sleep(0.1)
+            draining = asyncio.create_task(drain(state, server, GRACE_S))
+            await asyncio.sleep(0.75 * GRACE_S)
+            self.assertIn(b" 503 ", transport.sent)
+            self.assertIn(b"Retry-After", transport.sent)
+            self.assertEqual(0, state.queue.waiting_count)
+            self.assertEqual(0, await draining)
+            dispatch.cancel()
+
+        run_virtual(scenario())
+
+    def test_a_short_grace_period_leaves_time_for_what_is_accepted(self):
+        """With a grace period of 3 s, requests were accepted until its end."""
+
+        async def scenario():
+            state, server = start_node()
+            draining = asyncio.create_task(drain(state, server, 3.0))
+            await asyncio.sleep(1.2)
+            self.assertFalse(state.accepts_requests)
+            await draining
+
+        run_virtual(scenario())
