Let few nodes watch the registry, and repeat failed calls less often

Change: eight nodes, chosen alike by all from those they hear, wait for configurations and for the end of a lease; the others hear of a new version by datagram and fetch it compressed, from their data centre if possible. Pauses after failed calls grow to 2 s.

--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -148,7 +148,7 @@
         if report is not None and self._state.clock() - report.received_s < max_age_s:
             self._observation = None
             return
-        if self._state.configuration is None:
+        if self._state.configuration is None or not self._peers.is_watcher():
             return
         record, end = await self._read_record()
         self._observation = observe(
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -216,7 +216,8 @@
         start("upstreams", components.registry_sync.follow_upstreams)
         start("peer-views", components.registry_sync.follow_peer_views)
         start("nodes", components.registry_sync.follow_nodes)
-        start("peer-fallback", components.registry_sync.follow_peers)
+        start("peer-configurations", components.registry_sync.follow_peers)
+        start("held-entries", components.registry_sync.expire_held_entries)
         start("datagrams", periodic(components.peers.send_state, SEND_INTERVAL_S))
         start("movers", components.migrator.watch)
         start(
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -19,7 +19,7 @@
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.peers import NodeAddress
 
-STATE_PATH = "/v1/state"
+CONFIGURATION_PATH = "/v1/configuration"
 UPSTREAMS_PATH = "/v1/upstreams"
 FETCH_TIMEOUT_S = 0.6
 
@@ -64,9 +64,14 @@
     )
 
 
+def encode_configuration(raw: bytes) -> bytes:
+    """Return the compressed response with a configuration; empty if there is none."""
+    return zlib.compress(raw, level=1)
+
+
 def decode_configuration(data: bytes) -> bytes:
-    """Return the undecoded configuration of a peer; empty if it has none."""
-    return bytes(decode_cbor(data)["configuration"])
+    """Return the undecoded configuration of a peer; raise an error of `fetch`."""
+    return zlib.decompress(data)
 
 
 class PeerClient:
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -8,17 +8,19 @@
 """
 
 import asyncio
-import ipaddress
 import math
+import socket
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any, Protocol, cast
 
 import cbor2
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.readsharing import is_watcher
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import DECODE_ERRORS
@@ -36,6 +38,9 @@
 MEMBER_TIMEOUT_S = 30.0
 # A member is introduced to others only if its last datagram is more recent than this.
 INTRODUCTION_MAX_AGE_S = 1.2
+# Maximum age of the last datagram of a member to read from, plus one round of
+# datagrams; covers six lost ones.
+FRESH_MEMBER_AGE_S = 1.2
 MAX_DATAGRAM_BYTES = 60_000
 # A prompt with fewer uncached tokens is not reported at once: it keeps an engine busy
 # for less than 20 ms.
@@ -59,6 +64,8 @@
 # A member counts among those that share limits for this long after its last datagram,
 # plus two rounds of datagrams.
 LIMIT_MEMBER_AGE_S = 1.2
+# Decoded addresses that are kept; a deployment has fewer nodes.
+MAX_KNOWN_ADDRESSES = 1024
 # Nodes of the local data centre that get a prompt's report at once, 25 bytes each.
 MAX_LOCAL_RECIPIENTS = 40
 
@@ -117,6 +124,9 @@
     def compare_view(self, end_offset: int, ages_s: Sequence[float]) -> None:
         """Compare the view with that of a peer, and fetch what it lacks."""
 
+    def compare_version(self, version: int) -> None:
+        """Compare the configuration with that of a peer, and fetch a newer one."""
+
     def apply_marks(self, rows: Sequence[Sequence[Any]], peer: str) -> None:
         """Apply the marks of leaving upstreams that a peer reported."""
 
@@ -208,6 +218,23 @@
         local_rate = self._dependencies.state.demand.rates.get(service, 0.0)
         return local_rate + sum(rates.get(service, 0.0) for rates in peer_rates)
 
+    def fresh_members(self) -> list[Member]:
+        """Return the members whose last datagram is recent."""
+        now_s = self._dependencies.state.clock()
+        max_age_s = FRESH_MEMBER_AGE_S + self.round_s
+        return [
+            member
+            for member in self.members.values()
+            if now_s - member.last_received_s < max_age_s
+        ]
+
+    def is_watcher(self) -> bool:
+        """Return whether this node watches the registry for those that it hears."""
+        able = [each.address.name for each in self.fresh_members() if each.registry_ok]
+        if able and not self._dependencies.registry().registry_ok:
+            return False
+        return is_watcher(self.local_address.name, able)
+
     def send_state(self) -> None:
         """Send this node's state to the next peers."""
         if self._transport is None:
@@ -332,6 +359,7 @@
         self._count_missed(member, int(message.get("interval", 0)))
         member.version = int(message["version"])
         member.registry_ok = bool(message["registry"][0])
+        self._dependencies.registry().compare_version(member.version)
         key = address.key
         self._dependencies.clock.record_reading(key, _number(message["wall"]), now_s)
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
@@ -498,12 +526,22 @@
 def decode_address(row: list[Any]) -> NodeAddress:
     """Return a decoded address; raise ValueError for an invalid row."""
     try:
-        name, host, port, incarnation, data_centre = row
+        return _decode_address(*row)
+    except TypeError as error:
+        raise ValueError(f"invalid address: {error!r}") from error
+
+
+@lru_cache(MAX_KNOWN_ADDRESSES)
+def _decode_address(
+    name: Any, host: Any, port: Any, incarnation: Any, data_centre: Any
+) -> NodeAddress:
+    """Decode the address of a node; each datagram repeats three of them."""
+    try:
         address = NodeAddress(
             str(name), str(host), int(port), int(incarnation), str(data_centre)
         )
-        ipaddress.IPv4Address(address.host)
-    except DECODE_ERRORS as error:
+        socket.inet_pton(socket.AF_INET, address.host)
+    except (*DECODE_ERRORS, OSError) as error:
         raise ValueError(f"invalid address: {error!r}") from error
     # Larger numbers cannot be encoded again.
     if not (0 < address.port < 1 << 16 and 0 <= address.incarnation < 1 << 63):
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -9,7 +9,11 @@
 import cbor2
 
 from cicadapass_decisions.passthrough import UpstreamRecord
-from cicadapass_decisions.readsharing import read_interval_s
+from cicadapass_decisions.readsharing import (
+    FAILURE_PAUSE_S,
+    failure_pause_s,
+    read_interval_s,
+)
 from cicadapass_decisions.topicreplica import Delta, Document
 from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.cbor import decode_cbor
@@ -23,12 +27,13 @@
 from cicadapass_gateway.linelimit import LineLimit
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peerclient import (
-    STATE_PATH,
+    CONFIGURATION_PATH,
     UPSTREAMS_PATH,
     PeerClient,
     PeerUpstreams,
     decode_configuration,
     decode_upstreams,
+    encode_configuration,
     encode_upstreams,
 )
 from cicadapass_gateway.peers import (
@@ -51,8 +56,6 @@
 # upstream may get requests for two to three seconds.
 MAX_VIEW_AGE_S = 1.0
 VIEW_AGE_SPREAD = 0.25
-# Pause after a failed call.
-RETRY_PAUSE_S = 0.3
 # The registry counts as unavailable to this node once a response is this late.
 OVERDUE_S = 0.5
 # The registry has an outage if no node's read confirmed the view for this long. While
@@ -61,12 +64,18 @@
 OUTAGE_AFTER_S = 2.0
 # Interval at which a node that waits for its next read checks the age of its view.
 WAIT_CHECK_INTERVAL_S = 0.2
-# Interval at which a node looks for peers with a newer configuration.
-PEER_FETCH_INTERVAL_S = 0.7
+# Interval at which a node that does not watch the configuration reads it, times a
+# random factor; it covers what its peers do not report.
+UNWATCHED_READ_INTERVAL_S = 60.0
+# Interval at which a node checks whether it has become a watcher.
+WATCHER_CHECK_INTERVAL_S = 1.0
+# A node that watches the configuration itself leaves its own read this time before it
+# fetches a newer one from a peer.
+WATCHER_FETCH_DELAY_S = 0.35
+# Interval at which entries that were held are checked.
+HELD_CHECK_INTERVAL_S = 0.35
 # Pause after a failed fetch of the changes of upstreams, before the next peer is asked.
 FETCH_RETRY_PAUSE_S = 0.05
-# Maximum age of the last datagram of a peer to read from; covers six lost datagrams.
-PEER_MAX_AGE_S = 1.2
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
 NODES_READ_INTERVAL_S = 20.0
 # Lines on entries that cannot be read in a second; the reader may meet many at once.
@@ -83,6 +92,13 @@
     lost: bool = False
 
 
+@dataclass(slots=True)
+class _Failures:
+    """Count the calls of one kind that failed in a row."""
+
+    count: int = 0
+
+
 class RegistrySync:
     """Keep the node's view of the registry up to date."""
 
@@ -99,6 +115,10 @@
         # Until a first listing, and once the registry has deleted unread records.
         self._needs_listing = True
         self._behind = asyncio.Event()
+        self._newer = asyncio.Event()
+        self._configuration_failures = _Failures()
+        self._upstream_failures = _Failures()
+        self._node_failures = _Failures()
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
 
     @property
@@ -121,6 +141,11 @@
         if end_offset > self._replica.end_offset:
             self._behind.set()
 
+    def compare_version(self, version: int) -> None:
+        """Compare the configuration with that of a peer, and fetch a newer one."""
+        if version > self._state.version:
+            self._newer.set()
+
     def apply_marks(self, rows: Sequence[Sequence[Any]], peer: str) -> None:
         """Apply the marks of leaving upstreams that a peer reported."""
         view, now_s = self._state.upstreams.view, self._state.clock()
@@ -151,25 +176,25 @@
                     end = changes.end_offset
                     self._adopt_documents(changes.documents)
                 if self._state.routes is None:
-                    await asyncio.sleep(RETRY_PAUSE_S)
+                    await asyncio.sleep(FAILURE_PAUSE_S)
+                else:
+                    await self._wait_until_watcher()
             except HistoryExpired:
                 end = -1
             except GatewayError as error:
-                self._record_failure(error)
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._pause_after(self._configuration_failures, error)
 
     async def follow_upstreams(self) -> None:
         """Read the changes of the upstreams until cancelled."""
         while True:
             try:
                 await self._read_upstreams()
-                self._record_response()
+                self._record_response(self._upstream_failures)
             except HistoryExpired:
                 self._needs_listing = True
                 continue
             except GatewayError as error:
-                self._record_failure(error)
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._pause_after(self._upstream_failures, error)
                 continue
             await self._wait_for_next_read()
 
@@ -197,32 +222,35 @@
                 )
                 self._add_nodes(listing.documents)
             except GatewayError as error:
-                self._record_failure(error)
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._pause_after(self._node_failures, error)
                 continue
+            self._node_failures.count = 0
             await asyncio.sleep(self._read_interval_s(NODES_READ_INTERVAL_S))
 
     async def follow_peers(self) -> None:
-        """Fetch newer configurations of peers, and drop entries that were held."""
+        """Fetch newer configurations of peers until cancelled."""
         while True:
-            await asyncio.sleep(PEER_FETCH_INTERVAL_S / 2)
-            now_s = self._state.clock()
-            if self._state.upstreams.view.expire(now_s):
+            await self._newer.wait()
+            if self._peers.is_watcher():
+                await asyncio.sleep(WATCHER_FETCH_DELAY_S)
+            member = self._member_with_newer_version()
+            if member is None:
+                self._newer.clear()
+            elif not await self._fetch_configuration(member):
+                await asyncio.sleep(FETCH_RETRY_PAUSE_S)
+
+    async def expire_held_entries(self) -> None:
+        """Drop entries that were held and did not reappear, until cancelled."""
+        while True:
+            await asyncio.sleep(HELD_CHECK_INTERVAL_S)
+            if self._state.upstreams.view.expire(self._state.clock()):
                 self._state.upstreams.refresh()
-            newer = [
-                each
-                for each in self._fresh_members()
-                if each.version > self._state.version
-            ]
-            if newer:
-                await self._fetch_configuration(self._state.rng.choice(newer))
-                await asyncio.sleep(PEER_FETCH_INTERVAL_S / 2)
 
     def respond(self, target: bytes) -> bytes | None:
         """Return the response to a peer's request, or None for an unknown path."""
         url = urlsplit(target.decode("latin-1"))
-        if url.path == STATE_PATH:
-            return self.encode_state()
+        if url.path == CONFIGURATION_PATH:
+            return encode_configuration(self._state.raw_configuration)
         if url.path != UPSTREAMS_PATH:
             return None
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -232,19 +260,6 @@
             return None
         return self._encode_upstreams(start, query.get("node", ""))
 
-    def encode_state(self) -> bytes:
-        """Return the configuration; builds without `UPSTREAMS_PATH` read the rest."""
-        return cbor2.dumps(
-            {
-                "configuration": self._state.raw_configuration,
-                "end": self._replica.end_offset,
-                "upstreams": [
-                    [each.key, each.value, each.offset]
-                    for each in self._replica.documents
-                ],
-            }
-        )
-
     def _encode_upstreams(self, start: int, peer: str) -> bytes:
         """Return the compressed entries of upstreams that a peer lacks."""
         delta = self._replica.delta(start)
@@ -303,41 +318,57 @@
                 return
             await asyncio.sleep(min(WAIT_CHECK_INTERVAL_S, remaining_s))
 
-    def _fresh_members(self) -> list[Member]:
-        """Return the members whose last datagram is recent."""
-        now_s = self._state.clock()
-        max_age_s = PEER_MAX_AGE_S + self._peers.round_s
-        return [
-            member
-            for member in self._peers.members.values()
-            if now_s - member.last_received_s < max_age_s
-        ]
-
     def _member_ahead(self) -> Member | None:
         """Return a member whose view covers more, of the local data centre if any."""
-        ahead = [
+        return self._prefer_local(
             each
-            for each in self._fresh_members()
+            for each in self._peers.fresh_members()
             if each.view_end > self._replica.end_offset
-        ]
-        local = [
-            each
-            for each in ahead
-            if each.address.data_centre == self._state.data_centre
-        ]
-        return self._state.rng.choice(local or ahead) if ahead else None
+        )
 
     def _read_interval_s(self, usual_s: float) -> float:
         """Return the interval of this node's share of the reads."""
-        readers = 1 + sum(each.registry_ok for each in self._fresh_members())
+        readers = 1 + sum(each.registry_ok for each in self._peers.fresh_members())
         return read_interval_s(usual_s, readers, self._state.rng)
 
-    async def _fetch_configuration(self, member: Member) -> None:
+    async def _wait_until_watcher(self) -> None:
+        """Wait until this node is to watch the configuration, or a longer interval."""
+        end_s = self._state.clock() + UNWATCHED_READ_INTERVAL_S * (
+            0.5 + self._state.rng.random()
+        )
+        while not self._peers.is_watcher() and self._state.clock() < end_s:
+            await asyncio.sleep(WATCHER_CHECK_INTERVAL_S)
+
+    def _member_with_newer_version(self) -> Member | None:
+        """Return a member with a newer configuration, a local one if any."""
+        return self._prefer_local(
+            each
+            for each in self._peers.fresh_members()
+            if each.version > self._state.version
+        )
+
+    def _prefer_local(self, members: Iterable[Member]) -> Member | None:
+        """Return one of some members at random, of the local data centre if any."""
+        candidates = list(members)
+        local = [
+            each
+            for each in candidates
+            if each.address.data_centre == self._state.data_centre
+        ]
+        return self._state.rng.choice(local or candidates) if candidates else None
+
+    async def _fetch_configuration(self, member: Member) -> bool:
+        """Fetch the configuration of a member; return whether it is adopted."""
         raw = await self._peer_client.fetch(
-            member.address, STATE_PATH, decode_configuration
+            member.address, CONFIGURATION_PATH, decode_configuration
         )
         if raw:
             self._adopt(raw, "peer")
+        if self._state.version >= member.version:
+            return True
+        # Not asked again before its next datagram.
+        member.version = -1
+        return False
 
     async def _fetch_upstreams(self, member: Member) -> bool:
         """Fetch what this node lacks from a member; return whether it succeeded."""
@@ -358,7 +389,7 @@
         return True
 
     def _adopt_documents(self, documents: tuple[Document, ...]) -> None:
-        self._record_response()
+        self._record_response(self._configuration_failures)
         for document in documents:
             if document.key == self._adapter.document_codec.configuration_key:
                 self._adopt(document.value, "registry")
@@ -471,13 +502,25 @@
         ):
             self._state.events.emit(833, view_age_ms=round(1000 * age_s))
 
-    def _record_response(self) -> None:
+    def _record_response(self, failures: _Failures) -> None:
+        failures.count = 0
         now_s = self._state.clock()
         self._registry_status.last_response_s = now_s
         if self._registry_status.lost:
             self._registry_status.lost = False
             self._state.events.emit(804, offset=self._replica.end_offset)
 
+    async def _pause_after(self, failures: _Failures, error: GatewayError) -> None:
+        """Record a failed call and wait until the next one.
+
+        A node that cannot serve yet does not wait for longer.
+        """
+        self._record_failure(error)
+        failures.count += 1
+        waits = self._state.routes is None or not self._state.upstreams_loaded
+        repeats = 1 if waits else failures.count
+        await asyncio.sleep(failure_pause_s(repeats, self._state.rng))
+
     def _record_failure(self, error: GatewayError) -> None:
         self._state.metrics.count("registry_failures", type(error).__name__)
         self._check_for_outage(self._state.clock())
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -34,6 +34,10 @@
         self.holder_report = None
         self.round_s = 0.2
 
+    def is_watcher(self):
+        """Return that this node may take the duties."""
+        return True
+
 
 class Platform:
     """Record the calls of the duties and simulate faults."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -42,6 +42,9 @@
         """Store the report of a peer."""
         self.compared.append((end_offset, ages_s))
 
+    def compare_version(self, version):
+        """Ignore the version of a peer."""
+
     def apply_marks(self, rows, peer):
         """Apply the marks of a peer."""
         for upstream_id, started_ms in rows:
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -56,6 +56,14 @@
         self.round_s = 0.2
         self.last_received_s = 0.0
 
+    def fresh_members(self):
+        """Return all members."""
+        return list(self.members.values())
+
+    def is_watcher(self):
+        """Return that this node watches the registry."""
+        return True
+
     def add(self, address, now_s):
         if address.name != self.local_address.name:
             self.members[address.name] = Member(address, now_s)
@@ -84,6 +92,7 @@
                 self.registry_sync.follow_peer_views,
                 self.registry_sync.follow_nodes,
                 self.registry_sync.follow_peers,
+                self.registry_sync.expire_held_entries,
             )
         ]
         return self
@@ -423,6 +432,7 @@
                 member.view_end, ages_s = served.registry_sync.view_state()
                 node.peers.members["served"] = member
                 node.registry_sync.compare_view(member.view_end, ages_s)
+                node.registry_sync.compare_version(member.version)
 
             async def keep_reporting():
                 while True:
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -218,6 +218,7 @@
             sync.follow_peer_views,
             sync.follow_nodes,
             sync.follow_peers,
+            sync.expire_held_entries,
             periodic(self.peers.send_state, SEND_INTERVAL_S),
         ):
             self._tasks.append(asyncio.create_task(follow()))
