--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -4,6 +4,8 @@
 
 from cicadapass_decisions.ratelimit import LimitTolerance
 
+MAX_PORT = 65_535
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
--- a/tests/platform/test_foreignvalues.py
+++ b/tests/platform/test_foreignvalues.py
@@ -18,59 +18,15 @@
 from cicadapass_platform.headers import decode_call, decode_response
 from tests.gateway.harness import make_state
 from tests.gateway.virtualcluster import run_virtual
-
-ENTRY = {
-    "service": "s",
-    "address": "10.1.0.1:8360",
-    "zone": "dc-a",
-    "version": "1",
-    "slots": 8,
-    "state": "ready",
-    "coldLeftMs": 0,
-    "sequence": 4,
-    "born": 1_700_000_000_000,
-}
-NESTED = b'{"address":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
-ODD_FIELDS = (
-    {"address": "10.1.0.1:99999"},
-    {"address": "10.1.0.1:0"},
-    {"address": "10.1.0.1:-1"},
-    {"address": "10.1.0.1:80 "},
-    {"address": "10.1.0.1:٣٣"},
-    {"address": "10.1.0.1"},
-    {"address": "host.example:80"},
-    {"address": "10.1.0.1\r\nX: y:80"},
-    {"address": 5},
-    {"leaves_ms": 10**400},
-    {"leaves_ms": 10**30},
-    {"leaves_ms": True},
-    {"slots": -1},
-    {"slots": 0},
-    {"slots": 10**30},
-    {"slots": 8.0},
-    {"sequence": 10**30},
-    {"sequence": -1},
-    {"born": 10**30},
-    {"born": -1},
-    {"born": 1.5},
-    {"service": "\ud800"},
-    {"service": ""},
-    {"zone": "a\nb"},
-    {"zone": "z" * 10_000},
-    {"state": ["ready"]},
-    {"state": "gone"},
-)
-ODD_BYTES = (
+from tests.oddentries import (
+    ENTRY,
     NESTED,
-    b"[" * 200_000,
-    b"9" * 10_000,
-    b"1e999999999",
-    b"\xff\xfe",
-    b"",
-    b"null",
-    b"{}",
-    b'"text"',
+    ODD_BYTES,
+    ODD_FIELDS,
+    encode_entry,
+    odd_entries,
 )
+
 JSON_VALUES = st.recursive(
     st.none()
     | st.booleans()
@@ -85,23 +41,18 @@
 )
 
 
-def encode(**changes):
-    """Return the bytes of an entry with some fields changed."""
-    return json.dumps({**ENTRY, **changes}).encode()
-
-
 class EntryTest(testtools.TestCase):
     def test_a_sound_entry_is_read(self):
         """A check of values refused what engines write."""
         for changes in ({}, {"leaves_ms": 0}, {"leaves_ms": 2500}, {"spot": True}):
-            record = decode_upstream("i-1", encode(**changes))
+            record = decode_upstream("i-1", encode_entry(**changes))
             self.assertIsInstance(record, UpstreamRecord)
-        self.assertIsNotNone(decode_upstream("i-1", encode(leaves_ms=-5)))
+        self.assertIsNotNone(decode_upstream("i-1", encode_entry(leaves_ms=-5)))
 
     def test_odd_fields_name_no_upstream(self):
         """Values that were decoded broke the node when they were used."""
         for changes in ODD_FIELDS:
-            self.assertIsNone(decode_upstream("i-1", encode(**changes)), changes)
+            self.assertIsNone(decode_upstream("i-1", encode_entry(**changes)), changes)
 
     def test_odd_bytes_name_no_upstream(self):
         """A deeply nested entry ended the part that reads the registry."""
@@ -111,14 +62,14 @@
     def test_odd_keys_name_no_upstream(self):
         """The key of an entry could not be written into a header."""
         for key in ("", "a\r\nb", "\ud800", "ж", "x" * 10_000):
-            self.assertIsNone(decode_upstream(key, encode()), key[:20])
+            self.assertIsNone(decode_upstream(key, encode_entry()), key[:20])
 
     @seed(20261205)
     @settings(max_examples=400, deadline=None, database=None)
     @given(st.sampled_from([*ENTRY, "leaves_ms", "spot"]), JSON_VALUES)
     def test_any_value_is_read_or_skipped(self, name, value):
         """An error other than those expected ended the part that reads entries."""
-        record = decode_upstream("i-1", encode(**{name: value}))
+        record = decode_upstream("i-1", encode_entry(**{name: value}))
         if record is not None:
             self.assertIn(record.port, range(1, 65536))
             cbor2.dumps([record.service, record.data_centre, record.host])
@@ -154,12 +105,11 @@
 
         async def play():
             state = make_state()
-            odd = [encode(**each) for each in ODD_FIELDS] + list(ODD_BYTES)
             documents = [
                 Document(f"odd-{number}", data, number)
-                for number, data in enumerate(odd)
+                for number, data in enumerate(odd_entries())
             ]
-            documents.append(Document("i-1", encode(), len(documents)))
+            documents.append(Document("i-1", encode_entry(), len(documents)))
             skipped = []
             state.events.emit = lambda number, **_: skipped.append(number)
             sync = RegistrySync(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,11 +1,20 @@
 """Test the decoding of the platform's settings file."""
 
+import os
+import tempfile
+from unittest import mock
+
 import testtools
 
 from cicadapass_decisions.ratelimit import LimitTolerance
 from cicadapass_gateway.config import Address
 from cicadapass_gateway.exceptions import SettingsError
-from cicadapass_platform.settings import decode_settings
+from cicadapass_platform.settings import (
+    METRICS_PORT_VARIABLE,
+    SETTINGS_PATH_VARIABLE,
+    decode_settings,
+    read_settings,
+)
 
 TEXT = """nodeName=front-a-1
 zone=dc-a
@@ -46,6 +55,37 @@
         self.assertIn("zone is missing", str(error))
         self.assertIn("listen.front='10.1.0.16:many'", str(error))
 
+    def test_unusable_values_are_reported(self):
+        """A number out of range ended in a traceback, or in a node that never stops."""
+        for name, value in (
+            ("bounds.leaseMs", "soon"),
+            ("bounds.leaseMs", "0"),
+            ("bounds.graceS", "nan"),
+            ("bounds.quotaSlack", "-1"),
+            ("bounds.usageWindowS", "inf"),
+            ("seeds", "10.1.0.16:8367,nowhere"),
+            ("internalPortRange", "99999,100000"),
+            ("listen.ready", "10.1.0.16:0"),
+        ):
+            lines = [each for each in TEXT.splitlines() if not each.startswith(name)]
+            text = "\n".join([*lines, f"{name}={value}"])
+            error = self.assertRaises(SettingsError, decode_settings, text)
+            self.assertIn(name, str(error))
+
+    def test_a_metrics_port_that_is_no_port_is_reported(self):
+        """The start ended in a traceback."""
+        with mock.patch.dict(os.environ, {METRICS_PORT_VARIABLE: "many"}):
+            error = self.assertRaises(SettingsError, decode_settings, TEXT)
+        self.assertIn(METRICS_PORT_VARIABLE, str(error))
+
+    def test_a_file_that_is_not_text_is_reported(self):
+        """The start ended in a traceback, and a reload in an error of its part."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(b"zone=\xff\n")
+            file.flush()
+            with mock.patch.dict(os.environ, {SETTINGS_PATH_VARIABLE: file.name}):
+                self.assertRaises(SettingsError, read_settings)
+
     def test_a_deployment_without_duties(self):
         """A node without a cloud API did not start."""
         lines = [line for line in TEXT.splitlines() if "cloudApi" not in line]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,6 +37,8 @@
     "engine_broken_stream",
     "engine_cut_head",
 )
+# What another writer leaves among the engines' entries, drawn apart as well.
+ENTRY_KINDS = ("entries_odd",)
 # Engines that such a fault affects.
 SCOPES = ("one", "third", "all")
 # Time between two faults that are drawn apart, and how long they last.
@@ -100,6 +102,7 @@
             at_s += rng.uniform(*PAUSE_RANGE_S)
     faults += _draw_apart(f"trouble {seed}", length_s, TROUBLE_KINDS)
     faults += _draw_apart(f"answers {seed}", length_s, ANSWER_KINDS, SCOPES)
+    faults += _draw_apart(f"entries {seed}", length_s, ENTRY_KINDS)
     return sorted(faults, key=lambda each: each.at_s)
 
 
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from tests.oddentries import odd_entries
 from tests.platform.storestandin import StoreStandin
 from tests.platform.test_documents import ROUTE
 from tests.soak.engines import Engine
@@ -120,6 +121,11 @@
         await asyncio.sleep(2 * DRAIN_S)
         self._remove(engine)
 
+    def put_odd_entries(self):
+        """Write what another writer may leave among the entries of the engines."""
+        for number, data in enumerate(odd_entries()):
+            self._put(f"odd-{number}", data)
+
     def crash(self, engine):
         """Crash an engine; its entry stays until it expires."""
         engine.crash()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -262,6 +262,11 @@
             await self._platform.add_engine(f"{engine.name}-new")
         self._record_disturbance(engine.name, started_s, self._clock())
 
+    async def _entries_fault(self, kind, fault):
+        """Leave odd entries among those of the engines, and start a sound one."""
+        self._platform.put_odd_entries()
+        await self._platform.add_engine(f"i-{fault.target_fraction:.6f}")
+
     async def _prompt_fault(self, kind, fault):
         """Let some prompts contain a segment that crashes engines."""
         segment = f"{CRASHING_PREFIX}{fault.target_fraction:.6f}".replace(".", "")
