--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -36,6 +36,12 @@
 FAILED = (502, 504)
 
 
+def _failed_components(records):
+    """A component of a node ended with an error, by which the process may end."""
+    for node, reason in records.component_failures:
+        yield f"a component of {node} failed: {reason}"
+
+
 def violations(records):
     """Return a line of text for each violation of a guarantee."""
     lines = []
@@ -57,6 +63,7 @@
         _late_recovery,
         _crashing_prompts_sent_on,
         _limits_exceeded,
+        _failed_components,
     ):
         lines += check(records)
     return lines
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -14,6 +14,8 @@
 # A node that has not ended this long after SIGTERM is killed.
 GRACE_S = 8.0
 READY_TIMEOUT_S = 20.0
+# Part of the log line on a component that ended with an error.
+COMPONENT_FAILED = '"event":805,'
 
 
 class NodeProcess:
@@ -125,6 +127,11 @@
                     raise RuntimeError(f"{self.name} ended: {self._log_tail()}")
                 await asyncio.sleep(0.05)
 
+    def component_failures(self):
+        """Return the lines on components that ended with an error."""
+        log = (self._folder / f"{self.name}.log").read_text(errors="replace")
+        return [line for line in log.splitlines() if COMPONENT_FAILED in line]
+
     def _log_tail(self):
         return (self._folder / f"{self.name}.log").read_text()[-500:]
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -86,6 +86,8 @@
     leaving: dict = field(default_factory=dict)
     # When the configuration without a key was written, by key.
     dropped_keys: dict = field(default_factory=dict)
+    # Components that ended with an error: node and log line.
+    component_failures: list = field(default_factory=list)
     # Calls of the duties: path, holder, fencing number, body.
     duties: list = field(default_factory=list)
     # End of the last fault.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -314,3 +314,10 @@
             result = records(calls, runs, limits=[("i-0", 1.3, 40.0, 60.0)])
             lines = [each for each in violations(result) if "named" in each]
             self.assertEqual(expected, len(lines))
+
+    def test_failed_components_are_reported(self):
+        """A component that ended with an error must be reported."""
+        failures = [("n0", "upstreams: OverflowError")]
+        result = records([], {}, component_failures=failures)
+        lines = [each for each in violations(result) if "OverflowError" in each]
+        self.assertEqual(1, len(lines))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -72,6 +72,11 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await asyncio.gather(*(node.close() for node in self._nodes))
+        self.records.component_failures = [
+            (node.name, line)
+            for node in self._nodes
+            for line in node.component_failures()
+        ]
         return violations(self.records)
 
     async def _run_faults(self, faults):
