--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -37,7 +37,7 @@
 
 
 def _failed_components(records):
-    """A component of a node ended with an error, by which the process may end."""
+    """Report components of nodes that ended with an error."""
     for node, reason in records.component_failures:
         yield f"a component of {node} failed: {reason}"
 
