Update what depends on all members once a second with many nodes

Cause: with each datagram interval of 0.2 s a node went over all members six times.

Change: with more than ten members, this is done each second or when their number changes; the members to introduce are found in a draw of twelve.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -34,6 +34,11 @@
 MAX_RECIPIENTS = 10
 # Other members listed in each datagram, so that all nodes discover each other.
 MEMBERS_PER_DATAGRAM = 2
+# Members drawn to find these among them, as some may not have been heard lately.
+INTRODUCTION_DRAWS = 12
+# With more than MAX_RECIPIENTS members, what depends on all of them is updated once in
+# this many intervals, or when their number changes.
+MEMBERSHIP_INTERVALS = 5
 # A member that sends nothing for this long is removed.
 MEMBER_TIMEOUT_S = 30.0
 # A member is introduced to others only if its last datagram is more recent than this.
@@ -164,6 +169,8 @@
         self.set_seeds(seeds)
         self._dependencies = dependencies
         self._transport: asyncio.DatagramTransport | None = None
+        # The names of all members at the last update, in order.
+        self._ordered_names: list[str] = []
         # The other nodes of this data centre, or a sample of them.
         self._local_members: list[NodeAddress] = []
         # Nodes start at different members, so that together they reach all members in
@@ -243,16 +250,34 @@
         if self._transport is None:
             return
         now_s = self._dependencies.state.clock()
+        if (
+            len(self.members) <= MAX_RECIPIENTS
+            or len(self.members) != len(self._ordered_names)
+            or self._interval % MEMBERSHIP_INTERVALS == 0
+        ):
+            self._update_membership(now_s)
+        self._interval += 1
+        data = cbor2.dumps(self._encode(now_s))
+        for address in self._next_addresses():
+            self._transport.sendto(data, address)
+
+    def _update_membership(self, now_s: float) -> None:
+        """Drop silent members, and update what depends on the others."""
         self._remove_silent_members(now_s)
+        self._ordered_names = sorted(self.members)
         state = self._dependencies.state
         state.rate_limiter.set_round(self.round_s)
         state.upstreams.limits.set_members(self._recent_members(now_s))
         state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
         state.rate_limiter.set_node_count(state.node_count)
-        self._interval += 1
-        data = cbor2.dumps(self._encode(now_s))
-        for address in self._next_addresses():
-            self._transport.sendto(data, address)
+        local_members = [
+            each.address
+            for each in self.members.values()
+            if each.address.data_centre == self.local_address.data_centre
+        ]
+        if len(local_members) > MAX_LOCAL_RECIPIENTS:
+            local_members = state.rng.sample(local_members, MAX_LOCAL_RECIPIENTS)
+        self._local_members = local_members
 
     def report_send(self, upstream_id: str, tokens: int) -> None:
         """Report a prompt just sent to an upstream to the nodes of this data centre."""
@@ -291,21 +316,11 @@
             )
 
     def _next_addresses(self) -> list[tuple[str, int]]:
-        members = sorted(self.members)
+        members = self._ordered_names
         if len(members) > MAX_RECIPIENTS:
             start = self._next_recipient % len(members)
             members = (members[start:] + members[:start])[:MAX_RECIPIENTS]
         self._next_recipient += MAX_RECIPIENTS
-        local_members = [
-            each.address
-            for each in self.members.values()
-            if each.address.data_centre == self.local_address.data_centre
-        ]
-        if len(local_members) > MAX_LOCAL_RECIPIENTS:
-            local_members = self._dependencies.state.rng.sample(
-                local_members, MAX_LOCAL_RECIPIENTS
-            )
-        self._local_members = local_members
         recipients = [self.members[each].address for each in members]
         addresses = [(each.host, each.port) for each in recipients]
         # Seeds get datagrams until at least as many members are known.
@@ -315,13 +330,7 @@
 
     def _encode(self, now_s: float) -> dict[str, Any]:
         state = self._dependencies.state
-        max_age_s = INTRODUCTION_MAX_AGE_S + self.round_s
-        recent = [
-            member.address
-            for _, member in sorted(self.members.items())
-            if member.heard and now_s - member.last_received_s < max_age_s
-        ]
-        introduced = state.rng.sample(recent, min(MEMBERS_PER_DATAGRAM, len(recent)))
+        introduced = self._draw_introduced(now_s)
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
         return {
@@ -347,6 +356,21 @@
             "members": [encode_address(address) for address in introduced],
         }
 
+    def _draw_introduced(self, now_s: float) -> list[NodeAddress]:
+        """Return a few of the members that were heard lately."""
+        max_age_s = INTRODUCTION_MAX_AGE_S + self.round_s
+        names = self._ordered_names
+        drawn = self._dependencies.state.rng.sample(
+            names, min(len(names), INTRODUCTION_DRAWS)
+        )
+        members = (self.members[each] for each in drawn)
+        recent = [
+            each.address
+            for each in members
+            if each.heard and now_s - each.last_received_s < max_age_s
+        ]
+        return recent[:MEMBERS_PER_DATAGRAM]
+
     def _apply_state(self, message: dict[str, Any]) -> None:
         state = self._dependencies.state
         now_s = state.clock()
