--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -20,10 +20,10 @@
 from cicadapass_gateway.httpserver import Exchange, HttpServer, ServerState
 from cicadapass_gateway.logoutput import QueuedOutput
 from cicadapass_gateway.migrator import Migrator
+from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.nodestate import DRAIN_ACCEPT_S, NodeState, RetryLimits
 from cicadapass_gateway.peers import (
     SEND_INTERVAL_S,
-    NodeAddress,
     PeerDependencies,
     Peers,
 )
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -17,7 +17,7 @@
     ConnectFailed,
 )
 from cicadapass_gateway.httpclient import ClientPool
-from cicadapass_gateway.peers import NodeAddress
+from cicadapass_gateway.nodeaddress import NodeAddress
 
 CONFIGURATION_PATH = "/v1/configuration"
 UPSTREAMS_PATH = "/v1/upstreams"
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -9,11 +9,9 @@
 
 import asyncio
 import math
-import socket
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from functools import lru_cache
 from typing import Any, Protocol, cast
 
 import cbor2
@@ -24,6 +22,11 @@
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import DECODE_ERRORS
+from cicadapass_gateway.nodeaddress import (
+    NodeAddress,
+    decode_address,
+    encode_address,
+)
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.usage import UsageCounter
 
@@ -72,28 +75,10 @@
 # A member counts among those that share limits for this long after its last datagram,
 # plus two rounds of datagrams.
 LIMIT_MEMBER_AGE_S = 1.2
-# Decoded addresses that are kept; a deployment has fewer nodes.
-MAX_KNOWN_ADDRESSES = 1024
 # Nodes of the local data centre that get a prompt's report at once, 25 bytes each.
 MAX_LOCAL_RECIPIENTS = 40
 
 
-@dataclass(frozen=True, slots=True)
-class NodeAddress:
-    """Identify one incarnation of a node and its address for peers."""
-
-    name: str
-    host: str
-    port: int
-    incarnation: int
-    data_centre: str
-
-    @property
-    def key(self) -> str:
-        """Return a name that is unique to this incarnation."""
-        return f"{self.name}/{self.incarnation}"
-
-
 @dataclass(slots=True)
 class Member:
     """Store the last reported state of another node."""
@@ -541,43 +526,6 @@
                 self._dependencies.state.upstreams.apply_load(name, {}, now_s)
 
 
-def encode_address(address: NodeAddress) -> list[Any]:
-    """Return an address as stored in datagrams and in the registry."""
-    return [
-        address.name,
-        address.host,
-        address.port,
-        address.incarnation,
-        address.data_centre,
-    ]
-
-
-def decode_address(row: list[Any]) -> NodeAddress:
-    """Return a decoded address; raise ValueError for an invalid row."""
-    try:
-        return _decode_address(*row)
-    except TypeError as error:
-        raise ValueError(f"invalid address: {error!r}") from error
-
-
-@lru_cache(MAX_KNOWN_ADDRESSES)
-def _decode_address(
-    name: Any, host: Any, port: Any, incarnation: Any, data_centre: Any
-) -> NodeAddress:
-    """Decode the address of a node; each datagram repeats three of them."""
-    try:
-        address = NodeAddress(
-            str(name), str(host), int(port), int(incarnation), str(data_centre)
-        )
-        socket.inet_pton(socket.AF_INET, address.host)
-    except (*DECODE_ERRORS, OSError) as error:
-        raise ValueError(f"invalid address: {error!r}") from error
-    # Larger numbers cannot be encoded again.
-    if not (0 < address.port < 1 << 16 and 0 <= address.incarnation < 1 << 63):
-        raise ValueError("invalid address: a number is out of range")
-    return address
-
-
 def _encode_totals(totals: dict[str, tuple[float, float]]) -> dict[str, list[int]]:
     return {
         name: [round(total), round(demand)] for name, (total, demand) in totals.items()
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -25,6 +25,7 @@
 )
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.linelimit import LineLimit
+from cicadapass_gateway.nodeaddress import decode_address, encode_address
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peerclient import (
     CONFIGURATION_PATH,
@@ -39,8 +40,6 @@
 from cicadapass_gateway.peers import (
     Member,
     Peers,
-    decode_address,
-    encode_address,
 )
 
 # With few nodes, a read of the configuration waits this long for a change; with many,
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -10,7 +10,10 @@
 from cicadapass_gateway.duties import Duties, DutyTimes
 from cicadapass_gateway.exceptions import PlatformRefused, PlatformUnavailable
 from cicadapass_gateway.fleetplanner import FleetPlanner
-from cicadapass_gateway.peers import HolderReport, NodeAddress
+from cicadapass_gateway.nodeaddress import NodeAddress
+from cicadapass_gateway.peers import (
+    HolderReport,
+)
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import (
     HEADER_CODEC,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -7,13 +7,13 @@
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.peers import (
     LIMIT_MESSAGE,
     MAX_DATAGRAM_BYTES,
     MEMBER_TIMEOUT_S,
     SEGMENT_MESSAGE,
     USE_MESSAGE,
-    NodeAddress,
     PeerDependencies,
     Peers,
 )
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -9,9 +9,9 @@
 from cicadapass_gateway.adapterapi import Adapter, DocumentCodec, Topics
 from cicadapass_gateway.exceptions import ConnectFailed, PlatformUnavailable
 from cicadapass_gateway.httpclient import ResponseHead
+from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.peers import (
     SEND_INTERVAL_S,
-    NodeAddress,
     PeerDependencies,
     Peers,
 )
--- a/tests/platform/test_foreignvalues.py
+++ b/tests/platform/test_foreignvalues.py
@@ -12,7 +12,7 @@
 from cicadapass_decisions.topicreplica import Document
 from cicadapass_gateway.adapterapi import Listing
 from cicadapass_gateway.httpclient import ClientPool
-from cicadapass_gateway.peers import NodeAddress, decode_address
+from cicadapass_gateway.nodeaddress import NodeAddress, decode_address
 from cicadapass_gateway.registrysync import MAX_SKIPPED_LINES_PER_S, RegistrySync
 from cicadapass_platform.documents import CODEC, decode_upstream
 from cicadapass_platform.headers import decode_call, decode_response
