Wait for a whole round before a usage window is final

Cause: the counts of a window became final 1.2 s after its end at any size.

Change: windows settle for a round and a second, at least 1.2 s as before (up to ten members) and at most 8 s.

--- a/packages/decisions/cicadapass_decisions/usagereports.py
+++ b/packages/decisions/cicadapass_decisions/usagereports.py
@@ -3,9 +3,12 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-# The counts of all nodes have arrived this long after the end of a window: each node
-# has sent several datagrams.
-SETTLE_S = 1.2
+# The counts of all nodes have arrived this long after the end of a window, or this long
+# after a round in which each node has sent them to all others.
+MIN_SETTLE_S = 1.2
+SETTLE_AFTER_ROUND_S = 1.0
+# A report is due ten seconds after the end of its window.
+MAX_SETTLE_S = 8.0
 # Windows that ended earlier are not reported for the first time, because the counts of
 # restarted nodes would be missing.
 MAX_FIRST_REPORT_AGE_S = 14.0
@@ -19,6 +22,14 @@
 
     window_s: float
     true_time_s: float
+    # Time in which each node sends its counts to all others.
+    round_s: float = 0.2
+
+    @property
+    def settle_s(self) -> float:
+        """Return the time from the end of a window until its counts are complete."""
+        after_round_s = self.round_s + SETTLE_AFTER_ROUND_S
+        return min(MAX_SETTLE_S, max(MIN_SETTLE_S, after_round_s))
 
     def end_s(self, window: int) -> float:
         """Return the true time at which a window ends."""
@@ -30,7 +41,7 @@
 ) -> tuple[int, ...]:
     """Return the windows whose counts are complete but not yet final."""
     done = set(finalised)
-    newest = int((times.true_time_s - SETTLE_S) // times.window_s) - 1
+    newest = int((times.true_time_s - times.settle_s) // times.window_s) - 1
     oldest = max(
         first_counted,
         int((times.true_time_s - MAX_FIRST_REPORT_AGE_S) // times.window_s),
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -225,7 +225,9 @@
 
     def _finalise_windows(self, record: DutyRecord) -> DutyRecord:
         """Return the record with the final counts of the windows that are complete."""
-        times = WindowTimes(self._times.window_s, self._true_time())
+        times = WindowTimes(
+            self._times.window_s, self._true_time(), self._peers.round_s
+        )
         windows = windows_to_finalise(times, record.reports, self._first_window)
         if not windows:
             return record
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -184,9 +184,10 @@
         self.state.rng.seed(cluster.rng.random())
         self.registry = NodeRegistry(cluster.registry, cluster.calls)
         seeds = [(f"10.0.0.{each}", PORT) for each in (1, 2, 3)]
+        self.usage = UsageCounter(5.0, lambda: 1000.0)
         dependencies = PeerDependencies(
             self.state,
-            UsageCounter(5.0, lambda: 1000.0),
+            self.usage,
             PeerClock(),
             lambda: None,
             lambda: self.registry_sync,
