Let few nodes watch a registry that answers none of them

Cause: with no node that reaches the registry, each took itself for a watcher, and all read the record of the duties each 0.5 s during an outage. A delivered request could also wait for a check whether an engine had ended.

Change: if the registry answers none, the watchers are chosen among all; the check is left out for delivered requests.

Result: a test of tests/gateway/test_peers.py, which failed before.

--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -22,11 +22,7 @@
 from cicadapass_gateway.migrator import Migrator
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.nodestate import DRAIN_ACCEPT_S, NodeState, RetryLimits
-from cicadapass_gateway.peers import (
-    SEND_INTERVAL_S,
-    PeerDependencies,
-    Peers,
-)
+from cicadapass_gateway.peers import SEND_INTERVAL_S, PeerDependencies, Peers
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.supervisor import Supervisor
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -11,11 +11,7 @@
 from cicadapass_common.events import EventLog
 from cicadapass_decisions.topicreplica import Delta, Document
 from cicadapass_gateway.cbor import decode_cbor
-from cicadapass_gateway.exceptions import (
-    DECODE_ERRORS,
-    AnswerBroken,
-    ConnectFailed,
-)
+from cicadapass_gateway.exceptions import DECODE_ERRORS, AnswerBroken, ConnectFailed
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.nodeaddress import NodeAddress
 
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -224,11 +224,16 @@
         ]
 
     def is_watcher(self) -> bool:
-        """Return whether this node watches the registry for those that it hears."""
-        able = [each.address.name for each in self.fresh_members() if each.registry_ok]
-        if able and not self._dependencies.registry().registry_ok:
-            return False
-        return is_watcher(self.local_address.name, able)
+        """Return whether this node watches the registry for those that it hears.
+
+        If the registry answers none of them, they choose among all.
+        """
+        members = self.fresh_members()
+        able = [each.address.name for each in members if each.registry_ok]
+        if self._dependencies.registry().registry_ok:
+            return is_watcher(self.local_address.name, able)
+        names = [each.address.name for each in members]
+        return not able and is_watcher(self.local_address.name, names)
 
     def send_state(self) -> None:
         """Send this node's state to the next peers."""
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -37,10 +37,7 @@
     encode_configuration,
     encode_upstreams,
 )
-from cicadapass_gateway.peers import (
-    Member,
-    Peers,
-)
+from cicadapass_gateway.peers import Member, Peers
 
 # With few nodes, a read of the configuration waits this long for a change; with many,
 # longer. The client's time-out then detects a dead connection; until then, peers report
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -162,7 +162,8 @@
                 self._refuse(request, reservation.reason, reservation.queue_delay_s)
                 return
             result = await self._race(request).run(reservation)
-            await self._discount_ended_engines(request)
+            if result.outcome is not AttemptOutcome.DELIVERED:
+                await self._discount_ended_engines(request)
             step = next_step(result, self._progress(request), retry_allowed=True)
             if isinstance(step, Retry) and step.needs_allowance:
                 allowed = self._take_retry(request)
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -11,9 +11,7 @@
 from cicadapass_gateway.exceptions import PlatformRefused, PlatformUnavailable
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.nodeaddress import NodeAddress
-from cicadapass_gateway.peers import (
-    HolderReport,
-)
+from cicadapass_gateway.peers import HolderReport
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import (
     HEADER_CODEC,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -7,6 +7,7 @@
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.readsharing import is_watcher
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.peers import (
     LIMIT_MESSAGE,
@@ -215,6 +216,23 @@
 
         self.run_loop(scenario())
 
+    def test_few_nodes_watch_a_registry_that_answers_none(self):
+        """All nodes asked the registry for the end of a lease during its outage."""
+
+        async def scenario():
+            names = [f"n{number}" for number in range(30)]
+            name = next(each for each in names if not is_watcher(each, names))
+            node = await Node(name).start()
+            for number, other in enumerate(names):
+                address = NodeAddress(other, HOST, 1 + number, 1, "dc-a")
+                node.peers.add(address, node.state.clock())
+            node.registry.registry_ok = False
+            self.assertFalse(node.peers.is_watcher())
+            node.registry.registry_ok = True
+            self.assertTrue(node.peers.is_watcher())
+
+        self.run_loop(scenario())
+
     def test_a_wave_of_leaving_upstreams_does_not_enlarge_datagrams(self):
         """The entries of a hundred leaving upstreams filled the links for seconds."""
 
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -12,9 +12,7 @@
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import HttpServer, ServerState
 from cicadapass_gateway.nodeaddress import NodeAddress
-from cicadapass_gateway.peers import (
-    Member,
-)
+from cicadapass_gateway.peers import Member
 from cicadapass_gateway.registrysync import RegistrySync
 from tests.gateway.harness import (
     HEADER_CODEC,
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -10,11 +10,7 @@
 from cicadapass_gateway.exceptions import ConnectFailed, PlatformUnavailable
 from cicadapass_gateway.httpclient import ResponseHead
 from cicadapass_gateway.nodeaddress import NodeAddress
-from cicadapass_gateway.peers import (
-    SEND_INTERVAL_S,
-    PeerDependencies,
-    Peers,
-)
+from cicadapass_gateway.peers import SEND_INTERVAL_S, PeerDependencies, Peers
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import (
