--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -252,7 +252,7 @@
     A peer reported that these upstreams are leaving.
 835 info changes_served(peer, start, view_end, entries, complete)
     A peer fetched the entries of upstreams from this offset on, or all of them.
-836 info upstream_leaving(upstream, reason)
+836 info upstream_marked_leaving(upstream, reason)
     An answer shows that an upstream is leaving (`answer`), or that its address has \
 gone to another one (`replaced`); it gets no further requests. It is named with the \
 Unix millisecond of its start.
