--- a/review/1/case.py
+++ b/review/1/case.py
@@ -39,7 +39,12 @@
                   sessionAffinity=True),
         ]))  # fmt: skip
         nodes = [
-            Node(f"front-{ZONES[n % 3]}-{1 + n // 3}", ZONES[n % 3], store.address, folder)
+            Node(
+                f"front-{ZONES[n % 3]}-{1 + n // 3}",
+                ZONES[n % 3],
+                store.address,
+                folder,
+            )
             for n in range(NODES)
         ]
         engines = []
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,9 +24,7 @@
         store = await Store(clock).start()
         routes = [route("part-lookup", "streaming", "parts-model")]
         await store.put("keyed.op", "config", manifest(1, routes))
-        nodes = [
-            Node(f"front-{zone}-1", zone, store.address, folder) for zone in ZONES
-        ]
+        nodes = [Node(f"front-{zone}-1", zone, store.address, folder) for zone in ZONES]
         try:
             ends = [await operate(node, trouble, record) for node in nodes]
         finally:
--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -176,7 +176,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
     try:
         broken = asyncio.run(asyncio.wait_for(main(trouble), 115))
-    except Exception as error:  # noqa: BLE001
+    except Exception as error:
         print(f"the case could not run: {error!r}")
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -236,8 +236,10 @@
                 await asyncio.sleep(self._copy_s(needed - run.copied, target))
             run.copied = needed
             result = {"handle": run.handle, "createdRev": run.made}
-            if target is None or not target.alive or not target.reserve(
-                run.handle, needed
+            if (
+                target is None
+                or not target.alive
+                or not target.reserve(run.handle, needed)
             ):
                 self._answer_move(connection, 503, result, body, last)
                 return
