--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -58,6 +58,8 @@
         self.server = Server(self._serve)
         self.peers = {}
         self._beats = None
+        # The engine writes and takes nothing until this time.
+        self.silent_until_s = 0.0
         # Set once a run is to be moved.
         self.moving = asyncio.Event()
 
@@ -99,6 +101,11 @@
             self._beats.cancel()
         self.server.stop()
 
+    async def silence(self):
+        """Wait until the engine is not silent."""
+        while (remaining_s := self.silent_until_s - self._clock()) > 0:
+            await asyncio.sleep(remaining_s)
+
     async def _beat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -121,6 +128,7 @@
         return headers
 
     async def _serve(self, request, connection):
+        await self.silence()
         path = request.first[1].partition("?")[0]
         if path == "/api/kv-move":
             await self._move(json.loads(request.body), connection)
@@ -200,6 +208,7 @@
         while number < run.total_events:
             if number >= run.made:
                 await asyncio.sleep(self.event_s)
+            await self.silence()
             if run.stopped:
                 # The page: the run stops, and its stream is closed without its end.
                 connection.close()
@@ -234,6 +243,8 @@
             needed = run.tokens(self.stride)
             async with self._link:
                 await asyncio.sleep(self._copy_s(needed - run.copied, target))
+                if target is not None:
+                    await target.silence()
             run.copied = needed
             result = {"handle": run.handle, "createdRev": run.made}
             if (
