Wait for the last copy of a run until the caller's deadline

A node stopped a run for its last copy and gave it up 1.2 s later, although the copy was complete soon after: it had waited on the link behind other copies, or for an engine that was silent for 1.4 s.

The wait is now bounded by the request's deadline; the call that stops the run has no time limit of its own. A last copy that takes over 1.5 s no longer holds up the migrations of other runs.

--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -153,7 +153,10 @@
         target: UpstreamRecord,
         last: bool,
     ) -> str:
-        """Return the location of the copy."""
+        """Return the location of the copy.
+
+        A call with `last` waits until the copy is complete, without a time limit.
+        """
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -18,6 +18,8 @@
 CHECK_INTERVAL_S = 0.1
 # Per source engine; its link transfers the copies one after another.
 MAX_CONCURRENT_MIGRATIONS = 4
+# A last copy that takes longer no longer delays the migrations of other runs.
+MAX_LINK_HOLD_S = 1.5
 # Destinations tried for one run.
 MAX_DESTINATIONS = 2
 
@@ -114,29 +116,52 @@
         self, run: ActiveRun, leaving: _LeavingEngine
     ) -> MigratedRun | None:
         """Copy the run while it continues, then stop it and copy the rest."""
-        excluded = {run.record.upstream_id}
         async with leaving.semaphore:
-            for _ in range(MAX_DESTINATIONS):
-                target = self._choose_target(run, excluded)
-                if target is None:
-                    return None
-                excluded.add(target.upstream_id)
-                try:
-                    await self._migrate_run(run.record, run.request_id, target, False)
-                    if not self._state.upstreams.is_usable(target):
-                        self._log_migration(run, target, "the target is leaving")
-                        continue
-                    run.stopping = True
-                    copy = await self._migrate_run(
-                        run.record, run.request_id, target, True
-                    )
-                except GatewayError as error:
-                    self._log_migration(run, target, str(error))
-                    continue
-                self._log_migration(run, target, "moved")
-                return MigratedRun(target, copy)
+            target = await self._copy_running(run)
+            if target is None:
+                return None
+            run.stopping = True
+            finishing = asyncio.create_task(self._copy_stopped(run, target))
+            try:
+                await asyncio.wait({finishing}, timeout=MAX_LINK_HOLD_S)
+            except asyncio.CancelledError:
+                finishing.cancel()
+                raise
+        try:
+            return await finishing
+        finally:
+            finishing.cancel()
+
+    async def _copy_running(self, run: ActiveRun) -> UpstreamRecord | None:
+        """Return an engine that has a first copy, or None if no one took it."""
+        excluded = {run.record.upstream_id}
+        for _ in range(MAX_DESTINATIONS):
+            target = self._choose_target(run, excluded)
+            if target is None:
+                return None
+            excluded.add(target.upstream_id)
+            try:
+                await self._migrate_run(run.record, run.request_id, target, False)
+            except GatewayError as error:
+                self._log_migration(run, target, str(error))
+                continue
+            if self._state.upstreams.is_usable(target):
+                return target
+            self._log_migration(run, target, "the target is leaving")
         return None
 
+    async def _copy_stopped(
+        self, run: ActiveRun, target: UpstreamRecord
+    ) -> MigratedRun | None:
+        """Stop the run and copy the rest; None if that failed."""
+        try:
+            copy = await self._migrate_run(run.record, run.request_id, target, True)
+        except GatewayError as error:
+            self._log_migration(run, target, str(error))
+            return None
+        self._log_migration(run, target, "moved")
+        return MigratedRun(target, copy)
+
     def _choose_target(
         self, run: ActiveRun, excluded: set[str]
     ) -> UpstreamRecord | None:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -44,9 +44,6 @@
 # Time from the head to the first event of a hedge while the other attempt goes on. Two
 # upstreams must not write events of one request for 0.4 s.
 MAX_OVERLAP_S = 0.3
-# Maximum time to finish a migration after the source ended the stream; callers tolerate
-# a gap of two seconds.
-MIGRATION_WAIT_S = 1.2
 # A copy is used for this long after its engine was found to be leaving. The platform
 # lets a leaving upstream have requests for two seconds or more.
 MAX_LEAVING_COPY_S = 1.0
@@ -417,7 +414,7 @@
             await self._relay_events(response, run)
         except AnswerBroken:
             # The source of a migrated run closes the stream before its end.
-            migrated = await self._await_migration(run)
+            migrated = await self._await_migration(response.channel, run)
             if migrated is None:
                 raise
             self._claim()
@@ -446,15 +443,17 @@
             began_s=self._state.clock(),
         )
 
-    async def _await_migration(self, run: ActiveRun) -> MigratedRun | None:
-        """Return the migrated run, or None without a migration that ends in time."""
-        if run.migration is None:
-            return None
-        try:
-            async with asyncio.timeout(MIGRATION_WAIT_S):
-                return await asyncio.shield(run.migration)
-        except TimeoutError:
+    async def _await_migration(
+        self, channel: ClientChannel, run: ActiveRun
+    ) -> MigratedRun | None:
+        """Return the migrated run, or None if the source did not stop it.
+
+        The last copy may wait for others on the link, or for a silent engine. It is
+        awaited until the deadline; a hedge may go on in its place.
+        """
+        if run.migration is None or not run.stopping:
             return None
+        return await self._wait_for(channel, asyncio.shield(run.migration))
 
     async def _relay_events(self, response: OpenResponse, run: ActiveRun) -> None:
         """Forward events until the stream's end; raise `AnswerBroken` if it is cut."""
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -66,6 +66,19 @@
         return asyncio.run(bounded())
 
 
+class LoopClock:
+    """Advance the time of the running loop; create it before what reads the time."""
+
+    def __init__(self):
+        loop = asyncio.get_running_loop()
+        self._time, self._skipped_s = loop.time, 0.0
+        loop.time = lambda: self._time() + self._skipped_s
+
+    def advance(self, seconds):
+        """Let time pass for all timers."""
+        self._skipped_s += seconds
+
+
 async def until(condition):
     """Wait until a condition holds, or the test's time limit ends."""
     while not condition():
