Keep orders of engines under a type instead of a joined text

An odd entry named a data centre with the separator of the keys under which orders are kept; the orders lie in the record of the duties, so each holder failed on the same key.

Engines are ordered only where the configuration names a price.

--- a/packages/decisions/cicadapass_decisions/dutylease.py
+++ b/packages/decisions/cicadapass_decisions/dutylease.py
@@ -20,6 +20,15 @@
 NO_HOLDER = ""
 
 
+@dataclass(frozen=True, slots=True)
+class EngineClass:
+    """Identify the engines of a service that are ordered and counted together."""
+
+    service: str
+    data_centre: str
+    reclaimable: bool
+
+
 @dataclass(frozen=True, slots=True)
 class DutyRecord:
     """Store the state of the duties as one record of the log."""
@@ -31,8 +40,8 @@
     renewal: int
     # Request counts of workspaces by window; final before they are first reported.
     reports: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
-    # Engines ordered, by `service|data centre|class`.
-    orders: Mapping[str, int] = field(default_factory=dict)
+    # Engines ordered.
+    orders: Mapping[EngineClass, int] = field(default_factory=dict)
     # Recent usage of workspaces as pairs of age in seconds and amount, which starting
     # nodes restore, and the estimated true time at which it was recorded.
     recent_usage: Mapping[str, tuple[tuple[float, float], ...]] = field(
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from cicadapass_decisions.dutylease import EngineClass
 from cicadapass_decisions.passthrough import Configuration, Prompt, UpstreamRecord
 from cicadapass_decisions.topicreplica import Document
 
@@ -142,6 +143,11 @@
     count: int
     reclaimable: bool
 
+    @property
+    def engine_class(self) -> EngineClass:
+        """Return the engines that the order counts."""
+        return EngineClass(self.service, self.data_centre, self.reclaimable)
+
 
 class MigrateRun(Protocol):
     """Copy a run to another engine, and stop it at the source when `last`."""
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
 
 import cbor2
 
@@ -20,7 +19,6 @@
     should_renew,
     take_over_record,
 )
-from cicadapass_decisions.topicreplica import Document
 from cicadapass_decisions.usagereports import (
     WindowTimes,
     newest_reports,
@@ -28,12 +26,12 @@
 )
 from cicadapass_gateway.adapterapi import Adapter, EngineOrder
 from cicadapass_gateway.cbor import decode_cbor
+from cicadapass_gateway.dutyrecords import decode_record, encode_record
 from cicadapass_gateway.exceptions import (
     DECODE_ERRORS,
     GatewayError,
     OffsetConflict,
     PlatformRefused,
-    PlatformUnavailable,
 )
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.nodestate import NodeState
@@ -91,6 +89,8 @@
         self._lease: Lease | None = None
         self._last_held_s = -1e9
         self._reported_windows: set[int] = set()
+        # What was unreadable in the last record, which is logged once.
+        self._skipped_items: tuple[str, ...] = ()
         self._first_window = usage.window_at(true_time())
 
     def local_renewal(self) -> tuple[int, int] | None:
@@ -290,7 +290,7 @@
         began_s = _boottime_s()
         try:
             new_end = await self._adapter.registry.append(
-                self._adapter.topics.duties, HOLDER_KEY, _encode(record), end
+                self._adapter.topics.duties, HOLDER_KEY, encode_record(record), end
             )
         except OffsetConflict:
             current, current_end = await self._read_record()
@@ -310,7 +310,14 @@
     async def _read_record(self) -> tuple[DutyRecord | None, int]:
         listing = await self._adapter.registry.newest(self._adapter.topics.duties)
         records = [each for each in listing.documents if each.key == HOLDER_KEY]
-        return (_decode(records[0]) if records else None), listing.end_offset
+        if not records:
+            return None, listing.end_offset
+        decoded = decode_record(records[0].value)
+        if decoded.skipped != self._skipped_items:
+            self._skipped_items = decoded.skipped
+            for item in decoded.skipped:
+                self._state.events.emit(842, reason=f"skipped in the record: {item}")
+        return decoded.record, listing.end_offset
 
     def _is_own(self, record: DutyRecord) -> bool:
         """Return whether a record is of the lease that this node holds."""
@@ -335,39 +342,3 @@
 def _boottime_s() -> float:
     """Return the time of a clock that also advances while the VM is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-def _encode(record: DutyRecord) -> bytes:
-    return cbor2.dumps(
-        [
-            record.holder,
-            record.fence,
-            record.renewal,
-            {window: dict(counts) for window, counts in record.reports.items()},
-            dict(record.orders),
-            {
-                name: [list(step) for step in use]
-                for name, use in record.recent_usage.items()
-            },
-            record.usage_recorded_s,
-            record.segment_blocks,
-        ]
-    )
-
-
-def _decode(document: Document) -> DutyRecord:
-    """Return the record of the duties, or raise PlatformUnavailable."""
-    try:
-        return _decode_fields(decode_cbor(document.value))
-    except DECODE_ERRORS as error:
-        raise PlatformUnavailable(f"unreadable duty record: {error!r}") from error
-
-
-def _decode_fields(fields: Any) -> DutyRecord:
-    holder, fence, renewal, reports, orders, use, told_s = fields[:7]
-    recent_use = {name: tuple((age, used) for age, used in use[name]) for name in use}
-    # Records of earlier builds have no blocks.
-    blocks = bytes(fields[7]) if len(fields) > 7 else b""
-    return DutyRecord(
-        holder, fence, renewal, reports, orders, recent_use, told_s, blocks
-    )
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from cicadapass_decisions.dutylease import DutyRecord
+from cicadapass_decisions.dutylease import DutyRecord, EngineClass
 from cicadapass_decisions.enginefleet import (
     PEAK_HOLD_S,
     REFUSAL_RETRY_S,
@@ -17,7 +17,7 @@
     plan_engines,
     required_engines,
 )
-from cicadapass_decisions.passthrough import Service, UpstreamRecord
+from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
 from cicadapass_decisions.upstreammeter import INITIAL_PREFILL_S_PER_TOKEN
 from cicadapass_gateway.adapterapi import EngineOrder
 from cicadapass_gateway.nodestate import NodeState
@@ -62,15 +62,15 @@
         self._state = state
         self._tokens_per_s = demand
         self._registry_ok = registry_ok
-        self._confirmed: dict[str, _ConfirmedOrder] = {}
-        self._refused_at_s: dict[str, float] = {}
+        self._confirmed: dict[EngineClass, _ConfirmedOrder] = {}
+        self._refused_at_s: dict[EngineClass, float] = {}
         self._peaks: dict[str, tuple[RequiredEngines, float]] = {}
         self._initial_engines: dict[str, int] = {}
         self._expected_engines: dict[str, int] = {}
         self._first_planned_s: dict[str, float] = {}
         self._last_growth_s: dict[str, float] = {}
         self._first_demand_s: dict[str, float] = {}
-        self._lower_since_s: dict[str, float] = {}
+        self._lower_since_s: dict[EngineClass, float] = {}
 
     def reset(self) -> None:
         """Discard the confirmations of a lease that ended."""
@@ -93,26 +93,31 @@
         """Return the orders to place, those for the most engines first."""
         now_s = self._state.clock()
         orders = []
-        for key, count in record.orders.items():
-            order = _order_of_key(key, count)
-            confirmed = self._confirmed.get(key)
+        for engines, count in record.orders.items():
+            if not self._can_be_ordered(engines):
+                continue
+            confirmed = self._confirmed.get(engines)
             if confirmed is not None and confirmed.count == count:
                 continue
-            if now_s - self._refused_at_s.get(key, -1e9) < REFUSAL_RETRY_S:
+            if now_s - self._refused_at_s.get(engines, -1e9) < REFUSAL_RETRY_S:
                 continue
-            orders.append(order)
+            orders.append(
+                EngineOrder(
+                    engines.service, engines.data_centre, count, engines.reclaimable
+                )
+            )
         return sorted(orders, key=lambda order: -order.count)
 
     def record_confirmed(self, order: EngineOrder) -> None:
         """Record an order that the platform accepted."""
         now_s = self._state.clock()
-        self._confirmed[_order_key(order)] = _ConfirmedOrder(order.count, now_s)
+        self._confirmed[order.engine_class] = _ConfirmedOrder(order.count, now_s)
 
     def record_refused(self, order: EngineOrder) -> None:
         """Record a refusal; the order is not placed again for `REFUSAL_RETRY_S`."""
-        self._refused_at_s[_order_key(order)] = self._state.clock()
+        self._refused_at_s[order.engine_class] = self._state.clock()
 
-    def _plan_service(self, service: Service, orders: dict[str, int]) -> None:
+    def _plan_service(self, service: Service, orders: dict[EngineClass, int]) -> None:
         assert service.scaling is not None
         now_s = self._state.clock()
         current = self._current_engines(service, now_s)
@@ -127,7 +132,7 @@
 
     def _update_orders(
         self,
-        orders: dict[str, int],
+        orders: dict[EngineClass, int],
         service: str,
         data_centre: str,
         target: EngineTargets,
@@ -139,35 +144,35 @@
             (False, target.on_demand, current.on_demand),
         )
         for reclaimable, count, existing in pairs:
-            key = _order_key(EngineOrder(service, data_centre, count, reclaimable))
-            ordered = orders.get(key)
+            engines = EngineClass(service, data_centre, reclaimable)
+            ordered = orders.get(engines)
             if ordered is None:
                 if count == existing:
                     continue
                 ordered = existing
-            if count < ordered and not self._may_reduce(key, now_s):
+            if count < ordered and not self._may_reduce(engines, now_s):
                 continue
             if count >= ordered:
-                self._lower_since_s.pop(key, None)
-            orders[key] = count
-            self._reorder_missing(key, count, existing, now_s)
+                self._lower_since_s.pop(engines, None)
+            orders[engines] = count
+            self._reorder_missing(engines, count, existing, now_s)
 
     def _reorder_missing(
-        self, key: str, count: int, existing: int, now_s: float
+        self, engines: EngineClass, count: int, existing: int, now_s: float
     ) -> None:
         """Repeat a confirmed order whose engines have not appeared in time."""
-        confirmed = self._confirmed.get(key)
+        confirmed = self._confirmed.get(engines)
         if (
             confirmed is not None
             and existing < count
             and now_s - confirmed.confirmed_s > REORDER_AFTER_S
         ):
-            del self._confirmed[key]
+            del self._confirmed[engines]
 
-    def _may_reduce(self, key: str, now_s: float) -> bool:
+    def _may_reduce(self, engines: EngineClass, now_s: float) -> bool:
         """Return whether the target has been lower for long enough."""
-        lower_since_s = self._lower_since_s.setdefault(key, now_s)
-        service = key.partition("|")[0]
+        lower_since_s = self._lower_since_s.setdefault(engines, now_s)
+        service = engines.service
         if self._tokens_per_s(service) < IDLE_TOKENS_PER_S:
             last_growth_s = self._last_growth_s.get(
                 service, self._first_planned_s[service]
@@ -263,9 +268,7 @@
     ) -> dict[str, CurrentEngines]:
         assert service.scaling is not None
         records = self._state.upstreams.usable(service.name)
-        data_centres = {each.data_centre for each in records} | set(
-            service.scaling.prices
-        )
+        data_centres = _data_centres(service.scaling, records)
         # A notice of a reclaim shows scarcity before the outcome of an order does.
         reclaimed_in = {
             each.data_centre
@@ -282,10 +285,19 @@
             for name in sorted(data_centres)
         }
 
+    def _can_be_ordered(self, engines: EngineClass) -> bool:
+        """Return whether the configuration knows the service and the data centre."""
+        configuration = self._state.configuration
+        service = configuration and configuration.services.get(engines.service)
+        if not service or service.scaling is None:
+            return False
+        records = self._state.upstreams.usable(engines.service)
+        return engines.data_centre in _data_centres(service.scaling, records)
+
     def _is_scarce(self, service: Service, data_centre: str, now_s: float) -> bool:
         """Return whether reclaimable engines were refused within `SCARCITY_S`."""
-        key = _order_key(EngineOrder(service.name, data_centre, 0, reclaimable=True))
-        return now_s - self._refused_at_s.get(key, -1e9) < SCARCITY_S
+        engines = EngineClass(service.name, data_centre, reclaimable=True)
+        return now_s - self._refused_at_s.get(engines, -1e9) < SCARCITY_S
 
 
 def _count(records: list[UpstreamRecord], name: str, *, reclaimable: bool) -> int:
@@ -296,11 +308,9 @@
     )
 
 
-def _order_key(order: EngineOrder) -> str:
-    kind = "reclaimable" if order.reclaimable else "on-demand"
-    return f"{order.service}|{order.data_centre}|{kind}"
-
+def _data_centres(scaling: Scaling, records: list[UpstreamRecord]) -> set[str]:
+    """Return the data centres in which engines of a service can be ordered.
 
-def _order_of_key(key: str, count: int) -> EngineOrder:
-    service, data_centre, kind = key.split("|")
-    return EngineOrder(service, data_centre, count, kind == "reclaimable")
+    An entry may name another one, so entries count only without a price list.
+    """
+    return set(scaling.prices) or {each.data_centre for each in records}
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -6,6 +6,7 @@
 
 from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
 from cicadapass_decisions.segmentsuspicions import Blocked
+from cicadapass_decisions.usagereports import MAX_SETTLE_S
 from cicadapass_gateway.adapterapi import Adapter, Cloud, DocumentCodec, Topics
 from cicadapass_gateway.duties import Duties, DutyTimes
 from cicadapass_gateway.exceptions import PlatformRefused, PlatformUnavailable
@@ -117,6 +118,33 @@
 
             self.run_loop(scenario())
 
+    def test_an_unreadable_order_does_not_end_the_duties(self):
+        """An order that no holder could read ended each of them in turn."""
+
+        async def scenario():
+            platform = Platform()
+            orders = {"s|dc-a|dc-b|reclaimable": 2}
+            record = ["", 4, 1, {}, orders, {"w": "odd"}, 0.0, b""]
+            await platform.registry.append(
+                "duties", "holder", cbor2.dumps(record), None
+            )
+            node = Node(platform, "a")
+            reasons = []
+            node.state.events.emit = lambda number, **fields: reasons.append(
+                (number, fields.get("reason"))
+            )
+            node.usage.count("w")
+            node.now_s += 5 + MAX_SETTLE_S
+            node.start()
+            await until(lambda: platform.reports)
+            self.assertFalse(node.task.done())
+            skipped = [reason for number, reason in reasons if number == 842]
+            self.assertEqual(2, len(skipped), skipped)
+            self.assertEqual(5, platform.reports[0][3])
+            node.task.cancel()
+
+        self.run_loop(scenario())
+
     def test_a_window_is_reported_once_its_counts_are_complete(self):
         """A window was reported without the counts of a peer."""
 
--- a/tests/gateway/test_fleetplanner.py
+++ b/tests/gateway/test_fleetplanner.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from cicadapass_decisions.dutylease import DutyRecord
+from cicadapass_decisions.dutylease import DutyRecord, EngineClass
 from cicadapass_decisions.enginefleet import PEAK_HOLD_S, SHRINK_AFTER_S
 from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
 from cicadapass_gateway.fleetplanner import ANNOUNCE_SETTLE_S, STARTUP_S, FleetPlanner
@@ -46,8 +46,12 @@
         self.record = self.planner.plan(self.record)
         orders = self.record.orders
         return {
-            kind: sum(count for key, count in orders.items() if key.endswith(kind))
-            for kind in ("|on-demand", "|reclaimable")
+            kind: sum(
+                count
+                for engines, count in orders.items()
+                if engines.reclaimable == reclaimable
+            )
+            for kind, reclaimable in (("on-demand", False), ("reclaimable", True))
         }
 
 
@@ -65,12 +69,12 @@
                 planner.list_engines(count)
                 orders = planner.plan()
                 planner.now_s += 0.4
-            self.assertEqual(0, orders["|on-demand"])
+            self.assertEqual(0, orders["on-demand"])
             self.assertFalse(
-                [key for key in planner.record.orders if key.endswith("on-demand")]
+                [each for each in planner.record.orders if not each.reclaimable]
             )
             # If one data centre fails, the others have as many engines as at the start.
-            self.assertGreaterEqual(orders["|reclaimable"], 24 * 3 / 2)
+            self.assertGreaterEqual(orders["reclaimable"], 24 * 3 / 2)
 
         self.run_loop(scenario())
 
@@ -87,11 +91,11 @@
             # Half of the rate, at 20 us per token and 35 % utilisation of an engine.
             expected = 0.5 * 400_000 * 0.00002 / 0.35
             orders = planner.plan()
-            self.assertGreaterEqual(orders["|reclaimable"] * 2 / 3, expected)
+            self.assertGreaterEqual(orders["reclaimable"] * 2 / 3, expected)
             planner.now_s += STARTUP_S
             planner.plan()
             planner.now_s += SHRINK_AFTER_S + PEAK_HOLD_S
-            self.assertLess(planner.plan()["|reclaimable"] * 2 / 3, expected)
+            self.assertLess(planner.plan()["reclaimable"] * 2 / 3, expected)
 
         self.run_loop(scenario())
 
@@ -103,7 +107,7 @@
             planner.list_engines(4)
             planner.demand = 20_000.0
             orders = planner.plan()
-            self.assertLess(orders["|reclaimable"] * 2 / 3, 11)
+            self.assertLess(orders["reclaimable"] * 2 / 3, 11)
 
         self.run_loop(scenario())
 
@@ -122,8 +126,8 @@
             planner.plan()
             ordered = [
                 count
-                for key, count in planner.record.orders.items()
-                if key.endswith("on-demand")
+                for engines, count in planner.record.orders.items()
+                if not engines.reclaimable
             ]
             self.assertEqual(3, len(ordered))
             self.assertLess(max(ordered), 8)
@@ -141,10 +145,45 @@
             planner.plan()
             ordered = [
                 count
-                for key, count in planner.record.orders.items()
-                if key.endswith("on-demand")
+                for engines, count in planner.record.orders.items()
+                if not engines.reclaimable
             ]
             self.assertEqual(3, len(ordered))
             self.assertLess(max(ordered), 8)
 
         self.run_loop(scenario())
+
+
+class UnknownDataCentreTest(LoopTest):
+    def test_no_engines_are_ordered_where_the_configuration_names_no_price(self):
+        """One entry with a data centre of its own ended each holder of the duties."""
+
+        async def scenario():
+            planner = Planner()
+            planner.list_engines(2)
+            odd = UpstreamRecord("odd", "s", "h", 1, "dc-a|dc-b", 16, False, 1, 1)
+            listed = planner.state.upstreams.usable("s")
+            planner.state.upstreams.view.replace([*listed, odd], planner.now_s)
+            planner.state.upstreams.refresh()
+            planner.demand = 200_000.0
+            planner.plan()
+            orders = planner.planner.unconfirmed_orders(planner.record)
+            self.assertTrue(orders)
+            self.assertLessEqual({o.data_centre for o in orders}, set(DATA_CENTRES))
+
+        self.run_loop(scenario())
+
+    def test_a_stored_order_that_the_configuration_does_not_know_is_not_placed(self):
+        """An order of an earlier holder for an unknown data centre was repeated."""
+
+        async def scenario():
+            planner = Planner()
+            planner.list_engines(2)
+            orders = {
+                EngineClass("s", "dc-x", True): 3,
+                EngineClass("other", "dc-a", True): 3,
+            }
+            record = DutyRecord("n", 1, 1, orders=orders)
+            self.assertEqual([], planner.planner.unconfirmed_orders(record))
+
+        self.run_loop(scenario())
