Restart failing components after growing pauses, without an end

The pause before a restart doubles from 0.2 s to 5 s, and the process goes on. Event 806 is renamed, since nothing is given up, and counts the failures.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -186,8 +186,9 @@
     The platform's registry answers again.
 805 warning gateway_part_restarted(part, reason)
     A component of a gateway failed and is restarted.
-806 error gateway_part_given_up(part, reason)
-    A component of a gateway failed too often; the process ends.
+806 error gateway_part_failing(part, reason, failures)
+    A component of a gateway has failed this often in a row; it is restarted after a \
+pause of five seconds, and the other components go on.
 807 info gateway_settings_reread(changed)
     The settings were reloaded on SIGHUP; these changed.
 808 error request_fault(reason)
--- a/packages/gateway/cicadapass_gateway/supervisor.py
+++ b/packages/gateway/cicadapass_gateway/supervisor.py
@@ -1,17 +1,18 @@
 """Run the components of a gateway and restart failed ones at a limited rate."""
 
 import asyncio
-from collections import deque
 from collections.abc import Awaitable, Callable
 
 from cicadapass_common.events import EventLog
 
-# A component that fails more often than this within the window ends the process, which
-# the platform restarts.
-MAX_RESTARTS = 20
-RESTART_WINDOW_S = 20.0
-# Pause before a failed component is restarted.
-RESTART_PAUSE_S = 0.2
+# Pause before a failed component is restarted. It doubles with each failure, up to the
+# maximum: a component may fail on the same input each time, and a new process would
+# meet it again.
+MIN_RESTART_PAUSE_S = 0.2
+MAX_RESTART_PAUSE_S = 5.0
+# A component that ran for this long before it failed is restarted after the shortest
+# pause again.
+RECOVERED_AFTER_S = 20.0
 
 Component = Callable[[], Awaitable[None]]
 
@@ -19,9 +20,8 @@
 class Supervisor:
     """Own the tasks of the components."""
 
-    def __init__(self, events: EventLog, on_failure: Callable[[], None]) -> None:
+    def __init__(self, events: EventLog) -> None:
         self._events = events
-        self._on_failure = on_failure
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self, name: str, component: Component) -> None:
@@ -36,20 +36,24 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _supervise(self, name: str, component: Component) -> None:
-        failures: deque[float] = deque(maxlen=MAX_RESTARTS)
         clock = asyncio.get_running_loop().time
+        failures, pause_s = 0, MIN_RESTART_PAUSE_S
         while True:
+            began_s = clock()
             try:
                 await component()
                 return
             except asyncio.CancelledError:
                 raise
             except Exception as error:
-                self._events.emit(805, part=name, reason=repr(error))
-                full = len(failures) == MAX_RESTARTS
-                if full and clock() - failures[0] < RESTART_WINDOW_S:
-                    self._events.emit(806, part=name, reason=repr(error))
-                    self._on_failure()
-                    return
-                failures.append(clock())
-            await asyncio.sleep(RESTART_PAUSE_S)
+                if clock() - began_s >= RECOVERED_AFTER_S:
+                    failures, pause_s = 0, MIN_RESTART_PAUSE_S
+                failures += 1
+                if pause_s < MAX_RESTART_PAUSE_S:
+                    self._events.emit(805, part=name, reason=repr(error))
+                else:
+                    self._events.emit(
+                        806, part=name, reason=repr(error), failures=failures
+                    )
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RESTART_PAUSE_S)
