Let stopped runs go on wherever their memory is kept

The source keeps the memory of a run that it stopped, and says so in its refusal; the node read only an error.

Each outcome of a move is named now, and a plain function says where a stopped run can go on: at the destination, at the source while that may have requests, or nowhere. Runs are stopped later: a copy is repeated while the run goes on, until one is quick, so that streams no longer stand still behind the first copies of other runs. A refused first copy is tried again.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -220,8 +220,11 @@
 which the last upstream was chosen, and its limit.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
-814 info run_moved(request_id, upstream, target, delivered, outcome)
-    A run of a leaving engine was migrated, or the outcome says why it was not.
+814 info run_moved(request_id, upstream, target, delivered, stopped_ms, outcome)
+    A run of a leaving engine was migrated, or the outcome says why it was not: the \
+target did not take the copy (`refused`), the run had ended (`no_run`), an earlier \
+call was in progress (`in_progress`), or no readable answer came (`unknown`). \
+`stopped_ms` is the time since the run was stopped for its last copy, else null.
 815 error gateway_settings_unreadable(reason)
     The settings file is invalid; the settings in force stay.
 816 info upstream_silent(request_id, upstream, silent_ms, bytes, events, heard_age_ms, \
--- a/packages/decisions/cicadapass_decisions/attempts.py
+++ b/packages/decisions/cicadapass_decisions/attempts.py
@@ -37,6 +37,10 @@
     SUPERSEDED = "superseded"
 
 
+# The upstream has certainly not run the request.
+NOT_RUN_OUTCOMES = frozenset({AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED})
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """Record how an attempt ended and whether the upstream worked."""
@@ -176,7 +180,7 @@
     may_send_again = retry_allowed and progress.sends < MAX_SENDS
     if result.outcome is AttemptOutcome.REJECTED and may_send_again:
         return Retry(needs_allowance=True)
-    if result.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.REJECTED):
+    if result.outcome in NOT_RUN_OUTCOMES:
         return Fail() if progress.runs else Refuse()
     if may_send_again and not progress.runs_used_up:
         return Retry(needs_allowance=True)
--- a/packages/decisions/cicadapass_decisions/runmigration.py
+++ b/packages/decisions/cicadapass_decisions/runmigration.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum
 
 from cicadapass_decisions.placement import Candidate
 
@@ -14,6 +15,11 @@
 DEFAULT_REMAINING_S = 3.0
 # Reserved for the copy and for relaying the last events.
 COPY_MARGIN_S = 0.7
+# A run is stopped once a copy of what is new takes no longer than this: the last copy
+# interrupts its stream for about as long.
+MAX_INTERRUPTION_S = 0.25
+# Copies of a running run, including the first one.
+MAX_RUNNING_COPIES = 10
 # Applies until a run has enough events to measure their interval.
 DEFAULT_EVENT_INTERVAL_S = 0.03
 # Estimates of the length are often far off; runs are assumed to reach this multiple of
@@ -21,6 +27,27 @@
 LENGTH_FACTOR = 1.5
 
 
+class CopyOutcome(Enum):
+    """Name how a call that copies a run to its destination ended."""
+
+    COMPLETE = "complete"
+    # The destination has no room or cannot be reached; the source keeps the memory.
+    REFUSED = "refused"
+    # The source knows no such run: it has ended.
+    NO_RUN = "no_run"
+    # An earlier call for this run is still in progress.
+    IN_PROGRESS = "in_progress"
+    # There was no readable answer; the call may have been executed.
+    UNKNOWN = "unknown"
+
+
+class Place(Enum):
+    """Name an engine at which a stopped run can go on."""
+
+    DESTINATION = "destination"
+    SOURCE = "source"
+
+
 @dataclass(frozen=True, slots=True)
 class RunProgress:
     """Describe a run for the estimate of its remaining time."""
@@ -45,6 +72,17 @@
     return run.events > 0 and estimate_remaining_s(run) > available_s - COPY_MARGIN_S
 
 
+def may_stop(copies: int, last_copy_s: float, available_s: float) -> bool:
+    """Return whether a run that was copied while it went on is stopped now.
+
+    The first copy takes no account of the copies of other runs that queued behind it.
+    `available_s` is the time until the engine may end.
+    """
+    if copies >= MAX_RUNNING_COPIES or available_s - last_copy_s < COPY_MARGIN_S:
+        return True
+    return copies > 1 and last_copy_s <= MAX_INTERRUPTION_S
+
+
 def choose_destination(candidates: Sequence[Candidate]) -> str | None:
     """Return the best upstream with a free slot: healthy, near and lightly loaded."""
     available = [
@@ -64,3 +102,17 @@
         default=None,
     )
     return None if chosen is None else chosen.upstream_id
+
+
+def resume_places(last_copy: CopyOutcome) -> tuple[Place, ...]:
+    """Return where a stopped run can go on, the best place first.
+
+    The source keeps the memory until a copy of it is used, which happens once.
+    """
+    if last_copy is CopyOutcome.COMPLETE:
+        return (Place.DESTINATION, Place.SOURCE)
+    if last_copy is CopyOutcome.REFUSED:
+        return (Place.SOURCE,)
+    if last_copy is CopyOutcome.UNKNOWN:
+        return (Place.SOURCE, Place.DESTINATION)
+    return ()
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -6,6 +6,7 @@
 
 from cicadapass_decisions.dutylease import EngineClass
 from cicadapass_decisions.passthrough import Configuration, Prompt, UpstreamRecord
+from cicadapass_decisions.runmigration import CopyOutcome
 from cicadapass_decisions.topicreplica import Document
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -149,6 +150,20 @@
         return EngineClass(self.service, self.data_centre, self.reclaimable)
 
 
+@dataclass(frozen=True, slots=True)
+class RunCopy:
+    """Store how a call that copies a run ended.
+
+    `location` names the run's memory, at the destination as at the source; the source
+    may name it in a refusal too.
+    """
+
+    outcome: CopyOutcome
+    location: str | None = None
+    # For the log.
+    detail: str = ""
+
+
 class MigrateRun(Protocol):
     """Copy a run to another engine, and stop it at the source when `last`."""
 
@@ -158,8 +173,8 @@
         request_id: str,
         target: UpstreamRecord,
         last: bool,
-    ) -> str:
-        """Return the location of the copy.
+    ) -> RunCopy:
+        """Return how the call ended.
 
         A call with `last` waits until the copy is complete, without a time limit.
         """
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -35,6 +35,8 @@
     limit_window_s: float
     # By how much all nodes together may exceed the rate limit of a workspace.
     limit_tolerance: LimitTolerance
+    # Time for which a leaving upstream may get requests.
+    upstream_drain_s: float
     lease_s: float
     usage_window_s: float
     has_duties: bool
--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -1,17 +1,21 @@
 """Migrate the runs of leaving engines to other engines."""
 
 import asyncio
-from dataclasses import dataclass, field
+import itertools
+from dataclasses import dataclass, field, replace
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.runmigration import (
     DEFAULT_REMAINING_S,
+    CopyOutcome,
+    Place,
     RunProgress,
     choose_destination,
+    may_stop,
+    resume_places,
     should_migrate,
 )
-from cicadapass_gateway.adapterapi import MigrateRun
-from cicadapass_gateway.exceptions import GatewayError
+from cicadapass_gateway.adapterapi import MigrateRun, RunCopy
 from cicadapass_gateway.nodestate import NodeState
 
 # Interval at which the engines of active runs are checked for leaving.
@@ -20,17 +24,32 @@
 MAX_CONCURRENT_MIGRATIONS = 4
 # A last copy that takes longer no longer delays the migrations of other runs.
 MAX_LINK_HOLD_S = 1.5
-# Destinations tried for one run.
+# Destinations tried for one run in a row, and the pause before it is tried again.
 MAX_DESTINATIONS = 2
+RETRY_PAUSE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
 class MigratedRun:
-    """Store the engine and the location of a run's copy."""
+    """Store where a stopped run can go on, the best engine first.
 
-    record: UpstreamRecord
+    `copy` names its memory, which can be used once.
+    """
+
+    places: tuple[UpstreamRecord, ...]
     copy: str
 
+    @property
+    def record(self) -> UpstreamRecord:
+        """Return the engine at which the run goes on."""
+        return self.places[0]
+
+    def after_refusal(self) -> "MigratedRun | None":
+        """Return the run without its first place, or None if that was the last one."""
+        if len(self.places) == 1:
+            return None
+        return replace(self, places=self.places[1:])
+
 
 @dataclass(eq=False, slots=True)
 class ActiveRun:
@@ -45,8 +64,11 @@
     prompt: Prompt
     tokens_per_event: int
     began_s: float
+    # Engines that did not take the run, by id; shared by all runs of a request.
+    excluded: set[str] = field(default_factory=set)
     events: int = 0
     migration: asyncio.Task[MigratedRun | None] | None = None
+    retry_at_s: float = 0.0
     stopping: bool = False
 
     def progress(self, now_s: float) -> RunProgress:
@@ -67,6 +89,10 @@
         default_factory=lambda: asyncio.Semaphore(MAX_CONCURRENT_MIGRATIONS)
     )
 
+    def remaining_s_at(self, now_s: float) -> float:
+        """Return the time until the engine may end."""
+        return self.remaining_s - (now_s - self.observed_s)
+
 
 class Migrator:
     """Migrate the active runs whose engine leaves before they end."""
@@ -101,14 +127,16 @@
         listed = {(each.upstream_id, each.started_ms) for each in view.records.values()}
         for run in self._runs:
             key = (run.record.upstream_id, run.record.started_ms)
-            if run.migration is not None or (key in listed and key not in marks):
+            if key in listed and key not in marks:
+                continue
+            if run.migration is not None or now_s < run.retry_at_s:
                 continue
             leaving = self._leaving.get(key)
             if leaving is None:
                 current = view.records.get(run.record.upstream_id, run.record)
-                remaining_s = current.leaves_in_s or DEFAULT_REMAINING_S
-                leaving = self._leaving[key] = _LeavingEngine(now_s, remaining_s)
-            remaining_s = leaving.remaining_s - (now_s - leaving.observed_s)
+                total_s = current.leaves_in_s or DEFAULT_REMAINING_S
+                leaving = self._leaving[key] = _LeavingEngine(now_s, total_s)
+            remaining_s = leaving.remaining_s_at(now_s)
             if remaining_s > 0 and should_migrate(run.progress(now_s), remaining_s):
                 run.migration = asyncio.create_task(self._migrate(run, leaving))
 
@@ -117,11 +145,16 @@
     ) -> MigratedRun | None:
         """Copy the run while it continues, then stop it and copy the rest."""
         async with leaving.semaphore:
-            target = await self._copy_running(run)
-            if target is None:
+            taken = await self._copy_running(run, leaving)
+            if taken is None:
+                run.retry_at_s = self._state.clock() + RETRY_PAUSE_S
+                run.migration = None
                 return None
+            target, running_copy = taken
             run.stopping = True
-            finishing = asyncio.create_task(self._copy_stopped(run, target))
+            finishing = asyncio.create_task(
+                self._copy_stopped(run, target, running_copy)
+            )
             try:
                 await asyncio.wait({finishing}, timeout=MAX_LINK_HOLD_S)
             except asyncio.CancelledError:
@@ -132,35 +165,59 @@
         finally:
             finishing.cancel()
 
-    async def _copy_running(self, run: ActiveRun) -> UpstreamRecord | None:
-        """Return an engine that has a first copy, or None if no one took it."""
-        excluded = {run.record.upstream_id}
+    async def _copy_running(
+        self, run: ActiveRun, leaving: _LeavingEngine
+    ) -> tuple[UpstreamRecord, str] | None:
+        """Return an engine to which the run can move now, and the name of its copy."""
+        excluded = {run.record.upstream_id, *run.excluded}
         for _ in range(MAX_DESTINATIONS):
             target = self._choose_target(run, excluded)
             if target is None:
                 return None
             excluded.add(target.upstream_id)
-            try:
-                await self._migrate_run(run.record, run.request_id, target, False)
-            except GatewayError as error:
-                self._log_migration(run, target, str(error))
+            copy = await self._copy_until_quick(run, target, leaving)
+            if copy.outcome is CopyOutcome.COMPLETE and copy.location is not None:
+                if self._state.upstreams.is_usable(target):
+                    return target, copy.location
+                self._log_migration(run, target, "the target is leaving")
                 continue
-            if self._state.upstreams.is_usable(target):
-                return target
-            self._log_migration(run, target, "the target is leaving")
+            self._log_migration(run, target, f"{copy.outcome.value}: {copy.detail}")
+            if copy.outcome is not CopyOutcome.REFUSED:
+                # The source has ended the run, or works on an earlier call.
+                return None
         return None
 
+    async def _copy_until_quick(
+        self, run: ActiveRun, target: UpstreamRecord, leaving: _LeavingEngine
+    ) -> RunCopy:
+        """Repeat the copy of a running run until its last one will be quick."""
+        for copies in itertools.count(1):
+            began_s = self._state.clock()
+            copy = await self._migrate_run(run.record, run.request_id, target, False)
+            now_s = self._state.clock()
+            if copy.outcome is not CopyOutcome.COMPLETE:
+                break
+            if not self._state.upstreams.is_usable(target):
+                break
+            if may_stop(copies, now_s - began_s, leaving.remaining_s_at(now_s)):
+                break
+        return copy
+
     async def _copy_stopped(
-        self, run: ActiveRun, target: UpstreamRecord
+        self, run: ActiveRun, target: UpstreamRecord, running_copy: str
     ) -> MigratedRun | None:
-        """Stop the run and copy the rest; None if that failed."""
-        try:
-            copy = await self._migrate_run(run.record, run.request_id, target, True)
-        except GatewayError as error:
-            self._log_migration(run, target, str(error))
-            return None
-        self._log_migration(run, target, "moved")
-        return MigratedRun(target, copy)
+        """Stop the run and copy the rest; return where it can go on."""
+        stopped_s = self._state.clock()
+        copy = await self._migrate_run(run.record, run.request_id, target, True)
+        if copy.outcome is CopyOutcome.COMPLETE:
+            outcome = "moved"
+        else:
+            run.excluded.add(target.upstream_id)
+            outcome = f"{copy.outcome.value}: {copy.detail}"
+        self._log_migration(run, target, outcome, stopped_s)
+        engines = {Place.DESTINATION: target, Place.SOURCE: run.record}
+        places = tuple(engines[each] for each in resume_places(copy.outcome))
+        return MigratedRun(places, copy.location or running_copy) if places else None
 
     def _choose_target(
         self, run: ActiveRun, excluded: set[str]
@@ -175,14 +232,23 @@
         return next((each for each in usable if each.upstream_id == chosen), None)
 
     def _log_migration(
-        self, run: ActiveRun, target: UpstreamRecord, outcome: str
+        self,
+        run: ActiveRun,
+        target: UpstreamRecord,
+        outcome: str,
+        stopped_s: float | None = None,
     ) -> None:
+        """Log a call of a migration; `stopped_s` is when the run was stopped for it."""
         self._state.metrics.count("moves", "moved" if outcome == "moved" else "failed")
+        stopped_ms = None
+        if stopped_s is not None:
+            stopped_ms = round(1000 * (self._state.clock() - stopped_s))
         self._state.events.emit(
             814,
             request_id=run.request_id,
             upstream=run.record.upstream_id,
             target=target.upstream_id,
             delivered=run.events,
+            stopped_ms=stopped_ms,
             outcome=outcome,
         )
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -122,6 +122,7 @@
             RetryLimits(settings.retry_window_s, settings.retry_slack),
             settings.limit_window_s,
             settings.limit_tolerance,
+            settings.upstream_drain_s,
         )
         pool = ClientPool()
         adapter = self._make_adapter(pool)
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -41,6 +41,7 @@
         retry: RetryLimits,
         limit_window_s: float,
         limit_tolerance: LimitTolerance,
+        upstream_drain_s: float,
     ) -> None:
         self.node = node
         self.data_centre = data_centre
@@ -48,7 +49,7 @@
         self.metrics = Metrics()
         self.rng = random.Random()
         self.clock: Callable[[], float] = asyncio.get_running_loop().time
-        self.upstreams = UpstreamTracker(node, data_centre)
+        self.upstreams = UpstreamTracker(node, data_centre, upstream_drain_s)
         self.queue = RequestQueue(self.upstreams, self.clock)
         self.segment_suspicions = SegmentSuspicions()
         self.rate_limiter = RateLimiter(
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -4,8 +4,10 @@
 from dataclasses import replace
 
 from cicadapass_decisions.attempts import (
+    NOT_RUN_OUTCOMES,
     AttemptOutcome,
     AttemptResult,
+    Done,
     Fail,
     Refuse,
     RequestProgress,
@@ -157,17 +159,15 @@
             if held is not None:
                 self._refuse_held(request, held)
                 return
+            migrated = request.migrated
             reservation = await self._reserve(request)
             if isinstance(reservation, NotPlaced):
                 self._refuse(request, reservation.reason, reservation.queue_delay_s)
                 return
             result = await self._race(request).run(reservation)
-            if result.outcome is not AttemptOutcome.DELIVERED:
-                await self._discount_ended_engines(request)
-            step = next_step(result, self._progress(request), retry_allowed=True)
-            if isinstance(step, Retry) and step.needs_allowance:
-                allowed = self._take_retry(request)
-                step = next_step(result, self._progress(request), retry_allowed=allowed)
+            if migrated is not None and result.outcome in NOT_RUN_OUTCOMES:
+                request.migrated = migrated.after_refusal()
+            step = await self._next_step(request, result)
             if isinstance(step, Refuse):
                 self._refuse(request, result.outcome.value, 0.1)
                 return
@@ -181,6 +181,20 @@
             ):
                 request.excluded.clear()
 
+    async def _next_step(
+        self, request: RequestContext, result: AttemptResult
+    ) -> Done | Retry | Refuse | Fail:
+        """Return the next step; a stopped run goes on wherever it still can."""
+        if request.migrated is not None:
+            return Retry(needs_allowance=False)
+        if result.outcome is not AttemptOutcome.DELIVERED:
+            await self._discount_ended_engines(request)
+        step = next_step(result, self._progress(request), retry_allowed=True)
+        if isinstance(step, Retry) and step.needs_allowance:
+            allowed = self._take_retry(request)
+            step = next_step(result, self._progress(request), retry_allowed=allowed)
+        return step
+
     def _race(self, request: RequestContext) -> AttemptRace:
         def make_attempt(
             race: AttemptRace, reservation: Reservation, hedge: bool
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -69,6 +69,8 @@
     upstream_id: str = ""
     basis: ChoiceBasis = NOT_CHOSEN
     migrated: MigratedRun | None = None
+    # Engines that did not take the last copy of the run, by id.
+    migration_excluded: set[str] = field(default_factory=set)
     # Shared prompt segments, qualified by the service.
     segments: tuple[str, ...] = ()
     # The suspected segments for which this request is the trial.
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -44,9 +44,6 @@
 # Time from the head to the first event of a hedge while the other attempt goes on. Two
 # upstreams must not write events of one request for 0.4 s.
 MAX_OVERLAP_S = 0.3
-# A copy is used for this long after its engine was found to be leaving. The platform
-# lets a leaving upstream have requests for two seconds or more.
-MAX_LEAVING_COPY_S = 1.0
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
 
@@ -273,8 +270,7 @@
     def _may_send_to(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may get a request at this moment.
 
-        A run that cannot be repeated goes on at the copy that a migration made, unless
-        its engine has been leaving for longer.
+        A stopped run goes on at a leaving engine as well, unless it is too late.
         """
         request, upstreams = self._request, self._state.upstreams
         now_s = self._state.clock()
@@ -282,10 +278,9 @@
             # A copy can only be used at the engine that has it.
             paused = upstreams.pauses.remaining_s(record.start_key, now_s) > 0
             return request.migrated is not None or not paused
-        if request.migrated is None or request.repeatable:
-            return False
-        leaving_s = upstreams.view.leaving_s(record, now_s)
-        return leaving_s is not None and leaving_s < MAX_LEAVING_COPY_S
+        return request.migrated is not None and upstreams.accepts_stopped_runs(
+            record, now_s
+        )
 
     async def _wait_for(self, channel: ClientChannel, read: Awaitable[T]) -> T:
         """Return what the upstream sends next, and record its silence until then."""
@@ -441,6 +436,7 @@
             prompt=request.call.prompt,
             tokens_per_event=service.tokens_per_event if service else 1,
             began_s=self._state.clock(),
+            excluded=request.migration_excluded,
         )
 
     async def _await_migration(
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -17,6 +17,10 @@
 from cicadapass_decisions.upstreampauses import UpstreamPauses
 from cicadapass_decisions.upstreamview import UpstreamView
 
+# A leaving upstream gets stopped runs for this part of the time for which the platform
+# lets it have requests; the rest covers the time until the node learns of it.
+STOPPED_RUN_FRACTION = 0.6
+
 
 @dataclass(frozen=True, slots=True)
 class ChoiceBasis:
@@ -57,12 +61,14 @@
 class UpstreamTracker:
     """Track the registered upstreams, with a meter for each start of one."""
 
-    def __init__(self, node: str, data_centre: str) -> None:
+    def __init__(self, node: str, data_centre: str, drain_s: float) -> None:
         self.replica = TopicReplica()
         self.view = UpstreamView()
         self.limits = UpstreamLimits(node)
         self.pauses = UpstreamPauses()
         self._data_centre = data_centre
+        # How long a leaving upstream may get requests.
+        self._drain_s = drain_s
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._keys = itertools.count()
         self._by_service: dict[str, list[UpstreamRecord]] = {}
@@ -98,6 +104,12 @@
             each.start_key == record.start_key for each in self.usable(record.service)
         )
 
+    def accepts_stopped_runs(self, record: UpstreamRecord, now_s: float) -> bool:
+        """Return whether a leaving upstream may go on with a run that was stopped."""
+        leaving_s = self.view.leaving_s(record, now_s)
+        limit_s = STOPPED_RUN_FRACTION * self._drain_s
+        return leaving_s is not None and leaving_s < limit_s
+
     def meter(self, record: UpstreamRecord) -> UpstreamMeter:
         """Return the meter of one start of an upstream, initially of typical speed."""
         key = (record.upstream_id, record.started_ms)
--- a/tests/decisions/test_runmigration.py
+++ b/tests/decisions/test_runmigration.py
@@ -4,9 +4,14 @@
 
 from cicadapass_decisions.placement import Candidate
 from cicadapass_decisions.runmigration import (
+    MAX_RUNNING_COPIES,
+    CopyOutcome,
+    Place,
     RunProgress,
     choose_destination,
     estimate_remaining_s,
+    may_stop,
+    resume_places,
     should_migrate,
 )
 
@@ -57,3 +62,37 @@
         self.assertEqual("c", choose_destination([full, far, near]))
         self.assertEqual("b", choose_destination([full, far]))
         self.assertIsNone(choose_destination([full]))
+
+
+class ResumePlacesTest(testtools.TestCase):
+    def test_a_stopped_run_goes_on_wherever_its_memory_is(self):
+        """Runs were given up whose memory an engine kept.
+
+        Only a run that the source no longer knows has nowhere to go on.
+        """
+        expected = {
+            CopyOutcome.COMPLETE: (Place.DESTINATION, Place.SOURCE),
+            CopyOutcome.REFUSED: (Place.SOURCE,),
+            CopyOutcome.UNKNOWN: (Place.SOURCE, Place.DESTINATION),
+            CopyOutcome.NO_RUN: (),
+            CopyOutcome.IN_PROGRESS: (),
+        }
+        self.assertEqual(expected, {each: resume_places(each) for each in CopyOutcome})
+
+
+class MayStopTest(testtools.TestCase):
+    def test_a_run_goes_on_while_copies_of_others_queue_before_its_own(self):
+        """Streams stood still while their last copy waited behind twenty others."""
+        self.assertFalse(may_stop(1, 0.14, 3.0))
+        self.assertFalse(may_stop(2, 0.9, 2.5))
+        self.assertTrue(may_stop(2, 0.1, 2.5))
+
+    def test_a_run_is_stopped_in_time_for_the_end_of_its_engine(self):
+        """A run that was copied again and again ended with its engine."""
+        self.assertTrue(may_stop(1, 0.14, 0.5))
+        self.assertTrue(may_stop(2, 2.0, 1.0))
+        self.assertTrue(may_stop(1, 3.0, -0.2))
+
+    def test_a_run_is_not_copied_without_end(self):
+        """An engine that served on for long got calls for the same run until then."""
+        self.assertTrue(may_stop(MAX_RUNNING_COPIES, 0.9, 30.0))
