--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -110,6 +110,9 @@
         )
         events.emit(809, unfinished=unfinished)
         await components.supervisor.stop()
+        # The end of the loop would restore the default, which ends the process.
+        loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         output.stop(SHUTDOWN_RESERVE_S / 2)
         return 0
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -25,6 +25,16 @@
     answer.end()
 
 
+def ignores_sighup(pid):
+    """Return whether a process ignores SIGHUP, so that its code has begun to run."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except FileNotFoundError:
+        return False
+    mask = next(line for line in status.splitlines() if line.startswith("SigIgn"))
+    return bool(int(mask.split()[1], 16) & 1 << signal.SIGHUP - 1)
+
+
 class NodeProcess:
     """Run one node as a process, with a stand-in store and one engine."""
 
@@ -38,6 +48,28 @@
 
     async def start(self, folder):
         """Start the stand-ins and the node, and wait until the node is ready."""
+        await self.launch(folder)
+        await self.until_ready()
+        return self
+
+    def hang_up(self):
+        """Send SIGHUP; return whether the process still ran."""
+        if self.process.returncode is not None:
+            return False
+        try:
+            # `Process.send_signal` would collect the exit status itself.
+            os.kill(self.process.pid, signal.SIGHUP)
+        except ProcessLookupError:
+            return False
+        return True
+
+    async def until_ready(self):
+        """Wait until the node is ready."""
+        while await self.status() != 200:
+            await asyncio.sleep(0.05)
+
+    async def launch(self, folder):
+        """Start the stand-ins and the node's process."""
         self.store = StoreStandin()
         address = await self.store.start()
         self.engine = await Upstream("i-1", slow_stream).start()
@@ -67,9 +99,6 @@
             env=environment,
             stdout=asyncio.subprocess.PIPE,
         )
-        while await self.status() != 200:
-            await asyncio.sleep(0.05)
-        return self
 
     async def status(self):
         """Return the status of the readiness check, or 0 if nothing listens."""
@@ -141,6 +170,47 @@
 
         self.run_loop(scenario())
 
+    def test_sighup_while_the_node_starts_does_not_end_it(self):
+        """A change of the settings ended each node that was just starting."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def scenario():
+            node = NodeProcess()
+            self.addCleanup(node.release_ports)
+            await node.launch(folder)
+            ready = asyncio.create_task(node.until_ready())
+            # The interpreter needs some milliseconds until it runs the node's code.
+            await until(lambda: ignores_sighup(node.process.pid) or ready.done())
+            sent = 0
+            while not ready.done() and node.hang_up():
+                sent += 1
+                await asyncio.sleep(0.002)
+            self.assertTrue(node.hang_up())
+            self.assertGreater(sent, 10)
+            node.process.send_signal(signal.SIGTERM)
+            await node.process.communicate()
+            self.assertEqual(0, node.process.returncode)
+
+        self.run_loop(scenario())
+
+    def test_sighup_while_the_node_stops_does_not_end_it(self):
+        """A change of the settings ended a node before it had written its log."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def scenario():
+            node = await NodeProcess().start(folder)
+            self.addCleanup(node.release_ports)
+            node.process.send_signal(signal.SIGTERM)
+            ended = asyncio.create_task(node.process.communicate())
+            while node.hang_up():
+                await asyncio.sleep(0.001)
+            output, _ = await ended
+            self.assertEqual(0, node.process.returncode)
+            last = json.loads(output.splitlines()[-1])
+            self.assertEqual("gateway_stopped", last["name"])
+
+        self.run_loop(scenario())
+
     def test_invalid_settings_are_reported(self):
         """A node with an invalid settings file ended without a message."""
 
