Bound the chunks and events of a response, and the work for each

Each byte of an unfinished event had the whole event copied and searched again; each chunk of a body was an object of its own; and one connection parsed all that had arrived before others had their turn.

Bytes of an event are searched once, bodies are kept in one buffer, and a connection gives way after 32 chunks or 4 KB of events. States of peers are decompressed up to a bound.

Measured: an event of 1,048,576 single bytes reaches its bound in a test that took hours by the users' figures; endless bodies, refusals, events and streams in parts of 1 to 64 bytes end; a sound stream with an event a token in three chunks is whole.

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -7,6 +7,8 @@
 MAX_EVENT_BYTES = 1_048_576
 # Blank lines and comments are legal between events, but not without end.
 MAX_EVENTS_WITHOUT_DATA = 100
+TERMINATORS = (b"\n\n", b"\r\n\r\n")
+MAX_TERMINATOR_BYTES = max(len(each) for each in TERMINATORS)
 _DATA_LINE = re.compile(rb"^data:", re.MULTILINE)
 
 
@@ -27,7 +29,9 @@
     """
 
     def __init__(self, resumed_after: str | None = None) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Bytes of the buffer that contain no end of an event.
+        self._searched = 0
         self._last_id = resumed_after
         self._resumed = resumed_after is not None
         # Whether an event has shown where the resumed stream goes on.
@@ -47,8 +51,10 @@
         """
         self._buffer += data
         events: list[StreamEvent] = []
-        while (end := _event_end(self._buffer)) is not None:
-            event, self._buffer = self._buffer[:end], self._buffer[end:]
+        while (end := self._event_end()) is not None:
+            event = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            self._searched = 0
             parsed = StreamEvent(
                 event, _event_id(event), bool(_DATA_LINE.search(event))
             )
@@ -60,6 +66,17 @@
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    def _event_end(self) -> int | None:
+        """Return the end of the first event in the buffer, or None without one."""
+        start = max(0, self._searched - MAX_TERMINATOR_BYTES + 1)
+        ends = [
+            position + len(terminator)
+            for terminator in TERMINATORS
+            if (position := self._buffer.find(terminator, start)) >= 0
+        ]
+        self._searched = len(self._buffer)
+        return min(ends) if ends else None
+
     def _count_without_data(self, event: StreamEvent) -> None:
         if event.has_data:
             self._events_without_data = 0
@@ -86,15 +103,6 @@
     return event_id != earlier
 
 
-def _event_end(data: bytes) -> int | None:
-    ends = [
-        position + len(terminator)
-        for terminator in (b"\n\n", b"\r\n\r\n")
-        if (position := data.find(terminator)) >= 0
-    ]
-    return min(ends) if ends else None
-
-
 def _event_id(event: bytes) -> str | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -8,6 +8,7 @@
 import h11
 
 from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
+from cicadapass_gateway.parsingbudget import ParsingBudget
 from cicadapass_gateway.sockets import has_unread_data, watch_connection
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -19,6 +20,8 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 # A connection with more unread bytes than this is not read until they are consumed.
 MAX_UNREAD_BYTES = 262_144
+# Chunks that are parsed before other connections get their turn.
+CHUNKS_PER_TURN = 32
 # Bytes of response bodies that all connections of a process may buffer. Each body may
 # take half of what the others leave, so that endless ones do not displace short ones.
 MAX_BUFFERED_BYTES = 33_554_432
@@ -81,6 +84,8 @@
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
+        self._budget = ParsingBudget(0.0)
+        self._chunks_in_turn = 0
         self._responding = False
         self._received_s = 0.0
         self._received_bytes = 0
@@ -184,6 +189,7 @@
         if self._closed or self._transport is None:
             raise AnswerBroken("the connection was closed before the request was sent")
         self._in_use = True
+        self._budget = ParsingBudget(self._loop.time())
         self._responding = False
         self._received_s = 0.0
         self._received_bytes = 0
@@ -216,9 +222,17 @@
         )
 
     async def read_body(self) -> bytes | None:
-        """Return the next chunk of the body, or None after the last one."""
+        """Return the next chunk of the body, or None after the last one.
+
+        Raise `AnswerBroken` if the body is divided into too many chunks.
+        """
+        self._chunks_in_turn += 1
+        if self._chunks_in_turn >= CHUNKS_PER_TURN:
+            await asyncio.sleep(0)
+            self._chunks_in_turn = 0
         event = await self._next_event()
         if isinstance(event, h11.Data):
+            self._budget.spend(1, len(event.data), self._loop.time())
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -226,16 +240,18 @@
 
     async def read_remaining(self) -> bytes:
         """Return the rest of the body; raise `AnswerBroken` if it is too large."""
-        chunks: list[bytes] = []
-        size = 0
+        body = bytearray()
         try:
             while (chunk := await self.read_body()) is not None:
-                self._buffer.grow(size, len(chunk))
-                size += len(chunk)
-                chunks.append(chunk)
-            return b"".join(chunks)
+                self._buffer.grow(len(body), len(chunk))
+                body += chunk
+            return bytes(body)
         finally:
-            self._buffer.release(size)
+            self._buffer.release(len(body))
+
+    def spend_events(self, count: int) -> None:
+        """Count events of the body; raise `AnswerBroken` if they are too many."""
+        self._budget.spend(count, 0, self._loop.time())
 
     def finish_exchange(self) -> bool:
         """End a complete exchange; return whether the connection can be reused."""
--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -95,8 +95,7 @@
         self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._task: asyncio.Task[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -242,13 +241,12 @@
                 return False
             arrived_s = self._reading_since_s or self._loop.time()
             self._exchange = Exchange(self, event, arrived_s)
-            self._body, self._body_bytes = [], 0
+            self._body = bytearray()
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.max_body_bytes:
+            self._body += event.data
+            if len(self._body) > self._limits.max_body_bytes:
                 self._refuse(413)
                 return False
-            self._body.append(bytes(event.data))
         elif isinstance(event, h11.EndOfMessage):
             self._dispatch()
         elif isinstance(event, h11.ConnectionClosed):
@@ -266,8 +264,8 @@
 
     def _dispatch(self) -> None:
         assert self._exchange is not None
-        self._exchange.body = b"".join(self._body)
-        self._body = []
+        self._exchange.body = bytes(self._body)
+        self._body = bytearray()
         self._reading_since_s = None
         self._task = self._loop.create_task(self._handle(self._exchange))
 
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -18,6 +18,8 @@
 CONFIGURATION_PATH = "/v1/configuration"
 UPSTREAMS_PATH = "/v1/upstreams"
 FETCH_TIMEOUT_S = 0.6
+# Larger states of a peer are rejected; compressed, they may be a thousandth of it.
+MAX_STATE_BYTES = 33_554_432
 
 T = TypeVar("T")
 
@@ -48,7 +50,7 @@
 
 def decode_upstreams(data: bytes) -> PeerUpstreams:
     """Return a peer's response; raise an error that `PeerClient.fetch` handles."""
-    message = decode_cbor(zlib.decompress(data))
+    message = decode_cbor(_decompress(data))
     documents = tuple(
         Document(str(key), bytes(value), int(offset))
         for key, value, offset in message["entries"]
@@ -67,7 +69,16 @@
 
 def decode_configuration(data: bytes) -> bytes:
     """Return the undecoded configuration of a peer; raise an error of `fetch`."""
-    return zlib.decompress(data)
+    return _decompress(data)
+
+
+def _decompress(data: bytes) -> bytes:
+    """Return the decompressed data; raise ValueError if it is too large or cut."""
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, MAX_STATE_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"a state that is cut or exceeds {MAX_STATE_BYTES} bytes")
+    return decompressed
 
 
 class PeerClient:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -44,6 +44,8 @@
 # Time from the head to the first event of a hedge while the other attempt goes on. Two
 # upstreams must not write events of one request for 0.4 s.
 MAX_OVERLAP_S = 0.3
+# Bytes of a stream that are split into events before other connections get their turn.
+BYTES_PER_TURN = 4096
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
 
@@ -462,7 +464,8 @@
             chunk = await self._read_chunk(response.channel)
             if chunk is None:
                 break
-            events = comments + splitter.feed(chunk)
+            received = await _split(response.channel, splitter, chunk)
+            events = comments + received
             if not events:
                 continue
             has_data = has_data or any(event.has_data for event in events)
@@ -520,3 +523,17 @@
         if not request.usage_counted and request.match.workspace is not None:
             request.usage_counted = True
             self._usage.count(request.match.workspace.name)
+
+
+async def _split(
+    channel: ClientChannel, splitter: EventSplitter, chunk: bytes
+) -> list[StreamEvent]:
+    """Return the events that a chunk completes; other connections get their turns."""
+    events = splitter.feed(chunk[:BYTES_PER_TURN])
+    channel.spend_events(len(events))
+    for start in range(BYTES_PER_TURN, len(chunk), BYTES_PER_TURN):
+        await asyncio.sleep(0)
+        more = splitter.feed(chunk[start : start + BYTES_PER_TURN])
+        channel.spend_events(len(more))
+        events += more
+    return events
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -273,6 +273,11 @@
             self.sent_bytes += len(data)
             await asyncio.sleep(0)
 
+    async def drain(self):
+        """Wait until the client has taken most of what was written."""
+        await self._writer.drain()
+        await asyncio.sleep(0)
+
     def stream_until_close(self):
         """Write the head of an event stream that ends with its connection."""
         request_id = self.headers.get(b"x-id", "")
--- a/tests/gateway/test_relay_endless.py
+++ b/tests/gateway/test_relay_endless.py
@@ -2,8 +2,15 @@
 
 import asyncio
 
+from cicadapass_gateway.parsingbudget import BURST_PARTS
 from cicadapass_gateway.registrysync import periodic
-from tests.gateway.harness import GatewayHarness, LoopTest, configuration, until
+from tests.gateway.harness import (
+    GatewayHarness,
+    LoopClock,
+    LoopTest,
+    configuration,
+    until,
+)
 
 
 class EndlessResponseTest(LoopTest):
@@ -69,6 +76,66 @@
         head += b"transfer-encoding: chunked\r\n\r\n"
         self.assert_all_fail(head, b"10000\r\n" + b"x" * 65536 + b"\r\n")
 
+    def test_a_body_in_tiny_chunks(self):
+        """Two engines of six that wrote chunks of two bytes took down all nodes."""
+        head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: 1\r\n"
+        head += b"transfer-encoding: chunked\r\n\r\n"
+        for size in (1, 2, 7, 64):
+            chunk = b"%x\r\n%s\r\n" % (size, b"x" * size)
+            self.assert_all_fail(head, chunk * 500)
+
+    def test_a_rejection_in_tiny_chunks(self):
+        """The body of a refusal in tiny chunks was read to its bound."""
+        head = b"HTTP/1.1 503 X\r\nx-id: r1\r\nx-not-run: 1\r\n"
+        head += b"transfer-encoding: chunked\r\n\r\n"
+
+        async def scenario():
+            reply = await self.assert_ended("/unsafe/x", head, b"2\r\nxx\r\n" * 500)
+            self.assertIn(reply.status, (502, 503))
+
+        self.run_loop(scenario())
+
+    def test_an_event_without_end_in_tiny_chunks(self):
+        """The loop searched the whole event again for each of its bytes."""
+        head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: 1\r\n"
+        head += b"content-type: text/event-stream\r\n"
+        head += b"transfer-encoding: chunked\r\n\r\n6\r\ndata: \r\n"
+        self.assert_all_fail(head, b"1\r\nx\r\n" * 500)
+
+    def test_small_events_without_end(self):
+        """A stream of small events took all the processor time of its node."""
+        head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: 1\r\n"
+        head += b"content-type: text/event-stream\r\n\r\n"
+        self.assert_all_fail(head, b"data: x\n\n" * 5000)
+
+    def test_a_sound_stream_of_small_events_is_whole(self):
+        """A stream with an event a token, in several chunks, was cut."""
+        events = 3 * BURST_PARTS
+
+        async def script(response):
+            response.stream()
+            for number in range(1, events + 1):
+                data = b"id: %d\ndata: t\n\n" % number
+                for part in (data[:4], data[4:9], data[9:]):
+                    response.send(b"%x\r\n%s\r\n" % (len(part), part))
+                if number % 10 == 0:
+                    # 250 events a second, a second at a time.
+                    clock.advance(0.04)
+                    await response.drain()
+            response.end()
+
+        async def scenario():
+            nonlocal clock
+            clock = LoopClock()
+            config = configuration(timeout_s=600.0)
+            gateway = await GatewayHarness().start(script, config=config)
+            reply = await gateway.call("/stream/x", "POST")
+            self.assertTrue(reply.complete)
+            self.assertEqual(events, reply.body.count(b"data: t"))
+
+        clock = None
+        self.run_loop(scenario())
+
     def test_a_body_of_an_absurd_length(self):
         """The body of a response with an absurd length was read up to the limit."""
         head = b"HTTP/1.1 200 OK\r\nx-id: r1\r\nx-seal: 1\r\n"
--- a/tests/gateway/test_utilities.py
+++ b/tests/gateway/test_utilities.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from cicadapass_gateway.eventstream import EventSplitter
+from cicadapass_gateway.eventstream import MAX_EVENT_BYTES, EventSplitter
 from cicadapass_gateway.logoutput import MAX_QUEUED_LINES, QueuedOutput
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.supervisor import (
@@ -23,6 +23,16 @@
 
 
 class EventSplitterTest(testtools.TestCase):
+    def test_an_event_of_single_bytes_ends_at_its_bound(self):
+        """Each byte of an event without end had the whole event searched again.
+
+        At a megabyte, that took hours; it is too large before the test's time limit.
+        """
+        splitter = EventSplitter()
+        with self.assertRaises(ValueError):
+            for _ in range(MAX_EVENT_BYTES + 1):
+                splitter.feed(b"x")
+
     def test_events_are_whole_wherever_the_data_is_split(self):
         """An event that arrived in two reads was forwarded in two parts."""
         data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,6 +1,7 @@
 """Test a gateway node as a separate process, from its settings file to SIGTERM."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -42,7 +43,10 @@
         self._ports = [ReservedPort() for _ in range(4)]
 
     def release_ports(self):
-        """Make the ports available to other tests."""
+        """End the process, and make the ports available to other tests."""
+        with contextlib.suppress(ProcessLookupError):
+            if self.process.returncode is None:
+                os.kill(self.process.pid, signal.SIGKILL)
         for port in self._ports:
             port.release()
 
@@ -198,8 +202,9 @@
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
         async def scenario():
-            node = await NodeProcess().start(folder)
+            node = NodeProcess()
             self.addCleanup(node.release_ports)
+            await node.start(folder)
             node.process.send_signal(signal.SIGTERM)
             ended = asyncio.create_task(node.process.communicate())
             while node.hang_up():
