Let engines of the soak answer without end

Comments are no events; a stream that is cut within an answer without end is not held against its node, a complete one is.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -9,6 +9,9 @@
 EVENT_S = 0.03
 EVENTS = 8
 STREAM_FIELDS = "content-type: text/event-stream\r\n"
+# Rate at which an answer without end is sent, and the pause between its blocks.
+ENDLESS_BYTES_PER_S = 3_000_000
+ENDLESS_PAUSE_S = 0.01
 CHUNKED = "transfer-encoding: chunked\r\n"
 
 
@@ -27,6 +30,8 @@
     # as complete.
     first_event: int = 1
     ends_after: int | None = None
+    # Follows the pieces without end, until the connection is closed.
+    endless: bytes = b""
 
 
 def head(status, fields):
@@ -65,7 +70,17 @@
             return
         unsent += data
     response.send(unsent)
+    if answer.endless:
+        await _send_without_end(response, answer.endless)
     if answer.ending == "closed":
         response.close()
     elif answer.ending == "reset":
         response.reset()
+
+
+async def _send_without_end(response, data):
+    block = data * (1 + int(ENDLESS_BYTES_PER_S * ENDLESS_PAUSE_S / len(data)))
+    while not response.closed:
+        response.send(block)
+        await response.drain()
+        await asyncio.sleep(ENDLESS_PAUSE_S)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,10 +37,13 @@
     "engine_broken_stream",
     "engine_cut_head",
 )
+# Answers without end, drawn apart as well.
+ENDLESS_KINDS = ("engine_endless",)
 # What another writer leaves among the engines' entries, drawn apart as well.
 ENTRY_KINDS = ("entries_odd",)
 # Engines that such a fault affects.
 SCOPES = ("one", "third", "all")
+ENDLESS_SCOPES = ("one", "third")
 # Time between two faults that are drawn apart, and how long they last.
 TROUBLE_PAUSE_RANGE_S = (4.0, 12.0)
 TROUBLE_DURATION_RANGE_S = (5.0, 9.0)
@@ -102,6 +105,7 @@
             at_s += rng.uniform(*PAUSE_RANGE_S)
     faults += _draw_apart(f"trouble {seed}", length_s, TROUBLE_KINDS)
     faults += _draw_apart(f"answers {seed}", length_s, ANSWER_KINDS, SCOPES)
+    faults += _draw_apart(f"endless {seed}", length_s, ENDLESS_KINDS, ENDLESS_SCOPES)
     faults += _draw_apart(f"entries {seed}", length_s, ENTRY_KINDS)
     return sorted(faults, key=lambda each: each.at_s)
 
--- a/tests/soak/faultyengines.py
+++ b/tests/soak/faultyengines.py
@@ -8,6 +8,7 @@
 from weakref import WeakKeyDictionary
 
 from tests.soak.answers import (
+    CHUNKED,
     STREAM_FIELDS,
     Answer,
     head,
@@ -25,6 +26,8 @@
 STALE_DELAY_S = 0.02
 BROKEN_FRACTION = 0.4
 CUT_HEAD_FRACTION = 0.25
+ENDLESS_FRACTION = 0.5
+MAX_ENDLESS_CHUNK_BYTES = 64
 ENDINGS = ("closed", "reset")
 # Answers to the repeat of a broken stream; "sound" continues it.
 REPEATS = (
@@ -116,11 +119,75 @@
     return change
 
 
+def endless(rng, names):
+    """Send some answers without end: in a head, a body or a stream, in any parts."""
+    shape = rng.choice(list(ENDLESS_SHAPES))
+    chunk_bytes = rng.randint(1, MAX_ENDLESS_CHUNK_BYTES)
+
+    def change(engine, response, run, answer):
+        if engine not in names or rng.random() >= ENDLESS_FRACTION:
+            return answer
+        fields = f"request-id: {run.headers['request-id']}\r\nserver-seal: {engine}\r\n"
+        run.endless = True
+        start, data = ENDLESS_SHAPES[shape](fields, chunk_bytes)
+        return Answer(((0.0, start),), ending="closed", endless=data)
+
+    return change
+
+
 ENGINE_FAULTS = {
     "silent": silent,
     "stale_refusal": stale_refusal,
     "broken_stream": broken_stream,
     "cut_head": cut_head,
+    "endless": endless,
+}
+
+
+def _chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+# Each returns how an answer begins and what follows without end.
+ENDLESS_SHAPES = {
+    "head_line": lambda fields, size: (b"", b"x" * size),
+    "head_lines": lambda fields, size: (
+        b"HTTP/1.1 200 X\r\n",
+        b"a: " + b"x" * size + b"\r\n",
+    ),
+    "informational": lambda fields, size: (b"", b"HTTP/1.1 100 X\r\n\r\n"),
+    "body": lambda fields, size: (
+        head(200, f"{fields}content-length: {10**12}\r\n"),
+        b"x" * size,
+    ),
+    "chunked_body": lambda fields, size: (
+        head(200, fields + CHUNKED),
+        _chunk(b"x" * size),
+    ),
+    "refusal": lambda fields, size: (
+        head(503, f"{fields}not-executed: full\r\n{CHUNKED}"),
+        _chunk(b"x" * size),
+    ),
+    "chunk_extension": lambda fields, size: (
+        head(200, fields + CHUNKED) + b"1;x=",
+        b"x" * size,
+    ),
+    "trailers": lambda fields, size: (
+        head(200, fields + CHUNKED) + b"0\r\n",
+        b"a: " + b"x" * size + b"\r\n",
+    ),
+    "event": lambda fields, size: (
+        head(200, fields + STREAM_FIELDS + CHUNKED) + _chunk(b"data: "),
+        _chunk(b"x" * size),
+    ),
+    "comments": lambda fields, size: (
+        head(200, fields + STREAM_FIELDS + CHUNKED),
+        _chunk(b":" + b"x" * size + b"\n\n"),
+    ),
+    "small_events": lambda fields, size: (
+        head(200, fields + STREAM_FIELDS),
+        b"data: " + b"x" * size + b"\n\n",
+    ),
 }
 
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
 from tests.gateway.harness import HOST, Caller
 from tests.ports import ReservedPort
@@ -127,6 +128,14 @@
                     raise RuntimeError(f"{self.name} ended: {self._log_tail()}")
                 await asyncio.sleep(0.05)
 
+    def peak_memory_mb(self):
+        """Return the largest memory of the running process, or 0 without one."""
+        if not self.is_running:
+            return 0.0
+        lines = Path(f"/proc/{self._process.pid}/status").read_text().splitlines()
+        peak = next(line for line in lines if line.startswith("VmHWM"))
+        return int(peak.split()[1]) / 1024
+
     def component_failures(self):
         """Return the lines on components that ended with an error."""
         log = (self._folder / f"{self.name}.log").read_text(errors="replace")
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -28,6 +28,8 @@
     ends_after: int | None = None
     # How long the engine fell silent in its answer.
     silent_s: float = 0.0
+    # The engine wrote an answer without end.
+    endless: bool = False
 
 
 @dataclass(slots=True)
@@ -88,6 +90,8 @@
     dropped_keys: dict = field(default_factory=dict)
     # Components that ended with an error: node and log line.
     component_failures: list = field(default_factory=list)
+    # The largest memory of each node's last process.
+    peak_memory_mb: dict = field(default_factory=dict)
     # Calls of the duties: path, holder, fencing number, body.
     duties: list = field(default_factory=list)
     # End of the last fault.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -156,6 +156,26 @@
             reported = violations(records([broken], {"r1": [run(kind)]}))
             self.assertIn("got the events [1, 2, None]", reported[0])
 
+    def test_only_a_cut_stream_may_end_within_an_answer_without_end(self):
+        """Parts of an answer without end must not be taken for a whole stream."""
+        answer = events("r1", [1, 2]) + b"data: x\n\n"
+        for endless, complete, expected in (
+            (True, False, False),
+            (True, True, True),
+            (False, False, True),
+        ):
+            caller = call(kind="stream", answer=answer, complete=complete)
+            runs = {"r1": [run("stream", endless=endless)]}
+            reported = violations(records([caller], runs))
+            self.assertEqual(expected, bool(reported), reported)
+
+    def test_comments_are_no_events(self):
+        """A comment of an engine was reported as a foreign event."""
+        answer = events("r1", [1, 2]) + b": waiting\n\n"
+        answer += events("r1", range(3, EVENTS + 1))
+        caller = call(kind="stream", answer=answer)
+        self.assertEqual([], violations(records([caller], {"r1": [run("stream")]})))
+
     def test_events_of_a_run_that_started_again_are_reported(self):
         """Events of a run from the start must not follow those of an earlier run."""
         answer = events("r1", [1, 2, 3]) + events("r1", range(4, EVENTS + 1), "b")
@@ -315,6 +335,12 @@
             lines = [each for each in violations(result) if "named" in each]
             self.assertEqual(expected, len(lines))
 
+    def test_a_node_that_takes_too_much_memory_is_reported(self):
+        """A node that kept answers without end in memory must be reported."""
+        result = records([], {}, peak_memory_mb={"n0": 40.0, "n1": 101.0})
+        lines = [each for each in violations(result) if "memory" in each]
+        self.assertEqual(["n1 took 101 MB of memory"], lines)
+
     def test_failed_components_are_reported(self):
         """A component that ended with an error must be reported."""
         failures = [("n0", "upstreams: OverflowError")]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -71,6 +71,9 @@
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
+            self.records.peak_memory_mb = {
+                node.name: node.peak_memory_mb() for node in self._nodes
+            }
             await asyncio.gather(*(node.close() for node in self._nodes))
         self.records.component_failures = [
             (node.name, line)
