Allow a response 4,000 small parts a second

A trial with an engine that wrote 1,000 events a second, each in a chunk of its own, was cut after 1.1 s: chunks and events both count, and 1,000 a second were allowed. The test of a sound stream sends 1,000 events a second in three chunks each now.

--- a/packages/gateway/cicadapass_gateway/parsingbudget.py
+++ b/packages/gateway/cicadapass_gateway/parsingbudget.py
@@ -7,7 +7,7 @@
 FREE_BYTES_PER_PART = 512
 # Smaller ones may come at this rate, and this many at once. An engine that writes an
 # event a token, in several chunks, stays far below.
-PARTS_PER_S = 1000.0
+PARTS_PER_S = 4000.0
 BURST_PARTS = 1024
 
 
