Parse a divided request of a caller in turns

A node parsed all chunks of a request that had arrived before any other caller had its turn, as it did with the answers of engines. It gives way after 32 parts, and reads nothing more from that caller until it has caught up.

Measured: the test in which another caller's request waits behind 1,000 chunks of two bytes fails on the code before.

--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -13,6 +13,8 @@
 Headers = Sequence[tuple[bytes, bytes]]
 # Bytes of an incomplete head that do not count as its line or headers.
 FRAMING_BYTES = 1024
+# Parts of a request that are parsed before other connections get their turn.
+PARTS_PER_TURN = 32
 # After an error response, what the caller still sends is discarded until it closes, for
 # at most this long. Closing at once would reset the connection, and the caller could
 # lose the response.
@@ -103,6 +105,7 @@
         self._reading_since_s: float | None = None
         self._received_s = self._idle_since_s
         self._closing = False
+        self._reading_paused = False
 
     @property
     def busy(self) -> bool:
@@ -223,10 +226,24 @@
 
     def _process_events(self) -> None:
         try:
-            while not self._closing and self._task is None and self._next_event():
-                pass
+            for _ in range(PARTS_PER_TURN):
+                if self._closing or self._task is not None or not self._next_event():
+                    self._resume_reading()
+                    return
         except h11.RemoteProtocolError as error:
+            self._resume_reading()
             self._refuse(error.error_status_hint or 400)
+            return
+        # The rest is parsed after other connections had their turn.
+        if not self._reading_paused and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
+        self._loop.call_soon(self._process_events)
+
+    def _resume_reading(self) -> None:
+        if self._reading_paused and self._transport is not None:
+            self._reading_paused = False
+            self._transport.resume_reading()
 
     def _next_event(self) -> bool:
         event = self._parser.next_event()
--- a/tests/gateway/test_httpserver.py
+++ b/tests/gateway/test_httpserver.py
@@ -167,12 +167,20 @@
 
     def __init__(self):
         super().__init__()
-        self.sent, self.closed = b"", False
+        self.sent, self.closed, self.paused = b"", False, False
 
     def write(self, data):
         """Record the data."""
         self.sent += data
 
+    def pause_reading(self):
+        """Record that the server reads nothing more for now."""
+        self.paused = True
+
+    def resume_reading(self):
+        """Record that the server reads on."""
+        self.paused = False
+
     def write_eof(self):
         """Record the end of the connection."""
         self.closed = True
@@ -256,6 +264,54 @@
         run_virtual(scenario())
 
 
+class DividedRequestTest(ChannelTest):
+    """Send a body in chunks of two bytes, all at once."""
+
+    head = GET[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+
+    def test_other_callers_get_their_turn(self):
+        """All callers of a node waited while it parsed the chunks of one request."""
+
+        async def scenario():
+            answered = []
+
+            async def respond(exchange):
+                answered.append(len(exchange.body))
+                exchange.respond(200, [], b"ok")
+
+            server = HttpServer(
+                ServerState(CallerLimits()), respond, lambda error: None
+            )
+            channels = [CallerChannel(server) for _ in range(2)]
+            transports = [FakeTransport() for _ in channels]
+            for channel, transport in zip(channels, transports, strict=True):
+                channel.connection_made(transport)
+            chunks = b"2\r\nxx\r\n" * 1000
+            channels[0].data_received(self.head + chunks)
+            self.assertTrue(transports[0].paused)
+            channels[1].data_received(GET)
+            while transports[0].paused:
+                await asyncio.sleep(0)
+            channels[0].data_received(chunks + b"0\r\n\r\n")
+            await asyncio.sleep(1.0)
+            self.assertEqual([0, 4000], answered)
+
+        run_virtual(scenario())
+
+    def test_an_invalid_part_is_refused(self):
+        """A request that could not be parsed on stayed open."""
+
+        async def scenario():
+            server, channel, transport = self.connect()
+            server.state.limits = channel._limits = CallerLimits()
+            channel.data_received(self.head + b"2\r\nxx\r\n" * 1000 + b"x\r\n")
+            await asyncio.sleep(1.0)
+            self.assertIn(b" 400 ", transport.sent)
+            self.assertFalse(transport.paused)
+
+        run_virtual(scenario())
+
+
 class ChangedLimitsTest(ChannelTest):
     """Change the limits while a connection is open."""
 
