Frame the endless small events of the soak in chunks

The shape had no length, so that its stream ended with its connection, and a disturbed link that closed this one marked the stream as whole. The check stays; the shape is chunked now, with 50 events in each chunk, so that a cut shows.

--- a/tests/soak/faultyengines.py
+++ b/tests/soak/faultyengines.py
@@ -28,6 +28,7 @@
 CUT_HEAD_FRACTION = 0.25
 ENDLESS_FRACTION = 0.5
 MAX_ENDLESS_CHUNK_BYTES = 64
+EVENTS_PER_CHUNK = 50
 ENDINGS = ("closed", "reset")
 # Answers to the repeat of a broken stream; "sound" continues it.
 REPEATS = (
@@ -184,9 +185,10 @@
         head(200, fields + STREAM_FIELDS + CHUNKED),
         _chunk(b":" + b"x" * size + b"\n\n"),
     ),
+    # A stream that its connection ends would look whole if another fault cut it.
     "small_events": lambda fields, size: (
-        head(200, fields + STREAM_FIELDS),
-        b"data: " + b"x" * size + b"\n\n",
+        head(200, fields + STREAM_FIELDS + CHUNKED),
+        _chunk(EVENTS_PER_CHUNK * (b"data: " + b"x" * size + b"\n\n")),
     ),
 }
 
