Do not move a run whose address is another engine's

A migration is now not started, and not continued, while an entry of another start of an upstream has the address of the run's engine. The two engines of SharedLinkTest had one address, which no two engines have; each has its own now.

--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -119,6 +119,17 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._start_migrations()
 
+    def _is_address_reused(self, record: UpstreamRecord) -> bool:
+        """Return whether another upstream has the address of the engine of a run.
+
+        A call that copies a run names the address alone, so it would reach that one.
+        """
+        return any(
+            (each.host, each.port) == (record.host, record.port)
+            and each.start_key != record.start_key
+            for each in self._state.upstreams.view.records.values()
+        )
+
     def _start_migrations(self) -> None:
         now_s = self._state.clock()
         view = self._state.upstreams.view
@@ -131,6 +142,8 @@
                 continue
             if run.migration is not None or now_s < run.retry_at_s:
                 continue
+            if self._is_address_reused(run.record):
+                continue
             leaving = self._leaving.get(key)
             if leaving is None:
                 current = view.records.get(run.record.upstream_id, run.record)
@@ -199,6 +212,9 @@
                 break
             if not self._state.upstreams.is_usable(target):
                 break
+            if self._is_address_reused(run.record):
+                copy = RunCopy(CopyOutcome.NO_RUN, detail="the address was reused")
+                break
             if may_stop(copies, now_s - began_s, leaving.remaining_s_at(now_s)):
                 break
         return copy
--- a/tests/gateway/test_migrator.py
+++ b/tests/gateway/test_migrator.py
@@ -313,6 +313,26 @@
 
         self.run_loop(scenario())
 
+    def test_a_run_is_not_moved_once_its_address_is_that_of_another_engine(self):
+        """An engine was asked to move a run of the one that had its address before."""
+
+        async def copy_rest(cluster):
+            return complete_copy()
+
+        async def scenario():
+            cluster = await Cluster(copy_rest).start()
+            caller = await cluster.gateway.connect()
+            caller.send("/stream/x", "POST", x_tokens=1000)
+            migrator = cluster.gateway.migrator
+            await until(lambda: any(run.events for run in migrator._runs))
+            successor = replace(cluster.source.record(), upstream_id="successor")
+            cluster._list(successor, *(each.record() for each in cluster.targets))
+            migrator._start_migrations()
+            self.assertEqual([], [run for run in migrator._runs if run.migration])
+            caller.close()
+
+        self.run_loop(scenario())
+
 
 class SharedLinkTest(testtools.TestCase):
     """Replay an engine with 21 runs of 20,000 tokens that leaves seven nodes."""
@@ -352,7 +372,7 @@
         """Start the migrations of a node and return its runs."""
         state = make_state(node=f"n{node}")
         source, target = (
-            UpstreamRecord(name, "s", "h", 1, "dc-a", 64, leaving, 1, 1)
+            UpstreamRecord(name, "s", name, 1, "dc-a", 64, leaving, 1, 1)
             for name, leaving in (("source", True), ("target", False))
         )
         state.upstreams.view.replace([source, target], state.clock())
