--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p))):$(CURDIR)/platform:$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: install format lint types docs unit test demo measure matrix capacity soak
+.PHONY: install format lint types docs unit test demo measure matrix capacity cost soak
 
 install: $(VENV)/installed
 
@@ -52,3 +52,7 @@
 
 capacity: install
 	$(BIN)/python -m cicadapass_bench.capacity
+
+# `make cost AGAINST=COMMIT` prints ratios to an earlier commit.
+cost: install
+	$(BIN)/python -m cicadapass_bench.cost $(if $(AGAINST),--against $(AGAINST))
