Keep the sums of peers' loads between changes

Cause: for each request, each engine's load was summed over the reports of all peers twice, with an object walk for each; with 83 members this was over half of the time of a placement in the profile. Change: PeerLoads keeps the running requests, and the few loads with tokens to prefill, until a load changes or expires.

--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import Prompt
+from cicadapass_decisions.peerloads import PEER_LOAD_MAX_AGE_S, PeerLoad, PeerLoads
+
+__all__ = ["PEER_LOAD_MAX_AGE_S", "PeerLoad", "UpstreamMeter"]
 
 # Prefill time assumed before the first answer of an engine. Engines are specified at 62
 # to 66 tokens/ms, of which decoding takes about a quarter.
@@ -22,8 +25,6 @@
 FAILURE_HALF_LIFE_S = 3.0
 # Without samples for this long, the measured speed decays towards that of the group.
 SPEED_DECAY_S = 6.0
-# The reported load of a peer is ignored after this time.
-PEER_LOAD_MAX_AGE_S = 3.0
 # Times for which a load reported by the upstream and a rejection remain in effect.
 REPORTED_LOAD_MAX_AGE_S = 0.5
 FULL_BACKOFF_S = 0.3
@@ -49,15 +50,6 @@
     paused: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """Store the requests that a peer has in progress at an upstream."""
-
-    running: int
-    prefill_tokens: float
-    received_s: float
-
-
 class UpstreamMeter:
     """Track the load, speed and failures of one start of an upstream."""
 
@@ -66,7 +58,7 @@
         self.call_s = INITIAL_CALL_S
         self._sampled_s = 0.0
         self._runs: dict[str, Run] = {}
-        self._peer_loads: dict[str, PeerLoad] = {}
+        self._peer_loads = PeerLoads()
         self._failure_score = 0.0
         self._failure_score_s = 0.0
         self._last_first_token_s = 0.0
@@ -178,22 +170,21 @@
 
     def record_peer_load(self, peer: str, load: PeerLoad) -> None:
         """Replace the load of a peer."""
-        self._peer_loads[peer] = load
+        self._peer_loads.set(peer, load)
 
     def record_peer_send(self, peer: str, tokens: int, now_s: float) -> None:
         """Add a prompt that a peer has just sent; its next report includes it."""
-        load = self._peer_loads.get(peer, PeerLoad(0, 0.0, now_s))
-        prefill_tokens = self._remaining_prefill_tokens(load, now_s) + tokens
-        self._peer_loads[peer] = PeerLoad(load.running, prefill_tokens, now_s)
+        load = self._peer_loads.get(peer) or PeerLoad(0, 0.0, now_s)
+        prefill_tokens = load.remaining_tokens(self.prefill_s_per_token, now_s) + tokens
+        self._peer_loads.set(peer, PeerLoad(load.running, prefill_tokens, now_s))
 
     def forget_peer(self, peer: str) -> None:
         """Remove the load of a peer that has no requests in progress here."""
-        self._peer_loads.pop(peer, None)
+        self._peer_loads.remove(peer)
 
     def running(self, now_s: float) -> int:
         """Return the requests in progress, including those of peers."""
-        peers = (peer.running for peer in self._fresh_peer_loads(now_s))
-        counted = len(self._runs) + sum(peers)
+        counted = len(self._runs) + self._peer_loads.running(now_s)
         reported, reported_s = self._reported_load
         return (
             max(counted, reported)
@@ -203,14 +194,13 @@
 
     def prefill_tokens(self, now_s: float) -> float:
         """Return the prompt tokens that the upstream has yet to prefill."""
-        remaining = (
-            self._remaining_prefill_tokens(load, now_s)
-            for load in self._fresh_peer_loads(now_s)
-        )
-        return self.local_prefill_tokens(now_s) + sum(remaining)
+        peers_tokens = self._peer_loads.prefill_tokens(self.prefill_s_per_token, now_s)
+        return self.local_prefill_tokens(now_s) + peers_tokens
 
     def local_prefill_tokens(self, now_s: float) -> float:
         """Return the prompt tokens of this node that are yet to be prefilled."""
+        if not self._runs:
+            return 0.0
         pending = [run for run in self._runs.values() if run.first_token_s is None]
         if not pending:
             return 0.0
@@ -224,6 +214,8 @@
 
     def cached_tokens(self, prompt: Prompt, now_s: float) -> int:
         """Return the leading tokens of a prompt that are probably cached."""
+        if not self._segment_used_s:
+            return 0
         total = 0
         for segment in prompt.shared_segments:
             used_s = self._segment_used_s.get(segment.segment_id)
@@ -234,6 +226,8 @@
 
     def failure_score(self, now_s: float) -> float:
         """Return the decayed score of recent failures, from 0 to 1."""
+        if not self._failure_score:
+            return 0.0
         elapsed = max(0.0, now_s - self._failure_score_s)
         return self._failure_score * 0.5 ** (elapsed / FAILURE_HALF_LIFE_S)
 
@@ -246,15 +240,3 @@
                 group_prefill_s_per_token - self.prefill_s_per_token
             )
             self.call_s += SAMPLE_WEIGHT * (group_call_s - self.call_s)
-
-    def _remaining_prefill_tokens(self, load: PeerLoad, now_s: float) -> float:
-        """Return the tokens of a peer less those prefilled since its report."""
-        elapsed_s = now_s - load.received_s
-        return max(0.0, load.prefill_tokens - elapsed_s / self.prefill_s_per_token)
-
-    def _fresh_peer_loads(self, now_s: float) -> list[PeerLoad]:
-        return [
-            load
-            for load in self._peer_loads.values()
-            if now_s - load.received_s < PEER_LOAD_MAX_AGE_S
-        ]
