Index upstreams and keep unchanged candidates

Cause: each candidate looked up its meter and formatted its start key twice, and was built anew though most are unchanged; a peer's state visited every meter; the check before a send formatted a start key for each engine. Change: the tracker keeps records, meters and start keys of a service together until the view changes, indexes meters by upstream, and reuses a candidate whose fields are all equal.

--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -58,6 +58,16 @@
     cache_source: UpstreamRecord | None = None
 
 
+@dataclass(slots=True)
+class _Tracked:
+    """Keep what belongs to a usable upstream, and its last candidate."""
+
+    record: UpstreamRecord
+    start_key: str
+    meter: UpstreamMeter
+    last: Candidate | None = None
+
+
 class UpstreamTracker:
     """Track the registered upstreams, with a meter for each start of one."""
 
@@ -70,6 +80,11 @@
         # How long a leaving upstream may get requests.
         self._drain_s = drain_s
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
+        # The same meters by the id of their upstream.
+        self._meters_by_id: dict[str, list[UpstreamMeter]] = {}
+        # The usable upstreams of each service, once they were candidates.
+        self._tracked: dict[str, list[_Tracked]] = {}
+        self._usable_starts: set[tuple[str, str, int]] = set()
         self._keys = itertools.count()
         self._by_service: dict[str, list[UpstreamRecord]] = {}
         # The upstreams at which each peer last reported requests in progress.
@@ -86,13 +101,21 @@
         for record in self.view.usable().values():
             index.setdefault(record.service, []).append(record)
         self._by_service = index
+        self._tracked = {}
+        self._usable_starts = {
+            (service, each.upstream_id, each.started_ms)
+            for service, records in index.items()
+            for each in records
+        }
         current_starts = {
             (r.upstream_id, r.started_ms) for r in self.view.records.values()
         }
         self.limits.keep(each.start_key for each in self.view.records.values())
         for key in [each for each in self._meters if each not in current_starts]:
             if not self._meters[key].local_running:
-                del self._meters[key]
+                self._meters_by_id[key[0]].remove(self._meters.pop(key))
+                if not self._meters_by_id[key[0]]:
+                    del self._meters_by_id[key[0]]
 
     def usable(self, service: str) -> list[UpstreamRecord]:
         """Return the upstreams of a service that may get requests."""
@@ -100,9 +123,8 @@
 
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Return whether this start of an upstream may get requests."""
-        return any(
-            each.start_key == record.start_key for each in self.usable(record.service)
-        )
+        start = (record.service, record.upstream_id, record.started_ms)
+        return start in self._usable_starts
 
     def accepts_stopped_runs(self, record: UpstreamRecord, now_s: float) -> bool:
         """Return whether a leaving upstream may go on with a run that was stopped."""
@@ -116,6 +138,7 @@
         meter = self._meters.get(key)
         if meter is None:
             meter = self._meters[key] = UpstreamMeter()
+            self._meters_by_id.setdefault(record.upstream_id, []).append(meter)
             meter.prefill_s_per_token, meter.call_s = self._typical_speed(
                 record.service
             )
@@ -126,10 +149,16 @@
     ) -> list[Candidate]:
         """Return the load and speed of each usable upstream that is not excluded."""
         excluded_ids = set(excluded)
+        tracked = self._tracked.get(service)
+        if tracked is None:
+            tracked = self._tracked[service] = [
+                _Tracked(record, record.start_key, self.meter(record))
+                for record in self.usable(service)
+            ]
         return [
-            self._candidate(record, prompt, now_s)
-            for record in self.usable(service)
-            if record.upstream_id not in excluded_ids
+            self._candidate(each, prompt, now_s)
+            for each in tracked
+            if each.record.upstream_id not in excluded_ids
         ]
 
     def begin(
@@ -175,23 +204,21 @@
         self._reported_upstreams[peer] = set(load)
         if not load:
             del self._reported_upstreams[peer]
-        for (upstream_id, _), meter in self._meters.items():
-            if upstream_id in load:
-                running, prefill_tokens = load[upstream_id]
-                meter.record_peer_load(
-                    peer, PeerLoad(running, float(prefill_tokens), now_s)
-                )
-            elif upstream_id in ended:
+        for upstream_id, (running, prefill_tokens) in load.items():
+            peer_load = PeerLoad(running, float(prefill_tokens), now_s)
+            for meter in self._meters_by_id.get(upstream_id, ()):
+                meter.record_peer_load(peer, peer_load)
+        for upstream_id in ended:
+            for meter in self._meters_by_id.get(upstream_id, ()):
                 meter.forget_peer(peer)
 
     def apply_send(
         self, peer: str, upstream_id: str, tokens: int, now_s: float
     ) -> None:
         """Add a prompt that a peer has just sent to an upstream."""
-        for (tracked_id, _), meter in self._meters.items():
-            if tracked_id == upstream_id:
-                meter.record_peer_send(peer, tokens, now_s)
-                self._reported_upstreams.setdefault(peer, set()).add(upstream_id)
+        for meter in self._meters_by_id.get(upstream_id, ()):
+            meter.record_peer_send(peer, tokens, now_s)
+            self._reported_upstreams.setdefault(peer, set()).add(upstream_id)
 
     def decay_speeds(self, now_s: float) -> None:
         """Decay the measured speeds towards the typical speed of the service."""
@@ -216,26 +243,48 @@
             limit_room=0.0 if room is None else room.requests,
         )
 
-    def _candidate(
-        self, record: UpstreamRecord, prompt: Prompt, now_s: float
-    ) -> Candidate:
-        meter = self.meter(record)
-        return Candidate(
+    def _candidate(self, tracked: _Tracked, prompt: Prompt, now_s: float) -> Candidate:
+        record, meter = tracked.record, tracked.meter
+        start_key, last = tracked.start_key, tracked.last
+        running = meter.running(now_s)
+        backlog_s = meter.prefill_tokens(now_s) * meter.prefill_s_per_token
+        cached_tokens = meter.cached_tokens(prompt, now_s)
+        failure_score = meter.failure_score(now_s)
+        full, unreachable = meter.is_full(now_s), meter.is_unreachable(now_s)
+        room = self.limits.room(start_key, now_s)
+        pause_s = self.pauses.remaining_s(start_key, now_s)
+        if (
+            last is not None
+            and last.running == running
+            and last.backlog_s == backlog_s
+            and last.cached_tokens == cached_tokens
+            and last.failure_score == failure_score
+            and last.prefill_s_per_token == meter.prefill_s_per_token
+            and last.call_s == meter.call_s
+            and last.full == full
+            and last.unreachable == unreachable
+            and last.room == room
+            and last.pause_s == pause_s
+        ):
+            # To build an equal one costs as much as half of the rest.
+            return last
+        tracked.last = Candidate(
             upstream_id=record.upstream_id,
             data_centre=record.data_centre,
             local=record.data_centre == self._data_centre,
             slots=record.slots,
-            running=meter.running(now_s),
-            backlog_s=meter.prefill_tokens(now_s) * meter.prefill_s_per_token,
+            running=running,
+            backlog_s=backlog_s,
             prefill_s_per_token=meter.prefill_s_per_token,
             call_s=meter.call_s,
-            cached_tokens=meter.cached_tokens(prompt, now_s),
-            failure_score=meter.failure_score(now_s),
-            full=meter.is_full(now_s),
-            unreachable=meter.is_unreachable(now_s),
-            room=self.limits.room(record.start_key, now_s),
-            pause_s=self.pauses.remaining_s(record.start_key, now_s),
+            cached_tokens=cached_tokens,
+            failure_score=failure_score,
+            full=full,
+            unreachable=unreachable,
+            room=room,
+            pause_s=pause_s,
         )
+        return tracked.last
 
     def _typical_speed(self, service: str) -> tuple[float, float]:
         meters = [
