--- a/packages/bench/cicadapass_bench/cost.py
+++ b/packages/bench/cicadapass_bench/cost.py
@@ -32,6 +32,7 @@
 STREAM_EVENTS = (8, 158)
 STATES = 300
 START_TIMEOUT_S = 20.0
+START_ATTEMPTS = 3
 # Processor clock of another process: the kernel's encoding of its id.
 _PROCESS_CLOCK = 2
 
@@ -92,8 +93,27 @@
 @contextlib.asynccontextmanager
 async def running_node(build: Build, members: int) -> AsyncIterator[None]:
     """Run a node of a build with this number of other members."""
+    for _ in range(START_ATTEMPTS - 1):
+        if await _start(build, members):
+            break
+        await _end(build)
+    else:
+        if not await _start(build, members):
+            raise RuntimeError(f"the node of {build.name} does not start")
+    try:
+        yield
+    finally:
+        await _end(build)
+
+
+async def _start(build: Build, members: int) -> bool:
+    """Start a node; return whether it became ready.
+
+    Another process may have taken one of its ports meanwhile.
+    """
     ports = _free_ports(4)
     build.traffic = await costtraffic.start(ports[0], ports[2])
+    build.traffic.members.count = members
     plan = {
         "ports": ports,
         "members_port": build.traffic.members_port,
@@ -103,16 +123,19 @@
     build.process = subprocess.Popen(
         arguments, env=environment, stdout=subprocess.DEVNULL
     )
-    try:
-        build.traffic.members.count = members
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while not await _is_ready(ports[1]):
-                await asyncio.sleep(0.1)
-        yield
-    finally:
-        build.process.terminate()
-        await asyncio.to_thread(build.process.wait)
-        await build.traffic.close()
+    async with asyncio.timeout(START_TIMEOUT_S):
+        while build.process.poll() is None:
+            if await _is_ready(ports[1]):
+                return True
+            await asyncio.sleep(0.1)
+    return False
+
+
+async def _end(build: Build) -> None:
+    assert build.process is not None
+    build.process.terminate()
+    await asyncio.to_thread(build.process.wait)
+    await build.running.close()
 
 
 async def measure_rest(builds: Sequence[Build], members: int) -> None:
@@ -268,10 +291,14 @@
     """Print the table of the working tree, beside a named commit if there is one."""
     parser = argparse.ArgumentParser(prog="python -m cicadapass_bench.cost")
     parser.add_argument("--against", metavar="COMMIT")
+    parser.add_argument("--commit", help="measure it in place of the working tree")
     parser.add_argument("--only", choices=["placement", "rest", "calls"])
     arguments = parser.parse_args(argv)
     builds = [Build("now", ROOT)]
     with contextlib.ExitStack() as stack:
+        if arguments.commit is not None:
+            path = stack.enter_context(checked_out(arguments.commit))
+            builds = [Build(arguments.commit, path)]
         if arguments.against is not None:
             path = stack.enter_context(checked_out(arguments.against))
             builds.append(Build(arguments.against, path))
