Encode log lines without a new encoder and a stack walk

Cause: each line built a JSON encoder, and Logger.log searched the stack for the caller, which no line names. Change: one encoder for all lines; the record is made and handled directly.

--- a/packages/common/cicadapass_common/events.py
+++ b/packages/common/cicadapass_common/events.py
@@ -16,6 +16,8 @@
 # At about 300 bytes per event, the buffer stays below 1 MB.
 MAX_RECENT_EVENTS = 2048
 _UNKNOWN_NAME = "unknown"
+# `json.dumps` with these arguments would build an encoder for each line.
+_ENCODER = json.JSONEncoder(default=str, separators=(",", ":"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +57,7 @@
 
     def to_json(self) -> str:
         """Return the event as one JSON line."""
-        return json.dumps(self.to_document(), default=str, separators=(",", ":"))
+        return _ENCODER.encode(self.to_document())
 
     @classmethod
     def from_document(cls, document: Mapping[str, Any]) -> "Event":
@@ -90,7 +92,11 @@
         with self._lock:
             self._recent.append(event)
         if self._logger.isEnabledFor(kind.level):
-            self._logger.log(kind.level, "%s", event.to_json())
+            # `Logger.log` would walk the stack to find the caller, which no line names.
+            record = self._logger.makeRecord(
+                LOGGER_NAME, kind.level, "", 0, "%s", (event.to_json(),), None
+            )
+            self._logger.handle(record)
         return event
 
     def recent(self, request_id: str | None = None) -> tuple[Event, ...]:
