Split events without buffering whole chunks

Cause: each event was copied into a buffer, searched for each terminator apart and deleted from it; the first event's record was looked up again for each event; h11 was asked again after each chunk though no byte had arrived. Change: chunks of whole events are split in place by one expression; the first event is recorded once; the parser is asked when bytes arrive. A test compares chunks with single bytes over 300 seeded streams.

--- a/packages/gateway/cicadapass_gateway/eventstream.py
+++ b/packages/gateway/cicadapass_gateway/eventstream.py
@@ -7,8 +7,9 @@
 MAX_EVENT_BYTES = 1_048_576
 # Blank lines and comments are legal between events, but not without end.
 MAX_EVENTS_WITHOUT_DATA = 100
-TERMINATORS = (b"\n\n", b"\r\n\r\n")
-MAX_TERMINATOR_BYTES = max(len(each) for each in TERMINATORS)
+# Neither terminator can begin within the other, so the first one found ends first.
+_TERMINATOR = re.compile(rb"\n\n|\r\n\r\n")
+MAX_TERMINATOR_BYTES = 4
 _DATA_LINE = re.compile(rb"^data:", re.MULTILINE)
 
 
@@ -30,8 +31,6 @@
 
     def __init__(self, resumed_after: str | None = None) -> None:
         self._buffer = bytearray()
-        # Bytes of the buffer that contain no end of an event.
-        self._searched = 0
         self._last_id = resumed_after
         self._resumed = resumed_after is not None
         # Whether an event has shown where the resumed stream goes on.
@@ -49,12 +48,19 @@
         Raise ValueError for an event that is too large, for too many without data, and
         for one that does not follow those before it in a resumed stream.
         """
-        self._buffer += data
+        # Most chunks are whole events, so that nothing needs to be buffered.
+        source: bytes | bytearray = data
+        search_from = 0
+        if self._buffer:
+            search_from = max(0, len(self._buffer) - MAX_TERMINATOR_BYTES + 1)
+            self._buffer += data
+            source = self._buffer
+        ends = [each.end() for each in _TERMINATOR.finditer(source, search_from)]
         events: list[StreamEvent] = []
-        while (end := self._event_end()) is not None:
-            event = bytes(self._buffer[:end])
-            del self._buffer[:end]
-            self._searched = 0
+        start = 0
+        for end in ends:
+            event = bytes(source[start:end])
+            start = end
             parsed = StreamEvent(
                 event, _event_id(event), bool(_DATA_LINE.search(event))
             )
@@ -62,21 +68,14 @@
             if self._resumed:
                 self._check_position(parsed)
             events.append(parsed)
+        if source is self._buffer:
+            del self._buffer[:start]
+        elif start < len(data):
+            self._buffer += data[start:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _event_end(self) -> int | None:
-        """Return the end of the first event in the buffer, or None without one."""
-        start = max(0, self._searched - MAX_TERMINATOR_BYTES + 1)
-        ends = [
-            position + len(terminator)
-            for terminator in TERMINATORS
-            if (position := self._buffer.find(terminator, start)) >= 0
-        ]
-        self._searched = len(self._buffer)
-        return min(ends) if ends else None
-
     def _count_without_data(self, event: StreamEvent) -> None:
         if event.has_data:
             self._events_without_data = 0
@@ -104,6 +103,8 @@
 
 
 def _event_id(event: bytes) -> str | None:
+    if b"id:" not in event:
+        return None
     for line in event.splitlines():
         if line.startswith(b"id:"):
             return line[3:].strip().decode("latin-1")
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -81,6 +81,9 @@
         self._response_closes = False
         self._method = b""
         self._delimited = False
+        self._chunked = False
+        # No bytes have arrived since the parser returned the last whole chunk.
+        self._chunk_consumed = False
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
@@ -121,6 +124,7 @@
         self._responding = True
         self._received_s = self._loop.time()
         self._received_bytes += len(data)
+        self._chunk_consumed = False
         self._parser.receive_data(data)
         self._unread_bytes += len(data)
         if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
@@ -233,6 +237,12 @@
         event = await self._next_event()
         if isinstance(event, h11.Data):
             self._budget.spend(1, len(event.data), self._loop.time())
+            # The line end of a chunk is checked with the bytes that follow it.
+            self._chunk_consumed = (
+                self._chunked
+                and event.chunk_end
+                and self._parser.trailing_data[0] in (b"", b"\r\n")
+            )
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
@@ -281,12 +291,13 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise AnswerBroken(f"invalid HTTP response: {error}") from error
-            if event is not h11.NEED_DATA:
-                return event
+            if not self._chunk_consumed or self._closed:
+                try:
+                    event = self._parser.next_event()
+                except h11.RemoteProtocolError as error:
+                    raise AnswerBroken(f"invalid HTTP response: {error}") from error
+                if event is not h11.NEED_DATA:
+                    return event
             if self._closed:
                 raise AnswerBroken(f"the connection was lost: {self._lost_error!r}")
             self._resume_reading()
@@ -305,9 +316,13 @@
     def _record_connection_headers(self, response: h11.Response) -> None:
         # Responses that never have a body end with their head.
         self._delimited = self._method == b"HEAD" or response.status_code in (204, 304)
+        self._chunked = False
+        self._chunk_consumed = False
         for name, value in response.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 self._delimited = True
+            if name == b"transfer-encoding":
+                self._chunked = True
             if name == b"connection" and b"close" in value.lower():
                 self._response_closes = True
             elif name == b"keep-alive":
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -111,6 +111,7 @@
         # Another attempt delivers the answer.
         self._lost = False
         self._silence_counted = False
+        self._first_recorded = False
         self._meter = self._state.upstreams.meter(reservation.record)
         self._progress = ResponseProgress()
         self._channel: ClientChannel | None = None
@@ -464,8 +465,12 @@
             chunk = await self._read_chunk(response.channel)
             if chunk is None:
                 break
-            received = await _split(response.channel, splitter, chunk)
-            events = comments + received
+            events = splitter.feed(chunk[:BYTES_PER_TURN])
+            response.channel.spend_events(len(events))
+            if len(chunk) > BYTES_PER_TURN:
+                events += await _split_rest(response.channel, splitter, chunk)
+            if comments:
+                events = comments + events
             if not events:
                 continue
             has_data = has_data or any(event.has_data for event in events)
@@ -510,6 +515,9 @@
         self._request.basis = self._reservation.basis
 
     def _record_first_event(self) -> None:
+        if self._first_recorded:
+            return
+        self._first_recorded = True
         request, now_s = self._request, self._state.clock()
         self._state.upstreams.first_token(self._reservation, now_s)
         if request.first_event_s is None:
@@ -525,12 +533,11 @@
             self._usage.count(request.match.workspace.name)
 
 
-async def _split(
+async def _split_rest(
     channel: ClientChannel, splitter: EventSplitter, chunk: bytes
 ) -> list[StreamEvent]:
-    """Return the events that a chunk completes; other connections get their turns."""
-    events = splitter.feed(chunk[:BYTES_PER_TURN])
-    channel.spend_events(len(events))
+    """Return the events behind the first bytes of a chunk; others get their turns."""
+    events: list[StreamEvent] = []
     for start in range(BYTES_PER_TURN, len(chunk), BYTES_PER_TURN):
         await asyncio.sleep(0)
         more = splitter.feed(chunk[start : start + BYTES_PER_TURN])
--- a/tests/gateway/test_utilities.py
+++ b/tests/gateway/test_utilities.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import sys
 import threading
 from io import StringIO
@@ -43,6 +44,23 @@
             self.assertEqual(["1", "2", None], [each.event_id for each in events])
             self.assertFalse(splitter.partial)
 
+    def test_mixed_terminators_split_alike_in_chunks_and_in_single_bytes(self):
+        """A search over whole chunks cut events elsewhere than one byte by byte."""
+        for seed in range(300):
+            rng = random.Random(seed)
+            pieces = [b"\n", b"\r\n", b"\r", b"id: 7", b"data: x", b": c", b"y"]
+            data = b"".join(rng.choices(pieces, k=40))
+            singly, chunked = EventSplitter(), EventSplitter()
+            expected = [e for byte in data for e in singly.feed(bytes((byte,)))]
+            events, start = [], 0
+            while start < len(data):
+                end = start + rng.randrange(1, 30)
+                events += chunked.feed(data[start:end])
+                start = end
+            self.assertEqual(expected, events)
+            self.assertEqual(singly.partial, chunked.partial)
+            self.assertTrue(data.startswith(b"".join(each.data for each in events)))
+
     def test_a_partial_event_is_reported(self):
         """A stream that ended within an event looked complete."""
         splitter = EventSplitter()
