Do not gather the attempts of a race that has none left

Cause: the end of each race awaited a future of no tasks, which is one more turn of the event loop for each request. Change: it returns when nothing is left to cancel.

--- a/packages/gateway/cicadapass_gateway/attemptrace.py
+++ b/packages/gateway/cicadapass_gateway/attemptrace.py
@@ -138,6 +138,8 @@
         for task in attempts.values():
             task.cancel()
         self._drop_placing()
+        if not attempts:
+            return
         await asyncio.gather(*attempts.values(), return_exceptions=True)
         # A task that is cancelled before its first step releases nothing by itself.
         for attempt, task in attempts.items():
