Update the sums of peers' loads in place

Cause: 50 states a second change the loads of most engines between two requests, so that sums kept between changes were taken anew for most engines. Change: the sum of running requests changes with each load, and only loads with tokens to prefill are collected anew.

--- a/packages/decisions/cicadapass_decisions/peerloads.py
+++ b/packages/decisions/cicadapass_decisions/peerloads.py
@@ -30,12 +30,13 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, PeerLoad] = {}
-        # Sums over the loads that had not expired; used from the time of the newest to
-        # the expiry of the oldest of them.
-        self._running = 0
-        self._reading: list[PeerLoad] = []
-        self._oldest_s = self._newest_s = 0.0
+        # The sums cover the loads received since `_oldest_s`, and hold from `_newest_s`
+        # until the oldest expires.
         self._summed = False
+        self._oldest_s = self._newest_s = 0.0
+        self._running = 0
+        # The loads with tokens to prefill, in the order of all; None if they changed.
+        self._reading: list[PeerLoad] | None = None
 
     def get(self, peer: str) -> PeerLoad | None:
         """Return the last load of a peer, or None."""
@@ -43,13 +44,19 @@
 
     def set(self, peer: str, load: PeerLoad) -> None:
         """Replace the load of a peer."""
+        self._subtract(self._loads.get(peer))
         self._loads[peer] = load
-        self._summed = False
+        if load.received_s < self._oldest_s:
+            # It may be older than loads that have expired.
+            self._summed = False
+        self._newest_s = max(self._newest_s, load.received_s)
+        self._running += load.running
+        if load.prefill_tokens > 0:
+            self._reading = None
 
     def remove(self, peer: str) -> None:
         """Remove the load of a peer."""
-        if self._loads.pop(peer, None) is not None:
-            self._summed = False
+        self._subtract(self._loads.pop(peer, None))
 
     def running(self, now_s: float) -> int:
         """Return the requests that the peers have in progress."""
@@ -63,11 +70,25 @@
         if not self._loads:
             return 0.0
         self._update(now_s)
+        if self._reading is None:
+            # Without tokens, the remaining ones are 0 at any time from the report on.
+            self._reading = [
+                load
+                for load in self._loads.values()
+                if load.received_s >= self._oldest_s
+                and (load.prefill_tokens > 0 or load.received_s > now_s)
+            ]
         total = 0.0
         for load in self._reading:
             total += load.remaining_tokens(prefill_s_per_token, now_s)
         return total
 
+    def _subtract(self, load: PeerLoad | None) -> None:
+        if load is not None and load.received_s >= self._oldest_s:
+            self._running -= load.running
+            if load.prefill_tokens > 0:
+                self._reading = None
+
     def _update(self, now_s: float) -> None:
         """Sum the loads again, unless the sums still hold."""
         if (
@@ -82,12 +103,9 @@
             if now_s - load.received_s < PEER_LOAD_MAX_AGE_S
         ]
         self._running = sum(load.running for load in fresh)
-        # Without tokens, the remaining ones are 0 at any time from the report on.
-        self._reading = [
-            load for load in fresh if load.prefill_tokens > 0 or load.received_s > now_s
-        ]
+        self._reading = None
+        # An expired load is older than all of these, and stays expired.
         self._oldest_s = min((load.received_s for load in fresh), default=now_s)
-        # An expired load stays expired at all later times.
         self._newest_s = max((load.received_s for load in fresh), default=now_s)
         self._newest_s = max(self._newest_s, now_s)
         self._summed = bool(fresh)
