--- a/packages/bench/cicadapass_bench/costtraffic.py
+++ b/packages/bench/cicadapass_bench/costtraffic.py
@@ -24,6 +24,8 @@
 # Engines at which each member reports requests in progress: 83 nodes with 58.7 streams
 # of some 10 s and 274 of some 0.3 s a second. One of them reads its prompt.
 REPORTED_ENGINES = 8
+# Rounds until a member's load changes: a long stream lasts for some 10 s.
+ROUNDS_PER_LOAD = 6
 # Time for a whole answer; longer ones end the measurement.
 ANSWER_TIMEOUT_S = 30.0
 
@@ -116,7 +118,8 @@
         state["interval"] = number // RECIPIENTS
         state["wall"] = time.time()
         state["up"] = 100.0 + number
-        state["upstreams"] = self._loads[number % len(self._loads)]
+        load = member + number // (self.count * ROUNDS_PER_LOAD)
+        state["upstreams"] = self._loads[load % len(self._loads)]
         state["limits"] = {f"w{each}": [number * 50, 900] for each in range(16)}
         state["demand"] = {"model": 20_000}
         state["members"] = [
