--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -101,11 +101,14 @@
         self._state = state
         self._migrate_run = migrate_run
         self._runs: set[ActiveRun] = set()
+        # Set while there are runs, so that a node without any does not wake up.
+        self._active = asyncio.Event()
         self._leaving: dict[tuple[str, int], _LeavingEngine] = {}
 
     def add(self, run: ActiveRun) -> None:
         """Include a run in the checks."""
         self._runs.add(run)
+        self._active.set()
 
     def discard(self, run: ActiveRun) -> None:
         """Exclude a run from the checks and cancel its unfinished migration."""
@@ -116,8 +119,11 @@
     async def watch(self) -> None:
         """Start the due migrations until cancelled."""
         while True:
+            await self._active.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
             self._start_migrations()
+            if not self._runs:
+                self._active.clear()
 
     def _start_migrations(self) -> None:
         if not self._runs:
