Take turns at each part and print memory and start

Cause: parts were measured for seconds at one build and then at the other, so that other load on the machine gave ratios of 1.15 and 1.27 for calls whose code was equal. Change: builds take turns at each part, in twice as many rounds of half the length; memory at rest and processor time of a start are printed.

--- a/packages/bench/cicadapass_bench/cost.py
+++ b/packages/bench/cicadapass_bench/cost.py
@@ -26,11 +26,11 @@
 # A round of 195 members lasts 4.0 s, so all have been heard after this time.
 SETTLE_S = 4.5
 REST_S = 4.0
-ROUNDS = 4
-CALLS = 80
+ROUNDS = 8
+CALLS = 40
 STREAMS = 8
-STREAM_EVENTS = (8, 158)
-STATES = 300
+STREAM_EVENTS = (8, 88)
+STATES = 150
 START_TIMEOUT_S = 20.0
 START_ATTEMPTS = 3
 # Processor clock of another process: the kernel's encoding of its id.
@@ -54,6 +54,13 @@
         assert self.process is not None
         return time.clock_gettime((~self.process.pid << 3) | _PROCESS_CLOCK)
 
+    @property
+    def resident_bytes(self) -> int:
+        """Return the resident memory of the node's process."""
+        assert self.process is not None
+        statm = Path(f"/proc/{self.process.pid}/statm").read_text()
+        return int(statm.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
     @property
     def running(self) -> Traffic:
         """Return what surrounds the running node."""
@@ -126,6 +133,7 @@
     async with asyncio.timeout(START_TIMEOUT_S):
         while build.process.poll() is None:
             if await _is_ready(ports[1]):
+                build.add("start (ms)", 1000 * build.cpu_s)
                 return True
             await asyncio.sleep(0.1)
     return False
@@ -146,6 +154,7 @@
     for build, (cpu_s, began_s) in zip(builds, before, strict=True):
         build.rest_cores = (build.cpu_s - cpu_s) / (time.monotonic() - began_s)
         build.add(f"rest beside {members} (millicores)", 1000 * build.rest_cores)
+        build.add(f"memory beside {members} (MB)", build.resident_bytes / 2**20)
 
 
 async def spent_s(build: Build, work: Callable[[], Awaitable[None]]) -> float:
@@ -156,36 +165,42 @@
     return build.cpu_s - cpu_s - build.rest_cores * elapsed_s
 
 
-async def measure_calls(build: Build, kinds: Sequence["Kind"]) -> None:
-    """Measure each kind of call once, a streamed event and a received state."""
+async def measure_calls(build: Build, kind: "Kind") -> None:
+    """Measure a kind of call once."""
+    traffic = build.running
+    opened = traffic.connections
+    traffic.events = kind.events
+    seconds = await spent_s(
+        build, lambda: traffic.call(kind.path, kind.tokens, kind.body_bytes, CALLS)
+    )
+    build.add(f"{kind.name} (us)", 1e6 * seconds / CALLS)
+    opened = traffic.connections - opened
+    build.add(f"{kind.name} (new connections)", opened / CALLS)
+
+
+async def measure_event(build: Build) -> None:
+    """Measure a streamed event once, as the difference of long and short streams."""
     traffic = build.running
-    for kind in kinds:
-        opened = traffic.connections
-        traffic.events = kind.events
 
-        async def work(kind: Kind = kind) -> None:
-            await traffic.call(kind.path, kind.tokens, kind.body_bytes, CALLS)
+    async def stream() -> None:
+        calls = (traffic.call("long", 200, 200, 1) for _ in range(STREAMS))
+        await asyncio.gather(*calls)
 
-        seconds = await spent_s(build, work)
-        build.add(f"{kind.name} (us)", 1e6 * seconds / CALLS)
-        opened = traffic.connections - opened
-        build.add(f"{kind.name} (new connections)", opened / CALLS)
     seconds_by_length = []
     for events in STREAM_EVENTS:
         traffic.events = events
-
-        async def stream() -> None:
-            calls = (traffic.call("long", 200, 200, 1) for _ in range(STREAMS))
-            await asyncio.gather(*calls)
-
         seconds_by_length.append(await spent_s(build, stream))
     events = STREAMS * (STREAM_EVENTS[1] - STREAM_EVENTS[0])
     seconds = seconds_by_length[1] - seconds_by_length[0]
     build.add("streamed event (us)", 1e6 * seconds / events)
 
+
+async def measure_state(build: Build) -> None:
+    """Measure a received state once."""
+
     async def send_states() -> None:
         for _ in range(STATES):
-            traffic.members.send()
+            build.running.members.send()
             await asyncio.sleep(0.001)
 
     seconds = await spent_s(build, send_states)
@@ -234,19 +249,29 @@
             await measure_rest(builds, members)
             if members != MEMBERS_BESIDE_CALLS or only == "rest":
                 continue
-            for number in range(ROUNDS + 1):
-                for build in builds:
-                    await measure_calls(build, KINDS)
-                    if number == 0:
-                        # The first calls meet empty caches and no connections.
-                        _drop_call_samples(build)
+            await measure_rounds(builds)
+
+
+async def measure_rounds(builds: Sequence[Build]) -> None:
+    """Measure each part in turns, since other load on the machine comes and goes."""
+    for number in range(ROUNDS + 1):
+        for kind in KINDS:
+            for build in builds:
+                await measure_calls(build, kind)
+        for measure_part in (measure_event, measure_state):
+            for build in builds:
+                await measure_part(build)
+        if number == 0:
+            # The first calls meet empty caches and no connections.
+            for build in builds:
+                _drop_call_samples(build)
 
 
 def _drop_call_samples(build: Build) -> None:
     build.samples = {
         part: values
         for part, values in build.samples.items()
-        if part.startswith(("rest", "candidate"))
+        if part.startswith(("rest", "candidate", "start", "memory"))
     }
 
 
