Make a new parser only for a connection that is used again

Cause: after a chunked response each connection got a new h11 parser, also those that carry one request. Change: the next request makes it.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -82,6 +82,7 @@
         self._delimited = False
         # Parses the body of a chunked response in place of the parser.
         self._chunked: ChunkedBody | None = None
+        self._needs_parser = False
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
@@ -192,6 +193,8 @@
         """Send a whole request; raise `AnswerBroken` on a closed connection."""
         if self._closed or self._transport is None:
             raise AnswerBroken("the connection was closed before the request was sent")
+        if self._needs_parser:
+            self._parser, self._needs_parser = _new_parser(), False
         self._in_use = True
         self._budget = ParsingBudget(self._loop.time())
         self._responding = False
@@ -276,9 +279,9 @@
         if self._chunked is None:
             self._parser.start_next_cycle()
         else:
-            # The parser has not seen the body, so it cannot go on behind it.
+            # The parser has not seen the body, so the next request gets another one.
             self._chunked = None
-            self._parser = _new_parser()
+            self._needs_parser = True
         self._resume_reading()
         self._in_use = False
         idle_limit_s = self._keep_alive_s * KEEP_ALIVE_FRACTION
@@ -342,7 +345,8 @@
                 self._delimited = True
             if name == b"transfer-encoding" and self._may_have_chunks(response):
                 self._chunked = ChunkedBody(MAX_RESPONSE_HEAD_BYTES)
-                self._chunked.receive(self._parser.trailing_data[0])
+                if received := self._parser.trailing_data[0]:
+                    self._chunked.receive(received)
             if name == b"connection" and b"close" in value.lower():
                 self._response_closes = True
             elif name == b"keep-alive":
