Compute an attempt's hedge delay once, and expire in one pass

Cause: each wait for an upstream computed the delay of a hedge anew, and the pool compared each idle connection with all reusable ones of its address. Change: the delay is computed with the attempt, as its inputs do not change; expired connections are closed in one pass.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -451,8 +451,10 @@
         """Close the idle connections that can no longer be reused."""
         for address, channels in list(self._idle.items()):
             reusable = [each for each in channels if each.is_reusable(now_s)]
+            if len(reusable) == len(channels):
+                continue
             for channel in channels:
-                if channel not in reusable:
+                if not channel.is_reusable(now_s):
                     channel.abort()
             if reusable:
                 self._idle[address] = reusable
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -114,6 +114,12 @@
         self._first_recorded = False
         self._meter = self._state.upstreams.meter(reservation.record)
         self._progress = ResponseProgress()
+        # Each wait for the upstream compares it.
+        self._hedge_delay_s = hedge_delay_s(
+            request.match.route.kind,
+            reservation.expected_s,
+            request.deadline_s - request.exchange.arrived_s,
+        )
         self._channel: ClientChannel | None = None
         # Since when the attempt has waited for the upstream.
         self._waiting_since_s: float | None = None
@@ -126,12 +132,7 @@
     @property
     def hedge_delay_s(self) -> float:
         """Return the silence after which a hedge is due."""
-        request = self._request
-        return hedge_delay_s(
-            request.match.route.kind,
-            self._reservation.expected_s,
-            request.deadline_s - request.exchange.arrived_s,
-        )
+        return self._hedge_delay_s
 
     @property
     def progress(self) -> ResponseProgress:
