Free a chunked body with its last reference

Cause: the parser refers to its callbacks, which were methods of its owner, so each body stayed until the garbage collector ran. Change: the callbacks are an object of their own.

--- a/tests/gateway/test_chunkedbody.py
+++ b/tests/gateway/test_chunkedbody.py
@@ -1,6 +1,8 @@
 """Test that chunked bodies are parsed as strictly as by h11."""
 
+import gc
 import random
+import weakref
 
 import h11
 import testtools
@@ -141,5 +143,16 @@
         parser = ChunkedBody(MAX_FRAMING_BYTES)
         parser.receive(b"1\r\na\r\n" * SLICE_BYTES)
         self.assertEqual(b"a", parser.take())
-        self.assertLess(len(parser._chunks), SLICE_BYTES / 6)
+        self.assertLess(len(parser._chunks.data), SLICE_BYTES / 6)
         self.assertTrue(parser._received)
+
+    def test_a_body_is_freed_with_its_last_reference(self):
+        """Bodies stayed in memory until the garbage collector ran."""
+        parser = ChunkedBody(MAX_FRAMING_BYTES)
+        parser.receive(PARTS[0])
+        parser.take()
+        reference = weakref.ref(parser)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        del parser
+        self.assertIsNone(reference())
