--- a/packages/decisions/cicadapass_decisions/passthrough.py
+++ b/packages/decisions/cicadapass_decisions/passthrough.py
@@ -127,6 +127,8 @@
     reclaimable: bool = False
     # Remaining time, if a reclaim was announced.
     leaves_in_s: float | None = None
+    # Names the software; empty if the entry names none.
+    version: str = ""
 
     @property
     def start_key(self) -> str:
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -6,6 +6,7 @@
 
 from cicadapass_decisions.dutylease import EngineClass
 from cicadapass_decisions.passthrough import Configuration, Prompt, UpstreamRecord
+from cicadapass_decisions.rollouts import RolloutOrder, RolloutState
 from cicadapass_decisions.runmigration import CopyOutcome
 from cicadapass_decisions.topicreplica import Document
 
@@ -124,6 +125,31 @@
     upstreams: str
     nodes: str
     duties: str
+    # The gateway writes the states of rollouts to it; only needed where these are used.
+    status: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutStatus:
+    """Store what operators are told of a rollout."""
+
+    to: str
+    state: RolloutState
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutCodec:
+    """Group the functions that translate the orders and statuses of rollouts."""
+
+    # Returns the service that a key of the operator's topic names, or None if the key
+    # is of another kind of document.
+    service_of_key: Callable[[str], str | None]
+    # Raises ValueError if the order cannot be read.
+    decode_order: Callable[[str, bytes], RolloutOrder]
+    status_key: Callable[[str], str]
+    encode_status: Callable[[RolloutStatus], bytes]
+    # Returns None if the status cannot be read.
+    decode_status: Callable[[bytes], RolloutStatus | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +159,8 @@
     configuration_key: str
     decode_configuration: Callable[[bytes], Configuration]
     decode_upstream: Callable[[str, bytes], UpstreamRecord | None]
+    # None where operators give no orders of rollouts.
+    rollouts: RolloutCodec | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from cicadapass_decisions.ratelimit import LimitTolerance
+from cicadapass_decisions.rollouts import RolloutBounds
 
 MAX_PORT = 65_535
 
@@ -40,3 +41,5 @@
     lease_s: float
     usage_window_s: float
     has_duties: bool
+    # None disables the rollouts of versions.
+    rollout_bounds: RolloutBounds | None = None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,6 +7,7 @@
 import testtools
 
 from cicadapass_decisions.ratelimit import LimitTolerance
+from cicadapass_decisions.rollouts import RolloutBounds
 from cicadapass_gateway.config import Address
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_platform.settings import (
@@ -48,6 +49,20 @@
         self.assertEqual(LimitTolerance(0.1, 140_000.0), node.limit_tolerance)
         self.assertTrue(node.has_duties)
 
+    def test_rollouts_are_enabled_by_the_contracts(self):
+        """A deployment without them was served differently, or its file refused."""
+        bounds = "bounds.exposureShare=0.2\nbounds.rollbackMs=4000\n"
+        for contracts, expected in (
+            ("", None),
+            ("contracts=other\n", None),
+            ("contracts=other, rollout\n", RolloutBounds(0.2, 50.0, 4.0)),
+        ):
+            node = decode_settings(TEXT + contracts + bounds).node
+            self.assertEqual(expected, node.rollout_bounds)
+        self.assertIsNone(
+            decode_settings(TEXT + "bounds.exposureShare=x").node.rollout_bounds
+        )
+
     def test_all_errors_are_reported(self):
         """Only the first error was reported at each start."""
         wrong = TEXT.replace("zone=dc-a", "zone=").replace(":8360", ":many")
