--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -285,6 +285,35 @@
     An upstream turned a request away and wants no others of this node for this time.
 855 warning upstream_pause_unreadable(upstream, value)
     An upstream turned a request away and names a time that cannot be read.
+860 info rollout_changed(service, to, offset, state, withdrawn, source)
+    This node learned of an order to move a service to a version, or of its state, \
+from the registry, the record of the duties or the named peer. An order that the \
+operator deleted is withdrawn.
+861 warning rollout_order_skipped(key, offset, reason)
+    An order of a rollout cannot be read, or deletes one that does not run; only it is \
+skipped.
+862 warning rollout_stopped_here(service, to, offset, evidence)
+    The counts that this node knows show a bad version, which gets no further requests \
+from it. By the rule, answers failed (`failed`) or were late (`late`) on the route, \
+or on all together if it is empty: `new_bad` of `new_total` of the new version, and \
+`old_bad` of `old_total` of the others. One engine with most of the bad answers is \
+left out and named.
+863 info rollout_decided(service, to, offset, state, reason, elapsed_ms, answers, \
+new_engines, new_slots, old_engines, old_slots, running, evidence, fence)
+    The holder of the duties decided a rollout: because of its evidence (`evidence`), \
+because the version is sound and ready (`sound`), because too few answers (`unknown`) \
+or engines (`capacity`) were there at the end, because it came too late (`late`), \
+because the order was deleted (`withdrawn`) or changes nothing (`unchanged`). The \
+evidence is as in `rollout_stopped_here`, else null.
+864 info rollout_status_written(service, to, state, fence)
+    The log has the state of a rollout.
+865 warning rollout_status_failed(service, reason)
+    The state of a rollout could not be written; this is retried.
+866 info version_held(service, version)
+    Engines of a version that was not used before get no requests until a read of the \
+operator's topic shows whether there is an order for it.
+867 info version_released(service, version)
+    No order names the version; its engines are used like any others.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/dutylease.py
+++ b/packages/decisions/cicadapass_decisions/dutylease.py
@@ -10,6 +10,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
+from cicadapass_decisions.rollouts import Rollout
+
 # The holder acts only for this fraction of the lease after it began its last renewal.
 ACT_FRACTION = 0.6
 # The holder renews after this fraction of the lease.
@@ -50,6 +52,8 @@
     usage_recorded_s: float = 0.0
     # Encoded blocks of prompt segments, which starting nodes restore.
     segment_blocks: bytes = b""
+    # The last rollout of each service.
+    rollouts: Mapping[str, Rollout] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -36,6 +36,7 @@
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.peers import Peers
+from cicadapass_gateway.rolloutduty import RolloutDuty
 from cicadapass_gateway.usage import UsageCounter
 
 HOLDER_KEY = "holder"
@@ -91,6 +92,7 @@
         self._reported_windows: set[int] = set()
         # What was unreadable in the last record, which is logged once.
         self._skipped_items: tuple[str, ...] = ()
+        self._rollouts = RolloutDuty(state, adapter, lambda: peers.round_s, true_time)
         self._first_window = usage.window_at(true_time())
 
     def local_renewal(self) -> tuple[int, int] | None:
@@ -132,6 +134,8 @@
                 record.recent_usage, usage_age_s, self._state.clock()
             )
             self._restore_blocks(record.segment_blocks)
+            for rollout in record.rollouts.values():
+                self._state.rollouts.merge(rollout, "stored")
 
     def _restore_blocks(self, encoded: bytes) -> None:
         try:
@@ -207,7 +211,7 @@
                 )
             self._lease = replace(self._lease, record=record, end_offset=end)
         finalised = self._finalise_windows(self._lease.record)
-        planned = self._planner.plan(finalised)
+        planned = self._rollouts.plan(self._planner.plan(finalised))
         if planned != self._lease.record or should_renew(
             self._lease, self._lease_s, now_s
         ):
@@ -220,6 +224,9 @@
                 ),
             )
             await self._append_record(update, self._lease.end_offset)
+        record = self._lease.record
+        self._rollouts.record_stored(record, record.fence)
+        self._rollouts.write_states(record, record.fence, self._may_act)
         await self._report_usage()
         await self._place_orders()
 
@@ -337,6 +344,7 @@
         self._lease = None
         self._observation = None
         self._planner.reset()
+        self._rollouts.reset()
 
 
 def _boottime_s() -> float:
--- a/packages/gateway/cicadapass_gateway/dutyrecords.py
+++ b/packages/gateway/cicadapass_gateway/dutyrecords.py
@@ -8,8 +8,10 @@
 import cbor2
 
 from cicadapass_decisions.dutylease import DutyRecord, EngineClass
+from cicadapass_decisions.rollouts import Rollout
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import DECODE_ERRORS, PlatformUnavailable
+from cicadapass_gateway.rolloutmessages import decode_rollout, encode_rollout
 
 # Separates the parts of the key of an order; it is escaped within them.
 SEPARATOR = "|"
@@ -44,6 +46,7 @@
             },
             record.usage_recorded_s,
             record.segment_blocks,
+            *_rollout_rows(record),
         ]
     )
 
@@ -76,10 +79,29 @@
         usage_recorded_s=float(recorded_s),
         # Records of earlier builds have no blocks.
         segment_blocks=bytes(fields[7]) if len(fields) > 7 else b"",
+        # Nor do those of platforms without rollouts have any.
+        rollouts=_rollouts(fields[8] if len(fields) > 8 else [], skipped),
     )
     return DecodedRecord(record, tuple(skipped))
 
 
+def _rollout_rows(record: DutyRecord) -> list[Any]:
+    """Return the field of the rollouts, which only a record with some of them has."""
+    if not record.rollouts:
+        return []
+    return [[encode_rollout(each) for each in record.rollouts.values()]]
+
+
+def _rollouts(rows: Any, skipped: list[str]) -> dict[str, Rollout]:
+    """Return the readable rollouts by service."""
+    return _readable_items(dict(enumerate(rows)), _rollout, skipped)
+
+
+def _rollout(_position: Any, row: Any) -> tuple[str, Rollout]:
+    rollout = decode_rollout(row)
+    return rollout.service, rollout
+
+
 def _readable_items(
     items: Mapping[Any, Any],
     decode: Callable[[Any, Any], tuple[Any, Item]],
--- a/packages/gateway/cicadapass_gateway/fleetplanner.py
+++ b/packages/gateway/cicadapass_gateway/fleetplanner.py
@@ -83,7 +83,9 @@
             return record
         orders = dict(record.orders)
         for service in configuration.services.values():
-            if service.scaling is not None:
+            if service.scaling is None:
+                continue
+            if not self._state.rollouts.fixes_fleet(service.name):
                 self._plan_service(service, orders)
         if orders == dict(record.orders):
             return record
@@ -286,7 +288,12 @@
         }
 
     def _can_be_ordered(self, engines: EngineClass) -> bool:
-        """Return whether the configuration knows the service and the data centre."""
+        """Return whether the configuration knows the service and the data centre.
+
+        While two versions of the service run, nothing is ordered.
+        """
+        if self._state.rollouts.fixes_fleet(engines.service):
+            return False
         configuration = self._state.configuration
         service = configuration and configuration.services.get(engines.service)
         if not service or service.scaling is None:
--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -224,12 +224,14 @@
     ) -> UpstreamRecord | None:
         now_s = self._state.clock()
         service = run.record.service
-        candidates = self._state.upstreams.candidates(
-            service, run.prompt, excluded, now_s
-        )
+        # The memory of a run belongs to the version that wrote it.
+        upstreams = self._state.upstreams
+        records = upstreams.usable(service)
+        if upstreams.versions is not None:
+            records = upstreams.of_version(service, run.record.version)
+        candidates = upstreams.candidates(service, run.prompt, excluded, now_s, records)
         chosen = choose_destination(candidates)
-        usable = self._state.upstreams.usable(service)
-        return next((each for each in usable if each.upstream_id == chosen), None)
+        return next((each for each in records if each.upstream_id == chosen), None)
 
     def _log_migration(
         self,
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -34,6 +34,8 @@
 QUEUE_CHECK_INTERVAL_S = 0.03
 # Interval at which the averages of demand and speed are updated.
 AVERAGING_INTERVAL_S = 0.5
+# Interval at which the evidence on versions that are rolled out is judged.
+ROLLOUT_CHECK_INTERVAL_S = 0.2
 # Interval at which the settings are read again, since they may change without a signal.
 SETTINGS_READ_INTERVAL_S = 5.0
 # Time in which the platform's load balancer notices that the node is not ready.
@@ -126,6 +128,7 @@
             settings.limit_window_s,
             settings.limit_tolerance,
             settings.upstream_drain_s,
+            settings.rollout_bounds,
         )
         pool = ClientPool()
         adapter = self._make_adapter(pool)
@@ -134,6 +137,7 @@
         def true_time() -> float:
             return clock.true_time(time.time(), state.clock())
 
+        state.rollouts.set_time(true_time)
         usage = UsageCounter(settings.usage_window_s, true_time)
         local_address = NodeAddress(
             settings.node,
@@ -230,6 +234,12 @@
         start(
             "waiting", periodic(components.state.queue.dispatch, QUEUE_CHECK_INTERVAL_S)
         )
+        if components.state.rollouts.enabled:
+            start("held-versions", components.registry_sync.follow_held_versions)
+            start(
+                "rollouts",
+                periodic(components.state.rollouts.tick, ROLLOUT_CHECK_INTERVAL_S),
+            )
         if settings.has_duties:
             start("duties", components.duties.run)
 
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -10,10 +10,12 @@
 from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
 from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
+from cicadapass_decisions.rollouts import RolloutBounds
 from cicadapass_decisions.routetable import RouteTable
 from cicadapass_decisions.segmentsuspicions import SegmentSuspicions
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.requestqueue import RequestQueue
+from cicadapass_gateway.rollouttracker import RolloutTracker
 from cicadapass_gateway.upstreamtracker import UpstreamTracker
 
 
@@ -42,6 +44,7 @@
         limit_window_s: float,
         limit_tolerance: LimitTolerance,
         upstream_drain_s: float,
+        rollout_bounds: RolloutBounds | None = None,
     ) -> None:
         self.node = node
         self.data_centre = data_centre
@@ -49,8 +52,17 @@
         self.metrics = Metrics()
         self.rng = random.Random()
         self.clock: Callable[[], float] = asyncio.get_running_loop().time
-        self.upstreams = UpstreamTracker(node, data_centre, upstream_drain_s)
+        self.rollouts = RolloutTracker(
+            node, rollout_bounds, events, self.metrics, self.clock
+        )
+        self.upstreams = UpstreamTracker(
+            node,
+            data_centre,
+            upstream_drain_s,
+            self.rollouts if self.rollouts.enabled else None,
+        )
         self.queue = RequestQueue(self.upstreams, self.clock)
+        self.rollouts.subscribe(self._apply_rollouts)
         self.segment_suspicions = SegmentSuspicions()
         self.rate_limiter = RateLimiter(
             limit_window_s, self.clock(), limit_tolerance, self.rng
@@ -147,6 +159,11 @@
             self.metrics.count("upstream_pauses")
             self.events.emit(854, upstream=record.start_key, pause_s=pause_s)
 
+    def _apply_rollouts(self) -> None:
+        """Use the engines that the rollouts allow, for queued requests as well."""
+        self.upstreams.refresh()
+        self.queue.dispatch()
+
     def _log_limit(
         self, start_key: str, limit_per_s: float | None, peer: str | None
     ) -> None:
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -70,6 +70,8 @@
 # In place of a node's name in a list: the message contains totals of workspaces. Builds
 # that do not know it take it for the name of an unknown node and ignore it.
 USE_MESSAGE = "="
+# In place of a node's name in a list: the message contains rollouts of versions.
+ROLLOUT_MESSAGE = "+"
 # The use of workspaces is collected for this long before it is reported.
 USE_REPORT_DELAY_S = 0.005
 # A member counts among those that share limits for this long after its last datagram,
@@ -174,6 +176,8 @@
         dependencies.state.segment_suspicions.subscribe(self._report_segments)
         dependencies.state.subscribe_to_limits(self._report_limits)
         dependencies.state.subscribe_to_leaving(self._report_leaving)
+        dependencies.state.rollouts.subscribe_to_news(self._report_rollouts)
+        dependencies.state.rollouts.set_hearing(self.hears_members)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport for sending."""
@@ -223,6 +227,12 @@
             if now_s - member.last_received_s < max_age_s
         ]
 
+    def hears_members(self) -> bool:
+        """Return whether at least half of the known members were heard lately."""
+        heard = sum(each.heard for each in self.members.values())
+        fresh = sum(each.heard for each in self.fresh_members())
+        return 2 * fresh >= heard
+
     def is_watcher(self) -> bool:
         """Return whether this node watches the registry for those that it hears.
 
@@ -260,6 +270,7 @@
         state.upstreams.limits.set_members(self._recent_members(now_s))
         state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
         state.rate_limiter.set_node_count(state.node_count)
+        state.rollouts.set_node_count(state.node_count)
         local_members = [
             each.address
             for each in self.members.values()
@@ -296,6 +307,10 @@
                 self._dependencies.registry().apply_marks(message[2], str(message[1]))
             elif isinstance(message, list) and message[0] == USE_MESSAGE:
                 self._apply_use(str(message[1]), *message[2])
+            elif isinstance(message, list) and message[0] == ROLLOUT_MESSAGE:
+                self._dependencies.state.rollouts.merge_rollout_rows(
+                    message[2], str(message[1])
+                )
             elif isinstance(message, list):
                 self._apply_send(message)
             else:
@@ -323,7 +338,9 @@
         introduced = self._draw_introduced(now_s)
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
+        rollouts = state.rollouts.export()
         return {
+            **({} if rollouts is None else {"rollouts": rollouts}),
             "node": encode_address(self.local_address),
             "interval": self._interval,
             "wall": time.time(),
@@ -400,6 +417,7 @@
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
         for row in message["members"]:
             self.add(decode_address(row), now_s)
+        state.rollouts.merge_state(message.get("rollouts"), address.name, key)
 
     def _apply_send(self, message: list[Any]) -> None:
         name, upstream_id, tokens = message
@@ -443,6 +461,12 @@
         rows = [[record.upstream_id, record.started_ms]]
         self._send_to_all([LEAVING_MESSAGE, self.local_address.name, rows])
 
+    def _report_rollouts(self) -> None:
+        """Report the rollouts to all members at once."""
+        if self._transport is not None:
+            rows = self._dependencies.state.rollouts.export_rollouts()
+            self._send_to_all([ROLLOUT_MESSAGE, self.local_address.name, rows])
+
     def _send_to_all(self, message: list[Any]) -> None:
         if self._transport is None:
             return
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -78,6 +78,11 @@
 MAX_SKIPPED_LINES_PER_S = 10
 # Characters of an odd key that a log line contains.
 MAX_LOGGED_KEY = 80
+# Characters of the reason for which an order was skipped.
+MAX_LOGGED_REASON = 200
+# Interval at which a node checks whether versions wait for a read of the operator's
+# topic, times a random factor.
+HELD_VERSION_CHECK_S = 0.3
 
 
 @dataclass(slots=True)
@@ -115,6 +120,8 @@
         self._configuration_failures = _Failures()
         self._upstream_failures = _Failures()
         self._node_failures = _Failures()
+        # Newest order that was skipped; listings return it again.
+        self._skipped_order_offset = -1
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
 
     @property
@@ -160,10 +167,12 @@
         end = -1
         while True:
             try:
+                read_s = self._state.clock()
                 if end < 0:
                     listing = await self._adapter.registry.newest(topic)
                     end = listing.end_offset
                     self._adopt_documents(listing.documents)
+                    self._state.rollouts.confirm_read(end, read_s)
                 else:
                     wait_s = min(
                         MAX_WAIT_S, self._read_interval_s(CONFIGURATION_WAIT_S)
@@ -171,6 +180,8 @@
                     changes = await self._adapter.registry.changes(topic, end, wait_s)
                     end = changes.end_offset
                     self._adopt_documents(changes.documents)
+                    if changes.complete:
+                        self._state.rollouts.confirm_read(end, read_s)
                 if self._state.routes is None:
                     await asyncio.sleep(FAILURE_PAUSE_S)
                 else:
@@ -180,6 +191,27 @@
             except GatewayError as error:
                 await self._pause_after(self._configuration_failures, error)
 
+    async def follow_held_versions(self) -> None:
+        """Read the operator's topic for versions that wait for it, until cancelled.
+
+        The watchers read it first, and their states confirm the views of the others.
+        """
+        topic, rollouts = self._adapter.topics.configuration, self._state.rollouts
+        while True:
+            await asyncio.sleep(
+                HELD_VERSION_CHECK_S * self._state.rng.uniform(0.75, 1.25)
+            )
+            is_due = rollouts.has_held_versions and self._peers.is_watcher()
+            if not (is_due or rollouts.needs_read()):
+                continue
+            try:
+                read_s = self._state.clock()
+                listing = await self._adapter.registry.newest(topic)
+                self._adopt_documents(listing.documents)
+                rollouts.confirm_read(listing.end_offset, read_s)
+            except GatewayError as error:
+                await self._pause_after(self._configuration_failures, error)
+
     async def follow_upstreams(self) -> None:
         """Read the changes of the upstreams until cancelled."""
         while True:
@@ -389,6 +421,34 @@
         for document in documents:
             if document.key == self._adapter.document_codec.configuration_key:
                 self._adopt(document.value, "registry")
+            elif self._state.rollouts.enabled:
+                self._adopt_order(document)
+
+    def _adopt_order(self, document: Document) -> None:
+        """Apply an order of a rollout; one that cannot be read costs a line."""
+        codec, rollouts = self._adapter.document_codec.rollouts, self._state.rollouts
+        service = None if codec is None else codec.service_of_key(document.key)
+        if codec is None or service is None:
+            return
+        try:
+            if document.value:
+                order = codec.decode_order(service, document.value)
+                rollouts.adopt_order(order, document.offset)
+            elif not rollouts.withdraw(service, document.offset):
+                self._log_skipped_order(document, "deleted, not running")
+        except DECODE_ERRORS as error:
+            self._log_skipped_order(document, str(error))
+
+    def _log_skipped_order(self, document: Document, reason: str) -> None:
+        if document.offset <= self._skipped_order_offset:
+            return
+        self._skipped_order_offset = document.offset
+        self._state.events.emit(
+            861,
+            key=document.key[:MAX_LOGGED_KEY],
+            offset=document.offset,
+            reason=reason[:MAX_LOGGED_REASON],
+        )
 
     def _adopt(self, raw: bytes, source: str) -> None:
         try:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -66,6 +66,7 @@
             migrator=migrator,
             prompt_guard=self.prompt_guard,
             log=self._log,
+            has_ended=self._ended_engines.has_ended,
         )
 
     async def handle(self, exchange: Exchange) -> None:
@@ -287,6 +288,9 @@
             excluded=frozenset(request.excluded),
             isolated=request.isolated,
             refusable=not (request.runs or request.exchange.started),
+            route=route.name,
+            may_try=not request.tries,
+            version=request.version if self._state.rollouts.enabled else None,
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -62,6 +62,8 @@
     # Status of the stream that has begun.
     stream_status: int | None = None
     last_event_id: str | None = None
+    # The version at which the stream began, if versions are told apart.
+    version: str | None = None
     # The last event with data had no id, so the stream cannot be resumed behind it.
     position_lost: bool = False
     first_event_s: float | None = None
@@ -88,10 +90,11 @@
     stopped: str | None = None
     waited_s: float = 0.0
 
-    def start_stream(self, status: int, headers: Headers) -> None:
+    def start_stream(self, status: int, headers: Headers, version: str) -> None:
         """Send the head of a stream, unless an earlier attempt did."""
         if not self.exchange.started:
             self.stream_status = status
+            self.version = version
             self.exchange.start(status, headers)
 
     def record_position(self, events: Sequence[StreamEvent]) -> None:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -1,10 +1,10 @@
 """Queue the requests that wait for an upstream and assign them in order."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from cicadapass_decisions.passthrough import Prompt
+from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import (
     Candidate,
     PlacementRequest,
@@ -48,6 +48,11 @@
     isolated: bool = False
     # A refusal loses no answer: the request has not run, nor has its answer begun.
     refusable: bool = True
+    route: str = ""
+    # The request may go to a version on trial.
+    may_try: bool = False
+    # The version at which the stream began, beyond which it cannot go on.
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +182,9 @@
 
     def _try_place(self, entry: _Entry, now_s: float) -> Reservation | NotPlaced | None:
         requirements = entry.requirements
-        candidates = self._candidates(requirements, now_s)
+        service, version = requirements.service, requirements.version
+        if version is not None and not self._upstreams.permits(service, version):
+            return NotPlaced("version_withdrawn", 0.0)
         placement_request = PlacementRequest(
             prompt=requirements.prompt,
             for_model=requirements.model_engine,
@@ -186,6 +193,10 @@
             waited_s=now_s - requirements.arrived_s,
             isolated=requirements.isolated,
         )
+        reservation = self._try_on_trial(requirements, placement_request, now_s)
+        if reservation is not None:
+            return reservation
+        candidates = self._candidates(requirements, now_s)
         decision = place_request(placement_request, candidates)
         if isinstance(decision, Unavailable):
             if not requirements.refusable:
@@ -195,24 +206,62 @@
             entry.expected_s = decision.expected_s
             return None
         assert isinstance(decision, Send)
-        usable = self._upstreams.usable(requirements.service)
-        records = {each.upstream_id: each for each in usable}
+        return self._begin(requirements, decision, self._records(requirements), now_s)
+
+    def _try_on_trial(
+        self,
+        requirements: RequestRequirements,
+        placement_request: PlacementRequest,
+        now_s: float,
+    ) -> Reservation | None:
+        """Return a place at the version on trial, if this request should go there."""
+        service = requirements.service
+        if not requirements.may_try or not self._upstreams.wants_trial(
+            service, requirements.route
+        ):
+            return None
+        records = self._upstreams.on_trial(service)
+        candidates = self._upstreams.candidates(
+            service, requirements.prompt, requirements.excluded, now_s, records
+        )
+        decision = place_request(placement_request, candidates)
+        if not isinstance(decision, Send):
+            return None
+        return self._begin(requirements, decision, records, now_s)
+
+    def _begin(
+        self,
+        requirements: RequestRequirements,
+        decision: Send,
+        records: Iterable[UpstreamRecord],
+        now_s: float,
+    ) -> Reservation:
+        by_id = {each.upstream_id: each for each in records}
+        record = by_id[decision.upstream_id]
+        source = None if decision.source_id is None else by_id[decision.source_id]
+        if source is not None and source.version != record.version:
+            # Another version may compute other values for a segment.
+            source = None
         return self._upstreams.begin(
-            records[decision.upstream_id],
-            requirements.prompt,
-            decision.expected_s,
-            now_s,
-            None if decision.source_id is None else records[decision.source_id],
+            record, requirements.prompt, decision.expected_s, now_s, source
         )
 
+    def _records(self, requirements: RequestRequirements) -> list[UpstreamRecord]:
+        """Return the upstreams at which a request may be placed."""
+        service, version = requirements.service, requirements.version
+        if version is None:
+            return self._upstreams.usable(service)
+        return self._upstreams.of_version(service, version)
+
     def _candidates(
         self, requirements: RequestRequirements, now_s: float
     ) -> list[Candidate]:
         """Return the candidates; excluded ones only if there are no others."""
         service, prompt = requirements.service, requirements.prompt
+        records = self._records(requirements)
         return self._upstreams.candidates(
-            service, prompt, requirements.excluded, now_s
-        ) or self._upstreams.candidates(service, prompt, (), now_s)
+            service, prompt, requirements.excluded, now_s, records
+        ) or self._upstreams.candidates(service, prompt, (), now_s, records)
 
     def _is_preceded(self, queue: _ServiceQueue, entry: _Entry, now_s: float) -> bool:
         """Return whether a queued request ranks before a new one."""
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/rolloutmessages.py
@@ -0,0 +1,85 @@
+"""Encode and decode what nodes report of rollouts, and store in the duty record."""
+
+import math
+from typing import Any
+
+from cicadapass_decisions.rolloutevidence import Counts, Evidence, Side
+from cicadapass_decisions.rollouts import Rollout, RolloutState
+
+# A node has some routes and trial engines; more sides are malformed.
+MAX_SIDES = 1000
+
+
+def encode_rollout(rollout: Rollout) -> list[Any]:
+    """Return a rollout as a row of plain values."""
+    return [
+        rollout.service,
+        rollout.to,
+        rollout.duration_s,
+        rollout.offset,
+        rollout.origin,
+        rollout.seen_s,
+        rollout.state.value,
+        rollout.withdrawn,
+        sorted(rollout.trusted),
+        sorted(rollout.barred),
+    ]
+
+
+def decode_rollout(row: Any) -> Rollout:
+    """Return the rollout of a row; raise ValueError or TypeError."""
+    service, to, duration_s, offset, origin, seen_s, state, withdrawn = row[:8]
+    return Rollout(
+        service=_text(service),
+        to=_text(to),
+        duration_s=_number(duration_s),
+        offset=_count(offset),
+        origin=_count(origin),
+        seen_s=_number(seen_s),
+        state=RolloutState(state),
+        withdrawn=bool(withdrawn),
+        trusted=frozenset(_text(each) for each in row[8]),
+        barred=frozenset(_text(each) for each in row[9]),
+    )
+
+
+def encode_counts(service: str, origin: int, evidence: Evidence) -> list[Any]:
+    """Return the counts of a node for a rollout as a row of plain values."""
+    sides = [
+        [side.route, side.engine, c.sent, c.ended, c.failed, c.timed, c.late]
+        for side, c in evidence.items()
+    ]
+    return [service, origin, sides]
+
+
+def decode_counts(row: Any) -> tuple[str, int, dict[Side, Counts]]:
+    """Return the service, the origin and the counts; raise ValueError or TypeError."""
+    service, origin, sides = row
+    if len(sides) > MAX_SIDES:
+        raise ValueError("too many counts")
+    evidence = {
+        Side(_text(route), _text(engine)): Counts(*map(_count, numbers))
+        for route, engine, *numbers in sides
+    }
+    return _text(service), _count(origin), evidence
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
+
+
+def _count(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError("not an integer")
+    if value < 0:
+        raise ValueError("a negative count")
+    return value
+
+
+def _number(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value} is not a finite number")
+    return number
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -0,0 +1,533 @@
+"""Track the rollouts of versions, and decide which engines this node may use.
+
+Everything that is known of a rollout merges by maximum, so that reports of peers may be
+lost, repeated and reordered. Without bounds the tracker is disabled: all engines count
+as trusted, and nothing is recorded or sent.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cicadapass_common.events import EventLog
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.rolloutevidence import (
+    AT_ONCE_PROBABILITY,
+    TRUSTED_SIDE,
+    Evidence,
+    Finding,
+    add_up,
+    find_fault,
+)
+from cicadapass_decisions.rollouts import (
+    Rollout,
+    RolloutBounds,
+    RolloutOrder,
+    Trust,
+    adopt_order,
+    merge_rollouts,
+    share_phase,
+    trial_allowance,
+    trial_engines,
+    trust,
+    withdraw,
+)
+from cicadapass_gateway.metrics import Metrics
+from cicadapass_gateway.rolloutcounts import AttemptEvidence, NodeCounts
+from cicadapass_gateway.rolloutmessages import (
+    decode_counts,
+    decode_rollout,
+    encode_counts,
+    encode_rollout,
+)
+
+# Until a node has run this long, it may not know how many others share the slack.
+SETTLE_S = 10.0
+# What the delay of a datagram adds to the age of a view, at least.
+HOP_AGE_S = 0.02
+NEVER_S = -1e9
+# A version that is held makes a node read the operator's topic itself after this time,
+# if no watcher has confirmed the view by then.
+READ_AFTER_S = 2.0
+# The platform stops the engines of the version that lost within this time.
+FLEET_SETTLE_S = 30.0
+# Of the last request that a node may send to the version on trial, routes that were
+# tried more often than this multiple of the least tried one, and some, get none.
+ROUTE_LEAD_FACTOR = 2
+ROUTE_LEAD = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Engines:
+    """Group the engines of all services by what they may get."""
+
+    trusted: tuple[UpstreamRecord, ...]
+    on_trial: tuple[UpstreamRecord, ...]
+
+
+class RolloutTracker:
+    """Store what this node knows of the rollouts."""
+
+    def __init__(
+        self,
+        node: str,
+        bounds: RolloutBounds | None,
+        events: EventLog,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._node = node
+        self._bounds = bounds
+        self._events = events
+        self._metrics = metrics
+        self._clock = clock
+        self._true_time: Callable[[], float] = clock
+        self._hears_members: Callable[[], bool] = lambda: True
+        self._started_s = clock()
+        self._most_nodes = 1
+        self._rollouts: dict[str, Rollout] = {}
+        self._counts: dict[str, NodeCounts] = {}
+        # Counts of peers by service and origin, then by node.
+        self._peer_counts: dict[tuple[str, int], dict[str, Evidence]] = {}
+        # Why this node stopped a trial, by service and origin.
+        self._findings: dict[tuple[str, int], Finding] = {}
+        self._cut_off = False
+        # End of the view of the operator's topic, and begin of a read that confirms it.
+        self._view_end = -1
+        self._confirmed_s = NEVER_S
+        # Versions that were used before, and when others were first seen, by service.
+        self._released: dict[str, set[str]] = {}
+        self._held: dict[tuple[str, str], float] = {}
+        # Versions with engines that get requests, by service.
+        self._in_use: dict[str, frozenset[str]] = {}
+        # Services with engines that get nothing, and when their rollouts were decided.
+        self._with_barred: set[str] = set()
+        self._decided_s: dict[str, float] = {}
+        # Requests that were sent to the version on trial, by service and route.
+        self._tried: dict[str, dict[str, int]] = {}
+        # Places at engines on trial whose request is not sent yet.
+        self._unsent: dict[str, NodeCounts] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._report_listeners: list[Callable[[], None]] = []
+
+    @property
+    def enabled(self) -> bool:
+        """Return whether versions are rolled out on this platform."""
+        return self._bounds is not None
+
+    @property
+    def rollouts(self) -> dict[str, Rollout]:
+        """Return the rollouts by service."""
+        return dict(self._rollouts)
+
+    @property
+    def has_held_versions(self) -> bool:
+        """Return whether a version waits for a read of the operator's topic."""
+        return bool(self._held)
+
+    def set_time(self, true_time: Callable[[], float]) -> None:
+        """Set the source of true time, by which rollouts end."""
+        self._true_time = true_time
+
+    def set_hearing(self, hears_members: Callable[[], bool]) -> None:
+        """Set what tells whether this node hears enough members to learn a verdict."""
+        self._hears_members = hears_members
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when other engines may get requests."""
+        self._listeners.append(listener)
+
+    def subscribe_to_news(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when peers are to be told at once."""
+        self._report_listeners.append(listener)
+
+    def is_running(self, service: str) -> bool:
+        """Return whether a version of a service is being rolled out."""
+        rollout = self._rollouts.get(service)
+        return rollout is not None and rollout.running
+
+    def fixes_fleet(self, service: str) -> bool:
+        """Return whether the engines of a service are not to be ordered anew now.
+
+        While two versions run, an order of a total could release those of either one.
+        """
+        if self.is_running(service):
+            return True
+        decided_s = self._decided_s.get(service, NEVER_S)
+        is_recent = self._clock() - decided_s < FLEET_SETTLE_S
+        return is_recent and service in self._with_barred
+
+    def classify(self, records: Sequence[UpstreamRecord]) -> Engines:
+        """Return the engines that may get requests."""
+        if self._bounds is None:
+            return Engines(tuple(records), ())
+        by_service: dict[str, list[UpstreamRecord]] = {}
+        for record in records:
+            by_service.setdefault(record.service, []).append(record)
+        trusted: list[UpstreamRecord] = []
+        on_trial: list[UpstreamRecord] = []
+        before = self._held
+        self._held = {
+            (service, version): self._held.get((service, version), self._clock())
+            for service, members in by_service.items()
+            for version in self._unknown_versions(service, members)
+        }
+        self._log_held(before)
+        self._with_barred.clear()
+        for service, members in by_service.items():
+            rollout = self._rollouts.get(service)
+            old = [
+                each
+                for each in members
+                if (service, each.version) not in self._held
+                and self._trust(each) is Trust.TRUSTED
+            ]
+            trusted += old
+            self._in_use[service] = frozenset(each.version for each in old)
+            if any(self._trust(each) is Trust.BARRED for each in members):
+                self._with_barred.add(service)
+            if rollout is not None and self._may_try(rollout):
+                new = [each for each in members if self._trust(each) is Trust.ON_TRIAL]
+                on_trial += trial_engines(rollout, old, new, self._bounds)
+        return Engines(tuple(trusted), tuple(on_trial))
+
+    def permits(self, service: str, version: str) -> bool:
+        """Return whether a stream of a version may go on at its engines."""
+        rollout = self._rollouts.get(service)
+        kind = trust(rollout, version)
+        if kind is Trust.ON_TRIAL:
+            assert rollout is not None
+            return self._may_try(rollout)
+        return kind is Trust.TRUSTED
+
+    def wants_trial(self, service: str, route: str) -> bool:
+        """Return whether a new request should go to the version on trial."""
+        rollout, counts = self._rollouts.get(service), self._counts.get(service)
+        if self._bounds is None or rollout is None or counts is None:
+            return False
+        if not self._may_try(rollout):
+            return False
+        settled = self._clock() - self._started_s >= SETTLE_S
+        bounds = self._bounds if settled else replace(self._bounds, slack=0.0)
+        allowed = trial_allowance(
+            bounds,
+            counts.requests + 1,
+            self._most_nodes,
+            share_phase(self._node, rollout),
+        )
+        room = allowed - counts.trials
+        return room > 1 or (room == 1 and self._lacks_evidence(service, route))
+
+    def begin(self, record: UpstreamRecord, key: str) -> None:
+        """Record a place for a request, named by `key`, at an engine."""
+        counts = self._counts.get(record.service)
+        if counts is not None and self._trust(record) is Trust.ON_TRIAL:
+            counts.trials += 1
+            self._unsent[key] = counts
+
+    def record_sent(
+        self,
+        record: UpstreamRecord,
+        key: str,
+        route: str,
+        tokens: float,
+        *,
+        first: bool,
+    ) -> AttemptEvidence | None:
+        """Record that a request is sent; return what records its answer, if needed."""
+        counts = self._counts.get(record.service)
+        if counts is None:
+            return None
+        self._unsent.pop(key, None)
+        if first:
+            counts.requests += 1
+        kind = self._trust(record)
+        if kind is Trust.BARRED:
+            return None
+        return counts.begin(record, route, tokens, trial=kind is Trust.ON_TRIAL)
+
+    def end(self, key: str) -> None:
+        """Record that a place was released; one whose request was not sent is free."""
+        if (counts := self._unsent.pop(key, None)) is not None:
+            counts.trials -= 1
+
+    def evidence(self, service: str) -> Evidence:
+        """Return the counts of all nodes for the rollout of a service."""
+        rollout, counts = self._rollouts.get(service), self._counts.get(service)
+        if rollout is None:
+            return {}
+        peers = self._peer_counts.get((service, rollout.origin), {})
+        own = [counts.evidence] if counts is not None else []
+        return add_up([*own, *peers.values()])
+
+    def versions_in_use(self, service: str) -> frozenset[str]:
+        """Return the versions of a service whose engines get requests as usual."""
+        return self._in_use.get(service, frozenset())
+
+    def finding(self, service: str) -> Finding | None:
+        """Return why this node stopped the trial of a service, or None."""
+        rollout = self._rollouts.get(service)
+        if rollout is None:
+            return None
+        return self._findings.get((service, rollout.origin))
+
+    def adopt_order(self, order: RolloutOrder, offset: int) -> None:
+        """Apply an order of the operator's topic."""
+        if self._bounds is None:
+            return
+        in_use = self._in_use.get(order.service, frozenset())
+        current = self._rollouts.get(order.service)
+        rollout = adopt_order(current, order, offset, self._true_time(), in_use)
+        self._replace(rollout, "registry")
+
+    def withdraw(self, service: str, offset: int) -> bool:
+        """Apply the deletion of an order; return whether it changes a rollout."""
+        current = self._rollouts.get(service)
+        return current is not None and self._replace(
+            withdraw(current, offset), "registry"
+        )
+
+    def merge(self, rollout: Rollout, source: str) -> None:
+        """Apply what a peer or the record of the duties knows of a rollout."""
+        if self._bounds is not None:
+            current = self._rollouts.get(rollout.service)
+            self._replace(merge_rollouts(current, rollout), source)
+
+    def confirm_read(self, view_end: int, read_s: float) -> None:
+        """Record that a read that began then saw the end of the operator's topic."""
+        self._view_end = max(self._view_end, view_end)
+        self._confirmed_s = max(self._confirmed_s, read_s)
+        self._release()
+
+    def set_node_count(self, count: int) -> None:
+        """Set the number of nodes; a node that is cut off keeps the larger one."""
+        self._most_nodes = max(self._most_nodes, count)
+
+    def export(self) -> dict[str, Any] | None:
+        """Return what the states report, or None if there is nothing to report."""
+        if self._bounds is None:
+            return None
+        now_s = self._clock()
+        return {
+            "view": [self._view_end, round(1000 * min(1e6, now_s - self._confirmed_s))],
+            "rollouts": [encode_rollout(each) for each in self._rollouts.values()],
+            "counts": [
+                encode_counts(service, self._rollouts[service].origin, counts.evidence)
+                for service, counts in self._counts.items()
+                if self._rollouts[service].running
+            ],
+        }
+
+    def export_rollouts(self) -> list[Any]:
+        """Return the rollouts, which peers are told at once when they change."""
+        return [encode_rollout(each) for each in self._rollouts.values()]
+
+    def merge_rollout_rows(self, rows: Iterable[Any], peer: str) -> None:
+        """Apply the rollouts that a peer reported; raise ValueError or TypeError."""
+        for row in rows:
+            self.merge(decode_rollout(row), peer)
+
+    def merge_state(self, message: dict[str, Any] | None, peer: str, key: str) -> None:
+        """Apply the report of a peer, `key` naming its incarnation."""
+        if self._bounds is None or message is None:
+            return
+        now_s = self._clock()
+        self.merge_rollout_rows(message["rollouts"], peer)
+        for row in message["counts"]:
+            service, origin, counts = decode_counts(row)
+            self._merge_counts(service, origin, counts, key)
+        view_end, age_ms = message["view"]
+        # The rollouts above are complete up to the peer's end.
+        if int(view_end) >= 0:
+            age_s = max(0.0, float(age_ms) / 1000) + HOP_AGE_S
+            self.confirm_read(int(view_end), now_s - age_s)
+
+    def needs_read(self) -> bool:
+        """Return whether this node is to read the operator's topic by itself."""
+        now_s = self._clock()
+        return any(now_s - since_s > READ_AFTER_S for since_s in self._held.values())
+
+    def tick(self) -> None:
+        """Judge the trials and count answers that are overdue; called periodically."""
+        if not self._counts:
+            return
+        now_s = self._clock()
+        changed = False
+        cut_off = not self._hears_members()
+        if cut_off != self._cut_off:
+            self._cut_off, changed = cut_off, True
+        for service, counts in self._counts.items():
+            rollout = self._rollouts[service]
+            key = (service, rollout.origin)
+            if not rollout.running:
+                continue
+            counts.count_overdue(now_s)
+            if key in self._findings:
+                continue
+            evidence = self.evidence(service)
+            self._tried[service] = _tried_by_route(evidence)
+            finding = find_fault(evidence, AT_ONCE_PROBABILITY)
+            if finding is not None:
+                self._findings[key] = finding
+                self._log_finding(rollout, finding)
+                changed = True
+        if changed:
+            self._notify()
+
+    def _may_try(self, rollout: Rollout) -> bool:
+        """Return whether the version on trial may get requests of this node."""
+        return (
+            rollout.running
+            and not rollout.withdrawn
+            and not self._cut_off
+            and (rollout.service, rollout.origin) not in self._findings
+        )
+
+    def _log_held(self, before: dict[tuple[str, str], float]) -> None:
+        for service, version in self._held.keys() - before.keys():
+            self._events.emit(866, service=service, version=version)
+        for service, version in before.keys() - self._held.keys():
+            if version in self._released.get(service, ()):
+                self._events.emit(867, service=service, version=version)
+
+    def _lacks_evidence(self, service: str, route: str) -> bool:
+        """Return whether a route is not far ahead of the one that was tried least."""
+        tried = self._tried.get(service, {})
+        least = min(tried.values(), default=0)
+        return tried.get(route, 0) <= ROUTE_LEAD_FACTOR * least + ROUTE_LEAD
+
+    def _trust(self, record: UpstreamRecord) -> Trust:
+        return trust(self._rollouts.get(record.service), record.version)
+
+    def _unknown_versions(
+        self, service: str, records: Sequence[UpstreamRecord]
+    ) -> set[str]:
+        """Return the versions that wait for a read; release those that need not.
+
+        The first versions of a service are used at once: nothing could be compared
+        with them, and no order can precede the engines of a new deployment.
+        """
+        released = self._released.setdefault(service, set())
+        versions = {each.version for each in records}
+        rollout = self._rollouts.get(service)
+        if not released:
+            released |= versions - ({rollout.to} if rollout is not None else set())
+        unknown = versions - released
+        for version in list(unknown):
+            if rollout is not None and trust(rollout, version) is not Trust.TRUSTED:
+                # The order decides.
+                unknown.discard(version)
+                continue
+            if rollout is not None and version in (rollout.to, *rollout.trusted):
+                released.add(version)
+                unknown.discard(version)
+                continue
+            first_s = self._held.get((service, version), self._clock())
+            if self._confirmed_s >= first_s:
+                released.add(version)
+                unknown.discard(version)
+        return unknown
+
+    def _release(self) -> None:
+        """Use the versions that were held until a read of the operator's topic."""
+        if any(self._confirmed_s >= since_s for since_s in self._held.values()):
+            self._notify()
+
+    def _replace(self, rollout: Rollout, source: str) -> bool:
+        """Store a rollout; return whether it is different from the one before."""
+        service = rollout.service
+        current = self._rollouts.get(service)
+        if rollout == current:
+            return False
+        self._rollouts[service] = rollout
+        is_new = current is None or current.offset != rollout.offset
+        if rollout.running and (current is None or current.origin != rollout.origin):
+            self._move_counts(current, rollout)
+        if not rollout.running:
+            self._counts.pop(service, None)
+            if current is not None and current.running:
+                self._decided_s[service] = self._clock()
+        if is_new or current is None or current.state is not rollout.state:
+            self._events.emit(
+                860,
+                service=service,
+                to=rollout.to,
+                offset=rollout.offset,
+                state=rollout.state.value,
+                withdrawn=rollout.withdrawn,
+                source=source,
+            )
+            self._metrics.count("rollout_states", rollout.state.value)
+        if source == "registry" or source == "record":
+            for listener in self._report_listeners:
+                listener()
+        self._notify()
+        return True
+
+    def _move_counts(self, current: Rollout | None, rollout: Rollout) -> None:
+        """Begin new counts, unless an earlier order turns out to be the first one."""
+        service = rollout.service
+        is_same = (
+            current is not None
+            and current.running
+            and (current.to, current.offset) == (rollout.to, rollout.offset)
+        )
+        if not is_same:
+            self._counts[service] = NodeCounts(self._clock)
+        kept = (service, rollout.origin)
+        for key in [key for key in self._peer_counts if key[0] == service]:
+            if key != kept:
+                del self._peer_counts[key]
+        for key in [key for key in self._findings if key[0] == service and key != kept]:
+            del self._findings[key]
+
+    def _merge_counts(
+        self, service: str, origin: int, counts: Evidence, key: str
+    ) -> None:
+        rollout = self._rollouts.get(service)
+        if rollout is None or not rollout.running or rollout.origin != origin:
+            return
+        peers = self._peer_counts.setdefault((service, origin), {})
+        known = peers.get(key, {})
+        peers[key] = {
+            **known,
+            **{
+                side: each.at_least(known[side]) if side in known else each
+                for side, each in counts.items()
+            },
+        }
+
+    def _log_finding(self, rollout: Rollout, finding: Finding) -> None:
+        self._metrics.count("rollout_findings", finding.rule.value)
+        self._events.emit(
+            862,
+            service=rollout.service,
+            to=rollout.to,
+            offset=rollout.offset,
+            evidence=describe(finding),
+        )
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _tried_by_route(evidence: Evidence) -> dict[str, int]:
+    tried: dict[str, int] = {}
+    for side, counts in evidence.items():
+        trials = 0 if side.engine == TRUSTED_SIDE else counts.sent
+        tried[side.route] = tried.get(side.route, 0) + trials
+    return tried
+
+
+def describe(finding: Finding) -> dict[str, Any]:
+    """Return the field of an event that says why a version is bad."""
+    return {
+        "rule": finding.rule.value,
+        "route": finding.route,
+        "new_bad": finding.new_bad,
+        "new_total": finding.new_total,
+        "old_bad": finding.old_bad,
+        "old_total": finding.old_total,
+        "left_out": finding.left_out,
+    }
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -1,7 +1,7 @@
 """Send a request to an upstream once and relay its response."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
@@ -35,6 +35,7 @@
     check_head,
     check_undelimited_end,
 )
+from cicadapass_gateway.rolloutcounts import AttemptEvidence
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
@@ -64,6 +65,8 @@
     migrator: Migrator
     prompt_guard: PromptGuard
     log: RequestLog
+    # Finds out whether nothing listens at an engine's address any more.
+    has_ended: Callable[[UpstreamRecord], Awaitable[bool]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +107,7 @@
         self._migrator = dependencies.migrator
         self._prompt_guard = dependencies.prompt_guard
         self._log = dependencies.log
+        self._has_ended = dependencies.has_ended
         self._request = request
         self._reservation = reservation
         self._race = race
@@ -114,6 +118,8 @@
         self._meter = self._state.upstreams.meter(reservation.record)
         self._progress = ResponseProgress()
         self._channel: ClientChannel | None = None
+        # Records the answer while a version of the service is rolled out.
+        self._evidence: AttemptEvidence | None = None
         # Since when the attempt has waited for the upstream.
         self._waiting_since_s: float | None = None
 
@@ -195,11 +201,18 @@
             now_s = self._state.clock()
             request.ended_by = self._progress.ended_by or request.ended_by
             self._state.upstreams.end(self._reservation, now_s, succeeded=succeeded)
+            self._end_evidence(now_s, succeeded)
             if self._channel is not None and not finished:
                 self._channel.abort()
             self._prompt_guard.end_attempt(request)
             self._state.queue.dispatch()
 
+    def _end_evidence(self, now_s: float, succeeded: bool | None) -> None:
+        """Record what the attempt shows of the version; a crash shows nothing."""
+        if self._evidence is not None:
+            broken = self._progress.ended_by is Party.UPSTREAM
+            self._evidence.end(now_s, succeeded, self._has_ended if broken else None)
+
     def _is_unfinished(self) -> bool:
         """Return whether the deadline ended a response that had begun but no stream."""
         return (
@@ -248,6 +261,13 @@
         # From here on the request may have been executed unless the upstream denies it.
         request.runs += 1
         self._progress.sent_s = sent_s
+        self._evidence = self._state.rollouts.record_sent(
+            record,
+            self._reservation.key,
+            request.match.route.name,
+            self._reservation.uncached_tokens,
+            first=request.sends == 1,
+        )
         channel.send(exchange.method, exchange.target, headers, exchange.body)
         head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
@@ -422,7 +442,7 @@
             self._migrator.discard(run)
         self._claim()
         self._record_end_of_answer(response)
-        request.start_stream(response.status, response.info.headers)
+        self._start_stream(response)
         self._release_channel(response)
         exchange.finish()
         self._log.log_end(request, response.status, "answered")
@@ -476,7 +496,7 @@
             run.events += len(events)
             self._progress.events += len(events)
             self._claim()
-            request.start_stream(response.status, response.info.headers)
+            self._start_stream(response)
             self._record_first_event()
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
@@ -503,6 +523,11 @@
                     raise HedgeSuperseded("no event soon after the head") from None
         return await self._wait_for(channel, channel.read_body())
 
+    def _start_stream(self, response: OpenResponse) -> None:
+        """Send the head of the stream; from here on it belongs to one version."""
+        version = self._reservation.record.version
+        self._request.start_stream(response.status, response.info.headers, version)
+
     def _claim(self) -> None:
         """Become the attempt that delivers; the other one is cancelled."""
         self._race.claim(self)
@@ -512,6 +537,8 @@
     def _record_first_event(self) -> None:
         request, now_s = self._request, self._state.clock()
         self._state.upstreams.first_token(self._reservation, now_s)
+        if self._evidence is not None:
+            self._evidence.first_event(now_s)
         if request.first_event_s is None:
             request.first_event_s = now_s
             self._count_run()
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -1,8 +1,9 @@
 """Track the registry entries and the load of upstreams."""
 
 import itertools
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import Candidate
@@ -56,12 +57,52 @@
     basis: ChoiceBasis
     # Where the upstream may fetch cached segments of the prompt.
     cache_source: UpstreamRecord | None = None
+    # Tokens of the prompt that the upstream has to read.
+    uncached_tokens: int = 0
+
+
+class Engines(Protocol):
+    """Group the upstreams by what they may get."""
+
+    @property
+    def trusted(self) -> tuple[UpstreamRecord, ...]:
+        """Return those that get requests as usual."""
+
+    @property
+    def on_trial(self) -> tuple[UpstreamRecord, ...]:
+        """Return those that get only the requests of a trial."""
+
+
+class VersionPolicy(Protocol):
+    """Decide which versions of a service get requests."""
+
+    def classify(self, records: Sequence[UpstreamRecord]) -> Engines:
+        """Return the upstreams that may get requests."""
+
+    def permits(self, service: str, version: str) -> bool:
+        """Return whether a stream of a version may go on at its engines."""
+
+    def wants_trial(self, service: str, route: str) -> bool:
+        """Return whether a new request should go to the version on trial."""
+
+    def begin(self, record: UpstreamRecord, key: str) -> None:
+        """Record a place for a request, named by `key`, at an engine."""
+
+    def end(self, key: str) -> None:
+        """Record that a place was released."""
 
 
 class UpstreamTracker:
     """Track the registered upstreams, with a meter for each start of one."""
 
-    def __init__(self, node: str, data_centre: str, drain_s: float) -> None:
+    def __init__(
+        self,
+        node: str,
+        data_centre: str,
+        drain_s: float,
+        versions: VersionPolicy | None = None,
+    ) -> None:
+        self.versions = versions
         self.replica = TopicReplica()
         self.view = UpstreamView()
         self.limits = UpstreamLimits(node)
@@ -72,6 +113,7 @@
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
         self._keys = itertools.count()
         self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._on_trial: dict[str, list[UpstreamRecord]] = {}
         # The upstreams at which each peer last reported requests in progress.
         self._reported_upstreams: dict[str, set[str]] = {}
         self._send_listeners: list[Callable[[str, int], None]] = []
@@ -82,10 +124,13 @@
 
     def refresh(self) -> None:
         """Rebuild the index after the view has changed."""
-        index: dict[str, list[UpstreamRecord]] = {}
-        for record in self.view.usable().values():
-            index.setdefault(record.service, []).append(record)
-        self._by_service = index
+        records = tuple(self.view.usable().values())
+        if self.versions is None:
+            self._by_service, self._on_trial = _index(records), {}
+        else:
+            engines = self.versions.classify(records)
+            self._by_service = _index(engines.trusted)
+            self._on_trial = _index(engines.on_trial)
         current_starts = {
             (r.upstream_id, r.started_ms) for r in self.view.records.values()
         }
@@ -95,17 +140,39 @@
                 del self._meters[key]
 
     def usable(self, service: str) -> list[UpstreamRecord]:
-        """Return the upstreams of a service that may get requests."""
+        """Return the upstreams of a service that may get any request."""
         return self._by_service.get(service, [])
 
+    def on_trial(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams that get the requests of a trial of their version."""
+        return self._on_trial.get(service, [])
+
+    def of_version(self, service: str, version: str) -> list[UpstreamRecord]:
+        """Return the upstreams at which a stream that began at a version may go on."""
+        records = self.usable(service) + self.on_trial(service)
+        return [each for each in records if each.version == version]
+
     def is_usable(self, record: UpstreamRecord) -> bool:
         """Return whether this start of an upstream may get requests."""
-        return any(
-            each.start_key == record.start_key for each in self.usable(record.service)
+        records = self.usable(record.service) + self.on_trial(record.service)
+        return any(each.start_key == record.start_key for each in records)
+
+    def permits(self, service: str, version: str) -> bool:
+        """Return whether a stream of a version may go on at its engines."""
+        return self.versions is None or self.versions.permits(service, version)
+
+    def wants_trial(self, service: str, route: str) -> bool:
+        """Return whether a new request should go to a version on trial."""
+        return (
+            self.versions is not None
+            and bool(self._on_trial)
+            and self.versions.wants_trial(service, route)
         )
 
     def accepts_stopped_runs(self, record: UpstreamRecord, now_s: float) -> bool:
         """Return whether a leaving upstream may go on with a run that was stopped."""
+        if not self.permits(record.service, record.version):
+            return False
         leaving_s = self.view.leaving_s(record, now_s)
         limit_s = STOPPED_RUN_FRACTION * self._drain_s
         return leaving_s is not None and leaving_s < limit_s
@@ -122,13 +189,21 @@
         return meter
 
     def candidates(
-        self, service: str, prompt: Prompt, excluded: Iterable[str], now_s: float
+        self,
+        service: str,
+        prompt: Prompt,
+        excluded: Iterable[str],
+        now_s: float,
+        records: Iterable[UpstreamRecord] | None = None,
     ) -> list[Candidate]:
-        """Return the load and speed of each usable upstream that is not excluded."""
+        """Return the load and speed of each upstream that is not excluded.
+
+        They are those of `records` if these are given, else all usable ones.
+        """
         excluded_ids = set(excluded)
         return [
             self._candidate(record, prompt, now_s)
-            for record in self.usable(service)
+            for record in (self.usable(service) if records is None else records)
             if record.upstream_id not in excluded_ids
         ]
 
@@ -147,7 +222,11 @@
             listener(record.upstream_id, uncached_tokens)
         basis = self._choice_basis(record, now_s)
         self.limits.take(record.start_key, now_s)
-        return Reservation(record, key, expected_s, basis, cache_source)
+        if self.versions is not None:
+            self.versions.begin(record, key)
+        return Reservation(
+            record, key, expected_s, basis, cache_source, uncached_tokens
+        )
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
         """Record the start of the response to a request."""
@@ -158,6 +237,8 @@
     ) -> None:
         """Record the end of a request; None leaves the upstream's health unchanged."""
         self.meter(reservation.record).end(reservation.key, now_s, succeeded=succeeded)
+        if self.versions is not None:
+            self.versions.end(reservation.key)
 
     def local_load(self, now_s: float) -> dict[str, tuple[int, int]]:
         """Return this node's running requests and prefill tokens by upstream."""
@@ -250,3 +331,11 @@
         ]
         call_s = sorted(meter.call_s for meter in meters)[len(meters) // 2]
         return prefill_s_per_token, call_s
+
+
+def _index(records: Iterable[UpstreamRecord]) -> dict[str, list[UpstreamRecord]]:
+    """Return upstreams by service."""
+    index: dict[str, list[UpstreamRecord]] = {}
+    for record in records:
+        index.setdefault(record.service, []).append(record)
+    return index
