--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -346,7 +346,14 @@
     bounds = RetryLimits(10.0, 20.0)
     node, window_s = changes.get("node", "n"), changes.get("window_s", 8.0)
     return NodeState(
-        node, "dc-a", quiet_events(), bounds, window_s, LimitTolerance(), DRAIN_S
+        node,
+        "dc-a",
+        quiet_events(),
+        bounds,
+        window_s,
+        LimitTolerance(),
+        DRAIN_S,
+        changes.get("rollout_bounds"),
     )
 
 
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -22,7 +22,7 @@
 )
 
 UPSTREAMS = "upstreams"
-TOPICS = Topics("configuration", UPSTREAMS, "nodes", "duties")
+TOPICS = Topics("configuration", UPSTREAMS, "nodes", "duties", "status")
 PORT = 7000
 # One-way delay between nodes, and the duration of a call to the registry.
 NETWORK_DELAY_S = 0.0015
@@ -176,7 +176,7 @@
     def __init__(self, cluster, number, incarnation=1):
         self.name = f"node-{number}"
         self.host = f"10.0.{number // 250}.{number % 250 + 1}"
-        self.state = make_state(node=self.name)
+        self.state = make_state(node=self.name, rollout_bounds=cluster.rollout_bounds)
         self.state.rng.seed(cluster.rng.random())
         self.registry = NodeRegistry(cluster.registry, cluster.calls)
         seeds = [(f"10.0.0.{each}", PORT) for each in (1, 2, 3)]
@@ -192,12 +192,12 @@
         address = NodeAddress(self.name, self.host, PORT, incarnation, data_centre)
         self.peers = Peers(address, seeds, dependencies)
         self.peers.connection_made(_Transport(cluster, self))
-        codec = DocumentCodec("config", cluster.decode_configuration, decode_entry)
-        adapter = Adapter(
+        codec = cluster.document_codec()
+        self.adapter = Adapter(
             HEADER_CODEC, self.registry, TOPICS, codec, refuse_migration, None
         )
         self.registry_sync = RegistrySync(
-            self.state, adapter, self.peers, _Pool(cluster, self)
+            self.state, self.adapter, self.peers, _Pool(cluster, self)
         )
         self._tasks = []
 
@@ -238,6 +238,7 @@
     """Connect nodes with a registry, and disturb both from a seeded source."""
 
     node_class = ClusterNode
+    rollout_bounds = None
 
     def __init__(self, nodes, seed, loss=0.005, link_bytes_per_s=625_000):
         self.rng = random.Random(seed)
@@ -255,6 +256,10 @@
         self.nodes = [self.node_class(self, number) for number in range(nodes)]
         self.by_host = {node.host: node for node in self.nodes}
 
+    def document_codec(self):
+        """Return the codec of the nodes' documents."""
+        return DocumentCodec("config", self.decode_configuration, decode_entry)
+
     def decode_configuration(self, raw):
         """Return the configuration of a version."""
         return configuration(version=int(raw))
