--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -17,9 +17,9 @@
 # Part of the bounds that trials use. The rest covers the continuations of streams that
 # began at the version, nodes that restart and the rounding of the shares.
 USED_FRACTION = 0.5
-# Time before the end of a rollout by which its status is to be written: four attempts
+# Time before the end of a rollout by which its status is to be written: six attempts
 # of a holder that answers lost in the log delay.
-STATUS_RESERVE_S = 1.5
+STATUS_RESERVE_S = 2.0
 # A rollout is not decided as a success before this part of its time.
 MIN_OBSERVED_FRACTION = 0.4
 # Bounds of the time in which nodes stop sending to the old engines, which the platform
--- a/packages/gateway/cicadapass_gateway/dutyrecords.py
+++ b/packages/gateway/cicadapass_gateway/dutyrecords.py
@@ -94,6 +94,9 @@
 
 def _rollouts(rows: Any, skipped: list[str]) -> dict[str, Rollout]:
     """Return the readable rollouts by service."""
+    if not isinstance(rows, list):
+        skipped.append(f"rollouts: {rows!r}"[:MAX_LOGGED_CHARACTERS])
+        return {}
     return _readable_items(dict(enumerate(rows)), _rollout, skipped)
 
 
--- a/packages/gateway/cicadapass_gateway/rolloutcounts.py
+++ b/packages/gateway/cicadapass_gateway/rolloutcounts.py
@@ -28,6 +28,11 @@
         self._open: set[AttemptEvidence] = set()
         self._probes: set[asyncio.Task[None]] = set()
 
+    @property
+    def probing(self) -> bool:
+        """Return whether it is being found out if an engine has ended."""
+        return bool(self._probes)
+
     def begin(
         self, record: UpstreamRecord, route: str, tokens: float, *, trial: bool
     ) -> "AttemptEvidence":
--- a/tests/gateway/test_dutyrecords.py
+++ b/tests/gateway/test_dutyrecords.py
@@ -6,6 +6,12 @@
 from hypothesis import strategies as st
 
 from cicadapass_decisions.dutylease import DutyRecord, EngineClass
+from cicadapass_decisions.rollouts import (
+    RolloutOrder,
+    RolloutState,
+    adopt_order,
+    decided,
+)
 from cicadapass_gateway.dutyrecords import decode_record, encode_record
 from cicadapass_gateway.exceptions import PlatformUnavailable
 
@@ -73,6 +79,21 @@
             self.assertEqual({"w": ((0.5, 2.0),)}, decoded.record.recent_usage)
             self.assertEqual(1, len(decoded.skipped), steps)
 
+    def test_an_unreadable_rollout_costs_itself_alone(self):
+        """One odd rollout ended the duties, or was decided for the second time."""
+        order = RolloutOrder("s", "v2", 12.0)
+        rollout = decided(
+            adopt_order(None, order, 5, 100.25, ["v1"]), RolloutState.SUCCEEDED
+        )
+        record = DutyRecord("n", 1, 1, rollouts={"s": rollout})
+        encoded = cbor2.loads(encode_record(record))
+        self.assertEqual((record, ()), _decoded(encoded))
+        row = encoded[8][0]
+        for odd in (None, 5, [], row[:9], ["x", *row[1:4], -1, *row[5:]]):
+            found, skipped = _decoded([*encoded[:8], [odd, row]])
+            self.assertEqual((record, 1), (found, len(skipped)), odd)
+        self.assertEqual(1, len(_decoded([*encoded[:8], {"a": 1}])[1]))
+
     def test_a_record_without_a_readable_holder_or_report_is_refused(self):
         """A holder contradicted the counts that an earlier one had reported."""
         odd = {
@@ -87,3 +108,8 @@
             for value in values:
                 with self.assertRaises(PlatformUnavailable):
                     decode_record(stored(position, value))
+
+
+def _decoded(fields):
+    decoded = decode_record(cbor2.dumps(fields))
+    return decoded.record, decoded.skipped
