Stop trials of nodes that hear too few members

The time in which a node must heed a verdict (bounds.rollbackMs) now sets the window: half of the members due in 0.6 of it. Rows of rollouts that are known already are not decoded again, orders that are skipped are logged once by key, and engines of deployments without rollouts share prompt segments as before. test_rollouts (12), test_relay_rollouts (5), test_peers (18), test_registrysync (20) pass.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -227,11 +227,12 @@
             if now_s - member.last_received_s < max_age_s
         ]
 
-    def hears_members(self) -> bool:
-        """Return whether at least half of the known members were heard lately."""
-        heard = sum(each.heard for each in self.members.values())
-        fresh = sum(each.heard for each in self.fresh_members())
-        return 2 * fresh >= heard
+    def hears_members(self, window_s: float) -> bool:
+        """Return whether half of the members due in a time were heard within it."""
+        now_s = self._dependencies.state.clock()
+        heard = [each for each in self.members.values() if each.heard]
+        recent = sum(now_s - each.last_received_s < window_s for each in heard)
+        return 2 * recent >= len(heard) * min(1.0, window_s / self.round_s)
 
     def is_watcher(self) -> bool:
         """Return whether this node watches the registry for those that it hears.
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -120,8 +120,8 @@
         self._configuration_failures = _Failures()
         self._upstream_failures = _Failures()
         self._node_failures = _Failures()
-        # Newest order that was skipped; listings return it again.
-        self._skipped_order_offset = -1
+        # The orders that were skipped, by key; listings return them again.
+        self._skipped_orders: dict[str, int] = {}
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
 
     @property
@@ -440,9 +440,9 @@
             self._log_skipped_order(document, str(error))
 
     def _log_skipped_order(self, document: Document, reason: str) -> None:
-        if document.offset <= self._skipped_order_offset:
+        if document.offset <= self._skipped_orders.get(document.key, -1):
             return
-        self._skipped_order_offset = document.offset
+        self._skipped_orders[document.key] = document.offset
         self._state.events.emit(
             861,
             key=document.key[:MAX_LOGGED_KEY],
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -239,8 +239,7 @@
         by_id = {each.upstream_id: each for each in records}
         record = by_id[decision.upstream_id]
         source = None if decision.source_id is None else by_id[decision.source_id]
-        if source is not None and source.version != record.version:
-            # Another version may compute other values for a segment.
+        if source is not None and not self._upstreams.may_share(source, record):
             source = None
         return self._upstreams.begin(
             record, requirements.prompt, decision.expected_s, now_s, source
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -49,6 +49,9 @@
 # A version that is held makes a node read the operator's topic itself after this time,
 # if no watcher has confirmed the view by then.
 READ_AFTER_S = 2.0
+# A node that hears too few members for this part of the time in which it must heed a
+# verdict stops its trials; the rest covers the verdict itself.
+HEARING_FRACTION = 0.6
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
 # Of the last request that a node may send to the version on trial, routes that were
@@ -82,10 +85,12 @@
         self._metrics = metrics
         self._clock = clock
         self._true_time: Callable[[], float] = clock
-        self._hears_members: Callable[[], bool] = lambda: True
+        self._hears_members: Callable[[float], bool] = lambda _: True
         self._started_s = clock()
         self._most_nodes = 1
         self._rollouts: dict[str, Rollout] = {}
+        # As the states contain them.
+        self._rows: dict[str, list[Any]] = {}
         self._counts: dict[str, NodeCounts] = {}
         # Counts of peers by service and origin, then by node.
         self._peer_counts: dict[tuple[str, int], dict[str, Evidence]] = {}
@@ -129,8 +134,8 @@
         """Set the source of true time, by which rollouts end."""
         self._true_time = true_time
 
-    def set_hearing(self, hears_members: Callable[[], bool]) -> None:
-        """Set what tells whether this node hears enough members to learn a verdict."""
+    def set_hearing(self, hears_members: Callable[[float], bool]) -> None:
+        """Set what tells whether enough members were heard within some seconds."""
         self._hears_members = hears_members
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -310,7 +315,7 @@
         now_s = self._clock()
         return {
             "view": [self._view_end, round(1000 * min(1e6, now_s - self._confirmed_s))],
-            "rollouts": [encode_rollout(each) for each in self._rollouts.values()],
+            "rollouts": self.export_rollouts(),
             "counts": [
                 encode_counts(service, self._rollouts[service].origin, counts.evidence)
                 for service, counts in self._counts.items()
@@ -320,12 +325,15 @@
 
     def export_rollouts(self) -> list[Any]:
         """Return the rollouts, which peers are told at once when they change."""
-        return [encode_rollout(each) for each in self._rollouts.values()]
+        return list(self._rows.values())
 
     def merge_rollout_rows(self, rows: Iterable[Any], peer: str) -> None:
         """Apply the rollouts that a peer reported; raise ValueError or TypeError."""
+        known = self._rows.values()
         for row in rows:
-            self.merge(decode_rollout(row), peer)
+            # Nearly all rows say nothing new.
+            if row not in known:
+                self.merge(decode_rollout(row), peer)
 
     def merge_state(self, message: dict[str, Any] | None, peer: str, key: str) -> None:
         """Apply the report of a peer, `key` naming its incarnation."""
@@ -349,11 +357,12 @@
 
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
-        if not self._counts:
+        if self._bounds is None or not self._counts:
             return
         now_s = self._clock()
         changed = False
-        cut_off = not self._hears_members()
+        window_s = HEARING_FRACTION * self._bounds.rollback_s
+        cut_off = not self._hears_members(window_s)
         if cut_off != self._cut_off:
             self._cut_off, changed = cut_off, True
         for service, counts in self._counts.items():
@@ -440,6 +449,7 @@
         if rollout == current:
             return False
         self._rollouts[service] = rollout
+        self._rows[service] = encode_rollout(rollout)
         is_new = current is None or current.offset != rollout.offset
         if rollout.running and (current is None or current.origin != rollout.origin):
             self._move_counts(current, rollout)
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -157,6 +157,10 @@
         records = self.usable(record.service) + self.on_trial(record.service)
         return any(each.start_key == record.start_key for each in records)
 
+    def may_share(self, one: UpstreamRecord, other: UpstreamRecord) -> bool:
+        """Return whether an engine may use what another one computed of a prompt."""
+        return self.versions is None or one.version == other.version
+
     def permits(self, service: str, version: str) -> bool:
         """Return whether a stream of a version may go on at its engines."""
         return self.versions is None or self.versions.permits(service, version)
