Do not take engines without cached segments for slow ones

Old engines have shared segments in memory that a node does not know of, so that a new one read several times the tokens and its answers counted as late. An answer is not late now within twice the time in which a trusted engine reads the whole prompt. Three answers give the median (a route with 0.4 requests a second at a node had none), and trials end with the rollout's time also when nobody decides it. test_rolloutevidence (9), test_rollouts (12), test_relay_rollouts (5), test_relay (31) pass.

--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -35,9 +35,12 @@
 # An answer is late beyond this multiple of the median of the trusted versions.
 LATE_FACTOR = 2.5
 # Trusted answers that give the median, and their age.
-MIN_SAMPLES = 6
+MIN_SAMPLES = 3
 MAX_SAMPLES = 48
 SAMPLE_LIFETIME_S = 10.0
+# Nor is it late within this multiple of the time in which a trusted engine reads the
+# whole prompt: the engines of a new version have none of its segments in memory yet.
+COLD_FACTOR = 2.0
 # An answer takes as long as this many tokens beside those of its prompt.
 BASE_TOKENS = 1000
 # Differences below this are the node's own, or the network's.
@@ -214,8 +217,11 @@
         """Add an answer of a trusted version, with its uncached prompt tokens."""
         self._samples.append((now_s, first_s / (BASE_TOKENS + tokens)))
 
-    def limit_s(self, tokens: float, now_s: float) -> float | None:
-        """Return the time beyond which an answer is late; None if not known."""
+    def limit_s(self, tokens: float, cold_s: float, now_s: float) -> float | None:
+        """Return the time beyond which an answer is late; None if not known.
+
+        `cold_s` is the time in which a trusted engine reads the whole prompt.
+        """
         recent = sorted(
             pace
             for sampled_s, pace in self._samples
@@ -224,4 +230,5 @@
         if len(recent) < MIN_SAMPLES:
             return None
         median = recent[len(recent) // 2]
-        return LATE_FACTOR * median * (BASE_TOKENS + tokens) + LEAST_LATE_S
+        usual_s = LATE_FACTOR * median * (BASE_TOKENS + tokens)
+        return max(usual_s, COLD_FACTOR * cold_s) + LEAST_LATE_S
--- a/packages/gateway/cicadapass_gateway/rolloutcounts.py
+++ b/packages/gateway/cicadapass_gateway/rolloutcounts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
@@ -14,6 +15,16 @@
 Probe = Callable[[UpstreamRecord], Awaitable[bool]]
 
 
+@dataclass(frozen=True, slots=True)
+class PromptSize:
+    """Store what a prompt asks of an engine."""
+
+    # Tokens to be read, by what this node knows of the engine's memory.
+    uncached_tokens: float = 0.0
+    # Time in which a trusted engine reads the whole prompt.
+    cold_s: float = 0.0
+
+
 class NodeCounts:
     """Count the requests and answers of one rollout at this node."""
 
@@ -34,12 +45,12 @@
         return bool(self._probes)
 
     def begin(
-        self, record: UpstreamRecord, route: str, tokens: float, *, trial: bool
+        self, record: UpstreamRecord, route: str, size: "PromptSize", *, trial: bool
     ) -> "AttemptEvidence":
-        """Record a request that is being sent; `tokens` are those to be read."""
+        """Record a request that is being sent."""
         side = Side(route, record.start_key if trial else TRUSTED_SIDE)
         self.add(side, Counts(sent=1))
-        attempt = AttemptEvidence(self, record, side, tokens, self._clock())
+        attempt = AttemptEvidence(self, record, side, size, self._clock())
         self._open.add(attempt)
         return attempt
 
@@ -86,13 +97,13 @@
         counts: NodeCounts,
         record: UpstreamRecord,
         side: Side,
-        tokens: float,
+        size: PromptSize,
         sent_s: float,
     ) -> None:
         self._counts = counts
         self._record = record
         self._side = side
-        self._tokens = tokens
+        self._size = size
         self._sent_s = sent_s
         self._begun = False
         self._timed = False
@@ -105,19 +116,23 @@
         baseline = self._counts.baseline(self._side.route)
         first_s = now_s - self._sent_s
         if not self._timed:
-            limit_s = baseline.limit_s(self._tokens, now_s)
+            limit_s = self._limit_s(now_s)
             if limit_s is not None:
                 late = int(first_s > limit_s)
                 self._counts.add(self._side, Counts(timed=1, late=late))
             self._timed = True
         if self._side.engine == TRUSTED_SIDE:
-            baseline.record(self._tokens, first_s, now_s)
+            baseline.record(self._size.uncached_tokens, first_s, now_s)
+
+    def _limit_s(self, now_s: float) -> float | None:
+        baseline = self._counts.baseline(self._side.route)
+        return baseline.limit_s(self._size.uncached_tokens, self._size.cold_s, now_s)
 
     def count_if_late(self, now_s: float) -> None:
         """Count the answer as late once it is, though it may still come."""
         if self._timed:
             return
-        limit_s = self._counts.baseline(self._side.route).limit_s(self._tokens, now_s)
+        limit_s = self._limit_s(now_s)
         if limit_s is not None and now_s - self._sent_s > limit_s:
             self._counts.add(self._side, Counts(timed=1, late=1))
             self._timed = True
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -33,7 +33,7 @@
     withdraw,
 )
 from cicadapass_gateway.metrics import Metrics
-from cicadapass_gateway.rolloutcounts import AttemptEvidence, NodeCounts
+from cicadapass_gateway.rolloutcounts import AttemptEvidence, NodeCounts, PromptSize
 from cicadapass_gateway.rolloutmessages import (
     decode_counts,
     decode_rollout,
@@ -235,7 +235,7 @@
         record: UpstreamRecord,
         key: str,
         route: str,
-        tokens: float,
+        size: PromptSize,
         *,
         first: bool,
     ) -> AttemptEvidence | None:
@@ -249,7 +249,7 @@
         kind = self._trust(record)
         if kind is Trust.BARRED:
             return None
-        return counts.begin(record, route, tokens, trial=kind is Trust.ON_TRIAL)
+        return counts.begin(record, route, size, trial=kind is Trust.ON_TRIAL)
 
     def end(self, key: str) -> None:
         """Record that a place was released; one whose request was not sent is free."""
@@ -388,6 +388,7 @@
         return (
             rollout.running
             and not rollout.withdrawn
+            and self._true_time() < rollout.seen_s + rollout.duration_s
             and not self._cut_off
             and (rollout.service, rollout.origin) not in self._findings
         )
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -35,7 +35,7 @@
     check_head,
     check_undelimited_end,
 )
-from cicadapass_gateway.rolloutcounts import AttemptEvidence
+from cicadapass_gateway.rolloutcounts import AttemptEvidence, PromptSize
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
@@ -207,6 +207,24 @@
             self._prompt_guard.end_attempt(request)
             self._state.queue.dispatch()
 
+    def _begin_evidence(self) -> AttemptEvidence | None:
+        """Count the send, and return what records its answer during a rollout."""
+        rollouts, request = self._state.rollouts, self._request
+        record, prompt = self._reservation.record, request.call.prompt
+        if not rollouts.is_running(record.service):
+            return None
+        size = PromptSize(
+            self._reservation.uncached_tokens,
+            self._state.upstreams.cold_reading_s(record.service, prompt),
+        )
+        return rollouts.record_sent(
+            record,
+            self._reservation.key,
+            request.match.route.name,
+            size,
+            first=request.sends == 1,
+        )
+
     def _end_evidence(self, now_s: float, succeeded: bool | None) -> None:
         """Record what the attempt shows of the version; a crash shows nothing."""
         if self._evidence is not None:
@@ -261,13 +279,7 @@
         # From here on the request may have been executed unless the upstream denies it.
         request.runs += 1
         self._progress.sent_s = sent_s
-        self._evidence = self._state.rollouts.record_sent(
-            record,
-            self._reservation.key,
-            request.match.route.name,
-            self._reservation.uncached_tokens,
-            first=request.sends == 1,
-        )
+        self._evidence = self._begin_evidence()
         channel.send(exchange.method, exchange.target, headers, exchange.body)
         head = await self._wait_for(channel, channel.read_head())
         self._progress.head_s = self._state.clock()
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -278,6 +278,10 @@
                 meter.record_peer_send(peer, tokens, now_s)
                 self._reported_upstreams.setdefault(peer, set()).add(upstream_id)
 
+    def cold_reading_s(self, service: str, prompt: Prompt) -> float:
+        """Return the time in which a typical engine reads the whole of a prompt."""
+        return self._typical_speed(service)[0] * prompt.prompt_tokens
+
     def decay_speeds(self, now_s: float) -> None:
         """Decay the measured speeds towards the typical speed of the service."""
         for service, records in self._by_service.items():
