Test an order that repeats a success, and the end of a pinned stream

Neither test failed before with versions in use taken from all that were ever used, or with a stream that waits until its deadline (trials on the changed code; both fail there now). test_rollouts (12) and test_relay_rollouts (5) pass.

--- a/tests/gateway/test_relay_rollouts.py
+++ b/tests/gateway/test_relay_rollouts.py
@@ -114,9 +114,15 @@
             gateway = await start(
                 cut, answer(), bounds=RolloutBounds(share=0.0, slack=0.0)
             )
+            ends = []
+            gateway.state.events.emit = lambda number, **fields: ends.append(
+                (number, fields.get("outcome"))
+            )
             reply = await gateway.call("/resume/a", "POST", x_tokens=100)
             self.assertEqual((200, False), (reply.status, reply.complete))
             self.assertEqual([], gateway.upstreams[1].requests)
+            # It does not wait until its deadline.
+            self.assertIn((812, "cut_version_withdrawn"), ends)
 
         gateway = None
         self.run_loop(scenario())
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -174,7 +174,15 @@
         async def scenario(cluster):
             cluster.order(to="v1")
             self.assertLess(await cluster.until_state("succeeded"), 3.0)
+            cluster.order()
+            await asyncio.sleep(DURATION_S)
+            self.assertEqual("succeeded", cluster.states()[-1])
+            for number in range(12):
+                cluster.put_engine("s", "v1", number, b"")
             await asyncio.sleep(2.0)
+            cluster.order()
+            await asyncio.sleep(3.0)
+            self.assertEqual("succeeded", cluster.states()[-1])
             self.assertEqual(0, cluster.refused)
 
         run_rollout(scenario)
