Let no node bar a version that another one has in use

A node that missed an order kept the versions that it had barred, and the union of what nodes bar spread that to all. Versions in use at one node are not barred now, and once a rollout is decided, the holder's record says what is. Before: FAIL: MergeTest.test_a_node_that_missed_an_order_bars_nothing_in_use MismatchError: <Trust.BARRED: 'barred'> is not <Trust.TRUSTED: 'trusted'> The versions that wait for a read move to heldversions.py. test_rollouts of decisions (17) and gateway (12), test_relay_rollouts (5), test_registrysync (20), test_dutyrecords (7) pass.

--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -178,17 +178,22 @@
         return other
     if own.offset > other.offset:
         return own
-    state = own.state if not own.running else other.state
-    to_is_barred = state is RolloutState.ROLLED_BACK
-    barred = own.barred | other.barred
+    final = [each for each in (own, other) if not each.running]
+    trusted = _merge_trusted(own, other)
+    # Versions in use at one node were not barred by an order that the other one missed.
+    barred = (own.barred | other.barred) - trusted - {own.to}
+    if final:
+        # The holder's record decides.
+        trusted = frozenset().union(*(each.trusted for each in final))
+        barred = frozenset().union(*(each.barred for each in final))
     return replace(
         own,
         origin=min(own.origin, other.origin),
         seen_s=min(own.seen_s, other.seen_s),
-        state=state,
+        state=final[0].state if final else own.state,
         withdrawn=own.withdrawn or other.withdrawn,
-        trusted=_merge_trusted(own, other),
-        barred=barred if to_is_barred else barred - {own.to},
+        trusted=trusted,
+        barred=barred,
     )
 
 
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -26,7 +26,7 @@
 from cicadapass_gateway.adapterapi import Adapter, RolloutStatus
 from cicadapass_gateway.exceptions import GatewayError
 from cicadapass_gateway.nodestate import NodeState
-from cicadapass_gateway.rollouttracker import describe
+from cicadapass_gateway.rolloutmessages import encode_finding
 
 # The status of a success is written at the latest this time before the rollout ends,
 # also if a later holder has not told the nodes for long.
@@ -211,7 +211,7 @@
             old_engines=situation.old.engines,
             old_slots=situation.old.slots,
             running=situation.old.running + situation.new.running,
-            evidence=None if finding is None else describe(finding),
+            evidence=None if finding is None else encode_finding(finding),
             fence=fence,
         )
 
--- a/packages/gateway/cicadapass_gateway/rolloutmessages.py
+++ b/packages/gateway/cicadapass_gateway/rolloutmessages.py
@@ -3,7 +3,7 @@
 import math
 from typing import Any
 
-from cicadapass_decisions.rolloutevidence import Counts, Evidence, Side
+from cicadapass_decisions.rolloutevidence import Counts, Evidence, Finding, Side
 from cicadapass_decisions.rollouts import Rollout, RolloutState
 
 # A node has some routes and trial engines; more sides are malformed.
@@ -64,6 +64,19 @@
     return _text(service), _count(origin), evidence
 
 
+def encode_finding(finding: Finding) -> dict[str, Any]:
+    """Return the field of an event that says why a version is bad."""
+    return {
+        "rule": finding.rule.value,
+        "route": finding.route,
+        "new_bad": finding.new_bad,
+        "new_total": finding.new_total,
+        "old_bad": finding.old_bad,
+        "old_total": finding.old_total,
+        "left_out": finding.left_out,
+    }
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError("not a text")
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from cicadapass_common.events import EventLog
+from cicadapass_decisions.heldversions import NEVER_S, HeldVersions
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     AT_ONCE_PROBABILITY,
@@ -38,6 +39,7 @@
     decode_counts,
     decode_rollout,
     encode_counts,
+    encode_finding,
     encode_rollout,
 )
 
@@ -45,7 +47,6 @@
 SETTLE_S = 10.0
 # What the delay of a datagram adds to the age of a view, at least.
 HOP_AGE_S = 0.02
-NEVER_S = -1e9
 # A version that is held makes a node read the operator's topic itself after this time,
 # if no watcher has confirmed the view by then.
 READ_AFTER_S = 2.0
@@ -97,12 +98,9 @@
         # Why this node stopped a trial, by service and origin.
         self._findings: dict[tuple[str, int], Finding] = {}
         self._cut_off = False
-        # End of the view of the operator's topic, and begin of a read that confirms it.
+        # End of the view of the operator's topic.
         self._view_end = -1
-        self._confirmed_s = NEVER_S
-        # Versions that were used before, and when others were first seen, by service.
-        self._released: dict[str, set[str]] = {}
-        self._held: dict[tuple[str, str], float] = {}
+        self._held = HeldVersions()
         # Versions with engines that get requests, by service.
         self._in_use: dict[str, frozenset[str]] = {}
         # Services with engines that get nothing, and when their rollouts were decided.
@@ -128,7 +126,7 @@
     @property
     def has_held_versions(self) -> bool:
         """Return whether a version waits for a read of the operator's topic."""
-        return bool(self._held)
+        return bool(self._held.held)
 
     def set_time(self, true_time: Callable[[], float]) -> None:
         """Set the source of true time, by which rollouts end."""
@@ -171,20 +169,21 @@
             by_service.setdefault(record.service, []).append(record)
         trusted: list[UpstreamRecord] = []
         on_trial: list[UpstreamRecord] = []
-        before = self._held
-        self._held = {
-            (service, version): self._held.get((service, version), self._clock())
+        before = self._held.held
+        versions = {
+            service: {each.version for each in members}
             for service, members in by_service.items()
-            for version in self._unknown_versions(service, members)
         }
-        self._log_held(before)
+        self._held.update(versions, self._rollouts, self._clock())
+        held = self._held.held
+        self._log_held(before, held)
         self._with_barred.clear()
         for service, members in by_service.items():
             rollout = self._rollouts.get(service)
             old = [
                 each
                 for each in members
-                if (service, each.version) not in self._held
+                if (service, each.version) not in held
                 and self._trust(each) is Trust.TRUSTED
             ]
             trusted += old
@@ -301,8 +300,8 @@
     def confirm_read(self, view_end: int, read_s: float) -> None:
         """Record that a read that began then saw the end of the operator's topic."""
         self._view_end = max(self._view_end, view_end)
-        self._confirmed_s = max(self._confirmed_s, read_s)
-        self._release()
+        if self._held.confirm(read_s):
+            self._notify()
 
     def set_node_count(self, count: int) -> None:
         """Set the number of nodes; a node that is cut off keeps the larger one."""
@@ -312,9 +311,9 @@
         """Return what the states report, or None if there is nothing to report."""
         if self._bounds is None:
             return None
-        now_s = self._clock()
+        age_s = min(1e6, self._clock() - self._held.confirmed_s)
         return {
-            "view": [self._view_end, round(1000 * min(1e6, now_s - self._confirmed_s))],
+            "view": [self._view_end, round(1000 * age_s)],
             "rollouts": self.export_rollouts(),
             "counts": [
                 encode_counts(service, self._rollouts[service].origin, counts.evidence)
@@ -352,8 +351,7 @@
 
     def needs_read(self) -> bool:
         """Return whether this node is to read the operator's topic by itself."""
-        now_s = self._clock()
-        return any(now_s - since_s > READ_AFTER_S for since_s in self._held.values())
+        return self._held.longest_s(self._clock()) > READ_AFTER_S
 
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
@@ -393,11 +391,13 @@
             and (rollout.service, rollout.origin) not in self._findings
         )
 
-    def _log_held(self, before: dict[tuple[str, str], float]) -> None:
-        for service, version in self._held.keys() - before.keys():
+    def _log_held(
+        self, before: frozenset[tuple[str, str]], held: frozenset[tuple[str, str]]
+    ) -> None:
+        for service, version in held - before:
             self._events.emit(866, service=service, version=version)
-        for service, version in before.keys() - self._held.keys():
-            if version in self._released.get(service, ()):
+        for service, version in before - held:
+            if self._held.was_used(service, version):
                 self._events.emit(867, service=service, version=version)
 
     def _lacks_evidence(self, service: str, route: str) -> bool:
@@ -409,40 +409,6 @@
     def _trust(self, record: UpstreamRecord) -> Trust:
         return trust(self._rollouts.get(record.service), record.version)
 
-    def _unknown_versions(
-        self, service: str, records: Sequence[UpstreamRecord]
-    ) -> set[str]:
-        """Return the versions that wait for a read; release those that need not.
-
-        The first versions of a service are used at once: nothing could be compared
-        with them, and no order can precede the engines of a new deployment.
-        """
-        released = self._released.setdefault(service, set())
-        versions = {each.version for each in records}
-        rollout = self._rollouts.get(service)
-        if not released:
-            released |= versions - ({rollout.to} if rollout is not None else set())
-        unknown = versions - released
-        for version in list(unknown):
-            if rollout is not None and trust(rollout, version) is not Trust.TRUSTED:
-                # The order decides.
-                unknown.discard(version)
-                continue
-            if rollout is not None and version in (rollout.to, *rollout.trusted):
-                released.add(version)
-                unknown.discard(version)
-                continue
-            first_s = self._held.get((service, version), self._clock())
-            if self._confirmed_s >= first_s:
-                released.add(version)
-                unknown.discard(version)
-        return unknown
-
-    def _release(self) -> None:
-        """Use the versions that were held until a read of the operator's topic."""
-        if any(self._confirmed_s >= since_s for since_s in self._held.values()):
-            self._notify()
-
     def _replace(self, rollout: Rollout, source: str) -> bool:
         """Store a rollout; return whether it is different from the one before."""
         service = rollout.service
@@ -515,7 +481,7 @@
             service=rollout.service,
             to=rollout.to,
             offset=rollout.offset,
-            evidence=describe(finding),
+            evidence=encode_finding(finding),
         )
 
     def _notify(self) -> None:
@@ -529,16 +495,3 @@
         trials = 0 if side.engine == TRUSTED_SIDE else counts.sent
         tried[side.route] = tried.get(side.route, 0) + trials
     return tried
-
-
-def describe(finding: Finding) -> dict[str, Any]:
-    """Return the field of an event that says why a version is bad."""
-    return {
-        "rule": finding.rule.value,
-        "route": finding.route,
-        "new_bad": finding.new_bad,
-        "new_total": finding.new_total,
-        "old_bad": finding.old_bad,
-        "old_total": finding.old_total,
-        "left_out": finding.left_out,
-    }
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -119,6 +119,19 @@
         both = merge_rollouts(versions[0], versions[3])
         self.assertEqual(both, merge_rollouts(versions[3], versions[0]))
 
+    def test_a_node_that_missed_an_order_bars_nothing_in_use(self):
+        """A node that was cut off for an order barred the version in use everywhere."""
+        first = decided(running(), RolloutState.SUCCEEDED)
+        back = adopt_order(first, RolloutOrder("s", "v1", 5.0), 9, 200.0, ["v2"])
+        back = decided(back, RolloutState.SUCCEEDED)
+        third = RolloutOrder("s", "v3", 5.0)
+        missed = adopt_order(first, third, 12, 300.0, [])
+        self.assertIs(Trust.BARRED, trust(missed, "v1"))
+        known = adopt_order(back, third, 12, 300.0, ["v1"])
+        for merged in (merge_rollouts(missed, known), merge_rollouts(known, missed)):
+            self.assertIs(Trust.TRUSTED, trust(merged, "v1"))
+            self.assertIs(Trust.BARRED, trust(merged, "v2"))
+
     def test_a_node_that_sees_the_new_version_alone_does_not_trust_it(self):
         """A node that started during a rollout ended the trial of all nodes."""
         alone = adopt_order(None, ORDER, 5, 103.0, ["v2"])
