--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -39,7 +39,8 @@
 class NodeProcess:
     """Run one node as a process, with a stand-in store and one engine."""
 
-    def __init__(self):
+    def __init__(self, more_settings=""):
+        self._more_settings = more_settings
         self._ports = [ReservedPort() for _ in range(4)]
 
     def release_ports(self):
@@ -91,7 +92,7 @@
             f"listen.front={HOST}:{self.caller_port}\n"
             f"listen.ready={HOST}:{self.ready_port}\n"
             f"platform.address={address}\ncloudApi.address={address}\n"
-            "cloudApi.duties=usage_report\nbounds.graceS=8\n"
+            "cloudApi.duties=usage_report\nbounds.graceS=8\n" + self._more_settings
         )
         environment = {**os.environ, "CICADAPASS_BOOT": str(self.settings)}
         environment["CICADAPASS_METRICS_PORT"] = str(metrics_port)
@@ -216,6 +217,32 @@
 
         self.run_loop(scenario())
 
+    def test_an_order_of_a_rollout_is_answered(self):
+        """The state of a rollout was not written where operators read it."""
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def scenario():
+            node = NodeProcess("contracts=other,rollout\n")
+            self.addCleanup(node.release_ports)
+            await node.start(folder)
+            registry = node.store.registry
+            order = {"service": "s", "to": "v2", "durationS": 600}
+            registry.put("keyed.op", "rollout/s", json.dumps(order).encode())
+            log = registry.logs.setdefault("keyed.status", [])
+            await until(lambda: log)
+            registry.put("keyed.op", "rollout/s", b"")
+            await until(lambda: len(log) > 1)
+            states = [(key, json.loads(value)) for key, value in log]
+            expected = [
+                ("rollout/s", {"state": each, "to": "v2"})
+                for each in ("running", "rolled_back")
+            ]
+            self.assertEqual(expected, states)
+            node.process.send_signal(signal.SIGTERM)
+            await node.process.communicate()
+
+        self.run_loop(scenario())
+
     def test_invalid_settings_are_reported(self):
         """A node with an invalid settings file ended without a message."""
 
