Keep the counts of rollouts in a module of their own

No change of behaviour: test_rollouts (12), test_relay_rollouts (5), test_registrysync (20), test_peers (18) pass.

--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -13,12 +13,8 @@
 from cicadapass_decisions.heldversions import NEVER_S, HeldVersions
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
-    AT_ONCE_PROBABILITY,
-    TRUSTED_SIDE,
     Evidence,
     Finding,
-    add_up,
-    find_fault,
 )
 from cicadapass_decisions.rollouts import (
     Rollout,
@@ -38,10 +34,10 @@
 from cicadapass_gateway.rolloutmessages import (
     decode_counts,
     decode_rollout,
-    encode_counts,
     encode_finding,
     encode_rollout,
 )
+from cicadapass_gateway.rolloutsums import RolloutSums
 
 # Until a node has run this long, it may not know how many others share the slack.
 SETTLE_S = 10.0
@@ -55,10 +51,6 @@
 HEARING_FRACTION = 0.6
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
-# Of the last request that a node may send to the version on trial, routes that were
-# tried more often than this multiple of the least tried one, and some, get none.
-ROUTE_LEAD_FACTOR = 2
-ROUTE_LEAD = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,11 +84,7 @@
         self._rollouts: dict[str, Rollout] = {}
         # As the states contain them.
         self._rows: dict[str, list[Any]] = {}
-        self._counts: dict[str, NodeCounts] = {}
-        # Counts of peers by service and origin, then by node.
-        self._peer_counts: dict[tuple[str, int], dict[str, Evidence]] = {}
-        # Why this node stopped a trial, by service and origin.
-        self._findings: dict[tuple[str, int], Finding] = {}
+        self._sums = RolloutSums(clock)
         self._cut_off = False
         # End of the view of the operator's topic.
         self._view_end = -1
@@ -106,8 +94,6 @@
         # Services with engines that get nothing, and when their rollouts were decided.
         self._with_barred: set[str] = set()
         self._decided_s: dict[str, float] = {}
-        # Requests that were sent to the version on trial, by service and route.
-        self._tried: dict[str, dict[str, int]] = {}
         # Places at engines on trial whose request is not sent yet.
         self._unsent: dict[str, NodeCounts] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -206,7 +192,7 @@
 
     def wants_trial(self, service: str, route: str) -> bool:
         """Return whether a new request should go to the version on trial."""
-        rollout, counts = self._rollouts.get(service), self._counts.get(service)
+        rollout, counts = self._rollouts.get(service), self._sums.own(service)
         if self._bounds is None or rollout is None or counts is None:
             return False
         if not self._may_try(rollout):
@@ -220,11 +206,11 @@
             share_phase(self._node, rollout),
         )
         room = allowed - counts.trials
-        return room > 1 or (room == 1 and self._lacks_evidence(service, route))
+        return room > 1 or (room == 1 and self._sums.lacks_evidence(service, route))
 
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
-        counts = self._counts.get(record.service)
+        counts = self._sums.own(record.service)
         if counts is not None and self._trust(record) is Trust.ON_TRIAL:
             counts.trials += 1
             self._unsent[key] = counts
@@ -239,7 +225,7 @@
         first: bool,
     ) -> AttemptEvidence | None:
         """Record that a request is sent; return what records its answer, if needed."""
-        counts = self._counts.get(record.service)
+        counts = self._sums.own(record.service)
         if counts is None:
             return None
         self._unsent.pop(key, None)
@@ -257,12 +243,8 @@
 
     def evidence(self, service: str) -> Evidence:
         """Return the counts of all nodes for the rollout of a service."""
-        rollout, counts = self._rollouts.get(service), self._counts.get(service)
-        if rollout is None:
-            return {}
-        peers = self._peer_counts.get((service, rollout.origin), {})
-        own = [counts.evidence] if counts is not None else []
-        return add_up([*own, *peers.values()])
+        rollout = self._rollouts.get(service)
+        return {} if rollout is None else self._sums.evidence(rollout)
 
     def versions_in_use(self, service: str) -> frozenset[str]:
         """Return the versions of a service whose engines get requests as usual."""
@@ -271,9 +253,7 @@
     def finding(self, service: str) -> Finding | None:
         """Return why this node stopped the trial of a service, or None."""
         rollout = self._rollouts.get(service)
-        if rollout is None:
-            return None
-        return self._findings.get((service, rollout.origin))
+        return None if rollout is None else self._sums.finding(rollout)
 
     def adopt_order(self, order: RolloutOrder, offset: int) -> None:
         """Apply an order of the operator's topic."""
@@ -315,11 +295,7 @@
         return {
             "view": [self._view_end, round(1000 * age_s)],
             "rollouts": self.export_rollouts(),
-            "counts": [
-                encode_counts(service, self._rollouts[service].origin, counts.evidence)
-                for service, counts in self._counts.items()
-                if self._rollouts[service].running
-            ],
+            "counts": self._sums.export(self._rollouts),
         }
 
     def export_rollouts(self) -> list[Any]:
@@ -342,7 +318,9 @@
         self.merge_rollout_rows(message["rollouts"], peer)
         for row in message["counts"]:
             service, origin, counts = decode_counts(row)
-            self._merge_counts(service, origin, counts, key)
+            rollout = self._rollouts.get(service)
+            if rollout is not None and rollout.running and rollout.origin == origin:
+                self._sums.merge(rollout, counts, key)
         view_end, age_ms = message["view"]
         # The rollouts above are complete up to the peer's end.
         if int(view_end) >= 0:
@@ -355,27 +333,17 @@
 
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
-        if self._bounds is None or not self._counts:
+        services = self._sums.services
+        if self._bounds is None or not services:
             return
-        now_s = self._clock()
-        changed = False
         window_s = HEARING_FRACTION * self._bounds.rollback_s
         cut_off = not self._hears_members(window_s)
-        if cut_off != self._cut_off:
-            self._cut_off, changed = cut_off, True
-        for service, counts in self._counts.items():
+        changed = cut_off != self._cut_off
+        self._cut_off = cut_off
+        for service in services:
             rollout = self._rollouts[service]
-            key = (service, rollout.origin)
-            if not rollout.running:
-                continue
-            counts.count_overdue(now_s)
-            if key in self._findings:
-                continue
-            evidence = self.evidence(service)
-            self._tried[service] = _tried_by_route(evidence)
-            finding = find_fault(evidence, AT_ONCE_PROBABILITY)
+            finding = self._sums.judge(rollout)
             if finding is not None:
-                self._findings[key] = finding
                 self._log_finding(rollout, finding)
                 changed = True
         if changed:
@@ -388,7 +356,7 @@
             and not rollout.withdrawn
             and self._true_time() < rollout.seen_s + rollout.duration_s
             and not self._cut_off
-            and (rollout.service, rollout.origin) not in self._findings
+            and self._sums.finding(rollout) is None
         )
 
     def _log_held(
@@ -400,12 +368,6 @@
             if self._held.was_used(service, version):
                 self._events.emit(867, service=service, version=version)
 
-    def _lacks_evidence(self, service: str, route: str) -> bool:
-        """Return whether a route is not far ahead of the one that was tried least."""
-        tried = self._tried.get(service, {})
-        least = min(tried.values(), default=0)
-        return tried.get(route, 0) <= ROUTE_LEAD_FACTOR * least + ROUTE_LEAD
-
     def _trust(self, record: UpstreamRecord) -> Trust:
         return trust(self._rollouts.get(record.service), record.version)
 
@@ -419,9 +381,9 @@
         self._rows[service] = encode_rollout(rollout)
         is_new = current is None or current.offset != rollout.offset
         if rollout.running and (current is None or current.origin != rollout.origin):
-            self._move_counts(current, rollout)
+            self._sums.begin(rollout, goes_on=_goes_on(current, rollout))
         if not rollout.running:
-            self._counts.pop(service, None)
+            self._sums.end(service)
             if current is not None and current.running:
                 self._decided_s[service] = self._clock()
         if is_new or current is None or current.state is not rollout.state:
@@ -441,39 +403,6 @@
         self._notify()
         return True
 
-    def _move_counts(self, current: Rollout | None, rollout: Rollout) -> None:
-        """Begin new counts, unless an earlier order turns out to be the first one."""
-        service = rollout.service
-        is_same = (
-            current is not None
-            and current.running
-            and (current.to, current.offset) == (rollout.to, rollout.offset)
-        )
-        if not is_same:
-            self._counts[service] = NodeCounts(self._clock)
-        kept = (service, rollout.origin)
-        for key in [key for key in self._peer_counts if key[0] == service]:
-            if key != kept:
-                del self._peer_counts[key]
-        for key in [key for key in self._findings if key[0] == service and key != kept]:
-            del self._findings[key]
-
-    def _merge_counts(
-        self, service: str, origin: int, counts: Evidence, key: str
-    ) -> None:
-        rollout = self._rollouts.get(service)
-        if rollout is None or not rollout.running or rollout.origin != origin:
-            return
-        peers = self._peer_counts.setdefault((service, origin), {})
-        known = peers.get(key, {})
-        peers[key] = {
-            **known,
-            **{
-                side: each.at_least(known[side]) if side in known else each
-                for side, each in counts.items()
-            },
-        }
-
     def _log_finding(self, rollout: Rollout, finding: Finding) -> None:
         self._metrics.count("rollout_findings", finding.rule.value)
         self._events.emit(
@@ -489,9 +418,10 @@
             listener()
 
 
-def _tried_by_route(evidence: Evidence) -> dict[str, int]:
-    tried: dict[str, int] = {}
-    for side, counts in evidence.items():
-        trials = 0 if side.engine == TRUSTED_SIDE else counts.sent
-        tried[side.route] = tried.get(side.route, 0) + trials
-    return tried
+def _goes_on(current: Rollout | None, rollout: Rollout) -> bool:
+    """Return whether a rollout is known, but not the first order that it repeats."""
+    return (
+        current is not None
+        and current.running
+        and (current.to, current.offset) == (rollout.to, rollout.offset)
+    )
--- a/tests/gateway/test_relay_rollouts.py
+++ b/tests/gateway/test_relay_rollouts.py
@@ -89,7 +89,7 @@
             nonlocal gateway
             gateway = await start(answer(), script)
             await gateway.call("/safe/a")
-            while gateway.state.rollouts._counts["s"].probing:
+            while gateway.state.rollouts._sums.own("s").probing:
                 await asyncio.sleep(0.01)
             self.assertEqual(
                 (1, failed), (counts(gateway).sent, counts(gateway).failed)
