--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -69,9 +69,8 @@
             tracker.merge(stored, "record")
         rollouts = dict(record.rollouts)
         for service, rollout in tracker.rollouts.items():
-            known = service in configuration.services
-            if known or service in rollouts:
-                rollouts[service] = self._decide(rollout) if known else rollout
+            if service in configuration.services or service in rollouts:
+                rollouts[service] = self._decide(rollout)
         if rollouts == dict(record.rollouts):
             return record
         return replace(record, rollouts=rollouts)
