--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -131,8 +131,20 @@
     )
 
 
-def find_fault(evidence: Evidence, probability: float) -> Finding | None:
-    """Return why the new version is bad, or None if the counts do not show it."""
+def find_fault(
+    evidence: Evidence, probability: float, engines: int = 1
+) -> Finding | None:
+    """Return why the new version is bad, or None if the counts do not show it.
+
+    `engines` is the number of those on trial. One of several does not speak for all.
+    """
+    answered = {
+        side.engine
+        for side, counts in evidence.items()
+        if side.engine != TRUSTED_SIDE and counts.ended + counts.timed > 0
+    }
+    if len(answered) < min(2, engines):
+        return None
     routes = sorted({side.route for side in evidence})
     for rule in Rule:
         for route in [*routes, *([""] if len(routes) > 1 else [])]:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -220,7 +220,7 @@
             service, requirements.route
         ):
             return None
-        records = self._upstreams.on_trial(service)
+        records = self._upstreams.least_tried(service)
         candidates = self._upstreams.candidates(
             service, requirements.prompt, requirements.excluded, now_s, records
         )
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -154,7 +154,9 @@
         evidence = tracker.evidence(service)
         at_once, at_end = (
             tracker.finding(service),
-            find_fault(evidence, AT_END_PROBABILITY),
+            find_fault(
+                evidence, AT_END_PROBABILITY, tracker.trial_engine_count(service)
+            ),
         )
         situation = Situation(
             now_s=self._true_time(),
--- a/packages/gateway/cicadapass_gateway/rolloutsums.py
+++ b/packages/gateway/cicadapass_gateway/rolloutsums.py
@@ -1,8 +1,9 @@
 """Add up what all nodes count of the answers during rollouts."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     AT_ONCE_PROBABILITY,
     TRUSTED_SIDE,
@@ -15,10 +16,11 @@
 from cicadapass_gateway.rolloutcounts import NodeCounts
 from cicadapass_gateway.rolloutmessages import encode_counts
 
-# Of the last request that a node may send to the version on trial, routes that were
-# tried more often than this multiple of the least tried one, and some, get none.
-ROUTE_LEAD_FACTOR = 2
-ROUTE_LEAD = 10
+# Engines, and routes if a node may send one request only, that were tried more often
+# than this multiple of the least tried one, and some, get none. All nodes chose the
+# same one of several idle engines, which then spoke for its version.
+LEAD_FACTOR = 2
+LEAD = 10
 
 
 class RolloutSums:
@@ -31,8 +33,10 @@
         self._peers: dict[tuple[str, int], dict[str, Evidence]] = {}
         # Why this node stopped a trial, by service and origin.
         self._findings: dict[tuple[str, int], Finding] = {}
-        # Requests that were sent to the version on trial, by service and route.
+        # Requests that were sent to the version on trial, by service and route, and by
+        # service and start of an engine.
         self._tried: dict[str, dict[str, int]] = {}
+        self._tried_engines: dict[str, dict[str, int]] = {}
 
     @property
     def services(self) -> list[str]:
@@ -49,6 +53,7 @@
         if not goes_on:
             self._own[service] = NodeCounts(self._clock)
             self._tried.pop(service, None)
+            self._tried_engines.pop(service, None)
         self._peers = {
             key: each
             for key, each in self._peers.items()
@@ -84,8 +89,11 @@
         """Return why this node stopped the trial, or None."""
         return self._findings.get((rollout.service, rollout.origin))
 
-    def judge(self, rollout: Rollout) -> Finding | None:
-        """Return why the version is bad if the counts have come to show it."""
+    def judge(self, rollout: Rollout, engines: int) -> Finding | None:
+        """Return why the version is bad if the counts have come to show it.
+
+        `engines` is the number of those on trial.
+        """
         own = self._own[rollout.service]
         own.count_overdue(self._clock())
         key = (rollout.service, rollout.origin)
@@ -93,7 +101,8 @@
             return None
         evidence = self.evidence(rollout)
         self._tried[rollout.service] = _tried_by_route(evidence)
-        finding = find_fault(evidence, AT_ONCE_PROBABILITY)
+        self._tried_engines[rollout.service] = _tried_by_engine(evidence)
+        finding = find_fault(evidence, AT_ONCE_PROBABILITY, engines)
         if finding is not None:
             self._findings[key] = finding
         return finding
@@ -102,7 +111,20 @@
         """Return whether a route is not far ahead of the one that was tried least."""
         tried = self._tried.get(service, {})
         least = min(tried.values(), default=0)
-        return tried.get(route, 0) <= ROUTE_LEAD_FACTOR * least + ROUTE_LEAD
+        return tried.get(route, 0) <= LEAD_FACTOR * least + LEAD
+
+    def least_tried(
+        self, service: str, records: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return the engines that are not far ahead of the one that was tried least."""
+        known = self._tried_engines.get(service, {})
+        tried = [known.get(each.start_key, 0) for each in records]
+        most = LEAD_FACTOR * min(tried, default=0) + LEAD
+        return [
+            record
+            for record, count in zip(records, tried, strict=True)
+            if count <= most
+        ]
 
     def export(self, rollouts: Mapping[str, Rollout]) -> list[Any]:
         """Return the rows of this node's counts for the states."""
@@ -112,6 +134,13 @@
         ]
 
 
+def _tried_by_engine(evidence: Evidence) -> dict[str, int]:
+    tried: dict[str, int] = {}
+    for side, counts in evidence.items():
+        tried[side.engine] = tried.get(side.engine, 0) + counts.sent
+    return tried
+
+
 def _tried_by_route(evidence: Evidence) -> dict[str, int]:
     tried: dict[str, int] = {}
     for side, counts in evidence.items():
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -89,6 +89,8 @@
         # End of the view of the operator's topic.
         self._view_end = -1
         self._held = HeldVersions()
+        # Engines on trial, by service; also once their trial has stopped.
+        self._trial_engine_counts: dict[str, int] = {}
         # Versions with engines that get requests, by service.
         self._in_use: dict[str, frozenset[str]] = {}
         # Services with engines that get nothing, and when their rollouts were decided.
@@ -178,7 +180,9 @@
                 self._with_barred.add(service)
             if rollout is not None and self._may_try(rollout):
                 new = [each for each in members if self._trust(each) is Trust.ON_TRIAL]
-                on_trial += trial_engines(rollout, old, new, self._bounds)
+                chosen = trial_engines(rollout, old, new, self._bounds)
+                self._trial_engine_counts[service] = len(chosen)
+                on_trial += chosen
         return Engines(tuple(trusted), tuple(on_trial))
 
     def permits(self, service: str, version: str) -> bool:
@@ -208,6 +212,16 @@
         room = allowed - counts.trials
         return room > 1 or (room == 1 and self._sums.lacks_evidence(service, route))
 
+    def least_tried(
+        self, service: str, records: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return the engines on trial that should get the next request."""
+        return self._sums.least_tried(service, records)
+
+    def trial_engine_count(self, service: str) -> int:
+        """Return the number of engines that get the requests of a trial."""
+        return self._trial_engine_counts.get(service, 1)
+
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
         counts = self._sums.own(record.service)
@@ -342,7 +356,7 @@
         self._cut_off = cut_off
         for service in services:
             rollout = self._rollouts[service]
-            finding = self._sums.judge(rollout)
+            finding = self._sums.judge(rollout, self.trial_engine_count(service))
             if finding is not None:
                 self._log_finding(rollout, finding)
                 changed = True
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -85,6 +85,11 @@
     def wants_trial(self, service: str, route: str) -> bool:
         """Return whether a new request should go to the version on trial."""
 
+    def least_tried(
+        self, service: str, records: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return the engines on trial that should get the next request."""
+
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
 
@@ -147,6 +152,15 @@
         """Return the upstreams that get the requests of a trial of their version."""
         return self._on_trial.get(service, [])
 
+    def least_tried(self, service: str) -> list[UpstreamRecord]:
+        """Return the upstreams on trial that should get the next request."""
+        records = self.on_trial(service)
+        return (
+            records
+            if self.versions is None
+            else self.versions.least_tried(service, records)
+        )
+
     def of_version(self, service: str, version: str) -> list[UpstreamRecord]:
         """Return the upstreams at which a stream that began at a version may go on."""
         records = self.usable(service) + self.on_trial(service)
--- a/tests/decisions/test_rolloutevidence.py
+++ b/tests/decisions/test_rolloutevidence.py
@@ -129,6 +129,7 @@
         odd = {Side("r", "e1"): Counts(40, 40, 30, 40, 0)}
         sound = {Side("r", "e2"): Counts(80, 80, 1, 80, 3)}
         self.assertIsNone(find_fault({**old, **odd, **sound}, AT_END_PROBABILITY))
+        self.assertIsNone(find_fault({**old, **odd}, AT_END_PROBABILITY, engines=3))
         finding = find_fault({**old, **odd}, AT_ONCE_PROBABILITY)
         self.assertEqual((Rule.FAILED, "r", 30, 40), _short(finding))
 
--- a/tests/gateway/rolloutcluster.py
+++ b/tests/gateway/rolloutcluster.py
@@ -73,7 +73,7 @@
         rng, number = self.cluster.rng, 0
         await self.cluster.open.wait()
         while True:
-            await asyncio.sleep(rng.expovariate(REQUESTS_PER_S))
+            await asyncio.sleep(rng.expovariate(self.cluster.rate))
             number += 1
             service = self.cluster.services[number % len(self.cluster.services)]
             route = rng.choice(ROUTES)
@@ -120,12 +120,17 @@
     node_class = RolloutNode
     rollout_bounds = RolloutBounds()
 
-    def __init__(self, seed=1, services=("s",), bad=None, nodes=NODES):
+    def __init__(
+        self, seed=1, services=("s",), bad=None, nodes=NODES, rate=REQUESTS_PER_S
+    ):
         self.services = services
+        self.rate = rate
         self.sent, self.refused = [], 0
         self.open = asyncio.Event()
         # Fraction of failures and factor of the delay of v2.
         self.failure, self.factor = bad or (0.0, 1.0)
+        # The same of one engine of v2, the first that gets a request.
+        self.odd_engine, self._odd_id = None, None
         super().__init__(nodes, seed)
         for service in services:
             for number in range(ENGINES):
@@ -169,7 +174,11 @@
         delay_s = self.rng.uniform(0.1, 0.2)
         if record.version != "v2":
             return False, delay_s
-        return self.rng.random() < self.failure, delay_s * self.factor
+        failure, factor = self.failure, self.factor
+        self._odd_id = self._odd_id or record.upstream_id
+        if self.odd_engine is not None and record.upstream_id == self._odd_id:
+            failure, factor = self.odd_engine
+        return self.rng.random() < failure, delay_s * factor
 
     def states(self, service="s"):
         """Return the states that were written for a service."""
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -118,6 +118,18 @@
 
         run_rollout(scenario, bad=(0.3, 1.0))
 
+    def test_one_odd_engine_does_not_end_a_rollout(self):
+        """All nodes sent to one of the idle engines, which spoke for its version."""
+        for failure, factor in ((0.3, 1.0), (0.0, 4.0)):
+
+            async def scenario(cluster, odd=(failure, factor)):
+                cluster.odd_engine = odd
+                cluster.order()
+                self.assertLess(await cluster.until_state("succeeded"), DURATION_S, odd)
+
+            # Nodes that send little do not notice it by themselves.
+            run_rollout(scenario, nodes=30, rate=5.0)
+
 
 class OrderTest(testtools.TestCase):
     def test_odd_orders_affect_themselves_alone(self):
