--- a/tests/gateway/test_fleetplanner.py
+++ b/tests/gateway/test_fleetplanner.py
@@ -5,6 +5,12 @@
 from cicadapass_decisions.dutylease import DutyRecord, EngineClass
 from cicadapass_decisions.enginefleet import PEAK_HOLD_S, SHRINK_AFTER_S
 from cicadapass_decisions.passthrough import Scaling, Service, UpstreamRecord
+from cicadapass_decisions.rollouts import (
+    RolloutBounds,
+    RolloutOrder,
+    RolloutState,
+    decided,
+)
 from cicadapass_gateway.fleetplanner import ANNOUNCE_SETTLE_S, STARTUP_S, FleetPlanner
 from tests.gateway.harness import LoopTest, configuration, make_state, workspace
 
@@ -14,10 +20,10 @@
 class Planner:
     """Run a planner with a clock and a demand that the test sets."""
 
-    def __init__(self, rate_per_s=0.0):
+    def __init__(self, rate_per_s=0.0, **changes):
         self.now_s = 100.0
         self.demand = 0.0
-        self.state = make_state()
+        self.state = make_state(**changes)
         self.state.clock = lambda: self.now_s
         scaling = Scaling(1, 40, 4.0, 0.18, dict.fromkeys(DATA_CENTRES, 1.0))
         limited = replace(workspace(rate_per_s), counts_tokens=True)
@@ -187,3 +193,27 @@
             self.assertEqual([], planner.planner.unconfirmed_orders(record))
 
         self.run_loop(scenario())
+
+
+class RolloutTest(LoopTest):
+    def test_nothing_is_released_while_two_versions_run(self):
+        """An order of a total released the engines of one of two versions."""
+
+        async def scenario():
+            planner = Planner(rollout_bounds=RolloutBounds())
+            rollouts = planner.state.rollouts
+            planner.list_engines(8)
+            rollouts.adopt_order(RolloutOrder("s", "v2", 12.0), 5)
+            for _ in range(20):
+                planner.now_s += 5.0
+                planner.plan()
+            self.assertEqual({}, planner.record.orders)
+            self.assertEqual([], planner.planner.unconfirmed_orders(planner.record))
+            rollout = rollouts.rollouts["s"]
+            rollouts.merge(decided(rollout, RolloutState.ROLLED_BACK), "record")
+            for _ in range(20):
+                planner.now_s += 5.0
+                planner.plan()
+            self.assertNotEqual({}, planner.record.orders)
+
+        self.run_loop(scenario())
