--- a/tests/gateway/test_dutyrecords.py
+++ b/tests/gateway/test_dutyrecords.py
@@ -92,7 +92,8 @@
         for odd in (None, 5, [], row[:9], ["x", *row[1:4], -1, *row[5:]]):
             found, skipped = _decoded([*encoded[:8], [odd, row]])
             self.assertEqual((record, 1), (found, len(skipped)), odd)
-        self.assertEqual(1, len(_decoded([*encoded[:8], {"a": 1}])[1]))
+        for odd in (5, None, {"a": 1}):
+            self.assertEqual(1, len(_decoded([*encoded[:8], odd])[1]), odd)
 
     def test_a_record_without_a_readable_holder_or_report_is_refused(self):
         """A holder contradicted the counts that an earlier one had reported."""
