--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -0,0 +1,441 @@
+"""Track the rollouts of versions, and decide which engines this node may use.
+
+Everything that is known of a rollout merges by maximum, so that reports of peers may be
+lost, repeated and reordered. Without bounds the tracker is disabled: all engines count
+as trusted, and nothing is recorded or sent.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cicadapass_common.events import EventLog
+from cicadapass_decisions.heldversions import NEVER_S, HeldVersions
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.rolloutevidence import (
+    Evidence,
+    Finding,
+)
+from cicadapass_decisions.rollouts import (
+    Rollout,
+    RolloutBounds,
+    RolloutOrder,
+    Trust,
+    adopt_order,
+    merge_rollouts,
+    share_phase,
+    trial_allowance,
+    trial_engines,
+    trust,
+    withdraw,
+)
+from cicadapass_gateway.metrics import Metrics
+from cicadapass_gateway.rolloutcounts import AttemptEvidence, NodeCounts, PromptSize
+from cicadapass_gateway.rolloutmessages import (
+    decode_counts,
+    decode_rollout,
+    encode_finding,
+    encode_rollout,
+)
+from cicadapass_gateway.rolloutsums import RolloutSums
+
+# Until a node has run this long, it may not know how many others share the slack.
+SETTLE_S = 10.0
+# What the delay of a datagram adds to the age of a view, at least.
+HOP_AGE_S = 0.02
+# A version that is held makes a node read the operator's topic itself after this time,
+# if no watcher has confirmed the view by then.
+READ_AFTER_S = 2.0
+# A node that hears too few members for this part of the time in which it must heed a
+# verdict stops its trials; the rest covers the verdict itself.
+HEARING_FRACTION = 0.6
+# The platform stops the engines of the version that lost within this time.
+FLEET_SETTLE_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class Engines:
+    """Group the engines of all services by what they may get."""
+
+    trusted: tuple[UpstreamRecord, ...]
+    on_trial: tuple[UpstreamRecord, ...]
+
+
+class RolloutTracker:
+    """Store what this node knows of the rollouts."""
+
+    def __init__(
+        self,
+        node: str,
+        bounds: RolloutBounds | None,
+        events: EventLog,
+        metrics: Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._node = node
+        self._bounds = bounds
+        self._events = events
+        self._metrics = metrics
+        self._clock = clock
+        self._true_time: Callable[[], float] = clock
+        self._hears_members: Callable[[float], bool] = lambda _: True
+        self._started_s = clock()
+        self._most_nodes = 1
+        self._rollouts: dict[str, Rollout] = {}
+        # As the states contain them.
+        self._rows: dict[str, list[Any]] = {}
+        self._sums = RolloutSums(clock)
+        self._cut_off = False
+        # End of the view of the operator's topic.
+        self._view_end = -1
+        self._held = HeldVersions()
+        # Engines on trial, by service; also once their trial has stopped.
+        self._trial_engine_counts: dict[str, int] = {}
+        # Versions with engines that get requests, by service.
+        self._in_use: dict[str, frozenset[str]] = {}
+        # Services with engines that get nothing, and when their rollouts were decided.
+        self._with_barred: set[str] = set()
+        self._decided_s: dict[str, float] = {}
+        # Places at engines on trial whose request is not sent yet.
+        self._unsent: dict[str, NodeCounts] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._report_listeners: list[Callable[[], None]] = []
+
+    @property
+    def enabled(self) -> bool:
+        """Return whether versions are rolled out on this platform."""
+        return self._bounds is not None
+
+    @property
+    def rollouts(self) -> dict[str, Rollout]:
+        """Return the rollouts by service."""
+        return dict(self._rollouts)
+
+    @property
+    def has_held_versions(self) -> bool:
+        """Return whether a version waits for a read of the operator's topic."""
+        return bool(self._held.held)
+
+    def set_time(self, true_time: Callable[[], float]) -> None:
+        """Set the source of true time, by which rollouts end."""
+        self._true_time = true_time
+
+    def set_hearing(self, hears_members: Callable[[float], bool]) -> None:
+        """Set what tells whether enough members were heard within some seconds."""
+        self._hears_members = hears_members
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when other engines may get requests."""
+        self._listeners.append(listener)
+
+    def subscribe_to_news(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when peers are to be told at once."""
+        self._report_listeners.append(listener)
+
+    def is_running(self, service: str) -> bool:
+        """Return whether a version of a service is being rolled out."""
+        rollout = self._rollouts.get(service)
+        return rollout is not None and rollout.running
+
+    def fixes_fleet(self, service: str) -> bool:
+        """Return whether the engines of a service are not to be ordered anew now.
+
+        While two versions run, an order of a total could release those of either one.
+        """
+        if self.is_running(service):
+            return True
+        decided_s = self._decided_s.get(service, NEVER_S)
+        is_recent = self._clock() - decided_s < FLEET_SETTLE_S
+        return is_recent and service in self._with_barred
+
+    def classify(self, records: Sequence[UpstreamRecord]) -> Engines:
+        """Return the engines that may get requests."""
+        if self._bounds is None:
+            return Engines(tuple(records), ())
+        by_service: dict[str, list[UpstreamRecord]] = {}
+        for record in records:
+            by_service.setdefault(record.service, []).append(record)
+        trusted: list[UpstreamRecord] = []
+        on_trial: list[UpstreamRecord] = []
+        before = self._held.held
+        versions = {
+            service: {each.version for each in members}
+            for service, members in by_service.items()
+        }
+        self._held.update(versions, self._rollouts, self._clock())
+        held = self._held.held
+        self._log_held(before, held)
+        self._with_barred.clear()
+        for service, members in by_service.items():
+            rollout = self._rollouts.get(service)
+            old = [
+                each
+                for each in members
+                if (service, each.version) not in held
+                and self._trust(each) is Trust.TRUSTED
+            ]
+            trusted += old
+            self._in_use[service] = frozenset(each.version for each in old)
+            if any(self._trust(each) is Trust.BARRED for each in members):
+                self._with_barred.add(service)
+            if rollout is not None and self._may_try(rollout):
+                new = [each for each in members if self._trust(each) is Trust.ON_TRIAL]
+                chosen = trial_engines(rollout, old, new, self._bounds)
+                self._trial_engine_counts[service] = len(chosen)
+                on_trial += chosen
+        return Engines(tuple(trusted), tuple(on_trial))
+
+    def permits(self, service: str, version: str) -> bool:
+        """Return whether a stream of a version may go on at its engines."""
+        rollout = self._rollouts.get(service)
+        kind = trust(rollout, version)
+        if kind is Trust.ON_TRIAL:
+            assert rollout is not None
+            return self._may_try(rollout)
+        return kind is Trust.TRUSTED
+
+    def wants_trial(self, service: str, route: str) -> bool:
+        """Return whether a new request should go to the version on trial."""
+        rollout, counts = self._rollouts.get(service), self._sums.own(service)
+        if self._bounds is None or rollout is None or counts is None:
+            return False
+        if not self._may_try(rollout):
+            return False
+        settled = self._clock() - self._started_s >= SETTLE_S
+        bounds = self._bounds if settled else replace(self._bounds, slack=0.0)
+        allowed = trial_allowance(
+            bounds,
+            counts.requests + 1,
+            self._most_nodes,
+            share_phase(self._node, rollout),
+        )
+        room = allowed - counts.trials
+        return room > 1 or (room == 1 and self._sums.lacks_evidence(service, route))
+
+    def least_tried(
+        self, service: str, records: Sequence[UpstreamRecord]
+    ) -> list[UpstreamRecord]:
+        """Return the engines on trial that should get the next request."""
+        return self._sums.least_tried(service, records)
+
+    def trial_engine_count(self, service: str) -> int:
+        """Return the number of engines that get the requests of a trial."""
+        return self._trial_engine_counts.get(service, 1)
+
+    def begin(self, record: UpstreamRecord, key: str) -> None:
+        """Record a place for a request, named by `key`, at an engine."""
+        counts = self._sums.own(record.service)
+        if counts is not None and self._trust(record) is Trust.ON_TRIAL:
+            counts.trials += 1
+            self._unsent[key] = counts
+
+    def record_sent(
+        self,
+        record: UpstreamRecord,
+        key: str,
+        route: str,
+        size: PromptSize,
+        *,
+        first: bool,
+    ) -> AttemptEvidence | None:
+        """Record that a request is sent; return what records its answer, if needed."""
+        counts = self._sums.own(record.service)
+        if counts is None:
+            return None
+        self._unsent.pop(key, None)
+        if first:
+            counts.requests += 1
+        kind = self._trust(record)
+        if kind is Trust.BARRED:
+            return None
+        return counts.begin(record, route, size, trial=kind is Trust.ON_TRIAL)
+
+    def end(self, key: str) -> None:
+        """Record that a place was released; one whose request was not sent is free."""
+        if (counts := self._unsent.pop(key, None)) is not None:
+            counts.trials -= 1
+
+    def evidence(self, service: str) -> Evidence:
+        """Return the counts of all nodes for the rollout of a service."""
+        rollout = self._rollouts.get(service)
+        return {} if rollout is None else self._sums.evidence(rollout)
+
+    def versions_in_use(self, service: str) -> frozenset[str]:
+        """Return the versions of a service whose engines get requests as usual."""
+        return self._in_use.get(service, frozenset())
+
+    def finding(self, service: str) -> Finding | None:
+        """Return why this node stopped the trial of a service, or None."""
+        rollout = self._rollouts.get(service)
+        return None if rollout is None else self._sums.finding(rollout)
+
+    def adopt_order(self, order: RolloutOrder, offset: int) -> None:
+        """Apply an order of the operator's topic."""
+        if self._bounds is None:
+            return
+        in_use = self._in_use.get(order.service, frozenset())
+        current = self._rollouts.get(order.service)
+        rollout = adopt_order(current, order, offset, self._true_time(), in_use)
+        self._replace(rollout, "registry")
+
+    def withdraw(self, service: str, offset: int) -> bool:
+        """Apply the deletion of an order; return whether it changes a rollout."""
+        current = self._rollouts.get(service)
+        return current is not None and self._replace(
+            withdraw(current, offset), "registry"
+        )
+
+    def merge(self, rollout: Rollout, source: str) -> None:
+        """Apply what a peer or the record of the duties knows of a rollout."""
+        if self._bounds is not None:
+            current = self._rollouts.get(rollout.service)
+            self._replace(merge_rollouts(current, rollout), source)
+
+    def confirm_read(self, view_end: int, read_s: float) -> None:
+        """Record that a read that began then saw the end of the operator's topic."""
+        self._view_end = max(self._view_end, view_end)
+        if self._held.confirm(read_s):
+            self._notify()
+
+    def set_node_count(self, count: int) -> None:
+        """Set the number of nodes; a node that is cut off keeps the larger one."""
+        self._most_nodes = max(self._most_nodes, count)
+
+    def export(self) -> dict[str, Any] | None:
+        """Return what the states report, or None if there is nothing to report."""
+        if self._bounds is None:
+            return None
+        age_s = min(1e6, self._clock() - self._held.confirmed_s)
+        return {
+            "view": [self._view_end, round(1000 * age_s)],
+            "rollouts": self.export_rollouts(),
+            "counts": self._sums.export(self._rollouts),
+        }
+
+    def export_rollouts(self) -> list[Any]:
+        """Return the rollouts, which peers are told at once when they change."""
+        return list(self._rows.values())
+
+    def merge_rollout_rows(self, rows: Iterable[Any], peer: str) -> None:
+        """Apply the rollouts that a peer reported; raise ValueError or TypeError."""
+        known = self._rows.values()
+        for row in rows:
+            # Nearly all rows say nothing new.
+            if row not in known:
+                self.merge(decode_rollout(row), peer)
+
+    def merge_state(self, message: dict[str, Any] | None, peer: str, key: str) -> None:
+        """Apply the report of a peer, `key` naming its incarnation."""
+        if self._bounds is None or message is None:
+            return
+        now_s = self._clock()
+        self.merge_rollout_rows(message["rollouts"], peer)
+        for row in message["counts"]:
+            service, origin, counts = decode_counts(row)
+            rollout = self._rollouts.get(service)
+            if rollout is not None and rollout.running and rollout.origin == origin:
+                self._sums.merge(rollout, counts, key)
+        view_end, age_ms = message["view"]
+        # The rollouts above are complete up to the peer's end.
+        if int(view_end) >= 0:
+            age_s = max(0.0, float(age_ms) / 1000) + HOP_AGE_S
+            self.confirm_read(int(view_end), now_s - age_s)
+
+    def needs_read(self) -> bool:
+        """Return whether this node is to read the operator's topic by itself."""
+        return self._held.longest_s(self._clock()) > READ_AFTER_S
+
+    def tick(self) -> None:
+        """Judge the trials and count answers that are overdue; called periodically."""
+        services = self._sums.services
+        if self._bounds is None or not services:
+            return
+        window_s = HEARING_FRACTION * self._bounds.rollback_s
+        cut_off = not self._hears_members(window_s)
+        changed = cut_off != self._cut_off
+        self._cut_off = cut_off
+        for service in services:
+            rollout = self._rollouts[service]
+            finding = self._sums.judge(rollout, self.trial_engine_count(service))
+            if finding is not None:
+                self._log_finding(rollout, finding)
+                changed = True
+        if changed:
+            self._notify()
+
+    def _may_try(self, rollout: Rollout) -> bool:
+        """Return whether the version on trial may get requests of this node."""
+        return (
+            rollout.running
+            and not rollout.withdrawn
+            and self._true_time() < rollout.seen_s + rollout.duration_s
+            and not self._cut_off
+            and self._sums.finding(rollout) is None
+        )
+
+    def _log_held(
+        self, before: frozenset[tuple[str, str]], held: frozenset[tuple[str, str]]
+    ) -> None:
+        for service, version in held - before:
+            self._events.emit(866, service=service, version=version)
+        for service, version in before - held:
+            if self._held.was_used(service, version):
+                self._events.emit(867, service=service, version=version)
+
+    def _trust(self, record: UpstreamRecord) -> Trust:
+        return trust(self._rollouts.get(record.service), record.version)
+
+    def _replace(self, rollout: Rollout, source: str) -> bool:
+        """Store a rollout; return whether it is different from the one before."""
+        service = rollout.service
+        current = self._rollouts.get(service)
+        if rollout == current:
+            return False
+        self._rollouts[service] = rollout
+        self._rows[service] = encode_rollout(rollout)
+        is_new = current is None or current.offset != rollout.offset
+        if rollout.running and (current is None or current.origin != rollout.origin):
+            self._sums.begin(rollout, goes_on=_goes_on(current, rollout))
+        if not rollout.running:
+            self._sums.end(service)
+            if current is not None and current.running:
+                self._decided_s[service] = self._clock()
+        if is_new or current is None or current.state is not rollout.state:
+            self._events.emit(
+                860,
+                service=service,
+                to=rollout.to,
+                offset=rollout.offset,
+                state=rollout.state.value,
+                withdrawn=rollout.withdrawn,
+                source=source,
+            )
+            self._metrics.count("rollout_states", rollout.state.value)
+        if source == "registry" or source == "record":
+            for listener in self._report_listeners:
+                listener()
+        self._notify()
+        return True
+
+    def _log_finding(self, rollout: Rollout, finding: Finding) -> None:
+        self._metrics.count("rollout_findings", finding.rule.value)
+        self._events.emit(
+            862,
+            service=rollout.service,
+            to=rollout.to,
+            offset=rollout.offset,
+            evidence=encode_finding(finding),
+        )
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _goes_on(current: Rollout | None, rollout: Rollout) -> bool:
+    """Return whether a rollout is known, but not the first order that it repeats."""
+    return (
+        current is not None
+        and current.running
+        and (current.to, current.offset) == (rollout.to, rollout.offset)
+    )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -351,7 +351,14 @@
     bounds = RetryLimits(10.0, 20.0)
     node, window_s = changes.get("node", "n"), changes.get("window_s", 8.0)
     return NodeState(
-        node, "dc-a", quiet_events(), bounds, window_s, LimitTolerance(), DRAIN_S
+        node,
+        "dc-a",
+        quiet_events(),
+        bounds,
+        window_s,
+        LimitTolerance(),
+        DRAIN_S,
+        changes.get("rollout_bounds"),
     )
 
 
@@ -368,8 +375,8 @@
 class GatewayHarness:
     """Run a relay and a server in front of scripted upstreams."""
 
-    def __init__(self, migrate_run=refuse_migration):
-        self.state = make_state()
+    def __init__(self, migrate_run=refuse_migration, **changes):
+        self.state = make_state(**changes)
         self.pool = ClientPool()
         self.usage = UsageCounter(5.0, lambda: 1000.0)
         self.migrator = Migrator(self.state, migrate_run)
