Sample requests of scarce limits with one probability

Cause: while a workspace's demand was above its limit, each node used only its share of the room between two messages. At 83 nodes a share is smaller than one request; a request that did not fit closed the node for a round; refused callers who returned, and requests refunded after a 503, counted as demand twice and kept the shares in force.

Change: each node admits a request with the probability at which the requests of all nodes fit into the room until they hear of each other. Use of peers is placed at the middle of the time since their last message; what they probably admitted since then counts. Reports name what was admitted in the window, so that nodes that have not met count it. Refunds take back the demand. Retry-After is spread.

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -6,24 +6,37 @@
 reserves the peer's last share of the limit, so that both sides of a partition together
 stay within the limit.
 
-Between two messages of its peers, a node does not know what they admit. While a
-workspace asks for more than its limit, each node therefore uses only its share of the
-remaining limit in that time. Shares are often smaller than a request, so they are
-rounded at random, such that the sum over all nodes is right on average.
+Between two messages of its peers, a node does not know what they admit. It estimates
+that from their demand. While the room of the limit may not suffice until the nodes hear
+of each other, each request is admitted with the same probability at all nodes; see
+`limitsampling.py`. Shares of the limit for each node are smaller than one request at 83
+nodes: with them, a workspace over its limit used only 0.58 of it in some windows.
 
 That a workspace asks for more, nodes would learn too late from these messages if it
 begins with many times its rate. A node therefore reports its use at once when its peers
 do not expect it and when as much at every node would be a part of the remaining limit.
 
-Of running peers that a node has not heard from yet, it assumes its own demand. What a
-peer admitted before it was heard is bounded by its demand and by an even share.
+Of running peers that a node has not heard from yet, it assumes a part of its own use.
 """
 
-from collections import deque
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
+from cicadapass_decisions.limitsampling import (
+    HORIZON_PARTS,
+    LimitState,
+    admission_probability,
+    paced_probability,
+    sampled_retry_s,
+)
+from cicadapass_decisions.usagewindow import (
+    USAGE_STEP_S,
+    UsageWindow,
+    time_until_free_s,
+)
+
 # A peer counts as silent after five lost messages at the usual interval of 0.2 s, or
 # after this many rounds if there are too many peers to send to all at each interval.
 PEER_SILENCE_S = 1.0
@@ -34,8 +47,15 @@
 # This fraction of each share is independent of demand, so that a node without recent
 # demand can admit requests.
 EVEN_SHARE_FRACTION = 0.2
-# Demand is averaged over the usual window of the limits.
+# Demand is stated for the usual window of the limits.
 DEMAND_WINDOW_S = 8.0
+# Averaging time of the demand. An average over the window followed a jump of a
+# workspace to five times its usual use too late.
+DEMAND_AVERAGING_S = 2.5
+# Use in this time is a lower bound of the demand.
+RECENT_USE_S = 1.0
+# A workspace whose requests were admitted with a lower mean probability is paced.
+SCARCE_PROBABILITY = 0.7
 # Lower bound of the limit after subtracting the shares reserved for silent peers, as a
 # fraction of the limit, so that an isolated node still admits some requests.
 MIN_LIMIT_FRACTION = 0.05
@@ -50,18 +70,28 @@
 # to 0.9 s old when all nodes are killed, and a busy workspace sends up to four times
 # its rate; the platform's slack covers the difference.
 UNREPORTED_USAGE_S = 2.0
-# Resolution of the usage within the window.
-USAGE_STEP_S = 0.2
-# Callers that return together bring the demand of this time at once.
-BURST_S = 1.2
-# Part of the tolerance that covers usage which nodes do not know of each other yet.
-# The rest covers the rounding of shares, and the usage that is lost with a restart.
-LATE_TOLERANCE_FRACTION = 0.35
-# A node that expects less than one request until its peers know its usage may use more
-# than its share, since others expect none in that time; at most this many times.
+# Parts of the tolerance. Nodes aim at the limit and the first part; requests are
+# sampled beyond that up to the second part, and refused beyond both. The rest covers
+# what nodes do not know of each other.
+TARGET_TOLERANCE_FRACTION = 0.15
+# Added to the first part for each time that the tolerance exceeds the limit: a small
+# workspace's tolerance covers many of its requests.
+TARGET_FRACTION_PER_LIMIT = 0.4
+SAMPLED_TOLERANCE_FRACTION = 0.15
+# This part of the tolerance covers the shares of silent peers: most have stopped.
+SILENCE_TOLERANCE_FRACTION = 0.5
+# Nodes that have not heard each other may use this many times their even share, since
+# callers are not spread evenly over nodes.
 MAX_SHARE_FACTOR = 4.0
 # All nodes together may use this fraction of the remaining limit before they report it.
 UNREPORTED_FRACTION = 0.25
+# While requests are sampled, a node reports use of this fraction of the limit at once:
+# at most some 100 reports in a window over all nodes.
+SAMPLED_REPORT_FRACTION = 0.004
+
+# What a node reports of a workspace: the total that it charged, its demand and, by
+# nodes that know it, what it charged in the window and the mean age of that in seconds.
+Totals = Mapping[str, tuple[float, ...]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,42 +103,6 @@
     amount: float = 0.0
 
 
-@dataclass(slots=True)
-class _UsageStep:
-    started_s: float
-    # Time of the last amount; the step leaves the window with it.
-    ended_s: float
-    amount: float
-
-
-@dataclass(slots=True)
-class _WindowUsage:
-    """Sum the admitted amounts in the window by steps of time."""
-
-    steps: deque[_UsageStep] = field(default_factory=deque)
-    amount: float = 0.0
-
-    def add(self, now_s: float, amount: float) -> None:
-        if self.steps and now_s - self.steps[-1].started_s < USAGE_STEP_S:
-            self.steps[-1].ended_s = now_s
-            self.steps[-1].amount += amount
-        else:
-            self.steps.append(_UsageStep(now_s, now_s, amount))
-        self.amount += amount
-
-    def amount_since(self, start_s: float) -> float:
-        amount = 0.0
-        for step in reversed(self.steps):
-            if step.ended_s < start_s:
-                break
-            amount += step.amount
-        return amount
-
-    def trim(self, start_s: float) -> None:
-        while self.steps and self.steps[0].ended_s < start_s:
-            self.amount -= self.steps.popleft().amount
-
-
 @dataclass(slots=True)
 class _PeerUsage:
     total_charged: float = 0.0
@@ -116,10 +110,12 @@
     received_s: float = 0.0
     # Fraction of the limit that stays reserved while the peer is silent.
     share: float = 0.0
-    usage: _WindowUsage = field(default_factory=_WindowUsage)
-    # Upper bound of what it admitted in the window before it was heard. It is taken to
-    # be even, so that the last of it leaves the window at this time.
+    usage: UsageWindow = field(default_factory=UsageWindow)
+    # What it admitted in the window before it was heard; an upper bound if `past_known`
+    # is not set. It is taken to leave the window evenly between these times.
     past: float = 0.0
+    past_known: bool = False
+    past_from_s: float = 0.0
     past_until_s: float = 0.0
 
 
@@ -130,18 +126,33 @@
     total_reported: float = 0.0
     # Recent demand, including refused requests.
     demand: float = 0.0
-    # Number of recent requests, including refused ones.
-    requests: float = 0.0
-    # Fraction of the limit that this node may use without its peers' knowledge.
-    share: float = 1.0
-    # When a request last did not fit into the share.
-    exhausted_s: float = float("-inf")
-    usage: _WindowUsage = field(default_factory=_WindowUsage)
+    # Probability with which the last request was admitted, and its recent mean.
+    probability: float = 1.0
+    mean_probability: float = 1.0
+    averaged_s: float = 0.0
+    usage: UsageWindow = field(default_factory=UsageWindow)
     # Admitted by all nodes before this one started.
-    before_start: _WindowUsage = field(default_factory=_WindowUsage)
+    before_start: UsageWindow = field(default_factory=UsageWindow)
     peers: dict[str, _PeerUsage] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Counted:
+    """Sum what a node knows of the window of a workspace."""
+
+    usages: list[UsageWindow]
+    # Set aside for silent peers, and for peers' use before they were heard.
+    reserved: float = 0.0
+    # Probably admitted by peers since their last messages.
+    unreported: float = 0.0
+    # Demand of all nodes in a window.
+    demand: float = 0.0
+    # Known use of the last second.
+    recent: float = 0.0
+    # What this side of a partition may use of the tolerance.
+    tolerance: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class OverLimit:
     """Refuse a request that exceeds the limit, with the time until it may fit."""
@@ -163,9 +174,8 @@
         self._started_s = started_s
         self._tolerance = tolerance
         self._rng = rng
-        # Rounds the shares until it is drawn again.
-        self._rounding = 0.5
-        self._drawn_s = started_s
+        # The last time that was passed to this object.
+        self._now_s = started_s
         self._peer_silence_s = PEER_SILENCE_S
         # Peers know what this node admitted longer ago than this.
         self._unknown_s = 2 * USAGE_STEP_S
@@ -174,6 +184,8 @@
         self._accounts: dict[str, _Account] = {}
         # When the last totals of each peer arrived.
         self._peers_heard_s: dict[str, float] = {}
+        # Peers that have run for a window and told what they admitted in it.
+        self._informed_peers: set[str] = set()
         # Running nodes, including this one.
         self._node_count = 1
         self._on_unexpected_use: Callable[[str], None] = _ignore
@@ -184,55 +196,70 @@
         """Charge a request and return None, or return the refusal."""
         if rate <= 0:
             return None
+        self._now_s = now_s
         account = self._account(workspace)
-        account.demand += cost
-        account.requests += 1.0
+        account.demand += cost * DEMAND_WINDOW_S / DEMAND_AVERAGING_S
         limit = self._limit_in_window(rate, burst, now_s)
-        usages, available = self._counted_usages(account, limit, now_s)
-        room = available - sum(usage.amount for usage in usages)
-        excess = min(cost, limit) - room
+        counted = self._count(account, limit, now_s)
+        tolerance = counted.tolerance
+        available = max(MIN_LIMIT_FRACTION * limit, limit - counted.reserved)
+        room = available - sum(usage.amount for usage in counted.usages)
+        room += _target_fraction(tolerance, limit) * tolerance
+        excess = min(cost, limit) - room - SAMPLED_TOLERANCE_FRACTION * tolerance
         if excess > 0 or limit <= 0:
-            return OverLimit(self._wait_s(usages, excess, now_s))
-        tolerated = room + self._late_tolerance(limit)
-        demand = self._total_demand(account, now_s)
-        expected = demand * (self._unknown_s + BURST_S) / DEMAND_WINDOW_S
-        if demand > limit or expected > tolerated:
-            # The nodes may use up the room before they hear of each other's use.
-            wait_s = self._wait_for_share_s(account, tolerated, cost, now_s)
-            if wait_s > 0:
-                overload = max(1.0, demand / limit)
-                return OverLimit(min(self._window_s, overload * wait_s))
-        elif self._is_unexpected(account, tolerated, cost, now_s):
-            self._on_unexpected_use(workspace)
+            wait_s = time_until_free_s(counted.usages, excess, self._window_s, now_s)
+            if self._node_count > 1:
+                wait_s += self._unknown_s * self._rng.random()
+            return OverLimit(wait_s)
+        if self._node_count > 1 or self._peers_heard_s:
+            state = self._limit_state(counted, room, now_s)
+            probability = admission_probability(state)
+            if account.mean_probability < SCARCE_PROBABILITY:
+                even = limit * RECENT_USE_S / self._window_s
+                probability = paced_probability(probability, counted.recent, even)
+            self._set_probability(account, probability, now_s)
+            if self._rng.random() >= account.probability:
+                spread = self._rng.random()
+                return OverLimit(sampled_retry_s(state, account.probability, spread))
+            if self._is_unexpected(account, room + 0.2 * tolerance, limit, cost, now_s):
+                self._on_unexpected_use(workspace)
         account.usage.add(now_s, cost)
         account.total_charged += cost
         return None
 
+    def _set_probability(
+        self, account: _Account, probability: float, now_s: float
+    ) -> None:
+        elapsed_s = now_s - account.averaged_s
+        weight = 1.0 - math.exp(-2 * elapsed_s / self._unknown_s)
+        account.mean_probability += weight * (probability - account.mean_probability)
+        account.probability, account.averaged_s = probability, now_s
+
     def refund(self, workspace: str, cost: float, now_s: float) -> None:
         """Reverse the charge of a request that did not run."""
         account = self._accounts.get(workspace)
         if account is not None:
             account.usage.add(now_s, -cost)
             account.total_charged -= cost
+            # Its caller returns; counted twice, it would look like more demand.
+            added = cost * DEMAND_WINDOW_S / DEMAND_AVERAGING_S
+            account.demand = max(0.0, account.demand - added)
 
-    def totals(self) -> dict[str, tuple[float, float]]:
-        """Return the total that this node admitted and its demand, by workspace."""
-        return {
-            name: (account.total_charged, account.demand)
-            for name, account in self._accounts.items()
-        }
+    def totals(self) -> dict[str, tuple[float, ...]]:
+        """Return what this node reports of each workspace; see `Totals`."""
+        return {name: self._row(account) for name, account in self._accounts.items()}
 
     def set_on_unexpected_use(self, on_unexpected_use: Callable[[str], None]) -> None:
         """Set the function that has the use of a workspace reported to all peers."""
         self._on_unexpected_use = on_unexpected_use
 
-    def report(self, workspaces: Iterable[str]) -> dict[str, tuple[float, float]]:
-        """Return totals and demands that are reported to all peers now."""
+    def report(self, workspaces: Iterable[str]) -> dict[str, tuple[float, ...]]:
+        """Return what is reported of workspaces to all peers now."""
         reported = {}
         for name in workspaces:
             account = self._accounts[name]
             account.total_reported = account.total_charged
-            reported[name] = (account.total_charged, account.demand)
+            reported[name] = self._row(account)
         return reported
 
     def recent_usage(self, now_s: float) -> dict[str, tuple[tuple[float, float], ...]]:
@@ -267,33 +294,30 @@
         self._restored = recorded_ago_s < RESTORED_MAX_AGE_S
 
     def record_peer_totals(
-        self,
-        peer: str,
-        totals: Mapping[str, tuple[float, float]],
-        uptime_s: float,
-        now_s: float,
+        self, peer: str, totals: Totals, uptime_s: float, now_s: float
     ) -> None:
         """Record the totals of one incarnation of a peer.
 
         If the peer started within the window, everything it has admitted counts; else
-        what it admits after its first message, and its recent demand at most. That
-        message names all workspaces of which it has admitted requests, so those named
-        later count from 0.
+        what it admits after its first message, and what it says that it admitted in the
+        window, or its recent demand at most. That message names all workspaces of which
+        it has admitted requests, so those named later count from 0.
         """
         counts_all = self._counts_all(peer, uptime_s)
+        if not counts_all and all(len(row) > 3 for row in totals.values()):
+            self._informed_peers.add(peer)
         self._peers_heard_s[peer] = now_s
-        self._record(peer, totals, counts_all, now_s)
+        for workspace, row in totals.items():
+            self._record(peer, workspace, row, counts_all, now_s, at_once=False)
 
     def record_peer_report(
-        self,
-        peer: str,
-        totals: Mapping[str, tuple[float, float]],
-        uptime_s: float,
-        now_s: float,
+        self, peer: str, totals: Totals, uptime_s: float, now_s: float
     ) -> None:
         """Record totals of some workspaces, unless they may be those of a long past."""
-        if self._counts_all(peer, uptime_s):
-            self._record(peer, totals, counts_all=True, now_s=now_s)
+        counts_all = self._counts_all(peer, uptime_s)
+        for workspace, row in totals.items():
+            if counts_all or len(row) > 3:
+                self._record(peer, workspace, row, counts_all, now_s, at_once=True)
 
     def _counts_all(self, peer: str, uptime_s: float) -> bool:
         return uptime_s < self._window_s or peer in self._peers_heard_s
@@ -301,27 +325,42 @@
     def _record(
         self,
         peer: str,
-        totals: Mapping[str, tuple[float, float]],
+        workspace: str,
+        row: tuple[float, ...],
         counts_all: bool,
         now_s: float,
+        *,
+        at_once: bool,
     ) -> None:
-        for workspace, (total, demand) in totals.items():
-            account = self._account(workspace)
-            peer_usage = account.peers.get(peer)
-            if peer_usage is None:
-                baseline = 0.0 if counts_all else total
-                peer_usage = account.peers[peer] = _PeerUsage(total_charged=baseline)
-                # The limit of a node that has just started covers the past already.
-                if now_s - self._started_s >= self._window_s:
-                    peer_usage.past = max(0.0, min(baseline, demand))
-                    peer_usage.past_until_s = now_s + self._window_s
-            if total != peer_usage.total_charged:
-                peer_usage.usage.add(now_s, total - peer_usage.total_charged)
-            peer_usage.total_charged, peer_usage.demand, peer_usage.received_s = (
-                total,
-                demand,
-                now_s,
-            )
+        total, demand = row[:2]
+        account = self._account(workspace)
+        peer_usage = account.peers.get(peer)
+        if peer_usage is None:
+            baseline = 0.0 if counts_all else total
+            peer_usage = _PeerUsage(total_charged=baseline, received_s=now_s)
+            account.peers[peer] = peer_usage
+            if not counts_all:
+                self._set_past(peer_usage, row, now_s)
+        if total != peer_usage.total_charged:
+            # What peers report at once is new; other use is as old as half of the time
+            # since their last message in the mean.
+            age_s = 0.0 if at_once else (now_s - peer_usage.received_s) / 2
+            peer_usage.usage.add(now_s - age_s, total - peer_usage.total_charged)
+        peer_usage.total_charged, peer_usage.demand = total, demand
+        peer_usage.received_s = now_s
+
+    def _set_past(
+        self, peer_usage: _PeerUsage, row: tuple[float, ...], now_s: float
+    ) -> None:
+        peer_usage.past_from_s = now_s
+        if len(row) > 3:
+            peer_usage.past, peer_usage.past_known = max(0.0, row[2]), True
+            lasts_s = max(0.0, self._window_s - 2 * max(0.0, row[3]))
+            peer_usage.past_from_s = now_s + lasts_s
+        elif now_s - self._started_s >= self._window_s:
+            # The limit of a node that has just started covers the past already.
+            peer_usage.past = max(0.0, min(row[0], row[1]))
+        peer_usage.past_until_s = now_s + self._window_s
 
     def set_round(self, round_s: float) -> None:
         """Set the time in which a node receives a message from every peer."""
@@ -334,10 +373,11 @@
 
     def tick(self, now_s: float, elapsed_s: float) -> None:
         """Decay the demand, update the shares of peers and drop removed peers."""
-        decay = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
+        self._now_s = now_s
+        decay = math.exp(-elapsed_s / DEMAND_AVERAGING_S)
         for account in self._accounts.values():
             account.demand *= decay
-            account.requests *= decay
+            account.usage.trim(now_s - self._window_s)
             _update_shares(account, now_s - self._peer_silence_s)
             for name, peer in list(account.peers.items()):
                 if now_s - peer.received_s > FORGET_PEER_AFTER_S:
@@ -345,13 +385,14 @@
         for name, heard_s in list(self._peers_heard_s.items()):
             if now_s - heard_s > FORGET_PEER_AFTER_S:
                 del self._peers_heard_s[name]
+                self._informed_peers.discard(name)
 
     def _limit_in_window(self, rate: float, burst: float, now_s: float) -> float:
         """Return what all nodes may admit in the part of the window that is known.
 
-        Without restored usage, a node does not know what was admitted before its start.
-        After a restart of all nodes, only the rate since then and a fraction of the
-        burst are certain to be unused.
+        Without restored usage, a node does not know what was admitted before its start,
+        but by the peers that told it. After a restart of all nodes, only the rate since
+        then and a fraction of the burst are certain to be unused.
         """
         age_s = now_s - self._started_s
         full_limit = rate * self._window_s + burst
@@ -359,10 +400,29 @@
             return full_limit
         if self._restored:
             return full_limit - UNREPORTED_USAGE_S * rate
-        return rate * age_s + STARTUP_BURST_FRACTION * burst
+        unknown_limit = rate * age_s + STARTUP_BURST_FRACTION * burst
+        informed = len(self._informed_peers) / max(1, self._node_count - 1)
+        return unknown_limit + min(1.0, informed) * (full_limit - unknown_limit)
+
+    def _limit_state(self, counted: _Counted, room: float, now_s: float) -> LimitState:
+        start_s = now_s - self._window_s
+        leaving = (
+            sum(
+                usage.amount_before(start_s + part * self._unknown_s)
+                for usage in counted.usages
+            )
+            for part in HORIZON_PARTS
+        )
+        return LimitState(
+            room=room - counted.unreported,
+            leaving=tuple(leaving),
+            demand=counted.demand,
+            window_s=self._window_s,
+            horizon_s=self._unknown_s,
+        )
 
     def _is_unexpected(
-        self, account: _Account, room: float, cost: float, now_s: float
+        self, account: _Account, room: float, limit: float, cost: float, now_s: float
     ) -> bool:
         """Return whether peers must hear at once of a request that is admitted now."""
         unreported = cost + min(
@@ -371,20 +431,19 @@
         )
         expected = account.demand * self._unknown_s / DEMAND_WINDOW_S
         share = UNREPORTED_FRACTION * room / self._node_count
+        if account.probability < 1.0:
+            expected *= account.probability
+            share = max(share, SAMPLED_REPORT_FRACTION * limit)
         return unreported - expected > share
 
-    def _late_tolerance(self, limit: float) -> float:
+    def _usable_tolerance(self, limit: float, unheard: float) -> float:
+        """Return the tolerance that nodes use; a node alone knows all use exactly.
+
+        The sides of a partition divide it; the larger one has the larger part.
+        """
         tolerance = self._tolerance.fraction * limit + self._tolerance.amount
-        return LATE_TOLERANCE_FRACTION * tolerance
-
-    def _total_demand(self, account: _Account, now_s: float) -> float:
-        heard_since_s = now_s - self._peer_silence_s
-        heard = sum(
-            peer.demand
-            for peer in account.peers.values()
-            if peer.received_s > heard_since_s
-        )
-        return account.demand * (1 + self._unknown_peers()) + heard
+        heard = max(0.0, 1.0 - unheard / limit) if limit > 0 else 0.0
+        return tolerance * heard**2 * (1.0 - 1.0 / self._node_count)
 
     def _unknown_peers(self) -> int:
         """Return the number of running peers whose totals have never arrived."""
@@ -394,69 +453,70 @@
         """Return the account of a workspace, created on its first use."""
         account = self._accounts.get(workspace)
         if account is None:
-            account = _Account(share=1.0 / self._node_count)
-            self._accounts[workspace] = account
+            account = self._accounts[workspace] = _Account()
         return account
 
-    def _wait_for_share_s(
-        self, account: _Account, room: float, cost: float, now_s: float
-    ) -> float:
-        """Return 0 if a request fits into this node's share, else the time until then.
-
-        After a request that does not fit, smaller ones are refused as well; otherwise
-        the node would admit more than its share on average.
-        """
-        if now_s - self._drawn_s >= self._unknown_s:
-            self._rounding, self._drawn_s = self._rng.random(), now_s
-        unknown = account.usage.amount_since(now_s - self._unknown_s)
-        expected_requests = account.requests * self._unknown_s / DEMAND_WINDOW_S
-        divisor = min(1.0, max(1.0 / MAX_SHARE_FACTOR, expected_requests))
-        available = account.share * (room + unknown) / divisor
-        fits = unknown + self._rounding * cost <= available
-        if fits and account.exhausted_s < self._drawn_s:
-            return 0.0
-        account.exhausted_s = now_s
-        if available <= 0:
-            return self._window_s
-        return self._unknown_s * max(1.0, cost / available)
-
-    def _counted_usages(
-        self, account: _Account, limit: float, now_s: float
-    ) -> tuple[list[_WindowUsage], float]:
-        """Return the usages that count, and the limit less the reserved shares."""
+    def _count(self, account: _Account, limit: float, now_s: float) -> _Counted:
+        """Sum the use and the demand of all nodes as far as this one knows them."""
         start_s = now_s - self._window_s
         account.usage.trim(start_s)
         account.before_start.trim(start_s)
-        usages, reserved = [account.usage, account.before_start], 0.0
+        counted = _Counted([account.usage, account.before_start])
+        silent_usage = silent_shares = unheard = 0.0
         for peer in account.peers.values():
             peer.usage.trim(start_s)
-            if now_s - peer.received_s < self._peer_silence_s:
-                usages.append(peer.usage)
+            age_s = now_s - peer.received_s
+            if age_s < self._peer_silence_s:
+                counted.usages.append(peer.usage)
+                counted.demand += peer.demand
+                counted.unreported += peer.demand * min(age_s, self._unknown_s)
+                unheard += peer.demand * max(0.0, age_s - self._unknown_s)
             else:
-                reserved += max(peer.usage.amount, peer.share * limit)
-            left_s = max(0.0, peer.past_until_s - now_s)
-            past = min(peer.past, limit / self._node_count)
-            reserved += past * left_s / self._window_s
-        return usages, max(MIN_LIMIT_FRACTION * limit, limit - reserved)
-
-    def _wait_s(self, usages: list[_WindowUsage], excess: float, now_s: float) -> float:
-        """Return the time until enough usage has left the window."""
-        steps = sorted(
-            (step for usage in usages for step in usage.steps), key=_step_end
+                silent_usage += peer.usage.amount
+                silent_shares += peer.share * limit
+            if now_s < peer.past_until_s:
+                counted.reserved += self._past(peer, limit, now_s)
+        silent = max(silent_usage, silent_shares)
+        unknown = self._unknown_peers() / MAX_SHARE_FACTOR
+        unheard_usage = unknown * account.usage.amount
+        counted.tolerance = self._usable_tolerance(limit, silent + unheard_usage)
+        covered = SILENCE_TOLERANCE_FRACTION * counted.tolerance
+        counted.reserved += max(0.0, silent - covered) + unheard_usage
+        counted.demand += account.demand * (1.0 + unknown)
+        # Jumps show in what peers report at once before they show in the averages.
+        counted.recent = sum(
+            usage.amount_since(now_s - RECENT_USE_S) for usage in counted.usages
+        )
+        counted.demand = max(
+            counted.demand, counted.recent * DEMAND_WINDOW_S / RECENT_USE_S
         )
-        for step in steps:
-            excess -= step.amount
-            if excess <= 0:
-                return max(USAGE_STEP_S, step.ended_s + self._window_s - now_s)
-        return self._window_s
+        counted.unreported *= account.mean_probability / DEMAND_WINDOW_S
+        unheard /= max(limit, counted.demand) * DEMAND_WINDOW_S
+        counted.unreported += unheard * limit
+        return counted
+
+    def _past(self, peer: _PeerUsage, limit: float, now_s: float) -> float:
+        """Return what a peer admitted before it was heard and is in the window."""
+        past = peer.past
+        if not peer.past_known:
+            past = min(past, limit / self._node_count)
+        left_s = peer.past_until_s - now_s
+        return past * min(1.0, left_s / (peer.past_until_s - peer.past_from_s + 1e-9))
+
+    def _row(self, account: _Account) -> tuple[float, ...]:
+        usage = account.usage
+        age_s = usage.mean_age_s(self._now_s)
+        return account.total_charged, account.demand, usage.amount, age_s
 
 
 def _ignore(_workspace: str) -> None:
     pass
 
 
-def _step_end(step: _UsageStep) -> float:
-    return step.ended_s
+def _target_fraction(tolerance: float, limit: float) -> float:
+    """Return the part of the tolerance that nodes aim at."""
+    relative = min(1.0, tolerance / limit) if limit > 0 else 0.0
+    return TARGET_TOLERANCE_FRACTION + TARGET_FRACTION_PER_LIMIT * relative
 
 
 def _update_shares(account: _Account, silent_before_s: float) -> None:
@@ -465,9 +525,8 @@
     ]
     total = account.demand + sum(peer.demand for peer in live)
     even_share = 1.0 / (len(live) + 1)
-    holders: list[_Account | _PeerUsage] = [account, *live]
-    for holder in holders:
-        demand_share = holder.demand / total if total > 0 else even_share
-        holder.share = (
+    for peer in live:
+        demand_share = peer.demand / total if total > 0 else even_share
+        peer.share = (
             EVEN_SHARE_FRACTION * even_share + (1 - EVEN_SHARE_FRACTION) * demand_share
         )
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -18,6 +18,7 @@
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.ratelimit import Totals
 from cicadapass_decisions.readsharing import is_watcher
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor
@@ -531,14 +532,23 @@
                 self._dependencies.state.upstreams.apply_load(name, {}, now_s)
 
 
-def _encode_totals(totals: dict[str, tuple[float, float]]) -> dict[str, list[int]]:
+def _encode_totals(totals: Totals) -> dict[str, list[int]]:
     return {
-        name: [round(total), round(demand)] for name, (total, demand) in totals.items()
+        name: [*map(round, row[:3]), round(1000 * row[3])]
+        for name, row in totals.items()
     }
 
 
-def _decode_totals(rows: dict[str, Any]) -> dict[str, tuple[float, float]]:
-    return {name: (_number(row[0]), _number(row[1])) for name, row in rows.items()}
+def _decode_totals(rows: dict[str, Any]) -> dict[str, tuple[float, ...]]:
+    """Decode what a peer says of workspaces; older builds send two numbers only."""
+    return {name: _decode_total(row) for name, row in rows.items()}
+
+
+def _decode_total(row: Sequence[Any]) -> tuple[float, ...]:
+    total, demand = _number(row[0]), _number(row[1])
+    if len(row) < 4:
+        return total, demand
+    return total, demand, _number(row[2]), _number(row[3]) / 1000
 
 
 def _number(value: Any) -> float:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -15,6 +15,7 @@
     may_run_again,
     next_step,
 )
+from cicadapass_decisions.limitsampling import capped_retry_s
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.queueorder import retry_after_s
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
@@ -121,7 +122,9 @@
             return None
         limit_wait_s = self._charge(request)
         if limit_wait_s is not None:
-            wait_s = min(limit_wait_s, timeout_s / 3)
+            wait_s = capped_retry_s(
+                limit_wait_s, timeout_s / 3, self._state.rng.random()
+            )
             name = match.workspace.name if match.workspace else None
             self._reject(exchange, call, 429, "over_limit", wait_s, name)
             return None
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -333,6 +333,12 @@
             busiest, _ = self.simulate(seed, 58, round_parts=6)
             self.assertLessEqual(busiest, BOUND, seed)
 
+    def test_sampled_callers_stay_within_the_limit(self):
+        """Nodes drew several of the largest requests before they heard of any."""
+        for number, round_parts, seed in ((8, 1, 18), (8, 1, 25), (58, 6, 10)):
+            busiest, _ = self.simulate(seed, number, round_parts)
+            self.assertLessEqual(busiest, BOUND, (number, seed))
+
     def test_the_limit_holds_over_many_nodes_that_know_each_other(self):
         """58 nodes that had met before gave the same room to callers at once."""
         for seed in range(10):
