Share scarce capacity among workspaces that wait

Cause: requests that wait at a node were sent in the order of arrival within a priority, so that a large workspace within its limit took nearly all of the capacity and small ones waited behind it.

Change: within a priority, and among those in time before those late, workspaces take turns by start-time fair queueing, weighted by their rate limits. It applies only while requests wait; urgency goes first as before.

What peers report is not used for the turns.

--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -274,7 +274,7 @@
         return reservation
 
     def _requirements(self, request: RequestContext) -> RequestRequirements:
-        route = request.match.route
+        route, workspace = request.match.route, request.match.workspace
         table = self._state.routes
         service = table and table.configuration.services.get(request.match.service)
         return RequestRequirements(
@@ -290,6 +290,8 @@
             excluded=frozenset(request.excluded),
             isolated=request.isolated,
             refusable=not (request.runs or request.exchange.started),
+            workspace=workspace.name if workspace else "",
+            weight=workspace.rate_per_s if workspace else 0.0,
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -4,6 +4,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cicadapass_decisions.fairshares import (
+    FairShares,
+    WaitingRequest,
+    fair_order,
+    mean_weight,
+)
 from cicadapass_decisions.passthrough import Prompt
 from cicadapass_decisions.placement import (
     Candidate,
@@ -48,6 +54,9 @@
     isolated: bool = False
     # A refusal loses no answer: the request has not run, nor has its answer begun.
     refusable: bool = True
+    workspace: str = ""
+    # The rate limit of the workspace, by which scarce capacity is shared; 0 if none.
+    weight: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +78,7 @@
 @dataclass(slots=True)
 class _ServiceQueue:
     entries: list[_Entry] = field(default_factory=list)
+    shares: FairShares = field(default_factory=FairShares)
 
 
 class RequestQueue:
@@ -119,6 +129,8 @@
         for queue in self._queues.values():
             if queue.entries:
                 self._dispatch_queue(queue, now_s)
+            else:
+                queue.shares.clear()
 
     def close(self, reason: str) -> None:
         """Refuse the refusable requests, those that are queued and all further ones."""
@@ -138,7 +150,10 @@
                     entry.future.set_result(NotPlaced(reason, 0.0))
 
     def _dispatch_queue(self, queue: _ServiceQueue, now_s: float) -> None:
-        queue.entries.sort(key=lambda entry: queue_rank(_queued_request(entry), now_s))
+        waiting = [_waiting_request(entry, now_s) for entry in queue.entries]
+        weight = mean_weight(waiting)
+        order = fair_order(waiting, queue.shares.times, queue.shares.now)
+        queue.entries = [queue.entries[index] for index in order]
         misses = 0
         for entry in list(queue.entries):
             outcome = self._overdue_refusal(entry, now_s) or self._try_place(
@@ -151,6 +166,9 @@
                 continue
             queue.entries.remove(entry)
             if not entry.future.done():
+                if isinstance(outcome, Reservation):
+                    sent = _waiting_request(entry, now_s)
+                    queue.shares.record_send(sent, weight)
                 entry.future.set_result(outcome)
             elif isinstance(outcome, Reservation):
                 self._upstreams.end(outcome, now_s, succeeded=None)
@@ -285,3 +303,15 @@
         max_wait_s=entry.max_wait_s,
         expected_s=entry.expected_s,
     )
+
+
+def _waiting_request(entry: _Entry, now_s: float) -> WaitingRequest:
+    requirements = entry.requirements
+    priority, late, arrived_s = queue_rank(_queued_request(entry), now_s)
+    return WaitingRequest(
+        urgency=(priority, late),
+        arrived_s=arrived_s,
+        workspace=requirements.workspace,
+        cost=float(requirements.prompt.total_tokens),
+        weight=requirements.weight,
+    )
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -129,3 +129,31 @@
             node.release(used)
 
         self.run_loop(scenario())
+
+
+class ShareTest(LoopTest):
+    def test_workspaces_take_turns_when_requests_wait(self):
+        """A small workspace waited until a large one's earlier requests were sent."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            placed = []
+            for number, name in enumerate(("large", "large", "large", "small")):
+                arrived_s = 100.0 + 0.001 * number
+                placed.append(
+                    node.place(workspace=name, weight=1000.0, arrived_s=arrived_s)
+                )
+                await steps()
+            sent = []
+            for _ in range(2):
+                node.release(used)
+                node.queue.dispatch()
+                await steps()
+                sent = [each for each in placed if each.done()]
+                used = sent[-1].result()
+            self.assertEqual([placed[0], placed[3]], sent)
+            for each in placed:
+                each.cancel()
+
+        self.run_loop(scenario())
