Spread the times to return of callers at their bound

Cause: callers refused in a long overload with more to wait than a third of their remaining time were all told exactly that third, and returned together.

Change: times above the bound are spread below it, from half of it on.

The new test on the code before: MismatchError: 11 != 1, FAILED (failures=1). Now test_queueorder, test_purity, test_requestqueue and test_relay: 44 tests, OK.

--- a/packages/decisions/cicadapass_decisions/queueorder.py
+++ b/packages/decisions/cicadapass_decisions/queueorder.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass
 
+from cicadapass_decisions.limitsampling import capped_retry_s
+
 # A late request that has waited for this fraction of the caller's maximum wait is again
 # ordered by arrival among the ones in time, and thus goes before newer ones, so that no
 # request waits until its deadline.
@@ -41,7 +43,7 @@
 
     The time covers the present queue and is scaled by `spread` (0 to 1), so that
     callers refused in one burst do not retry together. Callers honour a wait of up to a
-    third of their remaining time.
+    third of their remaining time; longer ones are spread below that bound.
     """
-    desired_s = queued_s * (0.5 + spread)
-    return max(0.05, min(desired_s, max_fraction * time_left_s * 0.95))
+    most_s = max_fraction * time_left_s * 0.95
+    return max(0.05, capped_retry_s(queued_s * (0.5 + spread), most_s, spread))
--- a/tests/decisions/test_queueorder.py
+++ b/tests/decisions/test_queueorder.py
@@ -45,3 +45,10 @@
         """Callers ignore a retry time of over a third of their remaining time."""
         self.assertLessEqual(retry_after_s(100.0, 3.0, 1.0), 1.0)
         self.assertGreater(retry_after_s(0.0, 3.0, 0.0), 0.0)
+
+    def test_retry_times_at_the_bound_are_spread(self):
+        """Callers refused in a long overload all returned after the same time."""
+        times = [retry_after_s(100.0, 3.0, spread / 10) for spread in range(11)]
+        self.assertEqual(11, len(set(times)))
+        self.assertGreater(max(times) - min(times), 0.4)
+        self.assertLessEqual(max(times), 1.0)
