--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -15,6 +15,7 @@
     may_run_again,
     next_step,
 )
+from cicadapass_decisions.limitsampling import capped_retry_s
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.queueorder import retry_after_s
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
@@ -122,7 +123,9 @@
             return None
         limit_wait_s = self._charge(request)
         if limit_wait_s is not None:
-            wait_s = min(limit_wait_s, timeout_s / 3)
+            wait_s = capped_retry_s(
+                limit_wait_s, timeout_s / 3, self._state.rng.random()
+            )
             name = match.workspace.name if match.workspace else None
             self._reject(exchange, call, 429, "over_limit", wait_s, name)
             return None
@@ -272,7 +275,7 @@
         return reservation
 
     def _requirements(self, request: RequestContext) -> RequestRequirements:
-        route = request.match.route
+        route, workspace = request.match.route, request.match.workspace
         table = self._state.routes
         service = table and table.configuration.services.get(request.match.service)
         return RequestRequirements(
@@ -291,6 +294,8 @@
             route=route.name,
             may_try=not request.tries,
             version=request.version if self._state.rollouts.enabled else None,
+            workspace=workspace.name if workspace else "",
+            weight=workspace.rate_per_s if workspace else 0.0,
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
