--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -39,8 +39,10 @@
 class NodeProcess:
     """Run one node as a process, with a stand-in store and one engine."""
 
-    def __init__(self):
+    def __init__(self, limits=None, settings="", script=slow_stream):
+        """Set the `limits` of the configuration, more lines of settings, the engine."""
         self._ports = [ReservedPort() for _ in range(4)]
+        self._limits, self._more_settings, self._script = limits, settings, script
 
     def release_ports(self):
         """End the process, and make the ports available to other tests."""
@@ -76,10 +78,12 @@
         """Start the stand-ins and the node's process."""
         self.store = StoreStandin()
         address = await self.store.start()
-        self.engine = await Upstream("i-1", slow_stream).start()
+        self.engine = await Upstream("i-1", self._script).start()
         registry = self.store.registry
         route = {**ROUTE, "streamResume": False, "timeoutMs": 15000}
         document = {**DOCUMENT, "routes": [route], "tenants": []}
+        if self._limits is not None:
+            document["limits"] = self._limits
         registry.put("keyed.op", "config", json.dumps(document).encode())
         entry = {**ENTRY, "address": f"{HOST}:{self.engine.port}"}
         registry.put("keyed.servers", "i-1", json.dumps(entry).encode())
@@ -92,6 +96,7 @@
             f"listen.ready={HOST}:{self.ready_port}\n"
             f"platform.address={address}\ncloudApi.address={address}\n"
             "cloudApi.duties=usage_report\nbounds.graceS=8\n"
+            f"{self._more_settings}"
         )
         environment = {**os.environ, "CICADAPASS_BOOT": str(self.settings)}
         environment["CICADAPASS_METRICS_PORT"] = str(metrics_port)
