Bound the memory and connections of callers by one budget

Cause: each connection had a bound on its body, the process had none, and a body was checked against its announced length only after it was read.

Change: `memorybudget.py` of the decisions says who gets memory, who waits and who is shed first; `MemoryBudget` owns the reservations of a node. A connection reads into a shared buffer, no more than it has reserved, and pauses reading otherwise. Bodies announced over the limit are refused at their head; chunks count with their framing; at most 4 MB are discarded after a refusal; little is read behind a request in progress. The limits follow from `limits.memoryMb` (default 200) and `limits.maxFds`. The readiness, control and metrics addresses share a budget of their own. Event 875, metric `shed` and four gauges. `httpserver.py` is divided into `exchange.py`, `callerchannel.py` and the server.

Changed test: test_waves waits between two waves until the node has closed the connections of the last one. It had sent three waves in 0.3 s, before the node could see the end of any, so its descriptors were those of one larger crowd (152 for a bound of 108).

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -285,6 +285,12 @@
     An upstream turned a request away and wants no others of this node for this time.
 855 warning upstream_pause_unreadable(upstream, value)
     An upstream turned a request away and names a time that cannot be read.
+875 warning callers_shed(reason, count, held_bytes, source, source_count)
+    Callers were turned away since the last line of this reason: their unfinished \
+requests made no progress while others needed the memory (`stalled`, status 408), no \
+memory became free for them (`no_memory`, status 503), or there were too many \
+connections (`connections`, closed). `source` is the workspace, or the address of \
+callers without a valid key, of most of them.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/routetable.py
+++ b/packages/decisions/cicadapass_decisions/routetable.py
@@ -79,6 +79,11 @@
             return NoRoute()
         return Match(route, service, workspace, self.configuration.version)
 
+    def workspace_name(self, key: str | None) -> str | None:
+        """Return the name of the workspace with a key, or None."""
+        workspace = self._workspaces.get(key) if key is not None else None
+        return workspace.name if workspace is not None else None
+
     def _find_route(self, host: str, target: str) -> Route | None:
         prefixes = self._hosts.get(host) or self._hosts.get(host.partition(":")[0])
         if prefixes is None:
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -40,3 +40,7 @@
     lease_s: float
     usage_window_s: float
     has_duties: bool
+    # Memory of the VM, from which the limit of callers' bytes follows.
+    memory_mb: float
+    # Descriptors that the process may open; None for the limit of the process.
+    max_descriptors: int | None
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -17,14 +17,16 @@
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.httpclient import ClientPool
-from cicadapass_gateway.httpserver import Exchange, HttpServer, ServerState
+from cicadapass_gateway.httpserver import Exchange, Handler, HttpServer, ServerState
 from cicadapass_gateway.logoutput import QueuedOutput
+from cicadapass_gateway.memorybudget import BudgetLimits, MemoryBudget, budget_limits
 from cicadapass_gateway.migrator import Migrator
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.nodestate import DRAIN_ACCEPT_S, NodeState, RetryLimits
 from cicadapass_gateway.peers import SEND_INTERVAL_S, PeerDependencies, Peers
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.relay import Relay
+from cicadapass_gateway.shedlog import ShedLog
 from cicadapass_gateway.supervisor import Supervisor
 from cicadapass_gateway.usage import UsageCounter
 
@@ -44,6 +46,10 @@
 DRAIN_CHECK_INTERVAL_S = 0.05
 # End of the grace period that is reserved for an orderly exit.
 SHUTDOWN_RESERVE_S = 0.6
+# Limits of the readiness, control and metrics addresses together. Their requests have
+# no bodies; 380 nodes fetch from a node at most one at a time.
+OPERATOR_LIMITS = BudgetLimits(capacity_bytes=8_388_608, max_connections=512)
+OPERATOR_MAX_BODY_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -61,6 +67,7 @@
     supervisor: Supervisor
     pool: ClientPool
     migrator: Migrator
+    shed_log: ShedLog
 
 
 class Node:
@@ -164,9 +171,16 @@
         migrator = Migrator(state, adapter.migrate_run)
         relay = Relay(state, adapter.header_codec, pool, usage, migrator)
 
-        def make_server(handler: Callable[[Exchange], object]) -> HttpServer:
-            server_state = ServerState(CallerLimits())
-            return HttpServer(server_state, handler, on_error)  # type: ignore[arg-type]
+        shed_log = ShedLog(events, state.metrics)
+        limits = budget_limits(settings.memory_mb, settings.max_descriptors)
+        budget = MemoryBudget(limits, shed_log.record)
+        operator_budget = MemoryBudget(OPERATOR_LIMITS, shed_log.record)
+
+        def make_operator_server(handler: Handler) -> HttpServer:
+            caller_limits = CallerLimits(max_body_bytes=OPERATOR_MAX_BODY_BYTES)
+            return HttpServer(
+                ServerState(caller_limits), handler, on_error, operator_budget
+            )
 
         def on_error(error: Exception) -> None:
             events.emit(808, reason=repr(error))
@@ -183,21 +197,32 @@
 
         async def metrics(exchange: Exchange) -> None:
             state.metrics.gauge("waiting", state.queue.waiting_count)
+            state.metrics.gauge("caller_bytes", budget.used_bytes)
+            state.metrics.gauge("caller_bytes_limit", budget.capacity_bytes)
+            state.metrics.gauge("caller_connections", budget.connection_count)
+            state.metrics.gauge("callers_without_memory", budget.waiting_count)
             kind = (b"Content-Type", b"text/plain; version=0.0.4")
             exchange.respond(200, [kind], state.metrics.render().encode())
 
         return Components(
             state=state,
-            callers=make_server(relay.handle),
-            ready=make_server(ready),
-            control=make_server(control),
-            metrics=make_server(metrics),
+            callers=HttpServer(
+                ServerState(CallerLimits()),
+                relay.handle,
+                on_error,
+                budget,
+                relay.identify,
+            ),
+            ready=make_operator_server(ready),
+            control=make_operator_server(control),
+            metrics=make_operator_server(metrics),
             peers=peers,
             registry_sync=registry_sync,
             duties=duties,
             supervisor=Supervisor(events),
             pool=pool,
             migrator=migrator,
+            shed_log=shed_log,
         )
 
     async def _start(self, components: Components) -> None:
@@ -297,6 +322,7 @@
     ):
         server.enforce_timeouts(now_s)
     components.pool.close_expired(now_s)
+    components.shed_log.write_lines(now_s)
 
 
 def update_averages(state: NodeState) -> None:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -18,7 +18,7 @@
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.queueorder import retry_after_s
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
-from cicadapass_gateway.adapterapi import Call, HeaderCodec
+from cicadapass_gateway.adapterapi import Call, HeaderCodec, Headers
 from cicadapass_gateway.attemptrace import AttemptRace
 from cicadapass_gateway.endedengines import EndedEngines
 from cicadapass_gateway.httpclient import ClientPool
@@ -68,6 +68,13 @@
             log=self._log,
         )
 
+    def identify(self, headers: Headers) -> str | None:
+        """Return the workspace of a request's headers, or None if it has none."""
+        if self._state.routes is None:
+            return None
+        call = self._header_codec.decode_call(headers)
+        return self._state.routes.workspace_name(call.api_key)
+
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request until its deadline; cancelled if the caller disconnects."""
         call = self._header_codec.decode_call(exchange.headers)
--- a/packages/gateway/cicadapass_gateway/sockets.py
+++ b/packages/gateway/cicadapass_gateway/sockets.py
@@ -26,6 +26,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def ended_by_peer(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the peer has closed or reset a connection that is not read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def has_unread_data(transport: asyncio.BaseTransport) -> bool:
     """Return whether the kernel holds bytes, an end or an error that were not read."""
     sock = transport.get_extra_info("socket")
--- /dev/null
+++ b/tests/gateway/test_memorybudget.py
@@ -0,0 +1,257 @@
+"""Test that connections read only what the memory budget grants."""
+
+import asyncio
+from types import SimpleNamespace
+
+from cicadapass_decisions.passthrough import CallerLimits
+from cicadapass_gateway.callerchannel import (
+    FREE_READ_BYTES,
+    LINGER_BYTES,
+    READ_BYTES,
+    CallerChannel,
+    ServerState,
+)
+from cicadapass_gateway.httpserver import HttpServer
+from cicadapass_gateway.memorybudget import (
+    CONNECTION_BYTES,
+    BudgetLimits,
+    MemoryBudget,
+    budget_limits,
+)
+from tests.gateway.test_httpserver import ChannelTest, FakeTransport
+from tests.gateway.virtualcluster import run_virtual
+
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+BODY_LIMIT_BYTES = 1_000_000
+# Large requests may use three quarters of it.
+CAPACITY_BYTES = 2_000_000
+
+
+def announced(body_bytes):
+    """Return the head of a request with a body of this length."""
+    return HEAD + f"Content-Length: {body_bytes}\r\n\r\n".encode()
+
+
+class BudgetTest(ChannelTest):
+    """Connect callers to a server with a small budget."""
+
+    def start(self, respond=None, max_connections=100):
+        """Return a server; `shed` records what it turns away."""
+
+        async def ok(exchange):
+            exchange.respond(200, [], str(len(exchange.body)).encode())
+
+        self.shed = []
+        self.budget = MemoryBudget(
+            BudgetLimits(CAPACITY_BYTES, max_connections),
+            lambda *values: self.shed.append(values),
+        )
+        limits = CallerLimits(max_body_bytes=BODY_LIMIT_BYTES)
+        return HttpServer(ServerState(limits), respond or ok, print, self.budget)
+
+    def open(self, server):
+        """Return a new connection and its transport."""
+        channel, transport = CallerChannel(server), FakeTransport()
+        channel.connection_made(transport)
+        return channel, transport
+
+    def receive(self, channel, transport, data):
+        """Pass data to a connection as the loop does; return how much it took."""
+        taken = 0
+        while taken < len(data) and not transport.paused and not transport.closed:
+            buffer = channel.get_buffer(-1)
+            part = data[taken : taken + len(buffer)]
+            buffer[: len(part)] = part
+            channel.buffer_updated(len(part))
+            taken += len(part)
+        return taken
+
+    def test_a_body_over_the_limit_is_refused_at_its_head(self):
+        """A body was read up to the limit although it was known to exceed it."""
+
+        async def scenario():
+            server = self.start()
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(BODY_LIMIT_BYTES + 1))
+            self.assertIn(b" 413 ", transport.sent)
+            self.assertIn(b"connection: close", transport.sent.lower())
+            transport.closed = False
+            taken = self.receive(channel, transport, bytes(3 * LINGER_BYTES))
+            self.assertLess(taken, LINGER_BYTES + 2 * READ_BYTES)
+            self.assertTrue(transport.paused)
+
+        run_virtual(scenario())
+
+    def test_bodies_wait_for_memory_and_stalled_ones_are_shed(self):
+        """Unfinished bodies of legal size filled the memory of the node."""
+
+        async def scenario():
+            server = self.start()
+            first, second = self.open(server), self.open(server)
+            body = bytes(BODY_LIMIT_BYTES)
+            self.receive(*first, announced(len(body)) + body[1:])
+            self.assertLess(self.receive(*second, announced(len(body)) + body), 100_000)
+            self.assertLess(self.budget.used_bytes, CAPACITY_BYTES)
+            await self.pause(server, 0.8)
+            self.assertEqual(b"", first[1].sent)
+            await self.pause(server, 0.8)
+            self.assertIn(b" 408 ", first[1].sent)
+            self.assertFalse(second[1].paused)
+            self.assertEqual("stalled", self.shed[0][0])
+
+        run_virtual(scenario())
+
+    def test_a_request_without_memory_is_refused(self):
+        """A request waited for memory that a request in progress held."""
+
+        async def scenario():
+            ended = asyncio.Event()
+
+            async def respond(exchange):
+                await ended.wait()
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            first, second = self.open(server), self.open(server)
+            body = bytes(BODY_LIMIT_BYTES)
+            self.receive(*first, announced(len(body)) + body)
+            self.receive(*second, announced(len(body)) + body)
+            await self.pause(server, 4.0)
+            self.assertIn(b" 503 ", second[1].sent)
+            self.assertIn(b"retry-after: 2", second[1].sent.lower())
+            ended.set()
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", first[1].sent)
+            self.assertLessEqual(self.budget.used_bytes, 2 * CONNECTION_BYTES)
+
+        run_virtual(scenario())
+
+    def test_an_ordinary_request_is_served_beside_a_crowd(self):
+        """Unfinished bodies kept ordinary callers from being served."""
+
+        async def scenario():
+            server = self.start()
+            crowd = [self.open(server) for _ in range(40)]
+            chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+            for channel, transport in crowd:
+                self.receive(channel, transport, CHUNKED + 3 * chunk)
+            self.assertLess(self.budget.used_bytes, CAPACITY_BYTES)
+            channel, transport = self.open(server)
+            data = announced(72_000) + bytes(72_000)
+            taken = 0
+            for _ in range(40):
+                taken += self.receive(channel, transport, data[taken:])
+                await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", transport.sent)
+
+        run_virtual(scenario())
+
+    def test_a_chunked_body_counts_with_its_framing(self):
+        """Long extensions of chunks were read without end."""
+
+        async def scenario():
+            server = self.start()
+            channel, transport = self.open(server)
+            self.receive(channel, transport, CHUNKED)
+            chunk = b"1;" + b"e" * 4000 + b"\r\nx\r\n"
+            for _ in range(4000):
+                if transport.sent:
+                    break
+                channel.data_received(chunk)
+                await asyncio.sleep(0)
+            self.assertIn(b" 413 ", transport.sent)
+
+        run_virtual(scenario())
+
+    def test_little_is_read_behind_a_request_in_progress(self):
+        """Requests behind a long one filled the memory."""
+
+        async def scenario():
+            ended = asyncio.Event()
+
+            async def respond(exchange):
+                await ended.wait()
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(2) + b"xx")
+            self.receive(channel, transport, announced(2) + b"xx")
+            taken = self.receive(channel, transport, bytes(1_000_000))
+            self.assertLessEqual(taken, FREE_READ_BYTES)
+            self.assertTrue(transport.paused)
+            ended.set()
+            await self.pause(server, 0.1)
+            self.assertEqual(2, transport.sent.count(b" 200 "))
+
+        run_virtual(scenario())
+
+    def test_a_pause_for_want_of_memory_is_no_fault_of_the_caller(self):
+        """A caller that was not read for a while was refused as too slow."""
+
+        async def scenario():
+            server = self.start()
+            server.state.limits = CallerLimits(idle_timeout_s=1.0)
+            channel, transport = self.open(server)
+            busy = SimpleNamespace(
+                unfinished=False,
+                ended_unread=False,
+                has_unread_data=False,
+                identify=lambda: ("w", True),
+            )
+            other = self.budget.open_account(busy, 0.0)
+            self.budget.reserve(other, 1_400_000)
+            self.receive(channel, transport, announced(900_000))
+            await self.pause(server, 0.9)
+            self.budget.close_account(other)
+            await self.pause(server, 0.5)
+            self.assertFalse(transport.paused)
+            self.receive(channel, transport, bytes(900_000))
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", transport.sent)
+
+        run_virtual(scenario())
+
+    def test_idle_connections_make_room_for_new_ones(self):
+        """A crowd of idle connections kept all others away."""
+
+        async def scenario():
+            server = self.start(max_connections=4)
+            idle = [self.open(server) for _ in range(4)]
+            await self.pause(server, 0.1)
+            channel, transport = self.open(server)
+            self.assertTrue(idle[0][1].closed)
+            self.assertEqual([False] * 3, [each[1].closed for each in idle[1:]])
+            self.receive(channel, transport, announced(2) + b"xx")
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", transport.sent)
+            self.assertEqual(4, self.budget.connection_count)
+
+        run_virtual(scenario())
+
+    def test_requests_in_progress_are_not_closed_for_new_connections(self):
+        """A request in progress was broken off when too many callers came."""
+
+        async def scenario():
+            async def respond(exchange):
+                await asyncio.sleep(1.0)
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond, max_connections=4)
+            busy = [self.open(server) for _ in range(4)]
+            for channel, transport in busy:
+                self.receive(channel, transport, announced(2) + b"xx")
+            _, refused = self.open(server)
+            self.assertTrue(refused.closed)
+            await self.pause(server, 1.5)
+            for _, transport in busy:
+                self.assertIn(b" 200 ", transport.sent)
+
+        run_virtual(scenario())
+
+    def test_the_limits_follow_from_the_virtual_machine(self):
+        """A node of a small VM accepted as much as one of a large VM."""
+        limits = budget_limits(200.0, 400)
+        self.assertEqual(BudgetLimits(40_000_000, 200), limits)
+        self.assertEqual(16, budget_limits(1.0, 100).max_connections)
--- a/tests/platform/test_client_memory.py
+++ b/tests/platform/test_client_memory.py
@@ -8,7 +8,7 @@
 import asyncio
 import tempfile
 
-from tests.gateway.harness import LoopTest
+from tests.gateway.harness import LoopTest, until
 from tests.platform import clientcrowd
 from tests.platform.clientcrowd import CLIENTS, ClientCrowd
 from tests.platform.test_process import NodeProcess
@@ -49,14 +49,17 @@
             await node.start(folder)
             output = asyncio.create_task(node.process.stdout.read())
             descriptors = 0
-            for kinds in waves:
+            for number, kinds in enumerate(waves, 1):
                 crowd = ClientCrowd(node.caller_port, kinds, **options)
                 await crowd.send()
                 self.assertIsNone(node.process.returncode)
                 now_open = clientcrowd.open_descriptors(node.process.pid)
                 descriptors = max(descriptors, now_open)
-                if kinds is not waves[-1]:
+                if number < len(waves):
                     crowd.close()
+                    # A wave that comes before the node can have noticed the end of
+                    # the last one is one larger crowd.
+                    await until(lambda: self.has_closed(node))
             caller = await node.connect(node.caller_port)
             caller.send("/p/x", "POST", b"ask", Request_Id="r1")
             status = (await caller.reply()).status
@@ -72,6 +75,11 @@
 
         self.run_loop(scenario())
 
+    def has_closed(self, node):
+        """Return whether the node has closed most connections of a crowd."""
+        pid = node.process.pid
+        return clientcrowd.open_descriptors(pid) < DESCRIPTOR_BOUND - CLIENTS
+
     def test_bodies_that_stop_short(self):
         """Bodies of legal size that lack a byte were held until memory ran out."""
         self.check((clientcrowd.stops_short,))
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -27,6 +27,8 @@
 bounds.leaseMs=2500
 bounds.quotaOvershoot=0.1
 bounds.quotaSlack=140000
+limits.memoryMb=552
+limits.maxFds=8192
 platform.address=10.200.1.7:8361
 cloudApi.address=10.200.0.114:8361
 cloudApi.duties=usage_report,autoscale
@@ -47,6 +49,7 @@
         self.assertEqual(Address("10.200.1.7", 8361), settings.store)
         self.assertEqual(LimitTolerance(0.1, 140_000.0), node.limit_tolerance)
         self.assertTrue(node.has_duties)
+        self.assertEqual((552.0, 8192), (node.memory_mb, node.max_descriptors))
 
     def test_all_errors_are_reported(self):
         """Only the first error was reported at each start."""
