Account for responses that callers do not read

Cause: a response that is written whole stayed in the write buffer for as long as its caller kept the connection open, and a caller that pipelined requests could have several.

Change: what a caller has not taken counts against the budget. While the budget is exceeded, the responses without progress for a second are reset, most bytes times seconds first; otherwise after the idle time-out. The next request is read when the response has been taken.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -288,7 +288,8 @@
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
 requests made no progress while others needed the memory (`stalled`, status 408), no \
-memory became free for them (`no_memory`, status 503), or there were too many \
+memory became free for them (`no_memory`, status 503), they did not read their \
+responses while these exceeded the memory (`unread`, reset), or there were too many \
 connections (`connections`, closed). `source` is the workspace, or the address of \
 callers without a valid key, of most of them.
 """
--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -45,6 +45,8 @@
     stalled_s: float = 0.0
     # Whether its request has been received in part only, so that it has not run.
     unfinished: bool = True
+    # Whether it holds a complete response that its caller does not read.
+    unread: bool = False
 
 
 class ShedReason(Enum):
@@ -52,6 +54,7 @@
 
     STALLED = "stalled"
     NO_MEMORY = "no_memory"
+    UNREAD = "unread"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +86,12 @@
     granted: set[int] = set()
     shed: list[tuple[int, ShedReason]] = []
     position = 0
+    # Responses are not refused, so they may exceed the budget for a while.
+    while used_bytes > capacity_bytes and position < len(victims):
+        used_bytes -= victims[position].held_bytes
+        reclaimable_bytes -= victims[position].held_bytes
+        shed.append(_shed_stalled(victims[position]))
+        position += 1
     for each in waiting:
         total, added = _total_bytes(each), each.wanted_bytes
         if not has_room(total, added, used_bytes - reclaimable_bytes, capacity_bytes):
@@ -93,7 +102,7 @@
             position += 1
             used_bytes -= victim.held_bytes
             reclaimable_bytes -= victim.held_bytes
-            shed.append((victim.key, ShedReason.STALLED))
+            shed.append(_shed_stalled(victim))
         used_bytes += added
         granted.add(each.key)
     overdue = _overdue([each for each in waiting if each.key not in granted])
@@ -118,6 +127,10 @@
     return holding.held_bytes + holding.wanted_bytes
 
 
+def _shed_stalled(holding: Holding) -> tuple[int, ShedReason]:
+    return holding.key, ShedReason.UNREAD if holding.unread else ShedReason.STALLED
+
+
 def _shedding_order(holdings: Sequence[Holding], capacity_bytes: int) -> list[Holding]:
     """Return those that may be shed: most bytes times stalled seconds first."""
     group_bytes: dict[str, int] = {}
@@ -132,7 +145,9 @@
     stalled = [
         each
         for each in holdings
-        if each.unfinished and not each.wanted_bytes and each.stalled_s >= STALL_S
+        if (each.unfinished or each.unread)
+        and not each.wanted_bytes
+        and each.stalled_s >= STALL_S
     ]
     return sorted(stalled, key=rank)
 
--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -117,12 +117,18 @@
         """Return whether no complete request is in progress."""
         return self._task is None and self._writable.is_set()
 
+    @property
+    def unread(self) -> bool:
+        """Return whether a complete response was not taken by the caller yet."""
+        return self._task is None and not self._writable.is_set()
+
     @property
     def ended_unread(self) -> bool:
         """Return whether the caller has gone while nothing was read."""
         if self._transport is None or not self._reading_paused:
             return False
-        return ended_by_peer(self._transport)
+        # A caller that sends nothing more may still be reading its response.
+        return ended_by_peer(self._transport, half_closed=not self.unread)
 
     @property
     def has_unread_data(self) -> bool:
@@ -158,10 +164,17 @@
     def pause_writing(self) -> None:
         """Make `wait_writable` block until the caller has read more."""
         self._writable.clear()
+        self._charge_response(self._loop.time())
 
     def resume_writing(self) -> None:
-        """Let `wait_writable` return."""
+        """Let `wait_writable` return, and read the next request."""
         self._writable.set()
+        self._charge_response(self._loop.time())
+        if self._task is None and not self._closing:
+            self._idle_since_s = self._loop.time()
+            if self._reading_since_s is not None:
+                self._reading_since_s = self._idle_since_s
+            self._loop.call_soon(self._process_events)
 
     async def wait_writable(self) -> None:
         """Wait until the write buffer has room, or the connection is lost."""
@@ -218,6 +231,9 @@
 
     def shed(self, reason: ShedReason) -> None:
         """Refuse the unfinished request and release its memory."""
+        if reason is ShedReason.UNREAD:
+            self.abort()
+            return
         self._refuse(SHED_STATUS[reason])
 
     def evict(self) -> None:
@@ -232,12 +248,15 @@
         """
         if self.ended_unread:
             self.abort()
-        if self._task is not None or self._closing or self._awaiting_grant:
-            return
         # Callers reuse connections for as long as the limit that they know allows.
         idle_timeout_s = max(
             self._limits.idle_timeout_s, self._server.state.limits.idle_timeout_s
         )
+        if self.unread:
+            self._abort_unread(now_s, idle_timeout_s)
+            return
+        if self._task is not None or self._closing or self._awaiting_grant:
+            return
         if self._exchange is not None:
             if now_s - self._received_s > idle_timeout_s:
                 self._refuse(408)
@@ -247,6 +266,13 @@
         elif now_s - self._idle_since_s > idle_timeout_s:
             self.close()
 
+    def _abort_unread(self, now_s: float, timeout_s: float) -> None:
+        """Reset the connection of a caller that does not read its response."""
+        self._charge_response(now_s)
+        account = self._account
+        if account is not None and now_s - account.progressed_s > timeout_s:
+            self.abort()
+
     def close(self) -> None:
         """Close the connection after sending the buffered data; do so once."""
         if self._closing:
@@ -299,6 +325,10 @@
 
     def _process_events(self) -> None:
         self._parsing = False
+        if self.unread:
+            # Requests of a caller that does not read its responses wait.
+            self._settle()
+            return
         try:
             for _ in range(PARTS_PER_TURN):
                 if self._closing or self._task is not None or not self._next_event():
@@ -339,6 +369,15 @@
             self._budget.wait(account, needed_bytes, self._loop.time())
         self._update_reading()
 
+    def _charge_response(self, now_s: float) -> None:
+        """Account for what the caller has not taken of its response."""
+        if self._account is None or self._transport is None:
+            return
+        unsent_bytes = 0
+        if not self._writable.is_set():
+            unsent_bytes = self._transport.get_write_buffer_size()
+        self._budget.charge_response(self._account, unsent_bytes, now_s)
+
     def _readable_bytes(self) -> int:
         """Return how many bytes may be read now."""
         if self._task is not None:
@@ -352,7 +391,7 @@
         if self._closing:
             paused = self._discarded_bytes > LINGER_BYTES
         else:
-            paused = self._parsing or self._awaiting_grant
+            paused = self._parsing or self._awaiting_grant or self.unread
             if self._task is not None and self._readable_bytes() <= 0:
                 paused = True
         if self._transport is None or paused == self._reading_paused:
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -42,6 +42,10 @@
     def unfinished(self) -> bool:
         """Return whether no complete request has been received."""
 
+    @property
+    def unread(self) -> bool:
+        """Return whether a complete response was not taken by the caller yet."""
+
     @property
     def ended_unread(self) -> bool:
         """Return whether the caller has gone while nothing was read."""
@@ -93,6 +97,8 @@
     progressed_s: float
     # Bytes beyond those of a connection without a request.
     reserved_bytes: int = 0
+    # Bytes of responses that the caller has not taken yet.
+    response_bytes: int = 0
     # The total that it waits for, and since when.
     wanted_bytes: int | None = None
     waiting_since_s: float = 0.0
@@ -140,6 +146,10 @@
         """Return the limit of the bytes."""
         return self._limits.capacity_bytes
 
+    @property
+    def _is_scarce(self) -> bool:
+        return bool(self._waiting) or self.used_bytes > self._limits.capacity_bytes
+
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
@@ -171,8 +181,8 @@
         if self._accounts.pop(account.key, None) is None:
             return
         self._stop_waiting(account)
-        self._reserved_bytes -= account.reserved_bytes
-        account.reserved_bytes = 0
+        self._reserved_bytes -= account.reserved_bytes + account.response_bytes
+        account.reserved_bytes = account.response_bytes = 0
         self._plan_soon()
 
     def reserve(self, account: MemoryAccount, total_bytes: int) -> bool:
@@ -197,6 +207,20 @@
         self._reserved_bytes -= released_bytes
         self._plan_soon()
 
+    def charge_response(
+        self, account: MemoryAccount, unsent_bytes: int, now_s: float
+    ) -> None:
+        """Set the bytes of a response that are not sent; fewer ones are progress.
+
+        They are not refused, since an upstream has run the request.
+        """
+        if unsent_bytes < account.response_bytes:
+            account.mark_progress(now_s)
+        if account.key in self._accounts:
+            self._reserved_bytes += unsent_bytes - account.response_bytes
+            account.response_bytes = unsent_bytes
+            self._plan_soon()
+
     def wait(self, account: MemoryAccount, total_bytes: int, now_s: float) -> None:
         """Let a connection wait until its reservation is raised to a total."""
         if account.wanted_bytes is None:
@@ -207,7 +231,7 @@
 
     def plan(self, now_s: float) -> None:
         """Grant and shed as decided; called periodically and after releases."""
-        if not self._waiting:
+        if not self._is_scarce:
             return
         for account in list(self._accounts.values()):
             if account.wanted_bytes is not None and account.connection.ended_unread:
@@ -216,7 +240,9 @@
         holdings = [
             self._describe(each, now_s)
             for each in self._accounts.values()
-            if each.reserved_bytes or each.wanted_bytes is not None
+            if each.reserved_bytes
+            or each.response_bytes
+            or each.wanted_bytes is not None
         ]
         plan = plan_grants(holdings, self.used_bytes, self._limits.capacity_bytes)
         self._carry_out(plan, {each.key: each for each in holdings}, now_s)
@@ -252,11 +278,12 @@
             key=account.key,
             group=group,
             known=known,
-            held_bytes=account.reserved_bytes,
+            held_bytes=account.reserved_bytes + account.response_bytes,
             wanted_bytes=wanted_bytes,
             waited_s=now_s - account.waiting_since_s if wanted_bytes else 0.0,
             stalled_s=stalled_s,
             unfinished=connection.unfinished,
+            unread=connection.unread,
         )
 
     def _evict_connections(self, now_s: float) -> None:
@@ -282,7 +309,7 @@
             self._waiting -= 1
 
     def _plan_soon(self) -> None:
-        if self._waiting and self._planned is None:
+        if self._is_scarce and self._planned is None:
             loop = asyncio.get_running_loop()
             self._planned = loop.call_later(PLAN_DELAY_S, self._run_planned)
 
--- a/packages/gateway/cicadapass_gateway/sockets.py
+++ b/packages/gateway/cicadapass_gateway/sockets.py
@@ -26,13 +26,17 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def ended_by_peer(transport: asyncio.BaseTransport) -> bool:
-    """Return whether the peer has closed or reset a connection that is not read."""
+def ended_by_peer(transport: asyncio.BaseTransport, *, half_closed: bool) -> bool:
+    """Return whether the peer has reset a connection that is not read.
+
+    With `half_closed`, also whether the peer has closed its side.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
         return False
     poll = select.poll()
-    poll.register(sock.fileno(), select.POLLRDHUP)
+    # Resets are always reported.
+    poll.register(sock.fileno(), select.POLLRDHUP if half_closed else 0)
     return bool(poll.poll(0))
 
 
--- a/tests/decisions/test_memorybudget.py
+++ b/tests/decisions/test_memorybudget.py
@@ -104,6 +104,15 @@
         )
         self.assertEqual((frozenset(), ()), (result.granted, result.shed))
 
+    def test_unread_responses_make_room(self):
+        """Responses that nobody read grew beyond the memory of the node."""
+        result = plan(
+            holding(1, 3_000_000, unfinished=False, unread=True, stalled_s=1.5),
+            holding(2, 3_000_000, unfinished=False, unread=True, stalled_s=0.5),
+            holding(3, 1_000_000, unfinished=False, stalled_s=9.0),
+        )
+        self.assertEqual(((1, ShedReason.UNREAD),), result.shed)
+
     def test_those_that_wait_for_one_another_are_refused_in_part(self):
         """Chunked bodies waited for what the others held, and none was completed."""
         crowd = [
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -197,6 +197,7 @@
             busy = SimpleNamespace(
                 unfinished=False,
                 ended_unread=False,
+                unread=False,
                 has_unread_data=False,
                 identify=lambda: ("w", True),
             )
@@ -250,6 +251,62 @@
 
         run_virtual(scenario())
 
+    def respond_unread(self, server, unsent_bytes):
+        """Return a connection whose caller does not take its response."""
+        channel, transport = self.open(server)
+        transport.get_write_buffer_size = lambda: transport.unsent_bytes
+        transport.unsent_bytes = unsent_bytes
+        self.receive(channel, transport, announced(2) + b"xx")
+        channel.pause_writing()
+        return channel, transport
+
+    def test_responses_that_are_not_read_are_accounted_for(self):
+        """Callers that read no response filled the memory of the node."""
+
+        async def scenario():
+            server = self.start()
+            unread = [self.respond_unread(server, 900_000) for _ in range(4)]
+            self.assertGreater(self.budget.used_bytes, CAPACITY_BYTES)
+            await self.pause(server, 0.9)
+            unread[3][1].unsent_bytes -= 1000
+            await self.pause(server, 0.5)
+            closed = [transport.closed for _, transport in unread]
+            self.assertEqual([True, True, False, False], closed)
+            self.assertEqual("unread", self.shed[0][0])
+
+        run_virtual(scenario())
+
+    def test_a_response_without_progress_is_given_up(self):
+        """A connection whose caller read nothing stayed open forever."""
+
+        async def scenario():
+            server = self.start()
+            _, slow = self.respond_unread(server, 500_000)
+            _, stopped = self.respond_unread(server, 500_000)
+            await self.pause(server, 10.0)
+            slow.unsent_bytes -= 1
+            await self.pause(server, 10.0)
+            self.assertEqual((False, True), (slow.closed, stopped.closed))
+
+        run_virtual(scenario())
+
+    def test_the_next_request_waits_until_a_response_is_read(self):
+        """Pipelined requests filled the memory with responses that nobody read."""
+
+        async def scenario():
+            server = self.start()
+            channel, transport = self.respond_unread(server, 500_000)
+            channel.data_received(announced(2) + b"xx")
+            await self.pause(server, 0.5)
+            self.assertEqual(1, transport.sent.count(b" 200 "))
+            self.assertTrue(transport.paused)
+            channel.resume_writing()
+            await self.pause(server, 0.1)
+            self.assertEqual(2, transport.sent.count(b" 200 "))
+            self.assertEqual(CONNECTION_BYTES, self.budget.used_bytes)
+
+        run_virtual(scenario())
+
     def test_the_limits_follow_from_the_virtual_machine(self):
         """A node of a small VM accepted as much as one of a large VM."""
         limits = budget_limits(200.0, 400)
