Reset callers that have gone before their refusal is sent

Cause: a connection that is not read shows no reset, so that its refusal called `write_eof` on a socket without a peer. The error ended the check of the time-outs of all connections.

Change: the connection is reset in place of the error.

Test before the change (tests.gateway.test_memorybudget, 14 tests, 1 failure): OSError: [Errno 107] not connected. After it: OK.

--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -485,10 +485,16 @@
         # What the old parser has not parsed is not needed any more.
         self._parser = h11.Connection(h11.SERVER)
         self._closing = True
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
             self._transport.write_eof()
-            self._loop.call_later(LINGER_S, self._transport.abort)
-            self._update_reading()
+        except OSError:
+            # The caller has reset the connection.
+            self._transport.abort()
+            return
+        self._loop.call_later(LINGER_S, self._transport.abort)
+        self._update_reading()
 
     def _send(self, event: h11.Event) -> None:
         data = self._parser.send(event)
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from unittest import mock
 
 from cicadapass_decisions.passthrough import CallerLimits
 from cicadapass_gateway.callerchannel import (
@@ -127,6 +128,19 @@
 
         run_virtual(scenario())
 
+    def test_a_refusal_of_a_caller_that_has_gone_is_no_failure(self):
+        """The check of the time-outs failed on a connection that had been reset."""
+
+        async def scenario():
+            server = self.start()
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(9))
+            transport.write_eof = mock.Mock(side_effect=OSError(107, "not connected"))
+            await self.pause(server, 15.5)
+            self.assertTrue(transport.closed)
+
+        run_virtual(scenario())
+
     def test_an_ordinary_request_is_served_beside_a_crowd(self):
         """Unfinished bodies kept ordinary callers from being served."""
 
