Draw crowds of clients in the soak

Change: the fault `clients_crowd`, drawn apart so that the other faults of a seed stay, sends the kinds of tests/platform/clientcrowd.py from 20 to 120 clients to one node; the nodes of a run have 200 MB. The bound of 100 MB on a node's memory was there before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,7 @@
 from functools import partial
 from pathlib import Path
 
-from tests.soak.faults import ANSWER_KINDS, ENDLESS_KINDS, draw_faults
+from tests.soak.faults import ANSWER_KINDS, CROWD_KINDS, ENDLESS_KINDS, draw_faults
 from tests.soak.world import SIZES, play_faults
 
 
@@ -29,7 +29,7 @@
     parser.add_argument(
         "--only",
         nargs="*",
-        choices=ANSWER_KINDS + ENDLESS_KINDS,
+        choices=ANSWER_KINDS + ENDLESS_KINDS + CROWD_KINDS,
         default=(),
         help="play only faults of these kinds",
     )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,6 +41,8 @@
 ENDLESS_KINDS = ("engine_endless",)
 # What another writer leaves among the engines' entries, drawn apart as well.
 ENTRY_KINDS = ("entries_odd",)
+# Crowds of clients that send large or unfinished requests, drawn apart as well.
+CROWD_KINDS = ("clients_crowd",)
 # Engines that such a fault affects.
 SCOPES = ("one", "third", "all")
 ENDLESS_SCOPES = ("one", "third")
@@ -107,6 +109,7 @@
     faults += _draw_apart(f"answers {seed}", length_s, ANSWER_KINDS, SCOPES)
     faults += _draw_apart(f"endless {seed}", length_s, ENDLESS_KINDS, ENDLESS_SCOPES)
     faults += _draw_apart(f"entries {seed}", length_s, ENTRY_KINDS)
+    faults += _draw_apart(f"crowds {seed}", length_s, CROWD_KINDS)
     return sorted(faults, key=lambda each: each.at_s)
 
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -15,6 +15,8 @@
 # A node that has not ended this long after SIGTERM is killed.
 GRACE_S = 8.0
 READY_TIMEOUT_S = 20.0
+# Memory of the smallest VMs; the check of the memory allows half of it.
+MEMORY_MB = 200
 # Part of the log line on a component that ended with an error.
 COMPONENT_FAILED = '"event":805,'
 
@@ -62,6 +64,7 @@
             f"listen.front={HOST}:{self.front}\nlisten.ready={HOST}:{self._ready_port}\n"
             f"platform.address={store}\ncloudApi.address={store}\n"
             "cloudApi.duties=usage_report,scale\n"
+            f"limits.memoryMb={MEMORY_MB}\n"
             f"bounds.graceS={GRACE_S}\nseeds={','.join(seeds)}\nnote={note}\n"
         )
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from tests.gateway.harness import LoopTest
 from tests.soak.faults import (
     ANSWER_KINDS,
+    CROWD_KINDS,
     ENDLESS_KINDS,
     ENTRY_KINDS,
     KIND_WEIGHTS,
@@ -43,6 +44,7 @@
                 *ANSWER_KINDS,
                 *ENDLESS_KINDS,
                 *ENTRY_KINDS,
+                *CROWD_KINDS,
             },
             set(Counter(fault.kind for fault in faults)),
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,6 +5,8 @@
 import signal
 from pathlib import Path
 
+from tests.platform import clientcrowd
+from tests.platform.clientcrowd import ClientCrowd
 from tests.soak.checks import RECOVERY_S, violations
 from tests.soak.engines import CRASHING_PREFIX
 from tests.soak.faultyengines import ENGINE_FAULTS
@@ -36,6 +38,8 @@
 # A longer delay of the event loop of this process counts as a disturbance.
 MAX_LOOP_LAG_S = 0.25
 MAX_LINK_DELAY_S = 0.3
+# Numbers of clients of a crowd.
+CROWD_RANGE = (20, 120)
 
 
 class SoakRun:
@@ -314,6 +318,23 @@
         engine.limit_per_s = None
         self.records.limits.append((engine.name, limit_per_s, started_s, self._clock()))
 
+    async def _clients_fault(self, kind, fault):
+        """Send large, endless and unfinished requests to a node, from many clients."""
+        node = self._nodes[int(fault.target_fraction * len(self._nodes))]
+        rng = random.Random(f"{kind} {fault.target_fraction}")
+        kinds = rng.sample(clientcrowd.MIX, rng.randint(1, len(clientcrowd.MIX)))
+        crowd = ClientCrowd(node.front, kinds, rng.randint(*CROWD_RANGE))
+        try:
+            async with asyncio.timeout(fault.duration_s):
+                await crowd.send()
+                # The clients stay open.
+                await asyncio.Event().wait()
+        except* (OSError, TimeoutError):
+            # The node is down, or the fault has ended.
+            pass
+        finally:
+            crowd.close()
+
     async def _config_fault(self, kind, fault):
         for _ in range(8 if kind == "storm" else 1):
             if not self._platform.registry.down:
