Count the responses of upstreams, and check the node's own listeners

Change: what upstreams have sent of incomplete responses counts against the budget of the callers. A decompressed state of a peer may have 8 MB in place of 32 MB (1,400 engines need 0.7 MB by arithmetic). A new row sends the crowd to the readiness address, and each row checks the readiness.

--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -120,16 +120,19 @@
     """Own the reservations of all connections that share one limit.
 
     `on_shed` gets the reason, the bytes and the group of each request that is refused
-    and of each connection that is closed.
+    and of each connection that is closed. `other_bytes` returns what others hold of the
+    memory, such as the responses of upstreams that are not complete.
     """
 
     def __init__(
         self,
         limits: BudgetLimits,
         on_shed: Callable[[str, int, str], None] = lambda reason, held, group: None,
+        other_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         self._limits = limits
         self._on_shed = on_shed
+        self._other_bytes = other_bytes
         self._accounts: dict[int, MemoryAccount] = {}
         self._reserved_bytes = 0
         self._waiting = 0
@@ -138,8 +141,9 @@
 
     @property
     def used_bytes(self) -> int:
-        """Return the bytes reserved, with those of the connections themselves."""
-        return self._reserved_bytes + len(self._accounts) * CONNECTION_BYTES
+        """Return the bytes reserved, with those of the connections and of others."""
+        connection_bytes = len(self._accounts) * CONNECTION_BYTES
+        return self._reserved_bytes + connection_bytes + self._other_bytes()
 
     @property
     def capacity_bytes(self) -> int:
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -173,7 +173,7 @@
 
         shed_log = ShedLog(events, state.metrics)
         limits = budget_limits(settings.memory_mb, settings.max_descriptors)
-        budget = MemoryBudget(limits, shed_log.record)
+        budget = MemoryBudget(limits, shed_log.record, lambda: pool.buffer.used_bytes)
         operator_budget = MemoryBudget(OPERATOR_LIMITS, shed_log.record)
 
         def make_operator_server(handler: Handler) -> HttpServer:
--- a/packages/gateway/cicadapass_gateway/peerclient.py
+++ b/packages/gateway/cicadapass_gateway/peerclient.py
@@ -18,8 +18,10 @@
 CONFIGURATION_PATH = "/v1/configuration"
 UPSTREAMS_PATH = "/v1/upstreams"
 FETCH_TIMEOUT_S = 0.6
-# Larger states of a peer are rejected; compressed, they may be a thousandth of it.
-MAX_STATE_BYTES = 33_554_432
+# Larger states of a peer are rejected; compressed, they may be a thousandth of it. The
+# entries of 1,400 engines are 0.7 MB at 500 bytes each; decoded, a state takes some
+# times its bytes of a VM's 200 MB.
+MAX_STATE_BYTES = 8_388_608
 
 T = TypeVar("T")
 
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -228,6 +228,13 @@
 
         run_virtual(scenario())
 
+    def test_responses_of_upstreams_count(self):
+        """Bodies were read into memory that the responses of upstreams had taken."""
+        budget = MemoryBudget(BudgetLimits(1_000_000, 10), other_bytes=lambda: 900_000)
+        account = budget.open_account(SimpleNamespace(), 0.0)
+        self.assertFalse(budget.reserve(account, 100_000))
+        self.assertTrue(budget.reserve(account, 80_000))
+
     def test_idle_connections_make_room_for_new_ones(self):
         """A crowd of idle connections kept all others away."""
 
--- a/tests/platform/test_client_memory.py
+++ b/tests/platform/test_client_memory.py
@@ -39,7 +39,7 @@
 class ClientMemoryTest(LoopTest):
     timeout_s = 120.0
 
-    def check(self, *waves, bound=DESCRIPTOR_BOUND, **options):
+    def check(self, *waves, bound=DESCRIPTOR_BOUND, port="caller_port", **options):
         """Send crowds of the given kinds; check the process and an ordinary request."""
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
@@ -50,7 +50,7 @@
             output = asyncio.create_task(node.process.stdout.read())
             descriptors = 0
             for number, kinds in enumerate(waves, 1):
-                crowd = ClientCrowd(node.caller_port, kinds, **options)
+                crowd = ClientCrowd(getattr(node, port), kinds, **options)
                 await crowd.send()
                 self.assertIsNone(node.process.returncode)
                 now_open = clientcrowd.open_descriptors(node.process.pid)
@@ -60,6 +60,7 @@
                     # A wave that comes before the node can have noticed the end of
                     # the last one is one larger crowd.
                     await until(lambda: self.has_closed(node))
+            self.assertEqual(200, await node.status())
             caller = await node.connect(node.caller_port)
             caller.send("/p/x", "POST", b"ask", Request_Id="r1")
             status = (await caller.reply()).status
@@ -118,6 +119,10 @@
         """Responses that nobody read were held in memory."""
         self.check((clientcrowd.stopped_reader,), reads=False)
 
+    def test_bodies_to_the_readiness_address(self):
+        """Bodies sent to the node's own listeners filled the memory."""
+        self.check((clientcrowd.stops_short,), port="ready_port")
+
     def test_a_mix(self):
         """Clients of several kinds at once exceeded a bound that each kind kept."""
         self.check(clientcrowd.MIX)
