--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -65,6 +65,11 @@
     shed: tuple[tuple[int, ShedReason], ...]
 
 
+def largest_request_bytes(capacity_bytes: int) -> int:
+    """Return the bytes of the largest request that can ever be granted."""
+    return int(max(SMALL_BYTES, capacity_bytes * (1 - SMALL_FRACTION)))
+
+
 def has_room(
     total_bytes: int, added_bytes: int, used_bytes: int, capacity_bytes: int
 ) -> bool:
--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -81,6 +81,9 @@
         self._transport: asyncio.Transport | None = None
         self._account: MemoryAccount | None = None
         self._exchange: Exchange | None = None
+        # The workspace of the current request, once it was looked up.
+        self._identified = False
+        self._workspace: str | None = None
         self._body = bytearray()
         self._announced_bytes: int | None = None
         # Bytes in memory, parsed or not, and those that wait for the end of a request.
@@ -214,10 +217,13 @@
 
     def identify(self) -> tuple[str, bool]:
         """Return the workspace, or else the address, and whether it is a workspace."""
-        if self._exchange is not None and self._server.identify is not None:
-            workspace = self._server.identify(self._exchange.headers)
-            if workspace is not None:
-                return workspace, True
+        if not self._identified and self._exchange is not None:
+            # Grants are planned many times a second while memory is scarce.
+            self._identified = True
+            if self._server.identify is not None:
+                self._workspace = self._server.identify(self._exchange.headers)
+        if self._workspace is not None:
+            return self._workspace, True
         address = self._transport and self._transport.get_extra_info("peername")
         return str(address[0]) if address else "", False
 
@@ -428,9 +434,12 @@
             return
         arrived_s = self._reading_since_s or self._loop.time()
         self._exchange = Exchange(self, event, arrived_s)
+        self._identified, self._workspace = False, None
         self._body = bytearray()
         self._announced_bytes = _announced_bytes(event)
-        if (self._announced_bytes or 0) > self._limits.max_body_bytes:
+        # A longer body would wait for memory in vain.
+        max_bytes = min(self._limits.max_body_bytes, self._budget.largest_request_bytes)
+        if (self._announced_bytes or 0) > max_bytes:
             self._refuse(413)
 
     def _await_data(self) -> None:
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -16,6 +16,7 @@
     ShedReason,
     choose_evictions,
     has_room,
+    largest_request_bytes,
     plan_grants,
 )
 
@@ -154,6 +155,11 @@
     def _is_scarce(self) -> bool:
         return bool(self._waiting) or self.used_bytes > self._limits.capacity_bytes
 
+    @property
+    def largest_request_bytes(self) -> int:
+        """Return the bytes of the largest request that can be granted."""
+        return largest_request_bytes(self._limits.capacity_bytes)
+
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -84,6 +84,18 @@
 
         run_virtual(scenario())
 
+    def test_a_body_that_never_fits_is_refused_at_its_head(self):
+        """A body within the configured limit waited for more memory than there is."""
+
+        async def scenario():
+            server = self.start()
+            server.state.limits = CallerLimits()
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(CAPACITY_BYTES))
+            self.assertIn(b" 413 ", transport.sent)
+
+        run_virtual(scenario())
+
     def test_bodies_wait_for_memory_and_stalled_ones_are_shed(self):
         """Unfinished bodies of legal size filled the memory of the node."""
 
@@ -235,6 +247,22 @@
         self.assertFalse(budget.reserve(account, 100_000))
         self.assertTrue(budget.reserve(account, 80_000))
 
+    def test_callers_are_told_apart_by_their_workspaces(self):
+        """A request was counted for the workspace of the one before it."""
+
+        async def scenario():
+            server = self.start()
+            server.identify = lambda headers: "w" if (b"key", b"w") in headers else None
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(2)[:-2] + b"key: w\r\n\r\n")
+            self.assertEqual(("w", True), channel.identify())
+            self.receive(channel, transport, b"xx")
+            await self.pause(server, 0.1)
+            self.receive(channel, transport, announced(2))
+            self.assertEqual(("", False), channel.identify())
+
+        run_virtual(scenario())
+
     def test_idle_connections_make_room_for_new_ones(self):
         """A crowd of idle connections kept all others away."""
 
