Let the limit of upstreams' responses follow from the VM's memory

Cause: incomplete responses could take 33.5 MB on any VM. With half of the memory of the smallest VM, tests.platform.test_client_memory failed once in a run beside other load: test_readers_that_stop, AssertionError: 81.21484375 not less than 80.

Change: they may take 0.84 of the callers' budget, 33.5 MB at most; from 200 MB on, nothing changes.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -47,14 +47,15 @@
     """Account for the response bodies that a process buffers."""
 
     used_bytes: int = 0
+    limit_bytes: int = MAX_BUFFERED_BYTES
 
     def grow(self, held_bytes: int, added_bytes: int) -> None:
         """Add to a body of `held_bytes`; raise `AnswerBroken` if it is too large."""
         others = self.used_bytes - held_bytes
-        if held_bytes + added_bytes > (MAX_BUFFERED_BYTES - others) / 2:
+        if held_bytes + added_bytes > (self.limit_bytes - others) / 2:
             raise AnswerBroken(
                 f"a response body of over {held_bytes} bytes exceeds what is left of "
-                f"the {MAX_BUFFERED_BYTES} bytes for all bodies"
+                f"the {self.limit_bytes} bytes for all bodies"
             )
         self.used_bytes += added_bytes
 
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -16,7 +16,7 @@
 from cicadapass_gateway.duties import Duties, DutyTimes
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_gateway.fleetplanner import FleetPlanner
-from cicadapass_gateway.httpclient import ClientPool
+from cicadapass_gateway.httpclient import MAX_BUFFERED_BYTES, ClientPool
 from cicadapass_gateway.httpserver import Exchange, Handler, HttpServer, ServerState
 from cicadapass_gateway.logoutput import QueuedOutput
 from cicadapass_gateway.memorybudget import BudgetLimits, MemoryBudget, budget_limits
@@ -50,6 +50,9 @@
 # no bodies; 380 nodes fetch from a node at most one at a time.
 OPERATOR_LIMITS = BudgetLimits(capacity_bytes=8_388_608, max_connections=512)
 OPERATOR_MAX_BODY_BYTES = 65_536
+# Limit of upstreams' incomplete responses as a part of the callers' budget; with 200 MB
+# it is the limit that applies to larger VMs.
+RESPONSE_FRACTION = 0.84
 
 
 @dataclass(slots=True)
@@ -135,6 +138,9 @@
             settings.upstream_drain_s,
         )
         pool = ClientPool()
+        limits = budget_limits(settings.memory_mb, settings.max_descriptors)
+        response_bytes = int(limits.capacity_bytes * RESPONSE_FRACTION)
+        pool.buffer.limit_bytes = min(MAX_BUFFERED_BYTES, response_bytes)
         adapter = self._make_adapter(pool)
         clock = PeerClock()
 
@@ -172,7 +178,6 @@
         relay = Relay(state, adapter.header_codec, pool, usage, migrator)
 
         shed_log = ShedLog(events, state.metrics)
-        limits = budget_limits(settings.memory_mb, settings.max_descriptors)
         budget = MemoryBudget(limits, shed_log.record, lambda: pool.buffer.used_bytes)
         operator_budget = MemoryBudget(OPERATOR_LIMITS, shed_log.record)
 
