--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -314,6 +314,13 @@
 operator's topic shows whether there is an order for it.
 867 info version_released(service, version)
     No order names the version; its engines are used like any others.
+875 warning callers_shed(reason, count, held_bytes, source, source_count)
+    Callers were turned away since the last line of this reason: their unfinished \
+requests made no progress while others needed the memory (`stalled`, status 408), no \
+memory became free for them (`no_memory`, status 503), they did not read their \
+responses while these exceeded the memory (`unread`, reset), or there were too many \
+connections (`connections`, closed). `source` is the workspace, or the address of \
+callers without a valid key, of most of them.
 """
 
 _ENTRY_PATTERN = re.compile(
