Learn the capacity of upstreams from passing traffic

Cause: an engine's capacity is the slots that it announces, and short calls of many nodes go to one upstream after the other, as counts of peers are a round old. Change: nodes share growing totals of work and time by start of an upstream. Shares of a plain service's upstreams move towards equal times, the level of an engine falls while events take longer. Off unless CICADAPASS_LEARNED_CAPACITY=1.

--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -35,6 +35,8 @@
 MAX_CACHED_SEGMENTS = 2000
 # At most this fraction of the oldest prompt counts as prefilled before its first token.
 MAX_PREFILL_FRACTION = 0.9
+# Streams with fewer events show too little of the time between them.
+MIN_SAMPLED_EVENTS = 3
 
 
 @dataclass(slots=True)
@@ -47,6 +49,17 @@
     first_token_s: float | None = None
     # The upstream was silent meanwhile, so that the times do not show its speed.
     paused: bool = False
+    # The caller was slow to read, so that the time of the events does not show it.
+    slow_caller: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class CapacitySample:
+    """Store the units of work of one request, and the time that they took."""
+
+    began_s: float
+    work: float
+    busy_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +118,29 @@
         if run is not None:
             run.paused = True
 
+    def record_slow_caller(self, key: str) -> None:
+        """Record that a request's stream had to wait for its caller."""
+        run = self._runs.get(key)
+        if run is not None:
+            run.slow_caller = True
+
+    def sample(self, key: str, events: int, now_s: float) -> CapacitySample | None:
+        """Return what a request that ends well shows of the upstream's speed.
+
+        That is the time of a call, or that of the events after the first one.
+        """
+        run = self._runs.get(key)
+        if run is None or run.paused or run.slow_caller:
+            return None
+        if run.first_token_s is None:
+            if run.prefill_tokens:
+                return None
+            return CapacitySample(run.sent_s, 1.0, now_s - run.sent_s)
+        if events < MIN_SAMPLED_EVENTS:
+            return None
+        busy_s = now_s - run.first_token_s
+        return CapacitySample(run.sent_s, events - 1.0, busy_s)
+
     def first_token(self, key: str, now_s: float) -> None:
         """Record the start of an answer and sample the prefill speed."""
         run = self._runs.get(key)
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -127,6 +127,9 @@
             settings.limit_tolerance,
             settings.upstream_drain_s,
         )
+        if settings.learned_capacity:
+            state.learn_capacity()
+            events.emit(886)
         pool = ClientPool()
         adapter = self._make_adapter(pool)
         clock = PeerClock()
@@ -228,7 +231,8 @@
             periodic(lambda: update_averages(components.state), AVERAGING_INTERVAL_S),
         )
         start(
-            "waiting", periodic(components.state.queue.dispatch, QUEUE_CHECK_INTERVAL_S)
+            "waiting",
+            periodic(lambda: _check_queue(components.state), QUEUE_CHECK_INTERVAL_S),
         )
         if settings.has_duties:
             start("duties", components.duties.run)
@@ -299,6 +303,11 @@
     components.pool.close_expired(now_s)
 
 
+def _check_queue(state: NodeState) -> None:
+    state.upstreams.record_check(state.clock())
+    state.queue.dispatch()
+
+
 def update_averages(state: NodeState) -> None:
     """Update the averages and discard what is outdated; called periodically."""
     now_s = state.clock()
@@ -306,6 +315,8 @@
     state.demand.decay(AVERAGING_INTERVAL_S)
     state.upstreams.decay_speeds(now_s)
     state.segment_suspicions.expire(now_s)
+    if state.upstreams.learned is not None:
+        state.upstreams.update_capacity(state.learned_services(), AVERAGING_INTERVAL_S)
 
 
 def _wall_ms() -> int:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cicadapass_common.events import EventLog
+from cicadapass_decisions.learnedcapacity import LearnedCapacity
 from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
 from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
@@ -14,7 +15,7 @@
 from cicadapass_decisions.segmentsuspicions import SegmentSuspicions
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.requestqueue import RequestQueue
-from cicadapass_gateway.upstreamtracker import UpstreamTracker
+from cicadapass_gateway.upstreamtracker import LearnedService, UpstreamTracker
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,43 @@
         self.raw_configuration = raw
         return True
 
+    def learn_capacity(self) -> None:
+        """Learn the capacity of upstreams from now on."""
+        self.upstreams.learned = LearnedCapacity(self.node)
+        self.upstreams.refresh()
+
+    def learned_services(self) -> list[LearnedService]:
+        """Return the services of the configuration with their shortest targets."""
+        configuration = self.configuration
+        if configuration is None:
+            return []
+        targets: dict[str, float] = {}
+        for route in configuration.routes:
+            for each in route.services:
+                target_s = targets.get(each.service, route.target_latency_s)
+                targets[each.service] = min(target_s, route.target_latency_s)
+        return [
+            LearnedService(name, service.model_engine, targets[name])
+            for name, service in configuration.services.items()
+            if name in targets
+        ]
+
+    def merge_capacity(self, rows: Sequence[Any], peer: str) -> None:
+        """Apply a peer's totals; one log line says that they are malformed."""
+        learned = self.upstreams.learned
+        if learned is None:
+            return
+        try:
+            learned.merge(peer, rows, self.clock())
+        except (TypeError, ValueError, OverflowError) as error:
+            self.metrics.count("capacity_reports_malformed")
+            self.events.emit(885, peer=peer, reason=repr(error))
+
+    def forget_capacity(self, peer: str) -> None:
+        """Remove the totals of a peer that has ended."""
+        if self.upstreams.learned is not None:
+            self.upstreams.learned.forget_peer(peer)
+
     def subscribe_to_limits(self, listener: Callable[[], None]) -> None:
         """Call `listener` when this node hears a change of an upstream's limit."""
         self._limit_listeners.append(listener)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -323,7 +323,7 @@
         introduced = self._draw_introduced(now_s)
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
-        return {
+        message = {
             "node": encode_address(self.local_address),
             "interval": self._interval,
             "wall": time.time(),
@@ -345,6 +345,10 @@
             "holder": self._dependencies.local_renewal(),
             "members": [encode_address(address) for address in introduced],
         }
+        if state.upstreams.learned is not None:
+            # At most 12 rows of up to 50 bytes; builds without them ignore them.
+            message["capacity"] = state.upstreams.learned.export(now_s)
+        return message
 
     def _draw_introduced(self, now_s: float) -> list[NodeAddress]:
         """Return a few of the members that were heard lately."""
@@ -395,6 +399,7 @@
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
         state.merge_upstream_limits(message.get("upstream_limits", []), address.name)
+        state.merge_capacity(message.get("capacity", []), key)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -529,6 +534,7 @@
                 self._removed[name] = member.address.incarnation
                 self._dependencies.demand.pop(name, None)
                 self._dependencies.state.upstreams.apply_load(name, {}, now_s)
+                self._dependencies.state.forget_capacity(member.address.key)
 
 
 def _encode_totals(totals: dict[str, tuple[float, float]]) -> dict[str, list[int]]:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -46,6 +46,8 @@
 MAX_OVERLAP_S = 0.3
 # Bytes of a stream that are split into events before other connections get their turn.
 BYTES_PER_TURN = 4096
+# A stream whose caller keeps it waiting for longer shows no speed of its upstream.
+SLOW_CALLER_S = 0.02
 # Shorter silences of an upstream leave no log line.
 LOGGED_SILENCE_S = 0.7
 
@@ -194,7 +196,12 @@
         finally:
             now_s = self._state.clock()
             request.ended_by = self._progress.ended_by or request.ended_by
-            self._state.upstreams.end(self._reservation, now_s, succeeded=succeeded)
+            self._state.upstreams.end(
+                self._reservation,
+                now_s,
+                succeeded=succeeded,
+                events=self._progress.events,
+            )
             if self._channel is not None and not finished:
                 self._channel.abort()
             self._prompt_guard.end_attempt(request)
@@ -481,12 +488,19 @@
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
             request.record_position(events)
-            await exchange.wait_writable()
+            await self._wait_writable()
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
         if not response.channel.delimited:
             check_undelimited_end(has_data=has_data, stopping=run.stopping)
 
+    async def _wait_writable(self) -> None:
+        """Wait until the caller has room, and record it if it is slow to read."""
+        began_s = self._state.clock()
+        await self._request.exchange.wait_writable()
+        if self._state.clock() - began_s > SLOW_CALLER_S:
+            self._meter.record_slow_caller(self._reservation.key)
+
     async def _read_chunk(self, channel: ClientChannel) -> bytes | None:
         """Return the next chunk of a stream, or None at its end.
 
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from cicadapass_decisions.learnedcapacity import LearnedCapacity, Totals
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import Candidate
 from cicadapass_decisions.topicreplica import TopicReplica
@@ -20,6 +21,8 @@
 # A leaving upstream gets stopped runs for this part of the time for which the platform
 # lets it have requests; the rest covers the time until the node learns of it.
 STOPPED_RUN_FRACTION = 0.6
+# A node whose periodic checks are late by more than this has measured its own lateness.
+LATE_CHECK_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,16 @@
 NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
 
 
+@dataclass(frozen=True, slots=True)
+class LearnedService:
+    """Describe a service whose upstreams' capacity is learnt."""
+
+    name: str
+    model_engine: bool
+    # The shortest target of the routes to it.
+    target_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Reservation:
     """Identify a request in progress at an upstream."""
@@ -66,6 +79,11 @@
         self.view = UpstreamView()
         self.limits = UpstreamLimits(node)
         self.pauses = UpstreamPauses()
+        # What is learnt of the upstreams' capacity, if the node's settings enable it.
+        self.learned: LearnedCapacity | None = None
+        # The last periodic check, and the end of the last one that was late.
+        self._checked_s = -1e9
+        self._late_s = -1e9
         self._data_centre = data_centre
         # How long a leaving upstream may get requests.
         self._drain_s = drain_s
@@ -90,6 +108,8 @@
             (r.upstream_id, r.started_ms) for r in self.view.records.values()
         }
         self.limits.keep(each.start_key for each in self.view.records.values())
+        if self.learned is not None:
+            self.learned.keep(each.start_key for each in self.view.records.values())
         for key in [each for each in self._meters if each not in current_starts]:
             if not self._meters[key].local_running:
                 del self._meters[key]
@@ -147,6 +167,8 @@
             listener(record.upstream_id, uncached_tokens)
         basis = self._choice_basis(record, now_s)
         self.limits.take(record.start_key, now_s)
+        if self.learned is not None:
+            self.learned.record_send(record.start_key)
         return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
@@ -154,11 +176,56 @@
         self.meter(reservation.record).first_token(reservation.key, now_s)
 
     def end(
-        self, reservation: Reservation, now_s: float, *, succeeded: bool | None
+        self,
+        reservation: Reservation,
+        now_s: float,
+        *,
+        succeeded: bool | None,
+        events: int = 0,
     ) -> None:
         """Record the end of a request; None leaves the upstream's health unchanged."""
+        if succeeded and self.learned is not None:
+            self._learn(self.learned, reservation, events, now_s)
         self.meter(reservation.record).end(reservation.key, now_s, succeeded=succeeded)
 
+    def record_check(self, now_s: float) -> None:
+        """Record a periodic check, which shows whether this node was late."""
+        if now_s - self._checked_s > LATE_CHECK_S:
+            self._late_s = now_s
+        self._checked_s = now_s
+
+    def update_capacity(
+        self, services: Iterable[LearnedService], elapsed_s: float
+    ) -> None:
+        """Move the learnt shares and levels by what was reported lately."""
+        if self.learned is None:
+            return
+        self.learned.tick(elapsed_s)
+        for service in services:
+            records = self.usable(service.name)
+            if service.model_engine:
+                for each in records:
+                    self.learned.adapt_level(each.start_key, each.slots, elapsed_s)
+            else:
+                keys = [each.start_key for each in records]
+                self.learned.balance(service.name, keys, service.target_s, elapsed_s)
+
+    def _learn(
+        self,
+        learned: LearnedCapacity,
+        reservation: Reservation,
+        events: int,
+        now_s: float,
+    ) -> None:
+        """Add a sample, unless it may show this node's lateness."""
+        sample = self.meter(reservation.record).sample(reservation.key, events, now_s)
+        late = now_s - self._checked_s > LATE_CHECK_S
+        if sample is None or late or sample.began_s < self._late_s:
+            return
+        learned.record_work(
+            reservation.record.start_key, Totals(sample.work, sample.busy_s), now_s
+        )
+
     def local_load(self, now_s: float) -> dict[str, tuple[int, int]]:
         """Return this node's running requests and prefill tokens by upstream."""
         return {
@@ -220,6 +287,7 @@
         self, record: UpstreamRecord, prompt: Prompt, now_s: float
     ) -> Candidate:
         meter = self.meter(record)
+        learned, key = self.learned, record.start_key
         return Candidate(
             upstream_id=record.upstream_id,
             data_centre=record.data_centre,
@@ -235,6 +303,10 @@
             unreachable=meter.is_unreachable(now_s),
             room=self.limits.room(record.start_key, now_s),
             pause_s=self.pauses.remaining_s(record.start_key, now_s),
+            level=learned.level(key) if learned else None,
+            sends_per_share=(
+                learned.sends_per_share(record.service, key) if learned else None
+            ),
         )
 
     def _typical_speed(self, service: str) -> tuple[float, float]:
