Learn the level of model engines, and leave calls to the counts

Change: the shares are taken out. Streams are sampled every half second. The level of an engine falls while events take 1.25 times their quickest or 1.5 times the median of the engines, and returns if that does not help. Requests above it wait for at most half of their target.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -286,9 +286,9 @@
 855 warning upstream_pause_unreadable(upstream, value)
     An upstream turned a request away and names a time that cannot be read.
 885 warning capacity_report_malformed(peer, reason)
-    A peer's state has totals of upstreams that cannot be read; the rest of it counts.
+    A peer's state has totals of engines that cannot be read; the rest of it counts.
 886 info capacity_learning_enabled()
-    The node learns the capacity of upstreams from passing traffic.
+    The node learns the capacity of model engines from passing traffic.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/learnedcapacity.py
+++ b/packages/decisions/cicadapass_decisions/learnedcapacity.py
@@ -1,59 +1,49 @@
-"""Learn from passing traffic how much work each upstream handles well.
+"""Learn from passing traffic how many runs each model engine handles well.
 
-Each node sums the work that upstreams do for it and the time that this takes, as totals
-that only grow; those of all nodes show how long a unit of work takes now. A unit is a
-call of a plain service, or an event of a model engine's stream.
-
-The shares of a plain service's upstreams move towards equal times: one that is slow for
-its load gets less. A model engine's level, the runs that it handles well, falls while
-events take longer than they did at their quickest lately, and grows again otherwise.
+Each node sums the events of the streams that engines write for it and the time between
+them, as totals that only grow; those of all nodes show how long an event takes now. The
+level of an engine falls while events take longer than they did at their quickest
+lately, and grows again otherwise. Calls of plain services are not learnt: in the model
+of drawn upstreams no method did better than the counts of calls in progress.
 """
 
-import hashlib
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 # Averaging time of the present times; the totals of peers are up to a round old.
 PRESENT_S = 1.0
-# Speed at which shares move, for each second and factor of e between the times. With
-# totals that are a round of 1.6 s old, 0.5 oscillates and 1.0 loses a third of the
-# calls in the test model; 0.3 does neither.
-GAIN_PER_S = 0.3
-# Bounds of the logarithm of the ratio of the times, so that no report moves a share by
-# more than a factor in a second.
-MAX_LOG_GROWTH = 1.0
-MAX_LOG_LOSS = 1.5
-# Times below this part of the target count as equally good.
-GOOD_TARGET_FRACTION = 0.5
-# An engine is beyond its level while an event takes this multiple of the quickest one.
+# An engine may be beyond its level while an event takes this multiple of its quickest
+# lately, or of the median of the service's engines. These and the next ones were chosen
+# by runs over drawn engines; see docs/design/learned-capacity.md.
 SLOW_PACE = 1.25
-# The quickest time of an event is forgotten at this rate, in parts a second: an engine
-# that has become slower for another reason than its load counts as such for 3 s.
-FORGOTTEN_PER_S = 0.1
-# Part by which the level falls or grows in a second.
+SLOW_GROUP_PACE = 1.5
+# The quickest time of an event is forgotten at this rate, in parts a second.
+FORGOTTEN_PER_S = 0.01
+# Part by which the level falls or grows in a second. Growth of 0.1 or more oscillates:
+# 0.02 to 0.03 fewer of the streams are in time in the test model.
 LEVEL_LOSS_PER_S = 0.3
-LEVEL_GROWTH_PER_S = 0.1
+LEVEL_GROWTH_PER_S = 0.05
+# When the level has fallen to this part, an event must take less than that part of the
+# time before. Otherwise the engine is slow for another reason than its load.
+CHECKED_LEVEL = 0.5
+IMPROVED_PACE = 0.85
+# An engine that is slow for another reason is tried again when it is slower by this.
+SLOWER_AGAIN = 1.5
 # The lowest level; fewer runs show too little of a recovery.
-MIN_LEVEL = 2.0
-# Smallest share, relative to the largest: traffic that shows a recovery.
-MIN_SHARE = 0.02
-# Work, after decay, from which the present time of an upstream is known.
-MIN_PRESENT_WORK = 1.0
-# Calls of a service, after decay, from which its shares are used.
-MIN_SERVICE_WORK = 10.0
-# Sends of a node count towards its shares with this half-life.
-SENDS_HALF_LIFE_S = 2.0
-# A peer's report counts for at most this much work of an upstream, and for a time
-# within this factor of the known one. In a round a node of 80 makes a few calls to an
-# upstream and ends one or two runs of up to 64 events.
+MIN_LEVEL = 3.0
+# Events, after decay, from which the present time of an event is known.
+MIN_PRESENT_WORK = 10.0
+# A peer's report counts for at most this many events of an engine, and for a time in
+# this factor of the known one. In a round, a node of 80 ends one or two runs of up to
+# 64 events at an engine.
 MAX_PEER_WORK = 150.0
 MAX_PEER_DEVIATION = 4.0
 # A peer that was silent for longer has its totals taken over without counting them.
 MAX_PEER_SILENCE_S = 10.0
-# Rows of one message: the upstreams that were sampled last. A row of a start key, two
+# Rows of one message: the engines that were sampled last. A row of a start key, two
 # counts and framing takes up to 50 bytes, and all of them up to 600.
 MAX_ROWS = 12
 # Rows are repeated for this long after a sample, which covers a lost message.
@@ -62,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Totals:
-    """Sum the units of work that an upstream did and the time that they took."""
+    """Sum the events that an engine wrote and the time that they took."""
 
     work: float = 0.0
     busy_s: float = 0.0
@@ -75,12 +65,12 @@
 
     @property
     def unit_s(self) -> float:
-        """Return the mean time of a unit of work."""
+        """Return the mean time of an event."""
         return self.busy_s / max(self.work, 1e-9)
 
 
 def bounded_report(change: Totals, known: Totals) -> Totals:
-    """Return what counts of a peer's report, given what is known of the upstream."""
+    """Return what counts of a peer's report, given what is known of the engine."""
     work = min(change.work, MAX_PEER_WORK)
     if work <= 0 or change.busy_s < 0:
         return Totals()
@@ -91,119 +81,104 @@
     return Totals(work, work * unit_s)
 
 
-def balanced_shares(
-    shares: Mapping[str, float],
-    present: Mapping[str, Totals],
-    good_s: float,
-    elapsed_s: float,
-) -> dict[str, float]:
-    """Return the shares moved towards equal times, relative to the largest one.
-
-    Upstreams that are all slow alike keep their shares. Times up to `good_s` are all
-    good, and so is every upstream without calls.
-    """
-    known = {
-        name: totals
-        for name, totals in present.items()
-        if totals.work >= MIN_PRESENT_WORK
-    }
-    if not known:
-        return dict(shares)
-    work = sum(totals.work for totals in known.values())
-    mean_s = sum(totals.busy_s for totals in known.values()) / work
-    common_s = max(mean_s, good_s, 1e-6)
-    moved = {}
-    for name, share in shares.items():
-        growth = MAX_LOG_GROWTH
-        if name in known:
-            growth = math.log(common_s / max(known[name].unit_s, 1e-6))
-        growth = max(-MAX_LOG_LOSS, min(MAX_LOG_GROWTH, growth))
-        moved[name] = share * math.exp(GAIN_PER_S * elapsed_s * growth)
-    largest = max(moved.values())
-    return {name: max(MIN_SHARE, share / largest) for name, share in moved.items()}
-
-
 @dataclass(frozen=True, slots=True)
 class EngineLevel:
-    """Store the runs that an engine handles well, and its quickest event lately."""
+    """Store the runs that an engine handles well, and how they were found."""
 
     runs: float
+    # The time of an event at its quickest lately.
     quickest_s: float
+    # The level and the time of an event before the level began to fall.
+    checked_runs: float | None = None
+    checked_s: float = 0.0
+    # The time of an event that does not depend on the load, if it is slow.
+    inherent_s: float | None = None
 
 
 def next_level(
-    level: EngineLevel | None, present: Totals, slots: int, elapsed_s: float
+    level: EngineLevel | None,
+    present: Totals,
+    group_s: float,
+    slots: int,
+    elapsed_s: float,
 ) -> EngineLevel | None:
-    """Return the level of an engine after `elapsed_s` of the present pace."""
+    """Return the level of an engine after `elapsed_s` of the present pace.
+
+    `group_s` is the median time of an event at the engines of the service.
+    """
     if present.work < MIN_PRESENT_WORK or present.busy_s <= 0:
         return level
+    event_s = present.unit_s
     if level is None:
-        return EngineLevel(float(slots), present.unit_s)
-    quickest_s = min(
-        present.unit_s, level.quickest_s * (1 + FORGOTTEN_PER_S * elapsed_s)
-    )
-    if present.unit_s > SLOW_PACE * quickest_s:
-        # The time of all runs in a second is their mean number.
-        running = present.busy_s / PRESENT_S
-        runs = min(level.runs, running) * (1 - LEVEL_LOSS_PER_S * elapsed_s)
-    else:
+        return EngineLevel(float(slots), event_s)
+    quickest_s = min(event_s, level.quickest_s * (1 + FORGOTTEN_PER_S * elapsed_s))
+    level = replace(level, quickest_s=quickest_s)
+    if not _is_slow(level, event_s, group_s):
         runs = level.runs * (1 + LEVEL_GROWTH_PER_S * elapsed_s)
-    return EngineLevel(max(MIN_LEVEL, min(float(slots), runs)), quickest_s)
-
-
-class _Upstream:
-    """Hold the totals of one start of an upstream."""
-
-    def __init__(self, offset: float) -> None:
+        return replace(level, runs=min(float(slots), runs), checked_runs=None)
+    checked_runs = level.checked_runs
+    if checked_runs is None:
+        checked_runs = level.runs
+        level = replace(level, checked_runs=checked_runs, checked_s=event_s)
+    runs = max(MIN_LEVEL, level.runs * (1 - LEVEL_LOSS_PER_S * elapsed_s))
+    if runs >= CHECKED_LEVEL * checked_runs:
+        return replace(level, runs=runs)
+    if event_s > IMPROVED_PACE * level.checked_s:
+        return EngineLevel(checked_runs, event_s, inherent_s=event_s)
+    return replace(level, runs=runs, checked_runs=runs, checked_s=event_s)
+
+
+def _is_slow(level: EngineLevel, event_s: float, group_s: float) -> bool:
+    """Return whether the load of an engine may be too high."""
+    if event_s > SLOW_PACE * level.quickest_s:
+        return True
+    inherent_s = level.inherent_s
+    if inherent_s is not None and event_s <= SLOWER_AGAIN * inherent_s:
+        return False
+    return event_s > SLOW_GROUP_PACE * group_s
+
+
+class _Engine:
+    """Hold the totals of one start of an engine."""
+
+    def __init__(self) -> None:
         self.own = Totals()
         # What is not part of `present` yet.
         self.unseen = Totals()
         self.present = Totals()
         self.peers: dict[str, tuple[Totals, float]] = {}
-        # What this node sent. The offset differs between nodes, so that those that send
-        # little do not all choose the upstream with the largest share.
-        self.sends = 0.0
-        self.offset = offset
         self.level: EngineLevel | None = None
 
 
 class LearnedCapacity:
-    """Own what a node has learnt of the upstreams, by the key of their start."""
+    """Own what a node has learnt of the engines, by the key of their start."""
 
-    def __init__(self, node: str) -> None:
-        self._node = node
-        self._upstreams: dict[str, _Upstream] = {}
-        self._shares: dict[str, dict[str, float]] = {}
-        # When each upstream was last sampled, the latest one last.
+    def __init__(self) -> None:
+        self._engines: dict[str, _Engine] = {}
+        # When each engine was last sampled, the latest one last.
         self._sampled_s: OrderedDict[str, float] = OrderedDict()
 
     def keep(self, start_keys: Iterable[str]) -> None:
-        """Drop all starts of upstreams but these."""
+        """Drop all starts of engines but these."""
         kept = set(start_keys)
-        for key in [each for each in self._upstreams if each not in kept]:
-            del self._upstreams[key]
+        for key in [each for each in self._engines if each not in kept]:
+            del self._engines[key]
             self._sampled_s.pop(key, None)
-        for key in kept - self._upstreams.keys():
-            self._upstreams[key] = _Upstream(_offset(self._node, key))
+        for key in kept - self._engines.keys():
+            self._engines[key] = _Engine()
 
     def record_work(self, start_key: str, sample: Totals, now_s: float) -> None:
-        """Add work that an upstream did for this node."""
-        upstream = self._upstreams.get(start_key)
-        if upstream is None:
+        """Add events that an engine wrote for this node."""
+        engine = self._engines.get(start_key)
+        if engine is None:
             return
-        upstream.own = upstream.own.plus(sample)
-        upstream.unseen = upstream.unseen.plus(sample)
+        engine.own = engine.own.plus(sample)
+        engine.unseen = engine.unseen.plus(sample)
         self._sampled_s[start_key] = now_s
         self._sampled_s.move_to_end(start_key)
 
-    def record_send(self, start_key: str) -> None:
-        """Count a request of this node towards the upstream's share."""
-        upstream = self._upstreams.get(start_key)
-        if upstream is not None:
-            upstream.sends += 1
-
     def export(self, now_s: float) -> list[list[Any]]:
-        """Return rows of this node's totals: start key, work, milliseconds."""
+        """Return rows of this node's totals: start key, events, milliseconds."""
         recent = [
             key
             for key, sampled_s in self._sampled_s.items()
@@ -211,7 +186,7 @@
         ]
         rows = []
         for key in recent[-MAX_ROWS:]:
-            own = self._upstreams[key].own
+            own = self._engines[key].own
             rows.append([key, round(own.work), round(1000 * own.busy_s)])
         return rows
 
@@ -224,92 +199,51 @@
             totals = Totals(float(work), float(busy_ms) / 1000)
             if not (math.isfinite(totals.work) and math.isfinite(totals.busy_s)):
                 raise ValueError(f"{work}, {busy_ms} are no totals")
-            upstream = self._upstreams.get(str(start_key))
-            if upstream is None:
+            engine = self._engines.get(str(start_key))
+            if engine is None:
                 continue
-            known = upstream.peers.get(peer)
+            known = engine.peers.get(peer)
             if known is not None and totals.work < known[0].work:
                 # An earlier message that arrived late.
                 continue
-            upstream.peers[peer] = (totals, now_s)
+            engine.peers[peer] = (totals, now_s)
             # The first totals of a peer, or those after a silence, are old.
             if known is not None and now_s - known[1] <= MAX_PEER_SILENCE_S:
-                change = bounded_report(totals.plus(known[0], -1.0), upstream.present)
-                upstream.unseen = upstream.unseen.plus(change)
+                change = bounded_report(totals.plus(known[0], -1.0), engine.present)
+                engine.unseen = engine.unseen.plus(change)
 
     def forget_peer(self, peer: str) -> None:
         """Remove the totals of a peer that has ended."""
-        for upstream in self._upstreams.values():
-            upstream.peers.pop(peer, None)
+        for engine in self._engines.values():
+            engine.peers.pop(peer, None)
 
     def tick(self, elapsed_s: float) -> None:
         """Include what was reported since the last call in the present times."""
         kept = math.exp(-elapsed_s / PRESENT_S)
-        sends_kept = 0.5 ** (elapsed_s / SENDS_HALF_LIFE_S)
-        for upstream in self._upstreams.values():
-            upstream.present = upstream.unseen.plus(upstream.present, kept)
-            upstream.unseen = Totals()
-            upstream.sends *= sends_kept
-
-    def balance(
-        self, service: str, start_keys: Iterable[str], target_s: float, elapsed_s: float
-    ) -> None:
-        """Move the shares of a service's upstreams."""
-        present = {
-            key: self._upstreams[key].present
-            for key in start_keys
-            if key in self._upstreams
-        }
-        old = self._shares.get(service, {})
-        if not old:
-            # What the others send shows the shares that they have learnt.
-            largest = max((each.work for each in present.values()), default=0.0)
-            if sum(each.work for each in present.values()) < MIN_SERVICE_WORK:
-                return
-            shares = {
-                key: max(MIN_SHARE, totals.work / largest)
-                for key, totals in present.items()
-            }
-        else:
-            typical = sorted(old.values())[len(old) // 2]
-            shares = {key: old.get(key, typical) for key in present}
-        self._shares[service] = balanced_shares(
-            shares, present, GOOD_TARGET_FRACTION * target_s, elapsed_s
+        for engine in self._engines.values():
+            engine.present = engine.unseen.plus(engine.present, kept)
+            engine.unseen = Totals()
+
+    def adapt_levels(self, slots: Mapping[str, int], elapsed_s: float) -> None:
+        """Move the levels of a service's engines, given their slots by start key."""
+        engines = {key: self._engines[key] for key in slots if key in self._engines}
+        paces_s = sorted(
+            engine.present.unit_s
+            for engine in engines.values()
+            if engine.present.work >= MIN_PRESENT_WORK
         )
-
-    def share(self, service: str, start_key: str) -> float | None:
-        """Return the share of an upstream relative to the largest, once it is known."""
-        return self._shares.get(service, {}).get(start_key)
-
-    def sends_per_share(self, service: str, start_key: str) -> float | None:
-        """Return this node's sends relative to the share; the lowest comes next."""
-        share = self.share(service, start_key)
-        if share is None:
-            return None
-        upstream = self._upstreams.get(start_key)
-        return None if upstream is None else (upstream.sends + upstream.offset) / share
-
-    def adapt_level(self, start_key: str, slots: int, elapsed_s: float) -> None:
-        """Move the level of a model engine."""
-        upstream = self._upstreams.get(start_key)
-        if upstream is not None:
-            upstream.level = next_level(
-                upstream.level, upstream.present, slots, elapsed_s
+        if not paces_s:
+            return
+        # Of two, the quicker one: the other may be the one that is slow.
+        group_s = paces_s[(len(paces_s) - 1) // 2]
+        for key, engine in engines.items():
+            engine.level = next_level(
+                engine.level, engine.present, group_s, slots[key], elapsed_s
             )
 
     def level(self, start_key: str) -> int | None:
         """Return the runs that an engine handles well, once they are known."""
-        upstream = self._upstreams.get(start_key)
-        if upstream is None or upstream.level is None:
+        engine = self._engines.get(start_key)
+        if engine is None or engine.level is None:
             return None
-        return round(upstream.level.runs)
-
-
-def _offset(node: str, start_key: str) -> float:
-    """Return an exponentially distributed number that nodes draw independently.
-
-    The smallest of such numbers divided by the shares belongs to an upstream with the
-    probability of its share.
-    """
-    digest = hashlib.blake2b(f"{node}\0{start_key}".encode(), digest_size=7).digest()
-    return -math.log((int.from_bytes(digest) + 1) / (256**7 + 1))
+        return round(engine.level.runs)
--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -32,10 +32,7 @@
 # Calls sent to a plain service beyond its slots, as a fraction of them. They wait there
 # for about the duration of one call; the counts of peers are too old for a lower limit.
 EXTRA_CALLS_FRACTION = 1.0
-# An upstream whose failure score exceeds the lowest by more comes after the others,
-# whatever its learnt share: two failures in a row reach 0.56.
-MAX_FAILURE_EXCESS = 0.5
-# A request waits for an upstream below its learnt level for at most this part of its
+# A request waits for an engine below its learnt level for at most this part of its
 # target; then any slot will do.
 LEVEL_PATIENCE_TARGETS = 0.5
 # A caller abandons a stream after the longest of: this time, this multiple of the
@@ -78,8 +75,6 @@
     pause_s: float = 0.0
     # The runs that a model engine handles well, once they are learnt.
     level: int | None = None
-    # This node's sends relative to the learnt share of a plain service's upstream.
-    sends_per_share: float | None = None
 
     @property
     def has_room(self) -> bool:
@@ -164,9 +159,6 @@
         key or "", [candidate.upstream_id for candidate in candidates]
     )
     preferred = () if key is None else preferred_engines(candidates, weights)
-    by_share = not request.for_model and all(
-        candidate.sends_per_share is not None for candidate in candidates
-    )
     costs = sorted(
         (
             (
@@ -179,7 +171,6 @@
         # segment, and different ones for different segments.
         key=lambda pair: (
             pair[1].running if request.isolated else 0,
-            _learned_cost(pair[1], lowest_failure_score) if by_share else (),
             pair[0],
             weights[pair[1].upstream_id],
         ),
@@ -293,14 +284,6 @@
     return candidate.backlog_s + prefill_s + remote_penalty_s + failure_penalty_s
 
 
-def _learned_cost(
-    candidate: Candidate, lowest_failure_score: float
-) -> tuple[bool, float]:
-    """Return what ranks the upstreams of a plain service by their learnt shares."""
-    failing = candidate.failure_score - lowest_failure_score > MAX_FAILURE_EXCESS
-    return (failing, candidate.sends_per_share or 0.0)
-
-
 def _has_capacity(request: PlacementRequest, candidate: Candidate) -> bool:
     if candidate.full or not candidate.has_room:
         return False
--- a/packages/decisions/cicadapass_decisions/upstreammeter.py
+++ b/packages/decisions/cicadapass_decisions/upstreammeter.py
@@ -35,8 +35,9 @@
 MAX_CACHED_SEGMENTS = 2000
 # At most this fraction of the oldest prompt counts as prefilled before its first token.
 MAX_PREFILL_FRACTION = 0.9
-# Streams with fewer events show too little of the time between them.
-MIN_SAMPLED_EVENTS = 3
+# Interval at which the events of a stream are sampled: a stream at an engine that is
+# far too loaded takes tens of seconds to its end.
+SAMPLE_INTERVAL_S = 0.5
 
 
 @dataclass(slots=True)
@@ -49,13 +50,16 @@
     first_token_s: float | None = None
     # The upstream was silent meanwhile, so that the times do not show its speed.
     paused: bool = False
-    # The caller was slow to read, so that the time of the events does not show it.
-    slow_caller: bool = False
+    # The last sample of the events, and those that it included.
+    sampled_s: float | None = None
+    sampled_events: int = 0
+    # A silence or a slow caller has lengthened the time since then.
+    disturbed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class CapacitySample:
-    """Store the units of work of one request, and the time that they took."""
+    """Store some events of one stream, and the time that they took."""
 
     began_s: float
     work: float
@@ -116,30 +120,35 @@
         """Record that the upstream was silent within a request; it is no sample."""
         run = self._runs.get(key)
         if run is not None:
-            run.paused = True
+            run.paused = run.disturbed = True
 
     def record_slow_caller(self, key: str) -> None:
         """Record that a request's stream had to wait for its caller."""
         run = self._runs.get(key)
         if run is not None:
-            run.slow_caller = True
+            run.disturbed = True
 
-    def sample(self, key: str, events: int, now_s: float) -> CapacitySample | None:
-        """Return what a request that ends well shows of the upstream's speed.
+    def progress(
+        self, key: str, events: int, now_s: float, *, ended: bool = False
+    ) -> CapacitySample | None:
+        """Return what the events of a stream show since the last sample, if due.
 
-        That is the time of a call, or that of the events after the first one.
+        `events` counts all of them. A time with a pause or a slow caller is no sample.
         """
         run = self._runs.get(key)
-        if run is None or run.paused or run.slow_caller:
+        if run is None or run.first_token_s is None:
             return None
-        if run.first_token_s is None:
-            if run.prefill_tokens:
-                return None
-            return CapacitySample(run.sent_s, 1.0, now_s - run.sent_s)
-        if events < MIN_SAMPLED_EVENTS:
+        if run.sampled_s is None:
+            run.sampled_s, run.sampled_events = now_s, events
             return None
-        busy_s = now_s - run.first_token_s
-        return CapacitySample(run.sent_s, events - 1.0, busy_s)
+        began_s, new_events = run.sampled_s, events - run.sampled_events
+        if new_events < 1 or (now_s - began_s < SAMPLE_INTERVAL_S and not ended):
+            return None
+        disturbed = run.disturbed
+        run.sampled_s, run.sampled_events, run.disturbed = now_s, events, False
+        if disturbed:
+            return None
+        return CapacitySample(began_s, float(new_events), now_s - began_s)
 
     def first_token(self, key: str, now_s: float) -> None:
         """Record the start of an answer and sample the prefill speed."""
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -40,5 +40,5 @@
     lease_s: float
     usage_window_s: float
     has_duties: bool
-    # Learn the capacity of upstreams from passing traffic.
+    # Learn the capacity of model engines from passing traffic.
     learned_capacity: bool = False
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -315,8 +315,10 @@
     state.demand.decay(AVERAGING_INTERVAL_S)
     state.upstreams.decay_speeds(now_s)
     state.segment_suspicions.expire(now_s)
-    if state.upstreams.learned is not None:
-        state.upstreams.update_capacity(state.learned_services(), AVERAGING_INTERVAL_S)
+    if state.configuration is not None:
+        services = state.configuration.services.values()
+        names = [each.name for each in services if each.model_engine]
+        state.upstreams.update_capacity(names, AVERAGING_INTERVAL_S)
 
 
 def _wall_ms() -> int:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -15,7 +15,7 @@
 from cicadapass_decisions.segmentsuspicions import SegmentSuspicions
 from cicadapass_gateway.metrics import Metrics
 from cicadapass_gateway.requestqueue import RequestQueue
-from cicadapass_gateway.upstreamtracker import LearnedService, UpstreamTracker
+from cicadapass_gateway.upstreamtracker import UpstreamTracker
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,26 +106,10 @@
         return True
 
     def learn_capacity(self) -> None:
-        """Learn the capacity of upstreams from now on."""
-        self.upstreams.learned = LearnedCapacity(self.node)
+        """Learn the capacity of model engines from now on."""
+        self.upstreams.learned = LearnedCapacity()
         self.upstreams.refresh()
 
-    def learned_services(self) -> list[LearnedService]:
-        """Return the services of the configuration with their shortest targets."""
-        configuration = self.configuration
-        if configuration is None:
-            return []
-        targets: dict[str, float] = {}
-        for route in configuration.routes:
-            for each in route.services:
-                target_s = targets.get(each.service, route.target_latency_s)
-                targets[each.service] = min(target_s, route.target_latency_s)
-        return [
-            LearnedService(name, service.model_engine, targets[name])
-            for name, service in configuration.services.items()
-            if name in targets
-        ]
-
     def merge_capacity(self, rows: Sequence[Any], peer: str) -> None:
         """Apply a peer's totals; one log line says that they are malformed."""
         learned = self.upstreams.learned
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -485,6 +485,9 @@
             self._claim()
             request.start_stream(response.status, response.info.headers)
             self._record_first_event()
+            self._state.upstreams.record_progress(
+                self._reservation, self._progress.events, self._state.clock()
+            )
             self._prompt_guard.record_progress(request, self._progress)
             exchange.write(b"".join(event.data for event in events))
             request.record_position(events)
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -49,16 +49,6 @@
 NOT_CHOSEN = ChoiceBasis(-1, 0.0, held=False, view_end=-1, view_age_s=0.0)
 
 
-@dataclass(frozen=True, slots=True)
-class LearnedService:
-    """Describe a service whose upstreams' capacity is learnt."""
-
-    name: str
-    model_engine: bool
-    # The shortest target of the routes to it.
-    target_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Reservation:
     """Identify a request in progress at an upstream."""
@@ -167,8 +157,6 @@
             listener(record.upstream_id, uncached_tokens)
         basis = self._choice_basis(record, now_s)
         self.limits.take(record.start_key, now_s)
-        if self.learned is not None:
-            self.learned.record_send(record.start_key)
         return Reservation(record, key, expected_s, basis, cache_source)
 
     def first_token(self, reservation: Reservation, now_s: float) -> None:
@@ -184,8 +172,8 @@
         events: int = 0,
     ) -> None:
         """Record the end of a request; None leaves the upstream's health unchanged."""
-        if succeeded and self.learned is not None:
-            self._learn(self.learned, reservation, events, now_s)
+        if succeeded:
+            self.record_progress(reservation, events, now_s, ended=True)
         self.meter(reservation.record).end(reservation.key, now_s, succeeded=succeeded)
 
     def record_check(self, now_s: float) -> None:
@@ -194,36 +182,35 @@
             self._late_s = now_s
         self._checked_s = now_s
 
-    def update_capacity(
-        self, services: Iterable[LearnedService], elapsed_s: float
-    ) -> None:
-        """Move the learnt shares and levels by what was reported lately."""
+    def update_capacity(self, services: Iterable[str], elapsed_s: float) -> None:
+        """Move the learnt levels of the engines of these services."""
         if self.learned is None:
             return
         self.learned.tick(elapsed_s)
         for service in services:
-            records = self.usable(service.name)
-            if service.model_engine:
-                for each in records:
-                    self.learned.adapt_level(each.start_key, each.slots, elapsed_s)
-            else:
-                keys = [each.start_key for each in records]
-                self.learned.balance(service.name, keys, service.target_s, elapsed_s)
-
-    def _learn(
+            slots = {each.start_key: each.slots for each in self.usable(service)}
+            self.learned.adapt_levels(slots, elapsed_s)
+
+    def record_progress(
         self,
-        learned: LearnedCapacity,
         reservation: Reservation,
         events: int,
         now_s: float,
+        *,
+        ended: bool = False,
     ) -> None:
-        """Add a sample, unless it may show this node's lateness."""
-        sample = self.meter(reservation.record).sample(reservation.key, events, now_s)
+        """Learn from the events of a stream, unless this node may have been late."""
+        if self.learned is None:
+            return
+        record = reservation.record
+        sample = self.meter(record).progress(
+            reservation.key, events, now_s, ended=ended
+        )
         late = now_s - self._checked_s > LATE_CHECK_S
         if sample is None or late or sample.began_s < self._late_s:
             return
-        learned.record_work(
-            reservation.record.start_key, Totals(sample.work, sample.busy_s), now_s
+        self.learned.record_work(
+            record.start_key, Totals(sample.work, sample.busy_s), now_s
         )
 
     def local_load(self, now_s: float) -> dict[str, tuple[int, int]]:
@@ -287,7 +274,6 @@
         self, record: UpstreamRecord, prompt: Prompt, now_s: float
     ) -> Candidate:
         meter = self.meter(record)
-        learned, key = self.learned, record.start_key
         return Candidate(
             upstream_id=record.upstream_id,
             data_centre=record.data_centre,
@@ -303,10 +289,7 @@
             unreachable=meter.is_unreachable(now_s),
             room=self.limits.room(record.start_key, now_s),
             pause_s=self.pauses.remaining_s(record.start_key, now_s),
-            level=learned.level(key) if learned else None,
-            sends_per_share=(
-                learned.sends_per_share(record.service, key) if learned else None
-            ),
+            level=self.learned.level(record.start_key) if self.learned else None,
         )
 
     def _typical_speed(self, service: str) -> tuple[float, float]:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -318,3 +318,16 @@
         """A request that cannot be served in time was queued before it was refused."""
         self.assertTrue(is_wait_too_long(1.5, 2.0))
         self.assertFalse(is_wait_too_long(0.5, 2.0))
+
+
+class LearnedLevelTest(testtools.TestCase):
+    def test_requests_keep_to_the_level_until_they_have_waited(self):
+        """An engine was filled beyond its level, or a request refused beside slots."""
+        engines = [engine("a", running=8, level=8), engine("b", running=9, level=8)]
+        request = make_request(prompt(1000), target_s=1.0)
+        self.assertIsInstance(place_request(request, engines), Wait)
+        self.assertIsInstance(
+            place_request(replace(request, waited_s=0.6), engines), Send
+        )
+        free = [*engines, engine("c", running=20)]
+        self.assertEqual("c", place_request(request, free).upstream_id)
--- a/tests/decisions/test_upstreammeter.py
+++ b/tests/decisions/test_upstreammeter.py
@@ -106,3 +106,34 @@
         self.assertEqual(0.0, meter.prefill_tokens(2.0))
         meter.record_peer_load("p", PeerLoad(1, 100.0, 0.1))
         self.assertEqual(100.0, meter.prefill_tokens(0.1))
+
+
+class CapacitySampleTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.meter = UpstreamMeter()
+
+    def test_events_of_a_stream_are_sampled_while_it_runs(self):
+        """An engine that was far too loaded gave no samples until its streams ended."""
+        self.meter.begin("a", Prompt(prompt_tokens=100), 0.0)
+        self.assertIsNone(self.meter.progress("a", 1, 0.1))
+        self.meter.first_token("a", 0.2)
+        self.assertIsNone(self.meter.progress("a", 1, 0.2))
+        self.assertIsNone(self.meter.progress("a", 5, 0.4))
+        sample = self.meter.progress("a", 11, 0.8)
+        self.assertEqual(10.0, sample.work)
+        self.assertAlmostEqual(0.6, sample.busy_s)
+        self.assertEqual(2.0, self.meter.progress("a", 13, 0.9, ended=True).work)
+
+    def test_pauses_and_slow_callers_are_no_samples(self):
+        """A silence or a caller that stopped reading lowered an engine's level."""
+        self.meter.begin("a", Prompt(prompt_tokens=100), 0.0)
+        self.meter.first_token("a", 0.2)
+        self.meter.progress("a", 1, 0.2)
+        for disturb, end_s in (
+            (self.meter.record_pause, 2.0),
+            (self.meter.record_slow_caller, 4.0),
+        ):
+            disturb("a")
+            self.assertIsNone(self.meter.progress("a", int(10 * end_s), end_s))
+        self.assertEqual(10.0, self.meter.progress("a", 50, 4.6).work)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -5,6 +5,7 @@
 
 import cbor2
 
+from cicadapass_decisions.learnedcapacity import Totals
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_decisions.readsharing import is_watcher
@@ -401,3 +402,46 @@
             self.assertEqual({}, first.peers.members)
 
         self.run_loop(scenario())
+
+
+class CapacityTest(LoopTest):
+    def test_totals_reach_the_nodes_that_learn(self):
+        """Each node learnt only from its own part of an engine's traffic."""
+
+        async def scenario():
+            first = await Node("a").start()
+            second = await Node("b").start([first.address])
+            self.assertNotIn("capacity", second.peers._encode(0.0))
+            for node in (first, second):
+                node.state.learn_capacity()
+            totals = first.state.upstreams.learned._engines[UPSTREAM.start_key]
+            peers = totals.peers
+            for count in (10, 20):
+                second.state.upstreams.learned.record_work(
+                    UPSTREAM.start_key, Totals(10.0, 0.5), second.state.clock()
+                )
+                second.peers.send_state()
+                await until(
+                    lambda count=count: count in [t.work for t, _ in peers.values()]
+                )
+            self.assertEqual(10.0, totals.unseen.work)
+
+        self.run_loop(scenario())
+
+    def test_malformed_totals_leave_the_rest_of_a_state(self):
+        """One odd row ended the exchange of all else between two nodes."""
+
+        async def scenario():
+            first = await Node("a").start()
+            second = await Node("b").start([first.address])
+            first.state.learn_capacity()
+            message = second.peers._encode(0.0)
+            for rows in (7, [["u1@1"]], [["u1@1", "x", 1]], [[[], 1, 1]]):
+                data = cbor2.dumps({**message, "capacity": rows})
+                first.peers.datagram_received(data, ("127.0.0.1", 9))
+            self.assertEqual(["b"], list(first.peers.members))
+            self.assertIn(
+                "capacity_reports_malformed_total 3", first.state.metrics.render()
+            )
+
+        self.run_loop(scenario())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 from cicadapass_gateway.config import Address
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_platform.settings import (
+    LEARNED_CAPACITY_VARIABLE,
     METRICS_PORT_VARIABLE,
     SETTINGS_PATH_VARIABLE,
     decode_settings,
@@ -92,3 +93,13 @@
         settings = decode_settings("\n".join(lines))
         self.assertIsNone(settings.cloud)
         self.assertFalse(settings.node.has_duties)
+
+    def test_the_learning_of_capacity_is_off_unless_it_is_enabled(self):
+        """A node learnt, or did not, against its setting."""
+        self.assertFalse(decode_settings(TEXT).node.learned_capacity)
+        for value, expected in (("1", True), ("0", False)):
+            with mock.patch.dict(os.environ, {LEARNED_CAPACITY_VARIABLE: value}):
+                self.assertEqual(expected, decode_settings(TEXT).node.learned_capacity)
+        with mock.patch.dict(os.environ, {LEARNED_CAPACITY_VARIABLE: "yes"}):
+            error = self.assertRaises(SettingsError, decode_settings, TEXT)
+        self.assertIn(LEARNED_CAPACITY_VARIABLE, str(error))
