--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -321,6 +321,10 @@
 responses while these exceeded the memory (`unread`, reset), or there were too many \
 connections (`connections`, closed). `source` is the workspace, or the address of \
 callers without a valid key, of most of them.
+885 warning capacity_report_malformed(peer, reason)
+    A peer's state has totals of engines that cannot be read; the rest of it counts.
+886 info capacity_learning_enabled()
+    The node learns the capacity of model engines from passing traffic.
 """
 
 _ENTRY_PATTERN = re.compile(
--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -33,6 +33,9 @@
 # Calls sent to a plain service beyond its slots, as a fraction of them. They wait there
 # for about the duration of one call; the counts of peers are too old for a lower limit.
 EXTRA_CALLS_FRACTION = 1.0
+# A request waits for an engine below its learnt level for at most this part of its
+# target; then any slot will do.
+LEVEL_PATIENCE_TARGETS = 0.5
 # A caller abandons a stream after the longest of: this time, this multiple of the
 # target latency, and this multiple of the longest allowed gap between events.
 MAX_WAIT_BASE_S = 2.0
@@ -73,6 +76,8 @@
     room: Room | None = None
     # Time for which the upstream wants no requests of this node.
     pause_s: float = 0.0
+    # The runs that a model engine handles well, once they are learnt.
+    level: int | None = None
 
     @property
     def has_room(self) -> bool:
@@ -288,6 +293,14 @@
         return candidate.running < candidate.slots * (1 + EXTRA_CALLS_FRACTION)
     if candidate.running >= candidate.slots:
         return False
+    # A request that has waited for long gets a slot beyond the learnt level rather than
+    # a refusal while slots are idle.
+    if (
+        candidate.level is not None
+        and candidate.running >= candidate.level
+        and request.waited_s < LEVEL_PATIENCE_TARGETS * request.target_s
+    ):
+        return False
     if request.shorter_target_s is not None:
         return (
             candidate.backlog_s
--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -47,3 +47,5 @@
     max_descriptors: int | None
     # None disables the rollouts of versions.
     rollout_bounds: RolloutBounds | None = None
+    # Learn the capacity of model engines from passing traffic.
+    learned_capacity: bool = False
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -36,6 +36,8 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 # While requests are queued, they are evaluated at this interval and at every change.
 QUEUE_CHECK_INTERVAL_S = 0.03
+# Interval at which a node that learns the speed of upstreams checks its own lateness.
+LATENESS_CHECK_INTERVAL_S = 0.05
 # Interval at which the averages of demand and speed are updated.
 AVERAGING_INTERVAL_S = 0.5
 # Interval at which the evidence on versions that are rolled out is judged.
@@ -142,6 +144,9 @@
             settings.upstream_drain_s,
             settings.rollout_bounds,
         )
+        if settings.learned_capacity:
+            state.learn_capacity()
+            events.emit(886)
         pool = ClientPool()
         limits = budget_limits(settings.memory_mb, settings.max_descriptors)
         response_bytes = int(limits.capacity_bytes * RESPONSE_FRACTION)
@@ -264,6 +269,15 @@
             periodic(lambda: update_averages(components.state), AVERAGING_INTERVAL_S),
         )
         start("waiting", lambda: components.state.queue.run(QUEUE_CHECK_INTERVAL_S))
+        if settings.learned_capacity:
+            upstreams = components.state.upstreams
+            start(
+                "lateness",
+                periodic(
+                    lambda: upstreams.record_check(loop.time()),
+                    LATENESS_CHECK_INTERVAL_S,
+                ),
+            )
         if components.state.rollouts.enabled:
             start("held-versions", components.registry_sync.follow_held_versions)
             start(
@@ -347,6 +361,11 @@
     state.demand.decay(AVERAGING_INTERVAL_S)
     state.upstreams.decay_speeds(now_s)
     state.segment_suspicions.expire(now_s)
+    if state.configuration is not None and state.upstreams.learned is not None:
+        services = state.configuration.services.values()
+        names = [each.name for each in services if each.model_engine]
+        lowered = state.upstreams.update_capacity(names, AVERAGING_INTERVAL_S)
+        state.metrics.gauge("engines_below_slots", lowered)
 
 
 def _wall_ms() -> int:
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cicadapass_common.events import EventLog
+from cicadapass_decisions.learnedcapacity import LearnedCapacity
 from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
 from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
 from cicadapass_decisions.retryallowance import RetryAllowance
@@ -116,6 +117,27 @@
         self.raw_configuration = raw
         return True
 
+    def learn_capacity(self) -> None:
+        """Learn the capacity of model engines from now on."""
+        self.upstreams.learned = LearnedCapacity()
+        self.upstreams.refresh()
+
+    def merge_capacity(self, rows: Sequence[Any], peer: str) -> None:
+        """Apply a peer's totals; one log line says that they are malformed."""
+        learned = self.upstreams.learned
+        if learned is None:
+            return
+        try:
+            learned.merge(peer, rows, self.clock())
+        except (TypeError, ValueError, OverflowError) as error:
+            self.metrics.count("capacity_reports_malformed")
+            self.events.emit(885, peer=peer, reason=repr(error))
+
+    def forget_capacity(self, peer: str) -> None:
+        """Remove the totals of a peer that has ended."""
+        if self.upstreams.learned is not None:
+            self.upstreams.learned.forget_peer(peer)
+
     def subscribe_to_limits(self, listener: Callable[[], None]) -> None:
         """Call `listener` when this node hears a change of an upstream's limit."""
         self._limit_listeners.append(listener)
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -341,7 +341,7 @@
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
         rollouts = state.rollouts.export()
-        return {
+        message = {
             **({} if rollouts is None else {"rollouts": rollouts}),
             "node": encode_address(self.local_address),
             "interval": self._interval,
@@ -364,6 +364,10 @@
             "holder": self._dependencies.local_renewal(),
             "members": [encode_address(address) for address in introduced],
         }
+        if state.upstreams.learned is not None:
+            # At most 12 rows of up to 50 bytes; builds without them ignore them.
+            message["capacity"] = state.upstreams.learned.export(now_s)
+        return message
 
     def _draw_introduced(self, now_s: float) -> list[NodeAddress]:
         """Return a few of the members that were heard lately."""
@@ -414,6 +418,7 @@
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
         state.merge_upstream_limits(message.get("upstream_limits", []), address.name)
+        state.merge_capacity(message.get("capacity", []), key)
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
@@ -555,6 +560,7 @@
                 self._removed[name] = member.address.incarnation
                 self._dependencies.demand.pop(name, None)
                 self._dependencies.state.upstreams.apply_load(name, {}, now_s)
+                self._dependencies.state.forget_capacity(member.address.key)
 
 
 def _encode_totals(totals: Totals) -> dict[str, list[int]]:
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from cicadapass_decisions.learnedcapacity import LearnedCapacity, Totals
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.placement import Candidate
 from cicadapass_decisions.topicreplica import TopicReplica
@@ -21,6 +22,8 @@
 # A leaving upstream gets stopped runs for this part of the time for which the platform
 # lets it have requests; the rest covers the time until the node learns of it.
 STOPPED_RUN_FRACTION = 0.6
+# A node whose periodic checks are late by more than this has measured its own lateness.
+LATE_CHECK_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +125,11 @@
         self.view = UpstreamView()
         self.limits = UpstreamLimits(node)
         self.pauses = UpstreamPauses()
+        # What is learnt of the upstreams' capacity, if the node's settings enable it.
+        self.learned: LearnedCapacity | None = None
+        # The last periodic check, and the end of the last one that was late.
+        self._checked_s = -1e9
+        self._late_s = -1e9
         self._data_centre = data_centre
         # How long a leaving upstream may get requests.
         self._drain_s = drain_s
@@ -162,6 +170,8 @@
             (r.upstream_id, r.started_ms) for r in self.view.records.values()
         }
         self.limits.keep(each.start_key for each in self.view.records.values())
+        if self.learned is not None:
+            self.learned.keep(each.start_key for each in self.view.records.values())
         for key in [each for each in self._meters if each not in current_starts]:
             if not self._meters[key].local_running:
                 self._meters_by_id[key[0]].remove(self._meters.pop(key))
@@ -292,13 +302,62 @@
         self.meter(reservation.record).first_token(reservation.key, now_s)
 
     def end(
-        self, reservation: Reservation, now_s: float, *, succeeded: bool | None
+        self,
+        reservation: Reservation,
+        now_s: float,
+        *,
+        succeeded: bool | None,
+        events: int = 0,
     ) -> None:
         """Record the end of a request; None leaves the upstream's health unchanged."""
+        if succeeded:
+            self.record_progress(reservation, events, now_s, ended=True)
         self.meter(reservation.record).end(reservation.key, now_s, succeeded=succeeded)
         if self.versions is not None:
             self.versions.end(reservation.key)
 
+    def record_check(self, now_s: float) -> None:
+        """Record a periodic check, which shows whether this node was late."""
+        if now_s - self._checked_s > LATE_CHECK_S:
+            self._late_s = now_s
+        self._checked_s = now_s
+
+    def update_capacity(self, services: Iterable[str], elapsed_s: float) -> int:
+        """Move the levels of these services' engines; return how many are lowered."""
+        if self.learned is None:
+            return 0
+        self.learned.tick(elapsed_s)
+        lowered = 0
+        for service in services:
+            slots = {each.start_key: each.slots for each in self.usable(service)}
+            self.learned.adapt_levels(slots, elapsed_s)
+            for start_key, count in slots.items():
+                level = self.learned.level(start_key)
+                lowered += level is not None and level < count
+        return lowered
+
+    def record_progress(
+        self,
+        reservation: Reservation,
+        events: int,
+        now_s: float,
+        *,
+        ended: bool = False,
+    ) -> None:
+        """Learn from the events of a stream, unless this node may have been late."""
+        if self.learned is None:
+            return
+        record = reservation.record
+        sample = self.meter(record).progress(
+            reservation.key, events, now_s, ended=ended
+        )
+        late = now_s - self._checked_s > LATE_CHECK_S
+        if sample is None or late or sample.began_s < self._late_s:
+            return
+        self.learned.record_work(
+            record.start_key, Totals(sample.work, sample.busy_s), now_s
+        )
+
     def local_load(self, now_s: float) -> dict[str, tuple[int, int]]:
         """Return this node's running requests and prefill tokens by upstream."""
         return {
@@ -368,6 +427,7 @@
         full, unreachable = meter.is_full(now_s), meter.is_unreachable(now_s)
         room = self.limits.room(start_key, now_s)
         pause_s = self.pauses.remaining_s(start_key, now_s)
+        level = None if self.learned is None else self.learned.level(start_key)
         if (
             last is not None
             and last.running == running
@@ -380,6 +440,7 @@
             and last.unreachable == unreachable
             and last.room == room
             and last.pause_s == pause_s
+            and last.level == level
         ):
             # To build an equal one costs as much as half of the rest.
             return last
@@ -398,6 +459,7 @@
             unreachable=unreachable,
             room=room,
             pause_s=pause_s,
+            level=level,
         )
         return tracked.last
 
