--- a/packages/gateway/cicadapass_gateway/config.py
+++ b/packages/gateway/cicadapass_gateway/config.py
@@ -6,6 +6,8 @@
 from cicadapass_decisions.rollouts import RolloutBounds
 
 MAX_PORT = 65_535
+# Memory of the smallest VMs in use.
+DEFAULT_MEMORY_MB = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,11 +43,11 @@
     lease_s: float
     usage_window_s: float
     has_duties: bool
-    # Memory of the VM, from which the limit of callers' bytes follows.
-    memory_mb: float
-    # Descriptors that the process may open; None for the limit of the process.
-    max_descriptors: int | None
     # None disables the rollouts of versions.
     rollout_bounds: RolloutBounds | None = None
     # Learn the capacity of model engines from passing traffic.
     learned_capacity: bool = False
+    # Memory of the VM, from which the limit of callers' bytes follows.
+    memory_mb: float = DEFAULT_MEMORY_MB
+    # Descriptors that the process may open; None for the limit of the process.
+    max_descriptors: int | None = None
