Spread short calls at random where the counts of peers are old

Where a round of states takes over 0.4 s, a call goes to a random upstream with room, in proportion to its slots and against its measured time, load and failures, and an upstream may have as many calls as it answers within their target, up to four for each slot. Few nodes decide as before.

--- a/packages/decisions/cicadapass_decisions/placement.py
+++ b/packages/decisions/cicadapass_decisions/placement.py
@@ -33,6 +33,13 @@
 # Calls sent to a plain service beyond its slots, as a fraction of them. They wait there
 # for about the duration of one call; the counts of peers are too old for a lower limit.
 EXTRA_CALLS_FRACTION = 1.0
+# Counts of peers that are older than this span several calls and say little of now.
+# With the same ones, all nodes would send their calls to the upstream that looks idle,
+# and calls would wait for the counts to fall while upstreams are idle.
+STALE_COUNTS_S = 0.4
+# With such counts, an upstream may have as many calls as it can answer within their
+# target, but at most this multiple of its slots: more would fill its own queue.
+MAX_CALLS_PER_SLOT = 4.0
 # A request waits for an engine below its learnt level for at most this part of its
 # target; then any slot will do.
 LEVEL_PATIENCE_TARGETS = 0.5
@@ -100,6 +107,15 @@
     waited_s: float
     # The request may crash its engine, so the one with the least work gets it.
     isolated: bool = False
+    # Time in which a node hears of the calls that each of its peers has in progress.
+    counts_age_s: float = 0.0
+    # A random number from 0 to 1, by which calls are spread if the counts are old.
+    draw: float = 0.0
+
+    @property
+    def is_spread(self) -> bool:
+        """Return whether this is a call for which the counts of peers are too old."""
+        return not self.for_model and self.counts_age_s > STALE_COUNTS_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +173,8 @@
         candidate for candidate in candidates if not candidate.unreachable
     ] or candidates
     lowest_failure_score = min(candidate.failure_score for candidate in candidates)
+    if request.is_spread:
+        return _spread_call(request, candidates, lowest_failure_score)
     key = request.prompt.affinity_key
     weights = rendezvous_weights(
         key or "", [candidate.upstream_id for candidate in candidates]
@@ -286,11 +304,45 @@
     return candidate.backlog_s + prefill_s + remote_penalty_s + failure_penalty_s
 
 
+def _spread_call(
+    request: PlacementRequest,
+    candidates: Sequence[Candidate],
+    lowest_failure_score: float,
+) -> Send | Wait:
+    """Return a random upstream with room, in proportion to the calls that it takes."""
+    costs_s = {
+        candidate: _expected_cost_s(request, candidate, (), lowest_failure_score)
+        for candidate in candidates
+    }
+    takers = [each for each in candidates if _has_capacity(request, each)]
+    if not takers:
+        return Wait(min(costs_s[each] + each.pause_s for each in candidates))
+    weights = [
+        each.slots / (costs_s[each] + each.call_s * each.running / max(1, each.slots))
+        for each in takers
+    ]
+    point = request.draw * sum(weights)
+    for candidate, weight in zip(takers, weights, strict=True):
+        point -= weight
+        if point < 0:
+            return Send(candidate.upstream_id, costs_s[candidate])
+    return Send(takers[-1].upstream_id, costs_s[takers[-1]])
+
+
+def _calls_per_slot(request: PlacementRequest, candidate: Candidate) -> float:
+    """Return the calls that a plain service's upstream may have for each slot."""
+    usual = 1 + EXTRA_CALLS_FRACTION
+    if not request.is_spread:
+        return usual
+    in_time = request.target_s / max(candidate.call_s, 1e-6)
+    return max(usual, min(MAX_CALLS_PER_SLOT, in_time))
+
+
 def _has_capacity(request: PlacementRequest, candidate: Candidate) -> bool:
     if candidate.full or not candidate.has_room:
         return False
     if not request.for_model:
-        return candidate.running < candidate.slots * (1 + EXTRA_CALLS_FRACTION)
+        return candidate.running < candidate.slots * _calls_per_slot(request, candidate)
     if candidate.running >= candidate.slots:
         return False
     # A request that has waited for long gets a slot beyond the learnt level rather than
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -270,6 +270,7 @@
         state = self._dependencies.state
         state.rate_limiter.set_round(self.round_s)
         state.upstreams.limits.set_members(self._recent_members(now_s))
+        state.upstreams.peer_round_s = self.round_s
         state.node_count = 1 + sum(map(self._is_counted, self.members.values()))
         state.rate_limiter.set_node_count(state.node_count)
         state.rollouts.set_node_count(state.node_count)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -303,6 +303,7 @@
             version=request.version if self._state.rollouts.enabled else None,
             workspace=workspace.name if workspace else "",
             weight=workspace.rate_per_s if workspace else 0.0,
+            draw=self._state.rng.random(),
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -62,6 +62,8 @@
     workspace: str = ""
     # The rate limit of the workspace, by which scarce capacity is shared; 0 if none.
     weight: float = 0.0
+    # A random number from 0 to 1, by which calls are spread among upstreams.
+    draw: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,6 +227,8 @@
             shorter_target_s=requirements.shorter_target_s,
             waited_s=now_s - requirements.arrived_s,
             isolated=requirements.isolated,
+            counts_age_s=self._upstreams.peer_round_s,
+            draw=requirements.draw,
         )
         reservation = self._try_on_trial(requirements, placement_request, now_s)
         if reservation is not None:
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -131,6 +131,8 @@
         self._checked_s = -1e9
         self._late_s = -1e9
         self._data_centre = data_centre
+        # Time in which this node hears of the requests that each peer has in progress.
+        self.peer_round_s = 0.0
         # How long a leaving upstream may get requests.
         self._drain_s = drain_s
         self._meters: dict[tuple[str, int], UpstreamMeter] = {}
