End the sum of a tail that is too small for a float

Cause: the sum of the binomial tail ends once a term is smaller than a part of the sum.

Change: an equal term ends the sum as well.

--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -214,7 +214,8 @@
     for count in range(bad, total + 1):
         probability += term
         term *= (total - count) / (count + 1) * rate / (1 - rate)
-        if term < 1e-3 * probability:
+        # Both are 0 if the first term is too small for a float.
+        if term <= 1e-3 * probability:
             break
     return probability
 
--- a/tests/decisions/test_rolloutevidence.py
+++ b/tests/decisions/test_rolloutevidence.py
@@ -153,6 +153,10 @@
         self.assertAlmostEqual(11 / 1024, tail_probability(10, 9, 0.5), places=6)
         self.assertEqual(1.0, tail_probability(10, 0, 0.5))
 
+    def test_a_tail_too_small_for_a_float_ends(self):
+        """The sum went through all counts, which stopped the node for as long."""
+        self.assertEqual(0.0, tail_probability(10**13, 5 * 10**12, 0.001))
+
 
 class SpeedBaselineTest(testtools.TestCase):
     def test_lateness_is_relative_to_the_size_and_the_moment(self):
