Refuse counts of rollouts that cannot be judged

Cause: the counts of a peer were checked for their type only. With more failed than ended answers, or integers beyond a float, find_fault raised at each look: the check of all rollouts and the duties of the holder were restarted over and over.

Change: the decoder refuses such counts, as it does negative ones.

Failing run: test_relay_rollouts, test_counts_that_cannot_be_judged_are_refused: ValueError: math domain error in tail_probability, from RolloutTracker.tick.

--- a/packages/gateway/cicadapass_gateway/rolloutmessages.py
+++ b/packages/gateway/cicadapass_gateway/rolloutmessages.py
@@ -8,6 +8,9 @@
 
 # A node has some routes and trial engines; more sides are malformed.
 MAX_SIDES = 1000
+# A node serves some 100 requests a second, in rollouts of at most a day; more answers
+# are malformed, and too large for the verdict's arithmetic.
+MAX_ANSWERS = 10**7
 
 
 def encode_rollout(rollout: Rollout) -> list[Any]:
@@ -58,12 +61,22 @@
     if len(sides) > MAX_SIDES:
         raise ValueError("too many counts")
     evidence = {
-        Side(_text(route), _text(engine)): Counts(*map(_count, numbers))
+        Side(_text(route), _text(engine)): _counts(numbers)
         for route, engine, *numbers in sides
     }
     return _text(service), _count(origin), evidence
 
 
+def _counts(numbers: Any) -> Counts:
+    """Return the counts of a side; the verdict needs parts that do not exceed sums."""
+    counts = Counts(*map(_count, numbers))
+    if max(counts.sent, counts.ended, counts.timed) > MAX_ANSWERS:
+        raise ValueError("too many answers")
+    if counts.failed > counts.ended or counts.late > counts.timed:
+        raise ValueError("more bad answers than answers")
+    return counts
+
+
 def encode_finding(finding: Finding) -> dict[str, Any]:
     """Return the field of an event that says why a version is bad."""
     return {
--- a/tests/gateway/test_relay_rollouts.py
+++ b/tests/gateway/test_relay_rollouts.py
@@ -167,3 +167,32 @@
             self.assertEqual({}, rollouts.evidence("s"))
 
         self.run_loop(scenario())
+
+    def test_counts_that_cannot_be_judged_are_refused(self):
+        """Impossible counts of a peer made each judgement of the version fail."""
+
+        async def scenario():
+            gateway = await start(answer(), answer())
+            rollouts = gateway.state.rollouts
+            report = rollouts.export()
+            for numbers in (
+                (1, 1, 5, 0, 0),
+                (1, 0, 0, 1, 5),
+                (1, 10**400, 10**399, 0, 0),
+                (10**400, 1, 0, 0, 0),
+            ):
+                sides = [["r", "", 1, 1000, 0, 1000, 0]]
+                sides += [["r", engine, *numbers] for engine in ("e", "f")]
+                try:
+                    rollouts.merge_state(
+                        {**report, "counts": [["s", 5, sides]]}, "p", "p@1"
+                    )
+                except ValueError:
+                    refused = True
+                else:
+                    refused = False
+                rollouts.tick()
+                self.assertTrue(refused, numbers)
+            self.assertEqual({}, rollouts.evidence("s"))
+
+        self.run_loop(scenario())
