Keep the sums of what peers count during rollouts

Cause: each look at a running rollout, five a second and more at the holder, added up the counts of all nodes by side. With 20 sides this took 5.1, 11.8 and 23.3 ms at 83, 195 and 380 nodes: 2.5 to 11% of a core, of which control may use 1%.

Change: a report changes the sums by what it adds to the last one of the same node.

--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -76,6 +76,16 @@
             self.late + other.late,
         )
 
+    def __sub__(self, other: "Counts") -> "Counts":
+        """Return what was counted since an earlier report of the same node."""
+        return Counts(
+            self.sent - other.sent,
+            self.ended - other.ended,
+            self.failed - other.failed,
+            self.timed - other.timed,
+            self.late - other.late,
+        )
+
     def at_least(self, other: "Counts") -> "Counts":
         """Return the newer of two reports of the same node."""
         return Counts(
--- a/packages/gateway/cicadapass_gateway/rolloutsums.py
+++ b/packages/gateway/cicadapass_gateway/rolloutsums.py
@@ -7,8 +7,10 @@
 from cicadapass_decisions.rolloutevidence import (
     AT_ONCE_PROBABILITY,
     TRUSTED_SIDE,
+    Counts,
     Evidence,
     Finding,
+    Side,
     add_up,
     find_fault,
 )
@@ -30,7 +32,9 @@
         self._clock = clock
         self._own: dict[str, NodeCounts] = {}
         # Counts of peers by service and origin, then by node.
-        self._peers: dict[tuple[str, int], dict[str, Evidence]] = {}
+        self._peers: dict[tuple[str, int], dict[str, dict[Side, Counts]]] = {}
+        # Their sums, which each report changes; adding up 380 nodes took 23 ms a look.
+        self._peer_sums: dict[tuple[str, int], dict[Side, Counts]] = {}
         # Why this node stopped a trial, by service and origin.
         self._findings: dict[tuple[str, int], Finding] = {}
         # Requests that were sent to the version on trial, by service and route, and by
@@ -59,6 +63,9 @@
             for key, each in self._peers.items()
             if key[0] != service or key == kept
         }
+        self._peer_sums = {
+            key: each for key, each in self._peer_sums.items() if key in self._peers
+        }
         self._findings = {
             key: each
             for key, each in self._findings.items()
@@ -71,19 +78,22 @@
 
     def merge(self, rollout: Rollout, counts: Evidence, key: str) -> None:
         """Add the counts of a peer, `key` naming its incarnation."""
-        peers = self._peers.setdefault((rollout.service, rollout.origin), {})
-        known = peers.get(key, {})
-        newer = {
-            side: each.at_least(known[side]) if side in known else each
-            for side, each in counts.items()
-        }
-        peers[key] = {**known, **newer}
+        rollout_key = (rollout.service, rollout.origin)
+        known = self._peers.setdefault(rollout_key, {}).setdefault(key, {})
+        sums = self._peer_sums.setdefault(rollout_key, {})
+        for side, each in counts.items():
+            before = known.get(side, Counts())
+            if each == before:
+                continue
+            newer = each.at_least(before)
+            known[side] = newer
+            sums[side] = sums.get(side, Counts()) + (newer - before)
 
     def evidence(self, rollout: Rollout) -> Evidence:
         """Return the counts of all nodes."""
         own = self._own.get(rollout.service)
-        peers = self._peers.get((rollout.service, rollout.origin), {})
-        return add_up([*([own.evidence] if own is not None else []), *peers.values()])
+        peers = self._peer_sums.get((rollout.service, rollout.origin), {})
+        return add_up([*([own.evidence] if own is not None else []), peers])
 
     def finding(self, rollout: Rollout) -> Finding | None:
         """Return why this node stopped the trial, or None."""
