Read the record of the duties again for its rollouts

Cause: a node that starts reads the last order of each service from the log, and from the record that it was decided. The record was read once. If that failed, the order counted as new: the version in use was on trial, and all requests beyond its share were refused until a peer or a new holder knew better.

Change: the read is repeated until it succeeds, where rollouts are enabled.

Failing run: test_rollouts.RestartTest, no engine usable at any of 9 nodes 1 s after a restart of all.

--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -104,9 +104,14 @@
 
     async def run(self) -> None:
         """Perform the duties or watch their holder; log errors and retry."""
-        await self._restore_state()
+        is_restored = await self._restore_state()
         while True:
             try:
+                if not is_restored and self._state.rollouts.enabled:
+                    # An order whose decision is not known bars the versions in use.
+                    record, _ = await self._read_record()
+                    self._restore_rollouts(record)
+                    is_restored = True
                 if self._lease is not None and self._state.stopping:
                     await self._release()
                 elif self._lease is not None:
@@ -120,22 +125,29 @@
                 self._state.events.emit(842, reason=str(error))
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def _restore_state(self) -> None:
-        """Restore what was used of limits and blocked before this process started."""
+    async def _restore_state(self) -> bool:
+        """Restore what was used of limits and blocked before this process started.
+
+        Return whether the record could be read.
+        """
         try:
             record, _ = await self._read_record()
         except GatewayError as error:
             # Without the record, the limits of a new node are tighter for a while.
             self._state.events.emit(842, reason=str(error))
-            return
+            return False
         if record is not None:
             usage_age_s = max(0.0, self._true_time() - record.usage_recorded_s)
             self._state.rate_limiter.restore(
                 record.recent_usage, usage_age_s, self._state.clock()
             )
             self._restore_blocks(record.segment_blocks)
-            for rollout in record.rollouts.values():
-                self._state.rollouts.merge(rollout, "stored")
+        self._restore_rollouts(record)
+        return True
+
+    def _restore_rollouts(self, record: DutyRecord | None) -> None:
+        for rollout in record.rollouts.values() if record is not None else ():
+            self._state.rollouts.merge(rollout, "stored")
 
     def _restore_blocks(self, encoded: bytes) -> None:
         try:
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import json
+from unittest import mock
 
 import testtools
 
 from cicadapass_decisions.topicreplica import Delta, Document
+from cicadapass_gateway.duties import Duties
+from cicadapass_gateway.exceptions import PlatformUnavailable
 from tests.gateway.rolloutcluster import DURATION_S, exposure, run_rollout
 from tests.gateway.virtualcluster import UPSTREAMS, silent_registry
 
@@ -200,6 +203,38 @@
         run_rollout(scenario)
 
 
+class RestartTest(testtools.TestCase):
+    def test_nodes_that_start_use_the_version_of_an_earlier_success(self):
+        """Restarted nodes took the old order for a new one and refused all requests.
+
+        The first read of the record failed, and no node could tell the others.
+        """
+
+        async def scenario(cluster):
+            cluster.order()
+            self.assertLess(await cluster.until_state("succeeded"), DURATION_S)
+            for number in range(12):
+                cluster.put_engine("s", "v1", number, b"")
+            await asyncio.sleep(3.0)
+            failed, read = set(), Duties._read_record
+
+            async def fail_once(each):
+                if each not in failed:
+                    failed.add(each)
+                    raise PlatformUnavailable("no answer")
+                return await read(each)
+
+            with mock.patch.object(Duties, "_read_record", fail_once):
+                for node in list(cluster.nodes):
+                    cluster.restart(node)
+                await asyncio.sleep(1.0)
+                self.assertEqual(len(cluster.nodes), len(failed))
+                usable = [len(each.usable) for each in cluster.nodes]
+            self.assertEqual([12] * len(cluster.nodes), usable)
+
+        run_rollout(scenario)
+
+
 class EnginesTest(testtools.TestCase):
     def test_a_version_without_engines_is_rolled_back(self):
         """The old engines were stopped for engines that had ended."""
