Stop the trials of a node that never heard its members

Cause: a node stops its trials when it has not heard half of its members. Those that it never heard did not count, so that a node that restarted while it was cut off from the others, but not from the log, took part in a trial of whose verdict it could not learn. The same held once it had removed all members after 30 s.

Change: all known members count, and one that has removed all of them hears none.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -229,11 +229,19 @@
         ]
 
     def hears_members(self, window_s: float) -> bool:
-        """Return whether half of the members due in a time were heard within it."""
-        now_s = self._dependencies.state.clock()
-        heard = [each for each in self.members.values() if each.heard]
-        recent = sum(now_s - each.last_received_s < window_s for each in heard)
-        return 2 * recent >= len(heard) * min(1.0, window_s / self.round_s)
+        """Return whether half of the members due in a time were heard within it.
+
+        Those that were never heard are due as well: a node that restarts without a
+        connection to the others knows them from the log. One that has removed all of
+        them hears none.
+        """
+        now_s, members = self._dependencies.state.clock(), self.members.values()
+        if not members:
+            return not self._removed
+        recent = sum(
+            each.heard and now_s - each.last_received_s < window_s for each in members
+        )
+        return 2 * recent >= len(members) * min(1.0, window_s / self.round_s)
 
     def is_watcher(self) -> bool:
         """Return whether this node watches the registry for those that it hears.
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -234,6 +234,24 @@
 
         run_rollout(scenario)
 
+    def test_a_node_that_starts_cut_off_tries_nothing(self):
+        """A node that could not learn of the verdict sent to a bad version for long."""
+
+        async def scenario(cluster):
+            cut = cluster.nodes[0]
+            cluster.cut = {cut.host}
+            cluster.restart(cut)
+            await asyncio.sleep(1.0)
+            cluster.order(durationS=60.0)
+            self.assertLess(await cluster.until_state("rolled_back"), 8.0)
+            status_s = now_s()
+            # The node removes the others from its members meanwhile.
+            await asyncio.sleep(45.0)
+            new = [each for each in cluster.sent if each.version == "v2"]
+            self.assertLess(max(each.at_s for each in new), status_s + 1.0)
+
+        run_rollout(scenario, bad=(0.3, 1.0))
+
 
 class EnginesTest(testtools.TestCase):
     def test_a_version_without_engines_is_rolled_back(self):
