End an order for the version in use that has no engines

Cause: such a rollout waited for engines without an end. While it runs, no engines of the service are ordered, so that a service whose engines had all ended stayed without any.

Change: it is rolled back when its time ends, which bars nothing.

Failing run: test_rollouts.StateTest, None is not ROLLED_BACK at 110.1 s.

--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -311,8 +311,11 @@
         rollout.duration_s * MIN_OBSERVED_FRACTION,
     )
     if rollout.to in rollout.trusted:
-        # Nothing is on trial.
-        return RolloutState.SUCCEEDED if situation.new.engines else None
+        # Nothing is on trial. Without engines, it ends as others do; no order of a
+        # total is given while it runs.
+        if situation.new.engines:
+            return RolloutState.SUCCEEDED
+        return RolloutState.ROLLED_BACK if elapsed_s >= end_s else None
     if situation.bad_at_once:
         return RolloutState.ROLLED_BACK
     success_s = max(
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -171,6 +171,15 @@
         late = situation(112.1)
         self.assertIs(RolloutState.ROLLED_BACK, next_state(running(), late))
 
+    def test_an_order_for_the_version_in_use_ends_without_its_engines(self):
+        """It ran forever if all engines had ended, and nobody ordered new ones."""
+        rollout = adopt_order(None, ORDER, 5, 100.0, ["v2"])
+        none = FleetLoad()
+        self.assertIsNone(next_state(rollout, situation(109.9, old=none, new=none)))
+        state = next_state(rollout, situation(110.1, old=none, new=none))
+        self.assertIs(RolloutState.ROLLED_BACK, state)
+        self.assertIs(Trust.TRUSTED, trust(decided(rollout, state), "v2"))
+
     def test_a_decided_rollout_stays(self):
         """A later holder decided an order for the second time."""
         for state in (RolloutState.SUCCEEDED, RolloutState.ROLLED_BACK):
