Date an order by the latest recent estimate of true time

Cause: datagrams that waited for a node during a freeze carry late clocks, so that the node's estimate of true time is early by up to the length of the freeze. If it then read an order first, all nodes adopted its time, and the rollout was over before it began.

Change: a node dates an order by the latest of its last 150 estimates. A late date is harmless, as nodes adopt the earliest one of all.

--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -5,6 +5,7 @@
 as trusted, and nothing is recorded or sent.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
@@ -49,6 +50,9 @@
 # A node that hears too few members for this part of the time in which it must heed a
 # verdict stops its trials; the rest covers the verdict itself.
 HEARING_FRACTION = 0.6
+# Ticks whose estimates of true time are kept. They are counted, not timed, so that
+# those from before a freeze of any length remain.
+TIME_SAMPLES = 150
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
 
@@ -78,6 +82,8 @@
         self._metrics = metrics
         self._clock = clock
         self._true_time: Callable[[], float] = clock
+        # What true time was ahead of the local clock.
+        self._time_offsets: deque[float] = deque(maxlen=TIME_SAMPLES)
         self._hears_members: Callable[[float], bool] = lambda _: True
         self._started_s = clock()
         self._most_nodes = 1
@@ -275,7 +281,7 @@
             return
         in_use = self._in_use.get(order.service, frozenset())
         current = self._rollouts.get(order.service)
-        rollout = adopt_order(current, order, offset, self._true_time(), in_use)
+        rollout = adopt_order(current, order, offset, self._first_seen_s(), in_use)
         self._replace(rollout, "registry")
 
     def withdraw(self, service: str, offset: int) -> bool:
@@ -347,6 +353,7 @@
 
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
+        self._time_offsets.append(self._true_time() - self._clock())
         services = self._sums.services
         if self._bounds is None or not services:
             return
@@ -363,6 +370,16 @@
         if changed:
             self._notify()
 
+    def _first_seen_s(self) -> float:
+        """Return the true time, by the latest of the recent estimates.
+
+        Datagrams that waited during a freeze make the estimate early. All nodes adopt
+        the earliest time at which one of them saw an order, so that a late one is
+        harmless, and an early one ends the rollout.
+        """
+        now_s = self._clock()
+        return now_s + max([self._true_time() - now_s, *self._time_offsets])
+
     def _may_try(self, rollout: Rollout) -> bool:
         """Return whether the version on trial may get requests of this node."""
         return (
