Take an order after the end of the last one for a new one

Cause: an order for the same version and time counted as a repeat of a rollout that the node knew as running. A node that was frozen or cut off while the rollout was decided thus dated the next order back to the first one. All nodes adopt the earliest date, so that the new rollout was over at once.

Change: an order is a repeat only within the time of the rollout that it repeats.

Failing run: test_rollouts.OrderTest, the merged rollout has (5, 100.0) as its origin and date instead of (9, 115.0).

--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -138,7 +138,7 @@
     """
     if current is not None and offset <= current.offset:
         return current
-    if current is not None and _is_repeated(current, order):
+    if current is not None and _is_repeated(current, order, seen_s):
         return replace(current, offset=offset)
     barred = current.barred if current is not None else frozenset()
     if current is not None and current.running and current.to not in current.trusted:
@@ -159,10 +159,14 @@
     )
 
 
-def _is_repeated(current: Rollout, order: RolloutOrder) -> bool:
-    """Return whether an order is that of a running rollout once more."""
+def _is_repeated(current: Rollout, order: RolloutOrder, now_s: float) -> bool:
+    """Return whether an order is that of a running rollout once more.
+
+    One whose time is over was decided, though this node may not know.
+    """
     same = (current.to, current.duration_s) == (order.to, order.duration_s)
-    return same and current.running and not current.withdrawn
+    in_time = now_s < current.seen_s + current.duration_s
+    return same and in_time and current.running and not current.withdrawn
 
 
 def withdraw(current: Rollout, offset: int) -> Rollout:
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -63,6 +63,18 @@
         longer = adopt_order(running(), replace(ORDER, duration_s=20.0), 9, 105.0, [])
         self.assertEqual((9, 105.0), (longer.origin, longer.seen_s))
 
+    def test_an_order_that_comes_after_the_end_is_new(self):
+        """An order given again after a rollback was over before it began.
+
+        A node that was frozen then knew the first order as running, dated the second
+        one back to it, and all others adopted this.
+        """
+        new = adopt_order(None, ORDER, 9, 115.0, ["v1"])
+        frozen = adopt_order(running(), ORDER, 9, 115.5, ["v1"])
+        merged = merge_rollouts(new, frozen)
+        self.assertEqual((9, 115.0), (merged.origin, merged.seen_s))
+        self.assertIsNone(next_state(merged, situation(116.0, answers=0)))
+
     def test_a_replaced_version_gets_nothing(self):
         """A version went on without a verdict after another was ordered."""
         order = RolloutOrder("s", "v3", 12.0)
