--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -76,6 +76,16 @@
             self.late + other.late,
         )
 
+    def __sub__(self, other: "Counts") -> "Counts":
+        """Return what was counted since an earlier report of the same node."""
+        return Counts(
+            self.sent - other.sent,
+            self.ended - other.ended,
+            self.failed - other.failed,
+            self.timed - other.timed,
+            self.late - other.late,
+        )
+
     def at_least(self, other: "Counts") -> "Counts":
         """Return the newer of two reports of the same node."""
         return Counts(
@@ -214,7 +224,8 @@
     for count in range(bad, total + 1):
         probability += term
         term *= (total - count) / (count + 1) * rate / (1 - rate)
-        if term < 1e-3 * probability:
+        # Both are 0 if the first term is too small for a float.
+        if term <= 1e-3 * probability:
             break
     return probability
 
