Never refuse a request in progress for want of memory

Cause: bytes that follow a request in progress raised its reservation. If the budget had no room for them, the connection waited for memory like one whose request has not been received, and was refused after 1 to 3 s: its caller got a 503 for a request that an upstream had begun.

Change: a connection waits for memory only while no request is in progress. Behind one, at most 4 KB are read, which the charge of each connection covers.

Failing run before: tests.gateway.test_memorybudget, BudgetTest. test_a_request_in_progress_is_not_refused_for_what_follows_it: expected b'', got 'HTTP/1.1 503', 'Connection: close', 'Retry-After: 2'.

--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -373,8 +373,10 @@
         if granted and self._task is None and self._readable_bytes() <= 0:
             needed_bytes = self._held_bytes + READ_BYTES
             granted = self._budget.reserve(account, needed_bytes)
-        self._awaiting_grant = not granted
-        if not granted:
+        # A request in progress is never refused, so it does not wait for the few bytes
+        # that may follow it.
+        self._awaiting_grant = not granted and self._task is None
+        if self._awaiting_grant:
             self._budget.wait(account, needed_bytes, self._loop.time())
         self._update_reading()
 
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -141,6 +141,36 @@
 
         run_virtual(scenario())
 
+    def test_a_request_in_progress_is_not_refused_for_what_follows_it(self):
+        """A request that an upstream had begun got a 503 for want of memory.
+
+        It did once its caller sent the beginning of another request behind it.
+        """
+
+        async def scenario():
+            ended = asyncio.Event()
+
+            async def respond(exchange):
+                await ended.wait()
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            channel, transport = self.open(server)
+            self.receive(channel, transport, announced(100_000) + bytes(100_000))
+            others = [self.open(server) for _ in range(16)]
+            for other in others:
+                self.receive(*other, announced(105_600) + bytes(105_600))
+            self.receive(channel, transport, announced(3000) + bytes(3000))
+            self.assertGreater(self.budget.used_bytes + 3000, CAPACITY_BYTES)
+            await self.pause(server, 4.0)
+            self.assertEqual(b"", transport.sent)
+            ended.set()
+            await self.pause(server, 0.1)
+            self.assertEqual(2, transport.sent.count(b" 200 "))
+            self.assertEqual([], self.shed)
+
+        run_virtual(scenario())
+
     def test_a_refusal_of_a_caller_that_has_gone_is_no_failure(self):
         """The check of the time-outs failed on a connection that had been reset."""
 
