Bound the idle connections left by requests that need a new one

Cause: a request that is not repeatable or has no id opens a new connection, which then went to the pool. Such requests never take one from it, so each left a descriptor idle for a second, without a limit and beside the 200 that are reserved.

Change: opening a new connection closes the oldest idle one to the same address, so the pool stays as large as the requests in progress have been.

Failing run before: tests.gateway.test_httpclient timed out after 30 s with 20 connections open in place of one. In tests.platform.test_client_memory, test_readers_that_stop with 16 slots of the engine, counted 1.2 s after the crowd: 121 to 123 descriptors in 8 of 12 runs (bound 108).

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -410,12 +410,23 @@
 
         `fresh` always opens one.
         """
-        if not fresh:
+        if fresh:
+            self._close_oldest_idle((host, port))
+        else:
             channel = self._take_idle((host, port), request_id)
             if channel is not None:
                 return channel
         return await connect(host, port, timeout_s, self.buffer)
 
+    def _close_oldest_idle(self, address: tuple[str, int]) -> None:
+        """Make room for a new connection, which returns to the pool in its place.
+
+        Otherwise each request that needs a new one adds an idle descriptor.
+        """
+        idle = self._idle.get(address)
+        if idle:
+            idle.pop(0).abort()
+
     def _take_idle(
         self, address: tuple[str, int], request_id: str | None
     ) -> ClientChannel | None:
