Write responses in parts, so that what is sent is freed

Cause: a transport of uvloop keeps each object that it writes until the kernel has taken all of it, but get_write_buffer_size counts only the rest. A slow reader of a large response was charged with less than it held, by all that the kernel buffers take.

Change: a channel writes at most 64 KB at once.

Failing run before: tests.gateway.test_httpserver, ServerTest. test_sent_parts_of_a_response_are_not_kept: 2 != 3.

--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -30,6 +30,9 @@
 LINGER_BYTES = 4_194_304
 # Most bytes that are read at once, into a buffer that all connections share.
 READ_BYTES = 65_536
+# Most bytes that are written at once. A transport of uvloop keeps each object that it
+# writes until the kernel has taken all of it, but counts only the rest.
+WRITE_BYTES = 65_536
 # Bytes that a connection may hold without a reservation: most heads are shorter.
 FREE_READ_BYTES = 4096
 # Bytes on the wire for each byte of the largest body. Chunks of one byte take six.
@@ -511,9 +514,11 @@
         self._update_reading()
 
     def _send(self, event: h11.Event) -> None:
-        data = self._parser.send(event)
-        if data and self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        data, transport = self._parser.send(event) or b"", self._transport
+        for start in range(0, len(data), WRITE_BYTES):
+            if transport is None or transport.is_closing():
+                return
+            transport.write(data[start : start + WRITE_BYTES])
 
 
 def _head_bytes(request: h11.Request) -> int:
--- a/tests/gateway/test_httpserver.py
+++ b/tests/gateway/test_httpserver.py
@@ -1,6 +1,7 @@
 """Test the server with slow, invalid and disconnecting callers."""
 
 import asyncio
+import sys
 from dataclasses import replace
 
 import testtools
@@ -11,6 +12,8 @@
 from tests.gateway.virtualcluster import run_virtual
 
 LIMITS = CallerLimits(2048, 1000, header_timeout_s=1.0, idle_timeout_s=2.0)
+# More than the kernel buffers of a connection.
+RESPONSE_BYTES = 16_777_216
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -108,6 +111,28 @@
 
         self.run_loop(scenario())
 
+    def test_sent_parts_of_a_response_are_not_kept(self):
+        """A response of which the kernel had taken a part stayed in memory whole.
+
+        Only the rest counted as memory that its caller takes.
+        """
+        body = bytes(RESPONSE_BYTES)
+
+        async def handler(exchange):
+            exchange.respond(200, [], body)
+
+        async def scenario():
+            server = await self.start(handler)
+            unused = sys.getrefcount(body)
+            reader, writer = await asyncio.open_connection(HOST, server.port)
+            writer.write(GET[:-2] + b"Connection: close\r\n\r\n")
+            await until(lambda: any(each.unread for each in server.channels))
+            self.assertEqual(unused, sys.getrefcount(body))
+            response = await reader.read()
+            self.assertEqual(body, response[-RESPONSE_BYTES:])
+
+        self.run_loop(scenario())
+
     def test_a_stopping_server_closes_after_its_responses(self):
         """A planned stop interrupted a request, or kept its connection open."""
 
