--- a/tests/platform/test_client_memory.py
+++ b/tests/platform/test_client_memory.py
@@ -27,9 +27,6 @@
 MANY_DESCRIPTORS_BOUND = 300
 MANY_CLIENTS = 500
 LARGE_RESPONSE_BYTES = 1_048_576
-# Each request in progress takes a connection to the engine. With a slot for each
-# client, a node had up to 123 descriptors, depending on when they were counted.
-ENGINE_SLOTS = 24
 
 
 async def respond(answer):
@@ -47,7 +44,7 @@
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
         async def scenario():
-            node = NodeProcess(LIMITS, SETTINGS, respond, ENGINE_SLOTS)
+            node = NodeProcess(LIMITS, SETTINGS, respond)
             self.addCleanup(node.release_ports)
             await node.start(folder)
             output = asyncio.create_task(node.process.stdout.read())
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -39,11 +39,8 @@
 class NodeProcess:
     """Run one node as a process, with a stand-in store and one engine."""
 
-    def __init__(
-        self, limits=None, settings="", script=slow_stream, slots=ENTRY["slots"]
-    ):
+    def __init__(self, limits=None, settings="", script=slow_stream):
         """Set the `limits` of the configuration, more lines of settings, the engine."""
-        self._slots = slots
         self._ports = [ReservedPort() for _ in range(4)]
         self._limits, self._more_settings, self._script = limits, settings, script
 
@@ -88,8 +85,7 @@
         if self._limits is not None:
             document["limits"] = self._limits
         registry.put("keyed.op", "config", json.dumps(document).encode())
-        engine_address = f"{HOST}:{self.engine.port}"
-        entry = {**ENTRY, "address": engine_address, "slots": self._slots}
+        entry = {**ENTRY, "address": f"{HOST}:{self.engine.port}"}
         registry.put("keyed.servers", "i-1", json.dumps(entry).encode())
         numbers = [port.number for port in self._ports]
         self.caller_port, self.ready_port, internal_port, metrics_port = numbers
