Take refunds of rate limits back at the time of the charge

Cause: a refund was an amount below 0 at the time of the refund, which stayed in the window after the charge had left it, so as much again was admitted. The same held for a total that falls, at the peers. Change: a refund reduces the step of its charge, or nothing once that has left the window; a peer's total that falls reduces that peer's oldest use.

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -235,12 +235,12 @@
         account.mean_probability += weight * (probability - account.mean_probability)
         account.probability, account.averaged_s = probability, now_s
 
-    def refund(self, workspace: str, cost: float, now_s: float) -> None:
-        """Reverse the charge of a request that did not run."""
+    def refund(self, workspace: str, cost: float, charged_s: float) -> None:
+        """Reverse the charge, made at a time, of a request that did not run."""
         account = self._accounts.get(workspace)
         if account is not None:
-            account.usage.add(now_s, -cost)
-            account.total_charged -= cost
+            if account.usage.remove(cost, charged_s):
+                account.total_charged -= cost
             # Its caller returns; counted twice, it would look like more demand.
             added = cost * DEMAND_WINDOW_S / DEMAND_AVERAGING_S
             account.demand = max(0.0, account.demand - added)
@@ -341,7 +341,9 @@
             account.peers[peer] = peer_usage
             if not counts_all:
                 self._set_past(peer_usage, row, now_s)
-        if total != peer_usage.total_charged:
+        if total < peer_usage.total_charged:
+            peer_usage.usage.remove_oldest(peer_usage.total_charged - total)
+        elif total > peer_usage.total_charged:
             # What peers report at once is new; other use is as old as half of the time
             # since their last message in the mean.
             age_s = 0.0 if at_once else (now_s - peer_usage.received_s) / 2
--- a/packages/decisions/cicadapass_decisions/usagewindow.py
+++ b/packages/decisions/cicadapass_decisions/usagewindow.py
@@ -34,6 +34,33 @@
             self.steps.append(UsageStep(now_s, now_s, amount))
         self.amount += amount
 
+    def remove(self, amount: float, added_s: float) -> bool:
+        """Take back an amount that was added at this time; return whether it counted.
+
+        Subtracted at a later time, it would reduce the sum after it has left.
+        """
+        for step in reversed(self.steps):
+            if step.ended_s < added_s:
+                break
+            if step.started_s <= added_s:
+                step.amount -= amount
+                self.amount -= amount
+                return True
+        return False
+
+    def remove_oldest(self, amount: float) -> None:
+        """Take back an amount of unknown time, at most the sum.
+
+        Of the oldest amounts, so that what is left counts no shorter than it should.
+        """
+        while self.steps and amount >= self.steps[0].amount:
+            step = self.steps.popleft()
+            amount -= step.amount
+            self.amount -= step.amount
+        if self.steps:
+            self.steps[0].amount -= amount
+            self.amount -= amount
+
     def amount_since(self, start_s: float) -> float:
         """Return the sum of the steps that ended at this time or later."""
         amount = 0.0
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -152,16 +152,17 @@
         cost = 1.0
         if workspace.counts_tokens:
             cost = float(request.call.prompt.total_tokens or workspace.plain_tokens)
+        now_s = self._state.clock()
         excess = self._state.rate_limiter.admit(
             workspace.name,
             workspace.rate_per_s,
             workspace.burst,
             cost,
-            self._state.clock(),
+            now_s,
         )
         if excess is not None:
             return excess.retry_after_s
-        request.charged_cost = cost
+        request.charged_cost, request.charged_s = cost, now_s
         return None
 
     async def _serve(self, request: RequestContext) -> None:
@@ -346,7 +347,7 @@
             return
         if request.charged_cost and request.match.workspace is not None:
             self._state.rate_limiter.refund(
-                request.match.workspace.name, request.charged_cost, self._state.clock()
+                request.match.workspace.name, request.charged_cost, request.charged_s
             )
         headers = self._header_codec.encode_refusal(request.call.request_id, wait_s)
         request.exchange.respond(503, headers, b"")
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -50,6 +50,7 @@
     match: Match
     deadline_s: float
     charged_cost: float = 0.0
+    charged_s: float = 0.0
     # Upstreams chosen, requests sent, and those that may have been executed.
     tries: int = 0
     sends: int = 0
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -223,9 +223,41 @@
         """Requests that did not run counted towards the limit."""
         limiter = new_limiter(-100.0)
         limiter.admit("w", RATE, BURST, LIMIT, 0.0)
-        limiter.refund("w", LIMIT, 0.1)
+        limiter.refund("w", LIMIT, charged_s=0.0)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.2))
 
+    def test_a_refund_gives_no_room_beyond_the_limit(self):
+        """A charge left the window before its refund, which then counted below 0."""
+        limiter = new_limiter(-100.0)
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.0))
+        limiter.refund("w", LIMIT, charged_s=0.0)
+        admitted = 0.0
+        for step in range(100):
+            if limiter.admit("w", RATE, BURST, 300.0, 8.1 + 0.01 * step) is None:
+                admitted += 300.0
+        self.assertLessEqual(admitted, BOUND)
+
+    def test_a_late_refund_gives_no_room(self):
+        """A refund after the charge had left the window was taken from other use."""
+        limiter = new_limiter(-100.0)
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.0))
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 8.1))
+        limiter.refund("w", LIMIT, charged_s=0.0)
+        self.assertEqual(2 * LIMIT, limiter.totals()["w"][0])
+        self.assertIsInstance(limiter.admit("w", RATE, BURST, 300.0, 8.2), OverLimit)
+
+    def test_a_refund_at_a_peer_gives_no_room_beyond_the_limit(self):
+        """What a peer refunded counted below 0 after the charge had left the window."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {}, 900.0, 0.0)
+        for at_s, total in ((0.2, LIMIT), (5.0, 0.0), (8.6, 0.0)):
+            limiter.record_peer_totals("peer", {"w": (total, 0.0)}, 900 + at_s, at_s)
+        admitted = 0.0
+        for _ in range(100):
+            if limiter.admit("w", RATE, BURST, 300.0, 8.7) is None:
+                admitted += 300.0
+        self.assertLessEqual(admitted, BOUND)
+
     def test_repeated_totals_count_once(self):
         """The same total was counted again with each message."""
         limiter = new_limiter(-100.0)
