Ignore totals of rate limits that are older than the last ones

Cause: a state or report that arrived late or twice set a peer's total back, so what the peer had admitted since then was not counted until its next message. Change: the peer's uptime in a message orders its messages of a workspace. Before, test_an_old_message_does_not_take_use_back: 'None' is not an instance of OverLimit (a request was admitted beside a peer that used the whole limit).

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -103,11 +103,25 @@
     amount: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Message:
+    """Describe the message of a peer that names the totals."""
+
+    peer: str
+    # How long the peer had run when it sent the message.
+    uptime_s: float
+    # What the peer admitted before this message counts.
+    counts_all: bool
+    at_once: bool
+
+
 @dataclass(slots=True)
 class _PeerUsage:
     total_charged: float = 0.0
     demand: float = 0.0
     received_s: float = 0.0
+    # The peer's uptime when it sent this; older messages are ignored.
+    uptime_s: float = -math.inf
     # Fraction of the limit that stays reserved while the peer is silent.
     share: float = 0.0
     usage: UsageWindow = field(default_factory=UsageWindow)
@@ -307,46 +321,48 @@
         if not counts_all and all(len(row) > 3 for row in totals.values()):
             self._informed_peers.add(peer)
         self._peers_heard_s[peer] = now_s
+        message = _Message(peer, uptime_s, counts_all, at_once=False)
         for workspace, row in totals.items():
-            self._record(peer, workspace, row, counts_all, now_s, at_once=False)
+            self._record(message, workspace, row, now_s)
 
     def record_peer_report(
         self, peer: str, totals: Totals, uptime_s: float, now_s: float
     ) -> None:
         """Record totals of some workspaces, unless they may be those of a long past."""
         counts_all = self._counts_all(peer, uptime_s)
+        message = _Message(peer, uptime_s, counts_all, at_once=True)
         for workspace, row in totals.items():
             if counts_all or len(row) > 3:
-                self._record(peer, workspace, row, counts_all, now_s, at_once=True)
+                self._record(message, workspace, row, now_s)
 
     def _counts_all(self, peer: str, uptime_s: float) -> bool:
         return uptime_s < self._window_s or peer in self._peers_heard_s
 
     def _record(
         self,
-        peer: str,
+        message: _Message,
         workspace: str,
         row: tuple[float, ...],
-        counts_all: bool,
         now_s: float,
-        *,
-        at_once: bool,
     ) -> None:
         total, demand = row[:2]
         account = self._account(workspace)
-        peer_usage = account.peers.get(peer)
+        peer_usage = account.peers.get(message.peer)
         if peer_usage is None:
-            baseline = 0.0 if counts_all else total
+            baseline = 0.0 if message.counts_all else total
             peer_usage = _PeerUsage(total_charged=baseline, received_s=now_s)
-            account.peers[peer] = peer_usage
-            if not counts_all:
+            account.peers[message.peer] = peer_usage
+            if not message.counts_all:
                 self._set_past(peer_usage, row, now_s)
+        if message.uptime_s < peer_usage.uptime_s:
+            return
+        peer_usage.uptime_s = message.uptime_s
         if total < peer_usage.total_charged:
             peer_usage.usage.remove_oldest(peer_usage.total_charged - total)
         elif total > peer_usage.total_charged:
             # What peers report at once is new; other use is as old as half of the time
             # since their last message in the mean.
-            age_s = 0.0 if at_once else (now_s - peer_usage.received_s) / 2
+            age_s = 0.0 if message.at_once else (now_s - peer_usage.received_s) / 2
             peer_usage.usage.add(now_s - age_s, total - peer_usage.total_charged)
         peer_usage.total_charged, peer_usage.demand = total, demand
         peer_usage.received_s = now_s
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -265,6 +265,17 @@
             limiter.record_peer_totals("peer", {"w": (5000.0, 0.0)}, 900.0, now_s)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.3))
 
+    def test_an_old_message_does_not_take_use_back(self):
+        """A late or duplicated message made room for what was admitted since it."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {"w": (0.0, 0.0, 0.0, 0.0)}, 900.0, 0.0)
+        limiter.record_peer_totals("peer", {"w": (LIMIT, 0.0, LIMIT, 0.1)}, 900.2, 0.2)
+        old = {"w": (0.0, 0.0, 0.0, 0.0)}
+        limiter.record_peer_totals("peer", old, 900.0, 0.3)
+        limiter.record_peer_report("peer", old, 900.1, 0.3)
+        refusal = limiter.admit("w", RATE, BURST, 3000.0, 0.4)
+        self.assertIsInstance(refusal, OverLimit)
+
     def test_the_first_use_at_a_known_peer_counts(self):
         """What a peer admitted until it first named a workspace was not counted."""
         limiter = new_limiter(-100.0)
