Refuse overdue requests that a pass over the queue does not reach

Cause: a pass ends after eight requests that have to wait, and requests of a workspace that has had its share are behind all others of their priority, so they were neither sent nor refused and waited until their deadline. Change: overdue requests are refused before the order is computed. Before, test_a_request_behind_many_others_is_refused_in_time: False is not true (the request is still queued 29 s after its arrival, 1 s before its deadline).

--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -170,15 +170,14 @@
                     entry.future.set_result(NotPlaced(reason, 0.0))
 
     def _dispatch_queue(self, queue: _ServiceQueue, now_s: float) -> None:
+        self._refuse_overdue(queue, now_s)
         waiting = [_waiting_request(entry, now_s) for entry in queue.entries]
         weight = mean_weight(waiting)
         order = fair_order(waiting, queue.shares.times, queue.shares.now)
         queue.entries = [queue.entries[index] for index in order]
         misses = 0
         for entry in list(queue.entries):
-            outcome = self._overdue_refusal(entry, now_s) or self._try_place(
-                entry, now_s
-            )
+            outcome = self._try_place(entry, now_s)
             if outcome is None:
                 misses += 1
                 if misses >= MAX_MISSES_PER_PASS:
@@ -193,6 +192,20 @@
             elif isinstance(outcome, Reservation):
                 self._upstreams.end(outcome, now_s, succeeded=None)
 
+    def _refuse_overdue(self, queue: _ServiceQueue, now_s: float) -> None:
+        """Refuse overdue requests, also those that a pass does not reach.
+
+        Those of a workspace that has had its share stay behind all others.
+        """
+        kept = []
+        for entry in queue.entries:
+            refusal = self._overdue_refusal(entry, now_s)
+            if refusal is None:
+                kept.append(entry)
+            elif not entry.future.done():
+                entry.future.set_result(refusal)
+        queue.entries = kept
+
     def _overdue_refusal(self, entry: _Entry, now_s: float) -> NotPlaced | None:
         """Return the refusal of a request that can no longer be served in time."""
         waited_s = now_s - entry.requirements.arrived_s
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -177,3 +177,32 @@
                 each.cancel()
 
         self.run_loop(scenario())
+
+    def test_a_request_behind_many_others_is_refused_in_time(self):
+        """A request that others of its queue preceded waited until its deadline."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            sent = node.place(workspace="large", weight=1.0)
+            await steps()
+            late = node.place(workspace="large", weight=1.0)
+            await steps()
+            node.release(used)
+            node.queue.dispatch()
+            await steps()
+            self.assertTrue(sent.done())
+            others = [
+                node.place(workspace="small", weight=1e6, refusable=False)
+                for _ in range(9)
+            ]
+            await steps()
+            node.now_s = 129.0
+            node.queue.dispatch()
+            await steps()
+            self.assertTrue(late.done())
+            self.assertEqual("overdue", late.result().reason)
+            for each in others:
+                each.cancel()
+
+        self.run_loop(scenario())
