Predict the wait of a request by the fair order of its queue

Cause: a request on arrival counted all queued requests of its priority as ahead, so a large workspace's queue had the requests of small ones refused as hopeless, although the fair order sends these next. Change: only requests that go before it by priority and shares count; with one workspace these are the same as before. Before, test_a_small_workspace_is_not_refused_for_the_queue_of_a_large_one: True is not false (refused on arrival behind 1,500 requests of another workspace; it is the second to be sent).

--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -325,28 +325,34 @@
         )
         if not candidates:
             return 0.0
+        ahead = self._ahead(queue, entry)
         return max(
             pause_delay_s(candidates),
-            self._limit_delay_s(queue, entry, candidates),
-            self._load_delay_s(queue, entry, candidates),
+            limit_delay_s(candidates, len(ahead)),
+            self._load_delay_s(ahead, entry, candidates),
         )
 
-    def _limit_delay_s(
-        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
-    ) -> float:
-        priority = entry.requirements.priority
-        ahead = sum(each.requirements.priority <= priority for each in queue.entries)
-        return limit_delay_s(candidates, ahead)
+    def _ahead(self, queue: _ServiceQueue, entry: _Entry) -> list[RequestRequirements]:
+        """Return the queued requests that go before a new one by priority and shares.
+
+        Late ones count as well: they go before it once they are overdue.
+        """
+        entries = [*queue.entries, entry]
+        waiting = [
+            _shared_request(each.requirements, (each.requirements.priority, 0))
+            for each in entries
+        ]
+        order = fair_order(waiting, queue.shares.times, queue.shares.now)
+        before = order[: order.index(len(queue.entries))]
+        return [entries[index].requirements for index in before]
 
     def _load_delay_s(
-        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
+        self,
+        ahead: list[RequestRequirements],
+        entry: _Entry,
+        candidates: list[Candidate],
     ) -> float:
         requirements = entry.requirements
-        ahead = [
-            each.requirements
-            for each in queue.entries
-            if each.requirements.priority <= requirements.priority
-        ]
         if requirements.model_engine:
             tokens = sum(each.prompt.prompt_tokens for each in ahead)
             backlog = min(each.backlog_s for each in candidates)
@@ -382,11 +388,16 @@
 
 
 def _waiting_request(entry: _Entry, now_s: float) -> WaitingRequest:
-    requirements = entry.requirements
-    priority, late, arrived_s = queue_rank(_queued_request(entry), now_s)
+    priority, late, _ = queue_rank(_queued_request(entry), now_s)
+    return _shared_request(entry.requirements, (priority, late))
+
+
+def _shared_request(
+    requirements: RequestRequirements, urgency: tuple[int, int]
+) -> WaitingRequest:
     return WaitingRequest(
-        urgency=(priority, late),
-        arrived_s=arrived_s,
+        urgency=urgency,
+        arrived_s=requirements.arrived_s,
         workspace=requirements.workspace,
         cost=float(requirements.prompt.total_tokens),
         weight=requirements.weight,
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -206,3 +206,31 @@
                 each.cancel()
 
         self.run_loop(scenario())
+
+    def test_a_small_workspace_is_not_refused_for_the_queue_of_a_large_one(self):
+        """A request that was next by its share was refused for those behind it."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            large = [
+                node.place(workspace="large", weight=1000.0, refusable=False)
+                for _ in range(1500)
+            ]
+            await steps()
+            small = node.place(workspace="small", weight=1000.0, arrived_s=100.1)
+            await steps()
+            self.assertFalse(small.done())
+            again = node.place(workspace="large", weight=1000.0, arrived_s=100.2)
+            await steps()
+            self.assertEqual("hopeless", again.result().reason)
+            for _ in range(2):
+                node.release(used)
+                node.queue.dispatch()
+                await steps()
+                used = next(each.result() for each in [small, *large] if each.done())
+            self.assertTrue(small.done())
+            for each in large:
+                each.cancel()
+
+        self.run_loop(scenario())
