Charge waiting requests to shares in the unit of their limit

Cause: the fair order divided the tokens of a request by its workspace's limit, also where that counts requests, so a workspace with a limit of 10 requests/s was charged as much for one call as one of 20,000 tokens/s for 2,000 calls. Change: a request waits with what its workspace was charged for it.

--- a/packages/decisions/cicadapass_decisions/fairshares.py
+++ b/packages/decisions/cicadapass_decisions/fairshares.py
@@ -19,6 +19,7 @@
     urgency: tuple[int, int]
     arrived_s: float
     workspace: str
+    # In the unit of the weight: some limits count tokens and some requests.
     cost: float
     # The rate limit of the workspace; 0 if it has none.
     weight: float
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -304,6 +304,7 @@
             version=request.version if self._state.rollouts.enabled else None,
             workspace=workspace.name if workspace else "",
             weight=workspace.rate_per_s if workspace else 0.0,
+            cost=request.charged_cost,
         )
 
     def _progress(self, request: RequestContext) -> RequestProgress:
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -62,6 +62,8 @@
     workspace: str = ""
     # The rate limit of the workspace, by which scarce capacity is shared; 0 if none.
     weight: float = 0.0
+    # What the request was charged, in the unit of the weight; 0 if it is not known.
+    cost: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -399,6 +401,6 @@
         urgency=urgency,
         arrived_s=requirements.arrived_s,
         workspace=requirements.workspace,
-        cost=float(requirements.prompt.total_tokens),
+        cost=requirements.cost or float(requirements.prompt.total_tokens),
         weight=requirements.weight,
     )
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -324,6 +324,25 @@
 
         self.run_loop(scenario())
 
+    def test_a_request_waits_with_what_its_workspace_was_charged(self):
+        """A limit in requests was compared with the tokens of a waiting request."""
+
+        async def scenario():
+            config = configuration(workspaces=[workspace(rate=10.0)])
+            gateway = await GatewayHarness().start(ok, config=config)
+            placed = []
+            place = gateway.state.queue.place
+
+            async def record(requirements):
+                placed.append(requirements)
+                return await place(requirements)
+
+            gateway.state.queue.place = record
+            await gateway.call("/safe/x", x_key="k", x_tokens=1800)
+            self.assertEqual([(10.0, 1.0)], [(r.weight, r.cost) for r in placed])
+
+        self.run_loop(scenario())
+
     def test_a_draining_node_accepts_requests_for_a_limited_time(self):
         """A request accepted long after SIGTERM was cut off at the process's end."""
 
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -234,3 +234,38 @@
                 each.cancel()
 
         self.run_loop(scenario())
+
+    def test_limits_in_requests_and_in_tokens_share_alike(self):
+        """A workspace with a limit in requests was charged 1,800 of them for a call."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            limits = {"calls": (10.0, 1.0), "tokens": (20_000.0, 1800.0)}
+            placed = []
+            for number in range(10):
+                for name, (weight, cost) in limits.items():
+                    request = node.place(
+                        workspace=name,
+                        weight=weight,
+                        cost=cost,
+                        prompt=Prompt((), 1800, 1800),
+                        arrived_s=100.0 + 0.001 * number,
+                        refusable=False,
+                    )
+                    placed.append((name, request))
+                    await steps()
+            sent = []
+            for _ in range(10):
+                node.release(used)
+                node.queue.dispatch()
+                await steps()
+                ((name, request),) = (each for each in placed if each[1].done())
+                placed.remove((name, request))
+                used = request.result()
+                sent.append(name)
+            self.assertIn(sent.count("calls"), (4, 5, 6))
+            for _, each in placed:
+                each.cancel()
+
+        self.run_loop(scenario())
