--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -378,7 +378,8 @@
 
     def test_sampled_callers_stay_within_the_limit(self):
         """Nodes drew several of the largest requests before they heard of any."""
-        for number, round_parts, seed in ((8, 1, 18), (8, 1, 25), (58, 6, 10)):
+        cases = ((8, 1, 18), (8, 1, 25), (58, 6, 10), (8, 1, 21), (58, 6, 31))
+        for number, round_parts, seed in cases:
             busiest, _ = self.simulate(seed, number, round_parts)
             self.assertLessEqual(busiest, BOUND, (number, seed))
 
