Reserve the shares of silent peers also beside hundreds of nodes

Cause: a peer is silent after three rounds, 22.8 s with 380 nodes, but was forgotten after 20 s, so the other side of a partition had nothing reserved. Before, test_a_silent_peer_keeps_its_share_beside_hundreds: 'None' is not an instance of OverLimit (admitted with 0.7 of the limit used by this half).

--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -42,7 +42,8 @@
 PEER_SILENCE_S = 1.0
 PEER_SILENCE_ROUNDS = 3.0
 # A peer that has been silent for this long was restarted or removed, and its share is
-# no longer reserved.
+# no longer reserved. With many peers, it is reserved for at least a window after it
+# has become silent.
 FORGET_PEER_AFTER_S = 20.0
 # This fraction of each share is independent of demand, so that a node without recent
 # demand can admit requests.
@@ -191,6 +192,7 @@
         # The last time that was passed to this object.
         self._now_s = started_s
         self._peer_silence_s = PEER_SILENCE_S
+        self._forget_peer_s = FORGET_PEER_AFTER_S
         # Peers know what this node admitted longer ago than this.
         self._unknown_s = 2 * USAGE_STEP_S
         # Whether the usage before the start is known.
@@ -383,6 +385,9 @@
     def set_round(self, round_s: float) -> None:
         """Set the time in which a node receives a message from every peer."""
         self._peer_silence_s = max(PEER_SILENCE_S, PEER_SILENCE_ROUNDS * round_s)
+        self._forget_peer_s = max(
+            FORGET_PEER_AFTER_S, self._peer_silence_s + self._window_s
+        )
         self._unknown_s = round_s + USAGE_STEP_S
 
     def set_node_count(self, count: int) -> None:
@@ -400,12 +405,12 @@
             removed = [
                 name
                 for name, peer in account.peers.items()
-                if now_s - peer.received_s > FORGET_PEER_AFTER_S
+                if now_s - peer.received_s > self._forget_peer_s
             ]
             for name in removed:
                 del account.peers[name]
         for name, heard_s in list(self._peers_heard_s.items()):
-            if now_s - heard_s > FORGET_PEER_AFTER_S:
+            if now_s - heard_s > self._forget_peer_s:
                 del self._peers_heard_s[name]
                 self._informed_peers.discard(name)
 
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -309,6 +309,25 @@
                 admitted += 300.0
         self.assertLessEqual(admitted, 4 * BOUND / 58)
 
+    def test_a_silent_peer_keeps_its_share_beside_hundreds(self):
+        """With 380 nodes, a peer was forgotten before it counted as silent."""
+        limiter = new_limiter(-100.0)
+        limiter.set_node_count(380)
+        limiter.set_round(7.6)
+        # The peers from 189 on are on the other side of a partition from 0 s on.
+        for peers, at_s, total in ((379, 0.0, 0.0), (189, 18.0, 0.7 * LIMIT / 189)):
+            for number in range(peers):
+                row = {"w": (0.0, LIMIT / 379, 0.0, 0.0)}
+                limiter.record_peer_totals(str(number), row, 900.0 + at_s, at_s)
+                row = {"w": (total, LIMIT / 379, total, 0.0)}
+                limiter.record_peer_report(str(number), row, 900.0 + at_s, at_s)
+            limiter.tick(at_s, 0.5)
+        for step in range(1, 13):
+            limiter.tick(18.0 + 0.5 * step, 0.5)
+        for _ in range(50):
+            refusal = limiter.admit("w", RATE, BURST, 30.0, 24.5)
+            self.assertIsInstance(refusal, OverLimit)
+
     def test_a_silent_peer_keeps_its_share(self):
         """The share of a peer that was only disconnected was used by other nodes."""
         limiter = new_limiter(-100.0)
