--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -21,7 +21,7 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from cicadapass_decisions.limitsampling import (
@@ -42,7 +42,8 @@
 PEER_SILENCE_S = 1.0
 PEER_SILENCE_ROUNDS = 3.0
 # A peer that has been silent for this long was restarted or removed, and its share is
-# no longer reserved.
+# no longer reserved. With many peers, it is reserved for at least a window after it
+# has become silent.
 FORGET_PEER_AFTER_S = 20.0
 # This fraction of each share is independent of demand, so that a node without recent
 # demand can admit requests.
@@ -103,11 +104,25 @@
     amount: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Message:
+    """Describe the message of a peer that names the totals."""
+
+    peer: str
+    # How long the peer had run when it sent the message.
+    uptime_s: float
+    # What the peer admitted before this message counts.
+    counts_all: bool
+    at_once: bool
+
+
 @dataclass(slots=True)
 class _PeerUsage:
     total_charged: float = 0.0
     demand: float = 0.0
     received_s: float = 0.0
+    # The peer's uptime when it sent this; older messages are ignored.
+    uptime_s: float = -math.inf
     # Fraction of the limit that stays reserved while the peer is silent.
     share: float = 0.0
     usage: UsageWindow = field(default_factory=UsageWindow)
@@ -177,6 +192,7 @@
         # The last time that was passed to this object.
         self._now_s = started_s
         self._peer_silence_s = PEER_SILENCE_S
+        self._forget_peer_s = FORGET_PEER_AFTER_S
         # Peers know what this node admitted longer ago than this.
         self._unknown_s = 2 * USAGE_STEP_S
         # Whether the usage before the start is known.
@@ -235,12 +251,12 @@
         account.mean_probability += weight * (probability - account.mean_probability)
         account.probability, account.averaged_s = probability, now_s
 
-    def refund(self, workspace: str, cost: float, now_s: float) -> None:
-        """Reverse the charge of a request that did not run."""
+    def refund(self, workspace: str, cost: float, charged_s: float) -> None:
+        """Reverse the charge, made at a time, of a request that did not run."""
         account = self._accounts.get(workspace)
         if account is not None:
-            account.usage.add(now_s, -cost)
-            account.total_charged -= cost
+            if account.usage.remove(cost, charged_s):
+                account.total_charged -= cost
             # Its caller returns; counted twice, it would look like more demand.
             added = cost * DEMAND_WINDOW_S / DEMAND_AVERAGING_S
             account.demand = max(0.0, account.demand - added)
@@ -307,44 +323,48 @@
         if not counts_all and all(len(row) > 3 for row in totals.values()):
             self._informed_peers.add(peer)
         self._peers_heard_s[peer] = now_s
+        message = _Message(peer, uptime_s, counts_all, at_once=False)
         for workspace, row in totals.items():
-            self._record(peer, workspace, row, counts_all, now_s, at_once=False)
+            self._record(message, workspace, row, now_s)
 
     def record_peer_report(
         self, peer: str, totals: Totals, uptime_s: float, now_s: float
     ) -> None:
         """Record totals of some workspaces, unless they may be those of a long past."""
         counts_all = self._counts_all(peer, uptime_s)
+        message = _Message(peer, uptime_s, counts_all, at_once=True)
         for workspace, row in totals.items():
             if counts_all or len(row) > 3:
-                self._record(peer, workspace, row, counts_all, now_s, at_once=True)
+                self._record(message, workspace, row, now_s)
 
     def _counts_all(self, peer: str, uptime_s: float) -> bool:
         return uptime_s < self._window_s or peer in self._peers_heard_s
 
     def _record(
         self,
-        peer: str,
+        message: _Message,
         workspace: str,
         row: tuple[float, ...],
-        counts_all: bool,
         now_s: float,
-        *,
-        at_once: bool,
     ) -> None:
         total, demand = row[:2]
         account = self._account(workspace)
-        peer_usage = account.peers.get(peer)
+        peer_usage = account.peers.get(message.peer)
         if peer_usage is None:
-            baseline = 0.0 if counts_all else total
+            baseline = 0.0 if message.counts_all else total
             peer_usage = _PeerUsage(total_charged=baseline, received_s=now_s)
-            account.peers[peer] = peer_usage
-            if not counts_all:
+            account.peers[message.peer] = peer_usage
+            if not message.counts_all:
                 self._set_past(peer_usage, row, now_s)
-        if total != peer_usage.total_charged:
+        if message.uptime_s < peer_usage.uptime_s:
+            return
+        peer_usage.uptime_s = message.uptime_s
+        if total < peer_usage.total_charged:
+            peer_usage.usage.remove_oldest(peer_usage.total_charged - total)
+        elif total > peer_usage.total_charged:
             # What peers report at once is new; other use is as old as half of the time
             # since their last message in the mean.
-            age_s = 0.0 if at_once else (now_s - peer_usage.received_s) / 2
+            age_s = 0.0 if message.at_once else (now_s - peer_usage.received_s) / 2
             peer_usage.usage.add(now_s - age_s, total - peer_usage.total_charged)
         peer_usage.total_charged, peer_usage.demand = total, demand
         peer_usage.received_s = now_s
@@ -365,6 +385,9 @@
     def set_round(self, round_s: float) -> None:
         """Set the time in which a node receives a message from every peer."""
         self._peer_silence_s = max(PEER_SILENCE_S, PEER_SILENCE_ROUNDS * round_s)
+        self._forget_peer_s = max(
+            FORGET_PEER_AFTER_S, self._peer_silence_s + self._window_s
+        )
         self._unknown_s = round_s + USAGE_STEP_S
 
     def set_node_count(self, count: int) -> None:
@@ -379,11 +402,15 @@
             account.demand *= decay
             account.usage.trim(now_s - self._window_s)
             _update_shares(account, now_s - self._peer_silence_s)
-            for name, peer in list(account.peers.items()):
-                if now_s - peer.received_s > FORGET_PEER_AFTER_S:
-                    del account.peers[name]
+            removed = [
+                name
+                for name, peer in account.peers.items()
+                if now_s - peer.received_s > self._forget_peer_s
+            ]
+            for name in removed:
+                del account.peers[name]
         for name, heard_s in list(self._peers_heard_s.items()):
-            if now_s - heard_s > FORGET_PEER_AFTER_S:
+            if now_s - heard_s > self._forget_peer_s:
                 del self._peers_heard_s[name]
                 self._informed_peers.discard(name)
 
@@ -405,21 +432,28 @@
         return unknown_limit + min(1.0, informed) * (full_limit - unknown_limit)
 
     def _limit_state(self, counted: _Counted, room: float, now_s: float) -> LimitState:
-        start_s = now_s - self._window_s
-        leaving = (
-            sum(
-                usage.amount_before(start_s + part * self._unknown_s)
-                for usage in counted.usages
-            )
-            for part in HORIZON_PARTS
-        )
-        return LimitState(
+        state = LimitState(
             room=room - counted.unreported,
-            leaving=tuple(leaving),
+            leaving=(0.0,) * len(HORIZON_PARTS),
             demand=counted.demand,
             window_s=self._window_s,
             horizon_s=self._unknown_s,
         )
+        if self._suffices(state):
+            return state
+        start_s = now_s - self._window_s
+        leaving = (
+            _amount_before(counted.usages, start_s + part * self._unknown_s)
+            for part in HORIZON_PARTS
+        )
+        return replace(state, leaving=tuple(leaving))
+
+    def _suffices(self, state: LimitState) -> bool:
+        """Return whether the room suffices without what leaves the window.
+
+        To sum that was half of the time of an admission beside 194 peers.
+        """
+        return admission_probability(state) >= 1.0
 
     def _is_unexpected(
         self, account: _Account, room: float, limit: float, cost: float, now_s: float
@@ -461,21 +495,29 @@
         start_s = now_s - self._window_s
         account.usage.trim(start_s)
         account.before_start.trim(start_s)
-        counted = _Counted([account.usage, account.before_start])
-        silent_usage = silent_shares = unheard = 0.0
+        usages = [account.usage, account.before_start]
+        counted = _Counted(usages)
+        silence_s, unknown_s = self._peer_silence_s, self._unknown_s
+        demand = unreported = silent_usage = silent_shares = unheard = 0.0
         for peer in account.peers.values():
-            peer.usage.trim(start_s)
+            steps = peer.usage.steps
+            if steps and steps[0].ended_s < start_s:
+                peer.usage.trim(start_s)
             age_s = now_s - peer.received_s
-            if age_s < self._peer_silence_s:
-                counted.usages.append(peer.usage)
-                counted.demand += peer.demand
-                counted.unreported += peer.demand * min(age_s, self._unknown_s)
-                unheard += peer.demand * max(0.0, age_s - self._unknown_s)
+            if age_s < silence_s:
+                usages.append(peer.usage)
+                demand += peer.demand
+                if age_s <= unknown_s:
+                    unreported += peer.demand * age_s
+                else:
+                    unreported += peer.demand * unknown_s
+                    unheard += peer.demand * (age_s - unknown_s)
             else:
                 silent_usage += peer.usage.amount
                 silent_shares += peer.share * limit
             if now_s < peer.past_until_s:
                 counted.reserved += self._past(peer, limit, now_s)
+        counted.demand, counted.unreported = demand, unreported
         silent = max(silent_usage, silent_shares)
         unknown = self._unknown_peers() / MAX_SHARE_FACTOR
         unheard_usage = unknown * account.usage.amount
@@ -484,8 +526,11 @@
         counted.reserved += max(0.0, silent - covered) + unheard_usage
         counted.demand += account.demand * (1.0 + unknown)
         # Jumps show in what peers report at once before they show in the averages.
+        recent_s = now_s - RECENT_USE_S
         counted.recent = sum(
-            usage.amount_since(now_s - RECENT_USE_S) for usage in counted.usages
+            usage.amount_since(recent_s)
+            for usage in counted.usages
+            if usage.steps and usage.steps[-1].ended_s >= recent_s
         )
         counted.demand = max(
             counted.demand, counted.recent * DEMAND_WINDOW_S / RECENT_USE_S
@@ -509,6 +554,14 @@
         return account.total_charged, account.demand, usage.amount, age_s
 
 
+def _amount_before(usages: Iterable[UsageWindow], end_s: float) -> float:
+    return sum(
+        usage.amount_before(end_s)
+        for usage in usages
+        if usage.steps and usage.steps[0].ended_s < end_s
+    )
+
+
 def _ignore(_workspace: str) -> None:
     pass
 
@@ -525,8 +578,7 @@
     ]
     total = account.demand + sum(peer.demand for peer in live)
     even_share = 1.0 / (len(live) + 1)
+    fixed, by_demand = EVEN_SHARE_FRACTION * even_share, 1 - EVEN_SHARE_FRACTION
     for peer in live:
         demand_share = peer.demand / total if total > 0 else even_share
-        peer.share = (
-            EVEN_SHARE_FRACTION * even_share + (1 - EVEN_SHARE_FRACTION) * demand_share
-        )
+        peer.share = fixed + by_demand * demand_share
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -64,6 +64,8 @@
     weight: float = 0.0
     # A random number from 0 to 1, by which calls are spread among upstreams.
     draw: float = 0.0
+    # What the request was charged, in the unit of the weight; 0 if it is not known.
+    cost: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,15 +174,14 @@
                     entry.future.set_result(NotPlaced(reason, 0.0))
 
     def _dispatch_queue(self, queue: _ServiceQueue, now_s: float) -> None:
+        self._refuse_overdue(queue, now_s)
         waiting = [_waiting_request(entry, now_s) for entry in queue.entries]
         weight = mean_weight(waiting)
         order = fair_order(waiting, queue.shares.times, queue.shares.now)
         queue.entries = [queue.entries[index] for index in order]
         misses = 0
         for entry in list(queue.entries):
-            outcome = self._overdue_refusal(entry, now_s) or self._try_place(
-                entry, now_s
-            )
+            outcome = self._try_place(entry, now_s)
             if outcome is None:
                 misses += 1
                 if misses >= MAX_MISSES_PER_PASS:
@@ -195,6 +196,20 @@
             elif isinstance(outcome, Reservation):
                 self._upstreams.end(outcome, now_s, succeeded=None)
 
+    def _refuse_overdue(self, queue: _ServiceQueue, now_s: float) -> None:
+        """Refuse overdue requests, also those that a pass does not reach.
+
+        Those of a workspace that has had its share stay behind all others.
+        """
+        kept = []
+        for entry in queue.entries:
+            refusal = self._overdue_refusal(entry, now_s)
+            if refusal is None:
+                kept.append(entry)
+            elif not entry.future.done():
+                entry.future.set_result(refusal)
+        queue.entries = kept
+
     def _overdue_refusal(self, entry: _Entry, now_s: float) -> NotPlaced | None:
         """Return the refusal of a request that can no longer be served in time."""
         waited_s = now_s - entry.requirements.arrived_s
@@ -324,28 +339,34 @@
         )
         if not candidates:
             return 0.0
+        ahead = self._ahead(queue, entry)
         return max(
             pause_delay_s(candidates),
-            self._limit_delay_s(queue, entry, candidates),
-            self._load_delay_s(queue, entry, candidates),
+            limit_delay_s(candidates, len(ahead)),
+            self._load_delay_s(ahead, entry, candidates),
         )
 
-    def _limit_delay_s(
-        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
-    ) -> float:
-        priority = entry.requirements.priority
-        ahead = sum(each.requirements.priority <= priority for each in queue.entries)
-        return limit_delay_s(candidates, ahead)
+    def _ahead(self, queue: _ServiceQueue, entry: _Entry) -> list[RequestRequirements]:
+        """Return the queued requests that go before a new one by priority and shares.
+
+        Late ones count as well: they go before it once they are overdue.
+        """
+        entries = [*queue.entries, entry]
+        waiting = [
+            _shared_request(each.requirements, (each.requirements.priority, 0))
+            for each in entries
+        ]
+        order = fair_order(waiting, queue.shares.times, queue.shares.now)
+        before = order[: order.index(len(queue.entries))]
+        return [entries[index].requirements for index in before]
 
     def _load_delay_s(
-        self, queue: _ServiceQueue, entry: _Entry, candidates: list[Candidate]
+        self,
+        ahead: list[RequestRequirements],
+        entry: _Entry,
+        candidates: list[Candidate],
     ) -> float:
         requirements = entry.requirements
-        ahead = [
-            each.requirements
-            for each in queue.entries
-            if each.requirements.priority <= requirements.priority
-        ]
         if requirements.model_engine:
             tokens = sum(each.prompt.prompt_tokens for each in ahead)
             backlog = min(each.backlog_s for each in candidates)
@@ -381,12 +402,17 @@
 
 
 def _waiting_request(entry: _Entry, now_s: float) -> WaitingRequest:
-    requirements = entry.requirements
-    priority, late, arrived_s = queue_rank(_queued_request(entry), now_s)
+    priority, late, _ = queue_rank(_queued_request(entry), now_s)
+    return _shared_request(entry.requirements, (priority, late))
+
+
+def _shared_request(
+    requirements: RequestRequirements, urgency: tuple[int, int]
+) -> WaitingRequest:
     return WaitingRequest(
-        urgency=(priority, late),
-        arrived_s=arrived_s,
+        urgency=urgency,
+        arrived_s=requirements.arrived_s,
         workspace=requirements.workspace,
-        cost=float(requirements.prompt.total_tokens),
+        cost=requirements.cost or float(requirements.prompt.total_tokens),
         weight=requirements.weight,
     )
--- a/tests/decisions/test_ratelimit.py
+++ b/tests/decisions/test_ratelimit.py
@@ -223,9 +223,41 @@
         """Requests that did not run counted towards the limit."""
         limiter = new_limiter(-100.0)
         limiter.admit("w", RATE, BURST, LIMIT, 0.0)
-        limiter.refund("w", LIMIT, 0.1)
+        limiter.refund("w", LIMIT, charged_s=0.0)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.2))
 
+    def test_a_refund_gives_no_room_beyond_the_limit(self):
+        """A charge left the window before its refund, which then counted below 0."""
+        limiter = new_limiter(-100.0)
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.0))
+        limiter.refund("w", LIMIT, charged_s=0.0)
+        admitted = 0.0
+        for step in range(100):
+            if limiter.admit("w", RATE, BURST, 300.0, 8.1 + 0.01 * step) is None:
+                admitted += 300.0
+        self.assertLessEqual(admitted, BOUND)
+
+    def test_a_late_refund_gives_no_room(self):
+        """A refund after the charge had left the window was taken from other use."""
+        limiter = new_limiter(-100.0)
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.0))
+        self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 8.1))
+        limiter.refund("w", LIMIT, charged_s=0.0)
+        self.assertEqual(2 * LIMIT, limiter.totals()["w"][0])
+        self.assertIsInstance(limiter.admit("w", RATE, BURST, 300.0, 8.2), OverLimit)
+
+    def test_a_refund_at_a_peer_gives_no_room_beyond_the_limit(self):
+        """What a peer refunded counted below 0 after the charge had left the window."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {}, 900.0, 0.0)
+        for at_s, total in ((0.2, LIMIT), (5.0, 0.0), (8.6, 0.0)):
+            limiter.record_peer_totals("peer", {"w": (total, 0.0)}, 900 + at_s, at_s)
+        admitted = 0.0
+        for _ in range(100):
+            if limiter.admit("w", RATE, BURST, 300.0, 8.7) is None:
+                admitted += 300.0
+        self.assertLessEqual(admitted, BOUND)
+
     def test_repeated_totals_count_once(self):
         """The same total was counted again with each message."""
         limiter = new_limiter(-100.0)
@@ -233,6 +265,17 @@
             limiter.record_peer_totals("peer", {"w": (5000.0, 0.0)}, 900.0, now_s)
         self.assertIsNone(limiter.admit("w", RATE, BURST, LIMIT, 0.3))
 
+    def test_an_old_message_does_not_take_use_back(self):
+        """A late or duplicated message made room for what was admitted since it."""
+        limiter = new_limiter(-100.0)
+        limiter.record_peer_totals("peer", {"w": (0.0, 0.0, 0.0, 0.0)}, 900.0, 0.0)
+        limiter.record_peer_totals("peer", {"w": (LIMIT, 0.0, LIMIT, 0.1)}, 900.2, 0.2)
+        old = {"w": (0.0, 0.0, 0.0, 0.0)}
+        limiter.record_peer_totals("peer", old, 900.0, 0.3)
+        limiter.record_peer_report("peer", old, 900.1, 0.3)
+        refusal = limiter.admit("w", RATE, BURST, 3000.0, 0.4)
+        self.assertIsInstance(refusal, OverLimit)
+
     def test_the_first_use_at_a_known_peer_counts(self):
         """What a peer admitted until it first named a workspace was not counted."""
         limiter = new_limiter(-100.0)
@@ -266,6 +309,25 @@
                 admitted += 300.0
         self.assertLessEqual(admitted, 4 * BOUND / 58)
 
+    def test_a_silent_peer_keeps_its_share_beside_hundreds(self):
+        """With 380 nodes, a peer was forgotten before it counted as silent."""
+        limiter = new_limiter(-100.0)
+        limiter.set_node_count(380)
+        limiter.set_round(7.6)
+        # The peers from 189 on are on the other side of a partition from 0 s on.
+        for peers, at_s, total in ((379, 0.0, 0.0), (189, 18.0, 0.7 * LIMIT / 189)):
+            for number in range(peers):
+                row = {"w": (0.0, LIMIT / 379, 0.0, 0.0)}
+                limiter.record_peer_totals(str(number), row, 900.0 + at_s, at_s)
+                row = {"w": (total, LIMIT / 379, total, 0.0)}
+                limiter.record_peer_report(str(number), row, 900.0 + at_s, at_s)
+            limiter.tick(at_s, 0.5)
+        for step in range(1, 13):
+            limiter.tick(18.0 + 0.5 * step, 0.5)
+        for _ in range(50):
+            refusal = limiter.admit("w", RATE, BURST, 30.0, 24.5)
+            self.assertIsInstance(refusal, OverLimit)
+
     def test_a_silent_peer_keeps_its_share(self):
         """The share of a peer that was only disconnected was used by other nodes."""
         limiter = new_limiter(-100.0)
@@ -335,7 +397,8 @@
 
     def test_sampled_callers_stay_within_the_limit(self):
         """Nodes drew several of the largest requests before they heard of any."""
-        for number, round_parts, seed in ((8, 1, 18), (8, 1, 25), (58, 6, 10)):
+        cases = ((8, 1, 18), (8, 1, 25), (58, 6, 10), (8, 1, 21), (58, 6, 31))
+        for number, round_parts, seed in cases:
             busiest, _ = self.simulate(seed, number, round_parts)
             self.assertLessEqual(busiest, BOUND, (number, seed))
 
--- a/tests/gateway/test_requestqueue.py
+++ b/tests/gateway/test_requestqueue.py
@@ -198,3 +198,95 @@
                 each.cancel()
 
         self.run_loop(scenario())
+
+    def test_a_request_behind_many_others_is_refused_in_time(self):
+        """A request that others of its queue preceded waited until its deadline."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            sent = node.place(workspace="large", weight=1.0)
+            await steps()
+            late = node.place(workspace="large", weight=1.0)
+            await steps()
+            node.release(used)
+            node.queue.dispatch()
+            await steps()
+            self.assertTrue(sent.done())
+            others = [
+                node.place(workspace="small", weight=1e6, refusable=False)
+                for _ in range(9)
+            ]
+            await steps()
+            node.now_s = 129.0
+            node.queue.dispatch()
+            await steps()
+            self.assertTrue(late.done())
+            self.assertEqual("overdue", late.result().reason)
+            for each in others:
+                each.cancel()
+
+        self.run_loop(scenario())
+
+    def test_a_small_workspace_is_not_refused_for_the_queue_of_a_large_one(self):
+        """A request that was next by its share was refused for those behind it."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            large = [
+                node.place(workspace="large", weight=1000.0, refusable=False)
+                for _ in range(1500)
+            ]
+            await steps()
+            small = node.place(workspace="small", weight=1000.0, arrived_s=100.1)
+            await steps()
+            self.assertFalse(small.done())
+            again = node.place(workspace="large", weight=1000.0, arrived_s=100.2)
+            await steps()
+            self.assertEqual("hopeless", again.result().reason)
+            for _ in range(2):
+                node.release(used)
+                node.queue.dispatch()
+                await steps()
+                used = next(each.result() for each in [small, *large] if each.done())
+            self.assertTrue(small.done())
+            for each in large:
+                each.cancel()
+
+        self.run_loop(scenario())
+
+    def test_limits_in_requests_and_in_tokens_share_alike(self):
+        """A workspace with a limit in requests was charged 1,800 of them for a call."""
+
+        async def scenario():
+            node = Node("u0")
+            used = node.occupy("u0")
+            limits = {"calls": (10.0, 1.0), "tokens": (20_000.0, 1800.0)}
+            placed = []
+            for number in range(10):
+                for name, (weight, cost) in limits.items():
+                    request = node.place(
+                        workspace=name,
+                        weight=weight,
+                        cost=cost,
+                        prompt=Prompt((), 1800, 1800),
+                        arrived_s=100.0 + 0.001 * number,
+                        refusable=False,
+                    )
+                    placed.append((name, request))
+                    await steps()
+            sent = []
+            for _ in range(10):
+                node.release(used)
+                node.queue.dispatch()
+                await steps()
+                ((name, request),) = (each for each in placed if each[1].done())
+                placed.remove((name, request))
+                used = request.result()
+                sent.append(name)
+            self.assertIn(sent.count("calls"), (4, 5, 6))
+            for _, each in placed:
+                each.cancel()
+
+        self.run_loop(scenario())
