Admit plain and urgent requests first within a scarce limit

Within a scarce limit, calls of plain services come first, then prompts by the priority of their route. Each node divides the admitted part of its own recent demand in that order, so that as much is admitted as before; a fifth keeps to one probability, so that none starves.

--- a/packages/decisions/cicadapass_decisions/limitsampling.py
+++ b/packages/decisions/cicadapass_decisions/limitsampling.py
@@ -6,6 +6,7 @@
 nodes nor the spread of the callers over them matters.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 # The room must suffice at each of these parts of the horizon: use that leaves late in
@@ -13,6 +14,8 @@
 HORIZON_PARTS = (0.1, 0.4, 1.6)
 # Requests are sampled up to this multiple of an even use of the limit.
 MAX_PACE = 3.0
+# Part of the admitted demand that is the same for all ranks.
+COMMON_FRACTION = 0.2
 # Part of a time to return that is drawn at random, so that callers who were refused
 # together do not return together.
 SPREAD_FRACTION = 0.5
@@ -47,6 +50,23 @@
     return probability
 
 
+def ranked_probability(
+    probability: float, demands: Mapping[int, float], rank: int
+) -> float:
+    """Return the probability for requests of a rank, the lowest rank first.
+
+    `demands` has what is asked for by rank. In the mean, as much is admitted as with
+    the same probability for all; a part of it keeps to that, so that no rank starves.
+    """
+    left = probability * sum(demands.values())
+    for each in sorted(demands):
+        if each == rank and demands[each] > 0:
+            first = min(1.0, max(0.0, left / demands[each]))
+            return (1 - COMMON_FRACTION) * first + COMMON_FRACTION * probability
+        left -= demands[each]
+    return probability
+
+
 def paced_probability(probability: float, recent: float, even: float) -> float:
     """Return a lower probability while recent use is far above an even use.
 
--- a/packages/decisions/cicadapass_decisions/ratelimit.py
+++ b/packages/decisions/cicadapass_decisions/ratelimit.py
@@ -29,6 +29,7 @@
     LimitState,
     admission_probability,
     paced_probability,
+    ranked_probability,
     sampled_retry_s,
 )
 from cicadapass_decisions.usagewindow import (
@@ -141,6 +142,8 @@
     total_reported: float = 0.0
     # Recent demand, including refused requests.
     demand: float = 0.0
+    # What this node's callers asked for lately, by the rank of the requests.
+    rank_demands: dict[int, float] = field(default_factory=dict)
     # Probability with which the last request was admitted, and its recent mean.
     probability: float = 1.0
     mean_probability: float = 1.0
@@ -207,14 +210,24 @@
         self._on_unexpected_use: Callable[[str], None] = _ignore
 
     def admit(
-        self, workspace: str, rate: float, burst: float, cost: float, now_s: float
+        self,
+        workspace: str,
+        rate: float,
+        burst: float,
+        cost: float,
+        now_s: float,
+        rank: int = 0,
     ) -> OverLimit | None:
-        """Charge a request and return None, or return the refusal."""
+        """Charge a request and return None, or return the refusal.
+
+        While the limit is scarce, requests of a lower rank are admitted first.
+        """
         if rate <= 0:
             return None
         self._now_s = now_s
         account = self._account(workspace)
         account.demand += cost * DEMAND_WINDOW_S / DEMAND_AVERAGING_S
+        account.rank_demands[rank] = account.rank_demands.get(rank, 0.0) + cost
         limit = self._limit_in_window(rate, burst, now_s)
         counted = self._count(account, limit, now_s)
         tolerance = counted.tolerance
@@ -234,7 +247,8 @@
                 even = limit * RECENT_USE_S / self._window_s
                 probability = paced_probability(probability, counted.recent, even)
             self._set_probability(account, probability, now_s)
-            if self._rng.random() >= account.probability:
+            ranked = ranked_probability(probability, account.rank_demands, rank)
+            if self._rng.random() >= ranked:
                 spread = self._rng.random()
                 return OverLimit(sampled_retry_s(state, account.probability, spread))
             if self._is_unexpected(account, room + 0.2 * tolerance, limit, cost, now_s):
@@ -400,6 +414,8 @@
         decay = math.exp(-elapsed_s / DEMAND_AVERAGING_S)
         for account in self._accounts.values():
             account.demand *= decay
+            for each in account.rank_demands:
+                account.rank_demands[each] *= decay
             account.usage.trim(now_s - self._window_s)
             _update_shares(account, now_s - self._peer_silence_s)
             removed = [
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -159,12 +159,25 @@
             workspace.burst,
             cost,
             now_s,
+            self._limit_rank(request),
         )
         if excess is not None:
             return excess.retry_after_s
         request.charged_cost, request.charged_s = cost, now_s
         return None
 
+    def _limit_rank(self, request: RequestContext) -> int:
+        """Return the rank of a request within a scarce limit; the lowest comes first.
+
+        Calls of plain services cost a hundredth of a model's, so that all of them fit.
+        """
+        configuration = self._state.configuration
+        services = {} if configuration is None else configuration.services
+        service = services.get(request.match.service)
+        if service is None or not service.model_engine:
+            return 0
+        return 1 + max(0, request.match.route.priority)
+
     async def _serve(self, request: RequestContext) -> None:
         while True:
             held = await self.prompt_guard.admit(request)
