Give callers' bytes 0.15 of a VM's memory

The budget is 0.15 of the memory, 30 MB on the smallest VMs: 27 + 2 * 30 = 87 MB. The limit of upstreams' incomplete responses stays at 33.5 MB there. The test that names the limits of a VM of 200 MB has the new ones.

--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -7,7 +7,7 @@
 # Part of a VM's memory that callers' bytes may take. The interpreter takes 27 MB at
 # rest; a body is copied once on its way to an upstream, and freed memory is not all
 # returned at once.
-BUDGET_FRACTION = 0.2
+BUDGET_FRACTION = 0.15
 # Requests of up to this size are small: bodies are usually 12 KB, and up to 72 KB.
 SMALL_BYTES = 131_072
 # Part of the budget that larger requests leave to small ones.
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -23,7 +23,7 @@
 # Memory of a connection: 7.7 KB after a request, measured with 1,500 of them, and 4 KB
 # that it may hold without a reservation.
 CONNECTION_BYTES = 12_288
-# Part of the budget that connections may take, beside what they reserve: 2,441 of them
+# Part of the budget that connections may take, beside what they reserve: 1,831 of them
 # with 200 MB.
 CONNECTION_FRACTION = 0.75
 # Descriptors reserved for upstreams, peers, the log and the node's own listeners.
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -58,7 +58,7 @@
 OPERATOR_MAX_BODY_BYTES = 65_536
 # Limit of upstreams' incomplete responses as a part of the callers' budget; with 200 MB
 # it is the limit that applies to larger VMs.
-RESPONSE_FRACTION = 0.84
+RESPONSE_FRACTION = 1.12
 
 
 @dataclass(slots=True)
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -435,5 +435,5 @@
     def test_the_limits_follow_from_the_virtual_machine(self):
         """A node of a small VM accepted as much as one of a large VM."""
         limits = budget_limits(200.0, 400)
-        self.assertEqual(BudgetLimits(40_000_000, 200), limits)
+        self.assertEqual(BudgetLimits(30_000_000, 200), limits)
         self.assertEqual(16, budget_limits(1.0, 100).max_connections)
