Judge an expired request by its time limit, not by the clock

A request that ended at its deadline while its response had begun was not counted as a failure of the upstream, and its silence was logged as given up instead of expired. uvloop rounds timers to whole milliseconds, so that a time limit may end up to half a millisecond before the deadline, which the clock was then compared with. The state of the time limit itself decides now.

--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -105,6 +105,19 @@
             if event.has_data:
                 self.position_lost = not event.event_id
 
+    @property
+    def expired(self) -> bool:
+        """Return whether the deadline ended the request.
+
+        The time is not compared, because uvloop rounds timers to whole milliseconds
+        and a time limit may end just before its deadline.
+        """
+        return (
+            self.stopped is None
+            and self.time_limit is not None
+            and self.time_limit.expired()
+        )
+
     @property
     def repeatable(self) -> bool:
         """Return whether the request may be sent again after a possible execution."""
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -246,7 +246,7 @@
             self._channel is not None
             and self._channel.responding
             and not self._request.exchange.started
-            and self._state.clock() >= self._request.deadline_s
+            and self._request.expired
         )
 
     async def _open(self) -> ClientChannel:
@@ -363,7 +363,7 @@
     def _reason_of_cancellation(self) -> SilenceOutcome:
         if self._lost:
             return SilenceOutcome.REPLACED
-        if self._state.clock() >= self._request.deadline_s:
+        if self._request.expired:
             return SilenceOutcome.EXPIRED
         if self._request.exchange.connected:
             return SilenceOutcome.GIVEN_UP
