Ignore SIGHUP at the stop of a node without a gap

SIGHUP ended a node that was stopping. A loop's own signal handler restores the default when it is removed, so that a signal could end the process before the next line ignored it.

--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -91,6 +91,7 @@
         self._settings = self._last_settings = read_settings()
         self._make_adapter = make_adapter
         self._stop = asyncio.Event()
+        self._reload_requested = False
 
     async def run(self) -> int:
         """Serve until a signal; return the exit code."""
@@ -109,9 +110,9 @@
             )
         )
         components = self._build_components(events)
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: self._reload_settings(components)
-        )
+        # The loop's own handlers restore the default at their removal. For a moment
+        # SIGHUP would then end the process.
+        signal.signal(signal.SIGHUP, lambda *_: self._request_reload(loop, components))
         await self._start(components)
         components.supervisor.start(
             "settings",
@@ -126,8 +127,6 @@
         )
         events.emit(809, unfinished=unfinished)
         await components.supervisor.stop()
-        # The end of the loop would restore the default, which ends the process.
-        loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         output.stop(SHUTDOWN_RESERVE_S / 2)
         return 0
@@ -287,8 +286,17 @@
         if settings.has_duties:
             start("duties", components.duties.run)
 
+    def _request_reload(
+        self, loop: asyncio.AbstractEventLoop, components: Components
+    ) -> None:
+        """Reload the settings soon, once for all signals that come until then."""
+        if not self._reload_requested:
+            self._reload_requested = True
+            loop.call_soon_threadsafe(self._reload_settings, components)
+
     def _reload_settings(self, components: Components) -> None:
         """Apply the settings that may change while the node runs."""
+        self._reload_requested = False
         try:
             settings = self._read_settings()
         except SettingsError as error:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -213,7 +213,7 @@
             node.process.send_signal(signal.SIGTERM)
             ended = asyncio.create_task(node.process.communicate())
             while node.hang_up():
-                await asyncio.sleep(0.001)
+                await asyncio.sleep(0)
             output, _ = await ended
             self.assertEqual(0, node.process.returncode)
             last = json.loads(output.splitlines()[-1])
