Add a command that checks a configuration before it is sent

Cause: nodes refuse a malformed configuration as a whole and do not say where; some malformed values are converted or dropped without a log line.

Change: `python -m cicadapass_platform.configcheck FILE [IN_FORCE] [--json]` passes entries and fields to the unchanged decoder one by one to find the malformed ones, and prints these, the findings on the decoded data and the differences to the version in force. Differences alone leave the exit code 0.

--- /dev/null
+++ b/tests/platform/test_configcheck.py
@@ -0,0 +1,167 @@
+"""Test the command that checks a configuration before it is sent."""
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from cicadapass_platform.configcheck import main
+from tests.platform.test_documents import DOCUMENT, ROUTE, SPLIT
+
+WORKSPACE = {**DOCUMENT["tenants"][0], "burst": 200}
+ORDINARY = {
+    **DOCUMENT,
+    "routes": [ROUTE, {**SPLIT, "name": "split", "pathPrefix": "/q/"}],
+    "tenants": [WORKSPACE],
+}
+
+
+class ConfigCheckTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def write(self, name, document):
+        """Write a file and return its path."""
+        path = self.folder / name
+        data = (
+            document if isinstance(document, bytes) else json.dumps(document).encode()
+        )
+        path.write_bytes(data)
+        return str(path)
+
+    def run_check(self, *arguments):
+        """Return the exit code and the output of the command."""
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = main(arguments)
+        return code, out.getvalue() + err.getvalue()
+
+    def places(self, document):
+        """Return the places and kinds of the findings on a document."""
+        code, output = self.run_check(self.write("new", document), "--json")
+        findings = json.loads(output)["findings"]
+        self.assertEqual(1 if findings else 0, code, output)
+        return [(each["path"], each["kind"]) for each in findings]
+
+    def changed(self, section, index, **changes):
+        """Return the ordinary document with changed fields; `...` removes one."""
+        entries = list(ORDINARY[section])
+        entry = {**entries[index], **changes}
+        entries[index] = {k: v for k, v in entry.items() if v is not ...}
+        return {**ORDINARY, section: entries}
+
+    def test_an_ordinary_configuration_passes(self):
+        """A valid configuration was not sent because of a false finding."""
+        path = self.write("new", ORDINARY)
+        self.assertEqual((0, "errors: 0, warnings: 0\n"), self.run_check(path))
+        self.assertEqual([], self.places(ORDINARY))
+
+    def test_refused_values_are_located(self):
+        """Nodes refused a configuration, and the operator did not know where."""
+        cases = (
+            (("routes", 1, {"kind": "odd"}), "routes[1].kind", "malformed_value"),
+            (
+                ("routes", 0, {"timeoutMs": "3"}),
+                "routes[0].timeoutMs",
+                "malformed_value",
+            ),
+            (("routes", 0, {"pathPrefix": ...}), "routes[0]", "missing_value"),
+            (("routes", 0, {"service": ...}), "routes[0]", "missing_value"),
+            (("services", 1, {"scaling": {}}), "services[1].scaling", "missing_value"),
+            (
+                ("tenants", 0, {"apiKeys": None}),
+                "tenants[0].apiKeys",
+                "malformed_value",
+            ),
+        )
+        for (section, index, changes), place, kind in cases:
+            document = self.changed(section, index, **changes)
+            self.assertEqual([(place, kind)], self.places(document))
+        limits = {"limits": {"maxBodyBytes": "many"}}
+        self.assertEqual(
+            [("limits.maxBodyBytes", "malformed_value")],
+            self.places({**ORDINARY, **limits}),
+        )
+
+    def test_corrected_values_are_located(self):
+        """The decoder took a value for another one without a word."""
+        cases = (
+            (("routes", 0, {"anonymous": "false"}), "routes[0].anonymous"),
+            (("routes", 0, {"attempts": 1.5}), "routes[0].attempts"),
+            (("routes", 0, {"name": None}), "routes[0].name"),
+            (("routes", 0, {"pathPrefix": ["/"]}), "routes[0].pathPrefix"),
+            (("tenants", 0, {"apiKeys": "key"}), "tenants[0].apiKeys"),
+        )
+        for (section, index, changes), place in cases:
+            document = self.changed(section, index, **changes)
+            self.assertEqual([(place, "corrected_value")], self.places(document))
+        self.assertEqual(
+            [("tenants", "corrected_value")], self.places({**ORDINARY, "tenants": {}})
+        )
+
+    def test_dropped_entries_are_located(self):
+        """The first of two services or values of the same name had no effect."""
+        services = [*ORDINARY["services"], {"name": "s"}]
+        self.assertEqual(
+            [("services[0]", "dropped_entry")],
+            self.places({**ORDINARY, "services": services}),
+        )
+        data = json.dumps(ORDINARY).replace('"version"', '"version": 1, "version"', 1)
+        self.assertEqual([("version", "dropped_entry")], self.places(data.encode()))
+
+    def test_findings_have_places_of_the_document(self):
+        """A place was named in terms that operators do not know."""
+        weights = [{"service": "s", "weight": -1}, {"service": "t", "weight": 1}]
+        document = self.changed("routes", 1, trafficSplit=weights)
+        self.assertEqual(
+            [
+                ("routes[1].trafficSplit", "no_weight"),
+                ("services[1]", "unused_service"),
+                ("routes[1].trafficSplit[0].weight", "invalid_weight"),
+            ],
+            self.places(document),
+        )
+        document = self.changed("tenants", 0, burst=50)
+        code, output = self.run_check(self.write("new", document))
+        self.assertEqual(1, code)
+        self.assertIn("warning: tenants[0].burst: workspace 'w' has a burst", output)
+
+    def test_unreadable_documents_are_findings(self):
+        """A file that is no configuration passed, or ended the check."""
+        for data in (b"", b"{", b"\xff", b"[]", b"null", b"[" * 100_000):
+            self.assertEqual([("document", "not_readable")], self.places(data))
+        found = [("document", "missing_value")] * 3
+        self.assertEqual(found, self.places(b"{}"))
+
+    def test_differences_alone_do_not_change_the_exit_code(self):
+        """An ordinary change could not be told from a mistake."""
+        old = self.write("old", ORDINARY)
+        changed = {**self.changed("services", 1, engine={"stride": 2}), "version": 8}
+        new = self.write("new", changed)
+        code, output = self.run_check(new, old)
+        self.assertEqual(0, code)
+        self.assertIn("changed in services: t\n  engine: False -> True\n", output)
+        self.assertIn("affects routes: split\n", output)
+        code, output = self.run_check("--json", new, old)
+        (change,) = json.loads(output)["differences"]
+        self.assertEqual((0, ["w"]), (code, change["workspaces"]))
+        self.assertEqual("engine.stride", change["fields"][1]["name"])
+        code, output = self.run_check(old, old)
+        self.assertEqual(0, code)
+        self.assertIn("no difference", output)
+        # The version that nodes ignore is a finding.
+        self.assertEqual(1, self.run_check(old, new)[0])
+
+    def test_a_check_that_cannot_run_ends_with_2(self):
+        """A check that did not run was taken for one that found nothing."""
+        new, bad = self.write("new", ORDINARY), self.write("bad", b"{}")
+        for arguments in (("none",), (str(self.folder),), (new, "none"), (new, bad)):
+            code, output = self.run_check(*arguments)
+            self.assertEqual(2, code, arguments)
+            self.assertEqual(1, output.count("\n"), output)
