Keep the configuration in force if a new one cannot be applied

Cause: the route table was built outside of the handler of decoding errors. A path prefix that is a list raised TypeError there, which ended the task that follows the configuration, in all nodes that read the document.

Change: any error while a version is decoded or applied is logged as event 802, and the version in force stays.

Result: the added test failed for a path prefix that cannot be looked up and passes, also for an error that no decoder declares.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -179,7 +179,7 @@
 801 info gateway_configuration(version, source, routes)
     A gateway node uses this version; the source is the registry or a peer.
 802 error gateway_configuration_unreadable(source, reason)
-    A configuration cannot be decoded; the one in force stays.
+    A configuration cannot be decoded or applied; the one in force stays.
 803 warning registry_lost(reason)
     A call to the platform's registry failed; the view in force stays.
 804 info registry_found(offset)
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -453,10 +453,13 @@
     def _adopt(self, raw: bytes, source: str) -> None:
         try:
             configuration = self._adapter.document_codec.decode_configuration(raw)
-        except DECODE_ERRORS as error:
+            adopted = self._state.adopt(configuration, raw)
+        except Exception as error:
+            # An error that leaves this function ends the task that follows the
+            # configuration, and each new start of the task meets the same document.
             self._state.events.emit(802, source=source, reason=repr(error))
             return
-        if self._state.adopt(configuration, raw):
+        if adopted:
             self._state.metrics.gauge("configuration_version", configuration.version)
             self._state.events.emit(
                 801,
--- a/tests/gateway/test_registrysync.py
+++ b/tests/gateway/test_registrysync.py
@@ -29,8 +29,19 @@
 
 
 def decode_configuration(raw):
-    """Return a configuration whose version is the number in the bytes."""
-    return configuration(version=int(raw))
+    """Return a configuration whose version is the number in the bytes.
+
+    After `unhashable`, a path prefix cannot be looked up; `failing` raises an error
+    that no decoder declares.
+    """
+    version, _, fault = raw.partition(b" ")
+    if fault == b"failing":
+        raise RuntimeError("unforeseen")
+    decoded = configuration(version=int(version))
+    if fault == b"unhashable":
+        route = replace(decoded.routes[0], path_prefix=["/"])
+        return replace(decoded, routes=(route,))
+    return decoded
 
 
 def decode_upstream(key, raw):
@@ -174,6 +185,31 @@
 
         self.run_loop(scenario())
 
+    def test_an_unforeseen_error_leaves_the_configuration_in_force(self):
+        """A configuration that could not be indexed ended the task that follows it."""
+
+        async def follow(fault):
+            registry = MemoryRegistry()
+            registry.put("configuration", "config", b"3")
+            node = Node(registry)
+            events = []
+            node.state.events.emit = lambda number, **_: events.append(number)
+            task = asyncio.create_task(node.registry_sync.follow_configuration())
+            await until(lambda: node.state.version == 3)
+            registry.put("configuration", "config", b"4 " + fault)
+            await until(lambda: task.done() or events[-1] == 802)
+            self.assertFalse(task.done(), fault)
+            self.assertEqual(
+                (3, b"3"), (node.state.version, node.state.raw_configuration)
+            )
+            registry.put("configuration", "config", b"4")
+            await until(lambda: node.state.version == 4)
+            self.assertEqual([801, 802, 801], events)
+            task.cancel()
+
+        for fault in (b"unhashable", b"failing"):
+            self.run_loop(follow(fault))
+
     def test_expired_history_is_replaced_by_a_listing(self):
         """A removal in the deleted part of the log was never applied."""
 
