Check the types of a configuration's values when it is decoded

Cause: the decoder took values of any type for names, hosts, prefixes and keys. A list as a prefix raised TypeError in the route table. Strings were converted: "anonymous": "false" let calls without a key pass, "apiKeys": "key" made three keys of one letter, and "ratePerS": [] was no limit.

Change: names are strings that can be encoded, numbers are finite JSON numbers, flags are true or false and lists are lists. Null still stands for the default where it did, and unknown fields are ignored. The check reports these values as malformed instead of corrected.

--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -79,10 +79,29 @@
                 "tenants[0].apiKeys",
                 "malformed_value",
             ),
+            (
+                ("tenants", 0, {"apiKeys": "key"}),
+                "tenants[0].apiKeys",
+                "malformed_value",
+            ),
+            (
+                ("routes", 0, {"anonymous": "false"}),
+                "routes[0].anonymous",
+                "malformed_value",
+            ),
+            (("routes", 0, {"name": None}), "routes[0].name", "malformed_value"),
+            (
+                ("routes", 0, {"pathPrefix": ["/"]}),
+                "routes[0].pathPrefix",
+                "malformed_value",
+            ),
         )
         for (section, index, changes), place, kind in cases:
             document = self.changed(section, index, **changes)
             self.assertEqual([(place, kind)], self.places(document))
+        self.assertEqual(
+            [("tenants", "malformed_value")], self.places({**ORDINARY, "tenants": {}})
+        )
         limits = {"limits": {"maxBodyBytes": "many"}}
         self.assertEqual(
             [("limits.maxBodyBytes", "malformed_value")],
@@ -92,18 +111,12 @@
     def test_corrected_values_are_located(self):
         """The decoder took a value for another one without a word."""
         cases = (
-            (("routes", 0, {"anonymous": "false"}), "routes[0].anonymous"),
             (("routes", 0, {"attempts": 1.5}), "routes[0].attempts"),
-            (("routes", 0, {"name": None}), "routes[0].name"),
-            (("routes", 0, {"pathPrefix": ["/"]}), "routes[0].pathPrefix"),
-            (("tenants", 0, {"apiKeys": "key"}), "tenants[0].apiKeys"),
+            (("services", 0, {"engine": []}), "services[0].engine"),
         )
         for (section, index, changes), place in cases:
             document = self.changed(section, index, **changes)
             self.assertEqual([(place, "corrected_value")], self.places(document))
-        self.assertEqual(
-            [("tenants", "corrected_value")], self.places({**ORDINARY, "tenants": {}})
-        )
 
     def test_dropped_entries_are_located(self):
         """The first of two services or values of the same name had no effect."""
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -1,6 +1,9 @@
 """Test the decoding of configurations and of upstreams' entries."""
 
+import functools
 import json
+import math
+import operator
 
 import testtools
 
@@ -69,6 +72,43 @@
     "born": 1700000000000,
 }
 
+# Values of wrong types by kind of field, and the paths of the fields of that kind.
+WRONG_TYPES = (
+    (
+        (None, 1, True, [], ["/"], {}, "\ud800"),
+        "routes.0.name routes.0.host routes.0.pathPrefix routes.0.service"
+        " routes.1.trafficSplit.0.service services.0.name tenants.0.name"
+        " tenants.0.apiKeys.0",
+    ),
+    (
+        ("1", True, [], {}, math.nan, math.inf),
+        "version routes.0.timeoutMs routes.0.targetLatencyMs routes.0.attempts"
+        " routes.0.priority routes.0.gapAimMs routes.1.trafficSplit.0.weight"
+        " services.0.engine.stride services.0.scaling.min services.0.scaling.max"
+        " services.0.scaling.bootS services.0.scaling.spotPrice"
+        " services.0.scaling.zonePrices.dc-a tenants.0.priority tenants.0.ratePerS"
+        " tenants.0.burst tenants.0.plainTokens limits.maxHeaderBytes"
+        " limits.maxBodyBytes limits.headerTimeoutMs limits.idleTimeoutMs",
+    ),
+    (("false", 0, [], {}), "routes.0.anonymous routes.0.streamResume"),
+    (("s", {"s": 1}, 1, True), "routes.1.trafficSplit routes services"),
+    (("", "key", {}, {"key": 1}, 0, False), "tenants tenants.0.apiKeys"),
+)
+# Fields for which null stands for the default.
+NULLABLE = (
+    "tenants limits routes.0.anonymous routes.0.streamResume routes.0.gapAimMs"
+    " services.0.engine services.0.scaling tenants.0.priority tenants.0.ratePerS"
+    " tenants.0.burst tenants.0.plainTokens"
+)
+
+
+def with_value(document, path, value):
+    """Return a copy of a document with another value at a path."""
+    copy = json.loads(json.dumps(document))
+    *parents, last = [int(e) if e.isdigit() else e for e in path.split(".")]
+    functools.reduce(operator.getitem, parents, copy)[last] = value
+    return copy
+
 
 class ConfigurationTest(testtools.TestCase):
     def test_a_configuration_is_decoded(self):
@@ -106,6 +146,34 @@
                 (KeyError, TypeError, ValueError), decode_configuration, data
             )
 
+    def test_wrong_types_raise_the_declared_error(self):
+        """A value of a wrong type raised where it was used, or changed its meaning.
+
+        A list as a prefix ended the task that follows the configuration; the string
+        "false" let calls without a key pass, and in a string each letter was a key.
+        """
+        for values, paths in WRONG_TYPES:
+            for path in paths.split():
+                for value in values:
+                    data = json.dumps(with_value(DOCUMENT, path, value)).encode()
+                    try:
+                        decode_configuration(data)
+                    except ValueError:
+                        continue
+                    self.fail(f"{path}: {value!r} was decoded")
+
+    def test_null_and_unknown_fields_are_valid(self):
+        """A check of types refused what nodes of earlier versions applied."""
+        for path in NULLABLE.split():
+            data = json.dumps(with_value(DOCUMENT, path, None)).encode()
+            self.assertEqual(7, decode_configuration(data).version, path)
+        for path in ("x", "routes.0.x", "services.0.x", "tenants.0.x", "limits.x"):
+            data = json.dumps(with_value(DOCUMENT, path, [{}])).encode()
+            decoded = decode_configuration(data)
+            self.assertEqual(
+                decode_configuration(json.dumps(DOCUMENT).encode()), decoded
+            )
+
 
 class UpstreamTest(testtools.TestCase):
     def decode(self, **changes):
--- a/tests/platform/test_foreignvalues.py
+++ b/tests/platform/test_foreignvalues.py
@@ -16,7 +16,7 @@
 from cicadapass_gateway.registrysync import MAX_SKIPPED_LINES_PER_S, RegistrySync
 from cicadapass_platform.documents import CODEC, decode_upstream
 from cicadapass_platform.headers import decode_call, decode_response
-from tests.gateway.harness import make_state
+from tests.gateway.harness import MemoryRegistry, make_state
 from tests.gateway.virtualcluster import run_virtual
 from tests.oddentries import (
     ENTRY,
@@ -26,6 +26,7 @@
     encode_entry,
     odd_entries,
 )
+from tests.platform.test_documents import DOCUMENT, ROUTE
 
 JSON_VALUES = st.recursive(
     st.none()
@@ -124,6 +125,31 @@
         self.assertEqual(["i-1"], usable)
         self.assertEqual(MAX_SKIPPED_LINES_PER_S, events.count(832))
 
+    def test_odd_configurations_leave_the_one_in_force(self):
+        """A list as the prefix of a path ended the task that follows versions."""
+
+        async def play():
+            state, registry = make_state(), MemoryRegistry()
+            lines = []
+            state.events.emit = lambda number, **fields: lines.append((number, fields))
+            sync = RegistrySync(state, Adapter(registry), NoPeers(), ClientPool())
+            task = asyncio.create_task(sync.follow_configuration())
+            versions = []
+            for version, prefix in ((1, "/p/"), (2, ["/p/"]), (3, "/p/")):
+                route = {**ROUTE, "pathPrefix": prefix}
+                document = {**DOCUMENT, "version": version, "routes": [route]}
+                registry.put("keyed.op", "config", json.dumps(document).encode())
+                await asyncio.sleep(0.5)
+                versions.append(state.version)
+            self.assertFalse(task.done())
+            task.cancel()
+            return versions, lines
+
+        versions, lines = run_virtual(play())
+        self.assertEqual([1, 1, 3], versions)
+        self.assertEqual([801, 802, 801], [number for number, _ in lines])
+        self.assertIn("a list instead of a string", lines[1][1]["reason"])
+
 
 class NoPeers:
     """Stand in for the peers of a node that knows none."""
@@ -133,6 +159,14 @@
     def __init__(self):
         self.members = {}
 
+    def fresh_members(self):
+        """Return no members."""
+        return []
+
+    def is_watcher(self):
+        """Return that this node watches the registry."""
+        return True
+
 
 class Adapter:
     """Provide the parts of an adapter that reading entries uses."""
@@ -143,6 +177,7 @@
         """Name the topic."""
 
         upstreams = "keyed.servers"
+        configuration = "keyed.op"
 
     def __init__(self, registry):
         self.registry = registry
