Check documents that are nested deeply without an error

Cause: parts of a document were encoded as JSON again for the decoder, which raised RecursionError at about 970 levels, also within fields that nodes ignore. At lower depths it was reported as a refusal of the nodes.

--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -18,6 +18,8 @@
     "tenants": [WORKSPACE],
 }
 
+NOT_READABLE = [("document", "not_readable")]
+
 
 class ConfigCheckTest(testtools.TestCase):
     def setUp(self):
@@ -148,10 +150,16 @@
     def test_unreadable_documents_are_findings(self):
         """A file that is no configuration passed, or ended the check."""
         for data in (b"", b"{", b"\xff", b"[]", b"null", b"[" * 100_000):
-            self.assertEqual([("document", "not_readable")], self.places(data))
+            self.assertEqual(NOT_READABLE, self.places(data))
         found = [("document", "missing_value")] * 3
         self.assertEqual(found, self.places(b"{}"))
 
+    def test_nested_values_of_unknown_fields_do_not_end_the_check(self):
+        """A deeply nested value that nodes ignore ended the check with an error."""
+        for depth in range(850, 1000, 3):
+            data = json.dumps({**ORDINARY, "x": 1})[:-2] + "[" * depth + "]" * depth
+            self.assertIn(self.places(f"{data}}}".encode()), ([], NOT_READABLE))
+
     def test_differences_alone_do_not_change_the_exit_code(self):
         """An ordinary change could not be told from a mistake."""
         old = self.write("old", ORDINARY)
