Locate malformed values within entries

Cause: refused values were located by field of an entry only, such as a whole `scaling` or `trafficSplit`. One wrong service of a route was reported twice, as malformed at the route and as corrected at the field.

Change: one recursive search from the outermost to the innermost refused value, within a valid document. What the decoder corrects is searched in documents that it does not refuse.

--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -18,6 +18,7 @@
     "tenants": [WORKSPACE],
 }
 
+SCALING = DOCUMENT["services"][0]["scaling"]
 NOT_READABLE = [("document", "not_readable")]
 
 
@@ -75,7 +76,31 @@
             ),
             (("routes", 0, {"pathPrefix": ...}), "routes[0]", "missing_value"),
             (("routes", 0, {"service": ...}), "routes[0]", "missing_value"),
-            (("services", 1, {"scaling": {}}), "services[1].scaling", "missing_value"),
+            (
+                ("routes", 0, {"service": ["s"]}),
+                "routes[0].service",
+                "malformed_value",
+            ),
+            (
+                ("routes", 1, {"trafficSplit": [{"service": "s", "weight": "1"}]}),
+                "routes[1].trafficSplit[0].weight",
+                "malformed_value",
+            ),
+            (
+                ("services", 0, {"scaling": {**SCALING, "max": "6"}}),
+                "services[0].scaling.max",
+                "malformed_value",
+            ),
+            (
+                ("services", 0, {"scaling": {**SCALING, "zonePrices": {"z": "1"}}}),
+                "services[0].scaling.zonePrices.z",
+                "malformed_value",
+            ),
+            (
+                ("tenants", 0, {"apiKeys": ["k", 1]}),
+                "tenants[0].apiKeys[1]",
+                "malformed_value",
+            ),
             (
                 ("tenants", 0, {"apiKeys": None}),
                 "tenants[0].apiKeys",
@@ -104,6 +129,9 @@
         self.assertEqual(
             [("tenants", "malformed_value")], self.places({**ORDINARY, "tenants": {}})
         )
+        document = self.changed("services", 1, scaling={})
+        found = [("services[1].scaling", "missing_value")] * 3
+        self.assertEqual(found, self.places(document))
         limits = {"limits": {"maxBodyBytes": "many"}}
         self.assertEqual(
             [("limits.maxBodyBytes", "malformed_value")],
@@ -114,7 +142,9 @@
         """The decoder took a value for another one without a word."""
         cases = (
             (("routes", 0, {"attempts": 1.5}), "routes[0].attempts"),
+            (("routes", 0, {"trafficSplit": {}}), "routes[0].trafficSplit"),
             (("services", 0, {"engine": []}), "services[0].engine"),
+            (("tenants", 0, {"unit": 1}), "tenants[0].unit"),
         )
         for (section, index, changes), place in cases:
             document = self.changed(section, index, **changes)
