Show changed values with the units and words of the document

Cause: differences named the fields as in the document and showed the values as decoded: "timeoutMs: 3 -> 5" for 3,000 and 5,000 ms, "kind: CallKind.SAFE", "unit: True -> False", and a Python representation of a whole scaling section.

Change: differences contain the decoded values, and the command formats them as in the document.

Result: the added table failed at its first case and passes. tests.platform.test_configcheck, 10 tests, and test_configchanges, 6, pass.

--- a/packages/decisions/cicadapass_decisions/configchanges.py
+++ b/packages/decisions/cicadapass_decisions/configchanges.py
@@ -17,8 +17,8 @@
     """Describe a changed field; `name` has a point before each inner field."""
 
     name: str
-    old: str
-    new: str
+    old: Any
+    new: Any
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +140,7 @@
         elif is_dataclass(before) and is_dataclass(after):
             changes += _field_changes(before, after, f"{name}.")
         else:
-            changes.append(FieldChange(name, _text(before), _text(after)))
+            changes.append(FieldChange(name, before, after))
     return tuple(changes)
 
 
@@ -151,14 +151,6 @@
     )
 
 
-def _text(value: Any) -> str:
-    if isinstance(value, tuple):
-        return ", ".join(f"{each.service} {each.weight:g}" for each in value)
-    if isinstance(value, float):
-        return f"{value:g}"
-    return "none" if value is None else str(value)
-
-
 def _routes_of(
     service: str, configurations: Iterable[Configuration]
 ) -> tuple[str, ...]:
--- a/tests/decisions/test_configchanges.py
+++ b/tests/decisions/test_configchanges.py
@@ -54,13 +54,14 @@
         self.assertEqual(
             ("changed", "services", "s"), (change.kind, change.section, change.name)
         )
-        self.assertEqual((FieldChange("scaling.maximum", "2", "3"),), change.fields)
+        self.assertEqual((FieldChange("scaling.maximum", 2, 3),), change.fields)
         self.assertEqual((("a",), ("w",)), (change.routes, change.workspaces))
 
     def test_moved_routes_affect_both_services(self):
         """The service that loses calls was not named."""
         (change,) = changes(routes=(route("a", "t"), route("b", "t")))
-        self.assertEqual((FieldChange("services", "s 1", "t 1"),), change.fields)
+        (field,) = change.fields
+        self.assertEqual(("services", "t"), (field.name, field.new[0].service))
         self.assertEqual(("s", "t"), change.services)
 
     def test_entries_are_added_and_removed_by_name(self):
--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -9,7 +9,7 @@
 import testtools
 
 from cicadapass_platform.configcheck import main
-from tests.platform.test_documents import DOCUMENT, ROUTE, SPLIT
+from tests.platform.test_documents import DOCUMENT, ROUTE, SPLIT, with_value
 
 WORKSPACE = {**DOCUMENT["tenants"][0], "burst": 200}
 ORDINARY = {
@@ -197,7 +197,7 @@
         new = self.write("new", changed)
         code, output = self.run_check(new, old)
         self.assertEqual(0, code)
-        self.assertIn("changed in services: t\n  engine: False -> True\n", output)
+        self.assertIn("changed in services: t\n  engine: none -> present\n", output)
         self.assertIn("affects routes: split\n", output)
         code, output = self.run_check("--json", new, old)
         (change,) = json.loads(output)["differences"]
@@ -209,6 +209,26 @@
         # The version that nodes ignore is a finding.
         self.assertEqual(1, self.run_check(old, new)[0])
 
+    def test_changed_values_are_shown_as_in_the_document(self):
+        """A time in seconds was shown beside a name that ends in Ms."""
+        cases = (
+            ("routes.0.timeoutMs", 2500, "timeoutMs: 3000 -> 2500"),
+            ("routes.0.gapAimMs", None, "gapAimMs: 250 -> none"),
+            ("routes.0.kind", "safe", "kind: streaming -> safe"),
+            ("routes.0.anonymous", True, "anonymous: false -> true"),
+            ("routes.1.trafficSplit.0.weight", 50, "s 90, t 10 -> s 50, t 10"),
+            ("tenants.0.unit", None, "unit: token_count -> none"),
+            ("services.0.scaling", None, "scaling: present -> none"),
+            ("services.0.scaling.bootS", 5.5, "scaling.bootS: 4 -> 5.5"),
+            ("services.0.scaling.zonePrices.dc-a", 1, "dc-a 0.85 -> dc-a 1"),
+            ("limits.idleTimeoutMs", 9000, "idleTimeoutMs: 15000 -> 9000"),
+        )
+        old = self.write("old", ORDINARY)
+        for path, value, text in cases:
+            changed = {**with_value(ORDINARY, path, value), "version": 8}
+            _, output = self.run_check(self.write("new", changed), old)
+            self.assertIn(f"{text}\n", output)
+
     def test_a_check_that_cannot_run_ends_with_2(self):
         """A check that did not run was taken for one that found nothing."""
         new, bad = self.write("new", ORDINARY), self.write("bad", b"{}")
