Compare bursts with calls to plain services only where there are some

Cause: a workspace that counts tokens was reported for a burst below the cost of a call to a plain service, in configurations with model engines only. There, callers name the tokens, which are not known before a call.

Change: the comparison needs a plain service or a limit in calls; the checks of single values and of the burst are separate functions.

--- a/packages/decisions/cicadapass_decisions/configlimits.py
+++ b/packages/decisions/cicadapass_decisions/configlimits.py
@@ -32,8 +32,14 @@
         findings += _attempt_findings(configuration, route, ("routes", index))
     for service in configuration.services.values():
         findings += _service_findings(service, ("services", service.name))
+    has_plain = any(not each.model_engine for each in configuration.services.values())
     for index, workspace in enumerate(configuration.workspaces):
-        findings += _workspace_findings(workspace, ("workspaces", index), window_s)
+        path: Path = ("workspaces", index)
+        rates = tuple(_rate_findings(workspace, path))
+        findings += rates
+        # The tokens of calls to model engines are not known here.
+        if not rates and (has_plain or not workspace.counts_tokens):
+            findings += _burst_findings(workspace, path, window_s)
     findings += _caller_findings(configuration.limits)
     return tuple(findings)
 
@@ -126,31 +132,29 @@
             yield _invalid((*path, "prices", data_centre), f"a price of {price:g}")
 
 
-def _workspace_findings(
-    workspace: Workspace, path: Path, window_s: float
-) -> Iterator[Finding]:
-    rate, burst = workspace.rate_per_s, workspace.burst
-    invalid = False
-    for name, value in (("rate_per_s", rate), ("burst", burst)):
+def _rate_findings(workspace: Workspace, path: Path) -> Iterator[Finding]:
+    for name in ("rate_per_s", "burst"):
+        value = getattr(workspace, name)
         if not 0 <= value < math.inf:
-            invalid = True
             yield _invalid((*path, name), f"the value {value:g}")
     if workspace.counts_tokens and workspace.plain_tokens < 1:
         yield _invalid(
             (*path, "plain_tokens"), f"{workspace.plain_tokens} tokens for a call"
         )
-    if invalid:
-        return
-    if rate == 0:
-        if burst > 0:
-            yield warning(
-                FindingKind.BURST_WITHOUT_RATE,
-                (*path, "burst"),
-                f"workspace {workspace.name!r} has a burst but no rate, so that its"
-                " calls are not limited",
-            )
-        return
-    # What a call to a plain service costs; the tokens of prompts are not known here.
+    if workspace.rate_per_s == 0 and workspace.burst > 0:
+        yield warning(
+            FindingKind.BURST_WITHOUT_RATE,
+            (*path, "burst"),
+            f"workspace {workspace.name!r} has a burst but no rate, so that its"
+            " calls are not limited",
+        )
+
+
+def _burst_findings(
+    workspace: Workspace, path: Path, window_s: float
+) -> Iterator[Finding]:
+    """Compare the limits of a workspace with what a call to a plain service costs."""
+    rate, burst = workspace.rate_per_s, workspace.burst
     cost, unit = (
         (workspace.plain_tokens, "tokens") if workspace.counts_tokens else (1, "calls")
     )
@@ -161,7 +165,7 @@
             f"workspace {workspace.name!r} has a burst of {burst:g} {unit}, and a call"
             f" to a plain service costs {cost:g}",
         )
-    elif rate * window_s + burst < cost:
+    elif 0 < rate * window_s + burst < cost:
         yield warning(
             FindingKind.BURST_BELOW_REQUEST,
             (*path, "rate_per_s"),
