Report path prefixes that do not start with a slash

Cause: a prefix such as "search/" was not reported, although the targets of requests start with a slash, or are a URL when sent to a proxy.

Change: such a prefix without a scheme is reported as never matching.

--- a/packages/decisions/cicadapass_decisions/configfindings.py
+++ b/packages/decisions/cicadapass_decisions/configfindings.py
@@ -181,6 +181,9 @@
     """Return why no path starts with this prefix, or an empty text."""
     if not prefix.endswith("/"):
         return "only prefixes that end with a slash are compared"
+    if not prefix.startswith("/") and "://" not in prefix:
+        # Targets are a path, or with a proxy a URL.
+        return "paths of requests start with a slash"
     if "?" in prefix:
         return "paths are compared without their query"
     if not all("!" <= character <= "~" for character in prefix):
