Report a maximum of no engines once

Cause: it was also reported as below the number of attempts, at the route.

Result: the added case failed and passes. tests.decisions.test_configlimits, 3 tests.

--- a/packages/decisions/cicadapass_decisions/configlimits.py
+++ b/packages/decisions/cicadapass_decisions/configlimits.py
@@ -93,10 +93,9 @@
     The maximum is that of a data centre. Without prices, engines are ordered in all
     data centres that have some, which the configuration does not name.
     """
-    if scaling is None:
+    if scaling is None or scaling.maximum < 1:
+        # A maximum below 1 is a finding of its own.
         return None
-    if scaling.maximum < 1:
-        return 0
     return scaling.maximum * len(scaling.prices) or None
 
 
--- a/tests/decisions/test_configlimits.py
+++ b/tests/decisions/test_configlimits.py
@@ -57,6 +57,11 @@
         (FindingKind.MINIMUM_BEYOND_MAXIMUM, "minimum"),
         {"service": replace(SERVICE, scaling=replace(SCALING, minimum=3))},
     ),
+    (
+        "A maximum of no engines was reported as too few for the attempts as well.",
+        (FindingKind.INVALID_LIMIT, "maximum"),
+        {"service": replace(SERVICE, scaling=replace(SCALING, minimum=0, maximum=0))},
+    ),
     (
         "A burst did not cover one call.",
         (FindingKind.BURST_BELOW_REQUEST, "burst"),
