Report routes of the same name as a warning, with the consequence

Cause: the same name at two hosts or prefixes was an error without a reason. Only log lines and the evidence of rollouts go by the names of routes; workspaces of the same name share a rate limit.

--- a/packages/decisions/cicadapass_decisions/configfindings.py
+++ b/packages/decisions/cicadapass_decisions/configfindings.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -109,9 +109,17 @@
         *routes,
         *_workspace_findings(configuration.workspaces),
         *_service_findings(configuration, reachable),
-        *_duplicate_names("routes", [each.name for each in configuration.routes]),
         *_duplicate_names(
-            "workspaces", [each.name for each in configuration.workspaces]
+            warning,
+            "routes",
+            configuration.routes,
+            "log lines and the evidence of rollouts do not distinguish them",
+        ),
+        *_duplicate_names(
+            error,
+            "workspaces",
+            configuration.workspaces,
+            "they share one rate limit",
         ),
     )
 
@@ -289,13 +297,19 @@
                 )
 
 
-def _duplicate_names(section: str, names: list[str]) -> Iterator[Finding]:
-    """Report names in use before: log lines, metrics and limits go by name."""
+def _duplicate_names(
+    finding: Callable[[FindingKind, Path, str], Finding],
+    section: str,
+    entries: Sequence[Route | Workspace],
+    consequence: str,
+) -> Iterator[Finding]:
     first: dict[str, int] = {}
-    for index, name in enumerate(names):
-        if first.setdefault(name, index) != index:
-            yield error(
+    for index, entry in enumerate(entries):
+        earlier = first.setdefault(entry.name, index)
+        if earlier != index:
+            yield finding(
                 FindingKind.DUPLICATE_NAME,
                 (section, index, "name"),
-                f"{name!r} is also the name of the entry at {first[name]}",
+                f"{entry.name!r} is also the name of the entry at {earlier}:"
+                f" {consequence}",
             )
--- a/tests/decisions/test_configfindings.py
+++ b/tests/decisions/test_configfindings.py
@@ -7,6 +7,7 @@
 from cicadapass_decisions.configfindings import (
     UNREACHABLE_KINDS,
     FindingKind,
+    Severity,
     find_unmatched,
 )
 from cicadapass_decisions.configlimits import find_contradictions
@@ -140,6 +141,16 @@
             both = (*find_unmatched(one), *find_contradictions(one))
             self.assertEqual((), both, number)
 
+    def test_duplicate_names_are_reported_by_their_consequence(self):
+        """An API at two hosts was an error; workspaces that share a limit are one."""
+        routes = (route("r"), route("r", host="g"))
+        workspaces = tuple(Workspace("w", frozenset({key})) for key in KEYS[:2])
+        found = find_unmatched(configuration(routes, workspaces))
+        self.assertEqual(
+            [(Severity.WARNING, "routes"), (Severity.ERROR, "workspaces")],
+            [(each.severity, each.path[0]) for each in found],
+        )
+
     def test_keys_are_reported_without_their_text(self):
         """A shared key gave calls to another workspace, or a report named a key."""
         workspaces = (
