Report empty keys as keys that never match

Cause: an empty key was a finding of its own, as if callers could use it, and counted as a key that makes routes reachable. Headers lose the space after the scheme, so that an empty credential is none.

--- a/packages/decisions/cicadapass_decisions/configfindings.py
+++ b/packages/decisions/cicadapass_decisions/configfindings.py
@@ -50,7 +50,6 @@
     # Entries that match otherwise than they look.
     UNKNOWN_SERVICE = "unknown_service"
     DUPLICATE_NAME = "duplicate_name"
-    EMPTY_KEY = "empty_key"
     # Limits.
     INVALID_LIMIT = "invalid_limit"
     INVALID_WEIGHT = "invalid_weight"
@@ -200,8 +199,9 @@
 
 
 def _can_match_key(key: str) -> bool:
-    # Credentials are compared without the blanks around them.
-    return key == key.strip() and _fits_header(key)
+    # Credentials are compared without the whitespace around them. Without any, a header
+    # consists of the scheme alone and counts as none.
+    return key != "" and key == key.strip() and _fits_header(key)
 
 
 def _fits_header(text: str) -> bool:
@@ -242,14 +242,8 @@
                 FindingKind.KEY_NEVER_MATCHES,
                 path,
                 f"{odd} of the {len(workspace.keys)} keys of workspace"
-                f" {workspace.name!r} never match: blanks around a key, or a character"
-                " that no header contains",
-            )
-        if "" in workspace.keys:
-            yield error(
-                FindingKind.EMPTY_KEY,
-                path,
-                f"workspace {workspace.name!r} has an empty key",
+                f" {workspace.name!r} never match: they are empty, have whitespace"
+                " around them or contain a character that no header contains",
             )
 
 
--- a/tests/decisions/test_configfindings.py
+++ b/tests/decisions/test_configfindings.py
@@ -25,8 +25,8 @@
 HOSTS = ("h", "h:80", "H", " h", "g", "", "h\u03b4", "h\n")
 PREFIXES = ("/", "/a/", "/a/b/", "/a", "", "/a/?x/", "/a b/", "a/", "/\u0394/")
 WEIGHTS = (0.0, 0.0, 1.0, 3.0)
-KEYS = ("k1", "k2", "k3", " k4", "k5\u0394")
-# Credentials of calls have no blanks around them and are Latin-1.
+KEYS = ("k1", "k2", "k3", " k4", "k5\u0394", "")
+# Credentials of calls are not empty, have no whitespace around them and are Latin-1.
 CALL_KEYS = ("k1", "k2", "k3", "k4", "k5")
 
 
