Name wrong types of entries as in JSON

Cause: for a string in place of an entry, the message was Python's "'str' object has no attribute 'get'".

--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -190,6 +190,13 @@
             data = json.dumps({**ORDINARY, "x": 1})[:-2] + "[" * depth + "]" * depth
             self.assertIn(self.places(f"{data}}}".encode()), ([], NOT_READABLE))
 
+    def test_types_are_named_as_in_json(self):
+        """A message contained Python's error on an attribute of a wrong type."""
+        for path in ("routes.0", "services.0.engine", "routes.1.trafficSplit.0"):
+            document = with_value(ORDINARY, path, "x")
+            _, output = self.run_check(self.write("new", document))
+            self.assertIn(": a string instead of an object [", output)
+
     def test_differences_alone_do_not_change_the_exit_code(self):
         """An ordinary change could not be told from a mistake."""
         old = self.write("old", ORDINARY)
