--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -197,6 +197,15 @@
             _, output = self.run_check(self.write("new", document))
             self.assertIn(": a string instead of an object [", output)
 
+    def test_names_outside_of_the_encoding_of_the_output_are_escaped(self):
+        """A name ended the command with the exit code of a finding."""
+        path = self.write("new", with_value(ORDINARY, "services.1.name", "\u0394"))
+        out = io.TextIOWrapper(io.BytesIO(), encoding="ascii")
+        with contextlib.redirect_stdout(out):
+            main([path])
+        out.seek(0)
+        self.assertIn("\\u0394", out.read())
+
     def test_differences_alone_do_not_change_the_exit_code(self):
         """An ordinary change could not be told from a mistake."""
         old = self.write("old", ORDINARY)
