Word the findings of the configuration check in usual terms

Cause: messages such as "calls are to end within 3.1 s, and are ended after 3 s" did not name the values of the document, "a call to a plain service" was said of limits in calls, and the two severities were described as what was meant differently.

--- a/packages/decisions/cicadapass_decisions/configfindings.py
+++ b/packages/decisions/cicadapass_decisions/configfindings.py
@@ -22,7 +22,7 @@
 
 
 class Severity(StrEnum):
-    """Tell what was certainly meant differently from what has no effect."""
+    """Distinguish certain mistakes from probable ones."""
 
     ERROR = "error"
     WARNING = "warning"
@@ -47,7 +47,7 @@
     KEY_REPLACED = "key_replaced"
     KEY_NEVER_MATCHES = "key_never_matches"
     UNUSED_SERVICE = "unused_service"
-    # Entries that match otherwise than they look.
+    # Entries whose names are ambiguous or unknown.
     UNKNOWN_SERVICE = "unknown_service"
     DUPLICATE_NAME = "duplicate_name"
     # Limits.
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """Describe one mistake of a configuration and its place."""
+    """Describe a mistake in a configuration and its place."""
 
     kind: FindingKind
     severity: Severity
@@ -86,12 +86,12 @@
 
 
 def error(kind: FindingKind, path: Path, message: str) -> Finding:
-    """Return a finding that was certainly meant differently."""
+    """Return a finding on a value that cannot have its intended effect."""
     return Finding(kind, Severity.ERROR, path, message)
 
 
 def warning(kind: FindingKind, path: Path, message: str) -> Finding:
-    """Return a finding that has no effect or is probably a mistake."""
+    """Return a finding on a value without effect, or that is probably a mistake."""
     return Finding(kind, Severity.WARNING, path, message)
 
 
@@ -139,8 +139,8 @@
                 FindingKind.ROUTE_REPLACED,
                 path,
                 f"route {route.name!r} is never chosen: route"
-                f" {configuration.routes[last].name!r} (the entry at {last}) has the"
-                " same host and path prefix and comes later",
+                f" {configuration.routes[last].name!r} at index {last} has the same"
+                " host and path prefix and comes later",
             )
         host_fault = _host_fault(route.host)
         if host_fault:
@@ -163,7 +163,8 @@
             yield error(
                 FindingKind.NO_WEIGHT,
                 (*path, "services"),
-                f"route {route.name!r} sends no calls: its weights sum to nothing",
+                f"route {route.name!r} sends no calls: the sum of its weights is"
+                f" {sum(weighted.weight for weighted in route.services):g}",
             )
         if needs_key and not route.anonymous:
             yield error(
@@ -178,7 +179,7 @@
     if host != host.lower():
         return "hosts of calls are compared in lower case"
     if host.startswith((" ", "\t")):
-        return "hosts of calls do not start with a blank"
+        return "hosts of calls do not start with whitespace"
     if not _fits_header(host):
         return "it contains a character that no header contains"
     return ""
@@ -220,12 +221,12 @@
     for index, workspace in enumerate(workspaces):
         path: Path = ("workspaces", index, "keys")
         replaced = {owners[key] for key in workspace.keys} - {index}
-        odd = sum(not _can_match_key(key) for key in workspace.keys)
+        unmatched = sum(not _can_match_key(key) for key in workspace.keys)
         if not workspace.keys:
             yield error(
                 FindingKind.WORKSPACE_WITHOUT_KEY,
                 path,
-                f"workspace {workspace.name!r} has no key, so no call is its own",
+                f"no call belongs to workspace {workspace.name!r}: it has no key",
             )
         # Keys are secrets, so that the messages do not contain them.
         for owner in sorted(replaced):
@@ -234,14 +235,14 @@
                 FindingKind.KEY_REPLACED,
                 path,
                 f"{shared} of the {len(workspace.keys)} keys of workspace"
-                f" {workspace.name!r} count for workspace {workspaces[owner].name!r}"
-                f" (the entry at {owner}), which has the same and comes later",
+                f" {workspace.name!r} belong to workspace {workspaces[owner].name!r} at"
+                f" index {owner}, which has the same and comes later",
             )
-        if odd:
+        if unmatched:
             yield error(
                 FindingKind.KEY_NEVER_MATCHES,
                 path,
-                f"{odd} of the {len(workspace.keys)} keys of workspace"
+                f"{unmatched} of the {len(workspace.keys)} keys of workspace"
                 f" {workspace.name!r} never match: they are empty, have whitespace"
                 " around them or contain a character that no header contains",
             )
@@ -280,7 +281,7 @@
                     FindingKind.UNKNOWN_SERVICE,
                     ("routes", index, "services", position, "service"),
                     f"route {route.name!r} names the service {weighted.service!r},"
-                    " which is not described",
+                    " which the configuration does not contain",
                 )
             if not 0 <= weighted.weight < math.inf:
                 yield error(
@@ -304,6 +305,5 @@
             yield finding(
                 FindingKind.DUPLICATE_NAME,
                 (section, index, "name"),
-                f"{entry.name!r} is also the name of the entry at {earlier}:"
-                f" {consequence}",
+                f"{entry.name!r} is also the name at index {earlier}: {consequence}",
             )
--- a/packages/decisions/cicadapass_decisions/configlimits.py
+++ b/packages/decisions/cicadapass_decisions/configlimits.py
@@ -55,16 +55,15 @@
         yield error(
             FindingKind.TARGET_BEYOND_TIMEOUT,
             (*path, "target_latency_s"),
-            f"calls of route {route.name!r} are to end within"
-            f" {route.target_latency_s:g} s, and are ended after"
-            f" {route.timeout_s:g} s",
+            f"the target latency of route {route.name!r}, {route.target_latency_s:g} s,"
+            f" exceeds its timeout of {route.timeout_s:g} s",
         )
     if route.max_gap_s is not None and route.max_gap_s > route.timeout_s:
         yield error(
             FindingKind.GAP_BEYOND_TIMEOUT,
             (*path, "max_gap_s"),
-            f"streams of route {route.name!r} may pause for {route.max_gap_s:g} s, and"
-            f" are ended after {route.timeout_s:g} s",
+            f"the longest gap between events of route {route.name!r},"
+            f" {route.max_gap_s:g} s, exceeds its timeout of {route.timeout_s:g} s",
         )
     if route.attempts < 1:
         yield _invalid((*path, "attempts"), f"{route.attempts} attempts")
@@ -116,8 +115,8 @@
         yield error(
             FindingKind.MINIMUM_BEYOND_MAXIMUM,
             (*path, "minimum"),
-            f"service {service.name!r} is to have at least {scaling.minimum} and at"
-            f" most {scaling.maximum} engines",
+            f"the minimum of service {service.name!r}, {scaling.minimum} engines,"
+            f" exceeds its maximum of {scaling.maximum}",
         )
     amounts = {
         "boot_s": scaling.boot_s,
@@ -157,19 +156,20 @@
     cost, unit = (
         (workspace.plain_tokens, "tokens") if workspace.counts_tokens else (1, "calls")
     )
+    call = "a call to a plain service" if workspace.counts_tokens else "a call"
     if 0 < burst < cost:
         yield warning(
             FindingKind.BURST_BELOW_REQUEST,
             (*path, "burst"),
-            f"workspace {workspace.name!r} has a burst of {burst:g} {unit}, and a call"
-            f" to a plain service costs {cost:g}",
+            f"workspace {workspace.name!r} has a burst of {burst:g} {unit}, and {call}"
+            f" costs {cost:g}",
         )
     elif 0 < rate * window_s + burst < cost:
         yield warning(
             FindingKind.BURST_BELOW_REQUEST,
             (*path, "rate_per_s"),
             f"workspace {workspace.name!r} may use {rate * window_s + burst:g} {unit}"
-            f" in {window_s:g} s, and a call to a plain service costs {cost:g}",
+            f" in {window_s:g} s, and {call} costs {cost:g}",
         )
 
 
@@ -181,4 +181,4 @@
 
 
 def _invalid(path: Path, message: str) -> Finding:
-    return error(FindingKind.INVALID_LIMIT, path, f"{message} is not possible")
+    return error(FindingKind.INVALID_LIMIT, path, f"{message} is out of range")
