Shorten the tests of the configuration check

Change: tables of one line for each case, and shared parts of configurations for the decisions. Each value, path, finding and kind that was compared before still is; a null as apiKeys and missing keys and versions are compared as well.

--- a/tests/decisions/test_configfindings.py
+++ b/tests/decisions/test_configfindings.py
@@ -11,16 +11,9 @@
     find_unmatched,
 )
 from cicadapass_decisions.configlimits import find_contradictions
-from cicadapass_decisions.passthrough import (
-    CallerLimits,
-    CallKind,
-    Configuration,
-    Route,
-    Service,
-    WeightedService,
-    Workspace,
-)
+from cicadapass_decisions.passthrough import Service, Workspace
 from cicadapass_decisions.routetable import Match, RouteTable
+from tests.decisions.configurations import configuration, route
 
 HOSTS = ("h", "h:80", "H", " h", "g", "", "h\u03b4", "h\n")
 PREFIXES = ("/", "/a/", "/a/b/", "/a", "", "/a/?x/", "/a b/", "a/", "/\u0394/")
@@ -28,19 +21,7 @@
 KEYS = ("k1", "k2", "k3", " k4", "k5\u0394", "")
 # Credentials of calls are not empty, have no whitespace around them and are Latin-1.
 CALL_KEYS = ("k1", "k2", "k3", "k4", "k5")
-
-
-def route(name, host="h", prefix="/", weights=(1.0,), **changes):
-    """Return a route with a service for each weight."""
-    services = tuple(WeightedService(f"s{i}", each) for i, each in enumerate(weights))
-    values = {"timeout_s": 3.0, "target_latency_s": 0.5, **changes}
-    return Route(name, host, prefix, CallKind.SAFE, services, **values)
-
-
-def configuration(routes, workspaces=(), services=("s0",)):
-    """Return a configuration with services of these names."""
-    described = {name: Service(name) for name in services}
-    return Configuration(1, tuple(routes), described, workspaces, CallerLimits())
+SERVICES = (Service("s0"), Service("s1"))
 
 
 def paths(found, *kinds):
@@ -60,11 +41,11 @@
         )
         for index in range(rng.randint(1, 8))
     ]
-    workspaces = tuple(
+    workspaces = [
         Workspace(f"w{index}", frozenset(rng.sample(KEYS, rng.randint(0, 2))))
         for index in range(rng.randint(0, 3))
-    )
-    return configuration(routes, workspaces, ("s0", "s1"))
+    ]
+    return configuration(*routes, *workspaces, *SERVICES)
 
 
 def calls(rng):
@@ -135,17 +116,17 @@
                 )
                 for index, place in enumerate(rng.sample(places, rng.randint(1, 6)))
             ]
-            routes.append(route("split", "g", weights=(1.0, 1.0)))
+            split = route("split", "g", weights=(1.0, 1.0))
             owners = rng.choice(((), workspaces))
-            one = configuration(routes, owners, ("s0", "s1"))
-            both = (*find_unmatched(one), *find_contradictions(one))
-            self.assertEqual((), both, number)
+            one = configuration(*routes, split, *owners, *SERVICES)
+            found = (*find_unmatched(one), *find_contradictions(one))
+            self.assertEqual((), found, number)
 
     def test_duplicate_names_are_reported_by_their_consequence(self):
         """An API at two hosts was an error; workspaces that share a limit are one."""
         routes = (route("r"), route("r", host="g"))
         workspaces = tuple(Workspace("w", frozenset({key})) for key in KEYS[:2])
-        found = find_unmatched(configuration(routes, workspaces))
+        found = find_unmatched(configuration(*routes, *workspaces, SERVICES[0]))
         self.assertEqual(
             [(Severity.WARNING, "routes"), (Severity.ERROR, "workspaces")],
             [(each.severity, each.path[0]) for each in found],
@@ -158,7 +139,7 @@
             Workspace("v", frozenset({"secret", " blank"})),
             Workspace("v", frozenset()),
         )
-        found = find_unmatched(configuration((route("r"),), workspaces))
+        found = find_unmatched(configuration(route("r"), *workspaces, SERVICES[0]))
         self.assertEqual(
             [
                 (FindingKind.KEY_REPLACED, ("workspaces", 0, "keys")),
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -103,10 +103,13 @@
 
 
 def with_value(document, path, value):
-    """Return a copy of a document with another value at a path."""
+    """Return a copy of a document with another value at a path; `...` removes it."""
     copy = json.loads(json.dumps(document))
     *parents, last = [int(e) if e.isdigit() else e for e in path.split(".")]
-    functools.reduce(operator.getitem, parents, copy)[last] = value
+    parent = functools.reduce(operator.getitem, parents, copy)
+    parent[last] = value
+    if value is ...:
+        del parent[last]
     return copy
 
 
