--- a/tests/platform/test_badinput.py
+++ b/tests/platform/test_badinput.py
@@ -7,6 +7,8 @@
 
 import cbor2
 
+from cicadapass_decisions.ratelimit import LimitTolerance, RateLimiter
+from cicadapass_decisions.routetable import RouteTable
 from cicadapass_platform.documents import decode_configuration, decode_upstream
 from cicadapass_platform.headers import decode_call, decode_response
 from cicadapass_platform.store import decode_changes
@@ -55,12 +57,30 @@
         rng = random.Random(SEED)
         for _ in range(ROUNDS):
             data = json.dumps(mutate(rng, DOCUMENT)).encode()
-            with contextlib.suppress(KeyError, TypeError, ValueError, AttributeError):
+            with contextlib.suppress(ValueError):
                 decode_configuration(data)
             entry = json.dumps(mutate(rng, ENTRY)).encode()
             decode_upstream("i-1", entry)
             decode_upstream("i-1", corrupt(rng, entry))
 
+    def test_decoded_configurations_can_be_used(self):
+        """A value that was decoded raised in the route table or in a rate limit."""
+        rng = random.Random(SEED)
+        used = 0
+        for _ in range(10 * ROUNDS):
+            try:
+                data = json.dumps(mutate(rng, DOCUMENT)).encode()
+                configuration = decode_configuration(data)
+            except ValueError:
+                continue
+            used += 1
+            RouteTable(configuration).match("h", "/p/x", "k1", rng)
+            limiter = RateLimiter(8.0, 0.0, LimitTolerance(), rng)
+            for each in configuration.workspaces:
+                limiter.admit(each.name, each.rate_per_s, each.burst, 1.0, 1.0)
+            cbor2.dumps([dict(limiter.totals()), configuration.version])
+        self.assertGreater(used, ROUNDS)
+
     def test_reads_never_raise(self):
         """A corrupt response to a read stopped the reader."""
         rng = random.Random(SEED)
