Test findings that no test distinguished

Cause: with single conditions of the search changed (a trial), no test failed for unknown services, and for most limits out of their range.

--- a/tests/decisions/test_configfindings.py
+++ b/tests/decisions/test_configfindings.py
@@ -18,9 +18,9 @@
 HOSTS = ("h", "h:80", "H", " h", "g", "", "h\u03b4", "h\n")
 PREFIXES = ("/", "/a/", "/a/b/", "/a", "", "/a/?x/", "/a b/", "a/", "/\u0394/")
 WEIGHTS = (0.0, 0.0, 1.0, 3.0)
-KEYS = ("k1", "k2", "k3", " k4", "k5\u0394", "")
+KEYS = ("k1", "k2", "k3\xff", " k4", "k5\u0394", "")
 # Credentials of calls are not empty, have no whitespace around them and are Latin-1.
-CALL_KEYS = ("k1", "k2", "k3", "k4", "k5")
+CALL_KEYS = ("k1", "k2", "k3\xff", "k4", "k5")
 SERVICES = (Service("s0"), Service("s1"))
 
 
@@ -71,16 +71,16 @@
         for number in range(400):
             one = drawn(rng)
             found = find_unmatched(one)
-            dead = paths(found, *UNREACHABLE_KINDS)
+            unreachable = paths(found, *UNREACHABLE_KINDS)
             unused = paths(found, FindingKind.UNUSED_SERVICE)
             keyless = paths(found, FindingKind.WORKSPACE_WITHOUT_KEY)
             table = RouteTable(one)
-            reported += len(dead)
+            reported += len(unreachable)
             for call in calls(rng):
                 match = table.match(*call, rng)
                 if isinstance(match, Match):
                     chosen += 1
-                    self.assertNotIn(one.routes.index(match.route), dead, number)
+                    self.assertNotIn(one.routes.index(match.route), unreachable, number)
                     self.assertNotIn(match.service, unused, (number, call))
                     if match.workspace is not None:
                         owner = one.workspaces.index(match.workspace)
@@ -92,7 +92,7 @@
                 call = host.decode("latin-1"), f"/{target.decode().lstrip('/')}"
                 matches = [table.match(*call, key, rng) for key in (None, *CALL_KEYS)]
                 routes = [m.route for m in matches if isinstance(m, Match)]
-                if index not in dead:
+                if index not in unreachable:
                     self.assertIn(each, routes, (number, index))
         self.assertTrue(reported > 400 and chosen > 1000, (reported, chosen))
 
@@ -132,6 +132,19 @@
             [(each.severity, each.path[0]) for each in found],
         )
 
+    def test_unused_and_unknown_services_are_told_apart(self):
+        """A misspelled service of a route was not reported."""
+        routes = (route("r", weights=(1.0, 0.0, 1.0)), route("p", prefix="/~!/"))
+        found = find_unmatched(configuration(*routes, *SERVICES, Service("s3")))
+        self.assertEqual(
+            [
+                (FindingKind.UNUSED_SERVICE, "s1", True),
+                (FindingKind.UNUSED_SERVICE, "s3", False),
+                (FindingKind.UNKNOWN_SERVICE, "service", False),
+            ],
+            [(e.kind, e.path[-1], "give it no weight" in e.message) for e in found],
+        )
+
     def test_keys_are_reported_without_their_text(self):
         """A shared key gave calls to another workspace, or a report named a key."""
         workspaces = (
--- a/tests/decisions/test_configlimits.py
+++ b/tests/decisions/test_configlimits.py
@@ -1,12 +1,19 @@
 """Test the search for limits that contradict each other."""
 
+import itertools
 import math
 from dataclasses import replace
 
 import testtools
 
 from cicadapass_decisions.configlimits import find_contradictions
-from cicadapass_decisions.passthrough import CallerLimits, CallKind, Service, Workspace
+from cicadapass_decisions.passthrough import (
+    CallerLimits,
+    CallKind,
+    Scaling,
+    Service,
+    Workspace,
+)
 from tests.decisions.configurations import SCALING, configuration, route
 
 ROUTE = route("r", attempts=4)
@@ -39,9 +46,29 @@
     # Every body was refused by a limit of 0.
     ("invalid_limit max_body_bytes", CallerLimits(max_body_bytes=0)),
 )
+ENDLESS = (-1.0, math.nan, math.inf)
+OUT_OF_RANGE = (
+    (ROUTE, "timeout_s target_latency_s max_gap_s", (0.0, *ENDLESS)),
+    (ROUTE, "attempts", (0,)),
+    (SERVICE, "tokens_per_event", (0,)),
+    (SCALING, "minimum", (-1,)),
+    (SCALING, "maximum", (0,)),
+    (SCALING, "boot_s reclaimable_price_ratio", ENDLESS),
+    (SCALING, "prices", [{"dc-a": each} for each in ENDLESS]),
+    (WORKSPACE, "rate_per_s burst", ENDLESS),
+    (TOKENS, "plain_tokens", (0,)),
+    (CallerLimits(), "max_header_bytes max_body_bytes", (0,)),
+    (CallerLimits(), "header_timeout_s idle_timeout_s", (0.0, *ENDLESS)),
+)
+FREE = Scaling(0, 4, 0.0, 0.0, {"dc-a": 0.0})
 VALID = (
     (),
     (TOKENS, PLAIN),
+    (replace(TOKENS, plain_tokens=1),),
+    (Service("s0", True, 1, FREE),),
+    (replace(WORKSPACE, rate_per_s=0.125, burst=0.0),),
+    # A service without a share gets none of the attempts.
+    (route("r", weights=(0.0, 1.0), attempts=9),),
     # All calls go to model engines, whose callers name their tokens.
     (replace(TOKENS, burst=1.0),),
     (replace(WORKSPACE, rate_per_s=1.0, burst=0.0),),
@@ -72,8 +99,13 @@
         for finding, *entries in MISTAKES:
             self.assertEqual([finding], findings(*entries))
 
-    def test_impossible_times_are_reported(self):
-        """A timeout of 0 or no number ended every call."""
-        for value in (0.0, -1.0, math.nan, math.inf):
-            found = findings(replace(ROUTE, timeout_s=value))
-            self.assertIn("invalid_limit timeout_s", found)
+    def test_values_out_of_range_are_reported(self):
+        """A timeout of 0 ended every call, or a rate of no number was no limit."""
+        for entry, names, values in OUT_OF_RANGE:
+            for name, value in itertools.product(names.split(), values):
+                changed = replace(entry, **{name: value})
+                if entry is SCALING:
+                    changed = replace(SERVICE, scaling=changed)
+                found = findings(changed)
+                place = "dc-a" if name == "prices" else name
+                self.assertIn(f"invalid_limit {place}", found, (name, value))
