--- a/tests/platform/test_configcheck.py
+++ b/tests/platform/test_configcheck.py
@@ -133,8 +133,11 @@
             [("services[0]", "dropped_entry")],
             self.places({**ORDINARY, "services": services}),
         )
-        data = json.dumps(ORDINARY).replace('"version"', '"version": 1, "version"', 1)
-        self.assertEqual([("version", "dropped_entry")], self.places(data.encode()))
+        for name, found in (("version", "version"), ("host", "routes[0].host")):
+            data = json.dumps(ORDINARY).replace(
+                f'"{name}"', f'"{name}": 1, "{name}"', 1
+            )
+            self.assertEqual([(found, "dropped_entry")], self.places(data.encode()))
 
     def test_findings_have_places_of_the_document(self):
         """A place was named in terms that operators do not know."""
