Report a version below 0, which no node takes

Cause: nodes without a configuration have version -1 and ignore a version that is not above it, without a log line. The check passed such a document.

Result: the added case failed and passes. tests.decisions.test_configchanges, 6 tests.

--- a/packages/decisions/cicadapass_decisions/configchanges.py
+++ b/packages/decisions/cicadapass_decisions/configchanges.py
@@ -85,19 +85,16 @@
 
 
 def find_stale_version(
-    in_force: Configuration, candidate: Configuration
+    in_force: Configuration | None, candidate: Configuration
 ) -> tuple[Finding, ...]:
-    """Report a changed configuration that nodes ignore because of its version."""
-    if candidate.version > in_force.version or candidate == in_force:
+    """Report a version that nodes ignore because they have one that is as high."""
+    # Nodes without a configuration have version -1.
+    newest = -1 if in_force is None else max(-1, in_force.version)
+    if candidate == in_force or candidate.version > newest:
         return ()
-    return (
-        error(
-            FindingKind.VERSION_NOT_NEWER,
-            ("version",),
-            f"nodes ignore version {candidate.version}: version {in_force.version} is"
-            " in force",
-        ),
-    )
+    cause = "versions start at 0" if newest < 0 else f"version {newest} is in force"
+    message = f"nodes ignore version {candidate.version}: {cause}"
+    return (error(FindingKind.VERSION_NOT_NEWER, ("version",), message),)
 
 
 def _pairs(
--- a/tests/decisions/test_configchanges.py
+++ b/tests/decisions/test_configchanges.py
@@ -73,3 +73,5 @@
         self.assertEqual(1, len(find_stale_version(OLD, changed)))
         self.assertEqual((), find_stale_version(OLD, replace(changed, version=8)))
         self.assertEqual((), find_stale_version(OLD, OLD))
+        self.assertEqual(1, len(find_stale_version(None, replace(OLD, version=-1))))
+        self.assertEqual((), find_stale_version(None, replace(OLD, version=0)))
