--- a/tests/decisions/test_configlimits.py
+++ b/tests/decisions/test_configlimits.py
@@ -60,12 +60,12 @@
     (CallerLimits(), "max_header_bytes max_body_bytes", (0,)),
     (CallerLimits(), "header_timeout_s idle_timeout_s", (0.0, *ENDLESS)),
 )
-FREE = Scaling(0, 4, 0.0, 0.0, {"dc-a": 0.0})
+FREE = Scaling(0, 1, 0.0, 0.0, {"dc-a": 0.0})
 VALID = (
     (),
     (TOKENS, PLAIN),
     (replace(TOKENS, plain_tokens=1),),
-    (Service("s0", True, 1, FREE),),
+    (Service("s0", True, 1, FREE), route("r", attempts=1)),
     (replace(WORKSPACE, rate_per_s=0.125, burst=0.0),),
     # A service without a share gets none of the attempts.
     (route("r", weights=(0.0, 1.0), attempts=9),),
