Send nothing to undecided versions before the verdicts are known

A node that started used all versions of a service that it saw first, as it knew of no order, and put the version of an order that was already rolled back on trial again. Both lasted until it had read the duty record, and as long as that could not be read.

Until a node has read the orders and the record, or a peer that knows both has reported its view (new field `record`, optional for the receiver), nothing is on trial and one version of each service gets requests: the one whose first engine started earliest and that no undecided order names; after 1 s the one of most engines, where those of an undecided order count half. Event 868 names it.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -314,6 +314,10 @@
 operator's topic shows whether there is an order for it.
 867 info version_released(service, version)
     No order names the version; its engines are used like any others.
+868 warning rollout_verdicts_unknown(versions)
+    Since its start, this node could read neither the orders and the record of the \
+duties nor the view of a peer that knows both. Until it can, the named version of each \
+service, that of most of its engines, gets all requests.
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
 requests made no progress while others needed the memory (`stalled`, status 408), no \
--- a/packages/decisions/cicadapass_decisions/heldversions.py
+++ b/packages/decisions/cicadapass_decisions/heldversions.py
@@ -4,11 +4,79 @@
 of that topic that began after an engine was seen shows the order, if there is one.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
 
+from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rollouts import Rollout, Trust, trust
 
 NEVER_S = -1e9
+# What an engine of a version counts whose order may have been rolled back. Engines of
+# both versions run beside each other then, and those of the other one may have ended.
+UNDECIDED_WEIGHT = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class VersionEngines:
+    """Store the number of registered engines of a version and their first start."""
+
+    engines: int
+    first_start_ms: int
+
+
+def engines_by_version(records: Iterable[UpstreamRecord]) -> dict[str, VersionEngines]:
+    """Return the engines of a service by version."""
+    found: dict[str, VersionEngines] = {}
+    for record in records:
+        known = found.get(record.version, VersionEngines(0, record.started_ms))
+        found[record.version] = VersionEngines(
+            known.engines + 1, min(known.first_start_ms, record.started_ms)
+        )
+    return found
+
+
+def provisional_version(
+    present: Mapping[str, VersionEngines], rollout: Rollout | None, *, must_serve: bool
+) -> str | None:
+    """Return the version that gets requests while the verdicts are not known.
+
+    A version is newer than another if an order names it whose verdict is not known, or
+    if its first engine started later. With `must_serve`, the verdicts cannot be read,
+    and the version of most engines is returned.
+    """
+    allowed = {
+        version: engines
+        for version, engines in present.items()
+        if trust(rollout, version) is not Trust.BARRED
+    }
+    undecided = rollout.to if rollout is not None and rollout.running else None
+    if must_serve:
+        return _version_of_most(allowed, undecided)
+    allowed = {key: each for key, each in allowed.items() if key != undecided}
+    first_ms = min((each.first_start_ms for each in allowed.values()), default=0)
+    oldest = [
+        (each.engines, version)
+        for version, each in allowed.items()
+        if each.first_start_ms == first_ms
+    ]
+    oldest.sort(reverse=True)
+    if not oldest or (len(oldest) > 1 and oldest[0][0] == oldest[1][0]):
+        # The record is likely to be read before long, and shows which one is bad.
+        return None
+    return oldest[0][1]
+
+
+def _version_of_most(
+    present: Mapping[str, VersionEngines], undecided: str | None
+) -> str | None:
+    """Return the version of most engines; of equal ones, one without an order."""
+
+    def rank(version: str) -> tuple[float, bool, int, str]:
+        engines, is_undecided = present[version], version == undecided
+        weight = UNDECIDED_WEIGHT if is_undecided else 1.0
+        return -weight * engines.engines, is_undecided, engines.first_start_ms, version
+
+    return min(present, key=rank, default=None)
 
 
 class HeldVersions:
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -93,6 +93,7 @@
         # What was unreadable in the last record, which is logged once.
         self._skipped_items: tuple[str, ...] = ()
         self._rollouts = RolloutDuty(state, adapter, lambda: peers.round_s, true_time)
+        state.rollouts.await_record()
         self._first_window = usage.window_at(true_time())
 
     def local_renewal(self) -> tuple[int, int] | None:
@@ -148,6 +149,7 @@
     def _restore_rollouts(self, record: DutyRecord | None) -> None:
         for rollout in record.rollouts.values() if record is not None else ():
             self._state.rollouts.merge(rollout, "stored")
+        self._state.rollouts.confirm_record()
 
     def _restore_blocks(self, encoded: bytes) -> None:
         try:
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -11,7 +11,12 @@
 from typing import Any
 
 from cicadapass_common.events import EventLog
-from cicadapass_decisions.heldversions import NEVER_S, HeldVersions
+from cicadapass_decisions.heldversions import (
+    NEVER_S,
+    HeldVersions,
+    engines_by_version,
+    provisional_version,
+)
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     Evidence,
@@ -53,6 +58,9 @@
 # Ticks whose estimates of true time are kept. They are counted, not timed, so that
 # those from before a freeze of any length remain.
 TIME_SAMPLES = 150
+# Time for reading the orders and the record of the duties after the start, which take a
+# call each. After it, a node serves without knowing the verdicts.
+VERDICTS_WAIT_S = 1.0
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
 
@@ -95,6 +103,12 @@
         # End of the view of the operator's topic.
         self._view_end = -1
         self._held = HeldVersions()
+        # Verdicts from before the start may be unknown; the record of the duties, or a
+        # peer that knows it, shows them. Until then one version of each service serves.
+        self._awaits_verdicts = False
+        self._record_known = True
+        self._must_serve = False
+        self._provisional: dict[str, str | None] = {}
         # Engines on trial, by service; also once their trial has stopped.
         self._trial_engine_counts: dict[str, int] = {}
         # Versions with engines that get requests, by service.
@@ -130,6 +144,16 @@
         """Set what tells whether enough members were heard within some seconds."""
         self._hears_members = hears_members
 
+    def await_record(self) -> None:
+        """Use provisional versions until the orders and the record are known."""
+        self._awaits_verdicts = self.enabled
+        self._record_known = not self.enabled
+
+    def confirm_record(self) -> None:
+        """Record that all verdicts of the record of the duties were merged."""
+        self._record_known = True
+        self._end_wait_if_known()
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` when other engines may get requests."""
         self._listeners.append(listener)
@@ -163,6 +187,8 @@
             by_service.setdefault(record.service, []).append(record)
         trusted: list[UpstreamRecord] = []
         on_trial: list[UpstreamRecord] = []
+        if self._awaits_verdicts:
+            return self._classify_provisionally(by_service)
         before = self._held.held
         versions = {
             service: {each.version for each in members}
@@ -191,10 +217,27 @@
                 on_trial += chosen
         return Engines(tuple(trusted), tuple(on_trial))
 
+    def _classify_provisionally(
+        self, by_service: dict[str, list[UpstreamRecord]]
+    ) -> Engines:
+        """Return the engines that may get requests while verdicts are not known."""
+        trusted: list[UpstreamRecord] = []
+        for service, members in by_service.items():
+            rollout = self._rollouts.get(service)
+            present = engines_by_version(members)
+            version = provisional_version(present, rollout, must_serve=self._must_serve)
+            self._provisional[service] = version
+            trusted += [each for each in members if each.version == version]
+            # An order that is read now may move the traffic from any of these.
+            self._in_use[service] = frozenset(
+                each for each in present if trust(rollout, each) is Trust.TRUSTED
+            )
+        return Engines(tuple(trusted), ())
+
     def permits(self, service: str, version: str) -> bool:
         """Return whether a stream of a version may go on at its engines."""
         rollout = self._rollouts.get(service)
-        kind = trust(rollout, version)
+        kind = self._trust_version(service, version)
         if kind is Trust.ON_TRIAL:
             assert rollout is not None
             return self._may_try(rollout)
@@ -302,6 +345,7 @@
         self._view_end = max(self._view_end, view_end)
         if self._held.confirm(read_s):
             self._notify()
+        self._end_wait_if_known()
 
     def set_node_count(self, count: int) -> None:
         """Set the number of nodes; a node that is cut off keeps the larger one."""
@@ -314,6 +358,7 @@
         age_s = min(1e6, self._clock() - self._held.confirmed_s)
         return {
             "view": [self._view_end, round(1000 * age_s)],
+            "record": self._record_known,
             "rollouts": self.export_rollouts(),
             "counts": self._sums.export(self._rollouts),
         }
@@ -346,6 +391,9 @@
         if int(view_end) >= 0:
             age_s = max(0.0, float(age_ms) / 1000) + HOP_AGE_S
             self.confirm_read(int(view_end), now_s - age_s)
+        # Earlier builds do not report it.
+        if not self._record_known and message.get("record") is True:
+            self.confirm_record()
 
     def needs_read(self) -> bool:
         """Return whether this node is to read the operator's topic by itself."""
@@ -354,6 +402,7 @@
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
         self._time_offsets.append(self._true_time() - self._clock())
+        self._serve_without_verdicts_if_due()
         services = self._sums.services
         if self._bounds is None or not services:
             return
@@ -370,6 +419,22 @@
         if changed:
             self._notify()
 
+    def _end_wait_if_known(self) -> None:
+        """Use all versions that the verdicts allow, once these are known."""
+        is_known = self._record_known and self._held.confirmed_s > NEVER_S
+        if self._awaits_verdicts and is_known:
+            self._awaits_verdicts = False
+            self._provisional.clear()
+            self._notify()
+
+    def _serve_without_verdicts_if_due(self) -> None:
+        waited_s = self._clock() - self._started_s
+        if not self._awaits_verdicts or self._must_serve or waited_s < VERDICTS_WAIT_S:
+            return
+        self._must_serve = True
+        self._notify()
+        self._events.emit(868, versions=dict(self._provisional))
+
     def _first_seen_s(self) -> float:
         """Return the true time, by the latest of the recent estimates.
 
@@ -384,6 +449,7 @@
         """Return whether the version on trial may get requests of this node."""
         return (
             rollout.running
+            and not self._awaits_verdicts
             and not rollout.withdrawn
             and self._true_time() < rollout.seen_s + rollout.duration_s
             and not self._cut_off
@@ -400,7 +466,13 @@
                 self._events.emit(867, service=service, version=version)
 
     def _trust(self, record: UpstreamRecord) -> Trust:
-        return trust(self._rollouts.get(record.service), record.version)
+        return self._trust_version(record.service, record.version)
+
+    def _trust_version(self, service: str, version: str) -> Trust:
+        if self._awaits_verdicts:
+            serves = self._provisional.get(service) == version
+            return Trust.TRUSTED if serves else Trust.BARRED
+        return trust(self._rollouts.get(service), version)
 
     def _replace(self, rollout: Rollout, source: str) -> bool:
         """Store a rollout; return whether it is different from the one before."""
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -234,6 +234,28 @@
 
         run_rollout(scenario)
 
+    def test_a_node_without_the_record_avoids_a_version_that_was_rolled_back(self):
+        """Restarted nodes used all registered versions until they read the record."""
+
+        async def scenario(cluster):
+            cluster.order()
+            self.assertLess(await cluster.until_state("rolled_back"), DURATION_S)
+            with mock.patch.object(
+                Duties, "_read_record", side_effect=PlatformUnavailable("no answer")
+            ):
+                restarted_s, refused = now_s(), cluster.refused
+                for node in list(cluster.nodes):
+                    cluster.restart(node)
+                await asyncio.sleep(5.0)
+            await asyncio.sleep(5.0)
+            sent = [each for each in cluster.sent if each.at_s > restarted_s]
+            self.assertEqual({"v1"}, {each.version for each in sent})
+            self.assertGreater(len(sent), 8.0 * 16 * len(cluster.nodes))
+            self.assertEqual(refused, cluster.refused)
+            self.assertEqual("rolled_back", cluster.states()[-1])
+
+        run_rollout(scenario, bad=(0.3, 1.0))
+
     def test_a_node_that_starts_cut_off_tries_nothing(self):
         """A node that could not learn of the verdict sent to a bad version for long."""
 
