Begin an order anew that follows a verdict which a node missed

A node that missed the verdict of an order took the next one within its time for a repetition, dated it back to the first, and all others adopted that time by maximum: the rollout was over before it began, with the counts of the one before.

Each rollout now has the offset of the newest earlier order that is known to be decided, and the time at which its newest order was seen (two further values of its row, optional for the receiver). They merge by maximum and minimum. A rollout whose first order is at or before that offset begins anew with the time of its own order, the versions that the verdict left in use, and new counts. Repetitions of an order that is not decided go on as before.

Two assertions of test_rollouts name the two new values; they compare whole rollouts as before.

--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -85,14 +85,22 @@
     # Offset of the newest order, and of the first one that it repeats.
     offset: int
     origin: int
-    # True time at which the first of these orders was first seen.
+    # True times at which the first of these orders, and the newest, was first seen.
     seen_s: float
+    order_seen_s: float
     state: RolloutState = RolloutState.RUNNING
     # The operator deleted the order.
     withdrawn: bool = False
     # Versions that were in use before, and those that get no requests.
     trusted: frozenset[str] = frozenset()
     barred: frozenset[str] = frozenset()
+    # Offset of the newest earlier order that is known to be decided, or -1.
+    decided_before: int = -1
+
+    @property
+    def last_decided(self) -> int:
+        """Return the offset of the newest order that is known to be decided, or -1."""
+        return self.decided_before if self.running else self.offset
 
     @property
     def running(self) -> bool:
@@ -139,7 +147,7 @@
     if current is not None and offset <= current.offset:
         return current
     if current is not None and _is_repeated(current, order, seen_s):
-        return replace(current, offset=offset)
+        return replace(current, offset=offset, order_seen_s=seen_s)
     barred = current.barred if current is not None else frozenset()
     if current is not None and current.running and current.to not in current.trusted:
         # It was replaced before anything was known of it.
@@ -154,8 +162,10 @@
         offset=offset,
         origin=offset,
         seen_s=seen_s,
+        order_seen_s=seen_s,
         trusted=trusted,
         barred=barred - {order.to},
+        decided_before=-1 if current is None else current.last_decided,
     )
 
 
@@ -178,29 +188,57 @@
 
 def merge_rollouts(own: Rollout | None, other: Rollout) -> Rollout:
     """Return what two nodes know together of the rollout of a service."""
-    if own is None or own.offset < other.offset:
+    if own is None:
         return other
-    if own.offset > other.offset:
-        return own
+    if own.offset != other.offset:
+        older, newer = sorted((own, other), key=lambda each: each.offset)
+        return _merge_older(newer, older)
+    decided_before = max(own.decided_before, other.decided_before)
+    # A node that missed the verdict of an order took this one for its repetition.
+    valid = [each for each in (own, other) if each.origin > decided_before]
+    valid = valid or [own, other]
     final = [each for each in (own, other) if not each.running]
-    trusted = _merge_trusted(own, other)
-    # Versions in use at one node were not barred by an order that the other one missed.
-    barred = (own.barred | other.barred) - trusted - {own.to}
     if final:
         # The holder's record decides.
         trusted = frozenset().union(*(each.trusted for each in final))
         barred = frozenset().union(*(each.barred for each in final))
+    else:
+        trusted = _merge_trusted(valid[0], valid[-1])
+        # Versions in use at one node were not barred by an order that the other one
+        # missed.
+        barred = valid[0].barred | valid[-1].barred
+        barred -= trusted | {own.to}
+    order_seen_s = min(own.order_seen_s, other.order_seen_s)
     return replace(
         own,
-        origin=min(own.origin, other.origin),
-        seen_s=min(own.seen_s, other.seen_s),
+        origin=min(each.origin for each in valid),
+        seen_s=min(order_seen_s, *(each.seen_s for each in valid)),
+        order_seen_s=order_seen_s,
         state=final[0].state if final else own.state,
         withdrawn=own.withdrawn or other.withdrawn,
         trusted=trusted,
         barred=barred,
+        decided_before=decided_before,
     )
 
 
+def _merge_older(newer: Rollout, older: Rollout) -> Rollout:
+    """Return the rollout of the newer order, which may have to begin anew.
+
+    It does if it was taken for a repetition of an order that was decided.
+    """
+    if newer.running and newer.origin <= older.last_decided:
+        order = RolloutOrder(newer.service, newer.to, newer.duration_s)
+        is_success = older.state is RolloutState.SUCCEEDED
+        in_use = {older.to} if is_success else older.trusted
+        return replace(
+            adopt_order(older, order, newer.offset, newer.order_seen_s, in_use),
+            withdrawn=newer.withdrawn,
+        )
+    decided_before = max(newer.decided_before, older.last_decided)
+    return replace(newer, decided_before=decided_before)
+
+
 def _merge_trusted(own: Rollout, other: Rollout) -> frozenset[str]:
     """Return the versions in use before; a node that started later knows less of them.
 
--- a/packages/gateway/cicadapass_gateway/rolloutmessages.py
+++ b/packages/gateway/cicadapass_gateway/rolloutmessages.py
@@ -26,6 +26,8 @@
         rollout.withdrawn,
         sorted(rollout.trusted),
         sorted(rollout.barred),
+        rollout.order_seen_s,
+        rollout.decided_before,
     ]
 
 
@@ -39,10 +41,13 @@
         offset=_count(offset),
         origin=_count(origin),
         seen_s=_number(seen_s),
+        # Rows of earlier builds end before these.
+        order_seen_s=_number(row[10] if len(row) > 10 else seen_s),
         state=RolloutState(state),
         withdrawn=bool(withdrawn),
         trusted=frozenset(_text(each) for each in row[8]),
         barred=frozenset(_text(each) for each in row[9]),
+        decided_before=_offset(row[11] if len(row) > 11 else -1),
     )
 
 
@@ -104,6 +109,11 @@
     return value
 
 
+def _offset(value: Any) -> int:
+    """Return an offset, or -1 for none."""
+    return -1 if value == -1 else _count(value)
+
+
 def _number(value: Any) -> float:
     number = float(value)
     if not math.isfinite(number):
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -482,7 +482,11 @@
             return False
         self._rollouts[service] = rollout
         self._rows[service] = encode_rollout(rollout)
-        is_new = current is None or current.offset != rollout.offset
+        is_new = (
+            current is None
+            or current.offset != rollout.offset
+            or current.origin < rollout.origin
+        )
         if rollout.running and (current is None or current.origin != rollout.origin):
             self._sums.begin(rollout, goes_on=_goes_on(current, rollout))
         if not rollout.running:
@@ -527,4 +531,5 @@
         current is not None
         and current.running
         and (current.to, current.offset) == (rollout.to, rollout.offset)
+        and rollout.origin < current.origin
     )
--- a/tests/decisions/test_rollouts.py
+++ b/tests/decisions/test_rollouts.py
@@ -59,7 +59,7 @@
     def test_a_repeated_order_keeps_its_end(self):
         """A rollout whose order was written twice ended late."""
         repeated = adopt_order(running(), ORDER, 9, 105.0, ["v1", "v2"])
-        self.assertEqual(running(offset=9), repeated)
+        self.assertEqual(running(offset=9, order_seen_s=105.0), repeated)
         longer = adopt_order(running(), replace(ORDER, duration_s=20.0), 9, 105.0, [])
         self.assertEqual((9, 105.0), (longer.origin, longer.seen_s))
 
@@ -127,7 +127,7 @@
             for each in drawn:
                 known = merge_rollouts(known, each)
             merged.add(known)
-        self.assertEqual({versions[-1]}, merged)
+        self.assertEqual({replace(versions[-1], decided_before=5)}, merged)
         both = merge_rollouts(versions[0], versions[3])
         self.assertEqual(both, merge_rollouts(versions[3], versions[0]))
 
@@ -144,6 +144,43 @@
             self.assertIs(Trust.TRUSTED, trust(merged, "v1"))
             self.assertIs(Trust.BARRED, trust(merged, "v2"))
 
+    def test_an_order_after_a_missed_verdict_is_new(self):
+        """A node that missed a verdict dated the next order back to the one before.
+
+        All others adopted its time, and the rollout ended before it had begun.
+        """
+        missed = adopt_order(running(), ORDER, 9, 107.0, ["v1"])
+        self.assertEqual(5, missed.origin)
+        for state, kind in (
+            (RolloutState.ROLLED_BACK, Trust.ON_TRIAL),
+            (RolloutState.SUCCEEDED, Trust.TRUSTED),
+        ):
+            first = decided(running(), state)
+            in_use = ["v2"] if state is RolloutState.SUCCEEDED else ["v1"]
+            known = adopt_order(first, ORDER, 9, 106.0, in_use)
+            for merged in (
+                merge_rollouts(known, missed),
+                merge_rollouts(missed, known),
+                merge_rollouts(missed, first),
+                merge_rollouts(first, missed),
+            ):
+                self.assertEqual((9, 9), (merged.offset, merged.origin))
+                self.assertGreaterEqual(merged.seen_s, 106.0)
+                self.assertEqual(in_use, sorted(merged.trusted))
+                self.assertIs(kind, trust(merged, "v2"))
+            # It may also have missed an order in between, or know a later repetition.
+            later = adopt_order(missed, ORDER, 11, 108.0, ["v1"])
+            merged = merge_rollouts(later, known)
+            self.assertEqual((11, 9, 106.0), _identity(merged))
+            self.assertEqual(merged, merge_rollouts(known, later))
+
+    def test_a_repetition_of_an_undecided_order_goes_on(self):
+        """An order that was written twice ended at another time for some nodes."""
+        repeated = adopt_order(running(), ORDER, 9, 105.0, ["v1"])
+        late = adopt_order(None, ORDER, 9, 105.2, ["v1"])
+        for merged in (merge_rollouts(repeated, late), merge_rollouts(late, repeated)):
+            self.assertEqual((9, 5, 100.0), _identity(merged))
+
     def test_a_node_that_sees_the_new_version_alone_does_not_trust_it(self):
         """A node that started during a rollout ended the trial of all nodes."""
         alone = adopt_order(None, ORDER, 5, 103.0, ["v2"])
@@ -154,6 +191,10 @@
             self.assertIs(Trust.ON_TRIAL, trust(merged, "v2"))
 
 
+def _identity(rollout):
+    return rollout.offset, rollout.origin, rollout.seen_s
+
+
 class StateTest(testtools.TestCase):
     def test_a_sound_version_succeeds_in_time(self):
         """The status came after the end of the rollout."""
--- a/tests/gateway/test_rollouttracker.py
+++ b/tests/gateway/test_rollouttracker.py
@@ -1,6 +1,14 @@
 """Test what a node keeps of orders."""
 
-from cicadapass_decisions.rollouts import RolloutBounds, RolloutOrder
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.rollouts import (
+    RolloutBounds,
+    RolloutOrder,
+    RolloutState,
+    decided,
+)
+from cicadapass_gateway.rolloutcounts import PromptSize
+from cicadapass_gateway.rolloutmessages import decode_rollout, encode_rollout
 from tests.gateway.harness import LoopTest, make_state
 
 
@@ -23,3 +31,28 @@
             self.assertGreaterEqual(seen_s, before_s + 1000.0)
 
         self.run_loop(scenario())
+
+
+class MissedVerdictTest(LoopTest):
+    def test_an_order_after_a_missed_verdict_has_its_own_counts(self):
+        """The counts of a rollout that was rolled back spoke in the next one."""
+
+        async def scenario():
+            rollouts = make_state(rollout_bounds=RolloutBounds()).rollouts
+            order = RolloutOrder("s", "v2", 12.0)
+            rollouts.adopt_order(order, 5)
+            first = rollouts.rollouts["s"]
+            record = UpstreamRecord("e", "s", "e", 1, "dc-a", 8, False, 1, 1)
+            rollouts.record_sent(record, "key", "route", PromptSize(), first=True)
+            rollouts.adopt_order(order, 9)
+            self.assertEqual(1, len(rollouts.evidence("s")))
+            rollouts.merge(decided(first, RolloutState.ROLLED_BACK), "record")
+            self.assertTrue(rollouts.is_running("s"))
+            self.assertEqual({}, rollouts.evidence("s"))
+            known = rollouts.rollouts["s"]
+            self.assertEqual((9, 5), (known.origin, known.decided_before))
+            row = encode_rollout(known)
+            self.assertEqual(known, decode_rollout(row))
+            self.assertEqual(-1, decode_rollout(row[:10]).decided_before)
+
+        self.run_loop(scenario())
