Read the statuses in the log for orders that the duty record lacks

After the record of the duties was lost, or its rollouts were unreadable, nodes that had started since took each order in the log for a new one: a version that was rolled back was tried again, and its state was written twice; one that had succeeded was taken from its engines' requests.

For a running order of a service that the record does not contain, nodes that start and the holder of the duties now read the service's status first. A final one for the same version decides the order; otherwise the rollout runs and is recorded. The holder reads in the background, so that its lease is renewed meanwhile.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -287,8 +287,8 @@
     An upstream turned a request away and names a time that cannot be read.
 860 info rollout_changed(service, to, offset, state, withdrawn, source)
     This node learned of an order to move a service to a version, or of its state, \
-from the registry, the record of the duties or the named peer. An order that the \
-operator deleted is withdrawn.
+from the registry, the record of the duties, the status in the log or the named peer. \
+An order that the operator deleted is withdrawn.
 861 warning rollout_order_skipped(key, offset, reason)
     An order of a rollout cannot be read, or deletes one that does not run; only it is \
 skipped.
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -111,8 +111,7 @@
                 if not is_restored and self._state.rollouts.enabled:
                     # An order whose decision is not known bars the versions in use.
                     record, _ = await self._read_record()
-                    self._restore_rollouts(record)
-                    is_restored = True
+                    is_restored = await self._restore_rollouts(record)
                 if self._lease is not None and self._state.stopping:
                     await self._release()
                 elif self._lease is not None:
@@ -143,13 +142,30 @@
                 record.recent_usage, usage_age_s, self._state.clock()
             )
             self._restore_blocks(record.segment_blocks)
-        self._restore_rollouts(record)
-        return True
+        try:
+            return await self._restore_rollouts(record)
+        except GatewayError as error:
+            self._state.events.emit(842, reason=str(error))
+            return False
 
-    def _restore_rollouts(self, record: DutyRecord | None) -> None:
-        for rollout in record.rollouts.values() if record is not None else ():
-            self._state.rollouts.merge(rollout, "stored")
-        self._state.rollouts.confirm_record()
+    async def _restore_rollouts(self, record: DutyRecord | None) -> bool:
+        """Apply the rollouts of the record; return whether all verdicts are known."""
+        rollouts = self._state.rollouts
+        if not rollouts.enabled:
+            return True
+        stored = record.rollouts if record is not None else {}
+        for rollout in stored.values():
+            rollouts.merge(rollout, "stored")
+        may_lack_some = not stored or self._skipped_items
+        if may_lack_some and not (
+            rollouts.knows_orders and self._state.upstreams_loaded
+        ):
+            # The record may have been lost. The orders show what it lacks, and the
+            # upstreams which versions a success bars.
+            return False
+        await self._rollouts.restore_decided(record)
+        rollouts.confirm_record()
+        return True
 
     def _restore_blocks(self, encoded: bytes) -> None:
         try:
@@ -240,6 +256,7 @@
             await self._append_record(update, self._lease.end_offset)
         record = self._lease.record
         self._rollouts.record_stored(record, record.fence)
+        self._rollouts.read_statuses(record)
         self._rollouts.write_states(record, record.fence, self._may_act)
         await self._report_usage()
         await self._place_orders()
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -54,11 +54,16 @@
         # Why a rollout was decided, until the record is in the log.
         self._reasons: dict[tuple[str, int], tuple[str, Situation, Finding | None]] = {}
         self._writing: asyncio.Task[None] | None = None
+        # Rollouts that the record lacks and whose status was read, by service and
+        # offset.
+        self._status_read: set[tuple[str, int]] = set()
+        self._reading: asyncio.Task[None] | None = None
 
     def reset(self) -> None:
         """Discard what was known under a lease that ended."""
         self._written.clear()
         self._stored_s.clear()
+        self._status_read.clear()
 
     def plan(self, record: DutyRecord) -> DutyRecord:
         """Return the record with the rollouts that this node knows, decided if due."""
@@ -69,12 +74,63 @@
             tracker.merge(stored, "record")
         rollouts = dict(record.rollouts)
         for service, rollout in tracker.rollouts.items():
-            if service in configuration.services or service in rollouts:
+            if service not in configuration.services and service not in rollouts:
+                continue
+            if not self._lacks_status(rollout, record):
                 rollouts[service] = self._decide(rollout)
         if rollouts == dict(record.rollouts):
             return record
         return replace(record, rollouts=rollouts)
 
+    async def restore_decided(self, record: DutyRecord | None) -> None:
+        """Apply the final statuses of the orders that the record does not contain.
+
+        A record may have been lost, or its rollouts unreadable, since these orders were
+        decided.
+        """
+        missing = self._missing(record)
+        codec = self._adapter.document_codec.rollouts
+        if not missing or codec is None:
+            return
+        listing = await self._adapter.registry.newest(self._adapter.topics.status)
+        values = {each.key: each.value for each in listing.documents}
+        for rollout in missing:
+            value = values.get(codec.status_key(rollout.service))
+            status = codec.decode_status(value) if value else None
+            known = self._state.rollouts.rollouts.get(rollout.service)
+            if known is None or known.offset != rollout.offset:
+                continue
+            is_final = status is not None and status.state is not RolloutState.RUNNING
+            if status is not None and is_final and status.to == known.to:
+                final = decided(self._with_versions_in_use(known), status.state)
+                self._state.rollouts.merge(final, "status")
+            self._status_read.add((known.service, known.offset))
+
+    def read_statuses(self, record: DutyRecord) -> None:
+        """Begin to read the statuses that `plan` needs, unless that is under way."""
+        if self._reading is not None and not self._reading.done():
+            return
+        if self._missing(record):
+            self._reading = asyncio.create_task(self._read_statuses(record))
+
+    async def _read_statuses(self, record: DutyRecord) -> None:
+        try:
+            await self.restore_decided(record)
+        except GatewayError as error:
+            self._state.metrics.count("duty_failures", type(error).__name__)
+            self._state.events.emit(842, reason=f"statuses of rollouts: {error}")
+
+    def _missing(self, record: DutyRecord | None) -> list[Rollout]:
+        """Return the running rollouts whose status is to be read."""
+        rollouts = self._state.rollouts.rollouts.values()
+        return [each for each in rollouts if self._lacks_status(each, record)]
+
+    def _lacks_status(self, rollout: Rollout, record: DutyRecord | None) -> bool:
+        """Return whether a rollout may be decided already, unknown to the record."""
+        is_recorded = record is not None and rollout.service in record.rollouts
+        is_read = (rollout.service, rollout.offset) in self._status_read
+        return rollout.running and not is_recorded and not is_read
+
     def record_stored(self, record: DutyRecord, fence: int) -> None:
         """Apply the decisions of a record that is in the log, and tell the nodes."""
         for rollout in record.rollouts.values():
@@ -172,8 +228,12 @@
             return rollout
         reason = _reason(rollout, situation, state)
         self._reasons[service, rollout.offset] = reason, situation, at_once or at_end
-        in_use = tracker.versions_in_use(service) - {rollout.to}
-        return decided(replace(rollout, trusted=rollout.trusted | in_use), state)
+        return decided(self._with_versions_in_use(rollout), state)
+
+    def _with_versions_in_use(self, rollout: Rollout) -> Rollout:
+        """Return a rollout that trusts the versions that get requests now as well."""
+        in_use = self._state.rollouts.versions_in_use(rollout.service) - {rollout.to}
+        return replace(rollout, trusted=rollout.trusted | in_use)
 
     def _fleet(
         self, service: str, includes: Callable[[UpstreamRecord], bool]
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -136,6 +136,11 @@
         """Return whether a version waits for a read of the operator's topic."""
         return bool(self._held.held)
 
+    @property
+    def knows_orders(self) -> bool:
+        """Return whether the operator's topic was read since the start."""
+        return self._held.confirmed_s > NEVER_S
+
     def set_time(self, true_time: Callable[[], float]) -> None:
         """Set the source of true time, by which rollouts end."""
         self._true_time = true_time
@@ -421,8 +426,7 @@
 
     def _end_wait_if_known(self) -> None:
         """Use all versions that the verdicts allow, once these are known."""
-        is_known = self._record_known and self._held.confirmed_s > NEVER_S
-        if self._awaits_verdicts and is_known:
+        if self._awaits_verdicts and self._record_known and self.knows_orders:
             self._awaits_verdicts = False
             self._provisional.clear()
             self._notify()
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -4,6 +4,7 @@
 import json
 from unittest import mock
 
+import cbor2
 import testtools
 
 from cicadapass_decisions.topicreplica import Delta, Document
@@ -20,6 +21,17 @@
     return asyncio.get_running_loop().time()
 
 
+def _remove_record(registry):
+    registry.logs["duties"].clear()
+
+
+def _spoil_rollouts(registry):
+    """Replace the rollouts of the record by one that cannot be read."""
+    key, value = registry.logs["duties"][-1]
+    fields = [*cbor2.loads(value)[:8], [["odd"]]]
+    registry.put("duties", key, cbor2.dumps(fields))
+
+
 class RolloutTest(testtools.TestCase):
     def test_a_sound_version_succeeds_in_time(self):
         """A sound version was not rolled out within its time."""
@@ -256,6 +268,50 @@
 
         run_rollout(scenario, bad=(0.3, 1.0))
 
+    def test_an_order_is_decided_once_though_the_record_is_lost(self):
+        """The next holder tried a version again that had a final status."""
+        for failure, final, version, lose in (
+            (1.0, "rolled_back", "v1", _remove_record),
+            (0.0, "succeeded", "v2", _spoil_rollouts),
+        ):
+
+            async def scenario(cluster, final=final, version=version, lose=lose):
+                cluster.order()
+                self.assertLess(await cluster.until_state(final), DURATION_S)
+                await asyncio.sleep(2.0)
+                for node in cluster.nodes:
+                    node.stop()
+                lose(cluster.registry)
+                restarted_s = now_s()
+                for node in list(cluster.nodes):
+                    cluster.restart(node)
+                await asyncio.sleep(DURATION_S + 3.0)
+                self.assertIsNotNone(cluster.holder)
+                self.assertEqual(["running", final], cluster.states(), lose)
+                # The old engines, which the platform stops after a success, may be
+                # used until the status is read.
+                from_s = restarted_s + (1.0 if final == "succeeded" else 0.0)
+                sent = [each for each in cluster.sent if each.at_s > from_s]
+                self.assertEqual({version}, {each.version for each in sent}, lose)
+
+            run_rollout(scenario, bad=(failure, 1.0))
+
+    def test_an_order_without_final_status_is_decided_though_the_record_is_lost(self):
+        """An order whose record was lost never got a final status."""
+
+        async def scenario(cluster):
+            cluster.order()
+            await asyncio.sleep(3.0)
+            for node in cluster.nodes:
+                node.stop()
+            _remove_record(cluster.registry)
+            for node in list(cluster.nodes):
+                cluster.restart(node)
+            state = await cluster.until_state("succeeded", 2 * DURATION_S)
+            self.assertLess(state, 2 * DURATION_S)
+
+        run_rollout(scenario)
+
     def test_a_node_that_starts_cut_off_tries_nothing(self):
         """A node that could not learn of the verdict sent to a bad version for long."""
 
