Take a view age that is not a number as unknown

`max(0.0, nan)` is 0.0, so that a peer's view with the age NaN counted as read just now: engines of a new version were released before the node knew of an order for them. The ages of a fetched view of the upstreams had the same fault (states with such an age were refused already).

Such an age now confirms nothing; the rest of the message is applied.

Measured: both new tests fail without the change and pass with it, with the modules test_rollouttracker, test_topicreplica, test_registrysync, test_registrysync_cluster, test_peers and test_relay_rollouts.

--- a/packages/decisions/cicadapass_decisions/topicreplica.py
+++ b/packages/decisions/cicadapass_decisions/topicreplica.py
@@ -6,6 +6,7 @@
 last read of the registry that it rests on, by this node or by a peer.
 """
 
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -87,6 +88,9 @@
         if end_offset > self._end_offset:
             return
         for hops, age_s in enumerate(ages_s[:MAX_HOPS], 1):
+            if math.isnan(age_s):
+                # The age is unknown, and `max` would take it for 0.
+                continue
             confirmed_s = now_s - max(0.0, age_s)
             self._confirmed_s[hops] = max(self._confirmed_s[hops], confirmed_s)
 
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -5,6 +5,7 @@
 as trusted, and nothing is recorded or sent.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
@@ -393,9 +394,11 @@
                 self._sums.merge(rollout, counts, key)
         view_end, age_ms = message["view"]
         # The rollouts above are complete up to the peer's end.
-        if int(view_end) >= 0:
-            age_s = max(0.0, float(age_ms) / 1000) + HOP_AGE_S
-            self.confirm_read(int(view_end), now_s - age_s)
+        age_s = float(age_ms) / 1000
+        # An age that is not a number is unknown and confirms nothing.
+        if int(view_end) >= 0 and not math.isnan(age_s):
+            read_s = now_s - max(0.0, age_s) - HOP_AGE_S
+            self.confirm_read(int(view_end), read_s)
         # Earlier builds do not report it.
         if not self._record_known and message.get("record") is True:
             self.confirm_record()
--- a/tests/decisions/test_topicreplica.py
+++ b/tests/decisions/test_topicreplica.py
@@ -116,6 +116,16 @@
 
 
 class AgeTest(testtools.TestCase):
+    def test_an_age_that_is_not_a_number_confirms_nothing(self):
+        """A view of unknown age counted as read just now."""
+        replica = listed(("u1", 4))
+        before_s = replica.age_s(100.0)
+        replica.confirm_by_peer(10, [float("nan"), 3.0], 100.0)
+        self.assertEqual(3.0, replica.age_s(100.0))
+        replica = listed(("u1", 4))
+        replica.confirm_by_peer(10, [float("nan")] * MAX_HOPS, 100.0)
+        self.assertEqual(before_s, replica.age_s(100.0))
+
     def test_a_peer_that_covers_more_does_not_confirm(self):
         """A node that had missed a change took its view for recent."""
         replica = listed(("u1", 4))
--- a/tests/gateway/test_rollouttracker.py
+++ b/tests/gateway/test_rollouttracker.py
@@ -1,5 +1,9 @@
 """Test what a node keeps of orders."""
 
+import asyncio
+import math
+from dataclasses import replace
+
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rollouts import (
     RolloutBounds,
@@ -9,7 +13,7 @@
 )
 from cicadapass_gateway.rolloutcounts import PromptSize
 from cicadapass_gateway.rolloutmessages import decode_rollout, encode_rollout
-from tests.gateway.harness import LoopTest, make_state
+from tests.gateway.harness import LoopClock, LoopTest, make_state
 
 
 class ClockTest(LoopTest):
@@ -56,3 +60,31 @@
             self.assertEqual(-1, decode_rollout(row[:10]).decided_before)
 
         self.run_loop(scenario())
+
+
+class ViewTest(LoopTest):
+    # uvloop's time cannot be replaced.
+    loop_factory = staticmethod(asyncio.new_event_loop)
+
+    def test_a_view_age_that_is_not_a_number_confirms_nothing(self):
+        """Engines of a new version got requests before its order was known."""
+
+        async def scenario():
+            clock = LoopClock()
+            rollouts = make_state(rollout_bounds=RolloutBounds()).rollouts
+            v1 = UpstreamRecord("a", "s", "a", 1, "dc-a", 8, False, 1, 1, version="v1")
+            v2 = replace(v1, upstream_id="b", version="v2")
+            rollouts.classify([v1])
+            rollouts.classify([v1, v2])
+            report = rollouts.export()
+            clock.advance(1.0)
+            for age_ms, held in (
+                (math.nan, True),
+                (math.inf, True),
+                (1e6, True),
+                (100, False),
+            ):
+                rollouts.merge_state({**report, "view": [5, age_ms]}, "p", "p@1")
+                self.assertIs(held, rollouts.has_held_versions, age_ms)
+
+        self.run_loop(scenario())
