Draw a rollout of a sound or bad version in each run of the soak

The soak knew one version of engines, so that no rollout met killed nodes, an unreachable log or faulty engines in it.

Each seed now draws one order, apart from the other faults, which stay as they were: the stand-in of the platform starts as many engines of the new version, stops the old ones at once on `succeeded`, and lets the new ones leave on `rolled_back`; a bad version fails half of its answers. New checks: each order gets a final state; a bad version does not succeed and gets at most 0.1 of the requests during its rollout and 50; no stream has events of two versions.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -34,6 +34,10 @@
 WORK_S = max(CALL_S, EVENTS * EVENT_S) + 0.4
 # Memory of a node beside engines whose answers never end.
 MAX_MEMORY_MB = 100
+# Bound of the requests that a bad version may get: a share of those of the service
+# during its rollout, and a number beyond it.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
 # Statuses of requests that were accepted and then failed.
 FAILED = (502, 504)
 
@@ -72,6 +76,9 @@
         _late_recovery,
         _crashing_prompts_sent_on,
         _limits_exceeded,
+        _rollouts_without_state,
+        _bad_versions_used,
+        _mixed_versions,
         _failed_components,
         _memory_exceeded,
     ):
@@ -381,3 +388,32 @@
             continue
         if most > LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK:
             yield f"{engine} named {limit_per_s} a second and got {most} requests"
+
+
+def _rollouts_without_state(records):
+    for rollout in records.rollouts:
+        if rollout.state is None:
+            yield f"the order to move to {rollout.to} has no final state"
+
+
+def _bad_versions_used(records):
+    runs = [each for runs in records.runs.values() for each in runs]
+    for rollout in records.rollouts:
+        if not rollout.bad:
+            continue
+        if rollout.state == "succeeded":
+            yield f"the bad version {rollout.to} succeeded"
+        since = [each for each in runs if each.arrived_s >= rollout.ordered_s]
+        end_s = rollout.ordered_s + rollout.duration_s
+        total = sum(each.arrived_s <= end_s for each in since)
+        used = sum(each.version == rollout.to for each in since)
+        if used > EXPOSURE_SHARE * total + EXPOSURE_SLACK:
+            yield f"the bad version {rollout.to} got {used} requests beside {total}"
+
+
+def _mixed_versions(records):
+    for call, _, tokens in _streams(records):
+        runs = records.runs.get(call.request_id, ())
+        versions = {run.version for run in runs if run.token and run.token in tokens}
+        if len(versions) > 1:
+            yield f"{call.request_id} got events of versions {sorted(versions)}"
--- a/tests/soak/engines.py
+++ b/tests/soak/engines.py
@@ -23,8 +23,9 @@
 
     start_numbers = itertools.count(1)
 
-    def __init__(self, name, records, clock):
+    def __init__(self, name, version, records, clock):
         self.name = name
+        self.version = version
         self.alive = True
         self.sequence = 0
         # Requests per second that it names in its answers.
@@ -54,7 +55,7 @@
             "service": "s",
             "address": f"{HOST}:{self.link.port}",
             "zone": data_centre,
-            "version": 1,
+            "version": self.version,
             "slots": SLOTS,
             "state": "draining" if leaving else "ready",
             "coldLeftMs": 0,
@@ -87,6 +88,7 @@
             request.target.decode(),
             response.body,
             headers,
+            version=self.version,
         )
         run.crashing_segment = _crashing_segment(headers)
         self._records.record_run(request_id, run)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -43,6 +43,8 @@
 ENTRY_KINDS = ("entries_odd",)
 # Crowds of clients that send large or unfinished requests, drawn apart as well.
 CROWD_KINDS = ("clients_crowd",)
+# Orders to move the service to a sound or a bad version, drawn apart as well.
+ROLLOUT_KINDS = ("rollout_good", "rollout_bad")
 # Engines that such a fault affects.
 SCOPES = ("one", "third", "all")
 ENDLESS_SCOPES = ("one", "third")
@@ -110,6 +112,8 @@
     faults += _draw_apart(f"endless {seed}", length_s, ENDLESS_KINDS, ENDLESS_SCOPES)
     faults += _draw_apart(f"entries {seed}", length_s, ENTRY_KINDS)
     faults += _draw_apart(f"crowds {seed}", length_s, CROWD_KINDS)
+    # One in a run, as a later one would find the engines of the first one leaving.
+    faults += _draw_apart(f"rollouts {seed}", length_s, ROLLOUT_KINDS)[:1]
     return sorted(faults, key=lambda each: each.at_s)
 
 
--- a/tests/soak/faultyengines.py
+++ b/tests/soak/faultyengines.py
@@ -26,6 +26,7 @@
 STALE_DELAY_S = 0.02
 BROKEN_FRACTION = 0.4
 CUT_HEAD_FRACTION = 0.25
+FAILED_FRACTION = 0.5
 ENDLESS_FRACTION = 0.5
 MAX_ENDLESS_CHUNK_BYTES = 64
 EVENTS_PER_CHUNK = 50
@@ -136,6 +137,18 @@
     return change
 
 
+def failing(rng):
+    """Answer a part of the requests with 500, as a bad version does."""
+
+    def change(_engine, _response, run, answer):
+        if rng.random() >= FAILED_FRACTION:
+            return answer
+        fields = f"request-id: {run.headers['request-id']}\r\n"
+        return plain_answer(500, fields, b"failed")
+
+    return change
+
+
 ENGINE_FAULTS = {
     "silent": silent,
     "stale_refusal": stale_refusal,
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -65,6 +65,7 @@
             f"platform.address={store}\ncloudApi.address={store}\n"
             "cloudApi.duties=usage_report,scale\n"
             f"limits.memoryMb={MEMORY_MB}\n"
+            "contracts=rollout\n"
             f"bounds.graceS={GRACE_S}\nseeds={','.join(seeds)}\nnote={note}\n"
         )
 
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -7,7 +7,7 @@
 from tests.platform.storestandin import StoreStandin
 from tests.platform.test_documents import ROUTE
 from tests.soak.engines import Engine
-from tests.soak.records import Span
+from tests.soak.records import OrderedRollout, Span
 
 HEARTBEAT_S = 1.2
 # An entry expires after three missed heartbeats.
@@ -19,6 +19,15 @@
 RESTART_S = 2.0
 ROUTE_KINDS = {"safe": "safe", "unsafe": "unsafe", "stream": "streaming"}
 KEYS = ("key-1", "key-2")
+FIRST_VERSION = "v1"
+ROLLOUT_KEY = "rollout/s"
+FINAL_STATES = ("succeeded", "rolled_back")
+# Time from an order to the engines of its version, and from a rollback to their end.
+NEW_ENGINES_S = 0.5
+ROLLED_BACK_S = 3.0
+# Time after the end of a rollout by which its final state must be in the log, which may
+# be down then, with the holder of the duties.
+FINAL_STATE_S = 12.0
 
 
 class RecordingStore(StoreStandin):
@@ -57,6 +66,10 @@
         # Engines that serve although their entry was removed.
         self._unlisted = set()
         self._lapsed = False
+        # The version that engines have, those that have lost, and what a bad one does.
+        self._version_in_use = FIRST_VERSION
+        self._lost_versions = set()
+        self._bad_versions = {}
         self._tasks = set()
 
     async def start(self, engines):
@@ -98,9 +111,14 @@
         }
         self.registry.put("keyed.op", "config", json.dumps(document).encode())
 
-    async def add_engine(self, name, link=None):
+    async def add_engine(self, name, link=None, version=None):
         """Start an engine, behind a new link or the given one, and write its entry."""
-        engine = await Engine(name, self._records, self._clock).start(link)
+        if version is None or version in self._lost_versions:
+            version = self._version_in_use
+        engine = Engine(name, version, self._records, self._clock)
+        if version in self._bad_versions:
+            engine.faults.append(self._bad_versions[version])
+        await engine.start(link)
         engine.on_crash = self._crash_by_prompt
         self.engines[name] = engine
         self._write(engine)
@@ -111,7 +129,8 @@
 
         Without an announcement, its entry is removed while it still serves.
         """
-        await self.add_engine(f"i-{len(self._records.leaving) + 100}")
+        name = f"i-{len(self._records.leaving) + 100}"
+        await self.add_engine(name, version=engine.version)
         if announced:
             self._write(engine, leaving=True)
         else:
@@ -139,20 +158,21 @@
             Span(engine.name, now_s - TIMEOUT_S, now_s + TIMEOUT_S)
         )
         self.crash(engine)
-        task = asyncio.create_task(self._replace_later(f"{engine.name}-again"))
+        replacement = self._replace_later(f"{engine.name}-again", engine.version)
+        task = asyncio.create_task(replacement)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _replace_later(self, name):
+    async def _replace_later(self, name, version):
         await asyncio.sleep(RESTART_S)
-        await self.add_engine(name)
+        await self.add_engine(name, version=version)
 
     async def reuse_address(self, engine):
         """Replace an engine by another one at the same address, without notice."""
         link = engine.link
         engine.alive = False
         self._silent_since_s[engine.name] = self._clock()
-        await self.add_engine(f"{engine.name}-next", link)
+        await self.add_engine(f"{engine.name}-next", link, engine.version)
 
     def set_lapsed(self, lapsed):
         """Remove the entries of all engines, or restore those of the live ones."""
@@ -180,6 +200,76 @@
                 ):
                     self._remove(engine)
 
+    async def roll_out(self, duration_s, bad_answers=None):
+        """Order a new version, start its engines and act on its final state."""
+        while self.registry.down:
+            await asyncio.sleep(0.1)
+        rollout = OrderedRollout(
+            f"v{len(self._records.rollouts) + 2}",
+            bad_answers is not None,
+            self._clock(),
+            duration_s,
+        )
+        self._records.rollouts.append(rollout)
+        if bad_answers is not None:
+            self._bad_versions[rollout.to] = bad_answers
+        count = len(self.live_engines())
+        fields = {"service": "s", "to": rollout.to, "durationS": duration_s}
+        self.registry.put("keyed.op", ROLLOUT_KEY, json.dumps(fields).encode())
+        await asyncio.sleep(NEW_ENGINES_S)
+        for number in range(count):
+            await self.add_engine(f"{rollout.to}-{number}", version=rollout.to)
+        rollout.state = await self._final_state(rollout)
+        if rollout.state == "succeeded":
+            self._lost_versions.add(self._version_in_use)
+            self._version_in_use = rollout.to
+            self._stop_lost_engines()
+        else:
+            self._lost_versions.add(rollout.to)
+            await asyncio.sleep(ROLLED_BACK_S)
+            await self._drain_lost_engines()
+
+    async def _final_state(self, rollout):
+        """Return the final state of the only rollout to a version, or None."""
+        end_s = rollout.ordered_s + rollout.duration_s + FINAL_STATE_S
+        while self._clock() < end_s:
+            for key, value in self.registry.logs.get("keyed.status", ()):
+                status = json.loads(value) if key == ROLLOUT_KEY else {}
+                if status.get("to") == rollout.to and status["state"] in FINAL_STATES:
+                    return status["state"]
+            await asyncio.sleep(0.1)
+        return None
+
+    def _lost_engines(self):
+        return [
+            each
+            for each in self.engines.values()
+            if each.version in self._lost_versions
+        ]
+
+    def _stop_lost_engines(self):
+        """Stop the engines of the old version at once, as after a success."""
+        now_s = self._clock()
+        for engine in self._lost_engines():
+            self._records.disturbances.append(
+                Span(engine.name, now_s - TIMEOUT_S, now_s + TIMEOUT_S)
+            )
+            if engine.alive:
+                engine.crash()
+            self._remove(engine)
+
+    async def _drain_lost_engines(self):
+        """Let the engines of a version that was rolled back leave, and end them."""
+        now_s = self._clock()
+        engines = self._lost_engines()
+        for engine in engines:
+            if engine.alive and engine.name not in self._unlisted:
+                self._records.leaving.setdefault(engine.name, now_s)
+                self._write(engine, leaving=True)
+        await asyncio.sleep(2 * DRAIN_S)
+        for engine in engines:
+            self._remove(engine)
+
     def live_engines(self):
         """Return the engines that are alive and not leaving."""
         return [
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -30,6 +30,8 @@
     silent_s: float = 0.0
     # The engine wrote an answer without end.
     endless: bool = False
+    # The software of the engine.
+    version: str = ""
 
 
 @dataclass(slots=True)
@@ -66,6 +68,17 @@
     end_s: float
 
 
+@dataclass(slots=True)
+class OrderedRollout:
+    """Represent an operator's order, and the final state in the platform's log."""
+
+    to: str
+    bad: bool
+    ordered_s: float
+    duration_s: float
+    state: str | None = None
+
+
 @dataclass(slots=True)
 class Records:
     """Collect the observations of a whole run; times are those of the event loop."""
@@ -88,6 +101,8 @@
     leaving: dict = field(default_factory=dict)
     # When the configuration without a key was written, by key.
     dropped_keys: dict = field(default_factory=dict)
+    # Rollouts in the order of the operator's orders.
+    rollouts: list = field(default_factory=list)
     # Components that ended with an error: node and log line.
     component_failures: list = field(default_factory=list)
     # The largest memory of each node's last process.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,7 +10,7 @@
     UNDISTURBED_S,
     violations,
 )
-from tests.soak.records import Call, Records, Run, Span
+from tests.soak.records import Call, OrderedRollout, Records, Run, Span
 
 FAULTS_ENDED_S = 100.0
 
@@ -125,6 +125,42 @@
                 records([broken_call], {"r1": [run("stream")]}), expected
             )
 
+    def test_rollouts_that_end_wrongly_are_reported(self):
+        """An order without a state, and a bad version in use, must be reported."""
+        for bad, state, new, expected in (
+            (False, None, 0, "no final state"),
+            (True, "succeeded", 0, "succeeded"),
+            (True, "rolled_back", 60, "got 60 requests beside 90"),
+        ):
+            versions = ["v2"] * new + ["v1"] * (90 - new)
+            calls = [call(f"r{number}") for number in range(90)]
+            runs = {
+                each.request_id: [run(version=version)]
+                for each, version in zip(calls, versions, strict=True)
+            }
+            run_records = records(calls, runs)
+            run_records.rollouts.append(OrderedRollout("v2", bad, 49.0, 8.0, state))
+            self.assert_one_violation(run_records, expected)
+            run_records.rollouts[0] = OrderedRollout(
+                "v2", False, 49.0, 8.0, "succeeded"
+            )
+            self.assertEqual([], violations(run_records))
+
+    def test_a_stream_of_two_versions_is_reported(self):
+        """A resumed stream that went on at another version must be reported."""
+        answer = events("r1", [1, 2, 3]) + events("r1", range(4, EVENTS + 1), "b")
+        resumed = call(kind="resume", answer=answer)
+        parts = answer.decode().split("data: ")[1:]
+        tokens = sorted({each.partition("\n")[0] for each in parts})
+        self.assertEqual(2, len(tokens))
+        for versions, expected in ((("v1", "v1"), 0), (("v1", "v2"), 1)):
+            runs = [
+                run("resume", token=token, version=version, first_event=first)
+                for token, version, first in zip(tokens, versions, (1, 4), strict=True)
+            ]
+            reported = violations(records([resumed], {"r1": runs}))
+            self.assertEqual(expected, len(reported), reported)
+
     def test_a_stream_that_no_engine_ended_is_reported(self):
         """A stream must look complete only where an engine marked its end."""
         ended = call(kind="resume", answer=events("r1", [1, 2]))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     ENDLESS_KINDS,
     ENTRY_KINDS,
     KIND_WEIGHTS,
+    ROLLOUT_KINDS,
     TROUBLE_KINDS,
     draw_faults,
 )
@@ -45,6 +46,7 @@
                 *ENDLESS_KINDS,
                 *ENTRY_KINDS,
                 *CROWD_KINDS,
+                *ROLLOUT_KINDS,
             },
             set(Counter(fault.kind for fault in faults)),
         )
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -9,7 +9,7 @@
 from tests.platform.clientcrowd import ClientCrowd
 from tests.soak.checks import RECOVERY_S, violations
 from tests.soak.engines import CRASHING_PREFIX
-from tests.soak.faultyengines import ENGINE_FAULTS
+from tests.soak.faultyengines import ENGINE_FAULTS, failing
 from tests.soak.nodes import GRACE_S, NodeProcess
 from tests.soak.platform import KEYS, TIMEOUT_S, Platform
 from tests.soak.proxy import Disturbance
@@ -38,6 +38,8 @@
 # A longer delay of the event loop of this process counts as a disturbance.
 MAX_LOOP_LAG_S = 0.25
 MAX_LINK_DELAY_S = 0.3
+# Time that a rollout has beyond the duration of its fault.
+MORE_ROLLOUT_S = 3.0
 # Numbers of clients of a crowd.
 CROWD_RANGE = (20, 120)
 
@@ -268,12 +270,21 @@
         self._platform.crash(engine)
         if kind == "rebirth":
             await asyncio.sleep(fault.duration_s / 4)
-            await self._platform.add_engine(engine.name)
+            await self._platform.add_engine(engine.name, version=engine.version)
         else:
             await asyncio.sleep(fault.duration_s)
-            await self._platform.add_engine(f"{engine.name}-new")
+            await self._platform.add_engine(
+                f"{engine.name}-new", version=engine.version
+            )
         self._record_disturbance(engine.name, started_s, self._clock())
 
+    async def _rollout_fault(self, kind, fault):
+        """Order a version that is sound, or fails half of its requests."""
+        rng = random.Random(f"{kind} {fault.target_fraction}")
+        bad_answers = failing(rng) if kind == "bad" else None
+        duration_s = fault.duration_s + MORE_ROLLOUT_S
+        await self._platform.roll_out(round(duration_s, 3), bad_answers)
+
     async def _entries_fault(self, kind, fault):
         """Leave odd entries among those of the engines, and start a sound one."""
         self._platform.put_odd_entries()
