Judge a version more strictly while the trusted one fails as well

At the end of a rollout the bound is now 0.02 while more than 0.1 of the trusted answers failed. The test over drawn rollouts judges by the same bound.

--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -19,6 +19,10 @@
 # rates of false verdicts are measured by the test of this module.
 AT_ONCE_PROBABILITY = 1e-5
 AT_END_PROBABILITY = 5e-3
+# While the trusted versions fail this often, their failures hide those of a bad version
+# (half of 32 answers against 17 in 100), and a larger probability applies at the end.
+TROUBLED_FAILURE_RATE = 0.1
+TROUBLED_PROBABILITY = 0.02
 # Slow versions are late far more often than others; a smaller probability finds them as
 # well, and spares those with a slow engine (3 of 200 drawn ones were found bad).
 LATE_PROBABILITY_FACTOR = 0.02
@@ -141,6 +145,14 @@
     )
 
 
+def end_probability(evidence: Evidence) -> float:
+    """Return the probability of the counts below which a version is bad at the end."""
+    trusted = [each for side, each in evidence.items() if side.engine == TRUSTED_SIDE]
+    failed, ended = sum(c.failed for c in trusted), sum(c.ended for c in trusted)
+    is_troubled = failed > TROUBLED_FAILURE_RATE * ended
+    return TROUBLED_PROBABILITY if is_troubled else AT_END_PROBABILITY
+
+
 def find_fault(
     evidence: Evidence, probability: float, engines: int = 1
 ) -> Finding | None:
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -7,9 +7,9 @@
 from cicadapass_decisions.dutylease import DutyRecord
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
-    AT_END_PROBABILITY,
     Finding,
     answers_of_new,
+    end_probability,
     find_fault,
 )
 from cicadapass_decisions.rollouts import (
@@ -211,7 +211,7 @@
         at_once, at_end = (
             tracker.finding(service),
             find_fault(
-                evidence, AT_END_PROBABILITY, tracker.trial_engine_count(service)
+                evidence, end_probability(evidence), tracker.trial_engine_count(service)
             ),
         )
         situation = Situation(
--- a/tests/decisions/test_rolloutevidence.py
+++ b/tests/decisions/test_rolloutevidence.py
@@ -13,6 +13,7 @@
     Side,
     SpeedBaseline,
     add_up,
+    end_probability,
     find_fault,
     tail_probability,
 )
@@ -26,6 +27,11 @@
 END_S, DELAY_S, STEP_S = 8.9, 1.6, 0.3
 
 
+def _drawn(rng, ended, rate):
+    """Return the counts of answers that fail at a rate."""
+    return Counts(ended=ended, failed=sum(rng.random() < rate for _ in range(ended)))
+
+
 class Draw:
     """Draw the answers of one rollout; `bad` has what is wrong with the version."""
 
@@ -50,7 +56,7 @@
             finding = find_fault(known[-1] if known else {}, AT_ONCE_PROBABILITY)
             if finding is not None:
                 return now_s, finding
-        finding = find_fault(counts, AT_END_PROBABILITY)
+        finding = find_fault(counts, end_probability(counts))
         return (now_s, finding) if finding is not None else (None, None)
 
     def _number(self, mean):
@@ -123,6 +129,27 @@
 
 
 class FindingTest(testtools.TestCase):
+    def test_a_bad_version_is_found_while_the_trusted_one_fails_as_well(self):
+        """A version that failed half of its answers succeeded in a soak (finding 95).
+
+        All engines cut answers then, so that 17 in 100 of the old version failed.
+        """
+        found = {0.17: 0, 0.58: 0}
+        for rate in found:
+            rng = random.Random(1)
+            for _ in range(400):
+                evidence = {}
+                for route in "abcd":
+                    evidence[Side(route, TRUSTED_SIDE)] = _drawn(rng, 85, 0.17)
+                    for engine in ("e", "f"):
+                        evidence[Side(route, engine)] = _drawn(rng, 4, rate)
+                finding = find_fault(evidence, end_probability(evidence), 2)
+                found[rate] += finding is not None
+        self.assertLessEqual(found[0.17], 8)
+        self.assertGreaterEqual(found[0.58], 370)
+        quiet = {Side("a", TRUSTED_SIDE): Counts(ended=100, failed=10)}
+        self.assertEqual(AT_END_PROBABILITY, end_probability(quiet))
+
     def test_one_odd_engine_does_not_speak_for_its_version(self):
         """One engine with a fault of its own rolled its version back."""
         old = {Side("r", TRUSTED_SIDE): Counts(900, 900, 1, 900, 20)}
