Keep the duties while the statuses of rollouts cannot be read

While only that read failed, no node took or renewed the lease, so that usage was not reported and engines were not ordered.

Such a failure is now logged, and the round goes on; rollouts that the record lacks still wait for their status.

--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -142,11 +142,7 @@
                 record.recent_usage, usage_age_s, self._state.clock()
             )
             self._restore_blocks(record.segment_blocks)
-        try:
-            return await self._restore_rollouts(record)
-        except GatewayError as error:
-            self._state.events.emit(842, reason=str(error))
-            return False
+        return await self._restore_rollouts(record)
 
     async def _restore_rollouts(self, record: DutyRecord | None) -> bool:
         """Apply the rollouts of the record; return whether all verdicts are known."""
@@ -163,7 +159,12 @@
             # The record may have been lost. The orders show what it lacks, and the
             # upstreams which versions a success bars.
             return False
-        await self._rollouts.restore_decided(record)
+        try:
+            await self._rollouts.restore_decided(record)
+        except GatewayError as error:
+            # The other duties do not depend on the statuses.
+            self._state.events.emit(842, reason=f"statuses of rollouts: {error}")
+            return False
         rollouts.confirm_record()
         return True
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -11,7 +11,7 @@
 from cicadapass_gateway.duties import Duties
 from cicadapass_gateway.exceptions import PlatformUnavailable
 from tests.gateway.rolloutcluster import DURATION_S, exposure, run_rollout
-from tests.gateway.virtualcluster import UPSTREAMS, silent_registry
+from tests.gateway.virtualcluster import TOPICS, UPSTREAMS, silent_registry
 
 NEVER_S = float("inf")
 
@@ -312,6 +312,35 @@
 
         run_rollout(scenario)
 
+    def test_unreadable_statuses_leave_the_other_duties(self):
+        """No node took the duties while the topic of the statuses failed."""
+
+        async def scenario(cluster):
+            cluster.order()
+            await asyncio.sleep(2.0)
+            for node in cluster.nodes:
+                node.stop()
+            _remove_record(cluster.registry)
+            newest = cluster.registry.newest
+
+            async def fail_statuses(topic):
+                if topic == TOPICS.status:
+                    raise PlatformUnavailable("no answer")
+                return await newest(topic)
+
+            with mock.patch.object(cluster.registry, "newest", fail_statuses):
+                for node in list(cluster.nodes):
+                    cluster.restart(node)
+                await asyncio.sleep(6.0)
+                self.assertIsNotNone(cluster.holder)
+                await asyncio.sleep(4.0)
+                self.assertIsNotNone(cluster.holder)
+            state = await cluster.until_state("rolled_back", DURATION_S)
+            self.assertLess(state, DURATION_S)
+            self.assertEqual(1, cluster.states().count("rolled_back"))
+
+        run_rollout(scenario, bad=(0.3, 1.0))
+
     def test_a_node_that_starts_cut_off_tries_nothing(self):
         """A node that could not learn of the verdict sent to a bad version for long."""
 
