Use all versions of a service without an order while the record is unreadable

Since, a node that cannot read the duty record sends to one version of each service, also to one that no order concerns. With engines of two versions, all nodes that restart beside an unreadable record, which stays until it is removed, lost the capacity of the other version.

Once a node knows the orders of the topic and has waited for 1 s, a service without an order uses all its versions; those that appear later wait for the next read of the topic as usual.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -316,8 +316,8 @@
     No order names the version; its engines are used like any others.
 868 warning rollout_verdicts_unknown(versions)
     Since its start, this node could read neither the orders and the record of the \
-duties nor the view of a peer that knows both. Until it can, the named version of each \
-service, that of most of its engines, gets all requests.
+duties nor the view of a peer that knows both. Until it can, only the named versions \
+of each service get requests: that of most of its engines, or all if it has no order.
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
 requests made no progress while others needed the memory (`stalled`, status 408), no \
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -105,11 +105,11 @@
         self._view_end = -1
         self._held = HeldVersions()
         # Verdicts from before the start may be unknown; the record of the duties, or a
-        # peer that knows it, shows them. Until then one version of each service serves.
+        # peer that knows it, shows them. Until then, these versions serve.
         self._awaits_verdicts = False
         self._record_known = True
         self._must_serve = False
-        self._provisional: dict[str, str | None] = {}
+        self._provisional: dict[str, frozenset[str]] = {}
         # Engines on trial, by service; also once their trial has stopped.
         self._trial_engine_counts: dict[str, int] = {}
         # Versions with engines that get requests, by service.
@@ -228,12 +228,29 @@
     ) -> Engines:
         """Return the engines that may get requests while verdicts are not known."""
         trusted: list[UpstreamRecord] = []
+        unordered = {
+            service: {each.version for each in members}
+            for service, members in by_service.items()
+            if self.knows_orders and service not in self._rollouts
+        }
+        before = self._held.held
+        self._held.update(unordered, self._rollouts, self._clock())
+        self._log_held(before, self._held.held)
         for service, members in by_service.items():
             rollout = self._rollouts.get(service)
             present = engines_by_version(members)
-            version = provisional_version(present, rollout, must_serve=self._must_serve)
-            self._provisional[service] = version
-            trusted += [each for each in members if each.version == version]
+            if self._must_serve and service in unordered:
+                # One version alone may lack the capacity for all requests.
+                serving = {
+                    each for each in present if (service, each) not in self._held.held
+                }
+            else:
+                version = provisional_version(
+                    present, rollout, must_serve=self._must_serve
+                )
+                serving = {version} if version is not None else set()
+            self._provisional[service] = frozenset(serving)
+            trusted += [each for each in members if each.version in serving]
             # An order that is read now may move the traffic from any of these.
             self._in_use[service] = frozenset(
                 each for each in present if trust(rollout, each) is Trust.TRUSTED
@@ -349,7 +366,9 @@
     def confirm_read(self, view_end: int, read_s: float) -> None:
         """Record that a read that began then saw the end of the operator's topic."""
         self._view_end = max(self._view_end, view_end)
-        if self._held.confirm(read_s):
+        knew_orders = self.knows_orders
+        is_released = self._held.confirm(read_s)
+        if is_released or (self._awaits_verdicts and not knew_orders):
             self._notify()
         self._end_wait_if_known()
 
@@ -440,7 +459,8 @@
             return
         self._must_serve = True
         self._notify()
-        self._events.emit(868, versions=dict(self._provisional))
+        versions = {key: sorted(each) for key, each in self._provisional.items()}
+        self._events.emit(868, versions=versions)
 
     def _first_seen_s(self) -> float:
         """Return the true time, by the latest of the recent estimates.
@@ -477,7 +497,7 @@
 
     def _trust_version(self, service: str, version: str) -> Trust:
         if self._awaits_verdicts:
-            serves = self._provisional.get(service) == version
+            serves = version in self._provisional.get(service, ())
             return Trust.TRUSTED if serves else Trust.BARRED
         return trust(self._rollouts.get(service), version)
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -10,7 +10,7 @@
 from cicadapass_decisions.topicreplica import Delta, Document
 from cicadapass_gateway.duties import Duties
 from cicadapass_gateway.exceptions import PlatformUnavailable
-from tests.gateway.rolloutcluster import DURATION_S, exposure, run_rollout
+from tests.gateway.rolloutcluster import DURATION_S, ENGINES, exposure, run_rollout
 from tests.gateway.virtualcluster import TOPICS, UPSTREAMS, silent_registry
 
 NEVER_S = float("inf")
@@ -312,6 +312,30 @@
 
         run_rollout(scenario)
 
+    def test_versions_without_an_order_are_used_without_the_record(self):
+        """Restarted nodes used half of the engines while the record was unreadable."""
+
+        async def scenario(cluster):
+            for number in range(ENGINES):
+                cluster.put_engine("s", "v2", number)
+            await asyncio.sleep(2.0)
+            with mock.patch.object(
+                Duties, "_read_record", side_effect=PlatformUnavailable("unreadable")
+            ):
+                for node in list(cluster.nodes):
+                    cluster.restart(node)
+                await asyncio.sleep(2.0)
+                usable = {len(each.usable) for each in cluster.nodes}
+                self.assertEqual({2 * ENGINES}, usable)
+                ordered_s = now_s()
+                cluster.order(to="v3")
+                await asyncio.sleep(5.0)
+            sent = [each for each in cluster.sent if each.at_s > ordered_s]
+            self.assertNotIn("v3", {each.version for each in sent})
+            self.assertGreater(len(sent), 4.0 * 16 * len(cluster.nodes))
+
+        run_rollout(scenario)
+
     def test_unreadable_statuses_leave_the_other_duties(self):
         """No node took the duties while the topic of the statuses failed."""
 
