Keep the bound for late answers while the trusted version fails

The larger probability now applies to failures alone. `find_fault_at_end` replaces `end_probability`; the assertion on the latter is replaced by one of both sides of the bound (100 and 101 failures of 1000).

--- a/packages/decisions/cicadapass_decisions/rolloutevidence.py
+++ b/packages/decisions/cicadapass_decisions/rolloutevidence.py
@@ -20,7 +20,8 @@
 AT_ONCE_PROBABILITY = 1e-5
 AT_END_PROBABILITY = 5e-3
 # While the trusted versions fail this often, their failures hide those of a bad version
-# (half of 32 answers against 17 in 100), and a larger probability applies at the end.
+# (half of 32 answers against 17 in 100), and a larger probability of failures applies
+# at the end.
 TROUBLED_FAILURE_RATE = 0.1
 TROUBLED_PROBABILITY = 0.02
 # Slow versions are late far more often than others; a smaller probability finds them as
@@ -145,16 +146,26 @@
     )
 
 
-def end_probability(evidence: Evidence) -> float:
-    """Return the probability of the counts below which a version is bad at the end."""
+def find_fault_at_end(evidence: Evidence, engines: int = 1) -> Finding | None:
+    """Return why the new version is bad at the end of its time, or None."""
+    finding = find_fault(evidence, AT_END_PROBABILITY, engines)
+    if finding is None and _trusted_fail_often(evidence):
+        # Failures do not hide late answers, whose bound stays.
+        return find_fault(evidence, TROUBLED_PROBABILITY, engines, [Rule.FAILED])
+    return finding
+
+
+def _trusted_fail_often(evidence: Evidence) -> bool:
     trusted = [each for side, each in evidence.items() if side.engine == TRUSTED_SIDE]
     failed, ended = sum(c.failed for c in trusted), sum(c.ended for c in trusted)
-    is_troubled = failed > TROUBLED_FAILURE_RATE * ended
-    return TROUBLED_PROBABILITY if is_troubled else AT_END_PROBABILITY
+    return failed > TROUBLED_FAILURE_RATE * ended
 
 
 def find_fault(
-    evidence: Evidence, probability: float, engines: int = 1
+    evidence: Evidence,
+    probability: float,
+    engines: int = 1,
+    rules: Iterable[Rule] = Rule,
 ) -> Finding | None:
     """Return why the new version is bad, or None if the counts do not show it.
 
@@ -168,7 +179,7 @@
     if len(answered) < min(2, engines):
         return None
     routes = sorted({side.route for side in evidence})
-    for rule in Rule:
+    for rule in rules:
         for route in [*routes, *([""] if len(routes) > 1 else [])]:
             finding = _find_fault_of(evidence, rule, route)
             if finding is not None and _is_significant(finding, probability):
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -9,8 +9,7 @@
 from cicadapass_decisions.rolloutevidence import (
     Finding,
     answers_of_new,
-    end_probability,
-    find_fault,
+    find_fault_at_end,
 )
 from cicadapass_decisions.rollouts import (
     MIN_ANSWERS,
@@ -210,9 +209,7 @@
         evidence = tracker.evidence(service)
         at_once, at_end = (
             tracker.finding(service),
-            find_fault(
-                evidence, end_probability(evidence), tracker.trial_engine_count(service)
-            ),
+            find_fault_at_end(evidence, tracker.trial_engine_count(service)),
         )
         situation = Situation(
             now_s=self._true_time(),
--- a/tests/decisions/test_rolloutevidence.py
+++ b/tests/decisions/test_rolloutevidence.py
@@ -7,14 +7,15 @@
 from cicadapass_decisions.rolloutevidence import (
     AT_END_PROBABILITY,
     AT_ONCE_PROBABILITY,
+    TROUBLED_PROBABILITY,
     TRUSTED_SIDE,
     Counts,
     Rule,
     Side,
     SpeedBaseline,
     add_up,
-    end_probability,
     find_fault,
+    find_fault_at_end,
     tail_probability,
 )
 
@@ -32,6 +33,11 @@
     return Counts(ended=ended, failed=sum(rng.random() < rate for _ in range(ended)))
 
 
+def _timed(rng, timed, rate):
+    """Return the counts of answers that are late at a rate."""
+    return Counts(timed=timed, late=sum(rng.random() < rate for _ in range(timed)))
+
+
 class Draw:
     """Draw the answers of one rollout; `bad` has what is wrong with the version."""
 
@@ -56,7 +62,7 @@
             finding = find_fault(known[-1] if known else {}, AT_ONCE_PROBABILITY)
             if finding is not None:
                 return now_s, finding
-        finding = find_fault(counts, end_probability(counts))
+        finding = find_fault_at_end(counts)
         return (now_s, finding) if finding is not None else (None, None)
 
     def _number(self, mean):
@@ -143,12 +149,34 @@
                     evidence[Side(route, TRUSTED_SIDE)] = _drawn(rng, 85, 0.17)
                     for engine in ("e", "f"):
                         evidence[Side(route, engine)] = _drawn(rng, 4, rate)
-                finding = find_fault(evidence, end_probability(evidence), 2)
+                finding = find_fault_at_end(evidence, 2)
                 found[rate] += finding is not None
         self.assertLessEqual(found[0.17], 8)
         self.assertGreaterEqual(found[0.58], 370)
-        quiet = {Side("a", TRUSTED_SIDE): Counts(ended=100, failed=10)}
-        self.assertEqual(AT_END_PROBABILITY, end_probability(quiet))
+
+    def test_trusted_failures_change_the_bound_of_failures_alone(self):
+        """Trusted failures doubled the sound versions that a slow engine had ended."""
+        for old_failed, found in ((100, False), (101, True)):
+            old = {Side("a", TRUSTED_SIDE): Counts(ended=1000, failed=old_failed)}
+            new = {Side("a", each): Counts(ended=16, failed=5) for each in ("e", "f")}
+            rate = 1.5 * (old_failed + 1) / 1002
+            probability = tail_probability(32, 10, rate)
+            self.assertTrue(AT_END_PROBABILITY < probability < TROUBLED_PROBABILITY)
+            finding = find_fault_at_end({**old, **new}, 2)
+            self.assertIs(found, finding is not None, old_failed)
+        found = {0.0: 0, 0.17: 0}
+        for rate in found:
+            rng = random.Random(1)
+            for _ in range(400):
+                evidence = {}
+                for route in "abcd":
+                    side = Side(route, TRUSTED_SIDE)
+                    evidence[side] = _timed(rng, 85, 0.02) + _drawn(rng, 85, rate)
+                    for engine, late in zip(ENGINES, (0.6, 0.05, 0.05), strict=True):
+                        evidence[Side(route, engine)] = _timed(rng, 4, late)
+                found[rate] += find_fault_at_end(evidence, 3) is not None
+        self.assertLessEqual(found[0.0], 24)
+        self.assertLessEqual(found[0.17], 24)
 
     def test_one_odd_engine_does_not_speak_for_its_version(self):
         """One engine with a fault of its own rolled its version back."""
