Count answers of an undecided version as such before the verdicts are known

Its answers counted as those of the trusted version, in the sums of all nodes, and hid the failures that show a bad version; its requests were missing from the node's part of the trial.

Both now count by the known orders. If the sums show that the version is bad, the node serves from a trusted version instead, if one has engines.

Measured: the new test fails without the change (counts of the trusted side only) and passes with it, with test_rollouttracker, the restarts of test_rollouts, test_relay_rollouts and test_heldversions (21 passed).

--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -239,6 +239,14 @@
         for service, members in by_service.items():
             rollout = self._rollouts.get(service)
             present = engines_by_version(members)
+            if rollout is not None and self._sums.finding(rollout) is not None:
+                # The counts show that the version on trial is bad.
+                others = {
+                    version: engines
+                    for version, engines in present.items()
+                    if trust(rollout, version) is Trust.TRUSTED
+                }
+                present = others or present
             if self._must_serve and service in unordered:
                 # One version alone may lack the capacity for all requests.
                 serving = {
@@ -297,7 +305,7 @@
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
         counts = self._sums.own(record.service)
-        if counts is not None and self._trust(record) is Trust.ON_TRIAL:
+        if counts is not None and self._decided_trust(record) is Trust.ON_TRIAL:
             counts.trials += 1
             self._unsent[key] = counts
 
@@ -317,7 +325,7 @@
         self._unsent.pop(key, None)
         if first:
             counts.requests += 1
-        kind = self._trust(record)
+        kind = self._decided_trust(record)
         if kind is Trust.BARRED:
             return None
         return counts.begin(record, route, size, trial=kind is Trust.ON_TRIAL)
@@ -495,6 +503,14 @@
     def _trust(self, record: UpstreamRecord) -> Trust:
         return self._trust_version(record.service, record.version)
 
+    def _decided_trust(self, record: UpstreamRecord) -> Trust:
+        """Return the trust by the known orders, also while the verdicts are not known.
+
+        A node may serve from an undecided version then, whose answers are not those of
+        a trusted one.
+        """
+        return trust(self._rollouts.get(record.service), record.version)
+
     def _trust_version(self, service: str, version: str) -> Trust:
         if self._awaits_verdicts:
             serves = version in self._provisional.get(service, ())
--- a/tests/gateway/test_rollouttracker.py
+++ b/tests/gateway/test_rollouttracker.py
@@ -62,6 +62,52 @@
         self.run_loop(scenario())
 
 
+class UnknownVerdictsTest(LoopTest):
+    # uvloop's time cannot be replaced.
+    loop_factory = staticmethod(asyncio.new_event_loop)
+
+    def test_answers_of_an_undecided_version_are_those_of_a_trial(self):
+        """Failures of a bad version counted as the old one's, and hid its own.
+
+        A node without the record serves from an undecided version that has most of the
+        engines, as a success leaves no others.
+        """
+
+        async def scenario():
+            clock = LoopClock()
+            state = make_state(rollout_bounds=RolloutBounds())
+            rollouts = state.rollouts
+            v1 = UpstreamRecord("a", "s", "a", 1, "dc-a", 8, False, 1, 1, version="v1")
+            engines = [v1] + [
+                replace(v1, upstream_id=each, version="v2") for each in "bcde"
+            ]
+            rollouts.await_record()
+            rollouts.classify(engines)
+            rollouts.adopt_order(RolloutOrder("s", "v2", 12.0), 7)
+            clock.advance(1.1)
+            rollouts.tick()
+            serving = rollouts.classify(engines).trusted
+            self.assertEqual({"v2"}, {each.version for each in serving})
+            for number in range(60):
+                record, key = serving[number % len(serving)], str(number)
+                rollouts.begin(record, key)
+                attempt = rollouts.record_sent(
+                    record, key, "route", PromptSize(), first=True
+                )
+                attempt.end(state.clock(), False)
+            sides = {each.engine for each in rollouts.evidence("s")}
+            self.assertEqual({each.start_key for each in serving}, sides)
+            rollouts.tick()
+            self.assertIsNotNone(rollouts.finding("s"))
+            serving = rollouts.classify(engines).trusted
+            self.assertEqual({"v1"}, {each.version for each in serving})
+            # Without others, the version goes on.
+            serving = rollouts.classify(engines[1:]).trusted
+            self.assertEqual({"v2"}, {each.version for each in serving})
+
+        self.run_loop(scenario())
+
+
 class ViewTest(LoopTest):
     # uvloop's time cannot be replaced.
     loop_factory = staticmethod(asyncio.new_event_loop)
