Ignore the order time of a rollout that missed a verdict

The time now merges from the rows that count for the first order as well. A node that knows the order from such a row alone still has the early time.

--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -208,7 +208,8 @@
         # missed.
         barred = valid[0].barred | valid[-1].barred
         barred -= trusted | {own.to}
-    order_seen_s = min(own.order_seen_s, other.order_seen_s)
+    # Rows of earlier builds have the time of the first order in its place.
+    order_seen_s = min(each.order_seen_s for each in valid)
     return replace(
         own,
         origin=min(each.origin for each in valid),
--- a/tests/gateway/test_rollouttracker.py
+++ b/tests/gateway/test_rollouttracker.py
@@ -9,7 +9,9 @@
     RolloutBounds,
     RolloutOrder,
     RolloutState,
+    adopt_order,
     decided,
+    merge_rollouts,
 )
 from cicadapass_gateway.rolloutcounts import PromptSize
 from cicadapass_gateway.rolloutmessages import decode_rollout, encode_rollout
@@ -61,6 +63,20 @@
 
         self.run_loop(scenario())
 
+    def test_a_row_of_an_earlier_build_does_not_date_an_order_back(self):
+        """A peer of the build before ended a rollout before it began.
+
+        Its rows lack the time of the newest order, and it missed the verdict.
+        """
+        order = RolloutOrder("s", "v2", 12.0)
+        first = adopt_order(None, order, 5, 100.0, ["v1"])
+        rolled_back = decided(first, RolloutState.ROLLED_BACK)
+        known = adopt_order(rolled_back, order, 9, 108.0, ["v1"])
+        missed = adopt_order(first, order, 9, 108.0, ["v1"])
+        earlier = decode_rollout(encode_rollout(missed)[:10])
+        for merged in (merge_rollouts(known, earlier), merge_rollouts(earlier, known)):
+            self.assertEqual((9, 108.0), (merged.origin, merged.seen_s))
+
 
 class UnknownVerdictsTest(LoopTest):
     # uvloop's time cannot be replaced.
