--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -287,8 +287,8 @@
     An upstream turned a request away and names a time that cannot be read.
 860 info rollout_changed(service, to, offset, state, withdrawn, source)
     This node learned of an order to move a service to a version, or of its state, \
-from the registry, the record of the duties or the named peer. An order that the \
-operator deleted is withdrawn.
+from the registry, the record of the duties, the status in the log or the named peer. \
+An order that the operator deleted is withdrawn.
 861 warning rollout_order_skipped(key, offset, reason)
     An order of a rollout cannot be read, or deletes one that does not run; only it is \
 skipped.
@@ -314,6 +314,10 @@
 operator's topic shows whether there is an order for it.
 867 info version_released(service, version)
     No order names the version; its engines are used like any others.
+868 warning rollout_verdicts_unknown(versions)
+    Since its start, this node could read neither the orders and the record of the \
+duties nor the view of a peer that knows both. Until it can, only the named versions \
+of each service get requests: that of most of its engines, or all if it has no order.
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
 requests made no progress while others needed the memory (`stalled`, status 408), no \
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -5,13 +5,19 @@
 as trusted, and nothing is recorded or sent.
 """
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
 from cicadapass_common.events import EventLog
-from cicadapass_decisions.heldversions import NEVER_S, HeldVersions
+from cicadapass_decisions.heldversions import (
+    NEVER_S,
+    HeldVersions,
+    engines_by_version,
+    provisional_version,
+)
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     Evidence,
@@ -53,6 +59,9 @@
 # Ticks whose estimates of true time are kept. They are counted, not timed, so that
 # those from before a freeze of any length remain.
 TIME_SAMPLES = 150
+# Time for reading the orders and the record of the duties after the start, which take a
+# call each. After it, a node serves without knowing the verdicts.
+VERDICTS_WAIT_S = 1.0
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
 
@@ -95,6 +104,12 @@
         # End of the view of the operator's topic.
         self._view_end = -1
         self._held = HeldVersions()
+        # Verdicts from before the start may be unknown; the record of the duties, or a
+        # peer that knows it, shows them. Until then, these versions serve.
+        self._awaits_verdicts = False
+        self._record_known = True
+        self._must_serve = False
+        self._provisional: dict[str, frozenset[str]] = {}
         # Engines on trial, by service; also once their trial has stopped.
         self._trial_engine_counts: dict[str, int] = {}
         # Versions with engines that get requests, by service.
@@ -122,6 +137,11 @@
         """Return whether a version waits for a read of the operator's topic."""
         return bool(self._held.held)
 
+    @property
+    def knows_orders(self) -> bool:
+        """Return whether the operator's topic was read since the start."""
+        return self._held.confirmed_s > NEVER_S
+
     def set_time(self, true_time: Callable[[], float]) -> None:
         """Set the source of true time, by which rollouts end."""
         self._true_time = true_time
@@ -130,6 +150,16 @@
         """Set what tells whether enough members were heard within some seconds."""
         self._hears_members = hears_members
 
+    def await_record(self) -> None:
+        """Use provisional versions until the orders and the record are known."""
+        self._awaits_verdicts = self.enabled
+        self._record_known = not self.enabled
+
+    def confirm_record(self) -> None:
+        """Record that all verdicts of the record of the duties were merged."""
+        self._record_known = True
+        self._end_wait_if_known()
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` when other engines may get requests."""
         self._listeners.append(listener)
@@ -163,6 +193,8 @@
             by_service.setdefault(record.service, []).append(record)
         trusted: list[UpstreamRecord] = []
         on_trial: list[UpstreamRecord] = []
+        if self._awaits_verdicts:
+            return self._classify_provisionally(by_service)
         before = self._held.held
         versions = {
             service: {each.version for each in members}
@@ -191,10 +223,52 @@
                 on_trial += chosen
         return Engines(tuple(trusted), tuple(on_trial))
 
+    def _classify_provisionally(
+        self, by_service: dict[str, list[UpstreamRecord]]
+    ) -> Engines:
+        """Return the engines that may get requests while verdicts are not known."""
+        trusted: list[UpstreamRecord] = []
+        unordered = {
+            service: {each.version for each in members}
+            for service, members in by_service.items()
+            if self.knows_orders and service not in self._rollouts
+        }
+        before = self._held.held
+        self._held.update(unordered, self._rollouts, self._clock())
+        self._log_held(before, self._held.held)
+        for service, members in by_service.items():
+            rollout = self._rollouts.get(service)
+            present = engines_by_version(members)
+            if rollout is not None and self._sums.finding(rollout) is not None:
+                # The counts show that the version on trial is bad.
+                others = {
+                    version: engines
+                    for version, engines in present.items()
+                    if trust(rollout, version) is Trust.TRUSTED
+                }
+                present = others or present
+            if self._must_serve and service in unordered:
+                # One version alone may lack the capacity for all requests.
+                serving = {
+                    each for each in present if (service, each) not in self._held.held
+                }
+            else:
+                version = provisional_version(
+                    present, rollout, must_serve=self._must_serve
+                )
+                serving = {version} if version is not None else set()
+            self._provisional[service] = frozenset(serving)
+            trusted += [each for each in members if each.version in serving]
+            # An order that is read now may move the traffic from any of these.
+            self._in_use[service] = frozenset(
+                each for each in present if trust(rollout, each) is Trust.TRUSTED
+            )
+        return Engines(tuple(trusted), ())
+
     def permits(self, service: str, version: str) -> bool:
         """Return whether a stream of a version may go on at its engines."""
         rollout = self._rollouts.get(service)
-        kind = trust(rollout, version)
+        kind = self._trust_version(service, version)
         if kind is Trust.ON_TRIAL:
             assert rollout is not None
             return self._may_try(rollout)
@@ -231,7 +305,7 @@
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
         counts = self._sums.own(record.service)
-        if counts is not None and self._trust(record) is Trust.ON_TRIAL:
+        if counts is not None and self._decided_trust(record) is Trust.ON_TRIAL:
             counts.trials += 1
             self._unsent[key] = counts
 
@@ -251,7 +325,7 @@
         self._unsent.pop(key, None)
         if first:
             counts.requests += 1
-        kind = self._trust(record)
+        kind = self._decided_trust(record)
         if kind is Trust.BARRED:
             return None
         return counts.begin(record, route, size, trial=kind is Trust.ON_TRIAL)
@@ -300,8 +374,11 @@
     def confirm_read(self, view_end: int, read_s: float) -> None:
         """Record that a read that began then saw the end of the operator's topic."""
         self._view_end = max(self._view_end, view_end)
-        if self._held.confirm(read_s):
+        knew_orders = self.knows_orders
+        is_released = self._held.confirm(read_s)
+        if is_released or (self._awaits_verdicts and not knew_orders):
             self._notify()
+        self._end_wait_if_known()
 
     def set_node_count(self, count: int) -> None:
         """Set the number of nodes; a node that is cut off keeps the larger one."""
@@ -314,6 +391,7 @@
         age_s = min(1e6, self._clock() - self._held.confirmed_s)
         return {
             "view": [self._view_end, round(1000 * age_s)],
+            "record": self._record_known,
             "rollouts": self.export_rollouts(),
             "counts": self._sums.export(self._rollouts),
         }
@@ -343,9 +421,14 @@
                 self._sums.merge(rollout, counts, key)
         view_end, age_ms = message["view"]
         # The rollouts above are complete up to the peer's end.
-        if int(view_end) >= 0:
-            age_s = max(0.0, float(age_ms) / 1000) + HOP_AGE_S
-            self.confirm_read(int(view_end), now_s - age_s)
+        age_s = float(age_ms) / 1000
+        # An age that is not a number is unknown and confirms nothing.
+        if int(view_end) >= 0 and not math.isnan(age_s):
+            read_s = now_s - max(0.0, age_s) - HOP_AGE_S
+            self.confirm_read(int(view_end), read_s)
+        # Earlier builds do not report it.
+        if not self._record_known and message.get("record") is True:
+            self.confirm_record()
 
     def needs_read(self) -> bool:
         """Return whether this node is to read the operator's topic by itself."""
@@ -354,6 +437,7 @@
     def tick(self) -> None:
         """Judge the trials and count answers that are overdue; called periodically."""
         self._time_offsets.append(self._true_time() - self._clock())
+        self._serve_without_verdicts_if_due()
         services = self._sums.services
         if self._bounds is None or not services:
             return
@@ -370,6 +454,22 @@
         if changed:
             self._notify()
 
+    def _end_wait_if_known(self) -> None:
+        """Use all versions that the verdicts allow, once these are known."""
+        if self._awaits_verdicts and self._record_known and self.knows_orders:
+            self._awaits_verdicts = False
+            self._provisional.clear()
+            self._notify()
+
+    def _serve_without_verdicts_if_due(self) -> None:
+        waited_s = self._clock() - self._started_s
+        if not self._awaits_verdicts or self._must_serve or waited_s < VERDICTS_WAIT_S:
+            return
+        self._must_serve = True
+        self._notify()
+        versions = {key: sorted(each) for key, each in self._provisional.items()}
+        self._events.emit(868, versions=versions)
+
     def _first_seen_s(self) -> float:
         """Return the true time, by the latest of the recent estimates.
 
@@ -384,6 +484,7 @@
         """Return whether the version on trial may get requests of this node."""
         return (
             rollout.running
+            and not self._awaits_verdicts
             and not rollout.withdrawn
             and self._true_time() < rollout.seen_s + rollout.duration_s
             and not self._cut_off
@@ -400,8 +501,22 @@
                 self._events.emit(867, service=service, version=version)
 
     def _trust(self, record: UpstreamRecord) -> Trust:
+        return self._trust_version(record.service, record.version)
+
+    def _decided_trust(self, record: UpstreamRecord) -> Trust:
+        """Return the trust by the known orders, also while the verdicts are not known.
+
+        A node may serve from an undecided version then, whose answers are not those of
+        a trusted one.
+        """
         return trust(self._rollouts.get(record.service), record.version)
 
+    def _trust_version(self, service: str, version: str) -> Trust:
+        if self._awaits_verdicts:
+            serves = version in self._provisional.get(service, ())
+            return Trust.TRUSTED if serves else Trust.BARRED
+        return trust(self._rollouts.get(service), version)
+
     def _replace(self, rollout: Rollout, source: str) -> bool:
         """Store a rollout; return whether it is different from the one before."""
         service = rollout.service
@@ -410,7 +525,11 @@
             return False
         self._rollouts[service] = rollout
         self._rows[service] = encode_rollout(rollout)
-        is_new = current is None or current.offset != rollout.offset
+        is_new = (
+            current is None
+            or current.offset != rollout.offset
+            or current.origin < rollout.origin
+        )
         if rollout.running and (current is None or current.origin != rollout.origin):
             self._sums.begin(rollout, goes_on=_goes_on(current, rollout))
         if not rollout.running:
@@ -455,4 +574,5 @@
         current is not None
         and current.running
         and (current.to, current.offset) == (rollout.to, rollout.offset)
+        and rollout.origin < current.origin
     )
