Shed uploads that would not end within their route's time-out

Cause: a connection made progress if it sent 1 KB in a second, whatever it had reserved. Callers that sent 1.1 KB a second held 131 KB each for two minutes, and requests of others were refused with 503 while they did.

Change: while memory is scarce, an upload is late if its missing bytes would not arrive within its route's time-out (30 s if it has no route) at the rate of its last 2 to 4 s. Late ones are ranked with stalled ones, by bytes and the seconds since their head, and refused with 408, reason `slow`. The first second is not judged; a pause counts as at most a second, and a connection with unread data in the kernel is not late, so that a node's own lateness is held against no one. Without scarcity nothing changes.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -316,11 +316,12 @@
     No order names the version; its engines are used like any others.
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
-requests made no progress while others needed the memory (`stalled`, status 408), no \
-memory became free for them (`no_memory`, status 503), they did not read their \
-responses while these exceeded the memory (`unread`, reset), or there were too many \
-connections (`connections`, closed). `source` is the workspace, or the address of \
-callers without a valid key, of most of them.
+requests made no progress while others needed the memory (`stalled`, status 408), or \
+would not have ended within their route's time-out (`slow`, status 408), no memory \
+became free for them (`no_memory`, status 503), they did not read their responses \
+while these exceeded the memory (`unread`, reset), or there were too many connections \
+(`connections`, closed). `source` is the workspace, or the address of callers without \
+a valid key, of most of them.
 885 warning capacity_report_malformed(peer, reason)
     A peer's state has totals of engines that cannot be read; the rest of it counts.
 886 info capacity_learning_enabled()
--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -14,6 +14,8 @@
 SMALL_FRACTION = 0.25
 # A connection that sent less than 1 KB for this long, while it could, may be shed.
 STALL_S = 1.0
+# Time in which an upload should end if its route is unknown.
+UPLOAD_LIMIT_S = 30.0
 # Time after which a request that holds a part of its bytes and waits for more may be
 # refused: others may be waiting for what it holds.
 PARTIAL_WAIT_S = 1.0
@@ -47,12 +49,40 @@
     unfinished: bool = True
     # Whether it holds a complete response that its caller does not read.
     unread: bool = False
+    # The body that it receives, if its head is complete.
+    upload: "Upload | None" = None
+
+
+@dataclass(frozen=True, slots=True)
+class Upload:
+    """Describe the progress of a body that has been received in part.
+
+    The times do not include those in which the node did not read.
+    """
+
+    # Bytes that are reserved and were not received yet.
+    remaining_bytes: int
+    # The time since the body began, and that in which it should end.
+    elapsed_s: float
+    limit_s: float
+    # What was received in the last seconds.
+    recent_bytes: int
+    recent_s: float
+
+    @property
+    def is_late(self) -> bool:
+        """Return whether the body would not end in time at its current rate."""
+        if self.recent_s < STALL_S:
+            return False
+        left_s = self.limit_s - self.elapsed_s
+        return self.recent_bytes * left_s < self.remaining_bytes * self.recent_s
 
 
 class ShedReason(Enum):
     """Name why a request was refused; the values are logged."""
 
     STALLED = "stalled"
+    SLOW = "slow"
     NO_MEMORY = "no_memory"
     UNREAD = "unread"
 
@@ -133,11 +163,14 @@
 
 
 def _shed_stalled(holding: Holding) -> tuple[int, ShedReason]:
-    return holding.key, ShedReason.UNREAD if holding.unread else ShedReason.STALLED
+    if holding.unread:
+        return holding.key, ShedReason.UNREAD
+    stalled = holding.stalled_s >= STALL_S
+    return holding.key, ShedReason.STALLED if stalled else ShedReason.SLOW
 
 
 def _shedding_order(holdings: Sequence[Holding], capacity_bytes: int) -> list[Holding]:
-    """Return those that may be shed: most bytes times stalled seconds first."""
+    """Return those that may be shed: most bytes times wasted seconds first."""
     group_bytes: dict[str, int] = {}
     for each in holdings:
         held_bytes = group_bytes.get(each.group, 0) + each.held_bytes
@@ -145,16 +178,27 @@
 
     def rank(each: Holding) -> tuple[bool, float, bool]:
         within_share = group_bytes[each.group] <= capacity_bytes * GROUP_FRACTION
-        return within_share, -each.held_bytes * each.stalled_s, each.known
+        return within_share, -each.held_bytes * _wasted_s(each), each.known
 
-    stalled = [
+    candidates = [
         each
         for each in holdings
         if (each.unfinished or each.unread)
         and not each.wanted_bytes
-        and each.stalled_s >= STALL_S
+        and (each.stalled_s >= STALL_S or _is_late(each))
     ]
-    return sorted(stalled, key=rank)
+    return sorted(candidates, key=rank)
+
+
+def _is_late(holding: Holding) -> bool:
+    return holding.upload is not None and holding.upload.is_late
+
+
+def _wasted_s(holding: Holding) -> float:
+    """Return the time without progress, or that of an upload that ends too late."""
+    if holding.upload is not None and holding.upload.is_late:
+        return max(holding.stalled_s, holding.upload.elapsed_s)
+    return holding.stalled_s
 
 
 def _overdue(waiting: Sequence[Holding]) -> list[Holding]:
--- a/packages/decisions/cicadapass_decisions/routetable.py
+++ b/packages/decisions/cicadapass_decisions/routetable.py
@@ -84,6 +84,11 @@
         workspace = self._workspaces.get(key) if key is not None else None
         return workspace.name if workspace is not None else None
 
+    def route_timeout_s(self, host: str, target: str) -> float | None:
+        """Return the time-out of the route of a request, or None if it has none."""
+        route = self._find_route(host, target)
+        return route.timeout_s if route is not None else None
+
     def _find_route(self, host: str, target: str) -> Route | None:
         prefixes = self._hosts.get(host) or self._hosts.get(host.partition(":")[0])
         if prefixes is None:
--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from cicadapass_decisions.memorybudget import ShedReason
+from cicadapass_decisions.memorybudget import UPLOAD_LIMIT_S, ShedReason
 from cicadapass_decisions.passthrough import CallerLimits
 from cicadapass_gateway.exchange import Exchange, Handler, Headers
 from cicadapass_gateway.memorybudget import MemoryAccount, MemoryBudget
@@ -40,10 +40,16 @@
 # Seconds after which a caller may return that was refused for want of memory.
 RETRY_AFTER_S = b"2"
 # Status of the refusals: the caller was too slow, or the node is full.
-SHED_STATUS = {ShedReason.STALLED: 408, ShedReason.NO_MEMORY: 503}
+SHED_STATUS = {
+    ShedReason.STALLED: 408,
+    ShedReason.SLOW: 408,
+    ShedReason.NO_MEMORY: 503,
+}
 
 # Returns the workspace of a request's headers, or None if it has no valid credential.
 Identify = Callable[[Headers], str | None]
+# Returns the time-out of a request's route by its headers and target, or None.
+FindTimeout = Callable[[Headers, bytes], float | None]
 
 
 @dataclass(slots=True)
@@ -63,6 +69,7 @@
     on_error: Callable[[Exception], None]
     budget: MemoryBudget
     identify: Identify | None
+    find_timeout: FindTimeout | None
     read_buffer: memoryview
     channels: set["CallerChannel"]
 
@@ -90,6 +97,8 @@
         # The workspace of the current request, once it was looked up.
         self._identified = False
         self._workspace: str | None = None
+        # The time-out of its route, once it was looked up.
+        self._time_limit_s: float | None = None
         self._body = bytearray()
         self._announced_bytes: int | None = None
         # Bytes in memory, parsed or not, and those that wait for the end of a request.
@@ -131,6 +140,26 @@
         """Return whether a complete response was not taken by the caller yet."""
         return self._task is None and not self._writable.is_set()
 
+    @property
+    def uploading(self) -> bool:
+        """Return whether a body has been received in part."""
+        return self._exchange is not None and self._task is None
+
+    @property
+    def missing_bytes(self) -> int:
+        """Return the bytes that are reserved and were not received yet."""
+        reserved_bytes = self._account.reserved_bytes if self._account else 0
+        return max(0, reserved_bytes - self._held_bytes)
+
+    @property
+    def time_limit_s(self) -> float:
+        """Return the time-out of the request's route, or that of unknown ones."""
+        if self._time_limit_s is None and self._exchange is not None:
+            find, exchange = self._server.find_timeout, self._exchange
+            found_s = find(exchange.headers, exchange.target) if find else None
+            self._time_limit_s = UPLOAD_LIMIT_S if found_s is None else found_s
+        return self._time_limit_s or UPLOAD_LIMIT_S
+
     @property
     def ended_unread(self) -> bool:
         """Return whether the caller has gone while nothing was read."""
@@ -442,7 +471,9 @@
             return
         arrived_s = self._reading_since_s or self._loop.time()
         self._exchange = Exchange(self, event, arrived_s)
-        self._identified, self._workspace = False, None
+        self._identified, self._workspace, self._time_limit_s = False, None, None
+        if self._account is not None:
+            self._account.begin_upload(self._loop.time())
         self._body = bytearray()
         self._announced_bytes = _announced_bytes(event)
         # A longer body would wait for memory in vain.
--- a/packages/gateway/cicadapass_gateway/httpserver.py
+++ b/packages/gateway/cicadapass_gateway/httpserver.py
@@ -7,6 +7,7 @@
 from cicadapass_gateway.callerchannel import (
     READ_BYTES,
     CallerChannel,
+    FindTimeout,
     Identify,
     ServerState,
 )
@@ -32,10 +33,12 @@
         on_error: Callable[[Exception], None],
         budget: MemoryBudget | None = None,
         identify: Identify | None = None,
+        find_timeout: FindTimeout | None = None,
     ) -> None:
         self.state = state
         self.budget = budget or MemoryBudget(DEFAULT_LIMITS)
         self.identify = identify
+        self.find_timeout = find_timeout
         # Each connection parses what it read before another one reads.
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.handler = handler
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -14,6 +14,7 @@
     GrantPlan,
     Holding,
     ShedReason,
+    Upload,
     choose_evictions,
     has_room,
     largest_request_bytes,
@@ -30,6 +31,8 @@
 RESERVED_DESCRIPTORS = 200
 # Progress by less than this does not count, so that single bytes keep nothing open.
 PROGRESS_BYTES = 1024
+# The rate of an upload is that of the last one to two of these.
+RATE_WINDOW_S = 2.0
 # Grants are planned this long after memory was released, for all releases together.
 PLAN_DELAY_S = 0.05
 # With many connections that hold memory or wait for it, planning is rarer: it takes 12
@@ -58,6 +61,18 @@
     def has_unread_data(self) -> bool:
         """Return whether the kernel holds data of the caller."""
 
+    @property
+    def uploading(self) -> bool:
+        """Return whether a body has been received in part."""
+
+    @property
+    def missing_bytes(self) -> int:
+        """Return the bytes that are reserved and were not received yet."""
+
+    @property
+    def time_limit_s(self) -> float:
+        """Return the time in which the body should be received."""
+
     def identify(self) -> tuple[str, bool]:
         """Return the group and whether it is that of a known credential."""
 
@@ -107,9 +122,44 @@
     wanted_bytes: int | None = None
     waiting_since_s: float = 0.0
     _unmarked_bytes: int = 0
+    # The time that the current request took so far, without that in which the node did
+    # not read, and the bytes and seconds of the current and the last window.
+    _active_s: float = 0.0
+    _window_bytes: int = 0
+    _window_s: float = 0.0
+    _last_bytes: int = 0
+    _last_s: float = 0.0
+    _counted_to_s: float = 0.0
+
+    def begin_upload(self, now_s: float) -> None:
+        """Begin to measure the rate of a request's body."""
+        self._active_s = self._window_s = self._last_s = 0.0
+        self._window_bytes = self._last_bytes = 0
+        self._counted_to_s = now_s
+
+    def describe_upload(
+        self, remaining_bytes: int, limit_s: float, now_s: float
+    ) -> Upload:
+        """Return the progress of a request's body."""
+        self._count_time(now_s)
+        recent_bytes = self._last_bytes + self._window_bytes
+        recent_s = self._last_s + self._window_s
+        return Upload(remaining_bytes, self._active_s, limit_s, recent_bytes, recent_s)
+
+    def _count_time(self, now_s: float) -> None:
+        # A longer time without data is a stall, or the node was late.
+        added_s = min(max(0.0, now_s - self._counted_to_s), STALL_S)
+        self._counted_to_s = now_s
+        self._active_s += added_s
+        self._window_s += added_s
+        if self._window_s >= RATE_WINDOW_S:
+            self._last_bytes, self._last_s = self._window_bytes, self._window_s
+            self._window_bytes, self._window_s = 0, 0.0
 
     def record_progress(self, received_bytes: int, now_s: float) -> None:
         """Record received bytes; progress is made with each `PROGRESS_BYTES`."""
+        self._count_time(now_s)
+        self._window_bytes += received_bytes
         self._unmarked_bytes += received_bytes
         if self._unmarked_bytes >= PROGRESS_BYTES:
             self.mark_progress(now_s)
@@ -117,6 +167,7 @@
     def mark_progress(self, now_s: float) -> None:
         """Record that the connection is not behind."""
         self._unmarked_bytes = 0
+        self._counted_to_s = now_s
         self.progressed_s = now_s
 
 
@@ -286,10 +337,14 @@
         connection, wanted_bytes = account.connection, 0
         if account.wanted_bytes is not None:
             wanted_bytes = max(0, account.wanted_bytes - account.reserved_bytes)
-        stalled_s = now_s - account.progressed_s
+        stalled_s, upload = now_s - account.progressed_s, None
+        if connection.uploading and not wanted_bytes:
+            missing_bytes, limit_s = connection.missing_bytes, connection.time_limit_s
+            upload = account.describe_upload(missing_bytes, limit_s, now_s)
         # A node that was late has not read what arrived meanwhile.
-        if stalled_s >= STALL_S and connection.has_unread_data:
-            stalled_s = 0.0
+        is_behind = stalled_s >= STALL_S or (upload is not None and upload.is_late)
+        if is_behind and connection.has_unread_data:
+            stalled_s, upload = 0.0, None
         group, known = connection.identify()
         return Holding(
             key=account.key,
@@ -301,6 +356,7 @@
             stalled_s=stalled_s,
             unfinished=connection.unfinished,
             unread=connection.unread,
+            upload=upload,
         )
 
     def _evict_connections(self, now_s: float) -> None:
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -228,6 +228,7 @@
                 on_error,
                 budget,
                 relay.identify,
+                relay.find_timeout,
             ),
             ready=make_operator_server(ready),
             control=make_operator_server(control),
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -77,6 +77,13 @@
         call = self._header_codec.decode_call(headers)
         return self._state.routes.workspace_name(call.api_key)
 
+    def find_timeout(self, headers: Headers, target: bytes) -> float | None:
+        """Return the time-out of a request's route, or None if it has no route."""
+        if self._state.routes is None:
+            return None
+        host = self._header_codec.decode_call(headers).host
+        return self._state.routes.route_timeout_s(host, target.decode("latin-1"))
+
     async def handle(self, exchange: Exchange) -> None:
         """Serve one request until its deadline; cancelled if the caller disconnects."""
         call = self._header_codec.decode_call(exchange.headers)
--- a/tests/decisions/test_memorybudget.py
+++ b/tests/decisions/test_memorybudget.py
@@ -5,6 +5,7 @@
 from cicadapass_decisions.memorybudget import (
     Holding,
     ShedReason,
+    Upload,
     choose_evictions,
     has_room,
     plan_grants,
@@ -77,6 +78,31 @@
         )
         self.assertEqual([2], shed_keys(result))
 
+    def test_an_upload_that_would_end_too_late_is_shed(self):
+        """Callers that sent 1 KB a second were kept for as long as they liked."""
+        slow = Upload(1_900_000, 9.0, 30.0, recent_bytes=4000, recent_s=4.0)
+        ordinary = Upload(1_900_000, 9.0, 30.0, recent_bytes=400_000, recent_s=4.0)
+        self.assertTrue(slow.is_late)
+        self.assertFalse(ordinary.is_late)
+        result = plan(
+            holding(1, 1_950_000, "b", upload=ordinary),
+            holding(2, 1_950_000, "c", upload=slow),
+            holding(3, 50_000, "d", stalled_s=1.5),
+            holding(4, 0, wanted_bytes=100_000),
+        )
+        self.assertEqual(((2, ShedReason.SLOW),), result.shed)
+        self.assertEqual({4}, result.granted)
+
+    def test_an_upload_is_not_judged_by_its_first_bytes(self):
+        """A caller that had just begun its body was refused as too slow."""
+        begun = Upload(1_900_000, 0.5, 30.0, recent_bytes=0, recent_s=0.5)
+        self.assertFalse(begun.is_late)
+
+    def test_the_end_of_an_upload_may_be_slower_than_its_beginning(self):
+        """A caller that soon had sent its body was refused for the last seconds."""
+        ending = Upload(100_000, 20.0, 30.0, recent_bytes=60_000, recent_s=4.0)
+        self.assertFalse(ending.is_late)
+
     def test_a_group_with_most_of_the_memory_is_shed_first(self):
         """Many connections of one workspace pushed out a single one of another."""
         crowd = [holding(key, 300_000, "big", stalled_s=1.0) for key in range(10)]
--- a/tests/decisions/test_routetable.py
+++ b/tests/decisions/test_routetable.py
@@ -68,6 +68,11 @@
         services = [TABLE.match("h", "/a/b/", "key", rng).service for _ in range(400)]
         self.assertTrue(60 < services.count("s") < 140, services.count("s"))
 
+    def test_the_timeout_of_a_route_needs_no_credential(self):
+        """An upload was judged by another time than that of its route."""
+        self.assertEqual(3.0, TABLE.route_timeout_s("h", "/a/x"))
+        self.assertIsNone(TABLE.route_timeout_s("other", "/a/x"))
+
     def test_shorter_target_of_the_service(self):
         """Long requests did not wait, and delayed those with a shorter target."""
         self.assertIsNone(TABLE.shorter_target_s(self.match("/a/x")))
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -116,6 +116,46 @@
 
         run_virtual(scenario())
 
+    def test_uploads_that_would_take_minutes_are_shed(self):
+        """Callers that sent 1.2 KB a second kept 131 KB each for two minutes.
+
+        Each of them made progress, so that requests of others were refused.
+        """
+
+        async def scenario():
+            server = self.start()
+            server.find_timeout = lambda headers, target: 30.0
+            ordinary = self.open(server)
+            self.receive(*ordinary, announced(500_000))
+            crowd = [self.open(server) for _ in range(10)]
+            for each in crowd:
+                self.receive(*each, announced(131_000))
+            sent = 0
+            for _ in range(5):
+                sent += self.receive(*ordinary, bytes(30_000))
+                for each in crowd:
+                    self.receive(*each, bytes(1100))
+                await self.pause(server, 0.9)
+            self.assertEqual([], self.shed)
+            small = self.open(server)
+            self.receive(*small, announced(120_000))
+            for _ in range(4):
+                sent += self.receive(*ordinary, bytes(30_000))
+                for each in crowd:
+                    self.receive(*each, bytes(1100))
+                await self.pause(server, 0.9)
+            self.receive(*small, bytes(120_000))
+            self.receive(*ordinary, bytes(500_000 - sent))
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", small[1].sent)
+            self.assertIn(b" 200 ", ordinary[1].sent)
+            # No more are shed than the others need.
+            self.assertEqual(["slow"], [reason for reason, _, _ in self.shed])
+            refused = [each for _, each in crowd if b" 408 " in each.sent]
+            self.assertEqual(1, len(refused))
+
+        run_virtual(scenario())
+
     def test_a_request_without_memory_is_refused(self):
         """A request waited for memory that a request in progress held."""
 
@@ -301,6 +341,7 @@
                 ended_unread=False,
                 unread=False,
                 has_unread_data=False,
+                uploading=False,
                 identify=lambda: ("w", True),
             )
             other = self.budget.open_account(busy, 0.0)
