Account for copies of requests that upstreams have not taken

Cause: a request is copied into the write buffer towards its upstream. The transport keeps the whole copy until its last byte is written, and the memory budget did not count it, so that a body towards an upstream that does not read took twice what was accounted for.

Change: from the moment at which the write buffer is over its limit (64 KB) until it has drained or the connection has ended, the copy counts among the bytes that others than the callers' connections hold. It does not count against the limit of responses' bodies.

Measured: with an upstream that does not read, a request of 8 MB counted 0 bytes beside the caller's body before, 8 MB and its head after, and 0 once it was read or given up.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -76,11 +76,19 @@
     limit_bytes: int = MAX_BUFFERED_BYTES
     # Reserved for bytes that are not read yet.
     reserved_bytes: int = 0
+    # Copies of requests that upstreams have not taken yet. They do not count against
+    # `limit_bytes`, since no response is refused for them.
+    unsent_bytes: int = 0
     # Whether the memory of the node has room for so many bytes more.
     has_room: Callable[[int], bool] = lambda added_bytes: True
     _waiting: deque[tuple[int, asyncio.Future[None]]] = field(default_factory=deque)
     _first_since_s: float = 0.0
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that responses and copies of requests take."""
+        return self.used_bytes + self.reserved_bytes + self.unsent_bytes
+
     @property
     def wanted_bytes(self) -> int:
         """Return what the body that waits for longest waits for, or 0."""
@@ -164,6 +172,10 @@
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
+        # The size of the current request, and what of it is accounted for while its
+        # upstream has not taken it.
+        self._request_bytes = 0
+        self._unsent_bytes = 0
         # While true, nothing is read for want of memory, and for how long that was so
         # in this exchange.
         self._held_back = False
@@ -190,6 +202,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the reader, which then raises `AnswerBroken`."""
         self._closed = True
+        self._charge_unsent(0)
         self._lost_error = exc
         self._wake()
 
@@ -201,6 +214,21 @@
         self._wake()
         return False
 
+    def pause_writing(self) -> None:
+        """Account for a request that the upstream does not take at once.
+
+        The transport keeps the whole copy until the last byte is written.
+        """
+        self._charge_unsent(self._request_bytes)
+
+    def resume_writing(self) -> None:
+        """Release the copy of a request that the upstream has taken."""
+        self._charge_unsent(0)
+
+    def _charge_unsent(self, unsent_bytes: int) -> None:
+        self._buffer.unsent_bytes += unsent_bytes - self._unsent_bytes
+        self._unsent_bytes = unsent_bytes
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that all connections read into."""
         return _READ_BUFFER
@@ -322,7 +350,9 @@
         if body:
             chunks.append(self._parser.send(h11.Data(data=body)))
         chunks.append(self._parser.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(chunk for chunk in chunks if chunk))
+        data = b"".join(chunk for chunk in chunks if chunk)
+        self._request_bytes = len(data)
+        self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the final response; informational ones are skipped."""
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -192,7 +192,7 @@
         budget = MemoryBudget(
             limits,
             shed_log.record,
-            lambda: pool.buffer.used_bytes + pool.buffer.reserved_bytes,
+            lambda: pool.buffer.held_bytes,
             lambda: pool.buffer.wanted_bytes,
         )
         pool.buffer.has_room = budget.has_room
--- a/tests/gateway/test_httpclient.py
+++ b/tests/gateway/test_httpclient.py
@@ -1,6 +1,7 @@
 """Test the pool of connections to upstreams."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 from cicadapass_gateway import httpclient
@@ -193,3 +194,56 @@
             self.assertEqual((3000, 0), (buffer.reserved_bytes, buffer.wanted_bytes))
 
         run_virtual(scenario())
+
+
+class UnsentRequestTest(LoopTest):
+    """Send requests to an upstream that does not read them."""
+
+    size = 8_000_000
+
+    async def send_unread(self):
+        """Send a request; return its channel, its buffer, and what lets it be read."""
+        may_read = asyncio.Event()
+
+        async def serve(reader, writer):
+            # The connection is lost, or the test ends.
+            with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+                await may_read.wait()
+                while await reader.read(65_536):
+                    pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(server.close)
+        buffer = BodyBuffer()
+        port = server.sockets[0].getsockname()[1]
+        channel = await connect(HOST, port, 5.0, buffer)
+        length = (b"content-length", str(self.size).encode())
+        channel.send(b"POST", b"/", [*HEADERS, length], bytes(self.size))
+        return channel, buffer, may_read
+
+    def test_a_copy_counts_until_the_upstream_has_taken_it(self):
+        """Copies of bodies for slow upstreams were not accounted for."""
+
+        async def scenario():
+            channel, buffer, may_read = await self.send_unread()
+            self.assertGreater(buffer.held_bytes, self.size)
+            self.assertEqual(0, buffer.used_bytes)
+            may_read.set()
+            await until(lambda: channel.written)
+            await until(lambda: buffer.held_bytes == 0)
+            channel.abort()
+
+        self.run_loop(scenario())
+
+    def test_a_copy_is_released_with_its_connection(self):
+        """A request that was given up took memory for ever."""
+
+        async def scenario():
+            channel, buffer, may_read = await self.send_unread()
+            self.assertGreater(buffer.held_bytes, self.size)
+            channel.abort()
+            await until(lambda: buffer.held_bytes == 0)
+            may_read.set()
+
+        self.run_loop(scenario())
