Revert "Read responses of upstreams as far as the budget has room for them"

Cause: lets bodies over 64 KB wait for room in one queue, of which the first is read after 2 s at the latest. Requests in progress are never shed, so that waiting does not make room while they hold the budget, and one response is read each 2 s on the whole node. Others reach their deadline with 504 although their upstream has run them and has sent the response.

Change: the reverted code and its tests are removed. The account of copies of requests, which was built on it, stays.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -2,9 +2,8 @@
 
 import asyncio
 import re
-from collections import deque
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import cast
 
 import h11
@@ -21,28 +20,13 @@
 DEFAULT_KEEP_ALIVE_S = 2.0
 # An upstream that sends more informational responses than this sends no final one.
 MAX_INFORMATIONAL_RESPONSES = 16
-# A connection with this many unread bytes or more is not read until they are consumed.
-MAX_UNREAD_BYTES = 65_536
-# Most bytes that are read at once, into a buffer that all connections share. Otherwise
-# uvloop reads 256 KB of a response before its length is known.
-READ_BYTES = 65_536
+# A connection with more unread bytes than this is not read until they are consumed.
+MAX_UNREAD_BYTES = 262_144
 # Chunks that are parsed before other connections get their turn.
 CHUNKS_PER_TURN = 32
 # Bytes of response bodies that all connections of a process may buffer. Each body may
 # take half of what the others leave, so that endless ones do not displace short ones.
 MAX_BUFFERED_BYTES = 33_554_432
-# Bodies of up to this size never wait for memory.
-SMALL_BODY_BYTES = 65_536
-# A body without a length reserves this much at a time: two reads.
-GROWTH_BYTES = 131_072
-# No body waits for more than this part of the limit to be free, since a response is not
-# refused for its size alone.
-MAX_AWAITED_FRACTION = 0.25
-# Time after which the first body that waits is read although the budget is exceeded, so
-# that bodies do not wait for one another. Unread responses are given up in less.
-MAX_WAIT_S = 2.0
-# Interval at which those that wait are looked at.
-ROOM_CHECK_S = 0.05
 # Fraction of that time in which an idle connection is reused; later, the upstream may
 # already have closed it.
 KEEP_ALIVE_FRACTION = 0.5
@@ -55,8 +39,6 @@
 # A connection that has refused more requests than this is closed, which bounds the ids
 # that it stores.
 MAX_REFUSALS = 64
-# Each connection copies what it read before another one reads.
-_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
 
@@ -74,66 +56,14 @@
 
     used_bytes: int = 0
     limit_bytes: int = MAX_BUFFERED_BYTES
-    # Reserved for bytes that are not read yet.
-    reserved_bytes: int = 0
     # Copies of requests that upstreams have not taken yet. They do not count against
     # `limit_bytes`, since no response is refused for them.
     unsent_bytes: int = 0
-    # Whether the memory of the node has room for so many bytes more.
-    has_room: Callable[[int], bool] = lambda added_bytes: True
-    _waiting: deque[tuple[int, asyncio.Future[None]]] = field(default_factory=deque)
-    _first_since_s: float = 0.0
 
     @property
     def held_bytes(self) -> int:
         """Return the memory that responses and copies of requests take."""
-        return self.used_bytes + self.reserved_bytes + self.unsent_bytes
-
-    @property
-    def wanted_bytes(self) -> int:
-        """Return what the body that waits for longest waits for, or 0."""
-        return self._awaited_bytes(self._waiting[0][0]) if self._waiting else 0
-
-    def try_reserve(self, added_bytes: int) -> bool:
-        """Reserve bytes if there is room and no other body waits for it."""
-        if self._waiting or not self.has_room(self._awaited_bytes(added_bytes)):
-            return False
-        self.reserved_bytes += added_bytes
-        return True
-
-    async def reserve(self, added_bytes: int) -> None:
-        """Wait until there is room, after those that wait already."""
-        loop = asyncio.get_running_loop()
-        waiter = (added_bytes, loop.create_future())
-        self._waiting.append(waiter)
-        if len(self._waiting) == 1:
-            self._first_since_s = loop.time()
-            loop.call_later(ROOM_CHECK_S, self._check_room)
-        try:
-            await waiter[1]
-        except asyncio.CancelledError:
-            if waiter in self._waiting:
-                self._waiting.remove(waiter)
-            else:
-                self.reserved_bytes -= added_bytes
-            raise
-
-    def _check_room(self) -> None:
-        loop = asyncio.get_running_loop()
-        while self._waiting:
-            added_bytes, future = self._waiting[0]
-            overdue = loop.time() - self._first_since_s >= MAX_WAIT_S
-            if not overdue and not self.has_room(self._awaited_bytes(added_bytes)):
-                loop.call_later(ROOM_CHECK_S, self._check_room)
-                return
-            self._waiting.popleft()
-            self._first_since_s = loop.time()
-            if not future.done():
-                self.reserved_bytes += added_bytes
-                future.set_result(None)
-
-    def _awaited_bytes(self, added_bytes: int) -> int:
-        return min(added_bytes, int(self.limit_bytes * MAX_AWAITED_FRACTION))
+        return self.used_bytes + self.unsent_bytes
 
     def grow(self, held_bytes: int, added_bytes: int) -> None:
         """Add to a body of `held_bytes`; raise `AnswerBroken` if it is too large."""
@@ -150,7 +80,7 @@
         self.used_bytes -= held_bytes
 
 
-class ClientChannel(asyncio.BufferedProtocol):
+class ClientChannel(asyncio.Protocol):
     """Send one request at a time over a connection and read its response."""
 
     def __init__(self, buffer: BodyBuffer) -> None:
@@ -176,13 +106,6 @@
         # upstream has not taken it.
         self._request_bytes = 0
         self._unsent_bytes = 0
-        # While true, nothing is read for want of memory, and for how long that was so
-        # in this exchange.
-        self._held_back = False
-        self._held_back_s = 0.0
-        self._resumed_s = 0.0
-        # The length of the response's body, if its head states it.
-        self._announced_bytes: int | None = None
         self._budget = ParsingBudget(0.0)
         self._chunks_in_turn = 0
         self._responding = False
@@ -229,14 +152,6 @@
         self._buffer.unsent_bytes += unsent_bytes - self._unsent_bytes
         self._unsent_bytes = unsent_bytes
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer that all connections read into."""
-        return _READ_BUFFER
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Copy what was read."""
-        self.data_received(bytes(_READ_BUFFER[:nbytes]))
-
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes outside an exchange reset the connection."""
         if not self._in_use:
@@ -250,8 +165,9 @@
         else:
             self._parser.receive_data(data)
         self._unread_bytes += len(data)
-        if self._unread_bytes >= MAX_UNREAD_BYTES:
-            self._pause_reading()
+        if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
+            self._reading_paused = True
+            self._transport.pause_reading()
         self._wake()
 
     @property
@@ -269,21 +185,6 @@
         """Return the number of bytes of the current response so far."""
         return self._received_bytes
 
-    @property
-    def held_back(self) -> bool:
-        """Return whether nothing is read for want of memory."""
-        return self._held_back
-
-    @property
-    def held_back_s(self) -> float:
-        """Return for how long nothing was read for want of memory."""
-        return self._held_back_s
-
-    @property
-    def resumed_s(self) -> float:
-        """Return when reading last went on after a want of memory, or 0."""
-        return self._resumed_s
-
     @property
     def ended_by_peer(self) -> bool:
         """Return whether the upstream or the network ended the connection."""
@@ -341,8 +242,6 @@
         self._responding = False
         self._received_s = 0.0
         self._received_bytes = 0
-        self._held_back_s = self._resumed_s = 0.0
-        self._announced_bytes = None
         self._response_closes = False
         self._method = method
         request = h11.Request(method=method, target=target, headers=list(headers))
@@ -395,51 +294,17 @@
             return None
         raise AnswerBroken("the connection was closed within a response")
 
-    async def read_remaining(self, *, within_budget: bool = False) -> bytes:
-        """Return the rest of the body; raise `AnswerBroken` if it is too large.
-
-        With `within_budget`, a body that is not small is read only as far as the memory
-        of the node has room for it; until then the upstream is slowed by TCP.
-        """
-        body, reserved_bytes = bytearray(), 0
+    async def read_remaining(self) -> bytes:
+        """Return the rest of the body; raise `AnswerBroken` if it is too large."""
+        body = bytearray()
         try:
-            while True:
-                if within_budget and reserved_bytes <= 0:
-                    reserved_bytes += await self._reserve_room(len(body))
-                chunk = await self.read_body()
-                if chunk is None:
-                    return bytes(body)
+            while (chunk := await self.read_body()) is not None:
                 self._buffer.grow(len(body), len(chunk))
                 body += chunk
-                used_bytes = min(reserved_bytes, len(chunk))
-                self._buffer.reserved_bytes -= used_bytes
-                reserved_bytes -= used_bytes
+            return bytes(body)
         finally:
-            self._buffer.reserved_bytes -= reserved_bytes
             self._buffer.release(len(body))
 
-    async def _reserve_room(self, held_bytes: int) -> int:
-        """Return what was reserved for the rest of a body, or for its next part."""
-        if self._announced_bytes is not None:
-            needed_bytes = self._announced_bytes - held_bytes
-            is_small = self._announced_bytes <= SMALL_BODY_BYTES
-        else:
-            needed_bytes = GROWTH_BYTES
-            is_small = held_bytes < SMALL_BODY_BYTES
-        if is_small or needed_bytes <= 0:
-            return 0
-        if not self._buffer.try_reserve(needed_bytes):
-            began_s = self._loop.time()
-            self._pause_reading()
-            self._held_back = True
-            try:
-                await self._buffer.reserve(needed_bytes)
-            finally:
-                self._held_back = False
-                self._resumed_s = self._loop.time()
-                self._held_back_s += self._resumed_s - began_s
-        return needed_bytes
-
     def spend_events(self, count: int) -> None:
         """Count events of the body; raise `AnswerBroken` if they are too many."""
         self._budget.spend(count, 0, self._loop.time())
@@ -511,11 +376,6 @@
         finally:
             self._waiter = None
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and not self._closed:
-            self._reading_paused = True
-            self._transport.pause_reading()
-
     def _resume_reading(self) -> None:
         self._unread_bytes = 0
         if self._reading_paused and self._transport is not None:
@@ -528,11 +388,7 @@
         for name, value in response.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 self._delimited = True
-            if name == b"content-length":
-                # Some responses state the length of a body that they do not have.
-                has_body = self._may_have_body(response)
-                self._announced_bytes = int(value) if has_body else 0
-            if name == b"transfer-encoding" and self._may_have_body(response):
+            if name == b"transfer-encoding" and self._may_have_chunks(response):
                 self._chunked = ChunkedBody(MAX_RESPONSE_HEAD_BYTES)
                 if received := self._parser.trailing_data[0]:
                     self._chunked.receive(received)
@@ -541,8 +397,8 @@
             elif name == b"keep-alive":
                 self._keep_alive_s = _parse_timeout(value, self._keep_alive_s)
 
-    def _may_have_body(self, response: h11.Response) -> bool:
-        """Return whether a response with a length or an encoding has a body.
+    def _may_have_chunks(self, response: h11.Response) -> bool:
+        """Return whether the body of a response with an encoding is not empty.
 
         h11 accepts no other encoding than chunks.
         """
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -176,8 +176,7 @@
 
     `on_shed` gets the reason, the bytes and the group of each request that is refused
     and of each connection that is closed. `other_bytes` returns what others hold of the
-    memory, such as the responses of upstreams that are not complete, and `other_wanted`
-    what these wait for.
+    memory, such as the responses of upstreams that are not complete.
     """
 
     def __init__(
@@ -185,12 +184,10 @@
         limits: BudgetLimits,
         on_shed: Callable[[str, int, str], None] = lambda reason, held, group: None,
         other_bytes: Callable[[], int] = lambda: 0,
-        other_wanted: Callable[[], int] = lambda: 0,
     ) -> None:
         self._limits = limits
         self._on_shed = on_shed
         self._other_bytes = other_bytes
-        self._other_wanted = other_wanted
         self._accounts: dict[int, MemoryAccount] = {}
         self._reserved_bytes = 0
         self._waiting = 0
@@ -210,13 +207,9 @@
         """Return the limit of the bytes."""
         return self._limits.capacity_bytes
 
-    def has_room(self, added_bytes: int) -> bool:
-        """Return whether the limit allows so many bytes more."""
-        return self.used_bytes + added_bytes <= self._limits.capacity_bytes
-
     @property
     def _is_scarce(self) -> bool:
-        return bool(self._waiting) or not self.has_room(self._other_wanted())
+        return bool(self._waiting) or self.used_bytes > self._limits.capacity_bytes
 
     @property
     def largest_request_bytes(self) -> int:
@@ -319,9 +312,7 @@
             or each.wanted_bytes is not None
         ]
         self._planned_holdings = len(holdings)
-        # Responses come first, since their upstreams have begun the work.
-        used_bytes = self.used_bytes + self._other_wanted()
-        plan = plan_grants(holdings, used_bytes, self._limits.capacity_bytes)
+        plan = plan_grants(holdings, self.used_bytes, self._limits.capacity_bytes)
         self._carry_out(plan, {each.key: each for each in holdings}, now_s)
 
     def _carry_out(
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -151,11 +151,7 @@
         """Return for how long the upstream has sent nothing that is waited for."""
         if self._waiting_since_s is None or self._channel is None:
             return 0.0
-        if self._channel.held_back:
-            return 0.0
-        since_s = max(
-            self._waiting_since_s, self._channel.received_s, self._channel.resumed_s
-        )
+        since_s = max(self._waiting_since_s, self._channel.received_s)
         return self._state.clock() - since_s
 
     def lose(self) -> None:
@@ -343,8 +339,7 @@
             raise
         finally:
             now_s = self._state.clock()
-            # Only a body is held back, and a single wait covers all of it.
-            silent_s = now_s - began_s - channel.held_back_s
+            silent_s = now_s - began_s
             if outcome is not SilenceOutcome.RESUMED:
                 silent_s = self.silent_s()
             self._waiting_since_s = None
@@ -408,9 +403,7 @@
     async def _relay_body(self, response: OpenResponse) -> AttemptResult:
         """Forward a response that is not a stream, once it is complete."""
         request, status = self._request, response.status
-        body = await self._wait_for(
-            response.channel, response.channel.read_remaining(within_budget=True)
-        )
+        body = await self._wait_for(response.channel, response.channel.read_remaining())
         if status < 300 and not response.channel.delimited:
             check_undelimited_end(has_data=bool(body), stopping=False)
         self._record_end_of_answer(response)
