Keep uploads that pause for a second

Cause: the rate of an upload was judged from one second on, and a pause of up to a second counted as time in which it sent. A caller that paused after its head, or once within its body, was refused as too slow although it would have ended within its route's time-out.

Change: an upload is judged from 2 s on, and one second of those judged is left out of its rate. At a steady rate, an upload is kept up to twice as long as its rate allows; it is late as soon as the time that is left has shrunk accordingly.

Measured in virtual time: a body of 600 KB to a route of 2.7 s, sent within 1.4 s after a pause of 0.95 s beside a request that waits for memory, got 408 before and gets 200 now. The uploads of 1.2 KB a second in test_uploads_that_would_take_minutes_are_shed are shed as before.

--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -71,11 +71,16 @@
 
     @property
     def is_late(self) -> bool:
-        """Return whether the body would not end in time at its current rate."""
-        if self.recent_s < STALL_S:
+        """Return whether the body would not end in time at its current rate.
+
+        The rate excludes one pause of `STALL_S`, so uploads are judged only after twice
+        that time.
+        """
+        if self.recent_s < 2 * STALL_S:
             return False
         left_s = self.limit_s - self.elapsed_s
-        return self.recent_bytes * left_s < self.remaining_bytes * self.recent_s
+        sending_s = self.recent_s - STALL_S
+        return self.recent_bytes * left_s < self.remaining_bytes * sending_s
 
 
 class ShedReason(Enum):
--- a/tests/decisions/test_memorybudget.py
+++ b/tests/decisions/test_memorybudget.py
@@ -98,6 +98,19 @@
         begun = Upload(1_900_000, 0.5, 30.0, recent_bytes=0, recent_s=0.5)
         self.assertFalse(begun.is_late)
 
+    def test_an_upload_may_pause_for_a_second(self):
+        """A caller that paused once was refused, although it would have ended in time.
+
+        Each of these sends its body at a pace that ends in 2.7 s or 10 s but for the
+        pause, which was taken for a part of its pace.
+        """
+        paused_first = Upload(100_000, 1.1, 2.7, recent_bytes=10_000, recent_s=1.1)
+        self.assertFalse(paused_first.is_late)
+        paused_later = Upload(400_000, 6.0, 10.0, recent_bytes=110_000, recent_s=2.0)
+        self.assertFalse(paused_later.is_late)
+        without_pause = Upload(400_000, 6.0, 10.0, recent_bytes=30_000, recent_s=2.0)
+        self.assertTrue(without_pause.is_late)
+
     def test_the_end_of_an_upload_may_be_slower_than_its_beginning(self):
         """A caller that soon had sent its body was refused for the last seconds."""
         ending = Upload(100_000, 20.0, 30.0, recent_bytes=60_000, recent_s=4.0)
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -156,6 +156,32 @@
 
         run_virtual(scenario())
 
+    def test_an_upload_that_pauses_for_a_second_is_kept(self):
+        """A caller was refused for the rate of a time in which it paused."""
+
+        async def scenario():
+            async def respond(exchange):
+                if len(exchange.body) == 800_000:
+                    await asyncio.sleep(9.0)
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            server.find_timeout = lambda headers, target: 2.7
+            running, ordinary, other = (self.open(server) for _ in range(3))
+            self.receive(*running, announced(800_000) + bytes(800_000))
+            self.receive(*ordinary, announced(600_000))
+            await self.pause(server, 0.95)
+            self.receive(*ordinary, bytes(60_000))
+            # It waits for what the others hold.
+            self.receive(*other, announced(400_000))
+            for _ in range(9):
+                await self.pause(server, 0.15)
+                self.receive(*ordinary, bytes(60_000))
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", ordinary[1].sent)
+
+        run_virtual(scenario())
+
     def test_a_request_without_memory_is_refused(self):
         """A request waited for memory that a request in progress held."""
 
