Let small requests pass copies of large ones

Cause: since copies of requests that an upstream has not taken count in the budget, a large request towards a slow upstream counts twice. A few of them exceed the budget, also the quarter of it that is left to requests up to 128 KB, and all of these were refused with 503 after 3 s although memory outside the budget is set aside for the copies.

Change: requests up to 128 KB do not wait for copies; larger ones do. The copies count in `caller_bytes` and for shedding as before. Small requests can thus exceed the budget by the copies, as they could before these were counted.

Measured in virtual time, budget 2 MB, a request of 900 KB in progress and 1.1 MB of copies: a request of 72 KB got 503 before and gets 200 now; one of 400 KB gets 503 as before.

--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -106,17 +106,27 @@
 
 
 def has_room(
-    total_bytes: int, added_bytes: int, used_bytes: int, capacity_bytes: int
+    total_bytes: int,
+    added_bytes: int,
+    used_bytes: int,
+    capacity_bytes: int,
+    copied_bytes: int = 0,
 ) -> bool:
-    """Return whether a request of `total_bytes` may have `added_bytes` more."""
-    limit_bytes = float(capacity_bytes)
+    """Return whether a request of `total_bytes` may have `added_bytes` more.
+
+    `copied_bytes` of those used are copies of requests that upstreams have not taken.
+    Only large requests wait for these, since a few of them could block all others.
+    """
     if total_bytes > SMALL_BYTES:
-        limit_bytes *= 1 - SMALL_FRACTION
-    return used_bytes + added_bytes <= limit_bytes
+        return used_bytes + added_bytes <= capacity_bytes * (1 - SMALL_FRACTION)
+    return used_bytes - copied_bytes + added_bytes <= capacity_bytes
 
 
 def plan_grants(
-    holdings: Sequence[Holding], used_bytes: int, capacity_bytes: int
+    holdings: Sequence[Holding],
+    used_bytes: int,
+    capacity_bytes: int,
+    copied_bytes: int = 0,
 ) -> GrantPlan:
     """Return which waiting requests are granted, and whom to shed for them."""
     waiting = [each for each in holdings if each.wanted_bytes]
@@ -134,10 +144,11 @@
         position += 1
     for each in waiting:
         total, added = _total_bytes(each), each.wanted_bytes
-        if not has_room(total, added, used_bytes - reclaimable_bytes, capacity_bytes):
+        least_bytes = used_bytes - reclaimable_bytes
+        if not has_room(total, added, least_bytes, capacity_bytes, copied_bytes):
             # Larger requests do not fit either, and shedding would not help.
             break
-        while not has_room(total, added, used_bytes, capacity_bytes):
+        while not has_room(total, added, used_bytes, capacity_bytes, copied_bytes):
             victim = victims[position]
             position += 1
             used_bytes -= victim.held_bytes
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -176,7 +176,8 @@
 
     `on_shed` gets the reason, the bytes and the group of each request that is refused
     and of each connection that is closed. `other_bytes` returns what others hold of the
-    memory, such as the responses of upstreams that are not complete.
+    memory, such as the responses of upstreams that are not complete, and `copied_bytes`
+    the part of it that is copies of requests which upstreams have not taken.
     """
 
     def __init__(
@@ -184,10 +185,12 @@
         limits: BudgetLimits,
         on_shed: Callable[[str, int, str], None] = lambda reason, held, group: None,
         other_bytes: Callable[[], int] = lambda: 0,
+        copied_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         self._limits = limits
         self._on_shed = on_shed
         self._other_bytes = other_bytes
+        self._copied_bytes = copied_bytes
         self._accounts: dict[int, MemoryAccount] = {}
         self._reserved_bytes = 0
         self._waiting = 0
@@ -256,8 +259,10 @@
         added_bytes = total_bytes - account.reserved_bytes
         if added_bytes <= 0:
             return True
-        capacity_bytes = self._limits.capacity_bytes
-        if not has_room(total_bytes, added_bytes, self.used_bytes, capacity_bytes):
+        capacity_bytes, copied_bytes = self._limits.capacity_bytes, self._copied_bytes()
+        if not has_room(
+            total_bytes, added_bytes, self.used_bytes, capacity_bytes, copied_bytes
+        ):
             return False
         account.reserved_bytes = total_bytes
         self._reserved_bytes += added_bytes
@@ -312,7 +317,12 @@
             or each.wanted_bytes is not None
         ]
         self._planned_holdings = len(holdings)
-        plan = plan_grants(holdings, self.used_bytes, self._limits.capacity_bytes)
+        plan = plan_grants(
+            holdings,
+            self.used_bytes,
+            self._limits.capacity_bytes,
+            self._copied_bytes(),
+        )
         self._carry_out(plan, {each.key: each for each in holdings}, now_s)
 
     def _carry_out(
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -189,7 +189,12 @@
         relay = Relay(state, adapter.header_codec, pool, usage, migrator)
 
         shed_log = ShedLog(events, state.metrics)
-        budget = MemoryBudget(limits, shed_log.record, lambda: pool.buffer.held_bytes)
+        budget = MemoryBudget(
+            limits,
+            shed_log.record,
+            lambda: pool.buffer.held_bytes,
+            lambda: pool.buffer.unsent_bytes,
+        )
         operator_budget = MemoryBudget(OPERATOR_LIMITS, shed_log.record)
 
         def make_operator_server(handler: Handler) -> HttpServer:
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -156,6 +156,35 @@
 
         run_virtual(scenario())
 
+    def test_copies_of_large_requests_leave_room_for_small_ones(self):
+        """A few large requests to a slow upstream had all others refused."""
+
+        async def scenario():
+            async def respond(exchange):
+                if len(exchange.body) == 900_000:
+                    await asyncio.sleep(9.0)
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            copied = []
+            self.budget = server.budget = MemoryBudget(
+                BudgetLimits(CAPACITY_BYTES, 100),
+                other_bytes=lambda: sum(copied),
+                copied_bytes=lambda: sum(copied),
+            )
+            running, small, large = (self.open(server) for _ in range(3))
+            self.receive(*running, announced(900_000) + bytes(900_000))
+            # The upstream takes nothing of it.
+            copied.append(1_100_000)
+            self.assertGreater(self.budget.used_bytes, CAPACITY_BYTES)
+            self.receive(*small, announced(72_000) + bytes(72_000))
+            self.receive(*large, announced(400_000) + bytes(400_000))
+            await self.pause(server, 3.5)
+            self.assertIn(b" 200 ", small[1].sent)
+            self.assertIn(b" 503 ", large[1].sent)
+
+        run_virtual(scenario())
+
     def test_an_upload_that_pauses_for_a_second_is_kept(self):
         """A caller was refused for the rate of a time in which it paused."""
 
