--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -320,11 +320,12 @@
 of each service get requests: that of most of its engines, or all if it has no order.
 875 warning callers_shed(reason, count, held_bytes, source, source_count)
     Callers were turned away since the last line of this reason: their unfinished \
-requests made no progress while others needed the memory (`stalled`, status 408), no \
-memory became free for them (`no_memory`, status 503), they did not read their \
-responses while these exceeded the memory (`unread`, reset), or there were too many \
-connections (`connections`, closed). `source` is the workspace, or the address of \
-callers without a valid key, of most of them.
+requests made no progress while others needed the memory (`stalled`, status 408), or \
+would not have ended within their route's time-out (`slow`, status 408), no memory \
+became free for them (`no_memory`, status 503), they did not read their responses \
+while these exceeded the memory (`unread`, reset), or there were too many connections \
+(`connections`, closed). `source` is the workspace, or the address of callers without \
+a valid key, of most of them.
 885 warning capacity_report_malformed(peer, reason)
     A peer's state has totals of engines that cannot be read; the rest of it counts.
 886 info capacity_learning_enabled()
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -30,6 +30,12 @@
 # Fraction of that time in which an idle connection is reused; later, the upstream may
 # already have closed it.
 KEEP_ALIVE_FRACTION = 0.5
+# Idle connections kept to one address. Without a bound, each request of a burst leaves
+# an idle descriptor, beside those of the callers.
+MAX_IDLE_PER_ADDRESS = 16
+# Idle connections kept in all: half of the descriptors that are reserved for upstreams,
+# peers, the log and the node's own listeners.
+MAX_IDLE = 100
 # A connection that has refused more requests than this is closed, which bounds the ids
 # that it stores.
 MAX_REFUSALS = 64
@@ -50,6 +56,14 @@
 
     used_bytes: int = 0
     limit_bytes: int = MAX_BUFFERED_BYTES
+    # Copies of requests that upstreams have not taken yet. They do not count against
+    # `limit_bytes`, since no response is refused for them.
+    unsent_bytes: int = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that responses and copies of requests take."""
+        return self.used_bytes + self.unsent_bytes
 
     def grow(self, held_bytes: int, added_bytes: int) -> None:
         """Add to a body of `held_bytes`; raise `AnswerBroken` if it is too large."""
@@ -88,11 +102,16 @@
         # Bytes received since the parser last ran out of data.
         self._unread_bytes = 0
         self._reading_paused = False
+        # The size of the current request, and what of it is accounted for while its
+        # upstream has not taken it.
+        self._request_bytes = 0
+        self._unsent_bytes = 0
         self._budget = ParsingBudget(0.0)
         self._chunks_in_turn = 0
         self._responding = False
         self._received_s = 0.0
         self._received_bytes = 0
+        self._idle_since_s = 0.0
         self._reusable_until_s = 0.0
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._refused_ids: set[str] = set()
@@ -106,6 +125,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Wake the reader, which then raises `AnswerBroken`."""
         self._closed = True
+        self._charge_unsent(0)
         self._lost_error = exc
         self._wake()
 
@@ -117,6 +137,21 @@
         self._wake()
         return False
 
+    def pause_writing(self) -> None:
+        """Account for a request that the upstream does not take at once.
+
+        The transport keeps the whole copy until the last byte is written.
+        """
+        self._charge_unsent(self._request_bytes)
+
+    def resume_writing(self) -> None:
+        """Release the copy of a request that the upstream has taken."""
+        self._charge_unsent(0)
+
+    def _charge_unsent(self, unsent_bytes: int) -> None:
+        self._buffer.unsent_bytes += unsent_bytes - self._unsent_bytes
+        self._unsent_bytes = unsent_bytes
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; bytes outside an exchange reset the connection."""
         if not self._in_use:
@@ -168,6 +203,11 @@
         """Return whether the whole request was passed to the kernel."""
         return self._transport is None or not self._transport.get_write_buffer_size()
 
+    @property
+    def idle_since_s(self) -> float:
+        """Return when the last exchange ended, or 0."""
+        return self._idle_since_s
+
     def is_reusable(self, now_s: float) -> bool:
         """Return whether the connection may carry another request."""
         return not self._closed and now_s < self._reusable_until_s
@@ -209,7 +249,9 @@
         if body:
             chunks.append(self._parser.send(h11.Data(data=body)))
         chunks.append(self._parser.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(chunk for chunk in chunks if chunk))
+        data = b"".join(chunk for chunk in chunks if chunk)
+        self._request_bytes = len(data)
+        self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
         """Return the head of the final response; informational ones are skipped."""
@@ -287,7 +329,8 @@
         self._resume_reading()
         self._in_use = False
         idle_limit_s = self._keep_alive_s * KEEP_ALIVE_FRACTION
-        self._reusable_until_s = self._loop.time() + idle_limit_s
+        self._idle_since_s = self._loop.time()
+        self._reusable_until_s = self._idle_since_s + idle_limit_s
         return True
 
     def _is_response_complete(self) -> bool:
@@ -396,6 +439,7 @@
     def __init__(self) -> None:
         self.buffer = BodyBuffer()
         self._idle: dict[tuple[str, int], list[ClientChannel]] = {}
+        self._idle_count = 0
 
     async def acquire(
         self,
@@ -425,7 +469,11 @@
         """
         idle = self._idle.get(address)
         if idle:
-            idle.pop(0).abort()
+            self._remove(address, 0).abort()
+
+    def _remove(self, address: tuple[str, int], position: int) -> ClientChannel:
+        self._idle_count -= 1
+        return self._idle[address].pop(position)
 
     def _take_idle(
         self, address: tuple[str, int], request_id: str | None
@@ -436,11 +484,9 @@
             channel = idle[position]
             # Bytes that arrived before the request belong to no response to it.
             if not channel.is_reusable(now_s) or channel.has_unread_data:
-                del idle[position]
-                channel.abort()
+                self._remove(address, position).abort()
             elif not channel.has_refused(request_id):
-                del idle[position]
-                return channel
+                return self._remove(address, position)
         return None
 
     def release(
@@ -459,6 +505,20 @@
             channel.record_refusal(refused_id)
         if channel.finish_exchange():
             self._idle.setdefault((host, port), []).append(channel)
+            self._idle_count += 1
+            self._bound_idle((host, port))
+
+    def _bound_idle(self, address: tuple[str, int]) -> None:
+        """Close the oldest idle connections beyond the limits."""
+        if len(self._idle[address]) > MAX_IDLE_PER_ADDRESS:
+            self._close_oldest_idle(address)
+        if self._idle_count > MAX_IDLE:
+            oldest = min(
+                (channels[0].idle_since_s, each)
+                for each, channels in self._idle.items()
+                if channels
+            )
+            self._close_oldest_idle(oldest[1])
 
     def close_expired(self, now_s: float) -> None:
         """Close the idle connections that can no longer be reused."""
@@ -469,6 +529,7 @@
             for channel in channels:
                 if not channel.is_reusable(now_s):
                     channel.abort()
+            self._idle_count -= len(channels) - len(reusable)
             if reusable:
                 self._idle[address] = reusable
             else:
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -188,7 +188,12 @@
         relay = Relay(state, adapter.header_codec, pool, usage, migrator)
 
         shed_log = ShedLog(events, state.metrics)
-        budget = MemoryBudget(limits, shed_log.record, lambda: pool.buffer.used_bytes)
+        budget = MemoryBudget(
+            limits,
+            shed_log.record,
+            lambda: pool.buffer.held_bytes,
+            lambda: pool.buffer.unsent_bytes,
+        )
         operator_budget = MemoryBudget(OPERATOR_LIMITS, shed_log.record)
 
         def make_operator_server(handler: Handler) -> HttpServer:
@@ -227,6 +232,7 @@
                 on_error,
                 budget,
                 relay.identify,
+                relay.find_timeout,
             ),
             ready=make_operator_server(ready),
             control=make_operator_server(control),
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -116,6 +116,101 @@
 
         run_virtual(scenario())
 
+    def test_uploads_that_would_take_minutes_are_shed(self):
+        """Callers that sent 1.2 KB a second kept 131 KB each for two minutes.
+
+        Each of them made progress, so that requests of others were refused.
+        """
+
+        async def scenario():
+            server = self.start()
+            server.find_timeout = lambda headers, target: 30.0
+            ordinary = self.open(server)
+            self.receive(*ordinary, announced(500_000))
+            crowd = [self.open(server) for _ in range(10)]
+            for each in crowd:
+                self.receive(*each, announced(131_000))
+            sent = 0
+            for _ in range(5):
+                sent += self.receive(*ordinary, bytes(30_000))
+                for each in crowd:
+                    self.receive(*each, bytes(1100))
+                await self.pause(server, 0.9)
+            self.assertEqual([], self.shed)
+            small = self.open(server)
+            self.receive(*small, announced(120_000))
+            for _ in range(4):
+                sent += self.receive(*ordinary, bytes(30_000))
+                for each in crowd:
+                    self.receive(*each, bytes(1100))
+                await self.pause(server, 0.9)
+            self.receive(*small, bytes(120_000))
+            self.receive(*ordinary, bytes(500_000 - sent))
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", small[1].sent)
+            self.assertIn(b" 200 ", ordinary[1].sent)
+            # No more are shed than the others need.
+            self.assertEqual(["slow"], [reason for reason, _, _ in self.shed])
+            refused = [each for _, each in crowd if b" 408 " in each.sent]
+            self.assertEqual(1, len(refused))
+
+        run_virtual(scenario())
+
+    def test_copies_of_large_requests_leave_room_for_small_ones(self):
+        """A few large requests to a slow upstream had all others refused."""
+
+        async def scenario():
+            async def respond(exchange):
+                if len(exchange.body) == 900_000:
+                    await asyncio.sleep(9.0)
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            copied = []
+            self.budget = server.budget = MemoryBudget(
+                BudgetLimits(CAPACITY_BYTES, 100),
+                other_bytes=lambda: sum(copied),
+                copied_bytes=lambda: sum(copied),
+            )
+            running, small, large = (self.open(server) for _ in range(3))
+            self.receive(*running, announced(900_000) + bytes(900_000))
+            # The upstream takes nothing of it.
+            copied.append(1_100_000)
+            self.assertGreater(self.budget.used_bytes, CAPACITY_BYTES)
+            self.receive(*small, announced(72_000) + bytes(72_000))
+            self.receive(*large, announced(400_000) + bytes(400_000))
+            await self.pause(server, 3.5)
+            self.assertIn(b" 200 ", small[1].sent)
+            self.assertIn(b" 503 ", large[1].sent)
+
+        run_virtual(scenario())
+
+    def test_an_upload_that_pauses_for_a_second_is_kept(self):
+        """A caller was refused for the rate of a time in which it paused."""
+
+        async def scenario():
+            async def respond(exchange):
+                if len(exchange.body) == 800_000:
+                    await asyncio.sleep(9.0)
+                exchange.respond(200, [], b"ok")
+
+            server = self.start(respond)
+            server.find_timeout = lambda headers, target: 2.7
+            running, ordinary, other = (self.open(server) for _ in range(3))
+            self.receive(*running, announced(800_000) + bytes(800_000))
+            self.receive(*ordinary, announced(600_000))
+            await self.pause(server, 0.95)
+            self.receive(*ordinary, bytes(60_000))
+            # It waits for what the others hold.
+            self.receive(*other, announced(400_000))
+            for _ in range(9):
+                await self.pause(server, 0.15)
+                self.receive(*ordinary, bytes(60_000))
+            await self.pause(server, 0.1)
+            self.assertIn(b" 200 ", ordinary[1].sent)
+
+        run_virtual(scenario())
+
     def test_a_request_without_memory_is_refused(self):
         """A request waited for memory that a request in progress held."""
 
@@ -301,6 +396,7 @@
                 ended_unread=False,
                 unread=False,
                 has_unread_data=False,
+                uploading=False,
                 identify=lambda: ("w", True),
             )
             other = self.budget.open_account(busy, 0.0)
