Keep the sums of peers' loads when only the age of a load changes

Cause: each state of a peer replaced its load at each engine: the sums were reduced and increased by the same numbers, and an equal frozen object was built for each engine.

Change: a load with the same running requests and no tokens to prefill, which the sums include, only replaces the stored load with its new time of receipt. Engines with equal loads in a message share one object, and the set of reported engines is kept while its members stay the same. Loads with tokens, loads that had expired and new starts of an engine take the former path.

--- a/packages/decisions/cicadapass_decisions/peerloads.py
+++ b/packages/decisions/cicadapass_decisions/peerloads.py
@@ -44,12 +44,22 @@
 
     def set(self, peer: str, load: PeerLoad) -> None:
         """Replace the load of a peer."""
-        self._subtract(self._loads.get(peer))
+        previous = self._loads.get(peer)
         self._loads[peer] = load
+        if load.received_s > self._newest_s:
+            self._newest_s = load.received_s
+        if (
+            previous is not None
+            and previous.running == load.running
+            and previous.prefill_tokens <= 0 >= load.prefill_tokens
+            and previous.received_s >= self._oldest_s <= load.received_s
+        ):
+            # Only the age has changed, as for most loads; the sums remain valid.
+            return
+        self._subtract(previous)
         if load.received_s < self._oldest_s:
             # It may be older than loads that have expired.
             self._summed = False
-        self._newest_s = max(self._newest_s, load.received_s)
         self._running += load.running
         if load.prefill_tokens > 0:
             self._reading = None
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -372,12 +372,20 @@
         self, peer: str, load: Mapping[str, tuple[int, int]], now_s: float
     ) -> None:
         """Replace the load of a peer; upstreams missing from it have no load."""
-        ended = self._reported_upstreams.get(peer, set()) - load.keys()
-        self._reported_upstreams[peer] = set(load)
+        known = self._reported_upstreams.get(peer, set())
+        ended = known - load.keys()
         if not load:
-            del self._reported_upstreams[peer]
-        for upstream_id, (running, prefill_tokens) in load.items():
-            peer_load = PeerLoad(running, float(prefill_tokens), now_s)
+            self._reported_upstreams.pop(peer, None)
+        elif ended or len(known) != len(load):
+            self._reported_upstreams[peer] = set(load)
+        # Most upstreams have one request of a peer and no tokens to prefill.
+        shared: dict[tuple[int, int], PeerLoad] = {}
+        for upstream_id, reported in load.items():
+            peer_load = shared.get(reported)
+            if peer_load is None:
+                running, prefill_tokens = reported
+                peer_load = PeerLoad(running, float(prefill_tokens), now_s)
+                shared[reported] = peer_load
             for meter in self._meters_by_id.get(upstream_id, ()):
                 meter.record_peer_load(peer, peer_load)
         for upstream_id in ended:
--- a/tests/decisions/test_peerloads.py
+++ b/tests/decisions/test_peerloads.py
@@ -45,3 +45,28 @@
                 running, tokens = _plain_sums(plain, speed, now_s)
                 self.assertEqual(running, kept.running(now_s))
                 self.assertEqual(tokens, kept.prefill_tokens(speed, now_s))
+
+    def test_repeated_load_renews_its_age(self):
+        """A load that was skipped as unchanged expired while its peer reported it."""
+        loads = PeerLoads()
+        for second in range(10):
+            loads.set("p", PeerLoad(2, 0.0, float(second)))
+            self.assertEqual(2, loads.running(second + 0.5))
+        self.assertEqual(0, loads.running(9.0 + PEER_LOAD_MAX_AGE_S))
+
+    def test_repeated_load_counts_again_after_it_has_expired(self):
+        """The sum lacked an equal load that came back after a silence of its peer."""
+        loads = PeerLoads()
+        loads.set("p", PeerLoad(2, 0.0, 0.0))
+        loads.set("q", PeerLoad(1, 0.0, 0.0))
+        loads.set("q", PeerLoad(1, 0.0, 2.0))
+        self.assertEqual(1, loads.running(4.0))
+        loads.set("p", PeerLoad(2, 0.0, 4.0))
+        self.assertEqual(3, loads.running(4.0))
+
+    def test_repeated_load_with_tokens_is_evaluated_from_its_report(self):
+        """Tokens were taken for read since an earlier report of the same number."""
+        loads = PeerLoads()
+        for second in range(3):
+            loads.set("p", PeerLoad(1, 1000.0, float(second)))
+            self.assertEqual(500.0, loads.prefill_tokens(0.001, second + 0.5))
--- a/tests/gateway/test_upstreamtracker.py
+++ b/tests/gateway/test_upstreamtracker.py
@@ -63,6 +63,34 @@
         self.tracker.apply_load("p", {"u1": (2, 0)}, 100.0)
         self.assertEqual(2, self.candidate().running)
 
+    def test_unchanged_load_reaches_a_new_start_and_renews_its_age(self):
+        """A load that was taken for unchanged was missing at an engine's new start."""
+        self.candidate()
+        self.tracker.apply_load("p", {"u1": (2, 0), "u2": (2, 0)}, 100.0)
+        self.assertEqual(2, self.candidate().running)
+        self.list_upstreams(record("u1", started_ms=2, sequence=2), record("u2"))
+        self.assertEqual(0, self.candidate(102.0).running)
+        for now_s in (102.0, 104.0, 106.0):
+            self.tracker.apply_load("p", {"u1": (2, 0), "u2": (2, 0)}, now_s)
+            candidates = self.tracker.candidates("s", PROMPT, (), now_s + 1.0)
+            self.assertEqual([2, 2], [each.running for each in candidates])
+
+    def test_reported_send_ends_with_an_unchanged_load(self):
+        """An engine named only in a report stayed busy, as the state was unchanged."""
+        self.candidate()
+        self.tracker.apply_load("p", {"u2": (1, 0)}, 100.0)
+        self.tracker.apply_send("p", "u1", 50_000, 100.1)
+        self.assertGreater(self.candidate(100.1).backlog_s, 0)
+        self.tracker.apply_load("p", {"u2": (1, 0)}, 100.2)
+        self.assertEqual(0, self.candidate(100.2).backlog_s)
+        self.tracker.apply_load("p", {"u1": (1, 0), "u2": (1, 0)}, 100.3)
+        self.assertEqual(1, self.candidate(100.3).running)
+        self.tracker.apply_load("p", {"u2": (1, 0)}, 100.4)
+        self.assertEqual(0, self.candidate(100.4).running)
+        self.tracker.apply_load("p", {}, 100.4)
+        candidates = self.tracker.candidates("s", PROMPT, (), 100.4)
+        self.assertEqual([0, 0], [each.running for each in candidates])
+
 
 STREAM_PROMPT = Prompt(prompt_tokens=1000)
 ENGINE = UpstreamRecord("e", "s", "h", 1, "dc", 64, False, 1, 1)
