Skip the windows of a peer's counts that are already merged

Cause: each state contains the counts of three windows by workspace; two of them have ended, and each of their numbers was compared again.

Change: a window whose counts equal the stored ones is skipped, because merging them changes nothing. The stored counts are compared, not the last message, so that nothing more is kept.

--- a/packages/gateway/cicadapass_gateway/usage.py
+++ b/packages/gateway/cicadapass_gateway/usage.py
@@ -46,6 +46,9 @@
         """Merge the counts of one incarnation of a peer; a count never decreases."""
         peer_counts = self._peers.setdefault(peer, {})
         for window, received in counts.items():
+            # Of the windows in each message, only the current one has new requests.
+            if peer_counts.get(window) == received:
+                continue
             stored = peer_counts.setdefault(window, {})
             for workspace, number in received.items():
                 stored[workspace] = max(stored.get(workspace, 0), number)
--- a/tests/gateway/test_utilities.py
+++ b/tests/gateway/test_utilities.py
@@ -76,6 +76,17 @@
         usage.merge("p/1", {200: {"w": 3}})
         self.assertEqual({"w": 5}, usage.total(200))
 
+    def test_window_that_changed_beside_an_unchanged_one_counts(self):
+        """A message with one unchanged window was taken for unchanged as a whole."""
+        usage = UsageCounter(5.0, lambda: 1000.0)
+        usage.merge("p/1", {199: {"w": 4}, 200: {"w": 5, "v": 1}})
+        usage.merge("p/1", {199: {"w": 4}, 200: {"w": 6, "v": 1}})
+        self.assertEqual({"w": 6, "v": 1}, usage.total(200))
+        usage.merge("p/1", {199: {"w": 5, "x": 1}, 200: {"w": 6, "v": 1}})
+        self.assertEqual({"w": 5, "x": 1}, usage.total(199))
+        usage.merge("p/2", {199: {"w": 5, "x": 1}, 200: {"w": 6, "v": 1}})
+        self.assertEqual({"w": 12, "v": 2}, usage.total(200))
+
     def test_a_restarted_peer_adds_to_its_former_counts(self):
         """The counts of a killed process were lost."""
         usage = UsageCounter(5.0, lambda: 1000.0)
