Check the totals of a peer for finite numbers by their sum

Change: the numbers of a row are converted in place, and their sum is checked. A sum is finite only if all of them are; where it is not, each one is checked as before, since finite numbers may have an infinite sum.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -585,10 +585,22 @@
 
 
 def _decode_total(row: Sequence[Any]) -> tuple[float, ...]:
-    total, demand = _number(row[0]), _number(row[1])
+    total, demand = float(row[0]), float(row[1])
     if len(row) < 4:
+        if not math.isfinite(total + demand):
+            _check_finite(row[:2])
         return total, demand
-    return total, demand, _number(row[2]), _number(row[3]) / 1000
+    past, age_ms = float(row[2]), float(row[3])
+    # A sum is finite only if each number is, and one check costs less than four.
+    if not math.isfinite(total + demand + past + age_ms):
+        _check_finite(row[:4])
+    return total, demand, past, age_ms / 1000
+
+
+def _check_finite(values: Sequence[Any]) -> None:
+    """Raise ValueError unless all values are finite; their sum may overflow."""
+    for value in values:
+        _number(value)
 
 
 def _number(value: Any) -> float:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_decisions.readsharing import is_watcher
+from cicadapass_gateway.exceptions import DECODE_ERRORS
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.peers import (
     LIMIT_MESSAGE,
@@ -18,6 +19,7 @@
     USE_MESSAGE,
     PeerDependencies,
     Peers,
+    _decode_totals,
 )
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import HOST, LoopTest, configuration, make_state, until
@@ -355,6 +357,25 @@
 
         self.run_loop(scenario())
 
+    def test_totals_that_are_no_finite_numbers_are_refused(self):
+        """The sum of two infinite totals hid that they are no numbers."""
+        nan, infinite = float("nan"), float("inf")
+        for size in (2, 4):
+            for place in range(size):
+                for value in (nan, infinite, -infinite, None, "x"):
+                    row = [1, 2, 3, 4][:size]
+                    row[place] = value
+                    with self.assertRaises(DECODE_ERRORS):
+                        _decode_totals({"w": row})
+        for row in ([infinite, -infinite], [infinite, 1, -infinite, 1], [], [1]):
+            with self.assertRaises(DECODE_ERRORS):
+                _decode_totals({"w": row})
+        self.assertEqual({"w": (1e308, 1e308)}, _decode_totals({"w": [1e308, 1e308]}))
+        self.assertEqual(
+            {"w": (1.0, 2.0), "v": (1.0, 2.0, 3.0, 0.004)},
+            _decode_totals({"w": [1, 2], "v": [1, 2, 3, 4, 5]}),
+        )
+
     def test_ended_nodes_are_counted_again_and_again(self):
         """Nodes introduced an ended node to each other forever.
 
