Send the states of the cost measurement with today's totals and counts

Cause: the fake members of `make cost` sent rows of two numbers for each workspace, as builds did before the rate limits reported the past, and no counts of requests. A change to either did not show in the time of a state.

Change: rows of four numbers, and the counts of three windows, of which the last one grows. Earlier builds read the first two numbers and the same counts.

--- a/packages/bench/cicadapass_bench/costtraffic.py
+++ b/packages/bench/cicadapass_bench/costtraffic.py
@@ -20,6 +20,9 @@
 # Time between two events of a stream.
 EVENT_S = 0.004
 INTERVAL_S = 0.2
+# Workspaces with requests at each member, and the length of the windows of its counts.
+WORKSPACES = 16
+USAGE_WINDOW_S = 5.0
 RECIPIENTS = 10
 # Engines at which each member reports requests in progress: 83 nodes with 58.7 streams
 # of some 10 s and 274 of some 0.3 s a second. One of them reads its prompt.
@@ -120,7 +123,10 @@
         state["up"] = 100.0 + number
         load = member + number // (self.count * ROUNDS_PER_LOAD)
         state["upstreams"] = self._loads[load % len(self._loads)]
-        state["limits"] = {f"w{each}": [number * 50, 900] for each in range(16)}
+        state["limits"] = {
+            f"w{each}": [number * 50, 900, 7200, 2000] for each in range(WORKSPACES)
+        }
+        state["usage"] = self._usage(number // self.count)
         state["demand"] = {"model": 20_000}
         state["members"] = [
             self._address((member + each) % self.count) for each in (1, 2)
@@ -128,6 +134,13 @@
         address = (HOST, self._port)
         self._transport.sendto(cbor2.dumps(state), address)
 
+    def _usage(self, turn: int) -> dict[int, dict[str, int]]:
+        """Return the counts of three windows, of which the last one still grows."""
+        window = int(time.time() // USAGE_WINDOW_S)
+        ended = {f"w{each}": 2 for each in range(WORKSPACES)}
+        current = {f"w{each}": 1 for each in range(turn % WORKSPACES + 1)}
+        return {window - 2: ended, window - 1: ended, window: current}
+
     def _address(self, member: int) -> list[Any]:
         assert self._transport is not None
         port = self._transport.get_extra_info("sockname")[1]
