Run an attempt that gets no hedge in the task of its request

Cause: each attempt had a task of its own, and the request waited for it with `asyncio.wait`, a timer and a future. Requests whose route is not repeatable never get a hedge, so nothing else can end or replace their attempt.

Change: for them the attempt is awaited directly. A timer judges its silence at the same times as before. A cancellation without one of the request itself, as of a copy that the attempt waits for, still counts as a broken attempt and does not end the request. Repeatable requests are handled as before.

--- a/packages/gateway/cicadapass_gateway/attemptrace.py
+++ b/packages/gateway/cicadapass_gateway/attemptrace.py
@@ -37,11 +37,16 @@
         place_hedge: PlaceHedge,
         release_place: ReleasePlace,
         on_result: OnResult,
+        *,
+        may_hedge: bool = True,
     ) -> None:
         self._make_attempt = make_attempt
         self._place_hedge = place_hedge
         self._release_place = release_place
         self._on_result = on_result
+        self._may_hedge = may_hedge
+        # The next check of an attempt that gets no hedge.
+        self._next_check: asyncio.TimerHandle | None = None
         self._running: dict[UpstreamAttempt, asyncio.Task[AttemptResult]] = {}
         self._lost: dict[UpstreamAttempt, asyncio.Task[AttemptResult]] = {}
         # Chooses an upstream for a hedge that is not sent yet.
@@ -64,6 +69,8 @@
 
     async def run(self, reservation: Reservation) -> AttemptResult:
         """Return the result that decides the request, or the last failure."""
+        if not self._may_hedge:
+            return await self._run_alone(reservation)
         self._start(reservation, hedge=False)
         try:
             while True:
@@ -77,6 +84,37 @@
         finally:
             await self._cancel()
 
+    async def _run_alone(self, reservation: Reservation) -> AttemptResult:
+        """Run an attempt that gets no hedge; it needs no task of its own."""
+        attempt = self._make_attempt(self, reservation, False)
+        self._schedule_check(attempt)
+        try:
+            result = await attempt.run()
+        except asyncio.CancelledError:
+            self._release_place(reservation)
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # Only what the attempt waited for was cancelled, not the request.
+            return AttemptResult.broken("the attempt was cancelled")
+        finally:
+            if self._next_check is not None:
+                self._next_check.cancel()
+        self._on_result(attempt, result)
+        return result
+
+    def _schedule_check(self, attempt: UpstreamAttempt) -> None:
+        remaining_s = attempt.hedge_delay_s - attempt.silent_s()
+        self._next_check = asyncio.get_running_loop().call_later(
+            _until_check_s(remaining_s), self._check_silence, attempt
+        )
+
+    def _check_silence(self, attempt: UpstreamAttempt) -> None:
+        """Judge the silence of an attempt that gets no hedge."""
+        if attempt.silent_s() >= attempt.hedge_delay_s:
+            attempt.judge_silence()
+        self._schedule_check(attempt)
+
     def _start(self, reservation: Reservation, *, hedge: bool) -> None:
         attempt = self._make_attempt(self, reservation, hedge)
         self._running[attempt] = asyncio.create_task(attempt.run())
@@ -89,9 +127,7 @@
         remaining_s = min(
             each.hedge_delay_s - each.silent_s() for each in self._running
         )
-        timeout_s = max(remaining_s, TIMER_RESOLUTION_S)
-        if remaining_s <= 0:
-            timeout_s = SILENCE_CHECK_S
+        timeout_s = _until_check_s(remaining_s)
         await asyncio.wait(
             tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
@@ -155,6 +191,11 @@
             self._release_place(reservation)
 
 
+def _until_check_s(remaining_s: float) -> float:
+    """Return the time to the next check, by that until a silence is too long."""
+    return max(remaining_s, TIMER_RESOLUTION_S) if remaining_s > 0 else SILENCE_CHECK_S
+
+
 def _placed(placing: asyncio.Task[Reservation | None]) -> Reservation | None:
     """Return the place that was found; an error is reported and means none."""
     if placing.cancelled():
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -239,7 +239,13 @@
             if attempt.progress.ended_by is Party.UPSTREAM:
                 request.broken_at.append(reservation.record)
 
-        return AttemptRace(make_attempt, place_hedge, self._release_place, on_result)
+        return AttemptRace(
+            make_attempt,
+            place_hedge,
+            self._release_place,
+            on_result,
+            may_hedge=request.match.route.repeatable,
+        )
 
     async def _place_hedge(
         self, request: RequestContext, silent: UpstreamAttempt
