Test each end of an attempt in the task of its request

Cause: the ends of attempts without a hedge were tested one by one with a fake that holds nothing, so that a place or connection kept at one of them would not show.

Change: every way to end is played in the request's task and in a task of its own, and what is released must be the same in the same order; silence is judged at the same times of a virtual clock. At a relay, requests that are not repeatable end by their caller, deadline, engine, a block and an internal error.

--- a/tests/gateway/test_attemptrace.py
+++ b/tests/gateway/test_attemptrace.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import testtools
+
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
 from cicadapass_gateway.attemptrace import SILENCE_CHECK_S, AttemptRace
 from tests.gateway.harness import LoopTest
+from tests.gateway.virtualcluster import run_virtual
 
 HEDGE_DELAY_S = 0.01
 
@@ -222,3 +225,206 @@
                 await running
 
         self.play(scenario)
+
+
+class ReleasingAttempt(ScriptedAttempt):
+    """Log what an attempt releases, in the order of `UpstreamAttempt`."""
+
+    def __init__(self, race, reservation, steps):
+        super().__init__(race, reservation)
+        self._steps = steps
+
+    def judge_silence(self):
+        """Log the time of the call."""
+        super().judge_silence()
+        self._steps.append(("judge", round(asyncio.get_running_loop().time(), 6)))
+
+    async def run(self):
+        """Release the place and dispatch the queue; abort what is unfinished."""
+        finished = False
+        self._steps.append("sent")
+        try:
+            result = await self.result
+            if not isinstance(result, AttemptResult):
+                raise result
+            finished = True
+            return result
+        finally:
+            self._steps.append("end")
+            if not finished:
+                self._steps.append("abort")
+            self._steps.append("dispatch")
+
+
+class EachEndTest(LoopTest):
+    """Compare the ends of an attempt in its request's task with those in its own."""
+
+    def play(self, end, may_hedge):
+        """End an attempt; return the steps and the result or the error's type."""
+
+        async def run():
+            steps, attempts = [], []
+            limit = asyncio.timeout(None)
+
+            def make(race, reservation, hedge):
+                attempts.append(ReleasingAttempt(race, reservation, steps))
+                return attempts[-1]
+
+            async def place(silent):
+                return None
+
+            race = AttemptRace(
+                make,
+                place,
+                lambda _: steps.append("release"),
+                lambda _, result: steps.append(result.outcome),
+                may_hedge=may_hedge,
+            )
+
+            async def serve():
+                async with limit:
+                    return await race.run("first")
+
+            running = asyncio.create_task(serve())
+            while not steps:
+                await asyncio.sleep(0)
+            end(attempts[0], running, limit)
+            try:
+                outcome = await running
+            except BaseException as error:
+                outcome = type(error)
+            # Tasks that were cancelled end in the next iteration.
+            await asyncio.sleep(0)
+            left = asyncio.all_tasks() - {asyncio.current_task()}
+            return steps, outcome, left
+
+        return self.run_loop(run())
+
+    def compare(self, end):
+        """Assert that both ways release the same in the same order; return it."""
+        alone, beside = self.play(end, False), self.play(end, True)
+        self.assertEqual(beside, alone)
+        steps, outcome, left = alone
+        self.assertEqual(set(), left)
+        return steps, outcome
+
+    def test_results_are_reported_after_the_release(self):
+        """The next attempt chose its upstream before this one's place was free."""
+        for result in (
+            AttemptResult.delivered(200),
+            AttemptResult.rejected(503),
+            AttemptResult.not_sent("refused"),
+            AttemptResult.broken("reset"),
+            AttemptResult.held("suspected"),
+            AttemptResult.migrated("u2"),
+        ):
+            steps, outcome = self.compare(
+                lambda attempt, *_, result=result: attempt.result.set_result(result)
+            )
+            self.assertEqual(["sent", "end", "dispatch", result.outcome], steps)
+            self.assertIs(result, outcome)
+
+    def test_end_of_the_request_releases_the_attempt(self):
+        """A place or a connection of a request that had ended was kept."""
+
+        def leave(attempt, running, limit):
+            running.cancel()
+
+        def leave_twice(attempt, running, limit):
+            running.cancel()
+            running.cancel()
+
+        def expire(attempt, running, limit):
+            limit.reschedule(asyncio.get_running_loop().time())
+
+        def expire_and_leave(attempt, running, limit):
+            expire(attempt, running, limit)
+            asyncio.get_running_loop().call_soon(running.cancel)
+
+        def leave_before_the_result(attempt, running, limit):
+            running.cancel()
+            if not attempt.result.done():
+                attempt.result.set_result(AttemptResult.delivered(200))
+
+        def leave_as_the_copy_ends(attempt, running, limit):
+            attempt.result.cancel()
+            running.cancel()
+
+        for end, error in (
+            (leave, asyncio.CancelledError),
+            (leave_twice, asyncio.CancelledError),
+            (expire, TimeoutError),
+            (expire_and_leave, asyncio.CancelledError),
+            (leave_before_the_result, asyncio.CancelledError),
+            (leave_as_the_copy_ends, asyncio.CancelledError),
+        ):
+            steps, outcome = self.compare(end)
+            self.assertEqual(["sent", "end", "abort", "dispatch", "release"], steps)
+            self.assertIs(error, outcome)
+
+    def test_cancelled_copy_releases_the_attempt(self):
+        """The place of a run whose copy was cancelled was kept."""
+        steps, outcome = self.compare(lambda attempt, *_: attempt.result.cancel())
+        self.assertEqual(["sent", "end", "abort", "dispatch", "release"], steps)
+        self.assertEqual(AttemptOutcome.BROKEN, outcome.outcome)
+
+    def test_internal_error_releases_the_attempt(self):
+        """An internal error was reported as the result of an attempt."""
+        steps, outcome = self.compare(
+            lambda attempt, *_: attempt.result.set_result(KeyError("evidence"))
+        )
+        self.assertEqual(["sent", "end", "abort", "dispatch"], steps)
+        self.assertIs(KeyError, outcome)
+
+    def test_result_in_the_iteration_of_the_cancellation(self):
+        """An answer was reported, or its place kept, after the request had ended.
+
+        In a task of its own the attempt ends with its result, which nobody reads; in
+        the task of the request it is cancelled, and its connection is aborted.
+        """
+
+        def finish_and_leave(attempt, running, limit):
+            attempt.result.set_result(AttemptResult.delivered(200))
+            running.cancel()
+
+        for may_hedge in (False, True):
+            steps, outcome, left = self.play(finish_and_leave, may_hedge)
+            self.assertIs(asyncio.CancelledError, outcome)
+            self.assertEqual(1, steps.count("end"))
+            self.assertEqual(1, steps.count("dispatch"))
+            self.assertNotIn(AttemptOutcome.DELIVERED, steps)
+            self.assertEqual(set(), left)
+
+
+class SilenceTimesTest(testtools.TestCase):
+    def test_silence_is_judged_at_the_same_times_in_both_ways(self):
+        """An attempt that gets no hedge was judged later or more often than others."""
+
+        async def scenario(may_hedge):
+            steps, attempts = [], []
+
+            def make(race, reservation, hedge):
+                attempts.append(ReleasingAttempt(race, reservation, steps))
+                return attempts[-1]
+
+            async def place(silent):
+                return None
+
+            race = AttemptRace(
+                make, place, steps.append, lambda *_: None, may_hedge=may_hedge
+            )
+            began_s = asyncio.get_running_loop().time()
+            running = asyncio.create_task(race.run("first"))
+            await asyncio.sleep(3.1 * SILENCE_CHECK_S)
+            attempts[0].result.set_result(AttemptResult.delivered(200))
+            await running
+            await asyncio.sleep(3 * SILENCE_CHECK_S)
+            return [round(each[1] - began_s, 3) for each in steps if "judge" in each]
+
+        alone = run_virtual(scenario(False))
+        self.assertEqual(run_virtual(scenario(True)), alone)
+        first_s = alone[0]
+        # The clock of a timer may be a little behind the one it was set with.
+        self.assertTrue(HEDGE_DELAY_S <= first_s <= HEDGE_DELAY_S + 0.002, alone)
+        expected = [first_s + number * SILENCE_CHECK_S for number in range(len(alone))]
+        self.assertEqual([round(each, 3) for each in expected], alone)
