Judge silences in virtual time in the tests of single attempts

Cause: the test counted the judgements exactly after two real sleeps. A machine that was 0.3 s late gave 2 where 1 was expected.

Change: the class runs on the virtual loop; its checks are the same. With 0.3 s of blocking after each sleep, 1 of 6 tests failed before and none fails now.

--- a/tests/gateway/test_attemptrace.py
+++ b/tests/gateway/test_attemptrace.py
@@ -114,7 +114,7 @@
         self.assertEqual(["hedge"], released)
 
 
-class SingleAttemptTest(LoopTest):
+class SingleAttemptTest(testtools.TestCase):
     """Test the requests that get no hedge, which run in their caller's task."""
 
     def play(self, scenario, deadline_s=None):
@@ -147,7 +147,7 @@
             outcome = await scenario(attempts[0], running)
             return attempts[0], released, results, outcome
 
-        return self.run_loop(run())
+        return run_virtual(run())
 
     def test_result_is_reported_and_no_check_is_left(self):
         """The checks of an attempt that had ended went on and counted its silence."""
