Compare loads and counts of peers with plain sums of the last reports

Change: sums of mostly equal loads, loads beside restarts of peers and engines, and counts that come late, twice or after their window was dropped are compared with a plain model at 40 to 60 seeds.

No fault was found in the code.

--- a/tests/decisions/test_peerloads.py
+++ b/tests/decisions/test_peerloads.py
@@ -46,6 +46,28 @@
                 self.assertEqual(running, kept.running(now_s))
                 self.assertEqual(tokens, kept.prefill_tokens(speed, now_s))
 
+    def test_kept_sums_hold_for_loads_that_are_mostly_equal(self):
+        """A load of which only the age changed was counted twice, or kept too long."""
+        for seed in range(60):
+            rng = random.Random(seed)
+            kept, plain, now_s = PeerLoads(), {}, 100.0
+            for _ in range(200):
+                now_s += rng.choice((0.0, 0.2, 0.9, 2.9, 3.0, 7.0))
+                peer = f"p{rng.randrange(3)}"
+                if rng.random() < 0.1:
+                    kept.remove(peer)
+                    plain.pop(peer, None)
+                elif rng.random() < 0.9:
+                    tokens = rng.choice((0.0, 0.0, 0.0, 700.5))
+                    received_s = now_s - rng.choice((0.0, 0.0, 1.0, 2.9, 4.0, -0.3))
+                    plain[peer] = PeerLoad(rng.choice((1, 1, 2)), tokens, received_s)
+                    kept.set(peer, plain[peer])
+                if rng.random() < 0.5:
+                    continue
+                running, tokens = _plain_sums(plain, 0.0001, now_s)
+                self.assertEqual(running, kept.running(now_s))
+                self.assertEqual(tokens, kept.prefill_tokens(0.0001, now_s))
+
     def test_repeated_load_renews_its_age(self):
         """A load that was skipped as unchanged expired while its peer reported it."""
         loads = PeerLoads()
--- a/tests/gateway/test_upstreamtracker.py
+++ b/tests/gateway/test_upstreamtracker.py
@@ -1,9 +1,12 @@
 """Test the candidates and loads that the tracker of upstreams keeps, and learns."""
 
+import random
+
 import testtools
 
 from cicadapass_decisions.learnedcapacity import LearnedCapacity
 from cicadapass_decisions.passthrough import Prompt, PromptSegment, UpstreamRecord
+from cicadapass_decisions.peerloads import PEER_LOAD_MAX_AGE_S
 from cicadapass_gateway.upstreamtracker import UpstreamTracker
 
 PROMPT = Prompt((PromptSegment("a", 900), PromptSegment("own", 900)), 1800, 64)
@@ -75,6 +78,67 @@
             candidates = self.tracker.candidates("s", PROMPT, (), now_s + 1.0)
             self.assertEqual([2, 2], [each.running for each in candidates])
 
+    def test_loads_of_restarting_peers_and_engines_equal_the_last_reports(self):
+        """An engine kept or lacked the load of a peer after an unchanged report.
+
+        A peer that restarts reports nothing at first; a new start of an engine has the
+        load of the next report only, and each load expires without one.
+        """
+        ids = ("u1", "u2", "u3")
+        for seed in range(40):
+            rng = random.Random(seed)
+            self.tracker = UpstreamTracker("n", "dc-a", 3.0)
+            starts, loads, now_s = dict.fromkeys(ids, 1), {}, 100.0
+            self.list_upstreams(*(record(each) for each in ids))
+            self.tracker.candidates("s", PROMPT, (), now_s)
+            for _ in range(100):
+                now_s += rng.choice((0.0, 0.2, 0.2, 1.5, 3.0))
+                peer = rng.choice(("p", "q"))
+                if rng.random() < 0.1:
+                    restarted = rng.choice(ids)
+                    starts[restarted] += 1
+                    self.list_upstreams(
+                        *(
+                            record(k, started_ms=v, sequence=v)
+                            for k, v in starts.items()
+                        )
+                    )
+                    loads = {k: v for k, v in loads.items() if k[1] != restarted}
+                elif rng.random() < 0.2:
+                    upstream_id = rng.choice(ids)
+                    self.tracker.apply_send(peer, upstream_id, 900, now_s)
+                    running, _ = loads.get((peer, upstream_id), (0, now_s))
+                    loads[peer, upstream_id] = (running, now_s)
+                else:
+                    reported = rng.sample(ids, rng.choice((0, 1, 2, 2, 3)))
+                    load = {
+                        each: (rng.choice((1, 1, 1, 2)), rng.choice((0, 0, 900)))
+                        for each in reported
+                    }
+                    self.tracker.apply_load(peer, load, now_s)
+                    loads = {k: v for k, v in loads.items() if k[0] != peer}
+                    loads |= {(peer, k): (v[0], now_s) for k, v in load.items()}
+                expected = {
+                    each: sum(
+                        running
+                        for (_, upstream_id), (running, at_s) in loads.items()
+                        if upstream_id == each and now_s - at_s < PEER_LOAD_MAX_AGE_S
+                    )
+                    for each in ids
+                }
+                candidates = self.tracker.candidates("s", PROMPT, (), now_s)
+                self.assertEqual(
+                    expected, {each.upstream_id: each.running for each in candidates}
+                )
+
+    def test_equal_counts_with_other_tokens_are_loads_of_their_own(self):
+        """Engines shared the load of one whose prompt was still to be read."""
+        self.candidate()
+        self.tracker.apply_load("p", {"u1": (1, 50_000), "u2": (1, 0)}, 100.0)
+        first, second = self.tracker.candidates("s", PROMPT, (), 100.0)
+        self.assertGreater(first.backlog_s, second.backlog_s)
+        self.assertEqual(0, second.backlog_s)
+
     def test_reported_send_ends_with_an_unchanged_load(self):
         """An engine named only in a report stayed busy, as the state was unchanged."""
         self.candidate()
--- a/tests/gateway/test_utilities.py
+++ b/tests/gateway/test_utilities.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import threading
+from collections import Counter
 from io import StringIO
 from itertools import pairwise
 
@@ -87,6 +88,40 @@
         usage.merge("p/2", {199: {"w": 5, "x": 1}, 200: {"w": 6, "v": 1}})
         self.assertEqual({"w": 12, "v": 2}, usage.total(200))
 
+    def test_merged_counts_are_the_highest_of_each_incarnation(self):
+        """A window that was taken for merged lacked a count in a later message.
+
+        Messages arrive late and twice, peers restart, and windows that were dropped
+        come again.
+        """
+        for seed in range(40):
+            rng = random.Random(seed)
+            usage, plain = UsageCounter(5.0, lambda: 1000.0), {}
+            for _ in range(60):
+                peer = f"p/{rng.randrange(2)}"
+                first = rng.randrange(12)
+                counts = {
+                    first + each: {
+                        f"w{number}": rng.randrange(1, 4)
+                        for number in range(rng.randrange(3))
+                    }
+                    for each in range(3)
+                }
+                kept = plain.setdefault(peer, {})
+                for _ in range(rng.choice((1, 2))):
+                    usage.merge(peer, counts)
+                    for window, received in counts.items():
+                        stored = kept.setdefault(window, {})
+                        for name, number in received.items():
+                            stored[name] = max(stored.get(name, 0), number)
+                    for window in sorted(kept)[:-RETAINED_WINDOWS]:
+                        del kept[window]
+                for window in range(15):
+                    expected = Counter()
+                    for each in plain.values():
+                        expected.update(each.get(window, {}))
+                    self.assertEqual(dict(expected), usage.total(window))
+
     def test_a_restarted_peer_adds_to_its_former_counts(self):
         """The counts of a killed process were lost."""
         usage = UsageCounter(5.0, lambda: 1000.0)
