--- a/packages/decisions/cicadapass_decisions/configchanges.py
+++ b/packages/decisions/cicadapass_decisions/configchanges.py
@@ -8,13 +8,13 @@
 from cicadapass_decisions.inventorydiff import ChangeKind
 from cicadapass_decisions.passthrough import Configuration, Route
 
-# These values of a workspace are secret, so that only their number is told.
+# These values of a workspace are secret, so that only their number is reported.
 _SECRET_FIELDS = frozenset({"keys"})
 
 
 @dataclass(frozen=True, slots=True)
 class FieldChange:
-    """Describe a changed field; `name` has a point before each inner field."""
+    """Describe a changed field; `name` has a dot before each inner field."""
 
     name: str
     old: Any
@@ -155,11 +155,11 @@
         route.name
         for configuration in configurations
         for route in configuration.routes
-        if _names(route, service)
+        if _sends_to(route, service)
     )
 
 
-def _names(route: Route, service: str) -> bool:
+def _sends_to(route: Route, service: str) -> bool:
     return any(weighted.service == service for weighted in route.services)
 
 
--- a/packages/decisions/cicadapass_decisions/configfindings.py
+++ b/packages/decisions/cicadapass_decisions/configfindings.py
@@ -15,7 +15,7 @@
 # Path of a value: names of fields, positions in lists, and names of services.
 Path = tuple[str | int, ...]
 
-# Characters of a line's end or a NUL, which no value of a header contains.
+# NUL and line terminators, which no value of a header contains.
 _NOT_IN_HEADERS = frozenset("\0\n\v\f\r")
 # Headers are decoded as Latin-1.
 _MAX_HEADER_CHARACTER = "\xff"
@@ -200,8 +200,8 @@
 
 
 def _can_match_key(key: str) -> bool:
-    # Credentials are compared without the whitespace around them. Without any, a header
-    # consists of the scheme alone and counts as none.
+    # Credentials are compared without the whitespace around them. A header with an
+    # empty one consists of the scheme alone and counts as no credential.
     return key != "" and key == key.strip() and _fits_header(key)
 
 
--- a/packages/decisions/cicadapass_decisions/heldversions.py
+++ b/packages/decisions/cicadapass_decisions/heldversions.py
@@ -11,8 +11,9 @@
 from cicadapass_decisions.rollouts import Rollout, Trust, trust
 
 NEVER_S = -1e9
-# What an engine of a version counts whose order may have been rolled back. Engines of
-# both versions run beside each other then, and those of the other one may have ended.
+# Weight of an engine of the version of an undecided order; others count 1. If the order
+# was rolled back, some engines of the old version may have ended; after a success, none
+# of them is left.
 UNDECIDED_WEIGHT = 0.5
 
 
@@ -51,7 +52,7 @@
     }
     undecided = rollout.to if rollout is not None and rollout.running else None
     if must_serve:
-        return _version_of_most(allowed, undecided)
+        return _version_of_most_engines(allowed, undecided)
     allowed = {key: each for key, each in allowed.items() if key != undecided}
     first_ms = min((each.first_start_ms for each in allowed.values()), default=0)
     oldest = [
@@ -66,7 +67,7 @@
     return oldest[0][1]
 
 
-def _version_of_most(
+def _version_of_most_engines(
     present: Mapping[str, VersionEngines], undecided: str | None
 ) -> str | None:
     """Return the version of most engines; of equal ones, one without an order."""
--- a/packages/decisions/cicadapass_decisions/memorybudget.py
+++ b/packages/decisions/cicadapass_decisions/memorybudget.py
@@ -114,8 +114,9 @@
 ) -> bool:
     """Return whether a request of `total_bytes` may have `added_bytes` more.
 
-    `copied_bytes` of those used are copies of requests that upstreams have not taken.
-    Only large requests wait for these, since a few of them could block all others.
+    `copied_bytes` is the part of `used_bytes` that is copies of requests that upstreams
+    have not taken. Only large requests wait for these copies: a few copies of large
+    requests to a slow upstream could block all others.
     """
     if total_bytes > SMALL_BYTES:
         return used_bytes + added_bytes <= capacity_bytes * (1 - SMALL_FRACTION)
@@ -140,7 +141,7 @@
     while used_bytes > capacity_bytes and position < len(victims):
         used_bytes -= victims[position].held_bytes
         reclaimable_bytes -= victims[position].held_bytes
-        shed.append(_shed_stalled(victims[position]))
+        shed.append(_victim_and_reason(victims[position]))
         position += 1
     for each in waiting:
         total, added = _total_bytes(each), each.wanted_bytes
@@ -153,7 +154,7 @@
             position += 1
             used_bytes -= victim.held_bytes
             reclaimable_bytes -= victim.held_bytes
-            shed.append(_shed_stalled(victim))
+            shed.append(_victim_and_reason(victim))
         used_bytes += added
         granted.add(each.key)
     overdue = _overdue([each for each in waiting if each.key not in granted])
@@ -178,7 +179,7 @@
     return holding.held_bytes + holding.wanted_bytes
 
 
-def _shed_stalled(holding: Holding) -> tuple[int, ShedReason]:
+def _victim_and_reason(holding: Holding) -> tuple[int, ShedReason]:
     if holding.unread:
         return holding.key, ShedReason.UNREAD
     stalled = holding.stalled_s >= STALL_S
@@ -186,7 +187,7 @@
 
 
 def _shedding_order(holdings: Sequence[Holding], capacity_bytes: int) -> list[Holding]:
-    """Return those that may be shed: most bytes times wasted seconds first."""
+    """Return those that may be shed by group, bytes times `_wasted_s`, and key."""
     group_bytes: dict[str, int] = {}
     for each in holdings:
         held_bytes = group_bytes.get(each.group, 0) + each.held_bytes
@@ -211,7 +212,7 @@
 
 
 def _wasted_s(holding: Holding) -> float:
-    """Return the time without progress, or that of an upload that ends too late."""
+    """Return the time without progress, or since the head if the upload is late."""
     if holding.upload is not None and holding.upload.is_late:
         return max(holding.stalled_s, holding.upload.elapsed_s)
     return holding.stalled_s
--- a/packages/decisions/cicadapass_decisions/rollouts.py
+++ b/packages/decisions/cicadapass_decisions/rollouts.py
@@ -194,7 +194,8 @@
         older, newer = sorted((own, other), key=lambda each: each.offset)
         return _merge_older(newer, older)
     decided_before = max(own.decided_before, other.decided_before)
-    # A node that missed the verdict of an order took this one for its repetition.
+    # A node that missed the verdict of an earlier order may have taken this one for a
+    # repetition of it. Its times and versions are then those of the earlier order.
     valid = [each for each in (own, other) if each.origin > decided_before]
     valid = valid or [own, other]
     final = [each for each in (own, other) if not each.running]
@@ -208,7 +209,8 @@
         # missed.
         barred = valid[0].barred | valid[-1].barred
         barred -= trusted | {own.to}
-    # Rows of earlier builds have the time of the first order in its place.
+    # Rows of earlier builds have only the time of the first order (`seen_s`), which
+    # takes the place of `order_seen_s` there.
     order_seen_s = min(each.order_seen_s for each in valid)
     return replace(
         own,
@@ -224,9 +226,9 @@
 
 
 def _merge_older(newer: Rollout, older: Rollout) -> Rollout:
-    """Return the rollout of the newer order, which may have to begin anew.
+    """Return the rollout of the newer order.
 
-    It does if it was taken for a repetition of an order that was decided.
+    It begins anew if the newer order was taken for a repetition of a decided one.
     """
     if newer.running and newer.origin <= older.last_decided:
         order = RolloutOrder(newer.service, newer.to, newer.duration_s)
--- a/packages/gateway/cicadapass_gateway/attemptrace.py
+++ b/packages/gateway/cicadapass_gateway/attemptrace.py
@@ -85,7 +85,10 @@
             await self._cancel()
 
     async def _run_alone(self, reservation: Reservation) -> AttemptResult:
-        """Run an attempt that gets no hedge; it needs no task of its own."""
+        """Run an attempt that gets no hedge in the task of the request.
+
+        A task of its own takes up to 9 microseconds more, and no hedge will cancel it.
+        """
         attempt = self._make_attempt(self, reservation, False)
         self._schedule_check(attempt)
         try:
@@ -192,7 +195,7 @@
 
 
 def _until_check_s(remaining_s: float) -> float:
-    """Return the time to the next check, by that until a silence is too long."""
+    """Return the time until the next check; a silence is too long in `remaining_s`."""
     return max(remaining_s, TIMER_RESOLUTION_S) if remaining_s > 0 else SILENCE_CHECK_S
 
 
--- a/packages/gateway/cicadapass_gateway/callerchannel.py
+++ b/packages/gateway/cicadapass_gateway/callerchannel.py
@@ -142,7 +142,7 @@
 
     @property
     def uploading(self) -> bool:
-        """Return whether a body has been received in part."""
+        """Return whether the head is complete and the body is not."""
         return self._exchange is not None and self._task is None
 
     @property
@@ -153,7 +153,7 @@
 
     @property
     def time_limit_s(self) -> float:
-        """Return the time-out of the request's route, or that of unknown ones."""
+        """Return the time-out of the request's route, or `UPLOAD_LIMIT_S`."""
         if self._time_limit_s is None and self._exchange is not None:
             find, exchange = self._server.find_timeout, self._exchange
             found_s = find(exchange.headers, exchange.target) if find else None
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -128,7 +128,7 @@
     async def _restore_state(self) -> bool:
         """Restore what was used of limits and blocked before this process started.
 
-        Return whether the record could be read.
+        Return whether the record was read and the verdicts of all rollouts are known.
         """
         try:
             record, _ = await self._read_record()
--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -469,9 +469,9 @@
         """
         idle = self._idle.get(address)
         if idle:
-            self._remove(address, 0).abort()
+            self._pop_idle(address, 0).abort()
 
-    def _remove(self, address: tuple[str, int], position: int) -> ClientChannel:
+    def _pop_idle(self, address: tuple[str, int], position: int) -> ClientChannel:
         self._idle_count -= 1
         return self._idle[address].pop(position)
 
@@ -484,9 +484,9 @@
             channel = idle[position]
             # Bytes that arrived before the request belong to no response to it.
             if not channel.is_reusable(now_s) or channel.has_unread_data:
-                self._remove(address, position).abort()
+                self._pop_idle(address, position).abort()
             elif not channel.has_refused(request_id):
-                return self._remove(address, position)
+                return self._pop_idle(address, position)
         return None
 
     def release(
--- a/packages/gateway/cicadapass_gateway/memorybudget.py
+++ b/packages/gateway/cicadapass_gateway/memorybudget.py
@@ -31,7 +31,7 @@
 RESERVED_DESCRIPTORS = 200
 # Progress by less than this does not count, so that single bytes keep nothing open.
 PROGRESS_BYTES = 1024
-# The rate of an upload is that of the last one to two of these.
+# The rate of an upload is measured over the last one to two windows of this length.
 RATE_WINDOW_S = 2.0
 # Grants are planned this long after memory was released, for all releases together.
 PLAN_DELAY_S = 0.05
@@ -63,7 +63,7 @@
 
     @property
     def uploading(self) -> bool:
-        """Return whether a body has been received in part."""
+        """Return whether the head is complete and the body is not."""
 
     @property
     def missing_bytes(self) -> int:
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -54,7 +54,7 @@
         self._reasons: dict[tuple[str, int], tuple[str, Situation, Finding | None]] = {}
         self._writing: asyncio.Task[None] | None = None
         # Rollouts that the record lacks and whose status was read, by service and
-        # offset.
+        # offset, and the task that reads statuses.
         self._status_read: set[tuple[str, int]] = set()
         self._reading: asyncio.Task[None] | None = None
 
@@ -87,7 +87,7 @@
         A record may have been lost, or its rollouts unreadable, since these orders were
         decided.
         """
-        missing = self._missing(record)
+        missing = self._lacking_status(record)
         codec = self._adapter.document_codec.rollouts
         if not missing or codec is None:
             return
@@ -109,7 +109,7 @@
         """Begin to read the statuses that `plan` needs, unless that is under way."""
         if self._reading is not None and not self._reading.done():
             return
-        if self._missing(record):
+        if self._lacking_status(record):
             self._reading = asyncio.create_task(self._read_statuses(record))
 
     async def _read_statuses(self, record: DutyRecord) -> None:
@@ -119,7 +119,7 @@
             self._state.metrics.count("duty_failures", type(error).__name__)
             self._state.events.emit(842, reason=f"statuses of rollouts: {error}")
 
-    def _missing(self, record: DutyRecord | None) -> list[Rollout]:
+    def _lacking_status(self, record: DutyRecord | None) -> list[Rollout]:
         """Return the running rollouts whose status is to be read."""
         rollouts = self._state.rollouts.rollouts.values()
         return [each for each in rollouts if self._lacks_status(each, record)]
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -60,7 +60,8 @@
 # those from before a freeze of any length remain.
 TIME_SAMPLES = 150
 # Time for reading the orders and the record of the duties after the start, which take a
-# call each. After it, a node serves without knowing the verdicts.
+# call each. After it, the version of most engines serves, or all versions of a service
+# without an order.
 VERDICTS_WAIT_S = 1.0
 # The platform stops the engines of the version that lost within this time.
 FLEET_SETTLE_S = 30.0
@@ -104,11 +105,14 @@
         # End of the view of the operator's topic.
         self._view_end = -1
         self._held = HeldVersions()
-        # Verdicts from before the start may be unknown; the record of the duties, or a
-        # peer that knows it, shows them. Until then, these versions serve.
+        # Whether verdicts from before the start may be unknown. They are known after a
+        # read of the operator's topic and of the record of the duties, or from the view
+        # of a peer that knows both.
         self._awaits_verdicts = False
         self._record_known = True
+        # Whether this has taken VERDICTS_WAIT_S.
         self._must_serve = False
+        # The versions that get requests meanwhile, by service.
         self._provisional: dict[str, frozenset[str]] = {}
         # Engines on trial, by service; also once their trial has stopped.
         self._trial_engine_counts: dict[str, int] = {}
@@ -305,7 +309,7 @@
     def begin(self, record: UpstreamRecord, key: str) -> None:
         """Record a place for a request, named by `key`, at an engine."""
         counts = self._sums.own(record.service)
-        if counts is not None and self._decided_trust(record) is Trust.ON_TRIAL:
+        if counts is not None and self._trust_by_orders(record) is Trust.ON_TRIAL:
             counts.trials += 1
             self._unsent[key] = counts
 
@@ -325,7 +329,7 @@
         self._unsent.pop(key, None)
         if first:
             counts.requests += 1
-        kind = self._decided_trust(record)
+        kind = self._trust_by_orders(record)
         if kind is Trust.BARRED:
             return None
         return counts.begin(record, route, size, trial=kind is Trust.ON_TRIAL)
@@ -503,8 +507,8 @@
     def _trust(self, record: UpstreamRecord) -> Trust:
         return self._trust_version(record.service, record.version)
 
-    def _decided_trust(self, record: UpstreamRecord) -> Trust:
-        """Return the trust by the known orders, also while the verdicts are not known.
+    def _trust_by_orders(self, record: UpstreamRecord) -> Trust:
+        """Return the trust by the known orders, whatever the provisional versions are.
 
         A node may serve from an undecided version then, whose answers are not those of
         a trusted one.
