Ignore a repeated SIGTERM at the stop of a node

A second SIGTERM while a node was about to exit ended its process by the signal (status -15), which looks like a crash. The cause is that of SIGHUP: the end of the loop restores the default effect. The handlers of SIGTERM and SIGINT are set with the signal module as well, and all three are ignored at the end.

test_sigterm_while_the_node_stops_does_not_end_it failed in 8 of 8 runs before and in 0 of 12 after; the one of SIGHUP in 0 of 12.

--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -32,6 +32,8 @@
 from cicadapass_gateway.supervisor import Supervisor
 from cicadapass_gateway.usage import UsageCounter
 
+# Signals upon which a node finishes its requests and ends.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Interval at which the time-outs of connections are checked.
 TIMEOUT_CHECK_INTERVAL_S = 0.25
 # While requests are queued, they are evaluated at this interval and at every change.
@@ -102,16 +104,16 @@
         logger.propagate = False
         logger.addHandler(output)
         events = EventLog(self._settings.node, HybridClock().stamp)
-        for signum in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signum, self._stop.set)
+        # The loop's own handlers restore the defaults when they are removed, so that a
+        # signal after that would kill a process that is about to exit.
+        for signum in STOP_SIGNALS:
+            signal.signal(signum, lambda *_: loop.call_soon_threadsafe(self._stop.set))
         loop.set_exception_handler(
             lambda _, context: events.emit(
                 808, reason=repr(context.get("exception") or context["message"])
             )
         )
         components = self._build_components(events)
-        # The loop's own handlers restore the default at their removal. For a moment
-        # SIGHUP would then end the process.
         signal.signal(signal.SIGHUP, lambda *_: self._request_reload(loop, components))
         await self._start(components)
         components.supervisor.start(
@@ -127,7 +129,8 @@
         )
         events.emit(809, unfinished=unfinished)
         await components.supervisor.stop()
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        for signum in (*STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(signum, signal.SIG_IGN)
         output.stop(SHUTDOWN_RESERVE_S / 2)
         return 0
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -60,11 +60,15 @@
 
     def hang_up(self):
         """Send SIGHUP; return whether the process still ran."""
+        return self.signal(signal.SIGHUP)
+
+    def signal(self, signum):
+        """Send a signal; return whether the process still ran."""
         if self.process.returncode is not None:
             return False
         try:
             # `Process.send_signal` would collect the exit status itself.
-            os.kill(self.process.pid, signal.SIGHUP)
+            os.kill(self.process.pid, signum)
         except ProcessLookupError:
             return False
         return True
@@ -204,6 +208,14 @@
 
     def test_sighup_while_the_node_stops_does_not_end_it(self):
         """A change of the settings ended a node before it had written its log."""
+        self.check_stop(signal.SIGHUP)
+
+    def test_sigterm_while_the_node_stops_does_not_end_it(self):
+        """A repeated request to stop ended a node by the signal."""
+        self.check_stop(signal.SIGTERM)
+
+    def check_stop(self, signum):
+        """Check that a node stops in order while it gets signals without a pause."""
         folder = self.enterContext(tempfile.TemporaryDirectory())
 
         async def scenario():
@@ -212,7 +224,7 @@
             await node.start(folder)
             node.process.send_signal(signal.SIGTERM)
             ended = asyncio.create_task(node.process.communicate())
-            while node.hang_up():
+            while node.signal(signum):
                 await asyncio.sleep(0)
             output, _ = await ended
             self.assertEqual(0, node.process.returncode)
