--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -21,7 +21,7 @@
 from cicadapass_decisions.ratelimit import Totals
 from cicadapass_decisions.readsharing import is_watcher
 from cicadapass_decisions.segmentsuspicions import Change
-from cicadapass_gateway.cbor import decode_cbor
+from cicadapass_gateway.cbor import decode_cbor, finite_number
 from cicadapass_gateway.exceptions import DECODE_ERRORS
 from cicadapass_gateway.nodeaddress import (
     NodeAddress,
@@ -412,16 +412,19 @@
         member.registry_ok = bool(message["registry"][0])
         self._dependencies.registry().compare_version(member.version)
         key = address.key
-        self._dependencies.clock.record_reading(key, _number(message["wall"]), now_s)
+        self._dependencies.clock.record_reading(
+            key, finite_number(message["wall"]), now_s
+        )
         load = {k: (int(v[0]), int(v[1])) for k, v in message["upstreams"].items()}
         state.upstreams.apply_load(address.name, load, now_s)
         limits = _decode_totals(message["limits"])
         state.rate_limiter.record_peer_totals(
-            key, limits, _number(message["up"]), now_s
+            key, limits, finite_number(message["up"]), now_s
         )
         self._dependencies.usage.merge(key, message["usage"])
         self._dependencies.demand[address.name] = {
-            str(service): _number(rate) for service, rate in message["demand"].items()
+            str(service): finite_number(rate)
+            for service, rate in message["demand"].items()
         }
         self._apply_view(member, message.get("view"))
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
@@ -452,7 +455,7 @@
             state.rate_limiter.record_peer_report(
                 member.address.key,
                 _decode_totals(rows),
-                _number(uptime_s),
+                finite_number(uptime_s),
                 state.clock(),
             )
 
@@ -544,7 +547,7 @@
             end_offset, ages_ms = row
             member.view_end = int(end_offset)
             self._dependencies.registry().compare_view(
-                member.view_end, [_number(age_ms) / 1000 for age_ms in ages_ms]
+                member.view_end, [finite_number(age_ms) / 1000 for age_ms in ages_ms]
             )
 
     def _count_missed(self, member: Member, interval: int) -> None:
@@ -600,12 +603,4 @@
 def _check_finite(values: Sequence[Any]) -> None:
     """Raise ValueError unless all values are finite; their sum may overflow."""
     for value in values:
-        _number(value)
-
-
-def _number(value: Any) -> float:
-    """Return a finite number; raise ValueError for any other."""
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"{value} is not a finite number")
-    return number
+        finite_number(value)
--- a/packages/gateway/cicadapass_gateway/rolloutmessages.py
+++ b/packages/gateway/cicadapass_gateway/rolloutmessages.py
@@ -1,10 +1,10 @@
 """Encode and decode what nodes report of rollouts, and store in the duty record."""
 
-import math
 from typing import Any
 
 from cicadapass_decisions.rolloutevidence import Counts, Evidence, Finding, Side
 from cicadapass_decisions.rollouts import Rollout, RolloutState
+from cicadapass_gateway.cbor import finite_number
 
 # A node has some routes and trial engines; more sides are malformed.
 MAX_SIDES = 1000
@@ -37,12 +37,12 @@
     return Rollout(
         service=_text(service),
         to=_text(to),
-        duration_s=_number(duration_s),
+        duration_s=finite_number(duration_s),
         offset=_count(offset),
         origin=_count(origin),
-        seen_s=_number(seen_s),
+        seen_s=finite_number(seen_s),
         # Rows of earlier builds end before these.
-        order_seen_s=_number(row[10] if len(row) > 10 else seen_s),
+        order_seen_s=finite_number(row[10] if len(row) > 10 else seen_s),
         state=RolloutState(state),
         withdrawn=bool(withdrawn),
         trusted=frozenset(_text(each) for each in row[8]),
@@ -112,10 +112,3 @@
 def _offset(value: Any) -> int:
     """Return an offset, or -1 for none."""
     return -1 if value == -1 else _count(value)
-
-
-def _number(value: Any) -> float:
-    number = float(value)
-    if not math.isfinite(number):
-        raise ValueError(f"{value} is not a finite number")
-    return number
