--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -145,7 +145,10 @@
         self._charge_unsent(self._request_bytes)
 
     def resume_writing(self) -> None:
-        """Release the copy of a request that the upstream has taken."""
+        """Release the copy of a request that the upstream has taken.
+
+        Up to the transport's low-water mark may be left of it, 16 KB by default.
+        """
         self._charge_unsent(0)
 
     def _charge_unsent(self, unsent_bytes: int) -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -50,9 +50,9 @@
 # Long enough that no test fails on a machine under load.
 TIMEOUT_S = 30.0
 HOST = "127.0.0.1"
-# Value of the socket option by which the kernel sends a reset in place of a close.
 # Time for which a leaving upstream may get requests.
 DRAIN_S = 2.0
+# Value of the socket option by which the kernel sends a reset in place of a close.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
--- a/tests/gateway/test_memorybudget.py
+++ b/tests/gateway/test_memorybudget.py
@@ -30,6 +30,16 @@
 CAPACITY_BYTES = 2_000_000
 
 
+def respond_after(ended):
+    """Return a handler that responds once an event is set."""
+
+    async def respond(exchange):
+        await ended.wait()
+        exchange.respond(200, [], b"ok")
+
+    return respond
+
+
 def announced(body_bytes):
     """Return the head of a request with a body of this length."""
     return HEAD + f"Content-Length: {body_bytes}\r\n\r\n".encode()
@@ -216,10 +226,7 @@
 
         async def scenario():
             ended = asyncio.Event()
-
-            async def respond(exchange):
-                await ended.wait()
-                exchange.respond(200, [], b"ok")
+            respond = respond_after(ended)
 
             server = self.start(respond)
             first, second = self.open(server), self.open(server)
@@ -244,10 +251,7 @@
 
         async def scenario():
             ended = asyncio.Event()
-
-            async def respond(exchange):
-                await ended.wait()
-                exchange.respond(200, [], b"ok")
+            respond = respond_after(ended)
 
             server = self.start(respond)
             channel, transport = self.open(server)
@@ -366,10 +370,7 @@
 
         async def scenario():
             ended = asyncio.Event()
-
-            async def respond(exchange):
-                await ended.wait()
-                exchange.respond(200, [], b"ok")
+            respond = respond_after(ended)
 
             server = self.start(respond)
             channel, transport = self.open(server)
