Report the era of the registry, and its rises

Event 837 reports a rise with what the node had read, 838 a malformed era; 801, 804, 831 and 835 name the era, and the gauge registry_era has it. Nothing is decided by it yet.

The stand-ins of the registry return from a copy, and answer a read beyond their end with 410.

--- a/packages/bench/cicadapass_bench/costnode.py
+++ b/packages/bench/cicadapass_bench/costnode.py
@@ -8,7 +8,7 @@
 import json
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from cicadapass_common.events import EventLog
@@ -39,6 +39,7 @@
 from cicadapass_gateway.config import Address, Settings
 from cicadapass_gateway.node import run_node
 from cicadapass_gateway.nodestate import NodeState, RetryLimits
+from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.requestqueue import RequestRequirements
 from cicadapass_platform.headers import HEADER_CODEC
 
@@ -64,6 +65,7 @@
     """Answer reads with upstreams that never change."""
 
     rows: list[list[Any]]
+    era: RegistryEra = field(default_factory=RegistryEra)
 
     async def newest(self, topic: str) -> Listing:
         """Return the newest record of each key."""
--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -176,13 +176,13 @@
 
 800 info gateway_started(data_centre, pid_started)
     A gateway node started to listen.
-801 info gateway_configuration(version, source, routes)
+801 info gateway_configuration(version, source, era, routes)
     A gateway node uses this version; the source is the registry or a peer.
 802 error gateway_configuration_unreadable(source, reason)
     A configuration cannot be decoded or applied; the one in force stays.
 803 warning registry_lost(reason)
     A call to the platform's registry failed; the view in force stays.
-804 info registry_found(offset)
+804 info registry_found(era, offset)
     The platform's registry answers again.
 805 warning gateway_part_restarted(part, reason)
     A component of a gateway failed and is restarted.
@@ -245,7 +245,7 @@
     A message from a peer cannot be decoded.
 821 warning peer_state_failed(peer, reason)
     A peer did not return its state.
-831 info upstreams_changed(source, peer, view_end, ready, leaving, removed)
+831 info upstreams_changed(source, peer, era, view_end, ready, leaving, removed)
     Entries of upstreams changed; each is named with the offset of its record.
 832 warning upstream_entry_skipped(upstream, offset, skipped)
     An upstream's entry cannot be decoded and is ignored; `skipped` counts the entries \
@@ -254,12 +254,19 @@
     No node has read the registry recently; removed upstreams stay in use for now.
 834 info leaving_marks_applied(peer, upstreams)
     A peer reported that these upstreams are leaving.
-835 info changes_served(peer, start, view_end, entries, complete)
+835 info changes_served(peer, era, start, view_end, entries, complete)
     A peer fetched the entries of upstreams from this offset on, or all of them.
 836 info upstream_marked_leaving(upstream, reason)
     An answer shows that an upstream is leaving (`answer`), or that its address has \
 gone to another one (`replaced`); it gets no further requests. It is named with the \
 Unix millisecond of its start.
+837 warning registry_era_risen(before, era, source, version, view_end)
+    The registry names a later era: it has returned from an older copy, unless \
+`before` is 0. The source is the call and the status of the answer, or a peer. \
+`version` and `view_end` say what this node had read in the era before.
+838 warning registry_era_odd(text, source, era, skipped)
+    An answer of the registry names no era, or one that is malformed or falls; it is \
+taken for one of the era in force. `skipped` counts the lines left out.
 840 info duties_taken(fence, previous, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -9,6 +9,7 @@
 from cicadapass_decisions.rollouts import RolloutOrder, RolloutState
 from cicadapass_decisions.runmigration import CopyOutcome
 from cicadapass_decisions.topicreplica import Document
+from cicadapass_gateway.registryera import RegistryEra
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -102,6 +103,10 @@
 class Registry(Protocol):
     """Read and write the platform's keyed logs."""
 
+    @property
+    def era(self) -> RegistryEra:
+        """Return the era, which rises when the registry returns from a copy."""
+
     async def newest(self, topic: str) -> Listing:
         """Return the newest record of each key."""
 
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/registryera.py
@@ -0,0 +1,49 @@
+"""Track the era of the registry, as answers and peers name it."""
+
+from collections.abc import Callable
+
+from cicadapass_decisions.logposition import MAX_ERA, EraJudgement, judge_era
+
+# Called with the eras before and after a rise, and with who named the later one.
+RiseListener = Callable[[int, int, str], None]
+# Called with the text of an era that is malformed, and with who named it.
+OddListener = Callable[[str, str], None]
+
+
+class RegistryEra:
+    """Store the highest era that was named; 0 if the registry names none."""
+
+    def __init__(self) -> None:
+        self._value = 0
+        self._rise_listeners: list[RiseListener] = []
+        self._odd_listeners: list[OddListener] = []
+
+    @property
+    def value(self) -> int:
+        """Return the era."""
+        return self._value
+
+    def subscribe(self, on_rise: RiseListener, on_odd: OddListener) -> None:
+        """Call the listeners at each rise and for each malformed era."""
+        self._rise_listeners.append(on_rise)
+        self._odd_listeners.append(on_odd)
+
+    def raise_to(self, era: int, source: str) -> None:
+        """Record an era that a peer or an answer names, if it is higher."""
+        if not self._value < era <= MAX_ERA:
+            return
+        before, self._value = self._value, era
+        for listener in self._rise_listeners:
+            listener(before, era, source)
+
+    def record_answer(
+        self, asked: int, answered: int | None, text: str | None, source: str
+    ) -> EraJudgement:
+        """Record the era of an answer; `asked` was known when the call began."""
+        judgement = judge_era(asked, self._value, answered)
+        if judgement is EraJudgement.RISEN and answered is not None:
+            self.raise_to(answered, source)
+        if judgement is EraJudgement.ODD or (answered is None and text is not None):
+            for listener in self._odd_listeners:
+                listener(text or "", source)
+        return judgement
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -76,6 +76,8 @@
 NODES_READ_INTERVAL_S = 20.0
 # Lines on entries that cannot be read in a second; the reader may meet many at once.
 MAX_SKIPPED_LINES_PER_S = 10
+# Lines on malformed eras in a second; every answer may name one.
+MAX_ODD_ERA_LINES_PER_S = 1
 # Characters of an odd key that a log line contains.
 MAX_LOGGED_KEY = 80
 # Characters of the reason for which an order was skipped.
@@ -123,6 +125,9 @@
         # The orders that were skipped, by key; listings return them again.
         self._skipped_orders: dict[str, int] = {}
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
+        self._era = adapter.registry.era
+        self._era_lines = LineLimit(MAX_ODD_ERA_LINES_PER_S, state.clock)
+        self._era.subscribe(self._record_rise, self._log_odd_era)
 
     @property
     def registry_ok(self) -> bool:
@@ -294,6 +299,7 @@
         self._state.events.emit(
             835,
             peer=peer,
+            era=self._era.value,
             start=start,
             view_end=delta.end_offset,
             entries=len(delta.documents),
@@ -465,6 +471,7 @@
                 801,
                 version=configuration.version,
                 source=source,
+                era=self._era.value,
                 routes=len(configuration.routes),
             )
             self._state.queue.dispatch()
@@ -495,6 +502,7 @@
                 831,
                 source=source,
                 peer=peer,
+                era=self._era.value,
                 view_end=self._replica.end_offset,
                 ready=names["ready"],
                 leaving=names["leaving"],
@@ -567,7 +575,31 @@
         self._registry_status.last_response_s = now_s
         if self._registry_status.lost:
             self._registry_status.lost = False
-            self._state.events.emit(804, offset=self._replica.end_offset)
+            self._state.events.emit(
+                804, era=self._era.value, offset=self._replica.end_offset
+            )
+
+    def _record_rise(self, before: int, era: int, source: str) -> None:
+        """Record that the registry has returned from a copy, or named its first era."""
+        self._state.metrics.gauge("registry_era", era)
+        self._state.events.emit(
+            837,
+            before=before,
+            era=era,
+            source=source,
+            version=self._state.version,
+            view_end=self._replica.end_offset,
+        )
+
+    def _log_odd_era(self, text: str, source: str) -> None:
+        if self._era_lines.allows_line():
+            self._state.events.emit(
+                838,
+                text=text,
+                source=source,
+                era=self._era.value,
+                skipped=self._era_lines.take_skipped(),
+            )
 
     async def _pause_after(self, failures: _Failures, error: GatewayError) -> None:
         """Record a failed call and wait until the next one.
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -43,6 +43,7 @@
 from cicadapass_gateway.httpserver import HttpServer, ServerState
 from cicadapass_gateway.migrator import Migrator
 from cicadapass_gateway.nodestate import NodeState, RetryLimits
+from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.registrysync import periodic
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.usage import UsageCounter
@@ -501,6 +502,18 @@
         self.first_offsets = {}
         # Largest number of records that a read returns; None for all.
         self.max_records = None
+        self.era = RegistryEra()
+        # Rises at each return from a copy; 0 for a registry that names no era.
+        self.era_number = 0
+
+    def copy(self):
+        """Return a copy of all logs."""
+        return {topic: list(log) for topic, log in self.logs.items()}
+
+    def return_from(self, copy):
+        """Lose what was written since a copy; the offsets go back with it."""
+        self.logs = {topic: list(log) for topic, log in copy.items()}
+        self.era_number += 1
 
     def put(self, topic, key, value):
         """Append a record without conditions, even during an outage."""
@@ -521,9 +534,12 @@
     async def changes(self, topic, start, wait_s):
         """Return the records from an offset on."""
         await self._check()
-        if start < self.first_offsets.get(topic, 0):
+        first, era = self.first_offsets.get(topic, 0), self.era_number
+        if not first <= start <= len(self.logs.get(topic, [])):
             raise HistoryExpired("gone")
         for _ in range(max(1, int(wait_s / 0.01))):
+            if self.era_number != era:
+                raise PlatformUnavailable("the registry went away")
             log = self.logs.get(topic, [])
             if len(log) > start or not wait_s:
                 break
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -11,6 +11,7 @@
 from cicadapass_gateway.httpclient import ResponseHead
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.peers import SEND_INTERVAL_S, PeerDependencies, Peers
+from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import (
@@ -87,6 +88,7 @@
     def __init__(self, registry, counts):
         self._registry = registry
         self._counts = counts
+        self.era = RegistryEra()
         self.call_s = CALL_S
         self.silent = False
         self.busy = False
--- a/tests/platform/storestandin.py
+++ b/tests/platform/storestandin.py
@@ -16,6 +16,8 @@
 
     def __init__(self):
         self.registry = MemoryRegistry()
+        # The text of the header in place of the registry's era.
+        self.odd_era = None
         self.duties = []
         self._server = HttpServer(
             ServerState(CallerLimits()), self._serve, lambda error: None
@@ -40,14 +42,19 @@
             exchange.respond(200, [], b"{}")
             return
         try:
-            exchange.respond(200, [], await call(query, exchange.body))
+            self._respond(exchange, 200, await call(query, exchange.body))
         except OffsetConflict:
-            exchange.respond(412, [], b"{}")
+            self._respond(exchange, 412, b"{}")
         except HistoryExpired:
-            first = self.registry.first_offsets[query["topic"]]
-            exchange.respond(410, [], json.dumps({"first": first}).encode())
+            first = self.registry.first_offsets.get(query["topic"], 0)
+            self._respond(exchange, 410, json.dumps({"first": first}).encode())
         except GatewayError:
-            exchange.respond(503, [], b"{}")
+            self._respond(exchange, 503, b"{}")
+
+    def _respond(self, exchange, status, body):
+        era = self.odd_era or str(self.registry.era_number or "")
+        headers = [(b"Store-Era", era.encode())] if era else []
+        exchange.respond(status, headers, body)
 
     async def _newest(self, query, body):
         listing = await self.registry.newest(query["topic"])
--- a/tests/platform/test_foreignvalues.py
+++ b/tests/platform/test_foreignvalues.py
@@ -13,6 +13,7 @@
 from cicadapass_gateway.adapterapi import Listing
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.nodeaddress import NodeAddress, decode_address
+from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.registrysync import MAX_SKIPPED_LINES_PER_S, RegistrySync
 from cicadapass_platform.documents import CODEC, decode_upstream
 from cicadapass_platform.headers import decode_call, decode_response
@@ -94,6 +95,7 @@
 
     def __init__(self, documents):
         self.documents = documents
+        self.era = RegistryEra()
 
     async def newest(self, topic):
         """Return all entries."""
