Order what the registry returns by its era and its offset

The store had returned from a copy without the last two versions, and the operator wrote the newest again and then the next. A reader asks from its own offset on, and that offset existed again behind other records: no 410 and no record. Every belief that is kept by an offset has this fault, since offsets are compared without the era that they belong to.

These positions never go back, so the comparisons of views, peers and conditional appends hold across a return: a position of an earlier era is read anew by a listing, or conflicts. A read that waits over the return ends once another call or a peer names the later era, and an answer from before it is dropped. Peers learn of the era by the end of a view; at 195 nodes they fetch the new listing from each other. Upstreams that the copy lacks stay for the time in which they write again, and those that it brings back after their removal stay out. Nodes announce themselves again in each era.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -199,24 +199,24 @@
     A request was answered without an upstream, under this configuration version.
 811 info attempt_unsuccessful(request_id, upstream, upstream_sequence, outcome, \
 detail, sends, segments, head_age_ms, events, bytes, silent_ms, heard_age_ms, \
-ended_by, suspected, entry_offset, entry_age_ms, held, view_end, view_age_ms, \
-limit_per_s, limit_age_ms, limit_share_per_s, limit_room)
+ended_by, suspected, entry_offset, entry_age_ms, held, view_era, view_end, \
+view_age_ms, limit_per_s, limit_age_ms, limit_share_per_s, limit_room)
     An attempt at an upstream returned no answer to forward. The segments are the \
 shared ones of the prompt; `head_age_ms` is the time since the response's head, if \
 there was one, and `events` and `bytes` what arrived. `silent_ms` is the time \
 without data at the end, and `heard_age_ms` the time since any connection of the \
 node got data from the upstream. `ended_by` is the upstream, which includes the \
 network, or the node. `suspected` has the evidence against segments at the last \
-decision: name, score, age in ms of the last end. The last nine fields describe \
+decision: name, score, age in ms of the last end. The last ten fields describe \
 the view of the registry by which the upstream was chosen, and its limit.
 812 info request_ended(request_id, status, outcome, ended_by, route, version, \
 version_in_force, upstream, sends, waited_ms, first_ms, total_ms, suspected, \
-entry_offset, entry_age_ms, held, view_end, view_age_ms, limit_per_s, limit_age_ms, \
-limit_share_per_s, limit_room)
+entry_offset, entry_age_ms, held, view_era, view_end, view_age_ms, limit_per_s, \
+limit_age_ms, limit_share_per_s, limit_room)
     A request that was sent to an upstream or queued has ended. `ended_by` is null for \
 a whole answer, else the caller, the upstream or the node. The request was matched \
 under `version`; `version_in_force` is that at its end. `suspected` is as in \
-`attempt_unsuccessful`. The last nine fields describe the view of the registry by \
+`attempt_unsuccessful`. The last ten fields describe the view of the registry by \
 which the last upstream was chosen, and its limit.
 813 info gateway_draining(in_progress)
     The node received SIGTERM; it is not ready and finishes requests in progress.
@@ -267,7 +267,7 @@
 838 warning registry_era_odd(text, source, era, skipped)
     An answer of the registry names no era, or one that is malformed or falls; it is \
 taken for one of the era in force. `skipped` counts the lines left out.
-840 info duties_taken(fence, previous, offset)
+840 info duties_taken(fence, previous, era, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
     This node no longer holds the duties.
--- a/packages/decisions/cicadapass_decisions/logposition.py
+++ b/packages/decisions/cicadapass_decisions/logposition.py
@@ -1,15 +1,36 @@
-"""Judge the eras of the registry, which rise when it returns from an older copy.
+"""Order the records of logs across the returns of the registry from an older copy.
 
 Within an era, the offsets of a log only grow. A copy gives the offsets behind its end
-out again, so an offset means nothing without its era.
+out again, so an offset means nothing without its era. A position has both in one
+number, which grows with the era first; without eras, it is the offset.
 """
 
 from enum import Enum
 
-# Higher eras are malformed; they would not fit into a position.
+# Bits of a position that hold the offset: 200 years of 10 records a second.
+OFFSET_BITS = 36
+MAX_OFFSET = (1 << OFFSET_BITS) - 1
+# Higher eras are malformed; a position has at most 63 bits.
 MAX_ERA = (1 << 27) - 1
 
 
+def make_position(era: int, offset: int) -> int:
+    """Return the position of an offset."""
+    if not 0 <= offset <= MAX_OFFSET:
+        raise ValueError(f"offset {offset} does not fit into a position")
+    return era << OFFSET_BITS | offset
+
+
+def era_of(position: int) -> int:
+    """Return the era of a position, 0 for that of nothing read."""
+    return position >> OFFSET_BITS if position >= 0 else 0
+
+
+def offset_of(position: int) -> int:
+    """Return the offset of a position, -1 for that of nothing read."""
+    return position & MAX_OFFSET if position >= 0 else -1
+
+
 class EraJudgement(Enum):
     """Say what the era of an answer means."""
 
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -8,6 +8,8 @@
 # The platform guarantees that entries which lapsed during an outage of the registry
 # reappear about 2 s after its end.
 REAPPEAR_S = 2.2
+# Removed starts that are remembered; an older copy of the registry may list them.
+MAX_REMOVED = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,6 +32,8 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._lapsed: dict[str, LapsedRecord] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        # The sequence of the last entry of each start that was removed.
+        self._removed: dict[tuple[str, int], int] = {}
         # Upstreams whose newest entry in the registry is an outdated one.
         self._outdated_entries: set[str] = set()
         self._unsettled_until_s = 0.0
@@ -79,12 +83,25 @@
             self.mark_leaving(record.upstream_id, record.started_ms, now_s)
         return current is None or replace(current, sequence=record.sequence) != record
 
+    def apply_from_copy(self, record: UpstreamRecord, now_s: float) -> bool:
+        """Apply an entry of a registry that has returned from an older copy.
+
+        The entry of a start that was removed since the copy does not make it usable.
+        """
+        removed = self._removed.get((record.upstream_id, record.started_ms))
+        if removed is not None and record.sequence <= removed:
+            return False
+        return self.apply(record, now_s)
+
     def remove(self, upstream_id: str, now_s: float) -> bool:
         """Apply the removal of an entry; return whether the entry was known."""
         record = self._records.pop(upstream_id, None)
         self._outdated_entries.discard(upstream_id)
         if record is None:
             return False
+        self._removed[upstream_id, record.started_ms] = record.sequence
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
         if now_s < self._unsettled_until_s:
             self._lapsed[upstream_id] = LapsedRecord(record, self._unsettled_until_s)
         return True
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -101,7 +101,11 @@
 
 
 class Registry(Protocol):
-    """Read and write the platform's keyed logs."""
+    """Read and write the platform's keyed logs.
+
+    The offsets of documents, listings, changes and appends are positions, which contain
+    the era: they never go back.
+    """
 
     @property
     def era(self) -> RegistryEra:
@@ -111,14 +115,18 @@
         """Return the newest record of each key."""
 
     async def changes(self, topic: str, start: int, wait_s: float) -> Changes:
-        """Return the records from `start` on; wait up to `wait_s` for the first one."""
+        """Return the records from `start` on; wait up to `wait_s` for the first one.
+
+        Raise `HistoryExpired` if the log does not have them, or is of a later era.
+        """
 
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None
     ) -> int:
         """Append a record and return the new end offset.
 
-        Raise `OffsetConflict` unless the log ends at `expected_end` or this is None.
+        Raise `OffsetConflict` unless the log ends at `expected_end` or this is None. An
+        append that meets a later era may have been executed.
         """
 
 
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -19,6 +19,7 @@
     should_renew,
     take_over_record,
 )
+from cicadapass_decisions.logposition import era_of, offset_of
 from cicadapass_decisions.usagereports import (
     WindowTimes,
     newest_reports,
@@ -203,7 +204,8 @@
                 840,
                 fence=self._lease.record.fence,
                 previous=record.holder if record else None,
-                offset=self._lease.end_offset,
+                era=era_of(self._lease.end_offset),
+                offset=offset_of(self._lease.end_offset),
             )
             return
         await asyncio.sleep(
--- a/packages/gateway/cicadapass_gateway/registryera.py
+++ b/packages/gateway/cicadapass_gateway/registryera.py
@@ -1,5 +1,6 @@
 """Track the era of the registry, as answers and peers name it."""
 
+import asyncio
 from collections.abc import Callable
 
 from cicadapass_decisions.logposition import MAX_ERA, EraJudgement, judge_era
@@ -15,6 +16,8 @@
 
     def __init__(self) -> None:
         self._value = 0
+        # Set at the next rise, and replaced then.
+        self._risen = asyncio.Event()
         self._rise_listeners: list[RiseListener] = []
         self._odd_listeners: list[OddListener] = []
 
@@ -33,9 +36,16 @@
         if not self._value < era <= MAX_ERA:
             return
         before, self._value = self._value, era
+        self._risen.set()
+        self._risen = asyncio.Event()
         for listener in self._rise_listeners:
             listener(before, era, source)
 
+    async def wait_above(self, era: int) -> None:
+        """Wait until a higher era is known."""
+        while self._value <= era:
+            await self._risen.wait()
+
     def record_answer(
         self, asked: int, answered: int | None, text: str | None, source: str
     ) -> EraJudgement:
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -1,6 +1,7 @@
 """Follow the platform's registry: the configuration, the upstreams and the nodes."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -8,6 +9,7 @@
 
 import cbor2
 
+from cicadapass_decisions.logposition import era_of, offset_of
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.readsharing import (
     FAILURE_PAUSE_S,
@@ -15,7 +17,7 @@
     read_interval_s,
 )
 from cicadapass_decisions.topicreplica import Delta, Document
-from cicadapass_gateway.adapterapi import Adapter
+from cicadapass_gateway.adapterapi import Adapter, Changes
 from cicadapass_gateway.cbor import decode_cbor
 from cicadapass_gateway.exceptions import (
     DECODE_ERRORS,
@@ -74,6 +76,8 @@
 FETCH_RETRY_PAUSE_S = 0.05
 # Interval at which the list of nodes is read; datagrams announce new nodes sooner.
 NODES_READ_INTERVAL_S = 20.0
+# The announcements of all nodes in a new era are spread over this time.
+ANNOUNCEMENT_SPREAD_S = 2.0
 # Lines on entries that cannot be read in a second; the reader may meet many at once.
 MAX_SKIPPED_LINES_PER_S = 10
 # Lines on malformed eras in a second; every answer may name one.
@@ -144,7 +148,11 @@
         return self._replica.end_offset, self._replica.ages_s(self._state.clock())
 
     def compare_view(self, end_offset: int, ages_s: Sequence[float]) -> None:
-        """Compare the view with that of a peer, and fetch what it lacks."""
+        """Compare the view with that of a peer, and fetch what it lacks.
+
+        A view of a later era covers more, whatever its offset.
+        """
+        self._era.raise_to(era_of(end_offset), "peer")
         self._replica.confirm_by_peer(end_offset, ages_s, self._state.clock())
         if end_offset > self._replica.end_offset:
             self._behind.set()
@@ -182,7 +190,7 @@
                     wait_s = min(
                         MAX_WAIT_S, self._read_interval_s(CONFIGURATION_WAIT_S)
                     )
-                    changes = await self._adapter.registry.changes(topic, end, wait_s)
+                    changes = await self._poll_configuration(end, wait_s)
                     end = changes.end_offset
                     self._adopt_documents(changes.documents)
                     if changes.complete:
@@ -196,6 +204,24 @@
             except GatewayError as error:
                 await self._pause_after(self._configuration_failures, error)
 
+    async def _poll_configuration(self, end: int, wait_s: float) -> Changes:
+        """Return the changes of the configuration from an end on.
+
+        A read that waits while the registry returns from a copy may not be answered, so
+        it ends once another call or a peer names the later era.
+        """
+        topic, registry = self._adapter.topics.configuration, self._adapter.registry
+        read = asyncio.ensure_future(registry.changes(topic, end, wait_s))
+        rise = asyncio.ensure_future(self._era.wait_above(era_of(end)))
+        try:
+            await asyncio.wait({read, rise}, return_when=asyncio.FIRST_COMPLETED)
+            if read.done():
+                return read.result()
+            raise HistoryExpired(f"{topic}: the registry has returned from a copy")
+        finally:
+            read.cancel()
+            rise.cancel()
+
     async def follow_held_versions(self) -> None:
         """Read the operator's topic for versions that wait for it, until cancelled.
 
@@ -243,13 +269,17 @@
                 await asyncio.sleep(FETCH_RETRY_PAUSE_S)
 
     async def follow_nodes(self) -> None:
-        """Announce this node, then read the list of nodes until cancelled."""
-        announced = False
+        """Announce this node, then read the list of nodes until cancelled.
+
+        It is announced again in each era, as the registry may have lost the record.
+        """
+        announced_era = -1
         while True:
+            era = self._era.value
             try:
-                if not announced:
+                if announced_era != era:
                     await self._announce()
-                    announced = True
+                    announced_era = era
                 listing = await self._adapter.registry.newest(
                     self._adapter.topics.nodes
                 )
@@ -258,7 +288,14 @@
                 await self._pause_after(self._node_failures, error)
                 continue
             self._node_failures.count = 0
-            await asyncio.sleep(self._read_interval_s(NODES_READ_INTERVAL_S))
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(
+                    self._read_interval_s(NODES_READ_INTERVAL_S)
+                ):
+                    await self._era.wait_above(era)
+                    await asyncio.sleep(
+                        ANNOUNCEMENT_SPREAD_S * self._state.rng.random()
+                    )
 
     async def follow_peers(self) -> None:
         """Fetch newer configurations of peers until cancelled."""
@@ -299,9 +336,9 @@
         self._state.events.emit(
             835,
             peer=peer,
-            era=self._era.value,
-            start=start,
-            view_end=delta.end_offset,
+            era=era_of(delta.end_offset),
+            start=offset_of(start),
+            view_end=offset_of(delta.end_offset),
             entries=len(delta.documents),
             complete=delta.complete,
         )
@@ -322,6 +359,11 @@
         topic, registry = self._adapter.topics.upstreams, self._adapter.registry
         start, read_s = self._replica.end_offset, self._state.clock()
         if self._needs_listing:
+            if start >= 0 and self._member_ahead() is not None:
+                # A peer has listed the upstreams in the new era.
+                self._needs_listing = False
+                self._behind.set()
+                return
             listing = await registry.newest(topic)
             end_offset = listing.end_offset
             delta = Delta(listing.documents, end_offset, complete=True)
@@ -452,7 +494,7 @@
         self._state.events.emit(
             861,
             key=document.key[:MAX_LOGGED_KEY],
-            offset=document.offset,
+            offset=offset_of(document.offset),
             reason=reason[:MAX_LOGGED_REASON],
         )
 
@@ -480,37 +522,47 @@
         """Apply records or a listing of the upstreams that are new to this node."""
         now_s = self._state.clock()
         self._check_for_outage(now_s)
+        view_end = self._replica.end_offset
+        from_copy = view_end >= 0 and era_of(view_end) < era_of(delta.end_offset)
+        if from_copy:
+            # Entries that the copy lacks are written again within that time.
+            self._state.upstreams.view.record_outage(now_s)
         applied = self._replica.merge(delta, now_s)
         if (
-            self._apply_documents(applied, source, peer)
+            self._apply_documents(applied, source, peer, from_copy=from_copy)
             or not self._state.upstreams_loaded
         ):
             self._refresh()
 
     def _apply_documents(
-        self, documents: Iterable[Document], source: str, peer: str
+        self,
+        documents: Iterable[Document],
+        source: str,
+        peer: str,
+        *,
+        from_copy: bool,
     ) -> bool:
         """Apply new records to the view; return whether the upstreams changed."""
         names: dict[str, list[str]] = {"ready": [], "leaving": [], "removed": []}
         for document in documents:
-            change = self._apply_document(document)
+            change = self._apply_document(document, from_copy=from_copy)
             if change is not None:
-                names[change].append(f"{document.key}@{document.offset}")
+                names[change].append(f"{document.key}@{offset_of(document.offset)}")
         changed = any(names.values())
         if changed:
             self._state.events.emit(
                 831,
                 source=source,
                 peer=peer,
-                era=self._era.value,
-                view_end=self._replica.end_offset,
+                era=era_of(self._replica.end_offset),
+                view_end=offset_of(self._replica.end_offset),
                 ready=names["ready"],
                 leaving=names["leaving"],
                 removed=names["removed"],
             )
         return changed
 
-    def _apply_document(self, document: Document) -> str | None:
+    def _apply_document(self, document: Document, *, from_copy: bool) -> str | None:
         """Apply an entry; return the change, or None if its content is the same."""
         now_s = self._state.clock()
         view = self._state.upstreams.view
@@ -518,7 +570,8 @@
         if record is None:
             changed, change = view.remove(document.key, now_s), "removed"
         else:
-            changed = view.apply(record, now_s)
+            apply = view.apply_from_copy if from_copy else view.apply
+            changed = apply(record, now_s)
             change = "leaving" if record.leaving else "ready"
         return change if changed else None
 
@@ -530,7 +583,7 @@
             self._state.events.emit(
                 832,
                 upstream=document.key[:MAX_LOGGED_KEY],
-                offset=document.offset,
+                offset=offset_of(document.offset),
                 skipped=self._skipped_lines.take_skipped(),
             )
         return record
@@ -576,7 +629,9 @@
         if self._registry_status.lost:
             self._registry_status.lost = False
             self._state.events.emit(
-                804, era=self._era.value, offset=self._replica.end_offset
+                804,
+                era=era_of(self._replica.end_offset),
+                offset=offset_of(self._replica.end_offset),
             )
 
     def _record_rise(self, before: int, era: int, source: str) -> None:
@@ -588,7 +643,7 @@
             era=era,
             source=source,
             version=self._state.version,
-            view_end=self._replica.end_offset,
+            view_end=offset_of(self._replica.end_offset),
         )
 
     def _log_odd_era(self, text: str, source: str) -> None:
--- a/packages/gateway/cicadapass_gateway/requestlog.py
+++ b/packages/gateway/cicadapass_gateway/requestlog.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from cicadapass_decisions.attempts import AttemptOutcome, AttemptResult
+from cicadapass_decisions.logposition import era_of, offset_of
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_gateway.adapterapi import Call
 from cicadapass_gateway.linelimit import LineLimit
@@ -100,10 +101,11 @@
             heard_age_ms=_ms_or_none(response.heard_age_s),
             ended_by=None if response.ended_by is None else response.ended_by.value,
             suspected=request.evidence,
-            entry_offset=basis.entry_offset,
+            entry_offset=offset_of(basis.entry_offset),
             entry_age_ms=_ms(basis.entry_age_s),
             held=basis.held,
-            view_end=basis.view_end,
+            view_era=era_of(basis.view_end),
+            view_end=offset_of(basis.view_end),
             view_age_ms=_ms(basis.view_age_s),
             limit_per_s=basis.limit_per_s,
             limit_age_ms=_ms(basis.limit_age_s),
@@ -138,10 +140,11 @@
             first_ms=_ms_or_none(None if first_s is None else first_s - arrived_s),
             total_ms=_ms(now_s - arrived_s),
             suspected=request.evidence,
-            entry_offset=basis.entry_offset,
+            entry_offset=offset_of(basis.entry_offset),
             entry_age_ms=_ms(basis.entry_age_s),
             held=basis.held,
-            view_end=basis.view_end,
+            view_era=era_of(basis.view_end),
+            view_end=offset_of(basis.view_end),
             view_age_ms=_ms(basis.view_age_s),
             limit_per_s=basis.limit_per_s,
             limit_age_ms=_ms(basis.limit_age_s),
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -11,6 +11,7 @@
 
 from cicadapass_common.events import EventLog
 from cicadapass_common.stamps import HybridClock
+from cicadapass_decisions.logposition import era_of, make_position, offset_of
 from cicadapass_decisions.passthrough import (
     CallerLimits,
     CallKind,
@@ -525,17 +526,18 @@
         log = self.logs.get(topic, [])
         newest = {key: (offset, value) for offset, (key, value) in enumerate(log)}
         documents = tuple(
-            Document(key, value, offset)
+            Document(key, value, self.position(offset))
             for key, (offset, value) in newest.items()
             if value
         )
-        return Listing(documents, len(log))
+        return Listing(documents, self.position(len(log)))
 
     async def changes(self, topic, start, wait_s):
         """Return the records from an offset on."""
         await self._check()
-        first, era = self.first_offsets.get(topic, 0), self.era_number
-        if not first <= start <= len(self.logs.get(topic, [])):
+        position, start, era = start, offset_of(start), self.era_number
+        first, end = self.first_offsets.get(topic, 0), len(self.logs.get(topic, []))
+        if era_of(position) != era or not first <= start <= end:
             raise HistoryExpired("gone")
         for _ in range(max(1, int(wait_s / 0.01))):
             if self.era_number != era:
@@ -546,24 +548,30 @@
             await asyncio.sleep(0.01)
         records = list(enumerate(log[start:], start))[: self.max_records]
         documents = tuple(
-            Document(key, value, offset) for offset, (key, value) in records
+            Document(key, value, self.position(offset))
+            for offset, (key, value) in records
         )
-        end_offset = start + len(documents)
-        return Changes(documents, end_offset, complete=end_offset >= len(log))
+        end = self.position(start + len(documents))
+        return Changes(documents, end, complete=end >= self.position(len(log)))
 
     async def append(self, topic, key, value, expected_end):
         """Append a record if the log ends at `expected_end`."""
         await self._check()
         log = self.logs.setdefault(topic, [])
-        if expected_end is not None and expected_end != len(log):
+        if expected_end not in (None, self.position(len(log))):
             raise OffsetConflict("another writer was first")
         log.append((key, value))
         if self.lose_answers:
             self.lose_answers -= 1
             raise PlatformUnavailable("the response was lost")
-        return len(log)
+        return self.position(len(log))
+
+    def position(self, offset):
+        """Return the position of an offset in the present era."""
+        return make_position(self.era_number, offset)
 
     async def _check(self):
         await asyncio.sleep(0)
+        self.era.raise_to(self.era_number, "registry")
         if self.down:
             raise PlatformUnavailable("the registry is down")
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -92,16 +92,25 @@
         self.call_s = CALL_S
         self.silent = False
         self.busy = False
+        # Reads that wait while the registry goes away are not answered.
+        self.loses_polls = False
 
     async def newest(self, topic):
         """Return the newest record of each key."""
         await self._call(topic)
-        return await self._registry.newest(topic)
+        listing = await self._registry.newest(topic)
+        self._counts["listings", topic] = self._counts.get(("listings", topic), 0) + 1
+        return listing
 
     async def changes(self, topic, start, wait_s):
         """Return the records from an offset on."""
         await self._call(topic)
-        return await self._registry.changes(topic, start, wait_s)
+        try:
+            return await self._registry.changes(topic, start, wait_s)
+        except PlatformUnavailable:
+            if self.loses_polls:
+                await asyncio.sleep(CALL_TIMEOUT_S + wait_s)
+            raise
 
     async def append(self, topic, key, value, expected_end):
         """Append a record."""
@@ -114,6 +123,7 @@
             await asyncio.sleep(CALL_TIMEOUT_S)
             raise PlatformUnavailable("no answer in time")
         await asyncio.sleep(self.call_s)
+        self.era.raise_to(self._registry.era_number, "registry")
         if self.busy:
             raise PlatformUnavailable("refused")
 
--- a/tests/platform/storestandin.py
+++ b/tests/platform/storestandin.py
@@ -5,6 +5,7 @@
 import struct
 from urllib.parse import parse_qs, urlsplit
 
+from cicadapass_decisions.logposition import offset_of
 from cicadapass_decisions.passthrough import CallerLimits
 from cicadapass_gateway.exceptions import GatewayError, HistoryExpired, OffsetConflict
 from cicadapass_gateway.httpserver import HttpServer, ServerState
@@ -62,18 +63,22 @@
             {
                 "key": each.key,
                 "value": base64.b64encode(each.value).decode(),
-                "offset": each.offset,
+                "offset": offset_of(each.offset),
             }
             for each in listing.documents
         ]
-        answer = {"items": items, "morePages": False, "end": listing.end_offset}
+        answer = {
+            "items": items,
+            "morePages": False,
+            "end": offset_of(listing.end_offset),
+        }
         return json.dumps(answer).encode()
 
     async def _read(self, query, body):
         wait_s = int(query.get("waitMs", 0)) / 1000
-        start = int(query["from"])
+        start = self.registry.position(int(query["from"]))
         changes = await self.registry.changes(query["topic"], start, wait_s)
-        data = struct.pack(">QQ", changes.end_offset, 0)
+        data = struct.pack(">QQ", offset_of(changes.end_offset), 0)
         for each in changes.documents:
             record = bytes([len(each.key)]) + each.key.encode() + each.value
             data += struct.pack(">I", len(record)) + record
@@ -81,7 +86,10 @@
 
     async def _append(self, query, body):
         key_end = 5 + body[4]
-        expected = int(query["at"]) if "at" in query else None
+        expected = None
+        if "at" in query:
+            expected = self.registry.position(int(query["at"]))
         key, value = body[5:key_end].decode(), body[key_end:]
-        end = await self.registry.append(query["topic"], key, value, expected)
+        position = await self.registry.append(query["topic"], key, value, expected)
+        end = offset_of(position)
         return json.dumps({"offset": end - 1, "end": end}).encode()
--- a/tests/platform/test_storestandin.py
+++ b/tests/platform/test_storestandin.py
@@ -1,5 +1,6 @@
 """Test that the stand-in of the store refuses calls as the platform does."""
 
+from cicadapass_decisions.logposition import make_position
 from cicadapass_gateway.config import Address
 from cicadapass_gateway.exceptions import (
     HistoryExpired,
@@ -51,7 +52,7 @@
             standin.registry.return_from({})
             standin.registry.down = False
             with self.assertRaises(OffsetConflict):
-                await store.append("t", "k", b"v", 7)
+                await store.append("t", "k", b"v", make_position(1, 7))
             self.assertEqual(2, store.era.value)
 
         self.run_loop(scenario())
