Let a stream go on only at the version that began it

A repeat within an answer was placed at any engine unless the deployment has orders of rollouts: the default was that without these a service has one version. The copy of a run and the source of a fetched prompt followed the same default.

A stream is now bound to the version of the engine that wrote its head wherever it goes on: repeats, hedges, moved runs, fetched prompts. If only other versions have engines left, its connection is closed at once, since it can only wait for its deadline.

--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -250,9 +250,7 @@
         service = run.record.service
         # The memory of a run belongs to the version that wrote it.
         upstreams = self._state.upstreams
-        records = upstreams.usable(service)
-        if upstreams.versions is not None:
-            records = upstreams.of_version(service, run.record.version)
+        records = upstreams.of_version(service, run.record.version)
         candidates = upstreams.candidates(service, run.prompt, excluded, now_s, records)
         chosen = choose_destination(candidates)
         return next((each for each in records if each.upstream_id == chosen), None)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -327,7 +327,7 @@
             refusable=not (request.runs or request.exchange.started),
             route=route.name,
             may_try=not request.tries,
-            version=request.version if self._state.rollouts.enabled else None,
+            version=request.version,
             workspace=workspace.name if workspace else "",
             weight=workspace.rate_per_s if workspace else 0.0,
             draw=self._state.rng.random(),
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -63,7 +63,7 @@
     # Status of the stream that has begun.
     stream_status: int | None = None
     last_event_id: str | None = None
-    # The version at which the stream began, if versions are told apart.
+    # The version at which the stream began; that of an entry without one is empty.
     version: str | None = None
     # The last event with data had no id, so the stream cannot be resumed behind it.
     position_lost: bool = False
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -235,6 +235,8 @@
         service, version = requirements.service, requirements.version
         if version is not None and not self._upstreams.permits(service, version):
             return NotPlaced("version_withdrawn", 0.0)
+        if self._is_version_gone(requirements):
+            return NotPlaced("version_gone", 0.0)
         placement_request = PlacementRequest(
             prompt=requirements.prompt,
             for_model=requirements.model_engine,
@@ -312,6 +314,18 @@
             return None
         return self._upstreams.of_version(service, version)
 
+    def _is_version_gone(self, requirements: RequestRequirements) -> bool:
+        """Return whether only other versions have engines left for a stream.
+
+        A service without any engine may get one of the same version.
+        """
+        service, version = requirements.service, requirements.version
+        return (
+            version is not None
+            and bool(self._upstreams.usable(service))
+            and not self._upstreams.of_version(service, version)
+        )
+
     def _candidates(
         self, requirements: RequestRequirements, now_s: float
     ) -> list[Candidate]:
--- a/packages/gateway/cicadapass_gateway/upstreamtracker.py
+++ b/packages/gateway/cicadapass_gateway/upstreamtracker.py
@@ -209,7 +209,7 @@
 
     def may_share(self, one: UpstreamRecord, other: UpstreamRecord) -> bool:
         """Return whether an engine may use what another one computed of a prompt."""
-        return self.versions is None or one.version == other.version
+        return one.version == other.version
 
     def permits(self, service: str, version: str) -> bool:
         """Return whether a stream of a version may go on at its engines."""
