Find the version of a stream that is taken up

Callers whose streams had broken off took them up again and got the rest from another version, with nothing in the answer to show it. A take-up is a request like any other to a node: it read neither Last-Event-Id nor Resumes, and a node that has just started knows nothing of the stream.

While a service uses several versions, and for the life of a stream after, nodes append the streams that they begin to a log in batches of 0.1 s, beside the answers; at most eight nodes append, the others pass theirs on to these. A second log has the versions in use: while it says one, no stream is recorded and none is looked up. A take-up goes on at the version that this node, the log or the single version in use names, and is refused with 503 at once where that is not known or has no engine left. A node that cannot read the log does not guess. What the registry loses by a return from a copy is recorded again.

--- a/packages/bench/cicadapass_bench/costnode.py
+++ b/packages/bench/cicadapass_bench/costnode.py
@@ -78,6 +78,10 @@
             await asyncio.sleep(max(wait_s, 0.01))
         return Changes(documents[start:], max(start, len(documents)), complete=True)
 
+    async def tail(self, topic: str, count: int) -> Changes:
+        """Return no records."""
+        return Changes((), 0, complete=True)
+
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None
     ) -> int:
--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -267,6 +267,9 @@
 838 warning registry_era_odd(text, source, era, skipped)
     An answer of the registry names no era, or one that is malformed or falls; it is \
 taken for one of the era in force. `skipped` counts the lines left out.
+839 info versions_in_use_recorded(service, versions, era, offset)
+    The log has the versions at which streams of a service that still last may have \
+begun. While there are several, the streams that begin are recorded.
 840 info duties_taken(fence, previous, era, offset)
     This node holds the duties under this fencing number.
 841 warning duties_lost(fence, reason)
--- a/packages/decisions/cicadapass_decisions/readsharing.py
+++ b/packages/decisions/cicadapass_decisions/readsharing.py
@@ -39,8 +39,13 @@
 
     All nodes with the same `nodes` choose the same ones.
     """
-    weights = rendezvous_weights("watcher", {node, *nodes})
-    return node in heapq.nlargest(WATCHERS, weights, key=weights.__getitem__)
+    return node in choose_watchers({node, *nodes})
+
+
+def choose_watchers(nodes: Iterable[str]) -> list[str]:
+    """Return the few of some nodes that watch the registry for all."""
+    weights = rendezvous_weights("watcher", nodes)
+    return heapq.nlargest(WATCHERS, weights, key=weights.__getitem__)
 
 
 def failure_pause_s(failures: int, rng: random.Random) -> float:
--- /dev/null
+++ b/packages/decisions/cicadapass_decisions/streamversions.py
@@ -0,0 +1,89 @@
+"""Know at which version of a service's engines a stream began.
+
+What engines of two versions write does not fit together, so a caller's stream that
+broke off goes on at its version alone. While a service has used a single version for
+the life of a stream, that one is known without a record of the stream.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+# Streams that are remembered: 20 s of those that the planned size begins.
+MAX_STREAMS = 50_000
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Identify a stream by the request that brought its first event."""
+
+    service: str
+    request_id: str
+
+
+class StreamIndex:
+    """Store the versions of streams for the time that a stream may last."""
+
+    def __init__(self) -> None:
+        # The version and the end of the time, in the order of entry.
+        self._entries: dict[Stream, tuple[str, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def add(self, stream: Stream, version: str, ends_s: float) -> None:
+        """Store the version of a stream until a time."""
+        self._entries.pop(stream, None)
+        self._entries[stream] = (version, ends_s)
+        if len(self._entries) > MAX_STREAMS:
+            del self._entries[next(iter(self._entries))]
+
+    def version(self, stream: Stream, now_s: float) -> str | None:
+        """Return the version at which a stream began, or None if it is not known."""
+        version, ends_s = self._entries.get(stream, (None, now_s))
+        return version if ends_s > now_s else None
+
+    def of_service(self, service: str, now_s: float) -> list[tuple[Stream, str]]:
+        """Return the streams of a service that may last."""
+        return [
+            (stream, version)
+            for stream, (version, ends_s) in self._entries.items()
+            if stream.service == service and ends_s > now_s
+        ]
+
+    def expire(self, now_s: float) -> None:
+        """Remove the streams whose time is over, from the oldest entry on."""
+        while self._entries:
+            stream = next(iter(self._entries))
+            if self._entries[stream][1] > now_s:
+                return
+            del self._entries[stream]
+
+
+class VersionHistory:
+    """Track which versions of each service have had engines lately."""
+
+    def __init__(self) -> None:
+        self._last_seen_s: dict[str, dict[str, float]] = {}
+
+    def observe(self, versions: Mapping[str, Collection[str]], now_s: float) -> None:
+        """Record the versions that have engines now, by service."""
+        for service, present in versions.items():
+            seen = self._last_seen_s.setdefault(service, {})
+            seen.update(dict.fromkeys(present, now_s))
+
+    def restore(self, service: str, versions: Iterable[str], now_s: float) -> None:
+        """Record versions that may have had engines until now, as others reported."""
+        seen = self._last_seen_s.setdefault(service, {})
+        for version in versions:
+            seen[version] = max(now_s, seen.get(version, now_s))
+
+    def in_use(self, service: str, now_s: float, life_s: float) -> frozenset[str]:
+        """Return the versions at which a stream that still lasts may have begun."""
+        seen = self._last_seen_s.get(service, {})
+        return frozenset(
+            version for version, seen_s in seen.items() if seen_s > now_s - life_s
+        )
+
+    def services(self) -> list[str]:
+        """Return the services that have had engines."""
+        return list(self._last_seen_s)
--- a/packages/gateway/cicadapass_gateway/adapterapi.py
+++ b/packages/gateway/cicadapass_gateway/adapterapi.py
@@ -26,6 +26,8 @@
     last_event_id: str | None
     # Headers to forward unchanged.
     headers: Headers
+    # The request that brought the first event of the stream that is taken up.
+    resumes: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +122,9 @@
         Raise `HistoryExpired` if the log does not have them, or is of a later era.
         """
 
+    async def tail(self, topic: str, count: int) -> Changes:
+        """Return the first of the last `count` records of a log, or all of them."""
+
     async def append(
         self, topic: str, key: str, value: bytes, expected_end: int | None
     ) -> int:
@@ -140,6 +145,9 @@
     duties: str
     # The gateway writes the states of rollouts to it; only needed where these are used.
     status: str = ""
+    # Records of streams and of the versions in use, by which streams are taken up.
+    streams: str = ""
+    versions: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -29,6 +29,7 @@
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.shedlog import ShedLog
+from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.supervisor import Supervisor
 from cicadapass_gateway.usage import UsageCounter
 
@@ -78,6 +79,7 @@
     supervisor: Supervisor
     pool: ClientPool
     migrator: Migrator
+    stream_versions: StreamVersions
     shed_log: ShedLog
 
 
@@ -178,6 +180,7 @@
                 clock,
                 lambda: duties.local_renewal(),
                 lambda: registry_sync,
+                lambda rows: stream_versions.accept(rows),
             ),
         )
         state.upstreams.subscribe_to_sends(peers.report_send)
@@ -188,7 +191,16 @@
         times = DutyTimes(settings.lease_s, settings.usage_window_s)
         duties = Duties(state, adapter, peers, usage, planner, times, true_time)
         migrator = Migrator(state, adapter.migrate_run)
-        relay = Relay(state, adapter.header_codec, pool, usage, migrator)
+        stream_versions = StreamVersions(
+            state,
+            adapter.registry,
+            adapter.topics,
+            peers.pass_on_streams,
+            peers.is_watcher,
+        )
+        relay = Relay(
+            state, adapter.header_codec, pool, usage, migrator, stream_versions
+        )
 
         shed_log = ShedLog(events, state.metrics)
         budget = MemoryBudget(
@@ -246,6 +258,7 @@
             supervisor=Supervisor(events),
             pool=pool,
             migrator=migrator,
+            stream_versions=stream_versions,
             shed_log=shed_log,
         )
 
@@ -268,6 +281,8 @@
         start("held-entries", components.registry_sync.expire_held_entries)
         start("datagrams", periodic(components.peers.send_state, SEND_INTERVAL_S))
         start("movers", components.migrator.watch)
+        start("versions", components.stream_versions.follow_versions)
+        start("streams", components.stream_versions.append_streams)
         start(
             "sweep",
             periodic(lambda: _enforce_timeouts(components), TIMEOUT_CHECK_INTERVAL_S),
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -19,7 +19,7 @@
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
 from cicadapass_decisions.ratelimit import Totals
-from cicadapass_decisions.readsharing import is_watcher
+from cicadapass_decisions.readsharing import choose_watchers, is_watcher
 from cicadapass_decisions.segmentsuspicions import Change
 from cicadapass_gateway.cbor import decode_cbor, finite_number
 from cicadapass_gateway.exceptions import DECODE_ERRORS
@@ -73,6 +73,8 @@
 USE_MESSAGE = "="
 # In place of a node's name in a list: the message contains rollouts of versions.
 ROLLOUT_MESSAGE = "+"
+# In place of a node's name in a list: the message contains streams that began.
+STREAM_MESSAGE = "~"
 # The use of workspaces is collected for this long before it is reported.
 USE_REPORT_DELAY_S = 0.005
 # A member counts among those that share limits for this long after its last datagram,
@@ -136,6 +138,8 @@
     clock: PeerClock
     local_renewal: Callable[[], tuple[int, int] | None]
     registry: Callable[[], RegistryState]
+    # Appends the streams that other nodes began.
+    accept_streams: Callable[[Any], None] = lambda rows: None
     demand: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
@@ -255,6 +259,20 @@
         names = [each.address.name for each in members]
         return not able and is_watcher(self.local_address.name, names)
 
+    def pass_on_streams(self, rows: Sequence[Any]) -> bool:
+        """Send streams to a node that appends them; return False if this one is to."""
+        if self._transport is None or self.is_watcher():
+            return False
+        members = {each.address.name: each for each in self.fresh_members()}
+        able = [name for name, each in members.items() if each.registry_ok]
+        if not able:
+            return False
+        chosen = self._dependencies.state.rng.choice(choose_watchers(able))
+        address = members[chosen].address
+        data = cbor2.dumps([STREAM_MESSAGE, self.local_address.name, rows])
+        self._transport.sendto(data, (address.host, address.port))
+        return True
+
     def send_state(self) -> None:
         """Send this node's state to the next peers."""
         if self._transport is None:
@@ -322,6 +340,8 @@
                 self._dependencies.state.rollouts.merge_rollout_rows(
                     message[2], str(message[1])
                 )
+            elif isinstance(message, list) and message[0] == STREAM_MESSAGE:
+                self._dependencies.accept_streams(message[2])
             elif isinstance(message, list):
                 self._apply_send(message)
             else:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -30,12 +30,15 @@
 from cicadapass_gateway.requestcontext import Party, RequestContext
 from cicadapass_gateway.requestlog import HedgeOutcome, RequestLog
 from cicadapass_gateway.requestqueue import NotPlaced, RequestRequirements
+from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.upstreamattempt import AttemptDependencies, UpstreamAttempt
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
 # Fraction of the shared prompt tokens that engines are expected to have cached.
 EXPECTED_CACHED_FRACTION = 0.8
+# Time after which a caller may return with a stream whose version is not known.
+UNKNOWN_VERSION_RETRY_S = 1.0
 # Time after which a caller may return with a prompt that crashes engines. Blocks last
 # for minutes; callers whose deadline is sooner do not return.
 BLOCKED_RETRY_S = 60.0
@@ -53,12 +56,14 @@
         pool: ClientPool,
         usage: UsageCounter,
         migrator: Migrator,
+        stream_versions: StreamVersions,
     ) -> None:
         self._state = state
         self._header_codec = header_codec
         self._ended_engines = EndedEngines(pool)
         self.prompt_guard = PromptGuard(state, self._ended_engines)
         self._log = RequestLog(state)
+        self._stream_versions = stream_versions
         self._attempt_dependencies = AttemptDependencies(
             state=state,
             header_codec=header_codec,
@@ -67,6 +72,7 @@
             migrator=migrator,
             prompt_guard=self.prompt_guard,
             log=self._log,
+            stream_versions=stream_versions,
             has_ended=self._ended_engines.has_ended,
         )
 
@@ -93,7 +99,8 @@
         self.prompt_guard.watch(request)
         try:
             async with asyncio.timeout_at(request.deadline_s) as request.time_limit:
-                await self._serve(request)
+                if await self._find_version(request):
+                    await self._serve(request)
         except TimeoutError:
             if request.exchange.finished:
                 return
@@ -151,6 +158,19 @@
         self._state.demand.add(match.service, max(0.0, uncached_tokens))
         return request
 
+    async def _find_version(self, request: RequestContext) -> bool:
+        """Find the version of a stream that is taken up; refuse one that is unknown."""
+        call = request.call
+        if call.last_event_id is None or not request.match.route.resumable:
+            return True
+        request.version = await self._stream_versions.find(
+            request.match.service, call.resumes
+        )
+        if request.version is None:
+            # What the log does not have by now is lost.
+            self._refuse(request, "version_unknown", UNKNOWN_VERSION_RETRY_S)
+        return request.version is not None
+
     def _charge(self, request: RequestContext) -> float | None:
         """Charge the workspace; return the seconds to wait if it is over its limit."""
         workspace = request.match.workspace
@@ -326,7 +346,7 @@
             isolated=request.isolated,
             refusable=not (request.runs or request.exchange.started),
             route=route.name,
-            may_try=not request.tries,
+            may_try=not request.tries and request.version is None,
             version=request.version,
             workspace=workspace.name if workspace else "",
             weight=workspace.rate_per_s if workspace else 0.0,
--- a/packages/gateway/cicadapass_gateway/requestqueue.py
+++ b/packages/gateway/cicadapass_gateway/requestqueue.py
@@ -236,7 +236,7 @@
         if version is not None and not self._upstreams.permits(service, version):
             return NotPlaced("version_withdrawn", 0.0)
         if self._is_version_gone(requirements):
-            return NotPlaced("version_gone", 0.0)
+            return NotPlaced("version_gone", REPLACEMENT_S)
         placement_request = PlacementRequest(
             prompt=requirements.prompt,
             for_model=requirements.model_engine,
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/streamrecords.py
@@ -0,0 +1,74 @@
+"""Encode and decode the records by which nodes know the versions of streams."""
+
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+import cbor2
+
+from cicadapass_decisions.streamversions import Stream
+from cicadapass_gateway.cbor import decode_cbor
+from cicadapass_gateway.exceptions import DECODE_ERRORS
+
+# Longer ids are not recorded; callers choose them.
+MAX_ID_CHARACTERS = 64
+# Streams in one record or datagram; an id of the usual length takes 18 bytes.
+MAX_STREAMS_PER_RECORD = 1500
+
+# A service, a version and the ids of the requests that began streams there.
+Row = list[Any]
+
+
+def is_recordable(stream: Stream) -> bool:
+    """Return whether a stream has an id that a record may contain."""
+    return 0 < len(stream.request_id) <= MAX_ID_CHARACTERS
+
+
+def group_rows(streams: Iterable[tuple[Stream, str]]) -> list[Row]:
+    """Return rows of streams, grouped by service and version."""
+    ids: dict[tuple[str, str], list[str]] = {}
+    for stream, version in streams:
+        ids.setdefault((stream.service, version), []).append(stream.request_id)
+    return [[service, version, names] for (service, version), names in ids.items()]
+
+
+def read_rows(rows: Any) -> list[tuple[Stream, str]]:
+    """Return the streams of rows; raise one of DECODE_ERRORS if they are malformed."""
+    streams = []
+    for service, version, names in rows:
+        for name in names:
+            stream = Stream(_text(service), _text(name))
+            if is_recordable(stream):
+                streams.append((stream, _text(version)))
+    return streams
+
+
+def encode_streams(streams: Sequence[tuple[Stream, str]]) -> bytes:
+    """Return the record of streams."""
+    return cbor2.dumps(group_rows(streams))
+
+
+def decode_streams(data: bytes) -> list[tuple[Stream, str]] | None:
+    """Return the streams of a record, or None if it cannot be read."""
+    try:
+        return read_rows(decode_cbor(data))
+    except DECODE_ERRORS:
+        return None
+
+
+def encode_versions(versions: Iterable[str]) -> bytes:
+    """Return the record of the versions of a service that are in use."""
+    return cbor2.dumps(sorted(versions))
+
+
+def decode_versions(data: bytes) -> frozenset[str] | None:
+    """Return the versions of a record, or None if it cannot be read."""
+    try:
+        return frozenset(_text(each) for each in decode_cbor(data))
+    except DECODE_ERRORS:
+        return None
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError("not a text")
+    return value
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -36,6 +36,7 @@
     check_undelimited_end,
 )
 from cicadapass_gateway.rolloutcounts import AttemptEvidence, PromptSize
+from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.upstreamtracker import Reservation
 from cicadapass_gateway.usage import UsageCounter
 
@@ -67,6 +68,7 @@
     migrator: Migrator
     prompt_guard: PromptGuard
     log: RequestLog
+    stream_versions: StreamVersions
     # Finds out whether nothing listens at an engine's address any more.
     has_ended: Callable[[UpstreamRecord], Awaitable[bool]]
 
@@ -109,6 +111,7 @@
         self._migrator = dependencies.migrator
         self._prompt_guard = dependencies.prompt_guard
         self._log = dependencies.log
+        self._stream_versions = dependencies.stream_versions
         self._has_ended = dependencies.has_ended
         self._request = request
         self._reservation = reservation
@@ -580,8 +583,19 @@
         if request.first_event_s is None:
             request.first_event_s = now_s
             self._count_run()
+            self._record_version()
             self._state.queue.dispatch()
 
+    def _record_version(self) -> None:
+        """Record the version of a stream that the caller may take up."""
+        request = self._request
+        if request.match.route.resumable and request.call.last_event_id is None:
+            self._stream_versions.record(
+                request.match.service,
+                request.call.request_id,
+                self._reservation.record.version,
+            )
+
     def _count_run(self) -> None:
         """Count the request once for the usage of its workspace."""
         request = self._request
--- /dev/null
+++ b/tests/decisions/test_streamversions.py
@@ -0,0 +1,64 @@
+"""Test what is known of the versions at which streams began."""
+
+import testtools
+
+from cicadapass_decisions import streamversions
+from cicadapass_decisions.streamversions import Stream, StreamIndex, VersionHistory
+
+LIFE_S = 20.0
+
+
+def stream(number, service="s"):
+    """Return a stream."""
+    return Stream(service, f"r{number}")
+
+
+class StreamIndexTest(testtools.TestCase):
+    def test_a_stream_is_known_for_its_life(self):
+        """A stream was known for ever, or forgotten while it could be taken up."""
+        index = StreamIndex()
+        index.add(stream(1), "v1", 10.0)
+        self.assertEqual("v1", index.version(stream(1), 9.9))
+        self.assertIsNone(index.version(stream(1), 10.0))
+        self.assertIsNone(index.version(stream(1, "other"), 9.9))
+        index.expire(10.0)
+        self.assertEqual(0, len(index))
+
+    def test_the_streams_of_a_service_are_listed(self):
+        """Streams of another service, or that have ended, were recorded."""
+        index = StreamIndex()
+        index.add(stream(1), "v1", 5.0)
+        index.add(stream(2), "v1", 10.0)
+        index.add(stream(3, "other"), "v1", 10.0)
+        self.assertEqual([(stream(2), "v1")], index.of_service("s", 6.0))
+
+    def test_the_oldest_streams_yield(self):
+        """Ids of callers took memory without a bound."""
+        self.addCleanup(
+            setattr, streamversions, "MAX_STREAMS", streamversions.MAX_STREAMS
+        )
+        streamversions.MAX_STREAMS = 2
+        index = StreamIndex()
+        for number in (1, 2, 1, 3):
+            index.add(stream(number), "v1", 10.0)
+        self.assertIsNone(index.version(stream(2), 0.0))
+        self.assertEqual("v1", index.version(stream(1), 0.0))
+
+
+class VersionHistoryTest(testtools.TestCase):
+    def test_a_version_stays_in_use_for_the_life_of_a_stream(self):
+        """A version counted as gone while its last streams could be taken up."""
+        history = VersionHistory()
+        history.observe({"s": ["v1"]}, 0.0)
+        history.observe({"s": ["v2"]}, 1.0)
+        for now_s, versions in ((1.0, {"v1", "v2"}), (19.9, {"v1", "v2"})):
+            self.assertEqual(versions, history.in_use("s", now_s, LIFE_S))
+        history.observe({"s": ["v2"]}, 20.0)
+        self.assertEqual({"v2"}, history.in_use("s", 20.0, LIFE_S))
+
+    def test_reported_versions_count_as_seen_now(self):
+        """A node that started late took the versions before it for those of now."""
+        history = VersionHistory()
+        history.restore("s", ["v1", "v2"], 100.0)
+        self.assertEqual({"v1", "v2"}, history.in_use("s", 101.0, LIFE_S))
+        self.assertEqual(set(), history.in_use("other", 101.0, LIFE_S))
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -34,6 +34,7 @@
     Listing,
     ResponseInfo,
     RunCopy,
+    Topics,
 )
 from cicadapass_gateway.exceptions import (
     HistoryExpired,
@@ -47,6 +48,7 @@
 from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.registrysync import periodic
 from cicadapass_gateway.relay import Relay
+from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.usage import UsageCounter
 
 # Long enough that no test fails on a machine under load.
@@ -54,6 +56,7 @@
 HOST = "127.0.0.1"
 # Time for which a leaving upstream may get requests.
 DRAIN_S = 2.0
+STREAM_TOPICS = Topics("", "", "", "", streams="streams", versions="versions")
 # Value of the socket option by which the kernel sends a reset in place of a close.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -107,8 +110,9 @@
         api_key=by_name.get(b"x-key"),
         time_limit_s=None if limit is None else float(limit),
         prompt=Prompt(segments if tokens else (), tokens, 400 if tokens else 0),
-        last_event_id=None,
+        last_event_id=by_name.get(b"x-after"),
         headers=[(n, v) for n, v in headers if n.lower().startswith(b"x-")],
+        resumes=by_name.get(b"x-resumes"),
     )
 
 
@@ -374,6 +378,13 @@
     return RunCopy(CopyOutcome.COMPLETE, name)
 
 
+def make_stream_versions(state, registry):
+    """Return what records streams at a node that appends them itself."""
+    return StreamVersions(
+        state, registry, STREAM_TOPICS, lambda rows: False, lambda: True
+    )
+
+
 class GatewayHarness:
     """Run a relay and a server in front of scripted upstreams."""
 
@@ -382,8 +393,15 @@
         self.pool = ClientPool()
         self.usage = UsageCounter(5.0, lambda: 1000.0)
         self.migrator = Migrator(self.state, migrate_run)
+        self.registry = changes.get("registry") or MemoryRegistry()
+        self.stream_versions = make_stream_versions(self.state, self.registry)
         self.relay = Relay(
-            self.state, HEADER_CODEC, self.pool, self.usage, self.migrator
+            self.state,
+            HEADER_CODEC,
+            self.pool,
+            self.usage,
+            self.migrator,
+            self.stream_versions,
         )
         self.errors = []
         self.server = HttpServer(
@@ -404,6 +422,19 @@
         self._tasks.append(asyncio.create_task(dispatch()))
         return self
 
+    def follow_streams(self):
+        """Record streams and the versions in use from now on."""
+        for follow in (
+            self.stream_versions.follow_versions,
+            self.stream_versions.append_streams,
+        ):
+            self._tasks.append(asyncio.create_task(follow()))
+
+    def end(self):
+        """End the node without notice, as a kill does; its upstreams go on."""
+        for task in self._tasks:
+            task.cancel()
+
     def list_upstreams(self, **changes):
         """Put the upstreams into the node's view of the registry."""
         records = [each.record(**changes) for each in self.upstreams]
@@ -554,6 +585,12 @@
         end = self.position(start + len(documents))
         return Changes(documents, end, complete=end >= self.position(len(log)))
 
+    async def tail(self, topic, count):
+        """Return the last records."""
+        end = len(self.logs.get(topic, []))
+        start = max(self.first_offsets.get(topic, 0), end - count)
+        return await self.changes(topic, self.position(start), 0.0)
+
     async def append(self, topic, key, value, expected_end):
         """Append a record if the log ends at `expected_end`."""
         await self._check()
--- a/tests/gateway/test_node.py
+++ b/tests/gateway/test_node.py
@@ -14,8 +14,10 @@
 from cicadapass_gateway.usage import UsageCounter
 from tests.gateway.harness import (
     HEADER_CODEC,
+    MemoryRegistry,
     configuration,
     make_state,
+    make_stream_versions,
     refuse_migration,
 )
 from tests.gateway.test_httpserver import FakeTransport
@@ -37,7 +39,8 @@
         state.upstreams.begin(record, Prompt(), 0.0, state.clock())
     migrator = Migrator(state, refuse_migration)
     usage = UsageCounter(5.0, lambda: 1000.0)
-    relay = Relay(state, HEADER_CODEC, ClientPool(), usage, migrator)
+    versions = make_stream_versions(state, MemoryRegistry())
+    relay = Relay(state, HEADER_CODEC, ClientPool(), usage, migrator, versions)
     server = HttpServer(ServerState(CallerLimits()), relay.handle, lambda error: None)
     return state, server
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -94,6 +94,31 @@
         return HOST, self.peers.local_address.port
 
 
+class StreamTest(LoopTest):
+    def test_streams_are_passed_on_to_a_node_that_appends_them(self):
+        """Each of many nodes appended the streams that it began."""
+
+        async def scenario():
+            first = await Node("a").start()
+            second = await Node("b").start([first.address])
+            accepted = []
+            first.peers._dependencies.accept_streams = accepted.append
+            second.peers.send_state()
+            await until(first.peers.fresh_members)
+            first.peers.send_state()
+            await until(second.peers.fresh_members)
+            rows = [["s", "v1", ["r1"]]]
+            # Both are among the few that append.
+            self.assertFalse(second.peers.pass_on_streams(rows))
+            second.peers.is_watcher = lambda: False
+            second.peers.fresh_members()[0].registry_ok = True
+            self.assertTrue(second.peers.pass_on_streams(rows))
+            await until(lambda: accepted)
+            self.assertEqual([rows], accepted)
+
+        self.run_loop(scenario())
+
+
 class DatagramTest(LoopTest):
     async def pair(self):
         """Return two nodes, of which the second knows the first."""
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -112,6 +112,11 @@
                 await asyncio.sleep(CALL_TIMEOUT_S + wait_s)
             raise
 
+    async def tail(self, topic, count):
+        """Return the last records."""
+        await self._call(topic)
+        return await self._registry.tail(topic, count)
+
     async def append(self, topic, key, value, expected_end):
         """Append a record."""
         await self._call(topic)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -45,6 +45,12 @@
             call.prompt.shared_segments,
         )
 
+    def test_the_request_that_began_a_stream_is_decoded(self):
+        """A stream that was taken up went on at any version."""
+        call = decode_call([(b"Resumes", b"r1"), (b"Last-Event-Id", b"3")])
+        self.assertEqual(("r1", "3"), (call.resumes, call.last_event_id))
+        self.assertIn((b"Resumes", b"r1"), call.headers)
+
     def test_malformed_sizes_are_ignored(self):
         """A malformed optional header made the request fail."""
         malformed = [
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -125,6 +125,20 @@
         data = read_response(7)
         self.assertRaises(PlatformUnavailable, decode_changes, data, 8)
 
+    def test_the_last_records_of_a_log_are_read(self):
+        """A node read all that a log keeps, or none of it once its start was gone."""
+
+        async def scenario(caller, standin):
+            changes = await Store(caller).tail("streams", 2)
+            self.assertEqual([8, 9], [each.offset for each in changes.documents])
+            starts = [query["from"] for _, query, _, _ in standin.calls]
+            self.assertEqual(["0", "5", "8"], starts)
+
+        answer = read_response(10, ("a", b"1"), ("b", b"2"))
+        self.run_scenario(
+            scenario, (410, {"first": 5}), (200, read_response(10)), (200, answer)
+        )
+
     def test_refusals_raise_different_errors(self):
         """An expired history or a conflicting append was treated as an outage."""
 
