--- a/tests/gateway/enginecluster.py
+++ b/tests/gateway/enginecluster.py
@@ -13,7 +13,7 @@
 from cicadapass_gateway.registrysync import periodic
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.usage import UsageCounter
-from tests.gateway.harness import refuse_migration
+from tests.gateway.harness import make_stream_versions, refuse_migration
 from tests.gateway.virtualcluster import NETWORK_DELAY_S, Cluster, ClusterNode
 
 # An engine reads prompts one after another at this speed and writes answers together.
@@ -314,6 +314,7 @@
             EnginePool(cluster, self.name),
             UsageCounter(5.0, lambda: 1000.0),
             Migrator(self.state, refuse_migration),
+            make_stream_versions(self.state, self.registry),
         )
 
     @property
@@ -495,7 +496,7 @@
         segments.append(PromptSegment(f"own-{number}", tokens // 2))
         prompt = Prompt(tuple(segments), tokens, EVENT_COUNTS[kind])
         call = RequestCall(
-            f"r{number}", "h", None, DEADLINE_S, prompt, None, [], ROUTES[kind]
+            f"r{number}", "h", None, DEADLINE_S, prompt, None, [], path=ROUTES[kind]
         )
         node = self.rng.choice([each for each in self.nodes if each.running])
         now_s = asyncio.get_running_loop().time()
--- a/tests/gateway/silence.py
+++ b/tests/gateway/silence.py
@@ -276,7 +276,9 @@
         segments.append(PromptSegment(f"own-{number}", tokens // 2))
         prompt = Prompt(tuple(segments), tokens, EVENT_COUNTS[route])
         limit_s = TIME_LIMITS_S[route]
-        call = RequestCall(f"r{number}", "h", None, limit_s, prompt, None, [], route)
+        call = RequestCall(
+            f"r{number}", "h", None, limit_s, prompt, None, [], path=route
+        )
         node = self.rng.choice([each for each in self.nodes if self._is_open(each)])
         request = Request(call.request_id, self.now_s(), node.name, shared, crashing)
         self.observations.requests.append(request)
