Fail an answer without a length that ends before the request is taken

Such an answer is whole only if the engine's host has taken the whole request when its data ends: neither the transport nor the kernel's send queue holds any of it.

Chunked uploads are sent with a length, as a node reads a request whole before it passes it on.

--- a/packages/gateway/cicadapass_gateway/httpclient.py
+++ b/packages/gateway/cicadapass_gateway/httpclient.py
@@ -11,7 +11,11 @@
 from cicadapass_gateway.chunkedbody import ChunkedBody
 from cicadapass_gateway.exceptions import AnswerBroken, ConnectFailed
 from cicadapass_gateway.parsingbudget import ParsingBudget
-from cicadapass_gateway.sockets import has_unread_data, watch_connection
+from cicadapass_gateway.sockets import (
+    has_unread_data,
+    has_untaken_data,
+    watch_connection,
+)
 
 Headers = Sequence[tuple[bytes, bytes]]
 # Larger response heads are rejected.
@@ -108,6 +112,8 @@
         self._unsent_bytes = 0
         self._budget = ParsingBudget(0.0)
         self._chunks_in_turn = 0
+        # The upstream ended its side before it took the whole request.
+        self._ended_early = False
         self._responding = False
         self._received_s = 0.0
         self._received_bytes = 0
@@ -131,6 +137,8 @@
 
     def eof_received(self) -> bool:
         """Pass the end of data to the parser; it ends a response without a length."""
+        if self._transport is not None:
+            self._ended_early = has_untaken_data(self._transport)
         if self._in_use and self._chunked is None:
             self._parser.receive_data(b"")
         self._closed = True
@@ -201,6 +209,14 @@
         """
         return self._delimited
 
+    @property
+    def ended_early(self) -> bool:
+        """Return whether the upstream's data ended before it took the whole request.
+
+        A reset may follow, which a response without a length does not show.
+        """
+        return self._ended_early
+
     @property
     def written(self) -> bool:
         """Return whether the whole request was passed to the kernel."""
--- a/packages/gateway/cicadapass_gateway/sockets.py
+++ b/packages/gateway/cicadapass_gateway/sockets.py
@@ -1,8 +1,11 @@
 """Socket options that detect dead connections."""
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 # A connection is closed if sent data is not acknowledged for this long.
 USER_TIMEOUT_MS = 3000
@@ -40,6 +43,21 @@
     return bool(poll.poll(0))
 
 
+def has_untaken_data(transport: asyncio.Transport) -> bool:
+    """Return whether the peer's host has not acknowledged all that was written."""
+    if transport.get_write_buffer_size():
+        return True
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    except OSError:
+        # Not all sockets have the request.
+        return False
+    return struct.unpack("i", answer)[0] > 0
+
+
 def has_unread_data(transport: asyncio.BaseTransport) -> bool:
     """Return whether the kernel holds bytes, an end or an error that were not read."""
     sock = transport.get_extra_info("socket")
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -408,7 +408,11 @@
         request, status = self._request, response.status
         body = await self._wait_for(response.channel, response.channel.read_remaining())
         if status < 300 and not response.channel.delimited:
-            check_undelimited_end(has_data=bool(body), stopping=False)
+            check_undelimited_end(
+                has_data=bool(body),
+                stopping=False,
+                ended_early=response.channel.ended_early,
+            )
         self._record_end_of_answer(response)
         self._count_run()
         self._release_channel(response)
@@ -536,7 +540,11 @@
         if splitter.partial:
             raise AnswerBroken("the stream ended within an event")
         if not response.channel.delimited:
-            check_undelimited_end(has_data=has_data, stopping=run.stopping)
+            check_undelimited_end(
+                has_data=has_data,
+                stopping=run.stopping,
+                ended_early=response.channel.ended_early,
+            )
 
     async def _wait_writable(self) -> None:
         """Wait until the caller has room, and record it if it is slow to read."""
