--- a/packages/gateway/cicadapass_gateway/responsechecks.py
+++ b/packages/gateway/cicadapass_gateway/responsechecks.py
@@ -6,6 +6,8 @@
 # Statuses by which callers conclude that a request was not executed. They are not
 # forwarded without the upstream's confirmation.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# RFC 9110, section 15: higher values are invalid.
+MAX_STATUS = 599
 
 
 def check_head(status: int, info: ResponseInfo, request_id: str | None) -> None:
@@ -13,6 +15,8 @@
     # Bytes of an earlier response may precede this one on a kept connection.
     if info.request_id != request_id:
         raise AnswerBroken("the response has no id, or that of another request")
+    if status > MAX_STATUS:
+        raise AnswerBroken(f"status {status} is not one of HTTP")
     if status >= 300:
         return
     if not (info.sealed and info.request_id):
