--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -34,6 +34,7 @@
     def __init__(self, name):
         self.local_address = NodeAddress(name, "127.0.0.1", 1, 1, "dc-a")
         self.holder_report = None
+        self.reported_window = -1
         self.round_s = 0.2
 
     def is_watcher(self):
@@ -78,7 +79,7 @@
     """Run the duties of one node on a clock that the test sets."""
 
     def __init__(self, platform, name, now_s=1000.0):
-        self.now_s = now_s
+        self.name, self.now_s = name, now_s
         self.state = make_state()
         self.state.adopt(configuration(), b"raw")
         self.peers = FakePeers(name)
