Keep the duties' numbers and counts over a return of the registry

The next number was that of the record plus one, and nothing but the record remembered it. A holder that met the return took its own record in the copy for its newest, and could have reported a window again with other counts.

The number now has the era of the registry above its counter, so that those of an era are above all of the eras before, whoever remembers them. The holder writes its own record again under a new number while its lease lasts; one whose lease has ended, or that stops, gives up. A candidate goes on from the newest record that it knows, waits a whole lease in a new era even where the copy says that the duties are free, and leaves out the windows that the nodes' states say are reported. Without eras, the numbers are as before.

A number comes again if its holder took over and was lost in the new era itself, and an append of the era before then met the same offset; that is not excluded.

--- a/packages/common/cicadapass_common/event_catalogue.py
+++ b/packages/common/cicadapass_common/event_catalogue.py
@@ -280,6 +280,9 @@
     The platform accepted the counts of a usage window.
 844 info engines_ordered(service, data_centre, count, reclaimable, fence, outcome)
     The platform accepted or refused an order of engines.
+845 warning duties_carried_over(fence, copied, era, offset)
+    The registry has returned from a copy, and the holder has written its record again \
+under a new fencing number; `copied` is the number in the copy.
 850 info segment_suspicion_changed(change, segments, engines, peer)
     A prompt segment is suspected of crashing engines, because these ended while they \
 began answers on it, or it was cleared by an answer. A peer reported it, if named.
--- a/packages/decisions/cicadapass_decisions/dutylease.py
+++ b/packages/decisions/cicadapass_decisions/dutylease.py
@@ -20,6 +20,9 @@
 TAKE_OVER_FACTOR = 1.1
 # The holder in the record of released duties.
 NO_HOLDER = ""
+# Bits of a fencing number below the era of the registry. A record may be lost with its
+# number, so those of an era are above all numbers of the eras before it.
+FENCE_BITS = 24
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,20 +106,53 @@
     return Observation(record, end_offset, now_s)
 
 
-def may_take_over(observation: Observation, lease_s: float, now_s: float) -> bool:
-    """Return whether a candidate may append a record with itself as the holder."""
-    if observation.record is None or observation.record.holder == NO_HOLDER:
+def next_fence(last: int, era: int) -> int:
+    """Return a fencing number above the last one and those of earlier eras."""
+    return max(last, era << FENCE_BITS) + 1
+
+
+def is_of_era(record: DutyRecord | None, era: int) -> bool:
+    """Return whether a record was written under a fencing number of an era."""
+    fence = 0 if record is None else record.fence
+    return fence >> FENCE_BITS == era
+
+
+def newest_record(
+    one: DutyRecord | None, other: DutyRecord | None
+) -> DutyRecord | None:
+    """Return the record that was written later."""
+    if one is None or other is None:
+        return one or other
+    return max(one, other, key=lambda each: (each.fence, each.renewal))
+
+
+def may_take_over(
+    observation: Observation, lease_s: float, now_s: float, era: int
+) -> bool:
+    """Return whether a candidate may append a record with itself as the holder.
+
+    A registry that has returned from a copy may have lost the record of a holder that
+    still acts.
+    """
+    record = observation.record
+    is_free = record is None or record.holder == NO_HOLDER
+    if is_free and is_of_era(record, era):
         return True
     return now_s - observation.first_observed_s >= TAKE_OVER_FACTOR * lease_s
 
 
-def take_over_record(observation: Observation, holder: str) -> DutyRecord:
-    """Return the record that makes a candidate the holder."""
-    if observation.record is None:
-        return DutyRecord(holder, 1, 0)
-    return replace(
-        observation.record, holder=holder, fence=observation.record.fence + 1, renewal=0
-    )
+def take_over_record(
+    record: DutyRecord | None, holder: str, era: int, known_fence: int = 0
+) -> DutyRecord:
+    """Return the record that makes a node the holder, under a new fencing number.
+
+    `known_fence` is the highest number that the node knows of.
+    """
+    last = max(known_fence, 0 if record is None else record.fence)
+    fence = next_fence(last, era)
+    if record is None:
+        return DutyRecord(holder, fence, 0)
+    return replace(record, holder=holder, fence=fence, renewal=0)
 
 
 def release_record(record: DutyRecord) -> DutyRecord:
--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -11,8 +11,10 @@
     DutyRecord,
     Lease,
     Observation,
+    is_of_era,
     may_act,
     may_take_over,
+    newest_record,
     observe,
     release_record,
     renewal_record,
@@ -91,6 +93,9 @@
         self._lease: Lease | None = None
         self._last_held_s = -1e9
         self._reported_windows: set[int] = set()
+        # The newest record that this node has read or written; the registry may have
+        # lost it.
+        self._known_record: DutyRecord | None = None
         # What was unreadable in the last record, which is logged once.
         self._skipped_items: tuple[str, ...] = ()
         self._rollouts = RolloutDuty(state, adapter, lambda: peers.round_s, true_time)
@@ -104,6 +109,10 @@
         assert self._lease is not None
         return self._lease.record.fence, self._lease.record.renewal
 
+    def reported_window(self) -> int:
+        """Return the newest window that is known to be reported, or -1."""
+        return max(self._reported_windows, default=self._peers.reported_window)
+
     async def run(self) -> None:
         """Perform the duties or watch their holder; log errors and retry."""
         is_restored = await self._restore_state()
@@ -193,11 +202,17 @@
         if now_s - self._last_held_s < self._times.lease_s:
             # Another node may have held the duties since; holders must not alternate.
             return
-        if may_take_over(self._observation, self._lease_s, now_s):
+        era = era_of(end)
+        if may_take_over(self._observation, self._lease_s, now_s, era):
             node_key = self._peers.local_address.key
             await self._append_record(
-                take_over_record(self._observation, node_key),
-                self._observation.end_offset,
+                take_over_record(
+                    newest_record(record, self._known_record),
+                    node_key,
+                    era,
+                    self._highest_fence(),
+                ),
+                end,
             )
             assert self._lease is not None
             self._state.events.emit(
@@ -221,9 +236,48 @@
             return now_s
         return now_s - (self._state.clock() - report.received_s)
 
+    def _highest_fence(self) -> int:
+        report = self._peers.holder_report
+        known = 0 if self._known_record is None else self._known_record.fence
+        return max(known, 0 if report is None else report.fence)
+
+    def _has_returned(self, end: int) -> bool:
+        """Return whether the registry has returned from a copy since it had an end."""
+        return era_of(end) != self._adapter.registry.era.value
+
+    async def _carry_over(self) -> None:
+        """Write the record of a lease of an earlier era again, under a new number.
+
+        The copy may hold an older record of this node, or that of a node before it.
+        """
+        assert self._lease is not None
+        record, end = await self._read_record()
+        if _boottime_s() - self._lease.renewal_started_s > self._lease_s:
+            raise OffsetConflict("the lease ended while the registry was away")
+        if (
+            record is not None
+            and is_of_era(record, era_of(end))
+            and not self._is_own(record)
+        ):
+            raise OffsetConflict("another node took the duties in the new era")
+        node_key, known = self._peers.local_address.key, self._highest_fence()
+        carried = take_over_record(self._lease.record, node_key, era_of(end), known)
+        await self._append_record(carried, end)
+        if self._lease.record.fence == carried.fence:
+            self._state.events.emit(
+                845,
+                fence=carried.fence,
+                copied=None if record is None else record.fence,
+                era=era_of(end),
+                offset=offset_of(end),
+            )
+
     async def _release(self) -> None:
         """Release the lease, so that another node can take over at once."""
         assert self._lease is not None
+        if self._has_returned(self._lease.end_offset):
+            self._drop_lease("the registry has returned from a copy")
+            return
         record = release_record(self._lease.record)
         await self._append_record(record, self._lease.end_offset)
         if self._lease.record == record:
@@ -231,6 +285,8 @@
 
     async def _perform(self) -> None:
         assert self._lease is not None
+        if self._has_returned(self._lease.end_offset):
+            await self._carry_over()
         now_s = _boottime_s()
         if (
             not self._may_act()
@@ -238,6 +294,8 @@
         ):
             # Another node may hold the lease by now, so read the record again.
             record, end = await self._read_record()
+            if self._has_returned(self._lease.end_offset):
+                raise OffsetConflict("the lease ended before the registry returned")
             if record is None or not self._is_own(record):
                 raise OffsetConflict(
                     "another node took over the duties while this one was paused"
@@ -269,7 +327,11 @@
         times = WindowTimes(
             self._times.window_s, self._true_time(), self._peers.round_s
         )
-        windows = windows_to_finalise(times, record.reports, self._first_window)
+        first_window, reported = self._first_window, self._peers.reported_window
+        if reported <= self._usage.window_at(self._true_time()):
+            # The record that had these counts may be lost.
+            first_window = max(first_window, reported + 1)
+        windows = windows_to_finalise(times, record.reports, first_window)
         if not windows:
             return record
         reports = {
@@ -334,6 +396,11 @@
                 self._adapter.topics.duties, HOLDER_KEY, encode_record(record), end
             )
         except OffsetConflict:
+            if self._has_returned(end):
+                # The lease is carried over, or ends, in the next round.
+                if self._lease is None:
+                    raise
+                return
             current, current_end = await self._read_record()
             # An append whose response was lost may have been executed.
             if current is not None and current != record and self._is_own(current):
@@ -347,6 +414,7 @@
                 raise
             new_end = current_end
         self._lease = Lease(record, new_end, began_s)
+        self._known_record = newest_record(record, self._known_record)
 
     async def _read_record(self) -> tuple[DutyRecord | None, int]:
         listing = await self._adapter.registry.newest(self._adapter.topics.duties)
@@ -358,6 +426,7 @@
             self._skipped_items = decoded.skipped
             for item in decoded.skipped:
                 self._state.events.emit(842, reason=f"skipped in the record: {item}")
+        self._known_record = newest_record(decoded.record, self._known_record)
         return decoded.record, listing.end_offset
 
     def _is_own(self, record: DutyRecord) -> bool:
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -180,6 +180,7 @@
                 clock,
                 lambda: duties.local_renewal(),
                 lambda: registry_sync,
+                lambda: duties.reported_window(),
                 lambda rows: stream_versions.accept(rows),
             ),
         )
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -138,6 +138,8 @@
     clock: PeerClock
     local_renewal: Callable[[], tuple[int, int] | None]
     registry: Callable[[], RegistryState]
+    # The newest usage window that this node knows to be reported, or -1.
+    reported_window: Callable[[], int] = lambda: -1
     # Appends the streams that other nodes began.
     accept_streams: Callable[[Any], None] = lambda rows: None
     demand: dict[str, dict[str, float]] = field(default_factory=dict)
@@ -155,6 +157,8 @@
         self.local_address = local_address
         self.members: dict[str, Member] = {}
         self.holder_report: HolderReport | None = None
+        # The newest usage window that a holder is known to have reported, or -1.
+        self.reported_window = -1
         # When the last datagram from any node arrived.
         self.last_received_s = -1e9
         self._seeds: list[tuple[str, int]] = []
@@ -391,6 +395,7 @@
             ),
             "upstream_limits": state.upstreams.limits.export(now_s),
             "holder": self._dependencies.local_renewal(),
+            "reported": self._dependencies.reported_window(),
             "members": [encode_address(address) for address in introduced],
         }
         if state.upstreams.learned is not None:
@@ -454,6 +459,8 @@
         if message["holder"] is not None:
             fence, renewal = message["holder"]
             self.holder_report = HolderReport(int(fence), int(renewal), now_s)
+        reported = int(message.get("reported", -1))
+        self.reported_window = max(self.reported_window, reported)
         for row in message["members"]:
             self.add(decode_address(row), now_s)
         state.rollouts.merge_state(message.get("rollouts"), address.name, key)
--- a/tests/decisions/test_dutylease.py
+++ b/tests/decisions/test_dutylease.py
@@ -6,16 +6,19 @@
 
 from cicadapass_decisions.dutylease import (
     ACT_FRACTION,
+    FENCE_BITS,
     DutyRecord,
     Lease,
     may_act,
     may_take_over,
+    next_fence,
     observe,
     release_record,
     renewal_record,
     should_renew,
     take_over_record,
 )
+from cicadapass_decisions.logposition import MAX_ERA
 
 LEASE_S = 3.0
 
@@ -50,8 +53,8 @@
                     self.lease = None
             return
         self.observation = observe(self.observation, log.record, log.end_offset, now_s)
-        if may_take_over(self.observation, LEASE_S, now_s):
-            record = take_over_record(self.observation, self.name)
+        if may_take_over(self.observation, LEASE_S, now_s, 0):
+            record = take_over_record(self.observation.record, self.name, 0)
             if log.append(record, self.observation.end_offset):
                 self.lease = Lease(record, log.end_offset, now_s)
             self.observation = None
@@ -102,8 +105,8 @@
         """Two holders reported different counts for the same window."""
         record = DutyRecord("a", 4, 9, {7: {"w": 3}}, {"s|a|on-demand": 2})
         observation = observe(None, record, 12, 0.0)
-        self.assertFalse(may_take_over(observation, LEASE_S, LEASE_S))
-        successor = take_over_record(observation, "b")
+        self.assertFalse(may_take_over(observation, LEASE_S, LEASE_S, 0))
+        successor = take_over_record(observation.record, "b", 0)
         self.assertEqual(5, successor.fence)
         self.assertEqual(record.reports, successor.reports)
         self.assertEqual(record.orders, successor.orders)
@@ -112,12 +115,12 @@
         """After a planned stop, no node held the duties for a whole lease."""
         record = release_record(DutyRecord("a", 3, 7, {7: {"w": 3}}))
         observation = observe(None, record, 12, 0.0)
-        self.assertTrue(may_take_over(observation, LEASE_S, 0.0))
+        self.assertTrue(may_take_over(observation, LEASE_S, 0.0, 0))
         self.assertEqual(
             (4, "b"),
             (
-                take_over_record(observation, "b").fence,
-                take_over_record(observation, "b").holder,
+                take_over_record(observation.record, "b", 0).fence,
+                take_over_record(observation.record, "b", 0).holder,
             ),
         )
 
@@ -128,4 +131,22 @@
         observation = observe(observation, record, 1, 2.0)
         self.assertEqual(0.0, observation.first_observed_s)
         observation = observe(observation, renewal_record(record), 2, 3.0)
-        self.assertFalse(may_take_over(observation, LEASE_S, 4.0))
+        self.assertFalse(may_take_over(observation, LEASE_S, 4.0, 0))
+
+    def test_numbers_of_an_era_are_above_those_before_it(self):
+        """A number whose record was lost came again in the next era."""
+        self.assertEqual(5, next_fence(4, 0))
+        first = next_fence(0, 1)
+        self.assertGreater(next_fence(0, 2), first + 1_000_000)
+        self.assertEqual(first + 1, next_fence(first, 1))
+        # Numbers of JSON are exact up to this one.
+        self.assertLess(next_fence(0, MAX_ERA) + (1 << FENCE_BITS), 1 << 53)
+
+    def test_duties_that_are_free_in_a_copy_are_taken_over_at_once(self):
+        """A candidate acted beside a holder whose record the registry had lost."""
+        released = release_record(DutyRecord("a", next_fence(0, 1), 0))
+        for record in (None, released):
+            observation = observe(None, record, 0, 0.0)
+            self.assertFalse(may_take_over(observation, LEASE_S, LEASE_S, 2))
+            self.assertTrue(may_take_over(observation, LEASE_S, 1.2 * LEASE_S, 2))
+        self.assertTrue(may_take_over(observe(None, released, 0, 0.0), LEASE_S, 0.0, 1))
--- a/tests/gateway/test_duties.py
+++ b/tests/gateway/test_duties.py
@@ -78,12 +78,12 @@
 class Node:
     """Run the duties of one node on a clock that the test sets."""
 
-    def __init__(self, platform, name, now_s=1000.0):
+    def __init__(self, platform, name, now_s=1000.0, times=TIMES):
         self.name, self.now_s = name, now_s
         self.state = make_state()
         self.state.adopt(configuration(), b"raw")
         self.peers = FakePeers(name)
-        self.usage = UsageCounter(TIMES.window_s, lambda: self.now_s)
+        self.usage = UsageCounter(times.window_s, lambda: self.now_s)
         planner = FleetPlanner(self.state, lambda service: 0.0, lambda: True)
         self.duties = Duties(
             self.state,
@@ -91,7 +91,7 @@
             self.peers,
             self.usage,
             planner,
-            TIMES,
+            times,
             lambda: self.now_s,
         )
 
--- a/tests/gateway/test_duties_return.py
+++ b/tests/gateway/test_duties_return.py
@@ -2,6 +2,9 @@
 
 from dataclasses import replace
 
+from cicadapass_decisions.dutylease import is_of_era
+from cicadapass_decisions.logposition import era_of
+from cicadapass_gateway.duties import DutyTimes
 from tests.gateway.harness import LoopTest, until
 from tests.gateway.test_duties import TIMES, Node, Platform
 
@@ -51,34 +54,45 @@
             await until(lambda: started(first))
             first.task.cancel()
             copy = platform.registry.copy()
-            await self.report(platform, Node(platform, "b"), 1)
+            second = Node(platform, "b")
+            await self.report(platform, second, 1)
+            second.task.cancel()
             platform.registry.return_from(copy)
-            platform.registry.era.raise_to(2, "test")
             await self.report(platform, Node(platform, "c"), 1)
             numbers = fences(platform)
             self.assertLess(max(numbers["b"]), min(numbers["c"]))
 
         self.run_loop(scenario())
 
-    def test_the_holder_loses_its_final_counts(self):
-        """The holder took the record of the copy for its own newest one."""
+    def play_return(self, times):
+        """Return the number before a return, and the record of the holder behind it."""
 
         async def scenario():
             platform = self.platform()
-            node = Node(platform, "a")
+            node = Node(platform, "a", times=times)
             node.start()
             await until(lambda: started(node))
             copy = platform.registry.copy()
-            before = node.duties.local_renewal()
+            before = node.duties.local_renewal()[0]
             node.usage.count("w")
             node.now_s = AFTER_WINDOW_S
             await until(lambda: platform.reports)
             platform.registry.return_from(copy)
-            await until(lambda: (node.duties.local_renewal() or before)[0] > before[0])
-            record, _ = await node.duties._read_record()
-            self.assertEqual({"w": 1}, dict(record.reports[WINDOW]))
+            await until(lambda: (node.duties.local_renewal() or [0])[0] > before)
+            return await node.duties._read_record()
 
-        self.run_loop(scenario())
+        record, end = self.run_loop(scenario())
+        self.assertEqual({"w": 1}, dict(record.reports[WINDOW]))
+        self.assertTrue(is_of_era(record, 2))
+        self.assertEqual(2, era_of(end))
+
+    def test_the_holder_loses_its_final_counts(self):
+        """The holder took the record of the copy for its own newest one."""
+        self.play_return(DutyTimes(lease_s=3.0, window_s=5.0))
+
+    def test_a_holder_whose_lease_ends_meanwhile_loses_its_final_counts(self):
+        """A node took the duties over from the record of the copy."""
+        self.play_return(TIMES)
 
     def test_a_window_is_reported_again_with_other_counts(self):
         """The successor of a holder did not know what the lost record had."""
