Let the store return from a copy in the soak

The stand-in of the store comes back from a copy some seconds old after it was away for up to a second; the operator writes its newest records again and the next configuration at once, the engines follow within two seconds. All seeds of the soak now name an era.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -11,7 +11,13 @@
 from functools import partial
 from pathlib import Path
 
-from tests.soak.faults import ANSWER_KINDS, CROWD_KINDS, ENDLESS_KINDS, draw_faults
+from tests.soak.faults import (
+    ANSWER_KINDS,
+    CROWD_KINDS,
+    ENDLESS_KINDS,
+    draw_faults,
+    draw_returns,
+)
 from tests.soak.world import SIZES, play_faults
 
 
@@ -33,6 +39,11 @@
         default=(),
         help="play only faults of these kinds",
     )
+    parser.add_argument(
+        "--returns",
+        action="store_true",
+        help="play returns of the store from a copy, and faults around them",
+    )
     parser.add_argument(
         "--jobs", type=int, default=3, help="number of seeds run at the same time"
     )
@@ -55,6 +66,8 @@
 
 def _run_seed(args, seed):
     faults = draw_faults(seed, args.length, args.only)
+    if args.returns:
+        faults = draw_returns(seed, args.length)
     sizes = args.nodes, args.engines, args.callers
     kept_folder = None if args.keep is None else args.keep / str(seed)
     with tempfile.TemporaryDirectory() as temporary:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,6 +45,21 @@
 CROWD_KINDS = ("clients_crowd",)
 # Orders to move the service to a sound or a bad version, drawn apart as well.
 ROLLOUT_KINDS = ("rollout_good", "rollout_bad")
+# Returns of the store from an older copy, and what may happen beside them. They are
+# drawn alone: what a rollout does over a return is not settled (issue 49).
+RETURN_KINDS = (
+    "store_returned",
+    "store_down",
+    "config_change",
+    "key_dropped",
+    "node_kill",
+    "node_term",
+    "all_killed",
+    "engine_drain",
+)
+# Time between two of these faults, and how long they last.
+RETURN_PAUSE_RANGE_S = (0.5, 3.0)
+RETURN_DURATION_RANGE_S = (1.0, 4.0)
 # Engines that such a fault affects.
 SCOPES = ("one", "third", "all")
 ENDLESS_SCOPES = ("one", "third")
@@ -117,6 +132,28 @@
     return sorted(faults, key=lambda each: each.at_s)
 
 
+def draw_returns(seed, length_s):
+    """Return faults around returns of the store; every third one is a return."""
+    rng = random.Random(f"returns {seed}")
+    faults = []
+    at_s = FIRST_FAULT_S
+    while at_s < length_s:
+        others = [each for each in RETURN_KINDS if each != "store_returned"]
+        is_return = len(faults) % 3 == 0
+        faults.append(
+            Fault(
+                at_s=at_s,
+                kind="store_returned" if is_return else rng.choice(others),
+                target_fraction=rng.random(),
+                duration_s=rng.uniform(*RETURN_DURATION_RANGE_S),
+                disturbance=rng.choice(LINK_KINDS),
+                clock_step_s=0.0,
+            )
+        )
+        at_s += rng.uniform(*RETURN_PAUSE_RANGE_S)
+    return faults
+
+
 def _draw_apart(seed, length_s, kinds, scopes=()):
     rng = random.Random(seed)
     faults = []
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -14,6 +14,8 @@
 ENTRY_EXPIRY_S = 3 * HEARTBEAT_S
 # A leaving engine still serves for this time after its entry was marked as leaving.
 DRAIN_S = 3.0
+# The engines write again within this time of a return of the store from a copy.
+REWRITE_S = 2.0
 TIMEOUT_S = 3.0
 # Time until an engine that a prompt has crashed is back.
 RESTART_S = 2.0
@@ -75,6 +77,7 @@
     async def start(self, engines):
         """Start the store and this number of engines; return the port of the store."""
         address = await self._store.start()
+        self.registry.era_number = 1
         for number in range(engines):
             await self.add_engine(f"i-{number}")
         self.configure()
@@ -174,6 +177,30 @@
         self._silent_since_s[engine.name] = self._clock()
         await self.add_engine(f"{engine.name}-next", link, engine.version)
 
+    def return_from(self, copy):
+        """Let the store come back as it was, without what was written since.
+
+        The operator writes its newest records again and then the next configuration.
+        """
+        lost = self.registry.logs["keyed.op"][len(copy.get("keyed.op", ())) :]
+        self.registry.return_from(copy)
+        self.registry.down = False
+        for key, value in dict(lost).items():
+            self.registry.put("keyed.op", key, value)
+        self.configure()
+
+    async def write_entries_again(self):
+        """Let the engines write again, and the entries of ended ones expire again."""
+        await asyncio.sleep(REWRITE_S)
+        for engine in self.engines.values():
+            if engine.alive and engine.name not in self._unlisted:
+                self._write(engine, leaving=engine.name in self._records.leaving)
+        await asyncio.sleep(ENTRY_EXPIRY_S - REWRITE_S)
+        listed = dict(self.registry.logs.get("keyed.servers", ()))
+        for name in listed.keys() - self.engines.keys():
+            if listed[name]:
+                self._put(name, b"")
+
     def set_lapsed(self, lapsed):
         """Remove the entries of all engines, or restore those of the live ones."""
         self._lapsed = lapsed
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     ROLLOUT_KINDS,
     TROUBLE_KINDS,
     draw_faults,
+    draw_returns,
 )
 from tests.soak.world import play_faults
 
@@ -64,10 +65,10 @@
 class SeedTest(LoopTest):
     timeout_s = RUN_TIMEOUT_S
 
-    def run_seed(self, seed, length_s):
+    def run_seed(self, seed, length_s, draw=draw_faults):
         """Run one seed; expect no violation and at least a quarter of calls served."""
         folder = self.enterContext(tempfile.TemporaryDirectory())
-        faults = draw_faults(seed, length_s)
+        faults = draw(seed, length_s)
         violations, records = self.run_loop(play_faults(seed, folder, faults))
         self.assertEqual([], violations)
         served = sum(1 for call in records.calls if call.status == 200)
@@ -77,6 +78,10 @@
         """Overlapping faults must not violate a guarantee to a caller or an engine."""
         self.run_seed(SEED, LENGTH_S)
 
+    def test_returns_of_the_store_have_no_violations(self):
+        """A return of the store from a copy must not violate a guarantee."""
+        self.run_seed(SEED, LENGTH_S, draw_returns)
+
     def test_seeds_that_once_failed_have_no_violations(self):
         """Guards against the return of failures that the soak test has found."""
         for case in json.loads(FAILED_SEEDS.read_text()):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -31,6 +31,8 @@
 # Traffic after the recovery, so that guarantees with a time bound are checked.
 SETTLE_S = 6.0
 LAPSE_S = 1.5
+# Longest time for which the store is away before it returns from a copy.
+MAX_AWAY_S = 1.0
 # Fraction of the streams whose prompt crashes engines, while such prompts are sent.
 CRASHING_FRACTION = 0.1
 # Limits that engines name.
@@ -212,6 +214,9 @@
             node = self._nodes[int(fault.target_fraction * len(self._nodes))]
             await self._disturb_link(node.store_link, node.name, fault)
             return
+        if kind == "returned":
+            await self._return_store(fault)
+            return
         end_s = started_s + fault.duration_s + LAPSE_S
         self._record_disturbance("store", started_s, end_s)
         if kind == "down":
@@ -232,6 +237,19 @@
             self._platform.set_lapsed(lapsed=False)
         self._record_disturbance("store", started_s, self._clock())
 
+    async def _return_store(self, fault):
+        """Let the store go away for a moment, and come back from an older copy."""
+        registry = self._platform.registry
+        copy = registry.copy()
+        await asyncio.sleep(fault.duration_s)
+        started_s, away_s = self._clock(), MAX_AWAY_S * fault.target_fraction
+        self._record_disturbance("store", started_s, started_s + away_s)
+        registry.down = True
+        await asyncio.sleep(away_s)
+        self._platform.return_from(copy)
+        self._record_disturbance("store", started_s, self._clock())
+        await self._platform.write_entries_again()
+
     async def _disturb_link(self, link, name, fault):
         started_s = self._clock()
         self._record_disturbance(name, started_s, started_s + fault.duration_s)
