Let engines of the soak remove their entries again after a return

Traced by its nodes' lines 831: the removal was written behind offset 54 and lost with era 4 before any node read it, and the stand-in did not write it again until the engine ended. No check changes.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -190,10 +190,15 @@
         self.configure()
 
     async def write_entries_again(self):
-        """Let the engines write again, and the entries of ended ones expire again."""
+        """Let the engines write again, and the entries of ended ones expire again.
+
+        An engine that leaves without an announcement removes its entry again.
+        """
         await asyncio.sleep(REWRITE_S)
         for engine in self.engines.values():
-            if engine.alive and engine.name not in self._unlisted:
+            if engine.name in self._unlisted:
+                self._put(engine.name, b"")
+            elif engine.alive:
                 self._write(engine, leaving=engine.name in self._records.leaving)
         await asyncio.sleep(ENTRY_EXPIRY_S - REWRITE_S)
         listed = dict(self.registry.logs.get("keyed.servers", ()))
