Know an order of a rollout by its offset alone

Since positions have the era, an order that nodes read again after a return of the registry came behind the one in force and counted as a new one: a version that had been rolled back got requests again.

test_a_version_that_was_rolled_back_is_tried_again_after_a_return fails on the commit before and passes.

--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -478,11 +478,13 @@
         service = None if codec is None else codec.service_of_key(document.key)
         if codec is None or service is None:
             return
+        # An order that is read again in a later era must not count as a new one.
+        offset = offset_of(document.offset)
         try:
             if document.value:
                 order = codec.decode_order(service, document.value)
-                rollouts.adopt_order(order, document.offset)
-            elif not rollouts.withdraw(service, document.offset):
+                rollouts.adopt_order(order, offset)
+            elif not rollouts.withdraw(service, offset):
                 self._log_skipped_order(document, "deleted, not running")
         except DECODE_ERRORS as error:
             self._log_skipped_order(document, str(error))
--- a/packages/gateway/cicadapass_gateway/rolloutduty.py
+++ b/packages/gateway/cicadapass_gateway/rolloutduty.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 
 from cicadapass_decisions.dutylease import DutyRecord
-from cicadapass_decisions.logposition import offset_of
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     Finding,
@@ -260,7 +259,7 @@
             863,
             service=rollout.service,
             to=rollout.to,
-            offset=offset_of(rollout.offset),
+            offset=rollout.offset,
             state=rollout.state.value,
             reason=reason,
             elapsed_ms=round(1000 * (situation.now_s - rollout.seen_s)),
--- a/packages/gateway/cicadapass_gateway/rollouttracker.py
+++ b/packages/gateway/cicadapass_gateway/rollouttracker.py
@@ -18,7 +18,6 @@
     engines_by_version,
     provisional_version,
 )
-from cicadapass_decisions.logposition import offset_of
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.rolloutevidence import (
     Evidence,
@@ -546,7 +545,7 @@
                 860,
                 service=service,
                 to=rollout.to,
-                offset=offset_of(rollout.offset),
+                offset=rollout.offset,
                 state=rollout.state.value,
                 withdrawn=rollout.withdrawn,
                 source=source,
@@ -564,7 +563,7 @@
             862,
             service=rollout.service,
             to=rollout.to,
-            offset=offset_of(rollout.offset),
+            offset=rollout.offset,
             evidence=encode_finding(finding),
         )
 
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -437,3 +437,22 @@
             self.assertTrue(all("s-v3-0" in each.usable for each in cluster.nodes))
 
         run_rollout(scenario)
+
+
+class ReturnTest(testtools.TestCase):
+    def test_a_version_that_was_rolled_back_is_tried_again_after_a_return(self):
+        """Nodes took an order that they read again in a later era for a new one."""
+
+        async def scenario(cluster):
+            cluster.order()
+            await cluster.until_state("rolled_back")
+            await asyncio.sleep(2.0)
+            cluster.registry.return_from(cluster.registry.copy())
+            began_s = now_s()
+            await asyncio.sleep(DURATION_S)
+            late = [each for each in cluster.sent if each.at_s > began_s]
+            self.assertEqual({"v1"}, {each.version for each in late})
+            self.assertEqual("rolled_back", cluster.states()[-1])
+            self.assertTrue(cluster.holder)
+
+        run_rollout(scenario, bad=(1.0, 1.0))
