--- a/packages/gateway/cicadapass_gateway/registryera.py
+++ b/packages/gateway/cicadapass_gateway/registryera.py
@@ -3,7 +3,17 @@
 import asyncio
 from collections.abc import Callable
 
-from cicadapass_decisions.logposition import MAX_ERA, EraJudgement, judge_era
+from cicadapass_decisions.logposition import (
+    MAX_ERA,
+    EraJudgement,
+    judge_era,
+    offset_of,
+)
+from cicadapass_gateway.linelimit import LineLimit
+from cicadapass_gateway.nodestate import NodeState
+
+# Lines on malformed eras in a second; every answer may name one.
+MAX_ODD_LINES_PER_S = 1
 
 # Called with the eras before and after a rise, and with who named the later one.
 RiseListener = Callable[[int, int, str], None]
@@ -57,3 +67,31 @@
             for listener in self._odd_listeners:
                 listener(text or "", source)
         return judgement
+
+
+def report_eras(era: RegistryEra, state: NodeState) -> None:
+    """Write a line for each rise, and for malformed eras."""
+    lines = LineLimit(MAX_ODD_LINES_PER_S, state.clock)
+
+    def report_rise(before: int, risen: int, source: str) -> None:
+        state.metrics.gauge("registry_era", risen)
+        state.events.emit(
+            837,
+            before=before,
+            era=risen,
+            source=source,
+            version=state.version,
+            view_end=offset_of(state.upstreams.replica.end_offset),
+        )
+
+    def report_odd(text: str, source: str) -> None:
+        if lines.allows_line():
+            state.events.emit(
+                838,
+                text=text,
+                source=source,
+                era=era.value,
+                skipped=lines.take_skipped(),
+            )
+
+    era.subscribe(report_rise, report_odd)
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -40,6 +40,7 @@
     encode_upstreams,
 )
 from cicadapass_gateway.peers import Member, Peers
+from cicadapass_gateway.registryera import report_eras
 
 # With few nodes, a read of the configuration waits this long for a change; with many,
 # longer. The client's time-out then detects a dead connection; until then, peers report
@@ -80,8 +81,6 @@
 ANNOUNCEMENT_SPREAD_S = 2.0
 # Lines on entries that cannot be read in a second; the reader may meet many at once.
 MAX_SKIPPED_LINES_PER_S = 10
-# Lines on malformed eras in a second; every answer may name one.
-MAX_ODD_ERA_LINES_PER_S = 1
 # Characters of an odd key that a log line contains.
 MAX_LOGGED_KEY = 80
 # Characters of the reason for which an order was skipped.
@@ -130,8 +129,7 @@
         self._skipped_orders: dict[str, int] = {}
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
         self._era = adapter.registry.era
-        self._era_lines = LineLimit(MAX_ODD_ERA_LINES_PER_S, state.clock)
-        self._era.subscribe(self._record_rise, self._log_odd_era)
+        report_eras(self._era, state)
 
     @property
     def registry_ok(self) -> bool:
@@ -636,28 +634,6 @@
                 offset=offset_of(self._replica.end_offset),
             )
 
-    def _record_rise(self, before: int, era: int, source: str) -> None:
-        """Record that the registry has returned from a copy, or named its first era."""
-        self._state.metrics.gauge("registry_era", era)
-        self._state.events.emit(
-            837,
-            before=before,
-            era=era,
-            source=source,
-            version=self._state.version,
-            view_end=offset_of(self._replica.end_offset),
-        )
-
-    def _log_odd_era(self, text: str, source: str) -> None:
-        if self._era_lines.allows_line():
-            self._state.events.emit(
-                838,
-                text=text,
-                source=source,
-                era=self._era.value,
-                skipped=self._era_lines.take_skipped(),
-            )
-
     async def _pause_after(self, failures: _Failures, error: GatewayError) -> None:
         """Record a failed call and wait until the next one.
 
