Let nodes agree on the record of the versions in use

By reading: a node that starts takes the recorded versions for seen now, and would put one back into the record that another node has dropped, by turns for up to 20 s. It adds a version only if it has seen engines of it itself. The time limits of routes are worked out once a configuration, not at each stream, and the versions are compared once a second.

test_nodes_write_the_versions_by_turns passes; the rule did not exist before.

--- a/packages/decisions/cicadapass_decisions/streamversions.py
+++ b/packages/decisions/cicadapass_decisions/streamversions.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from cicadapass_decisions.passthrough import Configuration
+
 # Streams that are remembered: 20 s of those that the planned size begins.
 MAX_STREAMS = 50_000
 
@@ -64,12 +66,15 @@
 
     def __init__(self) -> None:
         self._last_seen_s: dict[str, dict[str, float]] = {}
+        # The same without what others reported.
+        self._last_observed_s: dict[str, dict[str, float]] = {}
 
     def observe(self, versions: Mapping[str, Collection[str]], now_s: float) -> None:
         """Record the versions that have engines now, by service."""
         for service, present in versions.items():
-            seen = self._last_seen_s.setdefault(service, {})
-            seen.update(dict.fromkeys(present, now_s))
+            now_seen = dict.fromkeys(present, now_s)
+            self._last_seen_s.setdefault(service, {}).update(now_seen)
+            self._last_observed_s.setdefault(service, {}).update(now_seen)
 
     def restore(self, service: str, versions: Iterable[str], now_s: float) -> None:
         """Record versions that may have had engines until now, as others reported."""
@@ -79,11 +84,33 @@
 
     def in_use(self, service: str, now_s: float, life_s: float) -> frozenset[str]:
         """Return the versions at which a stream that still lasts may have begun."""
-        seen = self._last_seen_s.get(service, {})
-        return frozenset(
-            version for version, seen_s in seen.items() if seen_s > now_s - life_s
-        )
-
-    def services(self) -> list[str]:
-        """Return the services that have had engines."""
-        return list(self._last_seen_s)
+        return _since(self._last_seen_s.get(service, {}), now_s - life_s)
+
+    def version_set_to_record(
+        self, service: str, recorded: frozenset[str], now_s: float, life_s: float
+    ) -> frozenset[str] | None:
+        """Return the versions in use if they should replace the recorded ones.
+
+        A version that this node knows from the record alone does not return to it.
+        """
+        in_use = self.in_use(service, now_s, life_s)
+        observed = _since(self._last_observed_s.get(service, {}), now_s - life_s)
+        if observed - recorded:
+            return in_use | recorded
+        return in_use if in_use and in_use < recorded else None
+
+
+def _since(times_s: Mapping[str, float], start_s: float) -> frozenset[str]:
+    return frozenset(each for each, seen_s in times_s.items() if seen_s > start_s)
+
+
+def longest_time_limits_s(configuration: Configuration) -> dict[str, float]:
+    """Return the longest time limit of a service's streams that may be taken up."""
+    longest_s: dict[str, float] = {}
+    for route in configuration.routes:
+        if not route.resumable:
+            continue
+        for weighted in route.services:
+            limit_s = longest_s.get(weighted.service, 0.0)
+            longest_s[weighted.service] = max(limit_s, route.timeout_s)
+    return longest_s
--- a/packages/gateway/cicadapass_gateway/streamversions.py
+++ b/packages/gateway/cicadapass_gateway/streamversions.py
@@ -10,7 +10,13 @@
 from typing import Any
 
 from cicadapass_decisions.logposition import era_of, offset_of
-from cicadapass_decisions.streamversions import Stream, StreamIndex, VersionHistory
+from cicadapass_decisions.passthrough import Configuration
+from cicadapass_decisions.streamversions import (
+    Stream,
+    StreamIndex,
+    VersionHistory,
+    longest_time_limits_s,
+)
 from cicadapass_gateway.adapterapi import Registry, Topics
 from cicadapass_gateway.exceptions import (
     GatewayError,
@@ -36,8 +42,9 @@
 # Time in which the record of a stream that broke off at another node may still arrive:
 # its batch there, its batch at the node that appends it, and the append.
 LATE_RECORD_S = 2 * BATCH_S + 0.1
-# Interval at which the versions in use are compared with the record of them.
-CHECK_INTERVAL_S = 0.3
+# Interval at which the versions in use are compared with the record of them, and the
+# pause after a failed append. A stream at another version counts at once.
+CHECK_INTERVAL_S = 1.0
 # A caller may take a stream up until the time limit of its first request, and its
 # clock is not that of the node.
 LIFE_MARGIN_S = 5.0
@@ -75,6 +82,9 @@
         self._versions_end = -1
         self._records_end = -1
         self._reading: asyncio.Task[None] | None = None
+        # The time limits of a configuration, which may have thousands of routes.
+        self._configuration: Configuration | None = None
+        self._time_limits_s: dict[str, float] = {}
         # Services whose streams are being recorded.
         self._mixed: set[str] = set()
         registry.era.subscribe(self._record_rise, lambda *_: None)
@@ -87,7 +97,7 @@
     def record(self, service: str, request_id: str | None, version: str) -> None:
         """Record that a request's stream has begun at a version."""
         now_s = self._state.clock()
-        self._history.restore(service, [version], now_s)
+        self._history.observe({service: [version]}, now_s)
         stream = Stream(service, request_id or "")
         if not is_recordable(stream):
             return
@@ -166,14 +176,10 @@
     def _services(self) -> dict[str, float]:
         """Return the longest time limit of the streams of each service."""
         configuration = self._state.configuration
-        longest_s: dict[str, float] = {}
-        for route in configuration.routes if configuration is not None else ():
-            if not route.resumable:
-                continue
-            for weighted in route.services:
-                limit_s = longest_s.get(weighted.service, 0.0)
-                longest_s[weighted.service] = max(limit_s, route.timeout_s)
-        return longest_s
+        if configuration is not None and configuration is not self._configuration:
+            self._configuration = configuration
+            self._time_limits_s = longest_time_limits_s(configuration)
+        return self._time_limits_s
 
     def _life_s(self, service: str) -> float:
         return LIFE_MARGIN_S + self._services().get(service, DEFAULT_TIMEOUT_S)
@@ -275,8 +281,13 @@
         if not self._state.upstreams_loaded:
             return
         for service in self._services():
-            versions = self._in_use(service)
-            if not versions or versions == self._recorded_versions.get(service):
+            versions = self._history.version_set_to_record(
+                service,
+                self._recorded_versions.get(service, frozenset()),
+                self._state.clock(),
+                self._life_s(service),
+            )
+            if versions is None:
                 continue
             self._versions_end = await self._registry.append(
                 self._topics.versions,
--- a/tests/decisions/test_streamversions.py
+++ b/tests/decisions/test_streamversions.py
@@ -56,6 +56,27 @@
         history.observe({"s": ["v2"]}, 20.0)
         self.assertEqual({"v2"}, history.in_use("s", 20.0, LIFE_S))
 
+    def test_nodes_write_the_versions_by_turns(self):
+        """One node dropped a version from the record, and another one put it back."""
+        history = VersionHistory()
+        both = frozenset({"v1", "v2"})
+
+        def to_record(recorded, now_s):
+            return history.version_set_to_record("s", recorded, now_s, LIFE_S)
+
+        # The node has started late: it knows v1 from the record alone.
+        history.restore("s", both, 10.0)
+        history.observe({"s": ["v2"]}, 10.0)
+        self.assertIsNone(to_record(both, 11.0))
+        self.assertIsNone(to_record(frozenset({"v2"}), 11.0))
+        self.assertEqual(both, to_record(frozenset({"v1"}), 11.0))
+        # The versions of others are kept with those that it sees first.
+        self.assertEqual(both | {"v0"}, to_record(frozenset({"v0"}), 11.0))
+        history.observe({"s": ["v2"]}, 30.0)
+        self.assertEqual({"v2"}, to_record(both, 30.0))
+        # A service without engines keeps its record.
+        self.assertIsNone(to_record(both, 99.0))
+
     def test_reported_versions_count_as_seen_now(self):
         """A node that started late took the versions before it for those of now."""
         history = VersionHistory()
