--- a/packages/gateway/cicadapass_gateway/duties.py
+++ b/packages/gateway/cicadapass_gateway/duties.py
@@ -111,7 +111,7 @@
 
     def reported_window(self) -> int:
         """Return the newest window that is known to be reported, or -1."""
-        return max(self._reported_windows, default=self._peers.reported_window)
+        return max(self._peers.reported_window, *self._reported_windows, -1)
 
     async def run(self) -> None:
         """Perform the duties or watch their holder; log errors and retry."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -139,6 +139,19 @@
             scenario, (410, {"first": 5}), (200, read_response(10)), (200, answer)
         )
 
+    def test_the_end_of_a_log_that_cannot_be_read_is_declared(self):
+        """A malformed answer ended the request that needed it by an internal error."""
+
+        async def scenario(caller, standin):
+            for _ in range(4):
+                with self.assertRaises(PlatformUnavailable):
+                    await Store(caller).tail("streams", 2)
+
+        huge = struct.pack(">QQ", 1 << 60, 0)
+        self.run_scenario(
+            scenario, (200, b"x"), (200, huge), (410, b"x"), (410, {"first": "x"})
+        )
+
     def test_refusals_raise_different_errors(self):
         """An expired history or a conflicting append was treated as an outage."""
 
