Add a case on streams of two versions that are joined after a freeze

A node that wakes from a freeze knows of one version of the engines and takes it for the version of each stream that is taken up, though engines of a newer version have begun some of them meanwhile. The requester gets events of two versions in one stream, with 200 and a regular end.

The engine of the stand-ins resets its channels when it ends.

--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import time
 
 from httpd import read_head, response
@@ -30,8 +32,9 @@
     neither a length nor chunks, so that the end of its channel ends it.
     """
 
-    def __init__(self, name, zone, step_s, log):
+    def __init__(self, name, zone, step_s, log, version="v1"):
         self.name = name
+        self.version = version
         self.zone = zone
         self.leaves_ms = None
         self._step_s = step_s
@@ -62,7 +65,7 @@
             "service": service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": SLOTS,
             "state": "ready" if self.leaves_ms is None else "draining",
             "coldLeftMs": 0,
@@ -78,7 +81,7 @@
         self.fleet.pop(self.address, None)
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            _reset(writer)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -133,7 +136,8 @@
                     return
                 run.made += 1
                 last = " last" if run.made == total else ""
-                event = f"id: {run.made}\ndata: {request_id} {run.made}{last}\n\n"
+                data = f"{request_id} {self.version} {run.made}{last}"
+                event = f"id: {run.made}\ndata: {data}\n\n"
                 writer.write(event.encode())
                 await writer.drain()
                 if run.stopping and run.made < total:
@@ -172,3 +176,12 @@
         await asyncio.sleep(0.005)
         target._handles[name] = call["id"]
         return response(200, json.dumps(fields).encode())
+
+
+def _reset(writer):
+    """Reset a connection; without the option, it is merely closed."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        option = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    writer.transport.abort()
