Add a case on joined versions after the store returns from a copy

Nodes that start again after a drill in which the store lost the records of a new version know of the old version alone, and let streams that had begun at the new one go on at the old one, with 200 and a regular end.

--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -14,6 +14,9 @@
 
     def __init__(self):
         self.records = {}
+        self._era = 1
+        # While the store is away, it answers nothing.
+        self._away = False
         # Called with the topic, the key and the value of each record of the system.
         self.on_append = lambda topic, key, value: None
         self._appended = asyncio.Condition()
@@ -23,6 +26,25 @@
         """Listen on a free port and return it."""
         return await self._server.start(host)
 
+    def copy(self):
+        """Return a copy of all records."""
+        return {topic: list(records) for topic, records in self.records.items()}
+
+    def leave(self):
+        """Go away: close all connections, and refuse each call from now on."""
+        self._away = True
+        for writer in list(self._server.writers):
+            writer.transport.abort()
+
+    async def return_from(self, copy):
+        """Come back with the records of a copy, in a new era."""
+        async with self._appended:
+            for topic, records in self.records.items():
+                records[:] = copy.get(topic, [])
+            self._era += 1
+            self._away = False
+            self._appended.notify_all()
+
     async def put(self, topic, key, document):
         """Write a record as the operator or an engine; None deletes the key."""
         value = b"" if document is None else json.dumps(document).encode()
@@ -31,6 +53,8 @@
             self._appended.notify_all()
 
     async def _handle(self, request, writer):
+        if self._away:
+            return response(503, b"", [("Store-Era", str(self._era))])
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = {
@@ -41,7 +65,7 @@
         if call is None:
             return response(404)
         status, body = await call(query, request.body)
-        return response(status, body, [("Store-Era", "1")])
+        return response(status, body, [("Store-Era", str(self._era))])
 
     async def _append(self, query, body):
         async with self._appended:
@@ -61,6 +85,8 @@
 
     async def _read(self, query, body):
         records, start = self.records.setdefault(query["topic"], []), int(query["from"])
+        if start > len(records):
+            return 410, json.dumps({"first": 0}).encode()
         if start >= len(records) and "waitMs" in query:
             try:
                 async with asyncio.timeout(int(query["waitMs"]) / 1000):
--- a/review/standins-2/streams.py
+++ b/review/standins-2/streams.py
@@ -7,6 +7,7 @@
 from httpd import read_chunks, read_head
 
 TIME_LIMIT_S = 3.0
+RECONNECT_S = 0.2
 MODEL, KEY = "parts-model", "3d3zji9n73hh2b9wu3fe"
 CONFIG = {
     "version": 1,
@@ -61,15 +62,22 @@
         self._take_ups = itertools.count()
 
     async def run(self, stream, first_node, other_nodes):
-        """Send the request once, and once more behind what has arrived."""
+        """Send the request once, and once more behind what has arrived.
+
+        A try without a connection is no take-up; another one follows soon.
+        """
         await self._try(stream, first_node)
         if stream.complete or not stream.events:
             return
         self._record.write(
             f"{stream.name} broke off after {len(stream.events)} events; taken up"
         )
-        # Retries reach the other nodes in turn.
-        await self._try(stream, other_nodes[next(self._take_ups) % 2])
+        while time.monotonic() - stream.sent_s < TIME_LIMIT_S:
+            # Retries reach the other nodes in turn.
+            node = other_nodes[next(self._take_ups) % len(other_nodes)]
+            if await self._try(stream, node):
+                return
+            await asyncio.sleep(RECONNECT_S)
 
     async def _try(self, stream, node):
         request_id = f"{next(self._ids):016x}"
@@ -94,7 +102,7 @@
         try:
             reader, writer = await asyncio.open_connection(node.host, node.front)
         except OSError:
-            return
+            return False
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         self._record.write(f"{stream.name} sent as {request_id} to {node.name}")
         try:
@@ -104,6 +112,7 @@
             pass
         finally:
             writer.close()
+        return True
 
     async def _read(self, reader, stream, request_id):
         head = await read_head(reader)
