--- a/review/6/scenario.py
+++ b/review/6/scenario.py
@@ -90,6 +90,8 @@
         frozen.signal(signal.SIGCONT)
         entries.cancel()
         await deployment.stop()
+    if not all(each.events for each in streams):
+        raise RuntimeError("a stream did not begin")
     joined = []
     for each in streams:
         versions = list(dict.fromkeys(version for _, version in each.events))
@@ -100,8 +102,6 @@
     record.write(
         f"{STREAMS} streams, {taken} taken up, {len(joined)} hold events of two versions"
     )
-    if not all(each.events for each in streams):
-        record.write("some streams had no event")
     return 1 if len(joined) > ALLOWED_STREAMS else 0
 
 
--- a/review/7/scenario.py
+++ b/review/7/scenario.py
@@ -108,6 +108,8 @@
     finally:
         heartbeats.cancel()
         await deployment.stop()
+    if not all(each.events for each in streams):
+        raise RuntimeError("a stream did not begin")
     joined, statuses = [], []
     for each in streams:
         versions = list(dict.fromkeys(version for _, version in each.events))
--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -24,8 +24,11 @@
 CALLERS = 180
 STEP_S = 0.04
 GRACE_S = 8.0
-# An engine leaves this long after it said so.
-LEAVES_MS = 2500
+# An engine that is replaced serves for this long after it said that it leaves: `drainMs`
+# and a little longer.
+SERVES_ON_S = 3.0
+# The platform opens no new channels to a node that missed two questions.
+IN_ROTATION_S = 2.0
 MODEL, KEY = "parts-model", "3d3zji9n73hh2b9wu3fe"
 CONFIG = {
     "version": 1,
@@ -79,6 +82,8 @@
         self._numbers = itertools.count(1)
         self._tasks = []
         self.answers = []
+        # Whether the platform opens new channels to the node.
+        self.in_rotation = True
 
     def start(self, count):
         self._tasks = [asyncio.create_task(self._run()) for _ in range(count)]
@@ -92,6 +97,8 @@
         while True:
             await asyncio.sleep(0.5 * self._rng.random())
             try:
+                if channel is None and not self.in_rotation:
+                    continue
                 if channel is None:
                     channel = await asyncio.open_connection(
                         self._node.host, self._node.front
@@ -120,10 +127,15 @@
         )
         self.answers.append(answer)
         writer.write(head.encode() + body)
+        self._record.write(f"{request_id} sent to {self._node.name}")
         try:
             return await self._read(reader, answer)
         finally:
             answer.ended_s = time.monotonic()
+            end = "to its end" if answer.complete else "without an end"
+            self._record.write(
+                f"{request_id} answered {answer.status}, {answer.events} events, {end}"
+            )
 
     async def _read(self, reader, answer):
         head = await read_head(reader)
@@ -140,10 +152,6 @@
                 answer.events += data.count(b"\n\n")
             answer.complete = True
         except (OSError, asyncio.IncompleteReadError, ValueError):
-            self._record.write(
-                f"{answer.request_id} is cut after {answer.events} events of"
-                f" {answer.total}"
-            )
             return False
         return headers.get("connection") != "close"
 
@@ -160,7 +168,11 @@
     began_s = time.monotonic()
     record.write(f"{node.name} gets SIGTERM; {engine.name} leaves")
     node.signal(signal.SIGTERM)
-    engine.leaves_ms = LEAVES_MS
+    requesters = world["requesters"]
+    asyncio.get_running_loop().call_later(
+        IN_ROTATION_S, setattr, requesters, "in_rotation", False
+    )
+    engine.leaving = True
     await world["store"].put("keyed.servers", engine.name, engine.entry(MODEL))
     stopping = asyncio.create_task(end_engine(engine, world))
     try:
@@ -174,10 +186,11 @@
     await stopping
     await node.start()
     await node.wait_until_ready()
+    requesters.in_rotation = True
 
 
 async def end_engine(engine, world):
-    await asyncio.sleep(LEAVES_MS / 1000 + 0.5)
+    await asyncio.sleep(SERVES_ON_S)
     engine.stop()
     await world["store"].put("keyed.servers", engine.name, None)
 
@@ -240,6 +253,7 @@
     world["node"] = deployment.nodes[0]
     rng = random.Random(6)
     requesters = Requesters(deployment.nodes[0], record, rng)
+    world["requesters"] = requesters
     try:
         await deployment.start()
         requesters.start(CALLERS)
@@ -250,6 +264,8 @@
     finally:
         entries.cancel()
         await deployment.stop()
+    if not any(each.complete for each in requesters.answers):
+        raise RuntimeError("no request was served")
     lost = find_lost(requesters.answers, world["stops"], whole)
     for answer in lost:
         record.write(
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -136,6 +136,11 @@
 
     async def start(self):
         """Start the process with the command of the deploy file."""
+        if self._process is not None:
+            # Only the first start is that of the whole system.
+            text = self._settings.read_text()
+            text = text.replace("bootstrap=true", "bootstrap=false")
+            self._settings.write_text(text)
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
--- a/review/standins-2/engine.py
+++ b/review/standins-2/engine.py
@@ -36,7 +36,7 @@
         self.name = name
         self.version = version
         self.zone = zone
-        self.leaves_ms = None
+        self.leaving = False
         self._step_s = step_s
         self._log = log
         self._born = int(time.time() * 1000)
@@ -67,13 +67,11 @@
             "zone": self.zone,
             "version": self.version,
             "slots": SLOTS,
-            "state": "ready" if self.leaves_ms is None else "draining",
+            "state": "draining" if self.leaving else "ready",
             "coldLeftMs": 0,
             "sequence": self._sequence,
             "born": self._born,
         }
-        if self.leaves_ms is not None:
-            entry["leaves_ms"] = self.leaves_ms
         return entry
 
     def stop(self):
@@ -108,16 +106,21 @@
 
     def _refusal(self, headers):
         """Return the answer to a request that is not run, or None."""
-        request_id = [("Request-Id", headers.get("request-id", ""))]
+        name = headers.get("request-id", "")
+        request_id = [("Request-Id", name), *self._signs()]
         if headers.get("expect-instance") != self.name:
             return response(421, b"", request_id)
         copy = headers.get("kv-from")
-        if copy is not None and self._handles.pop(copy, None) != request_id[0][1]:
+        if copy is not None and self._handles.pop(copy, None) != name:
             return response(503, b"", [*request_id, ("Not-Executed", "handle")])
         if len(self._runs) >= SLOTS:
             return response(503, b"", [*request_id, ("Not-Executed", "full")])
         return None
 
+    def _signs(self):
+        """Return the headers by which an engine that leaves says so in all answers."""
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     async def _stream(self, headers, body, writer):
         request_id, total = headers["request-id"], int(body)
         first = 1 + int(headers.get("last-event-id", "0"))
@@ -126,7 +129,10 @@
         self._log(f"{self.name} runs {request_id} from event {first} on{kind}")
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
-            + f"Request-Id: {request_id}\r\nServer-Seal: {self.name}\r\n\r\n".encode()
+            + f"Request-Id: {request_id}\r\nServer-Seal: {self.name}\r\n".encode()
+            + b"Weight-Versions: 1\r\n"
+            + "".join(f"{name}: {value}\r\n" for name, value in self._signs()).encode()
+            + b"\r\n"
         )
         try:
             while run.made < total:
@@ -153,7 +159,7 @@
         """Copy the memory of a run; with `last`, stop the run first."""
         run, target = self._runs.get(call["id"]), self.fleet.get(call["to"])
         if run is None:
-            return response(404, b"{}")
+            return response(404, b"{}", self._signs())
         if call.get("last"):
             run.stopping = True
             waits = [
@@ -164,7 +170,7 @@
                 each.cancel()
             if not run.stopped.is_set():
                 self._log(f"{self.name}: {call['id']} had ended before it was stopped")
-                return response(404, b"{}")
+                return response(404, b"{}", self._signs())
         self._handle_count += 1
         handle = f"h{self._handle_count}"
         name = f"{self.address}/{handle}"
@@ -172,10 +178,10 @@
             self._handles[name] = call["id"]
         fields = {"handle": handle, "createdRev": run.made}
         if target is None:
-            return response(503, json.dumps(fields).encode())
+            return response(503, json.dumps(fields).encode(), self._signs())
         await asyncio.sleep(0.005)
         target._handles[name] = call["id"]
-        return response(200, json.dumps(fields).encode())
+        return response(200, json.dumps(fields).encode(), self._signs())
 
 
 def _reset(writer):
--- a/review/standins-2/streams.py
+++ b/review/standins-2/streams.py
@@ -112,6 +112,10 @@
             pass
         finally:
             writer.close()
+            end = "to its end" if stream.complete else "without an end"
+            self._record.write(
+                f"{stream.name} as {request_id}: {len(stream.events)} events in all, {end}"
+            )
         return True
 
     async def _read(self, reader, stream, request_id):
