Let a stream go on at a sole version only if a later read shows it

Cause: "one version is in use" was kept without its time. A stream begins after the entry of its engine was written, so only a view read after the caller asked excludes another version. The versions in use were sampled once per second as well, so that an engine could come and go unseen.

`judge_versions` decides over frozen evidence. A take-up without a record waits for a read of the upstreams that began after it; all take-ups share it. If the registry does not answer, each other node must have reported since or have ended, so that silences of the registry end no streams where one version serves. Nodes report the versions that they observed, and the first stream at each at once. Each applied entry counts; where entries may be missing, the record of versions is read again.

--- a/packages/decisions/cicadapass_decisions/streamversions.py
+++ b/packages/decisions/cicadapass_decisions/streamversions.py
@@ -66,7 +66,7 @@
 
     def __init__(self) -> None:
         self._last_seen_s: dict[str, dict[str, float]] = {}
-        # The same without what others reported.
+        # The same without what the record of the versions said.
         self._last_observed_s: dict[str, dict[str, float]] = {}
 
     def observe(self, versions: Mapping[str, Collection[str]], now_s: float) -> None:
@@ -76,6 +76,25 @@
             self._last_seen_s.setdefault(service, {}).update(now_seen)
             self._last_observed_s.setdefault(service, {}).update(now_seen)
 
+    def merge(self, service: str, seen_s: Mapping[str, float]) -> None:
+        """Record when others last observed versions, by this node's clock."""
+        for times_s in (
+            self._last_seen_s.setdefault(service, {}),
+            self._last_observed_s.setdefault(service, {}),
+        ):
+            for version, last_s in seen_s.items():
+                times_s[version] = max(last_s, times_s.get(version, last_s))
+
+    def observed_ages_s(
+        self, service: str, now_s: float, life_s: float
+    ) -> dict[str, float]:
+        """Return the time since each version of the last life was observed."""
+        return {
+            version: now_s - last_s
+            for version, last_s in self._last_observed_s.get(service, {}).items()
+            if last_s > now_s - life_s
+        }
+
     def restore(self, service: str, versions: Iterable[str], now_s: float) -> None:
         """Record versions that may have had engines until now, as others reported."""
         seen = self._last_seen_s.setdefault(service, {})
--- a/packages/decisions/cicadapass_decisions/topicreplica.py
+++ b/packages/decisions/cicadapass_decisions/topicreplica.py
@@ -60,6 +60,11 @@
         """Return the newest record of each key, without removed keys."""
         return [each for each in self._documents.values() if each.value]
 
+    @property
+    def confirmed_s(self) -> float:
+        """Return the time of the last read that confirms this replica."""
+        return max(self._confirmed_s)
+
     def offset(self, key: str) -> int:
         """Return the offset of a key's newest record, or -1."""
         document = self._documents.get(key)
@@ -71,7 +76,7 @@
 
     def age_s(self, now_s: float) -> float:
         """Return the time since the last read that confirms this replica."""
-        return now_s - max(self._confirmed_s)
+        return now_s - self.confirmed_s
 
     def ages_s(self, now_s: float) -> list[float]:
         """Return the age to report to peers, for each number of hops."""
--- a/packages/decisions/cicadapass_decisions/upstreamview.py
+++ b/packages/decisions/cicadapass_decisions/upstreamview.py
@@ -70,6 +70,10 @@
         """Return whether an upstream's entry was removed and may reappear."""
         return upstream_id in self._lapsed
 
+    def is_known(self, upstream_id: str) -> bool:
+        """Return whether an upstream has an entry, or had one until a removal."""
+        return upstream_id in self._records or upstream_id in self._lapsed
+
     def apply(self, record: UpstreamRecord, now_s: float) -> bool:
         """Apply an entry unless it is outdated; return whether its content changed."""
         current = self._records.get(record.upstream_id)
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -16,6 +16,7 @@
 from cicadapass_gateway.adapterapi import Adapter
 from cicadapass_gateway.config import Settings
 from cicadapass_gateway.duties import Duties, DutyTimes
+from cicadapass_gateway.endedprocesses import EndedProcesses
 from cicadapass_gateway.exceptions import SettingsError
 from cicadapass_gateway.fleetplanner import FleetPlanner
 from cicadapass_gateway.httpclient import MAX_BUFFERED_BYTES, ClientPool
@@ -32,6 +33,7 @@
 from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.supervisor import Supervisor
 from cicadapass_gateway.usage import UsageCounter
+from cicadapass_gateway.versionknowledge import VersionKnowledge, VersionSources
 
 # Signals upon which a node finishes its requests and ends.
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -79,6 +81,7 @@
     supervisor: Supervisor
     pool: ClientPool
     migrator: Migrator
+    version_knowledge: VersionKnowledge
     stream_versions: StreamVersions
     shed_log: ShedLog
 
@@ -182,6 +185,8 @@
                 lambda: registry_sync,
                 lambda: duties.reported_window(),
                 lambda rows: stream_versions.accept(rows),
+                lambda: version_knowledge.export(),
+                lambda reported: version_knowledge.merge(reported),
             ),
         )
         state.upstreams.subscribe_to_sends(peers.report_send)
@@ -192,12 +197,28 @@
         times = DutyTimes(settings.lease_s, settings.usage_window_s)
         duties = Duties(state, adapter, peers, usage, planner, times, true_time)
         migrator = Migrator(state, adapter.migrate_run)
+        version_knowledge = VersionKnowledge(
+            state,
+            adapter.registry,
+            adapter.topics,
+            VersionSources(
+                registry_sync.confirm_view,
+                peers.last_reports,
+                peers.report_age_s,
+                EndedProcesses(pool).has_ended,
+                peers.report_versions,
+            ),
+            peers.is_watcher,
+        )
+        registry_sync.subscribe(
+            version_knowledge.observe_upstream, version_knowledge.record_gap
+        )
         stream_versions = StreamVersions(
             state,
             adapter.registry,
             adapter.topics,
+            version_knowledge,
             peers.pass_on_streams,
-            peers.is_watcher,
         )
         relay = Relay(
             state, adapter.header_codec, pool, usage, migrator, stream_versions
@@ -259,6 +280,7 @@
             supervisor=Supervisor(events),
             pool=pool,
             migrator=migrator,
+            version_knowledge=version_knowledge,
             stream_versions=stream_versions,
             shed_log=shed_log,
         )
@@ -282,7 +304,7 @@
         start("held-entries", components.registry_sync.expire_held_entries)
         start("datagrams", periodic(components.peers.send_state, SEND_INTERVAL_S))
         start("movers", components.migrator.watch)
-        start("versions", components.stream_versions.follow_versions)
+        start("versions", components.version_knowledge.follow_record)
         start("streams", components.stream_versions.append_streams)
         start(
             "sweep",
--- a/packages/gateway/cicadapass_gateway/nodeaddress.py
+++ b/packages/gateway/cicadapass_gateway/nodeaddress.py
@@ -26,6 +26,11 @@
         """Return a name that is unique to this incarnation."""
         return f"{self.name}/{self.incarnation}"
 
+    @property
+    def start_key(self) -> str:
+        """Return the same name, as that of a process that may end."""
+        return self.key
+
 
 def encode_address(address: NodeAddress) -> list[Any]:
     """Return an address as stored in datagrams and in the registry."""
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -75,6 +75,8 @@
 ROLLOUT_MESSAGE = "+"
 # In place of a node's name in a list: the message contains streams that began.
 STREAM_MESSAGE = "~"
+# In place of a node's name in a list: the message contains versions of services.
+VERSIONS_MESSAGE = "^"
 # The use of workspaces is collected for this long before it is reported.
 USE_REPORT_DELAY_S = 0.005
 # A member counts among those that share limits for this long after its last datagram,
@@ -98,6 +100,8 @@
     view_end: int = -1
     # The interval in which it sent its last datagram to this node.
     interval: int | None = None
+    # When it sent its last datagram, by this node's clock.
+    sent_s: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +146,10 @@
     reported_window: Callable[[], int] = lambda: -1
     # Appends the streams that other nodes began.
     accept_streams: Callable[[Any], None] = lambda rows: None
+    # Returns the versions of services' engines that were observed lately, and applies
+    # those that other nodes report.
+    observed_versions: Callable[[], dict[str, Any]] = dict
+    merge_versions: Callable[[Any], None] = lambda reported: None
     demand: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
@@ -181,6 +189,7 @@
         self._unreported_segments: dict[str, None] = {}
         # Workspaces whose use is to be reported; the values serve as a set.
         self._unreported_workspaces: dict[str, None] = {}
+        self._handlers = self._make_handlers()
         dependencies.state.rate_limiter.set_on_unexpected_use(self._report_use)
         dependencies.state.segment_suspicions.subscribe(self._report_segments)
         dependencies.state.subscribe_to_limits(self._report_limits)
@@ -263,6 +272,23 @@
         names = [each.address.name for each in members]
         return not able and is_watcher(self.local_address.name, names)
 
+    def last_reports(self) -> list[tuple[NodeAddress, float]] | None:
+        """Return when each member sent its last state, by this node's clock.
+
+        Return None if all members were removed, as for a node without a connection.
+        """
+        if self._removed and not self.members:
+            return None
+        return [(each.address, each.sent_s) for each in self.members.values()]
+
+    def report_age_s(self) -> float:
+        """Return the time beyond the usual between two states of a member."""
+        return self.round_s - SEND_INTERVAL_S
+
+    def report_versions(self, versions: dict[str, Any]) -> None:
+        """Report versions at which streams begin here to all members at once."""
+        self._send_to_all([VERSIONS_MESSAGE, self.local_address.name, versions])
+
     def pass_on_streams(self, rows: Sequence[Any]) -> bool:
         """Send streams to a node that appends them; return False if this one is to."""
         if self._transport is None or self.is_watcher():
@@ -330,24 +356,9 @@
             return
         try:
             message = decode_cbor(data)
-            if isinstance(message, list) and message[0] == SEGMENT_MESSAGE:
-                self._merge_segments(message[2], str(message[1]))
-            elif isinstance(message, list) and message[0] == LIMIT_MESSAGE:
-                self._dependencies.state.merge_upstream_limits(
-                    message[2], str(message[1])
-                )
-            elif isinstance(message, list) and message[0] == LEAVING_MESSAGE:
-                self._dependencies.registry().apply_marks(message[2], str(message[1]))
-            elif isinstance(message, list) and message[0] == USE_MESSAGE:
-                self._apply_use(str(message[1]), *message[2])
-            elif isinstance(message, list) and message[0] == ROLLOUT_MESSAGE:
-                self._dependencies.state.rollouts.merge_rollout_rows(
-                    message[2], str(message[1])
-                )
-            elif isinstance(message, list) and message[0] == STREAM_MESSAGE:
-                self._dependencies.accept_streams(message[2])
-            elif isinstance(message, list):
-                self._apply_send(message)
+            if isinstance(message, list):
+                handler = self._handlers.get(message[0], self._apply_send)
+                handler(message)
             else:
                 self._apply_state(message)
         except DECODE_ERRORS as error:
@@ -355,6 +366,21 @@
                 820, peer=f"{addr[0]}:{addr[1]}", reason=repr(error)
             )
 
+    def _make_handlers(self) -> dict[Any, Callable[[list[Any]], None]]:
+        """Return what applies a message that is a list, by its first item."""
+        others, state = self._dependencies, self._dependencies.state
+        return {
+            SEGMENT_MESSAGE: lambda m: self._merge_segments(m[2], str(m[1])),
+            LIMIT_MESSAGE: lambda m: state.merge_upstream_limits(m[2], str(m[1])),
+            LEAVING_MESSAGE: lambda m: others.registry().apply_marks(m[2], str(m[1])),
+            USE_MESSAGE: lambda m: self._apply_use(str(m[1]), *m[2]),
+            ROLLOUT_MESSAGE: lambda m: state.rollouts.merge_rollout_rows(
+                m[2], str(m[1])
+            ),
+            STREAM_MESSAGE: lambda m: others.accept_streams(m[2]),
+            VERSIONS_MESSAGE: lambda m: others.merge_versions(m[2]),
+        }
+
     def _next_addresses(self) -> list[tuple[str, int]]:
         members = self._ordered_names
         if len(members) > MAX_RECIPIENTS:
@@ -397,6 +423,8 @@
             "holder": self._dependencies.local_renewal(),
             "reported": self._dependencies.reported_window(),
             "members": [encode_address(address) for address in introduced],
+            # Builds that do not know it ignore it.
+            "service_versions": self._dependencies.observed_versions(),
         }
         if state.upstreams.learned is not None:
             # At most 12 rows of up to 50 bytes; builds without them ignore them.
@@ -451,6 +479,7 @@
             str(service): finite_number(rate)
             for service, rate in message["demand"].items()
         }
+        self._dependencies.merge_versions(message.get("service_versions", {}))
         self._apply_view(member, message.get("view"))
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
@@ -464,6 +493,7 @@
         for row in message["members"]:
             self.add(decode_address(row), now_s)
         state.rollouts.merge_state(message.get("rollouts"), address.name, key)
+        member.sent_s = now_s
 
     def _apply_send(self, message: list[Any]) -> None:
         name, upstream_id, tokens = message
--- a/packages/gateway/cicadapass_gateway/promptguard.py
+++ b/packages/gateway/cicadapass_gateway/promptguard.py
@@ -19,7 +19,7 @@
     SegmentSuspicions,
     Suspected,
 )
-from cicadapass_gateway.endedengines import EndedEngines
+from cicadapass_gateway.endedprocesses import EndedProcesses
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.requestcontext import RequestContext, ResponseProgress
 
@@ -54,7 +54,7 @@
 class PromptGuard:
     """Apply the suspicions against prompt segments to the requests of this node."""
 
-    def __init__(self, state: NodeState, ended_engines: EndedEngines) -> None:
+    def __init__(self, state: NodeState, ended_engines: EndedProcesses) -> None:
         self._state = state
         self._ended_engines = ended_engines
         self._suspicions: SegmentSuspicions = state.segment_suspicions
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -89,6 +89,9 @@
 # topic, times a random factor.
 HELD_VERSION_CHECK_S = 0.3
 
+# Called with an upstream whose entry is new or has changed.
+UpstreamListener = Callable[[UpstreamRecord], None]
+
 
 @dataclass(slots=True)
 class RegistryStatus:
@@ -128,6 +131,8 @@
         # The orders that were skipped, by key; listings return them again.
         self._skipped_orders: dict[str, int] = {}
         self._skipped_lines = LineLimit(MAX_SKIPPED_LINES_PER_S, state.clock)
+        self._upstream_listeners: list[UpstreamListener] = []
+        self._gap_listeners: list[Callable[[], None]] = []
         self._era = adapter.registry.era
         report_eras(self._era, state)
 
@@ -141,6 +146,21 @@
         )
         return overdue_s < OVERDUE_S
 
+    def subscribe(
+        self, on_upstream: UpstreamListener, on_gap: Callable[[], None]
+    ) -> None:
+        """Call the listeners for new upstreams, and for changes that were missed."""
+        self._upstream_listeners.append(on_upstream)
+        self._gap_listeners.append(on_gap)
+
+    async def confirm_view(self) -> None:
+        """Read the upstreams to the end of their log, beside the periodic reads."""
+        try:
+            await self._read_upstreams()
+        except HistoryExpired:
+            self._needs_listing = True
+            await self._read_upstreams()
+
     def view_state(self) -> tuple[int, list[float]]:
         """Return the end of the view of the upstreams and its ages in seconds."""
         return self._replica.end_offset, self._replica.ages_s(self._state.clock())
@@ -528,12 +548,25 @@
             # Entries that the copy lacks are written again within that time.
             self._state.upstreams.view.record_outage(now_s)
         applied = self._replica.merge(delta, now_s)
+        if view_end >= 0 and not from_copy and self._hides_changes(delta, applied):
+            for on_gap in self._gap_listeners:
+                on_gap()
         if (
             self._apply_documents(applied, source, peer, from_copy=from_copy)
             or not self._state.upstreams_loaded
         ):
             self._refresh()
 
+    def _hides_changes(self, delta: Delta, applied: Sequence[Document]) -> bool:
+        """Return whether upstreams may have come and gone within a delta.
+
+        A listing lacks them, and a peer passes on their removals alone.
+        """
+        view = self._state.upstreams.view
+        return delta.complete or any(
+            not each.value and not view.is_known(each.key) for each in applied
+        )
+
     def _apply_documents(
         self,
         documents: Iterable[Document],
@@ -573,6 +606,9 @@
             apply = view.apply_from_copy if from_copy else view.apply
             changed = apply(record, now_s)
             change = "leaving" if record.leaving else "ready"
+            if changed:
+                for on_upstream in self._upstream_listeners:
+                    on_upstream(record)
         return change if changed else None
 
     def _decode(self, document: Document) -> UpstreamRecord | None:
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -21,7 +21,7 @@
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
 from cicadapass_gateway.adapterapi import Call, HeaderCodec, Headers
 from cicadapass_gateway.attemptrace import AttemptRace
-from cicadapass_gateway.endedengines import EndedEngines
+from cicadapass_gateway.endedprocesses import EndedProcesses
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.httpserver import Exchange
 from cicadapass_gateway.migrator import Migrator
@@ -60,7 +60,7 @@
     ) -> None:
         self._state = state
         self._header_codec = header_codec
-        self._ended_engines = EndedEngines(pool)
+        self._ended_engines = EndedProcesses(pool)
         self.prompt_guard = PromptGuard(state, self._ended_engines)
         self._log = RequestLog(state)
         self._stream_versions = stream_versions
@@ -164,7 +164,7 @@
         if call.last_event_id is None or not request.match.route.resumable:
             return True
         request.version = await self._stream_versions.find(
-            request.match.service, call.resumes
+            request.match.service, call.resumes, request.deadline_s
         )
         if request.version is None:
             # What the log does not have by now is lost.
--- a/packages/gateway/cicadapass_gateway/streamversions.py
+++ b/packages/gateway/cicadapass_gateway/streamversions.py
@@ -9,32 +9,21 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from cicadapass_decisions.logposition import era_of, offset_of
-from cicadapass_decisions.passthrough import Configuration
-from cicadapass_decisions.streamversions import (
-    Stream,
-    StreamIndex,
-    VersionHistory,
-    longest_time_limits_s,
-)
+from cicadapass_decisions.streamversions import Stream, StreamIndex
+from cicadapass_decisions.versionevidence import Finding
 from cicadapass_gateway.adapterapi import Registry, Topics
-from cicadapass_gateway.exceptions import (
-    GatewayError,
-    HistoryExpired,
-    OffsetConflict,
-)
+from cicadapass_gateway.exceptions import GatewayError, HistoryExpired
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.streamrecords import (
     MAX_STREAMS_PER_RECORD,
     Row,
     decode_streams,
-    decode_versions,
     encode_streams,
-    encode_versions,
     group_rows,
     is_recordable,
     read_rows,
 )
+from cicadapass_gateway.versionknowledge import CHECK_INTERVAL_S, VersionKnowledge
 
 # Streams are collected for this long before they are appended or passed on. One that
 # begins within it before its node ends cannot be taken up.
@@ -42,16 +31,12 @@
 # Time in which the record of a stream that broke off at another node may still arrive:
 # its batch there, its batch at the node that appends it, and the append.
 LATE_RECORD_S = 2 * BATCH_S + 0.1
-# Interval at which the versions in use are compared with the record of them, and the
-# pause after a failed append. A stream at another version counts at once.
-CHECK_INTERVAL_S = 1.0
-# A caller may take a stream up until the time limit of its first request, and its
-# clock is not that of the node.
-LIFE_MARGIN_S = 5.0
-# Assumed for a service without a route.
-DEFAULT_TIMEOUT_S = 15.0
 # Records read at the first take-up: 20 s of the batches of all nodes that append.
 MAX_TAIL_RECORDS = 2000
+# Callers give a stream up after 2 s without an event; this leaves time for the first.
+MAX_WAIT_S = 1.2
+# The same, as a part of the time that a caller has left.
+MAX_WAIT_FRACTION = 0.5
 
 
 class StreamVersions:
@@ -62,49 +47,39 @@
         state: NodeState,
         registry: Registry,
         topics: Topics,
+        knowledge: VersionKnowledge,
         pass_on: Callable[[Sequence[Row]], bool],
-        is_recorder: Callable[[], bool],
     ) -> None:
         self._state = state
         self._registry = registry
         self._topics = topics
+        self._knowledge = knowledge
         # Sends rows to a node that appends them; returns False if this node is to.
         self._pass_on = pass_on
-        self._is_recorder = is_recorder
         self._index = StreamIndex()
         # The streams that began at this node.
         self._own = StreamIndex()
-        self._history = VersionHistory()
         self._unrecorded: dict[Stream, str] = {}
         self._has_unrecorded = asyncio.Event()
-        # The recorded versions in use, by service, and the end of their topic.
-        self._recorded_versions: dict[str, frozenset[str]] = {}
-        self._versions_end = -1
         self._records_end = -1
         self._reading: asyncio.Task[None] | None = None
-        # The time limits of a configuration, which may have thousands of routes.
-        self._configuration: Configuration | None = None
-        self._time_limits_s: dict[str, float] = {}
         # Services whose streams are being recorded.
         self._mixed: set[str] = set()
+        knowledge.subscribe(self._update_mixed)
         registry.era.subscribe(self._record_rise, lambda *_: None)
 
-    @property
-    def enabled(self) -> bool:
-        """Return whether the platform has topics for the records."""
-        return bool(self._topics.streams and self._topics.versions)
-
     def record(self, service: str, request_id: str | None, version: str) -> None:
         """Record that a request's stream has begun at a version."""
-        now_s = self._state.clock()
-        self._history.observe({service: [version]}, now_s)
+        self._knowledge.record_use(service, version)
         stream = Stream(service, request_id or "")
         if not is_recordable(stream):
             return
-        ends_s = now_s + self._life_s(service)
+        now_s = self._state.clock()
+        self._index.expire(now_s)
+        self._own.expire(now_s)
+        ends_s = now_s + self._knowledge.life_s(service)
         self._index.add(stream, version, ends_s)
         self._own.add(stream, version, ends_s)
-        self._update_mixed(service)
         if service in self._mixed:
             self._enqueue([(stream, version)])
 
@@ -114,39 +89,43 @@
         self._store(streams)
         self._enqueue(streams)
 
-    async def find(self, service: str, request_id: str | None) -> str | None:
+    async def find(
+        self, service: str, request_id: str | None, deadline_s: float
+    ) -> str | None:
         """Return the version at which a request's stream began, or None.
 
-        The request is the one that brought the first event.
+        The request is the one that brought the first event. A node that may not know
+        all versions in use asks others before it relies on a single one.
         """
-        stream = Stream(service, request_id or "")
-        version = self._known(stream)
-        if version is None and self.enabled:
-            await self._read()
-            version = self._known(stream)
-            if version is None and is_recordable(stream):
-                await asyncio.sleep(LATE_RECORD_S)
-                await self._read()
-                version = self._known(stream)
-        outcome = "unknown" if version is None else "known"
-        self._state.metrics.count("streams_taken_up", outcome)
+        stream, asked_s = Stream(service, request_id or ""), self._state.clock()
+        end_s = asked_s + min(MAX_WAIT_S, MAX_WAIT_FRACTION * (deadline_s - asked_s))
+        version, basis = self._indexed(stream), "record"
+        while version is None:
+            finding = self._knowledge.judge(service, asked_s)
+            if finding.is_sole:
+                (version,) = self._knowledge.in_use(service)
+                basis = finding.value
+            elif finding is Finding.SEVERAL:
+                version = await self._find_record(stream)
+                basis = "unknown" if version is None else "record"
+                break
+            else:
+                basis = finding.value
+                if self._state.clock() >= end_s:
+                    break
+                await self._knowledge.wait_for_news(service, asked_s)
+        self._state.metrics.count("streams_taken_up", basis)
         return version
 
-    async def follow_versions(self) -> None:
-        """Keep the record of the versions in use up to date, until cancelled."""
-        while True:
-            self.observe()
-            if self.enabled:
-                try:
-                    if self._versions_end < 0:
-                        await self._read_versions()
-                    elif self._is_recorder():
-                        await self._write_versions()
-                except OffsetConflict:
-                    self._versions_end = -1
-                except GatewayError as error:
-                    self._count_failure(error)
-            await asyncio.sleep(CHECK_INTERVAL_S * self._state.rng.uniform(0.75, 1.25))
+    async def _find_record(self, stream: Stream) -> str | None:
+        """Return the version of a stream by the log of streams, or None."""
+        if not self._knowledge.enabled:
+            return None
+        await self._read()
+        if self._indexed(stream) is None and is_recordable(stream):
+            await asyncio.sleep(LATE_RECORD_S)
+            await self._read()
+        return self._indexed(stream)
 
     async def append_streams(self) -> None:
         """Append or pass on the streams that began, in batches, until cancelled."""
@@ -160,65 +139,33 @@
                 self._count_failure(error)
                 await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def observe(self) -> None:
-        """Record the versions that have engines now."""
-        now_s = self._state.clock()
-        present: dict[str, set[str]] = {each: set() for each in self._services()}
-        for record in self._state.upstreams.view.records.values():
-            if record.service in present:
-                present[record.service].add(record.version)
-        self._history.observe(present, now_s)
-        for service in present:
-            self._update_mixed(service)
-        self._index.expire(now_s)
-        self._own.expire(now_s)
-
-    def _services(self) -> dict[str, float]:
-        """Return the longest time limit of the streams of each service."""
-        configuration = self._state.configuration
-        if configuration is not None and configuration is not self._configuration:
-            self._configuration = configuration
-            self._time_limits_s = longest_time_limits_s(configuration)
-        return self._time_limits_s
-
-    def _life_s(self, service: str) -> float:
-        return LIFE_MARGIN_S + self._services().get(service, DEFAULT_TIMEOUT_S)
-
-    def _in_use(self, service: str) -> frozenset[str]:
-        return self._history.in_use(service, self._state.clock(), self._life_s(service))
-
     def _update_mixed(self, service: str) -> None:
         """Begin to record the streams of a service once it uses another version.
 
         Those that began before may break off as well from now on.
         """
-        if not self.enabled:
+        if not self._knowledge.enabled:
             return
-        is_mixed = len(self._in_use(service)) > 1
+        is_mixed = len(self._knowledge.in_use(service)) > 1
         if is_mixed and service not in self._mixed:
             self._mixed.add(service)
             self._enqueue(self._own.of_service(service, self._state.clock()))
         elif not is_mixed:
             self._mixed.discard(service)
 
-    def _known(self, stream: Stream) -> str | None:
-        """Return the version of a stream as far as this node knows it."""
-        version = self._index.version(stream, self._state.clock())
-        if version is not None:
-            return version
-        # Without the record, another version may have been in use before this node.
-        if self.enabled and self._versions_end < 0:
-            return None
-        in_use = self._in_use(stream.service)
-        return next(iter(in_use)) if len(in_use) == 1 else None
+    def _indexed(self, stream: Stream) -> str | None:
+        """Return the version of a stream that this node began or read of."""
+        return self._index.version(stream, self._state.clock())
 
     def _store(self, streams: Sequence[tuple[Stream, str]]) -> None:
         now_s = self._state.clock()
         for stream, version in streams:
-            self._index.add(stream, version, now_s + self._life_s(stream.service))
+            self._index.add(
+                stream, version, now_s + self._knowledge.life_s(stream.service)
+            )
 
     def _enqueue(self, streams: Sequence[tuple[Stream, str]]) -> None:
-        if streams and self.enabled:
+        if streams and self._knowledge.enabled:
             self._unrecorded.update(streams)
             self._has_unrecorded.set()
 
@@ -243,8 +190,6 @@
     async def _read_records(self) -> None:
         topic, registry = self._topics.streams, self._registry
         try:
-            if self._versions_end < 0:
-                await self._read_versions()
             complete = False
             while not complete:
                 if self._records_end < 0:
@@ -261,54 +206,10 @@
         except GatewayError as error:
             self._count_failure(error)
 
-    async def _read_versions(self) -> None:
-        """Read the versions that were in use before this node, or before an era."""
-        listing = await self._registry.newest(self._topics.versions)
-        now_s = self._state.clock()
-        decoded = {each.key: decode_versions(each.value) for each in listing.documents}
-        self._recorded_versions = {
-            service: versions
-            for service, versions in decoded.items()
-            if versions is not None
-        }
-        for service, versions in self._recorded_versions.items():
-            self._history.restore(service, versions, now_s)
-            self._update_mixed(service)
-        self._versions_end = listing.end_offset
-
-    async def _write_versions(self) -> None:
-        """Append the versions in use where they differ from the record."""
-        if not self._state.upstreams_loaded:
-            return
-        for service in self._services():
-            versions = self._history.version_set_to_record(
-                service,
-                self._recorded_versions.get(service, frozenset()),
-                self._state.clock(),
-                self._life_s(service),
-            )
-            if versions is None:
-                continue
-            self._versions_end = await self._registry.append(
-                self._topics.versions,
-                service,
-                encode_versions(versions),
-                self._versions_end,
-            )
-            self._recorded_versions[service] = versions
-            self._state.events.emit(
-                839,
-                service=service,
-                versions=sorted(versions),
-                era=era_of(self._versions_end),
-                offset=offset_of(self._versions_end),
-            )
-
     def _record_rise(self, before: int, era: int, source: str) -> None:
         """Record again what the registry may have lost."""
         if not before:
             return
-        self._versions_end = -1
         for service in self._mixed:
             self._enqueue(self._own.of_service(service, self._state.clock()))
 
--- /dev/null
+++ b/packages/gateway/cicadapass_gateway/versionknowledge.py
@@ -0,0 +1,389 @@
+"""Know which versions of each service's engines were in use for the life of a stream.
+
+A node learns of versions from its view of the upstreams, from the streams that it
+begins, from its peers and, for the time before it watched, from the record that the
+nodes keep in the registry.
+"""
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from cicadapass_decisions.logposition import era_of, offset_of
+from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
+from cicadapass_decisions.streamversions import (
+    VersionHistory,
+    longest_time_limits_s,
+)
+from cicadapass_decisions.versionevidence import (
+    Finding,
+    PeerReport,
+    VersionEvidence,
+    judge_versions,
+)
+from cicadapass_gateway.adapterapi import Registry, Topics
+from cicadapass_gateway.cbor import finite_number
+from cicadapass_gateway.exceptions import GatewayError, OffsetConflict
+from cicadapass_gateway.nodeaddress import NodeAddress
+from cicadapass_gateway.nodestate import NodeState
+from cicadapass_gateway.streamrecords import (
+    MAX_ID_CHARACTERS,
+    decode_versions,
+    encode_versions,
+)
+
+# Interval at which the versions in use are compared with the record of them, and the
+# pause after a failed append. A version that was not known before is recorded at once.
+CHECK_INTERVAL_S = 1.0
+# A caller may take a stream up until the time limit of its first request, and its
+# clock is not that of the node.
+LIFE_MARGIN_S = 5.0
+# Assumed for a service without a route.
+DEFAULT_TIMEOUT_S = 15.0
+# Longest wait for news of one kind before the evidence is judged again.
+NEWS_WAIT_S = 0.1
+# A member that has sent nothing for longer than usual, by this much, may have ended.
+SILENCE_S = 0.6
+# Ended members that are remembered; each start of a node counts.
+MAX_ENDED = 1000
+# All nodes together read the upstreams for callers less often than this.
+MAX_READS_PER_S = 500.0
+# Versions of a service that a peer may name.
+MAX_REPORTED_VERSIONS = 16
+
+# The time since each version was observed, in ms, by service.
+ReportedVersions = dict[str, dict[str, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionSources:
+    """Group the functions by which a node learns what others know of versions."""
+
+    # Reads the registry to its end, and applies what the view of the upstreams lacks.
+    confirm_view: Callable[[], Awaitable[None]]
+    # Returns each known member with the time of its last state, or None for a node
+    # that has lost all of its members.
+    members: Callable[[], Sequence[tuple[NodeAddress, float]] | None]
+    # Returns the time before a question for which a member's silence counts.
+    report_age_s: Callable[[], float]
+    # Finds out whether nothing listens at a member's address any more.
+    has_ended: Callable[[NodeAddress], Awaitable[bool]]
+    # Sends versions to all members at once.
+    report: Callable[[ReportedVersions], None]
+
+
+class VersionKnowledge:
+    """Track the versions in use, and on what the knowledge of them rests."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        registry: Registry,
+        topics: Topics,
+        sources: VersionSources,
+        is_recorder: Callable[[], bool],
+    ) -> None:
+        self._state = state
+        self._registry = registry
+        self._topics = topics
+        self._sources = sources
+        self._is_recorder = is_recorder
+        self._history = VersionHistory()
+        # The record of the versions, by service, and the end of its topic.
+        self._records: dict[str, frozenset[str]] = {}
+        self._records_end = -1
+        # Since when this node has seen each change of the upstreams.
+        self._watching_since_s = math.inf
+        # When the read of a record began that covers what was before.
+        self._covered_s: dict[str, float] = {}
+        self._reported: set[tuple[str, str]] = set()
+        self._has_unrecorded = asyncio.Event()
+        self._listeners: list[Callable[[str], None]] = []
+        # The calls in progress on behalf of callers, and the last start of the read.
+        self._view_read: asyncio.Task[None] | None = None
+        self._record_read: asyncio.Task[None] | None = None
+        self._checks: dict[str, asyncio.Task[bool]] = {}
+        self._view_read_s = -math.inf
+        # When the process of a member was found to have ended.
+        self._ended: dict[str, float] = {}
+        # The time limits of a configuration, which may have thousands of routes.
+        self._configuration: Configuration | None = None
+        self._time_limits_s: dict[str, float] = {}
+        registry.era.subscribe(self._record_rise, lambda *_: None)
+
+    @property
+    def enabled(self) -> bool:
+        """Return whether the platform has topics for the records."""
+        return bool(self._topics.streams and self._topics.versions)
+
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Call `listener` with a service whose versions in use may have changed."""
+        self._listeners.append(listener)
+
+    def life_s(self, service: str) -> float:
+        """Return for how long a stream may last and be taken up."""
+        return LIFE_MARGIN_S + self._services().get(service, DEFAULT_TIMEOUT_S)
+
+    def in_use(self, service: str) -> frozenset[str]:
+        """Return the versions at which a stream that still lasts may have begun."""
+        return self._history.in_use(service, self._state.clock(), self.life_s(service))
+
+    def record_use(self, service: str, version: str) -> None:
+        """Record that a stream begins; the members hear of the first at a version.
+
+        While the registry is silent, they rely on the reports of each other.
+        """
+        self._observe(service, version)
+        if (service, version) not in self._reported:
+            self._reported.add((service, version))
+            self._sources.report({service: {version: 0}})
+
+    def observe(self) -> None:
+        """Record the versions that have engines now."""
+        if not self._state.upstreams_loaded:
+            return
+        now_s, services = self._state.clock(), self._services()
+        self._watching_since_s = min(self._watching_since_s, now_s)
+        present: dict[str, set[str]] = {each: set() for each in services}
+        for record in self._state.upstreams.view.records.values():
+            if record.service in present:
+                present[record.service].add(record.version)
+        self._history.observe(present, now_s)
+        for service in services:
+            self._notify(service)
+
+    def observe_upstream(self, record: UpstreamRecord) -> None:
+        """Record the version of an upstream that is new to the view."""
+        self._observe(record.service, record.version)
+
+    def record_gap(self) -> None:
+        """Record that upstreams may have come and gone without this node's notice."""
+        if self._watching_since_s < math.inf:
+            self._watching_since_s = self._state.clock()
+
+    def export(self) -> ReportedVersions:
+        """Return the versions that this node or its peers observed in the last life."""
+        if not self.enabled:
+            return {}
+        now_s = self._state.clock()
+        return {
+            service: {
+                version: int(1000 * age_s)
+                for version, age_s in self._history.observed_ages_s(
+                    service, now_s, self.life_s(service)
+                ).items()
+            }
+            for service in self._services()
+        }
+
+    def merge(self, reported: Any) -> None:
+        """Apply the versions that a peer reports; raise one of DECODE_ERRORS."""
+        now_s = self._state.clock()
+        for service, ages_ms in reported.items():
+            if service not in self._services():
+                continue
+            seen_s = {
+                str(version)[:MAX_ID_CHARACTERS]: now_s
+                - max(0.0, finite_number(age_ms) / 1000)
+                for version, age_ms in list(ages_ms.items())[:MAX_REPORTED_VERSIONS]
+            }
+            self._history.merge(service, seen_s)
+            self._notify(service)
+
+    def judge(self, service: str, asked_s: float) -> Finding:
+        """Return what is known of the versions since a life before a question."""
+        # The view may have changed since the last periodic check.
+        self.observe()
+        since_s = asked_s - self.life_s(service)
+        members = self._sources.members()
+        if members is None:
+            reports: tuple[PeerReport, ...] = (PeerReport(-math.inf),)
+        else:
+            reports = tuple(
+                PeerReport(sent_s, self._ended.get(address.key, math.inf))
+                for address, sent_s in members
+            )
+        return judge_versions(
+            VersionEvidence(
+                asked_s=asked_s,
+                in_use=self.in_use(service),
+                covers_life=self._watching_since_s <= since_s
+                or self._is_covered(service)
+                or not self.enabled,
+                confirmed_s=self._state.upstreams.replica.confirmed_s,
+                peers=reports,
+                report_age_s=self._sources.report_age_s(),
+            )
+        )
+
+    async def wait_for_news(self, service: str, asked_s: float) -> None:
+        """Ask the registry and silent members, and wait until something may be new.
+
+        Callers share the calls; a read counts if it began after the question.
+        """
+        now_s = self._state.clock()
+        calls: list[asyncio.Task[Any]] = []
+        pause_s = self._state.node_count / MAX_READS_PER_S
+        if _is_over(self._view_read) and now_s >= self._view_read_s + pause_s:
+            self._view_read_s = now_s
+            self._view_read = asyncio.create_task(self._confirm_view())
+        if self._view_read is not None and not self._view_read.done():
+            calls.append(self._view_read)
+        if not self._is_covered(service):
+            if _is_over(self._record_read):
+                self._record_read = asyncio.create_task(self._try_to_read_record())
+            if self._record_read is not None:
+                calls.append(self._record_read)
+        self._check_silent_members(asked_s)
+        calls += self._checks.values()
+        if calls:
+            await asyncio.wait(
+                calls, timeout=NEWS_WAIT_S, return_when=asyncio.FIRST_COMPLETED
+            )
+        else:
+            await asyncio.sleep(min(NEWS_WAIT_S, pause_s))
+
+    async def follow_record(self) -> None:
+        """Keep the record of the versions in use up to date, until cancelled."""
+        while True:
+            self.observe()
+            self._check_silent_members(
+                self._state.clock() - SILENCE_S - self._sources.report_age_s()
+            )
+            self._has_unrecorded.clear()
+            if self.enabled and self._state.upstreams_loaded:
+                try:
+                    if self._records_end < 0 or self._has_uncovered():
+                        await self._read_record()
+                    if self._is_recorder():
+                        await self._write_record()
+                except OffsetConflict:
+                    self._records_end = -1
+                except GatewayError as error:
+                    self._count_failure(error)
+                    await asyncio.sleep(CHECK_INTERVAL_S)
+            pause_s = CHECK_INTERVAL_S * self._state.rng.uniform(0.75, 1.25)
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._has_unrecorded.wait()
+            except TimeoutError:
+                pass
+
+    def _services(self) -> dict[str, float]:
+        """Return the longest time limit of the streams of each service."""
+        configuration = self._state.configuration
+        if configuration is not None and configuration is not self._configuration:
+            self._configuration = configuration
+            self._time_limits_s = longest_time_limits_s(configuration)
+        return self._time_limits_s
+
+    def _observe(self, service: str, version: str) -> None:
+        if version not in self.in_use(service):
+            self._has_unrecorded.set()
+        self._history.observe({service: [version]}, self._state.clock())
+        self._notify(service)
+
+    def _notify(self, service: str) -> None:
+        for listener in self._listeners:
+            listener(service)
+
+    def _is_covered(self, service: str) -> bool:
+        """Return whether the record covers what was before this node watched."""
+        return self._covered_s.get(service, -math.inf) >= self._watching_since_s
+
+    def _has_uncovered(self) -> bool:
+        """Return whether a new read of the record may show more than this node saw."""
+        now_s = self._state.clock()
+        return any(
+            not self._is_covered(service)
+            and self._watching_since_s > now_s - self.life_s(service)
+            and self.in_use(service)
+            for service in self._services()
+        )
+
+    def _check_silent_members(self, asked_s: float) -> None:
+        """Find out which of the members have ended that were silent since a time."""
+        for address, sent_s in self._sources.members() or ():
+            key = address.key
+            if sent_s < asked_s and key not in self._ended and key not in self._checks:
+                self._checks[key] = asyncio.create_task(self._check_member(address))
+
+    async def _check_member(self, address: NodeAddress) -> bool:
+        try:
+            # One that is silent for a moment needs no check.
+            await asyncio.sleep(NEWS_WAIT_S)
+            ended = await self._sources.has_ended(address)
+        finally:
+            self._checks.pop(address.key, None)
+        if ended:
+            self._ended[address.key] = self._state.clock()
+            if len(self._ended) > MAX_ENDED:
+                del self._ended[next(iter(self._ended))]
+        return ended
+
+    async def _confirm_view(self) -> None:
+        try:
+            await self._sources.confirm_view()
+        except GatewayError as error:
+            self._count_failure(error)
+
+    async def _try_to_read_record(self) -> None:
+        try:
+            await self._read_record()
+        except GatewayError as error:
+            self._count_failure(error)
+
+    async def _read_record(self) -> None:
+        """Read the versions that were in use before this node watched."""
+        read_s = self._state.clock()
+        listing = await self._registry.newest(self._topics.versions)
+        now_s = self._state.clock()
+        decoded = {each.key: decode_versions(each.value) for each in listing.documents}
+        self._records = {
+            service: record for service, record in decoded.items() if record is not None
+        }
+        for service, record in self._records.items():
+            self._history.restore(service, record, now_s)
+            self._covered_s[service] = read_s
+            self._notify(service)
+        self._records_end = listing.end_offset
+
+    async def _write_record(self) -> None:
+        """Append the versions in use where they differ from the record."""
+        for service in self._services():
+            now_s = self._state.clock()
+            recorded = self._records.get(service, frozenset())
+            versions = self._history.version_set_to_record(
+                service, recorded, now_s, self.life_s(service)
+            )
+            if versions is None:
+                continue
+            self._records_end = await self._registry.append(
+                self._topics.versions,
+                service,
+                encode_versions(versions),
+                self._records_end,
+            )
+            self._records[service] = versions
+            self._covered_s[service] = self._state.clock()
+            self._state.events.emit(
+                839,
+                service=service,
+                versions=sorted(versions),
+                era=era_of(self._records_end),
+                offset=offset_of(self._records_end),
+            )
+
+    def _record_rise(self, before: int, era: int, source: str) -> None:
+        """Read and write again what the registry may have lost."""
+        self._records_end = -1
+        self._has_unrecorded.set()
+
+    def _count_failure(self, error: GatewayError) -> None:
+        self._state.metrics.count("stream_record_failures", type(error).__name__)
+
+
+def _is_over(task: asyncio.Task[None] | None) -> bool:
+    return task is None or task.done()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -50,6 +50,7 @@
 from cicadapass_gateway.relay import Relay
 from cicadapass_gateway.streamversions import StreamVersions
 from cicadapass_gateway.usage import UsageCounter
+from cicadapass_gateway.versionknowledge import VersionKnowledge, VersionSources
 
 # Long enough that no test fails on a machine under load.
 TIMEOUT_S = 30.0
@@ -378,11 +379,26 @@
     return RunCopy(CopyOutcome.COMPLETE, name)
 
 
-def make_stream_versions(state, registry):
-    """Return what records streams at a node that appends them itself."""
-    return StreamVersions(
-        state, registry, STREAM_TOPICS, lambda rows: False, lambda: True
+def make_version_knowledge(state, registry):
+    """Return what knows the versions in use at a node without peers."""
+
+    async def confirm_view():
+        await registry.changes("upstreams", registry.position(0), 0.0)
+        state.upstreams.replica.confirm_read(state.clock())
+
+    async def has_ended(address):
+        return False
+
+    sources = VersionSources(
+        confirm_view, list, lambda: 0.0, has_ended, lambda versions: None
     )
+    return VersionKnowledge(state, registry, STREAM_TOPICS, sources, lambda: True)
+
+
+def make_stream_versions(state, registry, knowledge=None):
+    """Return what records streams at a node that appends them itself."""
+    knowledge = knowledge or make_version_knowledge(state, registry)
+    return StreamVersions(state, registry, STREAM_TOPICS, knowledge, lambda rows: False)
 
 
 class GatewayHarness:
@@ -394,7 +410,10 @@
         self.usage = UsageCounter(5.0, lambda: 1000.0)
         self.migrator = Migrator(self.state, migrate_run)
         self.registry = changes.get("registry") or MemoryRegistry()
-        self.stream_versions = make_stream_versions(self.state, self.registry)
+        self.version_knowledge = make_version_knowledge(self.state, self.registry)
+        self.stream_versions = make_stream_versions(
+            self.state, self.registry, self.version_knowledge
+        )
         self.relay = Relay(
             self.state,
             HEADER_CODEC,
@@ -425,7 +444,7 @@
     def follow_streams(self):
         """Record streams and the versions in use from now on."""
         for follow in (
-            self.stream_versions.follow_versions,
+            self.version_knowledge.follow_record,
             self.stream_versions.append_streams,
         ):
             self._tasks.append(asyncio.create_task(follow()))
--- a/tests/gateway/test_promptguard.py
+++ b/tests/gateway/test_promptguard.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from cicadapass_gateway.endedengines import EndedEngines
+from cicadapass_gateway.endedprocesses import EndedProcesses
 from cicadapass_gateway.httpclient import ClientPool
 from cicadapass_gateway.promptguard import MAX_HOLD_S, HeldReason, PromptGuard
 from cicadapass_gateway.requestcontext import RequestContext
@@ -37,7 +37,7 @@
         async def scenario():
             state = make_state()
             suspect(state)
-            guard = PromptGuard(state, EndedEngines(ClientPool()))
+            guard = PromptGuard(state, EndedProcesses(ClientPool()))
             began_s = state.clock()
             held = await guard.admit(make_request(state))
             self.assertIs(HeldReason.SUSPECTED, held)
@@ -51,7 +51,7 @@
         async def scenario(**progress):
             state = make_state()
             suspect(state)
-            guard = PromptGuard(state, EndedEngines(ClientPool()))
+            guard = PromptGuard(state, EndedProcesses(ClientPool()))
             repeat = asyncio.ensure_future(guard.admit(make_request(state, **progress)))
             await asyncio.sleep(3 * MAX_HOLD_S)
             # The trial of the other node ended without an outcome.
--- a/tests/gateway/test_streamversions_cluster.py
+++ b/tests/gateway/test_streamversions_cluster.py
@@ -13,6 +13,7 @@
     Cluster,
     ClusterNode,
     decode_entry,
+    make_knowledge,
     run_virtual,
 )
 
@@ -26,6 +27,7 @@
 # A record has a few bytes for each stream besides its id.
 MAX_BYTES_PER_STREAM = 60
 SERVICE = "s"
+TIME_LIMIT_S = 3.0
 
 
 class RecordingNode(ClusterNode):
@@ -36,19 +38,20 @@
         topics = replace(
             TOPICS, streams=STREAM_TOPICS.streams, versions=STREAM_TOPICS.versions
         )
+        self.knowledge = make_knowledge(self, topics)
         self.versions = StreamVersions(
             self.state,
             self.registry,
             topics,
+            self.knowledge,
             self.peers.pass_on_streams,
-            self.peers.is_watcher,
         )
         self.peers._dependencies.accept_streams = self.versions.accept
 
     def start(self):
         """Start the components in the background."""
         super().start()
-        for follow in (self.versions.follow_versions, self.versions.append_streams):
+        for follow in (self.knowledge.follow_record, self.versions.append_streams):
             self._tasks.append(asyncio.create_task(follow()))
 
     async def begin_streams(self, begun):
@@ -104,9 +107,10 @@
             await asyncio.sleep(1.0)
             lost = []
             for name, version in begun.items():
-                found = alone.versions._known(Stream(SERVICE, name))
+                found = alone.versions._indexed(Stream(SERVICE, name))
                 if found is None:
-                    found = await alone.versions.find(SERVICE, name)
+                    deadline_s = alone.state.clock() + TIME_LIMIT_S
+                    found = await alone.versions.find(SERVICE, name, deadline_s)
                 if found != version:
                     lost.append((name, version, found))
             return appends / LENGTH_S, size / len(begun), lost
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -14,6 +14,7 @@
 from cicadapass_gateway.registryera import RegistryEra
 from cicadapass_gateway.registrysync import RegistrySync, periodic
 from cicadapass_gateway.usage import UsageCounter
+from cicadapass_gateway.versionknowledge import VersionKnowledge, VersionSources
 from tests.gateway.harness import (
     HEADER_CODEC,
     MemoryRegistry,
@@ -187,15 +188,43 @@
         return _Channel(self._cluster, self._node, target)
 
 
+def make_knowledge(node, topics):
+    """Return what knows the versions in use at a node of a cluster."""
+
+    async def has_ended(address):
+        return address.host not in node.cluster.by_host
+
+    knowledge = VersionKnowledge(
+        node.state,
+        node.registry,
+        topics,
+        VersionSources(
+            node.registry_sync.confirm_view,
+            node.peers.last_reports,
+            node.peers.report_age_s,
+            has_ended,
+            node.peers.report_versions,
+        ),
+        node.peers.is_watcher,
+    )
+    node.registry_sync.subscribe(knowledge.observe_upstream, knowledge.record_gap)
+    node.peers._dependencies.observed_versions = knowledge.export
+    node.peers._dependencies.merge_versions = knowledge.merge
+    return knowledge
+
+
 class ClusterNode:
     """Run the registry synchronisation and the datagrams of one node."""
 
+    make_registry = NodeRegistry
+
     def __init__(self, cluster, number, incarnation=1):
+        self.cluster = cluster
         self.name = f"node-{number}"
         self.host = f"10.0.{number // 250}.{number % 250 + 1}"
         self.state = make_state(node=self.name, rollout_bounds=cluster.rollout_bounds)
         self.state.rng.seed(cluster.rng.random())
-        self.registry = NodeRegistry(cluster.registry, cluster.calls)
+        self.registry = self.make_registry(cluster.registry, cluster.calls)
         seeds = [(f"10.0.0.{each}", PORT) for each in (1, 2, 3)]
         self.usage = UsageCounter(5.0, lambda: 1000.0)
         dependencies = PeerDependencies(
