Take the end of a run that was not stopped for that of its whole stream

Cause: each end of such a stream counted as that of the move while `run.stopping` was set, and nothing took the mark back: not the answer that there is no such run, nor a call that was not sent or that met another one, after which the real end of the stream was cut as well.

A clean end waits for the answer, bounded by the deadline of the request alone. A call without a connection is an outcome of its own, `not_sent`; after it the move is tried again, and a stream that is reset goes on from its copy, as it did.

--- a/packages/decisions/cicadapass_decisions/runmigration.py
+++ b/packages/decisions/cicadapass_decisions/runmigration.py
@@ -39,6 +39,8 @@
     IN_PROGRESS = "in_progress"
     # There was no readable answer; the call may have been executed.
     UNKNOWN = "unknown"
+    # The source could not be reached, so it did not get the call.
+    NOT_SENT = "not_sent"
 
 
 class Place(Enum):
@@ -104,8 +106,21 @@
     return None if chosen is None else chosen.upstream_id
 
 
+def may_be_stopped(last_copy: CopyOutcome) -> bool:
+    """Return whether the call that was to stop a run may have stopped it.
+
+    If not, a clean end of its stream is that of the whole run. The call is made once,
+    so that no earlier one explains that the source knows no such run.
+    """
+    return last_copy in (
+        CopyOutcome.COMPLETE,
+        CopyOutcome.REFUSED,
+        CopyOutcome.UNKNOWN,
+    )
+
+
 def resume_places(last_copy: CopyOutcome) -> tuple[Place, ...]:
-    """Return where a stopped run can go on, the best place first.
+    """Return where a run can go on that was stopped or broke off, the best place first.
 
     The source keeps the memory until a copy of it is used, which happens once.
     """
@@ -113,6 +128,6 @@
         return (Place.DESTINATION, Place.SOURCE)
     if last_copy is CopyOutcome.REFUSED:
         return (Place.SOURCE,)
-    if last_copy is CopyOutcome.UNKNOWN:
+    if last_copy in (CopyOutcome.UNKNOWN, CopyOutcome.NOT_SENT):
         return (Place.SOURCE, Place.DESTINATION)
     return ()
--- a/packages/gateway/cicadapass_gateway/exceptions.py
+++ b/packages/gateway/cicadapass_gateway/exceptions.py
@@ -48,6 +48,10 @@
     """Report a failed call to the platform, which may have been executed."""
 
 
+class PlatformUnreached(PlatformUnavailable):
+    """Report a call that failed before it was sent, so that it was not executed."""
+
+
 class PlatformRefused(GatewayError):
     """Report that the platform responded with a status other than success."""
 
--- a/packages/gateway/cicadapass_gateway/migrator.py
+++ b/packages/gateway/cicadapass_gateway/migrator.py
@@ -11,6 +11,7 @@
     Place,
     RunProgress,
     choose_destination,
+    may_be_stopped,
     may_stop,
     resume_places,
     should_migrate,
@@ -55,8 +56,8 @@
 class ActiveRun:
     """Track a run that may be migrated.
 
-    `migration` is set once this has started, and `stopping` once the source is told to
-    stop the run.
+    `migration` is set once this has started, and `stopping` while the source may have
+    stopped the run, or may do so.
     """
 
     request_id: str
@@ -70,6 +71,8 @@
     migration: asyncio.Task[MigratedRun | None] | None = None
     retry_at_s: float = 0.0
     stopping: bool = False
+    # Where the run can go on if its stream breaks off, by copies made while it went on.
+    fallback: MigratedRun | None = None
 
     def progress(self, now_s: float) -> RunProgress:
         """Return the progress from which the remaining time of the run is estimated."""
@@ -241,7 +244,14 @@
         self._log_migration(run, target, outcome, stopped_s)
         engines = {Place.DESTINATION: target, Place.SOURCE: run.record}
         places = tuple(engines[each] for each in resume_places(copy.outcome))
-        return MigratedRun(places, copy.location or running_copy) if places else None
+        location = copy.location or running_copy
+        migrated = MigratedRun(places, location) if places else None
+        if may_be_stopped(copy.outcome):
+            return migrated
+        run.stopping, run.fallback = False, migrated
+        run.retry_at_s = self._state.clock() + RETRY_PAUSE_S
+        run.migration = None
+        return None
 
     def _choose_target(
         self, run: ActiveRun, excluded: set[str]
--- a/packages/gateway/cicadapass_gateway/responsechecks.py
+++ b/packages/gateway/cicadapass_gateway/responsechecks.py
@@ -27,13 +27,8 @@
         raise AnswerBroken("a successful response that denies its execution")
 
 
-def check_undelimited_end(*, has_data: bool, stopping: bool, ended_early: bool) -> None:
-    """Raise `AnswerBroken` unless the end of a connection may end its response.
-
-    A run that is `stopping` is closed by the source of its migration.
-    """
-    if stopping:
-        raise AnswerBroken("the source of a migration ended the stream")
+def check_undelimited_end(*, has_data: bool, ended_early: bool) -> None:
+    """Raise `AnswerBroken` unless the end of a connection may end its response."""
     if ended_early:
         raise AnswerBroken("the connection ended before the request was sent")
     if not has_data:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -410,7 +410,6 @@
         if status < 300 and not response.channel.delimited:
             check_undelimited_end(
                 has_data=bool(body),
-                stopping=False,
                 ended_early=response.channel.ended_early,
             )
         self._record_end_of_answer(response)
@@ -456,19 +455,14 @@
         run = self._active_run()
         self._migrator.add(run)
         try:
-            await self._relay_events(response, run)
-        except AnswerBroken:
-            # The source of a migrated run closes the stream before its end.
-            migrated = await self._await_migration(response.channel, run)
-            if migrated is None:
-                raise
-            self._claim()
-            request.migrated = migrated
-            response.channel.abort()
-            return AttemptResult.migrated(migrated.record.upstream_id)
+            migrated = await self._relay_run(response, run)
         finally:
             self._migrator.discard(run)
         self._claim()
+        if migrated is not None:
+            request.migrated = migrated
+            response.channel.abort()
+            return AttemptResult.migrated(migrated.record.upstream_id)
         self._record_end_of_answer(response)
         self._start_stream(response)
         self._release_channel(response)
@@ -476,6 +470,30 @@
         self._log.log_end(request, response.status, "answered")
         return AttemptResult.delivered(response.status)
 
+    async def _relay_run(
+        self, response: OpenResponse, run: ActiveRun
+    ) -> MigratedRun | None:
+        """Forward a run's events to its end, or return where it goes on.
+
+        Raise `AnswerBroken` if the stream was cut.
+        """
+        channel = response.channel
+        try:
+            await self._relay_events(response, run)
+        except AnswerBroken:
+            migrated = await self._await_migration(channel, run) or run.fallback
+            if migrated is None:
+                raise
+            return migrated
+        if channel.delimited or not run.stopping:
+            return None
+        # Without a length or chunks, the end of a run that was stopped looks like that
+        # of a whole one; the answer to the call that was to stop it tells them apart.
+        migrated = await self._await_migration(channel, run)
+        if migrated is None and run.stopping:
+            raise AnswerBroken("the source of a migration ended the stream")
+        return migrated
+
     def _active_run(self) -> ActiveRun:
         request = self._request
         configuration = self._state.configuration
@@ -542,7 +560,6 @@
         if not response.channel.delimited:
             check_undelimited_end(
                 has_data=has_data,
-                stopping=run.stopping,
                 ended_early=response.channel.ended_early,
             )
 
--- a/tests/decisions/test_runmigration.py
+++ b/tests/decisions/test_runmigration.py
@@ -76,6 +76,7 @@
             CopyOutcome.UNKNOWN: (Place.SOURCE, Place.DESTINATION),
             CopyOutcome.NO_RUN: (),
             CopyOutcome.IN_PROGRESS: (),
+            CopyOutcome.NOT_SENT: (Place.SOURCE, Place.DESTINATION),
         }
         self.assertEqual(expected, {each: resume_places(each) for each in CopyOutcome})
 
--- a/tests/gateway/test_relay_broken_streams.py
+++ b/tests/gateway/test_relay_broken_streams.py
@@ -237,6 +237,10 @@
             stopped = asyncio.Event()
 
             async def leaving(response):
+                if b"y-copy" in response.headers:
+                    # The engine has lost the memory of the run that it stopped.
+                    response.respond(503, b"", "x-not-run: 1\r\n")
+                    return
                 response.stream_until_close()
                 number = 0
                 while not stopped.is_set():
@@ -260,7 +264,7 @@
                     # The source closes the stream before the copy is complete.
                     await asyncio.sleep(0.05)
                 if last and not copied:
-                    return RunCopy(CopyOutcome.NO_RUN)
+                    return RunCopy(CopyOutcome.REFUSED)
                 return complete_copy()
 
             gateway = await GatewayHarness(move).start(leaving, going_on)
