Let a record of versions vouch only in the era that it names

Cause: nodes that start took what they read for all that had been written. A return loses the records and entries since the copy, for up to two seconds or for good, and the number of the era does not say when it rose.

The record of the versions in use names its era. Take-ups that cannot be decided in time are refused at once. Nodes that live through the return rely on what they and their peers saw.

--- a/packages/decisions/cicadapass_decisions/versionevidence.py
+++ b/packages/decisions/cicadapass_decisions/versionevidence.py
@@ -36,6 +36,9 @@
     covers_life: bool
     # The time of the read of the registry on which the view rests.
     confirmed_s: float
+    # Earlier reads may lack entries that the registry lost when it returned from a
+    # copy, and that are not written again yet.
+    settled_s: float
     # All nodes that may have begun streams.
     peers: tuple[PeerReport, ...]
     # For this long before the question, a peer that sent nothing new began no stream
@@ -70,7 +73,7 @@
         return Finding.SEVERAL
     if not evidence.in_use or not evidence.covers_life:
         return Finding.UNPROVEN
-    if evidence.confirmed_s >= evidence.asked_s:
+    if evidence.confirmed_s >= max(evidence.asked_s, evidence.settled_s):
         return Finding.SOLE_BY_REGISTRY
     if all(_vouches(each, evidence) for each in evidence.peers):
         return Finding.SOLE_BY_PEERS
--- a/packages/gateway/cicadapass_gateway/streamrecords.py
+++ b/packages/gateway/cicadapass_gateway/streamrecords.py
@@ -1,6 +1,7 @@
 """Encode and decode the records by which nodes know the versions of streams."""
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import cbor2
@@ -55,15 +56,32 @@
         return None
 
 
-def encode_versions(versions: Iterable[str]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class VersionsRecord:
+    """Store the versions of a service that are in use, and the era of the record.
+
+    The registry may return the record from a copy, in a later era.
+    """
+
+    versions: frozenset[str]
+    era: int = 0
+
+
+def encode_versions(record: VersionsRecord) -> bytes:
     """Return the record of the versions of a service that are in use."""
-    return cbor2.dumps(sorted(versions))
+    return cbor2.dumps([*sorted(record.versions), record.era])
+
 
+def decode_versions(data: bytes) -> VersionsRecord | None:
+    """Return a record of versions, or None if it cannot be read.
 
-def decode_versions(data: bytes) -> frozenset[str] | None:
-    """Return the versions of a record, or None if it cannot be read."""
+    Records of earlier builds name no era.
+    """
     try:
-        return frozenset(_text(each) for each in decode_cbor(data))
+        *versions, last = decode_cbor(data)
+        if isinstance(last, int):
+            return VersionsRecord(frozenset(_text(each) for each in versions), last)
+        return VersionsRecord(frozenset(_text(each) for each in (*versions, last)))
     except DECODE_ERRORS:
         return None
 
--- a/packages/gateway/cicadapass_gateway/streamversions.py
+++ b/packages/gateway/cicadapass_gateway/streamversions.py
@@ -110,8 +110,8 @@
                 basis = "unknown" if version is None else "record"
                 break
             else:
-                basis = finding.value
-                if self._state.clock() >= end_s:
+                now_s, basis = self._state.clock(), finding.value
+                if max(now_s, now_s + self._knowledge.remaining_s(service)) >= end_s:
                     break
                 await self._knowledge.wait_for_news(service, asked_s)
         self._state.metrics.count("streams_taken_up", basis)
--- a/packages/gateway/cicadapass_gateway/versionknowledge.py
+++ b/packages/gateway/cicadapass_gateway/versionknowledge.py
@@ -17,6 +17,7 @@
     VersionHistory,
     longest_time_limits_s,
 )
+from cicadapass_decisions.upstreamview import REAPPEAR_S
 from cicadapass_decisions.versionevidence import (
     Finding,
     PeerReport,
@@ -30,6 +31,7 @@
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.streamrecords import (
     MAX_ID_CHARACTERS,
+    VersionsRecord,
     decode_versions,
     encode_versions,
 )
@@ -92,12 +94,14 @@
         self._is_recorder = is_recorder
         self._history = VersionHistory()
         # The record of the versions, by service, and the end of its topic.
-        self._records: dict[str, frozenset[str]] = {}
+        self._records: dict[str, VersionsRecord] = {}
         self._records_end = -1
         # Since when this node has seen each change of the upstreams.
         self._watching_since_s = math.inf
         # When the read of a record began that covers what was before.
         self._covered_s: dict[str, float] = {}
+        # When this node learned of the present era.
+        self._era_known_s = state.clock()
         self._reported: set[tuple[str, str]] = set()
         self._has_unrecorded = asyncio.Event()
         self._listeners: list[Callable[[str], None]] = []
@@ -213,11 +217,22 @@
                 or self._is_covered(service)
                 or not self.enabled,
                 confirmed_s=self._state.upstreams.replica.confirmed_s,
+                settled_s=self._settled_s(service),
                 peers=reports,
                 report_age_s=self._sources.report_age_s(),
             )
         )
 
+    def remaining_s(self, service: str) -> float:
+        """Return the time for which nothing can cover the life of a stream."""
+        if self._is_covered(service):
+            return 0.0
+        now_s = self._state.clock()
+        return min(
+            self._settled_s(service) - now_s,
+            self._watching_since_s + self.life_s(service) - now_s,
+        )
+
     async def wait_for_news(self, service: str, asked_s: float) -> None:
         """Ask the registry and silent members, and wait until something may be new.
 
@@ -303,6 +318,17 @@
             for service in self._services()
         )
 
+    def _settled_s(self, service: str) -> float:
+        """Return from when on a read lacks nothing that the registry may have lost.
+
+        A record that was written in the present era shows that the registry has not
+        returned from a copy since then.
+        """
+        record, era = self._records.get(service), self._registry.era.value
+        if not era or (record is not None and record.era == era):
+            return -math.inf
+        return self._era_known_s + REAPPEAR_S
+
     def _check_silent_members(self, asked_s: float) -> None:
         """Find out which of the members have ended that were silent since a time."""
         for address, sent_s in self._sources.members() or ():
@@ -337,7 +363,7 @@
 
     async def _read_record(self) -> None:
         """Read the versions that were in use before this node watched."""
-        read_s = self._state.clock()
+        read_s, era = self._state.clock(), self._registry.era.value
         listing = await self._registry.newest(self._topics.versions)
         now_s = self._state.clock()
         decoded = {each.key: decode_versions(each.value) for each in listing.documents}
@@ -345,28 +371,38 @@
             service: record for service, record in decoded.items() if record is not None
         }
         for service, record in self._records.items():
-            self._history.restore(service, record, now_s)
-            self._covered_s[service] = read_s
+            self._history.restore(service, record.versions, now_s)
+            if record.era == era_of(listing.end_offset) and era in (0, record.era):
+                self._covered_s[service] = read_s
             self._notify(service)
         self._records_end = listing.end_offset
 
     async def _write_record(self) -> None:
-        """Append the versions in use where they differ from the record."""
+        """Append the versions in use where they differ from the record.
+
+        In a new era, the record is written once the lost entries must be back.
+        """
         for service in self._services():
-            now_s = self._state.clock()
-            recorded = self._records.get(service, frozenset())
+            now_s, record = self._state.clock(), self._records.get(service)
+            if self._settled_s(service) > now_s:
+                continue
+            era = self._registry.era.value
+            recorded = frozenset() if record is None else record.versions
             versions = self._history.version_set_to_record(
                 service, recorded, now_s, self.life_s(service)
             )
+            if versions is None and record is not None and record.era != era:
+                versions = recorded | self.in_use(service)
             if versions is None:
                 continue
+            written = VersionsRecord(versions, era)
             self._records_end = await self._registry.append(
                 self._topics.versions,
                 service,
-                encode_versions(versions),
+                encode_versions(written),
                 self._records_end,
             )
-            self._records[service] = versions
+            self._records[service] = written
             self._covered_s[service] = self._state.clock()
             self._state.events.emit(
                 839,
@@ -378,6 +414,7 @@
 
     def _record_rise(self, before: int, era: int, source: str) -> None:
         """Read and write again what the registry may have lost."""
+        self._era_known_s = self._state.clock()
         self._records_end = -1
         self._has_unrecorded.set()
 
--- a/tests/gateway/test_versionknowledge_cluster.py
+++ b/tests/gateway/test_versionknowledge_cluster.py
@@ -180,3 +180,52 @@
             self.assertEqual({"v1"}, await take_up(cluster.nodes[1], names))
 
         run_virtual(scenario())
+
+
+class ReturnTest(testtools.TestCase):
+    def test_nodes_that_start_after_a_return_join_two_versions(self):
+        """New nodes took what the copy had for all that was in use."""
+
+        async def scenario():
+            cluster = await start()
+            copy = cluster.registry.copy()
+            await asyncio.sleep(0.2)
+            cluster.put("v2-0", "ready")
+            await asyncio.sleep(2.0)
+            names = begin(cluster.nodes[0], "v2")
+            await asyncio.sleep(0.5)
+            for node in cluster.nodes:
+                cluster.kill(node)
+            cluster.return_from(copy)
+            fresh = [cluster.restart(node) for node in list(cluster.nodes)]
+            await asyncio.sleep(0.2)
+            for pause_s in (0.0, 0.5, 1.0, 1.0, 2.0):
+                await asyncio.sleep(pause_s)
+                found = await take_up(fresh[0], names)
+                self.assertEqual({None}, found, pause_s)
+
+        run_virtual(scenario())
+
+    def test_the_record_of_a_copy_counts_for_the_new_era(self):
+        """A node that started later took the record of a copy for a new one."""
+
+        async def scenario():
+            cluster = await start()
+            copy = cluster.registry.copy()
+            await asyncio.sleep(0.2)
+            cluster.put("v2-0", "ready")
+            await asyncio.sleep(2.0)
+            names = begin(cluster.nodes[0], "v2")
+            await asyncio.sleep(0.5)
+            cluster.return_from(copy)
+            cluster.kill(cluster.nodes[0])
+            fresh = cluster.restart(cluster.nodes[1])
+            await asyncio.sleep(0.2)
+            self.assertNotIn("v1", await take_up(fresh, names))
+            await asyncio.sleep(4.0)
+            names = begin(cluster.nodes[2], "v2", "t")
+            await asyncio.sleep(0.5)
+            cluster.kill(cluster.nodes[2])
+            self.assertEqual({"v2"}, await take_up(fresh, names))
+
+        run_virtual(scenario())
