Count the age of a peer's state from its send

Cause: a datagram was as old as its arrival.

A state names its sender's uptime. `PeerDelay` compares it with the receiver's clock; the delay is added to the ages that peers report and taken from the time of their last state. In the first second of a member its delay is not known, and its states confirm nothing; test_the_reach_and_age_of_the_view_are_sent asserts that first and then the exact ages.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -18,6 +18,7 @@
 
 from cicadapass_decisions.passthrough import UpstreamRecord
 from cicadapass_decisions.peerclock import PeerClock
+from cicadapass_decisions.peerdelay import PeerDelay
 from cicadapass_decisions.ratelimit import Totals
 from cicadapass_decisions.readsharing import choose_watchers, is_watcher
 from cicadapass_decisions.segmentsuspicions import Change
@@ -100,8 +101,9 @@
     view_end: int = -1
     # The interval in which it sent its last datagram to this node.
     interval: int | None = None
-    # When it sent its last datagram, by this node's clock.
+    # When it sent its last datagram, by this node's clock, as far as that is known.
     sent_s: float = -math.inf
+    delay: PeerDelay = field(default_factory=PeerDelay)
 
 
 @dataclass(frozen=True, slots=True)
@@ -459,6 +461,7 @@
             member = self.members[address.name] = Member(address, now_s)
         member.last_received_s = self.last_received_s = now_s
         member.heard = True
+        delay_s = member.delay.record(finite_number(message["up"]), now_s)
         self._removed.pop(address.name, None)
         self._count_missed(member, int(message.get("interval", 0)))
         member.version = int(message["version"])
@@ -480,7 +483,7 @@
             for service, rate in message["demand"].items()
         }
         self._dependencies.merge_versions(message.get("service_versions", {}))
-        self._apply_view(member, message.get("view"))
+        self._apply_view(member, message.get("view"), delay_s)
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
         self._merge_segments(message.get("segments", []), address.name)
         state.merge_upstream_limits(message.get("upstream_limits", []), address.name)
@@ -493,7 +496,7 @@
         for row in message["members"]:
             self.add(decode_address(row), now_s)
         state.rollouts.merge_state(message.get("rollouts"), address.name, key)
-        member.sent_s = now_s
+        member.sent_s = max(member.sent_s, now_s - delay_s)
 
     def _apply_send(self, message: list[Any]) -> None:
         name, upstream_id, tokens = message
@@ -599,12 +602,15 @@
         state = self._dependencies.state
         state.segment_suspicions.merge(rows, peer, state.clock())
 
-    def _apply_view(self, member: Member, row: list[Any] | None) -> None:
+    def _apply_view(
+        self, member: Member, row: list[Any] | None, delay_s: float
+    ) -> None:
         if row is not None:
             end_offset, ages_ms = row
             member.view_end = int(end_offset)
             self._dependencies.registry().compare_view(
-                member.view_end, [finite_number(age_ms) / 1000 for age_ms in ages_ms]
+                member.view_end,
+                [delay_s + finite_number(age_ms) / 1000 for age_ms in ages_ms],
             )
 
     def _count_missed(self, member: Member, interval: int) -> None:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,7 @@
 """Test the datagrams that nodes exchange."""
 
 import asyncio
+import math
 from dataclasses import replace
 
 import cbor2
@@ -219,12 +220,40 @@
         async def scenario():
             first, second = await self.pair()
             second.registry.view = (7, [5.0, 0.25])
-            second.peers.send_state()
-            await until(lambda: first.registry.compared == [(7, [5.0, 0.25])])
+            await self.send_at(first, 100.0, second, 50.0)
+            # Those of a new member may all come from the buffer.
+            self.assertEqual([(7, [math.inf, math.inf])], first.registry.compared)
             self.assertEqual(7, first.peers.members["b"].view_end)
+            self.assertEqual([-math.inf], [s for _, s in first.peers.last_reports()])
+            await self.send_at(first, 101.0, second, 51.0)
+            self.assertEqual((7, [5.0, 0.25]), first.registry.compared[-1])
+            self.assertEqual([101.0], [s for _, s in first.peers.last_reports()])
+
+        self.run_loop(scenario())
+
+    def test_a_datagram_that_waited_in_the_buffer_counts_as_new(self):
+        """A node that had stood still took buffered states for the present ones."""
+
+        async def scenario():
+            first, second = await self.pair()
+            second.registry.view = (7, [0.5])
+            await self.send_at(first, 100.0, second, 50.0)
+            await self.send_at(first, 101.0, second, 51.0)
+            await self.send_at(first, 104.0, second, 51.2)
+            _, (age_s,) = first.registry.compared[-1]
+            self.assertAlmostEqual(0.5 + 2.8, age_s, places=2)
+            (_, sent_s), *_ = first.peers.last_reports()
+            self.assertAlmostEqual(101.2, sent_s, places=2)
 
         self.run_loop(scenario())
 
+    async def send_at(self, first, first_s, second, second_s):
+        """Send a state of `second` to `first` at these times of their clocks."""
+        first.state.clock, second.state.clock = lambda: first_s, lambda: second_s
+        count = len(first.registry.compared)
+        second.peers.send_state()
+        await until(lambda: len(first.registry.compared) > count)
+
     def test_short_prompts_are_not_reported_to_many_nodes(self):
         """Half of the datagrams of 195 nodes were reports of short prompts."""
         self.loop_factory = asyncio.new_event_loop
--- a/tests/gateway/test_versionknowledge_cluster.py
+++ b/tests/gateway/test_versionknowledge_cluster.py
@@ -101,6 +101,21 @@
             found = self.play(cut, lambda *_: None, for_s=for_s)
             self.assertEqual({None}, found)
 
+    def test_states_from_before_a_freeze_count_as_new(self):
+        """A node that woke without a connection took buffered states for new ones."""
+
+        def pause(cluster, node):
+            node.pause()
+            asyncio.get_running_loop().call_later(0.3, cut, cluster, node)
+
+        def cut(cluster, node):
+            cluster.cut.add(node.host)
+            node.registry.silent = True
+
+        for for_s in (1.5, 1.8, 3.5):
+            found = self.play(pause, lambda _, node: node.go_on(), for_s=for_s)
+            self.assertEqual({None}, found)
+
     def test_a_node_that_is_back_in_touch_joins_two_versions(self):
         """A node took up streams before it had read what it had missed."""
 
