Report a version that comes back, and trust reads of the log without a gap

A version that was back after a life, as after a rollback, was not reported to the members at its first stream again. And a removal of an upstream that had come within the same read of the log counted as a change that was missed, so that the record of the versions was read again for nothing.

--- a/packages/decisions/cicadapass_decisions/runmigration.py
+++ b/packages/decisions/cicadapass_decisions/runmigration.py
@@ -109,8 +109,8 @@
 def may_be_stopped(last_copy: CopyOutcome) -> bool:
     """Return whether the call that was to stop a run may have stopped it.
 
-    If not, a clean end of its stream is that of the whole run. The call is made once,
-    so that no earlier one explains that the source knows no such run.
+    If not, a clean end of its stream is that of the whole run. A call that may have
+    stopped a run is not repeated, so that `NO_RUN` is never due to an earlier one.
     """
     return last_copy in (
         CopyOutcome.COMPLETE,
--- a/packages/gateway/cicadapass_gateway/registrysync.py
+++ b/packages/gateway/cicadapass_gateway/registrysync.py
@@ -548,7 +548,12 @@
             # Entries that the copy lacks are written again within that time.
             self._state.upstreams.view.record_outage(now_s)
         applied = self._replica.merge(delta, now_s)
-        if view_end >= 0 and not from_copy and self._hides_changes(delta, applied):
+        if (
+            source != "registry"
+            and view_end >= 0
+            and not from_copy
+            and self._hides_changes(delta, applied)
+        ):
             for on_gap in self._gap_listeners:
                 on_gap()
         if (
@@ -558,9 +563,10 @@
             self._refresh()
 
     def _hides_changes(self, delta: Delta, applied: Sequence[Document]) -> bool:
-        """Return whether upstreams may have come and gone within a delta.
+        """Return whether upstreams may have come and gone within what was read.
 
-        A listing lacks them, and a peer passes on their removals alone.
+        A listing lacks them, and a peer passes on their removals alone. A read of the
+        log has all of their entries.
         """
         view = self._state.upstreams.view
         return delta.complete or any(
--- a/packages/gateway/cicadapass_gateway/versionknowledge.py
+++ b/packages/gateway/cicadapass_gateway/versionknowledge.py
@@ -106,7 +106,8 @@
         # When the whole view was observed last; many callers may ask at one moment.
         self._observed_s = -math.inf
         self._reports: tuple[float, tuple[PeerReport, ...]] = (-math.inf, ())
-        self._reported: set[tuple[str, str]] = set()
+        # When the last stream began here, by service and version.
+        self._used_s: dict[tuple[str, str], float] = {}
         self._has_unrecorded = asyncio.Event()
         self._listeners: list[Callable[[str], None]] = []
         # The calls in progress on behalf of callers, and the last start of the read.
@@ -140,14 +141,16 @@
         return self._history.in_use(service, self._state.clock(), self.life_s(service))
 
     def record_use(self, service: str, version: str) -> None:
-        """Record that a stream begins; the members hear of the first at a version.
+        """Record that a stream begins.
 
-        While the registry is silent, they rely on the reports of each other.
+        The members hear at once of the first one at a version in a life, as they rely
+        on each other's reports while the registry is silent.
         """
         self._observe(service, version)
-        if (service, version) not in self._reported:
-            self._reported.add((service, version))
+        now_s, key = self._state.clock(), (service, version)
+        if now_s - self._used_s.get(key, -math.inf) >= self.life_s(service):
             self._sources.report({service: {version: 0}})
+        self._used_s[key] = now_s
 
     def observe(self) -> None:
         """Record the versions that have engines now."""
--- a/tests/gateway/test_versionknowledge_cluster.py
+++ b/tests/gateway/test_versionknowledge_cluster.py
@@ -292,3 +292,21 @@
         self.assertEqual({"v1"}, found)
         self.assertLess(reads, 20)
         self.assertLess(checks, 12)
+
+
+class ReportTest(testtools.TestCase):
+    def test_a_version_that_comes_back_is_reported_once_only(self):
+        """The first stream at a version was reported once in a node's life."""
+
+        async def scenario():
+            cluster = await start()
+            node = cluster.nodes[0]
+            life_s = node.knowledge.life_s("s")
+            for pause_s, reports in ((0.0, 1), (0.1, 0), (life_s + 1, 1), (0.0, 0)):
+                await asyncio.sleep(pause_s)
+                before = cluster.datagrams
+                node.begin("x", "v1")
+                members = len(cluster.nodes) - 1
+                self.assertEqual(members * reports, cluster.datagrams - before)
+
+        run_virtual(scenario())
