Ask no lost node for its streams while the registry is silent

Streams of a killed node were refused in a silence of the registry if any node had been lost for good before: the registry lists it for long, so that it returned to the members after each removal, unheard, and could not vouch.

Members that were removed and not heard since do not count, as for the shares of limits.

Measured: test_a_node_that_was_lost_for_good_is_waited_for failed before, passes now.

--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -277,11 +277,13 @@
     def last_reports(self) -> list[tuple[NodeAddress, float]] | None:
         """Return when each member sent its last state, by this node's clock.
 
-        Return None if all members were removed, as for a node without a connection.
+        The registry lists lost nodes for long; those that were removed do not count.
+        Return None if all were removed, as for a node without a connection.
         """
-        if self._removed and not self.members:
+        members = [each for each in self.members.values() if self._is_counted(each)]
+        if self._removed and not members:
             return None
-        return [(each.address, each.sent_s) for each in self.members.values()]
+        return [(each.address, each.sent_s) for each in members]
 
     def report_age_s(self) -> float:
         """Return the time beyond the usual between two states of a member."""
--- a/tests/gateway/test_versionknowledge_cluster.py
+++ b/tests/gateway/test_versionknowledge_cluster.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from cicadapass_gateway.peers import MEMBER_TIMEOUT_S
 from cicadapass_gateway.versionknowledge import MAX_READS_PER_S
 from tests.gateway.outofstep import PausingCluster
 from tests.gateway.virtualcluster import UPSTREAMS, run_virtual
@@ -166,6 +167,23 @@
                 found = self.play(silence, nodes=nodes, after_s=after_s)
                 self.assertEqual({"v1"}, found, (nodes, after_s))
 
+    def test_a_node_that_was_lost_for_good_is_waited_for(self):
+        """Nodes that the list still names ended all streams in a silence."""
+
+        async def scenario():
+            cluster = await start(5)
+            cluster.kill(cluster.nodes[4])
+            await asyncio.sleep(MEMBER_TIMEOUT_S + 25.0)
+            for node in cluster.nodes:
+                node.registry.silent = True
+            await asyncio.sleep(1.0)
+            names = begin(cluster.nodes[0], "v1")
+            cluster.kill(cluster.nodes[0])
+            await asyncio.sleep(0.5)
+            self.assertEqual({"v1"}, await take_up(cluster.nodes[1], names))
+
+        run_virtual(scenario())
+
     def test_streams_are_refused_after_a_kill_of_all(self):
         """After a kill of all nodes, a single version was not known."""
 
