Add case 12: streams go on at an engine that became another version

Tried: the last two engines of a version are cut from the store, end and start again under their ids as a newer version (srv_cut, reborn).

--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -240,6 +240,126 @@
         writer.close()
 
 
+class StreamEngine:
+    """A sound model engine that writes streams of events.
+
+    It may end and start again under its id and at its address, as another version.
+    """
+
+    def __init__(self, name, service, store, version, event_s, zone="dc-a"):
+        self.name, self.service, self.store = name, service, store
+        self.version, self.event_s, self.zone = version, event_s, zone
+        self.port = 0
+        self.sequence = self.born = 0
+        # Whether the engine is partitioned from the store, and when it last wrote there.
+        self.is_cut = False
+        self._written_s = 0.0
+        self._server = self._heartbeats = None
+        self._writers = set()
+        self._expiry = asyncio.create_task(self._expire_entry())
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, STORE_HOST, self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self._heartbeats = asyncio.create_task(self._write_entries())
+        self.store.record.line(f"engine {self.name} starts as {self.version}")
+
+    def crash(self):
+        """End at once; all channels are reset."""
+        self._server.close()
+        self._heartbeats.cancel()
+        for writer in list(self._writers):
+            reset(writer)
+        self.store.record.line(f"engine {self.name} ends")
+
+    async def _write_entries(self):
+        while True:
+            self.sequence += 1
+            entry = {
+                "service": self.service,
+                "address": f"{STORE_HOST}:{self.port}",
+                "zone": self.zone,
+                "version": self.version,
+                "slots": 64,
+                "state": "ready",
+                "coldLeftMs": 0,
+                "sequence": self.sequence,
+                "born": self.born,
+            }
+            while self.is_cut:
+                await asyncio.sleep(0.01)
+            self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+            self._written_s = self.store.record.now()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def _expire_entry(self):
+        """Remove the entry after three intervals of silence, as the store does."""
+        while True:
+            await asyncio.sleep(0.05)
+            silent_s = self.store.record.now() - self._written_s
+            if self._written_s and silent_s > 3 * HEARTBEAT_S:
+                self._written_s = 0.0
+                self.store.put("keyed.servers", self.name, b"")
+                self.store.record.line(f"the entry of {self.name} expires")
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            while (received := await read_message(reader)) is not None:
+                first, headers, body = received
+                target = first.split(" ")[1]
+                if target == "/api/report":
+                    fields = {"born": self.born, "running": 0, "queued": 0}
+                    writer.write(message(200, [], json.dumps(fields).encode()))
+                    continue
+                if target.startswith("/api/"):
+                    writer.write(message(404, [], b"{}"))
+                    continue
+                await self._stream(headers, int(body), writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _stream(self, headers, total, writer):
+        request_id = headers.get("request-id", "")
+        fields = f"Request-Id: {request_id}\r\nServer-Seal: {self.name}\r\n"
+        if headers.get("expect-instance", self.name) != self.name:
+            reply = message(421, [("Request-Id", request_id), ("Not-Executed", "1")])
+            writer.write(reply)
+            return
+        first = 1 + int(headers.get("last-event-id", "0"))
+        version = self.version
+        self.store.record.line(
+            f"engine {self.name} ({version}) runs {request_id} from event {first}"
+        )
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\nWeight-Versions: 1\r\n"
+            + fields.encode()
+            + b"\r\n"
+        )
+        for number in range(first, total + 1):
+            await asyncio.sleep(self.event_s)
+            if writer.is_closing():
+                return
+            event = f"id: {number}\ndata: {request_id} {version} {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def reset(writer):
+    """Reset a connection; without the option, it is merely closed."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        option = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    writer.transport.abort()
+
+
 class Node:
     """One gateway node, started by the command of the deploy file."""
 
