--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import os
 import pathlib
@@ -273,6 +274,13 @@
             reset(writer)
         self.store.record.line(f"engine {self.name} ends")
 
+    def withdraw(self):
+        """Remove the entry, and go on with the streams in progress."""
+        self._heartbeats.cancel()
+        self._expiry.cancel()
+        self.store.put("keyed.servers", self.name, b"")
+        self.store.record.line(f"the entry of {self.name} is removed")
+
     async def _write_entries(self):
         while True:
             self.sequence += 1
@@ -464,6 +472,10 @@
         first, headers, body = received
         return int(first.split(" ")[1]), headers, body
 
+    async def read(self):
+        """Return the next bytes, or none at the end."""
+        return await self._reader.read(65_536)
+
     def close(self):
         self.writer.transport.abort()
 
@@ -532,5 +544,6 @@
         sys.exit(2)
     text = "the rule was broken" if broken else "the rule held"
     record.line(text)
-    print(text)
+    with contextlib.suppress(BrokenPipeError):
+        print(text, flush=True)
     sys.exit(1 if broken else 0)
