--- a/review/lib3/deployment.py
+++ b/review/lib3/deployment.py
@@ -28,6 +28,11 @@
 GRACE_S = 8.0
 
 
+# The code with which a case ends if the rule was broken; `run.sh` makes it 1. Python itself
+# ends with 1 after an error, which must not count as a broken rule.
+BROKEN_CODE = 10
+
+
 class CannotRun(Exception):
     """Report that a case could not be played."""
 
@@ -521,12 +526,16 @@
     hosts = [f"127.0.0.{number + 2}" for number in range(count)]
     ports = free_ports(hosts, 4)
     nodes = [Node(n, ports, store, folder, hosts, duties) for n in range(count)]
-    await asyncio.gather(*(each.start() for each in nodes))
+    try:
+        await asyncio.gather(*(each.start() for each in nodes))
+    except OSError:
+        await asyncio.gather(*(each.close() for each in nodes))
+        raise
     return nodes
 
 
 def play(case, folder):
-    """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 otherwise."""
+    """Run a case and exit: BROKEN_CODE if the rule was broken, 0 if it held, or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
 
@@ -538,7 +547,7 @@
 
     try:
         broken = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
         record.line(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
@@ -546,4 +555,4 @@
     record.line(text)
     with contextlib.suppress(BrokenPipeError):
         print(text, flush=True)
-    sys.exit(1 if broken else 0)
+    sys.exit(BROKEN_CODE if broken else 0)
