Remove the streams that end first, and let no report extend a version

Cause: the index of streams expired in the order of entry and, when full, removed the oldest. After a lower time-out, the oldest streams last longest. A version that a peer reported looked later seen by the time of the report; two nodes that report to each other kept it in use for longer than a life.

Change: the index removes by the end of each stream, and keeps the later end of one that is added again.

The third new test guards the ends that were replaced.

--- a/packages/decisions/cicadapass_decisions/streamversions.py
+++ b/packages/decisions/cicadapass_decisions/streamversions.py
@@ -5,11 +5,16 @@
 the life of a stream, that one is known without a record of the stream.
 """
 
+import heapq
+import math
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from cicadapass_decisions.passthrough import Configuration
 
+# A report takes up to this time, by which it makes a version look later seen; two nodes
+# that report to each other would keep it in use.
+REPORT_DELAY_S = 0.5
 # Streams that are remembered: 20 s of those that the planned size begins.
 MAX_STREAMS = 50_000
 
@@ -23,41 +28,61 @@
 
 
 class StreamIndex:
-    """Store the versions of streams for the time that a stream may last."""
+    """Store the versions of streams for the time that each may last."""
 
     def __init__(self) -> None:
-        # The version and the end of the time, in the order of entry.
-        self._entries: dict[Stream, tuple[str, float]] = {}
+        # The version, the end of the time and the number of the addition.
+        self._entries: dict[Stream, tuple[str, float, int]] = {}
+        # The ends in order, with those of additions that were replaced.
+        self._ends: list[tuple[float, int, Stream]] = []
+        self._additions = 0
 
     def __len__(self) -> int:
         return len(self._entries)
 
     def add(self, stream: Stream, version: str, ends_s: float) -> None:
-        """Store the version of a stream until a time."""
-        self._entries.pop(stream, None)
-        self._entries[stream] = (version, ends_s)
-        if len(self._entries) > MAX_STREAMS:
-            del self._entries[next(iter(self._entries))]
+        """Store the version of a stream until a time, or for longer if it has longer.
+
+        If there are too many, those that end first are removed.
+        """
+        before = self._entries.get(stream)
+        if before is not None and before[0] == version:
+            ends_s = max(ends_s, before[1])
+        self._additions += 1
+        self._entries[stream] = (version, ends_s, self._additions)
+        heapq.heappush(self._ends, (ends_s, self._additions, stream))
+        while len(self._entries) > MAX_STREAMS:
+            self._remove_first()
+        if len(self._ends) > MAX_STREAMS + 2 * len(self._entries):
+            self._ends = [
+                (ends_s, number, stream)
+                for stream, (_, ends_s, number) in self._entries.items()
+            ]
+            heapq.heapify(self._ends)
 
     def version(self, stream: Stream, now_s: float) -> str | None:
         """Return the version at which a stream began, or None if it is not known."""
-        version, ends_s = self._entries.get(stream, (None, now_s))
+        version, ends_s, _ = self._entries.get(stream, (None, now_s, 0))
         return version if ends_s > now_s else None
 
     def of_service(self, service: str, now_s: float) -> list[tuple[Stream, str]]:
         """Return the streams of a service that may last."""
         return [
             (stream, version)
-            for stream, (version, ends_s) in self._entries.items()
+            for stream, (version, ends_s, _) in self._entries.items()
             if stream.service == service and ends_s > now_s
         ]
 
     def expire(self, now_s: float) -> None:
-        """Remove the streams whose time is over, from the oldest entry on."""
-        while self._entries:
-            stream = next(iter(self._entries))
-            if self._entries[stream][1] > now_s:
-                return
+        """Remove the streams whose time is over."""
+        while self._ends and self._ends[0][0] <= now_s:
+            self._remove_first()
+
+    def _remove_first(self) -> None:
+        """Remove the end that comes first, and its stream unless it was added again."""
+        _, number, stream = heapq.heappop(self._ends)
+        entry = self._entries.get(stream)
+        if entry is not None and entry[2] == number:
             del self._entries[stream]
 
 
@@ -83,7 +108,9 @@
             self._last_observed_s.setdefault(service, {}),
         ):
             for version, last_s in seen_s.items():
-                times_s[version] = max(last_s, times_s.get(version, last_s))
+                known_s = times_s.get(version, -math.inf)
+                if last_s > known_s + REPORT_DELAY_S:
+                    times_s[version] = last_s
 
     def observed_ages_s(
         self, service: str, now_s: float, life_s: float
--- a/tests/decisions/test_streamversions.py
+++ b/tests/decisions/test_streamversions.py
@@ -44,6 +44,37 @@
         self.assertIsNone(index.version(stream(2), 0.0))
         self.assertEqual("v1", index.version(stream(1), 0.0))
 
+    def test_the_streams_that_end_first_yield(self):
+        """The oldest streams were removed although they lasted longest."""
+        self.addCleanup(
+            setattr, streamversions, "MAX_STREAMS", streamversions.MAX_STREAMS
+        )
+        streamversions.MAX_STREAMS = 3
+        index = StreamIndex()
+        for number, ends_s in ((1, 20.0), (2, 8.0), (3, 9.0), (4, 7.0)):
+            index.add(stream(number), "v1", ends_s)
+        self.assertIsNone(index.version(stream(4), 0.0))
+        index.expire(8.0)
+        self.assertEqual(2, len(index))
+        # A stream that is added again keeps the later end.
+        index.add(stream(1), "v1", 5.0)
+        self.assertEqual("v1", index.version(stream(1), 19.0))
+
+    def test_streams_that_are_added_again_take_no_more_memory(self):
+        """Each read of the log added ends of the same streams."""
+        self.addCleanup(
+            setattr, streamversions, "MAX_STREAMS", streamversions.MAX_STREAMS
+        )
+        streamversions.MAX_STREAMS = 10
+        index = StreamIndex()
+        for time_s in range(1000):
+            index.add(stream(time_s % 5), "v1", 100.0 + time_s)
+        self.assertLess(len(index._ends), 30)
+        index.expire(1094.0)
+        self.assertEqual(5, len(index))
+        index.expire(1099.0)
+        self.assertEqual(0, len(index))
+
 
 class VersionHistoryTest(testtools.TestCase):
     def test_a_version_stays_in_use_for_the_life_of_a_stream(self):
@@ -77,6 +108,20 @@
         # A service without engines keeps its record.
         self.assertIsNone(to_record(both, 99.0))
 
+    def test_nodes_that_report_to_each_other_keep_no_version_in_use(self):
+        """The time that a report takes made a version look later seen, each time."""
+        nodes = VersionHistory(), VersionHistory()
+        for node in nodes:
+            node.observe({"s": ["v1"]}, 0.0)
+        for number in range(400):
+            sent_s = 0.2 * number
+            sender, receiver = nodes[number % 2], nodes[1 - number % 2]
+            ages_s = sender.observed_ages_s("s", sent_s, LIFE_S)
+            arrived_s = sent_s + 0.1
+            seen_s = {version: arrived_s - age_s for version, age_s in ages_s.items()}
+            receiver.merge("s", seen_s)
+        self.assertEqual(set(), nodes[0].in_use("s", LIFE_S + 1.0, LIFE_S))
+
     def test_reported_versions_count_as_seen_now(self):
         """A node that started late took the versions before it for those of now."""
         history = VersionHistory()
