Keep the time limit of a stream when that of its route changes

Cause: a version counts as in use for the life of a stream, and the life was that of the newest configuration. Streams from before it kept their limit and lasted longer, so their version was forgotten, and v1 passed for the only one. The record in the registry did not say how long its versions matter, so nodes that started later did the same, and a route that stopped to be resumable lost its streams altogether.

Change: StreamLimits keeps each limit for an hour after the last moment at which it applied, and the life follows the highest one. The limit stands beside the record of the versions and in the states of nodes. Callers that state more than their route count for what they state. Streams of a route that was resumable lately are recorded, and a request behind an event goes on at the version of its stream only, resumable or not.

Why it works: no node can admit under a limit that the others have dropped unless it was cut off for an hour, and no reader of the record knows less than its writer.

--- a/packages/decisions/cicadapass_decisions/streamversions.py
+++ b/packages/decisions/cicadapass_decisions/streamversions.py
@@ -10,8 +10,6 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
-from cicadapass_decisions.passthrough import Configuration
-
 # A report takes up to this time, by which it makes a version look later seen; two nodes
 # that report to each other would keep it in use.
 REPORT_DELAY_S = 0.5
@@ -148,15 +146,3 @@
 
 def _since(times_s: Mapping[str, float], start_s: float) -> frozenset[str]:
     return frozenset(each for each, seen_s in times_s.items() if seen_s > start_s)
-
-
-def longest_time_limits_s(configuration: Configuration) -> dict[str, float]:
-    """Return the longest time limit of a service's streams that may be taken up."""
-    longest_s: dict[str, float] = {}
-    for route in configuration.routes:
-        if not route.resumable:
-            continue
-        for weighted in route.services:
-            limit_s = longest_s.get(weighted.service, 0.0)
-            longest_s[weighted.service] = max(limit_s, route.timeout_s)
-    return longest_s
--- a/packages/gateway/cicadapass_gateway/node.py
+++ b/packages/gateway/cicadapass_gateway/node.py
@@ -187,6 +187,8 @@
                 lambda rows: stream_versions.accept(rows),
                 lambda: version_knowledge.export(),
                 lambda reported: version_knowledge.merge(reported),
+                lambda: version_knowledge.limits.export(),
+                lambda reported: version_knowledge.limits.merge(reported),
             ),
         )
         state.upstreams.subscribe_to_sends(peers.report_send)
--- a/packages/gateway/cicadapass_gateway/nodestate.py
+++ b/packages/gateway/cicadapass_gateway/nodestate.py
@@ -81,6 +81,7 @@
         self._retry_allowances: dict[str, RetryAllowance] = {}
         self._limit_listeners: list[Callable[[], None]] = []
         self._leaving_listeners: list[Callable[[UpstreamRecord], None]] = []
+        self._configuration_listeners: list[Callable[[Configuration], None]] = []
 
     @property
     def configuration(self) -> Configuration | None:
@@ -115,8 +116,16 @@
             return False
         self.routes = RouteTable(configuration)
         self.raw_configuration = raw
+        for listener in self._configuration_listeners:
+            listener(configuration)
         return True
 
+    def subscribe_to_configurations(
+        self, listener: Callable[[Configuration], None]
+    ) -> None:
+        """Call `listener` with each configuration from the time it is in force."""
+        self._configuration_listeners.append(listener)
+
     def learn_capacity(self) -> None:
         """Learn the capacity of model engines from now on."""
         self.upstreams.learned = LearnedCapacity()
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -152,6 +152,9 @@
     # those that other nodes report.
     observed_versions: Callable[[], dict[str, Any]] = dict
     merge_versions: Callable[[Any], None] = lambda reported: None
+    # The same for the time limits under which streams of services may last.
+    stream_limits: Callable[[], dict[str, Any]] = dict
+    merge_stream_limits: Callable[[Any], None] = lambda reported: None
     demand: dict[str, dict[str, float]] = field(default_factory=dict)
 
 
@@ -427,8 +430,9 @@
             "holder": self._dependencies.local_renewal(),
             "reported": self._dependencies.reported_window(),
             "members": [encode_address(address) for address in introduced],
-            # Builds that do not know it ignore it.
+            # Builds that do not know these ignore them.
             "service_versions": self._dependencies.observed_versions(),
+            "stream_limits": self._dependencies.stream_limits(),
         }
         if state.upstreams.learned is not None:
             # At most 12 rows of up to 50 bytes; builds without them ignore them.
@@ -484,6 +488,8 @@
             str(service): finite_number(rate)
             for service, rate in message["demand"].items()
         }
+        # A version counts for as long as the limits let its streams last.
+        self._dependencies.merge_stream_limits(message.get("stream_limits", {}))
         self._dependencies.merge_versions(message.get("service_versions", {}))
         self._apply_view(member, message.get("view"), delay_s)
         self._dependencies.registry().apply_marks(message["leaving"], address.name)
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -19,6 +19,7 @@
 from cicadapass_decisions.passthrough import Prompt, UpstreamRecord
 from cicadapass_decisions.queueorder import retry_after_s
 from cicadapass_decisions.routetable import NoRoute, UnknownCredential
+from cicadapass_decisions.streamlimits import caller_limit_s
 from cicadapass_gateway.adapterapi import Call, HeaderCodec, Headers
 from cicadapass_gateway.attemptrace import AttemptRace
 from cicadapass_gateway.endedprocesses import EndedProcesses
@@ -134,7 +135,13 @@
         timeout_s = match.route.timeout_s
         if call.time_limit_s is not None:
             timeout_s = min(timeout_s, call.time_limit_s)
-        request = RequestContext(exchange, call, match, exchange.arrived_s + timeout_s)
+        request = RequestContext(
+            exchange,
+            call,
+            match,
+            exchange.arrived_s + timeout_s,
+            caller_limit_s(match.route.timeout_s, call.time_limit_s),
+        )
         request.segments = tuple(
             f"{match.service}/{each.segment_id}" for each in call.prompt.shared_segments
         )
@@ -160,11 +167,15 @@
 
     async def _find_version(self, request: RequestContext) -> bool:
         """Find the version of a stream that is taken up; refuse one that is unknown."""
-        call = request.call
-        if call.last_event_id is None or not request.match.route.resumable:
+        call, match = request.call, request.match
+        # The route may have been resumable when the stream began.
+        is_take_up = call.last_event_id is not None and (
+            self._stream_versions.may_continue(match.route, match.service)
+        )
+        if not is_take_up:
             return True
         request.version = await self._stream_versions.find(
-            request.match.service, call.resumes, request.deadline_s
+            match.service, call.resumes, request.deadline_s
         )
         if request.version is None:
             # What the log does not have by now is lost.
--- a/packages/gateway/cicadapass_gateway/requestcontext.py
+++ b/packages/gateway/cicadapass_gateway/requestcontext.py
@@ -49,6 +49,8 @@
     call: Call
     match: Match
     deadline_s: float
+    # For how long after its arrival the caller may take up its stream.
+    caller_limit_s: float = 0.0
     charged_cost: float = 0.0
     charged_s: float = 0.0
     # Upstreams chosen, requests sent, and those that may have been executed.
--- a/packages/gateway/cicadapass_gateway/streamrecords.py
+++ b/packages/gateway/cicadapass_gateway/streamrecords.py
@@ -6,8 +6,10 @@
 
 import cbor2
 
+from cicadapass_decisions.streamlimits import whole_ms
 from cicadapass_decisions.streamversions import Stream
-from cicadapass_gateway.cbor import decode_cbor
+from cicadapass_decisions.topicreplica import Document
+from cicadapass_gateway.cbor import decode_cbor, finite_number
 from cicadapass_gateway.exceptions import DECODE_ERRORS
 
 # Longer ids are not recorded; callers choose them.
@@ -15,6 +17,10 @@
 # Streams in one record or datagram; an id of the usual length takes 18 bytes.
 MAX_STREAMS_PER_RECORD = 1500
 
+# The record of a service's time limit has this in front of the service in its key.
+# Builds that do not know it find no versions in it.
+LIMIT_KEY_PREFIX = "limit:"
+
 # A service, a version and the ids of the requests that began streams there.
 Row = list[Any]
 
@@ -86,6 +92,44 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class LimitRecord:
+    """Store how long the streams of a service may last, and the era of the record."""
+
+    limit_s: float
+    era: int = 0
+
+
+def encode_limit(record: LimitRecord) -> bytes:
+    """Return the record of the time limit of a service's streams."""
+    return cbor2.dumps([whole_ms(record.limit_s), record.era])
+
+
+def decode_limit(data: bytes) -> LimitRecord | None:
+    """Return the record of a time limit, or None if it cannot be read."""
+    try:
+        limit_ms, era = decode_cbor(data)
+        return LimitRecord(max(0.0, finite_number(limit_ms) / 1000), int(era))
+    except DECODE_ERRORS:
+        return None
+
+
+def decode_records(
+    documents: Sequence[Document],
+) -> tuple[dict[str, VersionsRecord], dict[str, LimitRecord]]:
+    """Return the records of versions and of time limits that can be read."""
+    versions: dict[str, VersionsRecord] = {}
+    limits: dict[str, LimitRecord] = {}
+    for each in documents:
+        if each.key.startswith(LIMIT_KEY_PREFIX):
+            limit = decode_limit(each.value)
+            if limit is not None:
+                limits[each.key.removeprefix(LIMIT_KEY_PREFIX)] = limit
+        elif (record := decode_versions(each.value)) is not None:
+            versions[each.key] = record
+    return versions, limits
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str):
         raise TypeError("not a text")
--- a/packages/gateway/cicadapass_gateway/streamversions.py
+++ b/packages/gateway/cicadapass_gateway/streamversions.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from cicadapass_decisions.passthrough import CallKind, Route
+from cicadapass_decisions.streamlimits import LIFE_MARGIN_S
 from cicadapass_decisions.streamversions import Stream, StreamIndex
 from cicadapass_decisions.versionevidence import Finding
 from cicadapass_gateway.adapterapi import Registry, Topics
@@ -54,6 +56,7 @@
         self._registry = registry
         self._topics = topics
         self._knowledge = knowledge
+        self._limits = knowledge.limits
         # Sends rows to a node that appends them; returns False if this node is to.
         self._pass_on = pass_on
         self._index = StreamIndex()
@@ -68,8 +71,24 @@
         knowledge.subscribe(self._update_mixed)
         registry.era.subscribe(self._record_rise, lambda *_: None)
 
-    def record(self, service: str, request_id: str | None, version: str) -> None:
-        """Record that a request's stream has begun at a version."""
+    def may_be_taken_up(self, route: Route, service: str) -> bool:
+        """Return whether callers may take up streams of a route, now or soon again."""
+        return self._limits.may_be_taken_up(route, service)
+
+    def may_continue(self, route: Route, service: str) -> bool:
+        """Return whether a request behind an event may go on with a recorded stream."""
+        return route.resumable or (
+            route.kind is CallKind.STREAM and self._limits.is_tracked(service)
+        )
+
+    def record(
+        self, service: str, request_id: str | None, version: str, limit_s: float
+    ) -> None:
+        """Record that a request's stream has begun at a version.
+
+        Its caller may take it up until a time limit.
+        """
+        self._limits.record_admission(service, limit_s)
         self._knowledge.record_use(service, version)
         stream = Stream(service, request_id or "")
         if not is_recordable(stream):
@@ -77,7 +96,7 @@
         now_s = self._state.clock()
         self._index.expire(now_s)
         self._own.expire(now_s)
-        ends_s = now_s + self._knowledge.life_s(service)
+        ends_s = now_s + LIFE_MARGIN_S + limit_s
         self._index.add(stream, version, ends_s)
         self._own.add(stream, version, ends_s)
         if service in self._mixed:
@@ -161,7 +180,7 @@
         now_s = self._state.clock()
         for stream, version in streams:
             self._index.add(
-                stream, version, now_s + self._knowledge.life_s(stream.service)
+                stream, version, now_s + self._limits.life_s(stream.service)
             )
 
     def _enqueue(self, streams: Sequence[tuple[Stream, str]]) -> None:
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -614,11 +614,15 @@
     def _record_version(self) -> None:
         """Record the version of a stream that the caller may take up."""
         request = self._request
-        if request.match.route.resumable and request.call.last_event_id is None:
+        call, match = request.call, request.match
+        if call.last_event_id is None and self._stream_versions.may_be_taken_up(
+            match.route, match.service
+        ):
             self._stream_versions.record(
-                request.match.service,
-                request.call.request_id,
+                match.service,
+                call.request_id,
                 self._reservation.record.version,
+                request.caller_limit_s,
             )
 
     def _count_run(self) -> None:
--- a/packages/gateway/cicadapass_gateway/versionknowledge.py
+++ b/packages/gateway/cicadapass_gateway/versionknowledge.py
@@ -12,11 +12,9 @@
 from typing import Any
 
 from cicadapass_decisions.logposition import era_of, offset_of
-from cicadapass_decisions.passthrough import Configuration, UpstreamRecord
-from cicadapass_decisions.streamversions import (
-    VersionHistory,
-    longest_time_limits_s,
-)
+from cicadapass_decisions.passthrough import UpstreamRecord
+from cicadapass_decisions.streamlimits import ASSUMED_LIMIT_S
+from cicadapass_decisions.streamversions import VersionHistory
 from cicadapass_decisions.upstreamview import REAPPEAR_S
 from cicadapass_decisions.versionevidence import (
     Finding,
@@ -27,22 +25,23 @@
 from cicadapass_gateway.adapterapi import Registry, Topics
 from cicadapass_gateway.cbor import finite_number
 from cicadapass_gateway.exceptions import GatewayError, OffsetConflict
+from cicadapass_gateway.limitknowledge import LimitKnowledge
 from cicadapass_gateway.nodeaddress import NodeAddress
 from cicadapass_gateway.nodestate import NodeState
 from cicadapass_gateway.streamrecords import (
+    LIMIT_KEY_PREFIX,
+    LimitRecord,
     VersionsRecord,
-    decode_versions,
+    decode_records,
+    encode_limit,
     encode_versions,
 )
 
 # Interval at which the versions in use are compared with the record of them, and the
 # pause after a failed append. A version that was not known before is recorded at once.
 CHECK_INTERVAL_S = 1.0
-# A caller may take a stream up until the time limit of its first request, and its
-# clock is not that of the node.
-LIFE_MARGIN_S = 5.0
-# Assumed for a service without a route.
-DEFAULT_TIMEOUT_S = 15.0
+# A node that was out of touch for this long may have missed what others recorded.
+OUT_OF_TOUCH_S = 2.0
 # Longest wait for news of one kind before the evidence is judged again.
 NEWS_WAIT_S = 0.1
 # The next states of members are awaited for this long before any address is tried.
@@ -94,8 +93,11 @@
         self._sources = sources
         self._is_recorder = is_recorder
         self._history = VersionHistory()
-        # The record of the versions, by service, and the end of its topic.
+        self.limits = LimitKnowledge(state)
+        # The records of the versions and of the time limits, by service, and the end
+        # of their topic.
         self._records: dict[str, VersionsRecord] = {}
+        self._limit_records: dict[str, LimitRecord] = {}
         self._records_end = -1
         # Since when this node has seen each change of the upstreams.
         self._watching_since_s = math.inf
@@ -118,10 +120,10 @@
         self._members_checked_s = -math.inf
         # When the process of a member was found to have ended.
         self._ended: dict[str, float] = {}
-        # The time limits of a configuration, which may have thousands of routes.
-        self._configuration: Configuration | None = None
-        self._time_limits_s: dict[str, float] = {}
+        # When the record was last found to be read by a node in touch.
+        self._in_touch_s = state.clock()
         registry.era.subscribe(self._record_rise, lambda *_: None)
+        self.limits.subscribe(self._apply_longer_life)
 
     @property
     def enabled(self) -> bool:
@@ -132,13 +134,11 @@
         """Call `listener` with a service whose versions in use may have changed."""
         self._listeners.append(listener)
 
-    def life_s(self, service: str) -> float:
-        """Return for how long a stream may last and be taken up."""
-        return LIFE_MARGIN_S + self._services().get(service, DEFAULT_TIMEOUT_S)
-
     def in_use(self, service: str) -> frozenset[str]:
         """Return the versions at which a stream that still lasts may have begun."""
-        return self._history.in_use(service, self._state.clock(), self.life_s(service))
+        return self._history.in_use(
+            service, self._state.clock(), self.limits.life_s(service)
+        )
 
     def record_use(self, service: str, version: str) -> None:
         """Record that a stream begins.
@@ -148,7 +148,7 @@
         """
         self._observe(service, version)
         now_s, key = self._state.clock(), (service, version)
-        if now_s - self._used_s.get(key, -math.inf) >= self.life_s(service):
+        if now_s - self._used_s.get(key, -math.inf) >= self.limits.life_s(service):
             self._sources.report({service: {version: 0}})
         self._used_s[key] = now_s
 
@@ -156,17 +156,18 @@
         """Record the versions that have engines now."""
         if not self._state.upstreams_loaded:
             return
-        now_s, services = self._state.clock(), self._services()
+        now_s = self._state.clock()
         if now_s == self._observed_s:
             return
         self._observed_s = now_s
         self._watching_since_s = min(self._watching_since_s, now_s)
-        present: dict[str, set[str]] = {each: set() for each in services}
+        self.limits.refresh()
+        # A service without a route may get one while streams of before still last.
+        present: dict[str, set[str]] = {}
         for record in self._state.upstreams.view.records.values():
-            if record.service in present:
-                present[record.service].add(record.version)
+            present.setdefault(record.service, set()).add(record.version)
         self._history.observe(present, now_s)
-        for service in services:
+        for service in self.limits.services():
             self._notify(service)
 
     def observe_upstream(self, record: UpstreamRecord) -> None:
@@ -187,17 +188,17 @@
             service: {
                 version: int(1000 * age_s)
                 for version, age_s in self._history.observed_ages_s(
-                    service, now_s, self.life_s(service)
+                    service, now_s, self.limits.life_s(service)
                 ).items()
             }
-            for service in self._services()
+            for service in self.limits.services()
         }
 
     def merge(self, reported: Any) -> None:
         """Apply the versions that a peer reports; raise one of DECODE_ERRORS."""
         now_s = self._state.clock()
         for service, ages_ms in reported.items():
-            if service not in self._services():
+            if not self.limits.is_tracked(service):
                 continue
             seen_s = {
                 str(version): now_s - max(0.0, finite_number(age_ms) / 1000)
@@ -210,7 +211,7 @@
         """Return what is known of the versions since a life before a question."""
         # The view may have changed since the last periodic check.
         self.observe()
-        since_s = asked_s - self.life_s(service)
+        since_s = asked_s - self.limits.life_s(service)
         return judge_versions(
             VersionEvidence(
                 asked_s=asked_s,
@@ -232,7 +233,7 @@
         now_s = self._state.clock()
         return min(
             self._settled_s(service) - now_s,
-            self._watching_since_s + self.life_s(service) - now_s,
+            self._watching_since_s + self.limits.life_s(service) - now_s,
         )
 
     async def wait_for_news(self, service: str, asked_s: float) -> None:
@@ -272,6 +273,7 @@
                 self._state.clock() - SILENCE_S - self._sources.report_age_s()
             )
             self._has_unrecorded.clear()
+            self._check_touch()
             if self.enabled and self._state.upstreams_loaded:
                 try:
                     if self._records_end < 0 or self._has_uncovered():
@@ -290,13 +292,19 @@
             except TimeoutError:
                 pass
 
-    def _services(self) -> dict[str, float]:
-        """Return the longest time limit of the streams of each service."""
-        configuration = self._state.configuration
-        if configuration is not None and configuration is not self._configuration:
-            self._configuration = configuration
-            self._time_limits_s = longest_time_limits_s(configuration)
-        return self._time_limits_s
+    def _check_touch(self) -> None:
+        """Read the record again if this node was out of touch and no longer is."""
+        now_s = self._state.clock()
+        if now_s - self._state.upstreams.replica.confirmed_s > OUT_OF_TOUCH_S:
+            return
+        if now_s - self._in_touch_s > OUT_OF_TOUCH_S + 2 * CHECK_INTERVAL_S:
+            self._records_end = -1
+        self._in_touch_s = now_s
+
+    def _apply_longer_life(self, service: str) -> None:
+        """Record that streams of a service may last longer than before."""
+        self._has_unrecorded.set()
+        self._notify(service)
 
     def _observe(self, service: str, version: str) -> None:
         if version not in self.in_use(service):
@@ -332,9 +340,9 @@
         now_s = self._state.clock()
         return any(
             not self._is_covered(service)
-            and self._watching_since_s > now_s - self.life_s(service)
+            and self._watching_since_s > now_s - self.limits.life_s(service)
             and self.in_use(service)
-            for service in self._services()
+            for service in self.limits.services()
         )
 
     def _settled_s(self, service: str) -> float:
@@ -390,51 +398,87 @@
         read_s, era = self._state.clock(), self._registry.era.value
         listing = await self._registry.newest(self._topics.versions)
         now_s = self._state.clock()
-        decoded = {each.key: decode_versions(each.value) for each in listing.documents}
-        self._records = {
-            service: record for service, record in decoded.items() if record is not None
-        }
-        for service, record in self._records.items():
-            self._history.restore(service, record.versions, now_s)
-            if record.era == era_of(listing.end_offset) and era in (0, record.era):
+        records, limits = decode_records(listing.documents)
+        self._records, self._limit_records = records, limits
+        for service, limit in limits.items():
+            self.limits.restore(service, limit.limit_s)
+        end_era = era_of(listing.end_offset)
+        for service, record in records.items():
+            if not self._has_watched(self.limits.life_s(service)):
+                found = limits.get(service)
+                has_limit = found is not None and found.era == end_era
+                extra_s = 0.0 if has_limit else self.limits.assumed_extra_s(service)
+                self._history.restore(service, record.versions, now_s + extra_s)
+            if record.era == end_era and era in (0, record.era):
                 self._covered_s[service] = read_s
             self._notify(service)
         self._records_end = listing.end_offset
 
+    def _has_watched(self, time_s: float) -> bool:
+        """Return whether this node has seen each change for a time."""
+        return self._watching_since_s <= self._state.clock() - time_s
+
     async def _write_record(self) -> None:
-        """Append the versions in use where they differ from the record.
+        """Append the versions in use and the time limits that differ from the record.
 
         In a new era, the record is written once the lost entries must be back.
         """
-        for service in self._services():
-            now_s, record = self._state.clock(), self._records.get(service)
-            if self._settled_s(service) > now_s:
+        for service in self.limits.services():
+            if self._settled_s(service) > self._state.clock():
                 continue
-            era = self._registry.era.value
-            recorded = frozenset() if record is None else record.versions
-            versions = self._history.version_set_to_record(
-                service, recorded, now_s, self.life_s(service)
-            )
-            if versions is None and record is not None and record.era != era:
-                versions = recorded | self.in_use(service)
-            if versions is None:
-                continue
-            written = VersionsRecord(versions, era)
-            self._records_end = await self._registry.append(
-                self._topics.versions,
-                service,
-                encode_versions(written),
-                self._records_end,
-            )
-            self._records[service] = written
-            self._covered_s[service] = self._state.clock()
-            self._state.events.emit(
-                839,
-                service=service,
-                versions=sorted(versions),
-                era=era_of(self._records_end),
-                offset=offset_of(self._records_end),
-            )
+            # The versions come last: only these show that the record is complete.
+            await self._write_limit(service)
+            await self._write_versions(service)
+
+    async def _write_limit(self, service: str) -> None:
+        record, era = self._limit_records.get(service), self._registry.era.value
+        limit_s = self.limits.limit_to_record(
+            service, None if record is None else record.limit_s
+        )
+        if record is None or record.era != era:
+            if service in self._records and not self._has_watched(ASSUMED_LIMIT_S):
+                # Streams from before this node started may last longer than it knows.
+                return
+            limit_s = self.limits.longest_s(service)
+        # A service that has no engines has no versions either.
+        if limit_s is None or not self.in_use(service):
+            return
+        written = LimitRecord(limit_s, era)
+        self._records_end = await self._registry.append(
+            self._topics.versions,
+            LIMIT_KEY_PREFIX + service,
+            encode_limit(written),
+            self._records_end,
+        )
+        self._limit_records[service] = written
+
+    async def _write_versions(self, service: str) -> None:
+        now_s, record = self._state.clock(), self._records.get(service)
+        era = self._registry.era.value
+        recorded = frozenset() if record is None else record.versions
+        versions = self._history.version_set_to_record(
+            service, recorded, now_s, self.limits.life_s(service)
+        )
+        if versions is None and record is not None and record.era != era:
+            versions = recorded | self.in_use(service)
+        if versions is None:
+            return
+        written = VersionsRecord(versions, era)
+        self._records_end = await self._registry.append(
+            self._topics.versions,
+            service,
+            encode_versions(written),
+            self._records_end,
+        )
+        self._records[service] = written
+        self._covered_s[service] = self._state.clock()
+        self._state.events.emit(
+            839,
+            service=service,
+            versions=sorted(versions),
+            era=era_of(self._records_end),
+            offset=offset_of(self._records_end),
+        )
 
     def _record_rise(self, before: int, era: int, source: str) -> None:
         """Read and write again what the registry may have lost."""
--- a/tests/gateway/outofstep.py
+++ b/tests/gateway/outofstep.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import json
+from dataclasses import replace
 
+from tests.gateway.harness import configuration
 from tests.gateway.test_streamversions_cluster import (
     SERVICE,
     RecordingCluster,
@@ -75,9 +78,23 @@
         else:
             self._buffer.append((data, address))
 
+    @property
+    def loaded(self):
+        """Return whether this node serves callers."""
+        return self.state.configuration is not None
+
+    @property
+    def route(self):
+        """Return the route of streams that this node serves, or None."""
+        routes = self.state.configuration.routes
+        return next((each for each in routes if each.name == "resume"), None)
+
     def begin(self, name, version):
-        """Begin a stream."""
-        self.versions.record(SERVICE, name, version)
+        """Begin a stream; return the time limit under which it is admitted."""
+        limit_s = self.route.timeout_s
+        if self.versions.may_be_taken_up(self.route, SERVICE):
+            self.versions.record(SERVICE, name, version, limit_s)
+        return limit_s
 
     async def take_up(self, name):
         """Return the version at which a stream goes on, or None."""
@@ -86,10 +103,43 @@
 
 
 class PausingCluster(RecordingCluster):
-    """Run nodes that may stand still, and a registry that may go back."""
+    """Run nodes that may stand still, and a registry that may go back.
+
+    The operator changes the route of streams.
+    """
 
     node_class = PausingNode
 
+    def __init__(self, nodes, seed, **changes):
+        # The newest configuration: its version and the changes of the route.
+        self._published = (1, {})
+        super().__init__(nodes, seed, **changes)
+
+    def publish(self, **changes):
+        """Change fields of the route; `routed=False` removes it."""
+        version, before = self._published
+        self._published = (version + 1, {**before, **changes})
+        self._write_configuration()
+
+    def _write_configuration(self):
+        version, changes = self._published
+        raw = json.dumps([version, changes]).encode()
+        self.registry.put("configuration", "config", raw)
+
+    def decode_configuration(self, raw):
+        """Return the configuration of a document."""
+        document = json.loads(raw)
+        version, changes = document if isinstance(document, list) else (document, {})
+        changes = dict(changes)
+        routed = changes.pop("routed", True)
+        full = configuration(version=version)
+        routes = [
+            replace(each, **changes) if each.name == "resume" else each
+            for each in full.routes
+            if routed or each.name != "resume"
+        ]
+        return replace(full, routes=tuple(routes))
+
     def passes(self, sender, receiver):
         """Return whether a datagram leaves its sender and reaches its receiver."""
         return sender.awake and super().passes(sender, receiver)
@@ -105,6 +155,7 @@
         newest = {key: value for key, value in log if value}
         gone = {key for key, value in dict(log).items() if not value}
         self.registry.return_from(copy)
+        self._write_configuration()
         loop = asyncio.get_running_loop()
         for key, value in newest.items():
             if key not in gone:
--- a/tests/gateway/test_relay_takeups.py
+++ b/tests/gateway/test_relay_takeups.py
@@ -1,9 +1,19 @@
 """Test that streams taken up after the end of a node go on at their version alone."""
 
 import asyncio
+from dataclasses import replace
 
+import cbor2
+
+from cicadapass_decisions.streamversions import Stream
 from cicadapass_gateway.exceptions import DECODE_ERRORS
-from tests.gateway.harness import GatewayHarness, LoopTest, until
+from cicadapass_gateway.streamrecords import (
+    LimitRecord,
+    decode_limit,
+    decode_versions,
+    encode_limit,
+)
+from tests.gateway.harness import GatewayHarness, LoopTest, configuration, until
 from tests.gateway.test_relay_versions import go_on, list_engines
 
 VERSIONS = ("v1", "v2", "v1", "v2")
@@ -84,6 +94,17 @@
     return reply, engines_by_request(gateway).get(name)
 
 
+def adopt(gateway, **changes):
+    """Apply a newer configuration, whose route of streams is changed."""
+    newer = configuration(version=gateway.state.version + 1)
+    routes = [
+        replace(each, **changes) if each.name == "resume" else each
+        for each in newer.routes
+    ]
+    newer = replace(newer, routes=tuple(routes))
+    gateway.state.adopt(newer, b"")
+
+
 def recorded(gateway):
     """Return the number of batches of streams in the log."""
     return len(gateway.registry.logs.get("streams", []))
@@ -211,6 +232,45 @@
 
         self.run_loop(scenario())
 
+    def test_a_route_that_is_no_longer_resumable_joins_two_versions(self):
+        """Streams from before a change of their route went on at any version."""
+
+        async def scenario():
+            gateway = await start()
+            load(gateway, "v1")
+            await begin_streams(gateway)
+            versions = gateway.stream_versions
+            await until(lambda: recorded(gateway) and not versions._unrecorded)
+            adopt(gateway, resumable=False)
+            load(gateway, "v2")
+            for number in range(STREAMS):
+                reply, engine = await take_up(gateway, number)
+                self.assertEqual(200, reply.status)
+                self.assertEqual("v2", VERSIONS[engine], number)
+            # Streams that begin meanwhile may be taken up once it is resumable again.
+            caller = await gateway.connect()
+            caller.send("/resume/a", "POST", x_id="u", x_tokens=TOKENS)
+            await caller.head()
+            service = next(iter(gateway.version_knowledge.limits.services()))
+            self.assertIsNotNone(versions._indexed(Stream(service, "u")))
+
+        self.run_loop(scenario())
+
+    def test_a_caller_that_states_more_than_its_route_is_forgotten(self):
+        """The time-out of the route counted for a caller that comes back later."""
+
+        async def scenario():
+            gateway = await start()
+            limits = gateway.version_knowledge.limits
+            before_s = limits.longest_s("s")
+            caller = await gateway.connect()
+            caller.send("/resume/a", "POST", x_id="s0", x_limit=30, x_tokens=TOKENS)
+            await caller.head()
+            self.assertEqual(10.0, before_s)
+            self.assertEqual(30.0, limits.longest_s("s"))
+
+        self.run_loop(scenario())
+
     def test_malformed_rows_of_a_peer_are_declared(self):
         """A malformed message of a peer ended the part that receives datagrams."""
 
@@ -218,5 +278,12 @@
             gateway = await start()
             for rows in (None, 3, [[1]], [["s", 1, ["a"]]], [["s", "v", [2]]]):
                 self.assertRaises(DECODE_ERRORS, gateway.stream_versions.accept, rows)
+            merge = gateway.version_knowledge.limits.merge
+            for rows in (None, 3, {"s": 3}, {"s": [[1]]}, {"s": [["a", 2]]}):
+                self.assertRaises(DECODE_ERRORS, merge, rows)
+            for data in (b"", b"\xff", cbor2.dumps([1]), cbor2.dumps(["a", 0])):
+                self.assertIsNone(decode_limit(data))
+            # Earlier builds decode all records of the topic as versions.
+            self.assertIsNone(decode_versions(encode_limit(LimitRecord(15.0, 1))))
 
         self.run_loop(scenario())
--- a/tests/gateway/test_streamversions_cluster.py
+++ b/tests/gateway/test_streamversions_cluster.py
@@ -28,6 +28,8 @@
 MAX_BYTES_PER_STREAM = 60
 SERVICE = "s"
 TIME_LIMIT_S = 3.0
+# The time limit of the route.
+STREAM_LIMIT_S = 10.0
 
 
 class RecordingNode(ClusterNode):
@@ -59,7 +61,7 @@
         await asyncio.sleep(self.state.rng.random() / STREAMS_PER_S)
         for number in range(round(LENGTH_S * STREAMS_PER_S)):
             name, version = f"{self.name}-{number}", f"v{1 + number % 2}"
-            self.versions.record(SERVICE, name, version)
+            self.versions.record(SERVICE, name, version, STREAM_LIMIT_S)
             begun[name] = version
             await asyncio.sleep(1 / STREAMS_PER_S)
 
--- a/tests/gateway/test_versionknowledge_cluster.py
+++ b/tests/gateway/test_versionknowledge_cluster.py
@@ -319,7 +319,7 @@
         async def scenario():
             cluster = await start()
             node = cluster.nodes[0]
-            life_s = node.knowledge.life_s("s")
+            life_s = node.knowledge.limits.life_s("s")
             for pause_s, reports in ((0.0, 1), (0.1, 0), (life_s + 1, 1), (0.0, 0)):
                 await asyncio.sleep(pause_s)
                 before = cluster.datagrams
--- a/tests/gateway/test_versionknowledge_orders.py
+++ b/tests/gateway/test_versionknowledge_orders.py
@@ -26,13 +26,18 @@
 RETURNS = ("go_on", "answer", "join", "go_back", "kill")
 
 
-def events(*kinds):
+# Time limits of the route; a stream of the usual one outlasts what the lowest implies.
+LOWERED_S, USUAL_S, RAISED_S = 2.0, 10.0, 18.0
+PAUSES_S = (0.0, 0.05, 0.3, 1.0, 2.6)
+
+
+def events(*kinds, pauses_s=PAUSES_S):
     """Draw an event of some kinds: its node, its version, and a pause behind it."""
     return st.tuples(
         st.sampled_from(kinds),
         st.integers(0, NODES - 1),
         st.integers(1, 2),
-        st.sampled_from([0.0, 0.05, 0.3, 1.0, 2.6]),
+        st.sampled_from(pauses_s),
     )
 
 
@@ -57,6 +62,14 @@
     version: str
     source: int
     began_s: float
+    # The time limit under which it was admitted.
+    limit_s: float
+    # It is in the log, as its route was resumable and the service had several versions.
+    logged: bool
+
+    def may_last(self, now_s):
+        """Return whether its caller may still take it up."""
+        return now_s - self.began_s < self.limit_s
 
 
 @dataclass
@@ -66,12 +79,28 @@
     streams: dict = field(default_factory=dict)
     versions: set = field(default_factory=lambda: {"v1"})
     disturbed_s: dict = field(default_factory=dict)
+    # All times at which a node or the registry was disturbed.
+    disturbances: list = field(default_factory=list)
+    killed_s: dict = field(default_factory=dict)
     copy: dict | None = None
 
     def disturb(self, now_s, *nodes):
         """Record that nodes are out of touch from now on, or until now."""
         for node in nodes:
             self.disturbed_s[node] = now_s
+        if nodes:
+            self.disturbances.append(now_s)
+
+    def is_recorded(self, stream, now_s):
+        """Return whether some node or the log has what no disturbance took away."""
+        recorded_s = stream.began_s + RECORD_S
+        lives = self.killed_s.get(stream.source, -math.inf) < stream.began_s
+        return (
+            (stream.logged or lives)
+            and now_s > recorded_s
+            and self.disturbed_s.get("registry", -math.inf) < stream.began_s
+            and not any(stream.began_s <= at <= recorded_s for at in self.disturbances)
+        )
 
     def is_calm(self, now_s, number):
         """Return whether a node has been in touch all along."""
@@ -85,7 +114,9 @@
 class Play:
     """Play a list of events at a cluster and check each stream that is taken up."""
 
-    def __init__(self):
+    def __init__(self, longest_s=math.inf):
+        # Callers take streams up for no longer than this.
+        self.longest_s = longest_s
         self.cluster = PausingCluster(NODES, 7, loss=0.0)
         self.cluster.registry.era_number = 1
         self.model = Model()
@@ -132,9 +163,14 @@
         for source, node in enumerate(self.cluster.nodes):
             usable = {each.partition("-")[0] for each in node.usable}
             for each in sorted(usable) if node.awake else ():
+                if node.route is None:
+                    continue
                 name = f"s{len(self.model.streams)}"
-                node.begin(name, each)
-                self.model.streams[name] = Stream(name, each, source, self.now_s)
+                limit_s = node.begin(name, each)
+                logged = node.route.resumable and len(self.model.versions) > 1
+                self.model.streams[name] = Stream(
+                    name, each, source, self.now_s, limit_s, logged
+                )
 
     async def take_ups(self, number, version):
         """Take the streams up that may last, each at each node."""
@@ -142,14 +178,14 @@
         streams = [
             each
             for each in self.model.streams.values()
-            if began_s - each.began_s < TIME_LIMIT_S
+            if each.may_last(began_s) and began_s - each.began_s < self.longest_s
         ]
         faults = await asyncio.gather(
             *(
                 self._take_up(number, stream)
                 for number, node in enumerate(self.cluster.nodes)
                 for stream in streams
-                if node.awake
+                if node.awake and node.loaded and node.route is not None
             )
         )
         return next(filter(None, faults), None)
@@ -157,7 +193,7 @@
     async def _take_up(self, number, stream):
         asked_s = self.now_s
         known = len(self.model.versions) == 1 and self.model.is_calm(asked_s, number)
-        recorded = asked_s - stream.began_s > RECORD_S and all(
+        recorded = self.model.is_recorded(stream, asked_s) and all(
             self.model.is_calm(asked_s, each) for each in range(NODES)
         )
         found = await self.cluster.nodes[number].take_up(stream.name)
@@ -201,11 +237,52 @@
 
     async def kill(self, number, version):
         """Kill a node, and start it again."""
-        self.cluster.kill(self.cluster.nodes[number])
+        await self._kill([number])
+
+    async def kill_all(self, number, version):
+        """Kill all nodes at once, and start them again."""
+        await self._kill(range(NODES))
+
+    async def _kill(self, numbers):
+        for each in numbers:
+            self.cluster.kill(self.cluster.nodes[each])
         await asyncio.sleep(0.3)
-        self.cluster.restart(self.cluster.nodes[number])
-        self.model.disturb(self.now_s, number)
-        self._update(number)
+        for each in numbers:
+            self.cluster.restart(self.cluster.nodes[each])
+            self.model.disturb(self.now_s, each)
+            self.model.killed_s[each] = self.now_s
+            self._update(each)
+
+    async def wait(self, number, version):
+        """Let only time pass."""
+
+    async def lower(self, number, version):
+        """Lower the time limit of the route."""
+        self.cluster.publish(timeout_s=LOWERED_S)
+
+    async def raise_(self, number, version):
+        """Raise the time limit of the route."""
+        self.cluster.publish(timeout_s=RAISED_S)
+
+    async def restore(self, number, version):
+        """Give the route its first time limit again."""
+        self.cluster.publish(timeout_s=USUAL_S)
+
+    async def end_resumes(self, number, version):
+        """Let no more streams of the route be resumed."""
+        self.cluster.publish(resumable=False)
+
+    async def allow_resumes(self, number, version):
+        """Let streams of the route be resumed again."""
+        self.cluster.publish(resumable=True)
+
+    async def end_route(self, number, version):
+        """Leave the service without a route of streams."""
+        self.cluster.publish(routed=False)
+
+    async def add_route(self, number, version):
+        """Add the route again."""
+        self.cluster.publish(routed=True)
 
     async def copy(self, number, version):
         """Copy the registry."""
@@ -230,6 +307,6 @@
         """Some order of events let a node rely on what it could not know."""
 
         async def scenario():
-            return await Play().run(events)
+            return await Play(TIME_LIMIT_S).run(events)
 
         self.assertIsNone(run_virtual(scenario()))
--- a/tests/gateway/virtualcluster.py
+++ b/tests/gateway/virtualcluster.py
@@ -211,6 +211,8 @@
     node.registry_sync.subscribe(knowledge.observe_upstream, knowledge.record_gap)
     node.peers._dependencies.observed_versions = knowledge.export
     node.peers._dependencies.merge_versions = knowledge.merge
+    node.peers._dependencies.stream_limits = knowledge.limits.export
+    node.peers._dependencies.merge_stream_limits = knowledge.limits.merge
     return knowledge
 
 
