Keep the service's entry of a request's admission

Cause: each placement of a request looked the service up in the newest configuration. Once the service had left it, the repeat of a model request was placed as a plain call, and a move of its run took an event for one token.

Change: the match of a request has the entry of the service, as it has the route and the workspace.

Measured: test_a_model_request_goes_on_after_its_service_has_left fails before ([True, False]) and passes.

--- a/packages/decisions/cicadapass_decisions/routetable.py
+++ b/packages/decisions/cicadapass_decisions/routetable.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-from cicadapass_decisions.passthrough import Configuration, Route, Workspace
+from cicadapass_decisions.passthrough import Configuration, Route, Service, Workspace
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,12 +18,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Match:
-    """Store the route, service and workspace of a call."""
+    """Store the route, service and workspace of a call.
+
+    They stay those of its admission, whatever a later configuration says.
+    """
 
     route: Route
     service: str
     workspace: Workspace | None
     version: int
+    # None if the configuration does not describe the service.
+    service_entry: Service | None = None
 
     @property
     def priority(self) -> int:
@@ -77,7 +82,9 @@
         service = _choose_service(route, rng)
         if service is None:
             return NoRoute()
-        return Match(route, service, workspace, self.configuration.version)
+        configuration = self.configuration
+        entry = configuration.services.get(service)
+        return Match(route, service, workspace, configuration.version, entry)
 
     def workspace_name(self, key: str | None) -> str | None:
         """Return the name of the workspace with a key, or None."""
--- a/packages/gateway/cicadapass_gateway/relay.py
+++ b/packages/gateway/cicadapass_gateway/relay.py
@@ -209,9 +209,7 @@
 
         Calls of plain services cost a hundredth of a model's, so that all of them fit.
         """
-        configuration = self._state.configuration
-        services = {} if configuration is None else configuration.services
-        service = services.get(request.match.service)
+        service = request.match.service_entry
         if service is None or not service.model_engine:
             return 0
         return 1 + max(0, request.match.route.priority)
@@ -342,7 +340,7 @@
     def _requirements(self, request: RequestContext) -> RequestRequirements:
         route, workspace = request.match.route, request.match.workspace
         table = self._state.routes
-        service = table and table.configuration.services.get(request.match.service)
+        service = request.match.service_entry
         return RequestRequirements(
             service=request.match.service,
             prompt=request.call.prompt,
--- a/packages/gateway/cicadapass_gateway/upstreamattempt.py
+++ b/packages/gateway/cicadapass_gateway/upstreamattempt.py
@@ -496,8 +496,7 @@
 
     def _active_run(self) -> ActiveRun:
         request = self._request
-        configuration = self._state.configuration
-        service = configuration and configuration.services.get(request.match.service)
+        service = request.match.service_entry
         return ActiveRun(
             request_id=request.call.request_id or "",
             record=self._reservation.record,
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -447,6 +447,26 @@
 
         self.run_loop(scenario())
 
+    def test_a_model_request_goes_on_after_its_service_has_left(self):
+        """A request was placed as a plain call once the service had left the routes."""
+
+        async def scenario():
+            breaking = streaming(1, 9, cut=4)
+            gateway = await GatewayHarness().start(breaking, breaking)
+            place, placed = gateway.state.queue.place, []
+
+            async def place_and_change(requirements):
+                placed.append(requirements.model_engine)
+                newer = replace(configuration(), version=1 + len(placed), services={})
+                gateway.state.adopt(newer, b"")
+                return await place(requirements)
+
+            gateway.state.queue.place = place_and_change
+            await gateway.call("/resume/x", "POST", x_tokens=100)
+            self.assertEqual([True, True], placed)
+
+        self.run_loop(scenario())
+
     def test_a_stream_that_must_not_repeat_is_not_resumed(self):
         """The events of two runs were joined."""
 
