Report only limits that the configuration does not have

Each node knows the limits of its configuration, so its peers need those from before it alone. A deployment that changes no time limit sends none.

--- a/packages/gateway/cicadapass_gateway/limitknowledge.py
+++ b/packages/gateway/cicadapass_gateway/limitknowledge.py
@@ -109,7 +109,10 @@
             self._raise_to(service, float(math.ceil(limit_s)), KEPT_S)
 
     def restore(self, service: str, limit_s: float) -> None:
-        """Record the limit that the registry has."""
+        """Record the limit that the registry has.
+
+        One that this node knows is not kept for longer with each read.
+        """
         if limit_s > self.longest_s(service) or not self.is_tracked(service):
             self._raise_to(service, limit_s, KEPT_S)
 
@@ -118,22 +121,23 @@
         return max(0.0, ASSUMED_LIMIT_S - self.longest_s(service))
 
     def export(self) -> ReportedLimits:
-        """Return the limits that count, for peers.
+        """Return the limits that count beyond those of the configuration in force.
 
         The registry also has those of services that the configuration lacks by now.
         """
         now_s, configuration = self._state.clock(), self._configuration
-        if configuration is None:
-            return {}
-        return {
-            service: [
+        reported: ReportedLimits = {}
+        for service in () if configuration is None else configuration.services:
+            configured_s = self._configured_s.get(service, -1.0)
+            rows = [
                 [whole_ms(each.limit_s), round(1000 * remaining_s)]
                 for each in self._limits.in_force(service, now_s)
-                if (remaining_s := each.ends_s - now_s - REPORT_MARGIN_S) > 0
+                if each.limit_s > configured_s
+                and (remaining_s := each.ends_s - now_s - REPORT_MARGIN_S) > 0
             ]
-            for service in self.services()
-            if service in configuration.services
-        }
+            if rows:
+                reported[service] = rows
+        return reported
 
     def merge(self, reported: Any) -> None:
         """Apply the limits that a peer reports; raise one of DECODE_ERRORS."""
--- a/packages/gateway/cicadapass_gateway/peers.py
+++ b/packages/gateway/cicadapass_gateway/peers.py
@@ -407,8 +407,11 @@
         registry = self._dependencies.registry()
         view_end, ages_s = registry.view_state()
         rollouts = state.rollouts.export()
+        stream_limits = self._dependencies.stream_limits()
+        # Builds that do not know a field ignore it.
         message = {
             **({} if rollouts is None else {"rollouts": rollouts}),
+            **({"stream_limits": stream_limits} if stream_limits else {}),
             "node": encode_address(self.local_address),
             "interval": self._interval,
             "wall": time.time(),
@@ -430,9 +433,7 @@
             "holder": self._dependencies.local_renewal(),
             "reported": self._dependencies.reported_window(),
             "members": [encode_address(address) for address in introduced],
-            # Builds that do not know these ignore them.
             "service_versions": self._dependencies.observed_versions(),
-            "stream_limits": self._dependencies.stream_limits(),
         }
         if state.upstreams.learned is not None:
             # At most 12 rows of up to 50 bytes; builds without them ignore them.
--- a/packages/gateway/cicadapass_gateway/versionknowledge.py
+++ b/packages/gateway/cicadapass_gateway/versionknowledge.py
@@ -93,7 +93,7 @@
         self._sources = sources
         self._is_recorder = is_recorder
         self._history = VersionHistory()
-        self.limits = LimitKnowledge(state)
+        self._limits = LimitKnowledge(state)
         # The records of the versions and of the time limits, by service, and the end
         # of their topic.
         self._records: dict[str, VersionsRecord] = {}
@@ -120,10 +120,15 @@
         self._members_checked_s = -math.inf
         # When the process of a member was found to have ended.
         self._ended: dict[str, float] = {}
-        # When the record was last found to be read by a node in touch.
+        # When this node was last found to be in touch with the registry.
         self._in_touch_s = state.clock()
         registry.era.subscribe(self._record_rise, lambda *_: None)
-        self.limits.subscribe(self._apply_longer_life)
+        self._limits.subscribe(self._apply_longer_life)
+
+    @property
+    def limits(self) -> LimitKnowledge:
+        """Return what knows for how long streams may last."""
+        return self._limits
 
     @property
     def enabled(self) -> bool:
@@ -137,7 +142,7 @@
     def in_use(self, service: str) -> frozenset[str]:
         """Return the versions at which a stream that still lasts may have begun."""
         return self._history.in_use(
-            service, self._state.clock(), self.limits.life_s(service)
+            service, self._state.clock(), self._limits.life_s(service)
         )
 
     def record_use(self, service: str, version: str) -> None:
@@ -148,7 +153,7 @@
         """
         self._observe(service, version)
         now_s, key = self._state.clock(), (service, version)
-        if now_s - self._used_s.get(key, -math.inf) >= self.limits.life_s(service):
+        if now_s - self._used_s.get(key, -math.inf) >= self._limits.life_s(service):
             self._sources.report({service: {version: 0}})
         self._used_s[key] = now_s
 
@@ -161,13 +166,13 @@
             return
         self._observed_s = now_s
         self._watching_since_s = min(self._watching_since_s, now_s)
-        self.limits.refresh()
+        self._limits.refresh()
         # A service without a route may get one while streams of before still last.
         present: dict[str, set[str]] = {}
         for record in self._state.upstreams.view.records.values():
             present.setdefault(record.service, set()).add(record.version)
         self._history.observe(present, now_s)
-        for service in self.limits.services():
+        for service in self._limits.services():
             self._notify(service)
 
     def observe_upstream(self, record: UpstreamRecord) -> None:
@@ -188,17 +193,17 @@
             service: {
                 version: int(1000 * age_s)
                 for version, age_s in self._history.observed_ages_s(
-                    service, now_s, self.limits.life_s(service)
+                    service, now_s, self._limits.life_s(service)
                 ).items()
             }
-            for service in self.limits.services()
+            for service in self._limits.services()
         }
 
     def merge(self, reported: Any) -> None:
         """Apply the versions that a peer reports; raise one of DECODE_ERRORS."""
         now_s = self._state.clock()
         for service, ages_ms in reported.items():
-            if not self.limits.is_tracked(service):
+            if not self._limits.is_tracked(service):
                 continue
             seen_s = {
                 str(version): now_s - max(0.0, finite_number(age_ms) / 1000)
@@ -211,7 +216,7 @@
         """Return what is known of the versions since a life before a question."""
         # The view may have changed since the last periodic check.
         self.observe()
-        since_s = asked_s - self.limits.life_s(service)
+        since_s = asked_s - self._limits.life_s(service)
         return judge_versions(
             VersionEvidence(
                 asked_s=asked_s,
@@ -233,7 +238,7 @@
         now_s = self._state.clock()
         return min(
             self._settled_s(service) - now_s,
-            self._watching_since_s + self.limits.life_s(service) - now_s,
+            self._watching_since_s + self._limits.life_s(service) - now_s,
         )
 
     async def wait_for_news(self, service: str, asked_s: float) -> None:
@@ -273,7 +278,7 @@
                 self._state.clock() - SILENCE_S - self._sources.report_age_s()
             )
             self._has_unrecorded.clear()
-            self._check_touch()
+            self._check_contact()
             if self.enabled and self._state.upstreams_loaded:
                 try:
                     if self._records_end < 0 or self._has_uncovered():
@@ -292,8 +297,8 @@
             except TimeoutError:
                 pass
 
-    def _check_touch(self) -> None:
-        """Read the record again if this node was out of touch and no longer is."""
+    def _check_contact(self) -> None:
+        """Let the record be read again once this node is no longer out of touch."""
         now_s = self._state.clock()
         if now_s - self._state.upstreams.replica.confirmed_s > OUT_OF_TOUCH_S:
             return
@@ -340,9 +345,9 @@
         now_s = self._state.clock()
         return any(
             not self._is_covered(service)
-            and self._watching_since_s > now_s - self.limits.life_s(service)
+            and self._watching_since_s > now_s - self._limits.life_s(service)
             and self.in_use(service)
-            for service in self.limits.services()
+            for service in self._limits.services()
         )
 
     def _settled_s(self, service: str) -> float:
@@ -401,13 +406,13 @@
         records, limits = decode_records(listing.documents)
         self._records, self._limit_records = records, limits
         for service, limit in limits.items():
-            self.limits.restore(service, limit.limit_s)
+            self._limits.restore(service, limit.limit_s)
         end_era = era_of(listing.end_offset)
         for service, record in records.items():
-            if not self._has_watched(self.limits.life_s(service)):
+            if not self._has_watched(self._limits.life_s(service)):
                 found = limits.get(service)
                 has_limit = found is not None and found.era == end_era
-                extra_s = 0.0 if has_limit else self.limits.assumed_extra_s(service)
+                extra_s = 0.0 if has_limit else self._limits.assumed_extra_s(service)
                 self._history.restore(service, record.versions, now_s + extra_s)
             if record.era == end_era and era in (0, record.era):
                 self._covered_s[service] = read_s
@@ -423,7 +428,7 @@
 
         In a new era, the record is written once the lost entries must be back.
         """
-        for service in self.limits.services():
+        for service in self._limits.services():
             if self._settled_s(service) > self._state.clock():
                 continue
             # The versions come last: only these show that the record is complete.
@@ -432,14 +437,14 @@
 
     async def _write_limit(self, service: str) -> None:
         record, era = self._limit_records.get(service), self._registry.era.value
-        limit_s = self.limits.limit_to_record(
+        limit_s = self._limits.limit_to_record(
             service, None if record is None else record.limit_s
         )
         if record is None or record.era != era:
             if service in self._records and not self._has_watched(ASSUMED_LIMIT_S):
                 # Streams from before this node started may last longer than it knows.
                 return
-            limit_s = self.limits.longest_s(service)
+            limit_s = self._limits.longest_s(service)
         # A service that has no engines has no versions either.
         if limit_s is None or not self.in_use(service):
             return
@@ -457,7 +462,7 @@
         era = self._registry.era.value
         recorded = frozenset() if record is None else record.versions
         versions = self._history.version_set_to_record(
-            service, recorded, now_s, self.limits.life_s(service)
+            service, recorded, now_s, self._limits.life_s(service)
         )
         if versions is None and record is not None and record.era != era:
             versions = recorded | self.in_use(service)
